--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Everything a developer runs. VENV may name an environment shared by several work trees.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install format lint types imports unit test run serve bench clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --no-deps -r requirements-dev.txt -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+format: install
+	$(BIN)/black --quiet greengagestage standins bench tests examples
+	$(BIN)/ruff check --quiet --fix greengagestage standins bench tests examples
+
+lint: install
+	$(BIN)/black --check --quiet greengagestage standins bench tests examples
+	$(BIN)/ruff check greengagestage standins bench tests examples
+
+types: install
+	$(BIN)/mypy
+
+imports: install
+	$(BIN)/lint-imports
+
+unit: install
+	$(BIN)/python -m pytest -n 6 --dist loadgroup
+
+test: lint types imports unit
+
+run: install
+	$(BIN)/python -m standins.fleet run
+
+serve: install
+	$(BIN)/python -m standins.fleet serve
+
+bench: install
+	$(BIN)/python -m bench
+
+clean:
+	rm -rf .run .ci-venv build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure the policy beside its baselines."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/greengagestage/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Control on a host: configuration, membership, orders and the operators' endpoint."""
--- /dev/null
+++ b/greengagestage/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries: flags, environment, start and signals."""
--- /dev/null
+++ b/greengagestage/configuration/_declaration.py
@@ -0,0 +1,134 @@
+"""The types of a declaration. Durations carry their unit in the field's name."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from greengagestage.ids import (
+    ClassName,
+    FailureDomain,
+    ModelName,
+    OperatorName,
+    ServiceName,
+    UpstreamName,
+    WorkspaceId,
+)
+
+
+class LateAnswer(Enum):
+    """Whether an answer is worth delivering after its target has passed."""
+
+    USEFUL = "useful"
+    USELESS = "useless"
+
+
+class UpstreamKind(Enum):
+    """What an upstream serves."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class EngineRole(Enum):
+    """The part of the work that an engine takes."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class FencingMode(Enum):
+    """What an upstream does with an order that carries an old fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+class ServiceClass(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A service class. Priority 0 is the highest; no two classes share one.
+
+    ``minimum_share`` is the fraction of a pool's slots that the class receives even when
+    higher classes could fill them all.
+    """
+
+    name: ClassName
+    priority: int
+    first_token_target_ms: int
+    inter_token_target_ms: int
+    answer_target_ms: int
+    late_answer: LateAnswer = LateAnswer.USEFUL
+    minimum_share: float = 0.05
+    queue_limit: int = 256
+    retry_ratio: float = 0.2
+
+
+class WorkspaceKey(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A caller's credential, kept as the hexadecimal SHA-256 digest of the key."""
+
+    sha256: str
+
+
+class Workspace(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A workspace and its limits. Limits hold over the whole fleet."""
+
+    name: WorkspaceId
+    keys: tuple[WorkspaceKey, ...]
+    default_class: ClassName
+    weight: float = 1.0
+    requests_per_s: float = 50.0
+    burst: int = 100
+    concurrency: int = 200
+
+
+class Model(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A model that callers may name."""
+
+    name: ModelName
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+    context_tokens: int = 32768
+
+
+class Upstream(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A model engine or one host of a plain service.
+
+    ``url`` names an IP number and a port. ``slots`` is the number of requests that the
+    upstream runs side by side.
+    """
+
+    name: UpstreamName
+    kind: UpstreamKind
+    url: str
+    failure_domain: FailureDomain
+    slots: int
+    models: tuple[ModelName, ...] = ()
+    service: ServiceName | None = None
+    role: EngineRole = EngineRole.MIXED
+    fencing: FencingMode = FencingMode.IGNORED
+    draining: bool = False
+
+
+class PlainService(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A plain service and the methods that may be repeated."""
+
+    name: ServiceName
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
+
+
+class Operator(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An operator and the hexadecimal SHA-256 digest of the operator's key."""
+
+    name: OperatorName
+    sha256: str
+
+
+class Declaration(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Everything that operators declare, checked and versioned as one whole."""
+
+    classes: tuple[ServiceClass, ...]
+    workspaces: tuple[Workspace, ...]
+    models: tuple[Model, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+    services: tuple[PlainService, ...] = ()
+    operators: tuple[Operator, ...] = ()
+    quarantined: tuple[str, ...] = ()
--- /dev/null
+++ b/greengagestage/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' HTTP interface: authentication, admission and delivery."""
--- /dev/null
+++ b/greengagestage/ids.py
@@ -0,0 +1,22 @@
+"""Typed identifiers shared by every package."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+FailureDomain = NewType("FailureDomain", str)
+WorkspaceId = NewType("WorkspaceId", str)
+ClassName = NewType("ClassName", str)
+ModelName = NewType("ModelName", str)
+ServiceName = NewType("ServiceName", str)
+PoolName = NewType("PoolName", str)
+"""A model name or a service name: the set of upstreams that can serve a request."""
+UpstreamName = NewType("UpstreamName", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Fingerprint = NewType("Fingerprint", str)
+"""A hash of the workspace and the canonical request body."""
+ConfigurationVersion = NewType("ConfigurationVersion", int)
+FencingNumber = NewType("FencingNumber", int)
+CommandId = NewType("CommandId", str)
+OperatorName = NewType("OperatorName", str)
--- /dev/null
+++ b/greengagestage/language/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language."""
--- /dev/null
+++ b/greengagestage/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts and upstreams: live, leaving and gone."""
--- /dev/null
+++ b/greengagestage/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, fencing numbers, intents and reconciliation."""
--- /dev/null
+++ b/greengagestage/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs."""
--- /dev/null
+++ b/greengagestage/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/greengagestage/wire/_messages.py
@@ -0,0 +1,111 @@
+"""Messages between an entry process and the agent of its host."""
+
+from msgspec import Struct
+
+from greengagestage.ids import (
+    ClassName,
+    ConfigurationVersion,
+    Fingerprint,
+    PoolName,
+    RequestId,
+    UpstreamName,
+    WorkspaceId,
+)
+
+
+class ConfigurationInForce(Struct, frozen=True, kw_only=True, tag="configuration"):
+    """Agent to entry: the canonical document of the version in force."""
+
+    version: ConfigurationVersion
+    digest: str
+    document: bytes
+
+
+class UpstreamStatus(Struct, frozen=True, kw_only=True):
+    """One upstream as the agent knows it. ``state`` is a value of ``UpstreamState``."""
+
+    upstream: UpstreamName
+    state: str
+    running: int = 0
+    waiting: int = 0
+    peers_in_flight: int = 0
+    age_ms: int = 0
+    cached_prefixes: tuple[int, ...] = ()
+
+
+class UpstreamStatuses(Struct, frozen=True, kw_only=True, tag="upstreams"):
+    """Agent to entry: upstreams whose status changed."""
+
+    statuses: tuple[UpstreamStatus, ...]
+
+
+class HostShares(Struct, frozen=True, kw_only=True, tag="shares"):
+    """Agent to entry: slots of each upstream for this host, and the number of entry hosts."""
+
+    slots: dict[UpstreamName, int]
+    entry_hosts: int
+
+
+class QuarantineNotice(Struct, frozen=True, kw_only=True, tag="quarantine"):
+    """Both ways: a fingerprint that is never run again."""
+
+    fingerprint: Fingerprint
+
+
+class CrashReport(Struct, frozen=True, kw_only=True, tag="crash"):
+    """Entry to agent: an upstream was lost while it ran this fingerprint."""
+
+    fingerprint: Fingerprint
+    upstream: UpstreamName
+
+
+class UpstreamLeavingNotice(Struct, frozen=True, kw_only=True, tag="leaving"):
+    """Entry to agent: an upstream refused an attempt because it is leaving."""
+
+    upstream: UpstreamName
+
+
+class EntryStatus(Struct, frozen=True, kw_only=True, tag="status"):
+    """Entry to agent, about once a second: demand and work in flight.
+
+    ``demand`` counts waiting and running requests by pool and class.
+    """
+
+    demand: dict[PoolName, dict[ClassName, int]]
+    in_flight: dict[UpstreamName, int]
+    stopping: bool = False
+
+
+class RequestRecord(Struct, frozen=True, kw_only=True):
+    """What ``show requests`` and ``explain request`` tell of one request.
+
+    ``notes`` holds one line a decision: the time since arrival and its reason.
+    """
+
+    request_id: RequestId
+    workspace: WorkspaceId
+    service_class: ClassName
+    pool: PoolName
+    state: str
+    code: int
+    age_ms: int
+    first_token_ms: int
+    answer_ms: int
+    tokens: int
+    attempts: int
+    upstream: UpstreamName
+    within_target: bool
+    notes: tuple[str, ...] = ()
+
+
+class RequestRecords(Struct, frozen=True, kw_only=True, tag="requests"):
+    """Entry to agent: requests that ended or changed since the last message."""
+
+    records: tuple[RequestRecord, ...]
+
+
+AgentMessage = ConfigurationInForce | UpstreamStatuses | HostShares | QuarantineNotice
+"""Any message that an agent sends to its entry process."""
+
+EntryMessage = EntryStatus | CrashReport | QuarantineNotice | UpstreamLeavingNotice | RequestRecords
+"""Any message that an entry process sends to its agent."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems: engines, plain services, the platform and callers."""
