Add the platform's clients with typed outcomes

Cause: the agent, the entry, claims and orders need the table, object, host list and weight services, and have to tell a call that certainly had no effect from one that may have. Ruled out: returns.Result, which has two branches where a transaction has four outcomes; the library's own retries, which would repeat calls that the platform's rate limit counts. Change: TableClient, ObjectClient, HostListClient and WeightClient over twisted.web.client with retries off, bounded bodies and bounded calls in flight; docs/design/platform.md. Conclusion: others can build on the clients.

--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -1,1 +1,38 @@
 """Clients of the platform's table, object, host list and weight services."""
+
+from ._hosts import HostList, HostListClient, HostState, PlatformHost, PlatformUpstream
+from ._objects import AlreadyStored, ObjectClient, ObjectMissing, PutOutcome, Stored
+from ._operations import ABSENT, Check, Delete, Get, Operation, Put, Row
+from ._outcomes import Committed, Conflict, TransactOutcome, Unavailable, Unknown
+from ._table import TableClient
+from ._weights import Permit, PermitDelayed, PermitOutcome, WeightClient
+
+__all__ = [
+    "ABSENT",
+    "AlreadyStored",
+    "Check",
+    "Committed",
+    "Conflict",
+    "Delete",
+    "Get",
+    "HostList",
+    "HostListClient",
+    "HostState",
+    "ObjectClient",
+    "ObjectMissing",
+    "Operation",
+    "Permit",
+    "PermitDelayed",
+    "PermitOutcome",
+    "PlatformHost",
+    "PlatformUpstream",
+    "Put",
+    "PutOutcome",
+    "Row",
+    "Stored",
+    "TableClient",
+    "TransactOutcome",
+    "Unavailable",
+    "Unknown",
+    "WeightClient",
+]
--- /dev/null
+++ b/greengagestage/platform/_http.py
@@ -0,0 +1,156 @@
+"""HTTP calls to the platform: one attempt each, bounded in time, size and number."""
+
+from dataclasses import dataclass
+from typing import Any, cast
+
+from twisted.internet import error
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
+
+from ._body import BytesProducer
+from ._outcomes import Unavailable, Unknown
+
+IDLE_CONNECTION_TIMEOUT_S = 20.0
+IDLE_CONNECTIONS = 4
+REQUESTS_IN_FLIGHT = 64
+CONNECT_SHARE = 0.5
+"""The share of a call's time that the connection may take, so that a call that times out
+while it connects is known not to have been sent."""
+
+NOT_SENT_ERRORS = (error.ConnectError, error.TimeoutError, error.NoRouteError)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpAnswer:
+    """A complete answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class BodyTooLargeError(Exception):
+    """The answer's body is larger than the limit."""
+
+
+class _BodyReader(Protocol):
+    """Collects a response body up to a limit."""
+
+    def __init__(self, *, limit_bytes: int, done: Deferred[bytes]) -> None:
+        self._limit_bytes = limit_bytes
+        self._done = done
+        self._chunks: list[bytes] = []
+        self._length = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a chunk, or give up when the body grows over the limit."""
+        self._length += len(data)
+        if self._length <= self._limit_bytes:
+            self._chunks.append(data)
+            return
+        self._chunks.clear()
+        self._fail(Failure(BodyTooLargeError()))  # type: ignore[no-untyped-call]
+        self.abort()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """End the body: whole when the response was framed and complete."""
+        if self._done.called:
+            return
+        if isinstance(reason.value, ResponseDone):
+            self._done.callback(b"".join(self._chunks))
+        else:
+            self._fail(reason)
+
+    def abort(self) -> None:
+        """Close the connection, so that it is never used again."""
+        if self.transport is not None:
+            cast(Any, self.transport).loseConnection()
+
+    def _fail(self, reason: Failure) -> None:
+        if not self._done.called:
+            self._done.errback(reason)
+
+
+def read_body(response: IResponse, limit_bytes: int) -> Deferred[bytes]:
+    """Read a whole response body, or fail when it is cut or larger than the limit."""
+    done: Deferred[bytes] = Deferred(lambda _: reader.abort())
+    reader = _BodyReader(limit_bytes=limit_bytes, done=done)
+    cast(Any, response).deliverBody(reader)
+    return done
+
+
+def create_pool(reactor: Any) -> Any:
+    """Return a pool that keeps a few idle connections and never repeats a request."""
+    pool = cast(Any, HTTPConnectionPool)(reactor, persistent=True)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = IDLE_CONNECTIONS
+    pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
+    return pool
+
+
+class HttpClient:
+    """Sends single requests to one service of the platform.
+
+    The library's own retries are turned off: whether a call may be repeated is the
+    caller's decision.
+    """
+
+    def __init__(self, *, reactor: Any, base_url: str, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._in_flight = 0
+        self._pool = create_pool(reactor)
+        self._agent = cast(Any, Agent)(
+            reactor, connectTimeout=timeout_s * CONNECT_SHARE, pool=self._pool
+        )
+
+    def close(self) -> Deferred[Any]:
+        """Close the idle connections."""
+        return cast(Deferred[Any], self._pool.closeCachedConnections())
+
+    @inlineCallbacks
+    def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        limit_bytes: int,
+    ) -> Any:
+        """Send one request; return an ``HttpAnswer``, ``Unavailable`` or ``Unknown``."""
+        if self._in_flight >= REQUESTS_IN_FLIGHT:
+            return Unavailable(reason="too many calls in flight")
+        self._in_flight += 1
+        try:
+            call = self._exchange(method, path, body, headers or {}, limit_bytes)
+            call.addTimeout(self._timeout_s, self._reactor)
+            answer = yield call
+            return answer
+        except NOT_SENT_ERRORS as failure:
+            return Unavailable(reason=type(failure).__name__)
+        except Exception as failure:
+            return Unknown(reason=type(failure).__name__)
+        finally:
+            self._in_flight -= 1
+
+    @inlineCallbacks
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        limit_bytes: int,
+    ) -> Any:
+        producer = None if body is None else BytesProducer(body)
+        sent_headers = Headers({name: [value] for name, value in headers.items()})
+        url = (self._base_url + path).encode()
+        response = yield self._agent.request(method.encode(), url, sent_headers, producer)
+        content = yield read_body(response, limit_bytes)
+        return HttpAnswer(status=response.code, headers=response.headers, body=content)
--- /dev/null
+++ b/greengagestage/platform/_operations.py
@@ -0,0 +1,73 @@
+"""Rows of the table service and the operations of a transaction."""
+
+from typing import Any, TypeVar
+
+import msgspec
+from msgspec import Raw, Struct
+
+ABSENT = 0
+"""The revision of a row that does not exist."""
+
+T = TypeVar("T")
+
+
+class Get(Struct, frozen=True, kw_only=True, tag_field="kind", tag="get"):
+    """Read a row inside a transaction."""
+
+    key: str
+
+
+class Put(Struct, frozen=True, kw_only=True, tag_field="kind", tag="put"):
+    """Write a row.
+
+    Attributes:
+        value: Anything that msgspec encodes as JSON.
+        expect: The revision that the row must have, ``ABSENT``, or None for any.
+    """
+
+    key: str
+    value: Any
+    expect: int | None = None
+
+
+class Delete(Struct, frozen=True, kw_only=True, tag_field="kind", tag="delete"):
+    """Remove a row."""
+
+    key: str
+    expect: int | None = None
+
+
+class Check(Struct, frozen=True, kw_only=True, tag_field="kind", tag="check"):
+    """Refuse the transaction unless a row stands at a revision."""
+
+    key: str
+    expect: int
+
+
+Operation = Get | Put | Delete | Check
+
+
+class Row(Struct, frozen=True, kw_only=True):
+    """A row as the table service returned it.
+
+    Attributes:
+        value: The encoded JSON value; ``null`` for an absent row.
+        revision: Grows with each write and never repeats; ``ABSENT`` for an absent row.
+    """
+
+    key: str
+    revision: int
+    value: Raw = Raw(b"null")
+
+    @property
+    def exists(self) -> bool:
+        """Whether the row stands in the table."""
+        return self.revision != ABSENT
+
+    def decode(self, value_type: type[T]) -> T:
+        """Return the value of an existing row as the given type.
+
+        Raises:
+            msgspec.ValidationError: The row holds a value of another type, or no value.
+        """
+        return msgspec.json.decode(self.value, type=value_type)
--- /dev/null
+++ b/greengagestage/platform/_outcomes.py
@@ -0,0 +1,42 @@
+"""What a call to the platform can end in. Expected failures are values, not exceptions."""
+
+from dataclasses import dataclass
+
+from ._operations import Row
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Committed:
+    """The transaction took effect; one row per operation, as it stands now."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Conflict:
+    """The transaction had no effect, since rows did not stand at the expected revisions.
+
+    Attributes:
+        failed: Positions of the operations whose expectation failed.
+        rows: The current row of each operation.
+    """
+
+    failed: tuple[int, ...]
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unavailable:
+    """The call certainly had no effect: it was not sent, or the service refused it."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Unknown:
+    """The call was sent and no usable answer came: it may have taken effect, or still may."""
+
+    reason: str
+
+
+TransactOutcome = Committed | Conflict | Unavailable | Unknown
--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,284 @@
+"""Contract of the platform's clients: what each fault is told as, and that none is repeated."""
+
+import json
+from typing import Any
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import gatherResults, inlineCallbacks
+from twisted.internet.protocol import Factory, Protocol
+from twisted.trial.unittest import TestCase
+
+from greengagestage.platform import (
+    AlreadyStored,
+    Check,
+    Committed,
+    Conflict,
+    Delete,
+    Get,
+    HostList,
+    HostListClient,
+    HostState,
+    ObjectClient,
+    ObjectMissing,
+    Permit,
+    PermitDelayed,
+    Put,
+    Row,
+    Stored,
+    TableClient,
+    Unavailable,
+    Unknown,
+    WeightClient,
+)
+from greengagestage.platform._objects import OBJECT_LIMIT_BYTES
+
+TIMEOUT_S = 0.4
+
+
+def response(status: int, body: bytes | str = b"", *headers: str, length: int | None = None):
+    content = body.encode() if isinstance(body, str) else body
+    size = len(content) if length is None else length
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {size}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + content
+
+
+ROW = {"key": "a", "value": {"n": 1}, "revision": 3}
+ROWS = json.dumps({"rows": [ROW]})
+
+SILENT = None
+CLOSED = b""
+CUT = response(200, ROWS, length=len(ROWS) + 9)
+OVERSIZE = response(200, b" " * 10, length=OBJECT_LIMIT_BYTES + 1) + b" " * (OBJECT_LIMIT_BYTES)
+
+
+class ScriptedServer(Protocol):
+    """Gives one scripted answer to each request and keeps what it received."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.received = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.received += data
+        head, separator, body = self.received.partition(b"\r\n\r\n")
+        if not separator:
+            return
+        lengths = [x for x in head.lower().split(b"\r\n") if x.startswith(b"content-length:")]
+        if len(body) < sum(int(x.split(b":")[1]) for x in lengths):
+            return
+        self.factory.requests.append((head, body))
+        self.received = b""
+        if self.factory.answer is SILENT:
+            return
+        self.transport.write(self.factory.answer)
+        if self.factory.answer in (CLOSED, CUT):
+            self.transport.loseConnection()
+
+
+class PlatformClientCase(TestCase):
+    """A scripted server on loopback and clients of it."""
+
+    def setUp(self) -> None:
+        self.factory = Factory.forProtocol(ScriptedServer)
+        self.factory.requests = []
+        self.factory.answer = CLOSED
+        self.port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
+        self.url = f"http://127.0.0.1:{self.port.getHost().port}"
+        self.clients: list[Any] = []
+
+    def client(self, kind: Any) -> Any:
+        made = kind(reactor=reactor, base_url=self.url, timeout_s=TIMEOUT_S)
+        self.clients.append(made)
+        return made
+
+    @inlineCallbacks
+    def tearDown(self):
+        for client in self.clients:
+            yield client.close()
+        yield self.port.stopListening()
+
+
+FAULTS = {
+    "closed": (CLOSED, Unknown),
+    "silent": (SILENT, Unknown),
+    "cut": (CUT, Unknown),
+    "oversize": (OVERSIZE, Unknown),
+    "not_json": (response(200, "x"), Unknown),
+    "wrong_shape": (response(200, '{"rows": 1}'), Unknown),
+    "row_missing": (response(200, '{"rows": []}'), Unknown),
+    "bad_conflict": (response(409, "{}"), Unknown),
+    "server_fault": (response(500), Unknown),
+    "busy": (response(503), Unknown),
+    "bad_request": (response(400), Unavailable),
+    "rate": (response(429), Unavailable),
+}
+
+
+class TestTable(PlatformClientCase):
+    @inlineCallbacks
+    def test_transact_sends_the_documented_form(self):
+        self.factory.answer = response(200, json.dumps({"rows": [ROW] * 4}))
+        operations = [
+            Get(key="a"),
+            Put(key="b", value={"n": 2}, expect=0),
+            Delete(key="c", expect=7),
+            Check(key="d", expect=9),
+        ]
+        outcome = yield self.client(TableClient).transact(operations)
+        assert isinstance(outcome, Committed)
+        assert outcome.rows[0].decode(dict[str, int]) == {"n": 1}
+        head, body = self.factory.requests[0]
+        assert head.startswith(b"POST /table/transact HTTP/1.1")
+        assert json.loads(body) == {
+            "operations": [
+                {"kind": "get", "key": "a"},
+                {"kind": "put", "key": "b", "value": {"n": 2}, "expect": 0},
+                {"kind": "delete", "key": "c", "expect": 7},
+                {"kind": "check", "key": "d", "expect": 9},
+            ]
+        }
+
+    @inlineCallbacks
+    def test_conflict_carries_the_current_rows(self):
+        self.factory.answer = response(409, json.dumps({"failed": [0], "rows": [ROW]}))
+        outcome = yield self.client(TableClient).transact([Put(key="a", value=1, expect=0)])
+        assert isinstance(outcome, Conflict)
+        assert outcome.failed == (0,)
+        assert outcome.rows[0].revision == 3
+
+    @inlineCallbacks
+    def test_faults_of_a_transaction(self):
+        for name, (answer, expected) in FAULTS.items():
+            self.factory.answer = answer
+            self.factory.requests.clear()
+            client = self.client(TableClient)
+            outcome = yield client.transact([Put(key="a", value=1)])
+            assert type(outcome) is expected, name
+            assert len(self.factory.requests) == 1, name
+
+    @inlineCallbacks
+    def test_faults_of_reads(self):
+        for name, (answer, _) in FAULTS.items():
+            self.factory.answer = answer
+            client = self.client(TableClient)
+            row = yield client.read_row("a")
+            assert isinstance(row, Unavailable), name
+            if name != "row_missing":
+                rows = yield client.read_rows("a", 5)
+                assert isinstance(rows, Unavailable), name
+
+    @inlineCallbacks
+    def test_reads(self):
+        self.factory.answer = response(200, ROWS)
+        client = self.client(TableClient)
+        rows = yield client.read_rows("claim/a b&", 5)
+        row = yield client.read_row("a")
+        assert rows == (row,)
+        assert self.factory.requests[0][0].startswith(
+            b"GET /table/rows?prefix=claim%2Fa%20b%26&limit=5 HTTP/1.1"
+        )
+
+    @inlineCallbacks
+    def test_refused_connection_is_certainly_not_applied(self):
+        yield self.port.stopListening()
+        outcome = yield self.client(TableClient).transact([Put(key="a", value=1)])
+        assert isinstance(outcome, Unavailable)
+
+    @inlineCallbacks
+    def test_lost_answer_on_a_reused_connection_is_not_repeated(self):
+        self.factory.answer = response(200, ROWS)
+        client = self.client(TableClient)
+        yield client.read_row("a")
+        self.factory.answer = CLOSED
+        self.factory.requests.clear()
+        outcome = yield client.transact([Put(key="a", value=1)])
+        assert isinstance(outcome, Unknown)
+        assert len(self.factory.requests) == 1
+
+    @inlineCallbacks
+    def test_calls_in_flight_are_bounded(self):
+        self.factory.answer = SILENT
+        client = self.client(TableClient)
+        calls = [client.read_row("a") for _ in range(65)]
+        last = yield calls.pop()
+        assert last == Unavailable(reason="too many calls in flight")
+        yield gatherResults(calls)
+
+
+class TestObjects(PlatformClientCase):
+    @inlineCallbacks
+    def test_put(self):
+        cases = [
+            (response(201), Stored),
+            (response(200), Stored),
+            (response(412), AlreadyStored),
+            (response(500), Unknown),
+            (response(400), Unavailable),
+            (SILENT, Unknown),
+            (CLOSED, Unknown),
+        ]
+        for answer, expected in cases:
+            self.factory.answer = answer
+            outcome = yield self.client(ObjectClient).put("a/b c", b"x", only_if_absent=True)
+            assert type(outcome) is expected
+        head, body = self.factory.requests[0]
+        assert head.startswith(b"PUT /objects/a/b%20c HTTP/1.1")
+        assert b"if-none-match: *" in head.lower()
+        assert body == b"x"
+
+    @inlineCallbacks
+    def test_get(self):
+        cases = [
+            (response(200, b"\x00data"), b"\x00data"),
+            (response(404), ObjectMissing()),
+        ]
+        for answer, expected in cases:
+            self.factory.answer = answer
+            outcome = yield self.client(ObjectClient).get("a")
+            assert outcome == expected
+        for answer in (response(500), SILENT, CLOSED, CUT, OVERSIZE):
+            self.factory.answer = answer
+            outcome = yield self.client(ObjectClient).get("a")
+            assert isinstance(outcome, Unavailable)
+
+
+class TestHostsAndWeights(PlatformClientCase):
+    @inlineCallbacks
+    def test_host_list(self):
+        host = {"host": "h1", "address": "127.0.0.1:7", "failure_domain": "d1", "state": "leaving"}
+        body = {"hosts": [host], "upstreams": [{"name": "u1", "state": "live"}]}
+        self.factory.answer = response(200, json.dumps(body))
+        answer = yield self.client(HostListClient).read()
+        assert isinstance(answer, HostList)
+        assert answer.hosts[0].state is HostState.LEAVING
+        assert answer.upstreams[0].state is HostState.LIVE
+
+    @inlineCallbacks
+    def test_host_list_faults(self):
+        bad_state = {"hosts": [{"host": "h", "address": "a", "failure_domain": "d", "state": "x"}]}
+        for answer in (SILENT, CLOSED, response(500), response(200, json.dumps(bad_state))):
+            self.factory.answer = answer
+            outcome = yield self.client(HostListClient).read()
+            assert isinstance(outcome, Unavailable)
+
+    @inlineCallbacks
+    def test_permits(self):
+        cases = [
+            (response(200, '{"permit": "p1"}'), Permit(permit="p1")),
+            (response(429, b"", "Retry-After: 2"), PermitDelayed(retry_after_s=2.0)),
+            (response(429, b"", "Retry-After: -2"), PermitDelayed(retry_after_s=0.0)),
+            (response(429, b"", "Retry-After: x"), PermitDelayed(retry_after_s=5.0)),
+            (response(500), Unknown(reason="status 500")),
+            (response(404), Unavailable(reason="status 404")),
+        ]
+        for answer, expected in cases:
+            self.factory.answer = answer
+            outcome = yield self.client(WeightClient).ask_permit("m", "u")
+            assert outcome == expected
+
+
+def test_absent_row() -> None:
+    row = Row(key="a", revision=0)
+    assert not row.exists
+    with pytest.raises(ValueError):
+        row.decode(dict[str, int])
