Add the operators' query and command language

Cause: operators must inspect and change the system through one small language. Ruled out: a hand-written parser (errors that point at a column and completion both come with the parser library's tables); a query language of SQL's size. Change: a lark grammar, typed commands, schemas of ten tables, evaluation with conditions, groups and windows, changes on a declaration, completion and help. No input or output: the agent supplies rows and carries changes out. Conclusion: ready for the agent's endpoint.

--- a/greengagestage/language/__init__.py
+++ b/greengagestage/language/__init__.py
@@ -1,1 +1,78 @@
-"""The operators' query and command language."""
+"""The operators' query and command language.
+
+``parse`` reads a line, ``check_show``, ``select_rows`` and ``arrange_rows`` answer queries,
+``apply_change`` carries out a change on a declaration. Nothing here does input or output.
+"""
+
+from ._answers import CommandAnswer, CommandRequest, answer_code, answer_fault
+from ._changes import apply_change, list_settable_fields
+from ._commands import (
+    Artifact,
+    Assignment,
+    Change,
+    Command,
+    CreateWorkspace,
+    DeclaredKind,
+    Explain,
+    Help,
+    Order,
+    OrderArtifact,
+    OrderRole,
+    Remove,
+    Scalar,
+    SetDraining,
+    SetFields,
+    SetQuarantine,
+    Show,
+    Subject,
+)
+from ._completion import complete
+from ._evaluation import Row, RowSet, arrange_rows, check_show, select_rows
+from ._faults import LanguageFault
+from ._help import TOPICS, describe_topic
+from ._parser import parse
+from ._schema import SCHEMAS, Field, FieldType, TableSchema
+from ._values import format_duration, read_duration_ms
+
+__all__ = [
+    "SCHEMAS",
+    "TOPICS",
+    "Artifact",
+    "Assignment",
+    "Change",
+    "Command",
+    "CommandAnswer",
+    "CommandRequest",
+    "CreateWorkspace",
+    "DeclaredKind",
+    "Explain",
+    "Field",
+    "FieldType",
+    "Help",
+    "LanguageFault",
+    "Order",
+    "OrderArtifact",
+    "OrderRole",
+    "Remove",
+    "Row",
+    "RowSet",
+    "Scalar",
+    "SetDraining",
+    "SetFields",
+    "SetQuarantine",
+    "Show",
+    "Subject",
+    "TableSchema",
+    "answer_code",
+    "answer_fault",
+    "apply_change",
+    "arrange_rows",
+    "check_show",
+    "complete",
+    "describe_topic",
+    "format_duration",
+    "list_settable_fields",
+    "parse",
+    "read_duration_ms",
+    "select_rows",
+]
--- /dev/null
+++ b/greengagestage/language/_commands.py
@@ -0,0 +1,208 @@
+"""What a line of the language means, as data."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from greengagestage.configuration import EngineRole
+from greengagestage.ids import ConfigurationVersion
+
+Scalar = str | int | float | bool | None
+"""A value in a row. Durations are milliseconds."""
+
+
+class Comparator(Enum):
+    """How a field is compared with a value. ``CONTAINS`` looks for part of a text."""
+
+    EQUAL = "="
+    UNEQUAL = "!="
+    LESS = "<"
+    LESS_EQUAL = "<="
+    GREATER = ">"
+    GREATER_EQUAL = ">="
+    CONTAINS = "~"
+
+
+class DeclaredKind(Enum):
+    """The kinds of declared things that a command can change."""
+
+    CLASS = "class"
+    WORKSPACE = "workspace"
+    UPSTREAM = "upstream"
+    OPERATOR = "operator"
+
+
+class Subject(Enum):
+    """What ``explain`` can explain."""
+
+    REQUEST = "request"
+    UPSTREAM = "upstream"
+
+
+class Artifact(Enum):
+    """What an engine can be ordered to load."""
+
+    MODEL = "model"
+    ADAPTER = "adapter"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Comparison:
+    """A field compared with one value. ``column`` is the field's place in the line, from 1."""
+
+    field: str
+    comparator: Comparator
+    value: Scalar
+    column: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Membership:
+    """A field that must equal one of several values."""
+
+    field: str
+    values: tuple[Scalar, ...]
+    column: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Negation:
+    """The opposite of a condition."""
+
+    operand: "Condition"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AllOf:
+    """Every operand holds."""
+
+    operands: tuple["Condition", ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnyOf:
+    """At least one operand holds."""
+
+    operands: tuple["Condition", ...]
+
+
+Condition = Comparison | Membership | Negation | AllOf | AnyOf
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FieldReference:
+    """A field named in a line, with its place."""
+
+    name: str
+    column: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Show:
+    """Rows of a table: chosen, grouped, ordered and limited."""
+
+    table: str
+    table_column: int
+    condition: Condition | None = None
+    group_by: tuple[FieldReference, ...] = ()
+    order_by: FieldReference | None = None
+    descending: bool = False
+    limit: int | None = None
+    window_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Explain:
+    """The decisions about one request or upstream."""
+
+    subject: Subject
+    name: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Assignment:
+    """A field's new value. ``column`` is the field's place in the line, from 1."""
+
+    field: str
+    value: Scalar
+    column: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SetDraining:
+    """Stop or resume giving new work to an upstream."""
+
+    upstream: str
+    draining: bool
+    if_version: ConfigurationVersion | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SetFields:
+    """Change fields of one declared thing."""
+
+    kind: DeclaredKind
+    name: str
+    assignments: tuple[Assignment, ...]
+    if_version: ConfigurationVersion | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CreateWorkspace:
+    """Declare a new workspace."""
+
+    name: str
+    assignments: tuple[Assignment, ...]
+    if_version: ConfigurationVersion | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Remove:
+    """Take one declared thing out of the declaration."""
+
+    kind: DeclaredKind
+    name: str
+    if_version: ConfigurationVersion | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SetQuarantine:
+    """Quarantine a fingerprint, or release it."""
+
+    fingerprint: str
+    quarantined: bool
+    if_version: ConfigurationVersion | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderArtifact:
+    """Order an engine to load or unload a model or an adapter."""
+
+    artifact: Artifact
+    name: str
+    upstream: str
+    loaded: bool
+    forced: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderRole:
+    """Order an engine to take a role."""
+
+    role: EngineRole
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Help:
+    """Ask for help in general or on one command."""
+
+    topic: str | None = None
+
+
+Change = SetDraining | SetFields | CreateWorkspace | Remove | SetQuarantine
+"""A command that makes a new version of the declaration."""
+
+Order = OrderArtifact | OrderRole
+"""A command that orders an upstream."""
+
+Command = Show | Explain | Change | Order | Help
--- /dev/null
+++ b/greengagestage/language/_evaluation.py
@@ -0,0 +1,249 @@
+"""Answers ``show`` from rows: checks names, chooses, groups, orders and limits."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import assert_never
+
+from returns.result import Failure, Result, Success
+
+from greengagestage.results import ResultCode
+
+from ._commands import (
+    AllOf,
+    AnyOf,
+    Comparator,
+    Comparison,
+    Condition,
+    Membership,
+    Negation,
+    Scalar,
+    Show,
+)
+from ._faults import LanguageFault
+from ._schema import SCHEMAS, Aggregate, Field, FieldType, TableSchema
+
+Row = tuple[Scalar, ...]
+"""Values in the order of the table's fields."""
+
+COUNT_FIELD = "rows"
+"""Name of the column that counts the rows of a group."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowSet:
+    """Rows under named columns."""
+
+    columns: tuple[str, ...]
+    rows: tuple[Row, ...]
+
+
+def check_show(show: Show) -> Result[TableSchema, LanguageFault]:
+    """Check every name of a query and return its table's schema."""
+    schema = SCHEMAS.get(show.table)
+    if schema is None:
+        return Failure(
+            LanguageFault(
+                code=ResultCode.UNKNOWN_NAME,
+                message=f"There is no table {show.table!r}",
+                column=show.table_column,
+                expected=tuple(SCHEMAS),
+            )
+        )
+    known = set(schema.list_field_names())
+    for name, column in _list_fields(show):
+        if name not in known and not (show.group_by and name == COUNT_FIELD):
+            return Failure(_name_unknown_field(schema, name, column))
+    return _check_types(show, schema)
+
+
+def select_rows(show: Show, rows: Iterable[Row], now_s: float) -> list[Row]:
+    """Return the rows that the condition and the window let through.
+
+    Args:
+        show: A query that passed ``check_show``.
+        rows: Rows of its table.
+        now_s: Unix time, for the window over the table's ``at`` or ``age`` field.
+    """
+    schema = SCHEMAS[show.table]
+    places = {name: place for place, name in enumerate(schema.list_field_names())}
+    return [
+        row
+        for row in rows
+        if _is_within_window(show.window_ms, row, places, now_s)
+        and (show.condition is None or _holds(show.condition, row, places))
+    ]
+
+
+def arrange_rows(show: Show, rows: Sequence[Row]) -> RowSet:
+    """Group, order and limit selected rows."""
+    schema = SCHEMAS[show.table]
+    columns: tuple[str, ...] = schema.list_field_names()
+    arranged = list(rows)
+    if show.group_by:
+        columns, arranged = _group(schema, tuple(f.name for f in show.group_by), arranged)
+    if show.order_by is not None and show.order_by.name in columns:
+        place = columns.index(show.order_by.name)
+        arranged.sort(key=lambda row: _sort_key(row[place]), reverse=show.descending)
+    if show.limit is not None:
+        arranged = arranged[: show.limit]
+    return RowSet(columns=columns, rows=tuple(arranged))
+
+
+def _list_fields(show: Show) -> list[tuple[str, int]]:
+    fields = [(reference.name, reference.column) for reference in show.group_by]
+    if show.order_by is not None:
+        fields.append((show.order_by.name, show.order_by.column))
+    return fields + [(c.field, c.column) for c in _list_comparisons(show.condition)]
+
+
+def _list_comparisons(condition: Condition | None) -> list[Comparison | Membership]:
+    match condition:
+        case None:
+            return []
+        case Comparison() | Membership():
+            return [condition]
+        case Negation(operand=operand):
+            return _list_comparisons(operand)
+        case AllOf(operands=operands) | AnyOf(operands=operands):
+            return [found for operand in operands for found in _list_comparisons(operand)]
+        case _:
+            assert_never(condition)
+
+
+def _name_unknown_field(schema: TableSchema, name: str, column: int) -> LanguageFault:
+    return LanguageFault(
+        code=ResultCode.UNKNOWN_FIELD,
+        message=f"The table {schema.name!r} has no field {name!r}",
+        column=column,
+        expected=schema.list_field_names(),
+    )
+
+
+def _check_types(show: Show, schema: TableSchema) -> Result[TableSchema, LanguageFault]:
+    for comparison in _list_comparisons(show.condition):
+        field = schema.find_field(comparison.field)
+        values = comparison.values if isinstance(comparison, Membership) else (comparison.value,)
+        if field is not None and not all(_fits(field, value) for value in values):
+            return Failure(
+                LanguageFault(
+                    code=ResultCode.WRONG_TYPE,
+                    message=f"The field {field.name!r} takes a {field.type.value}",
+                    column=comparison.column,
+                )
+            )
+    return Success(schema)
+
+
+def _fits(field: Field, value: Scalar) -> bool:
+    if field.type is FieldType.TEXT:
+        return True
+    if field.type is FieldType.FLAG:
+        return isinstance(value, bool)
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _is_within_window(
+    window_ms: int | None, row: Row, places: dict[str, int], now_s: float
+) -> bool:
+    if window_ms is None:
+        return True
+    if "at" in places:
+        at = row[places["at"]]
+        return isinstance(at, int | float) and (now_s - at) * 1000 <= window_ms
+    if "age" in places:
+        age = row[places["age"]]
+        return isinstance(age, int | float) and age <= window_ms
+    return True
+
+
+def _holds(condition: Condition, row: Row, places: dict[str, int]) -> bool:
+    match condition:
+        case Comparison(field=field, comparator=comparator, value=value):
+            return _compare(row[places[field]], comparator, value)
+        case Membership(field=field, values=values):
+            return any(_compare(row[places[field]], Comparator.EQUAL, v) for v in values)
+        case Negation(operand=operand):
+            return not _holds(operand, row, places)
+        case AllOf(operands=operands):
+            return all(_holds(operand, row, places) for operand in operands)
+        case AnyOf(operands=operands):
+            return any(_holds(operand, row, places) for operand in operands)
+        case _:
+            assert_never(condition)
+
+
+def _compare(actual: Scalar, comparator: Comparator, value: Scalar) -> bool:
+    if isinstance(actual, str):
+        value = str(value)
+    match comparator:
+        case Comparator.EQUAL:
+            return actual == value
+        case Comparator.UNEQUAL:
+            return actual != value
+        case Comparator.CONTAINS:
+            return str(value) in str(actual)
+        case _:
+            return _compare_order(actual, comparator, value)
+
+
+def _compare_order(actual: Scalar, comparator: Comparator, value: Scalar) -> bool:
+    if actual is None or value is None:
+        return False
+    left, right = _sort_key(actual), _sort_key(value)
+    match comparator:
+        case Comparator.LESS:
+            return left < right
+        case Comparator.LESS_EQUAL:
+            return left <= right
+        case Comparator.GREATER:
+            return left > right
+        case _:
+            return left >= right
+
+
+def _sort_key(value: Scalar) -> tuple[int, float, str]:
+    if value is None:
+        return (0, 0.0, "")
+    if isinstance(value, str):
+        return (2, 0.0, value)
+    return (1, float(value), "")
+
+
+def _group(
+    schema: TableSchema, names: tuple[str, ...], rows: Sequence[Row]
+) -> tuple[tuple[str, ...], list[Row]]:
+    all_names = schema.list_field_names()
+    places = {name: place for place, name in enumerate(all_names)}
+    summed = [f for f in schema.fields if f.aggregate is not Aggregate.DROP and f.name not in names]
+    groups: dict[Row, list[Row]] = {}
+    for row in rows:
+        groups.setdefault(tuple(row[places[name]] for name in names), []).append(row)
+    ratios = tuple(ratio.field for ratio in schema.ratios)
+    columns = (*names, COUNT_FIELD, *(field.name for field in summed), *ratios)
+    arranged: list[Row] = []
+    for key, members in groups.items():
+        values = {f.name: _combine(f, [m[places[f.name]] for m in members]) for f in summed}
+        worked = tuple(
+            _divide(values.get(r.numerator), values.get(r.denominator)) for r in schema.ratios
+        )
+        arranged.append((*key, len(members), *values.values(), *worked))
+    return columns, arranged
+
+
+def _combine(field: Field, values: Sequence[Scalar]) -> Scalar:
+    numbers = [value for value in values if isinstance(value, int | float)]
+    if not numbers:
+        return None
+    match field.aggregate:
+        case Aggregate.SUM:
+            return sum(numbers)
+        case Aggregate.MAXIMUM:
+            return max(numbers)
+        case _:
+            return round(sum(numbers) / len(numbers), 4)
+
+
+def _divide(numerator: Scalar, denominator: Scalar) -> Scalar:
+    if not isinstance(numerator, int | float) or not isinstance(denominator, int | float):
+        return None
+    return round(numerator / denominator, 4) if denominator else None
