Add the first version of the decision core

Change: Policy.handle/inspect/explain; one transition table for requests; verdicts that need evidence for "not run"; priority between classes, start-time fair queueing between workspaces, deadline order within one; dispatch to the least loaded upstream; claims before non-idempotent runs; resume on another upstream; departure; stop; refusal when full.

Ruled out: taking the upstream's word "refused" after it has accepted an attempt: that is not evidence, so it counts as an incomplete answer.

Conclusion: correct but plain; limits, preemption, shares, routing by score, stragglers and poison follow in modules of their own.

--- a/greengagestage/policy/__init__.py
+++ b/greengagestage/policy/__init__.py
@@ -35,6 +35,8 @@
     UpstreamsReported,
     UpstreamState,
 )
+from ._policy import Policy
+from ._snapshot import ClassLoad, PolicySnapshot, UpstreamLoad
 
 __all__ = [
     "Action",
@@ -48,6 +50,7 @@
     "CancelReason",
     "ClaimAnswered",
     "ClaimOutcome",
+    "ClassLoad",
     "DeclarationAdopted",
     "Deliver",
     "Dispatch",
@@ -55,6 +58,8 @@
     "FailureKind",
     "FingerprintQuarantined",
     "GiveUpClaim",
+    "Policy",
+    "PolicySnapshot",
     "QuarantineFingerprint",
     "Reject",
     "ReplayAnswer",
@@ -64,6 +69,7 @@
     "SharesUpdated",
     "StopRequested",
     "TimerFired",
+    "UpstreamLoad",
     "UpstreamReport",
     "UpstreamState",
     "UpstreamsReported",
--- /dev/null
+++ b/greengagestage/policy/_upstreams.py
@@ -0,0 +1,127 @@
+"""What this host knows of every upstream, and what it has in flight there."""
+
+import math
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from greengagestage.configuration import Declaration, Upstream, UpstreamKind
+from greengagestage.ids import AttemptId, PoolName, UpstreamName
+
+from ._events import UpstreamReport, UpstreamState
+from ._records import RequestRecord
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class UpstreamEntry:
+    """An upstream as this host sees it.
+
+    Attributes:
+        declared: The declaration of the upstream, None once it is no longer declared.
+        share: Slots that this host may fill, None while no share was computed.
+        in_flight: The requests that this host has there, by attempt.
+    """
+
+    name: UpstreamName
+    declared: Upstream | None = None
+    state: UpstreamState = UpstreamState.LIVE
+    report: UpstreamReport | None = None
+    share: int | None = None
+    in_flight: dict[AttemptId, RequestRecord] = field(default_factory=dict)
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new work may go to the upstream."""
+        if self.declared is None or self.declared.draining:
+            return False
+        return self.state is UpstreamState.LIVE
+
+    @property
+    def resumes(self) -> bool:
+        """Whether an answer can be cut and continued elsewhere."""
+        return self.declared is not None and self.declared.kind is UpstreamKind.ENGINE
+
+    def count_slots(self, entry_hosts: int) -> int:
+        """Return the number of slots that this host may fill."""
+        if self.declared is None:
+            return 0
+        if self.share is not None:
+            return min(self.share, self.declared.slots)
+        return math.ceil(self.declared.slots / max(entry_hosts, 1))
+
+
+def list_pools(upstream: Upstream) -> tuple[PoolName, ...]:
+    """Return the pools that an upstream belongs to."""
+    if upstream.kind is UpstreamKind.SERVICE:
+        return (PoolName(upstream.service),) if upstream.service else ()
+    return tuple(PoolName(model) for model in upstream.models)
+
+
+class UpstreamBook:
+    """All upstreams and the pools that they form."""
+
+    def __init__(self) -> None:
+        self.entry_hosts = 1
+        self._entries: dict[UpstreamName, UpstreamEntry] = {}
+        self._pools: dict[PoolName, list[UpstreamEntry]] = {}
+
+    def __iter__(self) -> Iterator[UpstreamEntry]:
+        return iter(self._entries.values())
+
+    def find(self, name: UpstreamName) -> UpstreamEntry | None:
+        """Return an upstream, or None if it was never declared."""
+        return self._entries.get(name)
+
+    def list_pool(self, pool: PoolName) -> list[UpstreamEntry]:
+        """Return the declared upstreams of a pool."""
+        return self._pools.get(pool, [])
+
+    def list_pool_names(self) -> list[PoolName]:
+        """Return the names of all pools."""
+        return list(self._pools)
+
+    def list_pools_of(self, entry: UpstreamEntry) -> tuple[PoolName, ...]:
+        """Return the pools that an upstream serves now."""
+        return list_pools(entry.declared) if entry.declared is not None else ()
+
+    def count_pool_slots(self, pool: PoolName) -> int:
+        """Return the slots that this host may fill in a pool's working upstreams."""
+        return sum(
+            entry.count_slots(self.entry_hosts)
+            for entry in self.list_pool(pool)
+            if entry.takes_work
+        )
+
+    def has_live(self, pool: PoolName) -> bool:
+        """Return whether any upstream of a pool takes work."""
+        return any(entry.takes_work for entry in self.list_pool(pool))
+
+    def adopt(self, declaration: Declaration) -> None:
+        """Take over the declared upstreams; attempts in flight stay where they are."""
+        for entry in self._entries.values():
+            entry.declared = None
+        self._pools = {}
+        for declared in declaration.upstreams:
+            entry = self._entries.setdefault(declared.name, UpstreamEntry(name=declared.name))
+            entry.declared = declared
+            for pool in list_pools(declared):
+                self._pools.setdefault(pool, []).append(entry)
+        self._forget_unused()
+
+    def apply_reports(self, reports: tuple[UpstreamReport, ...]) -> None:
+        """Keep the newest report of each upstream."""
+        for report in reports:
+            entry = self._entries.get(report.upstream)
+            if entry is not None:
+                entry.report = report
+                entry.state = report.state
+
+    def apply_shares(self, slots: Mapping[UpstreamName, int], entry_hosts: int) -> None:
+        """Take over the shares of slots computed for this host."""
+        self.entry_hosts = max(entry_hosts, 1)
+        for entry in self._entries.values():
+            entry.share = slots.get(entry.name)
+
+    def _forget_unused(self) -> None:
+        for entry in list(self._entries.values()):
+            if entry.declared is None and not entry.in_flight:
+                del self._entries[entry.name]
