Add the stand-in engine, platform and plain service

Ruled out: aiohttp or a real model server (house style, no third-party servers); klein-style route decorators (one match statement a stand-in is shorter); distinct token ids for resumed text (ids are vocabulary indexes, so a wrong resume shows in the ledger's text instead of being hidden).

--- /dev/null
+++ b/standins/_ledger.py
@@ -0,0 +1,63 @@
+"""What a stand-in ran, kept for tests and the bench to count from outside."""
+
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+
+class RunOutcome(Enum):
+    """How a run ended, or that it has not."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    CUT = "cut"
+
+
+class Run(Struct, kw_only=True):
+    """One attempt that a stand-in started.
+
+    ``tokens`` counts the output tokens that this run generated; ``text`` is the whole answer so
+    far, with the tokens that the run was resumed from. ``prefilled`` counts the prompt and
+    resumed tokens that were computed instead of found in the cache.
+    """
+
+    request_id: str
+    attempt_id: str
+    idempotency_key: str = ""
+    workspace: str = ""
+    tokens: int = 0
+    text: str = ""
+    outcome: RunOutcome = RunOutcome.RUNNING
+    resumed_from: int = 0
+    prefilled: int = 0
+    method: str = "POST"
+    path: str = ""
+
+
+class LedgerPage(Struct, kw_only=True):
+    """The body of ``GET /_standin/ledger``."""
+
+    runs: list[Run]
+
+
+class Ledger:
+    """All runs of one process, in order of their start."""
+
+    def __init__(self) -> None:
+        self._runs: list[Run] = []
+
+    def add(self, run: Run) -> Run:
+        """Record the start of a run."""
+        self._runs.append(run)
+        return run
+
+    def build_page(self) -> LedgerPage:
+        """Return every run."""
+        return LedgerPage(runs=self._runs)
+
+    def write(self, path: Path) -> None:
+        """Keep the runs in a file, for a process that is about to crash."""
+        path.write_bytes(msgspec.json.encode(self.build_page()))
--- /dev/null
+++ b/standins/_platform_routes.py
@@ -0,0 +1,176 @@
+"""The stand-in platform's HTTP interface."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+from msgspec import Struct
+
+from ._host_list import HostListing, LaggingHostList
+from ._http import Call, Reply, build_json_reply, reactor
+from ._permits import PermitRate
+from ._platform_faults import (
+    PlatformFault,
+    PlatformFaultKind,
+    PlatformFaults,
+    PlatformService,
+)
+from ._table import OperationKind, Outcome, Row, Table, Transaction, list_rows, read_rows
+
+DEFAULT_ROWS_LIMIT = 1000
+_READS = (OperationKind.GET, OperationKind.CHECK)
+
+
+class Counters(Struct, kw_only=True):
+    """Requests answered since the start, and connections dropped by a fault."""
+
+    reads: int = 0
+    writes: int = 0
+    dropped: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Snapshot:
+    """What stale reads see."""
+
+    rows: Mapping[str, Row] = field(default_factory=dict)
+    objects: Mapping[str, bytes] = field(default_factory=dict)
+    hosts: HostListing = field(default_factory=HostListing)
+
+
+class PlatformRoutes:
+    """Answers the platform's calls under the fault in force at each service."""
+
+    def __init__(self, *, host_lag_s: float, permits_per_s: float) -> None:
+        self._table = Table()
+        self._objects: dict[str, bytes] = {}
+        self._hosts = LaggingHostList(lag_s=host_lag_s)
+        self._permits = PermitRate(per_s=permits_per_s, burst=max(1, math.ceil(permits_per_s)))
+        self._faults = PlatformFaults()
+        self._snapshots: dict[PlatformService, _Snapshot] = {}
+        self._counters = Counters()
+
+    def handle(self, call: Call) -> Reply | None:
+        """Answer one call, or let its service's fault have its way."""
+        first = call.path.strip("/").split("/")[0]
+        if first in ("_standin", "healthz"):
+            return self._answer_scaffolding(call)
+        try:
+            service = PlatformService(first)
+        except ValueError:
+            return build_json_reply({"error": "no such path"}, status=404)
+        fault = self._faults.take(service)
+        match fault.kind:
+            case PlatformFaultKind.DOWN:
+                self._drop(call)
+                return None
+            case PlatformFaultKind.SLOW:
+                reactor.callLater(fault.delay_ms / 1e3, self._answer_late, call, service)
+                return None
+            case PlatformFaultKind.ANSWER_LOST:
+                self._answer(call, service, stale=False)
+                self._drop(call)
+                return None
+        return self._answer(call, service, stale=fault.kind is PlatformFaultKind.STALE)
+
+    def _drop(self, call: Call) -> None:
+        self._counters.dropped += 1
+        call.abort()
+
+    def _answer_late(self, call: Call, service: PlatformService) -> None:
+        try:
+            call.send(self._answer(call, service, stale=False))
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            call.send(build_json_reply({"error": str(error)}, status=400))
+
+    def _answer(self, call: Call, service: PlatformService, *, stale: bool) -> Reply:
+        match service:
+            case PlatformService.TABLE:
+                return self._answer_table(call, stale=stale)
+            case PlatformService.OBJECTS:
+                return self._answer_objects(call, stale=stale)
+            case PlatformService.HOSTS:
+                self._counters.reads += 1
+                return build_json_reply(self._read_hosts(stale=stale))
+            case PlatformService.WEIGHTS:
+                return self._answer_permit()
+
+    def _answer_table(self, call: Call, *, stale: bool) -> Reply:
+        rows = self._snapshots[PlatformService.TABLE].rows if stale else self._table.rows
+        match (call.method, call.path):
+            case ("POST", "/table/transact"):
+                transaction = msgspec.json.decode(call.body, type=Transaction)
+                return self._transact(transaction, rows, stale=stale)
+            case ("GET", "/table/rows"):
+                self._counters.reads += 1
+                limit = int(call.get_argument("limit", str(DEFAULT_ROWS_LIMIT)))
+                found = list_rows(rows, call.get_argument("prefix"), limit)
+                return build_json_reply({"rows": found})
+        return build_json_reply({"error": "no such path"}, status=404)
+
+    def _transact(self, transaction: Transaction, rows: Mapping[str, Row], *, stale: bool) -> Reply:
+        reads_only = all(operation.kind in _READS for operation in transaction.operations)
+        if stale and reads_only:
+            self._counters.reads += 1
+            return build_json_reply(Outcome(rows=read_rows(rows, transaction)))
+        if reads_only:
+            self._counters.reads += 1
+        else:
+            self._counters.writes += 1
+        outcome = self._table.transact(transaction)
+        return build_json_reply(outcome, status=409 if outcome.failed else 200)
+
+    def _answer_objects(self, call: Call, *, stale: bool) -> Reply:
+        key = call.path.removeprefix("/objects/")
+        snapshot = self._snapshots[PlatformService.OBJECTS].objects if stale else self._objects
+        match call.method:
+            case "GET":
+                self._counters.reads += 1
+                found = snapshot.get(key)
+                if found is None:
+                    return build_json_reply({"error": "no such object"}, status=404)
+                return Reply(body=found, headers={"Content-Type": "application/octet-stream"})
+            case "PUT":
+                self._counters.writes += 1
+                if call.get_header("If-None-Match") == "*" and key in self._objects:
+                    return build_json_reply({"error": "the object exists"}, status=412)
+                self._objects[key] = call.body
+                return build_json_reply({"ok": True})
+        return build_json_reply({"error": "no such method"}, status=405)
+
+    def _read_hosts(self, *, stale: bool) -> HostListing:
+        if stale:
+            return self._snapshots[PlatformService.HOSTS].hosts
+        return self._hosts.read(reactor.seconds())
+
+    def _answer_permit(self) -> Reply:
+        permit = self._permits.take(reactor.seconds())
+        if permit is None:
+            wait_s = max(1, math.ceil(self._permits.compute_wait_s()))
+            headers = {"Retry-After": str(wait_s)}
+            return build_json_reply({"error": "rate used up"}, status=429, headers=headers)
+        return build_json_reply({"permit": permit})
+
+    def _answer_scaffolding(self, call: Call) -> Reply:
+        match (call.method, call.path):
+            case ("GET", "/healthz"):
+                return build_json_reply({"ok": True})
+            case ("POST", "/_standin/faults"):
+                self._set_fault(msgspec.json.decode(call.body, type=PlatformFault))
+                return build_json_reply({"ok": True})
+            case ("PUT", "/_standin/hosts"):
+                listing = msgspec.json.decode(call.body, type=HostListing)
+                self._hosts.set(listing, reactor.seconds())
+                return build_json_reply({"ok": True})
+            case ("GET", "/_standin/counters"):
+                return build_json_reply(self._counters)
+        return build_json_reply({"error": "no such path"}, status=404)
+
+    def _set_fault(self, fault: PlatformFault) -> None:
+        self._snapshots[fault.service] = _Snapshot(
+            rows=self._table.copy_rows(),
+            objects=dict(self._objects),
+            hosts=self._hosts.read(reactor.seconds()),
+        )
+        self._faults.set(fault)
--- /dev/null
+++ b/tests/test_standin_parts.py
@@ -0,0 +1,121 @@
+"""The parts of the stand-ins, without processes."""
+
+from standins._batch import Batch, Sequence, StepCosts
+from standins._load_report import LaggingLoad
+from standins._output import VOCABULARY, analyse_prompt, compute_output, decode_tokens, pick_token
+from standins._prefix_cache import PrefixCache
+from standins._table import Operation, OperationKind, Table, Transaction
+
+
+class _Sink:
+    def __init__(self) -> None:
+        self.token_ids: list[int] = []
+        self.finished = False
+
+    def start(self, sequence: Sequence) -> None:
+        sequence.uncached = sequence.context
+
+    def add_token(self, sequence: Sequence, token_id: int) -> None:
+        self.token_ids.append(token_id)
+
+    def finish(self, sequence: Sequence) -> None:
+        self.finished = True
+
+
+def _build_sequence(priority: int, resumed: tuple[int, ...] = ()) -> tuple[Sequence, _Sink]:
+    sink = _Sink()
+    prompt = analyse_prompt("a prompt OUTPUT-TOKENS-6")
+    sequence = Sequence(
+        attempt_id=f"a{priority}",
+        priority=priority,
+        prompt=prompt,
+        resumed=resumed,
+        limit=prompt.output_tokens,
+        sink=sink,
+    )
+    return sequence, sink
+
+
+def _run(batch: Batch) -> None:
+    while batch.plan_step_s() is not None:
+        batch.complete_step()
+
+
+def test_a_resumed_sequence_ends_as_the_whole_one() -> None:
+    batch = Batch(slots=2, costs=StepCosts())
+    whole, whole_sink = _build_sequence(0)
+    batch.add(whole)
+    _run(batch)
+    first = tuple(whole_sink.token_ids[:4])
+    resumed, resumed_sink = _build_sequence(0, resumed=first)
+    batch.add(resumed)
+    _run(batch)
+    assert [*first, *resumed_sink.token_ids] == whole_sink.token_ids
+    assert decode_tokens(whole_sink.token_ids) == compute_output("a prompt OUTPUT-TOKENS-6")
+    assert resumed_sink.finished
+
+
+def test_higher_priority_takes_the_free_slot_first() -> None:
+    batch = Batch(slots=1, costs=StepCosts())
+    low, _ = _build_sequence(5)
+    high, _ = _build_sequence(0)
+    batch.add(low)
+    batch.add(high)
+    batch.plan_step_s()
+    assert batch.running == [high]
+
+
+def test_a_step_takes_longer_with_a_larger_batch() -> None:
+    durations = []
+    for size in (1, 4):
+        batch = Batch(slots=8, costs=StepCosts())
+        for priority in range(size):
+            batch.add(_build_sequence(priority)[0])
+        batch.plan_step_s()
+        batch.complete_step()
+        durations.append(batch.plan_step_s() or 0.0)
+    assert durations[0] < durations[1]
+
+
+def test_tokens_hold_several_bytes() -> None:
+    assert any(len(text.encode()) > len(text) for text in VOCABULARY)
+    assert pick_token(7, 3) == pick_token(7, 3)
+
+
+def test_cache_evicts_what_was_used_least_recently_and_publishes_late() -> None:
+    cache = PrefixCache(capacity_tokens=32, event_lag_s=1.0, gap_share=0.0, seed=0)
+    first, second = analyse_prompt("a" * 128), analyse_prompt("b" * 128)
+    cache.store(first, 0.0)
+    assert cache.count_cached_tokens(first) == 32
+    cache.store(second, 0.5)
+    assert cache.count_cached_tokens(first) == 0
+    assert [event.kind for event in cache.list_events(0, 1.0)[0]] == ["stored", "stored"]
+    events, following = cache.list_events(2, 2.0)
+    assert [event.kind for event in events] == ["stored", "stored", "evicted", "evicted"]
+    assert following == 6
+
+
+def test_load_report_shows_the_past() -> None:
+    load = LaggingLoad(slots=4, lag_s=1.0)
+    load.record(running=3, waiting=1, now_s=10.0)
+    assert load.report(10.5).running == 0
+    assert load.report(11.0).running == 3
+
+
+def test_transaction_changes_all_rows_or_none() -> None:
+    table = Table()
+    put = Operation(kind=OperationKind.PUT, key="a", value=b"1", expect=0)  # type: ignore[arg-type]
+    assert table.transact(Transaction(operations=(put,))).rows[0].revision == 1
+    other = Operation(kind=OperationKind.PUT, key="b", value=b"2")  # type: ignore[arg-type]
+    outcome = table.transact(Transaction(operations=(other, put)))
+    assert outcome.failed == (1,)
+    assert list(table.rows) == ["a"]
+
+
+def test_revisions_never_repeat_after_a_delete() -> None:
+    table = Table()
+    put = Operation(kind=OperationKind.PUT, key="a", value=b"1", expect=0)  # type: ignore[arg-type]
+    delete = Operation(kind=OperationKind.DELETE, key="a")
+    first = table.transact(Transaction(operations=(put,))).rows[0].revision
+    table.transact(Transaction(operations=(delete,)))
+    assert table.transact(Transaction(operations=(put,))).rows[0].revision > first
