Add the operators' terminal

Cause: the language needs a front end: tables, JSON, watch, completion, help. Change: greengage run, complete, language; the agent's endpoint over HTTP. A lost answer of a command is told as outcome unknown, never as success. Ruled out: a thread or a second loop for the terminal; one reactor run suffices.

--- /dev/null
+++ b/greengagestage/commands/_agent_client.py
@@ -0,0 +1,43 @@
+"""Sends an operator's command to an agent and reads its answer."""
+
+from io import BytesIO
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, FileBodyProducer, readBody
+from twisted.web.http_headers import Headers
+
+from greengagestage.language import CommandAnswer, CommandRequest, answer_code
+from greengagestage.results import ResultCode
+
+CONNECT_TIMEOUT_S = 3.0
+ANSWER_TIMEOUT_S = 15.0
+
+_DECODER = msgspec.json.Decoder(CommandAnswer)
+
+
+async def send_command(
+    reactor: Any, agent_url: str, key: str, request: CommandRequest
+) -> CommandAnswer:
+    """Return the agent's answer, or an answer that says why there is none.
+
+    A command whose answer is lost may have taken effect: the code is then ``OUTCOME_UNKNOWN``.
+    """
+    http = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)  # type: ignore[no-untyped-call]
+    headers = Headers({"Authorization": [f"Bearer {key}"], "Content-Type": ["application/json"]})
+    body: Any = FileBodyProducer(BytesIO(msgspec.json.encode(request)))  # type: ignore[no-untyped-call]
+    url = f"{agent_url.rstrip('/')}/v1/command".encode()
+    sending: Deferred[Any] = http.request(b"POST", url, headers, body)
+    sending.addTimeout(ANSWER_TIMEOUT_S, reactor)
+    try:
+        response = await sending
+        data = await readBody(response).addTimeout(ANSWER_TIMEOUT_S, reactor)
+        return _DECODER.decode(data)
+    except ConnectError as error:
+        return answer_code(ResultCode.AGENT_UNREACHABLE, f"{agent_url}: {error}")
+    except msgspec.MsgspecError as error:
+        return answer_code(ResultCode.MESSAGE_MALFORMED, str(error))
+    except Exception as error:
+        return answer_code(ResultCode.OUTCOME_UNKNOWN, f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/greengagestage/commands/_rendering.py
@@ -0,0 +1,72 @@
+"""Shows a command's answer on a terminal, or as JSON."""
+
+from datetime import UTC, datetime
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from greengagestage.language import (
+    SCHEMAS,
+    CommandAnswer,
+    FieldType,
+    Scalar,
+    Show,
+    format_duration,
+    parse,
+)
+
+
+def render_json(console: Console, answer: CommandAnswer) -> None:
+    """Write the answer as one line of JSON."""
+    console.print(msgspec.json.encode(answer).decode(), soft_wrap=True, markup=False)
+
+
+def render_table(console: Console, text: str, answer: CommandAnswer) -> None:
+    """Write the answer's messages, its rows as a table, and the hosts that kept silent."""
+    if answer.columns:
+        console.print(_build_table(text, answer))
+    for message in answer.messages:
+        console.print(message, markup=False, highlight=False)
+    if answer.silent_hosts:
+        console.print("No answer from: " + ", ".join(answer.silent_hosts), style="bold red")
+    if answer.code:
+        console.print(f"result code {answer.code}", style="bold red")
+
+
+def _build_table(text: str, answer: CommandAnswer) -> Table:
+    types = _read_types(text)
+    table = Table(show_edge=False, pad_edge=False)
+    for column in answer.columns:
+        kind = types.get(column, FieldType.NUMBER)
+        table.add_column(column, justify="left" if kind is FieldType.TEXT else "right")
+    for row in answer.rows:
+        cells = zip(answer.columns, row, strict=True)
+        table.add_row(*(_format_cell(types.get(name), value) for name, value in cells))
+    return table
+
+
+def _read_types(text: str) -> dict[str, FieldType]:
+    match parse(text).value_or(None):
+        case Show(table=name) if name in SCHEMAS:
+            return {field.name: field.type for field in SCHEMAS[name].fields}
+        case _:
+            return {}
+
+
+def _format_cell(kind: FieldType | None, value: Scalar) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, str):
+        return value
+    match kind:
+        case FieldType.DURATION:
+            return format_duration(value)
+        case FieldType.RATIO:
+            return f"{value:.3f}"
+        case FieldType.TIME:
+            return datetime.fromtimestamp(value, UTC).strftime("%Y-%m-%d %H:%M:%S")
+        case _:
+            return f"{value:g}" if isinstance(value, float) else str(value)
--- /dev/null
+++ b/greengagestage/commands/operator.py
@@ -0,0 +1,120 @@
+"""``greengage``: the operators' terminal."""
+
+import sys
+import uuid
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import click
+from rich.console import Console
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater, react
+
+from greengagestage import __version__
+from greengagestage.ids import CommandId
+from greengagestage.language import CommandAnswer, CommandRequest, complete, describe_topic
+
+from ._agent_client import send_command
+from ._rendering import render_json, render_table
+
+EXIT_REFUSED = 1
+WATCH_PERIOD_S = 2.0
+
+Work = Callable[[Any], Coroutine[Any, Any, CommandAnswer]]
+
+
+def run_once(work: Work) -> CommandAnswer:
+    """Run one coroutine on the reactor, stop it, and return the answer.
+
+    The reactor cannot be started twice: a process calls this once.
+    """
+    answers: list[CommandAnswer] = []
+
+    async def keep(reactor: Any) -> None:
+        answers.append(await work(reactor))
+
+    try:
+        react(lambda reactor: ensureDeferred(keep(reactor)))
+    except SystemExit as stop:
+        if stop.code:
+            raise
+    return answers[0]
+
+
+def finish(console: Console, text: str, answer: CommandAnswer, as_json: bool) -> None:
+    """Show the answer and end the process with 0, or with 1 for a result code above 0."""
+    if as_json:
+        render_json(console, answer)
+    else:
+        render_table(console, text, answer)
+    sys.exit(EXIT_REFUSED if answer.code else 0)
+
+
+@click.group(context_settings={"auto_envvar_prefix": "GREENGAGE", "max_content_width": 100})
+@click.version_option(__version__)
+@click.option(
+    "--agent",
+    default="http://127.0.0.1:7300",
+    show_default=True,
+    show_envvar=True,
+    help="URL of any agent's operators' endpoint.",
+)
+@click.option("--key", default="", show_envvar=True, help="The operator's key.")
+@click.pass_context
+def main(context: click.Context, agent: str, key: str) -> None:
+    """Inspect and change a running greengagestage."""
+    context.obj = {"agent": agent, "key": key}
+
+
+@main.command()
+@click.argument("words", nargs=-1, required=True)
+@click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON.")
+@click.option("--dry-run", is_flag=True, help="Show what a change would do; change nothing.")
+@click.option("--watch", is_flag=True, help="Ask again every 2 s until interrupted.")
+@click.option("--command-id", default="", help="Repeat a change whose answer was lost.")
+@click.pass_obj
+def run(
+    target: dict[str, str],
+    words: tuple[str, ...],
+    as_json: bool,
+    dry_run: bool,
+    watch: bool,
+    command_id: str,
+) -> None:
+    """Run one line of the language, for example: greengage run 'show upstreams'."""
+    text = " ".join(words)
+    request = CommandRequest(
+        text=text, dry_run=dry_run, command_id=CommandId(command_id or uuid.uuid4().hex)
+    )
+    console = Console()
+
+    async def ask(reactor: Any) -> CommandAnswer:
+        answer = await send_command(reactor, target["agent"], target["key"], request)
+        while watch and not answer.code:
+            console.clear()
+            render_table(console, text, answer)
+            await deferLater(reactor, WATCH_PERIOD_S)
+            answer = await send_command(reactor, target["agent"], target["key"], request)
+        return answer
+
+    finish(console, text, run_once(ask), as_json)
+
+
+@main.command("complete")
+@click.argument("line", default="")
+def complete_line(line: str) -> None:
+    """Print the words that may stand next in an unfinished LINE, one a line."""
+    for word in complete(line):
+        click.echo(word)
+
+
+@main.command("language")
+@click.argument("topic", required=False)
+def show_language(topic: str | None) -> None:
+    """Explain the language, or one of its commands, with examples."""
+    for line in describe_topic(topic):
+        click.echo(line)
+
+
+if __name__ == "__main__":
+    main()
--- a/greengagestage/results.py
+++ b/greengagestage/results.py
@@ -79,6 +79,7 @@
     WEIGHT_STORE_BUSY = 4012
     NO_CONFIGURATION = 4013
     SETTINGS_INVALID = 4014
+    AGENT_UNREACHABLE = 4015
 
     INTERNAL_ERROR = 5001
 
@@ -179,6 +180,7 @@
     ResultCode.WEIGHT_STORE_BUSY: _not_run(429, "The weight store's rate is used up"),
     ResultCode.NO_CONFIGURATION: _not_run(503, "No configuration has been accepted yet"),
     ResultCode.SETTINGS_INVALID: _not_run(400, "The settings have faults"),
+    ResultCode.AGENT_UNREACHABLE: _not_run(503, "The agent cannot be reached"),
     ResultCode.INTERNAL_ERROR: _may_have_run(500, "The router met a fault of its own"),
     ResultCode.UNKNOWN_SENDER: _not_run(401, "The message's sender is not authenticated"),
     ResultCode.UNKNOWN_PROTOCOL_VERSION: _not_run(400, "The message's version is not spoken here"),
