Add the link between entry process and agent

Cause: an entry process needs the configuration, upstream statuses and shares of its agent, over the inner protocol. Ruled out: pair sockets (one entry process only; a second one during a replacement would be refused); pipe callbacks for finding new entry processes (they run on nng's threads). Change: bus sockets over loopback TCP inside twisted's reactor; envelope with version, keyed digest bound to the channel, sender, session, counter; two fleet keys; size bounds; drops counted by code. An entry process that finds a gap or a new agent asks for the whole state. Found: pynng raises RuntimeError on an empty frame, and twisted then drops the reader for good; both are handled. Seen failing with the guard taken out: size, version, digest, repeated counter, empty frame, replay after a replaced agent. 13 tests in 4 s. Conclusion: the entry process can be built on AgentLink.

--- a/greengagestage/wire/__init__.py
+++ b/greengagestage/wire/__init__.py
@@ -1,5 +1,7 @@
 """The inner protocol: typed, versioned, authenticated messages between our own processes."""
 
+from ._counts import TrafficCounts
+from ._entry_link import AgentLink, EntryEndpoint
 from ._messages import (
     AgentMessage,
     ConfigurationInForce,
@@ -16,6 +18,9 @@
 )
 
 __all__ = [
+    "AgentLink",
+    "EntryEndpoint",
+    "TrafficCounts",
     "AgentMessage",
     "ConfigurationInForce",
     "CrashReport",
