Add the entry process: callers' HTTP, the policy's shell, the upstream client

Cause: requests need a way from callers through the policy to engines and back. Ruled out: twisted's Agent with its pool, which repeats a request on a stale connection by itself and hides whether a byte left; the client protocol of twisted.web is used below an own pool. Change: bounded intake with numbered refusals, a shell that feeds the policy and carries out its actions, attempts with evidence of what was sent, resume, stored answers, agent control, graceful stop, greengage-entry with all settings checked at once, metrics and logs. Claims are not wired yet: non-idempotent requests are refused as not run.

--- a/greengagestage/entry/__init__.py
+++ b/greengagestage/entry/__init__.py
@@ -1,1 +1,18 @@
-"""Callers' HTTP interface: authentication, admission and delivery."""
+"""The callers' side: HTTP, authentication, and delivery of answers as the policy decides."""
+
+from ._http import ServerLimits
+from ._ports import Claims, Link, Outbox, UnavailableClaims
+from ._process import EntryProcess
+from ._settings import DeliveryLimits, EntrySettings, LifecycleTimes
+
+__all__ = [
+    "Claims",
+    "DeliveryLimits",
+    "EntryProcess",
+    "EntrySettings",
+    "LifecycleTimes",
+    "Link",
+    "Outbox",
+    "ServerLimits",
+    "UnavailableClaims",
+]
