--- a/standins/_fleet.py
+++ b/standins/_fleet.py
@@ -19,6 +19,7 @@
 
 FLEET_KEY = "stand-in-fleet-key"
 PLATFORM = "platform"
+AGENT_MODULE = "greengagestage.commands.agent"
 READY_STATUS = 200
 
 
@@ -217,15 +218,19 @@
         )
         agent = ("--entry-listen", link, "--peer-listen", peer, "--http-listen", http)
         entry = ("--listen", listen, "--agent", link)
-        self._add_binary(f"agent-{host.name}", http, *agent, *common, *self.shape.agent_options)
-        self._add_binary(f"entry-{host.name}", listen, *entry, *common, *self.shape.entry_options)
+        self._add_binary(
+            f"agent-{host.name}", AGENT_MODULE, http, *agent, *common, *self.shape.agent_options
+        )
+        module = self.shape.entry_module
+        self._add_binary(
+            f"entry-{host.name}", module, listen, *entry, *common, *self.shape.entry_options
+        )
 
-    def _add_binary(self, name: str, address: str, *options: str) -> None:
-        module = name.split("-", 1)[0]
+    def _add_binary(self, name: str, module: str, address: str, *options: str) -> None:
         self._start(
             ChildProcess(
                 name=name,
-                command=[sys.executable, "-m", f"greengagestage.commands.{module}", *options],
+                command=[sys.executable, "-m", module, *options],
                 directory=self.directory,
                 url=f"http://{address}",
             )
--- a/standins/_fleet_shape.py
+++ b/standins/_fleet_shape.py
@@ -69,6 +69,7 @@
     classes: tuple[ServiceClass, ...]
     workspaces: Mapping[str, float]
     platform_options: tuple[str, ...] = ()
+    entry_module: str = "greengagestage.commands.entry"
     entry_options: tuple[str, ...] = ()
     agent_options: tuple[str, ...] = ()
 
--- a/standins/_load_answers.py
+++ b/standins/_load_answers.py
@@ -87,6 +87,11 @@
             result.verdict = self._judge(complete=complete)
         self._on_end(result)
 
+    def give_up(self) -> None:
+        """Close the connection; the answer is not wanted any more."""
+        self._result.verdict = Verdict.GAVE_UP
+        self.transport.loseConnection()
+
     def _judge(self, *, complete: bool) -> Verdict:
         if not complete:
             return Verdict.BROKEN
--- a/standins/_load_client.py
+++ b/standins/_load_client.py
@@ -39,6 +39,8 @@
         self._on_done = on_done
         self._results: list[RequestResult] = []
         self._open: dict[int, RequestResult] = {}
+        self._readers: dict[int, AnswerReader] = {}
+        self._leaving: dict[int, Any] = {}
         self._started_s = 0.0
         self._last_call: Any = None
 
@@ -78,9 +80,21 @@
             _build_headers(planned),
             producer,
         )
+        if planned.give_up_s is not None:
+            self._leaving[planned.index] = reactor.callLater(
+                planned.give_up_s, self._leave, result, sending
+            )
         sending.addCallback(self._read, planned, result, due_s)
         sending.addErrback(self._fail, result, due_s)
 
+    def _leave(self, result: RequestResult, sending: Any) -> None:
+        reader = self._readers.get(result.index)
+        if reader is not None:
+            reader.give_up()
+            return
+        result.verdict = Verdict.GAVE_UP
+        sending.cancel()
+
     def _read(
         self, response: Any, planned: PlannedRequest, result: RequestResult, due_s: float
     ) -> None:
@@ -92,16 +106,22 @@
             read_clock=lambda: float(reactor.seconds() - due_s),
             on_end=self._end,
         )
+        self._readers[result.index] = reader
         response.deliverBody(reader)
 
     def _fail(self, _failure: Any, result: RequestResult, due_s: float) -> None:
-        result.verdict = Verdict.BROKEN
+        if result.verdict is not Verdict.GAVE_UP:
+            result.verdict = Verdict.BROKEN
         result.answer_s = reactor.seconds() - due_s
         self._end(result)
 
     def _end(self, result: RequestResult) -> None:
         if self._open.pop(result.index, None) is None:
             return
+        self._readers.pop(result.index, None)
+        leaving = self._leaving.pop(result.index, None)
+        if leaving is not None and leaving.active():
+            leaving.cancel()
         self._results.append(result)
         if len(self._results) == len(self._requests):
             self._finish()
--- a/standins/_load_plan.py
+++ b/standins/_load_plan.py
@@ -16,13 +16,14 @@
     """The completions of one class.
 
     ``rate_per_s`` is the mean of a Poisson process; lengths are drawn log-uniformly between
-    their bounds.
+    their bounds. ``give_up_s`` is the time after which a caller closes its connection.
     """
 
     service_class: str
     rate_per_s: float
     prompt_tokens: tuple[int, int]
     output_tokens: tuple[int, int]
+    give_up_s: float | None = None
 
 
 class ServiceMix(Struct, frozen=True, kw_only=True):
@@ -83,6 +84,7 @@
     body: str
     idempotency_key: str | None = None
     expected: str | None = None
+    give_up_s: float | None = None
 
 
 def plan_requests(shape: LoadShape) -> list[PlannedRequest]:
@@ -156,6 +158,7 @@
         path="/v1/chat/completions",
         body=msgspec.json.encode(body).decode(),
         expected=compute_output(f"user:{content}"),
+        give_up_s=mix.give_up_s,
     )
 
 
--- a/standins/_load_results.py
+++ b/standins/_load_results.py
@@ -9,13 +9,15 @@
     """What the caller was told in the end.
 
     ``BROKEN`` is an answer that ended without a proper end or a final error, or whose text is
-    not the request's own; ``UNANSWERED`` had no end when the load generator stopped waiting.
+    not the request's own; ``GAVE_UP`` was closed by its caller; ``UNANSWERED`` had no end when
+    the load generator stopped waiting.
     """
 
     DELIVERED = "delivered"
     NOT_RUN = "not_run"
     MAY_HAVE_RUN = "may_have_run"
     BROKEN = "broken"
+    GAVE_UP = "gave_up"
     UNANSWERED = "unanswered"
 
 
--- a/standins/_summary.py
+++ b/standins/_summary.py
@@ -23,6 +23,7 @@
     refused: int
     may_have_run: int
     broken: int
+    gave_up: int
     unanswered: int
     first_token_p50_s: float
     first_token_p95_s: float
@@ -143,6 +144,7 @@
         refused=counts[Verdict.NOT_RUN],
         may_have_run=counts[Verdict.MAY_HAVE_RUN],
         broken=counts[Verdict.BROKEN],
+        gave_up=counts[Verdict.GAVE_UP],
         unanswered=counts[Verdict.UNANSWERED],
         first_token_p50_s=compute_quantile(firsts, 0.5),
         first_token_p95_s=compute_quantile(firsts, 0.95),
