Let the bench put another policy into the entry's shell

Cause: baselines must run behind the same shell, in the same run, as the router's policy. Ruled out: patching the entry module from the bench (breaks silently when the shell changes).

--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -3,7 +3,6 @@
 import os
 import sys
 import time
-from enum import Enum
 from pathlib import Path
 
 import msgspec
@@ -16,22 +15,14 @@
 from standins.load import LoadJob
 
 from ._deployments import Deployment
+from ._policies import POLICY_VARIABLE, PolicyName
 from ._scenarios import Disturbance, Scenario, build_load
 
-POLICY_VARIABLE = "GREENGAGE_BENCH_POLICY"
 PATIENCE_S = 25.0
 POLL_INTERVAL_S = 0.02
 DRAIN_TIMEOUT_S = 60.0
 
 
-class PolicyName(Enum):
-    """A policy under comparison."""
-
-    GREENGAGE = "greengage"
-    ROUND_ROBIN = "round_robin"
-    LEAST_IN_FLIGHT = "least_in_flight"
-
-
 class RunKey(Struct, frozen=True, kw_only=True):
     """What a run was made of."""
 
--- a/greengagestage/commands/entry.py
+++ b/greengagestage/commands/entry.py
@@ -9,7 +9,7 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.error import CannotListenError
 
-from greengagestage.entry import EntryProcess, EntrySettings, UnavailableClaims
+from greengagestage.entry import Decisions, EntryProcess, EntrySettings, UnavailableClaims
 from greengagestage.telemetry import start_logging
 from greengagestage.wire import AgentLink
 
@@ -39,7 +39,7 @@
     sys.exit(status)
 
 
-def run(settings: EntrySettings, log_file: IO[bytes]) -> int:
+def run(settings: EntrySettings, log_file: IO[bytes], policy: Decisions | None = None) -> int:
     """Run until a signal asks for a stop; return the exit status."""
     reactor: Any = default_reactor
     use_monotonic_time(reactor)
@@ -55,6 +55,7 @@
             second_fleet_key=settings.second_fleet_key,
             on_message=on_message,
         ),
+        policy=policy,
     )
     try:
         process.start()
--- a/greengagestage/entry/__init__.py
+++ b/greengagestage/entry/__init__.py
@@ -1,12 +1,13 @@
 """The callers' side: HTTP, authentication, and delivery of answers as the policy decides."""
 
 from ._http import ServerLimits
-from ._ports import Claims, Link, Outbox, UnavailableClaims
+from ._ports import Claims, Decisions, Link, Outbox, UnavailableClaims
 from ._process import EntryProcess
 from ._settings import DeliveryLimits, EntrySettings, LifecycleTimes
 
 __all__ = [
     "Claims",
+    "Decisions",
     "DeliveryLimits",
     "EntryProcess",
     "EntrySettings",
--- a/greengagestage/entry/_ports.py
+++ b/greengagestage/entry/_ports.py
@@ -4,13 +4,33 @@
 
 from twisted.internet.defer import Deferred, succeed
 
-from greengagestage.ids import AttemptId, IdempotencyKey, WorkspaceId
-from greengagestage.policy import AskClaim, ClaimOutcome, GiveUpClaim
+from greengagestage.ids import AttemptId, IdempotencyKey, RequestId, WorkspaceId
+from greengagestage.policy import (
+    Action,
+    AskClaim,
+    ClaimOutcome,
+    Event,
+    GiveUpClaim,
+    PolicySnapshot,
+)
 from greengagestage.wire import EntryMessage
 
 from ._stored import KeptAnswer
 
 
+class Decisions(Protocol):
+    """What decides: the policy, or another one that is compared with it."""
+
+    def handle(self, event: Event, now_s: float) -> list[Action]:
+        """Take an event in and return what the shell has to do, in order."""
+
+    def inspect(self) -> PolicySnapshot:
+        """Return what waits and runs now."""
+
+    def explain(self, request_id: RequestId) -> tuple[str, ...]:
+        """Return the decisions about a request, one line each, oldest first."""
+
+
 class Claims(Protocol):
     """The right to run non-idempotent requests, and their kept answers."""
 
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -14,7 +14,7 @@
 from ._control import AgentControl
 from ._http import CallerServer
 from ._intake import RequestIds
-from ._ports import Claims, Link
+from ._ports import Claims, Decisions, Link
 from ._readiness import Readiness
 from ._settings import EntrySettings
 from ._shell import Shell
@@ -27,6 +27,7 @@
 
     Args:
         connect: Opens the link to the agent, given the receiver of its messages.
+        policy: Decides in place of the router's own policy, for comparison.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         settings: EntrySettings,
         claims: Claims,
         connect: Callable[[Callable[[AgentMessage], None]], Link],
+        policy: Decisions | None = None,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
@@ -50,7 +52,7 @@
         )
         self.shell = Shell(
             reactor=reactor,
-            policy=Policy(host=settings.host, seed=settings.seed),
+            policy=policy or Policy(host=settings.host, seed=settings.seed),
             pool=self._pool,
             claims=claims,
             metrics=metrics,
--- a/greengagestage/entry/_shell.py
+++ b/greengagestage/entry/_shell.py
@@ -17,7 +17,6 @@
     Dispatch,
     Event,
     GiveUpClaim,
-    Policy,
     QuarantineFingerprint,
     Reject,
     ReplayAnswer,
@@ -39,7 +38,7 @@
 from ._directory import Directory
 from ._dispatch import Dispatcher
 from ._http import CallerRequest
-from ._ports import Claims, Outbox
+from ._ports import Claims, Decisions, Outbox
 from ._requests import OpenRequests
 from ._settings import DeliveryLimits
 
@@ -51,7 +50,7 @@
         self,
         *,
         reactor: Any,
-        policy: Policy,
+        policy: Decisions,
         pool: ConnectionPool,
         claims: Claims,
         metrics: EntryMetrics,
