--- /dev/null
+++ b/greengagestage/agent/_settings.py
@@ -0,0 +1,50 @@
+"""The settings of an agent process."""
+
+from dataclasses import dataclass, field
+
+from greengagestage.ids import FailureDomain, HostId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentTimes:
+    """Intervals and time limits, in seconds.
+
+    Attributes:
+        head_interval_s: Between two polls of the configuration's head.
+        platform_timeout_s: For one call to the platform.
+        load_interval_s: Between two measurements of one engine by all hosts together.
+        load_timeout_s: For one call to an engine.
+        query_timeout_s: For the answers of other hosts to an operator's query.
+    """
+
+    head_interval_s: float = 3.0
+    platform_timeout_s: float = 2.0
+    load_interval_s: float = 1.0
+    load_timeout_s: float = 1.0
+    query_timeout_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentSettings:
+    """Everything that an agent process is told when it starts.
+
+    ``load_polls_per_s`` bounds the calls to engines; addresses are ``ip:port``.
+    """
+
+    host: HostId
+    failure_domain: FailureDomain
+    entry_listen: str
+    peer_listen: str
+    http_listen: str
+    platform: str
+    fleet_key: str
+    second_fleet_key: str | None = None
+    load_polls_per_s: float = 2.0
+    times: AgentTimes = field(default_factory=AgentTimes)
+
+    @property
+    def fleet_keys(self) -> tuple[str, ...]:
+        """The keys that are accepted; messages are sent with the first."""
+        if self.second_fleet_key is None:
+            return (self.fleet_key,)
+        return (self.fleet_key, self.second_fleet_key)
