--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -15,6 +15,7 @@
 
 from ._refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
 
+_LENGTH_HEADERS = (b"Content-Length", b"Transfer-Encoding")
 LINGER_S = 1.0
 """How long the rest of an oversize body is read and dropped, so that the answer arrives."""
 
@@ -209,14 +210,24 @@
         self.persistent = False
         self._lingering = cast(Any, self.factory.reactor).callLater(delay_s, self.forceAbortClient)
 
+    def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:
+        if header in _LENGTH_HEADERS and self._transferDecoder is not None:
+            self.length = None
+            self._refuse_head(Refusal(code=ResultCode.DUPLICATE_HEADER, detail="message length"))
+            return False
+        return bool(super()._maybeChooseTransferDecoder(header, data))
+
     def _respondToBadRequestAndDisconnect(self) -> None:
-        body = encode_refusal(Refusal(code=ResultCode.BAD_HEADER, detail="malformed request"))
+        self._refuse_head(Refusal(code=ResultCode.BAD_HEADER, detail="malformed request"))
+
+    def _refuse_head(self, refusal: Refusal) -> None:
+        body = encode_refusal(refusal)
         head = (
             f"HTTP/1.1 400 Bad Request\r\nContent-Type: {ERROR_CONTENT_TYPE}\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         cast(Any, self.transport).write(head.encode() + body)
-        self.factory.on_refused(ResultCode.BAD_HEADER)
+        self.factory.on_refused(refusal.code)
         self.loseConnection()
 
 
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from msgspec.structs import replace
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
@@ -15,6 +16,7 @@
 from greengagestage.configuration import (
     Model,
     PlainService,
+    Upstream,
     UpstreamKind,
     WorkspaceKey,
     compute_digest,
@@ -28,7 +30,23 @@
     ServerLimits,
 )
 from greengagestage.ids import ConfigurationVersion, FailureDomain, HostId, ModelName, ServiceName
-from greengagestage.policy import AskClaim, ClaimOutcome, GiveUpClaim
+from greengagestage.policy import (
+    AskClaim,
+    AttemptFailed,
+    AttemptFinished,
+    CallerLeft,
+    CancelAttempt,
+    CancelReason,
+    ClaimOutcome,
+    Deliver,
+    Dispatch,
+    GiveUpClaim,
+    Policy,
+    PolicySnapshot,
+    Reject,
+    RequestArrived,
+)
+from greengagestage.results import ResultCode
 from greengagestage.wire import ConfigurationInForce
 
 from .builders import build_class, build_declaration, build_engine, build_workspace
@@ -48,8 +66,8 @@
     while not condition():
         if waited_s > WAIT_LIMIT_S:
             raise AssertionError("the condition was not met")
-        yield deferLater(reactor, 0.005)
-        waited_s += 0.005
+        yield deferLater(reactor, 0.001)
+        waited_s += 0.001
 
 
 class UpstreamRequest:
@@ -280,6 +298,59 @@
         pass
 
 
+class SimplePolicy:
+    """Sends each request to one engine after the other until an answer is whole."""
+
+    def __init__(self, *, upstreams: tuple[str, ...], first_s: float = 9.0, next_s: float = 9.0):
+        self.upstreams = upstreams
+        self.events: list[Any] = []
+        self.requests: dict[str, Any] = {}
+        self._timeouts = {"first_token_timeout_s": first_s, "inter_token_timeout_s": next_s}
+
+    def handle(self, event: Any, now_s: float) -> list[Any]:
+        self.events.append(event)
+        match event:
+            case RequestArrived(request=request):
+                self.requests[request.request_id] = request
+                return [self.dispatch(request.request_id, 0)]
+            case AttemptFinished(attempt_id=attempt_id):
+                return [Deliver(request_id=attempt_id.rpartition(".")[0])]
+            case AttemptFailed(attempt_id=attempt_id):
+                return [self._fail(event, *attempt_id.rsplit(".", 1))]
+            case CallerLeft(request_id=request_id):
+                attempt_id = f"{request_id}.0"
+                cancel = CancelAttempt(attempt_id=attempt_id, reason=CancelReason.CALLER_LEFT)
+                return [cancel, Reject(request_id=request_id, code=ResultCode.CALLER_LEFT_RUNNING)]
+        return []
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+    def inspect(self) -> Any:
+        return PolicySnapshot(
+            classes=(), upstreams=(), open_requests=0, claiming=0, quarantined=0, stopping=False
+        )
+
+    def explain(self, request_id: str) -> tuple[str, ...]:
+        return ("a note",)
+
+    def dispatch(self, request_id: str, number: int) -> Any:
+        return Dispatch(
+            request_id=request_id,
+            attempt_id=f"{request_id}.{number}",
+            upstream=self.upstreams[number],
+            priority=0,
+            resume_tokens=0,
+            **self._timeouts,
+        )
+
+    def _fail(self, event: Any, request_id: str, number: str) -> Any:
+        following = int(number) + 1
+        if event.resumable and following < len(self.upstreams):
+            return self.dispatch(request_id, following)
+        return Reject(request_id=request_id, code=ResultCode.UPSTREAM_LOST)
+
+
 class FakeClaims:
     """A claims store in memory."""
 
@@ -332,6 +403,14 @@
     return {"model": "small", "prompt": "a gear", "stream": stream, **fields}
 
 
+def build_service(name: str, url: str) -> Upstream:
+    """Return an upstream of the plain service ``bookings``."""
+    return replace(
+        build_engine(name, url=url, models=(), service=ServiceName("bookings")),
+        kind=UpstreamKind.SERVICE,
+    )
+
+
 class EntryCase(TestCase):
     """Starts an entry process and stops everything afterwards."""
 
@@ -356,10 +435,18 @@
             lifecycle=self.times,
         )
         self.process = EntryProcess(
-            reactor=reactor, settings=settings, claims=self.claims, connect=lambda _: self.link
+            reactor=reactor,
+            settings=settings,
+            policy=self.build_policy(),
+            claims=self.claims,
+            connect=lambda _: self.link,
         )
         self.process.start()
 
+    def build_policy(self) -> Any:
+        """Return the policy; cases may take a simpler one."""
+        return Policy(host=HostId("host-1"), seed=1)
+
     @inlineCallbacks
     def tearDown(self):
         for caller in self.callers:
@@ -384,16 +471,7 @@
         """Put a configuration with these upstreams in force."""
         digest = hashlib.sha256(KEY.encode()).hexdigest()
         upstreams = [build_engine(f"engine-{i}", url=e.url) for i, e in enumerate(engines)]
-        upstreams += [
-            build_engine(
-                f"service-{i}",
-                url=s.url,
-                kind=UpstreamKind.SERVICE,
-                models=(),
-                service=ServiceName("bookings"),
-            )
-            for i, s in enumerate(services)
-        ]
+        upstreams += [build_service(f"service-{i}", s.url) for i, s in enumerate(services)]
         fields = {
             "classes": (build_class("phone", 0), build_class("review", 1)),
             "workspaces": (build_workspace("gyor", keys=(WorkspaceKey(sha256=digest),)),),
