Test callers, plain services, single runs, control, stop and settings of the entry process

Cause: leaving and slow callers, services, claims and the planned stop had no tests. Change: tests only, over a scripted claims store and a scripted agent.

--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -465,8 +465,8 @@
         self,
         *engines: ScriptedUpstream,
         services: tuple[ScriptedUpstream, ...] = (),
+        declared: tuple[PlainService, ...] = (PlainService(name=ServiceName("bookings")),),
         version: int = 1,
-        **changes: Any,
     ) -> None:
         """Put a configuration with these upstreams in force."""
         digest = hashlib.sha256(KEY.encode()).hexdigest()
@@ -476,10 +476,10 @@
             "classes": (build_class("phone", 0), build_class("review", 1)),
             "workspaces": (build_workspace("gyor", keys=(WorkspaceKey(sha256=digest),)),),
             "models": (Model(name=ModelName("small")),),
-            "services": (PlainService(name=ServiceName("bookings")),),
+            "services": declared,
             "upstreams": tuple(upstreams),
         }
-        document = encode_declaration(build_declaration(**(fields | changes)))
+        document = encode_declaration(build_declaration(**fields))
         self.process.control.receive(
             ConfigurationInForce(
                 version=ConfigurationVersion(version),
