--- a/greengagestage/policy/_snapshot.py
+++ b/greengagestage/policy/_snapshot.py
@@ -27,7 +27,7 @@
     upstream: UpstreamName
     state: UpstreamState
     takes_work: bool
-    health: HealthState
+    health: HealthState = HealthState.IN_USE
     in_flight: int
     slots: int
 
@@ -40,7 +40,7 @@
     upstreams: tuple[UpstreamLoad, ...]
     open_requests: int
     claiming: int
-    suspects: int
+    suspects: int = 0
     quarantined: int
     stopping: bool
 
