Write logs to standard error when the log file is "-", and check the path

Change: telemetry opens the log for both processes; a path that cannot be written is a fault of the settings, named with the others.

--- a/greengagestage/commands/_agent_settings.py
+++ b/greengagestage/commands/_agent_settings.py
@@ -12,10 +12,10 @@
     read_address,
     read_duration,
     read_fleet_key,
+    read_log_path,
     read_name,
     read_optional_fleet_key,
     read_settings,
-    read_text,
     read_url,
 )
 
@@ -52,7 +52,7 @@
         "load_polls_per_s", "Most calls to engines for their load, a second.", read_duration, "2"
     ),
     _setting(
-        "log_file", "Where to write the log's JSON lines; - is standard error.", read_text, "-"
+        "log_file", "Where to write the log's JSON lines; - is standard error.", read_log_path, "-"
     ),
 )
 
--- a/greengagestage/commands/_entry_settings.py
+++ b/greengagestage/commands/_entry_settings.py
@@ -15,11 +15,11 @@
     read_duration,
     read_fleet_key,
     read_listen_address,
+    read_log_path,
     read_name,
     read_optional_fleet_key,
     read_settings,
     read_size,
-    read_text,
     read_url,
 )
 
@@ -102,7 +102,7 @@
     _setting(
         "log_file",
         "Where to write the log's JSON lines; - is standard error.",
-        read_text,
+        read_log_path,
         "-",
     ),
 )
--- a/greengagestage/commands/_setting_types.py
+++ b/greengagestage/commands/_setting_types.py
@@ -8,6 +8,7 @@
 import click
 
 from greengagestage.results import CODE_DETAILS, ResultCode
+from greengagestage.telemetry import STANDARD_ERROR
 
 MIN_FLEET_KEY_CHARACTERS = 16
 MAX_PORT = 65_535
@@ -170,8 +171,12 @@
     return value
 
 
-def read_text(text: str) -> str:
-    """Read any text that is not empty."""
-    if not text:
-        raise ValueError("is required")
+def read_log_path(text: str) -> str:
+    """Read the path of a file that can be appended to; ``-`` is standard error."""
+    if text == STANDARD_ERROR:
+        return text
+    try:
+        open(text, "ab").close()
+    except OSError as error:
+        raise ValueError(f"cannot be written to: {error.strerror}") from None
     return text
--- a/greengagestage/commands/agent.py
+++ b/greengagestage/commands/agent.py
@@ -13,7 +13,7 @@
 
 from greengagestage import __version__
 from greengagestage.agent import AgentProcess, AgentSettings, listen_http
-from greengagestage.telemetry import start_logging
+from greengagestage.telemetry import open_log, start_logging
 
 from ._agent_settings import AGENT_SETTINGS, build_agent_settings
 from ._setting_types import SettingsError, add_settings
@@ -36,8 +36,7 @@
     except SettingsError as error:
         click.echo(error.describe(), err=True)
         sys.exit(EXIT_SETTINGS)
-    with click.open_file(texts["log_file"], "ab") as log_file:
-        status = run(settings, log_file)
+    status = run(settings, open_log(texts["log_file"]))
     sys.exit(status)
 
 
--- a/greengagestage/commands/entry.py
+++ b/greengagestage/commands/entry.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import CannotListenError
 
 from greengagestage.entry import Decisions, EntryProcess, EntrySettings, UnavailableClaims
-from greengagestage.telemetry import start_logging
+from greengagestage.telemetry import open_log, start_logging
 from greengagestage.wire import AgentLink
 
 from ._entry_settings import ENTRY_SETTINGS, build_entry_settings
@@ -34,9 +34,7 @@
     except SettingsError as error:
         click.echo(error.describe(), err=True)
         sys.exit(EXIT_SETTINGS)
-    with click.open_file(texts["log_file"], "ab") as log_file:
-        status = run(settings, log_file)
-    sys.exit(status)
+    sys.exit(run(settings, open_log(texts["log_file"])))
 
 
 def run(settings: EntrySettings, log_file: IO[bytes], policy: Decisions | None = None) -> int:
--- a/greengagestage/telemetry/_logs.py
+++ b/greengagestage/telemetry/_logs.py
@@ -1,5 +1,6 @@
 """Logs as JSON lines. Every message type begins with the name of its part."""
 
+import sys
 import traceback
 from typing import IO, Any, cast
 
@@ -7,6 +8,15 @@
 from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
 from twisted.python.failure import Failure
 
+STANDARD_ERROR = "-"
+
+
+def open_log(path: str) -> IO[bytes]:
+    """Open a log for appending; ``-`` is standard error."""
+    if path == STANDARD_ERROR:
+        return sys.stderr.buffer
+    return open(path, "ab", buffering=0)
+
 
 def start_logging(*, file: IO[bytes], part: str, host: str) -> None:
     """Write all logs of the process to a file, those of twisted too."""
--- a/tests/test_entry_command.py
+++ b/tests/test_entry_command.py
@@ -34,6 +34,7 @@
     "body_limit_bytes": ("0", "1e3"),
     "caller_stall_s": ("0", "nan", "inf", "-1", "x"),
     "drain_notice_s": ("-1",),
+    "log_file": ("/", "/nowhere/log"),
 }
 
 
