--- a/greengagestage/policy/_admission.py
+++ b/greengagestage/policy/_admission.py
@@ -206,7 +206,7 @@
             for each in state.classes.values()
             if each.priority > record.priority
         )
-        if ahead < obtainable or (ahead == 0 and self._router.has_free_slot(record)):
+        if ahead < obtainable or (ahead == 0 and self._router.has_free_slot(record.pool)):
             return 0.0
         return state.estimator.estimate_wait(record, pool, state.views.find(record.pool).slots)
 
--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -49,13 +49,18 @@
         waiting = pool.queue.list_waiting()
         if not waiting:
             return False
+        if self._router.has_free_slot(name) and self._serve_first(name, pool, waiting):
+            return True
+        return any(self._preempt(pool, service_class, queue) for service_class, queue in waiting)
+
+    def _serve_first(
+        self, name: PoolName, pool: PoolState, waiting: list[tuple[ServiceClass, ClassQueue]]
+    ) -> bool:
+        """Give a free slot to a class that is due its minimum share, or to the highest class."""
         reserved = self._list_reserved(name, pool, waiting)
         if any(self._serve(pool, queue, reserved=True) for queue in reserved):
             return True
-        return any(
-            self._serve(pool, queue, reserved=False) or self._preempt(pool, queue)
-            for _, queue in waiting
-        )
+        return any(self._serve(pool, queue, reserved=False) for _, queue in waiting)
 
     def _list_reserved(
         self, name: PoolName, pool: PoolState, waiting: list[tuple[ServiceClass, ClassQueue]]
@@ -78,8 +83,6 @@
     def _serve(self, pool: PoolState, queue: ClassQueue, *, reserved: bool) -> bool:
         """Dispatch the first request of a class that can go anywhere."""
         for record in islice(queue.iterate_candidates(), CANDIDATES_LIMIT):
-            if not self._router.has_free_slot(record):
-                return False
             entry = self._router.choose(record)
             if entry is not None:
                 pool.queue.pop(record)
@@ -87,9 +90,11 @@
                 return True
         return False
 
-    def _preempt(self, pool: PoolState, queue: ClassQueue) -> bool:
+    def _preempt(self, pool: PoolState, service_class: ServiceClass, queue: ClassQueue) -> bool:
         """Take a slot from a lower class if the next request would miss its target."""
         state = self._state
+        if not state.has_running_below(service_class.priority):
+            return False
         record = queue.peek()
         if record is None:
             return False
--- a/greengagestage/policy/_fairness.py
+++ b/greengagestage/policy/_fairness.py
@@ -1,6 +1,7 @@
 """Queued requests of one class: weighted fairness between workspaces, deadlines within one."""
 
 from collections.abc import Iterator
+from itertools import islice
 
 from sortedcontainers import SortedDict, SortedKeyList, SortedList
 
@@ -56,14 +57,14 @@
 
     def iterate_candidates(self) -> Iterator[RequestRecord]:
         """Return requests in the order of service, a few of each workspace."""
-        yield from self._returned[:CANDIDATES_PER_LANE]
-        late = self._late[:CANDIDATES_PER_LANE]
-        if self._turns % LATE_TURN == LATE_TURN - 1:
-            yield from late
-            late = []
+        yield from islice(self._returned, CANDIDATES_PER_LANE)
+        late_first = bool(self._late) and self._turns % LATE_TURN == LATE_TURN - 1
+        if late_first:
+            yield from islice(self._late, CANDIDATES_PER_LANE)
         for _, workspace in self._order:
-            yield from self._lanes[workspace][:CANDIDATES_PER_LANE]
-        yield from late
+            yield from islice(self._lanes[workspace], CANDIDATES_PER_LANE)
+        if not late_first:
+            yield from islice(self._late, CANDIDATES_PER_LANE)
 
     def estimate_work_ahead(self, record: RequestRecord) -> float:
         """Return the slot-seconds served before a new request, under fairness."""
--- a/greengagestage/policy/_records.py
+++ b/greengagestage/policy/_records.py
@@ -17,6 +17,7 @@
 
     Attributes:
         reserved: The slot came from the minimum share of the request's class.
+        priority: Priority of the request's class when the attempt was sent.
         ran_before: An earlier attempt had possibly run when this one was sent.
         charged_s: Slot-seconds charged to the minimum share.
         suspect: The request was present at a crash before.
@@ -28,6 +29,7 @@
     upstream: UpstreamName
     sent_s: float
     ran_before: bool
+    priority: int = 0
     reserved: bool = False
     charged_s: float = 0.0
     suspect: bool = False
--- a/greengagestage/policy/_routing.py
+++ b/greengagestage/policy/_routing.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from greengagestage.ids import PoolName
+
 from ._health import HealthState
 from ._loads import measure_load
 from ._records import RequestRecord
@@ -30,12 +32,12 @@
     def __init__(self, *, state: PolicyState) -> None:
         self._state = state
 
-    def has_free_slot(self, record: RequestRecord) -> bool:
-        """Return whether any upstream of a request's pool has a slot for this host."""
+    def has_free_slot(self, pool: PoolName) -> bool:
+        """Return whether any upstream of the host's part of a pool has a slot to give."""
+        now_s = self._state.now_s
         return any(
-            entry.has_free_slot
-            and entry.health.is_usable(self._state.now_s, record.request.idempotent)
-            for entry in self._list_entries(record, self._state.is_suspect(record))
+            len(entry.in_flight) < entry.slots and entry.health.is_usable(now_s, idempotent=True)
+            for entry in self._state.views.find(pool).used
         )
 
     def has_prospect(self, record: RequestRecord) -> bool:
@@ -45,7 +47,8 @@
     def choose(self, record: RequestRecord) -> UpstreamEntry | None:
         """Return the upstream to send a request to now, or None if it has to wait."""
         suspect = self._state.is_suspect(record)
-        entries = self._list_entries(record, suspect)
+        view = self._state.views.find(record.pool)
+        entries = view.live if suspect else view.used
         usable = [entry for entry in entries if self._is_usable(record, entry, suspect)]
         fresh = [entry for entry in usable if entry.name not in record.tried]
         candidates = fresh or usable
@@ -57,11 +60,6 @@
             return candidates[0]
         return self._find_best(record, candidates)
 
-    def _list_entries(self, record: RequestRecord, suspect: bool) -> tuple[UpstreamEntry, ...]:
-        """Return the host's own part, or the whole pool for a suspect, which all hosts share."""
-        view = self._state.views.find(record.pool)
-        return view.live if suspect else view.used
-
     def _is_usable(self, record: RequestRecord, entry: UpstreamEntry, suspect: bool) -> bool:
         if len(entry.in_flight) >= entry.slots:
             return False
--- a/greengagestage/policy/_state.py
+++ b/greengagestage/policy/_state.py
@@ -52,6 +52,7 @@
         self.views = PoolViews(host=host, upstreams=self.upstreams)
         self.top_priority = 0
         self.crashes = CrashLedger()
+        self.running: dict[int, int] = {}
         self.running_equals: dict[Fingerprint, dict[AttemptId, UpstreamName]] = {}
         self.limits = WorkspaceLimits()
         self.retries = RetryBudget()
@@ -102,6 +103,10 @@
         pool.queue.push(record)
         self.dirty_pools[record.pool] = None
 
+    def has_running_below(self, priority: int) -> bool:
+        """Return whether any request of a lower class is running."""
+        return any(count and below > priority for below, count in self.running.items())
+
     def is_suspect(self, record: RequestRecord) -> bool:
         """Return whether a request was present at a crash of an upstream."""
         return self.crashes.is_suspect(record.request.fingerprint, self.now_s)
@@ -127,6 +132,8 @@
         entry.prefixes.remember(record.request.prefix_hashes)
         self.attempts[attempt.attempt_id] = record
         self.find_pool(record.pool).note_started(record)
+        attempt.priority = record.priority
+        self.running[record.priority] = self.running.get(record.priority, 0) + 1
         equals = self.running_equals.setdefault(record.request.fingerprint, {})
         equals[attempt.attempt_id] = entry.name
 
@@ -139,6 +146,7 @@
         del self.attempts[attempt.attempt_id]
         pool = self.find_pool(record.pool)
         pool.note_ended(record)
+        self.running[attempt.priority] -= 1
         self._forget_equal(record, attempt)
         self.dirty_pools[record.pool] = None
         if attempt.reserved:
--- a/greengagestage/policy/_upstreams.py
+++ b/greengagestage/policy/_upstreams.py
@@ -51,11 +51,6 @@
             return False
         return self.state is UpstreamState.LIVE
 
-    @property
-    def has_free_slot(self) -> bool:
-        """Whether this host may send one more request."""
-        return len(self.in_flight) < self.slots
-
     @property
     def resumes(self) -> bool:
         """Whether an answer can be cut and continued elsewhere."""
