--- a/bench/_deployments.py
+++ b/bench/_deployments.py
@@ -14,6 +14,8 @@
 ENTRY_MODULE = "bench.entry"
 GIVE_UP_TARGETS = 1.5
 HOSTS = 2
+RESENDS = 2
+DRAIN_NOTICE_S = "0.1"
 
 
 class Traffic(Struct, frozen=True, kw_only=True):
@@ -58,6 +60,7 @@
             classes=self.classes,
             workspaces=self.workspaces,
             entry_module=ENTRY_MODULE,
+            entry_options=("--drain-notice-s", DRAIN_NOTICE_S),
         )
 
 
--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -1,6 +1,5 @@
 """A bare streaming relay without decisions: what the router's cost is compared with."""
 
-from io import BytesIO
 from itertools import cycle
 from pathlib import Path
 from typing import Any
@@ -9,6 +8,7 @@
 from twisted.internet import protocol as _protocol
 from twisted.web import client as _client
 
+from standins._body_producer import BytesProducer
 from standins._http import Call, Reply, build_json_reply, reactor, serve_handler
 
 CONNECTIONS = 512
@@ -47,7 +47,7 @@
         headers = call.request.requestHeaders.copy()
         for name in _CONNECTION_HEADERS:
             headers.removeHeader(name)
-        producer = _web.FileBodyProducer(BytesIO(call.body)) if call.body else None
+        producer = BytesProducer(body=call.body) if call.body else None
         sending = self._agent.request(call.method.encode(), url.encode(), headers, producer)
         sending.addCallback(self._start_answer, call)
         sending.addErrback(lambda _: call.abort())
--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -55,10 +55,10 @@
         self._job_file = directory / "job.json"
         self._load: ChildProcess | None = None
 
-    def start_fleet(self) -> None:
-        """Start every process under this policy."""
+    def launch_hosts(self) -> None:
+        """Start the hosts' processes under this policy."""
         os.environ[POLICY_VARIABLE] = self.policy.value
-        self.fleet.start()
+        self.fleet.launch_hosts()
 
     def start_load(self, job: LoadJob) -> None:
         """Start sending."""
@@ -102,18 +102,30 @@
         duration_s=duration_s,
     )
     try:
-        for contestant in contestants:
-            contestant.start_fleet()
+        _start_fleets(contestants)
         for contestant in contestants:
             entries = tuple(contestant.fleet.entry_urls())
             contestant.start_load(LoadJob(entries=entries, shape=shape, patience_s=PATIENCE_S))
         _disturb(contestants, scenario, duration_s)
         return [_summarize(contestant, deployment, key) for contestant in contestants]
     finally:
+        for contestant in contestants:
+            contestant.fleet.ask_entries_to_stop()
         for contestant in contestants:
             contestant.fleet.stop()
 
 
+def _start_fleets(contestants: list[_Contestant]) -> None:
+    for contestant in contestants:
+        contestant.fleet.launch_upstreams()
+    for contestant in contestants:
+        contestant.fleet.await_upstreams()
+    for contestant in contestants:
+        contestant.launch_hosts()
+    for contestant in contestants:
+        contestant.fleet.await_hosts()
+
+
 def _disturb(contestants: list[_Contestant], scenario: Scenario, duration_s: float) -> None:
     """Carry out the scenario's disturbances at their times, until all loads have ended."""
     started_s = time.monotonic()
--- a/bench/_scenarios.py
+++ b/bench/_scenarios.py
@@ -7,7 +7,7 @@
 from standins._load_plan import Burst, ClassMix, LoadShape, Sender
 
 from ._capacity import MS_PER_S, compute_rate_per_s
-from ._deployments import GIVE_UP_TARGETS, Deployment
+from ._deployments import GIVE_UP_TARGETS, RESENDS, Deployment
 
 
 class Disturbance(Struct, frozen=True, kw_only=True):
@@ -86,6 +86,7 @@
                 prompt_tokens=traffic.prompt_tokens,
                 output_tokens=traffic.output_tokens,
                 give_up_s=GIVE_UP_TARGETS * answer_targets_ms[traffic.service_class] / MS_PER_S,
+                resends=RESENDS,
             )
             for traffic in deployment.traffic
         ),
--- a/standins/_fleet.py
+++ b/standins/_fleet.py
@@ -50,11 +50,20 @@
     def start(self) -> None:
         """Start every process, apply the declaration and wait until the entries are ready."""
         self.start_upstreams()
-        self.apply_declaration()
         self.start_hosts()
 
     def start_upstreams(self) -> None:
         """Start the platform and every upstream."""
+        self.launch_upstreams()
+        self.await_upstreams()
+
+    def start_hosts(self) -> None:
+        """Apply the declaration, start agents and entries and wait until they are ready."""
+        self.launch_hosts()
+        self.await_hosts()
+
+    def launch_upstreams(self) -> None:
+        """Start the platform and every upstream without waiting."""
         self.directory.mkdir(parents=True, exist_ok=True)
         self._add_standin(PLATFORM, "platform", *self.shape.platform_options)
         for engine in self.shape.engines:
@@ -73,6 +82,9 @@
                 *("--ledger-file", str(self.directory / f"{service.name}.ledger")),
                 *service.options,
             )
+
+    def await_upstreams(self) -> None:
+        """Wait until the platform and every upstream listen."""
         for process in self._processes.values():
             process.wait_announced()
 
@@ -101,11 +113,15 @@
         operations = [{"kind": "put", "key": key, "value": head, "expect": 0} for key in keys]
         _require(send_call("POST", f"{platform}/table/transact", {"operations": operations}))
 
-    def start_hosts(self) -> None:
-        """Start agents and entries, list them at the platform, and wait for readiness."""
+    def launch_hosts(self) -> None:
+        """Apply the declaration, start agents and entries and list them at the platform."""
+        self.apply_declaration()
         for host in self.shape.hosts:
             self._add_host(host)
         self.list_hosts()
+
+    def await_hosts(self) -> None:
+        """Wait until every agent and entry is ready."""
         for host in self.shape.hosts:
             self.wait_ready(f"agent-{host.name}")
             self.wait_ready(f"entry-{host.name}")
@@ -160,7 +176,7 @@
 
     def terminate(self, name: str) -> int:
         """Ask a process to stop, wait for it, and return its exit code."""
-        self._processes[name].send_signal(signal.SIGTERM)
+        self._processes[name].ask_to_stop()
         return self._processes[name].wait()
 
     def restart(self, name: str) -> None:
@@ -187,27 +203,34 @@
         """Return the runs of all engines."""
         return [run for engine in self.shape.engines for run in self.read_ledger(engine.name)]
 
+    def ask_entries_to_stop(self) -> None:
+        """Begin the entries' graceful stop without waiting for its end."""
+        for process in self._list_running("entry-"):
+            process.ask_to_stop()
+
     def stop(self) -> dict[str, int]:
         """Stop entries, then agents, then the rest; return the exit codes by name."""
         codes: dict[str, int] = {}
         for prefix in ("entry-", "agent-", ""):
-            group = [
-                process
-                for name, process in self._processes.items()
-                if name.startswith(prefix) and name not in codes and process.running
-            ]
+            group = self._list_running(prefix)
             for process in group:
-                process.send_signal(signal.SIGCONT)
-                process.send_signal(signal.SIGTERM)
+                process.ask_to_stop()
             codes.update({process.name: process.wait() for process in group})
         return codes
 
+    def _list_running(self, prefix: str) -> list[ChildProcess]:
+        return [
+            process
+            for name, process in self._processes.items()
+            if name.startswith(prefix) and process.running
+        ]
+
     def _service_names(self) -> list[str]:
         return [service.name for service in self.shape.services]
 
     def _add_standin(self, name: str, module: str, *options: str) -> None:
         command = [sys.executable, "-m", f"standins.{module}", *options]
-        self._start(ChildProcess(name=name, command=command, directory=self.directory))
+        self.add(ChildProcess(name=name, command=command, directory=self.directory))
 
     def _add_host(self, host: HostShape) -> None:
         listen, link, peer, http = (f"{LISTEN_ADDRESS}:{port}" for port in reserve_ports(4))
@@ -227,7 +250,7 @@
         )
 
     def _add_binary(self, name: str, module: str, address: str, *options: str) -> None:
-        self._start(
+        self.add(
             ChildProcess(
                 name=name,
                 command=[sys.executable, "-m", module, *options],
@@ -236,7 +259,8 @@
             )
         )
 
-    def _start(self, process: ChildProcess) -> None:
+    def add(self, process: ChildProcess) -> None:
+        """Start a process that is stopped with the fleet."""
         self._processes[process.name] = process
         process.start()
 
--- a/standins/_load_plan.py
+++ b/standins/_load_plan.py
@@ -16,7 +16,8 @@
     """The completions of one class.
 
     ``rate_per_s`` is the mean of a Poisson process; lengths are drawn log-uniformly between
-    their bounds. ``give_up_s`` is the time after which a caller closes its connection.
+    their bounds. ``give_up_s`` is the time after which a caller closes its connection, and
+    ``resends`` how often it sends again what was refused with a time to come back, or failed.
     """
 
     service_class: str
@@ -24,6 +25,7 @@
     prompt_tokens: tuple[int, int]
     output_tokens: tuple[int, int]
     give_up_s: float | None = None
+    resends: int = 0
 
 
 class ServiceMix(Struct, frozen=True, kw_only=True):
@@ -85,6 +87,7 @@
     idempotency_key: str | None = None
     expected: str | None = None
     give_up_s: float | None = None
+    resends: int = 0
 
 
 def plan_requests(shape: LoadShape) -> list[PlannedRequest]:
@@ -159,6 +162,7 @@
         body=msgspec.json.encode(body).decode(),
         expected=compute_output(f"user:{content}"),
         give_up_s=mix.give_up_s,
+        resends=mix.resends,
     )
 
 
--- a/standins/_load_results.py
+++ b/standins/_load_results.py
@@ -25,6 +25,7 @@
     """One request as its caller saw it; times are seconds since it was due.
 
     ``matches`` tells whether all text received is the start of the request's own answer.
+    ``refusals`` and ``failures`` count the earlier answers after which the caller sent again.
     """
 
     index: int
@@ -42,10 +43,12 @@
     longest_gap_s: float = 0.0
     tokens: int = 0
     matches: bool = True
+    refusals: int = 0
+    failures: int = 0
 
 
 class LoadResult(Struct, kw_only=True):
-    """All results of one run of a plan."""
+    """All results of one run of a plan; ``duration_s`` is the time over which they were due."""
 
     duration_s: float
     results: list[RequestResult]
--- a/standins/_processes.py
+++ b/standins/_processes.py
@@ -58,6 +58,7 @@
         self._announces = url is None
         self._url = url
         self._process: subprocess.Popen[bytes] | None = None
+        self._asked_to_stop = False
 
     @property
     def url(self) -> str:
@@ -84,6 +85,7 @@
     def start(self) -> None:
         """Start the process; it does not see signals meant for the launcher."""
         self._announcement.unlink(missing_ok=True)
+        self._asked_to_stop = False
         extra = ["--announce", str(self._announcement)] if self._announces else []
         with self.log_file.open("ab") as log:
             self._process = subprocess.Popen(
@@ -113,6 +115,14 @@
         if self.running:
             self._get_process().send_signal(number)
 
+    def ask_to_stop(self) -> None:
+        """Send SIGTERM, once for each start; a paused process goes on, so that it can stop."""
+        if self._asked_to_stop:
+            return
+        self._asked_to_stop = True
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait for the end and return the exit code; kill the process after the timeout."""
         try:
--- a/standins/_summary.py
+++ b/standins/_summary.py
@@ -14,6 +14,7 @@
 class ClassSummary(Struct, frozen=True, kw_only=True):
     """One class; times are in seconds and of whole answers only.
 
+    ``sent_again`` counts how often callers came back after a refusal or a failure.
     ``attainment`` is the share of all requests sent whose whole answer met both targets.
     """
 
@@ -25,6 +26,7 @@
     broken: int
     gave_up: int
     unanswered: int
+    sent_again: int
     first_token_p50_s: float
     first_token_p95_s: float
     answer_p50_s: float
@@ -146,6 +148,7 @@
         broken=counts[Verdict.BROKEN],
         gave_up=counts[Verdict.GAVE_UP],
         unanswered=counts[Verdict.UNANSWERED],
+        sent_again=sum(r.refusals + r.failures for r in results),
         first_token_p50_s=compute_quantile(firsts, 0.5),
         first_token_p95_s=compute_quantile(firsts, 0.95),
         answer_p50_s=compute_quantile(answers, 0.5),
