--- a/standins/_fleet.py
+++ b/standins/_fleet.py
@@ -15,12 +15,11 @@
 from ._ledger import LedgerPage, Run
 from ._platform_faults import PlatformFault
 from ._processes import ChildProcess, ProcessFailedError, reserve_ports
-from ._web_calls import WebAnswer, send_call
+from ._web_calls import OK_STATUS, WebAnswer, send_call
 
 FLEET_KEY = "stand-in-fleet-key"
 PLATFORM = "platform"
 AGENT_MODULE = "greengagestage.commands.agent"
-READY_STATUS = 200
 
 
 class Fleet:
@@ -147,7 +146,7 @@
     def wait_ready(self, name: str) -> None:
         """Wait until a process's readiness check passes."""
         process = self._processes[name]
-        process.wait_ready(lambda: send_call("GET", f"{process.url}/readyz").status == READY_STATUS)
+        process.wait_ready(lambda: send_call("GET", f"{process.url}/readyz").status == OK_STATUS)
 
     def url(self, name: str) -> str:
         """Return a process's address."""
@@ -193,9 +192,9 @@
         kept = self.directory / f"{name}.ledger"
         runs: list[Run] = []
         if kept.exists():
-            runs += WebAnswer(status=READY_STATUS, body=kept.read_bytes()).decode(LedgerPage).runs
+            runs += WebAnswer(status=OK_STATUS, body=kept.read_bytes()).decode(LedgerPage).runs
         answer = send_call("GET", f"{self.url(name)}/_standin/ledger")
-        if answer.status == READY_STATUS:
+        if answer.status == OK_STATUS:
             runs += answer.decode(LedgerPage).runs
         return runs
 
@@ -266,5 +265,5 @@
 
 
 def _require(answer: WebAnswer) -> None:
-    if answer.status != READY_STATUS:
+    if answer.status != OK_STATUS:
         raise ProcessFailedError(f"the platform answered {answer.status}: {answer.body!r}")
--- a/standins/_web_calls.py
+++ b/standins/_web_calls.py
@@ -9,6 +9,7 @@
 import msgspec
 
 CALL_TIMEOUT_S = 10.0
+OK_STATUS = 200
 UNREACHABLE_STATUS = 0
 
 _T = TypeVar("_T")
