--- a/greengagestage/commands/_entry_settings.py
+++ b/greengagestage/commands/_entry_settings.py
@@ -54,6 +54,12 @@
         read_size,
         "262144",
     ),
+    _setting(
+        "collected_answer_bytes",
+        "Largest completion that is sent as one body, bytes.",
+        read_size,
+        "16777216",
+    ),
     _setting(
         "kept_answer_bytes",
         "Largest answer of a non-idempotent request that is stored, bytes.",
@@ -136,6 +142,7 @@
         ),
         delivery=DeliveryLimits(
             service_buffer_bytes=values["service_buffer_bytes"],
+            collected_answer_bytes=values["collected_answer_bytes"],
             kept_answer_bytes=values["kept_answer_bytes"],
             caller_stall_s=values["caller_stall_s"],
             store_wait_s=values["store_wait_s"],
--- a/greengagestage/commands/entry.py
+++ b/greengagestage/commands/entry.py
@@ -71,11 +71,16 @@
 
 
 def _stop_on_signals(reactor: Any, process: EntryProcess) -> None:
-    def begin_stop() -> None:
-        process.stop().addBoth(lambda _: reactor.stop())
+    stopping = False
 
     def handle(signum: int, frame: object) -> None:
-        reactor.callFromThread(begin_stop)
+        nonlocal stopping
+        if not stopping:
+            stopping = True
+            reactor.callFromThread(begin_stop)
+
+    def begin_stop() -> None:
+        process.stop().addBoth(lambda _: reactor.stop())
 
     signal.signal(signal.SIGTERM, handle)
     signal.signal(signal.SIGINT, handle)
--- a/greengagestage/entry/_deliveries.py
+++ b/greengagestage/entry/_deliveries.py
@@ -1,5 +1,6 @@
 """Deliveries: an upstream's answer on its way to a caller, whole or visibly not."""
 
+import math
 from collections.abc import Sequence
 
 from greengagestage.upstream import CompletionChunk, ResponseHead
@@ -30,10 +31,14 @@
 class CompletionDelivery:
     """Delivers a completion; its end is held back until the answer is known to be whole."""
 
-    def __init__(self, *, form: CompletionForm, transcript: Transcript | None) -> None:
+    def __init__(
+        self, *, form: CompletionForm, transcript: Transcript | None, limit_bytes: float = math.inf
+    ) -> None:
         self._progress = CompletionProgress()
         self._form = form
         self._transcript = transcript
+        self._size = 0
+        self._limit_bytes = limit_bytes
         self._tail: list[TakenChunk] = []
 
     @property
@@ -41,6 +46,11 @@
         """Another engine can go on from what has been delivered."""
         return self._progress.resumable
 
+    @property
+    def is_too_large(self) -> bool:
+        """The answer outgrew the bound of its form."""
+        return self._size > self._limit_bytes
+
     def list_tokens(self) -> list[int]:
         """Return the delivered tokens, for another engine to go on from."""
         return self._progress.list_tokens()
@@ -79,6 +89,7 @@
             if payload is None:
                 continue
             taken.append((payload, chunk))
+            self._size += len(payload)
             if self._transcript is not None:
                 self._transcript.add(encode_event(payload))
         return taken
@@ -205,10 +216,12 @@
                 pass_through=idempotent,
             )
         case CompletionTarget(endpoint=endpoint, body=body):
-            form: CompletionForm = (
-                StreamedForm(caller=caller, headers=headers)
-                if body.stream
-                else CollectedForm(caller=caller, headers=headers, endpoint=endpoint)
-            )
             transcript = None if idempotent else Transcript(limit_bytes=limits.kept_answer_bytes)
-            return CompletionDelivery(form=form, transcript=transcript)
+            if body.stream:
+                streamed = StreamedForm(caller=caller, headers=headers)
+                return CompletionDelivery(form=streamed, transcript=transcript)
+            return CompletionDelivery(
+                form=CollectedForm(caller=caller, headers=headers, endpoint=endpoint),
+                transcript=transcript,
+                limit_bytes=limits.collected_answer_bytes,
+            )
--- a/greengagestage/entry/_directory.py
+++ b/greengagestage/entry/_directory.py
@@ -6,8 +6,6 @@
     Declaration,
     PlainService,
     ServiceClass,
-    Upstream,
-    UpstreamKind,
     Workspace,
 )
 from greengagestage.ids import (
@@ -16,7 +14,6 @@
     ModelName,
     ServiceName,
     UpstreamName,
-    WorkspaceId,
 )
 from greengagestage.upstream import Address
 
@@ -28,10 +25,8 @@
         self.version = version
         self.declaration = declaration
         self.classes: dict[ClassName, ServiceClass] = {c.name: c for c in declaration.classes}
-        self.workspaces: dict[WorkspaceId, Workspace] = {w.name: w for w in declaration.workspaces}
         self.models: frozenset[ModelName] = frozenset(m.name for m in declaration.models)
         self.services: dict[ServiceName, PlainService] = {s.name: s for s in declaration.services}
-        self.upstreams: dict[UpstreamName, Upstream] = {u.name: u for u in declaration.upstreams}
         self._addresses = {u.name: Address.from_url(u.url) for u in declaration.upstreams}
         self._by_digest = {
             key.sha256.lower(): workspace
@@ -46,7 +41,3 @@
     def find_address(self, upstream: UpstreamName) -> Address | None:
         """Return where an upstream listens."""
         return self._addresses.get(upstream)
-
-    def is_engine(self, upstream: UpstreamName) -> bool:
-        """Tell whether an upstream is a model engine."""
-        return self.upstreams[upstream].kind is UpstreamKind.ENGINE
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -81,9 +81,11 @@
             readiness=self.readiness,
             server=self._server,
             times=settings.lifecycle,
-            flush_limit_s=settings.delivery.caller_stall_s,
+            unread_limit_s=settings.delivery.caller_stall_s,
+            unsent_limit_s=settings.server.idle_timeout_s,
         )
         self._listener: Any = None
+        self._stopped: Deferred[None] | None = None
 
     @property
     def port(self) -> int:
@@ -108,7 +110,9 @@
 
     def stop(self) -> Deferred[None]:
         """Stop gracefully; the result comes when all work is finished."""
-        return self._shutdown.begin(self._listener).addCallback(self._close)
+        if self._stopped is None:
+            self._stopped = self._shutdown.begin(self._listener).addCallback(self._close)
+        return self._stopped
 
     def _receive(self, message: AgentMessage) -> None:
         self.control.receive(message)
--- a/greengagestage/entry/_runs.py
+++ b/greengagestage/entry/_runs.py
@@ -150,8 +150,11 @@
 
     def receive_chunks(self, chunks: Sequence[CompletionChunk]) -> None:
         """Pass chunks on to the caller."""
-        if not self.over:
-            self._progress(self.delivery.add(chunks))
+        if self.over:
+            return
+        self._progress(self.delivery.add(chunks))
+        if self.delivery.is_too_large:
+            self.fail(AttemptFailure(kind=FailureKind.ERROR))
 
     def finish(self, tail: Sequence[CompletionChunk]) -> None:
         """The answer is whole; its last chunks wait for the policy's verdict."""
--- a/greengagestage/entry/_settings.py
+++ b/greengagestage/entry/_settings.py
@@ -14,12 +14,14 @@
 
     Attributes:
         service_buffer_bytes: Answers of plain services up to this size are kept until whole.
+        collected_answer_bytes: Largest completion that is sent as one body.
         kept_answer_bytes: Largest answer of a non-idempotent request that is stored.
         caller_stall_s: How long a caller may leave its answer unread before it is cut off.
         store_wait_s: How long the end of a non-idempotent answer waits for the store.
     """
 
     service_buffer_bytes: int = 262_144
+    collected_answer_bytes: int = 16_777_216
     kept_answer_bytes: int = 2_097_152
     caller_stall_s: float = 30.0
     store_wait_s: float = 2.0
--- a/greengagestage/entry/_shell.py
+++ b/greengagestage/entry/_shell.py
@@ -10,6 +10,7 @@
 from greengagestage.policy import (
     Action,
     AskClaim,
+    CallerLeft,
     CancelAttempt,
     ClaimAnswered,
     ClaimOutcome,
@@ -178,8 +179,11 @@
     def _give_up(self, event: Event) -> None:
         """End the request that a fault of the router concerns, so that it cannot hang."""
         request_id = self._find_request(event)
-        if request_id is not None:
-            self.conclusions.reject(request_id, ResultCode.INTERNAL_ERROR)
+        if request_id is None:
+            return
+        self.conclusions.reject(request_id, ResultCode.INTERNAL_ERROR)
+        if not isinstance(event, CallerLeft):
+            self._events.append(CallerLeft(request_id=request_id))
 
     def _find_request(self, event: Event) -> RequestId | None:
         if isinstance(event, RequestArrived):
--- a/greengagestage/entry/_shutdown.py
+++ b/greengagestage/entry/_shutdown.py
@@ -17,7 +17,12 @@
 
 
 class Shutdown:
-    """Fails readiness, lets the balancer notice, closes the listener and finishes all work."""
+    """Fails readiness, lets the balancer notice, closes the listener and finishes all work.
+
+    Args:
+        unread_limit_s: How long callers that do not read their answers are waited for.
+        unsent_limit_s: How long callers that do not send their whole request are waited for.
+    """
 
     def __init__(
         self,
@@ -27,17 +32,20 @@
         readiness: Readiness,
         server: CallerServer,
         times: LifecycleTimes,
-        flush_limit_s: float,
+        unread_limit_s: float,
+        unsent_limit_s: float,
     ) -> None:
         self._reactor = reactor
         self._shell = shell
         self._readiness = readiness
         self._server = server
         self._times = times
-        self._flush_limit_s = flush_limit_s
+        self._unread_limit_s = unread_limit_s
+        self._unsent_limit_s = unsent_limit_s
         self._check = LoopingCall(self._check_progress)
         self._check.clock = reactor
         self._stop_told = False
+        self._closed_at_s = 0.0
         self._idle_since_s: float | None = None
         self._done: Deferred[None] = Deferred()
 
@@ -53,11 +61,12 @@
     def _close(self, listener: Any) -> None:
         log_message(message_type="entry: listener closed", open_requests=len(self._shell.requests))
         listener.stopListening()
+        self._closed_at_s = self._reactor.seconds()
         self._check.start(CHECK_INTERVAL_S)
 
     def _check_progress(self) -> None:
         self._server.close_idle()
-        if self._server.receiving:
+        if self._server.receiving and self._measure(self._closed_at_s) < self._unsent_limit_s:
             return
         if not self._stop_told:
             self._stop_told = True
@@ -66,14 +75,11 @@
             return
         if self._idle_since_s is None:
             self._idle_since_s = self._reactor.seconds()
-        if self._server.channels and not self._is_flushed_enough():
+        if self._server.channels and self._measure(self._idle_since_s) < self._unread_limit_s:
             return
         self._check.stop()
         log_message(message_type="entry: stop ends", unread_answers=len(self._server.channels))
         self._done.callback(None)
 
-    def _is_flushed_enough(self) -> bool:
-        """Callers that do not read their answers are not waited for without end."""
-        if self._idle_since_s is None:
-            return False
-        return bool(self._reactor.seconds() - self._idle_since_s > self._flush_limit_s)
+    def _measure(self, since_s: float) -> float:
+        return float(self._reactor.seconds() - since_s)
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from greengagestage.entry import DeliveryLimits
 from greengagestage.policy import AttemptFailed, AttemptProgressed, FailureKind
 from greengagestage.results import ResultCode
 
@@ -182,3 +183,23 @@
         caller = yield self.call(build_request(body, path="/v1/chat/completions"))
         assert sum('"role"' in x for x in caller.events) == 1
         assert token_event(0, "b", chat=True).decode().strip() not in caller.events[2:]
+
+
+class RouterFaultCase(EntryCase):
+    limits = DeliveryLimits(collected_answer_bytes=500)
+
+    @inlineCallbacks
+    def test_a_collected_answer_is_bounded(self):
+        self.adopt(self.engine(answer_whole))
+        collected = yield self.call(build_request(prompt(stream=False)))
+        assert collected.error["code"] == ResultCode.UPSTREAM_ERROR.value
+        streamed = yield self.call(build_request(prompt(prompt="other")))
+        assert streamed.text == TEXT
+
+    @inlineCallbacks
+    def test_a_fault_of_the_policy_ends_the_request_at_once(self):
+        self.adopt(self.engine(answer_whole))
+        self.patch(self.process.shell.policy, "handle", lambda event, now_s: 1 / 0)
+        caller = yield self.call(build_request(prompt()))
+        assert caller.error["code"] == ResultCode.INTERNAL_ERROR.value
+        assert self.process.shell.is_idle
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -31,6 +31,11 @@
 BAD_REQUESTS = {
     "broken json": (build_request(b'{"model": "small"'), ResultCode.BROKEN_JSON),
     "not utf-8": (build_request(b'{"model": "\xff"}'), ResultCode.BROKEN_JSON),
+    "half a surrogate pair": (
+        build_request(b'{"model": "small", "prompt": "\\ud800"}'),
+        ResultCode.BROKEN_JSON,
+    ),
+    "deep nesting": (build_request(b"[" * 9_000), ResultCode.BROKEN_JSON),
     "empty body": (build_request(), ResultCode.BROKEN_JSON),
     "body is a list": (build_request([1]), ResultCode.WRONG_TYPE),
     "stream is text": (build_request(prompt(stream="yes")), ResultCode.WRONG_TYPE),
