--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,8 @@
 import shlex
 import sys
 import tempfile
+from collections.abc import Iterator
+from itertools import product
 from pathlib import Path
 
 import click
@@ -14,7 +16,7 @@
 from ._cost import CostReport, measure_cost
 from ._deployments import DEPLOYMENTS
 from ._plot import draw_comparisons
-from ._report import build_comparison_table, build_cost_table
+from ._report import build_comparison_table, build_cost_table, describe_run
 from ._runs import PolicyRun, run_policies
 from ._scenarios import QUICK_SCENARIOS, SCENARIOS
 
@@ -68,15 +70,20 @@
         seeds, duration_s = 1, QUICK_DURATION_S
         scenarios = scenarios or QUICK_SCENARIOS
     output.parent.mkdir(parents=True, exist_ok=True)
-    runs = _run_all(
+    command = shlex.join(["python", "-m", "bench", *sys.argv[1:]])
+    runs: list[PolicyRun] = []
+    for group in _run_groups(
         seeds=range(first_seed, first_seed + seeds),
         duration_s=duration_s,
         scenarios=scenarios,
         deployments=deployments,
-    )
+    ):
+        runs += group
+        _console.print(*(describe_run(run) for run in group), sep="\n")
+        _write_json(BenchResult(command=command, comparisons=[], cost=None, runs=runs), output)
     report = _measure_cost(QUICK_COST_ROUND_S if quick else COST_ROUND_S) if cost else None
     result = BenchResult(
-        command=shlex.join(["python", "-m", "bench", *sys.argv[1:]]),
+        command=command,
         comparisons=compare_runs(runs),
         cost=report,
         runs=runs,
@@ -84,31 +91,27 @@
     _write(result, output)
 
 
-def _run_all(
+def _run_groups(
     *,
     seeds: range,
     duration_s: float,
     scenarios: tuple[str, ...],
     deployments: tuple[str, ...],
-) -> list[PolicyRun]:
-    runs: list[PolicyRun] = []
-    for deployment in DEPLOYMENTS:
-        if deployments and deployment.name not in deployments:
-            continue
-        for scenario in SCENARIOS:
-            if scenarios and scenario.name not in scenarios:
-                continue
-            for seed in seeds:
-                _console.print(f"{deployment.name}: {scenario.name}, seed {seed}")
-                with tempfile.TemporaryDirectory(prefix="greengage-bench-") as directory:
-                    runs += run_policies(
-                        deployment,
-                        scenario,
-                        seed=seed,
-                        duration_s=duration_s,
-                        directory=Path(directory),
-                    )
-    return runs
+) -> Iterator[list[PolicyRun]]:
+    """Run every scenario with every seed; each group holds one run of every policy."""
+    chosen = [
+        (deployment, scenario)
+        for deployment in DEPLOYMENTS
+        for scenario in SCENARIOS
+        if (not deployments or deployment.name in deployments)
+        and (not scenarios or scenario.name in scenarios)
+    ]
+    for (deployment, scenario), seed in product(chosen, seeds):
+        _console.print(f"{deployment.name}: {scenario.name}, seed {seed}")
+        with tempfile.TemporaryDirectory(prefix="greengage-bench-") as directory:
+            yield run_policies(
+                deployment, scenario, seed=seed, duration_s=duration_s, directory=Path(directory)
+            )
 
 
 def _measure_cost(round_s: float) -> CostReport:
@@ -117,9 +120,13 @@
         return measure_cost(rounds=COST_ROUNDS, round_s=round_s, directory=Path(directory))
 
 
-def _write(result: BenchResult, output: Path) -> None:
+def _write_json(result: BenchResult, output: Path) -> None:
     encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
     output.with_suffix(".json").write_bytes(encoded)
+
+
+def _write(result: BenchResult, output: Path) -> None:
+    _write_json(result, output)
     draw_comparisons(result.comparisons, output.with_suffix(".png"))
     for comparison in result.comparisons:
         _console.print(build_comparison_table(comparison))
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -6,6 +6,17 @@
 
 from ._comparison import Comparison, Spread
 from ._cost import CostReport
+from ._runs import PolicyRun
+
+
+def describe_run(run: PolicyRun) -> str:
+    """Return one line about one run."""
+    summary = run.summary
+    met = ", ".join(f"{row.service_class} {row.attainment:.3f}" for row in summary.classes)
+    return (
+        f"  {run.policy.value}: met {met}; {summary.goodput_tokens_per_s:.0f} tokens/s;"
+        f" wasted {summary.wasted_output_tokens} output, {summary.wasted_prefill_tokens} prefill"
+    )
 
 
 def build_comparison_table(comparison: Comparison) -> Table:
