Cut wasted work and lift goodput under overload

Change: a class may not take the slots that higher classes keep busy (headroom, 1.15 times their offered work); late requests newest first with a turn for the oldest; the last start counts the first-token target too; one preemption a request, of what is cheapest to compute again, and the victim waits up to 5 s for the upstream that caches its prompt; time to the first token by class; a straggler's probe is judged by its token rate.

--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -14,9 +14,12 @@
 from ._records import MS_PER_S, Attempt, RequestRecord
 from ._routing import Router
 from ._state import PolicyState
+from ._timers import PoolDue
 from ._upstreams import UpstreamEntry
 
 CANDIDATES_LIMIT = 8
+CACHE_WAIT_S = 5.0
+HEADROOM = 1.15
 FIRST_TOKEN_TIMEOUT_TARGETS = 1.5
 FIRST_TOKEN_TIMEOUT_AVERAGES = 8.0
 INTER_TOKEN_TIMEOUT_TARGETS = 40.0
@@ -60,7 +63,17 @@
         reserved = self._list_reserved(name, pool, waiting)
         if any(self._serve(pool, queue, reserved=True) for queue in reserved):
             return True
-        return any(self._serve(pool, queue, reserved=False) for _, queue in waiting)
+        slots = self._state.views.find(name).slots
+        return any(
+            self._serve(pool, queue, fresh=self._leaves_headroom(pool, service_class, slots))
+            for service_class, queue in waiting
+        )
+
+    def _leaves_headroom(self, pool: PoolState, service_class: ServiceClass, slots: int) -> bool:
+        """Return whether one more request leaves the higher classes the slots they need."""
+        above = pool.demand.measure_above(service_class.priority, self._state.now_s)
+        running = pool.count_running_from(service_class.priority)
+        return running == 0 or running + 1 <= slots - above * HEADROOM
 
     def _list_reserved(
         self, name: PoolName, pool: PoolState, waiting: list[tuple[ServiceClass, ClassQueue]]
@@ -80,9 +93,17 @@
             )
         ]
 
-    def _serve(self, pool: PoolState, queue: ClassQueue, *, reserved: bool) -> bool:
-        """Dispatch the first request of a class that can go anywhere."""
+    def _serve(
+        self, pool: PoolState, queue: ClassQueue, *, reserved: bool = False, fresh: bool = True
+    ) -> bool:
+        """Dispatch the first request of a class that can go anywhere.
+
+        Without fresh requests, only those go on that an upstream has worked on, because that
+        work would be lost.
+        """
         for record in islice(queue.iterate_candidates(), CANDIDATES_LIMIT):
+            if not fresh and not record.attempts_sent:
+                return False
             entry = self._router.choose(record)
             if entry is not None:
                 pool.queue.pop(record)
@@ -119,6 +140,9 @@
         state.release_attempt(victim)
         victim.preemptions += 1
         victim.tried.remove(attempt.upstream)
+        victim.cached_at = attempt.upstream
+        victim.cached_until_s = state.now_s + CACHE_WAIT_S
+        state.timers.add(victim.cached_until_s, PoolDue(pool=victim.pool))
         state.note(victim, f"preempted at {attempt.upstream} with {victim.tokens} tokens kept")
         state.enqueue(victim)
 
@@ -179,7 +203,7 @@
     first_s = max(
         MINIMUM_FIRST_TOKEN_TIMEOUT_S,
         service_class.first_token_target_ms / MS_PER_S * FIRST_TOKEN_TIMEOUT_TARGETS,
-        pool.speed.first_token_s.value * FIRST_TOKEN_TIMEOUT_AVERAGES,
+        pool.speed.estimate_first_token_s(service_class.name) * FIRST_TOKEN_TIMEOUT_AVERAGES,
     )
     inter_s = max(
         MINIMUM_INTER_TOKEN_TIMEOUT_S,
--- a/greengagestage/policy/_estimates.py
+++ b/greengagestage/policy/_estimates.py
@@ -33,7 +33,9 @@
             tokens = UNKNOWN_LENGTH_TOKENS if quantile >= TYPICAL_QUANTILE else 1.0
         if request.output_tokens_limit is not None:
             tokens = min(tokens, float(request.output_tokens_limit))
-        return pool.speed.estimate_service_s(max(tokens - record.tokens, 1.0))
+        return pool.speed.estimate_service_s(
+            record.service_class.name, max(tokens - record.tokens, 1.0)
+        )
 
     def estimate_wait(self, record: RequestRecord, pool: PoolState, slots: int) -> float:
         """Return the seconds that a new request will wait if every slot is taken."""
--- a/greengagestage/policy/_fairness.py
+++ b/greengagestage/policy/_fairness.py
@@ -11,7 +11,7 @@
 
 MINIMUM_WEIGHT = 0.01
 MINIMUM_COST_S = 0.001
-LATE_TURN = 4
+LATE_TURN = 32
 CANDIDATES_PER_LANE = 4
 
 
@@ -19,19 +19,24 @@
     return (record.due_s, record.sequence)
 
 
+def _order_by_newest(record: RequestRecord) -> tuple[float, int]:
+    return (-record.due_s, -record.sequence)
+
+
 class ClassQueue:
     """A start-time fair queue over workspaces.
 
     Each workspace has a start tag in virtual time; the lowest tag is served next and moves on by
     the expected service time over the workspace's weight. Requests that come back from an
     upstream have been paid for and go first. Requests that can no longer be on time go last,
-    but receive every fourth turn.
+    the newest first, because callers of the oldest are the likeliest to leave; but every eighth
+    turn is the oldest's, so that it is served too.
     """
 
     def __init__(self) -> None:
         self.work_s = 0.0
         self._returned = SortedKeyList(key=_order_by_due)
-        self._late = SortedKeyList(key=_order_by_due)
+        self._late = SortedKeyList(key=_order_by_newest)
         self._lanes: dict[WorkspaceId, SortedKeyList] = {}
         self._tags: dict[WorkspaceId, float] = {}
         self._order: SortedList = SortedList()
@@ -58,13 +63,12 @@
     def iterate_candidates(self) -> Iterator[RequestRecord]:
         """Return requests in the order of service, a few of each workspace."""
         yield from islice(self._returned, CANDIDATES_PER_LANE)
-        late_first = bool(self._late) and self._turns % LATE_TURN == LATE_TURN - 1
-        if late_first:
-            yield from islice(self._late, CANDIDATES_PER_LANE)
+        if self._late and self._turns % LATE_TURN == LATE_TURN - 1:
+            yield from islice(reversed(self._late), CANDIDATES_PER_LANE)
+            return
         for _, workspace in self._order:
             yield from islice(self._lanes[workspace], CANDIDATES_PER_LANE)
-        if not late_first:
-            yield from islice(self._late, CANDIDATES_PER_LANE)
+        yield from islice(self._late, CANDIDATES_PER_LANE)
 
     def estimate_work_ahead(self, record: RequestRecord) -> float:
         """Return the slot-seconds served before a new request, under fairness."""
--- a/greengagestage/policy/_health.py
+++ b/greengagestage/policy/_health.py
@@ -10,8 +10,9 @@
 BACKOFF_FACTOR = 2.0
 BACKOFF_LIMIT_S = 60.0
 EJECTION_S = 10.0
-SAMPLES_NEEDED = 5
+SAMPLES_NEEDED = 4
 SLOW_FACTOR = 3.0
+SLOW_PROBE_FACTOR = 2.0
 SLOW_FIRST_TOKEN_MARGIN_S = 0.25
 SLOW_INTER_TOKEN_MARGIN_S = 0.005
 EJECTED_SHARE_LIMIT = 1.0 / 3.0
@@ -105,6 +106,14 @@
     )
 
 
+def is_slow_probe(interval_s: float, peers: list[Health]) -> bool:
+    """Return whether a probe's time between tokens is far above the median of the peers."""
+    median = _find_median([p.inter_token_s for p in peers])
+    if median is None:
+        return False
+    return interval_s > max(SLOW_PROBE_FACTOR * median, median + SLOW_INTER_TOKEN_MARGIN_S)
+
+
 def may_eject(out: int, total: int) -> bool:
     """Return whether one more upstream of a pool may be ejected."""
     return out + 1 <= total * EJECTED_SHARE_LIMIT
--- a/greengagestage/policy/_measurements.py
+++ b/greengagestage/policy/_measurements.py
@@ -1,7 +1,15 @@
 """What the policy learns from the course of attempts: speeds, lengths, health."""
 
 from ._events import AttemptFailed, FailureKind
-from ._health import EJECTION_S, HealthState, OutReason, is_straggler, may_eject
+from ._health import (
+    EJECTION_S,
+    Health,
+    HealthState,
+    OutReason,
+    is_slow_probe,
+    is_straggler,
+    may_eject,
+)
 from ._records import Attempt, RequestRecord
 from ._state import PolicyState
 from ._timers import PoolDue
@@ -9,7 +17,7 @@
 
 BUSY_HOLD_S = 0.5
 STRAGGLER_CHECK_SAMPLES = 4
-MARK_TOKENS = 16
+MARK_TOKENS = 8
 
 
 class Measurements:
@@ -78,9 +86,11 @@
         self, record: RequestRecord, attempt: Attempt, entry: UpstreamEntry
     ) -> None:
         waited_s = self._state.now_s - attempt.sent_s
-        self._state.find_pool(record.pool).speed.first_token_s.observe(waited_s)
+        self._state.find_pool(record.pool).speed.observe_first_token(
+            record.service_class.name, waited_s
+        )
         entry.health.first_token_s.observe(waited_s)
-        if attempt.probe:
+        if attempt.probe and entry.health.reason is not OutReason.STRAGGLER:
             entry.health.note_success(probe=True)
             self._wake_pools(entry, self._state.now_s)
         self._check_straggler(record, entry)
@@ -91,17 +101,32 @@
         attempt.marked_s, attempt.marked_tokens = now_s, attempt.tokens
         self._state.find_pool(record.pool).speed.inter_token_s.observe(interval_s)
         entry.health.inter_token_s.observe(interval_s)
+        if attempt.probe and entry.health.state is HealthState.PROBING:
+            self._judge_probe(record, entry, interval_s)
         self._check_straggler(record, entry)
 
+    def _judge_probe(self, record: RequestRecord, entry: UpstreamEntry, interval_s: float) -> None:
+        """Take a straggler back if its probe ran as fast as its peers."""
+        now_s = self._state.now_s
+        if is_slow_probe(interval_s, self._list_peers(record, entry)):
+            entry.health.take_out(now_s, OutReason.STRAGGLER, entry.health.backoff_s)
+            self._wake_pools(entry, entry.health.out_until_s)
+        else:
+            entry.health.note_success(probe=True)
+            self._wake_pools(entry, now_s)
+
+    def _list_peers(self, record: RequestRecord, entry: UpstreamEntry) -> list[Health]:
+        used = self._state.views.find(record.pool).used
+        return [other.health for other in used if other is not entry]
+
     def _check_straggler(self, record: RequestRecord, entry: UpstreamEntry) -> None:
         """Eject an upstream that is far slower than its peers of the same pool."""
         samples = entry.health.first_token_s.samples + entry.health.inter_token_s.samples
         if samples % STRAGGLER_CHECK_SAMPLES or entry.health.state is not HealthState.IN_USE:
             return
-        used = self._state.views.find(record.pool).used
-        peers = [other.health for other in used if other is not entry]
+        peers = self._list_peers(record, entry)
         out = sum(1 for peer in peers if peer.state is not HealthState.IN_USE)
-        if not may_eject(out, len(used)) or not is_straggler(entry.health, peers):
+        if not may_eject(out, len(peers) + 1) or not is_straggler(entry.health, peers):
             return
         entry.health.take_out(self._state.now_s, OutReason.STRAGGLER, EJECTION_S)
         self._state.note(record, f"{entry.name} ejected as a straggler")
--- a/greengagestage/policy/_preemption.py
+++ b/greengagestage/policy/_preemption.py
@@ -9,24 +9,30 @@
 from ._state import PolicyState
 from ._upstreams import UpstreamEntry
 
-PREEMPTIONS_LIMIT = 2
-WAITING_SHARE_OF_TARGET = 0.5
+PREEMPTIONS_LIMIT = 1
+FIRST_TOKEN_MARGIN = 1.5
+SHARE_OF_TARGET_KEPT = 0.3
+PROMPT_SHARE_BEFORE_TOKEN = 0.5
 
 
-def compute_patience_end(record: RequestRecord) -> float:
+def compute_patience_end(record: RequestRecord, pool: PoolState) -> float:
     """Return the time from which a waiting request may preempt."""
-    waiting_s = record.first_token_due_s - record.arrived_s
-    return record.arrived_s + waiting_s * WAITING_SHARE_OF_TARGET
+    target_s = record.first_token_due_s - record.arrived_s
+    needed_s = max(
+        pool.speed.estimate_first_token_s(record.service_class.name) * FIRST_TOKEN_MARGIN,
+        target_s * SHARE_OF_TARGET_KEPT,
+    )
+    return max(record.arrived_s, record.first_token_due_s - needed_s)
 
 
 def would_miss(record: RequestRecord, pool: PoolState, slots: int, now_s: float) -> bool:
     """Return whether the next free slot would come too late for a request."""
     if record.late:
         return False
-    if record.tokens or now_s >= compute_patience_end(record):
+    if record.tokens:
         return True
     next_slot_s = pool.speed.slot_s.value / max(slots, 1)
-    return now_s + next_slot_s >= record.first_token_due_s
+    return now_s + next_slot_s >= compute_patience_end(record, pool)
 
 
 def find_victim(state: PolicyState, record: RequestRecord) -> RequestRecord | None:
@@ -65,7 +71,13 @@
     return record.attempt is not None and not record.attempt.reserved
 
 
-def _order_victims(record: RequestRecord) -> tuple[int, int, float, int]:
+def _order_victims(record: RequestRecord) -> tuple[int, float, int]:
+    return (record.priority, -measure_progress(record), record.sequence)
+
+
+def measure_progress(record: RequestRecord) -> float:
+    """Return the tokens that an upstream would have to compute again."""
     attempt = record.attempt
-    sent_s = attempt.sent_s if attempt is not None else 0.0
-    return (record.priority, -record.tokens, sent_s, record.sequence)
+    begun = attempt is not None and attempt.first_token_s is not None
+    prompt_tokens = record.request.prompt_tokens
+    return record.tokens + (prompt_tokens if begun else prompt_tokens * PROMPT_SHARE_BEFORE_TOKEN)
--- a/greengagestage/policy/_records.py
+++ b/greengagestage/policy/_records.py
@@ -54,6 +54,8 @@
         claim_attempt_id: The attempt id under which the claim was asked for.
         claimed: The claims store granted the right to run the request.
         caller_left: The caller is gone; the run goes on so that its answer can be stored.
+        cached_at: The upstream that probably still caches what was computed of the request.
+        cached_until_s: Time until which the request waits for that upstream.
         service_s: Expected time in a slot.
         queued_s: Time at which the request was queued the last time.
         late: The answer can no longer be whole by its due time.
@@ -78,6 +80,8 @@
     claimed: bool = False
     caller_left: bool = False
     preemptions: int = 0
+    cached_at: UpstreamName | None = None
+    cached_until_s: float = 0.0
     service_s: float = 0.0
     queued_s: float = 0.0
     late: bool = False
--- a/greengagestage/policy/_reviews.py
+++ b/greengagestage/policy/_reviews.py
@@ -3,14 +3,15 @@
 from greengagestage.results import ResultCode
 
 from ._actions import CancelAttempt, CancelReason, WakeAt
-from ._estimates import HOPEFUL_QUANTILE
+from ._estimates import HOPEFUL_QUANTILE, TYPICAL_QUANTILE
 from ._lifecycle import RequestState
 from ._preemption import compute_patience_end
 from ._records import MS_PER_S, RequestRecord
 from ._state import PolicyState
 from ._timers import PoolDue, RequestDue
 
-LATE_MARGIN = 1.2
+LATE_MARGIN = 2.0
+REVIEW_DELAY_S = 0.001
 
 
 def find_end(record: RequestRecord) -> float | None:
@@ -20,13 +21,25 @@
     return record.request.deadline_s
 
 
+def find_last_start(
+    state: PolicyState, record: RequestRecord, *, quantile: float, margin: float
+) -> float:
+    """Return the time after which a request that starts will probably miss a target."""
+    pool = state.find_pool(record.pool)
+    needed_s = state.estimator.estimate_service(record, pool, quantile)
+    last_s = record.due_s - needed_s * margin
+    if record.tokens:
+        return last_s
+    first_s = pool.speed.estimate_first_token_s(record.service_class.name)
+    return min(last_s, record.first_token_due_s - first_s * margin)
+
+
 def is_hopeless(state: PolicyState, record: RequestRecord, wait_s: float = 0.0) -> bool:
     """Return whether an answer that is useless when late can no longer be on time."""
     if not record.late_is_useless:
         return False
-    pool = state.find_pool(record.pool)
-    needed_s = state.estimator.estimate_service(record, pool, HOPEFUL_QUANTILE)
-    return state.now_s + wait_s + needed_s > record.due_s
+    last_s = find_last_start(state, record, quantile=HOPEFUL_QUANTILE, margin=1.0)
+    return state.now_s + wait_s > last_s
 
 
 def suggest_return(state: PolicyState, record: RequestRecord) -> float | None:
@@ -95,27 +108,24 @@
         if is_hopeless(state, record):
             state.reject(record, ResultCode.TARGET_UNREACHABLE, suggest_return(state, record))
             return
-        if not record.late and state.now_s >= find_latest_start(record):
+        if not record.late and state.now_s >= _find_likely_start(state, record):
             state.note(record, "can no longer be on time; goes behind those that can")
             state.find_pool(record.pool).queue.demote(record)
         state.dirty_pools[record.pool] = None
         schedule_review(state, record)
 
 
-def find_latest_start(record: RequestRecord) -> float:
-    """Return the time after which a request will probably be late."""
-    return record.due_s - record.service_s * LATE_MARGIN
-
-
 def schedule_review(state: PolicyState, record: RequestRecord) -> None:
     """Look at a queued request again when it may preempt and when it becomes late."""
-    times = [compute_patience_end(record)]
+    times = [compute_patience_end(record, state.find_pool(record.pool))]
     if not record.late:
-        times.append(find_latest_start(record))
+        times.append(_find_likely_start(state, record))
     if record.late_is_useless:
-        pool = state.find_pool(record.pool)
-        needed_s = state.estimator.estimate_service(record, pool, HOPEFUL_QUANTILE)
-        times.append(record.due_s - needed_s)
+        times.append(find_last_start(state, record, quantile=HOPEFUL_QUANTILE, margin=1.0))
     coming = [at_s for at_s in times if at_s > state.now_s]
     if coming:
-        state.timers.add(min(coming), RequestDue(request_id=record.request_id))
+        state.timers.add(min(coming) + REVIEW_DELAY_S, RequestDue(request_id=record.request_id))
+
+
+def _find_likely_start(state: PolicyState, record: RequestRecord) -> float:
+    return find_last_start(state, record, quantile=TYPICAL_QUANTILE, margin=LATE_MARGIN)
--- a/greengagestage/policy/_routing.py
+++ b/greengagestage/policy/_routing.py
@@ -50,6 +50,7 @@
         view = self._state.views.find(record.pool)
         entries = view.live if suspect else view.used
         usable = [entry for entry in entries if self._is_usable(record, entry, suspect)]
+        usable = self._keep_cached(record, usable)
         fresh = [entry for entry in usable if entry.name not in record.tried]
         candidates = fresh or usable
         if not candidates:
@@ -71,6 +72,17 @@
             return False
         return not entry.resumes or self._state.may_run_beside_equals(record, entry.name)
 
+    def _keep_cached(
+        self, record: RequestRecord, usable: list[UpstreamEntry]
+    ) -> list[UpstreamEntry]:
+        """Let a preempted request wait a while for the upstream that caches its prompt."""
+        if record.cached_at is None or self._state.now_s >= record.cached_until_s:
+            return usable
+        cached = self._state.upstreams.find(record.cached_at)
+        if cached is None or not cached.takes_work or not cached.slots:
+            return usable
+        return [entry for entry in usable if entry is cached]
+
     def _find_home(self, record: RequestRecord, candidates: list[UpstreamEntry]) -> UpstreamEntry:
         """Return the upstream that every host names first for the same prompt."""
         key = _build_home_key(record)
--- a/greengagestage/policy/_state.py
+++ b/greengagestage/policy/_state.py
@@ -131,8 +131,8 @@
         entry.suspects += attempt.suspect
         entry.prefixes.remember(record.request.prefix_hashes)
         self.attempts[attempt.attempt_id] = record
-        self.find_pool(record.pool).note_started(record)
         attempt.priority = record.priority
+        self.find_pool(record.pool).note_started(record)
         self.running[record.priority] = self.running.get(record.priority, 0) + 1
         equals = self.running_equals.setdefault(record.request.fingerprint, {})
         equals[attempt.attempt_id] = entry.name
@@ -145,7 +145,7 @@
         record.attempt = None
         del self.attempts[attempt.attempt_id]
         pool = self.find_pool(record.pool)
-        pool.note_ended(record)
+        pool.note_ended(record, attempt)
         self.running[attempt.priority] -= 1
         self._forget_equal(record, attempt)
         self.dirty_pools[record.pool] = None
