Let the agent tell its entry process which hosts are live

Cause: the claims store has to tell a run that goes on at another host from one whose host is gone; the entry process knew no other host. Change: HostShares carries live_hosts (empty where unknown, then every host counts as live), and a view of the fleet that claims can ask. Conclusion: the agent has to fill live_hosts; until then no run of another host is given up.

--- a/greengagestage/entry/__init__.py
+++ b/greengagestage/entry/__init__.py
@@ -1,5 +1,6 @@
 """The callers' side: HTTP, authentication, and delivery of answers as the policy decides."""
 
+from ._fleet import FleetView
 from ._http import ServerLimits
 from ._ports import Claims, Decisions, Link, Outbox, UnavailableClaims
 from ._process import EntryProcess
@@ -11,6 +12,7 @@
     "DeliveryLimits",
     "EntryProcess",
     "EntrySettings",
+    "FleetView",
     "LifecycleTimes",
     "Link",
     "Outbox",
--- a/greengagestage/entry/_control.py
+++ b/greengagestage/entry/_control.py
@@ -29,6 +29,7 @@
 )
 
 from ._directory import Directory
+from ._fleet import FleetView
 from ._ports import Outbox
 from ._readiness import Readiness
 from ._records import describe_request
@@ -45,11 +46,20 @@
 class AgentControl:
     """Turns the agent's messages into events, and reports demand and requests to it."""
 
-    def __init__(self, *, reactor: Any, shell: Shell, readiness: Readiness, outbox: Outbox) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        shell: Shell,
+        readiness: Readiness,
+        outbox: Outbox,
+        fleet: FleetView,
+    ) -> None:
         self._reactor = reactor
         self._shell = shell
         self._readiness = readiness
         self._outbox = outbox
+        self._fleet = fleet
         self._report = LoopingCall(self.send_report)
         self._report.clock = reactor
 
@@ -72,6 +82,7 @@
                 reports = tuple(self._read_status(status) for status in statuses)
                 self._shell.feed(UpstreamsReported(reports=reports))
             case HostShares(slots=slots, entry_hosts=entry_hosts):
+                self._fleet.update(message)
                 self._shell.feed(SharesUpdated(slots=slots, entry_hosts=entry_hosts))
             case QuarantineNotice(fingerprint=fingerprint):
                 self._shell.feed(FingerprintQuarantined(fingerprint=fingerprint))
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -12,6 +12,7 @@
 from greengagestage.wire import AgentMessage
 
 from ._control import AgentControl
+from ._fleet import FleetView
 from ._http import CallerServer
 from ._intake import RequestIds
 from ._ports import Claims, Decisions, Link
@@ -27,6 +28,7 @@
 
     Args:
         connect: Opens the link to the agent, given the receiver of its messages.
+        fleet: Is kept up to date with what the agent tells of the other hosts.
         policy: Decides in place of the router's own policy, for comparison.
     """
 
@@ -37,6 +39,7 @@
         settings: EntrySettings,
         claims: Claims,
         connect: Callable[[Callable[[AgentMessage], None]], Link],
+        fleet: FleetView | None = None,
         policy: Decisions | None = None,
     ) -> None:
         self._reactor = reactor
@@ -60,7 +63,11 @@
             limits=settings.delivery,
         )
         self.control = AgentControl(
-            reactor=reactor, shell=self.shell, readiness=self.readiness, outbox=self._link
+            reactor=reactor,
+            shell=self.shell,
+            readiness=self.readiness,
+            outbox=self._link,
+            fleet=fleet or FleetView(),
         )
         site = CallerSite(
             reactor=reactor,
--- a/tests/test_entry_control.py
+++ b/tests/test_entry_control.py
@@ -1,10 +1,11 @@
 """The conversation with the agent, and the planned stop."""
 
 from twisted.internet.defer import inlineCallbacks
+from twisted.trial.unittest import TestCase
 
 from greengagestage.configuration import compute_digest, encode_declaration
-from greengagestage.entry import LifecycleTimes
-from greengagestage.ids import ConfigurationVersion, Fingerprint, UpstreamName
+from greengagestage.entry import FleetView, LifecycleTimes
+from greengagestage.ids import ConfigurationVersion, Fingerprint, HostId, UpstreamName
 from greengagestage.policy import (
     DeclarationAdopted,
     FingerprintQuarantined,
@@ -123,3 +124,16 @@
         assert [caller.text for caller in callers] == [TEXT] * len(callers)
         assert all(caller.body.endswith(b"data: [DONE]\n\n") for caller in callers)
         yield stopped
+
+
+class FleetViewTest(TestCase):
+    def test_hosts_are_live_until_the_agent_knows_better(self):
+        fleet = FleetView()
+        told = []
+        fleet.subscribe(lambda: told.append(fleet.entry_hosts))
+        assert fleet.is_live_host(HostId("b"))
+        fleet.update(HostShares(slots={}, entry_hosts=8, live_hosts=(HostId("a"),)))
+        assert (fleet.is_live_host(HostId("a")), fleet.is_live_host(HostId("b"))) == (True, False)
+        fleet.update(HostShares(slots={}, entry_hosts=0))
+        assert fleet.is_live_host(HostId("b"))
+        assert told == [8, 1]
