Preempt for the request that would miss its target, not for the head of its class

Change: a request whose patience ends is put on a list of impatient ones, and the dispatcher takes a slot for each of these, most urgent first.

--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -10,7 +10,7 @@
 from ._health import HealthState
 from ._lifecycle import RequestState
 from ._pools import PoolState
-from ._preemption import find_victim, would_miss
+from ._preemption import find_victim
 from ._records import MS_PER_S, Attempt, RequestRecord
 from ._routing import Router
 from ._state import PolicyState
@@ -54,7 +54,13 @@
             return False
         if self._router.has_free_slot(name) and self._serve_first(name, pool, waiting):
             return True
-        return any(self._preempt(pool, service_class, queue) for service_class, queue in waiting)
+        impatient = self._list_impatient(name)
+        return any(self._preempt(pool, record) for record in impatient)
+
+    def _list_impatient(self, name: PoolName) -> list[RequestRecord]:
+        """Return the waiting requests of a pool that may preempt, the most urgent first."""
+        found = [record for record in self._state.impatient.values() if record.pool == name]
+        return sorted(found, key=lambda record: (record.priority, record.due_s, record.sequence))
 
     def _serve_first(
         self, name: PoolName, pool: PoolState, waiting: list[tuple[ServiceClass, ClassQueue]]
@@ -111,16 +117,10 @@
                 return True
         return False
 
-    def _preempt(self, pool: PoolState, service_class: ServiceClass, queue: ClassQueue) -> bool:
-        """Take a slot from a lower class if the next request would miss its target."""
+    def _preempt(self, pool: PoolState, record: RequestRecord) -> bool:
+        """Take a slot from a lower class for a request that would miss its target."""
         state = self._state
-        if not state.has_running_below(service_class.priority):
-            return False
-        record = queue.peek()
-        if record is None:
-            return False
-        slots = state.views.find(record.pool).slots
-        if not would_miss(record, pool, slots, state.now_s):
+        if not state.has_running_below(record.priority):
             return False
         victim = find_victim(state, record)
         if victim is None or victim.attempt is None:
--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -72,6 +72,7 @@
         code = self._find_obstacle(record, kind, event, free)
         if code is None:
             self._state.enqueue(record)
+            self._state.impatient[record.request_id] = record
             schedule_review(self._state, record)
         else:
             self._give_up(record, code)
--- a/greengagestage/policy/_preemption.py
+++ b/greengagestage/policy/_preemption.py
@@ -25,14 +25,14 @@
     return max(record.arrived_s, record.first_token_due_s - needed_s)
 
 
-def would_miss(record: RequestRecord, pool: PoolState, slots: int, now_s: float) -> bool:
-    """Return whether the next free slot would come too late for a request."""
-    if record.late:
+def is_impatient(record: RequestRecord, pool: PoolState, now_s: float) -> bool:
+    """Return whether a waiting request would miss its target without a slot at once.
+
+    A caller that has part of its answer is always waiting for the rest.
+    """
+    if record.late and not record.late_is_useless:
         return False
-    if record.tokens:
-        return True
-    next_slot_s = pool.speed.slot_s.value / max(slots, 1)
-    return now_s + next_slot_s >= compute_patience_end(record, pool)
+    return record.tokens > 0 or now_s >= compute_patience_end(record, pool)
 
 
 def find_victim(state: PolicyState, record: RequestRecord) -> RequestRecord | None:
--- a/greengagestage/policy/_reviews.py
+++ b/greengagestage/policy/_reviews.py
@@ -5,7 +5,7 @@
 from ._actions import CancelAttempt, CancelReason, WakeAt
 from ._estimates import HOPEFUL_QUANTILE, TYPICAL_QUANTILE
 from ._lifecycle import RequestState
-from ._preemption import compute_patience_end
+from ._preemption import compute_patience_end, is_impatient
 from ._records import MS_PER_S, RequestRecord
 from ._state import PolicyState
 from ._timers import PoolDue, RequestDue
@@ -111,7 +111,9 @@
         if not record.late and state.now_s >= _find_likely_start(state, record):
             state.note(record, "can no longer be on time; goes behind those that can")
             state.find_pool(record.pool).queue.demote(record)
-        state.dirty_pools[record.pool] = None
+        if is_impatient(record, state.find_pool(record.pool), state.now_s):
+            state.impatient[record.request_id] = record
+            state.dirty_pools[record.pool] = None
         schedule_review(state, record)
 
 
--- a/greengagestage/policy/_state.py
+++ b/greengagestage/policy/_state.py
@@ -53,6 +53,7 @@
         self.top_priority = 0
         self.crashes = CrashLedger()
         self.running: dict[int, int] = {}
+        self.impatient: dict[RequestId, RequestRecord] = {}
         self.running_equals: dict[Fingerprint, dict[AttemptId, UpstreamName]] = {}
         self.limits = WorkspaceLimits()
         self.retries = RetryBudget()
@@ -125,6 +126,7 @@
     def start_attempt(self, record: RequestRecord, attempt: Attempt, entry: UpstreamEntry) -> None:
         """Take a slot for an attempt."""
         record.attempt = attempt
+        self.impatient.pop(record.request_id, None)
         record.tried.append(entry.name)
         record.possibly_ran = True
         entry.in_flight[attempt.attempt_id] = record
@@ -191,6 +193,7 @@
         """Drop a request that has its final answer."""
         self.release_attempt(record)
         self.limits.close(record)
+        self.impatient.pop(record.request_id, None)
         self.records.pop(record.request_id, None)
 
 
