Keep the suspects of one crash apart on every host; protect a class's last request

A bystander whose retry landed beside the poison's, sent by another host, was quarantined with it. An upstream that had refused and was then lost could be tried a second time. A saturated top class shed every waiting request of the lower ones, so that their minimum share had nothing to serve.

Ruled out: choosing a suspect's upstream by rendezvous hashing alone, since two suspects of two hosts meet with chance 1/(upstreams - 1).

Conclusion: the bound of 2 upstreams holds with peers' reports in time; with late reports a bystander may be quarantined beside the poison.

--- a/greengagestage/policy/_admission.py
+++ b/greengagestage/policy/_admission.py
@@ -140,6 +140,7 @@
             if other.state is RequestState.QUEUED
             and not other.attempts_sent
             and other.priority > record.priority
+            and self._is_not_last(other)
         ]
         if not waiting:
             return False
@@ -147,6 +148,11 @@
         self._shed(victim, record)
         return True
 
+    def _is_not_last(self, record: RequestRecord) -> bool:
+        """Return whether more requests of the class wait; the last has its minimum share."""
+        queue = self._state.find_pool(record.pool).queue
+        return queue.count(record.service_class.name) > 1
+
     def _shed(self, victim: RequestRecord, record: RequestRecord) -> None:
         state = self._state
         state.note(victim, f"makes room for {record.request_id} of a higher class")
--- a/greengagestage/policy/_fairness.py
+++ b/greengagestage/policy/_fairness.py
@@ -109,7 +109,12 @@
         self.push(record)
 
     def find_newest_unsent(self) -> RequestRecord | None:
-        """Return the newest request of which nothing was ever sent."""
+        """Return the newest request of which nothing was ever sent.
+
+        The last one left is not given up: it waits for the minimum share of its class.
+        """
+        if len(self._arrivals) < 2:
+            return None
         for sequence in reversed(self._arrivals):
             record: RequestRecord = self._arrivals[sequence]
             if not record.attempts_sent:
--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -64,6 +64,8 @@
         if kind in NOT_STARTED:
             record.possibly_ran = attempt.ran_before
             record.refused_by.append(attempt.upstream)
+        else:
+            record.refused_by = [u for u in record.refused_by if u != attempt.upstream]
         self._measurements.note_failure(attempt, kind, event)
         self._state.release_attempt(record)
         if kind is FailureKind.LOST and self._quarantine.note_lost(record, attempt.upstream):
--- a/greengagestage/policy/_routing.py
+++ b/greengagestage/policy/_routing.py
@@ -13,6 +13,7 @@
 from ._loads import measure_load
 from ._records import RequestRecord
 from ._state import PolicyState
+from ._timers import PoolDue
 from ._upstreams import UpstreamEntry
 
 HIT_WEIGHT = 0.3
@@ -46,28 +47,54 @@
 
     def choose(self, record: RequestRecord) -> UpstreamEntry | None:
         """Return the upstream to send a request to now, or None if it has to wait."""
-        suspect = self._state.is_suspect(record)
-        view = self._state.views.find(record.pool)
-        entries = view.live if suspect else view.used
-        usable = [entry for entry in entries if self._is_usable(record, entry, suspect)]
+        if self._state.is_suspect(record):
+            return self._choose_apart(record)
+        usable = [
+            entry
+            for entry in self._state.views.find(record.pool).used
+            if self._is_usable(record, entry)
+        ]
         usable = self._keep_cached(record, usable)
-        fresh = [entry for entry in usable if entry.name not in record.tried]
-        candidates = fresh or usable
+        candidates = [entry for entry in usable if entry.name not in record.tried] or usable
         if not candidates:
             return None
-        if suspect:
-            return self._find_home(record, candidates)
         if len(candidates) == 1:
             return candidates[0]
         return self._find_best(record, candidates)
 
-    def _is_usable(self, record: RequestRecord, entry: UpstreamEntry, suspect: bool) -> bool:
+    def _choose_apart(self, record: RequestRecord) -> UpstreamEntry | None:
+        """Return the upstream where a suspect runs beside no other suspect of its crash."""
+        isolation = self._state.crashes.find_isolation(record.request.fingerprint)
+        entries = sorted(self._state.views.find(record.pool).live, key=lambda entry: entry.name)
+        fit = [
+            entry
+            for entry in entries
+            if entry.health.state is HealthState.IN_USE and may_try(record, entry)
+        ]
+        if isolation is None or not fit:
+            return None
+        fit = [entry for entry in fit if entry.name != isolation.excluded] or fit
+        hosts = self._state.upstreams.entry_hosts
+        start_s = isolation.find_start(len(fit), hosts)
+        if self._state.now_s < start_s:
+            self._wait_until(record, start_s)
+            return None
+        if hosts > 1:
+            fit = [fit[isolation.rank % len(fit)]]
+        usable = [e for e in fit if not e.suspects and self._is_usable(record, e)]
+        return self._find_best(record, usable) if usable else None
+
+    def _wait_until(self, record: RequestRecord, start_s: float) -> None:
+        """Look at a suspect's pool again when its turn has come."""
+        if record.turn_s != start_s:
+            record.turn_s = start_s
+            self._state.timers.add(start_s, PoolDue(pool=record.pool))
+
+    def _is_usable(self, record: RequestRecord, entry: UpstreamEntry) -> bool:
         if len(entry.in_flight) >= entry.slots:
             return False
         if not entry.health.is_usable(self._state.now_s, record.request.idempotent):
             return False
-        if suspect and (entry.suspects or entry.health.state is not HealthState.IN_USE):
-            return False
         if record.tried and not may_try(record, entry):
             return False
         return not entry.resumes or self._state.may_run_beside_equals(record, entry.name)
