--- a/greengagestage/commands/_entry_settings.py
+++ b/greengagestage/commands/_entry_settings.py
@@ -47,6 +47,12 @@
         read_optional_fleet_key,
     ),
     _setting("seed", "Seed of the policy's choices.", read_count, "0"),
+    _setting(
+        "caller_connections",
+        "Connections of callers; at this number, others wait to be accepted.",
+        read_size,
+        "4096",
+    ),
     _setting("body_limit_bytes", "Largest request body, bytes.", read_size, "4194304"),
     _setting(
         "service_buffer_bytes",
@@ -132,6 +138,7 @@
         seed=values["seed"],
         workspace_labels=values["workspace_labels"],
         server=ServerLimits(
+            connections=values["caller_connections"],
             body_bytes=values["body_limit_bytes"],
             idle_timeout_s=values["idle_caller_timeout_s"],
         ),
--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -24,6 +24,7 @@
 class ServerLimits:
     """Bounds of the callers' connections."""
 
+    connections: int = 4_096
     body_bytes: int = 4_194_304
     idle_timeout_s: float = 60.0
 
@@ -190,11 +191,11 @@
     def connectionMade(self) -> None:
         """Count the connection."""
         super().connectionMade()
-        self.factory.channels.add(self)
+        self.factory.add_channel(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Forget the connection."""
-        self.factory.channels.discard(self)
+        self.factory.discard_channel(self)
         if self._lingering is not None and self._lingering.active():
             self._lingering.cancel()
         super().connectionLost(reason)
@@ -255,6 +256,24 @@
         self.on_refused = on_refused
         self.closing = False
         self.channels: set[CallerChannel] = set()
+        self._listener: Any = None
+
+    def listen(self, host: str, port: int) -> Any:
+        """Listen for callers and return the listening port."""
+        self._listener = cast(Any, self.reactor).listenTCP(port, self, interface=host)
+        return self._listener
+
+    def add_channel(self, channel: CallerChannel) -> None:
+        """Count a connection; at the limit, no more are accepted."""
+        self.channels.add(channel)
+        if len(self.channels) >= self.limits.connections and self._listener is not None:
+            self._listener.stopReading()
+
+    def discard_channel(self, channel: CallerChannel) -> None:
+        """Forget a connection that has ended, and accept others again."""
+        self.channels.discard(channel)
+        if self._listener is not None and self._listener.connected:
+            self._listener.startReading()
 
     @property
     def receiving(self) -> bool:
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -107,9 +107,7 @@
             twisted.internet.error.CannotListenError: The address cannot be listened on.
         """
         host, _, port = self._settings.listen.rpartition(":")
-        self._listener = self._reactor.listenTCP(
-            int(port), self._server, interface=host.strip("[]")
-        )
+        self._listener = self._server.listen(host.strip("[]"), int(port))
         self._pool.start()
         self._link.start()
         self.control.start()
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.defer import inlineCallbacks
 
-from greengagestage.entry import DeliveryLimits
+from greengagestage.entry import DeliveryLimits, ServerLimits
 from greengagestage.policy import CallerLeft, CancelAttempt, CancelReason, RequestArrived
 
 from .entry_harness import (
@@ -134,6 +134,21 @@
         self.running = False
 
 
+class ManyCallersCase(EntryCase):
+    server = ServerLimits(connections=3)
+
+    @inlineCallbacks
+    def test_connections_above_the_limit_wait(self):
+        self.adopt(self.engine(answer_whole))
+        for _ in range(3):
+            yield self.call(build_request(prompt()))
+        waiting = yield self.send(build_request(prompt()))
+        yield self.callers[0].transport.loseConnection()
+        yield wait_until(lambda: waiting.is_whole)
+        assert waiting.text == TEXT
+        assert len(self.process._server.channels) == 3
+
+
 class CrossedAnswersCase(EntryCase):
     def build_policy(self):
         self.policy = SimplePolicy(upstreams=("engine-0", "engine-1"))
