--- a/greengagestage/agent/_configuration_store.py
+++ b/greengagestage/agent/_configuration_store.py
@@ -164,13 +164,16 @@
         return await self._judge(outcome, row, base)
 
     async def restore(self, row: VersionRow, document: bytes, base: HeadState) -> bool:
-        """Give the store back a version that it has lost; tell whether it took it."""
-        await self._objects.put(format_document_key(row.digest), document)
-        operations = [
-            Put(key=HEAD_KEY, value=row, expect=base.revision),
-            Put(key=format_history_key(row.version), value=row),
-        ]
-        outcome = await self._table.transact(operations)
+        """Give a version back to a store that has lost it; tell whether the store took it.
+
+        A head that moved since ``base`` was read stays as it is, and so does a known history.
+        """
+        stored = await self._objects.put(format_document_key(row.digest), document)
+        if isinstance(stored, Unavailable | Unknown):
+            return False
+        outcome = await self._table.transact([Put(key=HEAD_KEY, value=row, expect=base.revision)])
+        history = Put(key=format_history_key(row.version), value=row, expect=ABSENT)
+        await self._table.transact([history])
         return isinstance(outcome, Committed)
 
     async def _judge(
--- a/greengagestage/agent/_configuration_watch.py
+++ b/greengagestage/agent/_configuration_watch.py
@@ -1,5 +1,6 @@
 """Keeps this host's configuration up to date from the store and from other hosts."""
 
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -7,13 +8,24 @@
 from eliot import log_message
 from twisted.internet.defer import Deferred
 
-from greengagestage.configuration import Adoption, Head, Verdict, Version
+from greengagestage.configuration import (
+    Adoption,
+    Declaration,
+    Head,
+    Verdict,
+    Version,
+    VersionRow,
+    encode_declaration,
+)
+from greengagestage.ids import CommandId, OperatorName
 from greengagestage.platform import Unavailable
 
 from ._configuration_store import ConfigurationStore, HeadState
 
 JITTER = 0.25
 """Share of a poll's interval by which each interval is drawn longer or shorter."""
+POLLS_TO_RESTORE = 2
+"""Polls that must show a lower version before the store is given the one in force."""
 
 
 class ConfigurationWatch:
@@ -39,6 +51,7 @@
         self._on_adopted = on_adopted
         self._fetching: set[Head] = set()
         self._next_poll: Any = None
+        self._behind_polls = 0
         self.store_answers = False
 
     def start(self) -> None:
@@ -58,7 +71,7 @@
             self._start_fetch(wanted)
 
     def receive_document(self, head: Head, document: bytes) -> None:
-        """Take a document from the store or another host."""
+        """Take a document from the store or another host, which vouches for its head."""
         verdict = self.adoption.receive(head, document)
         if verdict is Verdict.OLD:
             return
@@ -69,6 +82,10 @@
         if verdict is Verdict.ADOPTED and version is not None:
             self._on_adopted(version)
 
+    def receive_accepted(self, head: Head, declaration: Declaration) -> None:
+        """Take a version that was accepted through this host, without asking for its document."""
+        self.receive_document(head, encode_declaration(declaration))
+
     def _poll(self) -> None:
         spread = self._interval_s * JITTER
         delay = self._interval_s + self._random.uniform(-spread, spread)
@@ -78,9 +95,29 @@
     async def _read_head(self) -> None:
         state = await self._store.read_head()
         self.store_answers = isinstance(state, HeadState)
-        if isinstance(state, Unavailable) or state.row is None:
+        if isinstance(state, Unavailable):
+            return
+        if state.row is not None:
+            self.announce(Head(version=state.row.version, digest=state.row.digest))
+        await self._check_store(state)
+
+    async def _check_store(self, state: HeadState) -> None:
+        """Give the store back the version in force if it has shown a lower one twice."""
+        in_force = self.adoption.in_force
+        is_behind = in_force is not None and state.version < in_force.head.version
+        self._behind_polls = self._behind_polls + 1 if is_behind else 0
+        if in_force is None or self._behind_polls < POLLS_TO_RESTORE:
             return
-        self.announce(Head(version=state.row.version, digest=state.row.digest))
+        row = VersionRow(
+            version=in_force.head.version,
+            digest=in_force.head.digest,
+            command_id=CommandId(f"restore-{in_force.head.version}"),
+            operator=OperatorName(""),
+            at=time.time(),
+            command="restored by a host, since the store had lost it",
+        )
+        taken = await self._store.restore(row, in_force.document, state)
+        log_message("configuration: store restored", version=row.version, taken=taken)
 
     def _start_fetch(self, head: Head) -> None:
         if head not in self._fetching:
--- a/greengagestage/agent/_load_polls.py
+++ b/greengagestage/agent/_load_polls.py
@@ -1,44 +1,29 @@
 """Measures the load of engines, within a bound on the calls a second."""
 
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from greengagestage.configuration import Upstream
 from greengagestage.ids import UpstreamName
+from greengagestage.membership import Load
+from greengagestage.wire import LoadRecord
 
 from ._load_client import LoadClient
 
 FAILURES_TO_BE_GONE = 3
-
-
-@dataclass(slots=True, kw_only=True)
-class Measurement:
-    """The newest known load of an engine, by whichever host measured it.
-
-    ``failures`` counts this host's calls without an answer since the last answer to anyone.
-    """
-
-    running: int = 0
-    waiting: int = 0
-    measured_at_s: float = 0.0
-    failures: int = 0
-
-    @property
-    def is_gone(self) -> bool:
-        """Whether the engine answers nobody."""
-        return self.failures >= FAILURES_TO_BE_GONE
+ANSWER_AGE_S = 10.0
+"""An engine that answered anyone within this time is not gone."""
 
 
 class LoadPolls:
     """Measures the engine whose load is oldest, again and again.
 
-    Another host's measurement counts as much as an own one, so that the fleet does not measure
-    an engine more often than needed. ``on_measured`` is called after each call of this host.
+    ``loads`` also holds what other hosts measured, so that the fleet does not measure an engine
+    more often than needed. ``on_load`` is called with each measurement, ``on_failure`` with each
+    engine that did not answer.
     """
 
     def __init__(
@@ -46,16 +31,20 @@
         *,
         reactor: Any,
         client: LoadClient,
+        loads: Mapping[UpstreamName, Load],
         polls_per_s: float,
         interval_s: float,
-        on_measured: Callable[[UpstreamName, Measurement], None],
+        on_load: Callable[[LoadRecord], None],
+        on_failure: Callable[[UpstreamName], None],
     ) -> None:
-        self.measurements: dict[UpstreamName, Measurement] = {}
         self._client = client
+        self._loads = loads
         self._interval_s = interval_s
-        self._on_measured = on_measured
-        self._engines: dict[UpstreamName, Upstream] = {}
-        self._asked_at: dict[UpstreamName, float] = {}
+        self._on_load = on_load
+        self._on_failure = on_failure
+        self._urls: dict[UpstreamName, str] = {}
+        self._asked_at_s: dict[UpstreamName, float] = {}
+        self._failures: dict[UpstreamName, int] = {}
         self._polls_per_s = polls_per_s
         self._loop = LoopingCall(self._poll_oldest)
         self._loop.clock = reactor
@@ -64,47 +53,52 @@
         """Begin to measure."""
         self._loop.start(1 / self._polls_per_s)
 
-    def stop(self) -> None:
-        """Stop measuring."""
+    def stop(self) -> Deferred[Any]:
+        """Stop measuring; the result comes once the connections are closed."""
         if self._loop.running:
             self._loop.stop()
-        self._client.close()
+        return self._client.close()
 
-    def set_engines(self, engines: dict[UpstreamName, Upstream]) -> None:
+    def set_engines(self, urls: dict[UpstreamName, str]) -> None:
         """Measure these engines from now on."""
-        self._engines = engines
-        for known in (self.measurements, self._asked_at):
-            for name in known.keys() - engines.keys():
-                del known[name]  # type: ignore[attr-defined]
-
-    def merge(self, name: UpstreamName, running: int, waiting: int, age_ms: int) -> bool:
-        """Take another host's measurement; tell whether it is newer than the known one."""
-        at_s = time.monotonic() - age_ms / 1000
-        known = self.measurements.get(name)
-        if known is not None and known.measured_at_s >= at_s:
+        self._urls = urls
+        self._asked_at_s = {n: at_s for n, at_s in self._asked_at_s.items() if n in urls}
+        self._failures = {n: count for n, count in self._failures.items() if n in urls}
+
+    def is_gone(self, name: UpstreamName) -> bool:
+        """Tell whether an engine answers neither this host nor any other."""
+        if self._failures.get(name, 0) < FAILURES_TO_BE_GONE:
             return False
-        self.measurements[name] = Measurement(running=running, waiting=waiting, measured_at_s=at_s)
-        return True
+        load = self._loads.get(name)
+        return load is None or time.monotonic() - load.measured_at_s > ANSWER_AGE_S
 
     def _poll_oldest(self) -> None:
-        now = time.monotonic()
-        name = min(self._engines, key=self._find_last_time, default=None)
-        if name is None or now - self._find_last_time(name) < self._interval_s:
+        now_s = time.monotonic()
+        name = min(self._urls, key=self._find_last_time, default=None)
+        if name is None or now_s - self._find_last_time(name) < self._interval_s:
             return
-        self._asked_at[name] = now
-        Deferred.fromCoroutine(self._measure(name, self._engines[name].url))
+        self._asked_at_s[name] = now_s
+        Deferred.fromCoroutine(self._measure(name, self._urls[name]))
 
     def _find_last_time(self, name: UpstreamName) -> float:
-        measurement = self.measurements.get(name)
-        measured_at_s = measurement.measured_at_s if measurement else 0.0
-        return max(self._asked_at.get(name, 0.0), measured_at_s)
+        load = self._loads.get(name)
+        measured_at_s = load.measured_at_s if load is not None else 0.0
+        return max(self._asked_at_s.get(name, 0.0), measured_at_s)
 
     async def _measure(self, name: UpstreamName, url: str) -> None:
         report = await self._client.read(url)
-        if name not in self._engines:
+        if name not in self._urls:
+            return
+        if report is None:
+            self._failures[name] = self._failures.get(name, 0) + 1
+            self._on_failure(name)
             return
-        if report is not None:
-            self.merge(name, report.running, report.waiting, report.age_ms)
-        else:
-            self.measurements.setdefault(name, Measurement()).failures += 1
-        self._on_measured(name, self.measurements[name])
+        self._failures.pop(name, None)
+        self._on_load(
+            LoadRecord(
+                upstream=name,
+                running=report.running,
+                waiting=report.waiting,
+                age_ms=report.age_ms,
+            )
+        )
--- a/greengagestage/agent/_settings.py
+++ b/greengagestage/agent/_settings.py
@@ -15,6 +15,9 @@
         load_interval_s: Between two measurements of one engine by all hosts together.
         load_timeout_s: For one call to an engine.
         query_timeout_s: For the answers of other hosts to an operator's query.
+        list_interval_s: Between two polls of the platform's host list; longer in a large fleet.
+        list_lag_s: How far the host list can lag behind.
+        leave_notice_s: Between the notice to neighbours and the end of a planned stop.
     """
 
     head_interval_s: float = 3.0
@@ -22,13 +25,17 @@
     load_interval_s: float = 1.0
     load_timeout_s: float = 1.0
     query_timeout_s: float = 2.0
+    list_interval_s: float = 5.0
+    list_lag_s: float = 60.0
+    leave_notice_s: float = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AgentSettings:
     """Everything that an agent process is told when it starts.
 
-    ``load_polls_per_s`` bounds the calls to engines; addresses are ``ip:port``.
+    ``load_polls_per_s`` bounds the calls to engines; ``peers`` are addresses of other agents, for a
+    start while the platform's host list is out. All addresses are ``ip:port``.
     """
 
     host: HostId
@@ -39,6 +46,7 @@
     platform: str
     fleet_key: str
     second_fleet_key: str | None = None
+    peers: tuple[str, ...] = ()
     load_polls_per_s: float = 2.0
     times: AgentTimes = field(default_factory=AgentTimes)
 
--- a/greengagestage/commands/_agent_settings.py
+++ b/greengagestage/commands/_agent_settings.py
@@ -28,6 +28,10 @@
     return _setting(name, f"{help_text}, seconds.", read_duration, default)
 
 
+def _read_addresses(text: str) -> tuple[str, ...]:
+    return tuple(read_address(part.strip()) for part in text.split(",") if part.strip())
+
+
 AGENT_SETTINGS = (
     _setting("entry_listen", "Address for this host's entry process, ip:port.", read_address),
     _setting("peer_listen", "Address for other hosts' agents, ip:port.", read_address),
@@ -48,6 +52,14 @@
     _duration("load_interval_s", "Time between two measurements of one engine by all hosts", "1"),
     _duration("load_timeout_s", "Time for one call to an engine", "1"),
     _duration("query_timeout_s", "Time for other hosts to answer a query", "2"),
+    _duration("list_interval_s", "Time between two polls of the host list in a small fleet", "5"),
+    _duration("list_lag_s", "How far the platform's host list can lag behind", "60"),
+    _duration("leave_notice_s", "Time between the notice to neighbours and the end", "0.5"),
+    _setting(
+        "peers",
+        "Addresses of other agents, ip:port,ip:port, for a start without the host list.",
+        _read_addresses,
+    ),
     _setting(
         "load_polls_per_s", "Most calls to engines for their load, a second.", read_duration, "2"
     ),
@@ -74,6 +86,7 @@
         platform=values["platform"],
         fleet_key=values["fleet_key"],
         second_fleet_key=values["second_fleet_key"],
+        peers=values["peers"],
         load_polls_per_s=values["load_polls_per_s"],
         times=AgentTimes(
             head_interval_s=values["head_interval_s"],
@@ -81,6 +94,9 @@
             load_interval_s=values["load_interval_s"],
             load_timeout_s=values["load_timeout_s"],
             query_timeout_s=values["query_timeout_s"],
+            list_interval_s=values["list_interval_s"],
+            list_lag_s=values["list_lag_s"],
+            leave_notice_s=values["leave_notice_s"],
         ),
     )
 
--- a/greengagestage/membership/_membership.py
+++ b/greengagestage/membership/_membership.py
@@ -169,7 +169,8 @@
         for host in self._detector.take_uncontradicted(now_s):
             self._set_other_state(host, MemberState.GONE, now_s)
         self._gossip(now_s)
-        if now_s - self._synced_at_s >= self._times.sync_interval_s:
+        is_alone = not self._neighbours
+        if is_alone or now_s - self._synced_at_s >= self._times.sync_interval_s:
             self._synced_at_s = now_s
             self.book.expire(now_s)
             self._crashes.forget_others(c.fingerprint for c in self.book.list_crashes())
