Add the claims store for non-idempotent requests

Cause: a non-idempotent request must run at most once, whichever host a resend reaches, while the table is slow, down or loses answers. Ruled out: attempt ids as proof of ownership, since a caller may send one request id to two hosts; deleting the row on a give-up, since an insert that timed out may land afterwards; taking a claim over after a time. Change: ClaimStore with one conditional insert per key, groups of up to 32 rows per transaction that are divided on a conflict, read-back after a lost answer, released rows that refuse late inserts, a write budget, answers in the row or as objects, and a bounded removal of old rows.

--- /dev/null
+++ b/greengagestage/claims/_changes.py
@@ -0,0 +1,84 @@
+"""Changes of a claim by its own attempt: the next write, or the end, from the current row."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from greengagestage.platform import Put, Row
+
+from ._rows import ClaimRow, ClaimState, read_claim
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settled:
+    """Nothing is left to write.
+
+    Attributes:
+        holds: Whether the row says what the change wanted.
+    """
+
+    holds: bool
+
+
+Change = Callable[[Row], Put | Settled]
+"""Returns the write that brings a row nearer to what is wanted, or that it is settled."""
+
+
+def plan_release(claim: ClaimRow) -> Change:
+    """Give up a claim that was certainly not run.
+
+    A row that is absent, or that another attempt released, is written too: its revision
+    moves, and an insert of this claim that is still under way is refused.
+    """
+
+    def plan(row: Row) -> Put | Settled:
+        current = read_claim(row)
+        if row.exists and not may_release(current, claim):
+            return Settled(holds=current is None or current.token != claim.token)
+        if current is not None and is_in_state(current, claim, ClaimState.RELEASED):
+            return Settled(holds=True)
+        released = replace(claim, state=ClaimState.RELEASED)
+        return Put(key=row.key, value=released, expect=row.revision)
+
+    return plan
+
+
+def may_release(current: ClaimRow | None, claim: ClaimRow) -> bool:
+    """Whether a row is the claim's own and not run, or was released by any claim."""
+    if current is None:
+        return False
+    own = is_in_state(current, claim, ClaimState.CLAIMED)
+    return own or current.state is ClaimState.RELEASED
+
+
+def plan_answer(answered: ClaimRow) -> Change:
+    """Record the answer of a claim."""
+
+    def plan(row: Row) -> Put | Settled:
+        current = read_claim(row)
+        if current is None or current.token != answered.token:
+            return Settled(holds=False)
+        if current.state in (ClaimState.CLAIMED, ClaimState.UNKNOWN):
+            return Put(key=row.key, value=answered, expect=row.revision)
+        return Settled(holds=current.state is ClaimState.ANSWERED)
+
+    return plan
+
+
+def plan_unknown(claim: ClaimRow) -> Change:
+    """Record that a claim's request may have run and that its answer is not known."""
+
+    def plan(row: Row) -> Put | Settled:
+        current = read_claim(row)
+        if current is None or not is_in_state(current, claim, ClaimState.CLAIMED):
+            return Settled(holds=current is not None)
+        unknown = replace(claim, state=ClaimState.UNKNOWN)
+        return Put(key=row.key, value=unknown, expect=row.revision)
+
+    return plan
+
+
+def is_in_state(current: ClaimRow, claim: ClaimRow, state: ClaimState) -> bool:
+    """Whether a row is the given claim's own and stands in a state."""
+    return current.token == claim.token and current.state is state
--- /dev/null
+++ b/greengagestage/claims/_store.py
@@ -0,0 +1,315 @@
+"""The store of claims: the right to run a non-idempotent request, once."""
+
+import itertools
+import time
+import uuid
+from collections.abc import Callable, Collection
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from eliot import log_message
+from msgspec.structs import replace
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+
+from greengagestage.ids import AttemptId, HostId, IdempotencyKey, WorkspaceId
+from greengagestage.platform import ABSENT, ObjectClient, Put, Row, TableClient, Unavailable
+from greengagestage.policy import AskClaim, ClaimOutcome, GiveUpClaim
+
+from ._answers import AnswerStore, StoredAnswer, describe_answer
+from ._budget import WriteBudget
+from ._changes import Change, plan_answer, plan_release, plan_unknown
+from ._grouping import Refused, Unsure, WriteOutcome, Written
+from ._rows import (
+    ClaimRow,
+    ClaimState,
+    ClaimToken,
+    Free,
+    Granted,
+    HostKnowledge,
+    Judgement,
+    Taken,
+    claim_key,
+    is_running,
+    judge_row,
+    read_claim,
+)
+from ._settling import Settler
+from ._sweep import DEFAULT_RETENTION_S, Sweeper
+from ._waiting import wait_at_most
+from ._writer import GroupWriter
+
+CLAIM_TRIES = 4
+CLAIM_TIMEOUT_S = 2.0
+"""A claim that has waited so long is not tried again."""
+RECORD_TIMEOUT_S = 5.0
+UNSETTLED_LIMIT = 4096
+UNSTORED_BYTES_LIMIT = 32 * 1024 * 1024
+
+
+@dataclass(slots=True, kw_only=True)
+class _Claim:
+    """A claim of this host that has not come to its end.
+
+    Attributes:
+        asking: The table has not answered yet.
+        unsure: A write of the claim may have taken effect, or may do so later.
+        abandoned: The claim was given up before the table had answered.
+    """
+
+    key: str
+    row: ClaimRow
+    asking: bool = True
+    unsure: bool = False
+    abandoned: bool = False
+
+
+class ClaimStore:
+    """Claims, answers and their retention, for one host.
+
+    Args:
+        host: This host; it holds the claims that are made here.
+        write_budget_per_s: Transactions a second that this host may send.
+        is_live_host: Whether another host is still there, as far as is known.
+        workspaces: The workspaces whose old claims are removed.
+        retention_s: Age after which a claim that has ended is removed.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        table: TableClient,
+        objects: ObjectClient,
+        host: HostId,
+        write_budget_per_s: float,
+        is_live_host: Callable[[HostId], bool],
+        workspaces: Callable[[], Collection[WorkspaceId]] = tuple,
+        retention_s: float = DEFAULT_RETENTION_S,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._reactor = reactor
+        self._table = table
+        self._host = host
+        self._wall_clock = wall_clock
+        self._is_live_host = is_live_host
+        self._budget = WriteBudget(per_s=write_budget_per_s, now_s=reactor.seconds())
+        self._writer = GroupWriter(reactor=reactor, table=table, budget=self._budget)
+        self._settler = Settler(reactor=reactor, table=table, writer=self._writer)
+        self._answers = AnswerStore(objects=objects)
+        self._open: dict[AttemptId, _Claim] = {}
+        self._not_run: set[ClaimToken] = set()
+        self._instance = uuid.uuid4().hex
+        self._count = itertools.count()
+        self._unstored_bytes = 0
+        self._sweeper = Sweeper(
+            reactor=reactor,
+            table=table,
+            writer=self._writer,
+            workspaces=workspaces,
+            retention_s=retention_s,
+            wall_clock=wall_clock,
+            is_held=self._is_held,
+        )
+
+    @property
+    def unsettled(self) -> int:
+        """Changes of rows that the table has not confirmed yet."""
+        return self._settler.pending
+
+    @property
+    def transactions(self) -> int:
+        """Transactions sent since the start."""
+        return self._writer.transactions
+
+    def set_write_budget(self, per_s: float) -> None:
+        """Change the number of transactions a second that this host may send."""
+        self._budget.set_rate(per_s, self._reactor.seconds())
+
+    def set_retention(self, retention_s: float) -> None:
+        """Change the age after which a claim that has ended is removed."""
+        self._sweeper.retention_s = retention_s
+
+    def start(self) -> None:
+        """Begin to remove claims that are older than the retention."""
+        self._sweeper.start()
+
+    def stop(self) -> None:
+        """End the removal, and the background changes at their next failure."""
+        self._sweeper.stop()
+        self._settler.stop()
+
+    def claim(self, ask: AskClaim) -> Deferred[ClaimOutcome]:
+        """Claim the right to run; an outcome other than ``GRANTED`` never runs."""
+        if ask.attempt_id in self._open:
+            return succeed(ClaimOutcome.UNAVAILABLE)
+        if self._settler.pending >= UNSETTLED_LIMIT:
+            return succeed(ClaimOutcome.UNAVAILABLE)
+        if not self._writer.has_room():
+            return succeed(ClaimOutcome.OVER_BUDGET)
+        claim = _Claim(
+            key=claim_key(ask.workspace, ask.idempotency_key),
+            row=ClaimRow(
+                attempt_id=ask.attempt_id,
+                token=self._create_token(),
+                fingerprint=ask.fingerprint,
+                state=ClaimState.CLAIMED,
+                host=self._host,
+                at=self._wall_clock(),
+            ),
+        )
+        self._open[ask.attempt_id] = claim
+        return self._claim(ask, claim)
+
+    def _create_token(self) -> ClaimToken:
+        return ClaimToken(f"{self._instance}-{next(self._count)}")
+
+    @inlineCallbacks
+    def _claim(self, ask: AskClaim, claim: _Claim) -> Any:
+        judgement = yield self._insert(claim)
+        claim.asking = False
+        match judgement:
+            case Granted() if not claim.abandoned:
+                return ClaimOutcome.GRANTED
+            case Taken(outcome=outcome):
+                del self._open[ask.attempt_id]
+                return outcome
+            case Granted():
+                self._release(ask.attempt_id, claim)
+            case _ if claim.unsure:
+                self._release(ask.attempt_id, claim)
+            case _:
+                del self._open[ask.attempt_id]
+        return ClaimOutcome.UNAVAILABLE
+
+    @inlineCallbacks
+    def _insert(self, claim: _Claim) -> Any:
+        """Write the claim's row; return how the row was judged, or None when it is not known."""
+        revision = ABSENT
+        give_up_at_s = self._reactor.seconds() + CLAIM_TIMEOUT_S
+        for _ in range(CLAIM_TRIES):
+            write = Put(key=claim.key, value=claim.row, expect=revision)
+            outcome = yield self._writer.write(write)
+            claim.unsure = claim.unsure or isinstance(outcome, Unsure)
+            judgement = self._judge(outcome, claim.row)
+            if not isinstance(judgement, Free):
+                return judgement
+            if self._reactor.seconds() >= give_up_at_s:
+                return None
+            revision = judgement.revision
+        return None
+
+    def _judge(self, outcome: WriteOutcome, own: ClaimRow) -> Judgement | None:
+        match outcome:
+            case Written(row=row):
+                return Granted(revision=row.revision)
+            case Refused(row=row) | Unsure(row=Row() as row):
+                return judge_row(row, own, self._knowledge())
+            case _:
+                return None
+
+    def _knowledge(self) -> HostKnowledge:
+        return HostKnowledge(
+            host=self._host,
+            running={claim.row.token for claim in self._open.values()},
+            not_run=self._not_run,
+            is_live_host=self._is_live_host,
+        )
+
+    def _is_held(self, claim: ClaimRow) -> bool:
+        return is_running(claim, self._knowledge())
+
+    def give_up(self, give_up: GiveUpClaim) -> None:
+        """Give up a claim whose request was certainly not run, in the background."""
+        claim = self._open.get(give_up.attempt_id)
+        if claim is None:
+            log_message(message_type="claims: no such claim to give up", **asdict(give_up))
+        elif claim.asking:
+            claim.abandoned = True
+        else:
+            self._release(give_up.attempt_id, claim)
+
+    @inlineCallbacks
+    def _release(self, attempt_id: AttemptId, claim: _Claim) -> Any:
+        del self._open[attempt_id]
+        self._not_run.add(claim.row.token)
+        yield self._settle(claim, plan_release(self._stamp(claim)))
+        self._not_run.discard(claim.row.token)
+
+    def _stamp(self, claim: _Claim) -> ClaimRow:
+        return replace(claim.row, at=self._wall_clock())
+
+    def _settle(self, claim: _Claim, change: Change) -> Deferred[bool]:
+        return self._settler.settle(claim.key, change)
+
+    def record_answer(
+        self,
+        workspace: WorkspaceId,
+        idempotency_key: IdempotencyKey,
+        attempt_id: AttemptId,
+        answer: StoredAnswer,
+    ) -> Deferred[bool]:
+        """Keep the whole answer of an own claim for resends.
+
+        The result is True only when the answer is certainly kept. After False it may still
+        be kept later, in the background.
+        """
+        claim = self._open.get(attempt_id)
+        if claim is None or claim.key != claim_key(workspace, idempotency_key):
+            return succeed(False)
+        if self._unstored_bytes + len(answer.body) > UNSTORED_BYTES_LIMIT:
+            log_message(message_type="claims: answer not kept, too many wait", key=claim.key)
+            self._mark_unknown(attempt_id, claim)
+            return succeed(False)
+        kept = self._record_answer(attempt_id, claim, answer)
+        return wait_at_most(self._reactor, kept, RECORD_TIMEOUT_S, False)
+
+    @inlineCallbacks
+    def _record_answer(self, attempt_id: AttemptId, claim: _Claim, answer: StoredAnswer) -> Any:
+        answered = describe_answer(self._stamp(claim), claim.key, answer)
+        self._unstored_bytes += len(answer.body)
+        try:
+            stored = yield self._answers.put_body(answered, answer.body)
+            if not stored:
+                yield self._settle(claim, plan_unknown(self._stamp(claim)))
+                stored = yield self._answers.put_body(answered, answer.body)
+            if not stored:
+                return False
+            return (yield self._settle(claim, plan_answer(answered)))
+        finally:
+            self._unstored_bytes -= len(answer.body)
+            self._open.pop(attempt_id, None)
+
+    def mark_unknown(
+        self, workspace: WorkspaceId, idempotency_key: IdempotencyKey, attempt_id: AttemptId
+    ) -> Deferred[None]:
+        """Record that the request of an own claim may have run and has no answer.
+
+        The result comes when that is recorded, or after a time limit; the change then goes
+        on in the background.
+        """
+        claim = self._open.get(attempt_id)
+        if claim is None or claim.key != claim_key(workspace, idempotency_key):
+            return succeed(None)
+        marked = self._mark_unknown(attempt_id, claim)
+        return wait_at_most(self._reactor, marked, RECORD_TIMEOUT_S, None)
+
+    @inlineCallbacks
+    def _mark_unknown(self, attempt_id: AttemptId, claim: _Claim) -> Any:
+        del self._open[attempt_id]
+        yield self._settle(claim, plan_unknown(self._stamp(claim)))
+
+    @inlineCallbacks
+    def _read_answer(self, workspace: WorkspaceId, idempotency_key: IdempotencyKey) -> Any:
+        row = yield self._table.read_row(claim_key(workspace, idempotency_key))
+        if isinstance(row, Unavailable) or not row.exists:
+            return None
+        claim = read_claim(row)
+        if claim is None or claim.state is not ClaimState.ANSWERED:
+            return None
+        return (yield self._answers.read(claim))
+
+    def read_answer(
+        self, workspace: WorkspaceId, idempotency_key: IdempotencyKey
+    ) -> Deferred[StoredAnswer | None]:
+        """Return the answer kept under a key, or None when there is none that can be read."""
+        return self._read_answer(workspace, idempotency_key)
--- a/greengagestage/policy/__init__.py
+++ b/greengagestage/policy/__init__.py
@@ -22,7 +22,6 @@
     CallerLeft,
     ClaimAnswered,
     ClaimOutcome,
-    CrashReported,
     DeclarationAdopted,
     Event,
     FailureKind,
@@ -38,7 +37,6 @@
 )
 from ._policy import Policy
 from ._snapshot import ClassLoad, PolicySnapshot, UpstreamLoad
-from ._subsets import choose_subset, compute_subset_size
 
 __all__ = [
     "Action",
@@ -53,7 +51,6 @@
     "ClaimAnswered",
     "ClaimOutcome",
     "ClassLoad",
-    "CrashReported",
     "DeclarationAdopted",
     "Deliver",
     "Dispatch",
@@ -77,6 +74,4 @@
     "UpstreamState",
     "UpstreamsReported",
     "WakeAt",
-    "choose_subset",
-    "compute_subset_size",
 ]
--- /dev/null
+++ b/tests/fake_platform.py
@@ -0,0 +1,154 @@
+"""A table and an object store in memory, whose calls the test applies and answers by hand."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred, succeed
+
+from greengagestage.platform import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Delete,
+    Get,
+    ObjectMissing,
+    Operation,
+    Put,
+    Row,
+    Stored,
+    Unavailable,
+    Unknown,
+)
+
+
+@dataclass(eq=False)
+class Call:
+    """A call of one client that the table has not answered."""
+
+    client: "FakeTableClient"
+    operations: tuple[Operation, ...]
+    done: Deferred[Any] = field(default_factory=Deferred)
+    outcome: Any = None
+
+
+class FakeTable:
+    """The rows and the open calls of every client."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.calls: list[Call] = []
+        self.late: list[Call] = []
+        self.automatic = True
+        self.writes = 0
+        self._revision = 0
+
+    def get(self, key: str) -> Row:
+        return self.rows.get(key, Row(key=key, revision=ABSENT))
+
+    def apply(self, operations: Sequence[Operation]) -> Committed | Conflict:
+        """Carry out a transaction at once."""
+        rows = tuple(self.get(operation.key) for operation in operations)
+        failed = tuple(
+            place
+            for place, (operation, row) in enumerate(zip(operations, rows, strict=True))
+            if getattr(operation, "expect", None) not in (None, row.revision)
+        )
+        if failed:
+            return Conflict(failed=failed, rows=rows)
+        for operation in operations:
+            self._write(operation)
+        return Committed(rows=tuple(self.get(operation.key) for operation in operations))
+
+    def _write(self, operation: Operation) -> None:
+        self._revision += 1
+        if isinstance(operation, Put):
+            value = msgspec.Raw(msgspec.json.encode(operation.value))
+            self.rows[operation.key] = Row(key=operation.key, value=value, revision=self._revision)
+        elif isinstance(operation, Delete):
+            self.rows.pop(operation.key, None)
+
+    def submit(self, call: Call) -> None:
+        self.calls.append(call)
+        self.writes += any(isinstance(x, Put | Delete) for x in call.operations)
+        if self.automatic:
+            self.serve(call)
+
+    def serve(self, call: Call) -> None:
+        """Carry out a call and answer it."""
+        self._answer(call, self.apply(call.operations))
+
+    def lose_answer(self, call: Call) -> None:
+        """Carry out a call; its client learns nothing."""
+        self.apply(call.operations)
+        self._answer(call, Unknown(reason="test"))
+
+    def time_out(self, call: Call) -> None:
+        """Let a client wait in vain; the call may be carried out later."""
+        self.late.append(call)
+        self._answer(call, Unknown(reason="test"))
+
+    def refuse(self, call: Call) -> None:
+        """Answer that a call certainly had no effect."""
+        self._answer(call, Unavailable(reason="test"))
+
+    def land(self, call: Call) -> None:
+        """Carry out a call whose client has stopped waiting."""
+        self.late.remove(call)
+        self.apply(call.operations)
+
+    def _answer(self, call: Call, outcome: Any) -> None:
+        self.calls.remove(call)
+        if call.client.alive:
+            call.done.callback(outcome)
+
+
+class FakeTableClient:
+    """Stands for ``TableClient``; a dead one sends nothing and hears nothing."""
+
+    def __init__(self, table: FakeTable) -> None:
+        self.table = table
+        self.alive = True
+
+    def transact(self, operations: Sequence[Operation]) -> Deferred[Any]:
+        call = Call(client=self, operations=tuple(operations))
+        if self.alive:
+            self.table.submit(call)
+        return call.done
+
+    def read_keys(self, keys: Sequence[str]) -> Deferred[Any]:
+        def judge(outcome: Any) -> Any:
+            rows = isinstance(outcome, Committed)
+            return outcome.rows if rows else Unavailable(reason="test")
+
+        return self.transact([Get(key=key) for key in keys]).addCallback(judge)
+
+    def read_row(self, key: str) -> Deferred[Any]:
+        def take_first(rows: Any) -> Any:
+            return rows if isinstance(rows, Unavailable) else rows[0]
+
+        return self.read_keys([key]).addCallback(take_first)
+
+    def read_rows(self, prefix: str, limit: int) -> Deferred[Any]:
+        keys = sorted(key for key in self.table.rows if key.startswith(prefix))
+        return succeed(tuple(self.table.rows[key] for key in keys[:limit]))
+
+
+class FakeObjects:
+    """Stands for ``ObjectClient``; ``fault`` answers for the store while it is set."""
+
+    def __init__(self) -> None:
+        self.data: dict[str, bytes] = {}
+        self.fault: Callable[[], Any] | None = None
+
+    def put(self, key: str, data: bytes, only_if_absent: bool = False) -> Deferred[Any]:
+        if self.fault:
+            return succeed(self.fault())
+        self.data[key] = data
+        return succeed(Stored())
+
+    def get(self, key: str) -> Deferred[Any]:
+        if self.fault:
+            return succeed(self.fault())
+        return succeed(self.data.get(key, ObjectMissing()))
