--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,139 @@
+"""The bench: ``python -m bench``. It writes a JSON result and a plot, and prints tables."""
+
+import shlex
+import sys
+import tempfile
+from collections.abc import Iterator
+from itertools import product
+from pathlib import Path
+
+import click
+import msgspec
+from msgspec import Struct
+from rich.console import Console
+
+from ._comparison import Comparison, compare_runs
+from ._cost import CostReport, measure_cost
+from ._deployments import DEPLOYMENTS
+from ._plot import draw_comparisons
+from ._report import build_comparison_table, build_cost_table, describe_run
+from ._runs import PolicyRun, run_policies
+from ._scenarios import QUICK_SCENARIOS, SCENARIOS
+
+DEFAULT_SEEDS = 5
+DEFAULT_DURATION_S = 15.0
+QUICK_DURATION_S = 6.0
+COST_ROUNDS = 3
+COST_ROUND_S = 8.0
+QUICK_COST_ROUND_S = 3.0
+_console = Console()
+
+
+class BenchResult(Struct, frozen=True, kw_only=True):
+    """The JSON result."""
+
+    command: str
+    comparisons: list[Comparison]
+    cost: CostReport | None
+    runs: list[PolicyRun]
+
+
+@click.command()
+@click.option("--quick", is_flag=True, help="One seed, two scenarios, short loads.")
+@click.option("--seeds", default=DEFAULT_SEEDS, show_default=True, help="Number of seeds.")
+@click.option("--first-seed", default=1, show_default=True, help="The first seed.")
+@click.option(
+    "--duration-s", default=DEFAULT_DURATION_S, show_default=True, help="Length of each load."
+)
+@click.option("--scenario", "scenarios", multiple=True, help="Only these scenarios.")
+@click.option("--deployment", "deployments", multiple=True, help="Only these deployments.")
+@click.option("--cost/--no-cost", default=True, help="Measure the router's cost as well.")
+@click.option(
+    "--output",
+    type=click.Path(path_type=Path),
+    default=Path(".run/bench"),
+    show_default=True,
+    help="Path of the JSON result and the plot, without its ending.",
+)
+def main(
+    quick: bool,
+    seeds: int,
+    first_seed: int,
+    duration_s: float,
+    scenarios: tuple[str, ...],
+    deployments: tuple[str, ...],
+    cost: bool,
+    output: Path,
+) -> None:
+    """Compare the router's policy with two baselines, and its cost with a bare relay's."""
+    if quick:
+        seeds, duration_s = 1, QUICK_DURATION_S
+        scenarios = scenarios or QUICK_SCENARIOS
+    output.parent.mkdir(parents=True, exist_ok=True)
+    command = shlex.join(["python", "-m", "bench", *sys.argv[1:]])
+    runs: list[PolicyRun] = []
+    for group in _run_groups(
+        seeds=range(first_seed, first_seed + seeds),
+        duration_s=duration_s,
+        scenarios=scenarios,
+        deployments=deployments,
+    ):
+        runs += group
+        _console.print(*(describe_run(run) for run in group), sep="\n")
+        _write_json(BenchResult(command=command, comparisons=[], cost=None, runs=runs), output)
+    report = _measure_cost(QUICK_COST_ROUND_S if quick else COST_ROUND_S) if cost else None
+    result = BenchResult(
+        command=command,
+        comparisons=compare_runs(runs),
+        cost=report,
+        runs=runs,
+    )
+    _write(result, output)
+
+
+def _run_groups(
+    *,
+    seeds: range,
+    duration_s: float,
+    scenarios: tuple[str, ...],
+    deployments: tuple[str, ...],
+) -> Iterator[list[PolicyRun]]:
+    """Run every scenario with every seed; each group holds one run of every policy."""
+    chosen = [
+        (deployment, scenario)
+        for deployment in DEPLOYMENTS
+        for scenario in SCENARIOS
+        if (not deployments or deployment.name in deployments)
+        and (not scenarios or scenario.name in scenarios)
+    ]
+    for (deployment, scenario), seed in product(chosen, seeds):
+        _console.print(f"{deployment.name}: {scenario.name}, seed {seed}")
+        with tempfile.TemporaryDirectory(prefix="greengage-bench-") as directory:
+            yield run_policies(
+                deployment, scenario, seed=seed, duration_s=duration_s, directory=Path(directory)
+            )
+
+
+def _measure_cost(round_s: float) -> CostReport:
+    _console.print("cost beside a bare relay")
+    with tempfile.TemporaryDirectory(prefix="greengage-cost-") as directory:
+        return measure_cost(rounds=COST_ROUNDS, round_s=round_s, directory=Path(directory))
+
+
+def _write_json(result: BenchResult, output: Path) -> None:
+    encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
+    output.with_suffix(".json").write_bytes(encoded)
+
+
+def _write(result: BenchResult, output: Path) -> None:
+    _write_json(result, output)
+    draw_comparisons(result.comparisons, output.with_suffix(".png"))
+    for comparison in result.comparisons:
+        _console.print(build_comparison_table(comparison))
+    if result.cost is not None:
+        _console.print(build_cost_table(result.cost))
+    _console.print(f"written: {output.with_suffix('.json')} and {output.with_suffix('.png')}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/_report.py
@@ -0,0 +1,72 @@
+"""The bench's tables for the terminal."""
+
+import math
+
+from rich.table import Table
+
+from ._comparison import Comparison, Spread
+from ._cost import CostReport
+from ._runs import PolicyRun
+
+
+def describe_run(run: PolicyRun) -> str:
+    """Return one line about one run."""
+    summary = run.summary
+    met = ", ".join(f"{row.service_class} {row.attainment:.3f}" for row in summary.classes)
+    return (
+        f"  {run.policy.value}: met {met}; {summary.goodput_tokens_per_s:.0f} tokens/s;"
+        f" wasted {summary.wasted_output_tokens} output, {summary.wasted_prefill_tokens} prefill"
+    )
+
+
+def build_comparison_table(comparison: Comparison) -> Table:
+    """Return one scenario's table."""
+    table = Table(
+        title=f"{comparison.deployment}, {comparison.scenario},"
+        f" load {comparison.level:g} of capacity, seeds {comparison.seeds}",
+        caption=f"ratios to the better baseline: goodput {_format(comparison.goodput_ratio, 2)},"
+        f" wasted work {_format(comparison.wasted_ratio, 2)}",
+    )
+    classes = list(comparison.policies[0].attainment)
+    for column in ("policy", *(f"{name} met" for name in classes)):
+        table.add_column(column)
+    for column in ("goodput tok/s", "wasted tokens", "Jain", "broken", "foreign"):
+        table.add_column(column, justify="right")
+    for figures in comparison.policies:
+        table.add_row(
+            figures.policy.value,
+            *(_format(figures.attainment[name], 3) for name in classes),
+            _format(figures.goodput_tokens_per_s, 0),
+            _format(figures.wasted_tokens, 0),
+            _format(figures.fairness, 3),
+            str(figures.broken),
+            str(figures.mismatched),
+        )
+    return table
+
+
+def build_cost_table(report: CostReport) -> Table:
+    """Return the router's cost beside the bare relay's."""
+    table = Table(title="cost beside a bare relay")
+    for column in ("", "CPU us/request", "CPU us/chunk", "added first token ms p50"):
+        table.add_column(column, justify="left" if not column else "right")
+    for cost in (report.relay, report.router):
+        table.add_row(
+            cost.name,
+            _format(cost.cpu_us_per_request, 0),
+            _format(cost.cpu_us_per_chunk, 1),
+            _format(cost.added_first_token_ms, 2),
+        )
+    table.add_row(
+        "ratio",
+        f"{report.router.cpu_us_per_request.mean / report.relay.cpu_us_per_request.mean:.2f}",
+        f"{report.router.cpu_us_per_chunk.mean / report.relay.cpu_us_per_chunk.mean:.2f}",
+        "",
+    )
+    return table
+
+
+def _format(spread: Spread, digits: int) -> str:
+    if math.isnan(spread.mean):
+        return "-"
+    return f"{spread.mean:.{digits}f} ({spread.low:.{digits}f}..{spread.high:.{digits}f})"
--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,42 @@
+"""An entry process whose policy the bench chooses: ``python -m bench.entry``.
+
+The environment's ``GREENGAGE_BENCH_POLICY`` names the policy; every flag is the entry's own.
+"""
+
+import os
+import sys
+
+import click
+
+from greengagestage.commands._entry_settings import ENTRY_SETTINGS, build_entry_settings
+from greengagestage.commands._setting_types import add_settings
+from greengagestage.commands.entry import run
+from greengagestage.entry import Decisions
+
+from ._baselines import Balancing, BaselinePolicy
+from ._policies import POLICY_VARIABLE, PolicyName
+
+
+def build_policy(name: PolicyName) -> Decisions | None:
+    """Return a baseline, or None for the router's own policy."""
+    match name:
+        case PolicyName.GREENGAGE:
+            return None
+        case PolicyName.ROUND_ROBIN:
+            return BaselinePolicy(balancing=Balancing.ROUND_ROBIN)
+        case PolicyName.LEAST_IN_FLIGHT:
+            return BaselinePolicy(balancing=Balancing.LEAST_IN_FLIGHT)
+
+
+@click.command()
+@add_settings(ENTRY_SETTINGS)
+def main(**texts: str) -> None:
+    """Serve callers under the policy that the bench names."""
+    settings = build_entry_settings(texts)
+    policy = build_policy(PolicyName(os.environ[POLICY_VARIABLE]))
+    with click.open_file(texts["log_file"], "ab") as log_file:
+        sys.exit(run(settings, log_file, policy))
+
+
+if __name__ == "__main__":
+    main()
--- a/greengagestage/agent/__init__.py
+++ b/greengagestage/agent/__init__.py
@@ -1,1 +1,30 @@
-"""Control on a host: configuration, membership, orders and the operators' endpoint."""
+"""Control on a host: what it polls, pushes, orders; the operators' endpoint."""
+
+from ._configuration_store import (
+    Acceptance,
+    Accepted,
+    ConfigurationStore,
+    HeadState,
+    NotAccepted,
+    Overtaken,
+    Proposal,
+    Undecided,
+)
+from ._endpoint import listen_http
+from ._process import AgentProcess
+from ._settings import AgentSettings, AgentTimes
+
+__all__ = [
+    "Acceptance",
+    "Accepted",
+    "AgentProcess",
+    "AgentSettings",
+    "AgentTimes",
+    "ConfigurationStore",
+    "HeadState",
+    "NotAccepted",
+    "Overtaken",
+    "Proposal",
+    "Undecided",
+    "listen_http",
+]
--- /dev/null
+++ b/greengagestage/agent/_commands.py
@@ -0,0 +1,260 @@
+"""Carries out one command of an operator."""
+
+import time
+import uuid
+from typing import Protocol
+
+from eliot import log_message
+from msgspec.structs import replace
+from returns.result import Failure, Result, Success
+
+from greengagestage.configuration import (
+    Declaration,
+    Fault,
+    check_declaration,
+    compare_declarations,
+    decode_declaration,
+    read_checked_declaration,
+)
+from greengagestage.ids import CommandId, ConfigurationVersion, OperatorName, RequestId
+from greengagestage.language import (
+    SCHEMAS,
+    Change,
+    CommandAnswer,
+    CommandRequest,
+    Explain,
+    Help,
+    LanguageFault,
+    Order,
+    OrderArtifact,
+    OrderRole,
+    Row,
+    Show,
+    Subject,
+    answer_code,
+    answer_fault,
+    apply_change,
+    arrange_rows,
+    check_show,
+    describe_topic,
+    parse,
+    select_rows,
+)
+from greengagestage.platform import Unavailable
+from greengagestage.results import ResultCode
+
+from ._configuration_store import (
+    Acceptance,
+    Accepted,
+    ConfigurationStore,
+    HeadState,
+    NotAccepted,
+    Overtaken,
+    Proposal,
+    Undecided,
+)
+from ._configuration_watch import ConfigurationWatch
+from ._facts import Facts
+from ._queries import Queries
+
+DIFFERENCE_LINES = 200
+
+
+class OrderRunner(Protocol):
+    """Carries out orders to engines and tells of orders and leases."""
+
+    async def run(self, order: Order, operator: OperatorName, dry_run: bool) -> CommandAnswer:
+        """Carry out an order."""
+
+    async def list_rows(self, table: str) -> list[Row] | Unavailable:
+        """Return the rows of the tables ``orders`` and ``leases``."""
+
+
+class CommandRunner:
+    """Reads, checks and carries out commands. ``orders`` may be set after construction."""
+
+    def __init__(
+        self,
+        *,
+        facts: Facts,
+        queries: Queries,
+        store: ConfigurationStore,
+        watch: ConfigurationWatch,
+    ) -> None:
+        self.orders: OrderRunner | None = None
+        self._facts = facts
+        self._queries = queries
+        self._store = store
+        self._watch = watch
+
+    async def run(self, request: CommandRequest, operator: OperatorName) -> CommandAnswer:
+        """Carry out a command and return its answer, with the version in force here."""
+        match parse(request.text):
+            case Failure(LanguageFault() as fault):
+                answer = answer_fault(fault, request.text)
+            case Success(command):
+                log_message("operators: command", operator=operator, text=request.text)
+                answer = await self._run_command(command, request, operator)
+            case _:
+                answer = answer_code(ResultCode.INTERNAL_ERROR)
+        return replace(answer, version=self._watch.adoption.version)
+
+    async def apply_text(
+        self, toml: str, request: CommandRequest, operator: OperatorName
+    ) -> CommandAnswer:
+        """Make a whole declaration the next version."""
+        match read_checked_declaration(toml):
+            case Success(Declaration() as declaration):
+                head = await self._store.read_head()
+                if isinstance(head, Unavailable):
+                    return answer_code(ResultCode.STORE_UNAVAILABLE, head.reason)
+                return await self._propose(declaration, head, request, operator)
+            case Failure(faults):
+                return _answer_faults(faults)
+        return answer_code(ResultCode.INTERNAL_ERROR)
+
+    async def _run_command(
+        self, command: object, request: CommandRequest, operator: OperatorName
+    ) -> CommandAnswer:
+        match command:
+            case Show():
+                return await self._show(command, request.text)
+            case Explain():
+                return await self._explain(command, request.text)
+            case Help(topic=topic):
+                return CommandAnswer(messages=tuple(describe_topic(topic)))
+            case OrderArtifact() | OrderRole():
+                if self.orders is None:
+                    return answer_code(ResultCode.ORDER_REFUSED, "This host carries out no orders")
+                return await self.orders.run(command, operator, request.dry_run)
+            case _:
+                return await self._change(command, request, operator)  # type: ignore[arg-type]
+
+    async def _show(self, show: Show, text: str) -> CommandAnswer:
+        match check_show(show):
+            case Failure(LanguageFault() as fault):
+                return answer_fault(fault, text)
+        if SCHEMAS[show.table].per_host:
+            gathered = await self._queries.gather(text)
+            shown = arrange_rows(show, gathered.rows)
+            return CommandAnswer(
+                columns=shown.columns, rows=shown.rows, silent_hosts=gathered.silent_hosts
+            )
+        rows = await self._list_rows(show.table)
+        if isinstance(rows, Unavailable):
+            return answer_code(ResultCode.STORE_UNAVAILABLE, rows.reason)
+        shown = arrange_rows(show, select_rows(show, rows, time.time()))
+        return CommandAnswer(columns=shown.columns, rows=shown.rows)
+
+    async def _list_rows(self, table: str) -> list[Row] | Unavailable:
+        if table in ("orders", "leases") and self.orders is not None:
+            return await self.orders.list_rows(table)
+        return await self._facts.list_rows(table)
+
+    async def _explain(self, explain: Explain, text: str) -> CommandAnswer:
+        if explain.subject is Subject.UPSTREAM:
+            lines = self._facts.explain_upstream(explain.name)
+            if lines is None:
+                return answer_code(ResultCode.UNKNOWN_NAME, f"No upstream {explain.name!r}")
+            return CommandAnswer(messages=lines)
+        own = self._facts.explain_request(RequestId(explain.name))
+        if own is not None:
+            return CommandAnswer(messages=own)
+        gathered = await self._queries.gather(text)
+        if gathered.rows:
+            return CommandAnswer(messages=tuple(str(row[0]) for row in gathered.rows))
+        answer = answer_code(ResultCode.UNKNOWN_NAME, f"No host knows request {explain.name!r}")
+        return replace(answer, silent_hosts=gathered.silent_hosts)
+
+    async def _change(
+        self, change: Change, request: CommandRequest, operator: OperatorName
+    ) -> CommandAnswer:
+        head = await self._store.read_head()
+        if isinstance(head, Unavailable):
+            return answer_code(ResultCode.STORE_UNAVAILABLE, head.reason)
+        if change.if_version is not None and change.if_version != head.version:
+            return _answer_conflict(change.if_version, head.version)
+        base = await self._read_base(head)
+        if isinstance(base, Unavailable):
+            return answer_code(ResultCode.STORE_UNAVAILABLE, base.reason)
+        if base is None:
+            return answer_code(ResultCode.NO_CONFIGURATION)
+        changed: Result[Declaration, LanguageFault] = apply_change(change, base)
+        match changed:
+            case Failure(LanguageFault() as fault):
+                return answer_fault(fault, request.text)
+            case Success(Declaration() as declaration):
+                return await self._propose(declaration, head, request, operator)
+        return answer_code(ResultCode.INTERNAL_ERROR)
+
+    async def _read_base(self, head: HeadState) -> Declaration | Unavailable | None:
+        """Return the declaration that a change starts from: the newest that was accepted."""
+        in_force = self._watch.adoption.in_force
+        if in_force is not None and in_force.head.version >= head.version:
+            return in_force.declaration
+        if head.row is None:
+            return None
+        document = await self._store.read_document(head.row.digest)
+        return document if isinstance(document, Unavailable) else decode_declaration(document)
+
+    async def _propose(
+        self,
+        declaration: Declaration,
+        head: HeadState,
+        request: CommandRequest,
+        operator: OperatorName,
+    ) -> CommandAnswer:
+        faults = check_declaration(declaration)
+        if faults:
+            return _answer_faults(faults)
+        lines = await self._describe_difference(declaration, head)
+        if request.dry_run or not lines:
+            note = "nothing was changed: dry run" if lines else "nothing to change"
+            return CommandAnswer(messages=(*lines, note))
+        proposal = Proposal(
+            declaration=declaration,
+            operator=operator,
+            command_id=request.command_id or CommandId(uuid.uuid4().hex),
+            command=request.text,
+        )
+        accepted = await self._store.accept(proposal, head, self._watch.adoption.version)
+        if isinstance(accepted, Accepted):
+            self._watch.receive_accepted(accepted.head, declaration)
+        return _answer_acceptance(accepted, lines)
+
+    async def _describe_difference(
+        self, declaration: Declaration, head: HeadState
+    ) -> tuple[str, ...]:
+        base = await self._read_base(head)
+        known = None if isinstance(base, Unavailable) else base
+        differences = compare_declarations(known, declaration)
+        lines = tuple(difference.describe() for difference in differences[:DIFFERENCE_LINES])
+        left = len(differences) - len(lines)
+        return (*lines, f"and {left} more") if left else lines
+
+
+def _answer_faults(faults: tuple[Fault, ...]) -> CommandAnswer:
+    return answer_code(
+        ResultCode.DECLARATION_INVALID, *(fault.describe() for fault in faults[:DIFFERENCE_LINES])
+    )
+
+
+def _answer_conflict(
+    based_on: ConfigurationVersion, accepted: ConfigurationVersion
+) -> CommandAnswer:
+    detail = f"the command was based on version {based_on}, accepted is version {accepted}"
+    return answer_code(ResultCode.VERSION_CONFLICT, detail)
+
+
+def _answer_acceptance(acceptance: Acceptance, lines: tuple[str, ...]) -> CommandAnswer:
+    match acceptance:
+        case Accepted(head=head):
+            return CommandAnswer(messages=(*lines, f"accepted as version {head.version}"))
+        case Overtaken(based_on=based_on, accepted=accepted):
+            return _answer_conflict(based_on, accepted)
+        case NotAccepted(reason=reason):
+            return answer_code(ResultCode.STORE_UNAVAILABLE, f"not accepted: {reason}")
+        case Undecided(reason=reason):
+            return answer_code(
+                ResultCode.OUTCOME_UNKNOWN, reason, "send it again with the same command id"
+            )
--- /dev/null
+++ b/greengagestage/agent/_configuration_store.py
@@ -0,0 +1,267 @@
+"""Configuration versions in the platform's table and object store.
+
+A version is accepted when one transaction has moved the head by compare-and-set, written the
+history and ended the command. Its document is stored first, so that a head never names a missing
+one. When the transaction's answer is lost, the command's row settles what happened.
+"""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from eliot import log_message
+from msgspec import MsgspecError
+
+from greengagestage.configuration import (
+    HEAD_KEY,
+    NO_VERSION,
+    CommandRow,
+    Declaration,
+    Head,
+    VersionRow,
+    compute_digest,
+    encode_declaration,
+    format_command_key,
+    format_document_key,
+    format_history_key,
+)
+from greengagestage.ids import CommandId, ConfigurationVersion, OperatorName
+from greengagestage.platform import (
+    ABSENT,
+    Committed,
+    Conflict,
+    ObjectClient,
+    ObjectMissing,
+    Put,
+    Row,
+    TableClient,
+    TransactOutcome,
+    Unavailable,
+    Unknown,
+)
+
+SETTLE_ATTEMPTS = 5
+SETTLE_PAUSE_S = 0.5
+
+Pause = Callable[[float], Awaitable[object]]
+"""Waits for a number of seconds."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeadState:
+    """The head as it was read; ``row`` is None before the first version."""
+
+    row: VersionRow | None
+    revision: int
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The head's version, ``NO_VERSION`` before the first."""
+        return NO_VERSION if self.row is None else self.row.version
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Proposal:
+    """A declaration that an operator wants in force, and where it comes from.
+
+    ``command`` is what the operator asked for, for the record.
+    """
+
+    declaration: Declaration
+    operator: OperatorName
+    command_id: CommandId
+    command: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Accepted:
+    """The version is accepted: it will be in force everywhere."""
+
+    head: Head
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overtaken:
+    """Another version was accepted first, so this one was not."""
+
+    based_on: ConfigurationVersion
+    accepted: ConfigurationVersion
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotAccepted:
+    """The version was certainly not accepted and never will be."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Undecided:
+    """The version may have been accepted: the store did not answer in time."""
+
+    reason: str
+
+
+Acceptance = Accepted | Overtaken | NotAccepted | Undecided
+
+
+class ConfigurationStore:
+    """Reads and moves the configuration's head."""
+
+    def __init__(
+        self,
+        *,
+        table: TableClient,
+        objects: ObjectClient,
+        pause: Pause,
+        seconds: Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._pause = pause
+        self._seconds = seconds
+
+    async def read_head(self) -> HeadState | Unavailable:
+        """Read the head."""
+        row = await self._table.read_row(HEAD_KEY)
+        if isinstance(row, Unavailable):
+            return row
+        return _decode_head(row)
+
+    async def read_document(self, digest: str) -> bytes | Unavailable:
+        """Read a version's document. Its digest is not checked here."""
+        document = await self._objects.get(format_document_key(digest))
+        if isinstance(document, ObjectMissing):
+            return Unavailable(reason="the document is missing")
+        return document
+
+    async def accept(
+        self, proposal: Proposal, base: HeadState, in_force: ConfigurationVersion = NO_VERSION
+    ) -> Acceptance:
+        """Make a proposal the next version after ``base``.
+
+        ``in_force`` is the version that runs on this host: the new one lies above it even if the
+        store has lost versions. A command that was accepted before is not carried out again.
+        """
+        document = encode_declaration(proposal.declaration)
+        digest = compute_digest(document)
+        earlier = await self._read_command(proposal.command_id)
+        if not isinstance(earlier, _NoCommand):
+            return earlier
+        stored = await self._objects.put(format_document_key(digest), document)
+        if isinstance(stored, Unavailable | Unknown):
+            return NotAccepted(reason=f"the document was not stored: {stored.reason}")
+        version = ConfigurationVersion(max(base.version, in_force) + 1)
+        row = VersionRow(
+            version=version,
+            digest=digest,
+            command_id=proposal.command_id,
+            operator=proposal.operator,
+            at=self._seconds(),
+            command=proposal.command,
+        )
+        outcome = await self._table.transact(_list_operations(row, base.revision))
+        return await self._judge(outcome, row, base)
+
+    async def restore(self, row: VersionRow, document: bytes, base: HeadState) -> bool:
+        """Give a version back to a store that has lost it; tell whether the store took it.
+
+        A head that moved since ``base`` was read stays as it is, and so does a known history.
+        """
+        stored = await self._objects.put(format_document_key(row.digest), document)
+        if isinstance(stored, Unavailable | Unknown):
+            return False
+        outcome = await self._table.transact([Put(key=HEAD_KEY, value=row, expect=base.revision)])
+        history = Put(key=format_history_key(row.version), value=row, expect=ABSENT)
+        await self._table.transact([history])
+        return isinstance(outcome, Committed)
+
+    async def _judge(
+        self, outcome: TransactOutcome, row: VersionRow, base: HeadState
+    ) -> Acceptance:
+        match outcome:
+            case Committed():
+                return Accepted(head=Head(version=row.version, digest=row.digest))
+            case Conflict(rows=rows):
+                return _judge_conflict(rows, row, base)
+            case Unavailable(reason=reason):
+                return NotAccepted(reason=reason)
+            case Unknown(reason=reason):
+                return await self._settle(row, reason)
+
+    async def _settle(self, row: VersionRow, reason: str) -> Acceptance:
+        """Find out what became of a transaction, or make sure that it never takes effect.
+
+        The command's row decides: the transaction needs it absent, and so does the row written
+        here. Only one of the two can exist.
+        """
+        key = format_command_key(row.command_id)
+        abandon = Put(key=key, value=CommandRow(version=NO_VERSION), expect=ABSENT)
+        for _ in range(SETTLE_ATTEMPTS):
+            log_message("configuration: settling a lost answer", command_id=row.command_id)
+            outcome = await self._table.transact([abandon])
+            match outcome:
+                case Committed():
+                    return NotAccepted(reason=f"the store did not take it: {reason}")
+                case Conflict(rows=rows):
+                    return _judge_command(rows[0], row.digest)
+                case _:
+                    await self._pause(SETTLE_PAUSE_S)
+        return Undecided(reason=reason)
+
+    async def _read_command(self, command_id: CommandId) -> "Acceptance | _NoCommand":
+        row = await self._table.read_row(format_command_key(command_id))
+        if isinstance(row, Unavailable):
+            return NotAccepted(reason=row.reason)
+        if not row.exists:
+            return _NoCommand()
+        version = row.decode(CommandRow).version
+        if version == NO_VERSION:
+            return NotAccepted(reason="the command was given up before; use a new command id")
+        history = await self._table.read_row(format_history_key(version))
+        if isinstance(history, Unavailable) or not history.exists:
+            return Undecided(reason=f"the command made version {version}, which cannot be read")
+        digest = history.decode(VersionRow).digest
+        return Accepted(head=Head(version=version, digest=digest))
+
+
+@dataclass(frozen=True, slots=True)
+class _NoCommand:
+    """Nothing is known of a command."""
+
+
+def _list_operations(row: VersionRow, revision: int) -> list[Put]:
+    return [
+        Put(key=HEAD_KEY, value=row, expect=revision),
+        Put(key=format_history_key(row.version), value=row, expect=ABSENT),
+        Put(
+            key=format_command_key(row.command_id),
+            value=CommandRow(version=row.version),
+            expect=ABSENT,
+        ),
+    ]
+
+
+def _decode_head(row: Row) -> HeadState | Unavailable:
+    if not row.exists:
+        return HeadState(row=None, revision=ABSENT)
+    try:
+        return HeadState(row=row.decode(VersionRow), revision=row.revision)
+    except MsgspecError as error:
+        return Unavailable(reason=f"the head cannot be read: {error}")
+
+
+def _judge_conflict(rows: tuple[Row, ...], row: VersionRow, base: HeadState) -> Acceptance:
+    head = _decode_head(rows[0])
+    if isinstance(head, Unavailable):
+        return NotAccepted(reason=head.reason)
+    if head.row is not None and head.row.command_id == row.command_id:
+        return Accepted(head=Head(version=head.row.version, digest=head.row.digest))
+    return Overtaken(based_on=base.version, accepted=head.version)
+
+
+def _judge_command(command: Row, digest: str) -> Acceptance:
+    version = command.decode(CommandRow).version
+    if version == NO_VERSION:
+        return NotAccepted(reason="the store did not take it")
+    return Accepted(head=Head(version=version, digest=digest))
--- /dev/null
+++ b/greengagestage/agent/_entry_feed.py
@@ -0,0 +1,146 @@
+"""Tells the entry process of upstreams and shares, and the fleet of this host's demand."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from greengagestage.configuration import UpstreamKind
+from greengagestage.ids import UpstreamName
+from greengagestage.membership import HostDemand, Membership, SharedUpstream, compute_shares
+from greengagestage.wire import (
+    AgentMessage,
+    HostReport,
+    HostShares,
+    MemberState,
+    UpstreamStatuses,
+)
+
+from ._entry_reports import EntryReports
+from ._load_polls import LoadPolls
+from ._share_updates import ShareUpdates
+from ._upstream_view import UpstreamView, list_pools
+
+FEED_INTERVAL_S = 0.5
+FULL_REPORT_HOSTS = 32
+"""Up to this number of hosts, work in flight is shared too."""
+DEMAND_TENTHS = 10
+
+
+class EntryFeed:
+    """Collects what has changed and sends it at short intervals."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        membership: Membership,
+        upstreams: UpstreamView,
+        reports: EntryReports,
+        polls: LoadPolls,
+        send: Callable[[AgentMessage], None],
+    ) -> None:
+        self._membership = membership
+        self._upstreams = upstreams
+        self._reports = reports
+        self._polls = polls
+        self._send = send
+        self._changed: set[UpstreamName] = set()
+        self._hosts_changed = False
+        self._reported_at_s = float("-inf")
+        self._shared_at_s = float("-inf")
+        self._sequence = 0
+        self._shares = ShareUpdates(reactor=reactor, send=self._send_shares)
+        self._loop = LoopingCall(self._feed)
+        self._loop.clock = reactor
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._loop.start(FEED_INTERVAL_S, now=False)
+
+    def stop(self) -> None:
+        """Stop sending."""
+        self._shares.stop()
+        if self._loop.running:
+            self._loop.stop()
+
+    def note_upstreams(self, names: Iterable[UpstreamName]) -> None:
+        """Send the status of these upstreams soon, of leaving ones at once."""
+        self._changed.update(names)
+        if any(self._membership.is_leaving(name) for name in self._changed):
+            self._send_statuses()
+            self._hosts_changed = True
+
+    def note_hosts(self) -> None:
+        """Compute the shares anew soon."""
+        self._hosts_changed = True
+
+    def _feed(self) -> None:
+        now_s = time.monotonic()
+        self._send_statuses()
+        interval_s = self._membership.get_report_interval_s()
+        if now_s - self._reported_at_s >= interval_s:
+            self._reported_at_s = now_s
+            self._report_demand(now_s)
+        if self._hosts_changed or now_s - self._shared_at_s >= interval_s:
+            self._hosts_changed = False
+            self._shared_at_s = now_s
+            self._compute_shares()
+
+    def _send_statuses(self) -> None:
+        if self._changed:
+            statuses = self._upstreams.build_statuses(self._changed)
+            self._changed.clear()
+            if statuses:
+                self._send(UpstreamStatuses(statuses=statuses))
+
+    def _report_demand(self, now_s: float) -> None:
+        self._sequence += 1
+        is_small = len(self._membership.list_members()) <= FULL_REPORT_HOSTS
+        demand = {
+            pool: round(DEMAND_TENTHS * weight) for pool, weight in self._reports.demand.items()
+        }
+        self._membership.report_demand(
+            HostReport(
+                host=self._membership.own.host,
+                incarnation=self._membership.own.incarnation,
+                sequence=self._sequence,
+                version=self._membership.version,
+                demand={pool: tenths for pool, tenths in demand.items() if tenths},
+                in_flight=dict(self._reports.in_flight) if is_small else {},
+            ),
+            now_s,
+        )
+
+    def _compute_shares(self) -> None:
+        """Compute this host's shares; a leaving host keeps those that it has."""
+        own = self._membership.own
+        if not self._upstreams.declared or own.state is not MemberState.LIVE:
+            return
+        members = self._membership.list_members()
+        reports = self._membership.measurements.reports
+        hosts = [
+            HostDemand(
+                host=record.host,
+                demand=reports[record.host].demand if record.host in reports else {},
+            )
+            for record in members
+        ]
+        working = [
+            SharedUpstream(name=upstream.name, slots=upstream.slots, pools=list_pools(upstream))
+            for upstream in self._upstreams.list_working()
+        ]
+        shares = compute_shares(hosts, working).get(own.host, {})
+        slots = dict.fromkeys(self._upstreams.declared, 0) | shares
+        self._shares.update(HostShares(slots=slots, entry_hosts=len(members)))
+
+    def _send_shares(self, shares: HostShares) -> None:
+        self._send(shares)
+        self._polls.set_engines(
+            {
+                upstream.name: upstream.url
+                for upstream in self._upstreams.declared.values()
+                if upstream.kind is UpstreamKind.ENGINE and shares.slots.get(upstream.name, 0)
+            }
+        )
--- /dev/null
+++ b/greengagestage/agent/_entry_reports.py
@@ -0,0 +1,50 @@
+"""What the entry process last told of its demand and its work in flight."""
+
+import time
+from dataclasses import dataclass, field
+
+from greengagestage.configuration import Declaration
+from greengagestage.ids import PoolName, UpstreamName
+from greengagestage.wire import EntryStatus
+
+SMOOTHING = 0.3
+"""Weight of a new status in the smoothed demand."""
+PRIORITY_FACTOR = 0.5
+"""A class weighs this much of the class one priority above."""
+ENTRY_SILENCE_S = 5.0
+
+
+@dataclass(slots=True, kw_only=True)
+class EntryReports:
+    """The newest status of the entry process, and its demand smoothed over some seconds."""
+
+    demand: dict[PoolName, float] = field(default_factory=dict)
+    in_flight: dict[UpstreamName, int] = field(default_factory=dict)
+    stopping: bool = False
+    heard_at_s: float = 0.0
+
+    @property
+    def is_heard(self) -> bool:
+        """Whether the entry process reported of late."""
+        return time.monotonic() - self.heard_at_s < ENTRY_SILENCE_S
+
+    def record(self, status: EntryStatus, declaration: Declaration | None) -> None:
+        """Take a status."""
+        self.heard_at_s = time.monotonic()
+        self.in_flight = {name: count for name, count in status.in_flight.items() if count}
+        self.stopping = status.stopping
+        weights = _weigh_classes(declaration)
+        fresh = {
+            pool: sum(weights.get(name, 1.0) * count for name, count in classes.items())
+            for pool, classes in status.demand.items()
+        }
+        for pool in self.demand.keys() | fresh.keys():
+            old = self.demand.get(pool, 0.0)
+            self.demand[pool] = old + SMOOTHING * (fresh.get(pool, 0.0) - old)
+
+
+def _weigh_classes(declaration: Declaration | None) -> dict[str, float]:
+    if declaration is None:
+        return {}
+    ordered = sorted(declaration.classes, key=lambda item: item.priority)
+    return {item.name: PRIORITY_FACTOR**rank for rank, item in enumerate(ordered)}
--- /dev/null
+++ b/greengagestage/agent/_host_list_watch.py
@@ -0,0 +1,81 @@
+"""Polls the platform's host list: seldom on each host, often enough over the fleet."""
+
+import time
+from random import Random
+from typing import Any
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from greengagestage.membership import Membership
+from greengagestage.platform import HostList, HostListClient, HostState
+
+from ._fleet import Fleet
+from ._listed_upstreams import judge_list
+
+FLEET_POLL_INTERVAL_S = 2.0
+"""Mean time between two polls of the whole fleet, when it is large."""
+
+
+class HostListWatch:
+    """Takes seeds and leaving upstreams from the list; nothing is dropped because of it."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        client: HostListClient,
+        fleet: Fleet,
+        interval_s: float,
+        lag_s: float,
+        random: Random,
+    ) -> None:
+        self._reactor = reactor
+        self._client = client
+        self._fleet = fleet
+        self._interval_s = interval_s
+        self._lag_s = lag_s
+        self._random = random
+        self._next_poll: Any = None
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._poll()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._next_poll is not None and self._next_poll.active():
+            self._next_poll.cancel()
+
+    def _poll(self) -> None:
+        hosts = len(self._fleet.membership.list_members())
+        mean_s = max(self._interval_s, hosts * FLEET_POLL_INTERVAL_S)
+        if hosts <= 1:
+            mean_s = self._interval_s
+        self._next_poll = self._reactor.callLater(
+            mean_s * self._random.uniform(0.5, 1.5), self._poll
+        )
+        Deferred.fromCoroutine(self._read()).addErrback(
+            lambda failure: log_message("membership: fault", fault=failure.getTraceback())
+        )
+
+    async def _read(self) -> None:
+        listed = await self._client.read()
+        if isinstance(listed, HostList):
+            self._apply(listed, self._fleet.membership)
+
+    def _apply(self, listed: HostList, membership: Membership) -> None:
+        now_s = time.monotonic()
+        membership.add_seeds(
+            host.address
+            for host in listed.hosts
+            if host.state is HostState.LIVE and host.host != membership.own.host
+        )
+        marks = {
+            mark.upstream: (mark, membership.book.get_age_s(mark, now_s))
+            for mark in membership.book.list_marks()
+        }
+        for name, leaving in judge_list(listed, marks, self._lag_s):
+            log_message("membership: list marks upstream", upstream=name, leaving=leaving)
+            membership.mark_upstream(name, leaving, now_s)
+        self._fleet.after_event()
--- /dev/null
+++ b/greengagestage/agent/_load_client.py
@@ -0,0 +1,78 @@
+"""Reads the load reports of model engines."""
+
+from typing import Any, cast
+
+import msgspec
+from msgspec import Struct
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool
+
+REPORT_LIMIT_BYTES = 64 * 1024
+IDLE_CONNECTION_TIMEOUT_S = 60.0
+
+
+class LoadReport(Struct, frozen=True, kw_only=True):
+    """What an engine says of itself, ``age_ms`` ago."""
+
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    age_ms: int = 0
+
+
+class _BodyReader(Protocol):
+    """Collects a body up to a bound."""
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
+        self._data = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a chunk, or cut the connection when the body is too long."""
+        self._data += data
+        if len(self._data) > REPORT_LIMIT_BYTES:
+            self.abort()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Hand over what came; a cut body does not decode."""
+        if not self.done.called:
+            self.done.callback(self._data)
+
+    def abort(self) -> None:
+        """Close the connection, so that it is not used again."""
+        if self.transport is not None:
+            cast(Any, self.transport).loseConnection()
+
+
+class LoadClient:
+    """One call at a time to each engine, over connections that stay open."""
+
+    def __init__(self, *, reactor: Any, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+        self._pool = cast(Any, HTTPConnectionPool)(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = 1
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
+        self._pool.retryAutomatically = False
+        self._http = cast(Any, Agent)(reactor, connectTimeout=timeout_s, pool=self._pool)
+
+    async def read(self, url: str) -> LoadReport | None:
+        """Return an engine's report, or None if it gave none in time."""
+        try:
+            call: Deferred[LoadReport | None] = Deferred.fromCoroutine(self._exchange(url))
+            return await call.addTimeout(self._timeout_s, self._reactor)
+        except Exception:
+            return None
+
+    def close(self) -> Deferred[Any]:
+        """Close the idle connections."""
+        return cast(Deferred[Any], self._pool.closeCachedConnections())
+
+    async def _exchange(self, url: str) -> LoadReport | None:
+        response = await self._http.request(b"GET", f"{url.rstrip('/')}/load".encode())
+        reader = _BodyReader()
+        response.deliverBody(reader)
+        body = await reader.done
+        return msgspec.json.decode(body, type=LoadReport) if response.code == 200 else None
--- /dev/null
+++ b/greengagestage/agent/_process.py
@@ -0,0 +1,234 @@
+"""The agent process: everything for control on one host."""
+
+import time
+from random import Random
+from typing import Any
+
+from eliot import log_message
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.task import deferLater
+
+from greengagestage.configuration import Version
+from greengagestage.ids import UpstreamName
+from greengagestage.membership import (
+    Change,
+    FingerprintQuarantined,
+    HostsChanged,
+    UpstreamsChanged,
+    VersionHeard,
+)
+from greengagestage.platform import HostListClient, ObjectClient, TableClient
+from greengagestage.wire import (
+    ConfigurationInForce,
+    CrashReport,
+    EntryEndpoint,
+    EntryMessage,
+    EntryStatus,
+    LoadRecord,
+    MemberState,
+    QuarantineNotice,
+    RequestRecords,
+    UpstreamLeavingNotice,
+)
+
+from ._commands import CommandRunner
+from ._configuration_store import ConfigurationStore
+from ._configuration_watch import ConfigurationWatch
+from ._entry_feed import EntryFeed
+from ._entry_reports import EntryReports
+from ._facts import Facts
+from ._fleet import Fleet
+from ._host_list_watch import HostListWatch
+from ._load_client import LoadClient
+from ._load_polls import LoadPolls
+from ._queries import Queries
+from ._request_log import RequestLog
+from ._settings import AgentSettings
+from ._upstream_view import UpstreamView
+
+
+class AgentProcess:
+    """Builds the parts of an agent and passes on what each one learns."""
+
+    def __init__(self, *, reactor: Any, settings: AgentSettings, random: Random) -> None:
+        times = settings.times
+        clients: dict[str, Any] = {
+            "reactor": reactor,
+            "base_url": settings.platform,
+            "timeout_s": times.platform_timeout_s,
+        }
+        self.settings = settings
+        self._reactor = reactor
+        self._stopping = False
+        self.reports = EntryReports()
+        self.requests = RequestLog()
+        self.table = TableClient(**clients)
+        self._objects = ObjectClient(**clients)
+        self._list_client = HostListClient(**clients)
+        self.store = ConfigurationStore(
+            table=self.table,
+            objects=self._objects,
+            pause=lambda seconds: deferLater(reactor, seconds),
+        )
+        self.watch = ConfigurationWatch(
+            reactor=reactor,
+            store=self.store,
+            interval_s=times.head_interval_s,
+            random=random,
+            on_adopted=self._adopt,
+        )
+        self.fleet = Fleet(
+            reactor=reactor,
+            settings=settings,
+            random=random,
+            on_change=self._receive_change,
+            on_document=self.watch.receive_document,
+            on_query=lambda sender, message: self.queries.receive(sender, message),
+        )
+        self._list_watch = HostListWatch(
+            reactor=reactor,
+            client=self._list_client,
+            fleet=self.fleet,
+            interval_s=times.list_interval_s,
+            lag_s=times.list_lag_s,
+            random=random,
+        )
+        membership = self.fleet.membership
+        self._polls = LoadPolls(
+            reactor=reactor,
+            client=LoadClient(reactor=reactor, timeout_s=times.load_timeout_s),
+            loads=membership.measurements.loads,
+            polls_per_s=settings.load_polls_per_s,
+            interval_s=times.load_interval_s,
+            on_load=self._receive_load,
+            on_failure=lambda name: self._feed.note_upstreams([name]),
+        )
+        self.upstreams = UpstreamView(membership=membership, polls=self._polls)
+        self.entries = EntryEndpoint(
+            reactor=reactor,
+            address=settings.entry_listen,
+            fleet_keys=settings.fleet_keys,
+            on_message=self._receive_entry_message,
+        )
+        self._feed = EntryFeed(
+            reactor=reactor,
+            membership=membership,
+            upstreams=self.upstreams,
+            reports=self.reports,
+            polls=self._polls,
+            send=self.entries.broadcast,
+        )
+        self.facts = Facts(
+            host=settings.host,
+            adoption=self.watch.adoption,
+            membership=membership,
+            upstreams=self.upstreams,
+            requests=self.requests,
+            table=self.table,
+        )
+        self.queries = Queries(
+            reactor=reactor, fleet=self.fleet, facts=self.facts, timeout_s=times.query_timeout_s
+        )
+        self.commands = CommandRunner(
+            facts=self.facts, queries=self.queries, store=self.store, watch=self.watch
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is in force here and the process is not stopping."""
+        return self.watch.adoption.in_force is not None and not self._stopping
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stopping
+
+    def start(self) -> None:
+        """Listen and begin to work.
+
+        Raises:
+            pynng.exceptions.NNGException: An address cannot be listened on.
+        """
+        self.entries.start()
+        self.fleet.start()
+        self.watch.start()
+        self._list_watch.start()
+        self._polls.start()
+        self._feed.start()
+        log_message("agent: started", host=self.settings.host)
+
+    def stop(self) -> Deferred[Any]:
+        """Tell the neighbours, then close everything."""
+        if not self._stopping:
+            self._stopping = True
+            self.fleet.set_state(MemberState.LEAVING)
+        notice: Deferred[Any] = deferLater(self._reactor, self.settings.times.leave_notice_s)
+        return notice.addCallback(lambda _: self._close())
+
+    def _close(self) -> Deferred[Any]:
+        self._feed.stop()
+        self._list_watch.stop()
+        self.watch.stop()
+        self.fleet.stop()
+        self.entries.stop()
+        log_message("agent: stopped", host=self.settings.host)
+        clients = (self.table, self._objects, self._list_client)
+        return DeferredList([self._polls.stop(), *(client.close() for client in clients)])
+
+    def _adopt(self, version: Version) -> None:
+        head = version.head
+        self.upstreams.set_declaration(version.declaration)
+        names = [upstream.name for upstream in version.declaration.upstreams]
+        self.fleet.membership.measurements.forget_loads(names)
+        self.entries.broadcast(
+            ConfigurationInForce(
+                version=head.version, digest=head.digest, document=version.document
+            )
+        )
+        self.fleet.set_version(version)
+        self._feed.note_hosts()
+        self._feed.note_upstreams(names)
+
+    def _receive_load(self, record: LoadRecord) -> None:
+        self.fleet.membership.report_load(record, time.monotonic())
+        self._feed.note_upstreams([record.upstream])
+
+    def _receive_change(self, change: Change) -> None:
+        match change:
+            case HostsChanged():
+                self._feed.note_hosts()
+            case UpstreamsChanged(upstreams=upstreams):
+                self._feed.note_upstreams(upstreams)
+            case FingerprintQuarantined(fingerprint=fingerprint):
+                log_message("membership: fingerprint quarantined", fingerprint=fingerprint)
+                self.entries.broadcast(QuarantineNotice(fingerprint=fingerprint))
+            case VersionHeard(version=version, address=address):
+                self.fleet.request_document(version, address)
+
+    def _receive_entry_message(self, message: EntryMessage) -> None:
+        now_s = time.monotonic()
+        membership = self.fleet.membership
+        match message:
+            case EntryStatus():
+                self._receive_status(message)
+            case CrashReport(fingerprint=fingerprint, upstream=upstream):
+                membership.report_crash(fingerprint, upstream, now_s)
+            case QuarantineNotice(fingerprint=fingerprint):
+                membership.quarantine(fingerprint, now_s)
+            case UpstreamLeavingNotice(upstream=upstream):
+                self._mark_leaving(upstream)
+            case RequestRecords(records=records):
+                self.requests.record(records)
+        self.fleet.after_event()
+
+    def _receive_status(self, status: EntryStatus) -> None:
+        version = self.watch.adoption.in_force
+        self.reports.record(status, version.declaration if version else None)
+        if not self._stopping:
+            state = MemberState.LEAVING if status.stopping else MemberState.LIVE
+            self.fleet.membership.set_state(state, time.monotonic())
+
+    def _mark_leaving(self, upstream: UpstreamName) -> None:
+        log_message("membership: upstream refuses because it leaves", upstream=upstream)
+        self.fleet.membership.mark_upstream(upstream, True, time.monotonic())
+        self._feed.note_upstreams([upstream])
--- /dev/null
+++ b/greengagestage/agent/_queries.py
@@ -0,0 +1,139 @@
+"""Asks other hosts for their rows of an operator's query, within a time limit."""
+
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from eliot import log_message
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred
+
+from greengagestage.ids import HostId, RequestId
+from greengagestage.language import Explain, Row, Show, Subject, check_show, parse, select_rows
+from greengagestage.platform import Unavailable
+from greengagestage.wire import QueryAnswer, QueryRequest
+
+from ._facts import Facts
+from ._fleet import Fleet, QueryMessage
+from ._request_log import REQUESTS_KEPT
+
+ROWS_LIMIT = REQUESTS_KEPT
+ROWS_LIMIT_BYTES = 2 * 1024 * 1024
+
+_DECODER = msgspec.json.Decoder(list[Row])
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatheredRows:
+    """Rows of all hosts, and the hosts that did not answer in time or gave only a part."""
+
+    rows: list[Row]
+    silent_hosts: tuple[HostId, ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class _OpenQuery:
+    waiting: set[HostId]
+    done: Deferred[None]
+    rows: list[Row] = field(default_factory=list)
+    partial: set[HostId] = field(default_factory=set)
+
+
+class Queries:
+    """Open queries of this host, and answers to those of others."""
+
+    def __init__(self, *, reactor: Any, fleet: Fleet, facts: Facts, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._fleet = fleet
+        self._facts = facts
+        self._timeout_s = timeout_s
+        self._open: dict[int, _OpenQuery] = {}
+        self._number = 0
+
+    async def gather(self, text: str) -> GatheredRows:
+        """Return the rows that a query selects on all hosts, this one included."""
+        own = await select_own_rows(text, self._facts)
+        membership = self._fleet.membership
+        others = [r for r in membership.list_members() if r.host != membership.own.host]
+        if not others:
+            return GatheredRows(rows=own, silent_hosts=())
+        self._number += 1
+        number = self._number
+        query = _OpenQuery(waiting={record.host for record in others}, done=Deferred())
+        self._open[number] = query
+        for record in others:
+            request = QueryRequest(query=number, text=text, address=membership.own.address)
+            self._fleet.socket.send(record.address, request)
+        timeout = self._reactor.callLater(self._timeout_s, self._end, number)
+        await query.done
+        if timeout.active():
+            timeout.cancel()
+        silent = tuple(sorted(query.waiting | query.partial))
+        return GatheredRows(rows=own + query.rows, silent_hosts=silent)
+
+    def receive(self, sender: HostId, message: QueryMessage) -> None:
+        """Take a query or an answer of another host."""
+        match message:
+            case QueryRequest():
+                answering = Deferred.fromCoroutine(self._answer(message))
+                answering.addErrback(
+                    lambda failure: log_message("agent: fault", fault=failure.getTraceback())
+                )
+            case QueryAnswer():
+                self._take_answer(sender, message)
+
+    async def _answer(self, request: QueryRequest) -> None:
+        rows = await select_own_rows(request.text, self._facts)
+        encoded, whole = encode_rows(rows)
+        answer = QueryAnswer(query=request.query, rows=encoded, truncated=not whole)
+        self._fleet.socket.send(request.address, answer)
+
+    def _take_answer(self, sender: HostId, answer: QueryAnswer) -> None:
+        query = self._open.get(answer.query)
+        if query is None or sender not in query.waiting:
+            return
+        try:
+            query.rows += _DECODER.decode(answer.rows)
+        except msgspec.MsgspecError:
+            return
+        query.waiting.discard(sender)
+        if answer.truncated:
+            query.partial.add(sender)
+        if not query.waiting:
+            self._end(answer.query)
+
+    def _end(self, number: int) -> None:
+        query = self._open.pop(number, None)
+        if query is not None:
+            query.done.callback(None)
+
+
+async def select_own_rows(text: str, facts: Facts) -> list[Row]:
+    """Return this host's rows of a query; a line that is no query has none."""
+    match parse(text):
+        case Success(Show() as show):
+            return await _select_shown(show, facts)
+        case Success(Explain(subject=Subject.REQUEST, name=name)):
+            lines = facts.explain_request(RequestId(name))
+            return [(line,) for line in lines or ()]
+    return []
+
+
+async def _select_shown(show: Show, facts: Facts) -> list[Row]:
+    if isinstance(check_show(show), Failure):
+        return []
+    rows = await facts.list_rows(show.table)
+    if isinstance(rows, Unavailable):
+        return []
+    return select_rows(show, rows, time.time())
+
+
+def encode_rows(rows: list[Row]) -> tuple[bytes, bool]:
+    """Return as many rows as fit into one answer, and whether these are all."""
+    kept = rows[:ROWS_LIMIT]
+    encoded = msgspec.json.encode(kept)
+    while len(encoded) > ROWS_LIMIT_BYTES:
+        kept = kept[: len(kept) // 2]
+        encoded = msgspec.json.encode(kept)
+    return encoded, len(kept) == len(rows)
--- /dev/null
+++ b/greengagestage/agent/_share_updates.py
@@ -0,0 +1,61 @@
+"""Applies new shares: slots are given up at once and taken a moment later.
+
+Hosts compute the shares from the same facts, but do not hear them at the same moment. A host that
+takes slots therefore waits until the others have had time to give them up.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from greengagestage.wire import HostShares
+
+RAISE_DELAY_S = 3.0
+
+
+class ShareUpdates:
+    """The shares told to the entry process. ``send`` is called with each change."""
+
+    def __init__(self, *, reactor: Any, send: Callable[[HostShares], None]) -> None:
+        self._reactor = reactor
+        self._send = send
+        self._sent: HostShares | None = None
+        self._computed: HostShares | None = None
+        self._raise: Any = None
+
+    @property
+    def current(self) -> HostShares | None:
+        """The shares that the entry process has."""
+        return self._sent
+
+    def update(self, computed: HostShares) -> None:
+        """Take newly computed shares."""
+        if computed == self._computed:
+            return
+        self._computed = computed
+        self.stop()
+        if self._sent is None:
+            self._tell(computed)
+            return
+        self._tell(lower_shares(self._sent, computed))
+        if self._sent != computed:
+            self._raise = self._reactor.callLater(RAISE_DELAY_S, self._tell, computed)
+
+    def stop(self) -> None:
+        """Take no more slots."""
+        if self._raise is not None and self._raise.active():
+            self._raise.cancel()
+        self._raise = None
+
+    def _tell(self, shares: HostShares) -> None:
+        if shares != self._sent:
+            self._sent = shares
+            self._send(shares)
+
+
+def lower_shares(current: HostShares, computed: HostShares) -> HostShares:
+    """Return the smaller of two shares of each upstream; an upstream that is new counts whole."""
+    slots = {
+        name: min(number, current.slots.get(name, number))
+        for name, number in computed.slots.items()
+    }
+    return HostShares(slots=slots, entry_hosts=computed.entry_hosts)
--- /dev/null
+++ b/greengagestage/agent/_upstream_view.py
@@ -0,0 +1,91 @@
+"""The state of every upstream, as it is told to the entry process and to operators."""
+
+import time
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from greengagestage.configuration import Declaration, Upstream, UpstreamKind
+from greengagestage.ids import PoolName, UpstreamName
+from greengagestage.membership import Membership
+from greengagestage.policy import UpstreamState
+from greengagestage.wire import UpstreamStatus
+
+from ._load_polls import LoadPolls
+
+_MS_PER_S = 1000
+
+
+def list_pools(upstream: Upstream) -> tuple[PoolName, ...]:
+    """Return the pools that an upstream serves."""
+    if upstream.kind is UpstreamKind.SERVICE:
+        return (PoolName(upstream.service),) if upstream.service is not None else ()
+    return tuple(PoolName(model) for model in upstream.models)
+
+
+class UpstreamView:
+    """Puts together what the declaration, other hosts and own calls say."""
+
+    def __init__(self, *, membership: Membership, polls: LoadPolls) -> None:
+        self._membership = membership
+        self._polls = polls
+        self._declared: dict[UpstreamName, Upstream] = {}
+
+    def set_declaration(self, declaration: Declaration) -> None:
+        """Take the upstreams of the configuration in force."""
+        self._declared = {upstream.name: upstream for upstream in declaration.upstreams}
+
+    @property
+    def declared(self) -> dict[UpstreamName, Upstream]:
+        """The upstreams of the configuration in force."""
+        return self._declared
+
+    def list_working(self) -> Iterator[Upstream]:
+        """Yield the upstreams that take new work."""
+        gone = self._find_gone()
+        for upstream in self._declared.values():
+            leaving = upstream.draining or self._membership.is_leaving(upstream.name)
+            if not leaving and upstream.name not in gone:
+                yield upstream
+
+    def build_statuses(self, names: Iterable[UpstreamName]) -> tuple[UpstreamStatus, ...]:
+        """Return the status of some declared upstreams."""
+        gone = self._find_gone()
+        return tuple(
+            self._build_status(name, name in gone) for name in names if name in self._declared
+        )
+
+    def _build_status(self, name: UpstreamName, gone: bool) -> UpstreamStatus:
+        load = self._membership.measurements.loads.get(name)
+        state = UpstreamState.GONE if gone else UpstreamState.LIVE
+        if self._membership.is_leaving(name):
+            state = UpstreamState.LEAVING
+        return UpstreamStatus(
+            upstream=name,
+            state=state.value,
+            running=load.running if load else 0,
+            waiting=load.waiting if load else 0,
+            peers_in_flight=self._count_peers_in_flight(name),
+            age_ms=int(_MS_PER_S * (time.monotonic() - load.measured_at_s)) if load else 0,
+        )
+
+    def _count_peers_in_flight(self, name: UpstreamName) -> int:
+        own = self._membership.own.host
+        reports = self._membership.measurements.reports
+        return sum(r.in_flight.get(name, 0) for host, r in reports.items() if host != own)
+
+    def _find_gone(self) -> set[UpstreamName]:
+        """Return the engines that answer nobody, unless that is most of a pool.
+
+        When more than half of a pool seems to be gone, this host's own network is the likelier
+        cause: nothing of that pool is given up on this evidence.
+        """
+        pools: dict[PoolName, list[UpstreamName]] = defaultdict(list)
+        for upstream in self._declared.values():
+            for pool in list_pools(upstream):
+                pools[pool].append(upstream.name)
+        gone: set[UpstreamName] = set()
+        for names in pools.values():
+            silent = [name for name in names if self._polls.is_gone(name)]
+            if 2 * len(silent) <= len(names):
+                gone.update(silent)
+        return gone
--- /dev/null
+++ b/greengagestage/commands/agent.py
@@ -0,0 +1,72 @@
+"""``greengage-agent``: the process for control on an entry host."""
+
+import signal
+import sys
+import time
+from random import Random
+from typing import IO, Any
+
+import click
+from pynng.exceptions import NNGException
+from twisted.internet import reactor as default_reactor
+from twisted.internet.error import CannotListenError
+
+from greengagestage import __version__
+from greengagestage.agent import AgentProcess, AgentSettings, listen_http
+from greengagestage.telemetry import open_log, start_logging
+
+from ._agent_settings import AGENT_SETTINGS, build_agent_settings
+from ._setting_types import SettingsError, add_settings
+
+EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
+
+
+@click.command(context_settings={"max_content_width": 100})
+@add_settings(AGENT_SETTINGS)
+@click.version_option(__version__)
+def main(**texts: str) -> None:
+    """Run control on this host: configuration, membership, upstreams' state, operators.
+
+    Every setting can also be given in the environment, as GREENGAGE_ and the flag's name in
+    capitals. Addresses are IP numbers with a port.
+    """
+    try:
+        settings = build_agent_settings(texts)
+    except SettingsError as error:
+        click.echo(error.describe(), err=True)
+        sys.exit(EXIT_SETTINGS)
+    status = run(settings, open_log(texts["log_file"]))
+    sys.exit(status)
+
+
+def run(settings: AgentSettings, log_file: IO[bytes]) -> int:
+    """Run until a signal asks for a stop; return the exit status."""
+    reactor: Any = default_reactor
+    reactor.seconds = time.monotonic
+    start_logging(file=log_file, part="agent", host=settings.host)
+    process = AgentProcess(reactor=reactor, settings=settings, random=Random())
+    try:
+        process.start()
+        listen_http(reactor=reactor, process=process)
+    except (CannotListenError, NNGException) as error:
+        click.echo(f"greengage-agent: {error}", err=True)
+        return EXIT_LISTEN
+    _stop_on_signals(reactor, process)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+def _stop_on_signals(reactor: Any, process: AgentProcess) -> None:
+    def begin_stop() -> None:
+        process.stop().addBoth(lambda _: reactor.stop())
+
+    def handle(signum: int, frame: object) -> None:
+        reactor.callFromThread(begin_stop)
+
+    signal.signal(signal.SIGTERM, handle)
+    signal.signal(signal.SIGINT, handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/greengagestage/commands/entry.py
@@ -0,0 +1,90 @@
+"""``greengage-entry``: the process that serves callers on an entry host."""
+
+import signal
+import sys
+import time
+from typing import IO, Any
+
+import click
+from twisted.internet import reactor as default_reactor
+from twisted.internet.error import CannotListenError
+
+from greengagestage.entry import Decisions, EntryProcess, EntrySettings, UnavailableClaims
+from greengagestage.telemetry import open_log, start_logging
+from greengagestage.wire import AgentLink
+
+from ._entry_settings import ENTRY_SETTINGS, build_entry_settings
+from ._setting_types import SettingsError, add_settings
+
+EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
+
+
+@click.command(context_settings={"max_content_width": 100})
+@add_settings(ENTRY_SETTINGS)
+@click.version_option(package_name="greengagestage")
+def main(**texts: str) -> None:
+    """Serve callers on this host.
+
+    Every setting can also be given in the environment, as GREENGAGE_ and the flag's name in
+    capitals. Addresses are IP numbers with a port.
+    """
+    try:
+        settings = build_entry_settings(texts)
+    except SettingsError as error:
+        click.echo(error.describe(), err=True)
+        sys.exit(EXIT_SETTINGS)
+    sys.exit(run(settings, open_log(texts["log_file"])))
+
+
+def run(settings: EntrySettings, log_file: IO[bytes], policy: Decisions | None = None) -> int:
+    """Run until a signal asks for a stop; return the exit status."""
+    reactor: Any = default_reactor
+    use_monotonic_time(reactor)
+    start_logging(file=log_file, part="entry", host=settings.host)
+    process = EntryProcess(
+        reactor=reactor,
+        settings=settings,
+        claims=UnavailableClaims(),
+        connect=lambda on_message: AgentLink(
+            reactor=reactor,
+            address=settings.agent,
+            fleet_key=settings.fleet_key,
+            second_fleet_key=settings.second_fleet_key,
+            on_message=on_message,
+        ),
+        policy=policy,
+    )
+    try:
+        process.start()
+    except CannotListenError as error:
+        click.echo(f"greengage-entry: {error}", err=True)
+        return EXIT_LISTEN
+    _stop_on_signals(reactor, process)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+def use_monotonic_time(reactor: Any) -> None:
+    """Keep the reactor's timers independent of changes of the wall clock."""
+    reactor.seconds = time.monotonic
+
+
+def _stop_on_signals(reactor: Any, process: EntryProcess) -> None:
+    stopping = False
+
+    def handle(signum: int, frame: object) -> None:
+        nonlocal stopping
+        if not stopping:
+            stopping = True
+            reactor.callFromThread(begin_stop)
+
+    def begin_stop() -> None:
+        process.stop().addBoth(lambda _: reactor.stop())
+
+    signal.signal(signal.SIGTERM, handle)
+    signal.signal(signal.SIGINT, handle)
+
+
+if __name__ == "__main__":
+    main()
--- a/greengagestage/commands/operator.py
+++ b/greengagestage/commands/operator.py
@@ -3,16 +3,20 @@
 import sys
 import uuid
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Any
 
 import click
+from returns.pipeline import is_successful
 from rich.console import Console
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater, react
 
 from greengagestage import __version__
+from greengagestage.configuration import Declaration, read_checked_declaration
 from greengagestage.ids import CommandId
 from greengagestage.language import CommandAnswer, CommandRequest, complete, describe_topic
+from greengagestage.results import ResultCode
 
 from ._agent_client import send_command
 from ._rendering import render_json, render_table
@@ -50,6 +54,17 @@
     sys.exit(EXIT_REFUSED if answer.code else 0)
 
 
+def read_file(file: Path) -> Declaration:
+    """Return the checked declaration in a TOML file, or end the process with its faults."""
+    result = read_checked_declaration(file.read_text())
+    if is_successful(result):
+        return result.unwrap()
+    for fault in result.failure():
+        click.echo(f"{file}: {fault.describe()}", err=True)
+    click.echo(f"result code {ResultCode.DECLARATION_INVALID.value}", err=True)
+    sys.exit(EXIT_REFUSED)
+
+
 @click.group(context_settings={"auto_envvar_prefix": "GREENGAGE", "max_content_width": 100})
 @click.version_option(__version__)
 @click.option(
@@ -100,6 +115,14 @@
     finish(console, text, run_once(ask), as_json)
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def check(file: Path) -> None:
+    """Check a declaration and name every fault with its line."""
+    read_file(file)
+    click.echo(f"{file}: no fault")
+
+
 @main.command("complete")
 @click.argument("line", default="")
 def complete_line(line: str) -> None:
--- a/greengagestage/configuration/__init__.py
+++ b/greengagestage/configuration/__init__.py
@@ -1,5 +1,7 @@
 """The declaration that operators keep in version control, its checks and its versions."""
 
+from ._adoption import Adoption, Verdict, Version
+from ._checks import check_declaration
 from ._declaration import (
     Declaration,
     EngineRole,
@@ -14,12 +16,35 @@
     Workspace,
     WorkspaceKey,
 )
+from ._difference import Difference, DifferenceKind, compare_declarations
 from ._documents import compute_digest, decode_declaration, encode_declaration, read_declaration
+from ._faults import Fault
+from ._reading import read_checked_declaration
+from ._versions import (
+    HEAD_KEY,
+    HISTORY_PREFIX,
+    NO_VERSION,
+    CommandRow,
+    Head,
+    VersionRow,
+    format_command_key,
+    format_document_key,
+    format_history_key,
+)
 
 __all__ = [
+    "HEAD_KEY",
+    "HISTORY_PREFIX",
+    "NO_VERSION",
+    "Adoption",
+    "CommandRow",
     "Declaration",
+    "Difference",
+    "DifferenceKind",
     "EngineRole",
+    "Fault",
     "FencingMode",
+    "Head",
     "LateAnswer",
     "Model",
     "Operator",
@@ -27,10 +52,19 @@
     "ServiceClass",
     "Upstream",
     "UpstreamKind",
+    "Verdict",
+    "Version",
+    "VersionRow",
     "Workspace",
     "WorkspaceKey",
+    "check_declaration",
+    "compare_declarations",
     "compute_digest",
     "decode_declaration",
     "encode_declaration",
+    "format_command_key",
+    "format_document_key",
+    "format_history_key",
+    "read_checked_declaration",
     "read_declaration",
 ]
--- a/greengagestage/entry/__init__.py
+++ b/greengagestage/entry/__init__.py
@@ -1,1 +1,21 @@
-"""Callers' HTTP interface: authentication, admission and delivery."""
+"""The callers' side: HTTP, authentication, and delivery of answers as the policy decides."""
+
+from ._fleet import FleetView
+from ._http import ServerLimits
+from ._ports import Claims, Decisions, Link, Outbox, UnavailableClaims
+from ._process import EntryProcess
+from ._settings import DeliveryLimits, EntrySettings, LifecycleTimes
+
+__all__ = [
+    "Claims",
+    "Decisions",
+    "DeliveryLimits",
+    "EntryProcess",
+    "EntrySettings",
+    "FleetView",
+    "LifecycleTimes",
+    "Link",
+    "Outbox",
+    "ServerLimits",
+    "UnavailableClaims",
+]
--- /dev/null
+++ b/greengagestage/entry/_calls.py
@@ -0,0 +1,73 @@
+"""A caller's request after its checks, and how it is sent to an upstream."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from greengagestage.configuration import ServiceClass
+from greengagestage.ids import AttemptId
+from greengagestage.policy import Request
+from greengagestage.upstream import Header, OutboundRequest
+
+from ._bodies import CompletionBody, Endpoint
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CompletionTarget:
+    """A completion, sent to model engines."""
+
+    endpoint: Endpoint
+    body: CompletionBody
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceTarget:
+    """A call of a plain service, sent on as it came."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """A valid request of a caller."""
+
+    request: Request
+    service_class: ServiceClass
+    target: CompletionTarget | ServiceTarget
+
+
+def build_outbound(
+    call: Call, *, attempt_id: AttemptId, priority: int, resume: list[int]
+) -> OutboundRequest:
+    """Build the request of one attempt; ``resume`` holds the tokens already delivered."""
+    headers = _identify(call.request, attempt_id, priority)
+    match call.target:
+        case CompletionTarget(endpoint=endpoint, body=body):
+            fields = {**body.fields, "stream": True}
+            if resume:
+                fields["resume"] = {"token_ids": resume}
+            headers.append((b"Content-Type", b"application/json"))
+            return OutboundRequest(
+                method=b"POST",
+                target=endpoint.value.encode(),
+                headers=headers,
+                body=msgspec.json.encode(fields),
+            )
+        case ServiceTarget(method=method, target=target, headers=own, body=data):
+            return OutboundRequest(
+                method=method, target=target, headers=[*own, *headers], body=data
+            )
+
+
+def _identify(request: Request, attempt_id: AttemptId, priority: int) -> list[Header]:
+    headers = [
+        (b"X-Request-Id", request.request_id.encode()),
+        (b"X-Attempt-Id", attempt_id.encode()),
+        (b"X-Priority", b"%d" % priority),
+    ]
+    if request.idempotency_key is not None:
+        headers.append((b"Idempotency-Key", request.idempotency_key.encode()))
+    return headers
--- /dev/null
+++ b/greengagestage/entry/_completions.py
@@ -0,0 +1,155 @@
+"""Completions in the forms that callers ask for: a stream of events, or one JSON body."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any, Protocol
+
+import msgspec
+
+from greengagestage.upstream import CompletionChunk, EventStreamParser, decode_chunk
+
+from ._bodies import Endpoint
+from ._http import CallerRequest
+from ._refusals import Refusal, encode_error_event
+
+EVENT_STREAM = "text/event-stream; charset=utf-8"
+JSON = "application/json"
+DONE = b"[DONE]"
+
+HeaderList = list[tuple[str, str]]
+
+
+TakenChunk = tuple[bytes, CompletionChunk]
+"""A chunk and the payload that is passed on for it."""
+
+
+class CompletionForm(Protocol):
+    """How a completion reaches its caller."""
+
+    def send(self, chunks: Sequence[TakenChunk]) -> None:
+        """Take the next chunks."""
+
+    def end(self, tail: Sequence[TakenChunk]) -> None:
+        """Take the last chunks; the answer is whole."""
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Tell the caller that there is no whole answer."""
+
+
+class StreamedForm:
+    """Sends each chunk as an event when it comes."""
+
+    def __init__(self, *, caller: CallerRequest, headers: HeaderList) -> None:
+        self._caller = caller
+        self._headers = headers
+        self._begun = False
+
+    def send(self, chunks: Sequence[TakenChunk]) -> None:
+        """Send chunks in one write."""
+        self._begin()
+        self._caller.send(b"".join([encode_event(payload) for payload, _ in chunks]))
+
+    def end(self, tail: Sequence[TakenChunk]) -> None:
+        """Send the last chunks and the end marker."""
+        self._begin()
+        events = [encode_event(payload) for payload, _ in tail]
+        self._caller.send(b"".join([*events, encode_event(DONE)]))
+        self._caller.end()
+
+    def _begin(self) -> None:
+        if not self._begun:
+            self._begun = True
+            head = [("Content-Type", EVENT_STREAM), ("Cache-Control", "no-cache"), *self._headers]
+            self._caller.begin_stream(200, head)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse with a status, or with an error event if the stream has begun."""
+        if not self._begun:
+            self._caller.refuse(refusal, self._headers)
+            return
+        self._caller.close_after_answer()
+        self._caller.send(encode_error_event(refusal))
+        self._caller.end()
+
+
+class CollectedForm:
+    """Collects the chunks and sends one JSON body."""
+
+    def __init__(self, *, caller: CallerRequest, headers: HeaderList, endpoint: Endpoint) -> None:
+        self._caller = caller
+        self._headers = headers
+        self._body = CompletionBodyBuilder(endpoint=endpoint)
+
+    def send(self, chunks: Sequence[TakenChunk]) -> None:
+        """Add chunks to the body."""
+        for _, chunk in chunks:
+            self._body.add(chunk)
+
+    def end(self, tail: Sequence[TakenChunk]) -> None:
+        """Send the body."""
+        self.send(tail)
+        self._caller.answer(200, JSON, self._body.build(), self._headers)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse; nothing of the answer has been sent."""
+        self._caller.refuse(refusal, self._headers)
+
+
+class CompletionBodyBuilder:
+    """Builds the JSON body of a completion from its chunks."""
+
+    def __init__(self, *, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._texts: list[str] = []
+        self._first: CompletionChunk | None = None
+        self._finish_reason: str | None = None
+        self._usage: dict[str, Any] | None = None
+
+    def add(self, chunk: CompletionChunk) -> None:
+        """Take the next chunk."""
+        if self._first is None:
+            self._first = chunk
+        self._texts.append(chunk.text)
+        self._finish_reason = chunk.finish_reason or self._finish_reason
+        if chunk.usage is not None:
+            self._usage = chunk.usage
+
+    def build(self) -> bytes:
+        """Return the body."""
+        text = "".join(self._texts)
+        choice: dict[str, Any] = {"index": 0}
+        if self._endpoint is Endpoint.CHAT:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        choice["finish_reason"] = self._finish_reason
+        return msgspec.json.encode(
+            {
+                "id": self._first.answer_id if self._first else "",
+                "object": (
+                    "chat.completion" if self._endpoint is Endpoint.CHAT else "text_completion"
+                ),
+                "created": self._first.created if self._first else 0,
+                "model": self._first.model if self._first else "",
+                "choices": [choice],
+                "usage": self._usage,
+            }
+        )
+
+
+def encode_event(payload: bytes) -> bytes:
+    """Return a payload as one event."""
+    return b"data: " + payload + b"\n\n"
+
+
+def collect_events(endpoint: Endpoint, events: bytes) -> bytes:
+    """Turn the events of a whole stream into one JSON body."""
+    builder = CompletionBodyBuilder(endpoint=endpoint)
+    for chunk in _decode_events(events):
+        builder.add(chunk)
+    return builder.build()
+
+
+def _decode_events(events: bytes) -> Iterable[CompletionChunk]:
+    for event in EventStreamParser().feed(events):
+        if event.data != DONE:
+            yield decode_chunk(event.data)
--- /dev/null
+++ b/greengagestage/entry/_control.py
@@ -0,0 +1,155 @@
+"""The entry process's conversation with the agent of its host."""
+
+from typing import Any
+
+import msgspec
+from eliot import log_message
+from twisted.internet.task import LoopingCall
+
+from greengagestage.configuration import compute_digest, decode_declaration
+from greengagestage.ids import ClassName, PoolName, UpstreamName
+from greengagestage.policy import (
+    DeclarationAdopted,
+    FingerprintQuarantined,
+    SharesUpdated,
+    UpstreamReport,
+    UpstreamsReported,
+    UpstreamState,
+)
+from greengagestage.wire import (
+    AgentMessage,
+    ConfigurationInForce,
+    EntryStatus,
+    HostShares,
+    QuarantineNotice,
+    RequestRecord,
+    RequestRecords,
+    UpstreamStatus,
+    UpstreamStatuses,
+)
+
+from ._directory import Directory
+from ._fleet import FleetView
+from ._ports import Outbox
+from ._readiness import Readiness
+from ._records import describe_request
+from ._shell import Shell
+
+STATUS_INTERVAL_S = 1.0
+RECORDS_PER_MESSAGE = 64
+OPEN_RECORDS_PER_MESSAGE = 32
+OPEN_RECORD_AGE_S = 1.0
+"""Age from which an open request is reported before it ends."""
+_MS_PER_S = 1000
+
+
+class AgentControl:
+    """Turns the agent's messages into events, and reports demand and requests to it."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        shell: Shell,
+        readiness: Readiness,
+        outbox: Outbox,
+        fleet: FleetView,
+    ) -> None:
+        self._reactor = reactor
+        self._shell = shell
+        self._readiness = readiness
+        self._outbox = outbox
+        self._fleet = fleet
+        self._report = LoopingCall(self.send_report)
+        self._report.clock = reactor
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._report.start(STATUS_INTERVAL_S)
+
+    def stop(self) -> None:
+        """Stop reporting, after one last report."""
+        if self._report.running:
+            self._report.stop()
+            self.send_report()
+
+    def receive(self, message: AgentMessage) -> None:
+        """Take a message of the agent."""
+        match message:
+            case ConfigurationInForce():
+                self._adopt(message)
+            case UpstreamStatuses(statuses=statuses):
+                reports = tuple(self._read_status(status) for status in statuses)
+                self._shell.feed(UpstreamsReported(reports=reports))
+            case HostShares(slots=slots, entry_hosts=entry_hosts):
+                self._fleet.update(message)
+                self._shell.feed(SharesUpdated(slots=slots, entry_hosts=entry_hosts))
+            case QuarantineNotice(fingerprint=fingerprint):
+                self._shell.feed(FingerprintQuarantined(fingerprint=fingerprint))
+
+    def send_report(self) -> None:
+        """Send demand, work in flight, and the requests that ended or changed."""
+        snapshot = self._shell.policy.inspect()
+        demand: dict[PoolName, dict[ClassName, int]] = {}
+        for load in snapshot.classes:
+            demand.setdefault(load.pool, {})[load.service_class] = load.queued + load.running
+        in_flight: dict[UpstreamName, int] = {
+            load.upstream: load.in_flight for load in snapshot.upstreams if load.in_flight
+        }
+        self._outbox.send(
+            EntryStatus(demand=demand, in_flight=in_flight, stopping=self._readiness.stopping)
+        )
+        records = self._collect_records()
+        if records:
+            self._outbox.send(RequestRecords(records=records))
+
+    def _adopt(self, message: ConfigurationInForce) -> None:
+        current = self._readiness.directory
+        if current is not None and message.version <= current.version:
+            return
+        if compute_digest(message.document) != message.digest:
+            log_message(message_type="entry: configuration has a wrong digest", **_name(message))
+            return
+        try:
+            declaration = decode_declaration(message.document)
+            directory = Directory(version=message.version, declaration=declaration)
+        except (msgspec.DecodeError, ValueError) as error:
+            log_message(
+                message_type="entry: configuration cannot be read",
+                fault=str(error),
+                **_name(message),
+            )
+            return
+        self._readiness.directory = directory
+        self._shell.adopt(directory)
+        self._shell.feed(DeclarationAdopted(declaration=declaration))
+        log_message(message_type="entry: configuration adopted", **_name(message))
+
+    def _read_status(self, status: UpstreamStatus) -> UpstreamReport:
+        return UpstreamReport(
+            upstream=status.upstream,
+            state=UpstreamState(status.state),
+            running=status.running,
+            waiting=status.waiting,
+            peers_in_flight=status.peers_in_flight,
+            measured_at_s=self._reactor.seconds() - status.age_ms / _MS_PER_S,
+            cached_prefixes=frozenset(status.cached_prefixes),
+        )
+
+    def _collect_records(self) -> tuple[RequestRecord, ...]:
+        ended = self._shell.conclusions.ended
+        records = [ended.popleft() for _ in range(min(len(ended), RECORDS_PER_MESSAGE))]
+        ended.clear()
+        for active in self._shell.requests:
+            if len(records) >= RECORDS_PER_MESSAGE + OPEN_RECORDS_PER_MESSAGE:
+                break
+            if active.age_s >= OPEN_RECORD_AGE_S:
+                records.append(describe_request(active))
+        explain = self._shell.policy.explain
+        return tuple(
+            msgspec.structs.replace(record, notes=explain(record.request_id)) for record in records
+        )
+
+
+def _name(message: ConfigurationInForce) -> dict[str, object]:
+    return {"version": message.version, "digest": message.digest}
--- /dev/null
+++ b/greengagestage/entry/_deliveries.py
@@ -0,0 +1,227 @@
+"""Deliveries: an upstream's answer on its way to a caller, whole or visibly not."""
+
+import math
+from collections.abc import Sequence
+
+from greengagestage.upstream import CompletionChunk, ResponseHead
+
+from ._calls import Call, CompletionTarget, ServiceTarget
+from ._completions import (
+    DONE,
+    EVENT_STREAM,
+    CollectedForm,
+    CompletionForm,
+    HeaderList,
+    StreamedForm,
+    TakenChunk,
+    encode_event,
+)
+from ._http import CallerRequest
+from ._progress import CompletionProgress
+from ._refusals import Refusal
+from ._settings import DeliveryLimits
+from ._stored import KeptAnswer, Transcript
+
+_NO_BODY_STATUSES = (204, 304)
+_DROPPED_HEADERS = frozenset(
+    {b"x-request-id", b"x-attempt-id", b"x-not-started", b"x-leaving", b"connection", b"keep-alive"}
+)
+
+
+class CompletionDelivery:
+    """Delivers a completion; its end is held back until the answer is known to be whole."""
+
+    def __init__(
+        self, *, form: CompletionForm, transcript: Transcript | None, limit_bytes: float = math.inf
+    ) -> None:
+        self._progress = CompletionProgress()
+        self._form = form
+        self._transcript = transcript
+        self._size = 0
+        self._limit_bytes = limit_bytes
+        self._tail: list[TakenChunk] = []
+
+    @property
+    def resumable(self) -> bool:
+        """Another engine can go on from what has been delivered."""
+        return self._progress.resumable
+
+    @property
+    def is_too_large(self) -> bool:
+        """The answer outgrew the bound of its form."""
+        return self._size > self._limit_bytes
+
+    def list_tokens(self) -> list[int]:
+        """Return the delivered tokens, for another engine to go on from."""
+        return self._progress.list_tokens()
+
+    def add(self, chunks: Sequence[CompletionChunk]) -> int:
+        """Pass chunks on; return the number of tokens in them."""
+        taken = self._take(chunks)
+        if taken:
+            self._form.send(taken)
+        return _count_tokens(taken)
+
+    def hold(self, tail: Sequence[CompletionChunk]) -> int:
+        """Keep the last chunks until ``end``; return the number of tokens in them."""
+        self._tail = self._take(tail)
+        return _count_tokens(self._tail)
+
+    def end(self) -> None:
+        """Send the last chunks and end the answer properly."""
+        self._form.end(self._tail)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Tell the caller that there is no whole answer."""
+        self._form.refuse(refusal)
+
+    def keep(self) -> KeptAnswer | None:
+        """Return the whole answer for the store, or None if it is too large to keep."""
+        if self._transcript is None:
+            return None
+        self._transcript.add(encode_event(DONE))
+        return self._transcript.close(status=200, content_type=EVENT_STREAM)
+
+    def _take(self, chunks: Sequence[CompletionChunk]) -> list[TakenChunk]:
+        taken = []
+        for chunk in chunks:
+            payload = self._progress.take(chunk)
+            if payload is None:
+                continue
+            taken.append((payload, chunk))
+            self._size += len(payload)
+            if self._transcript is not None:
+                self._transcript.add(encode_event(payload))
+        return taken
+
+
+def _count_tokens(taken: Sequence[TakenChunk]) -> int:
+    return sum(len(chunk.token_ids) or bool(chunk.text) for _, chunk in taken)
+
+
+class ServiceDelivery:
+    """Delivers a plain service's answer.
+
+    Small answers are kept until they are whole, so that a failure can still be refused cleanly
+    or retried. A larger one is passed through; if it breaks, the caller's connection is cut.
+    """
+
+    def __init__(
+        self,
+        *,
+        caller: CallerRequest,
+        headers: HeaderList,
+        buffer_bytes: int,
+        pass_through: bool,
+    ) -> None:
+        self._caller = caller
+        self._headers = headers
+        self._buffer_bytes = buffer_bytes
+        self._pass_through = pass_through
+        self._head: ResponseHead | None = None
+        self._body = bytearray()
+        self._streaming = False
+
+    @property
+    def resumable(self) -> bool:
+        """Nothing has reached the caller, so another attempt may start over."""
+        return not self._streaming
+
+    def list_tokens(self) -> list[int]:
+        """Return nothing: plain services start over."""
+        return []
+
+    def begin(self, head: ResponseHead) -> None:
+        """Start over with a new attempt's head."""
+        self._head = head
+        self._body.clear()
+
+    def add(self, data: bytes) -> bool:
+        """Take a piece of the body. False means that the answer is too large to deliver."""
+        if self._streaming:
+            self._caller.send(data)
+            return True
+        self._body += data
+        if len(self._body) <= self._buffer_bytes:
+            return True
+        if not self._pass_through:
+            return False
+        self._streaming = True
+        self._caller.begin_stream(self._status, self._build_headers())
+        self._caller.send(bytes(self._body))
+        self._body.clear()
+        return True
+
+    def end(self) -> None:
+        """End the answer properly."""
+        if self._streaming:
+            self._caller.end()
+            return
+        headers = self._build_headers()
+        if self._caller.method != b"HEAD" and self._status not in _NO_BODY_STATUSES:
+            headers.append(("Content-Length", str(len(self._body))))
+        self._caller.begin(self._status, headers)
+        self._caller.send(bytes(self._body))
+        self._caller.end()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse cleanly, or cut the connection if part of the answer has been sent."""
+        if self._streaming:
+            self._caller.abort()
+        else:
+            self._caller.refuse(refusal, self._headers)
+
+    def keep(self) -> KeptAnswer | None:
+        """Return the whole answer for the store."""
+        if self._streaming or self._head is None:
+            return None
+        return KeptAnswer(
+            status=self._status,
+            content_type=self._head.get("Content-Type") or "application/octet-stream",
+            body=bytes(self._body),
+        )
+
+    @property
+    def _status(self) -> int:
+        return self._head.status if self._head is not None else 502
+
+    def _build_headers(self) -> HeaderList:
+        if self._head is None:
+            return list(self._headers)
+        own = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, values in self._head.headers.getAllRawHeaders()
+            for value in values
+            if name.lower() not in _DROPPED_HEADERS
+        ]
+        return [*own, *self._headers]
+
+
+Delivery = CompletionDelivery | ServiceDelivery
+
+
+def build_delivery(
+    call: Call, caller: CallerRequest, headers: HeaderList, limits: DeliveryLimits
+) -> Delivery:
+    """Build the delivery that a call asks for."""
+    idempotent = call.request.idempotent
+    match call.target:
+        case ServiceTarget():
+            return ServiceDelivery(
+                caller=caller,
+                headers=headers,
+                buffer_bytes=(
+                    limits.service_buffer_bytes if idempotent else limits.kept_answer_bytes
+                ),
+                pass_through=idempotent,
+            )
+        case CompletionTarget(endpoint=endpoint, body=body):
+            transcript = None if idempotent else Transcript(limit_bytes=limits.kept_answer_bytes)
+            if body.stream:
+                streamed = StreamedForm(caller=caller, headers=headers)
+                return CompletionDelivery(form=streamed, transcript=transcript)
+            return CompletionDelivery(
+                form=CollectedForm(caller=caller, headers=headers, endpoint=endpoint),
+                transcript=transcript,
+                limit_bytes=limits.collected_answer_bytes,
+            )
--- /dev/null
+++ b/greengagestage/entry/_directory.py
@@ -0,0 +1,43 @@
+"""Look-ups in the declaration in force."""
+
+import hashlib
+
+from greengagestage.configuration import (
+    Declaration,
+    PlainService,
+    ServiceClass,
+    Workspace,
+)
+from greengagestage.ids import (
+    ClassName,
+    ConfigurationVersion,
+    ModelName,
+    ServiceName,
+    UpstreamName,
+)
+from greengagestage.upstream import Address
+
+
+class Directory:
+    """Indexes of one version of the declaration."""
+
+    def __init__(self, *, version: ConfigurationVersion, declaration: Declaration) -> None:
+        self.version = version
+        self.declaration = declaration
+        self.classes: dict[ClassName, ServiceClass] = {c.name: c for c in declaration.classes}
+        self.models: frozenset[ModelName] = frozenset(m.name for m in declaration.models)
+        self.services: dict[ServiceName, PlainService] = {s.name: s for s in declaration.services}
+        self._addresses = {u.name: Address.from_url(u.url) for u in declaration.upstreams}
+        self._by_digest = {
+            key.sha256.lower(): workspace
+            for workspace in declaration.workspaces
+            for key in workspace.keys
+        }
+
+    def find_workspace(self, key: str) -> Workspace | None:
+        """Return the workspace that a caller's key belongs to."""
+        return self._by_digest.get(hashlib.sha256(key.encode()).hexdigest())
+
+    def find_address(self, upstream: UpstreamName) -> Address | None:
+        """Return where an upstream listens."""
+        return self._addresses.get(upstream)
--- /dev/null
+++ b/greengagestage/entry/_headers.py
@@ -0,0 +1,111 @@
+"""The headers by which callers steer a request."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+from twisted.web.http_headers import Headers
+
+from greengagestage.ids import IdempotencyKey
+from greengagestage.results import ResultCode
+
+from ._refusals import Refusal
+
+MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
+MAX_DEADLINE_MS = 86_400_000
+MAX_KEY_CHARACTERS = 512
+
+SINGLE_HEADERS = (
+    "Authorization",
+    "X-Service-Class",
+    "Idempotency-Key",
+    "X-Idempotent",
+    "X-Deadline-Ms",
+    "Content-Type",
+)
+"""Headers that may stand once at most."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerHeaders:
+    """The steering headers of one request, checked."""
+
+    key: str
+    service_class: str | None = None
+    idempotency_key: IdempotencyKey | None = None
+    idempotent: bool = True
+    deadline_ms: int | None = None
+
+
+class _BadHeaderError(Exception):
+    def __init__(self, code: ResultCode, detail: str) -> None:
+        self.refusal = Refusal(code=code, detail=detail)
+
+
+def read_headers(headers: Headers) -> Result[CallerHeaders, Refusal]:
+    """Check the steering headers."""
+    try:
+        values = {name: _read_single(headers, name) for name in SINGLE_HEADERS}
+        return Success(
+            CallerHeaders(
+                key=_read_key(values["Authorization"]),
+                service_class=values["X-Service-Class"],
+                idempotency_key=_read_idempotency_key(values["Idempotency-Key"]),
+                idempotent=_read_idempotent(values["X-Idempotent"]),
+                deadline_ms=_read_deadline(values["X-Deadline-Ms"]),
+            )
+        )
+    except _BadHeaderError as error:
+        return Failure(error.refusal)
+
+
+def _read_single(headers: Headers, name: str) -> str | None:
+    values = headers.getRawHeaders(name.encode())
+    if values is None:
+        return None
+    if len(values) > 1:
+        raise _BadHeaderError(ResultCode.DUPLICATE_HEADER, name)
+    try:
+        return values[0].decode("ascii")
+    except UnicodeDecodeError:
+        raise _BadHeaderError(ResultCode.BAD_HEADER, f"{name} is not ASCII") from None
+
+
+def _read_key(value: str | None) -> str:
+    if value is None:
+        raise _BadHeaderError(ResultCode.MISSING_CREDENTIALS, "send Authorization: Bearer <key>")
+    scheme, _, key = value.partition(" ")
+    key = key.strip()
+    if scheme.lower() != "bearer" or not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        raise _BadHeaderError(ResultCode.BAD_HEADER, "Authorization must read: Bearer <key>")
+    return key
+
+
+def _read_idempotency_key(value: str | None) -> IdempotencyKey | None:
+    if value is None:
+        return None
+    if not 0 < len(value) <= MAX_IDEMPOTENCY_KEY_CHARACTERS or not value.isprintable():
+        limit = MAX_IDEMPOTENCY_KEY_CHARACTERS
+        raise _BadHeaderError(
+            ResultCode.BAD_HEADER, f"Idempotency-Key takes 1 to {limit} printable characters"
+        )
+    return IdempotencyKey(value)
+
+
+def _read_idempotent(value: str | None) -> bool:
+    match value:
+        case None | "true":
+            return True
+        case "false":
+            return False
+        case _:
+            raise _BadHeaderError(ResultCode.BAD_HEADER, "X-Idempotent is true or false")
+
+
+def _read_deadline(value: str | None) -> int | None:
+    if value is None:
+        return None
+    if not value.isdecimal() or not 0 < int(value[:12]) <= MAX_DEADLINE_MS or len(value) > 12:
+        raise _BadHeaderError(
+            ResultCode.BAD_HEADER, f"X-Deadline-Ms is a number from 1 to {MAX_DEADLINE_MS}"
+        )
+    return int(value)
--- /dev/null
+++ b/greengagestage/entry/_process.py
@@ -0,0 +1,137 @@
+"""An entry process, put together."""
+
+from collections.abc import Callable
+from typing import Any
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from greengagestage.policy import Policy
+from greengagestage.telemetry import EntryMetrics
+from greengagestage.upstream import ConnectionPool
+from greengagestage.wire import AgentMessage
+
+from ._control import AgentControl
+from ._fleet import FleetView
+from ._http import CallerServer
+from ._intake import RequestIds
+from ._ports import Claims, Decisions, Link
+from ._readiness import Readiness
+from ._settings import EntrySettings
+from ._shell import Shell
+from ._shutdown import Shutdown
+from ._site import CallerSite
+
+
+class EntryProcess:
+    """Everything that an entry process consists of, from the listener to the upstreams.
+
+    Args:
+        connect: Opens the link to the agent, given the receiver of its messages.
+        fleet: Is kept up to date with what the agent tells of the other hosts.
+        policy: Decides in place of the router's own policy, for comparison.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        settings: EntrySettings,
+        claims: Claims,
+        connect: Callable[[Callable[[AgentMessage], None]], Link],
+        fleet: FleetView | None = None,
+        policy: Decisions | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._link = connect(self._receive)
+        self.readiness = Readiness(
+            agent_silence_s=lambda: self._link.last_heard_s,
+            agent_grace_s=settings.lifecycle.agent_grace_s,
+        )
+        self._pool = ConnectionPool(reactor=reactor, limits=settings.pool)
+        metrics = EntryMetrics(
+            workspace_labels=settings.workspace_labels, read_gauges=self._read_gauges
+        )
+        self.shell = Shell(
+            reactor=reactor,
+            policy=policy or Policy(host=settings.host, seed=settings.seed),
+            pool=self._pool,
+            claims=claims,
+            metrics=metrics,
+            outbox=self._link,
+            limits=settings.delivery,
+        )
+        self.control = AgentControl(
+            reactor=reactor,
+            shell=self.shell,
+            readiness=self.readiness,
+            outbox=self._link,
+            fleet=fleet or FleetView(),
+        )
+        site = CallerSite(
+            reactor=reactor,
+            shell=self.shell,
+            readiness=self.readiness,
+            metrics=metrics,
+            request_ids=RequestIds(host=settings.host),
+        )
+        self._server = CallerServer(
+            reactor=reactor,
+            limits=settings.server,
+            on_request=site.handle,
+            on_refused=site.count_refusal,
+        )
+        self._shutdown = Shutdown(
+            reactor=reactor,
+            shell=self.shell,
+            readiness=self.readiness,
+            server=self._server,
+            times=settings.lifecycle,
+            unread_limit_s=settings.delivery.caller_stall_s,
+            unsent_limit_s=settings.server.idle_timeout_s,
+        )
+        self._listener: Any = None
+        self._stopped: Deferred[None] | None = None
+
+    @property
+    def port(self) -> int:
+        """The port that callers connect to."""
+        port: int = self._listener.getHost().port
+        return port
+
+    def start(self) -> None:
+        """Listen for callers and connect to the agent.
+
+        Raises:
+            twisted.internet.error.CannotListenError: The address cannot be listened on.
+        """
+        host, _, port = self._settings.listen.rpartition(":")
+        self._listener = self._server.listen(host.strip("[]"), int(port))
+        self._pool.start()
+        self._link.start()
+        self.control.start()
+        log_message(message_type="entry: listening", port=self.port)
+
+    def stop(self) -> Deferred[None]:
+        """Stop gracefully; the result comes when all work is finished."""
+        if self._stopped is None:
+            self._stopped = self._shutdown.begin(self._listener).addCallback(self._close)
+        return self._stopped
+
+    def _receive(self, message: AgentMessage) -> None:
+        self.control.receive(message)
+
+    def _close(self, _: None) -> None:
+        self.control.stop()
+        self.shell.stop()
+        self._pool.stop()
+        self._link.stop()
+
+    def _read_gauges(self) -> dict[str, float]:
+        return {
+            "open_requests": len(self.shell.requests),
+            "caller_connections": len(self._server.channels),
+            "agent_silence_seconds": self._link.last_heard_s,
+            "ready": float(self.readiness.find_obstacle() is None),
+        }
--- /dev/null
+++ b/greengagestage/entry/_readiness.py
@@ -0,0 +1,32 @@
+"""Whether the balancer should send callers to this host."""
+
+from collections.abc import Callable
+
+from ._directory import Directory
+
+
+class Readiness:
+    """Ready means: a configuration is in force, the agent lives, and no stop is under way.
+
+    The platform's state has no part in it.
+
+    Attributes:
+        directory: The configuration in force.
+        stopping: A planned stop has begun.
+    """
+
+    def __init__(self, *, agent_silence_s: Callable[[], float], agent_grace_s: float) -> None:
+        self.directory: Directory | None = None
+        self.stopping = False
+        self._agent_silence_s = agent_silence_s
+        self._agent_grace_s = agent_grace_s
+
+    def find_obstacle(self) -> str | None:
+        """Return why the host is not ready, or None if it is."""
+        if self.stopping:
+            return "the host is stopping"
+        if self.directory is None:
+            return "no configuration is in force"
+        if self._agent_silence_s() > self._agent_grace_s:
+            return "the host's agent has been silent too long"
+        return None
--- /dev/null
+++ b/greengagestage/entry/_records.py
@@ -0,0 +1,50 @@
+"""Requests as operators see them."""
+
+from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
+from greengagestage.wire import RequestRecord
+
+from ._active import ActiveRequest
+
+_MS_PER_S = 1000
+_FINAL_STATES = {
+    RunVerdict.DELIVERED: "delivered",
+    RunVerdict.NOT_RUN: "refused",
+    RunVerdict.MAY_HAVE_RUN: "failed",
+}
+
+
+def describe_request(active: ActiveRequest) -> RequestRecord:
+    """Return the record of an open or ended request, without the policy's notes."""
+    request = active.call.request
+    target_ms = active.call.service_class.answer_target_ms
+    answer_ms = int(active.age_s * _MS_PER_S)
+    is_delivered = active.code is ResultCode.DELIVERED
+    return RequestRecord(
+        request_id=request.request_id,
+        workspace=request.workspace,
+        service_class=request.service_class,
+        pool=request.pool,
+        state=_name_state(active),
+        code=-1 if active.code is None else active.code.value,
+        age_ms=answer_ms,
+        first_token_ms=_measure_first_token(active),
+        answer_ms=answer_ms if is_delivered else -1,
+        tokens=active.tokens,
+        attempts=active.attempts,
+        upstream=active.upstream,
+        within_target=is_delivered and answer_ms <= target_ms,
+    )
+
+
+def _name_state(active: ActiveRequest) -> str:
+    if active.code is not None:
+        return _FINAL_STATES[CODE_DETAILS[active.code].verdict]
+    if active.run is None:
+        return "queued"
+    return "dispatched" if active.first_token_s is None else "streaming"
+
+
+def _measure_first_token(active: ActiveRequest) -> int:
+    if active.first_token_s is None:
+        return -1
+    return int((active.first_token_s - active.arrived_s) * _MS_PER_S)
--- /dev/null
+++ b/greengagestage/entry/_shutdown.py
@@ -0,0 +1,85 @@
+"""A planned stop, in which no request in progress is cut off."""
+
+from typing import Any
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from greengagestage.policy import StopRequested
+
+from ._http import CallerServer
+from ._readiness import Readiness
+from ._settings import LifecycleTimes
+from ._shell import Shell
+
+CHECK_INTERVAL_S = 0.05
+
+
+class Shutdown:
+    """Fails readiness, lets the balancer notice, closes the listener and finishes all work.
+
+    Args:
+        unread_limit_s: How long callers that do not read their answers are waited for.
+        unsent_limit_s: How long callers that do not send their whole request are waited for.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        shell: Shell,
+        readiness: Readiness,
+        server: CallerServer,
+        times: LifecycleTimes,
+        unread_limit_s: float,
+        unsent_limit_s: float,
+    ) -> None:
+        self._reactor = reactor
+        self._shell = shell
+        self._readiness = readiness
+        self._server = server
+        self._times = times
+        self._unread_limit_s = unread_limit_s
+        self._unsent_limit_s = unsent_limit_s
+        self._check = LoopingCall(self._check_progress)
+        self._check.clock = reactor
+        self._stop_told = False
+        self._closed_at_s = 0.0
+        self._idle_since_s: float | None = None
+        self._done: Deferred[None] = Deferred()
+
+    def begin(self, listener: Any) -> Deferred[None]:
+        """Stop; the result comes when nothing is left to do. A second call changes nothing."""
+        if not self._readiness.stopping:
+            log_message(message_type="entry: stop begins")
+            self._readiness.stopping = True
+            self._server.closing = True
+            self._reactor.callLater(self._times.drain_notice_s, self._close, listener)
+        return self._done
+
+    def _close(self, listener: Any) -> None:
+        log_message(message_type="entry: listener closed", open_requests=len(self._shell.requests))
+        listener.stopListening()
+        self._closed_at_s = self._reactor.seconds()
+        self._check.start(CHECK_INTERVAL_S)
+
+    def _check_progress(self) -> None:
+        self._server.close_idle()
+        if self._server.receiving and self._measure(self._closed_at_s) < self._unsent_limit_s:
+            return
+        if not self._stop_told:
+            self._stop_told = True
+            self._shell.feed(StopRequested())
+        if not self._shell.is_idle:
+            return
+        if self._idle_since_s is None:
+            self._idle_since_s = self._reactor.seconds()
+        if self._server.channels and self._measure(self._idle_since_s) < self._unread_limit_s:
+            return
+        self._check.stop()
+        log_message(message_type="entry: stop ends", unread_answers=len(self._server.channels))
+        self._done.callback(None)
+
+    def _measure(self, since_s: float) -> float:
+        return float(self._reactor.seconds() - since_s)
--- /dev/null
+++ b/greengagestage/entry/_stored.py
@@ -0,0 +1,53 @@
+"""Answers of non-idempotent requests, kept so that a resend gets them again."""
+
+from dataclasses import dataclass
+
+from ._bodies import Endpoint
+from ._completions import EVENT_STREAM, JSON, HeaderList, collect_events
+from ._http import CallerRequest
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeptAnswer:
+    """A whole answer. Completions are always kept as the events of their stream."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Transcript:
+    """Collects an answer up to a bound."""
+
+    def __init__(self, *, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._data: bytearray | None = bytearray()
+
+    def add(self, data: bytes) -> None:
+        """Append to the answer; past the bound, nothing of it is kept."""
+        if self._data is None:
+            return
+        self._data += data
+        if len(self._data) > self._limit_bytes:
+            self._data = None
+
+    def close(self, *, status: int, content_type: str) -> KeptAnswer | None:
+        """Return the answer, or None if it was too large."""
+        if self._data is None:
+            return None
+        return KeptAnswer(status=status, content_type=content_type, body=bytes(self._data))
+
+
+def replay(
+    answer: KeptAnswer,
+    *,
+    caller: CallerRequest,
+    headers: HeaderList,
+    endpoint: Endpoint | None,
+    stream: bool,
+) -> None:
+    """Send a kept answer again, byte for byte, in the form that the resend asks for."""
+    if endpoint is not None and not stream and answer.content_type == EVENT_STREAM:
+        caller.answer(answer.status, JSON, collect_events(endpoint, answer.body), headers)
+        return
+    caller.answer(answer.status, answer.content_type, answer.body, headers)
--- a/greengagestage/membership/__init__.py
+++ b/greengagestage/membership/__init__.py
@@ -1,1 +1,32 @@
-"""Hosts and upstreams: live, leaving and gone."""
+"""Hosts and upstreams: live, leaving, gone; and the split of slots over hosts."""
+
+from ._changes import (
+    Change,
+    FingerprintQuarantined,
+    HostsChanged,
+    Outgoing,
+    UpstreamsChanged,
+    VersionHeard,
+)
+from ._measurements import Load
+from ._membership import Membership
+from ._neighbours import choose_neighbours
+from ._shares import HostDemand, SharedUpstream, Shares, compute_shares
+from ._times import MembershipTimes
+
+__all__ = [
+    "Change",
+    "FingerprintQuarantined",
+    "HostDemand",
+    "HostsChanged",
+    "Load",
+    "Membership",
+    "MembershipTimes",
+    "Outgoing",
+    "SharedUpstream",
+    "Shares",
+    "UpstreamsChanged",
+    "VersionHeard",
+    "choose_neighbours",
+    "compute_shares",
+]
--- a/greengagestage/policy/__init__.py
+++ b/greengagestage/policy/__init__.py
@@ -22,6 +22,7 @@
     CallerLeft,
     ClaimAnswered,
     ClaimOutcome,
+    CrashReported,
     DeclarationAdopted,
     Event,
     FailureKind,
@@ -37,6 +38,7 @@
 )
 from ._policy import Policy
 from ._snapshot import ClassLoad, PolicySnapshot, UpstreamLoad
+from ._subsets import choose_subset, compute_subset_size
 
 __all__ = [
     "Action",
@@ -51,6 +53,7 @@
     "ClaimAnswered",
     "ClaimOutcome",
     "ClassLoad",
+    "CrashReported",
     "DeclarationAdopted",
     "Deliver",
     "Dispatch",
@@ -74,4 +77,6 @@
     "UpstreamState",
     "UpstreamsReported",
     "WakeAt",
+    "choose_subset",
+    "compute_subset_size",
 ]
--- a/greengagestage/policy/_actions.py
+++ b/greengagestage/policy/_actions.py
@@ -21,6 +21,7 @@
     PREEMPTED = "preempted"
     DEADLINE = "deadline"
     TARGET = "target"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengagestage/policy/_admission.py
+++ b/greengagestage/policy/_admission.py
@@ -1,17 +1,19 @@
 """The admission of arriving requests."""
 
-from greengagestage.ids import AttemptId
+from greengagestage.ids import AttemptId, RequestId
 from greengagestage.results import ResultCode
 
 from ._actions import AskClaim, GiveUpClaim, Reject, ReplayAnswer
 from ._events import ClaimOutcome, Request
 from ._lifecycle import RequestState
 from ._records import MS_PER_S, RequestRecord
+from ._reviews import find_end, is_hopeless, schedule_review, suggest_return
+from ._routing import Router
 from ._state import PolicyState
+from ._timers import RequestDue
 
 NOT_READY_RETRY_S = 2.0
 STOPPING_RETRY_S = 1.0
-QUEUE_FULL_RETRY_S = 1.0
 NO_UPSTREAM_RETRY_S = 5.0
 CLAIM_RETRY_S = 2.0
 STILL_RUNNING_RETRY_S = 2.0
@@ -28,8 +30,9 @@
 class Admission:
     """Decides whether a request is queued."""
 
-    def __init__(self, *, state: PolicyState) -> None:
+    def __init__(self, *, state: PolicyState, router: Router) -> None:
         self._state = state
+        self._router = router
         self._sequence = 0
 
     def admit(self, request: Request) -> None:
@@ -63,15 +66,16 @@
             self._state.forget(record)
         else:
             code, retry_after_s = CLAIM_REFUSALS[outcome]
-            self._state.reject(record, code, retry_after_s)
+            spread_s = (
+                None if retry_after_s is None else self._state.estimator.spread(retry_after_s)
+            )
+            self._state.reject(record, code, spread_s)
 
-    def settle_orphan_claim(self, request_id: str, outcome: ClaimOutcome) -> None:
-        """Give up a claim that was granted after its caller had left."""
-        for known, attempt_id in list(self._state.orphan_claims.items()):
-            if known == request_id:
-                del self._state.orphan_claims[known]
-                if outcome is ClaimOutcome.GRANTED:
-                    self._state.emit(GiveUpClaim(request_id=known, attempt_id=attempt_id))
+    def settle_orphan_claim(self, request_id: RequestId, outcome: ClaimOutcome) -> None:
+        """Give up a claim that was granted after its request had ended."""
+        attempt_id = self._state.orphan_claims.pop(request_id, None)
+        if attempt_id is not None and outcome is ClaimOutcome.GRANTED:
+            self._state.emit(GiveUpClaim(request_id=request_id, attempt_id=attempt_id))
 
     def _open(self, request: Request) -> RequestRecord:
         service_class = self._state.classes[request.service_class]
@@ -95,7 +99,7 @@
             Reject(
                 request_id=request.request_id,
                 code=ResultCode.UNKNOWN_CLASS if ready else ResultCode.NOT_READY,
-                retry_after_s=None if ready else NOT_READY_RETRY_S,
+                retry_after_s=None if ready else self._state.estimator.spread(NOT_READY_RETRY_S),
             )
         )
 
@@ -103,13 +107,57 @@
         """Refuse what can be refused before anything else is known of the request."""
         state = self._state
         if state.stopping:
-            state.reject(record, ResultCode.STOPPING, STOPPING_RETRY_S)
-        elif record.request.fingerprint in state.quarantined:
+            state.reject(record, ResultCode.STOPPING, state.estimator.spread(STOPPING_RETRY_S))
+        elif state.crashes.is_quarantined(record.request.fingerprint):
             state.reject(record, ResultCode.QUARANTINED)
         else:
-            return True
+            return self._check_limits(record)
         return False
 
+    def _check_limits(self, record: RequestRecord) -> bool:
+        """Refuse a request of a workspace that is over its limits on this host."""
+        state = self._state
+        workspace = state.workspaces.get(record.workspace)
+        if workspace is None:
+            return True
+        if state.limits.is_full(workspace, state.now_s) and not self._make_room(record):
+            slot_s = state.find_pool(record.pool).speed.slot_s.value
+            retry_after_s = state.estimator.spread(slot_s)
+            state.reject(record, ResultCode.CONCURRENCY_LIMITED, retry_after_s)
+            return False
+        wait_s = state.limits.take(workspace, state.now_s)
+        if wait_s is not None:
+            state.reject(record, ResultCode.RATE_LIMITED, state.estimator.spread(wait_s))
+            return False
+        state.limits.open(record, state.now_s)
+        return True
+
+    def _make_room(self, record: RequestRecord) -> bool:
+        """Shed a waiting request of the same workspace and a lower class."""
+        waiting = [
+            other
+            for other in self._state.limits.list_open(record.workspace)
+            if other.state is RequestState.QUEUED
+            and not other.attempts_sent
+            and other.priority > record.priority
+            and self._is_not_last(other)
+        ]
+        if not waiting:
+            return False
+        victim = max(waiting, key=lambda other: (other.priority, other.sequence))
+        self._shed(victim, record)
+        return True
+
+    def _is_not_last(self, record: RequestRecord) -> bool:
+        """Return whether more requests of the class wait; the last has its minimum share."""
+        queue = self._state.find_pool(record.pool).queue
+        return queue.count(record.service_class.name) > 1
+
+    def _shed(self, victim: RequestRecord, record: RequestRecord) -> None:
+        state = self._state
+        state.note(victim, f"makes room for {record.request_id} of a higher class")
+        state.reject(victim, ResultCode.SHED, suggest_return(state, victim))
+
     def _ask_claim(self, record: RequestRecord) -> None:
         request = record.request
         if request.idempotency_key is None:
@@ -128,15 +176,65 @@
         )
 
     def _queue(self, record: RequestRecord) -> None:
+        """Queue a request unless it is certain or likely not to be served as its class asks."""
         state = self._state
-        if not state.upstreams.has_live(record.pool):
-            state.reject(record, ResultCode.NO_UPSTREAM, NO_UPSTREAM_RETRY_S)
-            return
-        queue = state.find_queue(record.pool)
-        if queue.count(record.service_class.name) >= record.service_class.queue_limit:
-            victim = queue.find_victim(record.priority)
-            if victim is None:
-                state.reject(record, ResultCode.QUEUE_FULL, QUEUE_FULL_RETRY_S)
-                return
-            state.reject(victim, ResultCode.SHED, QUEUE_FULL_RETRY_S)
-        state.enqueue(record)
+        pool = state.find_pool(record.pool)
+        service_s = state.estimator.estimate_service(record, pool)
+        pool.demand.observe(record.service_class, service_s, state.now_s)
+        code = self._find_obstacle(record)
+        if code is ResultCode.NO_UPSTREAM:
+            state.reject(record, code, state.estimator.spread(NO_UPSTREAM_RETRY_S))
+        elif code is ResultCode.DEADLINE_PASSED:
+            state.reject(record, code)
+        elif code is not None:
+            state.reject(record, code, suggest_return(state, record))
+        elif self._has_room(record):
+            state.enqueue(record)
+            self._schedule(record)
+        else:
+            state.reject(record, ResultCode.QUEUE_FULL, suggest_return(state, record))
+
+    def _find_obstacle(self, record: RequestRecord) -> ResultCode | None:
+        state = self._state
+        if not state.views.find(record.pool).live:
+            return ResultCode.NO_UPSTREAM
+        end_s = find_end(record)
+        if end_s is not None and end_s <= state.now_s:
+            return ResultCode.DEADLINE_PASSED
+        wait_s = self._estimate_wait(record)
+        state.note(record, f"expected to wait {wait_s:.3f} s")
+        return ResultCode.TARGET_UNREACHABLE if is_hopeless(state, record, wait_s) else None
+
+    def _estimate_wait(self, record: RequestRecord) -> float:
+        """Return the expected wait, taking slots of lower classes as free."""
+        state = self._state
+        pool = state.find_pool(record.pool)
+        ahead = pool.queue.count_down_to(record.priority)
+        obtainable = sum(
+            pool.count_running(each.name)
+            for each in state.classes.values()
+            if each.priority > record.priority
+        )
+        if ahead < obtainable or (ahead == 0 and self._router.has_free_slot(record.pool)):
+            return 0.0
+        return state.estimator.estimate_wait(record, pool, state.views.find(record.pool).slots)
+
+    def _has_room(self, record: RequestRecord) -> bool:
+        """Return whether the class's queue has room, made by a lower class if need be."""
+        queue = self._state.find_pool(record.pool).queue
+        if queue.count(record.service_class.name) < record.service_class.queue_limit:
+            return True
+        if self._router.choose(record) is not None:
+            return True
+        victim = queue.find_victim(record.priority)
+        if victim is None:
+            return False
+        self._shed(victim, record)
+        return True
+
+    def _schedule(self, record: RequestRecord) -> None:
+        state = self._state
+        end_s = find_end(record)
+        if end_s is not None:
+            state.timers.add(end_s, RequestDue(request_id=record.request_id))
+        schedule_review(state, record)
--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -1,78 +1,212 @@
 """The dispatch of queued requests to upstreams."""
 
+from itertools import islice
+
+from greengagestage.configuration import ServiceClass, UpstreamKind
 from greengagestage.ids import AttemptId, PoolName
 
-from ._actions import Dispatch
+from ._actions import CancelAttempt, CancelReason, Dispatch
+from ._fairness import ClassQueue
+from ._health import HealthState
 from ._lifecycle import RequestState
+from ._pools import PoolState
+from ._preemption import find_victim
 from ._records import MS_PER_S, Attempt, RequestRecord
 from ._routing import Router
 from ._state import PolicyState
+from ._timers import PoolDue
 from ._upstreams import UpstreamEntry
 
-FIRST_TOKEN_TIMEOUT_TARGETS = 5.0
-INTER_TOKEN_TIMEOUT_TARGETS = 20.0
-MINIMUM_FIRST_TOKEN_TIMEOUT_S = 5.0
+CANDIDATES_LIMIT = 8
+CACHE_WAIT_S = 5.0
+HEADROOM = 1.1
+FIRST_TOKEN_TIMEOUT_TARGETS = 1.5
+FIRST_TOKEN_TIMEOUT_AVERAGES = 8.0
+INTER_TOKEN_TIMEOUT_TARGETS = 40.0
+MINIMUM_FIRST_TOKEN_TIMEOUT_S = 2.0
 MINIMUM_INTER_TOKEN_TIMEOUT_S = 2.0
+MINIMUM_SERVICE_TIMEOUT_S = 10.0
 
 
 class Dispatcher:
-    """Gives free slots to queued requests."""
+    """Gives slots to queued requests."""
 
     def __init__(self, *, state: PolicyState, router: Router) -> None:
         self._state = state
         self._router = router
 
     def fill_dirty_pools(self) -> None:
-        """Dispatch in every pool whose queue or slots changed."""
-        while self._state.dirty_pools:
-            pools = list(self._state.dirty_pools)
-            self._state.dirty_pools.clear()
-            for pool in pools:
-                self._fill(pool)
-
-    def _fill(self, pool: PoolName) -> None:
-        while self._dispatch_one(pool):
-            pass
-
-    def _dispatch_one(self, pool: PoolName) -> bool:
-        queue = self._state.find_queue(pool)
-        for head in queue.iterate_heads():
-            entry = self._router.choose(head)
+        """Dispatch in every pool whose queue or slots changed, the highest class first."""
+        dirty = self._state.dirty_pools
+        while dirty:
+            name = min(dirty, key=self._rank_pool)
+            if not self._dispatch_one(name):
+                del dirty[name]
+
+    def _rank_pool(self, name: PoolName) -> tuple[bool, int]:
+        priority = self._state.find_pool(name).queue.find_best_priority()
+        return (priority is None, priority or 0)
+
+    def _dispatch_one(self, name: PoolName) -> bool:
+        pool = self._state.find_pool(name)
+        waiting = pool.queue.list_waiting()
+        if not waiting:
+            return False
+        if self._router.has_free_slot(name) and self._serve_first(name, pool, waiting):
+            return True
+        impatient = self._list_impatient(name)
+        return any(self._preempt(pool, record) for record in impatient)
+
+    def _list_impatient(self, name: PoolName) -> list[RequestRecord]:
+        """Return the waiting requests of a pool that may preempt, the most urgent first."""
+        found = [record for record in self._state.impatient.values() if record.pool == name]
+        return sorted(found, key=lambda record: (record.priority, record.due_s, record.sequence))
+
+    def _serve_first(
+        self, name: PoolName, pool: PoolState, waiting: list[tuple[ServiceClass, ClassQueue]]
+    ) -> bool:
+        """Give a free slot to a class that is due its minimum share, or to the highest class."""
+        reserved = self._list_reserved(name, pool, waiting)
+        if any(self._serve(pool, queue, reserved=True) for queue in reserved):
+            return True
+        slots = self._state.views.find(name).slots
+        return any(
+            self._serve(pool, queue, fresh=self._leaves_headroom(pool, service_class, slots))
+            for service_class, queue in waiting
+        )
+
+    def _leaves_headroom(self, pool: PoolState, service_class: ServiceClass, slots: int) -> bool:
+        """Return whether one more request leaves the higher classes the slots they need."""
+        above = pool.demand.measure_above(service_class.priority, self._state.now_s)
+        running = pool.count_running_from(service_class.priority)
+        return running == 0 or running + 1 <= slots - above * HEADROOM
+
+    def _list_reserved(
+        self, name: PoolName, pool: PoolState, waiting: list[tuple[ServiceClass, ClassQueue]]
+    ) -> list[ClassQueue]:
+        """Return the queues that may go ahead of higher classes by their minimum share."""
+        slots = self._state.views.find(name).slots
+        now_s = self._state.now_s
+        return [
+            queue
+            for service_class, queue in waiting[1:]
+            if _has_waited(queue, now_s)
+            and pool.shares.is_due(
+                service_class,
+                running=pool.count_running(service_class.name),
+                slots=slots,
+                now_s=now_s,
+            )
+        ]
+
+    def _serve(
+        self, pool: PoolState, queue: ClassQueue, *, reserved: bool = False, fresh: bool = True
+    ) -> bool:
+        """Dispatch the first request of a class that can go anywhere.
+
+        Without fresh requests, only those go on that an upstream has worked on, because that
+        work would be lost.
+        """
+        for record in islice(queue.iterate_candidates(), CANDIDATES_LIMIT):
+            if not fresh and not record.attempts_sent:
+                return False
+            entry = self._router.choose(record)
             if entry is not None:
-                queue.pop(head)
-                self.send(head, entry)
+                pool.queue.pop(record)
+                self._send(record, entry, reserved=reserved)
                 return True
         return False
 
-    def send(self, record: RequestRecord, entry: UpstreamEntry) -> None:
+    def _preempt(self, pool: PoolState, record: RequestRecord) -> bool:
+        """Take a slot from a lower class for a request that would miss its target."""
+        state = self._state
+        if not state.has_running_below(record.priority):
+            return False
+        victim = find_victim(state, record)
+        if victim is None or victim.attempt is None:
+            return False
+        entry = state.upstreams.find(victim.attempt.upstream)
+        if entry is None:
+            return False
+        self._take_slot(victim, victim.attempt)
+        pool.queue.pop(record)
+        state.note(record, f"takes the slot of {victim.request_id}")
+        self._send(record, entry, reserved=False)
+        return True
+
+    def _take_slot(self, victim: RequestRecord, attempt: Attempt) -> None:
+        state = self._state
+        state.emit(CancelAttempt(attempt_id=attempt.attempt_id, reason=CancelReason.PREEMPTED))
+        state.release_attempt(victim)
+        victim.preemptions += 1
+        victim.tried.remove(attempt.upstream)
+        victim.cached_at = attempt.upstream
+        victim.cached_until_s = state.now_s + CACHE_WAIT_S
+        state.timers.add(victim.cached_until_s, PoolDue(pool=victim.pool))
+        state.note(victim, f"preempted at {attempt.upstream} with {victim.tokens} tokens kept")
+        state.enqueue(victim)
+
+    def _send(self, record: RequestRecord, entry: UpstreamEntry, *, reserved: bool) -> None:
         """Dispatch a request that left the queue."""
+        state = self._state
+        if record.attempts_sent == 0:
+            state.retries.earn(record.service_class, state.now_s)
         record.attempts_sent += 1
         attempt = Attempt(
             attempt_id=AttemptId(f"{record.request_id}.{record.attempts_sent}"),
             upstream=entry.name,
-            sent_s=self._state.now_s,
+            sent_s=state.now_s,
             ran_before=record.possibly_ran,
+            reserved=reserved,
+            suspect=state.is_suspect(record),
+            probe=entry.health.state is HealthState.OUT,
         )
+        if reserved:
+            slots = state.views.find(record.pool).slots
+            state.find_pool(record.pool).shares.charge(record, attempt, slots, state.now_s)
+        if attempt.probe:
+            entry.health.start_probe()
         record.move(RequestState.DISPATCHED)
-        record.attempt = attempt
-        record.tried.append(entry.name)
-        record.possibly_ran = True
-        entry.in_flight[attempt.attempt_id] = record
-        self._state.attempts[attempt.attempt_id] = record
-        self._state.note(record, f"dispatched to {entry.name}, resuming at {record.tokens}")
-        self._state.emit(_build_dispatch(record, attempt))
-
-
-def _build_dispatch(record: RequestRecord, attempt: Attempt) -> Dispatch:
-    targets = record.service_class
-    first_s = targets.first_token_target_ms / MS_PER_S * FIRST_TOKEN_TIMEOUT_TARGETS
-    inter_s = targets.inter_token_target_ms / MS_PER_S * INTER_TOKEN_TIMEOUT_TARGETS
+        state.start_attempt(record, attempt, entry)
+        share = " on its minimum share" if reserved else ""
+        state.note(record, f"sent to {entry.name}{share}, resuming at {record.tokens} tokens")
+        state.emit(_build_dispatch(record, attempt, entry, state.find_pool(record.pool)))
+
+
+def _has_waited(queue: ClassQueue, now_s: float) -> bool:
+    head = queue.peek()
+    return head is not None and head.queued_s < now_s
+
+
+def _build_dispatch(
+    record: RequestRecord, attempt: Attempt, entry: UpstreamEntry, pool: PoolState
+) -> Dispatch:
+    first_s, inter_s = _compute_timeouts(record.service_class, entry, pool)
     return Dispatch(
         request_id=record.request_id,
         attempt_id=attempt.attempt_id,
         upstream=attempt.upstream,
         priority=record.priority,
         resume_tokens=record.tokens,
-        first_token_timeout_s=max(first_s, MINIMUM_FIRST_TOKEN_TIMEOUT_S),
-        inter_token_timeout_s=max(inter_s, MINIMUM_INTER_TOKEN_TIMEOUT_S),
+        first_token_timeout_s=first_s,
+        inter_token_timeout_s=inter_s,
+    )
+
+
+def _compute_timeouts(
+    service_class: ServiceClass, entry: UpstreamEntry, pool: PoolState
+) -> tuple[float, float]:
+    """Return the silence allowed before the first byte and between bytes."""
+    if entry.declared is not None and entry.declared.kind is UpstreamKind.SERVICE:
+        whole_s = max(service_class.answer_target_ms / MS_PER_S, MINIMUM_SERVICE_TIMEOUT_S)
+        return whole_s, whole_s
+    first_s = max(
+        MINIMUM_FIRST_TOKEN_TIMEOUT_S,
+        service_class.first_token_target_ms / MS_PER_S * FIRST_TOKEN_TIMEOUT_TARGETS,
+        pool.speed.estimate_first_token_s(service_class.name) * FIRST_TOKEN_TIMEOUT_AVERAGES,
+    )
+    inter_s = max(
+        MINIMUM_INTER_TOKEN_TIMEOUT_S,
+        service_class.inter_token_target_ms / MS_PER_S * INTER_TOKEN_TIMEOUT_TARGETS,
     )
+    return first_s, inter_s
--- a/greengagestage/policy/_events.py
+++ b/greengagestage/policy/_events.py
@@ -175,6 +175,14 @@
     fingerprint: Fingerprint
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashReported:
+    """Another host lost an upstream while it ran a fingerprint there."""
+
+    fingerprint: Fingerprint
+    upstream: UpstreamName
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeclarationAdopted:
     """A configuration is in force from now on."""
@@ -203,6 +211,7 @@
     | UpstreamsReported
     | SharesUpdated
     | FingerprintQuarantined
+    | CrashReported
     | DeclarationAdopted
     | StopRequested
     | TimerFired
--- a/greengagestage/policy/_journal.py
+++ b/greengagestage/policy/_journal.py
@@ -4,7 +4,7 @@
 
 from greengagestage.ids import RequestId
 
-REQUESTS_KEPT = 2048
+REQUESTS_KEPT = 4096
 LINES_KEPT_PER_REQUEST = 24
 
 
@@ -15,12 +15,13 @@
         self._lines: OrderedDict[RequestId, list[str]] = OrderedDict()
 
     def record(self, request_id: RequestId, now_s: float, line: str) -> None:
-        """Add a line to a request; the oldest requests are forgotten."""
+        """Add a line to a request; those without news for longest are forgotten."""
         lines = self._lines.get(request_id)
         if lines is None:
             lines = self._lines[request_id] = []
             if len(self._lines) > REQUESTS_KEPT:
                 self._lines.popitem(last=False)
+        self._lines.move_to_end(request_id)
         if len(lines) == LINES_KEPT_PER_REQUEST:
             del lines[1]
         lines.append(f"{now_s:.3f} s: {line}")
--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -6,97 +6,125 @@
 from ._actions import CancelAttempt, CancelReason, Deliver
 from ._events import AttemptFailed, FailureKind
 from ._lifecycle import RequestState
-from ._records import RequestRecord
-from ._state import PolicyState
+from ._measurements import Measurements
+from ._quarantine import Quarantine
+from ._records import Attempt, RequestRecord
+from ._reviews import find_end, schedule_review, suggest_return
+from ._routing import Router
+from ._state import PolicyState, is_not_run
 from ._verdicts import FAILURE_CODES
 
 ATTEMPTS_LIMIT = 6
-REFUSED_RETRY_S = 2.0
 NOT_STARTED = (FailureKind.NOT_SENT, FailureKind.REFUSED)
+RESUMED_FREE_OF_CHARGE = (FailureKind.LOST, FailureKind.INCOMPLETE)
 
 
 class Outcomes:
     """Follows attempts to their end."""
 
-    def __init__(self, *, state: PolicyState) -> None:
+    def __init__(
+        self,
+        *,
+        state: PolicyState,
+        router: Router,
+        quarantine: Quarantine,
+        measurements: Measurements,
+    ) -> None:
         self._state = state
+        self._router = router
+        self._quarantine = quarantine
+        self._measurements = measurements
 
     def accept(self, record: RequestRecord) -> None:
         """Note that the upstream began its answer."""
         if record.state is RequestState.DISPATCHED:
             record.move(RequestState.STREAMING)
 
-    def progress(self, record: RequestRecord, tokens: int) -> None:
+    def progress(self, record: RequestRecord, attempt: Attempt, tokens: int) -> None:
         """Count tokens that were passed on to the caller."""
-        attempt = record.attempt
-        if attempt is None:
-            return
         self.accept(record)
-        if attempt.first_token_s is None:
-            attempt.first_token_s = self._state.now_s
-        attempt.last_token_s = self._state.now_s
-        attempt.tokens += tokens
         record.tokens += tokens
+        self._measurements.note_progress(record, attempt, tokens)
 
-    def finish(self, record: RequestRecord) -> None:
+    def finish(self, record: RequestRecord, attempt: Attempt) -> None:
         """End a request whose answer is whole."""
+        self._measurements.note_finish(record, attempt)
+        self._state.crashes.clear(record.request.fingerprint)
         record.move(RequestState.DELIVERED)
         self._state.note(record, f"delivered after {record.tokens} tokens")
         self._state.emit(Deliver(request_id=record.request_id))
         self._state.forget(record)
 
-    def fail(self, record: RequestRecord, event: AttemptFailed) -> None:
+    def fail(self, record: RequestRecord, attempt: Attempt, event: AttemptFailed) -> None:
         """Try a request elsewhere after its attempt failed, or give it up."""
-        attempt = record.attempt
-        if attempt is None:
-            return
         kind = _find_kind(record, event)
+        first_failure = record.last_failure is None
         record.last_failure = kind
         self._state.note(record, f"attempt at {attempt.upstream} failed: {kind.value}")
         if kind in NOT_STARTED:
             record.possibly_ran = attempt.ran_before
+            record.refused_by.append(attempt.upstream)
+        else:
+            record.refused_by = [u for u in record.refused_by if u != attempt.upstream]
+        self._measurements.note_failure(attempt, kind, event)
         self._state.release_attempt(record)
-        code = self._find_obstacle(record, kind, event.resumable)
+        if kind is FailureKind.LOST and self._quarantine.note_lost(record, attempt.upstream):
+            return
+        free = kind in RESUMED_FREE_OF_CHARGE and first_failure
+        code = self._find_obstacle(record, kind, event, free)
         if code is None:
             self._state.enqueue(record)
+            self._state.impatient[record.request_id] = record
+            schedule_review(self._state, record)
         else:
-            self._state.reject(record, code, REFUSED_RETRY_S if code.value < 3000 else None)
+            self._give_up(record, code)
 
     def leave(self, record: RequestRecord) -> None:
         """Stop work for a caller that closed its connection."""
+        state = self._state
         if record.attempt is not None and not record.request.idempotent:
             record.caller_left = True
-            self._state.note(record, "caller left; the run goes on so that it can be stored")
+            state.note(record, "caller left; the run goes on so that its answer can be stored")
             return
         if record.attempt is not None:
-            self._state.emit(
+            state.emit(
                 CancelAttempt(attempt_id=record.attempt.attempt_id, reason=CancelReason.CALLER_LEFT)
             )
         if record.state is RequestState.CLAIMING and record.claim_attempt_id is not None:
-            self._state.orphan_claims[record.request_id] = record.claim_attempt_id
-        self._state.reject(record, ResultCode.CALLER_LEFT)
+            state.orphan_claims[record.request_id] = record.claim_attempt_id
+        state.reject(record, ResultCode.CALLER_LEFT)
+
+    def review_prospects(self) -> None:
+        """Give up waiting requests that no upstream may run any more."""
+        for record in list(self._state.records.values()):
+            if record.state is RequestState.QUEUED and not self._router.has_prospect(record):
+                self._give_up(record, ResultCode.NO_UPSTREAM)
+
+    def _give_up(self, record: RequestRecord, code: ResultCode) -> None:
+        helps = is_not_run(code) or record.request.idempotent
+        self._state.reject(record, code, suggest_return(self._state, record) if helps else None)
 
     def _find_obstacle(
-        self, record: RequestRecord, kind: FailureKind, resumable: bool
+        self, record: RequestRecord, kind: FailureKind, event: AttemptFailed, free: bool
     ) -> ResultCode | None:
         """Return why a request cannot be tried again, or None if it can."""
         state = self._state
-        if kind in NOT_STARTED:
-            if record.attempts_sent >= ATTEMPTS_LIMIT:
-                return ResultCode.UPSTREAM_REFUSED
-        elif not self._can_rerun(record, resumable):
+        started = kind not in NOT_STARTED
+        if started and not (record.request.idempotent and event.resumable):
             return FAILURE_CODES[kind]
-        untried = [
-            entry
-            for entry in state.upstreams.list_pool(record.pool)
-            if entry.takes_work and entry.name not in record.tried
-        ]
-        return None if untried else ResultCode.UPSTREAM_REFUSED
-
-    def _can_rerun(self, record: RequestRecord, resumable: bool) -> bool:
-        if not record.request.idempotent or record.attempts_sent >= ATTEMPTS_LIMIT:
-            return False
-        return resumable
+        if record.caller_left:
+            return ResultCode.CALLER_LEFT
+        if state.crashes.is_quarantined(record.request.fingerprint):
+            return ResultCode.QUARANTINED
+        end_s = find_end(record)
+        if end_s is not None and end_s <= state.now_s:
+            return ResultCode.DEADLINE_PASSED
+        if record.attempts_sent >= ATTEMPTS_LIMIT or not self._router.has_prospect(record):
+            return FAILURE_CODES.get(kind, ResultCode.UPSTREAM_REFUSED)
+        free = free or kind is FailureKind.NOT_SENT or event.upstream_leaving
+        if not free and not state.retries.spend(record.service_class, state.now_s):
+            return ResultCode.RETRY_BUDGET_SPENT
+        return None
 
 
 def _find_kind(record: RequestRecord, event: AttemptFailed) -> FailureKind:
@@ -106,9 +134,9 @@
     return event.kind
 
 
-def find_current(state: PolicyState, attempt_id: AttemptId) -> RequestRecord | None:
+def find_current(state: PolicyState, attempt_id: AttemptId) -> tuple[RequestRecord, Attempt] | None:
     """Return the request whose current attempt has this id; others are ignored."""
     record = state.attempts.get(attempt_id)
     if record is None or record.attempt is None or record.attempt.attempt_id != attempt_id:
         return None
-    return record
+    return record, record.attempt
--- a/greengagestage/policy/_policy.py
+++ b/greengagestage/policy/_policy.py
@@ -1,6 +1,6 @@
 """The policy: takes events and the time, returns actions."""
 
-from greengagestage.ids import HostId, RequestId
+from greengagestage.ids import FailureDomain, HostId, RequestId
 
 from ._actions import Action
 from ._admission import Admission
@@ -12,6 +12,7 @@
     AttemptProgressed,
     CallerLeft,
     ClaimAnswered,
+    CrashReported,
     DeclarationAdopted,
     Event,
     FingerprintQuarantined,
@@ -21,7 +22,10 @@
     TimerFired,
     UpstreamsReported,
 )
+from ._measurements import Measurements
 from ._outcomes import Outcomes, find_current
+from ._quarantine import Quarantine
+from ._reviews import Reviewer
 from ._routing import Router
 from ._snapshot import PolicySnapshot, take_snapshot
 from ._state import PolicyState
@@ -30,13 +34,22 @@
 class Policy:
     """The decisions of one host; the same seed and events give the same actions."""
 
-    def __init__(self, *, host: HostId, seed: int) -> None:
-        self._state = PolicyState(host=host, seed=seed)
-        self._admission = Admission(state=self._state)
-        self._outcomes = Outcomes(state=self._state)
-        self._dispatcher = Dispatcher(
-            state=self._state, router=Router(upstreams=self._state.upstreams)
+    def __init__(
+        self, *, host: HostId, seed: int, failure_domain: FailureDomain | None = None
+    ) -> None:
+        state = PolicyState(host=host, seed=seed, failure_domain=failure_domain)
+        router = Router(state=state)
+        self._state = state
+        self._quarantine = Quarantine(state=state)
+        self._admission = Admission(state=state, router=router)
+        self._outcomes = Outcomes(
+            state=state,
+            router=router,
+            quarantine=self._quarantine,
+            measurements=Measurements(state=state),
         )
+        self._dispatcher = Dispatcher(state=state, router=router)
+        self._reviewer = Reviewer(state=state)
 
     def handle(self, event: Event, now_s: float) -> list[Action]:
         """Take an event in and return what the shell has to do, in order."""
@@ -44,7 +57,9 @@
         state.now_s = max(state.now_s, now_s)
         state.actions = []
         self._apply(event)
+        self._reviewer.run_due()
         self._dispatcher.fill_dirty_pools()
+        self._reviewer.ask_next()
         return state.actions
 
     def inspect(self) -> PolicySnapshot:
@@ -68,25 +83,30 @@
             case StopRequested():
                 self._state.stopping = True
             case TimerFired():
-                pass
+                self._state.timers.note_fired()
+            case CrashReported(fingerprint=fingerprint, upstream=upstream):
+                self._quarantine.note_peer_crash(fingerprint, upstream)
+            case FingerprintQuarantined(fingerprint=fingerprint):
+                self._quarantine.apply(fingerprint)
             case _:
                 self._learn(event)
 
     def _follow_attempt(
         self, event: AttemptAccepted | AttemptProgressed | AttemptFinished | AttemptFailed
     ) -> None:
-        record = find_current(self._state, event.attempt_id)
-        if record is None:
+        current = find_current(self._state, event.attempt_id)
+        if current is None:
             return
+        record, attempt = current
         match event:
             case AttemptAccepted():
                 self._outcomes.accept(record)
             case AttemptProgressed(tokens=tokens):
-                self._outcomes.progress(record, tokens)
+                self._outcomes.progress(record, attempt, tokens)
             case AttemptFinished():
-                self._outcomes.finish(record)
+                self._outcomes.finish(record, attempt)
             case AttemptFailed():
-                self._outcomes.fail(record, event)
+                self._outcomes.fail(record, attempt, event)
 
     def _settle_claim(self, event: ClaimAnswered) -> None:
         record = self._state.records.get(event.request_id)
@@ -107,9 +127,9 @@
                 state.upstreams.apply_reports(reports)
             case SharesUpdated(slots=slots, entry_hosts=entry_hosts):
                 state.upstreams.apply_shares(slots, entry_hosts)
-            case FingerprintQuarantined(fingerprint=fingerprint):
-                state.quarantined[fingerprint] = None
+                state.limits.entry_hosts = max(entry_hosts, 1)
             case DeclarationAdopted(declaration=declaration):
                 state.adopt(declaration)
-        for pool in list(state.queues):
-            state.mark_dirty(pool)
+        self._outcomes.review_prospects()
+        for pool in state.pools:
+            state.dirty_pools[pool] = None
--- /dev/null
+++ b/greengagestage/policy/_pools.py
@@ -0,0 +1,42 @@
+"""What this host has waiting and running in one pool."""
+
+from greengagestage.ids import ClassName
+
+from ._demand import PoolDemand
+from ._queues import PoolQueue
+from ._records import Attempt, RequestRecord
+from ._shares import ShareLedger
+from ._speeds import PoolSpeed
+
+
+class PoolState:
+    """The queue of a pool, the work that runs in it and how fast it answers."""
+
+    def __init__(self) -> None:
+        self.queue = PoolQueue()
+        self.shares = ShareLedger()
+        self.speed = PoolSpeed()
+        self.demand = PoolDemand()
+        self._running: dict[ClassName, int] = {}
+        self._running_by_priority: dict[int, int] = {}
+
+    def count_running(self, name: ClassName) -> int:
+        """Return the number of running requests of a class."""
+        return self._running.get(name, 0)
+
+    def count_running_from(self, priority: int) -> int:
+        """Return the number of running requests of this priority and lower ones."""
+        return sum(n for below, n in self._running_by_priority.items() if below >= priority)
+
+    def note_started(self, record: RequestRecord) -> None:
+        """Count a request as running."""
+        name = record.service_class.name
+        self._running[name] = self._running.get(name, 0) + 1
+        self._running_by_priority[record.priority] = (
+            self._running_by_priority.get(record.priority, 0) + 1
+        )
+
+    def note_ended(self, record: RequestRecord, attempt: Attempt) -> None:
+        """Count a request as no longer running."""
+        self._running[record.service_class.name] -= 1
+        self._running_by_priority[attempt.priority] -= 1
--- /dev/null
+++ b/greengagestage/policy/_preemption.py
@@ -0,0 +1,83 @@
+"""The choice of a running request that gives up its slot to a higher class."""
+
+from collections.abc import Iterator
+
+from ._health import HealthState
+from ._pools import PoolState
+from ._records import RequestRecord
+from ._routing import may_try
+from ._state import PolicyState
+from ._upstreams import UpstreamEntry
+
+PREEMPTIONS_LIMIT = 1
+FIRST_TOKEN_MARGIN = 1.5
+SHARE_OF_TARGET_KEPT = 0.2
+PROMPT_SHARE_BEFORE_TOKEN = 0.5
+
+
+def compute_patience_end(record: RequestRecord, pool: PoolState) -> float:
+    """Return the time from which a waiting request may preempt."""
+    target_s = record.first_token_due_s - record.arrived_s
+    needed_s = max(
+        pool.speed.estimate_first_token_s(record.service_class.name) * FIRST_TOKEN_MARGIN,
+        target_s * SHARE_OF_TARGET_KEPT,
+    )
+    return max(record.arrived_s, record.first_token_due_s - needed_s)
+
+
+def is_impatient(record: RequestRecord, pool: PoolState, now_s: float) -> bool:
+    """Return whether a waiting request would miss its target without a slot at once.
+
+    A caller that has part of its answer is always waiting for the rest.
+    """
+    if record.late and not record.late_is_useless:
+        return False
+    return record.tokens > 0 or now_s >= compute_patience_end(record, pool)
+
+
+def find_victim(state: PolicyState, record: RequestRecord) -> RequestRecord | None:
+    """Return the least progressed request of the lowest class whose slot would help."""
+    victims = [
+        running
+        for entry in state.views.find(record.pool).used
+        if _would_help(state, record, entry)
+        for running in _list_preemptible(entry, record.priority)
+    ]
+    return max(victims, key=_order_victims, default=None)
+
+
+def _would_help(state: PolicyState, record: RequestRecord, entry: UpstreamEntry) -> bool:
+    if not entry.resumes or len(entry.in_flight) > entry.slots:
+        return False
+    if entry.health.state is not HealthState.IN_USE or not may_try(record, entry):
+        return False
+    if state.now_s < entry.health.not_before_s:
+        return False
+    if not state.may_run_beside_equals(record, entry.name):
+        return False
+    return not (entry.suspects and state.is_suspect(record))
+
+
+def _list_preemptible(entry: UpstreamEntry, priority: int) -> Iterator[RequestRecord]:
+    for running in entry.in_flight.values():
+        if running.priority > priority and is_preemptible(running):
+            yield running
+
+
+def is_preemptible(record: RequestRecord) -> bool:
+    """Return whether a running request can give up its slot."""
+    if not record.request.idempotent or record.preemptions >= PREEMPTIONS_LIMIT:
+        return False
+    return record.attempt is not None and not record.attempt.reserved
+
+
+def _order_victims(record: RequestRecord) -> tuple[int, float, int]:
+    return (record.priority, -measure_progress(record), record.sequence)
+
+
+def measure_progress(record: RequestRecord) -> float:
+    """Return the tokens that an upstream would have to compute again."""
+    attempt = record.attempt
+    begun = attempt is not None and attempt.first_token_s is not None
+    prompt_tokens = record.request.prompt_tokens
+    return record.tokens + (prompt_tokens if begun else prompt_tokens * PROMPT_SHARE_BEFORE_TOKEN)
--- a/greengagestage/policy/_queues.py
+++ b/greengagestage/policy/_queues.py
@@ -1,6 +1,6 @@
 """The queue of one pool: one fair queue per class, in the order of priority."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from greengagestage.configuration import ServiceClass
 from greengagestage.ids import ClassName
@@ -14,13 +14,13 @@
 
     def __init__(self) -> None:
         self._queues: dict[ClassName, ClassQueue] = {}
-        self._priorities: dict[ClassName, int] = {}
+        self._classes: dict[ClassName, ServiceClass] = {}
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
     def __iter__(self) -> Iterator[RequestRecord]:
-        for queue in self._queues.values():
+        for queue in list(self._queues.values()):
             yield from queue
 
     def count(self, name: ClassName) -> int:
@@ -28,6 +28,14 @@
         queue = self._queues.get(name)
         return len(queue) if queue else 0
 
+    def count_down_to(self, priority: int) -> int:
+        """Return the number of queued requests of this priority and higher ones."""
+        return sum(
+            len(queue)
+            for name, queue in self._queues.items()
+            if self._classes[name].priority <= priority
+        )
+
     def push(self, record: RequestRecord) -> None:
         """Queue a request in its class."""
         self._find_queue(record.service_class).push(record)
@@ -40,33 +48,57 @@
         """Take a request out without serving it."""
         self._queues[record.service_class.name].remove(record)
 
-    def iterate_heads(self) -> Iterator[RequestRecord]:
-        """Return the next request of each class, the highest class first."""
-        for queue in self._queues.values():
-            head = queue.peek()
-            if head is not None:
-                yield head
+    def demote(self, record: RequestRecord) -> None:
+        """Put a request that can no longer be on time behind those of its class that can."""
+        self._queues[record.service_class.name].demote(record)
+
+    def list_waiting(self) -> list[tuple[ServiceClass, ClassQueue]]:
+        """Return the classes that have queued requests, the highest first."""
+        return [(self._classes[name], queue) for name, queue in self._queues.items() if queue]
+
+    def find_best_priority(self) -> int | None:
+        """Return the priority of the highest class that has queued requests."""
+        for name, queue in self._queues.items():
+            if queue:
+                return self._classes[name].priority
+        return None
+
+    def estimate_work_ahead(self, record: RequestRecord) -> float:
+        """Return the slot-seconds of the queued work that goes before a new request."""
+        own = record.service_class.name
+        ahead_s = 0.0
+        for name, queue in self._queues.items():
+            if name == own:
+                ahead_s += queue.estimate_work_ahead(record)
+            elif self._classes[name].priority < record.priority:
+                ahead_s += queue.work_s
+        return ahead_s
 
     def find_victim(self, priority: int) -> RequestRecord | None:
         """Return the newest unsent request of the lowest class below a priority."""
-        for name in reversed(self._priorities):
-            if self._priorities[name] <= priority:
+        for name in reversed(self._queues):
+            if self._classes[name].priority <= priority:
                 return None
             victim = self._queues[name].find_newest_unsent()
             if victim is not None:
                 return victim
         return None
 
+    def adopt(self, classes: Mapping[ClassName, ServiceClass]) -> None:
+        """Take over changed classes; the queues of classes that vanished stay."""
+        for name in self._classes:
+            self._classes[name] = classes.get(name, self._classes[name])
+        self._sort()
+
     def _find_queue(self, service_class: ServiceClass) -> ClassQueue:
         queue = self._queues.get(service_class.name)
         if queue is None:
             queue = self._queues[service_class.name] = ClassQueue()
-        if self._priorities.get(service_class.name) != service_class.priority:
-            self._priorities[service_class.name] = service_class.priority
+            self._classes[service_class.name] = service_class
             self._sort()
         return queue
 
     def _sort(self) -> None:
-        names = sorted(self._priorities, key=lambda name: (self._priorities[name], name))
-        self._priorities = {name: self._priorities[name] for name in names}
+        names = sorted(self._classes, key=lambda name: (self._classes[name].priority, name))
+        self._classes = {name: self._classes[name] for name in names}
         self._queues = {name: self._queues[name] for name in names}
--- a/greengagestage/policy/_routing.py
+++ b/greengagestage/policy/_routing.py
@@ -1,28 +1,169 @@
-"""The choice of an upstream for a request."""
+"""The choice of an upstream for a request.
 
+The score is the load that the request would find, weighed by the upstream's speed, less what a
+cached prefix saves. The upstream that rendezvous hashing names for the prompt gets a bonus, and
+neither bonus counts where the load is well above the mean, so that affinity stays bounded.
+"""
+
+import xxhash
+
+from greengagestage.ids import PoolName
+
+from ._health import HealthState
+from ._loads import measure_load
 from ._records import RequestRecord
-from ._upstreams import UpstreamBook, UpstreamEntry
+from ._state import PolicyState
+from ._timers import PoolDue
+from ._upstreams import UpstreamEntry
+
+HIT_WEIGHT = 0.3
+HOME_WEIGHT = 0.1
+LOAD_BOUND = 1.25
+OTHER_DOMAIN_PENALTY = 0.01
+SUSPECT_BESIDE_PENALTY = 1.0
+PROBE_PREFERENCE = 10.0
+SLOWNESS_LIMIT = 4.0
+SLOWNESS_SAMPLES = 3
+HOME_PREFIX = 2
 
 
 class Router:
-    """Chooses upstreams by load."""
+    """Chooses upstreams; the shortest expected wait wins."""
+
+    def __init__(self, *, state: PolicyState) -> None:
+        self._state = state
 
-    def __init__(self, *, upstreams: UpstreamBook) -> None:
-        self._upstreams = upstreams
+    def has_free_slot(self, pool: PoolName) -> bool:
+        """Return whether any upstream of the host's part of a pool has a slot to give."""
+        now_s = self._state.now_s
+        return any(
+            len(entry.in_flight) < entry.slots and entry.health.is_usable(now_s, idempotent=True)
+            for entry in self._state.views.find(pool).used
+        )
+
+    def has_prospect(self, record: RequestRecord) -> bool:
+        """Return whether any upstream may ever run a request, sooner or later."""
+        return any(may_try(record, entry) for entry in self._state.views.find(record.pool).live)
 
     def choose(self, record: RequestRecord) -> UpstreamEntry | None:
-        """Return the least loaded upstream with a free slot that was not tried before."""
-        candidates = [
+        """Return the upstream to send a request to now, or None if it has to wait."""
+        if self._state.is_suspect(record):
+            return self._choose_apart(record)
+        usable = [
             entry
-            for entry in self._upstreams.list_pool(record.pool)
-            if entry.takes_work
-            and len(entry.in_flight) < entry.count_slots(self._upstreams.entry_hosts)
+            for entry in self._state.views.find(record.pool).used
+            if self._is_usable(record, entry)
         ]
-        fresh = [entry for entry in candidates if entry.name not in record.tried]
-        if fresh:
-            return min(fresh, key=self._score)
-        return None
-
-    def _score(self, entry: UpstreamEntry) -> tuple[float, str]:
-        slots = entry.count_slots(self._upstreams.entry_hosts)
-        return (len(entry.in_flight) / slots, entry.name)
+        usable = self._keep_cached(record, usable)
+        candidates = [entry for entry in usable if entry.name not in record.tried] or usable
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return candidates[0]
+        return self._find_best(record, candidates)
+
+    def _choose_apart(self, record: RequestRecord) -> UpstreamEntry | None:
+        """Return the upstream where a suspect runs beside no other suspect of its crash."""
+        isolation = self._state.crashes.find_isolation(record.request.fingerprint)
+        entries = sorted(self._state.views.find(record.pool).live, key=lambda entry: entry.name)
+        fit = [
+            entry
+            for entry in entries
+            if entry.health.state is HealthState.IN_USE and may_try(record, entry)
+        ]
+        if isolation is None or not fit:
+            return None
+        fit = [entry for entry in fit if entry.name != isolation.excluded] or fit
+        hosts = self._state.upstreams.entry_hosts
+        start_s = isolation.find_start(len(fit), hosts)
+        if self._state.now_s < start_s:
+            self._wait_until(record, start_s)
+            return None
+        if hosts > 1:
+            fit = [fit[isolation.rank % len(fit)]]
+        usable = [e for e in fit if not e.suspects and self._is_usable(record, e)]
+        return self._find_best(record, usable) if usable else None
+
+    def _wait_until(self, record: RequestRecord, start_s: float) -> None:
+        """Look at a suspect's pool again when its turn has come."""
+        if record.turn_s != start_s:
+            record.turn_s = start_s
+            self._state.timers.add(start_s, PoolDue(pool=record.pool))
+
+    def _is_usable(self, record: RequestRecord, entry: UpstreamEntry) -> bool:
+        if len(entry.in_flight) >= entry.slots:
+            return False
+        if not entry.health.is_usable(self._state.now_s, record.request.idempotent):
+            return False
+        if record.tried and not may_try(record, entry):
+            return False
+        return not entry.resumes or self._state.may_run_beside_equals(record, entry.name)
+
+    def _keep_cached(
+        self, record: RequestRecord, usable: list[UpstreamEntry]
+    ) -> list[UpstreamEntry]:
+        """Let a preempted request wait a while for the upstream that caches its prompt."""
+        if record.cached_at is None or self._state.now_s >= record.cached_until_s:
+            return usable
+        cached = self._state.upstreams.find(record.cached_at)
+        if cached is None or not cached.takes_work or not cached.slots:
+            return usable
+        return [entry for entry in usable if entry is cached]
+
+    def _find_home(self, record: RequestRecord, candidates: list[UpstreamEntry]) -> UpstreamEntry:
+        """Return the upstream that every host names first for the same prompt."""
+        key = _build_home_key(record)
+        return max(
+            candidates, key=lambda entry: (xxhash.xxh64_intdigest(key, entry.hash_seed), entry.name)
+        )
+
+    def _find_best(self, record: RequestRecord, candidates: list[UpstreamEntry]) -> UpstreamEntry:
+        now_s = self._state.now_s
+        loads = [measure_load(entry, now_s) for entry in candidates]
+        bound = LOAD_BOUND * sum(loads) / len(loads)
+        home = self._find_home(record, candidates)
+        best, best_score = candidates[0], float("inf")
+        for entry, load in zip(candidates, loads, strict=True):
+            score = self._score(record, entry, load, bound)
+            if entry is home and load <= bound:
+                score -= HOME_WEIGHT
+            if score < best_score or (score == best_score and entry.name < best.name):
+                best, best_score = entry, score
+        return best
+
+    def _score(
+        self, record: RequestRecord, entry: UpstreamEntry, load: float, bound: float
+    ) -> float:
+        score = (load + 1.0 / max(entry.slots, 1)) * self._measure_slowness(record, entry)
+        hashes = record.request.prefix_hashes
+        if hashes and load <= bound + 1.0 / max(entry.slots, 1):
+            reported = entry.report.cached_prefixes if entry.report else frozenset()
+            score -= HIT_WEIGHT * entry.prefixes.estimate_hit(hashes, reported)
+        if entry.suspects:
+            score += SUSPECT_BESIDE_PENALTY
+        if entry.health.state is HealthState.OUT:
+            top = record.priority == self._state.top_priority
+            score += PROBE_PREFERENCE if top else -PROBE_PREFERENCE
+        domain = self._state.failure_domain
+        if domain is not None and entry.declared and entry.declared.failure_domain != domain:
+            score += OTHER_DOMAIN_PENALTY
+        return score
+
+    def _measure_slowness(self, record: RequestRecord, entry: UpstreamEntry) -> float:
+        own = entry.health.inter_token_s
+        pool = self._state.find_pool(record.pool).speed.inter_token_s
+        if own.samples < SLOWNESS_SAMPLES or pool.value <= 0.0:
+            return 1.0
+        return min(max(own.value / pool.value, 1.0), SLOWNESS_LIMIT)
+
+
+def may_try(record: RequestRecord, entry: UpstreamEntry) -> bool:
+    """Return whether a request may go to an upstream, given where it was before."""
+    return entry.name not in record.tried or entry.name in record.refused_by
+
+
+def _build_home_key(record: RequestRecord) -> bytes:
+    hashes = record.request.prefix_hashes
+    if hashes:
+        return b"%d" % hashes[min(HOME_PREFIX, len(hashes) - 1)]
+    return record.request.fingerprint.encode()
--- a/greengagestage/policy/_snapshot.py
+++ b/greengagestage/policy/_snapshot.py
@@ -5,6 +5,8 @@
 from greengagestage.ids import ClassName, PoolName, UpstreamName
 
 from ._events import UpstreamState
+from ._health import HealthState
+from ._lifecycle import RequestState
 from ._state import PolicyState
 
 
@@ -25,6 +27,7 @@
     upstream: UpstreamName
     state: UpstreamState
     takes_work: bool
+    health: HealthState = HealthState.IN_USE
     in_flight: int
     slots: int
 
@@ -37,6 +40,7 @@
     upstreams: tuple[UpstreamLoad, ...]
     open_requests: int
     claiming: int
+    suspects: int = 0
     quarantined: int
     stopping: bool
 
@@ -50,14 +54,18 @@
                 upstream=entry.name,
                 state=entry.state,
                 takes_work=entry.takes_work,
+                health=entry.health.state,
                 in_flight=len(entry.in_flight),
-                slots=entry.count_slots(state.upstreams.entry_hosts),
+                slots=entry.slots,
             )
             for entry in state.upstreams
         ),
         open_requests=len(state.records),
-        claiming=sum(1 for record in state.records.values() if record.state.value == "claiming"),
-        quarantined=len(state.quarantined),
+        claiming=sum(
+            1 for record in state.records.values() if record.state is RequestState.CLAIMING
+        ),
+        suspects=state.crashes.suspects,
+        quarantined=state.crashes.quarantined,
         stopping=state.stopping,
     )
 
@@ -69,7 +77,7 @@
         key = (record.pool, record.service_class.name)
         if record.attempt is not None:
             running[key] = running.get(key, 0) + 1
-        elif record.state.value == "queued":
+        elif record.state is RequestState.QUEUED:
             queued[key] = queued.get(key, 0) + 1
     keys = sorted({**running, **queued})
     return tuple(
--- a/greengagestage/policy/_upstreams.py
+++ b/greengagestage/policy/_upstreams.py
@@ -4,12 +4,18 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
+import xxhash
+
 from greengagestage.configuration import Declaration, Upstream, UpstreamKind
 from greengagestage.ids import AttemptId, PoolName, UpstreamName
 
 from ._events import UpstreamReport, UpstreamState
+from ._health import Health
+from ._prefixes import PrefixMemory
 from ._records import RequestRecord
 
+LEAVING_HOLD_S = 30.0
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class UpstreamEntry:
@@ -17,16 +23,26 @@
 
     Attributes:
         declared: The declaration of the upstream, None once it is no longer declared.
-        share: Slots that this host may fill, None while no share was computed.
+        hash_seed: Seed of the upstream's rendezvous scores.
+        share: Slots that this host may fill as computed for it, None without such a share.
+        slots: Slots that this host may fill.
         in_flight: The requests that this host has there, by attempt.
+        suspects: How many of them were present at a crash before.
+        said_leaving_s: Time at which the upstream itself said that it is leaving.
     """
 
     name: UpstreamName
+    hash_seed: int
     declared: Upstream | None = None
     state: UpstreamState = UpstreamState.LIVE
     report: UpstreamReport | None = None
     share: int | None = None
+    slots: int = 0
     in_flight: dict[AttemptId, RequestRecord] = field(default_factory=dict)
+    suspects: int = 0
+    said_leaving_s: float | None = None
+    health: Health = field(default_factory=Health)
+    prefixes: PrefixMemory = field(default_factory=PrefixMemory)
 
     @property
     def takes_work(self) -> bool:
@@ -48,6 +64,20 @@
             return min(self.share, self.declared.slots)
         return math.ceil(self.declared.slots / max(entry_hosts, 1))
 
+    def say_leaving(self, now_s: float) -> None:
+        """Take the upstream's own word that it is leaving."""
+        self.state = UpstreamState.LEAVING
+        self.said_leaving_s = now_s
+
+    def apply_report(self, report: UpstreamReport) -> None:
+        """Take a report over unless the upstream's own word is newer."""
+        self.report = report
+        if self.said_leaving_s is not None and report.state is UpstreamState.LIVE:
+            if report.measured_at_s < self.said_leaving_s + LEAVING_HOLD_S:
+                return
+            self.said_leaving_s = None
+        self.state = report.state
+
 
 def list_pools(upstream: Upstream) -> tuple[PoolName, ...]:
     """Return the pools that an upstream belongs to."""
@@ -61,6 +91,8 @@
 
     def __init__(self) -> None:
         self.entry_hosts = 1
+        self.revision = 0
+        self.declared_revision = 0
         self._entries: dict[UpstreamName, UpstreamEntry] = {}
         self._pools: dict[PoolName, list[UpstreamEntry]] = {}
 
@@ -83,45 +115,45 @@
         """Return the pools that an upstream serves now."""
         return list_pools(entry.declared) if entry.declared is not None else ()
 
-    def count_pool_slots(self, pool: PoolName) -> int:
-        """Return the slots that this host may fill in a pool's working upstreams."""
-        return sum(
-            entry.count_slots(self.entry_hosts)
-            for entry in self.list_pool(pool)
-            if entry.takes_work
-        )
-
-    def has_live(self, pool: PoolName) -> bool:
-        """Return whether any upstream of a pool takes work."""
-        return any(entry.takes_work for entry in self.list_pool(pool))
-
     def adopt(self, declaration: Declaration) -> None:
         """Take over the declared upstreams; attempts in flight stay where they are."""
         for entry in self._entries.values():
             entry.declared = None
         self._pools = {}
         for declared in declaration.upstreams:
-            entry = self._entries.setdefault(declared.name, UpstreamEntry(name=declared.name))
+            entry = self._entries.setdefault(declared.name, _create(declared.name))
             entry.declared = declared
             for pool in list_pools(declared):
                 self._pools.setdefault(pool, []).append(entry)
         self._forget_unused()
+        self.declared_revision += 1
+        self._refresh()
 
     def apply_reports(self, reports: tuple[UpstreamReport, ...]) -> None:
         """Keep the newest report of each upstream."""
         for report in reports:
             entry = self._entries.get(report.upstream)
             if entry is not None:
-                entry.report = report
-                entry.state = report.state
+                entry.apply_report(report)
+        self.revision += 1
 
     def apply_shares(self, slots: Mapping[UpstreamName, int], entry_hosts: int) -> None:
         """Take over the shares of slots computed for this host."""
         self.entry_hosts = max(entry_hosts, 1)
         for entry in self._entries.values():
             entry.share = slots.get(entry.name)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        self.revision += 1
+        for entry in self._entries.values():
+            entry.slots = entry.count_slots(self.entry_hosts)
 
     def _forget_unused(self) -> None:
         for entry in list(self._entries.values()):
             if entry.declared is None and not entry.in_flight:
                 del self._entries[entry.name]
+
+
+def _create(name: UpstreamName) -> UpstreamEntry:
+    return UpstreamEntry(name=name, hash_seed=xxhash.xxh64_intdigest(name.encode()))
--- /dev/null
+++ b/greengagestage/policy/_views.py
@@ -0,0 +1,63 @@
+"""The part of each pool that this host uses, kept until an upstream changes."""
+
+from dataclasses import dataclass
+
+from greengagestage.ids import HostId, PoolName
+
+from ._subsets import compute_subset_size, rank_upstreams
+from ._upstreams import UpstreamBook, UpstreamEntry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolView:
+    """The upstreams of a pool to which this host may send new work.
+
+    Attributes:
+        used: The host's own part.
+        live: Every upstream of the pool that takes work.
+        slots: Slots that this host may fill in its part.
+    """
+
+    revision: int
+    used: tuple[UpstreamEntry, ...]
+    live: tuple[UpstreamEntry, ...]
+    slots: int
+
+
+class PoolViews:
+    """Views of all pools."""
+
+    def __init__(self, *, host: HostId, upstreams: UpstreamBook) -> None:
+        self._host = host
+        self._upstreams = upstreams
+        self._views: dict[PoolName, PoolView] = {}
+        self._ranked: dict[PoolName, tuple[int, list[UpstreamEntry]]] = {}
+
+    def find(self, pool: PoolName) -> PoolView:
+        """Return the view of a pool."""
+        view = self._views.get(pool)
+        if view is None or view.revision != self._upstreams.revision:
+            view = self._views[pool] = self._build(pool)
+        return view
+
+    def _build(self, pool: PoolName) -> PoolView:
+        ranked = self._rank(pool)
+        live = tuple(entry for entry in ranked if entry.takes_work)
+        used = tuple(entry for entry in live if entry.share)
+        if not used:
+            size = compute_subset_size(len(ranked), self._upstreams.entry_hosts)
+            used = live[:size]
+        return PoolView(
+            revision=self._upstreams.revision,
+            used=used,
+            live=live,
+            slots=sum(entry.slots for entry in used),
+        )
+
+    def _rank(self, pool: PoolName) -> list[UpstreamEntry]:
+        known = self._ranked.get(pool)
+        if known is None or known[0] != self._upstreams.declared_revision:
+            entries = {entry.name: entry for entry in self._upstreams.list_pool(pool)}
+            ranked = [entries[name] for name in rank_upstreams(self._host, list(entries))]
+            known = self._ranked[pool] = (self._upstreams.declared_revision, ranked)
+        return known[1]
--- a/greengagestage/telemetry/__init__.py
+++ b/greengagestage/telemetry/__init__.py
@@ -1,1 +1,19 @@
 """Metrics and logs."""
+
+from ._histograms import LATENCY_BOUNDS_S, Histogram
+from ._logs import STANDARD_ERROR, log_current_fault, log_fault, open_log, start_logging
+from ._metrics import METRICS_CONTENT_TYPE, EntryMetrics, RequestTimer, Timing
+
+__all__ = [
+    "LATENCY_BOUNDS_S",
+    "METRICS_CONTENT_TYPE",
+    "STANDARD_ERROR",
+    "EntryMetrics",
+    "Histogram",
+    "RequestTimer",
+    "Timing",
+    "log_current_fault",
+    "log_fault",
+    "open_log",
+    "start_logging",
+]
--- /dev/null
+++ b/greengagestage/telemetry/_logs.py
@@ -0,0 +1,47 @@
+"""Logs as JSON lines. Every message type begins with the name of its part."""
+
+import sys
+import traceback
+from typing import IO, Any, cast
+
+from eliot import FileDestination, add_destinations, add_global_fields, log_message
+from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
+from twisted.python.failure import Failure
+
+STANDARD_ERROR = "-"
+
+
+def open_log(path: str) -> IO[bytes]:
+    """Open a log for appending; ``-`` is standard error."""
+    if path == STANDARD_ERROR:
+        return sys.stderr.buffer
+    return open(path, "ab", buffering=0)
+
+
+def start_logging(*, file: IO[bytes], part: str, host: str) -> None:
+    """Write all logs of the process to a file, those of twisted too."""
+    add_global_fields(part=part, host=host)
+    add_destinations(FileDestination(file=file))
+    globalLogBeginner.beginLoggingTo(
+        [cast(ILogObserver, _log_twisted_event)], redirectStandardIO=False, discardBuffer=True
+    )
+
+
+def log_fault(message: str, failure: Failure, **fields: Any) -> None:
+    """Log an unexpected exception with its traceback."""
+    log_message(message_type=message, fault=failure.getTraceback(), **fields)
+
+
+def log_current_fault(message: str, **fields: Any) -> None:
+    """Log the exception that is being handled with its traceback."""
+    log_message(message_type=message, fault=traceback.format_exc(), **fields)
+
+
+def _log_twisted_event(event: dict[str, Any]) -> None:
+    level = event.get("log_level")
+    if level is None or level < LogLevel.warn:
+        return
+    failure = event.get("log_failure")
+    fields = {"fault": failure.getTraceback()} if failure is not None else {}
+    text = event.get("log_format") or "unformatted event"
+    log_message(message_type="twisted: event", level=level.name, text=str(text), **fields)
--- a/greengagestage/wire/__init__.py
+++ b/greengagestage/wire/__init__.py
@@ -1,5 +1,7 @@
 """The inner protocol: typed, versioned, authenticated messages between our own processes."""
 
+from ._counts import TrafficCounts
+from ._entry_link import AgentLink, EntryEndpoint
 from ._messages import (
     AgentMessage,
     ConfigurationInForce,
@@ -14,18 +16,55 @@
     UpstreamStatus,
     UpstreamStatuses,
 )
+from ._peer_messages import (
+    CrashRecord,
+    DocumentAnswer,
+    DocumentRequest,
+    Gossip,
+    HostRecord,
+    HostReport,
+    LoadRecord,
+    MemberState,
+    PeerMessage,
+    QuarantineRecord,
+    QueryAnswer,
+    QueryRequest,
+    SyncRecords,
+    SyncRequest,
+    UpstreamMark,
+)
+from ._peer_socket import PeerSocket
 
 __all__ = [
+    "AgentLink",
     "AgentMessage",
     "ConfigurationInForce",
+    "CrashRecord",
     "CrashReport",
+    "DocumentAnswer",
+    "DocumentRequest",
+    "EntryEndpoint",
     "EntryMessage",
     "EntryStatus",
+    "Gossip",
+    "HostRecord",
+    "HostReport",
     "HostShares",
+    "LoadRecord",
+    "MemberState",
+    "PeerMessage",
+    "PeerSocket",
     "QuarantineNotice",
+    "QuarantineRecord",
+    "QueryAnswer",
+    "QueryRequest",
     "RequestRecord",
     "RequestRecords",
+    "SyncRecords",
+    "SyncRequest",
+    "TrafficCounts",
     "UpstreamLeavingNotice",
+    "UpstreamMark",
     "UpstreamStatus",
     "UpstreamStatuses",
 ]
--- /dev/null
+++ b/greengagestage/wire/_counts.py
@@ -0,0 +1,42 @@
+"""Counts of what a socket sent, received and dropped."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from eliot import log_message
+
+from greengagestage.results import ResultCode
+
+
+@dataclass(slots=True, kw_only=True)
+class TrafficCounts:
+    """Messages and bytes of one socket since its start.
+
+    Attributes:
+        unsent: Messages that the socket could not take because its queue was full.
+        dropped: Received messages that failed a check, by result code.
+    """
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    unsent: int = 0
+    dropped: Counter[ResultCode] = field(default_factory=Counter)
+
+    def count_sent(self, size: int) -> None:
+        """Count a message that left."""
+        self.sent_messages += 1
+        self.sent_bytes += size
+
+    def count_received(self, size: int) -> None:
+        """Count a message that came in, whether or not it is accepted."""
+        self.received_messages += 1
+        self.received_bytes += size
+
+    def count_dropped(self, code: ResultCode) -> None:
+        """Count a message that failed a check. Logs the 1st, 2nd, 4th, 8th, ... of each code."""
+        self.dropped[code] += 1
+        count = self.dropped[code]
+        if count & (count - 1) == 0:
+            log_message("wire: message dropped", code=code.value, reason=code.name, count=count)
--- /dev/null
+++ b/greengagestage/wire/_envelope.py
@@ -0,0 +1,133 @@
+"""The envelope of every message: protocol version, keyed digest, sender, counter."""
+
+import hashlib
+import hmac
+import time
+from collections import OrderedDict
+from enum import Enum
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from greengagestage.results import ResultCode
+
+PROTOCOL_VERSION = 1
+MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
+_DIGEST_BYTES = 16
+_HEADER_BYTES = 1 + _DIGEST_BYTES
+_REMEMBERED_SESSIONS = 2048
+
+
+class Channel(Enum):
+    """What a message travels on. A message of one channel is not accepted on another."""
+
+    ENTRY = "entry"
+    PEER = "peer"
+
+
+class Envelope(Struct, frozen=True, kw_only=True, array_like=True):
+    """What surrounds a payload.
+
+    ``session`` tells two runs of a sender apart; ``counter`` grows with each of its messages.
+    """
+
+    sender: str
+    session: int
+    counter: int
+    payload: bytes
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def _compute_digest(key: bytes, channel: Channel, body: bytes) -> bytes:
+    person = channel.value.encode()
+    version = bytes([PROTOCOL_VERSION])
+    return hashlib.blake2b(
+        version + body, key=key, digest_size=_DIGEST_BYTES, person=person
+    ).digest()
+
+
+def _derive_key(fleet_key: str) -> bytes:
+    return hashlib.sha256(fleet_key.encode()).digest()
+
+
+class Sealer:
+    """Wraps payloads of one sender in envelopes."""
+
+    def __init__(self, *, sender: str, fleet_key: str, channel: Channel) -> None:
+        self._sender = sender
+        self._key = _derive_key(fleet_key)
+        self._channel = channel
+        self._session = time.time_ns()
+        self._counter = 0
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return the frame that carries the payload."""
+        self._counter += 1
+        body = _ENCODER.encode(
+            Envelope(
+                sender=self._sender,
+                session=self._session,
+                counter=self._counter,
+                payload=payload,
+            )
+        )
+        digest = _compute_digest(self._key, self._channel, body)
+        return bytes([PROTOCOL_VERSION]) + digest + body
+
+
+class Opener:
+    """Checks frames and takes their envelopes out. Several fleet keys may be valid at once."""
+
+    def __init__(
+        self,
+        *,
+        fleet_keys: tuple[str, ...],
+        channel: Channel,
+        limit_bytes: int = MESSAGE_LIMIT_BYTES,
+    ) -> None:
+        self._keys = tuple(_derive_key(key) for key in fleet_keys)
+        self._channel = channel
+        self._limit_bytes = limit_bytes
+        self._counters: OrderedDict[tuple[str, int], int] = OrderedDict()
+
+    def open(self, frame: bytes) -> Result[Envelope, ResultCode]:
+        """Return the envelope, or the code of the first check that failed."""
+        if len(frame) > self._limit_bytes:
+            return Failure(ResultCode.MESSAGE_TOO_LARGE)
+        if len(frame) <= _HEADER_BYTES:
+            return Failure(ResultCode.MESSAGE_MALFORMED)
+        if frame[0] != PROTOCOL_VERSION:
+            return Failure(ResultCode.UNKNOWN_PROTOCOL_VERSION)
+        if not self._is_authentic(frame[1:_HEADER_BYTES], frame[_HEADER_BYTES:]):
+            return Failure(ResultCode.UNKNOWN_SENDER)
+        return self._decode(frame[_HEADER_BYTES:])
+
+    def _is_authentic(self, digest: bytes, body: bytes) -> bool:
+        return any(
+            hmac.compare_digest(digest, _compute_digest(key, self._channel, body))
+            for key in self._keys
+        )
+
+    def _decode(self, body: bytes) -> Result[Envelope, ResultCode]:
+        try:
+            envelope = _DECODER.decode(body)
+        except msgspec.MsgspecError:
+            return Failure(ResultCode.MESSAGE_MALFORMED)
+        if not self._is_fresh(envelope):
+            return Failure(ResultCode.UNKNOWN_SENDER)
+        return Success(envelope)
+
+    def _is_fresh(self, envelope: Envelope) -> bool:
+        """Tell whether the counter is above all earlier ones of the session, and note it."""
+        session = (envelope.sender, envelope.session)
+        if envelope.counter <= self._counters.get(session, 0):
+            return False
+        self._counters[session] = envelope.counter
+        self._counters.move_to_end(session)
+        if len(self._counters) > _REMEMBERED_SESSIONS:
+            self._counters.popitem(last=False)
+        return True
--- a/greengagestage/wire/_messages.py
+++ b/greengagestage/wire/_messages.py
@@ -6,6 +6,7 @@
     ClassName,
     ConfigurationVersion,
     Fingerprint,
+    HostId,
     PoolName,
     RequestId,
     UpstreamName,
@@ -40,10 +41,14 @@
 
 
 class HostShares(Struct, frozen=True, kw_only=True, tag="shares"):
-    """Agent to entry: slots of each upstream for this host, and the number of entry hosts."""
+    """Agent to entry: slots of each upstream for this host, and the entry hosts of the fleet.
+
+    ``live_hosts`` names the hosts that have not gone; empty where the agent does not know them.
+    """
 
     slots: dict[UpstreamName, int]
     entry_hosts: int
+    live_hosts: tuple[HostId, ...] = ()
 
 
 class QuarantineNotice(Struct, frozen=True, kw_only=True, tag="quarantine"):
--- /dev/null
+++ b/greengagestage/wire/_peer_messages.py
@@ -0,0 +1,169 @@
+"""Messages between the agents of different hosts. Compact: encoded as arrays."""
+
+from enum import IntEnum
+
+from msgspec import Struct
+
+from greengagestage.configuration import Head
+from greengagestage.ids import (
+    ConfigurationVersion,
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    PoolName,
+    UpstreamName,
+)
+
+
+class MemberState(IntEnum):
+    """Where a host stands in its life. At equal stamps the higher value holds."""
+
+    LIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    GONE = 3
+
+
+class HostRecord(Struct, frozen=True, kw_only=True, array_like=True):
+    """A host as the fleet knows it.
+
+    ``incarnation`` grows with each start of the agent, ``sequence`` with each change that the host
+    itself makes. Only the host itself raises either, so that old news cannot overrule it.
+    """
+
+    host: HostId
+    incarnation: int
+    sequence: int
+    state: MemberState
+    address: str
+    failure_domain: FailureDomain
+
+
+class UpstreamMark(Struct, frozen=True, kw_only=True, array_like=True):
+    """Whether an upstream is leaving. The higher ``sequence`` holds, then ``leaving``."""
+
+    upstream: UpstreamName
+    sequence: int
+    leaving: bool
+
+
+class CrashRecord(Struct, frozen=True, kw_only=True, array_like=True):
+    """An upstream was lost while it ran a fingerprint for a host. ``number`` is that host's."""
+
+    fingerprint: Fingerprint
+    upstream: UpstreamName
+    host: HostId
+    number: int
+
+
+class QuarantineRecord(Struct, frozen=True, kw_only=True, array_like=True):
+    """A fingerprint that is never run again."""
+
+    fingerprint: Fingerprint
+
+
+class LoadRecord(Struct, frozen=True, kw_only=True, array_like=True):
+    """The load of an engine, ``age_ms`` before the message was sent."""
+
+    upstream: UpstreamName
+    running: int
+    waiting: int
+    age_ms: int
+
+
+class HostReport(Struct, frozen=True, kw_only=True, array_like=True):
+    """Demand and work in flight of a host; the highest (incarnation, sequence) holds.
+
+    ``demand`` is weighted by class, in tenths of a request of the highest class.
+    """
+
+    host: HostId
+    incarnation: int
+    sequence: int
+    version: ConfigurationVersion
+    demand: dict[PoolName, int]
+    in_flight: dict[UpstreamName, int]
+
+
+class Gossip(Struct, frozen=True, kw_only=True, array_like=True, tag="g"):
+    """To each neighbour, at intervals and when there is news.
+
+    The first fields are a heartbeat: the sender's own stamp and the version in force there.
+    ``watched`` asks the receiver to expect the next one.
+    """
+
+    incarnation: int
+    sequence: int
+    version: ConfigurationVersion
+    watched: bool = True
+    hosts: tuple[HostRecord, ...] = ()
+    marks: tuple[UpstreamMark, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    quarantined: tuple[QuarantineRecord, ...] = ()
+    loads: tuple[LoadRecord, ...] = ()
+    reports: tuple[HostReport, ...] = ()
+
+
+class SyncRequest(Struct, frozen=True, kw_only=True, array_like=True, tag="s"):
+    """Compare all records: the sender's own record and a digest of each bucket."""
+
+    record: HostRecord
+    version: ConfigurationVersion
+    digests: tuple[int, ...]
+
+
+class SyncRecords(Struct, frozen=True, kw_only=True, array_like=True, tag="r"):
+    """The sender's records of the buckets that differ.
+
+    ``wanted`` lists the buckets of which the sender wants the receiver's records in return.
+    """
+
+    record: HostRecord
+    version: ConfigurationVersion
+    wanted: tuple[int, ...] = ()
+    hosts: tuple[HostRecord, ...] = ()
+    marks: tuple[UpstreamMark, ...] = ()
+    crashes: tuple[CrashRecord, ...] = ()
+    quarantined: tuple[QuarantineRecord, ...] = ()
+
+
+class DocumentRequest(Struct, frozen=True, kw_only=True, array_like=True, tag="d"):
+    """Ask for the document of the version in force, if it is at least this one."""
+
+    version: ConfigurationVersion
+    address: str
+
+
+class DocumentAnswer(Struct, frozen=True, kw_only=True, array_like=True, tag="D"):
+    """A version and its document, compressed with zlib."""
+
+    head: Head
+    compressed: bytes
+
+
+class QueryRequest(Struct, frozen=True, kw_only=True, array_like=True, tag="q"):
+    """Ask a host for its rows of an operator's query."""
+
+    query: int
+    text: str
+    address: str
+
+
+class QueryAnswer(Struct, frozen=True, kw_only=True, array_like=True, tag="Q"):
+    """A host's rows, as JSON. ``truncated`` tells that there were more than fit."""
+
+    query: int
+    rows: bytes
+    truncated: bool = False
+
+
+PeerMessage = (
+    Gossip
+    | SyncRequest
+    | SyncRecords
+    | DocumentRequest
+    | DocumentAnswer
+    | QueryRequest
+    | QueryAnswer
+)
+"""Any message that an agent sends to the agent of another host."""
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -9,8 +9,8 @@
 from ._faults import Fault, FaultKind, FaultSwitch
 from ._http import Call, reactor
 from ._kv_holds import HeldPrompt, KvHolds
+from ._lagging_load import LaggingLoad
 from ._ledger import Ledger, Run, RunOutcome
-from ._load_report import LaggingLoad
 from ._orders import Fencing, Orders, OrdersState
 from ._output import Prompt, decode_tokens
 from ._prefix_cache import PrefixCache
