--- /dev/null
+++ b/standins/_fleet.py
@@ -0,0 +1,269 @@
+"""A fleet of processes on loopback, started, disturbed and stopped by name."""
+
+import signal
+import sys
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from greengagestage.configuration import Declaration, compute_digest, encode_declaration
+
+from ._faults import Fault
+from ._fleet_shape import FleetShape, HostShape, build_declaration
+from ._host_list import HostListing, ListedHost, ListedUpstream
+from ._http import LISTEN_ADDRESS
+from ._ledger import LedgerPage, Run
+from ._platform_faults import PlatformFault
+from ._processes import ChildProcess, ProcessFailedError, reserve_ports
+from ._web_calls import OK_STATUS, WebAnswer, send_call
+
+FLEET_KEY = "stand-in-fleet-key"
+PLATFORM = "platform"
+AGENT_MODULE = "greengagestage.commands.agent"
+
+
+class Fleet:
+    """The platform, upstreams, agents and entries of one shape.
+
+    Entries are called ``entry-<host>``, agents ``agent-<host>``; upstreams keep their names.
+    Use it as a context manager, so that everything stops at the end.
+    """
+
+    def __init__(self, *, shape: FleetShape, directory: Path) -> None:
+        self.shape = shape
+        self.directory = directory
+        self._processes: dict[str, ChildProcess] = {}
+        self._peer_addresses: dict[str, str] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start every process, apply the declaration and wait until the entries are ready."""
+        self.start_upstreams()
+        self.start_hosts()
+
+    def start_upstreams(self) -> None:
+        """Start the platform and every upstream."""
+        self.launch_upstreams()
+        self.await_upstreams()
+
+    def start_hosts(self) -> None:
+        """Apply the declaration, start agents and entries and wait until they are ready."""
+        self.launch_hosts()
+        self.await_hosts()
+
+    def launch_upstreams(self) -> None:
+        """Start the platform and every upstream without waiting."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self._add_standin(PLATFORM, "platform", *self.shape.platform_options)
+        for engine in self.shape.engines:
+            self._add_standin(
+                engine.name,
+                "engine",
+                *("--slots", str(engine.slots), "--fencing", engine.fencing.value),
+                *("--ledger-file", str(self.directory / f"{engine.name}.ledger")),
+                *engine.options,
+            )
+        for service in self.shape.services:
+            self._add_standin(
+                service.name,
+                "service",
+                *("--name", service.service),
+                *("--ledger-file", str(self.directory / f"{service.name}.ledger")),
+                *service.options,
+            )
+
+    def await_upstreams(self) -> None:
+        """Wait until the platform and every upstream listen."""
+        for process in self._processes.values():
+            process.wait_announced()
+
+    def build_declaration(self) -> Declaration:
+        """Return the declaration that describes this fleet."""
+        urls = {
+            name: self.url(name)
+            for name in (*(e.name for e in self.shape.engines), *self._service_names())
+        }
+        return build_declaration(self.shape, urls)
+
+    def apply_declaration(self) -> None:
+        """Write the declaration as the first version, as ``greengage apply`` does."""
+        document = encode_declaration(self.build_declaration())
+        digest = compute_digest(document)
+        platform = self.url(PLATFORM)
+        _require(send_call("PUT", f"{platform}/objects/configuration/{digest}", document))
+        head = {
+            "version": 1,
+            "digest": digest,
+            "command_id": "first-declaration",
+            "operator": "operations",
+            "at": 0,
+        }
+        keys = ("configuration/head", "configuration/history/0000000001")
+        operations = [{"kind": "put", "key": key, "value": head, "expect": 0} for key in keys]
+        _require(send_call("POST", f"{platform}/table/transact", {"operations": operations}))
+
+    def launch_hosts(self) -> None:
+        """Apply the declaration, start agents and entries and list them at the platform."""
+        self.apply_declaration()
+        for host in self.shape.hosts:
+            self._add_host(host)
+        self.list_hosts()
+
+    def await_hosts(self) -> None:
+        """Wait until every agent and entry is ready."""
+        for host in self.shape.hosts:
+            self.wait_ready(f"agent-{host.name}")
+            self.wait_ready(f"entry-{host.name}")
+
+    def list_hosts(self) -> None:
+        """Tell the platform's host list of every host and upstream."""
+        listing = HostListing(
+            hosts=tuple(
+                ListedHost(
+                    host=host.name,
+                    address=self._peer_addresses[host.name],
+                    failure_domain=host.failure_domain,
+                )
+                for host in self.shape.hosts
+            ),
+            upstreams=tuple(
+                ListedUpstream(name=name)
+                for name in (*(e.name for e in self.shape.engines), *self._service_names())
+            ),
+        )
+        _require(send_call("PUT", f"{self.url(PLATFORM)}/_standin/hosts", listing))
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a process's readiness check passes."""
+        process = self._processes[name]
+        process.wait_ready(lambda: send_call("GET", f"{process.url}/readyz").status == OK_STATUS)
+
+    def url(self, name: str) -> str:
+        """Return a process's address."""
+        return self._processes[name].url
+
+    def process(self, name: str) -> ChildProcess:
+        """Return a process by name."""
+        return self._processes[name]
+
+    def entry_urls(self) -> list[str]:
+        """Return the entries' addresses, in the hosts' order."""
+        return [self.url(f"entry-{host.name}") for host in self.shape.hosts]
+
+    def kill(self, name: str) -> None:
+        """End a process hard and wait for its end."""
+        self._processes[name].send_signal(signal.SIGKILL)
+        self._processes[name].wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a process where it is."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to stop, wait for it, and return its exit code."""
+        self._processes[name].ask_to_stop()
+        return self._processes[name].wait()
+
+    def restart(self, name: str) -> None:
+        """Start an ended process again at the same address."""
+        self._processes[name].start()
+        self._processes[name].wait_announced()
+
+    def set_fault(self, name: str, fault: Fault | PlatformFault) -> None:
+        """Switch a fault at a stand-in; a crash leaves no answer."""
+        send_call("POST", f"{self.url(name)}/_standin/faults", fault)
+
+    def read_ledger(self, name: str) -> list[Run]:
+        """Return an upstream's runs, those before a crash included."""
+        kept = self.directory / f"{name}.ledger"
+        runs: list[Run] = []
+        if kept.exists():
+            runs += WebAnswer(status=OK_STATUS, body=kept.read_bytes()).decode(LedgerPage).runs
+        answer = send_call("GET", f"{self.url(name)}/_standin/ledger")
+        if answer.status == OK_STATUS:
+            runs += answer.decode(LedgerPage).runs
+        return runs
+
+    def read_engine_ledgers(self) -> list[Run]:
+        """Return the runs of all engines."""
+        return [run for engine in self.shape.engines for run in self.read_ledger(engine.name)]
+
+    def ask_entries_to_stop(self) -> None:
+        """Begin the entries' graceful stop without waiting for its end."""
+        for process in self._list_running("entry-"):
+            process.ask_to_stop()
+
+    def stop(self) -> dict[str, int]:
+        """Stop entries, then agents, then the rest; return the exit codes by name."""
+        codes: dict[str, int] = {}
+        for prefix in ("entry-", "agent-", ""):
+            group = self._list_running(prefix)
+            for process in group:
+                process.ask_to_stop()
+            codes.update({process.name: process.wait() for process in group})
+        return codes
+
+    def _list_running(self, prefix: str) -> list[ChildProcess]:
+        return [
+            process
+            for name, process in self._processes.items()
+            if name.startswith(prefix) and process.running
+        ]
+
+    def _service_names(self) -> list[str]:
+        return [service.name for service in self.shape.services]
+
+    def _add_standin(self, name: str, module: str, *options: str) -> None:
+        command = [sys.executable, "-m", f"standins.{module}", *options]
+        self.add(ChildProcess(name=name, command=command, directory=self.directory))
+
+    def _add_host(self, host: HostShape) -> None:
+        listen, link, peer, http = (f"{LISTEN_ADDRESS}:{port}" for port in reserve_ports(4))
+        self._peer_addresses[host.name] = peer
+        common = (
+            *("--platform", self.url(PLATFORM), "--host", host.name),
+            *("--failure-domain", host.failure_domain, "--fleet-key", FLEET_KEY),
+        )
+        agent = ("--entry-listen", link, "--peer-listen", peer, "--http-listen", http)
+        entry = ("--listen", listen, "--agent", link)
+        self._add_binary(
+            f"agent-{host.name}", AGENT_MODULE, http, *agent, *common, *self.shape.agent_options
+        )
+        module = self.shape.entry_module
+        self._add_binary(
+            f"entry-{host.name}", module, listen, *entry, *common, *self.shape.entry_options
+        )
+
+    def _add_binary(self, name: str, module: str, address: str, *options: str) -> None:
+        self.add(
+            ChildProcess(
+                name=name,
+                command=[sys.executable, "-m", module, *options],
+                directory=self.directory,
+                url=f"http://{address}",
+            )
+        )
+
+    def add(self, process: ChildProcess) -> None:
+        """Start a process that is stopped with the fleet."""
+        self._processes[process.name] = process
+        process.start()
+
+
+def _require(answer: WebAnswer) -> None:
+    if answer.status != OK_STATUS:
+        raise ProcessFailedError(f"the platform answered {answer.status}: {answer.body!r}")
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,6 +19,7 @@
 LISTEN_ADDRESS = "127.0.0.1"
 
 reactor: Any = _reactor
+reactor.seconds = time.monotonic
 _web: Any = _server
 
 
--- /dev/null
+++ b/standins/_web_calls.py
@@ -0,0 +1,50 @@
+"""Blocking HTTP calls for launchers and tests, which wait on processes anyway."""
+
+import urllib.error
+import urllib.request
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import msgspec
+
+CALL_TIMEOUT_S = 10.0
+OK_STATUS = 200
+UNREACHABLE_STATUS = 0
+
+_T = TypeVar("_T")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WebAnswer:
+    """An answer; status 0 means that nothing answered."""
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] | None = None
+
+    def decode(self, kind: type[_T]) -> _T:
+        """Read the JSON body as a type."""
+        return msgspec.json.decode(self.body, type=kind)
+
+
+def send_call(
+    method: str,
+    url: str,
+    body: Any = None,
+    *,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> WebAnswer:
+    """Send one call; bytes go as they are, anything else as JSON."""
+    data = body if body is None or isinstance(body, bytes) else msgspec.json.encode(body)
+    request = urllib.request.Request(url, data=data, headers=dict(headers or {}), method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            return WebAnswer(
+                status=response.status, body=response.read(), headers=dict(response.headers)
+            )
+    except urllib.error.HTTPError as error:
+        return WebAnswer(status=error.code, body=error.read(), headers=dict(error.headers))
+    except (OSError, ValueError):
+        return WebAnswer(status=UNREACHABLE_STATUS)
--- /dev/null
+++ b/tests/test_agent_processes.py
@@ -0,0 +1,219 @@
+"""Agents as processes: commands, versions through outages, leaving upstreams, stops."""
+
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from greengagestage.ids import UpstreamName
+from greengagestage.language import CommandAnswer
+from greengagestage.results import ResultCode
+from greengagestage.wire import AgentLink, AgentMessage, UpstreamLeavingNotice, UpstreamStatuses
+from standins._web_calls import send_call
+
+from .agent_fleet import FLEET_KEY, Agent, AgentFleet
+from .reactors import running_reactor, turn_until
+
+pytestmark = [pytest.mark.process, pytest.mark.xdist_group("agents")]
+
+ENGINE = UpstreamName("engine-1")
+IN_FORCE_BOUND_S = 8.0
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[AgentFleet]:
+    fleet = AgentFleet(tmp_path)
+    yield fleet
+    fleet.stop()
+
+
+def test_commands_are_answered(fleet: AgentFleet) -> None:
+    first, second = fleet.start(2)
+    assert {row[0] for row in first.run("show upstreams").rows} == {"engine-1", "engine-2"}
+    assert first.run("show requests").silent_hosts == ()
+    assert first.run("show nothing").code == ResultCode.UNKNOWN_NAME.value
+    assert first.run("show").code == ResultCode.SYNTAX_ERROR.value
+    assert first.run("explain request 1").code == ResultCode.UNKNOWN_NAME.value
+    assert "engine-1" in first.run("explain upstream engine-1").messages[0]
+    stranger = first.call("/v1/command", {"text": "show hosts"}, key="wrong")
+    assert stranger.status == 401
+    assert first.call("/v1/command", b"{").decode(CommandAnswer).code == 1001
+    assert first.call("/v1/command", {"txt": 1}).status == 400
+    second.process.send_signal(signal.SIGSTOP)
+    assert first.run("show requests").silent_hosts == (second.host,)
+    metrics = send_call("GET", f"{first.process.url}/metrics").body.decode()
+    assert "greengage_agent_configuration_version 1.0" in metrics
+    assert 'greengage_agent_messages_total{direction="sent",side="peers"}' in metrics
+
+
+def test_changes_move_the_version_and_conflicts_name_both(fleet: AgentFleet) -> None:
+    first, second = fleet.start(2)
+    dry = first.run("drain upstream engine-1", dry_run=True)
+    assert "~ upstreams.engine-1.draining: False -> True" in dry.messages
+    answer = first.run("drain upstream engine-1 if version = 1", command_id="c-1")
+    assert (answer.code, answer.version) == (0, 2)
+    assert (
+        first.run("drain upstream engine-1", command_id="c-1").messages[-1] == "nothing to change"
+    )
+    late = second.run("set class phone first_token = 900ms if version = 1")
+    assert late.code == ResultCode.VERSION_CONFLICT.value
+    assert "version 1" in late.messages[1]
+    assert "version 2" in late.messages[1]
+    faulty = first.run("set class phone priority = 1")
+    assert faulty.code == ResultCode.DECLARATION_INVALID.value
+    versions = second.run("show versions").rows
+    assert [row[0] for row in versions] == [2, 1]
+    assert versions[0][2] == "anna"
+    fleet.wait(lambda: second.read_version() == 2, "the second host has version 2")
+    states = {row[0]: row[2] for row in second.run("show upstreams").rows}
+    assert states == {"engine-1": "leaving", "engine-2": "live"}
+
+
+def test_whole_declaration_is_applied(fleet: AgentFleet) -> None:
+    (first,) = fleet.start(1)
+    bad = first.call("/v1/apply", {"toml": "classes = []\nworkspaces = []"}).decode(CommandAnswer)
+    assert bad.code == ResultCode.DECLARATION_INVALID.value
+    assert any("classes" in line for line in bad.messages)
+
+
+def test_version_is_in_force_everywhere_though_the_platform_fails_right_after(
+    fleet: AgentFleet,
+) -> None:
+    agents = fleet.start(5)
+    answer = agents[0].run("set class phone queue_limit = 99")
+    accepted_s = time.monotonic()
+    fleet.take_platform_down()
+    assert answer.code == 0
+    fleet.wait(lambda: all(a.read_version() == 2 for a in agents), "version 2 is everywhere")
+    assert time.monotonic() - accepted_s < IN_FORCE_BOUND_S
+
+
+def test_new_host_starts_from_its_peers_during_an_outage(fleet: AgentFleet) -> None:
+    first, _ = fleet.start(2)
+    first.run("set class phone queue_limit = 97")
+    fleet.take_platform_down()
+    newcomer = fleet.add("host-9", "a", "--peers", first.peer)
+    alone = fleet.add("host-8", "a")
+    fleet.wait(lambda: newcomer.is_ready, "the newcomer is ready")
+    assert newcomer.read_version() == 2
+    assert not alone.is_ready
+
+
+def test_store_set_back_does_not_revert_and_new_versions_lie_above(fleet: AgentFleet) -> None:
+    first, second = fleet.start(2)
+    for limit in (90, 91, 92):
+        first.run(f"set class phone queue_limit = {limit}")
+    assert first.read_version() == 4
+    rows = send_call("GET", f"{fleet.platform.url}/table/rows?prefix=configuration/head&limit=1")
+    old = {**rows.decode(dict)["rows"][0]["value"], "version": 1}
+    operations = [{"kind": "put", "key": "configuration/head", "value": old}]
+    send_call("POST", f"{fleet.platform.url}/table/transact", {"operations": operations})
+    fleet.wait(lambda: second.read_version() == 4, "the second host has version 4")
+    answer = second.run("set class phone queue_limit = 93")
+    assert (answer.code, answer.version) == (0, 5)
+
+
+def test_store_that_lost_versions_is_given_them_back(fleet: AgentFleet) -> None:
+    first, second = fleet.start(2)
+    first.run("set class phone queue_limit = 90")
+    table = f"{fleet.platform.url}/table"
+    row = send_call("GET", f"{table}/rows?prefix=configuration/head&limit=1").decode(dict)
+    old = {**row["rows"][0]["value"], "version": 1}
+    operations = [{"kind": "put", "key": "configuration/head", "value": old}]
+    send_call("POST", f"{table}/transact", {"operations": operations})
+
+    def read_head() -> int:
+        rows = send_call("GET", f"{table}/rows?prefix=configuration/head&limit=1").decode(dict)
+        return int(rows["rows"][0]["value"]["version"])
+
+    fleet.wait(lambda: read_head() == 2, "the store has version 2 again")
+    assert {first.read_version(), second.read_version()} == {2}
+
+
+def test_refusal_of_a_leaving_upstream_reaches_all_hosts_without_the_platform(
+    fleet: AgentFleet,
+) -> None:
+    agents = fleet.start(4)
+    fleet.take_platform_down()
+    with running_reactor() as reactor:
+        heard: dict[str, list[AgentMessage]] = {agent.host: [] for agent in agents}
+        links = [
+            AgentLink(
+                reactor=reactor,
+                address=agent.entry,
+                fleet_key=FLEET_KEY,
+                on_message=heard[agent.host].append,
+            )
+            for agent in agents
+        ]
+        for link in links:
+            link.start()
+        turn_until(reactor, lambda: all(link.last_heard_s < 5 for link in links))
+        links[0].send(UpstreamLeavingNotice(upstream=ENGINE))
+        turn_until(reactor, lambda: all(is_leaving(messages) for messages in heard.values()))
+        for link in links:
+            link.stop()
+
+
+def is_leaving(messages: list[AgentMessage]) -> bool:
+    states = [
+        status.state
+        for message in messages
+        if isinstance(message, UpstreamStatuses)
+        for status in message.statuses
+        if status.upstream == ENGINE
+    ]
+    return bool(states) and states[-1] == "leaving"
+
+
+def test_list_marks_leaving_and_an_empty_list_drops_nobody(fleet: AgentFleet) -> None:
+    agents = fleet.start(3)
+    fleet.list_hosts(leaving=("engine-1",))
+    fleet.wait(lambda: all(reads_leaving(agent) for agent in agents), "engine-1 is leaving")
+    send_call("PUT", f"{fleet.platform.url}/_standin/hosts", {"hosts": [], "upstreams": []})
+    newcomer = fleet.add("host-7", "b", "--peers", agents[0].peer)
+    fleet.wait_members([*agents, newcomer])
+    assert all(reads_leaving(agent) for agent in [*agents, newcomer])
+
+
+def reads_leaving(agent: Agent) -> bool:
+    rows = agent.run("show upstreams where state = leaving").rows
+    return [row[0] for row in rows] == ["engine-1"]
+
+
+def test_planned_stop_is_told_and_ends_with_zero(fleet: AgentFleet) -> None:
+    first, second, third = fleet.start(3)
+    second.process.send_signal(signal.SIGTERM)
+    assert second.process.wait() == 0
+    hosts = {row[0]: row[1] for row in first.run("show hosts").rows}
+    assert hosts[second.host] == "leaving"
+    replacement = fleet.add(second.host, "b")
+    fleet.list_hosts()
+    fleet.wait_members([first, replacement, third])
+
+
+def test_killed_host_is_replaced_under_the_same_name(fleet: AgentFleet) -> None:
+    first, second, third = fleet.start(3)
+    second.process.send_signal(signal.SIGKILL)
+    second.process.wait()
+    replacement = fleet.add(second.host, "b")
+    fleet.list_hosts()
+    fleet.wait(
+        lambda: {row[3] for row in first.run("show hosts where state = live").rows}
+        == {first.peer, replacement.peer, third.peer},
+        "the replacement is known at its address",
+    )
+
+
+def test_all_faulty_settings_are_named_at_once() -> None:
+    command = [sys.executable, "-m", "greengagestage.commands.agent", "--host", "a b"]
+    command += ["--entry-listen", "x", "--fleet-key", "short", "--peers", "1.2.3.4"]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert ended.returncode == 2
+    assert ended.stderr.startswith("4014 SETTINGS_INVALID")
+    for flag in ("--entry-listen", "--peer-listen", "--host", "--fleet-key", "--peers"):
+        assert flag in ended.stderr
--- /dev/null
+++ b/tests/test_entry_delivery.py
@@ -0,0 +1,42 @@
+"""Answers reach their callers whole, token by token, and once."""
+
+from twisted.internet.defer import inlineCallbacks
+
+from .entry_harness import (
+    TEXT,
+    EntryCase,
+    answer_then,
+    answer_whole,
+    build_request,
+    chunked,
+    prompt,
+    stream_events,
+    wait_until,
+)
+
+
+class DeliveryCase(EntryCase):
+    @inlineCallbacks
+    def test_streams_token_by_token(self):
+        engine = self.engine(answer_then(2))
+        self.adopt(engine)
+        caller = yield self.send(build_request(prompt()))
+        yield wait_until(lambda: len(caller.events) == 2)
+        upstream_request = engine.requests[0]
+        rest = stream_events(upstream_request)[2:]
+        for count, piece in enumerate(rest[:-2], start=3):
+            upstream_request.send(chunked(piece))
+            yield wait_until(lambda count=count: len(caller.events) == count)
+        upstream_request.send(*map(chunked, rest[-2:]))
+        yield wait_until(lambda: caller.is_whole)
+        assert caller.body == b"".join(stream_events(upstream_request))
+        assert caller.headers["content-type"].startswith("text/event-stream")
+        assert caller.headers["x-request-id"] == upstream_request.headers["x-request-id"]
+
+    @inlineCallbacks
+    def test_collects_one_body(self):
+        self.adopt(self.engine(answer_whole))
+        caller = yield self.call(build_request(prompt(stream=False)))
+        assert caller.status == 200
+        assert caller.json["choices"] == [{"index": 0, "text": TEXT, "finish_reason": "stop"}]
+        assert caller.json["usage"]["completion_tokens"] == 7
--- /dev/null
+++ b/tests/test_entry_faults.py
@@ -0,0 +1,205 @@
+"""What callers and the policy learn when upstreams fail, cut anywhere."""
+
+from twisted.internet.defer import inlineCallbacks
+
+from greengagestage.entry import DeliveryLimits
+from greengagestage.policy import AttemptFailed, AttemptProgressed, FailureKind
+from greengagestage.results import ResultCode
+
+from .entry_harness import (
+    CUT,
+    HEAD,
+    LAST_CHUNK,
+    RESET,
+    TEXT,
+    WORDS,
+    EntryCase,
+    ScriptedUpstream,
+    SimplePolicy,
+    answer_then,
+    answer_whole,
+    build_request,
+    chunked,
+    event,
+    finish_event,
+    prompt,
+    refuse,
+    respond,
+    stay_silent,
+    stream_events,
+    token_event,
+    wait_until,
+)
+
+END = chunked(b"data: [DONE]\n\n")
+LEAVING = "X-Not-Started: true", "X-Leaving: true", "Retry-After: 7"
+
+FAULTS = {
+    "refused": (refuse, FailureKind.REFUSED),
+    "not loaded": (respond(404, b"", "X-Not-Started: true"), FailureKind.REFUSED),
+    "denied without evidence": (respond(503, b"{}", "Retry-After: 7"), FailureKind.ERROR),
+    "not found without evidence": (respond(404, b"{}"), FailureKind.ERROR),
+    "closed before the head": (lambda r: r.send(CUT), FailureKind.LOST),
+    "reset before the head": (lambda r: r.send(RESET), FailureKind.LOST),
+    "closed inside the head": (lambda r: r.send(HEAD[:30], CUT), FailureKind.LOST),
+    "not HTTP": (lambda r: r.send(b"hello\r\n\r\n", CUT), FailureKind.LOST),
+    "closed after the head": (answer_then(0, CUT), FailureKind.LOST),
+    "closed after tokens": (answer_then(2, CUT), FailureKind.LOST),
+    "reset after tokens": (answer_then(2, RESET), FailureKind.LOST),
+    "silent before the head": (stay_silent, FailureKind.SILENT),
+    "silent after the head": (answer_then(0), FailureKind.SILENT),
+    "silent after tokens": (answer_then(2), FailureKind.SILENT),
+    "ended without a finish": (answer_then(2, LAST_CHUNK), FailureKind.INCOMPLETE),
+    "end marker without a finish": (answer_then(2, END), FailureKind.INCOMPLETE),
+    "finish without end marker": (
+        answer_then(2, chunked(finish_event()), LAST_CHUNK),
+        FailureKind.INCOMPLETE,
+    ),
+    "broken chunk size": (answer_then(2, b"xyz\r\n"), FailureKind.LOST),
+    "broken JSON": (answer_then(2, chunked(b"data: {\n\n")), FailureKind.ERROR),
+    "error event": (answer_then(2, chunked(b"event: error\ndata: {}\n\n")), FailureKind.ERROR),
+    "error field": (answer_then(2, chunked(event({"error": {"code": 1}}))), FailureKind.ERROR),
+    "endless event": (answer_then(2, chunked(b"data: " + b"x" * 1_100_000)), FailureKind.ERROR),
+}
+
+
+class FaultCase(EntryCase):
+    def build_policy(self):
+        self.policy = SimplePolicy(upstreams=("engine-0",), first_s=0.1, next_s=0.1)
+        return self.policy
+
+    @inlineCallbacks
+    def test_kinds(self):
+        for version, (name, (script, kind)) in enumerate(FAULTS.items(), start=1):
+            self.policy.events.clear()
+            engine = self.engine(script)
+            self.adopt(engine, version=version)
+            for stream in (True, False):
+                caller = yield self.call(build_request(prompt(stream=stream)))
+                begun = stream and bool(self.policy.of(AttemptProgressed))
+                assert (name, b"[DONE]" in caller.body) == (name, False)
+                if begun:
+                    assert caller.events[-1].startswith("event: error\ndata: {"), name
+                    yield wait_until(lambda caller=caller: caller.closed)
+                else:
+                    assert caller.error["code"] == ResultCode.UPSTREAM_LOST.value, name
+            failures = self.policy.of(AttemptFailed)
+            assert (name, [f.kind for f in failures]) == (name, [kind, kind])
+            assert all(f.resumable for f in failures)
+            assert len(engine.requests) == 2, name
+
+    @inlineCallbacks
+    def test_nothing_listens(self):
+        engine = self.engine(answer_whole)
+        self.adopt(engine)
+        yield engine.port.stopListening()
+        yield self.call(build_request(prompt()))
+        assert [f.kind for f in self.policy.of(AttemptFailed)] == [FailureKind.NOT_SENT]
+
+    @inlineCallbacks
+    def test_leaving_is_reported(self):
+        self.adopt(self.engine(respond(503, b"", *LEAVING)))
+        yield self.call(build_request(prompt()))
+        (failure,) = self.policy.of(AttemptFailed)
+        assert (failure.upstream_leaving, failure.retry_after_s) == (True, 7.0)
+        assert "engine-0" in [getattr(message, "upstream", "") for message in self.link.sent]
+
+    @inlineCallbacks
+    def test_tokens_without_ids_cannot_be_resumed(self):
+        anonymous = event({"id": "a", "choices": [{"text": "fog"}]})
+        self.adopt(self.engine(lambda r: r.send(HEAD, chunked(anonymous), CUT)))
+        caller = yield self.call(build_request(prompt()))
+        assert [f.resumable for f in self.policy.of(AttemptFailed)] == [False]
+        assert caller.events[-1].startswith("event: error")
+
+
+class CutAnywhereCase(EntryCase):
+    def build_policy(self):
+        return SimplePolicy(upstreams=("engine-0", "engine-1"))
+
+    def cut_at(self, offset: int, end: object) -> ScriptedUpstream:
+        def script(request) -> None:
+            data = HEAD + b"".join(map(chunked, stream_events(request))) + LAST_CHUNK
+            self.size = len(data)
+            request.send(data[:offset], end)
+
+        return script
+
+    @inlineCallbacks
+    def test_the_answer_stays_whole(self):
+        first, second = self.engine(answer_whole), self.engine(answer_whole)
+        self.adopt(first, second)
+        offset, self.size = 1, 2
+        while offset < self.size:
+            first.scripts = [self.cut_at(offset, RESET if offset % 2 else CUT)]
+            is_chat = offset % 3 == 0
+            yield self.check_streamed(first, offset, is_chat)
+            offset += 1
+        assert len(second.requests) > 500
+
+    @inlineCallbacks
+    def check_streamed(self, first: ScriptedUpstream, offset: int, is_chat: bool):
+        body = prompt() if not is_chat else prompt(messages=[{"role": "user", "content": "x"}])
+        path = "/v1/chat/completions" if is_chat else "/v1/completions"
+        caller = yield self.call(build_request(body, path=path))
+        events = caller.events
+        expected = stream_events(first.requests[-1])
+        chunks = [x for x in events if x.startswith("data: {")]
+        assert (offset, caller.status, events[-1]) == (offset, 200, "data: [DONE]")
+        assert len(chunks) == len(WORDS) + 1, offset
+        own_id = {x.split('"id": "')[1].split('"')[0] for x in chunks if '"id": "' in x}
+        own_id |= {x.split('"id":"')[1].split('"')[0] for x in chunks if '"id":"' in x}
+        assert len(own_id) == 1, offset
+        spaced = [x.replace('": ', '":').replace(", ", ",") for x in chunks]
+        wanted = [x.decode().strip().replace('": ', '":').replace(", ", ",") for x in expected[:-1]]
+        texts = [x.split("choices", 1)[1] for x in spaced]
+        assert texts == [x.split("choices", 1)[1] for x in wanted], offset
+        caller.transport.loseConnection()
+
+    @inlineCallbacks
+    def test_collected_answers_are_whole_too(self):
+        first, second = self.engine(answer_whole), self.engine(answer_whole)
+        self.adopt(first, second)
+        for tokens in range(len(WORDS) + 1):
+            first.scripts = [answer_then(tokens, CUT)]
+            caller = yield self.call(build_request(prompt(stream=False)))
+            assert caller.json["choices"][0]["text"] == TEXT
+            resumed = second.requests[-1].json.get("resume", {"token_ids": []})
+            assert resumed["token_ids"] == list(range(tokens))
+
+    @inlineCallbacks
+    def test_a_repeated_role_is_not_shown_twice(self):
+        role = event({"id": "b", "choices": [{"delta": {"role": "assistant", "content": ""}}]})
+
+        def resume(request) -> None:
+            events = [role, *stream_events(request)]
+            request.send(HEAD, *map(chunked, events), LAST_CHUNK)
+
+        first = self.engine(
+            lambda r: r.send(HEAD, *map(chunked, [role, *stream_events(r)[:1]]), CUT)
+        )
+        self.adopt(first, self.engine(resume))
+        body = {"model": "small", "stream": True, "messages": [{"role": "user", "content": "x"}]}
+        caller = yield self.call(build_request(body, path="/v1/chat/completions"))
+        assert sum('"role"' in x for x in caller.events) == 1
+        assert token_event(0, "b", chat=True).decode().strip() not in caller.events[2:]
+
+
+class RouterFaultCase(EntryCase):
+    limits = DeliveryLimits(collected_answer_bytes=500)
+
+    @inlineCallbacks
+    def test_a_collected_answer_is_bounded(self):
+        self.adopt(self.engine(answer_whole))
+        collected = yield self.call(build_request(prompt(stream=False)))
+        assert collected.error["code"] == ResultCode.UPSTREAM_ERROR.value
+        streamed = yield self.call(build_request(prompt(prompt="other")))
+        assert streamed.text == TEXT
+
+    @inlineCallbacks
+    def test_a_fault_of_the_policy_ends_the_request_at_once(self):
+        self.adopt(self.engine(answer_whole))
+        self.patch(self.process.shell.policy, "handle", lambda event, now_s: 1 / 0)
+        caller = yield self.call(build_request(prompt()))
+        assert caller.error["code"] == ResultCode.INTERNAL_ERROR.value
+        assert self.process.shell.is_idle
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,119 @@
+"""The whole path as separate processes: callers, entries, agents, engines, platform."""
+
+import http.client
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from urllib.parse import urlsplit
+
+import msgspec
+import pytest
+
+from standins._fleet import PLATFORM, Fleet
+from standins._fleet_file import FleetFile
+from standins._fleet_shape import COOPERATIVE_WORKSPACES, MODEL, build_cooperative_shape, build_key
+from standins._ledger import Run
+from standins._output import compute_output
+from standins._processes import wait_until
+from standins._web_calls import OK_STATUS, send_call
+
+pytestmark = [pytest.mark.process, pytest.mark.xdist_group("fleet")]
+WORKSPACE = next(iter(COOPERATIVE_WORKSPACES))
+QUESTION = "which profile suits a torque of 40 Nm OUTPUT-TOKENS-40"
+START_TIMEOUT_S = 60.0
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    with Fleet(
+        shape=build_cooperative_shape(), directory=tmp_path_factory.mktemp("fleet")
+    ) as fleet:
+        fleet.start()
+        yield fleet
+
+
+def _ask(url: str, question: str) -> tuple[http.client.HTTPResponse, list[bytes]]:
+    """Return the answer's head and the pieces of its body as they came."""
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(str(parts.hostname), parts.port, timeout=30)
+    messages = [{"role": "user", "content": question}]
+    body = msgspec.json.encode({"model": MODEL, "messages": messages, "stream": True})
+    headers = {"Authorization": f"Bearer {build_key(WORKSPACE)}"}
+    connection.request("POST", "/v1/chat/completions", body, headers)
+    response = connection.getresponse()
+    return response, list(iter(response.read1, b""))
+
+
+def _read_text(pieces: list[bytes]) -> str:
+    events = [line[6:] for line in b"".join(pieces).split(b"\n") if line.startswith(b"data: {")]
+    choices = [choice for event in events for choice in msgspec.json.decode(event)["choices"]]
+    return "".join(choice["delta"].get("content", "") for choice in choices)
+
+
+def _find_runs(fleet: Fleet, request_id: str) -> list[Run]:
+    return [run for run in fleet.read_engine_ledgers() if run.request_id == request_id]
+
+
+@pytest.mark.parametrize("host", ["host-1", "host-2"])
+def test_a_streamed_answer_is_the_ledgers_text(fleet: Fleet, host: str) -> None:
+    response, pieces = _ask(fleet.url(f"entry-{host}"), f"{QUESTION} {host}")
+    assert response.status == OK_STATUS
+    assert len(pieces) > 1
+    assert pieces[-1].endswith(b"data: [DONE]\n\n")
+    (run,) = _find_runs(fleet, str(response.getheader("X-Request-Id")))
+    assert _read_text(pieces) == run.text == compute_output(f"user:{QUESTION} {host}")
+
+
+def test_a_document_comes_from_the_archive(fleet: Fleet) -> None:
+    answer = send_call(
+        "GET",
+        f"{fleet.url('entry-host-1')}/services/archive/drawings/7",
+        headers={"Authorization": f"Bearer {build_key(WORKSPACE)}"},
+    )
+    assert answer.status == OK_STATUS
+    (run,) = fleet.read_ledger("archive-1")
+    assert run.text.encode() == answer.body
+
+
+def test_entries_serve_on_without_the_platform(fleet: Fleet) -> None:
+    fleet.kill(PLATFORM)
+    for number, url in enumerate(fleet.entry_urls()):
+        response, pieces = _ask(url, f"{QUESTION} without the platform {number}")
+        assert response.status == OK_STATUS
+        assert pieces[-1].endswith(b"data: [DONE]\n\n")
+        assert send_call("GET", f"{url}/readyz").status == OK_STATUS
+
+
+def test_serve_describes_the_fleet_and_stops_it_gracefully(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "standins.fleet", "serve", "--directory", str(tmp_path)]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+    description = tmp_path / "fleet.json"
+    try:
+        wait_until(description.exists, "fleet.json", START_TIMEOUT_S)
+        described = msgspec.json.decode(description.read_bytes(), type=FleetFile)
+        assert [len(described.entries), len(described.agents), len(described.upstreams)] == [
+            2,
+            2,
+            5,
+        ]
+        assert described.classes == ["phone", "summary", "review"]
+        for entry in described.entries:
+            assert send_call("GET", f"{entry.url}/readyz").status == OK_STATUS
+    finally:
+        process.send_signal(signal.SIGTERM)
+        code = process.wait(START_TIMEOUT_S)
+    assert code == 0
+    assert not description.exists()
+    pids = [each.pid for each in (*described.entries, *described.agents, *described.upstreams)]
+    assert not any(_is_running(pid) for pid in [*pids, described.platform.pid])
+
+
+def _is_running(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,215 @@
+"""Membership: who lives, who leaves, and what all hosts come to know."""
+
+import pytest
+
+from greengagestage.ids import ConfigurationVersion, Fingerprint, HostId, UpstreamName
+from greengagestage.membership import (
+    FingerprintQuarantined,
+    Membership,
+    UpstreamsChanged,
+    VersionHeard,
+)
+from greengagestage.wire import LoadRecord, MemberState
+
+from .membership_fleet import TIMES, MembershipFleet
+
+ENGINE = UpstreamName("engine-1")
+FIRST, LAST = HostId("host-0"), HostId("host-8")
+
+
+@pytest.fixture
+def fleet() -> MembershipFleet:
+    fleet = MembershipFleet(size=9, domains=3)
+    fleet.run(30)
+    return fleet
+
+
+def test_all_hosts_find_each_other(fleet: MembershipFleet) -> None:
+    assert fleet.all_see(set(fleet.members))
+    assert fleet.agree()
+
+
+def test_late_host_is_known_within_two_heartbeats(fleet: MembershipFleet) -> None:
+    fleet.start_host(HostId("host-9"))
+    fleet.run(2 * TIMES.gossip_interval_s)
+    assert fleet.all_see(set(fleet.members))
+
+
+def test_killed_host_is_gone_within_the_bound(fleet: MembershipFleet) -> None:
+    fleet.kill(FIRST)
+    fleet.run(TIMES.suspect_after_s + TIMES.gone_after_s + 3 * TIMES.gossip_interval_s)
+    assert fleet.all_see(set(fleet.members))
+
+
+def test_leaver_is_dropped_at_once_and_then_gone(fleet: MembershipFleet) -> None:
+    fleet.members[FIRST].set_state(MemberState.LEAVING, fleet.now_s)
+    fleet.collect()
+    fleet.deliver_all()
+    assert fleet.all_see(set(fleet.members) - {FIRST})
+    fleet.kill(FIRST)
+    fleet.run(20)
+    record = fleet.members[LAST].book.find_host(FIRST)
+    assert record is not None and record.state is MemberState.GONE
+
+
+@pytest.mark.parametrize("incarnation", [None, 3], ids=["newer clock", "older clock"])
+def test_replaced_host_with_the_same_name_is_taken(
+    fleet: MembershipFleet, incarnation: int | None
+) -> None:
+    fleet.kill(FIRST)
+    fleet.start_host(FIRST, incarnation)
+    fleet.run(40)
+    assert fleet.all_see(set(fleet.members))
+    assert fleet.agree()
+
+
+def test_false_suspicion_is_contradicted(fleet: MembershipFleet) -> None:
+    fleet.members[LAST]._set_other_state(FIRST, MemberState.GONE, fleet.now_s)
+    fleet.run(5)
+    assert fleet.all_see(set(fleet.members))
+
+
+def test_paused_host_suspects_nobody(fleet: MembershipFleet) -> None:
+    before = {host: member.own.sequence for host, member in fleet.members.items()}
+    paused = fleet.members.pop(FIRST)
+    fleet.now_s += 60
+    fleet.members[FIRST] = paused
+    fleet.letters.clear()
+    fleet.tick(FIRST)
+    assert {r.state for r in paused.book.list_hosts()} == {MemberState.LIVE}
+    assert before == {host: member.own.sequence for host, member in fleet.members.items()}
+
+
+def test_cut_between_domains_heals(fleet: MembershipFleet) -> None:
+    for other in ("domain-1", "domain-2"):
+        fleet.sever("domain-0", other)
+    fleet.run(60)
+    assert len(fleet.see(FIRST)) == 3
+    fleet.severed.clear()
+    fleet.run(60)
+    assert fleet.all_see(set(fleet.members))
+    assert fleet.agree()
+
+
+def test_news_reaches_all_hosts_in_spite_of_loss(fleet: MembershipFleet) -> None:
+    fleet.members[FIRST].mark_upstream(ENGINE, True, fleet.now_s)
+    fleet.run(30, loss=0.3)
+    fleet.run(20)
+    assert all(member.is_leaving(ENGINE) for member in fleet.members.values())
+    assert fleet.all_see(set(fleet.members))
+
+
+@pytest.mark.parametrize("size", [2, 9, 40])
+def test_leaving_upstream_is_known_everywhere_without_a_heartbeat(size: int) -> None:
+    fleet = MembershipFleet(size=size, domains=3)
+    fleet.run(40)
+    fleet.members[FIRST].mark_upstream(ENGINE, True, fleet.now_s)
+    fleet.collect()
+    fleet.deliver_all()
+    assert all(member.is_leaving(ENGINE) for member in fleet.members.values())
+    assert UpstreamsChanged(upstreams=frozenset([ENGINE])) in fleet.changes[HostId("host-1")]
+
+
+def test_old_mark_does_not_bring_an_upstream_back(fleet: MembershipFleet) -> None:
+    first = fleet.members[FIRST]
+    first.mark_upstream(ENGINE, True, fleet.now_s)
+    first.mark_upstream(ENGINE, False, fleet.now_s)
+    old = first.book.find_mark(ENGINE)
+    first.mark_upstream(ENGINE, True, fleet.now_s)
+    assert old is not None
+    fleet.run(2)
+    for member in fleet.members.values():
+        member._merge(old, LAST, fleet.now_s)
+        assert member.is_leaving(ENGINE)
+
+
+def test_version_in_force_is_heard_of(fleet: MembershipFleet) -> None:
+    fleet.members[FIRST].set_version(ConfigurationVersion(7))
+    fleet.run(2)
+    heard = [
+        c for changes in fleet.changes.values() for c in changes if isinstance(c, VersionHeard)
+    ]
+    assert {change.version for change in heard} == {7}
+
+
+def test_loads_reach_all_hosts_and_the_newest_holds(fleet: MembershipFleet) -> None:
+    new = LoadRecord(upstream=ENGINE, running=5, waiting=1, age_ms=100)
+    old = LoadRecord(upstream=ENGINE, running=0, waiting=0, age_ms=2000)
+    fleet.members[FIRST].report_load(new, fleet.now_s)
+    fleet.members[LAST].report_load(old, fleet.now_s)
+    fleet.run(4)
+    assert {m.measurements.loads[ENGINE].running for m in fleet.members.values()} == {5}
+
+
+def report_crash(member: Membership, upstream: str, now_s: float) -> None:
+    member.report_crash(Fingerprint("poison"), UpstreamName(upstream), now_s)
+
+
+CRASHES: dict[str, tuple[list[tuple[str, str, float]], bool]] = {
+    "once": ([("host-0", "e1", 0)], False),
+    "one crash, two hosts": ([("host-0", "e1", 0), ("host-1", "e1", 1)], False),
+    "two engines, one host": ([("host-0", "e1", 0), ("host-0", "e2", 30)], True),
+    "two engines, two hosts": ([("host-0", "e1", 0), ("host-1", "e2", 1)], True),
+    "one engine, twice": ([("host-0", "e1", 0), ("host-1", "e1", 30)], True),
+    "long apart": ([("host-0", "e1", 0), ("host-1", "e2", 1300)], False),
+}
+
+
+@pytest.mark.parametrize("name", CRASHES)
+def test_second_crash_quarantines_on_all_hosts(fleet: MembershipFleet, name: str) -> None:
+    reports, quarantined = CRASHES[name]
+    start_s = fleet.now_s
+    for host, upstream, after_s in reports:
+        fleet.run(max(0.0, start_s + after_s - fleet.now_s))
+        report_crash(fleet.members[HostId(host)], upstream, fleet.now_s)
+        fleet.run(2)
+    expected = [FingerprintQuarantined(fingerprint=Fingerprint("poison"))] if quarantined else []
+    for changes in fleet.changes.values():
+        assert [c for c in changes if isinstance(c, FingerprintQuarantined)] == expected
+
+
+def count_letters_each(size: int) -> float:
+    fleet = MembershipFleet(size=size, domains=3)
+    fleet.run(40)
+    before = fleet.letters_sent
+    fleet.run(60)
+    return (fleet.letters_sent - before) / size / 60
+
+
+def test_messages_of_a_host_do_not_grow_with_the_fleet() -> None:
+    assert count_letters_each(48) <= 1.2 * count_letters_each(12)
+
+
+def test_longest_way_is_short_in_a_large_fleet() -> None:
+    fleet = MembershipFleet(size=150, domains=7)
+    records = [member.own for member in fleet.members.values()]
+    for member in fleet.members.values():
+        for record in records:
+            member.book.merge(record, 0.0)
+        member._update_neighbours()
+    reached, steps = {records[0].host}, 0
+    frontier: set[HostId] = set(reached)
+    while frontier:
+        frontier = {
+            record.host for host in frontier for record in fleet.members[host].neighbours
+        } - reached
+        reached |= frontier
+        steps += 1
+    assert len(reached) == 150
+    assert steps <= 8
+
+
+def test_dead_host_that_nobody_watches_is_found_by_comparison(fleet: MembershipFleet) -> None:
+    fleet.kill(FIRST)
+    for member in fleet.members.values():
+        member._detector.note_heartbeat(FIRST, watched=False, now_s=fleet.now_s)
+    fleet.run(120)
+    assert fleet.all_see(set(fleet.members))
+
+
+def test_older_load_does_not_replace_a_newer_one(fleet: MembershipFleet) -> None:
+    measurements = fleet.members[FIRST].measurements
+    for age_ms, running in ((100, 5), (2000, 0)):
+        record = LoadRecord(upstream=ENGINE, running=running, waiting=0, age_ms=age_ms)
+        measurements.merge_load(record, LAST, fleet.now_s)
+    assert measurements.loads[ENGINE].running == 5
--- /dev/null
+++ b/tests/test_policy_faults.py
@@ -0,0 +1,309 @@
+"""Upstreams that fail, lag or leave; requests that crash them."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagestage.ids import Fingerprint, HostId, UpstreamName
+from greengagestage.policy import (
+    Action,
+    AttemptFailed,
+    AttemptFinished,
+    CancelAttempt,
+    CrashReported,
+    DeclarationAdopted,
+    Deliver,
+    Dispatch,
+    FailureKind,
+    FingerprintQuarantined,
+    Policy,
+    QuarantineFingerprint,
+    Reject,
+    ReportCrash,
+    RequestArrived,
+    SharesUpdated,
+    TimerFired,
+    UpstreamReport,
+    UpstreamsReported,
+    UpstreamState,
+)
+from greengagestage.results import ResultCode
+from tests.policy_builders import Host, build_class, build_declaration, build_engine, build_request
+
+POISON = Fingerprint("poison")
+
+
+def report(name: str, now_s: float, **changes: object) -> UpstreamsReported:
+    fields: dict[str, object] = {"state": UpstreamState.LIVE, "measured_at_s": now_s}
+    row = UpstreamReport(upstream=UpstreamName(name), **{**fields, **changes})  # type: ignore[arg-type]
+    return UpstreamsReported(reports=(row,))
+
+
+def test_leaving_upstream_gets_no_new_work_at_once_and_an_old_report_does_not_revive_it() -> None:
+    host = Host(build_declaration(engines=2, slots=4))
+    host.arrive("r0")
+    first = host.dispatches("r0")[0]
+    host.fail(first.attempt_id, FailureKind.REFUSED, upstream_leaving=True)
+    host.send(report(first.upstream, host.now_s - 1.0))
+    for n in range(1, 5):
+        host.arrive(f"r{n}")
+    assert all(
+        d.upstream != first.upstream for n in range(5) for d in host.dispatches(f"r{n}")[-1:]
+    )
+    host.now_s += 60.0
+    host.send(report(first.upstream, host.now_s))
+    host.arrive("later")
+    assert host.dispatches("later")[0].upstream == first.upstream
+
+
+def test_no_upstream_left_refuses_what_waits_and_what_comes() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("running")
+    host.arrive("waits")
+    host.send(report("e0", host.now_s, state=UpstreamState.GONE))
+    host.arrive("comes")
+    assert (host.code("waits"), host.code("comes")) == ("NO_UPSTREAM", "NO_UPSTREAM")
+    assert host.code("running") is None
+
+
+def test_load_of_peers_counts_and_fades_with_age() -> None:
+    host = Host(build_declaration(engines=2, slots=8))
+    for name in ("e0", "e1"):
+        host.send(report(name, host.now_s, peers_in_flight=6 if name == "e0" else 0))
+    host.arrive("fresh")
+    assert host.dispatches("fresh")[0].upstream == "e1"
+    host.finish(host.dispatches("fresh")[0].attempt_id)
+    host.now_s += 60.0
+    host.send(report("e1", host.now_s, running=3))
+    host.arrive("aged")
+    assert host.dispatches("aged")[0].upstream == "e0"
+
+
+def test_prefixes_attract_until_the_load_is_too_uneven() -> None:
+    host = Host(build_declaration(engines=4, slots=8))
+    upstreams = []
+    for n in range(12):
+        host.arrive(f"r{n}", prefix_hashes=(1, 2, 3), fingerprint=Fingerprint(f"p{n}"))
+        upstreams.append(host.dispatches(f"r{n}")[0].upstream)
+    assert upstreams[0] == upstreams[1]
+    assert len(set(upstreams)) >= 2
+    assert max(upstreams.count(name) for name in set(upstreams)) <= 7
+
+
+def test_circuit_opens_after_failures_and_one_idempotent_probe_closes_it() -> None:
+    host = Host(build_declaration(engines=1, slots=4))
+    host.arrive("r0")
+    host.fail(host.dispatches("r0")[0].attempt_id, FailureKind.NOT_SENT)
+    assert len(host.dispatches("r0")) == 1
+    host.arrive("r1")
+    assert host.dispatches("r1") == []
+    host.send(TimerFired(), after_s=1.5)
+    probes = host.dispatches("r0")[1:] + host.dispatches("r1")
+    assert len(probes) == 1
+    host.progress(probes[0].attempt_id, 1)
+    assert len(host.dispatches("r0")[1:] + host.dispatches("r1")) == 2
+
+
+def run_round(host: Host, names: list[str]) -> set[str]:
+    """Run requests side by side; e0 is six times slower. Return the upstreams used."""
+    for name in names:
+        host.arrive(name)
+    running = [d for name in names for d in host.dispatches(name)]
+    for step in range(1, 25):
+        host.now_s += 0.16
+        for dispatch in running:
+            slow = dispatch.upstream == "e0"
+            if (slow and step % 6 == 0) or (not slow and step <= 4):
+                host.progress(dispatch.attempt_id, 8)
+    for dispatch in running:
+        host.finish(dispatch.attempt_id)
+    return {d.upstream for d in running}
+
+
+@pytest.mark.parametrize(("engines", "ejected"), [(4, True), (2, False)])
+def test_straggler_is_ejected_unless_too_many_would_be_out(engines: int, ejected: bool) -> None:
+    host = Host(build_declaration(engines=engines, slots=2))
+    for turn in range(3):
+        used = run_round(host, [f"r{turn}-{n}" for n in range(2 * engines)])
+    assert ("e0" in used) != ejected
+    states = {load.upstream: load.health.value for load in host.policy.inspect().upstreams}
+    assert (states[UpstreamName("e0")] == "out") == ejected
+
+
+def test_straggler_comes_back_only_when_its_probe_is_fast() -> None:
+    host = Host(build_declaration(engines=4, slots=2))
+    for turn in range(3):
+        run_round(host, [f"r{turn}-{n}" for n in range(8)])
+    host.send(TimerFired(), after_s=15.0)
+    assert "e0" in run_round(host, [f"probe{n}" for n in range(8)])
+    states = {load.upstream: load.health.value for load in host.policy.inspect().upstreams}
+    assert states[UpstreamName("e0")] == "out"
+
+
+def test_retry_budget_ends_a_storm_and_crashes_are_free_of_it() -> None:
+    classes = [build_class("desk", retry_ratio=0.0, queue_limit=100)]
+    host = Host(build_declaration(engines=3, slots=20, classes=classes))
+    for n in range(20):
+        host.arrive(f"r{n}")
+    for n in range(20):
+        host.fail(host.dispatches(f"r{n}")[0].attempt_id, FailureKind.SILENT)
+    retried = sum(len(host.dispatches(f"r{n}")) == 2 for n in range(20))
+    assert retried == 5
+    assert {host.code(f"r{n}") for n in range(20)} == {None, "UPSTREAM_SILENT"}
+
+
+def test_same_upstream_only_again_after_a_refusal_and_with_nothing_else_there() -> None:
+    host = Host(build_declaration(engines=1, slots=2))
+    host.arrive("busy")
+    host.fail(host.dispatches("busy")[0].attempt_id, FailureKind.REFUSED)
+    host.send(TimerFired(), after_s=1.0)
+    assert len(host.dispatches("busy")) == 2
+    host.fail(host.dispatches("busy")[1].attempt_id, FailureKind.LOST)
+    assert len(host.dispatches("busy")) == 2
+    assert host.code("busy") == "UPSTREAM_LOST"
+
+
+def test_suspects_run_apart() -> None:
+    host = Host(build_declaration(engines=3, slots=4))
+    for n in range(12):
+        host.arrive(f"r{n}")
+    crashed = host.dispatches("r0")[0].upstream
+    lost = [f"r{n}" for n in range(12) if host.dispatches(f"r{n}")[0].upstream == crashed]
+    for n in range(12):
+        if f"r{n}" not in lost:
+            host.finish(host.dispatches(f"r{n}")[0].attempt_id)
+    for name in lost:
+        host.fail(host.dispatches(name)[0].attempt_id, FailureKind.LOST)
+    assert len(lost) >= 3
+    again = [d for name in lost for d in host.dispatches(name)[1:]]
+    assert len(again) == 2 and len({d.upstream for d in again}) == 2
+    for _ in range(len(lost)):
+        for name in lost:
+            if len(host.dispatches(name)) == 2 and host.code(name) is None:
+                host.finish(host.dispatches(name)[1].attempt_id)
+    assert {host.code(name) for name in lost} == {"DELIVERED"}
+
+
+def test_quarantined_fingerprint_ends_everywhere_at_once() -> None:
+    host = Host(build_declaration(engines=3, slots=1))
+    host.arrive("running", fingerprint=POISON)
+    host.arrive("waiting", fingerprint=POISON)
+    actions = host.send(FingerprintQuarantined(fingerprint=POISON))
+    assert any(isinstance(a, CancelAttempt) for a in actions)
+    host.arrive("later", fingerprint=POISON)
+    codes = [host.code(name) for name in ("running", "waiting", "later")]
+    assert codes == ["CRASHED_UPSTREAMS", "QUARANTINED", "QUARANTINED"]
+
+
+class Fleet:
+    """Hosts in front of the same engines; the poison crashes each engine that runs it."""
+
+    def __init__(self, *, hosts: int, engines: int, gossip: bool) -> None:
+        shape = [build_engine(f"e{n}", slots=8) for n in range(engines)]
+        self.policies = [Policy(host=HostId(f"h{n}"), seed=n) for n in range(hosts)]
+        self.running: dict[str, tuple[int, Dispatch]] = {}
+        self.poisonous: set[str] = set()
+        self.crashed: list[str] = []
+        self.verdicts: dict[str, Action] = {}
+        self.gossip = gossip
+        self.now_s = 10.0
+        for n in range(hosts):
+            declaration = build_declaration(engines=shape)
+            self.take(n, self.policies[n].handle(DeclarationAdopted(declaration=declaration), 10.0))
+            shares = SharesUpdated(slots={}, entry_hosts=hosts)
+            self.take(n, self.policies[n].handle(shares, 10.0))
+
+    def arrive(self, host: int, name: str, *, poison: bool) -> None:
+        request = build_request(name, fingerprint=POISON if poison else Fingerprint(name))
+        if poison:
+            self.poisonous.add(name)
+        self.take(host, self.policies[host].handle(RequestArrived(request=request), self.now_s))
+
+    def take(self, host: int, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Dispatch():
+                    self.running[action.attempt_id] = (host, action)
+                case CancelAttempt():
+                    self.running.pop(action.attempt_id, None)
+                case Deliver() | Reject():
+                    assert action.request_id not in self.verdicts
+                    self.verdicts[action.request_id] = action
+                case ReportCrash() if self.gossip:
+                    event = CrashReported(fingerprint=action.fingerprint, upstream=action.upstream)
+                    self.tell_peers(host, event)
+                case QuarantineFingerprint() if self.gossip:
+                    self.tell_peers(host, FingerprintQuarantined(fingerprint=action.fingerprint))
+
+    def tell_peers(self, host: int, event: CrashReported | FingerprintQuarantined) -> None:
+        for n, policy in enumerate(self.policies):
+            if n != host:
+                self.take(n, policy.handle(event, self.now_s))
+
+    def crash_one(self) -> bool:
+        """Crash the engine of one running poison; every attempt there is lost."""
+        poisoned = [d for _, d in self.running.values() if d.request_id in self.poisonous]
+        if not poisoned:
+            return False
+        engine = poisoned[0].upstream
+        self.crashed.append(engine)
+        for attempt in [a for a, (_, d) in self.running.items() if d.upstream == engine]:
+            if attempt in self.running:
+                host, dispatch = self.running.pop(attempt)
+                event = AttemptFailed(attempt_id=dispatch.attempt_id, kind=FailureKind.LOST)
+                self.take(host, self.policies[host].handle(event, self.now_s))
+        return True
+
+    def finish_bystanders(self) -> None:
+        for attempt, (host, dispatch) in list(self.running.items()):
+            if attempt in self.running and dispatch.request_id not in self.poisonous:
+                del self.running[attempt]
+                event = AttemptFinished(attempt_id=dispatch.attempt_id)
+                self.take(host, self.policies[host].handle(event, self.now_s))
+
+    def settle(self) -> None:
+        for _ in range(20):
+            self.now_s += 1.0
+            while self.crash_one():
+                pass
+            self.finish_bystanders()
+            for n, policy in enumerate(self.policies):
+                self.take(n, policy.handle(TimerFired(), self.now_s))
+
+
+@given(
+    hosts=st.integers(1, 5),
+    engines=st.integers(3, 7),
+    bystanders=st.integers(0, 24),
+    first_host=st.integers(0, 4),
+    names=st.text("abcdef", min_size=1, max_size=4),
+)
+@settings(max_examples=60)
+def test_poison_resent_through_changing_hosts_costs_two_upstreams(
+    hosts: int, engines: int, bystanders: int, first_host: int, names: str
+) -> None:
+    fleet = Fleet(hosts=hosts, engines=engines, gossip=True)
+    for n in range(bystanders):
+        fleet.arrive(n % hosts, f"{names}{n}", poison=False)
+    for n in range(8):
+        fleet.arrive((first_host + n) % hosts, f"bad{n}", poison=True)
+        fleet.settle()
+    assert len(fleet.crashed) == 2
+    bad = [fleet.verdicts[f"bad{n}"] for n in range(8)]
+    assert isinstance(bad[0], Reject) and bad[0].code is ResultCode.CRASHED_UPSTREAMS
+    assert all(isinstance(v, Reject) and v.code is ResultCode.QUARANTINED for v in bad[1:])
+    good = [fleet.verdicts.get(f"{names}{n}") for n in range(bystanders)]
+    assert all(isinstance(verdict, Deliver) for verdict in good)
+
+
+@given(hosts=st.integers(1, 5), engines=st.integers(3, 7), copies=st.integers(1, 12))
+@settings(max_examples=40)
+def test_poison_sent_through_all_hosts_at_once_costs_two_upstreams(
+    hosts: int, engines: int, copies: int
+) -> None:
+    fleet = Fleet(hosts=hosts, engines=engines, gossip=True)
+    for n in range(copies):
+        fleet.arrive(n % hosts, f"bad{n}", poison=True)
+    fleet.settle()
+    assert len(fleet.crashed) == 2
+    assert all(isinstance(fleet.verdicts[f"bad{n}"], Reject) for n in range(copies))
--- /dev/null
+++ b/tests/test_policy_load.py
@@ -0,0 +1,280 @@
+"""Order, limits, shares, shedding and preemption under load."""
+
+import pytest
+
+from greengagestage.configuration import LateAnswer
+from greengagestage.ids import (
+    AttemptId,
+    ClassName,
+    HostId,
+    PoolName,
+    RequestId,
+    UpstreamName,
+    WorkspaceId,
+)
+from greengagestage.policy import (
+    CancelAttempt,
+    CancelReason,
+    ClaimAnswered,
+    ClaimOutcome,
+    DeclarationAdopted,
+    Dispatch,
+    FailureKind,
+    Reject,
+    SharesUpdated,
+    TimerFired,
+    choose_subset,
+)
+from greengagestage.policy._lengths import LengthBook
+from greengagestage.policy._shares import compute_wait_bound
+from greengagestage.results import ResultCode
+from tests.policy_builders import (
+    TIERS,
+    Host,
+    build_class,
+    build_declaration,
+    build_engine,
+    build_workspace,
+)
+
+
+def order_of_dispatch(host: Host) -> list[str]:
+    return [a.request_id for a in host.actions if isinstance(a, Dispatch)]
+
+
+def serve_one_by_one(host: Host, after_s: float = 0.1) -> None:
+    """Finish whatever runs until nothing runs."""
+    done = 0
+    while done < len(order_of_dispatch(host)):
+        running = [a for a in host.actions if isinstance(a, Dispatch)][done]
+        host.finish(running.attempt_id, after_s=after_s)
+        done += 1
+
+
+def test_higher_class_goes_first_and_deadlines_order_a_class() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("running")
+    host.arrive("brief", "brief")
+    host.arrive("patient")
+    host.arrive("urgent", deadline_s=host.now_s + 9.0)
+    host.arrive("phone", "phone")
+    serve_one_by_one(host, after_s=0.0)
+    assert order_of_dispatch(host) == ["running", "phone", "urgent", "patient", "brief"]
+
+
+def test_workspaces_share_a_class_by_weight() -> None:
+    workspaces = [build_workspace("w0", weight=3.0), build_workspace("w1", weight=1.0)]
+    classes = [build_class(name, queue_limit=100) for name in TIERS]
+    host = Host(build_declaration(engines=1, slots=1, workspaces=workspaces, classes=classes))
+    host.arrive("first")
+    for n in range(40):
+        host.arrive(f"large{n}", workspace=WorkspaceId("w0"))
+    for n in range(40):
+        host.arrive(f"small{n}", workspace=WorkspaceId("w1"))
+    serve_one_by_one(host, after_s=0.0)
+    first_served = order_of_dispatch(host)[1:25]
+    assert 16 <= sum(name.startswith("large") for name in first_served) <= 20
+
+
+def test_rate_is_divided_by_the_number_of_hosts() -> None:
+    workspaces = [build_workspace("w0", requests_per_s=20.0, burst=20)]
+    host = Host(build_declaration(engines=4, slots=8, workspaces=workspaces))
+    host.send(SharesUpdated(slots={}, entry_hosts=10))
+    codes = [host.arrive(f"r{n}") and host.code(f"r{n}") for n in range(4)]
+    assert codes == [None, None, "RATE_LIMITED", "RATE_LIMITED"]
+    [refusal] = [v for v in host.verdicts("r2") if isinstance(v, Reject)]
+    assert refusal.retry_after_s is not None and 0.5 <= refusal.retry_after_s <= 0.75
+    host.now_s += refusal.retry_after_s
+    host.arrive("again")
+    assert host.code("again") is None
+
+
+def test_concurrency_limit_makes_room_for_a_higher_class_of_the_workspace() -> None:
+    workspaces = [build_workspace("w0", concurrency=3)]
+    host = Host(build_declaration(engines=1, slots=1, workspaces=workspaces))
+    for name in ("running", "b0", "b1"):
+        host.arrive(name, "brief")
+    host.arrive("phone", "phone")
+    assert (host.code("b1"), host.code("phone")) == ("SHED", None)
+    host.arrive("brief", "brief")
+    assert host.code("brief") == "CONCURRENCY_LIMITED"
+
+
+def test_returning_callers_are_spread_and_the_time_follows_the_queue() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("warm-up", "brief")
+    host.finish(host.dispatches("warm-up")[0].attempt_id, after_s=4.0)
+    for n in range(14):
+        host.arrive(f"r{n}", "brief")
+    times = [v.retry_after_s for v in host.actions if isinstance(v, Reject)]
+    assert len(times) == 5 and len(set(times)) == 5
+    assert all(t is not None and 16.0 <= t <= 28.0 for t in times)  # half of 9 times 4 s, + 50%
+
+
+def test_useless_when_late_is_refused_at_once_and_never_held_back() -> None:
+    classes = [build_class(name, late_answer=LateAnswer.USELESS) for name in TIERS]
+    host = Host(build_declaration(engines=1, slots=1, classes=classes))
+    host.arrive("warm-up")
+    host.finish(host.dispatches("warm-up")[0].attempt_id, after_s=2.0)
+    host.arrive("running")
+    host.arrive("waits")
+    assert host.code("waits") is None
+    host.arrive("late")
+    assert host.code("late") == "TARGET_UNREACHABLE"
+    host.send(TimerFired(), after_s=3.1)
+    assert host.code("waits") == "TARGET_UNREACHABLE"
+
+
+def test_useless_when_late_is_cancelled_at_its_target_and_useful_goes_on() -> None:
+    classes = [build_class("phone", late_answer=LateAnswer.USELESS), build_class("desk")]
+    host = Host(build_declaration(classes=classes))
+    host.arrive("useless", "phone")
+    host.arrive("useful", "desk")
+    actions = host.send(TimerFired(), after_s=20.0)
+    [cancel] = [a for a in actions if isinstance(a, CancelAttempt)]
+    assert cancel.reason is CancelReason.TARGET
+    assert host.code("useless") == "DEADLINE_PASSED_RUNNING"
+    assert host.code("useful") is None
+
+
+def preempt(host: Host) -> None:
+    """Let a waiting request of a higher class run out of patience."""
+    host.send(TimerFired(), after_s=0.85)
+
+
+def test_preempts_the_lowest_and_least_progressed_and_resumes_with_its_tokens() -> None:
+    host = Host(build_declaration(engines=1, slots=3))
+    host.arrive("desk", "desk")
+    host.arrive("old", "brief")
+    host.arrive("new", "brief")
+    host.progress(host.dispatches("old")[0].attempt_id, 50)
+    host.progress(host.dispatches("new")[0].attempt_id, 7)
+    host.arrive("phone", "phone")
+    assert host.dispatches("phone") == []
+    preempt(host)
+    assert len(host.dispatches("phone")) == 1
+    host.finish(host.dispatches("phone")[0].attempt_id, after_s=0.5)
+    assert [d.resume_tokens for d in host.dispatches("new")] == [0, 7]
+    assert len(host.dispatches("old")) == 1
+
+
+def test_preempts_one_request_once_only() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("brief", "brief")
+    host.arrive("p0", "phone")
+    preempt(host)
+    host.finish(host.dispatches("p0")[0].attempt_id, after_s=2.0)
+    assert len(host.dispatches("brief")) == 2
+    host.arrive("p1", "phone")
+    preempt(host)
+    assert host.dispatches("p1") == []
+
+
+def test_preempts_no_non_idempotent_request() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("order", "brief", idempotent=False)
+    grant = ClaimAnswered(request_id=RequestId("order"), outcome=ClaimOutcome.GRANTED)
+    host.send(grant)
+    host.arrive("phone", "phone")
+    preempt(host)
+    assert (len(host.dispatches("order")), host.dispatches("phone")) == (1, [])
+
+
+def test_resumed_request_preempts_at_once_because_its_caller_waits() -> None:
+    host = Host(build_declaration(engines=2, slots=1))
+    host.arrive("phone", "phone")
+    host.arrive("brief", "brief")
+    host.progress(host.dispatches("phone")[0].attempt_id, 4)
+    host.fail(host.dispatches("phone")[0].attempt_id, FailureKind.LOST)
+    assert [d.resume_tokens for d in host.dispatches("phone")] == [0, 4]
+
+
+@pytest.mark.parametrize(
+    ("share", "briefs", "limit"),
+    [(0.0, 2, 10_000), (0.05, 4, 10_000), (0.2, 8, 10_000), (0.05, 4, 20), (0.2, 8, 20)],
+)
+def test_every_class_is_served_within_the_bound_under_a_saturated_top_class(
+    share: float, briefs: int, limit: int
+) -> None:
+    slots, service_s, step_s = 4, 0.5, 0.1
+    classes = [
+        build_class("phone", queue_limit=limit),
+        build_class("brief", answer_target_ms=2000, minimum_share=share),
+    ]
+    host = Host(build_declaration(engines=2, slots=slots // 2, classes=classes))
+    bound_s = compute_wait_bound(classes[1], slots)
+    ends: dict[str, float] = {}
+    starts: list[float] = []
+    for n in range(4):
+        host.arrive(f"first{n}", "phone")
+    for n in range(briefs):
+        host.arrive(f"b{n}", "brief")
+    begun_s = host.now_s
+    shed = 0
+    for step in range(int(briefs * (bound_s + 1.0) / step_s)):
+        for n in range(4):
+            host.arrive(f"p{step}-{n}", "phone")
+        for action in host.actions:
+            match action:
+                case Dispatch(request_id=name, attempt_id=attempt):
+                    ends[attempt] = host.now_s + service_s
+                    starts += [host.now_s] if name.startswith("b") else []
+                case CancelAttempt(attempt_id=attempt):
+                    del ends[attempt]
+                case Reject(code=ResultCode.SHED):
+                    shed += 1
+        host.actions = []
+        for attempt in [attempt for attempt, end_s in ends.items() if end_s <= host.now_s]:
+            del ends[attempt]
+            host.finish(AttemptId(attempt))
+        host.send(TimerFired(), after_s=step_s)
+    assert starts and len(starts) + shed == briefs
+    waits = [b - a for a, b in zip([begun_s, *starts], starts, strict=False)]
+    assert max(waits) <= bound_s + service_s + 2 * step_s
+
+
+def test_reserved_slots_of_a_higher_class_are_not_given_to_lower_ones() -> None:
+    host = Host(build_declaration(engines=1, slots=4))
+    for n in range(8):
+        host.arrive(f"warm-up{n}", "phone")
+        host.finish(host.dispatches(f"warm-up{n}")[0].attempt_id, after_s=1.0)
+    for n in range(6):
+        host.arrive(f"b{n}", "brief")
+    assert len(host.policy._state.attempts) < 4
+    host.arrive("phone", "phone")
+    assert len(host.dispatches("phone")) == 1
+
+
+def test_configuration_change_loses_no_request() -> None:
+    host = Host(build_declaration(engines=2, slots=1))
+    for n in range(6):
+        host.arrive(f"r{n}", TIERS[n % 3])
+    engines = [build_engine("e0", slots=1, draining=True), build_engine("e9", slots=1)]
+    changed = build_declaration(engines=engines, classes=[build_class("phone")])
+    host.send(DeclarationAdopted(declaration=changed))
+    serve_one_by_one(host)
+    assert {host.code(f"r{n}") for n in range(6)} == {"DELIVERED"}
+    late = [d for d in host.actions if isinstance(d, Dispatch)][2:]
+    assert {d.upstream for d in late} == {"e9"}
+
+
+def test_subsets_cover_every_upstream_at_the_size_of_the_target() -> None:
+    hosts = [HostId(f"host-{n}") for n in range(370)]
+    upstreams = [UpstreamName(f"u{n}") for n in range(134)]
+    covered = dict.fromkeys(upstreams, 0)
+    for host in hosts:
+        for name in choose_subset(host, upstreams, len(hosts)):
+            covered[name] += 1
+    assert min(covered.values()) >= 20
+    assert max(covered.values()) <= 80
+
+
+def test_lengths_fall_back_on_the_class_and_stay_bounded() -> None:
+    book = LengthBook()
+    brief, pool = ClassName("brief"), PoolName("m")
+    assert book.estimate(WorkspaceId("w0"), brief, pool, 0.5) is None
+    for n in range(10_000):
+        book.observe(WorkspaceId(f"w{n}"), brief, pool, 100 if n % 2 else 400)
+    median = book.estimate(WorkspaceId("unknown"), brief, pool, 0.3)
+    assert median is not None and 75 <= median <= 130
+    assert len(book._histograms) <= 4097
--- /dev/null
+++ b/tests/test_policy_machine.py
@@ -0,0 +1,287 @@
+"""Any order of events keeps the promises that the oracle states."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from greengagestage.configuration import LateAnswer
+from greengagestage.ids import Fingerprint, HostId, UpstreamName, WorkspaceId
+from greengagestage.policy import (
+    AttemptAccepted,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptProgressed,
+    CallerLeft,
+    ClaimAnswered,
+    ClaimOutcome,
+    CrashReported,
+    DeclarationAdopted,
+    Event,
+    FailureKind,
+    FingerprintQuarantined,
+    Policy,
+    RequestArrived,
+    SharesUpdated,
+    StopRequested,
+    TimerFired,
+    UpstreamReport,
+    UpstreamsReported,
+    UpstreamState,
+    WakeAt,
+)
+from tests.policy_builders import (
+    TIERS,
+    build_class,
+    build_declaration,
+    build_engine,
+    build_request,
+    build_workspace,
+)
+from tests.policy_oracle import Model, Oracle
+
+ENGINES = ("e0", "e1", "e2")
+ends = st.sampled_from(list(FailureKind))
+waits = st.sampled_from([0.0, 0.0, 0.01, 0.3, 1.0, 5.0, 30.0])
+
+
+class PolicyMachine(RuleBasedStateMachine):
+    """Drives two policies of one seed with equal events: they must act alike."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.policies = [Policy(host=HostId("h0"), seed=7) for _ in range(2)]
+        self.oracle = Oracle()
+        self.now_s = 50.0
+        self.wake_s: float | None = None
+        self.count = 0
+        self.draining: set[str] = set()
+        self.states = dict.fromkeys(ENGINES, UpstreamState.LIVE)
+        self.slots = dict.fromkeys(ENGINES, 2)
+        self.stopping = False
+
+    def send(self, event: Event) -> None:
+        answers = [policy.handle(event, self.now_s) for policy in self.policies]
+        assert answers[0] == answers[1], "the same seed and events must act alike"
+        state = self.policies[0]._state
+        self.oracle.reserved |= {
+            r.attempt.attempt_id for r in state.records.values() if r.attempt and r.attempt.reserved
+        }
+        self.oracle.check(answers[0])
+        for action in answers[0]:
+            if isinstance(action, WakeAt):
+                self.wake_s = action.at_s
+
+    def update_usable(self) -> None:
+        self.oracle.usable = {
+            UpstreamName(name): self.slots[name]
+            for name in ENGINES
+            if self.states[name] is UpstreamState.LIVE and name not in self.draining
+        }
+
+    def adopt(self, tiers: tuple[str, ...]) -> None:
+        self.update_usable()
+        engines = [build_engine(n, slots=2, draining=n in self.draining) for n in ENGINES]
+        classes = [
+            build_class(
+                name,
+                queue_limit=2,
+                late_answer=LateAnswer.USELESS if name == "phone" else LateAnswer.USEFUL,
+            )
+            for name in tiers
+        ]
+        workspaces = [build_workspace("w0", concurrency=6), build_workspace("w1", weight=3.0)]
+        declaration = build_declaration(engines=engines, classes=classes, workspaces=workspaces)
+        self.send(DeclarationAdopted(declaration=declaration))
+
+    @initialize()
+    def start(self) -> None:
+        self.adopt(TIERS)
+
+    @rule(
+        tier=st.sampled_from(TIERS),
+        workspace=st.sampled_from(["w0", "w1"]),
+        idempotent=st.sampled_from([True, True, False]),
+        fingerprint=st.sampled_from([None, None, "x", "y"]),
+        deadline_s=st.sampled_from([None, None, 0.5, 20.0]),
+    )
+    def arrive(
+        self,
+        tier: str,
+        workspace: str,
+        idempotent: bool,
+        fingerprint: str | None,
+        deadline_s: float | None,
+    ) -> None:
+        self.count += 1
+        request = build_request(
+            f"r{self.count}",
+            tier,
+            workspace=WorkspaceId(workspace),
+            idempotent=idempotent,
+            fingerprint=Fingerprint(fingerprint or f"f{self.count}"),
+            deadline_s=None if deadline_s is None else self.now_s + deadline_s,
+        )
+        self.oracle.arrive(request)
+        self.send(RequestArrived(request=request))
+
+    def running(self) -> list[Model]:
+        return [model for model in self.oracle.models.values() if model.running]
+
+    def asked(self) -> list[Model]:
+        return [model for model in self.oracle.models.values() if model.claim == "asked"]
+
+    @precondition(lambda self: self.asked())
+    @rule(data=st.data(), outcome=st.sampled_from(list(ClaimOutcome) + 4 * [ClaimOutcome.GRANTED]))
+    def answer_claim(self, data: st.DataObject, outcome: ClaimOutcome) -> None:
+        model = data.draw(st.sampled_from(self.asked()))
+        model.claim = outcome.value
+        self.send(ClaimAnswered(request_id=model.request.request_id, outcome=outcome))
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data(), tokens=st.integers(0, 30))
+    def progress(self, data: st.DataObject, tokens: int) -> None:
+        model = data.draw(st.sampled_from(self.running()))
+        assert model.running
+        model.accepted = True
+        if tokens:
+            model.tokens += tokens
+            self.send(AttemptProgressed(attempt_id=model.running, tokens=tokens))
+        else:
+            self.send(AttemptAccepted(attempt_id=model.running))
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data())
+    def finish(self, data: st.DataObject) -> None:
+        self.end(data.draw(st.sampled_from(self.running())))
+
+    def end(self, model: Model) -> None:
+        attempt = model.running
+        assert attempt
+        self.oracle.end_attempt(model, None)
+        self.send(AttemptFinished(attempt_id=attempt))
+        assert model.final is not None
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data(), kind=ends, resumable=st.booleans(), leaving=st.booleans())
+    def fail(self, data: st.DataObject, kind: FailureKind, resumable: bool, leaving: bool) -> None:
+        model = data.draw(st.sampled_from(self.running()))
+        attempt = model.running
+        assert attempt
+        leaving = leaving and kind is FailureKind.REFUSED and not model.accepted
+        if leaving and model.upstream:
+            self.states[model.upstream] = UpstreamState.LEAVING
+            self.update_usable()
+        self.oracle.end_attempt(model, kind)
+        self.send(
+            AttemptFailed(
+                attempt_id=attempt, kind=kind, resumable=resumable, upstream_leaving=leaving
+            )
+        )
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data())
+    def crash_upstream(self, data: st.DataObject) -> None:
+        upstream = data.draw(st.sampled_from(self.running())).upstream
+        assert upstream
+        for model in self.oracle.in_flight(upstream):
+            if attempt := model.running:
+                self.oracle.end_attempt(model, FailureKind.LOST)
+                self.send(AttemptFailed(attempt_id=attempt, kind=FailureKind.LOST))
+
+    @precondition(lambda self: self.oracle.by_attempt)
+    @rule(data=st.data())
+    def send_late_event(self, data: st.DataObject) -> None:
+        attempt = data.draw(st.sampled_from(sorted(self.oracle.by_attempt)))
+        if self.oracle.by_attempt[attempt].running != attempt:
+            for event in (
+                AttemptProgressed(attempt_id=attempt, tokens=9),
+                AttemptFinished(attempt_id=attempt),
+                AttemptFailed(attempt_id=attempt, kind=FailureKind.LOST),
+            ):
+                self.send(event)
+
+    @precondition(lambda self: self.oracle.models)
+    @rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        name = data.draw(st.sampled_from(sorted(self.oracle.models)))
+        model = self.oracle.models[name]
+        runs_on = model.running and not model.request.idempotent
+        self.send(CallerLeft(request_id=name))
+        assert runs_on or model.final is not None
+
+    @rule(wait_s=waits)
+    def wait(self, wait_s: float) -> None:
+        self.now_s += wait_s
+        if self.wake_s is not None and self.wake_s <= self.now_s:
+            self.wake_s = None
+            self.send(TimerFired())
+
+    @rule(name=st.sampled_from(ENGINES), state=st.sampled_from(list(UpstreamState)))
+    def report(self, name: str, state: UpstreamState) -> None:
+        self.now_s += 40.0
+        self.states[name] = state
+        self.update_usable()
+        report = UpstreamReport(
+            upstream=UpstreamName(name), state=state, running=1, measured_at_s=self.now_s
+        )
+        self.send(UpstreamsReported(reports=(report,)))
+
+    @rule(slots=st.sampled_from([0, 1, 2]))
+    def share(self, slots: int) -> None:
+        self.slots = {name: slots if name == "e0" else 2 for name in ENGINES}
+        self.update_usable()
+        shares = {UpstreamName(name): count for name, count in self.slots.items()}
+        self.send(SharesUpdated(slots=shares, entry_hosts=1))
+
+    @rule(
+        tiers=st.sampled_from([TIERS, TIERS[:1], TIERS[1:]]),
+        drained=st.sets(st.sampled_from(ENGINES), max_size=2),
+    )
+    def redeclare(self, tiers: tuple[str, ...], drained: set[str]) -> None:
+        self.draining = drained
+        self.adopt(tiers)
+
+    @rule(fingerprint=st.sampled_from(["x", "y"]), kind=st.sampled_from(["crash", "stop"]))
+    def hear_from_peer(self, fingerprint: str, kind: str) -> None:
+        named = Fingerprint(fingerprint)
+        if kind == "stop":
+            self.oracle.quarantined.add(named)
+            self.send(FingerprintQuarantined(fingerprint=named))
+        else:
+            self.send(CrashReported(fingerprint=named, upstream=UpstreamName("elsewhere")))
+
+    @precondition(lambda self: self.count > 8)
+    @rule()
+    def stop(self) -> None:
+        self.stopping = True
+        self.send(StopRequested())
+
+    def teardown(self) -> None:
+        """Everything accepted comes to its verdict once upstreams work again."""
+        for name in ENGINES:
+            self.report(name, UpstreamState.LIVE)
+        self.slots = dict.fromkeys(ENGINES, 2)
+        self.draining = set()
+        self.update_usable()
+        self.send(SharesUpdated(slots={}, entry_hosts=1))
+        self.adopt(TIERS)
+        for _ in range(60):
+            for model in self.asked():
+                model.claim = "granted"
+                name = model.request.request_id
+                self.send(ClaimAnswered(request_id=name, outcome=ClaimOutcome.GRANTED))
+            for model in self.running():
+                if model.running:
+                    self.end(model)
+            self.wait(5.0)
+        unfinished = [n for n, m in self.oracle.models.items() if m.final is None]
+        assert not unfinished, unfinished
+        state = self.policies[0]._state
+        assert not state.records and not state.attempts and not state.running_equals
+        assert not state.orphan_claims
+        assert all(not e.in_flight and not e.suspects for e in state.upstreams)
+        assert all(not len(pool.queue) for pool in state.pools.values())
+
+
+TestPolicyMachine = PolicyMachine.TestCase
+TestPolicyMachine.settings = settings(max_examples=150, stateful_step_count=40)
--- a/tests/test_standin_parts.py
+++ b/tests/test_standin_parts.py
@@ -1,7 +1,7 @@
 """The parts of the stand-ins, without processes."""
 
 from standins._batch import Batch, Sequence, StepCosts
-from standins._load_report import LaggingLoad
+from standins._lagging_load import LaggingLoad
 from standins._output import VOCABULARY, analyse_prompt, compute_output, decode_tokens, pick_token
 from standins._prefix_cache import PrefixCache
 from standins._table import Operation, OperationKind, Table, Transaction
--- /dev/null
+++ b/tests/test_standin_processes.py
@@ -0,0 +1,195 @@
+"""The stand-ins as processes: their faults, seen from outside."""
+
+import http.client
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+import pytest
+
+from standins._engine import CRASH_EXIT_CODE
+from standins._faults import Fault, FaultKind
+from standins._fleet import PLATFORM, Fleet
+from standins._fleet_shape import MODEL, build_cooperative_shape
+from standins._ledger import RunOutcome
+from standins._output import compute_output
+from standins._platform_faults import PlatformFault, PlatformFaultKind, PlatformService
+from standins._processes import wait_until
+from standins._web_calls import UNREACHABLE_STATUS, send_call
+
+pytestmark = pytest.mark.process
+PROMPT = "explain the profile OUTPUT-TOKENS-12"
+SETTLE_TIMEOUT_S = 20.0
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    with Fleet(shape=build_cooperative_shape(), directory=tmp_path) as fleet:
+        fleet.start_upstreams()
+        yield fleet
+
+
+def _complete(url: str, prompt: str, **fields: Any) -> tuple[int, bytes, bool]:
+    """Return the status, the bytes of the body and whether the body ended properly."""
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(str(parts.hostname), parts.port, timeout=20)
+    body = {"model": MODEL, "prompt": prompt, "stream": True, **fields}
+    headers = {"X-Attempt-Id": "attempt-1", "X-Request-Id": "request-1"}
+    connection.request("POST", "/v1/completions", msgspec.json.encode(body), headers)
+    response = connection.getresponse()
+    received = b""
+    try:
+        while piece := response.read1():
+            received += piece
+    except (http.client.IncompleteRead, ConnectionError):
+        return response.status, received, False
+    return response.status, received, True
+
+
+def _read_text(body: bytes) -> str:
+    events = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: {")]
+    return "".join(msgspec.json.decode(event)["choices"][0]["text"] for event in events)
+
+
+def test_the_answer_is_the_ledgers_text(fleet: Fleet) -> None:
+    status, body, ended = _complete(fleet.url("engine-1"), PROMPT)
+    assert (status, ended) == (200, True)
+    assert body.endswith(b"data: [DONE]\n\n")
+    (run,) = fleet.read_ledger("engine-1")
+    assert _read_text(body) == run.text == compute_output(PROMPT)
+    assert run.outcome is RunOutcome.FINISHED
+
+
+def test_a_cut_answer_has_no_end_and_meets_only_as_many_as_counted(fleet: Fleet) -> None:
+    fleet.set_fault("engine-1", Fault(kind=FaultKind.CUT_AFTER, tokens=5, count=1))
+    _, body, ended = _complete(fleet.url("engine-1"), PROMPT)
+    assert not ended
+    assert compute_output(PROMPT).startswith(_read_text(body))
+    assert b"[DONE]" not in body.replace(b'" [DONE]"', b"")
+    assert _complete(fleet.url("engine-1"), PROMPT)[2]
+    outcomes = [run.outcome for run in fleet.read_ledger("engine-1")]
+    assert outcomes == [RunOutcome.CUT, RunOutcome.FINISHED]
+
+
+@pytest.mark.parametrize("kind", [FaultKind.REFUSE, FaultKind.LEAVING])
+def test_a_refusal_leaves_no_run(fleet: Fleet, kind: FaultKind) -> None:
+    fleet.set_fault("engine-1", Fault(kind=kind))
+    answer = send_call(
+        "POST",
+        f"{fleet.url('engine-1')}/v1/completions",
+        {"model": MODEL, "prompt": PROMPT, "stream": True},
+    )
+    assert answer.status == 503
+    assert (answer.headers or {})["X-Not-Started"] == "true"
+    assert ("X-Leaving" in (answer.headers or {})) == (kind is FaultKind.LEAVING)
+    assert fleet.read_ledger("engine-1") == []
+
+
+def test_a_marked_prompt_crashes_the_engine_and_the_ledger_is_kept(fleet: Fleet) -> None:
+    with pytest.raises((http.client.HTTPException, ConnectionError)):
+        status, _, ended = _complete(fleet.url("engine-1"), "CRASH-ENGINE")
+        if not ended:
+            raise http.client.IncompleteRead(b"")
+    process = fleet.process("engine-1")
+    wait_until(lambda: not process.running, "engine ended", SETTLE_TIMEOUT_S)
+    assert process.exit_code == CRASH_EXIT_CODE
+    assert len(fleet.read_ledger("engine-1")) == 1
+    address = fleet.url("engine-1")
+    fleet.restart("engine-1")
+    assert fleet.url("engine-1") == address
+    assert _complete(address, PROMPT)[2]
+
+
+def test_a_frozen_engine_answers_when_it_thaws(fleet: Fleet) -> None:
+    url = fleet.url("engine-1")
+    fleet.set_fault("engine-1", Fault(kind=FaultKind.FREEZE))
+    assert send_call("GET", f"{url}/load", timeout_s=0.3).status == UNREACHABLE_STATUS
+    fleet.set_fault("engine-1", Fault())
+    assert send_call("GET", f"{url}/load").status == 200
+
+
+def test_a_silent_engine_runs_without_sending(fleet: Fleet) -> None:
+    url = fleet.url("engine-1")
+    fleet.set_fault("engine-1", Fault(kind=FaultKind.SILENT))
+    body = {"model": MODEL, "prompt": PROMPT, "stream": True}
+    sent = send_call("POST", f"{url}/v1/completions", body, timeout_s=1.0)
+    assert sent.status == UNREACHABLE_STATUS
+    assert send_call("GET", f"{url}/healthz").status == 200
+    assert len(fleet.read_ledger("engine-1")) == 1
+
+
+def test_resume_goes_on_where_the_tokens_end(fleet: Fleet) -> None:
+    _, body, _ = _complete(fleet.url("engine-1"), PROMPT)
+    events = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: {")]
+    token_ids = [i for e in events for i in msgspec.json.decode(e)["choices"][0]["token_ids"]]
+    _, rest, _ = _complete(fleet.url("engine-2"), PROMPT, resume={"token_ids": token_ids[:7]})
+    (run,) = fleet.read_ledger("engine-2")
+    assert run.text == compute_output(PROMPT)
+    assert compute_output(PROMPT).endswith(_read_text(rest))
+    assert (run.tokens, run.resumed_from) == (5, 7)
+
+
+@pytest.mark.parametrize(("name", "refused"), [("engine-1", True), ("engine-3", False)])
+def test_an_old_fencing_number_is_refused_or_ignored(
+    fleet: Fleet, name: str, refused: bool
+) -> None:
+    url = f"{fleet.url(name)}/orders/state"
+    new, old = ({"models": [MODEL], "role": "mixed", "fencing_number": n} for n in (5, 4))
+    assert send_call("PUT", url, new).status == 200
+    assert send_call("PUT", url, old).status == (409 if refused else 200)
+    state = send_call("GET", url).decode(dict)
+    assert state["fencing_number"] == (5 if refused else 4)
+
+
+def test_a_held_context_is_imported_and_expires_when_released(fleet: Fleet) -> None:
+    source, target = fleet.url("engine-1"), fleet.url("engine-2")
+    fleet.set_fault("engine-1", Fault(kind=FaultKind.SLOW, factor=50))
+    parts = urlsplit(source)
+    connection = http.client.HTTPConnection(str(parts.hostname), parts.port, timeout=20)
+    body = {"model": MODEL, "prompt": PROMPT, "stream": True}
+    headers = {"X-Attempt-Id": "held"}
+    connection.request("POST", "/v1/completions", msgspec.json.encode(body), headers)
+    connection.getresponse()
+    order = {"attempt_id": "held", "hold_ms": 60_000}
+    hold = send_call("POST", f"{source}/kv/export", order).decode(dict)
+    imported = send_call(
+        "POST", f"{target}/kv/import", {"handle": hold["handle"], "source": source}
+    )
+    assert imported.decode(dict)["tokens"] == hold["tokens"]
+    assert send_call("DELETE", f"{source}/v1/attempts/held").status == 200
+    assert send_call("POST", f"{source}/kv/export", order).status == 200
+    assert send_call("DELETE", f"{source}/kv/{hold['handle']}").status == 200
+    assert send_call("POST", f"{source}/kv/export", order).status == 404
+
+
+def test_an_answer_lost_still_took_effect(fleet: Fleet) -> None:
+    url = f"{fleet.url(PLATFORM)}/table"
+    lost = PlatformFault(service=PlatformService.TABLE, kind=PlatformFaultKind.ANSWER_LOST, count=1)
+    fleet.set_fault(PLATFORM, lost)
+    put = {"operations": [{"kind": "put", "key": "k", "value": 1, "expect": 0}]}
+    assert send_call("POST", f"{url}/transact", put).status == UNREACHABLE_STATUS
+    rows = send_call("GET", f"{url}/rows?prefix=k").decode(dict)["rows"]
+    assert [row["value"] for row in rows] == [1]
+
+
+def test_a_stale_table_reads_what_stood_before(fleet: Fleet) -> None:
+    url = f"{fleet.url(PLATFORM)}/table"
+    stale = PlatformFault(service=PlatformService.TABLE, kind=PlatformFaultKind.STALE)
+    fleet.set_fault(PLATFORM, stale)
+    put = {"operations": [{"kind": "put", "key": "k", "value": 1, "expect": 0}]}
+    assert send_call("POST", f"{url}/transact", put).status == 200
+    assert send_call("GET", f"{url}/rows?prefix=k").decode(dict)["rows"] == []
+    none = PlatformFault(service=PlatformService.TABLE, kind=PlatformFaultKind.NONE)
+    fleet.set_fault(PLATFORM, none)
+    assert len(send_call("GET", f"{url}/rows?prefix=k").decode(dict)["rows"]) == 1
+
+
+def test_a_booking_is_kept_in_the_ledger_with_its_key(fleet: Fleet) -> None:
+    answer = send_call(
+        "POST", f"{fleet.url('booking-1')}/orders", {}, headers={"Idempotency-Key": "key-1"}
+    )
+    assert answer.status == 201
+    (run,) = fleet.read_ledger("booking-1")
+    assert (run.idempotency_key, run.outcome) == ("key-1", RunOutcome.FINISHED)
