Wire the claims store into the entry process; split the tests' harness by concern

Cause: non-idempotent requests were refused as not run, as the store of claims had not landed. Change: the store is built on the platform's services with this host's share of the fleet's writes and the workspaces in force; a stop waits at most 5 s for changes that the table has not confirmed. StoredAnswer replaces the entry's own type. Assembly of the process in methods of one job each; the test harness in four modules (upstreams, callers, fakes, case).

--- a/greengagestage/commands/_entry_settings.py
+++ b/greengagestage/commands/_entry_settings.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Mapping
 
-from greengagestage.entry import DeliveryLimits, EntrySettings, LifecycleTimes, ServerLimits
+from greengagestage.entry import (
+    ClaimSettings,
+    DeliveryLimits,
+    EntrySettings,
+    LifecycleTimes,
+    ServerLimits,
+)
 from greengagestage.ids import FailureDomain, HostId
 from greengagestage.upstream import PoolLimits
 
@@ -99,6 +105,24 @@
         read_duration,
         "2",
     ),
+    _setting(
+        "claim_writes_per_s",
+        "Claim transactions a second of all entry hosts together.",
+        read_duration,
+        "200",
+    ),
+    _setting(
+        "claim_retention_s",
+        "Age after which a claim that has ended is removed, seconds.",
+        read_duration,
+        "604800",
+    ),
+    _setting(
+        "platform_timeout_s",
+        "Time that a call of the platform may take, seconds.",
+        read_duration,
+        "1",
+    ),
     _setting(
         "agent_grace_s",
         "How long to stay ready without hearing from the agent, seconds.",
@@ -154,6 +178,11 @@
             caller_stall_s=values["caller_stall_s"],
             store_wait_s=values["store_wait_s"],
         ),
+        claims=ClaimSettings(
+            fleet_writes_per_s=values["claim_writes_per_s"],
+            retention_s=values["claim_retention_s"],
+            platform_timeout_s=values["platform_timeout_s"],
+        ),
         lifecycle=LifecycleTimes(
             agent_grace_s=values["agent_grace_s"], drain_notice_s=values["drain_notice_s"]
         ),
--- a/greengagestage/commands/entry.py
+++ b/greengagestage/commands/entry.py
@@ -9,10 +9,11 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.error import CannotListenError
 
-from greengagestage.entry import Decisions, EntryProcess, EntrySettings, UnavailableClaims
+from greengagestage.entry import Decisions, EntryProcess, EntrySettings, FleetView
 from greengagestage.telemetry import open_log, start_logging
 from greengagestage.wire import AgentLink
 
+from ._claims import build_claims
 from ._entry_settings import ENTRY_SETTINGS, build_entry_settings
 from ._setting_types import SettingsError, add_settings
 
@@ -42,10 +43,17 @@
     reactor: Any = default_reactor
     use_monotonic_time(reactor)
     start_logging(file=log_file, part="entry", host=settings.host)
+    fleet = FleetView()
     process = EntryProcess(
         reactor=reactor,
         settings=settings,
-        claims=UnavailableClaims(),
+        claims=build_claims(
+            reactor=reactor,
+            settings=settings,
+            fleet=fleet,
+            workspaces=lambda: process.workspaces,
+        ),
+        fleet=fleet,
         connect=lambda on_message: AgentLink(
             reactor=reactor,
             address=settings.agent,
--- a/greengagestage/entry/__init__.py
+++ b/greengagestage/entry/__init__.py
@@ -2,11 +2,12 @@
 
 from ._fleet import FleetView
 from ._http import ServerLimits
-from ._ports import Claims, Decisions, Link, Outbox, UnavailableClaims
+from ._ports import Claims, Decisions, Link, Outbox
 from ._process import EntryProcess
-from ._settings import DeliveryLimits, EntrySettings, LifecycleTimes
+from ._settings import ClaimSettings, DeliveryLimits, EntrySettings, LifecycleTimes
 
 __all__ = [
+    "ClaimSettings",
     "Claims",
     "Decisions",
     "DeliveryLimits",
@@ -17,5 +18,4 @@
     "Link",
     "Outbox",
     "ServerLimits",
-    "UnavailableClaims",
 ]
--- a/greengagestage/entry/_conclusions.py
+++ b/greengagestage/entry/_conclusions.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from greengagestage.claims import StoredAnswer
 from greengagestage.ids import IdempotencyKey, RequestId
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 from greengagestage.telemetry import EntryMetrics, log_fault
@@ -18,7 +19,7 @@
 from ._refusals import Refusal
 from ._requests import OpenRequests
 from ._settings import DeliveryLimits
-from ._stored import KeptAnswer, replay
+from ._stored import replay
 
 RETRY_REPLAY_S = 1.0
 ENDED_LIMIT = 256
@@ -87,7 +88,7 @@
         answer.addErrback(_log_store_fault)
         self._settle(answer.addCallback(self._replay_answer, active))
 
-    def _replay_answer(self, answer: KeptAnswer | None, active: ActiveRequest) -> None:
+    def _replay_answer(self, answer: StoredAnswer | None, active: ActiveRequest) -> None:
         if answer is None:
             code = ResultCode.EARLIER_RUN_UNKNOWN
             self._conclude(active, code)
--- a/greengagestage/entry/_deliveries.py
+++ b/greengagestage/entry/_deliveries.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Sequence
 
+from greengagestage.claims import StoredAnswer
 from greengagestage.upstream import CompletionChunk, ResponseHead
 
 from ._calls import Call, CompletionTarget, ServiceTarget
@@ -20,7 +21,7 @@
 from ._progress import CompletionProgress
 from ._refusals import Refusal
 from ._settings import DeliveryLimits
-from ._stored import KeptAnswer, Transcript
+from ._stored import Transcript
 
 _NO_BODY_STATUSES = (204, 304)
 _DROPPED_HEADERS = frozenset(
@@ -75,7 +76,7 @@
         """Tell the caller that there is no whole answer."""
         self._form.refuse(refusal)
 
-    def keep(self) -> KeptAnswer | None:
+    def keep(self) -> StoredAnswer | None:
         """Return the whole answer for the store, or None if it is too large to keep."""
         if self._transcript is None:
             return None
@@ -171,11 +172,11 @@
         else:
             self._caller.refuse(refusal, self._headers)
 
-    def keep(self) -> KeptAnswer | None:
+    def keep(self) -> StoredAnswer | None:
         """Return the whole answer for the store."""
         if self._streaming or self._head is None:
             return None
-        return KeptAnswer(
+        return StoredAnswer(
             status=self._status,
             content_type=self._head.get("Content-Type") or "application/octet-stream",
             body=bytes(self._body),
--- a/greengagestage/entry/_ports.py
+++ b/greengagestage/entry/_ports.py
@@ -2,8 +2,9 @@
 
 from typing import Protocol
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
+from greengagestage.claims import StoredAnswer
 from greengagestage.ids import AttemptId, IdempotencyKey, RequestId, WorkspaceId
 from greengagestage.policy import (
     Action,
@@ -15,8 +16,6 @@
 )
 from greengagestage.wire import EntryMessage
 
-from ._stored import KeptAnswer
-
 
 class Decisions(Protocol):
     """What decides: the policy, or another one that is compared with it."""
@@ -34,6 +33,16 @@
 class Claims(Protocol):
     """The right to run non-idempotent requests, and their kept answers."""
 
+    @property
+    def unsettled(self) -> int:
+        """Changes that the store has not confirmed yet."""
+
+    def start(self) -> None:
+        """Begin the work in the background."""
+
+    def stop(self) -> None:
+        """End the work in the background."""
+
     def claim(self, ask: AskClaim) -> Deferred[ClaimOutcome]:
         """Claim the right to run."""
 
@@ -45,7 +54,7 @@
         workspace: WorkspaceId,
         idempotency_key: IdempotencyKey,
         attempt_id: AttemptId,
-        answer: KeptAnswer,
+        answer: StoredAnswer,
     ) -> Deferred[bool]:
         """Keep the whole answer."""
 
@@ -56,7 +65,7 @@
 
     def read_answer(
         self, workspace: WorkspaceId, idempotency_key: IdempotencyKey
-    ) -> Deferred[KeptAnswer | None]:
+    ) -> Deferred[StoredAnswer | None]:
         """Return the kept answer, if it can be read."""
 
 
@@ -79,36 +88,3 @@
 
     def stop(self) -> None:
         """Close the connection."""
-
-
-class UnavailableClaims:
-    """Claims of a host without a store: nothing non-idempotent is run."""
-
-    def claim(self, ask: AskClaim) -> Deferred[ClaimOutcome]:
-        """Say that the store does not answer."""
-        return succeed(ClaimOutcome.UNAVAILABLE)
-
-    def give_up(self, give_up: GiveUpClaim) -> None:
-        """Do nothing: there are no claims."""
-
-    def record_answer(
-        self,
-        workspace: WorkspaceId,
-        idempotency_key: IdempotencyKey,
-        attempt_id: AttemptId,
-        answer: KeptAnswer,
-    ) -> Deferred[bool]:
-        """Keep nothing."""
-        return succeed(False)
-
-    def mark_unknown(
-        self, workspace: WorkspaceId, idempotency_key: IdempotencyKey, attempt_id: AttemptId
-    ) -> Deferred[None]:
-        """Record nothing."""
-        return succeed(None)
-
-    def read_answer(
-        self, workspace: WorkspaceId, idempotency_key: IdempotencyKey
-    ) -> Deferred[KeptAnswer | None]:
-        """Find nothing."""
-        return succeed(None)
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 from twisted.internet.defer import Deferred
 
+from greengagestage.ids import WorkspaceId
 from greengagestage.policy import Policy
 from greengagestage.telemetry import EntryMetrics
 from greengagestage.upstream import ConnectionPool
@@ -44,23 +45,18 @@
     ) -> None:
         self._reactor = reactor
         self._settings = settings
+        self._claims = claims
         self._link = connect(self._receive)
         self.readiness = Readiness(
             agent_silence_s=lambda: self._link.last_heard_s,
             agent_grace_s=settings.lifecycle.agent_grace_s,
         )
         self._pool = ConnectionPool(reactor=reactor, limits=settings.pool)
-        metrics = EntryMetrics(
+        self._metrics = EntryMetrics(
             workspace_labels=settings.workspace_labels, read_gauges=self._read_gauges
         )
-        self.shell = Shell(
-            reactor=reactor,
-            policy=policy or Policy(host=settings.host, seed=settings.seed),
-            pool=self._pool,
-            claims=claims,
-            metrics=metrics,
-            outbox=self._link,
-            limits=settings.delivery,
+        self.shell = self._build_shell(
+            policy or Policy(host=settings.host, seed=settings.seed), claims
         )
         self.control = AgentControl(
             reactor=reactor,
@@ -69,30 +65,54 @@
             outbox=self._link,
             fleet=fleet or FleetView(),
         )
+        self._server = self._build_server()
+        self._shutdown = self._build_shutdown()
+        self._listener: Any = None
+        self._stopped: Deferred[None] | None = None
+
+    def _build_shell(self, policy: Decisions, claims: Claims) -> Shell:
+        return Shell(
+            reactor=self._reactor,
+            policy=policy,
+            pool=self._pool,
+            claims=claims,
+            metrics=self._metrics,
+            outbox=self._link,
+            limits=self._settings.delivery,
+        )
+
+    def _build_server(self) -> CallerServer:
         site = CallerSite(
-            reactor=reactor,
+            reactor=self._reactor,
             shell=self.shell,
             readiness=self.readiness,
-            metrics=metrics,
-            request_ids=RequestIds(host=settings.host),
+            metrics=self._metrics,
+            request_ids=RequestIds(host=self._settings.host),
         )
-        self._server = CallerServer(
-            reactor=reactor,
-            limits=settings.server,
+        return CallerServer(
+            reactor=self._reactor,
+            limits=self._settings.server,
             on_request=site.handle,
             on_refused=site.count_refusal,
         )
-        self._shutdown = Shutdown(
-            reactor=reactor,
+
+    def _build_shutdown(self) -> Shutdown:
+        return Shutdown(
+            reactor=self._reactor,
             shell=self.shell,
             readiness=self.readiness,
             server=self._server,
-            times=settings.lifecycle,
-            unread_limit_s=settings.delivery.caller_stall_s,
-            unsent_limit_s=settings.server.idle_timeout_s,
+            claims=self._claims,
+            times=self._settings.lifecycle,
+            unread_limit_s=self._settings.delivery.caller_stall_s,
+            unsent_limit_s=self._settings.server.idle_timeout_s,
         )
-        self._listener: Any = None
-        self._stopped: Deferred[None] | None = None
+
+    @property
+    def workspaces(self) -> tuple[WorkspaceId, ...]:
+        """The workspaces of the configuration in force."""
+        directory = self.readiness.directory
+        return () if directory is None else tuple(w.name for w in directory.declaration.workspaces)
 
     @property
     def port(self) -> int:
@@ -109,6 +129,7 @@
         host, _, port = self._settings.listen.rpartition(":")
         self._listener = self._server.listen(host.strip("[]"), int(port))
         self._pool.start()
+        self._claims.start()
         self._link.start()
         self.control.start()
         log_message(message_type="entry: listening", port=self.port)
@@ -126,6 +147,7 @@
         self.control.stop()
         self.shell.stop()
         self._pool.stop()
+        self._claims.stop()
         self._link.stop()
 
     def _read_gauges(self) -> dict[str, float]:
--- a/greengagestage/entry/_settings.py
+++ b/greengagestage/entry/_settings.py
@@ -27,6 +27,21 @@
     store_wait_s: float = 2.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimSettings:
+    """How non-idempotent requests use the platform's table.
+
+    Attributes:
+        fleet_writes_per_s: Transactions a second of all entry hosts together.
+        retention_s: Age after which a claim that has ended is removed.
+        platform_timeout_s: Time that a call of the platform may take.
+    """
+
+    fleet_writes_per_s: float = 200.0
+    retention_s: float = 604_800.0
+    platform_timeout_s: float = 1.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LifecycleTimes:
     """Times of readiness and of a planned stop.
@@ -56,4 +71,5 @@
     server: ServerLimits = field(default_factory=ServerLimits)
     pool: PoolLimits = field(default_factory=PoolLimits)
     delivery: DeliveryLimits = field(default_factory=DeliveryLimits)
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
     lifecycle: LifecycleTimes = field(default_factory=LifecycleTimes)
--- a/greengagestage/entry/_shutdown.py
+++ b/greengagestage/entry/_shutdown.py
@@ -9,11 +9,14 @@
 from greengagestage.policy import StopRequested
 
 from ._http import CallerServer
+from ._ports import Claims
 from ._readiness import Readiness
 from ._settings import LifecycleTimes
 from ._shell import Shell
 
 CHECK_INTERVAL_S = 0.05
+SETTLE_LIMIT_S = 5.0
+"""How long a stop waits for the store to confirm what became of claims."""
 
 
 class Shutdown:
@@ -31,6 +34,7 @@
         shell: Shell,
         readiness: Readiness,
         server: CallerServer,
+        claims: Claims,
         times: LifecycleTimes,
         unread_limit_s: float,
         unsent_limit_s: float,
@@ -39,6 +43,7 @@
         self._shell = shell
         self._readiness = readiness
         self._server = server
+        self._claims = claims
         self._times = times
         self._unread_limit_s = unread_limit_s
         self._unsent_limit_s = unsent_limit_s
@@ -75,7 +80,10 @@
             return
         if self._idle_since_s is None:
             self._idle_since_s = self._reactor.seconds()
-        if self._server.channels and self._measure(self._idle_since_s) < self._unread_limit_s:
+        idle_s = self._measure(self._idle_since_s)
+        if self._server.channels and idle_s < self._unread_limit_s:
+            return
+        if self._claims.unsettled and idle_s < SETTLE_LIMIT_S:
             return
         self._check.stop()
         log_message(message_type="entry: stop ends", unread_answers=len(self._server.channels))
--- a/greengagestage/entry/_stored.py
+++ b/greengagestage/entry/_stored.py
@@ -1,21 +1,15 @@
-"""Answers of non-idempotent requests, kept so that a resend gets them again."""
+"""Answers of non-idempotent requests, kept so that a resend gets them again.
 
-from dataclasses import dataclass
+Completions are always kept as the events of their stream.
+"""
+
+from greengagestage.claims import StoredAnswer
 
 from ._bodies import Endpoint
 from ._completions import EVENT_STREAM, JSON, HeaderList, collect_events
 from ._http import CallerRequest
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class KeptAnswer:
-    """A whole answer. Completions are always kept as the events of their stream."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-
 class Transcript:
     """Collects an answer up to a bound."""
 
@@ -31,15 +25,15 @@
         if len(self._data) > self._limit_bytes:
             self._data = None
 
-    def close(self, *, status: int, content_type: str) -> KeptAnswer | None:
+    def close(self, *, status: int, content_type: str) -> StoredAnswer | None:
         """Return the answer, or None if it was too large."""
         if self._data is None:
             return None
-        return KeptAnswer(status=status, content_type=content_type, body=bytes(self._data))
+        return StoredAnswer(status=status, content_type=content_type, body=bytes(self._data))
 
 
 def replay(
-    answer: KeptAnswer,
+    answer: StoredAnswer,
     *,
     caller: CallerRequest,
     headers: HeaderList,
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,133 @@
+"""Stand-ins inside the test for what an entry process has around it."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+
+from greengagestage.policy import (
+    AskClaim,
+    AttemptFailed,
+    AttemptFinished,
+    CallerLeft,
+    CancelAttempt,
+    CancelReason,
+    ClaimOutcome,
+    Deliver,
+    Dispatch,
+    GiveUpClaim,
+    PolicySnapshot,
+    Reject,
+    RequestArrived,
+)
+from greengagestage.results import ResultCode
+
+
+class FakeLink:
+    """The agent, as far as an entry process sees it."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+        self.last_heard_s = 0.0
+
+    def send(self, message: Any) -> None:
+        self.sent.append(message)
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+
+class SimplePolicy:
+    """Sends each request to one engine after the other until an answer is whole."""
+
+    def __init__(self, *, upstreams: tuple[str, ...], first_s: float = 9.0, next_s: float = 9.0):
+        self.upstreams = upstreams
+        self.events: list[Any] = []
+        self.requests: dict[str, Any] = {}
+        self._timeouts = {"first_token_timeout_s": first_s, "inter_token_timeout_s": next_s}
+
+    def handle(self, event: Any, now_s: float) -> list[Any]:
+        self.events.append(event)
+        match event:
+            case RequestArrived(request=request):
+                self.requests[request.request_id] = request
+                return [self.dispatch(request.request_id, 0)]
+            case AttemptFinished(attempt_id=attempt_id):
+                return [Deliver(request_id=attempt_id.rpartition(".")[0])]
+            case AttemptFailed(attempt_id=attempt_id):
+                return [self._fail(event, *attempt_id.rsplit(".", 1))]
+            case CallerLeft(request_id=request_id):
+                attempt_id = f"{request_id}.0"
+                cancel = CancelAttempt(attempt_id=attempt_id, reason=CancelReason.CALLER_LEFT)
+                return [cancel, Reject(request_id=request_id, code=ResultCode.CALLER_LEFT_RUNNING)]
+        return []
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+    def inspect(self) -> Any:
+        return PolicySnapshot(
+            classes=(), upstreams=(), open_requests=0, claiming=0, quarantined=0, stopping=False
+        )
+
+    def explain(self, request_id: str) -> tuple[str, ...]:
+        return ("a note",)
+
+    def dispatch(self, request_id: str, number: int) -> Any:
+        return Dispatch(
+            request_id=request_id,
+            attempt_id=f"{request_id}.{number}",
+            upstream=self.upstreams[number],
+            priority=0,
+            resume_tokens=0,
+            **self._timeouts,
+        )
+
+    def _fail(self, event: Any, request_id: str, number: str) -> Any:
+        following = int(number) + 1
+        if event.resumable and following < len(self.upstreams):
+            return self.dispatch(request_id, following)
+        return Reject(request_id=request_id, code=ResultCode.UPSTREAM_LOST)
+
+
+class FakeClaims:
+    """A claims store in memory."""
+
+    unsettled = 0
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], Any] = {}
+        self.given_up: list[GiveUpClaim] = []
+        self.recorded: Deferred[bool] | None = None
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+    def claim(self, ask: AskClaim) -> Deferred[ClaimOutcome]:
+        row = self.rows.setdefault((ask.workspace, ask.idempotency_key), ask)
+        if row is ask:
+            return succeed(ClaimOutcome.GRANTED)
+        if isinstance(row, AskClaim):
+            return succeed(ClaimOutcome.RUNNING)
+        if row == "unknown":
+            return succeed(ClaimOutcome.RUN_UNKNOWN)
+        return succeed(ClaimOutcome.ANSWERED)
+
+    def give_up(self, give_up: GiveUpClaim) -> None:
+        self.given_up.append(give_up)
+
+    def record_answer(self, workspace: Any, key: Any, attempt_id: Any, answer: Any) -> Any:
+        self.rows[workspace, key] = answer
+        return self.recorded if self.recorded is not None else succeed(True)
+
+    def mark_unknown(self, workspace: Any, key: Any, attempt_id: Any) -> Any:
+        self.rows[workspace, key] = "unknown"
+        return succeed(None)
+
+    def read_answer(self, workspace: Any, key: Any) -> Any:
+        return succeed(self.rows.get((workspace, key)))
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -5,21 +5,27 @@
 from greengagestage.entry import DeliveryLimits, ServerLimits
 from greengagestage.policy import CallerLeft, CancelAttempt, CancelReason, RequestArrived
 
+from .entry_fakes import (
+    SimplePolicy,
+)
 from .entry_harness import (
+    EntryCase,
+)
+from .raw_caller import (
+    build_request,
+    prompt,
+    wait_until,
+)
+from .scripted_upstreams import (
     CUT,
     HEAD,
     TEXT,
-    EntryCase,
-    SimplePolicy,
     answer_then,
     answer_whole,
-    build_request,
     chunked,
     event,
-    prompt,
     respond,
     stream_events,
-    wait_until,
 )
 
 PIECE = chunked(event({"id": "a", "choices": [{"text": "x" * 60_000, "token_ids": [1]}]}))
--- a/tests/test_entry_control.py
+++ b/tests/test_entry_control.py
@@ -24,17 +24,23 @@
 )
 
 from .builders import build_declaration
+from .entry_fakes import (
+    SimplePolicy,
+)
 from .entry_harness import (
-    TEXT,
     EntryCase,
-    SimplePolicy,
+)
+from .raw_caller import (
+    build_request,
+    prompt,
+    wait_until,
+)
+from .scripted_upstreams import (
+    TEXT,
     answer_then,
     answer_whole,
-    build_request,
     chunked,
-    prompt,
     stream_events,
-    wait_until,
 )
 
 DOCUMENT = encode_declaration(build_declaration())
--- a/tests/test_entry_delivery.py
+++ b/tests/test_entry_delivery.py
@@ -3,15 +3,19 @@
 from twisted.internet.defer import inlineCallbacks
 
 from .entry_harness import (
-    TEXT,
     EntryCase,
+)
+from .raw_caller import (
+    build_request,
+    prompt,
+    wait_until,
+)
+from .scripted_upstreams import (
+    TEXT,
     answer_then,
     answer_whole,
-    build_request,
     chunked,
-    prompt,
     stream_events,
-    wait_until,
 )
 
 
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -6,29 +6,35 @@
 from greengagestage.policy import AttemptFailed, AttemptProgressed, FailureKind
 from greengagestage.results import ResultCode
 
+from .entry_fakes import (
+    SimplePolicy,
+)
 from .entry_harness import (
+    EntryCase,
+)
+from .raw_caller import (
+    build_request,
+    prompt,
+    wait_until,
+)
+from .scripted_upstreams import (
     CUT,
     HEAD,
     LAST_CHUNK,
     RESET,
     TEXT,
     WORDS,
-    EntryCase,
     ScriptedUpstream,
-    SimplePolicy,
     answer_then,
     answer_whole,
-    build_request,
     chunked,
     event,
     finish_event,
-    prompt,
     refuse,
     respond,
     stay_silent,
     stream_events,
     token_event,
-    wait_until,
 )
 
 END = chunked(b"data: [DONE]\n\n")
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -7,14 +7,18 @@
 from greengagestage.results import CODE_DETAILS, ResultCode
 
 from .entry_harness import (
-    KEY,
     EntryCase,
-    answer_whole,
+)
+from .raw_caller import (
+    KEY,
     build_request,
     prompt,
-    refuse,
     wait_until,
 )
+from .scripted_upstreams import (
+    answer_whole,
+    refuse,
+)
 
 CHAT = "/v1/chat/completions"
 MESSAGES = [{"role": "user", "content": "a gear"}]
--- a/tests/test_entry_services.py
+++ b/tests/test_entry_services.py
@@ -8,18 +8,22 @@
 from greengagestage.results import ResultCode
 
 from .entry_harness import (
+    EntryCase,
+)
+from .raw_caller import (
+    build_request,
+    prompt,
+    wait_until,
+)
+from .scripted_upstreams import (
     CUT,
     TEXT,
-    EntryCase,
     answer_then,
     answer_whole,
-    build_request,
     chunked,
-    prompt,
     refuse,
     respond,
     stream_events,
-    wait_until,
 )
 
 ORDER = "/services/bookings/orders?day=1"
--- a/tests/test_entry_storm.py
+++ b/tests/test_entry_storm.py
@@ -5,18 +5,24 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from .entry_fakes import (
+    SimplePolicy,
+)
 from .entry_harness import (
+    EntryCase,
+)
+from .raw_caller import (
+    build_request,
+    prompt,
+    wait_until,
+)
+from .scripted_upstreams import (
     CUT,
     HEAD,
     RESET,
-    EntryCase,
-    SimplePolicy,
-    build_request,
     chunked,
     event,
-    prompt,
     refuse,
-    wait_until,
 )
 
 CALLERS = 150
