Add leases, intents and the reconciler of engines' orders

Cause: engines are ordered by hosts that may be paused past their lease, and not every engine refuses an old fencing number. Ruled out: one lease per engine (134 writes a second at 670 engines), one per failure domain (one agent would read back 96 engines), expiry by wall clocks, one fencing number per lease, since an engine may move between groups. Change: Reconciler with leases over groups of about 16 engines, intents adopted in a transaction that checks the lease's row, absolute orders, read-back, permits of the weight store, conflicts that name both orders, and a last copy that is protected by a condition on its witness's row.

--- a/greengagestage/orders/__init__.py
+++ b/greengagestage/orders/__init__.py
@@ -1,1 +1,25 @@
 """Leases, fencing numbers, intents and reconciliation."""
+
+from ._adoption import OrderState
+from ._descriptions import LeaseDescription, OrderDescription
+from ._outcomes import OrderAccepted, OrderConflict, OrderOutcome, OrderRefused, OrderUndecided
+from ._reconciler import Reconciler
+from ._states import ArtifactChange, ArtifactKind, Intent, OrderChange, OrderCommand, RoleChange
+
+__all__ = [
+    "ArtifactChange",
+    "ArtifactKind",
+    "Intent",
+    "LeaseDescription",
+    "OrderAccepted",
+    "OrderChange",
+    "OrderCommand",
+    "OrderConflict",
+    "OrderDescription",
+    "OrderOutcome",
+    "OrderRefused",
+    "OrderState",
+    "OrderUndecided",
+    "Reconciler",
+    "RoleChange",
+]
--- /dev/null
+++ b/greengagestage/orders/_engine_client.py
@@ -0,0 +1,93 @@
+"""Orders to one engine, and its state read back."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from greengagestage.platform import HttpAnswer, HttpClient, Unavailable, Unknown
+
+from ._states import EngineState
+
+STATE_LIMIT_BYTES = 256 * 1024
+ORDERS_PATH = "/orders/state"
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderTaken:
+    """The engine took the order; its state as it answered."""
+
+    state: EngineState
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OldNumber:
+    """The engine refused the order, since it has seen a higher fencing number."""
+
+    state: EngineState
+
+
+OrderReply = OrderTaken | OldNumber | Unavailable | Unknown
+
+
+class EngineClient:
+    """Speaks to the order interface of one engine; nothing is repeated."""
+
+    def __init__(self, *, reactor: Any, url: str, timeout_s: float) -> None:
+        self._http = HttpClient(reactor=reactor, base_url=url, timeout_s=timeout_s)
+
+    def close(self) -> Deferred[Any]:
+        """Close the idle connections."""
+        return self._http.close()
+
+    @inlineCallbacks
+    def _read(self) -> Any:
+        answer = yield self._http.send("GET", ORDERS_PATH, limit_bytes=STATE_LIMIT_BYTES)
+        if not isinstance(answer, HttpAnswer):
+            return Unavailable(reason=answer.reason)
+        state = decode_state(answer)
+        if answer.status != 200 or state is None:
+            return Unavailable(reason=f"status {answer.status}")
+        return state
+
+    def read(self) -> Deferred[EngineState | Unavailable]:
+        """Read the engine's state."""
+        return self._read()
+
+    @inlineCallbacks
+    def _order(self, state: EngineState) -> Any:
+        answer = yield self._http.send(
+            "PUT",
+            ORDERS_PATH,
+            body=msgspec.json.encode(state),
+            headers=JSON_HEADERS,
+            limit_bytes=STATE_LIMIT_BYTES,
+        )
+        return judge_order(answer)
+
+    def order(self, state: EngineState) -> Deferred[OrderReply]:
+        """Order an absolute state."""
+        return self._order(state)
+
+
+def decode_state(answer: HttpAnswer) -> EngineState | None:
+    """Return the state of an answer, or None when it holds none."""
+    try:
+        return msgspec.json.decode(answer.body, type=EngineState)
+    except msgspec.DecodeError:
+        return None
+
+
+def judge_order(answer: HttpAnswer | Unavailable | Unknown) -> OrderReply:
+    """Return what an answer says about an order."""
+    if not isinstance(answer, HttpAnswer):
+        return answer
+    state = decode_state(answer)
+    if answer.status == 200 and state is not None:
+        return OrderTaken(state=state)
+    if answer.status == 409 and state is not None:
+        return OldNumber(state=state)
+    reason = f"status {answer.status}"
+    return Unavailable(reason=reason) if 400 <= answer.status < 500 else Unknown(reason=reason)
--- /dev/null
+++ b/greengagestage/orders/_reconciler.py
@@ -0,0 +1,298 @@
+"""Orders engines into their desired states, while this host holds their lease."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from typing import Any
+
+from eliot import log_message
+from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+from greengagestage.configuration import Upstream, UpstreamKind
+from greengagestage.ids import FencingNumber, HostId, UpstreamName
+from greengagestage.platform import (
+    Committed,
+    Operation,
+    Permit,
+    Row,
+    TableClient,
+    Unavailable,
+    WeightClient,
+)
+
+from ._adoption import (
+    OrderState,
+    choose_interval,
+    is_done,
+    needs_adoption,
+    plan_adoption,
+    plan_settlement,
+)
+from ._descriptions import LeaseDescription, OrderDescription, describe_leases, describe_orders
+from ._engine_client import EngineClient, OldNumber, OrderTaken
+from ._groups import UPSTREAMS_PER_GROUP, divide_upstreams
+from ._intents import IntentStore, read_intent
+from ._lease import Lease
+from ._lease_holder import LeaseHolder
+from ._outcomes import OrderOutcome
+from ._states import EngineState, Intent, OrderCommand, intent_key
+
+TICK_S = 5.0
+ORDER_TIMEOUT_S = 2.0
+ENGINES_AT_ONCE = UPSTREAMS_PER_GROUP
+
+
+@dataclass(slots=True, kw_only=True)
+class _Engine:
+    """What this holder knows of one engine beside its intent.
+
+    Attributes:
+        permits: Artifacts that the weight store let this engine fetch for its present load.
+        seen_number: The highest fencing number that the engine showed.
+    """
+
+    client: EngineClient
+    url: str
+    due_s: float = 0.0
+    revision: int = 0
+    seen_number: FencingNumber = FencingNumber(0)
+    permits: set[str] = field(default_factory=set)
+    state: OrderState = OrderState.PENDING
+    message: str = ""
+
+
+class Reconciler:
+    """Leases and orders of one host.
+
+    Args:
+        upstreams: The declared upstreams.
+        hosts: The live hosts of the fleet, for the choice of who watches which lease.
+        is_leaving: Whether an upstream is leaving or gone.
+        create_client: Makes the client of an engine at a URL; settable for tests.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        table: TableClient,
+        weights: WeightClient,
+        host: HostId,
+        upstreams: Callable[[], Collection[Upstream]],
+        hosts: Callable[[], Collection[HostId]],
+        is_leaving: Callable[[UpstreamName], bool] = lambda _: False,
+        create_client: Callable[[str], EngineClient] | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._table = table
+        self._weights = weights
+        self._upstreams = upstreams
+        self._create_client = create_client or self._create_engine_client
+        self._leases = LeaseHolder(reactor=reactor, table=table, host=host, hosts=hosts)
+        self._intents = IntentStore(table=table, upstreams=upstreams, is_leaving=is_leaving)
+        self._engines: dict[UpstreamName, _Engine] = {}
+        self._loops = [self._build_loop(self.tend_leases), self._build_loop(self.reconcile)]
+
+    def _build_loop(self, work: Callable[[], Deferred[Any]]) -> LoopingCall:
+        loop = LoopingCall(lambda: work().addErrback(log_fault))
+        loop.clock = self._reactor
+        return loop
+
+    def _create_engine_client(self, url: str) -> EngineClient:
+        return EngineClient(reactor=self._reactor, url=url, timeout_s=ORDER_TIMEOUT_S)
+
+    def start(self) -> None:
+        """Begin to tend leases and engines."""
+        for loop in self._loops:
+            if not loop.running:
+                loop.start(TICK_S)
+
+    @inlineCallbacks
+    def _stop(self) -> Any:
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        yield self._leases.stop()
+        yield DeferredList([engine.client.close() for engine in self._engines.values()])
+
+    def stop(self) -> Deferred[None]:
+        """Order nothing more, and release the leases."""
+        return self._stop()
+
+    def request_order(self, command: OrderCommand, dry_run: bool = False) -> Deferred[OrderOutcome]:
+        """Accept an operator's order on any host; the lease's holder carries it out."""
+        return self._intents.request(command, dry_run)
+
+    @inlineCallbacks
+    def _describe_orders(self) -> Any:
+        rows = yield self._table.read_keys([intent_key(name) for name in self._list_engines()])
+        if isinstance(rows, Unavailable):
+            return rows
+        known = {name: (x.state, x.message) for name, x in self._engines.items()}
+        return describe_orders(rows, known)
+
+    def describe_orders(self) -> Deferred[tuple[OrderDescription, ...] | Unavailable]:
+        """Return the ordered engines; why one is not settled is known to its holder alone."""
+        return self._describe_orders()
+
+    @inlineCallbacks
+    def _describe_leases(self) -> Any:
+        groups = divide_upstreams(self._list_engines())
+        rows = yield self._table.read_rows("lease/", max(len(groups) * 2, 64))
+        if isinstance(rows, Unavailable):
+            return rows
+        now_s = self._reactor.seconds()
+        held = {x.name: x.compute_remaining(now_s) for x in self._leases.list_held()}
+        return describe_leases(rows, held)
+
+    def describe_leases(self) -> Deferred[tuple[LeaseDescription, ...] | Unavailable]:
+        """Return the leases; the time left is known for those held here."""
+        return self._describe_leases()
+
+    def _list_engines(self) -> dict[UpstreamName, Upstream]:
+        return {x.name: x for x in self._upstreams() if x.kind is UpstreamKind.ENGINE}
+
+    def tend_leases(self) -> Deferred[Any]:
+        """Renew the leases held here, and acquire those that are free and watched here."""
+        return self._leases.tend(divide_upstreams(self._list_engines()))
+
+    @inlineCallbacks
+    def _reconcile_all(self) -> Any:
+        engines = self._list_engines()
+        groups = divide_upstreams(engines)
+        for lease in self._leases.list_held():
+            members = [engines[name] for name in groups.get(lease.name, ())]
+            yield self._reconcile_group(lease, members)
+
+    def reconcile(self) -> Deferred[Any]:
+        """Bring the engines of the leases held here nearer to their intents."""
+        return self._reconcile_all()
+
+    @inlineCallbacks
+    def _reconcile_group(self, lease: Lease, members: list[Upstream]) -> Any:
+        rows = yield self._table.read_keys([intent_key(upstream.name) for upstream in members])
+        if isinstance(rows, Unavailable):
+            log_message(message_type="orders: intents cannot be read", lease=lease.name)
+            return
+        work = list(zip(members, rows, strict=True))
+        for start in range(0, len(work), ENGINES_AT_ONCE):
+            batch = work[start : start + ENGINES_AT_ONCE]
+            steps = [self._reconcile(lease, upstream, row) for upstream, row in batch]
+            yield DeferredList([step.addErrback(log_fault) for step in steps])
+
+    @inlineCallbacks
+    def _reconcile(self, lease: Lease, upstream: Upstream, row: Row) -> Any:
+        intent = read_intent(row)
+        if intent is None:
+            return
+        engine = self._find_engine(upstream)
+        changed = row.revision != engine.revision
+        if not changed and self._reactor.seconds() < engine.due_s:
+            return
+        if needs_adoption(intent, lease, engine.seen_number):
+            adopted = yield self._adopt(lease, engine, row, intent)
+            if adopted is None:
+                return
+            row, intent = adopted
+        engine.revision = row.revision
+        yield self._bring_to_intent(lease, upstream, engine, row, intent)
+        engine.due_s = self._reactor.seconds() + choose_interval(engine.state, upstream.fencing)
+
+    def _find_engine(self, upstream: Upstream) -> _Engine:
+        engine = self._engines.get(upstream.name)
+        if engine is None or engine.url != upstream.url:
+            engine = _Engine(client=self._create_client(upstream.url), url=upstream.url)
+            self._engines[upstream.name] = engine
+        return engine
+
+    @inlineCallbacks
+    def _adopt(self, lease: Lease, engine: _Engine, row: Row, intent: Intent) -> Any:
+        adopted, operations = plan_adoption(row, intent, lease, engine.seen_number)
+        written = yield self._write(lease, operations)
+        engine.permits.clear()
+        return None if written is None else (written, adopted)
+
+    @inlineCallbacks
+    def _write(self, lease: Lease, operations: tuple[Operation, ...]) -> Any:
+        """Write while the lease is held; a lost answer is found out at the next reading."""
+        if not self._may_act(lease):
+            return None
+        outcome = yield self._table.transact(operations)
+        return outcome.rows[0] if isinstance(outcome, Committed) else None
+
+    def _may_act(self, lease: Lease) -> bool:
+        """Whether an action sent now ends before the lease does."""
+        return lease.compute_remaining(self._reactor.seconds()) > ORDER_TIMEOUT_S
+
+    @inlineCallbacks
+    def _bring_to_intent(
+        self, lease: Lease, upstream: Upstream, engine: _Engine, row: Row, intent: Intent
+    ) -> Any:
+        actual = yield engine.client.read()
+        if isinstance(actual, Unavailable):
+            note(engine, OrderState.PENDING, f"engine cannot be read: {actual.reason}")
+            return
+        engine.seen_number = max(engine.seen_number, actual.fencing_number)
+        if not is_done(intent, actual, upstream.fencing):
+            actual = yield self._order(lease, upstream.name, engine, intent, actual)
+        if actual is None or not is_done(intent, actual, upstream.fencing):
+            return
+        note(engine, OrderState.SETTLED, "")
+        engine.permits.clear()
+        if not intent.settled:
+            written = yield self._write(lease, plan_settlement(row, intent, lease))
+            engine.revision = written.revision if written else 0
+
+    @inlineCallbacks
+    def _order(
+        self,
+        lease: Lease,
+        name: UpstreamName,
+        engine: _Engine,
+        intent: Intent,
+        actual: EngineState,
+    ) -> Any:
+        """Send one order; return the engine's state after it, if it is known."""
+        permitted = yield self._ask_permits(name, engine, intent.state.list_missing(actual))
+        if not permitted:
+            return None
+        if not self._may_act(lease):
+            note(engine, OrderState.PENDING, "the lease is not held long enough")
+            return None
+        reply = yield engine.client.order(intent.state)
+        log_message(message_type="orders: order sent", upstream=name, reply=type(reply).__name__)
+        match reply:
+            case OrderTaken(state=state):
+                note(engine, OrderState.PENDING, "the engine took the order")
+                return state
+            case OldNumber(state=state):
+                engine.seen_number = max(engine.seen_number, state.fencing_number)
+                engine.revision = 0
+                note(engine, OrderState.FAILED, "the engine has seen a higher number")
+            case _:
+                note(engine, OrderState.PENDING, reply.reason)
+        return None
+
+    @inlineCallbacks
+    def _ask_permits(self, name: UpstreamName, engine: _Engine, artifacts: tuple[str, ...]) -> Any:
+        for artifact in artifacts:
+            if artifact in engine.permits:
+                continue
+            outcome = yield self._weights.ask_permit(artifact, name)
+            if not isinstance(outcome, Permit):
+                note(engine, OrderState.PENDING, f"waits for the weight store: {artifact}")
+                return False
+            engine.permits.add(artifact)
+        return True
+
+
+def log_fault(failure: Failure) -> None:
+    """Keep a fault of this part from ending its loop."""
+    log_message(message_type="orders: fault", reason=repr(failure.value))
+
+
+def note(engine: _Engine, state: OrderState, message: str) -> None:
+    """Keep how an engine's order stands."""
+    engine.state = state
+    engine.message = message
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform's table, object, host list and weight services."""
 
 from ._hosts import HostList, HostListClient, HostState, PlatformHost, PlatformUpstream
+from ._http import HttpAnswer, HttpClient
 from ._objects import AlreadyStored, ObjectClient, ObjectMissing, PutOutcome, Stored
 from ._operations import ABSENT, Check, Delete, Get, Operation, Put, Row
 from ._outcomes import Committed, Conflict, TransactOutcome, Unavailable, Unknown
@@ -18,6 +19,8 @@
     "HostList",
     "HostListClient",
     "HostState",
+    "HttpAnswer",
+    "HttpClient",
     "ObjectClient",
     "ObjectMissing",
     "Operation",
