Hold the fleet's ports while it lives, and measure held KV cache

Ruled out: retries with other ports (addresses are told to the platform and to other processes); ports outside the system's range (not the system's choice). An imported context belongs to the sequence once it runs.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,7 +16,8 @@
 from ._cost import CostReport, measure_cost
 from ._deployments import DEPLOYMENTS
 from ._plot import draw_comparisons
-from ._report import build_comparison_table, build_cost_table, describe_run
+from ._report import build_comparison_table, build_cost_table, build_retention_table, describe_run
+from ._retention import RetentionFigures, measure_retention, summarize_retention
 from ._runs import PolicyRun, run_policies
 from ._scenarios import QUICK_SCENARIOS, SCENARIOS
 
@@ -35,6 +36,7 @@
     command: str
     comparisons: list[Comparison]
     cost: CostReport | None
+    retention: list[RetentionFigures]
     runs: list[PolicyRun]
 
 
@@ -48,6 +50,7 @@
 @click.option("--scenario", "scenarios", multiple=True, help="Only these scenarios.")
 @click.option("--deployment", "deployments", multiple=True, help="Only these deployments.")
 @click.option("--cost/--no-cost", default=True, help="Measure the router's cost as well.")
+@click.option("--retention/--no-retention", default=True, help="Measure held KV cache as well.")
 @click.option(
     "--output",
     type=click.Path(path_type=Path),
@@ -63,6 +66,7 @@
     scenarios: tuple[str, ...],
     deployments: tuple[str, ...],
     cost: bool,
+    retention: bool,
     output: Path,
 ) -> None:
     """Compare the router's policy with two baselines, and its cost with a bare relay's."""
@@ -80,15 +84,25 @@
     ):
         runs += group
         _console.print(*(describe_run(run) for run in group), sep="\n")
-        _write_json(BenchResult(command=command, comparisons=[], cost=None, runs=runs), output)
+        _write_json(_build_result(command, runs, None, []), output)
     report = _measure_cost(QUICK_COST_ROUND_S if quick else COST_ROUND_S) if cost else None
-    result = BenchResult(
+    figures = _measure_retention(range(first_seed, first_seed + seeds)) if retention else []
+    _write(_build_result(command, runs, report, figures), output)
+
+
+def _build_result(
+    command: str,
+    runs: list[PolicyRun],
+    cost: CostReport | None,
+    retention: list[RetentionFigures],
+) -> BenchResult:
+    return BenchResult(
         command=command,
         comparisons=compare_runs(runs),
-        cost=report,
+        cost=cost,
+        retention=retention,
         runs=runs,
     )
-    _write(result, output)
 
 
 def _run_groups(
@@ -120,6 +134,12 @@
         return measure_cost(rounds=COST_ROUNDS, round_s=round_s, directory=Path(directory))
 
 
+def _measure_retention(seeds: range) -> list[RetentionFigures]:
+    _console.print("preempted answers: KV cache held, prefilled again, or run again")
+    with tempfile.TemporaryDirectory(prefix="greengage-retention-") as directory:
+        return summarize_retention(measure_retention(seeds=seeds, directory=Path(directory)))
+
+
 def _write_json(result: BenchResult, output: Path) -> None:
     encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
     output.with_suffix(".json").write_bytes(encoded)
@@ -132,6 +152,8 @@
         _console.print(build_comparison_table(comparison))
     if result.cost is not None:
         _console.print(build_cost_table(result.cost))
+    if result.retention:
+        _console.print(build_retention_table(result.retention))
     _console.print(f"written: {output.with_suffix('.json')} and {output.with_suffix('.png')}")
 
 
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -6,6 +6,7 @@
 
 from ._comparison import Comparison, Spread
 from ._cost import CostReport
+from ._retention import RetentionFigures
 from ._runs import PolicyRun
 
 
@@ -66,6 +67,32 @@
     return table
 
 
+def build_retention_table(figures: list[RetentionFigures]) -> Table:
+    """Return what each way of continuing a preempted answer costs."""
+    table = Table(title="continuing preempted answers, over all seeds")
+    for column in (
+        "continuation",
+        "extra prefill tokens",
+        "extra output tokens",
+        "ms to the next token",
+        "prefill of a short request",
+        "its first token p95 ms",
+        "wrong",
+    ):
+        table.add_column(column, justify="left" if column == "continuation" else "right")
+    for row in figures:
+        table.add_row(
+            row.continuation.value,
+            _format(row.extra_prefill_tokens, 0),
+            _format(row.extra_output_tokens, 0),
+            _format(row.gap_ms, 0),
+            _format(row.short_prefill_tokens, 0),
+            _format(row.short_first_token_ms, 0),
+            str(row.wrong),
+        )
+    return table
+
+
 def _format(spread: Spread, digits: int) -> str:
     if math.isnan(spread.mean):
         return "-"
--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -112,7 +112,7 @@
         for contestant in contestants:
             contestant.fleet.ask_entries_to_stop()
         for contestant in contestants:
-            contestant.fleet.stop()
+            contestant.fleet.close()
 
 
 def _start_fleets(contestants: list[_Contestant]) -> None:
--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -153,6 +153,7 @@
             self.holds.count_cached_tokens(sequence.prompt.digest, now_s),
         )
         sequence.uncached = max(1, sequence.context - cached)
+        self.holds.use_imported(sequence.prompt.digest)
         self.cache.store(sequence.prompt, now_s)
         self.cache.shrink(now_s, self.holds.count_reserved_tokens(now_s))
 
--- a/standins/_engine_routes.py
+++ b/standins/_engine_routes.py
@@ -182,7 +182,8 @@
 
     def _finish_import(self, call: Call, order: ImportOrder, held: HeldPrompt) -> None:
         now_s = reactor.seconds()
-        self._engine.holds.keep(f"{order.handle}-in", held, now_s + IMPORTED_KEPT_S)
+        expires_s = now_s + IMPORTED_KEPT_S
+        self._engine.holds.keep(f"{order.handle}-in", held, expires_s, imported=True)
         call.send(build_json_reply(_ImportedTokens(tokens=held.tokens)))
 
 
--- a/standins/_fleet.py
+++ b/standins/_fleet.py
@@ -14,9 +14,10 @@
 from ._http import LISTEN_ADDRESS
 from ._ledger import LedgerPage, Run
 from ._platform_faults import PlatformFault
-from ._processes import ChildProcess, ProcessFailedError, reserve_ports
+from ._processes import ChildProcess, PortReservations, ProcessFailedError
 from ._web_calls import OK_STATUS, WebAnswer, send_call
 
+PORTS_PER_HOST = 4
 FLEET_KEY = "stand-in-fleet-key"
 PLATFORM = "platform"
 AGENT_MODULE = "greengagestage.commands.agent"
@@ -33,6 +34,7 @@
         self.shape = shape
         self.directory = directory
         self._processes: dict[str, ChildProcess] = {}
+        self._ports = PortReservations()
         self._peer_addresses: dict[str, str] = {}
 
     def __enter__(self) -> Self:
@@ -44,7 +46,12 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Stop everything and give the ports back."""
         self.stop()
+        self._ports.close()
 
     def start(self) -> None:
         """Start every process, apply the declaration and wait until the entries are ready."""
@@ -229,10 +236,13 @@
 
     def _add_standin(self, name: str, module: str, *options: str) -> None:
         command = [sys.executable, "-m", f"standins.{module}", *options]
+        command += ["--port", str(self._ports.reserve())]
         self.add(ChildProcess(name=name, command=command, directory=self.directory))
 
     def _add_host(self, host: HostShape) -> None:
-        listen, link, peer, http = (f"{LISTEN_ADDRESS}:{port}" for port in reserve_ports(4))
+        listen, link, peer, http = (
+            f"{LISTEN_ADDRESS}:{self._ports.reserve()}" for _ in range(PORTS_PER_HOST)
+        )
         self._peer_addresses[host.name] = peer
         common = (
             *("--platform", self.url(PLATFORM), "--host", host.name),
--- a/standins/_kv_holds.py
+++ b/standins/_kv_holds.py
@@ -38,6 +38,7 @@
 class _Kept:
     prompt: HeldPrompt
     expires_s: float
+    imported: bool
 
 
 class KvHolds:
@@ -46,9 +47,11 @@
     def __init__(self) -> None:
         self._kept: dict[str, _Kept] = {}
 
-    def keep(self, handle: str, prompt: HeldPrompt, expires_s: float) -> None:
+    def keep(
+        self, handle: str, prompt: HeldPrompt, expires_s: float, *, imported: bool = False
+    ) -> None:
         """Keep or renew a hold."""
-        self._kept[handle] = _Kept(prompt=prompt, expires_s=expires_s)
+        self._kept[handle] = _Kept(prompt=prompt, expires_s=expires_s, imported=imported)
 
     def renew(self, handle: str, expires_s: float, now_s: float) -> HeldPrompt | None:
         """Extend a hold that has not expired and return what it keeps."""
@@ -67,6 +70,12 @@
         kept = self._kept.get(handle)
         return kept.prompt if kept else None
 
+    def use_imported(self, digest: int) -> None:
+        """Drop imported contexts of a prompt that runs now: the sequence owns them."""
+        for handle, kept in list(self._kept.items()):
+            if kept.imported and kept.prompt.digest == digest:
+                del self._kept[handle]
+
     def count_cached_tokens(self, digest: int, now_s: float) -> int:
         """Return the longest kept context of a prompt."""
         self._expire(now_s)
--- a/standins/_processes.py
+++ b/standins/_processes.py
@@ -20,16 +20,30 @@
     """A child process ended or did not become ready."""
 
 
-def reserve_ports(count: int) -> list[int]:
-    """Let the system choose free ports for processes that must know them before they start."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for reserved in sockets:
-            reserved.bind((LISTEN_ADDRESS, 0))
-        return [reserved.getsockname()[1] for reserved in sockets]
-    finally:
-        for reserved in sockets:
+class PortReservations:
+    """Ports for processes that must know them before they start, chosen by the system.
+
+    Each port stays bound, without listening, until the end: so no other process gets it, while
+    one that sets ``SO_REUSEADDR``, as servers do, can listen on it, also when started again.
+    """
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+
+    def reserve(self) -> int:
+        """Return a port that no other process gets."""
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((LISTEN_ADDRESS, 0))
+        self._sockets.append(reserved)
+        port: int = reserved.getsockname()[1]
+        return port
+
+    def close(self) -> None:
+        """Give all ports back."""
+        for reserved in self._sockets:
             reserved.close()
+        self._sockets.clear()
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> None:
