Let the agents' process tests hold their ports

Cause: reserve_ports gave a port back before its process listened; it is replaced by PortReservations, which holds the ports while the test runs. Change: the agents' test fleet uses it and gives the ports back at its end; no assertion changed.

--- a/tests/agent_fleet.py
+++ b/tests/agent_fleet.py
@@ -10,7 +10,7 @@
 from greengagestage.language import CommandAnswer, CommandRequest
 from standins._host_list import HostListing, ListedHost, ListedState, ListedUpstream
 from standins._platform_faults import PlatformFault, PlatformFaultKind, PlatformService
-from standins._processes import ChildProcess, reserve_ports, wait_until
+from standins._processes import ChildProcess, PortReservations, wait_until
 from standins._web_calls import WebAnswer, send_call
 
 from .builders import build_declaration, build_engine
@@ -26,7 +26,8 @@
     def __init__(self, *options: str, host: str, domain: str, platform: str, directory: Path):
         self.host = HostId(host)
         self.domain = domain
-        self.entry, self.peer, self.http = (f"127.0.0.1:{port}" for port in reserve_ports(3))
+        self.ports = PortReservations()
+        self.entry, self.peer, self.http = (f"127.0.0.1:{self.ports.reserve()}" for _ in range(3))
         command = [sys.executable, "-m", "greengagestage.commands.agent"]
         command += ["--entry-listen", self.entry, "--peer-listen", self.peer]
         command += ["--http-listen", self.http, "--platform", platform, "--host", host]
@@ -165,3 +166,5 @@
             process.send_signal(signal.SIGKILL)
             if process.running:
                 process.wait()
+        for agent in self.agents.values():
+            agent.ports.close()
