--- a/bench/control.py
+++ b/bench/control.py
@@ -44,7 +44,7 @@
     WorkspaceId,
 )
 from greengagestage.wire import AgentLink, EntryStatus
-from standins._processes import ChildProcess, reserve_ports
+from standins._processes import ChildProcess, PortReservations
 from standins._web_calls import send_call
 
 FLEET_KEY = "fleet-key-of-the-bench"
@@ -99,7 +99,8 @@
     """One agent process and its entry process's reports."""
 
     def __init__(self, *, number: int, platform: str, peers: str, directory: Path) -> None:
-        self.entry, self.peer, self.http = (f"127.0.0.1:{port}" for port in reserve_ports(3))
+        self.ports = PortReservations()
+        self.entry, self.peer, self.http = (f"127.0.0.1:{self.ports.reserve()}" for _ in range(3))
         command = [sys.executable, "-m", "greengagestage.commands.agent"]
         command += ["--entry-listen", self.entry, "--peer-listen", self.peer]
         command += ["--http-listen", self.http, "--platform", platform]
@@ -219,6 +220,8 @@
             return cost
         finally:
             _stop_all([agent.process for agent in agents] + [platform])
+            for agent in agents:
+                agent.ports.close()
             for port in ports:
                 await port.stopListening()
 
