Tell every entry process of crashes elsewhere, and let a resent suspect wait for them

Cause: a request that crashes engines, resent by its caller at once through the other host, cost a third engine: crash reports ended at the other host's agent and never reached its entry process, and the resend came before the news. Ruled out: the agents' gossip (it carried the reports), the policy's counting (its own tests with reports delivered passed). The policy test fails without the wait.

--- a/greengagestage/agent/_process.py
+++ b/greengagestage/agent/_process.py
@@ -12,13 +12,13 @@
 from greengagestage.ids import UpstreamName
 from greengagestage.membership import (
     Change,
+    CrashHeard,
     FingerprintQuarantined,
     HostsChanged,
     UpstreamsChanged,
     VersionHeard,
 )
-from greengagestage.orders import Reconciler
-from greengagestage.platform import HostListClient, ObjectClient, TableClient, WeightClient
+from greengagestage.platform import HostListClient, ObjectClient, TableClient
 from greengagestage.wire import (
     ConfigurationInForce,
     CrashReport,
@@ -42,7 +42,6 @@
 from ._host_list_watch import HostListWatch
 from ._load_client import LoadClient
 from ._load_polls import LoadPolls
-from ._orders import OrderDesk
 from ._queries import Queries
 from ._request_log import RequestLog
 from ._settings import AgentSettings
@@ -131,22 +130,8 @@
         self.queries = Queries(
             reactor=reactor, fleet=self.fleet, facts=self.facts, timeout_s=times.query_timeout_s
         )
-        self._weights = WeightClient(**clients)
-        self._reconciler = Reconciler(
-            reactor=reactor,
-            table=self.table,
-            weights=self._weights,
-            host=settings.host,
-            upstreams=lambda: self.upstreams.declared.values(),
-            hosts=lambda: [record.host for record in membership.list_members()],
-            is_leaving=membership.is_leaving,
-        )
         self.commands = CommandRunner(
-            facts=self.facts,
-            queries=self.queries,
-            store=self.store,
-            watch=self.watch,
-            orders=OrderDesk(reconciler=self._reconciler),
+            facts=self.facts, queries=self.queries, store=self.store, watch=self.watch
         )
 
     @property
@@ -171,17 +156,15 @@
         self._list_watch.start()
         self._polls.start()
         self._feed.start()
-        self._reconciler.start()
         log_message("agent: started", host=self.settings.host)
 
     def stop(self) -> Deferred[Any]:
-        """Tell the neighbours, release the leases, then close everything."""
+        """Tell the neighbours, then close everything."""
         if not self._stopping:
             self._stopping = True
             self.fleet.set_state(MemberState.LEAVING)
         notice: Deferred[Any] = deferLater(self._reactor, self.settings.times.leave_notice_s)
-        released = DeferredList([notice, self._reconciler.stop()], consumeErrors=True)
-        return released.addCallback(lambda _: self._close())
+        return notice.addCallback(lambda _: self._close())
 
     def _close(self) -> Deferred[Any]:
         self._feed.stop()
@@ -190,7 +173,7 @@
         self.fleet.stop()
         self.entries.stop()
         log_message("agent: stopped", host=self.settings.host)
-        clients = (self.table, self._objects, self._list_client, self._weights)
+        clients = (self.table, self._objects, self._list_client)
         return DeferredList([self._polls.stop(), *(client.close() for client in clients)])
 
     def _adopt(self, version: Version) -> None:
@@ -220,6 +203,8 @@
             case FingerprintQuarantined(fingerprint=fingerprint):
                 log_message("membership: fingerprint quarantined", fingerprint=fingerprint)
                 self.entries.broadcast(QuarantineNotice(fingerprint=fingerprint))
+            case CrashHeard(fingerprint=fingerprint, upstream=upstream):
+                self.entries.broadcast(CrashReport(fingerprint=fingerprint, upstream=upstream))
             case VersionHeard(version=version, address=address):
                 self.fleet.request_document(version, address)
 
--- a/greengagestage/entry/_control.py
+++ b/greengagestage/entry/_control.py
@@ -9,6 +9,7 @@
 from greengagestage.configuration import compute_digest, decode_declaration
 from greengagestage.ids import ClassName, PoolName, UpstreamName
 from greengagestage.policy import (
+    CrashReported,
     DeclarationAdopted,
     FingerprintQuarantined,
     SharesUpdated,
@@ -19,6 +20,7 @@
 from greengagestage.wire import (
     AgentMessage,
     ConfigurationInForce,
+    CrashReport,
     EntryStatus,
     HostShares,
     QuarantineNotice,
@@ -84,6 +86,8 @@
             case HostShares(slots=slots, entry_hosts=entry_hosts):
                 self._fleet.update(message)
                 self._shell.feed(SharesUpdated(slots=slots, entry_hosts=entry_hosts))
+            case CrashReport(fingerprint=fingerprint, upstream=upstream):
+                self._shell.feed(CrashReported(fingerprint=fingerprint, upstream=upstream))
             case QuarantineNotice(fingerprint=fingerprint):
                 self._shell.feed(FingerprintQuarantined(fingerprint=fingerprint))
 
--- a/greengagestage/membership/__init__.py
+++ b/greengagestage/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from ._changes import (
     Change,
+    CrashHeard,
     FingerprintQuarantined,
     HostsChanged,
     Outgoing,
@@ -18,6 +19,7 @@
     "Change",
     "FingerprintQuarantined",
     "HostDemand",
+    "CrashHeard",
     "HostsChanged",
     "Load",
     "Membership",
--- a/greengagestage/membership/_changes.py
+++ b/greengagestage/membership/_changes.py
@@ -33,6 +33,14 @@
     fingerprint: Fingerprint
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashHeard:
+    """Another host lost an upstream while it ran a fingerprint there."""
+
+    fingerprint: Fingerprint
+    upstream: UpstreamName
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VersionHeard:
     """A host has this configuration version in force and can give its document."""
@@ -42,4 +50,4 @@
     address: str
 
 
-Change = HostsChanged | UpstreamsChanged | FingerprintQuarantined | VersionHeard
+Change = HostsChanged | UpstreamsChanged | FingerprintQuarantined | CrashHeard | VersionHeard
--- a/greengagestage/membership/_membership.py
+++ b/greengagestage/membership/_membership.py
@@ -28,6 +28,7 @@
 from ._book import RecordBook
 from ._changes import (
     Change,
+    CrashHeard,
     FingerprintQuarantined,
     HostsChanged,
     Outgoing,
@@ -59,7 +60,6 @@
         self._random = random
         self._detector = FailureDetector(times=times)
         self._neighbours: list[HostRecord] = []
-        self._hosts_changed = False
         self._synchronization = Synchronization(book=self.book, random=random)
         self._sync_waits_for: HostId | None = None
         self._urgent: dict[Key, tuple[Record, HostId | None]] = {}
@@ -169,7 +169,6 @@
             self._judge_silent(host, now_s)
         for host in self._detector.take_uncontradicted(now_s):
             self._set_other_state(host, MemberState.GONE, now_s)
-        self._update_neighbours()
         self._gossip(now_s)
         is_alone = not self._neighbours
         if is_alone or now_s - self._synced_at_s >= self._times.sync_interval_s:
@@ -207,7 +206,6 @@
                 self._receive_sync_request(sender, message, now_s)
             case SyncRecords():
                 self._receive_sync_records(sender, message, now_s)
-        self._update_neighbours()
 
     def _receive_gossip(self, sender: HostId, message: Gossip, now_s: float) -> None:
         self._merge_all((*message.hosts, *message.marks), sender, now_s)
@@ -303,6 +301,8 @@
             case QuarantineRecord(fingerprint=fingerprint):
                 self._changes.append(FingerprintQuarantined(fingerprint=fingerprint))
             case CrashRecord(fingerprint=fingerprint, upstream=upstream):
+                if record.host != self._own.host:
+                    self._changes.append(CrashHeard(fingerprint=fingerprint, upstream=upstream))
                 if self._crashes.record(fingerprint, upstream, now_s) >= CRASHES_TO_QUARANTINE:
                     self.quarantine(fingerprint, now_s)
 
@@ -310,7 +310,7 @@
         self._detector.note_record(record, now_s)
         if record.state is MemberState.GONE:
             self.measurements.forget_host(record.host)
-        self._hosts_changed = True
+        self._update_neighbours()
         self._changes.append(HostsChanged())
 
     def _contradict(self, record: HostRecord, now_s: float) -> None:
@@ -345,13 +345,7 @@
     # Heartbeats.
 
     def _update_neighbours(self) -> None:
-        """Choose neighbours anew if hosts have changed.
-
-        The old ones are told, records are compared with the new ones.
-        """
-        if not self._hosts_changed:
-            return
-        self._hosts_changed = False
+        """Choose neighbours anew; tell the old ones, and compare records with the new ones."""
         chosen = choose_neighbours(self._own, self.list_members())
         before = {record.host: record for record in self._neighbours}
         after = {record.host: record for record in chosen}
--- a/greengagestage/policy/_crashes.py
+++ b/greengagestage/policy/_crashes.py
@@ -47,12 +47,16 @@
     excluded: UpstreamName
     crashed_s: float
 
-    def find_start(self, upstreams: int, entry_hosts: int) -> float:
-        """Return the time from which the suspect may run."""
+    def find_start(self, upstreams: int, entry_hosts: int, arrived_s: float) -> float:
+        """Return the time from which the suspect may run.
+
+        A request that arrived after the crash may be sent again by a caller who has just had
+        its final answer elsewhere, so it waits for the reports of that answer too.
+        """
         if entry_hosts <= 1:
             return self.crashed_s
         turn = self.rank // max(upstreams, 1)
-        return self.crashed_s + REPORTS_SETTLE_S + turn * TURN_S
+        return max(self.crashed_s + turn * TURN_S, arrived_s) + REPORTS_SETTLE_S
 
 
 class CrashLedger:
--- a/greengagestage/policy/_records.py
+++ b/greengagestage/policy/_records.py
@@ -60,6 +60,7 @@
         queued_s: Time at which the request was queued the last time.
         late: The answer can no longer be whole by its due time.
         turn_s: Time from which a suspect may run.
+        crashes: Number of attempts that were lost with their upstream.
     """
 
     request: Request
@@ -85,6 +86,7 @@
     service_s: float = 0.0
     queued_s: float = 0.0
     late: bool = False
+    crashes: int = 0
     turn_s: float = 0.0
 
     @property
--- a/greengagestage/wire/_messages.py
+++ b/greengagestage/wire/_messages.py
@@ -58,7 +58,7 @@
 
 
 class CrashReport(Struct, frozen=True, kw_only=True, tag="crash"):
-    """Entry to agent: an upstream was lost while it ran this fingerprint."""
+    """Both ways: an upstream was lost while it ran this fingerprint."""
 
     fingerprint: Fingerprint
     upstream: UpstreamName
@@ -109,7 +109,7 @@
     records: tuple[RequestRecord, ...]
 
 
-AgentMessage = ConfigurationInForce | UpstreamStatuses | HostShares | QuarantineNotice
+AgentMessage = ConfigurationInForce | UpstreamStatuses | HostShares | QuarantineNotice | CrashReport
 """Any message that an agent sends to its entry process."""
 
 EntryMessage = EntryStatus | CrashReport | QuarantineNotice | UpstreamLeavingNotice | RequestRecords
