Add the fault matrix of a completion's life over real processes

Cause: the promises about requests were proved over the core and in-process fakes only. Change: upstream killed, crashed, cut, frozen, paused, silent, refusing or leaving at each step; entry killed and paused; agent and platform lost; caller gone; answers crossing; a poisonous request resent through both hosts. Every case has a fleet of its own; verdicts come from the engines' ledgers. Ruled out: one fleet for all cases: a breaker opened by one case decided the next one's outcome. Conclusion: kept in the suite.

--- /dev/null
+++ b/tests/fleet_calls.py
@@ -0,0 +1,219 @@
+"""Callers for tests over a fleet of real processes, and the fleets that they call."""
+
+import http.client
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+
+from greengagestage.configuration import LateAnswer
+from greengagestage.results import ResultCode
+from standins._fleet import Fleet
+from standins._fleet_shape import MODEL, FleetShape, build_cooperative_shape, build_key
+from standins._ledger import Run, RunOutcome
+from standins._processes import wait_until
+
+WORKSPACE = "gyor-gears"
+CALL_TIMEOUT_S = 30.0
+SETTLE_TIMEOUT_S = 20.0
+
+
+@dataclass(kw_only=True)
+class Answer:
+    """What a caller received.
+
+    Attributes:
+        whole: The answer ended properly: ``[DONE]`` for a stream, the full body otherwise.
+        error: The error object, from the body or from an error event.
+    """
+
+    status: int
+    text: str = ""
+    body: bytes = b""
+    whole: bool = False
+    error: dict[str, Any] = field(default_factory=dict)
+    retry_after: str | None = None
+    request_id: str = ""
+
+    @property
+    def code(self) -> ResultCode:
+        """Return the result code of the error, or ``DELIVERED``."""
+        return ResultCode(self.error["code"]) if self.error else ResultCode.DELIVERED
+
+
+class Stream:
+    """A streamed completion that is being read."""
+
+    def __init__(self, *, url: str, prompt: str, headers: dict[str, str] | None = None) -> None:
+        self._connection = _connect(url)
+        body = {"model": MODEL, "prompt": prompt, "stream": True}
+        self._connection.request(
+            "POST", "/v1/completions", json.dumps(body), _build_headers(headers)
+        )
+        self._response: http.client.HTTPResponse | None = None
+        self.answer = Answer(status=0)
+
+    def read_tokens(self, count: int) -> None:
+        """Read until this many events with text have come."""
+        for _ in range(count):
+            if not self._read_event():
+                return
+
+    def read_rest(self) -> Answer:
+        """Read to the end, proper or not."""
+        try:
+            while self._read_event():
+                pass
+        except (http.client.HTTPException, ConnectionError, TimeoutError):
+            self.answer.whole = False
+        self.close()
+        return self.answer
+
+    def close(self) -> None:
+        """Close the connection, as a caller who leaves."""
+        if self._response is not None:
+            self._response.close()
+        self._connection.close()
+
+    def _open(self) -> http.client.HTTPResponse:
+        if self._response is None:
+            self._response = self._connection.getresponse()
+            self.answer.status = self._response.status
+            self.answer.request_id = self._response.headers.get("X-Request-Id", "")
+            self.answer.retry_after = self._response.headers.get("Retry-After")
+        return self._response
+
+    def _read_event(self) -> bool:
+        """Read one event; tell whether more may come."""
+        response = self._open()
+        if response.status != 200:
+            if not self.answer.error:
+                self.answer.error = json.loads(response.read())["error"]
+            return False
+        data, failed = b"", False
+        while line := response.readline().rstrip(b"\r\n"):
+            failed = failed or line == b"event: error"
+            if line.startswith(b"data: "):
+                data = line[6:]
+        if not data:
+            return False
+        if data == b"[DONE]":
+            self.answer.whole = True
+            return False
+        event = json.loads(data)
+        if failed:
+            self.answer.error = event["error"]
+            return False
+        self.answer.text += event["choices"][0].get("text", "") if event.get("choices") else ""
+        return True
+
+
+def complete(url: str, prompt: str, **headers: str) -> Answer:
+    """Send a streamed completion and read all of it."""
+    return Stream(url=url, prompt=prompt, headers=_spell(headers)).read_rest()
+
+
+def book(url: str, key: str, order: str = "oak panels", **headers: str) -> Answer:
+    """Send a booking, which may not be repeated, under an idempotency key."""
+    spelled = {"Idempotency-Key": key} | _spell(headers)
+    return call(url, "POST", "/services/booking/orders", order.encode(), spelled)
+
+
+def call(
+    url: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Send any call and read its answer; status 0 means that the connection was cut."""
+    connection = _connect(url)
+    try:
+        connection.request(method, path, body, _build_headers(headers))
+        response = connection.getresponse()
+        data = response.read()
+    except (http.client.HTTPException, ConnectionError, TimeoutError):
+        return Answer(status=0)
+    finally:
+        connection.close()
+    answer = Answer(status=response.status, body=data, whole=response.status == 200)
+    answer.retry_after = response.headers.get("Retry-After")
+    if response.status >= 400 and b'"error"' in data:
+        answer.error = json.loads(data)["error"]
+    return answer
+
+
+def count_runs(fleet: Fleet, key: str, service: str = "booking-1") -> int:
+    """Count from outside how often an order ran."""
+    return sum(run.idempotency_key == key for run in fleet.read_ledger(service))
+
+
+def find_runs(fleet: Fleet, request_id: str) -> list[Run]:
+    """Return the runs of a request at all engines."""
+    return [run for run in fleet.read_engine_ledgers() if run.request_id == request_id]
+
+
+def find_running_engine(fleet: Fleet, request_id: str, *, other_than: str = "") -> str:
+    """Wait until an engine runs a request, and return the engine."""
+    found: list[str] = []
+
+    def is_found() -> bool:
+        found.extend(
+            engine.name
+            for engine in fleet.shape.engines
+            if engine.name != other_than
+            for run in fleet.read_ledger(engine.name)
+            if run.request_id == request_id and run.outcome is RunOutcome.RUNNING
+        )
+        return bool(found)
+
+    wait_until(is_found, f"an engine runs {request_id}", SETTLE_TIMEOUT_S)
+    return found[0]
+
+
+def wait_for_run_to_end(fleet: Fleet, request_id: str) -> None:
+    """Wait until no living engine runs a request."""
+
+    def has_ended() -> bool:
+        return not any(r.outcome is RunOutcome.RUNNING for r in find_runs(fleet, request_id))
+
+    wait_until(has_ended, f"end of {request_id}", SETTLE_TIMEOUT_S)
+
+
+def build_slow_shape(step_ms: int = 25) -> FleetShape:
+    """Return a fleet with engines slow enough to be disturbed mid-stream.
+
+    Its targets are short, so that a silent upstream is found within seconds.
+    """
+    shape = build_cooperative_shape()
+    options = ("--step-base-ms", str(step_ms), "--split-writes")
+    engines = tuple(msgspec.structs.replace(e, options=options) for e in shape.engines)
+    classes = tuple(
+        msgspec.structs.replace(
+            each,
+            first_token_target_ms=500,
+            inter_token_target_ms=100,
+            answer_target_ms=60_000,
+            late_answer=LateAnswer.USEFUL,
+        )
+        for each in shape.classes
+    )
+    return msgspec.structs.replace(
+        shape, engines=engines, classes=classes, entry_options=("--drain-notice-s", "0.2")
+    )
+
+
+def _spell(headers: dict[str, str]) -> dict[str, str]:
+    return {name.replace("_", "-"): value for name, value in headers.items()}
+
+
+def _connect(url: str) -> http.client.HTTPConnection:
+    parts = urlsplit(url)
+    return http.client.HTTPConnection(str(parts.hostname), parts.port, timeout=CALL_TIMEOUT_S)
+
+
+def _build_headers(headers: dict[str, str] | None) -> dict[str, str]:
+    common = {"Authorization": f"Bearer {build_key(WORKSPACE)}", "Content-Type": "application/json"}
+    return common | (headers or {})
--- /dev/null
+++ b/tests/test_matrix_requests.py
@@ -0,0 +1,207 @@
+"""Fault matrix, a completion's life: every fault of an upstream, host or platform at each step.
+
+Verdicts are counted from the engines' ledgers and the text that the caller received.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from greengagestage.results import ResultCode
+from standins._faults import Fault, FaultKind
+from standins._fleet import PLATFORM, Fleet
+from standins._ledger import RunOutcome
+from standins._output import compute_output
+from standins._processes import wait_until
+
+from .fleet_calls import (
+    SETTLE_TIMEOUT_S,
+    Stream,
+    build_slow_shape,
+    call,
+    complete,
+    find_running_engine,
+    find_runs,
+    wait_for_run_to_end,
+)
+
+pytestmark = pytest.mark.process
+
+TOKENS = 60
+"""Output length of the disturbed request: some 1.5 s of streaming."""
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    with Fleet(shape=build_slow_shape(), directory=tmp_path) as fleet:
+        fleet.start()
+        yield fleet
+
+
+def build_prompt(name: str) -> str:
+    return f"review of gearbox {name} OUTPUT-TOKENS-{TOKENS}"
+
+
+def entry(fleet: Fleet, number: int = 0) -> str:
+    return fleet.entry_urls()[number]
+
+
+def disturb(fleet: Fleet, engine: str, fault: str) -> None:
+    match fault:
+        case "killed":
+            fleet.kill(engine)
+        case "paused":
+            fleet.pause(engine)
+        case "cut":
+            fleet.set_fault(engine, Fault(kind=FaultKind.CUT_AFTER, tokens=0))
+        case _:
+            fleet.set_fault(engine, Fault(kind=FaultKind(fault)))
+
+
+@pytest.mark.parametrize("step", [1, TOKENS // 2, TOKENS - 10], ids=["first", "middle", "last"])
+@pytest.mark.parametrize("fault", ["killed", "crash", "cut", "freeze", "paused"])
+def test_an_upstream_lost_while_streaming_leaves_one_seamless_answer(
+    fleet: Fleet, fault: str, step: int
+) -> None:
+    prompt = build_prompt(f"{fault}-{step}")
+    stream = Stream(url=entry(fleet), prompt=prompt, headers={"X-Service-Class": "review"})
+    stream.read_tokens(step)
+    disturb(fleet, find_running_engine(fleet, stream.answer.request_id), fault)
+    answer = stream.read_rest()
+    assert (answer.error, answer.whole) == ({}, True)
+    assert answer.text == compute_output(prompt)
+
+
+@pytest.mark.parametrize("fault", ["killed", "refuse", "leaving", "silent", "paused", "cut"])
+def test_an_upstream_that_does_not_begin_is_passed_over(fleet: Fleet, fault: str) -> None:
+    for engine in ("engine-1", "engine-2"):
+        disturb(fleet, engine, fault)
+    prompt = build_prompt(f"begin-{fault}")
+    answer = complete(entry(fleet), prompt, X_Service_Class="review")
+    assert (answer.error, answer.whole) == ({}, True)
+    assert answer.text == compute_output(prompt)
+
+
+def test_two_upstreams_lost_one_after_the_other_leave_one_seamless_answer(fleet: Fleet) -> None:
+    prompt = build_prompt("twice")
+    stream = Stream(url=entry(fleet), prompt=prompt, headers={"X-Service-Class": "review"})
+    stream.read_tokens(10)
+    first = find_running_engine(fleet, stream.answer.request_id)
+    disturb(fleet, first, "freeze")
+    second = find_running_engine(fleet, stream.answer.request_id, other_than=first)
+    disturb(fleet, second, "freeze")
+    answer = stream.read_rest()
+    assert answer.whole
+    assert answer.text == compute_output(prompt)
+
+
+def test_every_upstream_refusing_gives_not_run_and_no_run(fleet: Fleet) -> None:
+    for engine in fleet.shape.engines:
+        fleet.set_fault(engine.name, Fault(kind=FaultKind.REFUSE))
+    prompt = build_prompt("refused")
+    answer = complete(entry(fleet), prompt, X_Service_Class="phone")
+    assert answer.error["run"] == "not_run"
+    assert answer.retry_after is not None
+    assert not find_runs(fleet, answer.request_id)
+
+
+def test_a_caller_that_leaves_cancels_its_run(fleet: Fleet) -> None:
+    stream = Stream(url=entry(fleet), prompt=build_prompt("left"))
+    stream.read_tokens(3)
+    request_id = stream.answer.request_id
+    stream.close()
+    wait_for_run_to_end(fleet, request_id)
+    (run,) = find_runs(fleet, request_id)
+    assert run.outcome is RunOutcome.CANCELLED
+    assert run.tokens < TOKENS
+
+
+def test_a_killed_entry_leaves_no_answer_that_looks_whole_and_another_host_serves(
+    fleet: Fleet,
+) -> None:
+    prompt = build_prompt("entry-killed")
+    stream = Stream(url=entry(fleet), prompt=prompt)
+    stream.read_tokens(5)
+    fleet.kill("entry-host-1")
+    assert not stream.read_rest().whole
+    answer = complete(entry(fleet, 1), prompt)
+    assert answer.whole
+    assert answer.text == compute_output(prompt)
+    wait_for_run_to_end(fleet, stream.answer.request_id)
+
+
+def test_a_paused_entry_goes_on_with_its_answers(fleet: Fleet) -> None:
+    prompt = build_prompt("entry-paused")
+    stream = Stream(url=entry(fleet), prompt=prompt, headers={"X-Service-Class": "review"})
+    stream.read_tokens(5)
+    fleet.pause("entry-host-1")
+    assert complete(entry(fleet, 1), build_prompt("meanwhile")).whole
+    fleet.resume("entry-host-1")
+    answer = stream.read_rest()
+    assert answer.whole
+    assert answer.text == compute_output(prompt)
+
+
+@pytest.mark.parametrize("lost", ["agent-host-1", PLATFORM])
+def test_a_lost_agent_or_platform_disturbs_no_answer(fleet: Fleet, lost: str) -> None:
+    prompt = build_prompt(f"lost-{lost}")
+    stream = Stream(url=entry(fleet), prompt=prompt, headers={"X-Service-Class": "review"})
+    stream.read_tokens(5)
+    fleet.kill(lost)
+    answer = stream.read_rest()
+    assert answer.whole
+    assert answer.text == compute_output(prompt)
+    for url in fleet.entry_urls():
+        assert complete(url, build_prompt(f"after-{lost}")).whole
+        assert call(url, "GET", "/readyz").status == 200
+
+
+def test_a_request_that_crashes_upstreams_costs_the_fleet_two(fleet: Fleet) -> None:
+    bystander = Stream(
+        url=entry(fleet), prompt=build_prompt("bystander"), headers={"X-Service-Class": "review"}
+    )
+    bystander.read_tokens(2)
+    answers = [
+        complete(entry(fleet, number % 2), "CRASH-ENGINE drawing 7", X_Service_Class="phone")
+        for number in range(6)
+    ]
+    lost = [e.name for e in fleet.shape.engines if not fleet.process(e.name).running]
+    assert len(lost) <= 2
+    assert not any(answer.whole for answer in answers)
+    assert {a.code for a in answers[1:]} <= {ResultCode.QUARANTINED, ResultCode.CRASHED_UPSTREAMS}
+    answer = bystander.read_rest()
+    assert answer.whole
+    assert answer.text == compute_output(build_prompt("bystander"))
+
+
+def test_answers_that_cross_in_flight_stay_with_their_callers(fleet: Fleet) -> None:
+    prompts = [build_prompt(f"crossing-{number}") for number in range(10)]
+    streams = [
+        Stream(
+            url=entry(fleet, number % 2),
+            prompt=prompt,
+            headers={"X-Service-Class": "review"},
+        )
+        for number, prompt in enumerate(prompts)
+    ]
+    for stream in streams:
+        stream.read_tokens(3)
+    fleet.kill("engine-2")
+    for prompt, stream in zip(prompts, streams, strict=True):
+        answer = stream.read_rest()
+        assert answer.whole
+        assert answer.text == compute_output(prompt)
+
+
+def test_a_leaving_upstream_gets_no_new_work(fleet: Fleet) -> None:
+    fleet.set_fault("engine-1", Fault(kind=FaultKind.LEAVING))
+    for number in range(6):
+        assert complete(entry(fleet, number % 2), f"warm {number} OUTPUT-TOKENS-4").whole
+
+    def find_silence() -> bool:
+        before = len(fleet.read_ledger("engine-1"))
+        ok = all(complete(url, "probe OUTPUT-TOKENS-4").whole for url in fleet.entry_urls())
+        return ok and len(fleet.read_ledger("engine-1")) == before
+
+    wait_until(find_silence, "no new work for engine-1", SETTLE_TIMEOUT_S)
