--- a/standins/_fleet.py
+++ b/standins/_fleet.py
@@ -18,6 +18,7 @@
 from ._web_calls import OK_STATUS, WebAnswer, send_call
 
 PORTS_PER_HOST = 4
+LIVE_HOSTS_METRIC = 'greengage_agent_hosts{state="live"}'
 FLEET_KEY = "stand-in-fleet-key"
 PLATFORM = "platform"
 AGENT_MODULE = "greengagestage.commands.agent"
@@ -127,10 +128,12 @@
         self.list_hosts()
 
     def await_hosts(self) -> None:
-        """Wait until every agent and entry is ready."""
+        """Wait until every agent and entry is ready and the agents know of each other."""
         for host in self.shape.hosts:
             self.wait_ready(f"agent-{host.name}")
             self.wait_ready(f"entry-{host.name}")
+        for host in self.shape.hosts:
+            self.wait_metric(f"agent-{host.name}", LIVE_HOSTS_METRIC, len(self.shape.hosts))
 
     def list_hosts(self) -> None:
         """Tell the platform's host list of every host and upstream."""
@@ -155,6 +158,14 @@
         process = self._processes[name]
         process.wait_ready(lambda: send_call("GET", f"{process.url}/readyz").status == OK_STATUS)
 
+    def wait_metric(self, name: str, metric: str, value: float) -> None:
+        """Wait until a process's metric, labels included, has a value."""
+        process = self._processes[name]
+        line = f"{metric} {float(value)}".encode()
+        process.wait_ready(
+            lambda: line in send_call("GET", f"{process.url}/metrics").body.splitlines()
+        )
+
     def url(self, name: str) -> str:
         """Return a process's address."""
         return self._processes[name].url
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -78,6 +78,22 @@
     assert run.text.encode() == answer.body
 
 
+def test_a_resent_booking_runs_once_through_both_hosts(fleet: Fleet) -> None:
+    headers = {
+        "Authorization": f"Bearer {build_key(WORKSPACE)}",
+        "Idempotency-Key": "order-7",
+        "X-Service-Class": "summary",
+    }
+    first, second = (
+        send_call("POST", f"{url}/services/booking/orders", {"item": 7}, headers=headers)
+        for url in fleet.entry_urls()
+    )
+    assert (first.status, second.status) == (201, 201)
+    assert first.body == second.body
+    runs = fleet.read_ledger("booking-1")
+    assert [run.idempotency_key for run in runs] == ["order-7"]
+
+
 def test_entries_serve_on_without_the_platform(fleet: Fleet) -> None:
     fleet.kill(PLATFORM)
     for number, url in enumerate(fleet.entry_urls()):
@@ -111,6 +127,23 @@
     assert not any(_is_running(pid) for pid in [*pids, described.platform.pid])
 
 
+def test_a_crashing_request_costs_two_engines_when_hosts_have_heard_of_it(tmp_path: Path) -> None:
+    with Fleet(shape=build_cooperative_shape(), directory=tmp_path) as fleet:
+        fleet.start()
+        first, second = fleet.entry_urls()
+        assert _ask(first, "CRASH-ENGINE")[0].status == 502
+        fleet.wait_metric("agent-host-2", "greengage_agent_quarantined", 1)
+        assert _read_text(_ask(second, QUESTION)[1]) == compute_output(f"user:{QUESTION}")
+        for url in (second, first, second):
+            response, pieces = _ask(url, "CRASH-ENGINE")
+            error = msgspec.json.decode(b"".join(pieces))["error"]
+            assert (response.status, error["name"]) == (422, "QUARANTINED")
+        running = [fleet.process(engine.name).running for engine in fleet.shape.engines]
+        assert running.count(False) == 2
+        _, pieces = _ask(second, QUESTION)
+        assert _read_text(pieces) == compute_output(f"user:{QUESTION}")
+
+
 def _is_running(pid: int) -> bool:
     try:
         os.kill(pid, 0)
