Finish non-idempotent runs whose caller left early; drop ended attempts; id every refusal

Cause: (1) a non-idempotent run whose caller left before its first token met a connection that was gone when its stream began: the exception broke the run, so its answer was lost and the order could not be replayed. (2) The ids of failed attempts were kept for ever with their requests. (3) A plain service's non-idempotent answer above the store's limit was refused though it was whole. (4) A request refused before it was whole had no X-Request-Id and was not logged. Ruled out: buffering the stream of a caller that left; the transcript holds it already. Change: no producer is registered on a lost connection; a request's attempts are dropped with it; large orders are passed on and their keys marked as "may have run"; ids and log lines for all refusals.

--- a/greengagestage/entry/_active.py
+++ b/greengagestage/entry/_active.py
@@ -6,7 +6,7 @@
 from eliot import start_task
 from twisted.internet.base import DelayedCall
 
-from greengagestage.ids import RequestId, UpstreamName
+from greengagestage.ids import AttemptId, RequestId, UpstreamName
 from greengagestage.policy import AskClaim, CallerLeft, Event
 from greengagestage.results import ResultCode
 from greengagestage.telemetry import RequestTimer, Timing
@@ -46,7 +46,7 @@
         self.first_token_s: float | None = None
         self.ended_s: float | None = None
         self.tokens = 0
-        self.attempts = 0
+        self.attempt_ids: list[AttemptId] = []
         self.upstream = NOWHERE
         self.code: ResultCode | None = None
         self.caller_is_gone = False
@@ -78,9 +78,9 @@
 
     def begin_run(self, run: Run) -> None:
         """Note that an attempt is sent."""
-        if self.attempts == 0:
+        if not self.attempt_ids:
             self._timer.observe(Timing.QUEUE_WAIT, self.age_s)
-        self.attempts += 1
+        self.attempt_ids.append(run.attempt_id)
         self.run = run
         self.upstream = run.upstream
         self._log.log(
--- a/greengagestage/entry/_deliveries.py
+++ b/greengagestage/entry/_deliveries.py
@@ -113,12 +113,10 @@
         caller: CallerRequest,
         headers: HeaderList,
         buffer_bytes: int,
-        pass_through: bool,
     ) -> None:
         self._caller = caller
         self._headers = headers
         self._buffer_bytes = buffer_bytes
-        self._pass_through = pass_through
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._streaming = False
@@ -137,21 +135,17 @@
         self._head = head
         self._body.clear()
 
-    def add(self, data: bytes) -> bool:
-        """Take a piece of the body. False means that the answer is too large to deliver."""
+    def add(self, data: bytes) -> None:
+        """Take a piece of the body."""
         if self._streaming:
             self._caller.send(data)
-            return True
+            return
         self._body += data
-        if len(self._body) <= self._buffer_bytes:
-            return True
-        if not self._pass_through:
-            return False
-        self._streaming = True
-        self._caller.begin_stream(self._status, self._build_headers())
-        self._caller.send(bytes(self._body))
-        self._body.clear()
-        return True
+        if len(self._body) > self._buffer_bytes:
+            self._streaming = True
+            self._caller.begin_stream(self._status, self._build_headers())
+            self._caller.send(bytes(self._body))
+            self._body.clear()
 
     def end(self) -> None:
         """End the answer properly."""
@@ -214,7 +208,6 @@
                 buffer_bytes=(
                     limits.service_buffer_bytes if idempotent else limits.kept_answer_bytes
                 ),
-                pass_through=idempotent,
             )
         case CompletionTarget(endpoint=endpoint, body=body):
             transcript = None if idempotent else Transcript(limit_bytes=limits.kept_answer_bytes)
--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 from twisted.web import http
 
+from greengagestage.ids import RequestId
 from greengagestage.results import ResultCode
 
 from ._refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
@@ -115,7 +116,8 @@
     def begin_stream(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Like ``begin``, and tell the listener when the caller reads too slowly."""
         self.begin(status, headers)
-        self.registerProducer(self, True)
+        if not self._disconnected:
+            self.registerProducer(self, True)
 
     def close_after_answer(self) -> None:
         """Close the connection when the answer has been sent."""
@@ -174,10 +176,10 @@
             ("Content-Type", ERROR_CONTENT_TYPE),
             ("Content-Length", str(len(body))),
             ("Connection", "close"),
+            ("X-Request-Id", self.channel.factory.on_refused(ResultCode.BODY_TOO_LARGE)),
         ):
             self.responseHeaders.setRawHeaders(name, [value])
         self.write(body)
-        self.channel.factory.on_refused(ResultCode.BODY_TOO_LARGE)
         cast(CallerChannel, self.channel).linger(LINGER_S)
 
 
@@ -227,12 +229,13 @@
 
     def _refuse_head(self, refusal: Refusal) -> None:
         body = encode_refusal(refusal)
+        request_id = self.factory.on_refused(refusal.code)
         head = (
             f"HTTP/1.1 400 Bad Request\r\nContent-Type: {ERROR_CONTENT_TYPE}\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            f"Content-Length: {len(body)}\r\nX-Request-Id: {request_id}\r\n"
+            "Connection: close\r\n\r\n"
         )
         cast(Any, self.transport).write(head.encode() + body)
-        self.factory.on_refused(refusal.code)
         self.loseConnection()
 
 
@@ -248,7 +251,7 @@
         reactor: Any,
         limits: ServerLimits,
         on_request: Callable[[CallerRequest], None],
-        on_refused: Callable[[ResultCode], None],
+        on_refused: Callable[[ResultCode], RequestId],
     ) -> None:
         super().__init__(timeout=limits.idle_timeout_s, reactor=reactor)
         self.limits = limits
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -93,7 +93,7 @@
             reactor=self._reactor,
             limits=self._settings.server,
             on_request=site.handle,
-            on_refused=site.count_refusal,
+            on_refused=site.note_refusal,
         )
 
     def _build_shutdown(self) -> Shutdown:
--- a/greengagestage/entry/_records.py
+++ b/greengagestage/entry/_records.py
@@ -30,7 +30,7 @@
         first_token_ms=_measure_first_token(active),
         answer_ms=answer_ms if is_delivered else -1,
         tokens=active.tokens,
-        attempts=active.attempts,
+        attempts=len(active.attempt_ids),
         upstream=active.upstream,
         within_target=is_delivered and answer_ms <= target_ms,
     )
--- a/greengagestage/entry/_requests.py
+++ b/greengagestage/entry/_requests.py
@@ -31,8 +31,9 @@
     def pop(self, request_id: RequestId) -> ActiveRequest | None:
         """Close a request and return it; None if it is closed already."""
         active = self._by_id.pop(request_id, None)
-        if active is not None and active.run is not None:
-            self._by_attempt.pop(active.run.attempt_id, None)
+        if active is not None:
+            for attempt_id in active.attempt_ids:
+                self._by_attempt.pop(attempt_id, None)
         return active
 
     def bind(self, attempt_id: AttemptId, active: ActiveRequest) -> None:
--- a/greengagestage/entry/_runs.py
+++ b/greengagestage/entry/_runs.py
@@ -185,9 +185,8 @@
         """Pass a piece of the body on; the first one counts as the first token."""
         if self.over:
             return
-        if not self.delivery.add(data):
-            self.fail(AttemptFailure(kind=FailureKind.ERROR))
-        elif not self._noted:
+        self.delivery.add(data)
+        if not self._noted:
             self._noted = True
             self._progress(1)
 
--- a/greengagestage/entry/_site.py
+++ b/greengagestage/entry/_site.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import msgspec
+from eliot import log_message
 from returns.result import Failure, Result, Success
 
 from greengagestage.ids import ClassName, RequestId
@@ -62,9 +63,11 @@
             if not http.startedWriting:
                 self._refuse(http, request_id, Refusal(code=ResultCode.INTERNAL_ERROR))
 
-    def count_refusal(self, code: ResultCode) -> None:
-        """Count a refusal given before the request was whole."""
-        self._metrics.count_result(code, NO_CLASS)
+    def note_refusal(self, code: ResultCode) -> RequestId:
+        """Count a refusal given before the request was whole, and return an id for it."""
+        request_id = self._request_ids.create()
+        self._count_refusal(request_id, code)
+        return request_id
 
     def _route(self, http: CallerRequest, request_id: RequestId) -> None:
         if http.path in _COMPLETION_PATHS:
@@ -172,9 +175,13 @@
         refusal: Refusal,
         headers: HeaderList | None = None,
     ) -> None:
-        self._metrics.count_result(refusal.code, NO_CLASS)
+        self._count_refusal(request_id, refusal.code)
         http.refuse(refusal, [*_identify_answer(request_id), *(headers or [])])
 
+    def _count_refusal(self, request_id: RequestId, code: ResultCode) -> None:
+        self._metrics.count_result(code, NO_CLASS)
+        log_message(message_type="entry: request refused", request_id=request_id, code=code.value)
+
 
 def _identify_answer(request_id: RequestId) -> HeaderList:
     return [("X-Request-Id", request_id)]
--- a/tests/test_entry_command.py
+++ b/tests/test_entry_command.py
@@ -67,6 +67,10 @@
     assert "--host" not in result.output
 
 
+def test_version() -> None:
+    assert "version" in CliRunner().invoke(main, ["--version"]).output
+
+
 def test_help_names_every_variable() -> None:
     output = CliRunner().invoke(main, ["--help"]).output.replace("\n", "").replace(" ", "")
     for setting in ENTRY_SETTINGS:
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -161,6 +161,7 @@
             assert error["message"].startswith(details.message)
             assert error["retry_after_s"] is None
             assert "retry-after" not in caller.headers
+            assert caller.headers["x-request-id"].startswith("host-1-"), name
         assert engine.requests == service.requests == []
 
     @inlineCallbacks
--- a/tests/test_entry_services.py
+++ b/tests/test_entry_services.py
@@ -163,6 +163,29 @@
         assert again.text == TEXT
         assert (len(engine.requests), engine.cancelled) == (1, [])
 
+    @inlineCallbacks
+    def test_runs_on_when_the_caller_leaves_before_the_first_token(self):
+        engine = self.engine(answer_then(0))
+        self.adopt(engine)
+        caller = yield self.send(build_request(prompt(), *ONCE))
+        yield wait_until(lambda: engine.requests)
+        caller.transport.abortConnection()
+        yield wait_until(lambda: not self.process._server.channels)
+        engine.requests[0].send(*map(chunked, stream_events(engine.requests[0])))
+        yield wait_until(lambda: not self.process.shell.requests)
+        again = yield self.call(build_request(prompt(), *ONCE))
+        assert (again.text, len(engine.requests)) == (TEXT, 1)
+
+    @inlineCallbacks
+    def test_a_large_order_is_passed_through_and_not_kept(self):
+        service = self.engine(respond(200, b"x" * 30_000))
+        self.adopt(services=(service,))
+        first = yield self.call(order())
+        again = yield self.call(order())
+        assert (first.status, len(first.body)) == (200, 30_000)
+        assert again.error["code"] == ResultCode.EARLIER_RUN_UNKNOWN.value
+        assert len(service.requests) == 1
+
     @inlineCallbacks
     def test_a_lost_run_is_never_repeated(self):
         service, other = self.engine(lambda r: r.send(CUT)), self.engine(respond(200, b"x"))
--- a/tests/test_entry_storm.py
+++ b/tests/test_entry_storm.py
@@ -81,6 +81,7 @@
             yield wait_until(lambda c=callers: all(x.is_whole or x.closed for _, x in c))
             outcomes += [self.judge(number, caller) for number, caller in callers]
         yield wait_until(lambda: self.process.shell.is_idle)
+        assert self.process.shell.requests._by_attempt == {}
         assert outcomes.count("whole") > CALLERS // 3
         assert set(outcomes) == {"whole", "refused", "broken"}
 
