Let an operator apply the first declaration and every later one

Cause: the agent's endpoint took commands from declared operators only, so a new fleet had no way to its first declaration but to write the platform's rows. Ruled out: a direct way from the terminal to the platform (operators need not reach it); a separate first operator in every agent's settings (one more secret). Change: greengage apply; before the first version the fleet key may apply one, and only as the very first; answers of apply carry the version in force.

--- a/greengagestage/agent/_commands.py
+++ b/greengagestage/agent/_commands.py
@@ -100,18 +100,32 @@
         return replace(answer, version=self._watch.adoption.version)
 
     async def apply_text(
-        self, toml: str, request: CommandRequest, operator: OperatorName
+        self, toml: str, request: CommandRequest, operator: OperatorName, *, first_only: bool
     ) -> CommandAnswer:
-        """Make a whole declaration the next version."""
+        """Make a whole declaration the next version, with ``first_only`` just the very first."""
         match read_checked_declaration(toml):
             case Success(Declaration() as declaration):
-                head = await self._store.read_head()
-                if isinstance(head, Unavailable):
-                    return answer_code(ResultCode.STORE_UNAVAILABLE, head.reason)
-                return await self._propose(declaration, head, request, operator)
+                answer = await self._apply(declaration, request, operator, first_only)
             case Failure(faults):
-                return _answer_faults(faults)
-        return answer_code(ResultCode.INTERNAL_ERROR)
+                answer = _answer_faults(faults)
+            case _:
+                answer = answer_code(ResultCode.INTERNAL_ERROR)
+        return replace(answer, version=self._watch.adoption.version)
+
+    async def _apply(
+        self,
+        declaration: Declaration,
+        request: CommandRequest,
+        operator: OperatorName,
+        first_only: bool,
+    ) -> CommandAnswer:
+        head = await self._store.read_head()
+        if isinstance(head, Unavailable):
+            return answer_code(ResultCode.STORE_UNAVAILABLE, head.reason)
+        if first_only and head.row is not None:
+            reason = f"version {head.version} names the operators"
+            return answer_code(ResultCode.UNKNOWN_OPERATOR, reason)
+        return await self._propose(declaration, head, request, operator)
 
     async def _run_command(
         self, command: object, request: CommandRequest, operator: OperatorName
--- a/greengagestage/agent/_endpoint.py
+++ b/greengagestage/agent/_endpoint.py
@@ -4,34 +4,25 @@
 
 import msgspec
 from eliot import log_message
-from msgspec import Struct
 from prometheus_client import CollectorRegistry, generate_latest
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-from greengagestage.ids import CommandId
-from greengagestage.language import CommandAnswer, CommandRequest, answer_code
+from greengagestage.ids import OperatorName
+from greengagestage.language import ApplyRequest, CommandAnswer, CommandRequest, answer_code
 from greengagestage.results import CODE_DETAILS, ResultCode
 from greengagestage.telemetry import METRICS_CONTENT_TYPE
 
 from ._metrics import AgentCollector
-from ._operators import find_operator
+from ._operators import FIRST_OPERATOR, carries_fleet_key, find_operator
 from ._process import AgentProcess
 
 COMMAND_LIMIT_BYTES = 4 * 1024 * 1024
 JSON = b"application/json"
 
 
-class ApplyRequest(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A whole declaration to be accepted."""
-
-    toml: str
-    dry_run: bool = False
-    command_id: CommandId = CommandId("")
-
-
 class _Health(Resource):
     """Answers that the process runs."""
 
@@ -87,6 +78,7 @@
     ) -> None:
         cast(Any, super()).__init__()
         self._process = process
+        self._request_type = request_type
         self._decoder: msgspec.json.Decoder[CommandRequest | ApplyRequest] = msgspec.json.Decoder(
             request_type
         )
@@ -100,13 +92,9 @@
         return NOT_DONE_YET
 
     async def _run(self, request: Any) -> CommandAnswer:
-        declaration = self._process.facts.declaration
-        if declaration is None:
-            return answer_code(ResultCode.NO_CONFIGURATION)
-        header = request.getHeader(b"authorization") or b""
-        operator = find_operator(header.decode("latin-1"), declaration)
-        if operator is None:
-            return answer_code(ResultCode.UNKNOWN_OPERATOR)
+        operator = self._authenticate(request)
+        if isinstance(operator, ResultCode):
+            return answer_code(operator)
         body = request.content.read(COMMAND_LIMIT_BYTES + 1)
         if len(body) > COMMAND_LIMIT_BYTES:
             return answer_code(ResultCode.BODY_TOO_LARGE)
@@ -120,9 +108,22 @@
             line = CommandRequest(
                 text="apply", dry_run=command.dry_run, command_id=command.command_id
             )
-            return await self._process.commands.apply_text(command.toml, line, operator)
+            return await self._process.commands.apply_text(
+                command.toml, line, operator, first_only=operator == FIRST_OPERATOR
+            )
         return await self._process.commands.run(command, operator)
 
+    def _authenticate(self, request: Any) -> OperatorName | ResultCode:
+        """Return who asks; before the first version, the fleet key may apply a declaration."""
+        header = (request.getHeader(b"authorization") or b"").decode("latin-1")
+        declaration = self._process.facts.declaration
+        if declaration is not None:
+            return find_operator(header, declaration) or ResultCode.UNKNOWN_OPERATOR
+        keys = self._process.settings.fleet_keys
+        if self._request_type is ApplyRequest and carries_fleet_key(header, keys):
+            return FIRST_OPERATOR
+        return ResultCode.NO_CONFIGURATION
+
 
 def _log_failure(failure: Any) -> CommandAnswer:
     log_message("operators: fault", fault=failure.getTraceback())
--- a/greengagestage/agent/_operators.py
+++ b/greengagestage/agent/_operators.py
@@ -2,22 +2,34 @@
 
 import hashlib
 import hmac
+from collections.abc import Iterable
 
 from greengagestage.configuration import Declaration
 from greengagestage.ids import OperatorName
 
+FIRST_OPERATOR = OperatorName("(fleet key)")
+"""Who applies the first declaration, before any operator is declared."""
 _SCHEME = "bearer "
 
 
 def find_operator(authorization: str, declaration: Declaration) -> OperatorName | None:
     """Return the operator whose key the header carries, or None."""
-    if not authorization.lower().startswith(_SCHEME):
-        return None
-    key = authorization[len(_SCHEME) :].strip()
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hashlib.sha256(_read_key(authorization)).hexdigest()
     found = [
         operator.name
         for operator in declaration.operators
         if hmac.compare_digest(operator.sha256, digest)
     ]
     return found[0] if found else None
+
+
+def carries_fleet_key(authorization: str, fleet_keys: Iterable[str]) -> bool:
+    """Tell whether the header carries a fleet key."""
+    key = _read_key(authorization)
+    return any(hmac.compare_digest(key, known.encode()) for known in fleet_keys)
+
+
+def _read_key(authorization: str) -> bytes:
+    if not authorization.lower().startswith(_SCHEME):
+        return b""
+    return authorization[len(_SCHEME) :].strip().encode()
--- a/greengagestage/commands/_agent_client.py
+++ b/greengagestage/commands/_agent_client.py
@@ -9,7 +9,7 @@
 from twisted.web.client import Agent, FileBodyProducer, readBody
 from twisted.web.http_headers import Headers
 
-from greengagestage.language import CommandAnswer, CommandRequest, answer_code
+from greengagestage.language import ApplyRequest, CommandAnswer, CommandRequest, answer_code
 from greengagestage.results import ResultCode
 
 CONNECT_TIMEOUT_S = 3.0
@@ -19,7 +19,7 @@
 
 
 async def send_command(
-    reactor: Any, agent_url: str, key: str, request: CommandRequest
+    reactor: Any, agent_url: str, key: str, request: CommandRequest | ApplyRequest
 ) -> CommandAnswer:
     """Return the agent's answer, or an answer that says why there is none.
 
@@ -28,7 +28,8 @@
     http = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)  # type: ignore[no-untyped-call]
     headers = Headers({"Authorization": [f"Bearer {key}"], "Content-Type": ["application/json"]})
     body: Any = FileBodyProducer(BytesIO(msgspec.json.encode(request)))  # type: ignore[no-untyped-call]
-    url = f"{agent_url.rstrip('/')}/v1/command".encode()
+    path = "apply" if isinstance(request, ApplyRequest) else "command"
+    url = f"{agent_url.rstrip('/')}/v1/{path}".encode()
     sending: Deferred[Any] = http.request(b"POST", url, headers, body)
     sending.addTimeout(ANSWER_TIMEOUT_S, reactor)
     try:
--- a/greengagestage/commands/operator.py
+++ b/greengagestage/commands/operator.py
@@ -15,7 +15,13 @@
 from greengagestage import __version__
 from greengagestage.configuration import Declaration, read_checked_declaration
 from greengagestage.ids import CommandId
-from greengagestage.language import CommandAnswer, CommandRequest, complete, describe_topic
+from greengagestage.language import (
+    ApplyRequest,
+    CommandAnswer,
+    CommandRequest,
+    complete,
+    describe_topic,
+)
 from greengagestage.results import ResultCode
 
 from ._agent_client import send_command
@@ -54,6 +60,11 @@
     sys.exit(EXIT_REFUSED if answer.code else 0)
 
 
+def choose_command_id(given: str) -> CommandId:
+    """Return the id to repeat a command under, or a new one."""
+    return CommandId(given or uuid.uuid4().hex)
+
+
 def read_file(file: Path) -> Declaration:
     """Return the checked declaration in a TOML file, or end the process with its faults."""
     result = read_checked_declaration(file.read_text())
@@ -98,9 +109,7 @@
 ) -> None:
     """Run one line of the language, for example: greengage run 'show upstreams'."""
     text = " ".join(words)
-    request = CommandRequest(
-        text=text, dry_run=dry_run, command_id=CommandId(command_id or uuid.uuid4().hex)
-    )
+    request = CommandRequest(text=text, dry_run=dry_run, command_id=choose_command_id(command_id))
     console = Console()
 
     async def ask(reactor: Any) -> CommandAnswer:
@@ -123,6 +132,30 @@
     click.echo(f"{file}: no fault")
 
 
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON.")
+@click.option("--dry-run", is_flag=True, help="Show the difference; change nothing.")
+@click.option("--command-id", default="", help="Repeat an apply whose answer was lost.")
+@click.pass_obj
+def apply(
+    target: dict[str, str], file: Path, as_json: bool, dry_run: bool, command_id: str
+) -> None:
+    """Make a declaration the next version, if no other version was accepted first.
+
+    The first declaration of a fleet is applied with the fleet key.
+    """
+    read_file(file)
+    request = ApplyRequest(
+        toml=file.read_text(), dry_run=dry_run, command_id=choose_command_id(command_id)
+    )
+
+    async def send(reactor: Any) -> CommandAnswer:
+        return await send_command(reactor, target["agent"], target["key"], request)
+
+    finish(Console(), "apply", run_once(send), as_json)
+
+
 @main.command("complete")
 @click.argument("line", default="")
 def complete_line(line: str) -> None:
--- a/greengagestage/language/__init__.py
+++ b/greengagestage/language/__init__.py
@@ -4,7 +4,7 @@
 ``apply_change`` carries out a change on a declaration. Nothing here does input or output.
 """
 
-from ._answers import CommandAnswer, CommandRequest, answer_code, answer_fault
+from ._answers import ApplyRequest, CommandAnswer, CommandRequest, answer_code, answer_fault
 from ._changes import apply_change, list_settable_fields
 from ._commands import (
     Artifact,
@@ -37,6 +37,7 @@
 __all__ = [
     "SCHEMAS",
     "TOPICS",
+    "ApplyRequest",
     "Artifact",
     "Assignment",
     "Change",
--- a/greengagestage/language/_answers.py
+++ b/greengagestage/language/_answers.py
@@ -17,6 +17,14 @@
     command_id: CommandId = CommandId("")
 
 
+class ApplyRequest(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A whole declaration, as TOML, to be accepted as the next version."""
+
+    toml: str
+    dry_run: bool = False
+    command_id: CommandId = CommandId("")
+
+
 class CommandAnswer(Struct, frozen=True, kw_only=True):
     """What a command gave.
 
--- /dev/null
+++ b/tests/test_operator_processes.py
@@ -0,0 +1,55 @@
+"""An operator's session against real agents: the first declaration, queries, changes, races."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from greengagestage.results import ResultCode
+
+from .agent_fleet import FLEET_KEY, Agent, AgentFleet
+
+pytestmark = pytest.mark.process
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "cooperative.toml"
+OPERATOR_KEY = "example-key-operations"
+
+
+@pytest.fixture
+def agent(tmp_path: Path) -> Iterator[Agent]:
+    fleet = AgentFleet(tmp_path)
+    yield fleet.add("host-1", "a")
+    fleet.stop()
+
+
+def operate(agent: Agent, *words: str, key: str = OPERATOR_KEY) -> tuple[int, dict[str, object]]:
+    """Run the terminal and return its exit code and its JSON answer."""
+    command = [sys.executable, "-m", "greengagestage.commands.operator"]
+    command += ["--agent", agent.process.url, "--key", key, words[0], "--json", *words[1:]]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False, timeout=30)
+    assert ended.stdout, ended.stderr
+    return ended.returncode, json.loads(ended.stdout)
+
+
+def test_a_session_from_the_first_declaration_on(agent: Agent) -> None:
+    exit_code, answer = operate(agent, "run", "show upstreams")
+    assert (exit_code, answer["code"]) == (1, ResultCode.NO_CONFIGURATION.value)
+    _, answer = operate(agent, "apply", str(EXAMPLE), key="not-the-fleet-key")
+    assert answer["code"] == ResultCode.NO_CONFIGURATION.value
+    exit_code, answer = operate(agent, "apply", str(EXAMPLE), key=FLEET_KEY)
+    assert (exit_code, answer["version"]) == (0, 1)
+    _, answer = operate(agent, "apply", str(EXAMPLE), key=FLEET_KEY)
+    assert answer["code"] == ResultCode.UNKNOWN_OPERATOR.value
+    _, answer = operate(agent, "run", "show upstreams where kind = engine order by name limit 2")
+    assert [row[0] for row in answer["rows"]] == ["engine-1", "engine-2"]  # type: ignore[attr-defined]
+    exit_code, answer = operate(agent, "run", "--dry-run", "drain upstream engine-1")
+    assert (exit_code, answer["version"]) == (0, 1)
+    _, answer = operate(agent, "run", "drain upstream engine-1 if version = 1")
+    assert answer["version"] == 2
+    exit_code, answer = operate(agent, "run", "set class phone first_token = 1s if version = 1")
+    assert (exit_code, answer["code"]) == (1, ResultCode.VERSION_CONFLICT.value)
+    _, answer = operate(agent, "run", "show versions")
+    assert [row[2] for row in answer["rows"]] == ["operations", "(fleet key)"]  # type: ignore[attr-defined]
