Do not start a late request whose caller will probably leave before its end

Change: the ages at which callers left and at which they got their answer are learned by class; a late request whose caller leaves before the end with a chance of one half or more waits. One whose caller outlives the usual age of departure is served. Expected times are computed once a request.

--- a/greengagestage/policy/_admission.py
+++ b/greengagestage/policy/_admission.py
@@ -179,8 +179,8 @@
         """Queue a request unless it is certain or likely not to be served as its class asks."""
         state = self._state
         pool = state.find_pool(record.pool)
-        service_s = state.estimator.estimate_service(record, pool)
-        pool.demand.observe(record.service_class, service_s, state.now_s)
+        state.estimator.refresh(record, pool)
+        pool.demand.observe(record.service_class, record.service_s, state.now_s)
         code = self._find_obstacle(record)
         if code is ResultCode.NO_UPSTREAM:
             state.reject(record, code, state.estimator.spread(NO_UPSTREAM_RETRY_S))
--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -18,6 +18,8 @@
 from ._upstreams import UpstreamEntry
 
 CANDIDATES_LIMIT = 8
+DEPARTURE_LIMIT = 0.5
+DEPARTURE_REVIEW_S = 1.0
 CACHE_WAIT_S = 5.0
 HEADROOM = 1.1
 FIRST_TOKEN_TIMEOUT_TARGETS = 1.5
@@ -110,6 +112,8 @@
         for record in islice(queue.iterate_candidates(), CANDIDATES_LIMIT):
             if not fresh and not record.attempts_sent:
                 return False
+            if self._will_be_left(record):
+                continue
             entry = self._router.choose(record)
             if entry is not None:
                 pool.queue.pop(record)
@@ -117,6 +121,24 @@
                 return True
         return False
 
+    def _will_be_left(self, record: RequestRecord) -> bool:
+        """Return whether a late request's caller will probably leave before its answer is whole.
+
+        It waits on: a caller that stays past the usual age of departure is served then.
+        """
+        if not record.late or record.attempts_sent:
+            return False
+        state = self._state
+        age_s = state.now_s - record.arrived_s
+        name = record.service_class.name
+        chance = state.departures.estimate_departure(name, age_s, record.service_s)
+        if chance < DEPARTURE_LIMIT:
+            return False
+        if record.turn_s <= state.now_s:
+            record.turn_s = state.now_s + DEPARTURE_REVIEW_S
+            state.timers.add(record.turn_s, PoolDue(pool=record.pool))
+        return True
+
     def _preempt(self, pool: PoolState, record: RequestRecord) -> bool:
         """Take a slot from a lower class for a request that would miss its target."""
         state = self._state
--- a/greengagestage/policy/_estimates.py
+++ b/greengagestage/policy/_estimates.py
@@ -21,9 +21,7 @@
         self._lengths = lengths
         self._jitter = jitter
 
-    def estimate_service(
-        self, record: RequestRecord, pool: PoolState, quantile: float = TYPICAL_QUANTILE
-    ) -> float:
+    def estimate_service(self, record: RequestRecord, pool: PoolState, quantile: float) -> float:
         """Return the seconds that a request still needs in a slot."""
         request = record.request
         tokens = self._lengths.estimate(
@@ -37,6 +35,11 @@
             record.service_class.name, max(tokens - record.tokens, 1.0)
         )
 
+    def refresh(self, record: RequestRecord, pool: PoolState) -> None:
+        """Bring a request's expected times in a slot up to date."""
+        record.service_s = self.estimate_service(record, pool, TYPICAL_QUANTILE)
+        record.hopeful_s = self.estimate_service(record, pool, HOPEFUL_QUANTILE)
+
     def estimate_wait(self, record: RequestRecord, pool: PoolState, slots: int) -> float:
         """Return the seconds that a new request will wait if every slot is taken."""
         ahead_s = pool.queue.estimate_work_ahead(record) + pool.speed.slot_s.value
--- a/greengagestage/policy/_fairness.py
+++ b/greengagestage/policy/_fairness.py
@@ -69,6 +69,7 @@
         for _, workspace in self._order:
             yield from islice(self._lanes[workspace], CANDIDATES_PER_LANE)
         yield from islice(self._late, CANDIDATES_PER_LANE)
+        yield from islice(reversed(self._late), CANDIDATES_PER_LANE)
 
     def estimate_work_ahead(self, record: RequestRecord) -> float:
         """Return the slot-seconds served before a new request, under fairness."""
--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -50,6 +50,8 @@
         """End a request whose answer is whole."""
         self._measurements.note_finish(record, attempt)
         self._state.crashes.clear(record.request.fingerprint)
+        age_s = self._state.now_s - record.arrived_s
+        self._state.departures.note_stayed(record.service_class.name, age_s)
         record.move(RequestState.DELIVERED)
         self._state.note(record, f"delivered after {record.tokens} tokens")
         self._state.emit(Deliver(request_id=record.request_id))
@@ -82,6 +84,7 @@
     def leave(self, record: RequestRecord) -> None:
         """Stop work for a caller that closed its connection."""
         state = self._state
+        state.departures.note_left(record.service_class.name, state.now_s - record.arrived_s)
         if record.attempt is not None and not record.request.idempotent:
             record.caller_left = True
             state.note(record, "caller left; the run goes on so that its answer can be stored")
--- a/greengagestage/policy/_records.py
+++ b/greengagestage/policy/_records.py
@@ -57,6 +57,7 @@
         cached_at: The upstream that probably still caches what was computed of the request.
         cached_until_s: Time until which the request waits for that upstream.
         service_s: Expected time in a slot.
+        hopeful_s: The same if the answer is among the shorter ones.
         queued_s: Time at which the request was queued the last time.
         late: The answer can no longer be whole by its due time.
         turn_s: Time from which a suspect may run.
@@ -84,6 +85,7 @@
     cached_at: UpstreamName | None = None
     cached_until_s: float = 0.0
     service_s: float = 0.0
+    hopeful_s: float = 0.0
     queued_s: float = 0.0
     late: bool = False
     crashes: int = 0
--- a/greengagestage/policy/_reviews.py
+++ b/greengagestage/policy/_reviews.py
@@ -3,7 +3,6 @@
 from greengagestage.results import ResultCode
 
 from ._actions import CancelAttempt, CancelReason, WakeAt
-from ._estimates import HOPEFUL_QUANTILE, TYPICAL_QUANTILE
 from ._lifecycle import RequestState
 from ._preemption import compute_patience_end, is_impatient
 from ._records import MS_PER_S, RequestRecord
@@ -22,15 +21,14 @@
 
 
 def find_last_start(
-    state: PolicyState, record: RequestRecord, *, quantile: float, margin: float
+    state: PolicyState, record: RequestRecord, *, needed_s: float, margin: float
 ) -> float:
     """Return the time after which a request that starts will probably miss a target."""
-    pool = state.find_pool(record.pool)
-    needed_s = state.estimator.estimate_service(record, pool, quantile)
     last_s = record.due_s - needed_s * margin
     if record.tokens:
         return last_s
-    first_s = pool.speed.estimate_first_token_s(record.service_class.name)
+    speed = state.find_pool(record.pool).speed
+    first_s = speed.estimate_first_token_s(record.service_class.name)
     return min(last_s, record.first_token_due_s - first_s * margin)
 
 
@@ -38,15 +36,17 @@
     """Return whether an answer that is useless when late can no longer be on time."""
     if not record.late_is_useless:
         return False
-    last_s = find_last_start(state, record, quantile=HOPEFUL_QUANTILE, margin=1.0)
+    last_s = find_last_start(state, record, needed_s=record.hopeful_s, margin=1.0)
     return state.now_s + wait_s > last_s
 
 
 def suggest_return(state: PolicyState, record: RequestRecord) -> float | None:
     """Return when a refused caller may come back with hope, None if never."""
     pool = state.find_pool(record.pool)
-    needed_s = state.estimator.estimate_service(record, pool, HOPEFUL_QUANTILE)
-    if record.late_is_useless and needed_s > record.service_class.answer_target_ms / MS_PER_S:
+    if (
+        record.late_is_useless
+        and record.hopeful_s > record.service_class.answer_target_ms / MS_PER_S
+    ):
         return None
     slots = state.views.find(record.pool).slots
     return state.estimator.spread(state.estimator.estimate_drain(record, pool, slots))
@@ -123,11 +123,11 @@
     if not record.late:
         times.append(_find_likely_start(state, record))
     if record.late_is_useless:
-        times.append(find_last_start(state, record, quantile=HOPEFUL_QUANTILE, margin=1.0))
+        times.append(find_last_start(state, record, needed_s=record.hopeful_s, margin=1.0))
     coming = [at_s for at_s in times if at_s > state.now_s]
     if coming:
         state.timers.add(min(coming) + REVIEW_DELAY_S, RequestDue(request_id=record.request_id))
 
 
 def _find_likely_start(state: PolicyState, record: RequestRecord) -> float:
-    return find_last_start(state, record, quantile=TYPICAL_QUANTILE, margin=LATE_MARGIN)
+    return find_last_start(state, record, needed_s=record.service_s, margin=LATE_MARGIN)
--- a/greengagestage/policy/_state.py
+++ b/greengagestage/policy/_state.py
@@ -16,6 +16,7 @@
 
 from ._actions import Action, GiveUpClaim, Reject
 from ._crashes import CrashLedger
+from ._departures import DepartureBook
 from ._estimates import Estimator
 from ._journal import Journal
 from ._lengths import LengthBook
@@ -58,6 +59,7 @@
         self.limits = WorkspaceLimits()
         self.retries = RetryBudget()
         self.lengths = LengthBook()
+        self.departures = DepartureBook()
         self.timers = Timers()
         self.journal = Journal()
         self.estimator = Estimator(
@@ -100,7 +102,7 @@
         pool = self.find_pool(record.pool)
         record.move(RequestState.QUEUED)
         record.queued_s = self.now_s
-        record.service_s = self.estimator.estimate_service(record, pool)
+        self.estimator.refresh(record, pool)
         pool.queue.push(record)
         self.dirty_pools[record.pool] = None
 
--- a/tests/test_policy_load.py
+++ b/tests/test_policy_load.py
@@ -13,6 +13,7 @@
     WorkspaceId,
 )
 from greengagestage.policy import (
+    CallerLeft,
     CancelAttempt,
     CancelReason,
     ClaimAnswered,
@@ -25,6 +26,7 @@
     TimerFired,
     choose_subset,
 )
+from greengagestage.policy._departures import DepartureBook
 from greengagestage.policy._lengths import LengthBook
 from greengagestage.policy._shares import compute_wait_bound
 from greengagestage.results import ResultCode
@@ -278,3 +280,30 @@
     median = book.estimate(WorkspaceId("unknown"), brief, pool, 0.3)
     assert median is not None and 75 <= median <= 130
     assert len(book._histograms) <= 4097
+
+
+def test_caller_that_will_probably_leave_is_not_started_but_one_that_stays_is() -> None:
+    classes = [build_class("brief", first_token_target_ms=1000, queue_limit=40)]
+    host = Host(build_declaration(engines=1, slots=1, classes=classes))
+    host.arrive("warm-up", "brief")
+    host.finish(host.dispatches("warm-up")[0].attempt_id, after_s=5.0)
+    host.arrive("running", "brief")
+    for n in range(20):
+        host.arrive(f"left{n}", "brief")
+    host.send(TimerFired(), after_s=20.0)
+    for n in range(20):
+        host.send(CallerLeft(request_id=RequestId(f"left{n}")))
+    host.arrive("stays", "brief")
+    host.send(TimerFired(), after_s=17.0)
+    host.finish(host.dispatches("running")[0].attempt_id)
+    assert host.dispatches("stays") == []
+    host.send(TimerFired(), after_s=6.0)
+    assert len(host.dispatches("stays")) == 1
+
+
+def test_chance_of_departure_counts_those_who_stayed() -> None:
+    book, brief = DepartureBook(), ClassName("brief")
+    for n in range(32):
+        (book.note_left if n % 4 == 0 else book.note_stayed)(brief, 10.0)
+    assert book.estimate_departure(brief, 8.0, 5.0) == 0.25
+    assert book.estimate_departure(brief, 12.0, 5.0) == 0.0
