--- a/greengagestage/claims/_rows.py
+++ b/greengagestage/claims/_rows.py
@@ -56,9 +56,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Granted:
-    """The row is this attempt's own: it has the right to run."""
+    """The row is the claim's own: it has the right to run."""
 
-    revision: int
+    row: Row
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,7 +127,7 @@
     if claim.state is ClaimState.RELEASED:
         return Free(revision=row.revision)
     if claim.token == own.token and claim.state is ClaimState.CLAIMED:
-        return Granted(revision=row.revision)
+        return Granted(row=row)
     if claim.token in knowledge.not_run and claim.state is ClaimState.CLAIMED:
         return Free(revision=row.revision)
     if claim.fingerprint != own.fingerprint:
--- a/greengagestage/claims/_store.py
+++ b/greengagestage/claims/_store.py
@@ -51,6 +51,7 @@
     """A claim of this host that has not come to its end.
 
     Attributes:
+        known_row: The row as the table gave it when the claim was granted; it saves a read.
         asking: The table has not answered yet.
         unsure: A write of the claim may have taken effect, or may do so later.
         abandoned: The claim was given up before the table had answered.
@@ -58,6 +59,7 @@
 
     key: str
     row: ClaimRow
+    known_row: Row | None = None
     asking: bool = True
     unsure: bool = False
     abandoned: bool = False
@@ -167,6 +169,8 @@
     def _claim(self, ask: AskClaim, claim: _Claim) -> Any:
         judgement = yield self._insert(claim)
         claim.asking = False
+        if isinstance(judgement, Granted):
+            claim.known_row = judgement.row
         match judgement:
             case Granted() if not claim.abandoned:
                 return ClaimOutcome.GRANTED
@@ -201,7 +205,7 @@
     def _judge(self, outcome: WriteOutcome, own: ClaimRow) -> Judgement | None:
         match outcome:
             case Written(row=row):
-                return Granted(revision=row.revision)
+                return Granted(row=row)
             case Refused(row=row) | Unsure(row=Row() as row):
                 return judge_row(row, own, self._knowledge())
             case _:
@@ -239,7 +243,8 @@
         return replace(claim.row, at=self._wall_clock())
 
     def _settle(self, claim: _Claim, change: Change) -> Deferred[bool]:
-        return self._settler.settle(claim.key, change)
+        known_row, claim.known_row = claim.known_row, None
+        return self._settler.settle(claim.key, change, known_row)
 
     def record_answer(
         self,
--- a/greengagestage/orders/_adoption.py
+++ b/greengagestage/orders/_adoption.py
@@ -16,6 +16,9 @@
 """How often a settled engine that takes old numbers is read back. A woken holder's order
 stands no longer than this, plus the time of a read and an order."""
 
+LEASE_CHECK = 1
+"""The place of the lease's check in a write of an intent."""
+
 
 class OrderState(Enum):
     """Where the order for one engine stands."""
@@ -35,25 +38,16 @@
     return intent.adopted_by != describe_term(lease) or seen > intent.fencing_number
 
 
-def plan_adoption(
-    row: Row, intent: Intent, lease: Lease, seen: FencingNumber
-) -> tuple[Intent, tuple[Operation, ...]]:
-    """Return the intent with a number above every earlier one, and the write for it.
-
-    The write is refused unless the lease's row stands as this holder wrote it.
-    """
+def plan_adoption(intent: Intent, lease: Lease, seen: FencingNumber) -> Intent:
+    """Return the intent with a number above every earlier one, in the lease's present term."""
     number = FencingNumber(max(intent.fencing_number, seen) + 1)
-    adopted = replace(intent, fencing_number=number, adopted_by=describe_term(lease), settled=False)
-    return adopted, (
-        Put(key=row.key, value=adopted, expect=row.revision),
-        Check(key=lease_key(lease.name), expect=lease.revision),
-    )
+    return replace(intent, fencing_number=number, adopted_by=describe_term(lease), settled=False)
 
 
-def plan_settlement(row: Row, intent: Intent, lease: Lease) -> tuple[Operation, ...]:
-    """Return the write that records that an engine agrees with its intent."""
+def plan_intent_write(row: Row, intent: Intent, lease: Lease) -> tuple[Operation, ...]:
+    """Return the write of an intent, refused unless the lease's row stands as last seen."""
     return (
-        Put(key=row.key, value=replace(intent, settled=True), expect=row.revision),
+        Put(key=row.key, value=intent, expect=row.revision),
         Check(key=lease_key(lease.name), expect=lease.revision),
     )
 
--- a/greengagestage/orders/_reconciler.py
+++ b/greengagestage/orders/_reconciler.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from eliot import log_message
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
@@ -13,7 +14,7 @@
 from greengagestage.ids import FencingNumber, HostId, UpstreamName
 from greengagestage.platform import (
     Committed,
-    Operation,
+    Conflict,
     Permit,
     Row,
     TableClient,
@@ -22,12 +23,13 @@
 )
 
 from ._adoption import (
+    LEASE_CHECK,
     OrderState,
     choose_interval,
     is_done,
     needs_adoption,
     plan_adoption,
-    plan_settlement,
+    plan_intent_write,
 )
 from ._descriptions import LeaseDescription, OrderDescription, describe_leases, describe_orders
 from ._engine_client import EngineClient, OldNumber, OrderTaken
@@ -40,6 +42,7 @@
 
 TICK_S = 5.0
 ORDER_TIMEOUT_S = 2.0
+WRITE_TRIES = 3
 ENGINES_AT_ONCE = UPSTREAMS_PER_GROUP
 
 
@@ -208,18 +211,29 @@
 
     @inlineCallbacks
     def _adopt(self, lease: Lease, engine: _Engine, row: Row, intent: Intent) -> Any:
-        adopted, operations = plan_adoption(row, intent, lease, engine.seen_number)
-        written = yield self._write(lease, operations)
+        adopted = plan_adoption(intent, lease, engine.seen_number)
+        written = yield self._write_intent(lease, row, adopted)
         engine.permits.clear()
         return None if written is None else (written, adopted)
 
     @inlineCallbacks
-    def _write(self, lease: Lease, operations: tuple[Operation, ...]) -> Any:
-        """Write while the lease is held; a lost answer is found out at the next reading."""
-        if not self._may_act(lease):
-            return None
-        outcome = yield self._table.transact(operations)
-        return outcome.rows[0] if isinstance(outcome, Committed) else None
+    def _write_intent(self, lease: Lease, row: Row, intent: Intent) -> Any:
+        """Write an intent while the lease is held; return its row, or None.
+
+        The holder's own renewal may move the lease's row meanwhile, so a refused write is
+        planned again from the row that refused it. A lost answer is found out at the next
+        reading.
+        """
+        for _ in range(WRITE_TRIES):
+            if not self._may_act(lease):
+                return None
+            outcome = yield self._table.transact(plan_intent_write(row, intent, lease))
+            if isinstance(outcome, Committed):
+                return outcome.rows[0]
+            if not isinstance(outcome, Conflict) or outcome.failed != (LEASE_CHECK,):
+                return None
+            lease.observe(outcome.rows[LEASE_CHECK], self._reactor.seconds())
+        return None
 
     def _may_act(self, lease: Lease) -> bool:
         """Whether an action sent now ends before the lease does."""
@@ -241,7 +255,8 @@
         note(engine, OrderState.SETTLED, "")
         engine.permits.clear()
         if not intent.settled:
-            written = yield self._write(lease, plan_settlement(row, intent, lease))
+            settled = replace(intent, settled=True)
+            written = yield self._write_intent(lease, row, settled)
             engine.revision = written.revision if written else 0
 
     @inlineCallbacks
--- a/tests/order_builders.py
+++ b/tests/order_builders.py
@@ -18,7 +18,11 @@
 
 
 class FakeEngine:
-    """An engine's order interface; ``fault`` is one of none, down, lost and held."""
+    """An engine's order interface; ``fault`` is one of none, down, lost, unheard, held
+    and slow.
+
+    A held order stays on its way; a slow reading waits for ``finish_readings``.
+    """
 
     def __init__(self, *, checks: bool) -> None:
         self.checks = checks
@@ -26,8 +30,16 @@
         self.received: list[EngineState] = []
         self.fault = "none"
         self.held: list[EngineState] = []
+        self.readings: list[Deferred[Any]] = []
+
+    def finish_readings(self) -> None:
+        while self.readings:
+            self.readings.pop().callback(self.state)
 
     def read(self) -> Deferred[Any]:
+        if self.fault == "slow":
+            self.readings.append(Deferred())
+            return self.readings[-1]
         down = self.fault == "down"
         return succeed(Unavailable(reason="test") if down else self.state)
 
@@ -37,6 +49,8 @@
         if self.fault == "held":
             self.held.append(state)
             return Deferred()
+        if self.fault == "unheard":
+            return succeed(Unknown(reason="test"))
         reply = self.take(state)
         return succeed(Unknown(reason="test") if self.fault == "lost" else reply)
 
--- /dev/null
+++ b/tests/test_claim_changes.py
@@ -0,0 +1,67 @@
+"""The next write of a claim from each row that it can find, as a table."""
+
+import msgspec
+import pytest
+from msgspec.structs import replace
+
+from greengagestage.claims._changes import Settled, plan_answer, plan_release, plan_unknown
+from greengagestage.claims._rows import ClaimRow, ClaimState, ClaimToken
+from greengagestage.ids import AttemptId, Fingerprint, HostId
+from greengagestage.platform import ABSENT, Row
+
+OWN = ClaimRow(
+    attempt_id=AttemptId("a1"),
+    token=ClaimToken("t1"),
+    fingerprint=Fingerprint("f"),
+    state=ClaimState.CLAIMED,
+    host=HostId("h1"),
+)
+WRITES = "writes"
+HOLDS = Settled(holds=True)
+LOST = Settled(holds=False)
+
+# state of the row, whether it is the claim's own: release, answer, unknown
+CASES = {
+    (ClaimState.CLAIMED, True): (WRITES, WRITES, WRITES),
+    (ClaimState.RELEASED, True): (HOLDS, LOST, HOLDS),
+    (ClaimState.ANSWERED, True): (LOST, HOLDS, HOLDS),
+    (ClaimState.UNKNOWN, True): (LOST, WRITES, HOLDS),
+    (ClaimState.CLAIMED, False): (HOLDS, LOST, HOLDS),
+    (ClaimState.RELEASED, False): (WRITES, LOST, HOLDS),
+    (ClaimState.ANSWERED, False): (HOLDS, LOST, HOLDS),
+    (ClaimState.UNKNOWN, False): (HOLDS, LOST, HOLDS),
+    (None, False): (WRITES, LOST, LOST),
+}
+CHANGES = {
+    "release": (0, plan_release(OWN), ClaimState.RELEASED),
+    "answer": (1, plan_answer(replace(OWN, state=ClaimState.ANSWERED)), ClaimState.ANSWERED),
+    "unknown": (2, plan_unknown(OWN), ClaimState.UNKNOWN),
+}
+
+
+def build_row(state: ClaimState | None, own: bool) -> Row:
+    if state is None:
+        return Row(key="claim/w/k", revision=ABSENT)
+    claim = replace(OWN, state=state, token=OWN.token if own else ClaimToken("t2"))
+    return Row(key="claim/w/k", revision=7, value=msgspec.Raw(msgspec.json.encode(claim)))
+
+
+@pytest.mark.parametrize("change", CHANGES)
+@pytest.mark.parametrize(("state", "own"), CASES)
+def test_change(change: str, state: ClaimState | None, own: bool) -> None:
+    place, plan, becomes = CHANGES[change]
+    row = build_row(state, own)
+    step = plan(row)
+    expected = CASES[state, own][place]
+    if expected is not WRITES:
+        assert step == expected
+        return
+    assert not isinstance(step, Settled)
+    assert (step.key, step.expect) == (row.key, row.revision)
+    assert (step.value.state, step.value.token) == (becomes, OWN.token)
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_row_of_another_program_is_left_alone(change: str) -> None:
+    row = Row(key="claim/w/k", revision=7, value=msgspec.Raw(b'{"other": 1}'))
+    assert isinstance(CHANGES[change][1](row), Settled)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -272,9 +272,8 @@
     hosts.table.automatic = False
     kept: list[bool] = []
     store.record_answer(WORKSPACE, KEY, AttemptId("a1"), SMALL).addCallback(kept.append)
-    while not isinstance(hosts.table.calls[0].operations[0], Put):
-        hosts.table.serve(hosts.table.calls[0])
-        hosts.clock.advance(0.06)
+    hosts.clock.advance(0.06)
+    assert isinstance(hosts.table.calls[0].operations[0], Put)
     fate(hosts, hosts.table.calls[0])
     hosts.table.automatic = True
     for call in list(hosts.table.calls):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,9 +14,10 @@
     RoleChange,
 )
 from greengagestage.orders._groups import choose_candidates, divide_upstreams
-from greengagestage.platform import Unavailable
+from greengagestage.platform import Conflict, Put, Unavailable
 from greengagestage.results import ResultCode
 
+from .fake_platform import Call
 from .order_builders import LARGE, FakeEngine, OrderFleet, build_command
 
 MODES = list(FencingMode)
@@ -104,6 +105,62 @@
     assert len(fleet.weights.asked) == 1
 
 
+def test_one_permit_serves_every_order_of_a_load() -> None:
+    fleet = OrderFleet()
+    fleet.start()
+    set_fault(fleet, "unheard")
+    fleet.request(build_command(1))
+    fleet.pass_time(30)
+    set_fault(fleet, "none")
+    fleet.pass_time(SETTLE_S)
+    assert fleet.engine.state.agrees_with(LARGE)
+    assert len(fleet.weights.asked) == 1
+
+
+def test_adoption_that_lands_after_the_lease_was_lost_is_refused() -> None:
+    fleet = OrderFleet(hosts=("h1",))
+    fleet.start()
+    fleet.pass_time(10)
+    fleet.request(build_command(1))
+    adoption = hold_intent_write(fleet)
+    fleet.table.apply([Put(key="lease/orders-0", value=None)])
+    assert isinstance(fleet.table.apply(adoption.operations), Conflict)
+
+
+def hold_intent_write(fleet: OrderFleet) -> Call:
+    """Serve every call but the holder's next write of an intent, and return that one."""
+    fleet.table.automatic = False
+    for _ in range(20):
+        for call in list(fleet.table.calls):
+            operation = call.operations[0]
+            if isinstance(operation, Put) and operation.key == "intent/e0":
+                return call
+            fleet.table.serve(call)
+        fleet.pass_time(1)
+    raise AssertionError("no intent was written")
+
+
+def test_own_renewal_does_not_refuse_an_adoption() -> None:
+    fleet = OrderFleet(hosts=("h1",))
+    fleet.start()
+    fleet.pass_time(10)
+    fleet.request(build_command(1))
+    adoption = hold_intent_write(fleet)
+    lease = fleet.table.get("lease/orders-0")
+    fleet.table.apply([Put(key=lease.key, value=lease.value, expect=lease.revision)])
+    fleet.table.automatic = True
+    fleet.table.serve(adoption)
+    assert fleet.engine.state.agrees_with(LARGE)
+
+
+def test_same_command_again_changes_nothing() -> None:
+    fleet = OrderFleet()
+    fleet.request(build_command(1))
+    before = fleet.table.get("intent/e0")
+    assert isinstance(fleet.request(build_command(1), "h2")[0], OrderAccepted)
+    assert fleet.table.get("intent/e0") == before
+
+
 def pause_holder_with_order(fleet: OrderFleet) -> str:
     """Leave an order of the holder on its way, and stop the holder."""
     fleet.start()
@@ -149,6 +206,21 @@
     assert not fleet.engine.received
 
 
+def test_holder_checks_its_time_before_each_order() -> None:
+    """A reading that ends after the lease has lapsed is followed by no order."""
+    fleet = OrderFleet(hosts=("h1",))
+    fleet.start()
+    fleet.request(build_command(1))
+    set_fault(fleet, "slow")
+    fleet.pass_time(6)
+    assert fleet.engine.readings
+    fleet.table.automatic = False
+    fleet.pass_time(30)
+    set_fault(fleet, "none")
+    fleet.engine.finish_readings()
+    assert not fleet.engine.received
+
+
 def test_higher_number_at_the_engine_is_overtaken() -> None:
     fleet = OrderFleet()
     fleet.engine.state = fleet.engine.state.__class__(models=("other",), fencing_number=7)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -195,6 +195,17 @@
         assert isinstance(outcome, Unknown)
         assert len(self.factory.requests) == 1
 
+    @inlineCallbacks
+    def test_lost_answer_of_a_reading_is_not_repeated(self):
+        self.factory.answer = response(200, ROWS)
+        client = self.client(TableClient)
+        yield client.read_rows("a", 1)
+        self.factory.answer = CLOSED
+        self.factory.requests.clear()
+        rows = yield client.read_rows("a", 1)
+        assert isinstance(rows, Unavailable)
+        assert len(self.factory.requests) == 1
+
     @inlineCallbacks
     def test_calls_in_flight_are_bounded(self):
         self.factory.answer = SILENT
