Tell a fault of the router apart from a lost upstream

Cause: an exception while a chunk was delivered was swallowed by the client protocol, which closed the connection; the attempt then counted as LOST, which makes its request a crash suspect. Change: the exchange logs the exception and reports ERROR. Conclusion: a fault of ours no longer counts against an upstream or a caller.

--- a/greengagestage/upstream/_exchange.py
+++ b/greengagestage/upstream/_exchange.py
@@ -1,5 +1,6 @@
 """One request to an upstream and its response, watched for silence."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
@@ -11,6 +12,7 @@
 from twisted.web.http_headers import Headers
 
 from greengagestage.policy import FailureKind
+from greengagestage.telemetry import log_current_fault
 
 from ._pool import Address, Connection, ConnectionPool
 from ._request import OutboundRequest
@@ -155,10 +157,8 @@
         self._fail(FailureKind.LOST)
 
     def _handle_head(self, response: Any) -> None:
-        if self._listener is not None:
-            self._listener.receive_head(
-                ResponseHead(status=response.code, headers=response.headers)
-            )
+        head = ResponseHead(status=response.code, headers=response.headers)
+        self._tell(lambda listener: listener.receive_head(head))
         self._body = _Body(self)
         response.deliverBody(self._body)
         if self._paused and not self._ended:
@@ -172,8 +172,7 @@
             self._silence_limit_s = self._limits.between_bytes_s
             if self._watch is not None and self._listener is not None:
                 self._watch.reset(self._silence_limit_s)
-        if self._listener is not None:
-            self._listener.receive_body(data)
+        self._tell(lambda listener: listener.receive_body(data))
 
     def handle_body_end(self, reason: Failure | None) -> None:
         """Take the end of the body from the connection."""
@@ -187,6 +186,16 @@
         else:
             listener.fail(FailureKind.LOST)
 
+    def _tell(self, call: Callable[[ExchangeListener], None]) -> None:
+        """Call the listener; a fault of its own must not look like a lost upstream."""
+        if self._listener is None:
+            return
+        try:
+            call(self._listener)
+        except Exception:
+            log_current_fault("upstream: fault while an answer was read")
+            self._fail(FailureKind.ERROR)
+
     def _check_silence(self) -> None:
         self._watch = None
         silence_s = 0.0 if self._paused else self._reactor.seconds() - self._last_byte_s
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -3,6 +3,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from greengagestage.entry import DeliveryLimits
+from greengagestage.entry._deliveries import CompletionDelivery
 from greengagestage.policy import AttemptFailed, AttemptProgressed, FailureKind
 from greengagestage.results import ResultCode
 
@@ -118,6 +119,14 @@
         assert [f.resumable for f in self.policy.of(AttemptFailed)] == [False]
         assert caller.events[-1].startswith("event: error")
 
+    @inlineCallbacks
+    def test_a_fault_of_the_router_is_no_lost_upstream(self):
+        self.adopt(self.engine(answer_whole))
+        self.patch(CompletionDelivery, "add", lambda self, chunks: 1 / 0)
+        caller = yield self.call(build_request(prompt()))
+        assert caller.error["run"] == "may_have_run"
+        assert [f.kind for f in self.policy.of(AttemptFailed)] == [FailureKind.ERROR]
+
 
 class CutAnywhereCase(EntryCase):
     def build_policy(self):
