Wait for the agent before an operator's session starts in a test

Cause: the test landed with its fixture not waiting for the agent to listen; it failed once (4015 in place of 4013) right before it was committed. Change: the fixture waits for the health check.

--- a/tests/test_operator_processes.py
+++ b/tests/test_operator_processes.py
@@ -9,6 +9,7 @@
 import pytest
 
 from greengagestage.results import ResultCode
+from standins._web_calls import send_call
 
 from .agent_fleet import FLEET_KEY, Agent, AgentFleet
 
@@ -21,8 +22,12 @@
 @pytest.fixture
 def agent(tmp_path: Path) -> Iterator[Agent]:
     fleet = AgentFleet(tmp_path)
-    yield fleet.add("host-1", "a")
-    fleet.stop()
+    agent = fleet.add("host-1", "a")
+    try:
+        fleet.wait(lambda: send_call("GET", f"{agent.process.url}/healthz").status == 200, "alive")
+        yield agent
+    finally:
+        fleet.stop()
 
 
 def operate(agent: Agent, *words: str, key: str = OPERATOR_KEY) -> tuple[int, dict[str, object]]:
