--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,6 +12,7 @@
 import msgspec
 import pytest
 
+from examples.stream_answer import stream_answer
 from standins._fleet import PLATFORM, Fleet
 from standins._fleet_file import FleetFile
 from standins._fleet_shape import COOPERATIVE_WORKSPACES, MODEL, build_cooperative_shape, build_key
@@ -67,6 +68,12 @@
     assert _read_text(pieces) == run.text == compute_output(f"user:{QUESTION} {host}")
 
 
+def test_the_example_client_reads_the_whole_answer(fleet: Fleet) -> None:
+    url = fleet.url("entry-host-1")
+    pieces = list(stream_answer(url, build_key(WORKSPACE), MODEL, QUESTION))
+    assert "".join(pieces) == compute_output(f"user:{QUESTION}")
+
+
 def test_a_document_comes_from_the_archive(fleet: Fleet) -> None:
     answer = send_call(
         "GET",
