--- a/greengagestage/agent/_commands.py
+++ b/greengagestage/agent/_commands.py
@@ -2,7 +2,6 @@
 
 import time
 import uuid
-from typing import Protocol
 
 from eliot import log_message
 from msgspec.structs import replace
@@ -25,7 +24,6 @@
     Explain,
     Help,
     LanguageFault,
-    Order,
     OrderArtifact,
     OrderRole,
     Row,
@@ -55,23 +53,14 @@
 )
 from ._configuration_watch import ConfigurationWatch
 from ._facts import Facts
+from ._orders import OrderDesk
 from ._queries import Queries
 
 DIFFERENCE_LINES = 200
 
 
-class OrderRunner(Protocol):
-    """Carries out orders to engines and tells of orders and leases."""
-
-    async def run(self, order: Order, operator: OperatorName, dry_run: bool) -> CommandAnswer:
-        """Carry out an order."""
-
-    async def list_rows(self, table: str) -> list[Row] | Unavailable:
-        """Return the rows of the tables ``orders`` and ``leases``."""
-
-
 class CommandRunner:
-    """Reads, checks and carries out commands. ``orders`` may be set after construction."""
+    """Reads, checks and carries out commands."""
 
     def __init__(
         self,
@@ -80,8 +69,9 @@
         queries: Queries,
         store: ConfigurationStore,
         watch: ConfigurationWatch,
+        orders: OrderDesk,
     ) -> None:
-        self.orders: OrderRunner | None = None
+        self._orders = orders
         self._facts = facts
         self._queries = queries
         self._store = store
@@ -138,9 +128,8 @@
             case Help(topic=topic):
                 return CommandAnswer(messages=tuple(describe_topic(topic)))
             case OrderArtifact() | OrderRole():
-                if self.orders is None:
-                    return answer_code(ResultCode.ORDER_REFUSED, "This host carries out no orders")
-                return await self.orders.run(command, operator, request.dry_run)
+                command_id = request.command_id or create_command_id()
+                return await self._orders.run(command, operator, command_id, request.dry_run)
             case _:
                 return await self._change(command, request, operator)  # type: ignore[arg-type]
 
@@ -161,8 +150,8 @@
         return CommandAnswer(columns=shown.columns, rows=shown.rows)
 
     async def _list_rows(self, table: str) -> list[Row] | Unavailable:
-        if table in ("orders", "leases") and self.orders is not None:
-            return await self.orders.list_rows(table)
+        if table in ("orders", "leases"):
+            return await self._orders.list_rows(table)
         return await self._facts.list_rows(table)
 
     async def _explain(self, explain: Explain, text: str) -> CommandAnswer:
@@ -228,7 +217,7 @@
         proposal = Proposal(
             declaration=declaration,
             operator=operator,
-            command_id=request.command_id or CommandId(uuid.uuid4().hex),
+            command_id=request.command_id or create_command_id(),
             command=request.text,
         )
         accepted = await self._store.accept(proposal, head, self._watch.adoption.version)
@@ -247,6 +236,11 @@
         return (*lines, f"and {left} more") if left else lines
 
 
+def create_command_id() -> CommandId:
+    """Return the id of a command that came without one."""
+    return CommandId(uuid.uuid4().hex)
+
+
 def _answer_faults(faults: tuple[Fault, ...]) -> CommandAnswer:
     return answer_code(
         ResultCode.DECLARATION_INVALID, *(fault.describe() for fault in faults[:DIFFERENCE_LINES])
--- a/greengagestage/agent/_entry_feed.py
+++ b/greengagestage/agent/_entry_feed.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import LoopingCall
 
 from greengagestage.configuration import UpstreamKind
-from greengagestage.ids import UpstreamName
+from greengagestage.ids import HostId, UpstreamName
 from greengagestage.membership import HostDemand, Membership, SharedUpstream, compute_shares
 from greengagestage.wire import (
     AgentMessage,
@@ -23,9 +23,12 @@
 from ._upstream_view import UpstreamView, list_pools
 
 FEED_INTERVAL_S = 0.5
-FULL_REPORT_HOSTS = 32
+FULL_REPORT_HOSTS = 10
 """Up to this number of hosts, work in flight is shared too."""
 DEMAND_TENTHS = 10
+SHARE_COST_FACTOR = 50
+"""Shares are computed again after this many times their last cost at the earliest, so that they
+take at most 2% of the time while hosts come and go."""
 
 
 class EntryFeed:
@@ -50,6 +53,7 @@
         self._hosts_changed = False
         self._reported_at_s = float("-inf")
         self._shared_at_s = float("-inf")
+        self._share_cost_s = 0.0
         self._sequence = 0
         self._shares = ShareUpdates(reactor=reactor, send=self._send_shares)
         self._loop = LoopingCall(self._feed)
@@ -83,10 +87,12 @@
         if now_s - self._reported_at_s >= interval_s:
             self._reported_at_s = now_s
             self._report_demand(now_s)
-        if self._hosts_changed or now_s - self._shared_at_s >= interval_s:
+        pause_s = SHARE_COST_FACTOR * self._share_cost_s if self._hosts_changed else interval_s
+        if now_s - self._shared_at_s >= pause_s:
             self._hosts_changed = False
             self._shared_at_s = now_s
             self._compute_shares()
+            self._share_cost_s = time.monotonic() - now_s
 
     def _send_statuses(self) -> None:
         if self._changed:
@@ -133,7 +139,15 @@
         ]
         shares = compute_shares(hosts, working).get(own.host, {})
         slots = dict.fromkeys(self._upstreams.declared, 0) | shares
-        self._shares.update(HostShares(slots=slots, entry_hosts=len(members)))
+        self._shares.update(
+            HostShares(
+                slots=slots, entry_hosts=len(members), live_hosts=self._list_hosts_not_gone()
+            )
+        )
+
+    def _list_hosts_not_gone(self) -> tuple[HostId, ...]:
+        records = self._membership.book.list_hosts()
+        return tuple(sorted(r.host for r in records if r.state is not MemberState.GONE))
 
     def _send_shares(self, shares: HostShares) -> None:
         self._send(shares)
--- a/greengagestage/agent/_fleet.py
+++ b/greengagestage/agent/_fleet.py
@@ -25,7 +25,7 @@
 
 from ._settings import AgentSettings
 
-FLUSH_DELAY_S = 0.05
+FLUSH_DELAY_S = 0.02
 """News that come within this time are passed on in one message."""
 DOCUMENT_LIMIT_BYTES = 8 * 1024 * 1024
 DOCUMENT_REQUEST_INTERVAL_S = 1.0
--- /dev/null
+++ b/greengagestage/agent/_orders.py
@@ -0,0 +1,117 @@
+"""Operators' orders to engines, in the terms of the command language."""
+
+from greengagestage.ids import CommandId, OperatorName, UpstreamName
+from greengagestage.language import (
+    Artifact,
+    CommandAnswer,
+    Order,
+    OrderArtifact,
+    OrderRole,
+    Row,
+    answer_code,
+)
+from greengagestage.orders import (
+    ArtifactChange,
+    ArtifactKind,
+    OrderAccepted,
+    OrderCommand,
+    OrderConflict,
+    OrderOutcome,
+    OrderRefused,
+    OrderUndecided,
+    Reconciler,
+    RoleChange,
+)
+from greengagestage.platform import Unavailable
+from greengagestage.results import ResultCode
+
+_KINDS = {Artifact.MODEL: ArtifactKind.MODEL, Artifact.ADAPTER: ArtifactKind.ADAPTER}
+_MS_PER_S = 1000
+
+
+class OrderDesk:
+    """Passes orders on to the reconciler and tells of orders and leases."""
+
+    def __init__(self, *, reconciler: Reconciler) -> None:
+        self._reconciler = reconciler
+
+    async def run(
+        self, order: Order, operator: OperatorName, command_id: CommandId, dry_run: bool
+    ) -> CommandAnswer:
+        """Accept an order, or only tell what would become of it."""
+        command = build_command(order, operator, command_id)
+        return answer_outcome(await self._reconciler.request_order(command, dry_run), dry_run)
+
+    async def list_rows(self, table: str) -> list[Row] | Unavailable:
+        """Return the rows of the tables ``orders`` and ``leases``."""
+        return await (self._list_orders() if table == "orders" else self._list_leases())
+
+    async def _list_orders(self) -> list[Row] | Unavailable:
+        orders = await self._reconciler.describe_orders()
+        if isinstance(orders, Unavailable):
+            return orders
+        return [
+            (
+                item.upstream,
+                item.state.value,
+                ", ".join(item.models),
+                ", ".join(item.adapters),
+                item.role.value,
+                item.fencing_number,
+                item.message,
+            )
+            for item in orders
+        ]
+
+    async def _list_leases(self) -> list[Row] | Unavailable:
+        leases = await self._reconciler.describe_leases()
+        if isinstance(leases, Unavailable):
+            return leases
+        return [
+            (
+                item.name,
+                item.holder,
+                item.fencing_number,
+                None if item.remaining_s is None else int(_MS_PER_S * item.remaining_s),
+            )
+            for item in leases
+        ]
+
+
+def build_command(order: Order, operator: OperatorName, command_id: CommandId) -> OrderCommand:
+    """Return an order as the reconciler takes it."""
+    match order:
+        case OrderArtifact(artifact=artifact, name=name, loaded=loaded, forced=forced):
+            change = ArtifactChange(artifact=_KINDS[artifact], name=name, loaded=loaded)
+            return OrderCommand(
+                upstream=UpstreamName(order.upstream),
+                change=change,
+                operator=operator,
+                command_id=command_id,
+                forced=forced,
+            )
+        case OrderRole(role=role):
+            return OrderCommand(
+                upstream=UpstreamName(order.upstream),
+                change=RoleChange(role=role),
+                operator=operator,
+                command_id=command_id,
+            )
+
+
+def answer_outcome(outcome: OrderOutcome, dry_run: bool) -> CommandAnswer:
+    """Return what an operator is told of an order."""
+    match outcome:
+        case OrderAccepted(intent=intent):
+            note = "nothing was changed: dry run" if dry_run else "accepted, see: show orders"
+            return CommandAnswer(messages=(intent.change.describe(), note))
+        case OrderConflict():
+            detail = (
+                f"command {outcome.command_id} against {outcome.other_command_id} "
+                f"of {outcome.other_operator}"
+            )
+            return answer_code(ResultCode.ORDER_REFUSED, outcome.message, detail)
+        case OrderRefused(code=code, message=message):
+            return answer_code(code, message)
+        case OrderUndecided(reason=reason):
+            return answer_code(ResultCode.OUTCOME_UNKNOWN, reason, "sending it again is harmless")
--- a/greengagestage/agent/_process.py
+++ b/greengagestage/agent/_process.py
@@ -18,7 +18,8 @@
     UpstreamsChanged,
     VersionHeard,
 )
-from greengagestage.platform import HostListClient, ObjectClient, TableClient
+from greengagestage.orders import Reconciler
+from greengagestage.platform import HostListClient, ObjectClient, TableClient, WeightClient
 from greengagestage.wire import (
     ConfigurationInForce,
     CrashReport,
@@ -42,6 +43,7 @@
 from ._host_list_watch import HostListWatch
 from ._load_client import LoadClient
 from ._load_polls import LoadPolls
+from ._orders import OrderDesk
 from ._queries import Queries
 from ._request_log import RequestLog
 from ._settings import AgentSettings
@@ -130,8 +132,22 @@
         self.queries = Queries(
             reactor=reactor, fleet=self.fleet, facts=self.facts, timeout_s=times.query_timeout_s
         )
+        self._weights = WeightClient(**clients)
+        self._reconciler = Reconciler(
+            reactor=reactor,
+            table=self.table,
+            weights=self._weights,
+            host=settings.host,
+            upstreams=lambda: self.upstreams.declared.values(),
+            hosts=lambda: [record.host for record in membership.list_members()],
+            is_leaving=membership.is_leaving,
+        )
         self.commands = CommandRunner(
-            facts=self.facts, queries=self.queries, store=self.store, watch=self.watch
+            facts=self.facts,
+            queries=self.queries,
+            store=self.store,
+            watch=self.watch,
+            orders=OrderDesk(reconciler=self._reconciler),
         )
 
     @property
@@ -156,15 +172,17 @@
         self._list_watch.start()
         self._polls.start()
         self._feed.start()
+        self._reconciler.start()
         log_message("agent: started", host=self.settings.host)
 
     def stop(self) -> Deferred[Any]:
-        """Tell the neighbours, then close everything."""
+        """Tell the neighbours, release the leases, then close everything."""
         if not self._stopping:
             self._stopping = True
             self.fleet.set_state(MemberState.LEAVING)
         notice: Deferred[Any] = deferLater(self._reactor, self.settings.times.leave_notice_s)
-        return notice.addCallback(lambda _: self._close())
+        released = DeferredList([notice, self._reconciler.stop()], consumeErrors=True)
+        return released.addCallback(lambda _: self._close())
 
     def _close(self) -> Deferred[Any]:
         self._feed.stop()
@@ -173,7 +191,7 @@
         self.fleet.stop()
         self.entries.stop()
         log_message("agent: stopped", host=self.settings.host)
-        clients = (self.table, self._objects, self._list_client)
+        clients = (self.table, self._objects, self._list_client, self._weights)
         return DeferredList([self._polls.stop(), *(client.close() for client in clients)])
 
     def _adopt(self, version: Version) -> None:
--- a/greengagestage/agent/_share_updates.py
+++ b/greengagestage/agent/_share_updates.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from msgspec.structs import replace
+
 from greengagestage.wire import HostShares
 
 RAISE_DELAY_S = 3.0
@@ -58,4 +60,4 @@
         name: min(number, current.slots.get(name, number))
         for name, number in computed.slots.items()
     }
-    return HostShares(slots=slots, entry_hosts=computed.entry_hosts)
+    return replace(computed, slots=slots)
--- a/greengagestage/membership/__init__.py
+++ b/greengagestage/membership/__init__.py
@@ -17,9 +17,9 @@
 
 __all__ = [
     "Change",
+    "CrashHeard",
     "FingerprintQuarantined",
     "HostDemand",
-    "CrashHeard",
     "HostsChanged",
     "Load",
     "Membership",
--- a/greengagestage/membership/_book.py
+++ b/greengagestage/membership/_book.py
@@ -7,7 +7,6 @@
 
 from greengagestage.ids import HostId, UpstreamName
 from greengagestage.wire import (
-    CrashRecord,
     HostRecord,
     QuarantineRecord,
     UpstreamMark,
@@ -99,10 +98,6 @@
         """Return the marks of all upstreams."""
         return [record for record in self._iterate() if isinstance(record, UpstreamMark)]
 
-    def list_crashes(self) -> list[CrashRecord]:
-        """Return all crashes of late."""
-        return [record for record in self._iterate() if isinstance(record, CrashRecord)]
-
     def list_quarantined(self) -> list[QuarantineRecord]:
         """Return all quarantined fingerprints."""
         return [record for record in self._iterate() if isinstance(record, QuarantineRecord)]
--- a/greengagestage/membership/_membership.py
+++ b/greengagestage/membership/_membership.py
@@ -35,7 +35,6 @@
     UpstreamsChanged,
     VersionHeard,
 )
-from ._crashes import CRASHES_TO_QUARANTINE, CrashCounter
 from ._detector import FailureDetector
 from ._measurements import Measurements, NewsParcel
 from ._neighbours import choose_neighbours
@@ -60,13 +59,13 @@
         self._random = random
         self._detector = FailureDetector(times=times)
         self._neighbours: list[HostRecord] = []
+        self._hosts_changed = False
         self._synchronization = Synchronization(book=self.book, random=random)
         self._sync_waits_for: HostId | None = None
         self._urgent: dict[Key, tuple[Record, HostId | None]] = {}
         self._sends: list[Outgoing] = []
         self._changes: list[Change] = []
         self._synced_at_s = float("-inf")
-        self._crashes = CrashCounter()
         self._crash_number = record.incarnation
         self.book.merge(record, 0.0)
 
@@ -169,12 +168,12 @@
             self._judge_silent(host, now_s)
         for host in self._detector.take_uncontradicted(now_s):
             self._set_other_state(host, MemberState.GONE, now_s)
+        self._update_neighbours()
         self._gossip(now_s)
         is_alone = not self._neighbours
         if is_alone or now_s - self._synced_at_s >= self._times.sync_interval_s:
             self._synced_at_s = now_s
             self.book.expire(now_s)
-            self._crashes.forget_others(c.fingerprint for c in self.book.list_crashes())
             self._start_sync(now_s)
 
     def flush(self) -> None:
@@ -206,6 +205,7 @@
                 self._receive_sync_request(sender, message, now_s)
             case SyncRecords():
                 self._receive_sync_records(sender, message, now_s)
+        self._update_neighbours()
 
     def _receive_gossip(self, sender: HostId, message: Gossip, now_s: float) -> None:
         self._merge_all((*message.hosts, *message.marks), sender, now_s)
@@ -303,14 +303,12 @@
             case CrashRecord(fingerprint=fingerprint, upstream=upstream):
                 if record.host != self._own.host:
                     self._changes.append(CrashHeard(fingerprint=fingerprint, upstream=upstream))
-                if self._crashes.record(fingerprint, upstream, now_s) >= CRASHES_TO_QUARANTINE:
-                    self.quarantine(fingerprint, now_s)
 
     def _note_host(self, record: HostRecord, now_s: float) -> None:
         self._detector.note_record(record, now_s)
         if record.state is MemberState.GONE:
             self.measurements.forget_host(record.host)
-        self._update_neighbours()
+        self._hosts_changed = True
         self._changes.append(HostsChanged())
 
     def _contradict(self, record: HostRecord, now_s: float) -> None:
@@ -345,7 +343,13 @@
     # Heartbeats.
 
     def _update_neighbours(self) -> None:
-        """Choose neighbours anew; tell the old ones, and compare records with the new ones."""
+        """Choose neighbours anew if hosts have changed.
+
+        The old ones are told, records are compared with the new ones.
+        """
+        if not self._hosts_changed:
+            return
+        self._hosts_changed = False
         chosen = choose_neighbours(self._own, self.list_members())
         before = {record.host: record for record in self._neighbours}
         after = {record.host: record for record in chosen}
--- a/greengagestage/membership/_records.py
+++ b/greengagestage/membership/_records.py
@@ -15,7 +15,7 @@
 Key = tuple[str, ...]
 
 GONE_HOST_LIFETIME_S = 24 * 3600.0
-CRASH_LIFETIME_S = 600.0
+CRASH_LIFETIME_S = 60.0
 QUARANTINE_LIFETIME_S = 24 * 3600.0
 UNLIMITED_S = float("inf")
 
--- a/greengagestage/membership/_times.py
+++ b/greengagestage/membership/_times.py
@@ -12,7 +12,6 @@
         suspect_after_s: Silence after which a host is suspected.
         gone_after_s: Time that a suspected host has to contradict.
         sync_interval_s: Between two comparisons of all records with another host.
-        full_report_hosts: Up to this number of hosts, work in flight is shared too.
         report_interval_s: Least time between two reports of a host.
         report_rate_per_s: Reports of the whole fleet a second, which sets a longer interval.
     """
@@ -21,6 +20,5 @@
     suspect_after_s: float = 5.0
     gone_after_s: float = 4.0
     sync_interval_s: float = 10.0
-    full_report_hosts: int = 32
     report_interval_s: float = 2.0
-    report_rate_per_s: float = 8.0
+    report_rate_per_s: float = 4.0
--- a/greengagestage/wire/_messages.py
+++ b/greengagestage/wire/_messages.py
@@ -58,7 +58,7 @@
 
 
 class CrashReport(Struct, frozen=True, kw_only=True, tag="crash"):
-    """Both ways: an upstream was lost while it ran this fingerprint."""
+    """Both ways: an upstream was lost while it ran this fingerprint, here or on another host."""
 
     fingerprint: Fingerprint
     upstream: UpstreamName
--- a/tests/test_agent_processes.py
+++ b/tests/test_agent_processes.py
@@ -73,6 +73,16 @@
     assert states == {"engine-1": "leaving", "engine-2": "live"}
 
 
+def test_orders_are_accepted_and_listed(fleet: AgentFleet) -> None:
+    first, second = fleet.start(2)
+    answer = first.run("load adapter profiles on engine-1")
+    assert answer.code == 0, answer
+    fleet.wait(lambda: len(second.run("show leases").rows) > 0, "a host holds the lease")
+    rows = second.run("show orders").rows
+    assert [(row[0], row[3]) for row in rows] == [("engine-1", "profiles")]
+    assert first.run("load adapter profiles on engine-9").code != 0
+
+
 def test_whole_declaration_is_applied(fleet: AgentFleet) -> None:
     (first,) = fleet.start(1)
     bad = first.call("/v1/apply", {"toml": "classes = []\nworkspaces = []"}).decode(CommandAnswer)
