Record the machine's load and the entry's CPU share with each bench run

Cause: on a shared machine engines' steps come late when it is overloaded, and a figure does not show whether that was so. Change: every run in the JSON result carries the load average over the processors and the CPU share of the busiest entry process. Conclusion: runs above 100% are to be read with care; compare within the run only.

--- a/bench/_cost.py
+++ b/bench/_cost.py
@@ -23,6 +23,7 @@
 from standins.load import LoadJob
 
 from ._comparison import Spread, compute_spread
+from ._cpu import read_cpu_s
 from ._policies import POLICY_VARIABLE, PolicyName
 
 SHORT_ANSWER_TOKENS = 4
@@ -33,7 +34,6 @@
 RELAY = "relay"
 US_PER_S = 1e6
 MS_PER_S = 1e3
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Cost(Struct, frozen=True, kw_only=True):
@@ -94,13 +94,6 @@
     )
 
 
-def read_cpu_s(pid: int) -> float:
-    """Return the CPU time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    user_ticks, system_ticks = int(fields[11]), int(fields[12])
-    return (user_ticks + system_ticks) / _TICKS_PER_S
-
-
 def _measure_round(
     process: ChildProcess, direct: _Sample, number: int, round_s: float, directory: Path
 ) -> _Round:
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -16,7 +16,8 @@
     met = ", ".join(f"{row.service_class} {row.attainment:.3f}" for row in summary.classes)
     return (
         f"  {run.policy.value}: met {met}; {summary.goodput_tokens_per_s:.0f} tokens/s;"
-        f" wasted {summary.wasted_output_tokens} output, {summary.wasted_prefill_tokens} prefill"
+        f" wasted {summary.wasted_output_tokens} output, {summary.wasted_prefill_tokens} prefill;"
+        f" entry {run.entry_cpu_share:.0%} of a core, machine {run.machine_load:.0%}"
     )
 
 
--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -14,6 +14,7 @@
 from standins._summary import RunSummary, summarize_run
 from standins.load import LoadJob
 
+from ._cpu import read_cpu_s
 from ._deployments import Deployment
 from ._policies import POLICY_VARIABLE, PolicyName
 from ._scenarios import Disturbance, Scenario, build_load
@@ -34,11 +35,19 @@
 
 
 class PolicyRun(Struct, frozen=True, kw_only=True):
-    """One policy's figures in one run."""
+    """One policy's figures in one run.
+
+    Attributes:
+        machine_load: The machine's load average at the end, divided by its processors; above
+            1 the engines' steps come late, in all policies' fleets.
+        entry_cpu_share: The busiest entry process's CPU time over the run's time.
+    """
 
     key: RunKey
     policy: PolicyName
     summary: RunSummary
+    machine_load: float
+    entry_cpu_share: float
 
 
 class _Contestant:
@@ -54,6 +63,7 @@
         self._result_file = directory / "result.json"
         self._job_file = directory / "job.json"
         self._load: ChildProcess | None = None
+        self._started_s = 0.0
 
     def launch_hosts(self) -> None:
         """Start the hosts' processes under this policy."""
@@ -69,12 +79,18 @@
             name="load", command=command, directory=self.fleet.directory, url=""
         )
         self._load.start()
+        self._started_s = time.monotonic()
 
     @property
     def sending(self) -> bool:
         """Whether the load generator still runs."""
         return self._load is not None and self._load.running
 
+    def measure_entry_cpu_share(self) -> float:
+        """Return the busiest entry process's CPU time since its start, over the load's time."""
+        pids = [self.fleet.process(f"entry-{host.name}").pid for host in self.fleet.shape.hosts]
+        return max(map(read_cpu_s, pids)) / (time.monotonic() - self._started_s)
+
     def read_result(self) -> LoadResult:
         """Return what the callers saw."""
         return msgspec.json.decode(self._result_file.read_bytes(), type=LoadResult)
@@ -164,4 +180,10 @@
     summary = summarize_run(
         contestant.read_result(), deployment.classes, contestant.fleet.read_engine_ledgers()
     )
-    return PolicyRun(key=key, policy=contestant.policy, summary=summary)
+    return PolicyRun(
+        key=key,
+        policy=contestant.policy,
+        summary=summary,
+        machine_load=os.getloadavg()[0] / (os.cpu_count() or 1),
+        entry_cpu_share=contestant.measure_entry_cpu_share(),
+    )
