--- a/greengagestage/agent/_entry_feed.py
+++ b/greengagestage/agent/_entry_feed.py
@@ -50,6 +50,7 @@
         self._polls = polls
         self._send = send
         self._changed: set[UpstreamName] = set()
+        self._leaving: set[UpstreamName] = set()
         self._hosts_changed = False
         self._reported_at_s = float("-inf")
         self._shared_at_s = float("-inf")
@@ -70,9 +71,12 @@
             self._loop.stop()
 
     def note_upstreams(self, names: Iterable[UpstreamName]) -> None:
-        """Send the status of these upstreams soon, of leaving ones at once."""
+        """Send the status of these upstreams soon; at once when one begins or ends to leave."""
         self._changed.update(names)
-        if any(self._membership.is_leaving(name) for name in self._changed):
+        leaving = {name for name in self._changed if self._membership.is_leaving(name)}
+        back = (self._changed - leaving) & self._leaving
+        if leaving - self._leaving or back:
+            self._leaving = (self._leaving | leaving) - back
             self._send_statuses()
             self._hosts_changed = True
 
--- a/greengagestage/membership/_shares.py
+++ b/greengagestage/membership/_shares.py
@@ -8,6 +8,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from xxhash import xxh64_intdigest
 
@@ -19,6 +20,8 @@
 EVEN_PART = 0.5
 """Part of the slots that is split evenly, so that a burst finds slots at every host."""
 
+RANKINGS_KEPT = 2048
+
 Shares = dict[HostId, dict[UpstreamName, int]]
 
 
@@ -41,16 +44,17 @@
 
 def compute_shares(hosts: Iterable[HostDemand], upstreams: Iterable[SharedUpstream]) -> Shares:
     """Return the slots of every host at every upstream, also those that are 0."""
-    ordered_hosts = sorted(hosts, key=lambda item: item.host)
+    by_name = {item.host: item for item in sorted(hosts, key=lambda item: item.host)}
+    names = tuple(by_name)
     ordered_upstreams = sorted(upstreams, key=lambda item: item.name)
-    shares: Shares = {item.host: {} for item in ordered_hosts}
-    if not ordered_hosts:
+    zeros = {upstream.name: 0 for upstream in ordered_upstreams}
+    shares: Shares = {name: dict(zeros) for name in names}
+    if not names:
         return shares
     for upstream in ordered_upstreams:
-        chosen = _choose_hosts(upstream, ordered_hosts)
-        split = _split_slots(upstream, chosen)
-        for item in ordered_hosts:
-            shares[item.host][upstream.name] = split.get(item.host, 0)
+        split = _split_slots(upstream, _choose_hosts(upstream, by_name, names))
+        for name, slots in split.items():
+            shares[name][upstream.name] = slots
     _serve_every_pool(shares, ordered_upstreams)
     return shares
 
@@ -60,11 +64,21 @@
     return xxh64_intdigest(f"{upstream}\0{host}".encode())
 
 
-def _choose_hosts(upstream: SharedUpstream, hosts: list[HostDemand]) -> list[HostDemand]:
+@lru_cache(maxsize=RANKINGS_KEPT)
+def _choose_names(
+    upstream: UpstreamName, number: int, hosts: tuple[HostId, ...]
+) -> frozenset[HostId]:
+    """Return the hosts with the lowest scores; kept, since hosts change seldom."""
+    return frozenset(sorted(hosts, key=lambda host: _score(upstream, host))[:number])
+
+
+def _choose_hosts(
+    upstream: SharedUpstream, hosts: dict[HostId, HostDemand], names: tuple[HostId, ...]
+) -> list[HostDemand]:
     """Return the hosts that share an upstream. Few change when a host comes or goes."""
     least = min(upstream.slots, MIN_HOSTS_PER_UPSTREAM)
     number = min(len(hosts), max(least, upstream.slots // SLOTS_PER_HOST))
-    return sorted(hosts, key=lambda item: _score(upstream.name, item.host))[:number]
+    return [hosts[name] for name in sorted(_choose_names(upstream.name, number, names))]
 
 
 def _split_slots(upstream: SharedUpstream, hosts: list[HostDemand]) -> dict[HostId, int]:
