Preempt in time for the answer target too

Cause: a request's patience ended by its first-token target alone. Where the answer target is the tighter one, a useless-when-late request was refused with lower work running whose slot would have saved it.

Change: patience ends at the earlier of both; a request without patience from the start preempts on arrival. The oracle asserts that no slot could have been taken when it sees TARGET_UNREACHABLE.

Ruled out: keeping the first-token rule and refusing later: the answer is then late for certain.

--- a/greengagestage/policy/_preemption.py
+++ b/greengagestage/policy/_preemption.py
@@ -12,17 +12,17 @@
 PREEMPTIONS_LIMIT = 1
 FIRST_TOKEN_MARGIN = 1.5
 SHARE_OF_TARGET_KEPT = 0.2
+ANSWER_MARGIN = 1.1
 PROMPT_SHARE_BEFORE_TOKEN = 0.5
 
 
 def compute_patience_end(record: RequestRecord, pool: PoolState) -> float:
     """Return the time from which a waiting request may preempt."""
     target_s = record.first_token_due_s - record.arrived_s
-    needed_s = max(
-        pool.speed.estimate_first_token_s(record.service_class.name) * FIRST_TOKEN_MARGIN,
-        target_s * SHARE_OF_TARGET_KEPT,
-    )
-    return max(record.arrived_s, record.first_token_due_s - needed_s)
+    first_s = pool.speed.estimate_first_token_s(record.service_class.name) * FIRST_TOKEN_MARGIN
+    first_start_s = record.first_token_due_s - max(first_s, target_s * SHARE_OF_TARGET_KEPT)
+    answer_start_s = record.due_s - record.service_s * ANSWER_MARGIN
+    return max(record.arrived_s, min(first_start_s, answer_start_s))
 
 
 def is_impatient(record: RequestRecord, pool: PoolState, now_s: float) -> bool:
--- a/greengagestage/policy/_reviews.py
+++ b/greengagestage/policy/_reviews.py
@@ -111,15 +111,16 @@
         if not record.late and state.now_s >= _find_likely_start(state, record):
             state.note(record, "can no longer be on time; goes behind those that can")
             state.find_pool(record.pool).queue.demote(record)
-        if is_impatient(record, state.find_pool(record.pool), state.now_s):
-            state.find_pool(record.pool).add_impatient(record)
-            state.dirty_pools[record.pool] = None
         schedule_review(state, record)
 
 
 def schedule_review(state: PolicyState, record: RequestRecord) -> None:
     """Look at a queued request again when it may preempt and when it becomes late."""
-    times = [compute_patience_end(record, state.find_pool(record.pool))]
+    pool = state.find_pool(record.pool)
+    if is_impatient(record, pool, state.now_s):
+        pool.add_impatient(record)
+        state.dirty_pools[record.pool] = None
+    times = [compute_patience_end(record, pool)]
     if not record.late:
         times.append(_find_likely_start(state, record))
     if record.late_is_useless:
--- a/tests/policy_oracle.py
+++ b/tests/policy_oracle.py
@@ -58,6 +58,8 @@
         self.quarantined: set[Fingerprint] = set()
         self.usable: dict[UpstreamName, int] = {}
         self.reserved: set[AttemptId] = set()
+        self.healthy: set[UpstreamName] = set()
+        self.shared: set[Fingerprint] = set()
 
     def arrive(self, request: Request) -> None:
         self.models[request.request_id] = Model(request=request)
@@ -142,9 +144,28 @@
             assert model.claim != "granted", "the claim of what did not run must be given up"
         if action.code in ROOM_CODES:
             self._check_nothing_lower_waits(model)
+        if action.code is ResultCode.TARGET_UNREACHABLE:
+            self._check_no_slot_could_be_taken(model)
         if action.retry_after_s is not None:
             assert 0.0 < action.retry_after_s <= 90.0
 
+    def _check_no_slot_could_be_taken(self, refused: Model) -> None:
+        """Every slot that could be preempted is needed by another request that waits."""
+        if refused.burnt or refused.request.fingerprint in self.shared:
+            return
+        rivals = [m for m in self.models.values() if m.waits and m.tier <= refused.tier]
+        takeable = [
+            running.request.request_id
+            for upstream in sorted(self.healthy)
+            if len(self.in_flight(upstream)) <= self.usable.get(upstream, 0)
+            for running in self.in_flight(upstream)
+            if running.tier > refused.tier
+            and running.request.idempotent
+            and running.preemptions < PREEMPTIONS_LIMIT
+            and running.running not in self.reserved
+        ]
+        assert len(takeable) <= len(rivals), f"{takeable} could have given up a slot"
+
     def _check_nothing_lower_waits(self, refused: Model) -> None:
         """The last waiting request of a class has its minimum share and is not given up."""
         for tier in range(refused.tier + 1, len(TIERS)):
--- a/tests/test_policy_load.py
+++ b/tests/test_policy_load.py
@@ -181,6 +181,31 @@
     assert len(host.dispatches("old")) == 1
 
 
+def stream(host: Host, name: str) -> None:
+    """Give a running request 75 tokens in 2.4 s and finish it."""
+    attempt = host.dispatches(name)[-1].attempt_id
+    for _ in range(4):
+        host.progress(attempt, 19, after_s=0.6)
+    host.finish(attempt)
+
+
+def test_preempts_in_time_for_the_answer_target_too() -> None:
+    phone = build_class("phone", first_token_target_ms=3000, late_answer=LateAnswer.USELESS)
+    host = Host(build_declaration(engines=1, slots=1, classes=[phone, build_class("brief")]))
+    for n in range(10):
+        host.arrive(f"warm-up{n}", "phone")
+        stream(host, f"warm-up{n}")
+        host.send(TimerFired(), after_s=30.0)
+    host.arrive("brief", "brief")
+    host.actions.clear()
+    host.arrive("phone", "phone")
+    assert host.dispatches("phone") == []
+    host.now_s = min(action.at_s for action in host.actions if isinstance(action, WakeAt))
+    host.send(TimerFired())
+    stream(host, "phone")
+    assert host.code("phone") == "DELIVERED"
+
+
 def test_preempts_one_request_once_only() -> None:
     host = Host(build_declaration(engines=1, slots=2))
     host.arrive("b0", "brief")
--- a/tests/test_policy_machine.py
+++ b/tests/test_policy_machine.py
@@ -51,6 +51,7 @@
         super().__init__()
         self.policies = [Policy(host=HostId("h0"), seed=7) for _ in range(2)]
         self.oracle = Oracle()
+        self.oracle.shared = {Fingerprint("x"), Fingerprint("y")}
         self.now_s = 50.0
         self.wake_s: float | None = None
         self.count = 0
@@ -60,6 +61,11 @@
         self.stopping = False
 
     def send(self, event: Event) -> None:
+        self.oracle.healthy = {
+            load.upstream
+            for load in self.policies[0].inspect().upstreams
+            if load.health.value == "in_use"
+        }
         answers = [policy.handle(event, self.now_s) for policy in self.policies]
         assert answers[0] == answers[1], "the same seed and events must act alike"
         state = self.policies[0]._state
