Ask for each version's document at once; measure how fast news spreads

Cause: a host that had asked a neighbour for a document within the last second did not ask for the next version until a heartbeat: 1.53 s to four hosts. Change: the limit of one request a second counts by version; python -m bench.control also measures the time until all entry processes know a leaving upstream, and a version with the platform down right after its acceptance.

--- a/bench/control.py
+++ b/bench/control.py
@@ -18,6 +18,7 @@
 import click
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 from rich.console import Console
 from rich.table import Table
 from twisted.internet import reactor as installed_reactor
@@ -28,6 +29,7 @@
 from greengagestage.configuration import (
     Declaration,
     Model,
+    Operator,
     ServiceClass,
     Upstream,
     UpstreamKind,
@@ -39,6 +41,7 @@
     ClassName,
     FailureDomain,
     ModelName,
+    OperatorName,
     PoolName,
     UpstreamName,
     WorkspaceId,
@@ -47,6 +50,8 @@
 from standins._processes import ChildProcess, PortReservations
 from standins._web_calls import send_call
 
+from ._control_spread import OPERATOR_DIGEST, Heard, measure_leaving, measure_versions
+
 FLEET_KEY = "fleet-key-of-the-bench"
 MODELS = 5
 CLASSES = 6
@@ -72,12 +77,17 @@
 
 
 class FleetCost(Struct, frozen=True, kw_only=True):
-    """The cost of the agents of a fleet; loads are calls to engines a second and host."""
+    """The cost of the agents of a fleet; loads are calls to engines a second and host.
+
+    The spreads are times until the last host's entry process was told.
+    """
 
     hosts: int
     engines: int
     load_calls_per_s: float
     costs: tuple[HostCost, ...]
+    leaving_spread_s: tuple[float, ...] = ()
+    version_spread_s: tuple[float, ...] = ()
 
 
 class _LoadReports(Resource):
@@ -109,8 +119,12 @@
         self.process = ChildProcess(
             name=f"agent-{number}", command=command, directory=directory, url=f"http://{self.http}"
         )
+        self.heard = Heard()
         self.link = AgentLink(
-            reactor=reactor, address=self.entry, fleet_key=FLEET_KEY, on_message=lambda _: None
+            reactor=reactor,
+            address=self.entry,
+            fleet_key=FLEET_KEY,
+            on_message=self.heard.receive,
         )
 
     def read_cpu_s(self) -> float:
@@ -168,6 +182,7 @@
         workspaces=(Workspace(name=WorkspaceId("w"), keys=(), default_class=classes[0].name),),
         models=tuple(Model(name=ModelName(f"model-{number}")) for number in range(MODELS)),
         upstreams=upstreams,
+        operators=(Operator(name=OperatorName("bench"), sha256=OPERATOR_DIGEST),),
     )
 
 
@@ -214,6 +229,11 @@
             loops = [_start_reports(agent, number) for number, agent in enumerate(agents)]
             await deferLater(reactor, warm_up_s)
             cost = await _measure(agents, reports, duration_s, engines)
+            cost = replace(
+                cost,
+                leaving_spread_s=await measure_leaving(agents),
+                version_spread_s=await measure_versions(agents, platform.url),
+            )
             for loop, agent in zip(loops, agents, strict=True):
                 loop.stop()
                 agent.link.stop()
@@ -289,6 +309,8 @@
         table.add_column(column, justify="right")
     table.add_column("load calls/s", justify="right")
     table.add_column("load B/s", justify="right")
+    table.add_column("leaving s", justify="right")
+    table.add_column("version s", justify="right")
     for fleet in fleets:
         table.add_row(
             str(fleet.hosts),
@@ -300,6 +322,8 @@
             f"{statistics.mean(c.peer_messages_per_s for c in fleet.costs):.1f}",
             f"{fleet.load_calls_per_s:.2f}",
             f"{fleet.load_calls_per_s * LOAD_CALL_BYTES:.0f}",
+            f"{max(fleet.leaving_spread_s):.2f}",
+            f"{max(fleet.version_spread_s):.2f}",
         )
     return table
 
--- a/greengagestage/agent/_fleet.py
+++ b/greengagestage/agent/_fleet.py
@@ -58,7 +58,7 @@
         self._on_query = on_query
         self._version: Version | None = None
         self._compressed = b""
-        self._requested_at_s: dict[str, float] = {}
+        self._requested_at_s: dict[tuple[str, int], float] = {}
         self._flush: Any = None
         times = MembershipTimes()
         self.membership = Membership(record=_build_record(settings), times=times, random=random)
@@ -104,16 +104,17 @@
         self._deliver()
 
     def request_document(self, version: int, address: str) -> None:
-        """Ask a host for its document, at most once a second each."""
+        """Ask a host for its document, at most once a second for each version."""
         now_s = time.monotonic()
-        if now_s - self._requested_at_s.get(address, float("-inf")) < DOCUMENT_REQUEST_INTERVAL_S:
+        asked = (address, version)
+        if now_s - self._requested_at_s.get(asked, float("-inf")) < DOCUMENT_REQUEST_INTERVAL_S:
             return
         self._requested_at_s = {
             known: at_s
             for known, at_s in self._requested_at_s.items()
             if now_s - at_s < DOCUMENT_REQUEST_INTERVAL_S
         }
-        self._requested_at_s[address] = now_s
+        self._requested_at_s[asked] = now_s
         request = DocumentRequest(version=version, address=self.membership.own.address)  # type: ignore[arg-type]
         self.socket.send(address, request)
 
