--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""The bench: ``python -m bench``. It writes a JSON result and a plot, and prints tables."""
+"""The bench: ``python -m bench``. It prints tables and writes them, a JSON result and a plot."""
 
 import shlex
 import sys
@@ -15,6 +15,7 @@
 from ._comparison import Comparison, compare_runs
 from ._cost import CostReport, measure_cost
 from ._deployments import DEPLOYMENTS
+from ._markdown import render_comparisons, render_cost, render_retention
 from ._plot import draw_comparisons
 from ._report import build_comparison_table, build_cost_table, build_retention_table, describe_run
 from ._retention import RetentionFigures, measure_retention, summarize_retention
@@ -56,7 +57,7 @@
     type=click.Path(path_type=Path),
     default=Path(".run/bench"),
     show_default=True,
-    help="Path of the JSON result and the plot, without its ending.",
+    help="Path of the written files, without the ending.",
 )
 def main(
     quick: bool,
@@ -145,8 +146,18 @@
     output.with_suffix(".json").write_bytes(encoded)
 
 
+def _write_page(result: BenchResult, output: Path) -> None:
+    parts = [f"`{result.command}`\n", render_comparisons(result.comparisons)]
+    if result.cost is not None:
+        parts.append(render_cost(result.cost))
+    if result.retention:
+        parts.append(render_retention(result.retention))
+    output.with_suffix(".md").write_text("\n".join(parts))
+
+
 def _write(result: BenchResult, output: Path) -> None:
     _write_json(result, output)
+    _write_page(result, output)
     draw_comparisons(result.comparisons, output.with_suffix(".png"))
     for comparison in result.comparisons:
         _console.print(build_comparison_table(comparison))
@@ -154,7 +165,7 @@
         _console.print(build_cost_table(result.cost))
     if result.retention:
         _console.print(build_retention_table(result.retention))
-    _console.print(f"written: {output.with_suffix('.json')} and {output.with_suffix('.png')}")
+    _console.print(f"written: {output}.json, {output}.md and, with several levels, {output}.png")
 
 
 if __name__ == "__main__":
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -1,11 +1,10 @@
 """The bench's tables for the terminal."""
 
-import math
-
 from rich.table import Table
 
-from ._comparison import Comparison, Spread
+from ._comparison import Comparison
 from ._cost import CostReport
+from ._markdown import format_spread
 from ._retention import RetentionFigures
 from ._runs import PolicyRun
 
@@ -26,8 +25,9 @@
     table = Table(
         title=f"{comparison.deployment}, {comparison.scenario},"
         f" load {comparison.level:g} of capacity, seeds {comparison.seeds}",
-        caption=f"ratios to the better baseline: goodput {_format(comparison.goodput_ratio, 2)},"
-        f" wasted work {_format(comparison.wasted_ratio, 2)}",
+        caption="ratios to the better baseline:"
+        f" goodput {format_spread(comparison.goodput_ratio, 2)},"
+        f" wasted work {format_spread(comparison.wasted_ratio, 2)}",
     )
     classes = list(comparison.policies[0].attainment)
     for column in ("policy", *(f"{name} met" for name in classes)):
@@ -37,10 +37,10 @@
     for figures in comparison.policies:
         table.add_row(
             figures.policy.value,
-            *(_format(figures.attainment[name], 3) for name in classes),
-            _format(figures.goodput_tokens_per_s, 0),
-            _format(figures.wasted_tokens, 0),
-            _format(figures.fairness, 3),
+            *(format_spread(figures.attainment[name], 3) for name in classes),
+            format_spread(figures.goodput_tokens_per_s, 0),
+            format_spread(figures.wasted_tokens, 0),
+            format_spread(figures.fairness, 3),
             str(figures.broken),
             str(figures.mismatched),
         )
@@ -55,9 +55,9 @@
     for cost in (report.relay, report.router):
         table.add_row(
             cost.name,
-            _format(cost.cpu_us_per_request, 0),
-            _format(cost.cpu_us_per_chunk, 1),
-            _format(cost.added_first_token_ms, 2),
+            format_spread(cost.cpu_us_per_request, 0),
+            format_spread(cost.cpu_us_per_chunk, 1),
+            format_spread(cost.added_first_token_ms, 2),
         )
     table.add_row(
         "ratio",
@@ -84,17 +84,11 @@
     for row in figures:
         table.add_row(
             row.continuation.value,
-            _format(row.extra_prefill_tokens, 0),
-            _format(row.extra_output_tokens, 0),
-            _format(row.gap_ms, 0),
-            _format(row.short_prefill_tokens, 0),
-            _format(row.short_first_token_ms, 0),
+            format_spread(row.extra_prefill_tokens, 0),
+            format_spread(row.extra_output_tokens, 0),
+            format_spread(row.gap_ms, 0),
+            format_spread(row.short_prefill_tokens, 0),
+            format_spread(row.short_first_token_ms, 0),
             str(row.wrong),
         )
     return table
-
-
-def _format(spread: Spread, digits: int) -> str:
-    if math.isnan(spread.mean):
-        return "-"
-    return f"{spread.mean:.{digits}f} ({spread.low:.{digits}f}..{spread.high:.{digits}f})"
--- a/tests/test_bench_parts.py
+++ b/tests/test_bench_parts.py
@@ -4,7 +4,11 @@
 
 from bench._baselines import Balancing, BaselinePolicy
 from bench._capacity import compute_mean_length, compute_rate_per_s, compute_request_work_s
+from bench._comparison import Spread, compare_runs
 from bench._deployments import COOPERATIVE, DEPLOYMENTS, ENGINE_COSTS, ENGINE_SLOTS, Deployment
+from bench._markdown import render_comparisons
+from bench._policies import PolicyName
+from bench._runs import PolicyRun, RunKey
 from bench._scenarios import SCENARIOS, build_load
 from greengagestage.ids import AttemptId, ClassName, Fingerprint, PoolName, RequestId, WorkspaceId
 from greengagestage.policy import (
@@ -22,6 +26,7 @@
 )
 from greengagestage.results import ResultCode
 from standins._fleet_shape import MODEL, build_declaration
+from standins._summary import RunSummary
 
 
 def _build_policy(balancing: Balancing) -> BaselinePolicy:
@@ -112,3 +117,38 @@
         for scenario in SCENARIOS
     }
     assert [name for name, count in bursts.items() if count] == ["burst"]
+
+
+def _build_run(policy: PolicyName, seed: int, goodput: float, wasted: int) -> PolicyRun:
+    return PolicyRun(
+        key=RunKey(deployment="d", scenario="level 1.5", level=1.5, seed=seed, duration_s=1.0),
+        policy=policy,
+        summary=RunSummary(
+            classes=(),
+            goodput_tokens_per_s=goodput,
+            wasted_output_tokens=wasted,
+            wasted_prefill_tokens=wasted,
+            wasted_share=0.0,
+            fairness=1.0,
+            mismatched=0,
+        ),
+        machine_load=0.5,
+        entry_cpu_share=0.1,
+    )
+
+
+def test_ratios_are_taken_to_the_better_baseline_of_each_seed() -> None:
+    runs = [
+        _build_run(PolicyName.GREENGAGE, 1, 120.0, 5),
+        _build_run(PolicyName.ROUND_ROBIN, 1, 100.0, 20),
+        _build_run(PolicyName.LEAST_IN_FLIGHT, 1, 60.0, 10),
+        _build_run(PolicyName.GREENGAGE, 2, 120.0, 5),
+        _build_run(PolicyName.ROUND_ROBIN, 2, 50.0, 0),
+        _build_run(PolicyName.LEAST_IN_FLIGHT, 2, 60.0, 10),
+    ]
+    (comparison,) = compare_runs(runs)
+    assert comparison.seeds == [1, 2]
+    assert comparison.goodput_ratio == Spread(mean=1.6, low=1.2, high=2.0)
+    assert comparison.wasted_ratio == Spread(mean=0.5, low=0.5, high=0.5)
+    page = render_comparisons([comparison])
+    assert "| level 1.5 | 1.5 | 1.60 (1.20..2.00) | 0.50 (0.50..0.50) |" in page
