Send nothing more to an engine that has stopped answering while another answers

Cause: a frozen engine took new requests until the time-out of the first token (2 s and more) had failed three of them; a short answer's target is as long.

Change: an engine with requests of this host that has sent nothing for 0.75 s is left out of routing and preemption while another answers, and is used again with its next token. Plain services are excepted.

Ruled out: shorter time-outs, which would fail and rerun work that is only slow.

Figures: test_upstream_that_stops_answering... fails without it.

--- a/greengagestage/policy/_measurements.py
+++ b/greengagestage/policy/_measurements.py
@@ -31,6 +31,8 @@
         now_s = self._state.now_s
         attempt.tokens += tokens
         entry = self._state.upstreams.find(attempt.upstream)
+        if entry is not None:
+            self._note_heard(entry)
         if attempt.first_token_s is None:
             attempt.first_token_s = now_s
             attempt.marked_s, attempt.marked_tokens = now_s, attempt.tokens
@@ -51,6 +53,7 @@
         entry = state.upstreams.find(attempt.upstream)
         if entry is None:
             return
+        self._note_heard(entry)
         if attempt.tokens > attempt.marked_tokens:
             self._note_interval(record, attempt, entry)
         entry.health.note_success(attempt.probe)
@@ -71,6 +74,13 @@
         if entry.health.note_failure(now_s, probe=attempt.probe, certain=certain):
             self._wake_pools(entry, entry.health.out_until_s)
 
+    def _note_heard(self, entry: UpstreamEntry) -> None:
+        """Note that an upstream answers; one that had stalled may be used again."""
+        now_s = self._state.now_s
+        if entry.is_stalled(now_s):
+            self._wake_pools(entry, now_s)
+        entry.heard_s = now_s
+
     def _note_refusal(self, entry: UpstreamEntry, attempt: Attempt, event: AttemptFailed) -> None:
         now_s = self._state.now_s
         if event.upstream_leaving:
--- a/greengagestage/policy/_state.py
+++ b/greengagestage/policy/_state.py
@@ -130,6 +130,8 @@
         self.find_pool(record.pool).impatient.discard(record)
         record.tried.append(entry.name)
         record.possibly_ran = True
+        if not entry.in_flight:
+            entry.heard_s = self.now_s
         entry.in_flight[attempt.attempt_id] = record
         entry.suspects += attempt.suspect
         entry.prefixes.remember(record.request.prefix_hashes)
--- a/greengagestage/policy/_upstreams.py
+++ b/greengagestage/policy/_upstreams.py
@@ -1,7 +1,7 @@
 """What this host knows of every upstream, and what it has in flight there."""
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -15,6 +15,7 @@
 from ._records import RequestRecord
 
 LEAVING_HOLD_S = 30.0
+STALL_S = 0.75
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -28,6 +29,7 @@
         slots: Slots that this host may fill.
         in_flight: The requests that this host has there, by attempt.
         suspects: How many of them were present at a crash before.
+        heard_s: Time at which the upstream last answered, or was idle.
         said_leaving_s: Time at which the upstream itself said that it is leaving.
     """
 
@@ -40,6 +42,7 @@
     slots: int = 0
     in_flight: dict[AttemptId, RequestRecord] = field(default_factory=dict)
     suspects: int = 0
+    heard_s: float = 0.0
     said_leaving_s: float | None = None
     health: Health = field(default_factory=Health)
     prefixes: PrefixMemory = field(default_factory=PrefixMemory)
@@ -51,6 +54,10 @@
             return False
         return self.state is UpstreamState.LIVE
 
+    def is_stalled(self, now_s: float) -> bool:
+        """Whether an engine has requests of this host and has sent nothing for long."""
+        return bool(self.in_flight) and self.resumes and now_s - self.heard_s > STALL_S
+
     @property
     def resumes(self) -> bool:
         """Whether an answer can be cut and continued elsewhere."""
@@ -79,6 +86,12 @@
         self.state = report.state
 
 
+def list_answering(used: Iterable[UpstreamEntry], now_s: float) -> list[UpstreamEntry]:
+    """Return the upstreams that have not stalled, or all where every one has."""
+    entries = list(used)
+    return [entry for entry in entries if not entry.is_stalled(now_s)] or entries
+
+
 def list_pools(upstream: Upstream) -> tuple[PoolName, ...]:
     """Return the pools that an upstream belongs to."""
     if upstream.kind is UpstreamKind.SERVICE:
--- a/tests/test_policy_faults.py
+++ b/tests/test_policy_faults.py
@@ -330,3 +330,18 @@
     assert not any(isinstance(action, Dispatch) for action in host.arrive("again"))
     answers = host.send(FingerprintQuarantined(fingerprint=suspect), after_s=0.01)
     assert [a.code for a in answers if isinstance(a, Reject)] == [ResultCode.QUARANTINED]
+
+
+def test_upstream_that_stops_answering_gets_nothing_more_while_another_answers() -> None:
+    host = Host(build_declaration(engines=2, slots=2, classes=[build_class("phone")]))
+    for name in ("a0", "a1"):
+        host.arrive(name, "phone")
+    frozen, working = host.dispatches("a0")[0], host.dispatches("a1")[0]
+    assert frozen.upstream != working.upstream
+    for _ in range(4):
+        host.progress(working.attempt_id, 8, after_s=0.25)
+    for n in range(3):
+        host.arrive(f"b{n}", "phone")
+    assert [d.upstream for n in range(3) for d in host.dispatches(f"b{n}")] == [working.upstream]
+    host.progress(frozen.attempt_id, 1)
+    assert len([d for n in range(3) for d in host.dispatches(f"b{n}")]) == 2
