Prove that tests see each guard taken out

Cause: a test that passes proves little until it was seen failing without the code that it is for; that was done by hand and left no trace. Conclusion: the table grows with each promise.

--- /dev/null
+++ b/bench/_guard_table.py
@@ -0,0 +1,152 @@
+"""The guards behind the promises: the code of each, what stands in its place when it is taken
+out, and the tests that must then fail."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Guard:
+    """A guard that can be taken out.
+
+    Attributes:
+        promise: What the guard keeps true.
+        file: The module that holds it.
+        text: The guard's text, which stands exactly once in the module.
+        without: The text in its place when it is taken out.
+        tests: Arguments for pytest that select tests which must fail without it.
+    """
+
+    name: str
+    promise: str
+    file: str
+    text: str
+    without: str
+    tests: tuple[str, ...]
+
+
+_REQUESTS = "tests/test_matrix_requests.py"
+_CLAIMS = "tests/test_matrix_claims.py"
+_HOSTS = "tests/test_matrix_hosts.py"
+
+GUARDS: tuple[Guard, ...] = (
+    Guard(
+        name="resume",
+        promise="a resumed answer has no gap and no repeat",
+        file="greengagestage/policy/_dispatching.py",
+        text="resume_tokens=record.tokens,",
+        without="resume_tokens=0,",
+        tests=(_REQUESTS, "-k", "seamless and middle"),
+    ),
+    Guard(
+        name="end-marker",
+        promise="an answer without its proper end is never shown complete",
+        file="greengagestage/upstream/_attempts.py",
+        text="        if not self._reader.whole:\n",
+        without="        if False:\n",
+        tests=(_REQUESTS, "-k", "seamless and cut"),
+    ),
+    Guard(
+        name="retry",
+        promise="an upstream that does not begin is passed over",
+        file="greengagestage/policy/_outcomes.py",
+        text="        if code is None:\n            self._state.enqueue(record)\n",
+        without="        if False:\n            self._state.enqueue(record)\n",
+        tests=(_REQUESTS, "-k", "passed_over and refuse"),
+    ),
+    Guard(
+        name="cancel",
+        promise="a caller that leaves cancels its run",
+        file="greengagestage/policy/_outcomes.py",
+        text="reason=CancelReason.CALLER_LEFT)\n            )\n",
+        without="reason=CancelReason.CALLER_LEFT)\n            ) if False else None\n",
+        tests=(_REQUESTS, "-k", "leaves_cancels"),
+    ),
+    Guard(
+        name="quarantine",
+        promise="a request that crashes upstreams costs the fleet two",
+        file="greengagestage/policy/_crashes.py",
+        text="return len(suspicion.crashes) >= CRASHES_TO_QUARANTINE",
+        without="return False",
+        tests=(_REQUESTS, "-k", "costs_the_fleet_two"),
+    ),
+    Guard(
+        name="crash-reports",
+        promise="a request that crashes upstreams costs the fleet two, through any host",
+        file="greengagestage/policy/_crashes.py",
+        text="return max(self.crashed_s + turn * TURN_S, arrived_s) + REPORTS_SETTLE_S",
+        without="return self.crashed_s + turn * TURN_S + REPORTS_SETTLE_S",
+        tests=("tests/test_policy_faults.py", "-k", "suspected_elsewhere"),
+    ),
+    Guard(
+        name="leaving",
+        promise="an upstream that is leaving receives no new work",
+        file="greengagestage/policy/_measurements.py",
+        text="        if event.upstream_leaving:\n",
+        without="        if False:\n",
+        tests=("tests/test_policy_faults.py", "-k", "leaving_upstream"),
+    ),
+    Guard(
+        name="claim-conflict",
+        promise="a non-idempotent request runs at most once",
+        file="greengagestage/policy/_admission.py",
+        text="        if outcome is ClaimOutcome.GRANTED:\n            record.claimed = True\n",
+        without="        if True:\n            record.claimed = True\n",
+        tests=(_CLAIMS, "-k", "both_hosts"),
+    ),
+    Guard(
+        name="fingerprint",
+        promise="an idempotency key is not answered with another request's answer",
+        file="greengagestage/claims/_rows.py",
+        text="    if claim.fingerprint != own.fingerprint:\n",
+        without="    if False:\n",
+        tests=(_CLAIMS, "-k", "resends_while_running"),
+    ),
+    Guard(
+        name="single-attempt",
+        promise="a non-idempotent request that was possibly sent is not sent again",
+        file="greengagestage/policy/_outcomes.py",
+        text="if started and not (record.request.idempotent and event.resumable):",
+        without="if started and not event.resumable:",
+        tests=(_CLAIMS, "-k", "lost_while_it_runs and CUT"),
+    ),
+    Guard(
+        name="honest-verdict",
+        promise="a caller told that a request was not run can believe it",
+        file="greengagestage/policy/_verdicts.py",
+        text="    if record.possibly_ran:\n",
+        without="    if False:\n",
+        tests=("tests/test_policy_machine.py",),
+    ),
+    Guard(
+        name="graceful-stop",
+        promise="a planned stop cuts off no request in progress",
+        file="greengagestage/entry/_shutdown.py",
+        text="        if not self._shell.is_idle:",
+        without="        if False:",
+        tests=(_HOSTS, "-k", "replaced_in_turn"),
+    ),
+    Guard(
+        name="lease-time",
+        promise="a woken lease holder sends no order after its lease",
+        file="greengagestage/orders/_reconciler.py",
+        text="return lease.compute_remaining(self._reactor.seconds()) > ORDER_TIMEOUT_S",
+        without="return True",
+        tests=("tests/test_orders.py", "-k", "after_its_lease or before_each_order"),
+    ),
+    Guard(
+        name="fencing",
+        promise="a new lease holder's number lies above every number seen",
+        file="greengagestage/orders/_reconciler.py",
+        text="engine.seen_number = max(engine.seen_number, actual.fencing_number)",
+        without="engine.seen_number = 0",
+        tests=("tests/test_orders.py", "-k", "higher_number"),
+    ),
+    Guard(
+        name="higher-version",
+        promise="an accepted configuration never reverts",
+        file="greengagestage/configuration/_adoption.py",
+        text="        if head.version <= self.version or head in self._refused:\n",
+        without="        if head in self._refused:\n",
+        tests=("tests/test_adoption.py",),
+    ),
+)
