Count an explanation's times from the request's arrival; widen tables in pipes

Cause: explain showed the host's monotonic clock, and tables in a pipe were cut to 80 columns with an ellipsis in every cell.

--- a/greengagestage/commands/_rendering.py
+++ b/greengagestage/commands/_rendering.py
@@ -16,6 +16,14 @@
     parse,
 )
 
+PIPE_WIDTH_COLUMNS = 240
+
+
+def open_console() -> Console:
+    """Return the terminal; output that goes to a file or a pipe gets wide lines."""
+    console = Console()
+    return console if console.is_terminal else Console(width=PIPE_WIDTH_COLUMNS)
+
 
 def render_json(console: Console, answer: CommandAnswer) -> None:
     """Write the answer as one line of JSON."""
@@ -39,7 +47,8 @@
     table = Table(show_edge=False, pad_edge=False)
     for column in answer.columns:
         kind = types.get(column, FieldType.NUMBER)
-        table.add_column(column, justify="left" if kind is FieldType.TEXT else "right")
+        justify = "left" if kind is FieldType.TEXT else "right"
+        table.add_column(column, justify=justify, overflow="fold")
     for row in answer.rows:
         cells = zip(answer.columns, row, strict=True)
         table.add_row(*(_format_cell(types.get(name), value) for name, value in cells))
--- a/greengagestage/commands/operator.py
+++ b/greengagestage/commands/operator.py
@@ -25,7 +25,7 @@
 from greengagestage.results import ResultCode
 
 from ._agent_client import send_command
-from ._rendering import render_json, render_table
+from ._rendering import open_console, render_json, render_table
 
 EXIT_REFUSED = 1
 WATCH_PERIOD_S = 2.0
@@ -110,7 +110,7 @@
     """Run one line of the language, for example: greengage run 'show upstreams'."""
     text = " ".join(words)
     request = CommandRequest(text=text, dry_run=dry_run, command_id=choose_command_id(command_id))
-    console = Console()
+    console = open_console()
 
     async def ask(reactor: Any) -> CommandAnswer:
         answer = await send_command(reactor, target["agent"], target["key"], request)
@@ -153,7 +153,7 @@
     async def send(reactor: Any) -> CommandAnswer:
         return await send_command(reactor, target["agent"], target["key"], request)
 
-    finish(Console(), "apply", run_once(send), as_json)
+    finish(open_console(), "apply", run_once(send), as_json)
 
 
 @main.command("complete")
--- a/greengagestage/policy/_journal.py
+++ b/greengagestage/policy/_journal.py
@@ -1,6 +1,7 @@
 """The decisions about each request, one line a decision, in bounded memory."""
 
 from collections import OrderedDict
+from dataclasses import dataclass, field
 
 from greengagestage.ids import RequestId
 
@@ -8,24 +9,33 @@
 LINES_KEPT_PER_REQUEST = 24
 
 
+@dataclass(slots=True, kw_only=True)
+class _Entry:
+    """The lines of one request; times on them count from the first."""
+
+    first_s: float
+    lines: list[str] = field(default_factory=list)
+
+
 class Journal:
     """The last decisions about the last requests."""
 
     def __init__(self) -> None:
-        self._lines: OrderedDict[RequestId, list[str]] = OrderedDict()
+        self._entries: OrderedDict[RequestId, _Entry] = OrderedDict()
 
     def record(self, request_id: RequestId, now_s: float, line: str) -> None:
         """Add a line to a request; those without news for longest are forgotten."""
-        lines = self._lines.get(request_id)
-        if lines is None:
-            lines = self._lines[request_id] = []
-            if len(self._lines) > REQUESTS_KEPT:
-                self._lines.popitem(last=False)
-        self._lines.move_to_end(request_id)
-        if len(lines) == LINES_KEPT_PER_REQUEST:
-            del lines[1]
-        lines.append(f"{now_s:.3f} s: {line}")
+        entry = self._entries.get(request_id)
+        if entry is None:
+            entry = self._entries[request_id] = _Entry(first_s=now_s)
+            if len(self._entries) > REQUESTS_KEPT:
+                self._entries.popitem(last=False)
+        self._entries.move_to_end(request_id)
+        if len(entry.lines) == LINES_KEPT_PER_REQUEST:
+            del entry.lines[1]
+        entry.lines.append(f"{now_s - entry.first_s:.3f} s: {line}")
 
     def read(self, request_id: RequestId) -> tuple[str, ...]:
         """Return the lines of a request, oldest first."""
-        return tuple(self._lines.get(request_id, ()))
+        entry = self._entries.get(request_id)
+        return () if entry is None else tuple(entry.lines)
--- a/tests/test_policy_delivery.py
+++ b/tests/test_policy_delivery.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from greengagestage.ids import RequestId
 from greengagestage.policy import (
     AskClaim,
     AttemptAccepted,
@@ -180,3 +181,12 @@
     host.send(ClaimAnswered(request_id=request_id, outcome=ClaimOutcome.GRANTED))
     actions = host.send(CallerLeft(request_id=request_id))
     assert [type(action).__name__ for action in actions] == ["GiveUpClaim", "Reject"]
+
+
+def test_explanation_counts_time_from_the_arrival() -> None:
+    host = Host(build_declaration(engines=1))
+    host.arrive("r0")
+    host.finish(host.dispatches("r0")[0].attempt_id, after_s=2.5)
+    lines = host.policy.explain(RequestId("r0"))
+    assert lines[0].startswith("0.000 s: ")
+    assert lines[-1].startswith("2.500 s: delivered")
