--- a/greengagestage/commands/_rendering.py
+++ b/greengagestage/commands/_rendering.py
@@ -1,6 +1,7 @@
 """Shows a command's answer on a terminal, or as JSON."""
 
 from datetime import UTC, datetime
+from typing import Literal
 
 import msgspec
 from rich.console import Console
@@ -47,7 +48,7 @@
     table = Table(show_edge=False, pad_edge=False)
     for column in answer.columns:
         kind = types.get(column, FieldType.NUMBER)
-        justify = "left" if kind is FieldType.TEXT else "right"
+        justify: Literal["left", "right"] = "left" if kind is FieldType.TEXT else "right"
         table.add_column(column, justify=justify, overflow="fold")
     for row in answer.rows:
         cells = zip(answer.columns, row, strict=True)
