Install the signal handlers before a process announces itself

Cause: SIGTERM that came between "listening" in the log and the installation of the handlers killed the entry process: one failure of tests/test_entry_command.py (return code -15) at load 16. The agent had the same order. Change: both commands install their handlers first; a stop asked for early begins once the reactor runs. Conclusion: a planned stop right after the start is graceful too.

--- a/greengagestage/commands/agent.py
+++ b/greengagestage/commands/agent.py
@@ -46,13 +46,13 @@
     reactor.seconds = time.monotonic
     start_logging(file=log_file, part="agent", host=settings.host)
     process = AgentProcess(reactor=reactor, settings=settings, random=Random())
+    _stop_on_signals(reactor, process)
     try:
         process.start()
         listen_http(reactor=reactor, process=process)
     except (CannotListenError, NNGException) as error:
         click.echo(f"greengage-agent: {error}", err=True)
         return EXIT_LISTEN
-    _stop_on_signals(reactor, process)
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/greengagestage/commands/entry.py
+++ b/greengagestage/commands/entry.py
@@ -63,12 +63,12 @@
         ),
         policy=policy,
     )
+    _stop_on_signals(reactor, process)
     try:
         process.start()
     except CannotListenError as error:
         click.echo(f"greengage-entry: {error}", err=True)
         return EXIT_LISTEN
-    _stop_on_signals(reactor, process)
     reactor.run(installSignalHandlers=False)
     return 0
 
