Keep one workspace's bad requests from opening circuits, and refusals from the budget

Cause: an error answer was retried up to six times and each counted against its upstream, so that three bad requests of one workspace could take every upstream out. Refusals without a start spent the retry budget, though they cost nothing.

Ruled out: not counting errors at all: an upstream that fails fast draws load.

--- a/greengagestage/policy/_health.py
+++ b/greengagestage/policy/_health.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from greengagestage.ids import WorkspaceId
+
 from ._speeds import MovingAverage
 
 FAILURES_TO_OPEN = 3
@@ -38,6 +40,7 @@
     """The health of one upstream.
 
     Attributes:
+        error_workspaces: Workspaces that had an error since the last success.
         out_until_s: Time from which a probe may be sent.
         backoff_s: How long the upstream stays out the next time.
         not_before_s: Time before which a busy upstream asked not to be used.
@@ -46,6 +49,7 @@
     state: HealthState = HealthState.IN_USE
     reason: OutReason | None = None
     failures: int = 0
+    error_workspaces: list[WorkspaceId] = field(default_factory=list)
     out_until_s: float = 0.0
     backoff_s: float = FIRST_BACKOFF_S
     not_before_s: float = 0.0
@@ -72,6 +76,7 @@
     def note_success(self, probe: bool) -> None:
         """Note that an attempt went well."""
         self.failures = 0
+        self.error_workspaces.clear()
         if probe and self.state is HealthState.PROBING:
             self.state = HealthState.IN_USE
             self.reason = None
@@ -79,6 +84,13 @@
             self.first_token_s.reset()
             self.inter_token_s.reset()
 
+    def is_new_error(self, workspace: WorkspaceId) -> bool:
+        """Return whether an error says something new: the requests of one workspace may be bad."""
+        if workspace in self.error_workspaces:
+            return False
+        self.error_workspaces.append(workspace)
+        return True
+
     def note_failure(self, now_s: float, *, probe: bool, certain: bool) -> bool:
         """Note that an attempt failed; return whether the upstream went out of use."""
         self.failures += 1
--- a/greengagestage/policy/_measurements.py
+++ b/greengagestage/policy/_measurements.py
@@ -59,12 +59,15 @@
         entry.health.note_success(attempt.probe)
         self._wake_pools(entry, state.now_s)
 
-    def note_failure(self, attempt: Attempt, kind: FailureKind, event: AttemptFailed) -> None:
+    def note_failure(self, record: RequestRecord, attempt: Attempt, event: AttemptFailed) -> None:
         """Learn from an attempt that failed."""
         entry = self._state.upstreams.find(attempt.upstream)
         if entry is None:
             return
         now_s = self._state.now_s
+        kind = record.last_failure or event.kind
+        if kind is FailureKind.ERROR and not entry.health.is_new_error(record.workspace):
+            return
         if kind is FailureKind.REFUSED:
             self._note_refusal(entry, attempt, event)
             return
--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -60,20 +60,18 @@
     def fail(self, record: RequestRecord, attempt: Attempt, event: AttemptFailed) -> None:
         """Try a request elsewhere after its attempt failed, or give it up."""
         kind = _find_kind(record, event)
-        first_failure = record.last_failure is None
-        record.last_failure = kind
+        earlier, record.last_failure = record.last_failure, kind
         self._state.note(record, f"attempt at {attempt.upstream} failed: {kind.value}")
         if kind in NOT_STARTED:
             record.possibly_ran = attempt.ran_before
             record.refused_by.append(attempt.upstream)
         else:
             record.refused_by = [u for u in record.refused_by if u != attempt.upstream]
-        self._measurements.note_failure(attempt, kind, event)
+        self._measurements.note_failure(record, attempt, event)
         self._state.release_attempt(record)
         if kind is FailureKind.LOST and self._quarantine.note_lost(record, attempt.upstream):
             return
-        free = kind in RESUMED_FREE_OF_CHARGE and first_failure
-        code = self._find_obstacle(record, kind, event, free)
+        code = self._find_obstacle(record, event, earlier)
         if code is None:
             self._state.enqueue(record)
             self._state.find_pool(record.pool).add_impatient(record)
@@ -108,13 +106,16 @@
         self._state.reject(record, code, suggest_return(self._state, record) if helps else None)
 
     def _find_obstacle(
-        self, record: RequestRecord, kind: FailureKind, event: AttemptFailed, free: bool
+        self, record: RequestRecord, event: AttemptFailed, earlier: FailureKind | None
     ) -> ResultCode | None:
         """Return why a request cannot be tried again, or None if it can."""
         state = self._state
+        kind = record.last_failure or event.kind
         started = kind not in NOT_STARTED
         if started and not (record.request.idempotent and event.resumable):
             return FAILURE_CODES[kind]
+        if kind is FailureKind.ERROR and earlier is FailureKind.ERROR:
+            return ResultCode.UPSTREAM_ERROR
         if record.caller_left:
             return ResultCode.CALLER_LEFT
         if state.crashes.is_quarantined(record.request.fingerprint):
@@ -124,7 +125,7 @@
             return ResultCode.DEADLINE_PASSED
         if record.attempts_sent >= ATTEMPTS_LIMIT or not self._router.has_prospect(record):
             return FAILURE_CODES.get(kind, ResultCode.UPSTREAM_REFUSED)
-        free = free or kind is FailureKind.NOT_SENT or event.upstream_leaving
+        free = kind in NOT_STARTED or (kind in RESUMED_FREE_OF_CHARGE and earlier is None)
         if not free and not state.retries.spend(record.service_class, state.now_s):
             return ResultCode.RETRY_BUDGET_SPENT
         return None
--- a/tests/test_policy_faults.py
+++ b/tests/test_policy_faults.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengagestage.ids import Fingerprint, HostId, UpstreamName
+from greengagestage.ids import Fingerprint, HostId, UpstreamName, WorkspaceId
 from greengagestage.policy import (
     Action,
     AttemptFailed,
@@ -28,7 +28,14 @@
     UpstreamState,
 )
 from greengagestage.results import ResultCode
-from tests.policy_builders import Host, build_class, build_declaration, build_engine, build_request
+from tests.policy_builders import (
+    Host,
+    build_class,
+    build_declaration,
+    build_engine,
+    build_request,
+    build_workspace,
+)
 
 POISON = Fingerprint("poison")
 
@@ -152,6 +159,34 @@
     assert {host.code(f"r{n}") for n in range(20)} == {None, "UPSTREAM_SILENT"}
 
 
+def test_refusals_without_a_start_do_not_spend_the_retry_budget() -> None:
+    classes = [build_class("desk", retry_ratio=0.0, queue_limit=100)]
+    host = Host(build_declaration(engines=2, slots=20, classes=classes))
+    for n in range(20):
+        host.arrive(f"r{n}")
+        host.fail(host.dispatches(f"r{n}")[0].attempt_id, FailureKind.REFUSED)
+        host.send(TimerFired(), after_s=1.0)
+    assert {host.code(f"r{n}") for n in range(20)} == {None}
+
+
+def test_errors_of_one_workspace_take_no_upstream_out_and_those_of_many_do() -> None:
+    workspaces = [build_workspace(f"w{n}") for n in range(4)]
+    host = Host(build_declaration(engines=2, slots=8, workspaces=workspaces))
+    for n in range(12):
+        host.arrive(f"bad{n}")
+        while host.code(f"bad{n}") is None:
+            host.fail(host.dispatches(f"bad{n}")[-1].attempt_id, FailureKind.ERROR)
+        assert len(host.dispatches(f"bad{n}")) <= 2
+    states = {load.health.value for load in host.policy.inspect().upstreams}
+    assert states == {"in_use"}
+    for n in range(1, 4):
+        host.arrive(f"other{n}", workspace=WorkspaceId(f"w{n}"))
+        for _ in range(2):
+            host.fail(host.dispatches(f"other{n}")[-1].attempt_id, FailureKind.ERROR)
+    states = {load.health.value for load in host.policy.inspect().upstreams}
+    assert states == {"out"}
+
+
 def test_same_upstream_only_again_after_a_refusal_and_with_nothing_else_there() -> None:
     host = Host(build_declaration(engines=1, slots=2))
     host.arrive("busy")
