--- /dev/null
+++ b/tests/test_state_processes.py
@@ -0,0 +1,181 @@
+"""Claims and orders of two hosts over the real clients and the stand-ins as processes."""
+
+import sys
+from collections import Counter
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from twisted.internet.defer import Deferred
+
+from greengagestage.claims import ClaimStore
+from greengagestage.claims._rows import ClaimState, claim_key, read_claim
+from greengagestage.configuration import FencingMode
+from greengagestage.ids import AttemptId, HostId, IdempotencyKey, ModelName
+from greengagestage.orders import OrderAccepted, Reconciler
+from greengagestage.orders._engine_client import EngineClient, OldNumber, OrderTaken
+from greengagestage.orders._states import EngineState
+from greengagestage.platform import ObjectClient, TableClient, WeightClient
+from greengagestage.policy import ClaimOutcome
+from standins._platform_faults import PlatformFault, PlatformFaultKind, PlatformService
+from standins._processes import ChildProcess
+from standins._web_calls import send_call
+
+from .builders import build_engine
+from .claim_builders import SMALL, WORKSPACE, build_ask
+from .order_builders import build_command
+from .reactors import running_reactor, turn_until
+
+pytestmark = [pytest.mark.process, pytest.mark.xdist_group("state")]
+TIMEOUT_S = 0.5
+KEYS = 12
+FAULTS = {
+    "none": PlatformFaultKind.NONE,
+    "down": PlatformFaultKind.DOWN,
+    "slow": PlatformFaultKind.SLOW,
+    "answers lost": PlatformFaultKind.ANSWER_LOST,
+}
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Callable[..., str]]:
+    children: list[ChildProcess] = []
+
+    def start_one(name: str, *options: str) -> str:
+        command = [sys.executable, "-m", f"standins.{name}", *options]
+        children.append(ChildProcess(name=name, command=command, directory=tmp_path))
+        children[-1].start()
+        children[-1].wait_announced()
+        return children[-1].url
+
+    yield start_one
+    for child in children:
+        child.ask_to_stop()
+        child.wait()
+
+
+def set_fault(platform: str, kind: PlatformFaultKind, count: int | None = None) -> None:
+    fault = PlatformFault(service=PlatformService.TABLE, kind=kind, delay_ms=900, count=count)
+    body = msgspec.to_builtins(fault)
+    assert send_call("POST", f"{platform}/_standin/faults", body).status == 200
+
+
+def wait(reactor: Any, work: Deferred[Any]) -> Any:
+    results: list[Any] = []
+    work.addBoth(results.append)
+    turn_until(reactor, lambda: bool(results))
+    return results[0]
+
+
+def build_store(reactor: Any, platform: str, host: str) -> ClaimStore:
+    options: dict[str, Any] = {
+        "reactor": reactor,
+        "base_url": platform,
+        "timeout_s": TIMEOUT_S,
+    }
+    return ClaimStore(
+        reactor=reactor,
+        table=TableClient(**options),
+        objects=ObjectClient(**options),
+        host=HostId(host),
+        write_budget_per_s=200.0,
+        is_live_host=lambda _: True,
+    )
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_each_key_is_granted_once(start: Callable[..., str], name: str) -> None:
+    """Callers resend each order through both hosts while the table fails, and afterwards."""
+    platform = start("platform")
+    with running_reactor() as reactor:
+        stores = [build_store(reactor, platform, host) for host in ("h1", "h2")]
+        granted: Counter[str] = Counter()
+        answered: list[ClaimOutcome] = []
+
+        def ask_all(attempt: str) -> None:
+            answered.clear()
+            for store, host in zip(stores, ("h1", "h2"), strict=True):
+                for number in range(KEYS):
+                    key = f"k{number}"
+                    ask = build_ask(f"{attempt}-{host}-{key}", key=key)
+                    store.claim(ask).addCallback(note_outcome, store, ask)
+            turn_until(reactor, lambda: len(answered) == 2 * KEYS)
+
+        def note_outcome(outcome: ClaimOutcome, store: ClaimStore, ask: Any) -> None:
+            answered.append(outcome)
+            if outcome is ClaimOutcome.GRANTED:
+                granted[ask.idempotency_key] += 1
+                store.record_answer(WORKSPACE, ask.idempotency_key, ask.attempt_id, SMALL)
+
+        set_fault(platform, FAULTS[name], count=6)
+        ask_all("first")
+        set_fault(platform, PlatformFaultKind.NONE)
+        turn_until(reactor, lambda: not any(store.unsettled for store in stores))
+        ask_all("second")
+        turn_until(reactor, lambda: not any(store.unsettled for store in stores))
+        ask_all("third")
+        assert set(answered) == {ClaimOutcome.ANSWERED}
+        assert granted == Counter({f"k{number}": 1 for number in range(KEYS)})
+        kept = wait(reactor, stores[1].read_answer(WORKSPACE, IdempotencyKey("k0")))
+        assert kept == SMALL
+
+
+def test_a_killed_host_leaves_its_claim_taken(start: Callable[..., str]) -> None:
+    platform = start("platform")
+    with running_reactor() as reactor:
+        first, second = (build_store(reactor, platform, host) for host in ("h1", "h2"))
+        key = IdempotencyKey("k")
+        assert wait(reactor, first.claim(build_ask("a1", key=key))) is ClaimOutcome.GRANTED
+        first.stop()
+        second._is_live_host = lambda host: host != "h1"
+        outcome = wait(reactor, second.claim(build_ask("a2", key=key)))
+        assert outcome is ClaimOutcome.RUN_UNKNOWN
+        table = TableClient(reactor=reactor, base_url=platform, timeout_s=TIMEOUT_S)
+        claim = read_claim(wait(reactor, table.read_row(claim_key(WORKSPACE, key))))
+        assert claim is not None
+        assert (claim.state, claim.attempt_id) == (ClaimState.CLAIMED, AttemptId("a1"))
+
+
+@pytest.mark.parametrize("fencing", list(FencingMode))
+def test_late_order_at_a_real_engine(start: Callable[..., str], fencing: FencingMode) -> None:
+    """An order is carried out, and a stale one is refused or undone, as declared."""
+    platform = start("platform")
+    engine_url = start("engine", "--model", "small", "--fencing", fencing.value)
+    upstream = build_engine("e0", url=engine_url, models=(ModelName("small"),), fencing=fencing)
+    with running_reactor() as reactor:
+        options: dict[str, Any] = {
+            "reactor": reactor,
+            "base_url": platform,
+            "timeout_s": TIMEOUT_S,
+        }
+        reconciler = Reconciler(
+            reactor=reactor,
+            table=TableClient(**options),
+            weights=WeightClient(**options),
+            host=HostId("h1"),
+            upstreams=lambda: [upstream],
+            hosts=lambda: [HostId("h1")],
+        )
+        engine = EngineClient(reactor=reactor, url=engine_url, timeout_s=TIMEOUT_S)
+        accepted = wait(reactor, reconciler.request_order(build_command(1)))
+        assert isinstance(accepted, OrderAccepted)
+
+        def is_ordered() -> bool:
+            for _ in range(20):
+                reactor.iterate(0.01)
+            wait(reactor, reconciler.tend_leases())
+            wait(reactor, reconciler.reconcile())
+            state = wait(reactor, engine.read())
+            return isinstance(state, EngineState) and set(state.models) == {"small", "large"}
+
+        turn_until(reactor, is_ordered)
+        stale = EngineState(models=("small",))
+        reply = wait(reactor, engine.order(stale))
+        assert type(reply) is (OldNumber if fencing is FencingMode.CHECKED else OrderTaken)
+        reconciler._engines[upstream.name].due_s = 0.0
+        turn_until(reactor, is_ordered)
+        wait(reactor, reconciler.stop())
+        (lease,) = wait(reactor, reconciler.describe_leases())
+        assert lease.holder == ""
