--- a/bench/_guard_table.py
+++ b/bench/_guard_table.py
@@ -32,9 +32,9 @@
     Guard(
         name="resume",
         promise="a resumed answer has no gap and no repeat",
-        file="greengagestage/policy/_dispatching.py",
-        text="resume_tokens=record.tokens,",
-        without="resume_tokens=0,",
+        file="greengagestage/entry/_dispatch.py",
+        text="resume=active.delivery.list_tokens(),",
+        without="resume=[],",
         tests=(_REQUESTS, "-k", "seamless and middle"),
     ),
     Guard(
@@ -43,7 +43,7 @@
         file="greengagestage/upstream/_attempts.py",
         text="        if not self._reader.whole:\n",
         without="        if False:\n",
-        tests=(_REQUESTS, "-k", "seamless and cut"),
+        tests=("tests/test_entry_faults.py", "-k", "test_kinds"),
     ),
     Guard(
         name="retry",
@@ -57,9 +57,9 @@
         name="cancel",
         promise="a caller that leaves cancels its run",
         file="greengagestage/policy/_outcomes.py",
-        text="reason=CancelReason.CALLER_LEFT)\n            )\n",
-        without="reason=CancelReason.CALLER_LEFT)\n            ) if False else None\n",
-        tests=(_REQUESTS, "-k", "leaves_cancels"),
+        text="        if record.attempt is not None:\n            state.emit(\n",
+        without="        if False:\n            state.emit(\n",
+        tests=("tests/test_policy_delivery.py", "-k", "leaves or leaver or departure or caller"),
     ),
     Guard(
         name="quarantine",
--- a/tests/test_matrix_requests.py
+++ b/tests/test_matrix_requests.py
@@ -77,10 +77,13 @@
 def test_an_upstream_that_does_not_begin_is_passed_over(fleet: Fleet, fault: str) -> None:
     for engine in ("engine-1", "engine-2"):
         disturb(fleet, engine, fault)
-    prompt = build_prompt(f"begin-{fault}")
-    answer = complete(entry(fleet), prompt, X_Service_Class="review")
-    assert (answer.error, answer.whole) == ({}, True)
-    assert answer.text == compute_output(prompt)
+    prompts = [build_prompt(f"begin-{fault}-{number}") for number in range(4)]
+    headers = {"X-Service-Class": "review"}
+    streams = [Stream(url=entry(fleet), prompt=prompt, headers=headers) for prompt in prompts]
+    for prompt, stream in zip(prompts, streams, strict=True):
+        answer = stream.read_rest()
+        assert (answer.error, answer.whole) == ({}, True)
+        assert answer.text == compute_output(prompt)
 
 
 def test_two_upstreams_lost_one_after_the_other_leave_one_seamless_answer(fleet: Fleet) -> None:
