--- a/greengagestage/agent/_entry_feed.py
+++ b/greengagestage/agent/_entry_feed.py
@@ -86,6 +86,8 @@
 
     def _feed(self) -> None:
         now_s = time.monotonic()
+        if self._reports.is_lost:
+            self._membership.set_state(MemberState.LEAVING, now_s)
         self._send_statuses()
         interval_s = self._membership.get_report_interval_s()
         if now_s - self._reported_at_s >= interval_s:
--- a/greengagestage/agent/_entry_reports.py
+++ b/greengagestage/agent/_entry_reports.py
@@ -24,9 +24,10 @@
     heard_at_s: float = 0.0
 
     @property
-    def is_heard(self) -> bool:
-        """Whether the entry process reported of late."""
-        return time.monotonic() - self.heard_at_s < ENTRY_SILENCE_S
+    def is_lost(self) -> bool:
+        """Whether the entry process reported once and has fallen silent since."""
+        silence_s = time.monotonic() - self.heard_at_s
+        return self.heard_at_s > 0 and silence_s > ENTRY_SILENCE_S
 
     def record(self, status: EntryStatus, declaration: Declaration | None) -> None:
         """Take a status."""
--- a/greengagestage/configuration/_checks.py
+++ b/greengagestage/configuration/_checks.py
@@ -1,5 +1,6 @@
 """Checks of a whole declaration: every fault is named, none hides another."""
 
+import hashlib
 import ipaddress
 import re
 from collections.abc import Callable, Iterable, Iterator
@@ -19,6 +20,7 @@
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
+_EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
 _METHOD = re.compile(r"[A-Z]{1,16}")
 _SHARE_TOLERANCE = 1e-9
 
@@ -87,6 +89,8 @@
 
 
 def _check_sha256(place: str, value: str) -> Faults:
+    if value == _EMPTY_KEY_DIGEST:
+        yield Fault(place=place, message="it is the digest of an empty key")
     if not _SHA256.fullmatch(value):
         yield Fault(place=place, message="it is not a SHA-256 digest in 64 small hex digits")
 
--- a/tests/test_agent_processes.py
+++ b/tests/test_agent_processes.py
@@ -12,7 +12,13 @@
 from greengagestage.ids import UpstreamName
 from greengagestage.language import CommandAnswer
 from greengagestage.results import ResultCode
-from greengagestage.wire import AgentLink, AgentMessage, UpstreamLeavingNotice, UpstreamStatuses
+from greengagestage.wire import (
+    AgentLink,
+    AgentMessage,
+    EntryStatus,
+    UpstreamLeavingNotice,
+    UpstreamStatuses,
+)
 from standins._web_calls import send_call
 
 from .agent_fleet import FLEET_KEY, Agent, AgentFleet
@@ -169,6 +175,29 @@
             link.stop()
 
 
+def test_host_without_its_entry_process_takes_no_share(fleet: AgentFleet) -> None:
+    first, second = fleet.start(2)
+
+    def read_state() -> object:
+        return {row[0]: row[1] for row in second.run("show hosts").rows}[first.host]
+
+    with running_reactor() as reactor:
+        link = AgentLink(
+            reactor=reactor, address=first.entry, fleet_key=FLEET_KEY, on_message=lambda _: None
+        )
+        link.start()
+        turn_until(reactor, lambda: link.last_heard_s < 5)
+        link.send(EntryStatus(demand={}, in_flight={}))
+        fleet.wait(lambda: read_state() == "leaving", "the silent entry process is noticed")
+        turn_until(reactor, lambda: send_status(link) and read_state() == "live")
+        link.stop()
+
+
+def send_status(link: AgentLink) -> bool:
+    link.send(EntryStatus(demand={}, in_flight={}))
+    return True
+
+
 def is_leaving(messages: list[AgentMessage]) -> bool:
     states = [
         status.state
--- a/tests/test_configuration_checks.py
+++ b/tests/test_configuration_checks.py
@@ -1,5 +1,7 @@
 """Every fault of a declaration is named with its place, and nothing else is."""
 
+import hashlib
+
 import pytest
 from msgspec.structs import replace
 
@@ -18,6 +20,7 @@
 from .builders import build_class, build_declaration, build_engine, build_workspace
 
 DIGEST = "0" * 64
+EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
 OPERATOR = Operator(name=OperatorName("anna"), sha256=DIGEST)
 KEY = WorkspaceKey(sha256=DIGEST)
 
@@ -88,6 +91,7 @@
     (build_with_upstream(url="http://u:p@127.0.0.1:80"), "upstreams[0].url"),
     ({"operators": (OPERATOR, replace(OPERATOR, sha256="1" * 64))}, "operators[1].name"),
     ({"operators": (replace(OPERATOR, sha256="no"),)}, "operators[0].sha256"),
+    ({"operators": (replace(OPERATOR, sha256=EMPTY_KEY_DIGEST),)}, "operators[0].sha256"),
     ({"quarantined": ("f", "f")}, "quarantined[1]"),
     ({"quarantined": ("",)}, "quarantined[0]"),
 ]
