Test that the lowest class is shed before any other

Cause: of 72 guards taken out one at a time on a scratch copy of the final code, one was not noticed: the choice of the lowest class as a victim of shedding.

--- a/tests/test_policy_load.py
+++ b/tests/test_policy_load.py
@@ -374,3 +374,15 @@
         (book.note_left if n % 4 == 0 else book.note_stayed)(brief, 10.0)
     assert book.estimate_departure(brief, 8.0, 5.0) == 0.25
     assert book.estimate_departure(brief, 12.0, 5.0) == 0.0
+
+
+def test_sheds_the_lowest_class_before_any_other() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("running", "phone")
+    for n in range(3):
+        host.arrive(f"brief{n}", "brief")
+        host.arrive(f"desk{n}", "desk")
+    for n in range(13):
+        host.arrive(f"phone{n}", "phone")
+    shed = [a.request_id for a in host.actions if isinstance(a, Reject)]
+    assert shed == ["brief2", "brief1", "desk2", "desk1", "phone12"]
