Build the agent's parts in steps

Change: one method a part, and the platform's clients in a class of their own. Ruled out: a builder beside the class; the parts call back into it.

--- a/greengagestage/agent/_process.py
+++ b/greengagestage/agent/_process.py
@@ -19,7 +19,6 @@
     VersionHeard,
 )
 from greengagestage.orders import Reconciler
-from greengagestage.platform import HostListClient, ObjectClient, TableClient, WeightClient
 from greengagestage.wire import (
     ConfigurationInForce,
     CrashReport,
@@ -44,6 +43,7 @@
 from ._load_client import LoadClient
 from ._load_polls import LoadPolls
 from ._orders import OrderDesk
+from ._platform_clients import PlatformClients
 from ._queries import Queries
 from ._request_log import RequestLog
 from ._settings import AgentSettings
@@ -54,90 +54,107 @@
     """Builds the parts of an agent and passes on what each one learns."""
 
     def __init__(self, *, reactor: Any, settings: AgentSettings, random: Random) -> None:
-        times = settings.times
-        clients: dict[str, Any] = {
-            "reactor": reactor,
-            "base_url": settings.platform,
-            "timeout_s": times.platform_timeout_s,
-        }
         self.settings = settings
         self._reactor = reactor
+        self._random = random
         self._stopping = False
         self.reports = EntryReports()
         self.requests = RequestLog()
-        self.table = TableClient(**clients)
-        self._objects = ObjectClient(**clients)
-        self._list_client = HostListClient(**clients)
+        self._platform = PlatformClients(
+            reactor=reactor,
+            base_url=settings.platform,
+            timeout_s=settings.times.platform_timeout_s,
+        )
+        self._build_configuration()
+        self._build_membership()
+        self._build_polls()
+        self._build_entry_side()
+        self._build_operators_side()
+
+    def _build_configuration(self) -> None:
         self.store = ConfigurationStore(
-            table=self.table,
-            objects=self._objects,
-            pause=lambda seconds: deferLater(reactor, seconds),
+            table=self._platform.table,
+            objects=self._platform.objects,
+            pause=lambda seconds: deferLater(self._reactor, seconds),
         )
         self.watch = ConfigurationWatch(
-            reactor=reactor,
+            reactor=self._reactor,
             store=self.store,
-            interval_s=times.head_interval_s,
-            random=random,
+            interval_s=self.settings.times.head_interval_s,
+            random=self._random,
             on_adopted=self._adopt,
         )
+
+    def _build_membership(self) -> None:
+        times = self.settings.times
         self.fleet = Fleet(
-            reactor=reactor,
-            settings=settings,
-            random=random,
+            reactor=self._reactor,
+            settings=self.settings,
+            random=self._random,
             on_change=self._receive_change,
             on_document=self.watch.receive_document,
             on_query=lambda sender, message: self.queries.receive(sender, message),
         )
         self._list_watch = HostListWatch(
-            reactor=reactor,
-            client=self._list_client,
+            reactor=self._reactor,
+            client=self._platform.hosts,
             fleet=self.fleet,
             interval_s=times.list_interval_s,
             lag_s=times.list_lag_s,
-            random=random,
+            random=self._random,
         )
+
+    def _build_polls(self) -> None:
+        times = self.settings.times
         membership = self.fleet.membership
         self._polls = LoadPolls(
-            reactor=reactor,
-            client=LoadClient(reactor=reactor, timeout_s=times.load_timeout_s),
+            reactor=self._reactor,
+            client=LoadClient(reactor=self._reactor, timeout_s=times.load_timeout_s),
             loads=membership.measurements.loads,
-            polls_per_s=settings.load_polls_per_s,
+            polls_per_s=self.settings.load_polls_per_s,
             interval_s=times.load_interval_s,
             on_load=self._receive_load,
             on_failure=lambda name: self._feed.note_upstreams([name]),
         )
         self.upstreams = UpstreamView(membership=membership, polls=self._polls)
+
+    def _build_entry_side(self) -> None:
         self.entries = EntryEndpoint(
-            reactor=reactor,
-            address=settings.entry_listen,
-            fleet_keys=settings.fleet_keys,
+            reactor=self._reactor,
+            address=self.settings.entry_listen,
+            fleet_keys=self.settings.fleet_keys,
             on_message=self._receive_entry_message,
         )
         self._feed = EntryFeed(
-            reactor=reactor,
-            membership=membership,
+            reactor=self._reactor,
+            membership=self.fleet.membership,
             upstreams=self.upstreams,
             reports=self.reports,
             polls=self._polls,
             send=self.entries.broadcast,
         )
+
+    def _build_operators_side(self) -> None:
+        membership = self.fleet.membership
         self.facts = Facts(
-            host=settings.host,
+            host=self.settings.host,
             adoption=self.watch.adoption,
             membership=membership,
             upstreams=self.upstreams,
             requests=self.requests,
-            table=self.table,
+            table=self._platform.table,
         )
         self.queries = Queries(
-            reactor=reactor, fleet=self.fleet, facts=self.facts, timeout_s=times.query_timeout_s
+            reactor=self._reactor,
+            fleet=self.fleet,
+            facts=self.facts,
+            timeout_s=self.settings.times.query_timeout_s,
         )
-        self._weights = WeightClient(**clients)
         self._reconciler = Reconciler(
-            reactor=reactor,
-            table=self.table,
-            weights=self._weights,
-            host=settings.host,
+            reactor=self._reactor,
+            table=self._platform.table,
+            weights=self._platform.weights,
+            host=self.settings.host,
             upstreams=lambda: self.upstreams.declared.values(),
             hosts=lambda: [record.host for record in membership.list_members()],
             is_leaving=membership.is_leaving,
@@ -191,8 +208,7 @@
         self.fleet.stop()
         self.entries.stop()
         log_message("agent: stopped", host=self.settings.host)
-        clients = (self.table, self._objects, self._list_client, self._weights)
-        return DeferredList([self._polls.stop(), *(client.close() for client in clients)])
+        return DeferredList([self._polls.stop(), self._platform.close()])
 
     def _adopt(self, version: Version) -> None:
         head = version.head
