Do not call a host gone before an agent could have found it

The second host's agent did not know the first yet, told its entry process that only itself was live, and the claim's holder counted as gone. Ruled out: the claims store (its row and judgement were right for what it was told); a wait in the test, which would have hidden what callers meet whenever an agent is replaced. The new test fails without the condition. Agents', claims' and entry process tests: 83 passed in 81 s. Conclusion: both answers were honest; the callers of a replaced host now get the one that tells them when to come back.

--- a/greengagestage/agent/_entry_feed.py
+++ b/greengagestage/agent/_entry_feed.py
@@ -30,6 +30,9 @@
 """Shares are computed again after this many times their last cost at the earliest, so that they
 take at most 2% of the time while hosts come and go."""
 
+HOSTS_LEARNT_AFTER_S = 15.0
+"""Time after the start in which a host that is not known yet may well be live."""
+
 
 class EntryFeed:
     """Collects what has changed and sends it at short intervals."""
@@ -44,6 +47,7 @@
         polls: LoadPolls,
         send: Callable[[AgentMessage], None],
     ) -> None:
+        self._reactor = reactor
         self._membership = membership
         self._upstreams = upstreams
         self._reports = reports
@@ -56,12 +60,14 @@
         self._shared_at_s = float("-inf")
         self._share_cost_s = 0.0
         self._sequence = 0
+        self._started_s = 0.0
         self._shares = ShareUpdates(reactor=reactor, send=self._send_shares)
         self._loop = LoopingCall(self._feed)
         self._loop.clock = reactor
 
     def start(self) -> None:
         """Begin to send."""
+        self._started_s = self._reactor.seconds()
         self._loop.start(FEED_INTERVAL_S, now=False)
 
     def stop(self) -> None:
@@ -152,6 +158,9 @@
         )
 
     def _list_hosts_not_gone(self) -> tuple[HostId, ...]:
+        """Return the hosts that have not gone, or none while this agent still finds the others."""
+        if self._reactor.seconds() - self._started_s < HOSTS_LEARNT_AFTER_S:
+            return ()
         records = self._membership.book.list_hosts()
         return tuple(sorted(r.host for r in records if r.state is not MemberState.GONE))
 
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -9,6 +9,8 @@
 import pytest
 from twisted.internet.task import Clock
 
+from greengagestage.agent._entry_feed import HOSTS_LEARNT_AFTER_S, EntryFeed
+from greengagestage.agent._entry_reports import EntryReports
 from greengagestage.agent._fleet import DOCUMENT_LIMIT_BYTES, decompress_document
 from greengagestage.agent._listed_upstreams import judge_list
 from greengagestage.agent._load_polls import FAILURES_TO_BE_GONE, LoadPolls
@@ -30,6 +32,7 @@
 from greengagestage.platform import HostList, HostState, PlatformUpstream
 from greengagestage.results import ResultCode
 from greengagestage.wire import (
+    AgentMessage,
     Gossip,
     HostShares,
     LoadRecord,
@@ -283,3 +286,28 @@
     first.send(address, GOSSIP)
     turn_until(peers.reactor, lambda: len(peers.received) == 1)
     assert first.counts.unsent > 0
+
+
+def test_hosts_are_not_called_gone_before_they_could_be_found() -> None:
+    clock = Clock()
+    fleet = MembershipFleet(size=1)
+    membership = fleet.members[HostId("host-0")]
+    view = build_view(fleet, engines=1, silent=0)
+    sent: list[AgentMessage] = []
+    feed = EntryFeed(
+        reactor=clock,
+        membership=membership,
+        upstreams=view,
+        reports=EntryReports(),
+        polls=view._polls,
+        send=sent.append,
+    )
+    feed.start()
+    feed.note_hosts()
+    clock.advance(HOSTS_LEARNT_AFTER_S - 1)
+    assert {m.live_hosts for m in sent if isinstance(m, HostShares)} == {()}
+    clock.advance(2.0)
+    feed._compute_shares()
+    feed.stop()
+    shares = [message for message in sent if isinstance(message, HostShares)]
+    assert shares[-1].live_hosts == (HostId("host-0"),)
