Take a second signal during an agent's stop as no news

Cause: a second SIGTERM began a second stop, whose end stopped the reactor twice and left a traceback in the log (read in the code before, now seen in a test). Change: the handler does nothing once a stop has begun, as the entry's does.

--- a/greengagestage/commands/agent.py
+++ b/greengagestage/commands/agent.py
@@ -59,6 +59,8 @@
 
 def _stop_on_signals(reactor: Any, process: AgentProcess) -> None:
     def begin_stop() -> None:
+        if process.is_stopping:
+            return
         process.stop().addBoth(lambda _: reactor.stop())
 
     def handle(signum: int, frame: object) -> None:
--- a/tests/test_agent_processes.py
+++ b/tests/test_agent_processes.py
@@ -235,6 +235,16 @@
     fleet.wait_members([first, replacement, third])
 
 
+def test_second_signal_does_not_disturb_a_planned_stop(fleet: AgentFleet) -> None:
+    first, _ = fleet.start(2)
+    first.process.send_signal(signal.SIGTERM)
+    fleet.wait(lambda: not first.is_ready, "the stop has begun")
+    first.process.send_signal(signal.SIGTERM)
+    assert first.process.wait() == 0
+    assert "Traceback" not in first.process.log_file.read_text()
+    assert "ReactorNotRunning" not in first.process.log_file.read_text()
+
+
 def test_killed_host_is_replaced_under_the_same_name(fleet: AgentFleet) -> None:
     first, second, third = fleet.start(3)
     second.process.send_signal(signal.SIGKILL)
