--- a/bench/control.py
+++ b/bench/control.py
@@ -52,6 +52,7 @@
 
 from ._control_spread import OPERATOR_DIGEST, Heard, measure_leaving, measure_versions
 
+PAGE_COLUMNS = 140
 FLEET_KEY = "fleet-key-of-the-bench"
 MODELS = 5
 CLASSES = 6
@@ -64,7 +65,7 @@
 """Request and answer of one call for an engine's load, headers included."""
 
 reactor: Any = installed_reactor
-_console = Console()
+_console = Console(width=PAGE_COLUMNS)
 
 
 class HostCost(Struct, frozen=True, kw_only=True):
--- a/standins/_fleet_report.py
+++ b/standins/_fleet_report.py
@@ -1,6 +1,7 @@
 """Tables of a run for the terminal."""
 
 import math
+from typing import Literal
 
 from rich.table import Table
 
@@ -21,9 +22,10 @@
 
 def build_class_table(summary: RunSummary) -> Table:
     """Return one row a class."""
-    table = Table(title="by class")
+    table = Table(title="by class", pad_edge=False)
     for column in _COLUMNS:
-        table.add_column(column, justify="left" if column == "class" else "right")
+        justify: Literal["left", "right"] = "left" if column == "class" else "right"
+        table.add_column(column, justify=justify, overflow="fold")
     for row in summary.classes:
         table.add_row(*_format_class(row))
     return table
