Try the last upstream of a pool again after it refused because it leaves

Cause: a refusal that names leaving reached the second host before its request, and a mark came back only by the platform's list, 60 s later; a plain service without peers in its pool has no other way to say that it is back. Change: the agent that told of the refusal takes the mark back after 5 s, doubled to 60 s, where a pool has no working upstream and the list does not call it leaving; the policy takes LIVE from a report that had said LEAVING. Ruled out: load (the race is in the order of two messages).

--- a/greengagestage/agent/_host_list_watch.py
+++ b/greengagestage/agent/_host_list_watch.py
@@ -7,6 +7,7 @@
 from eliot import log_message
 from twisted.internet.defer import Deferred
 
+from greengagestage.ids import UpstreamName
 from greengagestage.membership import Membership
 from greengagestage.services import HostList, HostListClient, HostState
 
@@ -37,6 +38,7 @@
         self._lag_s = lag_s
         self._random = random
         self._next_poll: Any = None
+        self._leaving: frozenset[UpstreamName] = frozenset()
 
     def start(self) -> None:
         """Begin to poll."""
@@ -47,6 +49,10 @@
         if self._next_poll is not None and self._next_poll.active():
             self._next_poll.cancel()
 
+    def is_leaving(self, upstream: UpstreamName) -> bool:
+        """Return whether the list that was read last calls an upstream leaving."""
+        return upstream in self._leaving
+
     def _poll(self) -> None:
         hosts = len(self._fleet.membership.list_members())
         mean_s = max(self._interval_s, hosts * FLEET_POLL_INTERVAL_S)
@@ -66,6 +72,9 @@
 
     def _apply(self, listed: HostList, membership: Membership) -> None:
         now_s = time.monotonic()
+        self._leaving = frozenset(
+            upstream.name for upstream in listed.upstreams if upstream.state is HostState.LEAVING
+        )
         membership.add_seeds(
             host.address
             for host in listed.hosts
--- a/greengagestage/agent/_process.py
+++ b/greengagestage/agent/_process.py
@@ -45,6 +45,7 @@
 from ._orders import OrderDesk
 from ._platform_clients import PlatformClients
 from ._queries import Queries
+from ._refusal_marks import RefusalMarks
 from ._request_log import RequestLog
 from ._settings import AgentSettings
 from ._upstream_view import UpstreamView
@@ -133,6 +134,13 @@
             polls=self._polls,
             send=self.entries.broadcast,
         )
+        self._refusals = RefusalMarks(
+            reactor=self._reactor,
+            membership=self.fleet.membership,
+            upstreams=self.upstreams,
+            is_listed_leaving=self._list_watch.is_leaving,
+            on_back=self._announce_upstream,
+        )
 
     def _build_operators_side(self) -> None:
         membership = self.fleet.membership
@@ -202,6 +210,7 @@
         return released.addCallback(lambda _: self._close())
 
     def _close(self) -> Deferred[Any]:
+        self._refusals.stop()
         self._feed.stop()
         self._list_watch.stop()
         self.watch.stop()
@@ -269,3 +278,8 @@
         log_message("membership: upstream refuses because it leaves", upstream=upstream)
         self.fleet.membership.mark_upstream(upstream, True, time.monotonic())
         self._feed.note_upstreams([upstream])
+        self._refusals.note_refusal(upstream)
+
+    def _announce_upstream(self, upstream: UpstreamName) -> None:
+        self._feed.note_upstreams([upstream])
+        self.fleet.after_event()
--- a/greengagestage/agent/_upstream_view.py
+++ b/greengagestage/agent/_upstream_view.py
@@ -47,6 +47,14 @@
             if not leaving and upstream.name not in gone:
                 yield upstream
 
+    def is_last_of_pool(self, name: UpstreamName) -> bool:
+        """Return whether some pool of an upstream has no other upstream that takes new work."""
+        declared = self._declared.get(name)
+        if declared is None:
+            return False
+        served = {pool for working in self.list_working() for pool in list_pools(working)}
+        return any(pool not in served for pool in list_pools(declared))
+
     def build_statuses(self, names: Iterable[UpstreamName]) -> tuple[UpstreamStatus, ...]:
         """Return the status of some declared upstreams."""
         gone = self._find_gone()
--- a/greengagestage/policy/_upstreams.py
+++ b/greengagestage/policy/_upstreams.py
@@ -15,6 +15,8 @@
 from ._records import RequestRecord
 
 LEAVING_HOLD_S = 30.0
+"""How long an upstream's own word outweighs reports that do not know of it yet: ten times the
+3 s in which every host has heard it."""
 STALL_S = 0.75
 
 
@@ -77,10 +79,15 @@
         self.said_leaving_s = now_s
 
     def apply_report(self, report: UpstreamReport) -> None:
-        """Take a report over unless the upstream's own word is newer."""
+        """Take a report over unless the upstream's own word is newer.
+
+        Once a report has said that the upstream leaves, the reporter knows the word, and may take
+        it back.
+        """
         self.report = report
-        if self.said_leaving_s is not None and report.state is UpstreamState.LIVE:
-            if report.measured_at_s < self.said_leaving_s + LEAVING_HOLD_S:
+        if self.said_leaving_s is not None:
+            unaware = report.state is UpstreamState.LIVE
+            if unaware and report.measured_at_s < self.said_leaving_s + LEAVING_HOLD_S:
                 return
             self.said_leaving_s = None
         self.state = report.state
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -16,6 +16,7 @@
 from greengagestage.agent._load_polls import FAILURES_TO_BE_GONE, LoadPolls
 from greengagestage.agent._operators import find_operator
 from greengagestage.agent._queries import encode_rows
+from greengagestage.agent._refusal_marks import FIRST_HOLD_S, HOLD_FACTOR, RefusalMarks
 from greengagestage.agent._request_log import MINUTES_KEPT, REQUESTS_KEPT, RequestLog
 from greengagestage.agent._share_updates import RAISE_DELAY_S, ShareUpdates
 from greengagestage.agent._upstream_view import UpstreamView
@@ -228,6 +229,65 @@
     assert {status.state for status in view.build_statuses(view.declared)} == {"live"}
 
 
+class RefusingUpstreams:
+    """Upstreams that say by refusals that they leave, as one agent sees them."""
+
+    def __init__(self, *, engines: int) -> None:
+        self.clock = Clock()
+        fleet = MembershipFleet(size=1)
+        self.membership = fleet.members[HostId("host-0")]
+        self.listed_leaving: set[UpstreamName] = set()
+        self.back: list[UpstreamName] = []
+        self.marks = RefusalMarks(
+            reactor=self.clock,
+            membership=self.membership,
+            upstreams=build_view(fleet, engines=engines, silent=0),
+            is_listed_leaving=lambda name: name in self.listed_leaving,
+            on_back=self.back.append,
+        )
+
+    def refuse(self, name: UpstreamName) -> None:
+        self.membership.mark_upstream(name, True, time.monotonic())
+        self.marks.note_refusal(name)
+
+
+ENGINE_0, ENGINE_1 = UpstreamName("engine-0"), UpstreamName("engine-1")
+
+
+def test_the_last_upstream_of_a_pool_is_tried_again_after_a_hold_that_grows() -> None:
+    refusing = RefusingUpstreams(engines=1)
+    refusing.refuse(ENGINE_0)
+    refusing.clock.advance(FIRST_HOLD_S - 0.1)
+    assert refusing.membership.is_leaving(ENGINE_0)
+    refusing.clock.advance(0.2)
+    assert not refusing.membership.is_leaving(ENGINE_0)
+    assert refusing.back == [ENGINE_0]
+    refusing.refuse(ENGINE_0)
+    refusing.clock.advance(FIRST_HOLD_S + 0.1)
+    assert refusing.membership.is_leaving(ENGINE_0)
+    refusing.clock.advance((HOLD_FACTOR - 1) * FIRST_HOLD_S)
+    assert not refusing.membership.is_leaving(ENGINE_0)
+
+
+def test_an_upstream_stays_out_while_another_of_its_pool_works() -> None:
+    refusing = RefusingUpstreams(engines=2)
+    refusing.refuse(ENGINE_0)
+    refusing.clock.pump([FIRST_HOLD_S] * 10)
+    assert refusing.membership.is_leaving(ENGINE_0)
+    refusing.refuse(ENGINE_1)
+    refusing.clock.advance(FIRST_HOLD_S)
+    assert not refusing.membership.is_leaving(ENGINE_0)
+
+
+def test_an_upstream_that_the_list_calls_leaving_stays_out() -> None:
+    refusing = RefusingUpstreams(engines=1)
+    refusing.listed_leaving.add(ENGINE_0)
+    refusing.refuse(ENGINE_0)
+    refusing.clock.pump([FIRST_HOLD_S] * 10)
+    assert refusing.membership.is_leaving(ENGINE_0)
+    assert refusing.back == []
+
+
 class Peers:
     """Two agents' sockets in one reactor."""
 
--- a/tests/test_policy_faults.py
+++ b/tests/test_policy_faults.py
@@ -64,6 +64,18 @@
     assert host.dispatches("later")[0].upstream == first.upstream
 
 
+def test_a_report_that_knew_of_the_leaving_may_bring_the_upstream_back() -> None:
+    host = Host(build_declaration(engines=1, slots=4))
+    host.arrive("r0")
+    first = host.dispatches("r0")[0]
+    host.fail(first.attempt_id, FailureKind.REFUSED, upstream_leaving=True)
+    host.send(report(first.upstream, host.now_s, state=UpstreamState.LEAVING))
+    host.now_s += 5.0
+    host.send(report(first.upstream, host.now_s))
+    host.arrive("later")
+    assert host.dispatches("later")[0].upstream == first.upstream
+
+
 def test_no_upstream_left_refuses_what_waits_and_what_comes() -> None:
     host = Host(build_declaration(engines=1, slots=1))
     host.arrive("running")
