Choose test ports that are free for datagrams and outside the system's own range

Cause: test_a_proven_refusal_is_sent_to_another_upstream failed once with 'Address already in use': the port was probed for connections only, then listened on for datagrams, and lay in the range from which the system serves every other socket. Change: both kinds are probed, on ports that the system gives nobody.

--- a/tests/reactors.py
+++ b/tests/reactors.py
@@ -4,17 +4,38 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from random import SystemRandom
 
 from twisted.internet.epollreactor import EPollReactor
 
 PATIENCE_S = 10.0
 
 
+FIXED_PORTS = range(20_000, 32_000)
+"""Ports that no system gives to a socket which asks for any free one."""
+
+_random = SystemRandom()
+
+
 def choose_address() -> str:
-    """Return a loopback address whose port the system chose."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free for connections and for datagrams.
+
+    The port lies outside the range from which the system serves other sockets, so that none of
+    them takes it before the test listens there.
+    """
+    while True:
+        port = _random.choice(FIXED_PORTS)
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            return f"127.0.0.1:{port}"
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(type=kind) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 @contextmanager
