--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -53,6 +53,7 @@
             reason=placement.reason,
             expected_ms=_to_ms(placement.expected_s),
             prefill_ms=_to_ms(placement.prefill_s),
+            beginning=None if prompt is None else prompt.affinity_key,
             output_tokens=None if prompt is None else prompt.output_tokens,
             send=send,
         )
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -29,8 +29,8 @@
 """Workspaces with metrics of their own; the others share one label."""
 
 READY_AGE_S = 2.5
-"""A host whose configuration was confirmed longer ago sends callers elsewhere: watches end every
-1.8 s."""
+"""A host whose configuration was confirmed longer ago sends callers elsewhere: it is confirmed
+about every second."""
 
 EXPIRY_INTERVAL_S = 0.5
 """How often the reports of silent peers are looked for."""
@@ -54,17 +54,8 @@
         self._pool = ConnectionPool(reactor=reactor)
         address, port = settings.store
         self._rows = RowClient(reactor=reactor, endpoint=Endpoint(address=address, port=port))
-        self._routes = RouteWatch(
-            reactor=reactor, rows=self._rows, random=random, on_table=self._adopt_routes
-        )
-        self._registry = RegistryWatch(
-            reactor=reactor,
-            rows=self._rows,
-            random=random,
-            on_change=self._adopt_upstreams,
-            on_read=lambda digest, revision: self._peers.report_registry(digest, revision),
-            read_rank=lambda: self._peers.rank,
-        )
+        self._routes = self._build_route_watch(random)
+        self._registry = self._build_registry_watch(random)
         self._peers = self._build_peers(incarnation)
         self._hosts = HostList(
             reactor=reactor,
@@ -138,6 +129,28 @@
         host, port = address
         self._ports.append(self._reactor.listenTCP(port, factory, backlog=BACKLOG, interface=host))
 
+    def _build_route_watch(self, random: Random) -> RouteWatch:
+        return RouteWatch(
+            reactor=self._reactor,
+            rows=self._rows,
+            random=random,
+            on_table=self._adopt_routes,
+            on_confirmed=lambda revision, store_s, changed: self._peers.report_configuration(
+                revision, store_s, changed=changed
+            ),
+            read_rank=lambda: self._peers.rank,
+        )
+
+    def _build_registry_watch(self, random: Random) -> RegistryWatch:
+        return RegistryWatch(
+            reactor=self._reactor,
+            rows=self._rows,
+            random=random,
+            on_change=self._adopt_upstreams,
+            on_read=lambda news: self._peers.report_registry(news),
+            read_rank=lambda: self._peers.rank,
+        )
+
     def _build_peers(self, incarnation: int) -> PeerLink:
         return PeerLink(
             reactor=self._reactor,
@@ -151,6 +164,7 @@
                 on_demands=self._hear_demands,
                 on_strike=self._hear_strike,
                 on_registry=self._registry.hear_read,
+                on_configuration=self._routes.hear_confirmed,
             ),
         )
 
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 from msgspec import Struct
 
+from greengagestage.catalog import RegisteredUpstream
 from greengagestage.ids import Fingerprint, HostId, InstanceId, ServiceName
 
 MAX_DATAGRAM_BYTES = 1_400
@@ -65,20 +66,46 @@
     strike: str
 
 
-class RegistryReport(Struct, frozen=True, array_like=True, tag="registry"):
-    """The sender has just read the registry of upstreams.
+class RegistryNews(Struct, frozen=True, array_like=True):
+    """What a host that has read the registry of upstreams tells.
 
     Attributes:
         digest: Hash of what the registry says, equal on hosts that know the same.
         revision: The store's revision as of the read.
+        before: Hash of what it said before the entries below changed; None where they are not
+            told.
+        listed: Entries that are new or have changed.
+        dropped: Entries that are gone.
     """
 
-    sender: Sender
     digest: int
     revision: int
+    before: int | None = None
+    listed: list[RegisteredUpstream] = []
+    dropped: list[InstanceId] = []
+
+
+class RegistryReport(Struct, frozen=True, array_like=True, tag="registry"):
+    """The sender has just read the registry of upstreams."""
+
+    sender: Sender
+    news: RegistryNews
+
+
+class ConfigurationReport(Struct, frozen=True, array_like=True, tag="configuration"):
+    """The store has just confirmed the configuration that the sender uses.
+
+    Attributes:
+        revision: Revision of the configuration's row.
+        store_s: The store's clock at that moment.
+    """
+
+    sender: Sender
+    revision: int
+    store_s: float
 
 
-PeerMessage = LoadReport | StrikeReport | RegistryReport
+PeerMessage = LoadReport | StrikeReport | RegistryReport | ConfigurationReport
 
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -14,10 +14,12 @@
 from ._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
+    ConfigurationReport,
     DemandEntry,
     LoadEntry,
     LoadReport,
     PeerMessage,
+    RegistryNews,
     RegistryReport,
     Sender,
     StrikeReport,
@@ -41,8 +43,8 @@
 SILENT_PEER_INTERVAL_S = 2.0
 """How often a silent peer gets a report, in case it is back."""
 
-STRIKE_REPEATS = 2
-"""How often a strike is sent, since datagrams are lost now and then."""
+REPEATS = 2
+"""How often a strike or a changed configuration is told, since datagrams are lost now and then."""
 
 MAX_ENTRIES = (MAX_DATAGRAM_BYTES - 150) // 27
 """Entries that fit into a datagram with instance ids of usual length."""
@@ -68,7 +70,8 @@
     measure_demand: Callable[[float], Mapping[ServiceName, Demand]]
     on_demands: Callable[[HostId, Mapping[ServiceName, Demand]], None]
     on_strike: Callable[[Fingerprint, str], None]
-    on_registry: Callable[[int, int], None]
+    on_registry: Callable[[RegistryNews], None]
+    on_configuration: Callable[[int, float], None]
 
 
 class PeerLink(DatagramProtocol):
@@ -125,12 +128,17 @@
 
     def report_strike(self, fingerprint: Fingerprint, strike: str) -> None:
         """Tell all peers of an upstream lost under a request."""
-        for _ in range(STRIKE_REPEATS):
+        for _ in range(REPEATS):
             self._send_to_active(StrikeReport(self._build_sender(), fingerprint, strike))
 
-    def report_registry(self, digest: int, revision: int) -> None:
+    def report_registry(self, news: RegistryNews) -> None:
         """Tell all peers that the registry was read."""
-        self._send_to_active(RegistryReport(self._build_sender(), digest, revision))
+        self._send_to_active(RegistryReport(self._build_sender(), news))
+
+    def report_configuration(self, revision: int, store_s: float, *, changed: bool) -> None:
+        """Tell all peers which configuration was the newest at a time of the store's clock."""
+        for _ in range(REPEATS if changed else 1):
+            self._send_to_active(ConfigurationReport(self._build_sender(), revision, store_s))
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Take in a message of a peer."""
@@ -152,8 +160,10 @@
                 )
             case StrikeReport(fingerprint=fingerprint, strike=strike):
                 self._events.on_strike(fingerprint, strike)
-            case RegistryReport(digest=digest, revision=revision):
-                self._events.on_registry(digest, revision)
+            case RegistryReport(news=news):
+                self._events.on_registry(news)
+            case ConfigurationReport(revision=revision, store_s=store_s):
+                self._events.on_configuration(revision, store_s)
 
     def _note_sender(self, message: PeerMessage, addr: tuple[str, int]) -> bool:
         """Return whether a message is newer than all before it from the same host."""
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -1,6 +1,6 @@
 """Reading the registry of upstreams at intervals."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -15,6 +15,7 @@
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, read_upstream
 
 from ._loops import RepeatingTask
+from ._peer_messages import RegistryNews
 
 READ_INTERVAL_S = 0.75
 RANK_DELAY_S = 0.03
@@ -25,7 +26,13 @@
 which a leaving upstream must get nothing more."""
 
 CHANGE_SPREAD_S = 0.05
-"""Hosts that hear of a change read it within this time, not all at the same moment."""
+"""Hosts that hear of a change without its entries read it within this time, not all at the same
+moment."""
+
+ENTRIES_PER_NEWS = 4
+MAX_TOLD_ENTRIES = 24
+"""Changed entries told in one datagram, where they take some 220 bytes each, and at one change;
+after a larger one every host reads the registry itself."""
 
 RETRY_S = 0.2
 """Pause after a failed call, spread by half."""
@@ -51,7 +58,7 @@
         rows: RowClient,
         random: Random,
         on_change: Callable[[Iterable[RegisteredUpstream]], None],
-        on_read: Callable[[int, int], None],
+        on_read: Callable[[RegistryNews], None],
         read_rank: Callable[[], int],
     ) -> None:
         self._reactor = reactor
@@ -63,10 +70,10 @@
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
         self._known: dict[InstanceId, RegisteredUpstream] = {}
         self._current_s: float | None = None
-        self._changed = False
+        self._heard_revision = 0
         self._hold_until_s = 0.0
         self._revision = 0
-        self._digest = 0
+        self._digest = _hash_registry(())
 
     def start(self) -> None:
         """Begin reading."""
@@ -81,21 +88,34 @@
         """Whether the registry was read at least once."""
         return self._current_s is not None
 
-    def hear_read(self, digest: int, revision: int) -> None:
+    def hear_read(self, news: RegistryNews) -> None:
         """Take in that another host has read the registry."""
         if not self.is_known:
             return
-        if digest == self._digest:
+        if news.digest == self._digest:
             self._current_s = self._reactor.seconds()
-            self._revision = max(self._revision, revision)
-        elif revision > self._revision:
-            self._changed = True
+            self._revision = max(self._revision, news.revision)
+        elif not self._apply_news(news) and news.revision > self._revision:
+            self._heard_revision = news.revision
             self._task.hasten(CHANGE_SPREAD_S * self._random.random())
 
+    def _apply_news(self, news: RegistryNews) -> bool:
+        """Take over told entries where they follow on what this host knows."""
+        if news.before != self._digest or news.revision < self._revision:
+            return False
+        found = {key: u for key, u in self._known.items() if key not in news.dropped}
+        found.update({upstream.instance: upstream for upstream in news.listed})
+        if _hash_registry(found.values()) != news.digest:
+            return False
+        self._current_s = self._reactor.seconds()
+        self._revision = news.revision
+        self._replace(found)
+        return True
+
     @inlineCallbacks
     def _step(self) -> Any:
         age_s = self._age_s()
-        if age_s is not None and age_s < READ_INTERVAL_S and not self._changed:
+        if age_s is not None and age_s < READ_INTERVAL_S and not self._heard_revision:
             return READ_INTERVAL_S - age_s + self._compute_rank_delay_s()
         rows: list[StoredRow] = []
         after_key = None
@@ -108,6 +128,8 @@
                 break
             after_key = page.rows[-1].key
         self._take(rows, page.revision)
+        if self._heard_revision:
+            return RETRY_S * (0.5 + self._random.random())
         return READ_INTERVAL_S + self._compute_rank_delay_s()
 
     def _compute_rank_delay_s(self) -> float:
@@ -129,7 +151,8 @@
             self._hold_until_s = now_s + HOLD_AFTER_OUTAGE_S
             log_message(message_type="registry: read after an outage", age_s=age_s)
         self._current_s = now_s
-        self._changed = False
+        if revision >= self._heard_revision:
+            self._heard_revision = 0
         if revision < self._revision:
             log_message(message_type="registry: old read dropped", revision=revision)
             return
@@ -139,8 +162,10 @@
             present = {row.key for row in rows}
             held = {key: u for key, u in self._known.items() if key not in present}
             found = {**held, **found}
+        known = self._known
         self._replace(found)
-        self._on_read(self._digest, revision)
+        for news in describe_change(known, found, revision):
+            self._on_read(news)
 
     def _decode(self, rows: list[StoredRow]) -> dict[InstanceId, RegisteredUpstream]:
         found = {}
@@ -176,6 +201,31 @@
         self._on_change(found.values())
 
 
+def describe_change(
+    before: Mapping[InstanceId, RegisteredUpstream],
+    after: Mapping[InstanceId, RegisteredUpstream],
+    revision: int,
+) -> list[RegistryNews]:
+    """Return what to tell of a read: the change in steps, unless it is none or a large one."""
+    listed = [u for key, u in after.items() if _hash_registry([u]) != _hash_known(before, key)]
+    dropped = sorted(before.keys() - after.keys())
+    steps = [listed[i : i + ENTRIES_PER_NEWS] for i in range(0, len(listed), ENTRIES_PER_NEWS)]
+    if len(listed) > MAX_TOLD_ENTRIES or len(dropped) > MAX_TOLD_ENTRIES or not (steps or dropped):
+        return [RegistryNews(_hash_registry(after.values()), revision)]
+    news, current = [], dict(before)
+    for position, step in enumerate(steps or [[]]):
+        digest = _hash_registry(current.values())
+        gone = dropped if position == 0 else []
+        current = {key: u for key, u in current.items() if key not in gone}
+        current.update({upstream.instance: upstream for upstream in step})
+        news.append(RegistryNews(_hash_registry(current.values()), revision, digest, step, gone))
+    return news
+
+
+def _hash_known(known: Mapping[InstanceId, RegisteredUpstream], key: InstanceId) -> int | None:
+    return _hash_registry([known[key]]) if key in known else None
+
+
 def _hash_registry(upstreams: Iterable[RegisteredUpstream]) -> int:
     """Hash what decides where requests go; equal on all hosts that know the same."""
     digest = xxhash.xxh64()
--- a/greengagestage/gateway/_store_clock.py
+++ b/greengagestage/gateway/_store_clock.py
@@ -25,3 +25,10 @@
         if self._offset_s is None or offset_s > self._offset_s:
             self._offset_s = offset_s
         return min(max(sent_s, store_s + self._offset_s), received_s)
+
+    def bound_moment(self, *, store_s: float, now_s: float) -> float | None:
+        """Return a time at or before a moment of the store's clock that is past.
+
+        None while no call of this host has been answered.
+        """
+        return None if self._offset_s is None else min(store_s + self._offset_s, now_s)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -131,7 +131,8 @@
                 measure_demand=lambda now_s: {},
                 on_demands=lambda host, demands: None,
                 on_strike=lambda fingerprint, strike: self.heard.append(strike),
-                on_registry=lambda digest, revision: self.heard.append(digest),
+                on_registry=self.heard.append,
+                on_configuration=lambda *told: self.heard.append(told),
             ),
         )
         self.link.transport = self.wire = Wire()
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -1,11 +1,29 @@
 """What a host believes of the configuration, the upstreams and its peers, under faults."""
 
-import pytest
+from random import Random
 
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from greengagestage.catalog import Availability, RegisteredUpstream
+from greengagestage.gateway._peer_messages import (
+    MAX_DATAGRAM_BYTES,
+    RegistryNews,
+    RegistryReport,
+    Sender,
+    decode_message,
+    encode_message,
+)
+from greengagestage.gateway._registry_watch import RegistryWatch, describe_change
+from greengagestage.ids import FailureDomain, HostId, InstanceId, ServiceName
 from standins.row_store import StoreFault
 
 from .host_harness import ROUTES, HostFleet, build_document, running_fleet
 
+SENDER = Sender(1, HostId("h2"), 5, 1)
+
 
 @pytest.fixture
 def fleet():
@@ -139,10 +157,10 @@
     alone = count_reads(3.0)
     assert alone >= 2
     process = fleet.processes[0]
-    process._registry.hear_read(process._registry._digest, 10_000)
+    process._registry.hear_read(RegistryNews(process._registry._digest, 10_000))
     fleet.store.calls.clear()
     for _ in range(6):
-        process._registry.hear_read(process._registry._digest, 10_000)
+        process._registry.hear_read(RegistryNews(process._registry._digest, 10_000))
         fleet.turn(0.4)
     assert fleet.store.calls.count("/rows-get") == 0
 
@@ -151,7 +169,7 @@
     start(fleet)
     fleet.add_upstream("two")
     registry = fleet.processes[0]._registry
-    registry.hear_read(12345, 10_000)
+    registry.hear_read(RegistryNews(12345, 10_000))
     fleet.turn(0.2)
     assert len(registry._known) == 2
 
@@ -161,7 +179,7 @@
     start(fleet)
     registry = fleet.processes[0]._registry
     for _ in range(5):
-        registry.hear_read(registry._digest, registry._revision)
+        registry.hear_read(RegistryNews(registry._digest, registry._revision))
         fleet.turn(0.4)
     fleet.store.remove("servers", "one")
     fleet.turn(1.3)
@@ -171,3 +189,119 @@
 def test_hosts_register_themselves(fleet: HostFleet) -> None:
     start(fleet)
     fleet.turn_until(lambda: fleet.store.list_keys("greengagestage-hosts") == ["host-1"])
+
+
+class FollowingHost:
+    """A host behind others in rank, which tell it what the store confirmed."""
+
+    def __init__(self, fleet: HostFleet, **bounds: float) -> None:
+        start(fleet, **bounds)
+        self.fleet = fleet
+        self.routes = fleet.processes[0]._routes
+        self.routes._read_rank = lambda: 5
+        fleet.turn(1.0)
+        fleet.store.calls.clear()
+
+    def tell(self, duration_s: float, revision: int | None = None) -> None:
+        """Let peers confirm a configuration for a while, the host's own one by default."""
+        for _ in range(round(duration_s / 0.2)):
+            told = self.routes._adopted_revision if revision is None else revision
+            self.routes.hear_confirmed(told, self.fleet.reactor.seconds())
+            self.fleet.turn(0.2)
+
+    def count_calls(self) -> int:
+        return self.fleet.store.calls.count("/rows-feed")
+
+
+def test_a_host_that_is_told_confirmations_does_not_ask(fleet: HostFleet) -> None:
+    host = FollowingHost(fleet)
+    host.tell(3.0)
+    assert host.count_calls() <= 1
+    assert fleet.ask_readiness() == 200
+
+
+def test_a_host_that_hears_nothing_asks_before_a_change_must_be_in_force(fleet: HostFleet) -> None:
+    FollowingHost(fleet)
+    fleet.store.put("op", "config", build_document(2, Routes=ROUTES[:1]))
+    fleet.turn(1.8)
+    assert status_of(fleet) == 404
+
+
+def test_a_configuration_that_a_peer_names_is_read_at_once(fleet: HostFleet) -> None:
+    host = FollowingHost(fleet)
+    host.tell(1.0)
+    fleet.store.put("op", "config", build_document(2, Routes=ROUTES[:1]))
+    host.tell(0.2, revision=host.routes._adopted_revision + 1)
+    assert status_of(fleet) == 404
+
+
+def test_a_told_moment_that_is_past_confirms_nothing_now(fleet: HostFleet) -> None:
+    host = FollowingHost(fleet)
+    fleet.store.fault = StoreFault.DOWN
+    old_s = fleet.reactor.seconds() - 30.0
+    fleet.turn(0.5)
+    before_s = host.routes.age_s
+    host.routes.hear_confirmed(host.routes._adopted_revision, old_s)
+    assert host.routes.age_s >= before_s
+
+
+def test_keys_are_refused_while_only_the_name_of_a_newer_version_is_known(fleet: HostFleet) -> None:
+    host = FollowingHost(fleet, key_revocation_s=2.0)
+    fleet.store.fault = StoreFault.DOWN
+    host.tell(1.0)
+    assert status_of(fleet) == 200
+    host.tell(2.6, revision=10_000)
+    caller = fleet.call("/order/x")
+    assert (caller.status, caller.error["code"]) == (503, 2017)
+
+
+def build_upstream(number: int, availability: Availability) -> RegisteredUpstream:
+    return RegisteredUpstream(
+        instance=InstanceId(f"i-{number}"),
+        service=ServiceName("archive"),
+        address="10.0.0.1",
+        port=80,
+        failure_domain=FailureDomain("a"),
+        slots=4,
+        availability=availability,
+    )
+
+
+registries = st.dictionaries(
+    st.integers(min_value=0, max_value=12), st.sampled_from(Availability), max_size=12
+).map(
+    lambda states: {
+        InstanceId(f"i-{number}"): build_upstream(number, availability)
+        for number, availability in states.items()
+    }
+)
+
+
+def follow(registry: RegistryWatch, news: list[RegistryNews]) -> None:
+    for each in news:
+        registry.hear_read(decode_message(encode_message(RegistryReport(SENDER, each))).news)
+
+
+@given(before=registries, after=registries, lost=st.none() | st.integers(0, 3))
+def test_told_changes_give_the_same_registry_or_a_read(before, after, lost) -> None:
+    """A change of the registry on a large fleet, told in steps of which one may be lost."""
+    clock = Clock()
+    registry = RegistryWatch(
+        reactor=clock,
+        rows=None,
+        random=Random(1),
+        on_change=lambda upstreams: None,
+        on_read=lambda news: None,
+        read_rank=lambda: 5,
+    )
+    registry._current_s = 0.0
+    registry._replace(before)
+    news = describe_change(before, after, 7)
+    assert all(len(encode_message(RegistryReport(SENDER, n))) <= MAX_DATAGRAM_BYTES for n in news)
+    kept = [each for position, each in enumerate(news) if position != lost]
+    follow(registry, kept)
+    if len(kept) == len(news):
+        assert registry._known == after
+    else:
+        follow(registry, [RegistryNews(news[-1].digest, 8)])
+        assert registry._known == after or registry._heard_revision == 8
