Sum the hosts' work in hubs of the failure domains

Change: the live host with the lowest id of a failure domain is its hub; hosts report to it, hubs tell each other the sums of their domains and their own hosts the sum of all. Ruled out: rarer reports from each to each, since they get older.

--- a/greengagestage/gateway/__init__.py
+++ b/greengagestage/gateway/__init__.py
@@ -1,7 +1,6 @@
 """The process that serves callers on the operators' platform."""
 
 from ._host import HostProcess
-from ._peer_messages import LoadReport, PeerMessage, StrikeReport
 from ._relay import EventRelay
 from ._settings_watch import SettingsWatch
 from ._store_clock import StoreClock
@@ -9,9 +8,6 @@
 __all__ = [
     "EventRelay",
     "HostProcess",
-    "LoadReport",
-    "PeerMessage",
     "SettingsWatch",
     "StoreClock",
-    "StrikeReport",
 ]
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -10,14 +10,13 @@
 
 from greengagestage.catalog import HostSettings, RegisteredUpstream, RouteTable
 from greengagestage.http1 import ConnectionPool, Endpoint, ServerFactory
-from greengagestage.ids import Fingerprint, HostId, InstanceId, ServiceName
+from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
 from greengagestage.platform import RowClient
 from greengagestage.routing import Demand, Router, StrikeBook, UpstreamLoad
 from greengagestage.telemetry import EntryMetrics
 
 from ._context import ExchangeContext
-from ._host_list import HostList
-from ._loops import RepeatingTask
+from ._host_list import HostList, HostRow
 from ._peers import PeerEvents, PeerLink
 from ._readiness import ReadinessSite
 from ._registry_watch import RegistryWatch
@@ -32,9 +31,6 @@
 """A host whose configuration was confirmed longer ago sends callers elsewhere: it is confirmed
 about every second."""
 
-EXPIRY_INTERVAL_S = 0.5
-"""How often the reports of silent peers are looked for."""
-
 BACKLOG = 1_024
 """Connections that wait to be accepted; beyond, callers' first packets are dropped for seconds."""
 
@@ -72,7 +68,6 @@
             workspace_labels=WORKSPACE_LABELS, read_gauges=self._read_gauges
         )
         self._context = self._build_context()
-        self._expiry = RepeatingTask(reactor=reactor, name="peer reports", step=self._expire_peers)
         self._callers = self._build_callers(random)
         self._readiness = self._build_readiness()
         self._shutdown = Shutdown(
@@ -82,7 +77,7 @@
             configuration=self._configuration,
             open_exchanges=self._context.open_exchanges,
         )
-        self._tasks = (self._routes, self._registry, self._hosts, self._peers, self._expiry)
+        self._tasks = (self._routes, self._registry, self._hosts, self._peers)
         self._ports: list[Any] = []
 
     def start(self) -> None:
@@ -157,11 +152,12 @@
             host=self._settings.host,
             incarnation=incarnation,
             port=self._settings.peer_port,
+            domain=self._settings.failure_domain,
             events=PeerEvents(
                 measure_own=self._router.measure_own,
-                on_loads=self._hear_loads,
                 measure_demand=self._router.measure_own_demand,
-                on_demands=self._hear_demands,
+                list_upstreams=lambda: self._router.upstreams,
+                on_work=self._hear_work,
                 on_strike=self._hear_strike,
                 on_registry=self._registry.hear_read,
                 on_configuration=self._routes.hear_confirmed,
@@ -217,22 +213,20 @@
                 self._pool.close_endpoint(Endpoint(address=place[0], port=place[1]))
         self._router.adopt_upstreams(records, self._reactor.seconds())
 
-    def _adopt_hosts(self, addresses: Mapping[HostId, str]) -> None:
-        self._peers.add_peers(addresses)
+    def _adopt_hosts(self, rows: Mapping[HostId, HostRow]) -> None:
+        for host, row in rows.items():
+            self._peers.add_peer(host, row.address, FailureDomain(row.failure_domain))
         self._router.hosts = self._peers.known
 
-    def _hear_loads(self, host: HostId, loads: Mapping[InstanceId, UpstreamLoad]) -> None:
-        self._router.hear_peer(host, loads, self._reactor.seconds())
+    def _hear_work(
+        self,
+        loads: Mapping[InstanceId, UpstreamLoad],
+        demands: Mapping[ServiceName, Demand],
+    ) -> None:
+        self._router.hear_others(loads, demands)
         if self._router.hosts is not None:
             self._router.hosts = self._peers.known
 
-    def _expire_peers(self) -> float:
-        self._router.expire_peers(self._reactor.seconds())
-        return EXPIRY_INTERVAL_S
-
-    def _hear_demands(self, host: HostId, demands: Mapping[ServiceName, Demand]) -> None:
-        self._router.hear_demand(host, demands, self._reactor.seconds())
-
     def _hear_strike(self, fingerprint: Fingerprint, strike: str) -> None:
         self._strikes.note_strike(fingerprint, strike, self._reactor.seconds())
 
--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/_host_list.py
@@ -39,7 +39,7 @@
         rows: RowClient,
         settings: HostSettings,
         random: Random,
-        on_hosts: Callable[[Mapping[HostId, str]], None],
+        on_hosts: Callable[[Mapping[HostId, HostRow]], None],
     ) -> None:
         self._rows = rows
         self._settings = settings
@@ -73,11 +73,11 @@
         outcome = yield self._rows.put(HOST_TABLE, settings.host, msgspec.json.encode(row))
         return isinstance(outcome, RowsRead)
 
-    def _decode(self, listed: RowsRead) -> dict[HostId, str]:
+    def _decode(self, listed: RowsRead) -> dict[HostId, HostRow]:
         hosts = {}
         for row in listed.rows:
             try:
-                hosts[HostId(row.key)] = msgspec.json.decode(row.value, type=HostRow).address
+                hosts[HostId(row.key)] = msgspec.json.decode(row.value, type=HostRow)
             except msgspec.DecodeError as error:
                 log_message(
                     message_type="host list: entry unreadable", entry=row.key, fault=str(error)
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -4,12 +4,12 @@
 from msgspec import Struct
 
 from greengagestage.catalog import RegisteredUpstream
-from greengagestage.ids import Fingerprint, HostId, InstanceId, ServiceName
+from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
 
 MAX_DATAGRAM_BYTES = 1_400
 """Larger datagrams would be sent in pieces, and lost with any of them."""
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 class Sender(Struct, frozen=True, array_like=True):
@@ -17,7 +17,7 @@
 
     Attributes:
         incarnation: Start of the process; a later one replaces an earlier one.
-        sequence: Grows with each message of one incarnation.
+        sequence: Grows with each round of messages of one incarnation.
     """
 
     version: int
@@ -27,33 +27,68 @@
 
 
 class LoadEntry(Struct, frozen=True, array_like=True):
-    """The sender's work at one upstream."""
+    """Work at one upstream, of one host or of several.
 
-    instance: InstanceId
+    Attributes:
+        upstream: Hash of the upstream's instance id, which is longer.
+        gap_weight_ms: Usual pause between events, times the requests.
+        stalled: Hosts whose requests there have been silent for too long.
+    """
+
+    upstream: int
     prefill_ms: int
     sensitive: int
     tolerant: int
     kilotokens: int
-    gap_ms: int = 0
-    stalled: bool = False
+    gap_weight_ms: int = 0
+    stalled: int = 0
 
 
 class DemandEntry(Struct, frozen=True, array_like=True):
-    """Engine milliseconds a second that the sender's callers bring to one service."""
+    """Engine milliseconds a second that callers bring to one service."""
 
     service: ServiceName
     sensitive_ms: int
     tolerant_ms: int
 
 
-class LoadReport(Struct, frozen=True, array_like=True, tag="load"):
-    """All work of the sender; upstreams and services that are not named have none of it."""
+class Work(Struct, frozen=True, array_like=True):
+    """All work of one host or of several; what is not named has none."""
 
-    sender: Sender
-    loads: list[LoadEntry]
+    loads: list[LoadEntry] = []
     demands: list[DemandEntry] = []
 
 
+class LoadReport(Struct, frozen=True, array_like=True, tag="load"):
+    """The sender's own work, for the hub of its failure domain."""
+
+    domain: FailureDomain
+    work: Work
+
+
+class DomainReport(Struct, frozen=True, array_like=True, tag="domain"):
+    """The work of all hosts that report to the sender, itself included, for other hubs."""
+
+    domain: FailureDomain
+    hosts: int
+    work: Work
+
+
+class TotalsReport(Struct, frozen=True, array_like=True, tag="totals"):
+    """The work of all hosts, for one that reports to the sender.
+
+    Attributes:
+        included: Sequence of the receiver's own report that is part of the sum.
+        rank: The receiver's place among all hosts.
+        hosts: Number of hosts in the sum.
+    """
+
+    included: int
+    rank: int
+    hosts: int
+    work: Work
+
+
 class StrikeReport(Struct, frozen=True, array_like=True, tag="strike"):
     """The sender lost an upstream while it ran a request.
 
@@ -61,12 +96,11 @@
         strike: Names the loss, since the report is sent more than once.
     """
 
-    sender: Sender
     fingerprint: Fingerprint
     strike: str
 
 
-class RegistryNews(Struct, frozen=True, array_like=True):
+class RegistryNews(Struct, frozen=True, array_like=True, tag="registry"):
     """What a host that has read the registry of upstreams tells.
 
     Attributes:
@@ -85,13 +119,6 @@
     dropped: list[InstanceId] = []
 
 
-class RegistryReport(Struct, frozen=True, array_like=True, tag="registry"):
-    """The sender has just read the registry of upstreams."""
-
-    sender: Sender
-    news: RegistryNews
-
-
 class ConfigurationReport(Struct, frozen=True, array_like=True, tag="configuration"):
     """The store has just confirmed the configuration that the sender uses.
 
@@ -100,12 +127,20 @@
         store_s: The store's clock at that moment.
     """
 
-    sender: Sender
     revision: int
     store_s: float
 
 
-PeerMessage = LoadReport | StrikeReport | RegistryReport | ConfigurationReport
+WorkReport = LoadReport | DomainReport | TotalsReport
+PeerBody = WorkReport | StrikeReport | RegistryNews | ConfigurationReport
+
+
+class PeerMessage(Struct, frozen=True, array_like=True):
+    """A datagram."""
+
+    sender: Sender
+    body: PeerBody
+
 
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 _ENCODER = msgspec.msgpack.Encoder()
@@ -121,7 +156,7 @@
     if len(data) > MAX_DATAGRAM_BYTES:
         return None
     try:
-        message: PeerMessage = _DECODER.decode(data)
+        message = _DECODER.decode(data)
     except msgspec.DecodeError:
         return None
     return message if message.sender.version == PROTOCOL_VERSION else None
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -1,53 +1,41 @@
-"""What hosts tell each other: their work at each upstream, and requests that crash upstreams."""
+"""The datagrams between hosts: their work at each upstream, and what one learns for all."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
+import xxhash
 from eliot import log_message
 from twisted.internet.protocol import DatagramProtocol
 
-from greengagestage.ids import Fingerprint, HostId, InstanceId, ServiceName
+from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
 from greengagestage.routing import Demand, UpstreamLoad
 
+from ._load_exchange import LoadExchange
 from ._loops import RepeatingTask
 from ._peer_messages import (
-    MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
     ConfigurationReport,
     DemandEntry,
+    DomainReport,
     LoadEntry,
     LoadReport,
+    PeerBody,
     PeerMessage,
     RegistryNews,
-    RegistryReport,
     Sender,
     StrikeReport,
+    TotalsReport,
+    Work,
     decode_message,
     encode_message,
 )
 
-REPORT_INTERVAL_S = 0.04
-"""Shortest time between two reports: below the time in which an engine reads a usual prompt."""
-
-DATAGRAMS_PER_S = 250.0
-"""Datagrams that a host sends a second at most; with more peers, reports become rarer, so that
-the cost on each host does not grow with the fleet."""
-
-KEEPALIVE_S = 0.5
-"""Longest time between two reports."""
-
-PEER_SILENCE_S = 3.0
-"""A peer not heard for this long gets keepalives only now and then."""
-
-SILENT_PEER_INTERVAL_S = 2.0
-"""How often a silent peer gets a report, in case it is back."""
-
 REPEATS = 2
 """How often a strike or a changed configuration is told, since datagrams are lost now and then."""
 
-MAX_ENTRIES = (MAX_DATAGRAM_BYTES - 150) // 27
-"""Entries that fit into a datagram with instance ids of usual length."""
+Loads = Mapping[InstanceId, UpstreamLoad]
+Demands = Mapping[ServiceName, Demand]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,8 +43,6 @@
     """Another host."""
 
     address: tuple[str, int]
-    heard_s: float | None = None
-    sent_s: float = 0.0
     incarnation: int = 0
     sequence: int = 0
 
@@ -65,22 +51,29 @@
 class PeerEvents:
     """Who hears what peers say, and what is told to them."""
 
-    measure_own: Callable[[float], Mapping[InstanceId, UpstreamLoad]]
-    on_loads: Callable[[HostId, Mapping[InstanceId, UpstreamLoad]], None]
-    measure_demand: Callable[[float], Mapping[ServiceName, Demand]]
-    on_demands: Callable[[HostId, Mapping[ServiceName, Demand]], None]
+    measure_own: Callable[[float], Loads]
+    measure_demand: Callable[[float], Demands]
+    list_upstreams: Callable[[], Iterable[InstanceId]]
+    on_work: Callable[[Loads, Demands], None]
     on_strike: Callable[[Fingerprint, str], None]
     on_registry: Callable[[RegistryNews], None]
     on_configuration: Callable[[int, float], None]
 
 
 class PeerLink(DatagramProtocol):
-    """Sends this host's reports to all peers and takes theirs in."""
+    """Sends this host's reports and takes those of the others in."""
 
     transport: Any
 
     def __init__(
-        self, *, reactor: Any, host: HostId, incarnation: int, port: int, events: PeerEvents
+        self,
+        *,
+        reactor: Any,
+        host: HostId,
+        domain: FailureDomain,
+        incarnation: int,
+        port: int,
+        events: PeerEvents,
     ) -> None:
         self._reactor = reactor
         self._host = host
@@ -88,15 +81,15 @@
         self._port = port
         self._events = events
         self._peers: dict[HostId, Peer] = {}
+        self._exchange = LoadExchange(host=host, domain=domain)
+        self._followed = host
         self._task = RepeatingTask(reactor=reactor, name="peers", step=self._report)
         self._sequence = 0
-        self._reported: Mapping[InstanceId, UpstreamLoad] = {}
-        self._reported_s = 0.0
         self.rejected = 0
 
     def start(self) -> None:
         """Begin reporting; the link must be listening."""
-        self._task.start(REPORT_INTERVAL_S)
+        self._task.start(self._exchange.interval_s)
 
     def stop(self) -> None:
         """Stop reporting."""
@@ -109,36 +102,36 @@
 
     @property
     def active(self) -> int:
-        """Peers heard recently."""
-        return sum(self._is_active(peer) for peer in self._peers.values())
+        """Peers heard of lately."""
+        return self._exchange.hosts - 1
 
     @property
     def rank(self) -> int:
-        """Place of this host among the active ones, 0 for the first."""
-        return sum(host < self._host for host, peer in self._peers.items() if self._is_active(peer))
-
-    def add_peers(self, addresses: Mapping[HostId, str]) -> None:
-        """Take over the addresses of registered hosts."""
-        for host, address in addresses.items():
-            if host == self._host:
-                continue
-            known = self._peers.get(host)
-            if known is None or known.address[0] != address:
-                self._peers[host] = Peer(address=(address, self._port))
+        """Place of this host among all, 0 for the first."""
+        return self._exchange.rank
+
+    def add_peer(self, host: HostId, address: str, domain: FailureDomain) -> None:
+        """Take over the address of a registered host."""
+        if host == self._host:
+            return
+        known = self._peers.get(host)
+        if known is None or known.address[0] != address:
+            self._peers[host] = Peer(address=(address, self._port))
+        self._exchange.add_host(host, domain)
 
     def report_strike(self, fingerprint: Fingerprint, strike: str) -> None:
         """Tell all peers of an upstream lost under a request."""
         for _ in range(REPEATS):
-            self._send_to_active(StrikeReport(self._build_sender(), fingerprint, strike))
+            self._send_to_all(StrikeReport(fingerprint, strike))
 
     def report_registry(self, news: RegistryNews) -> None:
         """Tell all peers that the registry was read."""
-        self._send_to_active(RegistryReport(self._build_sender(), news))
+        self._send_to_all(news)
 
     def report_configuration(self, revision: int, store_s: float, *, changed: bool) -> None:
         """Tell all peers which configuration was the newest at a time of the store's clock."""
         for _ in range(REPEATS if changed else 1):
-            self._send_to_active(ConfigurationReport(self._build_sender(), revision, store_s))
+            self._send_to_all(ConfigurationReport(revision, store_s))
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Take in a message of a peer."""
@@ -146,89 +139,100 @@
         if message is None or message.sender.host == self._host:
             self.rejected += 1
             return
-        if self._note_sender(message, addr):
+        if self._note_sender(message.sender, addr):
             self._take(message)
 
     def _take(self, message: PeerMessage) -> None:
-        match message:
-            case LoadReport(sender=sender, loads=loads, demands=demands):
-                self._events.on_loads(
-                    sender.host, {entry.instance: _read_entry(entry) for entry in loads}
-                )
-                self._events.on_demands(
-                    sender.host, {entry.service: _read_demand(entry) for entry in demands}
-                )
+        match message.body:
+            case LoadReport() | DomainReport():
+                self._exchange.hear(message, self._reactor.seconds())
+            case TotalsReport():
+                self._exchange.hear(message, self._reactor.seconds())
+                self._publish()
             case StrikeReport(fingerprint=fingerprint, strike=strike):
                 self._events.on_strike(fingerprint, strike)
-            case RegistryReport(news=news):
+            case RegistryNews() as news:
                 self._events.on_registry(news)
             case ConfigurationReport(revision=revision, store_s=store_s):
                 self._events.on_configuration(revision, store_s)
 
-    def _note_sender(self, message: PeerMessage, addr: tuple[str, int]) -> bool:
+    def _note_sender(self, sender: Sender, addr: tuple[str, int]) -> bool:
         """Return whether a message is newer than all before it from the same host."""
-        sender = message.sender
         peer = self._peers.get(sender.host)
         if peer is None:
             peer = self._peers[sender.host] = Peer(address=(addr[0], self._port))
         position = (sender.incarnation, sender.sequence)
         if position <= (peer.incarnation, peer.sequence):
             return False
-        if peer.heard_s is None or not self._is_active(peer):
+        if sender.incarnation != peer.incarnation:
             log_message(message_type="peers: heard", peer=sender.host, address=addr[0])
         peer.address = (addr[0], self._port)
-        peer.heard_s = self._reactor.seconds()
         peer.incarnation, peer.sequence = position
         return True
 
-    def _is_active(self, peer: Peer) -> bool:
-        return peer.heard_s is not None and self._reactor.seconds() - peer.heard_s < PEER_SILENCE_S
-
     def _report(self) -> float:
         now_s = self._reactor.seconds()
-        loads = self._events.measure_own(now_s)
-        due = now_s - self._reported_s >= KEEPALIVE_S
-        if loads != self._reported or due:
-            self._reported, self._reported_s = loads, now_s
-            self._send_report(loads, now_s)
-        return max(REPORT_INTERVAL_S, len(self._peers) / DATAGRAMS_PER_S)
-
-    def _send_report(self, loads: Mapping[InstanceId, UpstreamLoad], now_s: float) -> None:
-        entries = [_build_entry(instance, load) for instance, load in loads.items()]
-        entries.sort(key=lambda entry: entry.prefill_ms, reverse=True)
-        demands = [
-            DemandEntry(service, round(d.sensitive * 1_000), round(d.tolerant * 1_000))
-            for service, d in self._events.measure_demand(now_s).items()
-        ]
-        report = LoadReport(self._build_sender(), entries[:MAX_ENTRIES], demands)
-        data = encode_message(report)
-        for peer in self._peers.values():
-            if self._is_active(peer) or now_s - peer.sent_s >= SILENT_PEER_INTERVAL_S:
-                peer.sent_s = now_s
-                self.transport.write(data, peer.address)
-
-    def _send_to_active(self, message: PeerMessage) -> None:
+        sender = self._build_sender()
+        work = _build_work(self._events.measure_own(now_s), self._events.measure_demand(now_s))
+        for host, body in self._exchange.plan(work, sender.sequence, now_s):
+            peer = self._peers.get(host)
+            if peer is not None:
+                self.transport.write(encode_message(PeerMessage(sender, body)), peer.address)
+        self._publish()
+        self._note_hub()
+        return self._exchange.interval_s
+
+    def _publish(self) -> None:
+        """Tell this host's router the work of all others."""
+        work = self._exchange.sum_others(self._reactor.seconds())
+        names = {_hash_instance(instance): instance for instance in self._events.list_upstreams()}
+        loads = {
+            names[entry.upstream]: _read_entry(entry)
+            for entry in work.loads
+            if entry.upstream in names
+        }
+        self._events.on_work(loads, {entry.service: _read_demand(entry) for entry in work.demands})
+
+    def _note_hub(self) -> None:
+        if self._exchange.hub != self._followed:
+            self._followed = self._exchange.hub
+            log_message(message_type="peers: hub", hub=self._followed, hosts=self._exchange.hosts)
+
+    def _send_to_all(self, body: PeerBody) -> None:
         if self.transport is None:
             return  # the port is closed: the host is stopping
-        data = encode_message(message)
+        data = encode_message(PeerMessage(self._build_sender(), body))
         for peer in self._peers.values():
-            if self._is_active(peer):
-                self.transport.write(data, peer.address)
+            self.transport.write(data, peer.address)
 
     def _build_sender(self) -> Sender:
         self._sequence += 1
         return Sender(PROTOCOL_VERSION, self._host, self._incarnation, self._sequence)
 
 
+def _hash_instance(instance: InstanceId) -> int:
+    return xxhash.xxh32_intdigest(instance.encode())
+
+
+def _build_work(loads: Loads, demands: Demands) -> Work:
+    return Work(
+        [_build_entry(instance, load) for instance, load in loads.items()],
+        [
+            DemandEntry(service, round(each.sensitive * 1_000), round(each.tolerant * 1_000))
+            for service, each in demands.items()
+        ],
+    )
+
+
 def _build_entry(instance: InstanceId, load: UpstreamLoad) -> LoadEntry:
     return LoadEntry(
-        instance,
+        _hash_instance(instance),
         round(load.prefill_s * 1_000),
         load.sensitive,
         load.tolerant,
         round(load.tokens / 1_000),
-        round(load.gap_s * 1_000),
-        load.stalled,
+        round(load.gap_s * 1_000) * load.requests,
+        int(load.stalled),
     )
 
 
@@ -237,11 +241,12 @@
 
 
 def _read_entry(entry: LoadEntry) -> UpstreamLoad:
+    requests = entry.sensitive + entry.tolerant
     return UpstreamLoad(
         prefill_s=entry.prefill_ms / 1_000,
         sensitive=entry.sensitive,
         tolerant=entry.tolerant,
         tokens=entry.kilotokens * 1_000,
-        gap_s=entry.gap_ms / 1_000,
-        stalled=entry.stalled,
+        gap_s=entry.gap_weight_ms / requests / 1_000 if requests else 0.0,
+        stalled=entry.stalled > 0,
     )
--- a/greengagestage/routing/_loads.py
+++ b/greengagestage/routing/_loads.py
@@ -50,9 +50,9 @@
 
 
 class LoadTotal:
-    """The sum of several hosts' loads at one upstream, changed one host at a time.
+    """The sum of several loads at one upstream.
 
-    Pauses are averaged over the requests of the hosts that saw some.
+    Pauses are averaged over the requests of the loads that have some.
     """
 
     __slots__ = (
@@ -84,23 +84,13 @@
         """Usual pause between events; 0 where none was seen."""
         return self._gap_weight / self._gap_requests if self._gap_requests else 0.0
 
-    def add_total(self, total: "LoadTotal") -> None:
-        """Add another sum."""
-        self.prefill_s += total.prefill_s
-        self.sensitive += total.sensitive
-        self.tolerant += total.tolerant
-        self.tokens += total.tokens
-        self.stalled += total.stalled
-        self._gap_requests += total._gap_requests
-        self._gap_weight += total._gap_weight
-
-    def add(self, load: UpstreamLoad, sign: int = 1) -> None:
-        """Add a load, or take it out with the sign -1."""
-        self.prefill_s += sign * load.prefill_s
-        self.sensitive += sign * load.sensitive
-        self.tolerant += sign * load.tolerant
-        self.tokens += sign * load.tokens
-        self.stalled += sign * load.stalled
+    def add(self, load: UpstreamLoad) -> None:
+        """Add the load of one host, or of several."""
+        self.prefill_s += load.prefill_s
+        self.sensitive += load.sensitive
+        self.tolerant += load.tolerant
+        self.tokens += load.tokens
+        self.stalled += load.stalled
         if load.gap_s > 0:
-            self._gap_requests += sign * load.requests
-            self._gap_weight += sign * load.requests * load.gap_s
+            self._gap_requests += load.requests
+            self._gap_weight += load.requests * load.gap_s
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -5,13 +5,12 @@
 from enum import Enum
 
 from greengagestage.catalog import Bounds, RegisteredUpstream, RouteTable, Service
-from greengagestage.ids import AttemptId, FailureDomain, HostId, InstanceId, ServiceName
+from greengagestage.ids import AttemptId, FailureDomain, InstanceId, ServiceName
 from greengagestage.results import ResultCode
 
 from ._demand import Demand, DemandMeter, EngineSplit
 from ._jobs import Job, Placement, Refused, Waiting
 from ._loads import UpstreamLoad, WorkItem
-from ._peer_reports import PeerReports
 from ._placement import Choice, EngineChooser, choose_plain, is_sensitive
 from ._retries import RetryBudget
 from ._upstreams import UpstreamState
@@ -62,7 +61,8 @@
         self._upstreams: dict[InstanceId, UpstreamState] = {}
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._meters: dict[ServiceName, DemandMeter] = {}
-        self._peers = PeerReports()
+        self._others: Mapping[InstanceId, UpstreamLoad] = {}
+        self._others_demand: Mapping[ServiceName, Demand] = {}
         self._demand_cache: dict[ServiceName, tuple[float, Demand]] = {}
         self._splits: dict[ServiceName, EngineSplit] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -100,7 +100,7 @@
             state = known.get(record.instance)
             if state is None or state.record.incarnation != record.incarnation:
                 state = UpstreamState(record=record, now_s=now_s)
-                self._peers.sum_into(state)
+                state.hear_others(self._others.get(record.instance))
             elif state.record != record:
                 state.record = record
             self._upstreams[record.instance] = state
@@ -181,21 +181,15 @@
             case AttemptEnd.CANCELLED:
                 pass
 
-    def hear_peer(
-        self, host: HostId, loads: Mapping[InstanceId, UpstreamLoad], now_s: float
-    ) -> None:
-        """Take in another host's work at all upstreams."""
-        self._peers.hear_loads(host, loads, self._upstreams, now_s)
-
-    def hear_demand(
-        self, host: HostId, demands: Mapping[ServiceName, Demand], now_s: float
+    def hear_others(
+        self,
+        loads: Mapping[InstanceId, UpstreamLoad],
+        demands: Mapping[ServiceName, Demand],
     ) -> None:
-        """Take in the demand that reaches another host."""
-        self._peers.hear_demands(host, demands, now_s)
-
-    def expire_peers(self, now_s: float) -> None:
-        """Forget what silent hosts said; to be called about once a second."""
-        self._peers.expire(self._upstreams, now_s)
+        """Take in the work of all other hosts, in place of what was heard before."""
+        self._others, self._others_demand = loads, demands
+        for instance, state in self._upstreams.items():
+            state.hear_others(loads.get(instance))
 
     def measure_own_demand(self, now_s: float) -> dict[ServiceName, Demand]:
         """Return the demand that reaches this host."""
@@ -243,7 +237,7 @@
             return cached[1]
         meter = self._meters.get(service)
         own = Demand() if meter is None else meter.measure(now_s)
-        total = own + self._peers.sum_demand(service)
+        total = own + self._others_demand.get(service, Demand())
         self._demand_cache[service] = (now_s, total)
         return total
 
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -54,7 +54,7 @@
         self.dismissed_until_s = 0.0
         self._cold_until_s = now_s + record.cold_s
         self._own: dict[AttemptId, WorkItem] = {}
-        self.peers = LoadTotal()
+        self._others: UpstreamLoad | None = None
         self._cached: dict[PromptPartId, float] = {}
         self._heard_s = now_s
         self._gap_s = 0.0
@@ -74,7 +74,9 @@
 
     def is_trusted(self, now_s: float) -> bool:
         """Whether nothing speaks against sending there."""
-        if self.peers.stalled or self.health.is_excluded(now_s):
+        if self._others is not None and self._others.stalled:
+            return False
+        if self.health.is_excluded(now_s):
             return False
         return not self.is_stalled(now_s)
 
@@ -121,9 +123,14 @@
         """Return the work of all hosts, as far as it is known."""
         total = LoadTotal()
         total.add(self.measure_own(now_s))
-        total.add_total(self.peers)
+        if self._others is not None:
+            total.add(self._others)
         return total
 
+    def hear_others(self, load: UpstreamLoad | None) -> None:
+        """Take in the work of all other hosts there; None for none."""
+        self._others = load
+
     def forecast_gap_s(self, tokens_per_event: int, load: LoadTotal) -> float:
         """Return the expected pause between the events of a new stream."""
         return max(load.gap_s, tokens_per_event * STEP_S)
--- /dev/null
+++ b/tests/test_load_exchange.py
@@ -0,0 +1,214 @@
+"""How hosts learn of each other's work: fleets of exchanges on a clock, without a network."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagestage.gateway._load_exchange import (
+    HUB_DATAGRAMS_PER_S,
+    REPORT_LIFETIME_S,
+    LoadExchange,
+)
+from greengagestage.gateway._peer_messages import (
+    MAX_DATAGRAM_BYTES,
+    PROTOCOL_VERSION,
+    DemandEntry,
+    LoadEntry,
+    PeerMessage,
+    Sender,
+    Work,
+    encode_message,
+)
+from greengagestage.gateway._work_sums import MAX_ENTRIES, add_work, subtract_work
+from greengagestage.ids import FailureDomain, HostId, ServiceName
+
+SETTLE_S = 6.0
+"""A dead hub given up in each domain, one after the other, and the last sums expired."""
+
+
+def build_work(number: int) -> Work:
+    service = ServiceName("engines")
+    return Work(
+        [LoadEntry(number % 7, 10 + number, 1, number % 3, 5, 40, 0), LoadEntry(99, 0, 1, 0, 1)],
+        [DemandEntry(service, number, 2 * number)],
+    )
+
+
+class Fleet:
+    """Hosts in some domains, a network that may lose datagrams, and hosts that stand still."""
+
+    def __init__(self, *, hosts: int, domains: int, loss: float = 0.0, seed: int = 1) -> None:
+        self.random = Random(seed)
+        self.loss = loss
+        self.now_s = 0.0
+        self.still: set[HostId] = set()
+        self.received: Counter[HostId] = Counter()
+        self.sent: Counter[HostId] = Counter()
+        self.domains = {
+            HostId(f"h{number:03}"): FailureDomain(f"d{number % domains}")
+            for number in range(hosts)
+        }
+        self.work = {host: build_work(number) for number, host in enumerate(self.domains)}
+        self.exchanges: dict[HostId, LoadExchange] = {}
+        self.sequences: Counter[HostId] = Counter()
+        self.due_s: dict[HostId, float] = {}
+        for host in self.domains:
+            self.start(host, known=list(self.domains))
+
+    def start(self, host: HostId, known: list[HostId]) -> None:
+        exchange = LoadExchange(host=host, domain=self.domains[host])
+        for other in known:
+            exchange.add_host(other, self.domains[other])
+        self.exchanges[host] = exchange
+        self.due_s[host] = self.now_s + 0.3 * self.random.random()
+
+    def run(self, duration_s: float) -> None:
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            host = min(self.due_s, key=lambda each: self.due_s[each])
+            self.now_s = max(self.now_s, self.due_s[host])
+            exchange = self.exchanges[host]
+            self.due_s[host] += exchange.interval_s
+            if host not in self.still:
+                self.turn(host, exchange)
+
+    def turn(self, host: HostId, exchange: LoadExchange) -> None:
+        self.sequences[host] += 1
+        sequence = self.sequences[host]
+        for target, body in exchange.plan(self.work[host], sequence, self.now_s):
+            self.sent[host] += 1
+            message = PeerMessage(Sender(PROTOCOL_VERSION, host, 1, sequence), body)
+            assert len(encode_message(message)) <= MAX_DATAGRAM_BYTES
+            if target in self.still or self.random.random() < self.loss:
+                continue
+            self.received[target] += 1
+            self.exchanges[target].hear(message, self.now_s)
+
+    def check_sums(self) -> None:
+        """Every live host knows the work of all other live hosts."""
+        live = [host for host in self.domains if host not in self.still]
+        for host in live:
+            others = add_work(self.work[other] for other in live if other != host)
+            assert self.exchanges[host].sum_others(self.now_s) == others, host
+            assert self.exchanges[host].hosts == len(live)
+
+
+@pytest.mark.parametrize(("hosts", "domains"), [(1, 1), (8, 3), (9, 4), (58, 4), (84, 4)])
+def test_every_host_knows_the_work_of_all_others(hosts: int, domains: int) -> None:
+    fleet = Fleet(hosts=hosts, domains=domains)
+    fleet.run(SETTLE_S)
+    fleet.check_sums()
+    ranks = [exchange.rank for exchange in fleet.exchanges.values()]
+    assert sorted(ranks)[: min(hosts, domains)] == list(range(min(hosts, domains)))
+    assert len(set(ranks)) == len(ranks)
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    lost=st.sets(st.integers(0, 11), max_size=10),
+    back=st.sets(st.integers(0, 11), max_size=4),
+    seed=st.integers(0, 99),
+)
+def test_lost_hosts_are_forgotten_and_those_that_come_back_are_heard(lost, back, seed) -> None:
+    """Any number of hosts is lost at once, hubs among them, and some return."""
+    fleet = Fleet(hosts=12, domains=3, seed=seed)
+    fleet.run(SETTLE_S)
+    hosts = list(fleet.domains)
+    fleet.still = {hosts[number] for number in lost}
+    fleet.run(SETTLE_S)
+    fleet.check_sums()
+    fleet.still -= {hosts[number] for number in back}
+    fleet.run(SETTLE_S)
+    fleet.check_sums()
+
+
+def test_a_host_that_is_added_makes_itself_known() -> None:
+    """A machine is added during the day; its id is lower than that of the hub."""
+    fleet = Fleet(hosts=9, domains=3)
+    fleet.run(SETTLE_S)
+    added = HostId("a000")
+    fleet.domains = {added: FailureDomain("d0"), **fleet.domains}
+    fleet.work[added] = build_work(50)
+    fleet.start(added, known=list(fleet.domains))
+    fleet.run(SETTLE_S)
+    fleet.check_sums()
+    assert fleet.exchanges[HostId("h000")].hub == added
+
+
+def test_a_hub_that_freezes_is_replaced_before_its_sums_expire() -> None:
+    fleet = Fleet(hosts=8, domains=2)
+    fleet.run(SETTLE_S)
+    fleet.still = {HostId("h000")}
+    for _ in range(12):
+        fleet.run(0.2)
+        assert fleet.exchanges[HostId("h003")].sum_others(fleet.now_s).loads
+    fleet.check_sums()
+
+
+def test_a_host_alone_forgets_the_others_in_time() -> None:
+    fleet = Fleet(hosts=8, domains=2)
+    fleet.run(SETTLE_S)
+    fleet.still = set(fleet.domains) - {HostId("h003")}
+    fleet.run(REPORT_LIFETIME_S + 0.5)
+    assert fleet.exchanges[HostId("h003")].sum_others(fleet.now_s) == Work()
+
+
+def test_lost_datagrams_do_not_change_the_hubs() -> None:
+    fleet = Fleet(hosts=12, domains=3, loss=0.03)
+    fleet.run(SETTLE_S)
+    hubs = {host: exchange.hub for host, exchange in fleet.exchanges.items()}
+    for _ in range(20):
+        fleet.run(0.5)
+        assert {host: exchange.hub for host, exchange in fleet.exchanges.items()} == hubs
+
+
+@pytest.mark.parametrize(("hosts", "domains"), [(9, 4), (58, 4), (84, 4), (371, 7)])
+def test_cost_stays_flat_in_fleets_of_any_size(hosts: int, domains: int) -> None:
+    """Work changes all the time: no host sends and receives more than a hub's share."""
+    fleet = Fleet(hosts=hosts, domains=domains)
+    fleet.run(1.5)
+    fleet.sent.clear()
+    fleet.received.clear()
+    for number in range(10):
+        fleet.work = {host: build_work(number + place) for place, host in enumerate(fleet.work)}
+        fleet.run(0.2)
+    most = max(fleet.sent[host] + fleet.received[host] for host in fleet.domains) / 2.0
+    assert most <= HUB_DATAGRAMS_PER_S * 1.1
+    assert (
+        sum(fleet.sent.values()) / 2.0 / hosts <= 2.5 / fleet.exchanges[HostId("h000")].interval_s
+    )
+
+
+WORKS = st.lists(
+    st.builds(
+        Work,
+        st.lists(
+            st.builds(
+                LoadEntry,
+                st.integers(1, 5),
+                *[st.integers(0, 9)] * 6,
+            ),
+            max_size=4,
+            unique_by=lambda entry: entry.upstream,
+        ),
+    ),
+    max_size=5,
+)
+
+
+@given(WORKS)
+def test_a_sum_without_a_part_is_the_sum_of_the_others(works: list[Work]) -> None:
+    total = add_work(works)
+    for position, work in enumerate(works):
+        others = add_work(each for place, each in enumerate(works) if place != position)
+        assert subtract_work(total, work) == others
+
+
+def test_work_at_very_many_upstreams_is_cut_to_the_busiest() -> None:
+    busy = Work([LoadEntry(2**32 - 1 - n, 30_000 + n, 60, 60, 5_000, 9_000, 9) for n in range(300)])
+    total = add_work([busy])
+    assert len(total.loads) == MAX_ENTRIES
+    assert total.loads[0].prefill_ms == 30_299
