Move engines between kinds only when one is short; use a second copy only where it is cached

Change: the split moves by more than 8% of the engines, and only while the kind that would gain is above 0.7 engine seconds an engine; the second engine goes before the first one's patience only where this host knows the beginning to be cached.

--- a/greengagestage/routing/_demand.py
+++ b/greengagestage/routing/_demand.py
@@ -21,8 +21,13 @@
 """Engine seconds a second below which demand says nothing about its parts."""
 
 HYSTERESIS = 1.0
-"""The number of engines changes when the fair number differs from it by more than this: an engine
-that changes sides is read in anew."""
+HYSTERESIS_SHARE = 0.08
+"""The number of engines changes when the fair number differs from it by more than one, and by more
+than this part of a large number: an engine that changes sides is read in anew."""
+
+SHORTAGE = 0.7
+"""Weighed engine seconds a second and engine above which a kind is short of engines. Below, both
+kinds have room, and changing sides would only cost."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,8 +91,21 @@
     def __init__(self) -> None:
         self._share = DEFAULT_SHARE
 
-    def count(self, engines: int, share: float) -> int:
-        """Return the number of engines for a share, which changes only when it differs clearly."""
-        if abs(share - self._share) * engines > HYSTERESIS:
+    def count(self, engines: int, demand: Demand) -> int:
+        """Return the number of engines, which changes only when a kind is clearly short of them."""
+        share = demand.sensitive_share
+        hysteresis = max(HYSTERESIS, HYSTERESIS_SHARE * engines)
+        is_clear = abs(share - self._share) * engines > hysteresis
+        if is_clear and self._find_need(engines, demand, share > self._share) > SHORTAGE:
             self._share = share
+        return self._round(engines)
+
+    def _find_need(self, engines: int, demand: Demand, sensitive: bool) -> float:
+        """Return the demand of one kind for each engine that it has."""
+        split = self._round(engines)
+        if sensitive:
+            return SENSITIVE_WEIGHT * demand.sensitive / split
+        return demand.tolerant / max(engines - split, 1)
+
+    def _round(self, engines: int) -> int:
         return min(max(round(self._share * engines), 1), max(engines - 1, 1))
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -7,7 +7,7 @@
 from greengagestage.catalog import EngineProfile, Prompt
 from greengagestage.ids import FailureDomain
 
-from ._demand import EngineSplit
+from ._demand import Demand, EngineSplit
 from ._jobs import Job, Waiting
 from ._upstreams import UpstreamState
 from ._work import OUTPUT_SHARE
@@ -169,23 +169,23 @@
         candidates: Sequence[UpstreamState],
         *,
         sensitive: bool,
-        sensitive_share: float,
+        demand: Demand,
         now_s: float,
     ) -> Choice | Waiting:
         """Choose an engine; the candidates must not be empty."""
-        home = self._list_home(candidates, sensitive, sensitive_share)
+        home = self._list_home(candidates, sensitive, demand)
         if sensitive:
             return self._choose_sensitive(job, prompt, home, candidates, now_s)
         return self._choose_tolerant(job, prompt, home or candidates, now_s)
 
     def _list_home(
-        self, candidates: Sequence[UpstreamState], sensitive: bool, share: float
+        self, candidates: Sequence[UpstreamState], sensitive: bool, demand: Demand
     ) -> list[UpstreamState]:
         """Return the candidates of a job's own part of the engines."""
         engines = len(self._ranks)
         if engines == 1:
             return list(candidates)
-        split = self._split.count(engines, share)
+        split = self._split.count(engines, demand)
         return [
             state
             for state in candidates
@@ -227,7 +227,9 @@
         waited_s = now_s - job.arrived_s
         is_fresh = waited_s < REVIEW_S
         home_patience = HOME_PATIENCE if is_fresh else WAITING_PATIENCE
-        for forecast in copies:
+        for rank, forecast in enumerate(copies):
+            if rank and forecast.wasted_s > 0:
+                continue
             in_time = forecast.first_event_s <= home_patience * job.route.target_s
             if in_time and forecast.whole_s <= whole_limit_s:
                 return _build_choice(forecast, "cached prompt")
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -226,7 +226,7 @@
             job.prompt,
             candidates,
             sensitive=self._is_sensitive(job),
-            sensitive_share=self._measure_demand(job.service, now_s).sensitive_share,
+            demand=self._measure_demand(job.service, now_s),
             now_s=now_s,
         )
 
