Let an engine's pace fade, and count unknown work of other hosts less

Cause: a first event that came late behind another host's prompt, not known yet here, was taken for a slow engine: expected 0.1 s, taken 0.8 s, pace 2.7 until the next request there, on 58 hosts some 14 s later. Beginnings then left their engines. Change: 0.1 s is added to both times that are compared, and a pace fades to the usual one in 6 s.

--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -1,5 +1,7 @@
 """What this host knows of one upstream: its entry, the work there, its pace and its health."""
 
+import math
+
 import xxhash
 
 from greengagestage.catalog import Availability, Prompt, RegisteredUpstream
@@ -14,6 +16,14 @@
 """The newest observation's weight in an upstream's pace, and the bounds of a single one: a slow
 upstream is believed after a few requests, and one lost packet does not count for ever."""
 
+PACE_MARGIN_S = 0.1
+"""Added to both times that are compared: work of other hosts that is not known yet delays a first
+event by about the time of a long prompt, and says nothing about the pace."""
+
+PACE_LIFETIME_S = 6.0
+"""A pace fades to the usual one in this time without observations: slow phases last some seconds,
+and on a large fleet a host meets each upstream only now and then."""
+
 STALL_S = 0.6
 """An upstream that streams to this host is silent this long only when it is in trouble: the
 longest pause on the operators' sheets is 0.8 s, and steps take some ms."""
@@ -48,7 +58,8 @@
     def __init__(self, *, record: RegisteredUpstream, now_s: float) -> None:
         self.record = record
         self.health = Health()
-        self.pace = 1.0
+        self._pace = 1.0
+        self._pace_seen_s = now_s
         self.answer_s: float | None = None
         self.order = xxhash.xxh64_intdigest(record.instance.encode())
         self.dismissed_until_s = 0.0
@@ -61,7 +72,7 @@
         self._gap_seen_s = 0.0
 
     def __repr__(self) -> str:
-        return f"UpstreamState({self.record.instance}, own={len(self._own)}, pace={self.pace:.2f})"
+        return f"UpstreamState({self.record.instance}, own={len(self._own)}, pace={self._pace:.2f})"
 
     @property
     def own_requests(self) -> int:
@@ -135,9 +146,14 @@
         """Return the expected pause between the events of a new stream."""
         return max(load.gap_s, tokens_per_event * STEP_S)
 
+    def read_pace(self, now_s: float) -> float:
+        """Return how many times longer than forecast first events take there."""
+        fading = math.exp(-max(now_s - self._pace_seen_s, 0.0) / PACE_LIFETIME_S)
+        return 1.0 + (self._pace - 1.0) * fading
+
     def forecast_first_event_s(self, prefill_s: float, load: LoadTotal, now_s: float) -> float:
         """Return the expected time to the first event of a prompt with so much prefill."""
-        slowness = self.pace * (COLD_FACTOR if now_s < self._cold_until_s else 1.0)
+        slowness = self.read_pace(now_s) * (COLD_FACTOR if now_s < self._cold_until_s else 1.0)
         return FIRST_EVENT_OVERHEAD_S + slowness * (load.prefill_s + prefill_s)
 
     def estimate_prefill_s(self, prompt: Prompt, cached_tokens: int) -> float:
@@ -164,7 +180,7 @@
         item.started = True
         item.last_event_s = now_s
         item.prefill_s = 0.0
-        self._learn_pace(now_s - item.sent_s, item.expected_s)
+        self._learn_pace(now_s - item.sent_s, item.expected_s, now_s)
 
     def end(self, attempt_id: AttemptId) -> WorkItem | None:
         """Take a request out of the books."""
@@ -186,12 +202,13 @@
         self._gap_s += GAP_WEIGHT * (gap_s - self._gap_s)
         self._gap_seen_s = now_s
 
-    def _learn_pace(self, taken_s: float, expected_s: float) -> None:
-        if expected_s <= 0:
-            return
+    def _learn_pace(self, taken_s: float, expected_s: float, now_s: float) -> None:
         lowest, highest = PACE_RANGE
-        observed = min(max(self.pace * taken_s / expected_s, lowest), highest)
-        self.pace += PACE_WEIGHT * (observed - self.pace)
+        pace = self.read_pace(now_s)
+        ratio = (taken_s + PACE_MARGIN_S) / (expected_s + PACE_MARGIN_S)
+        observed = min(max(pace * ratio, lowest), highest)
+        self._pace = pace + PACE_WEIGHT * (observed - pace)
+        self._pace_seen_s = now_s
 
     def _remember(self, prompt: Prompt, now_s: float) -> None:
         for part in prompt.shared_parts:
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -246,3 +246,27 @@
     used = Counter(place(router, number, prompt=build_short_prompt("hot")) for number in range(40))
     assert len(used) >= 4
     assert max(used.values()) <= 2 * min(used.values()) + 2
+
+
+def test_work_of_others_that_was_not_known_makes_no_engine_slow_for_long() -> None:
+    """A large fleet: one first event came late behind another host's prompt, and then none."""
+    router = build_router(engines=8)
+    home = place(router, 1, route=LONG)
+    state = router.upstreams[home]
+    state.note_event(build_job(1).attempt_id, 1.2)
+    finish(router, 1, home, 1.5)
+    assert state.read_pace(1.2) < 3.0
+    assert state.read_pace(20.0) < 1.1
+    assert place(router, 2, 1.6, route=LONG) == home
+
+
+def test_an_engine_that_turned_slow_is_believed_after_a_few_first_events() -> None:
+    router = build_router(engines=1)
+    state = router.upstreams[InstanceId("i-0")]
+    for number in range(8):
+        now_s = float(number)
+        placed = router.place(build_job(number, now_s=now_s, route=LONG), now_s)
+        assert isinstance(placed, Placement)
+        state.note_event(build_job(number).attempt_id, now_s + 0.6)
+        finish(router, number, placed.upstream.instance, now_s + 0.7)
+    assert state.read_pace(8.0) > 2.5
