Take an engine's room with the probability at which all hosts fill it together

Change: a long prompt goes to a copy or to an idle engine with the probability room over the work that is not heard of yet there (demand times the reports' delay), else it is looked at again; a short answer whose first engine is busy takes the best of four, not of all. Tests fail without the change.

--- a/greengagestage/gateway/_load_exchange.py
+++ b/greengagestage/gateway/_load_exchange.py
@@ -28,6 +28,9 @@
 HUB_DATAGRAMS_PER_S = 400.0
 """Datagrams that a hub sends and receives a second; in larger domains reports become rarer."""
 
+HOPS = 3
+"""Reports on the way from a host to one of another domain; each waits half an interval."""
+
 KEEPALIVE_S = 0.25
 """Longest time between two reports."""
 
@@ -100,6 +103,11 @@
         domains = len({self._domain, *self._hosts.values()})
         return max(MIN_INTERVAL_S, 2 * (members + domains) / HUB_DATAGRAMS_PER_S)
 
+    @property
+    def delay_s(self) -> float:
+        """Usual time until a host's work is known on all others: by two hubs."""
+        return HOPS * self.interval_s / 2
+
     def add_host(self, host: HostId, domain: FailureDomain) -> None:
         """Learn of a host; it is greeted, so that it learns of this one."""
         if host != self._own and self._hosts.get(host) != domain:
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -110,6 +110,11 @@
         """Place of this host among all, 0 for the first."""
         return self._exchange.rank
 
+    @property
+    def delay_s(self) -> float:
+        """Usual time until a host's work is known on all others."""
+        return self._exchange.delay_s
+
     def add_peer(self, host: HostId, address: str, domain: FailureDomain) -> None:
         """Take over the address of a registered host."""
         if host == self._host:
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -49,6 +49,10 @@
 COPY_PATIENCE = 0.3
 """Part of the target within which another engine must begin for the beginning to be read there."""
 
+SHORT_COPIES = 4
+"""Engines among which a short answer whose first one is busy takes the best: on a large fleet all
+hosts would send to a single best one before they hear of each other."""
+
 IMBALANCE = 1.25
 IMBALANCE_SLACK = 2
 """An engine takes short answers by their beginnings up to this many times the usual number of
@@ -153,7 +157,12 @@
     """
 
     def __init__(
-        self, *, engine: EngineProfile, engines: Sequence[UpstreamState], split: EngineSplit
+        self,
+        *,
+        engine: EngineProfile,
+        engines: Sequence[UpstreamState],
+        split: EngineSplit,
+        draw: Callable[[], float],
     ) -> None:
         self._engine = engine
         self._ranks = {
@@ -161,6 +170,7 @@
             for rank, state in enumerate(sorted(engines, key=lambda state: state.order))
         }
         self._split = split
+        self._draw = draw
 
     def choose(
         self,
@@ -170,13 +180,20 @@
         *,
         sensitive: bool,
         demand: Demand,
+        report_delay_s: float,
         now_s: float,
     ) -> Choice | Waiting:
-        """Choose an engine; the candidates must not be empty."""
+        """Choose an engine; the candidates must not be empty.
+
+        Args:
+            report_delay_s: Time after which the work of other hosts is known here.
+        """
         home = self._list_home(candidates, sensitive, demand)
         if sensitive:
             return self._choose_sensitive(job, prompt, home, candidates, now_s)
-        return self._choose_tolerant(job, prompt, home or candidates, now_s)
+        engines = home or candidates
+        unheard_s = demand.tolerant * report_delay_s / len(engines)
+        return self._choose_tolerant(job, prompt, engines, unheard_s, now_s)
 
     def _list_home(
         self, candidates: Sequence[UpstreamState], sensitive: bool, demand: Demand
@@ -207,14 +224,19 @@
             is_balanced = first.requests <= IMBALANCE * usual + IMBALANCE_SLACK
             if is_balanced and first.first_event_s <= SENSITIVE_PATIENCE * job.route.target_s:
                 return _build_choice(first, "cached prompt")
-            best = min(forecasts, key=_weigh)
+            best = min(forecasts[:SHORT_COPIES], key=_weigh)
             if best.first_event_s <= SPILL_PATIENCE * job.route.target_s:
                 return _build_choice(best, "least delay")
         best = min(self._forecast_all(prompt, candidates, now_s), key=_weigh)
         return _build_choice(best, "least delay anywhere")
 
     def _choose_tolerant(
-        self, job: Job, prompt: Prompt, engines: Sequence[UpstreamState], now_s: float
+        self,
+        job: Job,
+        prompt: Prompt,
+        engines: Sequence[UpstreamState],
+        unheard_s: float,
+        now_s: float,
     ) -> Choice | Waiting:
         """Choose an engine that holds the prompt's beginning, or let the job wait.
 
@@ -223,28 +245,47 @@
         """
         ranked = self._forecast_all(prompt, engines, now_s)
         copies = list(islice(ranked, max(LEAST_COPIES, round(COPY_SHARE * len(self._ranks)))))
-        whole_limit_s = WHOLE_PATIENCE * (job.deadline_s - now_s)
         waited_s = now_s - job.arrived_s
         is_fresh = waited_s < REVIEW_S
-        home_patience = HOME_PATIENCE if is_fresh else WAITING_PATIENCE
+        whole_limit_s = WHOLE_PATIENCE * (job.deadline_s - now_s)
+        patience_s = (HOME_PATIENCE if is_fresh else WAITING_PATIENCE) * job.route.target_s
         for rank, forecast in enumerate(copies):
             if rank and forecast.wasted_s > 0:
                 continue
-            in_time = forecast.first_event_s <= home_patience * job.route.target_s
-            if in_time and forecast.whole_s <= whole_limit_s:
+            if forecast.first_event_s <= patience_s and forecast.whole_s <= whole_limit_s:
                 return _build_choice(forecast, "cached prompt")
-        best = min(copies, key=_weigh)
-        limit = FRESH_PATIENCE if is_fresh else WAITING_PATIENCE
-        if best.first_event_s <= limit * job.route.target_s:
-            return _build_choice(best, "least delay")
-        for forecast in ranked:
-            if forecast.first_event_s <= COPY_PATIENCE * job.route.target_s:
-                return _build_choice(forecast, "another copy")
+        limit_s = (FRESH_PATIENCE if is_fresh else WAITING_PATIENCE) * job.route.target_s
+        copies.sort(key=_weigh)
+        for forecast in copies:
+            if self._has_room(forecast, limit_s, unheard_s * len(copies)):
+                return _build_choice(forecast, "least delay")
+        other = self._find_other(list(ranked), COPY_PATIENCE * job.route.target_s, unheard_s)
+        if other is not None:
+            return _build_choice(other, "another copy")
+        best = copies[0]
         latest_s = job.deadline_s - WHOLE_MARGIN * best.whole_s
         if waited_s < MAX_WAIT * job.route.target_s and now_s < latest_s:
             return Waiting(delay_s=REVIEW_S, reason=f"first event after {best.first_event_s:.2f} s")
         return _build_choice(best, "waited long enough")
 
+    def _find_other(
+        self, forecasts: Sequence[_Forecast], limit_s: float, unheard_s: float
+    ) -> _Forecast | None:
+        """Return an idle engine; the fewer there are, the more hosts would send to each."""
+        idle = [forecast for forecast in forecasts if forecast.first_event_s <= limit_s]
+        if not idle or not self._has_room(idle[0], limit_s, unheard_s * len(forecasts) / len(idle)):
+            return None
+        return idle[0]
+
+    def _has_room(self, forecast: _Forecast, limit_s: float, unheard_s: float) -> bool:
+        """Return whether an engine would begin in time, with the work that is not heard of yet.
+
+        All hosts see the same room and want it at once. Each takes it with the probability at
+        which they fill it together.
+        """
+        room_s = limit_s - forecast.first_event_s
+        return room_s >= 0 and self._draw() * unheard_s <= room_s
+
     def _forecast_all(
         self, prompt: Prompt, engines: Sequence[UpstreamState], now_s: float
     ) -> Iterator[_Forecast]:
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -29,6 +29,9 @@
 DEMAND_REFRESH_S = 0.1
 """The demand on all hosts is summed up this often: it changes over more than a second."""
 
+DEFAULT_REPORT_DELAY_S = 0.1
+"""Time after which the work of other hosts is known, until the interval of their reports is."""
+
 CONNECTIONS_SHARE = 0.8
 """Part of an upstream's connections that the hosts share, so that new hosts find some free."""
 
@@ -67,6 +70,7 @@
         self._splits: dict[ServiceName, EngineSplit] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.hosts: int | None = None
+        self.report_delay_s = DEFAULT_REPORT_DELAY_S
 
     @property
     def upstreams(self) -> Mapping[InstanceId, UpstreamState]:
@@ -219,6 +223,7 @@
                 engine=service.engine,
                 engines=ready,
                 split=self._splits.setdefault(service.name, EngineSplit()),
+                draw=self._draw,
             )
             self._choosers[service.name] = chooser
         return chooser.choose(
@@ -227,6 +232,7 @@
             candidates,
             sensitive=self._is_sensitive(job),
             demand=self._measure_demand(job.service, now_s),
+            report_delay_s=self.report_delay_s,
             now_s=now_s,
         )
 
--- a/tests/catalog_builders.py
+++ b/tests/catalog_builders.py
@@ -146,8 +146,11 @@
     return Job(**{**defaults, **fields})
 
 
-def build_router(*, engines: int = 6, plain: int = 0, bounds: Bounds | None = None) -> Router:
-    router = Router(domain=FailureDomain("a"), bounds=bounds or Bounds(), draw=_Draws().draw)
+def build_router(
+    *, engines: int = 6, plain: int = 0, bounds: Bounds | None = None, seed: int = 0
+) -> Router:
+    draws = _Draws(seed)
+    router = Router(domain=FailureDomain("a"), bounds=bounds or Bounds(), draw=draws.draw)
     router.hosts = 8
     router.adopt_routes(build_table())
     upstreams = [build_upstream(number) for number in range(engines)]
@@ -157,10 +160,10 @@
 
 
 class _Draws:
-    """A fixed sequence that is spread over 0 to 1."""
+    """A fixed sequence that is spread over 0 to 1, another one for each seed."""
 
-    def __init__(self) -> None:
-        self._value = 0.5
+    def __init__(self, seed: int) -> None:
+        self._value = (0.5 + seed * 0.754878) % 1.0
 
     def draw(self) -> float:
         self._value = (self._value + 0.618034) % 1.0
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -270,3 +270,38 @@
         state.note_event(build_job(number).attempt_id, now_s + 0.6)
         finish(router, number, placed.upstream.instance, now_s + 0.7)
     assert state.read_pace(8.0) > 2.5
+
+
+def build_fleet(hosts: int, engines: int) -> list[Router]:
+    """Return the routers of a large fleet in a burst, with the same stale view of the engines."""
+    routers = [build_router(engines=engines, seed=number) for number in range(hosts)]
+    for router in routers:
+        router.report_delay_s = 0.15
+    return routers
+
+
+def test_hosts_that_see_one_idle_engine_do_not_all_send_there() -> None:
+    """A burst of long prompts on 58 hosts: all engines are busy but one."""
+    busy = UpstreamLoad(prefill_s=1.4, tolerant=6, tokens=60_000)
+    demand = {ENGINES: Demand(sensitive=0.5, tolerant=30.0)}
+    sent = Counter[InstanceId]()
+    for number, router in enumerate(build_fleet(58, 34)):
+        idle = sorted(router.upstreams)[7]
+        loads = {each: busy for each in router.upstreams if each != idle}
+        router.hear_others(loads, demand)
+        job = build_job(number, route=LONG, prompt=build_prompt(shared=f"l{number}"))
+        placed = router.place(job, 0.0)
+        if isinstance(placed, Placement):
+            sent[placed.upstream.instance] += 1
+    assert sent[idle] <= 12
+
+
+def test_short_answers_of_many_hosts_spread_over_their_engines() -> None:
+    """58 hosts leave busy engines at once; the two idle ones must not get all of it."""
+    busy = UpstreamLoad(prefill_s=0.12, sensitive=3, tokens=3_000)
+    sent = Counter[InstanceId]()
+    for number, router in enumerate(build_fleet(58, 30)):
+        idle = sorted(router.upstreams)[:2]
+        router.hear_others({each: busy for each in router.upstreams if each not in idle}, {})
+        sent[place(router, number, prompt=build_short_prompt(f"s{number}"))] += 1
+    assert max(sent.values()) <= 58 / 2
