--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -29,8 +29,8 @@
 
 FRESH_PATIENCE = 0.75
 WAITING_PATIENCE = 0.35
-"""Part of the target within which a job is sent: one that has just come as long as it can be in
-time, one that waits already only where it does not take that from the others."""
+"""Part of the target within which a job is sent: as long as it can be in time, so the less the
+longer it has waited, and then only where it does not take that from the others."""
 
 MAX_WAIT = 2.5
 """A job waits for this many targets at most; callers leave after four without an event."""
@@ -245,26 +245,25 @@
         """
         ranked = self._forecast_all(prompt, engines, now_s)
         copies = list(islice(ranked, max(LEAST_COPIES, round(COPY_SHARE * len(self._ranks)))))
-        waited_s = now_s - job.arrived_s
-        is_fresh = waited_s < REVIEW_S
+        waited_s, target_s = now_s - job.arrived_s, job.route.target_s
         whole_limit_s = WHOLE_PATIENCE * (job.deadline_s - now_s)
-        patience_s = (HOME_PATIENCE if is_fresh else WAITING_PATIENCE) * job.route.target_s
+        patience_s = max(HOME_PATIENCE * target_s - waited_s, WAITING_PATIENCE * target_s)
         for rank, forecast in enumerate(copies):
             if rank and forecast.wasted_s > 0:
                 continue
             if forecast.first_event_s <= patience_s and forecast.whole_s <= whole_limit_s:
                 return _build_choice(forecast, "cached prompt")
-        limit_s = (FRESH_PATIENCE if is_fresh else WAITING_PATIENCE) * job.route.target_s
+        limit_s = max(FRESH_PATIENCE * target_s - waited_s, WAITING_PATIENCE * target_s)
         copies.sort(key=_weigh)
         for forecast in copies:
             if self._has_room(forecast, limit_s, unheard_s * len(copies)):
                 return _build_choice(forecast, "least delay")
-        other = self._find_other(list(ranked), COPY_PATIENCE * job.route.target_s, unheard_s)
+        other = self._find_other(list(ranked), COPY_PATIENCE * target_s, unheard_s)
         if other is not None:
             return _build_choice(other, "another copy")
         best = copies[0]
         latest_s = job.deadline_s - WHOLE_MARGIN * best.whole_s
-        if waited_s < MAX_WAIT * job.route.target_s and now_s < latest_s:
+        if waited_s < MAX_WAIT * target_s and now_s < latest_s:
             return Waiting(delay_s=REVIEW_S, reason=f"first event after {best.first_event_s:.2f} s")
         return _build_choice(best, "waited long enough")
 
