--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -189,15 +189,23 @@
         self.store.put("servers", name, upstream.build_entry())
         return upstream
 
-    def start_host(self, name: str = "host-1", **bounds: Any) -> HostProcess:
+    def start_host(
+        self,
+        name: str = "host-1",
+        *,
+        address: str = "127.0.0.1",
+        domain: str = "a",
+        peer_port: int | None = None,
+        **bounds: Any,
+    ) -> HostProcess:
         store = self.store_port.getHost()
         settings = HostSettings(
             host=HostId(name),
-            address="127.0.0.1",
-            failure_domain=FailureDomain("a"),
+            address=address,
+            failure_domain=FailureDomain(domain),
             callers=_choose_endpoint(),
             readiness=_choose_endpoint(),
-            peer_port=_choose_endpoint()[1],
+            peer_port=peer_port or _choose_endpoint()[1],
             store=(store.host, store.port),
             bounds=Bounds(**{"key_revocation_s": 5.0, **bounds}),
         )
@@ -274,6 +282,10 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def choose_port() -> int:
+    return _choose_endpoint()[1]
+
+
 def _choose_endpoint() -> tuple[str, int]:
     address, _, port = choose_address().rpartition(":")
     return address, int(port)
