Count no silence of others for the time in which a host did not run

Change: a round that comes 0.3 s and an interval late forgives the silence of hub and contacts. Ruled out: lost datagrams (two in a row do not change a hub, test_lost_datagrams_do_not_change_the_hubs).

--- a/greengagestage/gateway/_load_exchange.py
+++ b/greengagestage/gateway/_load_exchange.py
@@ -42,6 +42,10 @@
 """A hub that sends nothing for this long is given up; a frozen or lost one is noticed before its
 last sum expires, and two datagrams in a row may be lost."""
 
+SUSPENDED_S = 0.3
+"""A host whose last round is this long past, and some intervals, was itself suspended or short of
+processor time: what the others sent meanwhile is still to be read."""
+
 GREETING_INTERVAL_S = 2.0
 """How often silent hosts that would be the hub are greeted, in case they are back."""
 
@@ -80,6 +84,7 @@
         self._greeted_s = 0.0
         self._hub = host
         self._hub_since_s = 0.0
+        self._planned_s = 0.0
         self._reports: dict[HostId, _Heard[LoadReport]] = {}
         self._domains: dict[FailureDomain, _Heard[DomainReport]] = {}
         self._totals: _Heard[TotalsReport] | None = None
@@ -136,6 +141,7 @@
 
     def plan(self, work: Work, sequence: int, now_s: float) -> list[Send]:
         """Return what to send now, as the round with a sequence; to be called every interval."""
+        self._forgive_own_pause(now_s)
         self._drop_old(now_s)
         self._check_hub(now_s)
         greetings = [(host, LoadReport(self._domain, work)) for host in self._list_greeted(now_s)]
@@ -195,6 +201,13 @@
         members = [host for host, domain in self._hosts.items() if domain == self._domain]
         return min([self._own, *(host for host in members if host not in self._silent)])
 
+    def _forgive_own_pause(self, now_s: float) -> None:
+        """Count no silence for the time in which this host did not run."""
+        pause_s, self._planned_s = now_s - self._planned_s, now_s
+        if pause_s > SUSPENDED_S + self.interval_s:
+            self._hub_since_s = now_s
+            self._contacts = {domain: (host, now_s) for domain, (host, _) in self._contacts.items()}
+
     def _check_hub(self, now_s: float) -> None:
         """Give up a hub that does not answer, and follow the one that is due."""
         if self._hub != self._own:
--- a/tests/test_host_fleet.py
+++ b/tests/test_host_fleet.py
@@ -1,5 +1,6 @@
 """Several hosts over real datagrams, each on a loopback address of its own."""
 
+import time
 from collections import Counter
 from dataclasses import replace
 
@@ -83,3 +84,16 @@
     fleet.add_upstream("two")
     fleet.turn_until(lambda: all(len(each._router.upstreams) == 2 for each in hosts.processes))
     assert fleet.store.calls.count("/rows-get") <= 2
+
+
+def test_a_process_that_stood_still_keeps_its_hub(hosts: TalkingHosts) -> None:
+    """A second without processor time: the datagrams of that time are read after the timers run."""
+    fleet = hosts.fleet
+    fleet.turn(0.5)
+    hubs = [process._peers._exchange.hub for process in hosts.processes]
+    ranks = [process._peers.rank for process in hosts.processes]
+    time.sleep(1.0)
+    for _ in range(5):
+        fleet.turn(0.02)
+        assert [process._peers._exchange.hub for process in hosts.processes] == hubs
+        assert [process._peers.rank for process in hosts.processes] == ranks
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -148,6 +148,25 @@
     fleet.check_sums()
 
 
+@pytest.mark.parametrize("asleep", ["h003", "h000"])
+def test_a_host_that_was_suspended_does_not_take_others_for_silent(asleep: str) -> None:
+    """It did not run for a second, and its first round comes before what is in its socket."""
+    fleet = Fleet(hosts=8, domains=2)
+    fleet.run(SETTLE_S)
+    host = HostId(asleep)
+    fleet.still = {host}
+    fleet.run(1.0)
+    fleet.still = set()
+    fleet.due_s[host] = fleet.now_s
+    hub, contacts = fleet.exchanges[host].hub, dict(fleet.exchanges[host]._contacts)
+    fleet.turn(host, fleet.exchanges[host])
+    assert fleet.exchanges[host].hub == hub
+    assert not fleet.exchanges[host]._silent
+    assert {d: c for d, (c, _) in fleet.exchanges[host]._contacts.items()} == {
+        d: c for d, (c, _) in contacts.items()
+    }
+
+
 def test_a_host_alone_forgets_the_others_in_time() -> None:
     fleet = Fleet(hosts=8, domains=2)
     fleet.run(SETTLE_S)
