Share what a caller's connection tells its listener between both interfaces

Cause: entry and http1 each had the listener's protocol and the same producer methods. Change: both connections are a ListenedConnection of http1; nothing else changes.

--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from io import BytesIO
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 from twisted.internet.base import DelayedCall
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 from twisted.web import http
 
+from greengagestage.http1 import ListenedConnection
 from greengagestage.ids import RequestId
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
 from greengagestage.results import ResultCode
@@ -29,23 +30,9 @@
     idle_timeout_s: float = 60.0
 
 
-class CallerListener(Protocol):
-    """Hears what a caller's connection does while its answer is being made."""
-
-    def pause(self) -> None:
-        """The caller reads slower than the answer comes."""
-
-    def resume(self) -> None:
-        """The caller has caught up."""
-
-    def leave(self) -> None:
-        """The caller closed its connection."""
-
-
-class CallerRequest(http.Request):
+class CallerRequest(ListenedConnection, http.Request):
     """One request of a caller and the answer to it."""
 
-    listener: CallerListener | None = None
     _too_large = False
 
     @property
@@ -83,22 +70,7 @@
     def connectionLost(self, reason: Failure) -> None:
         """Tell the listener that the caller left."""
         super().connectionLost(reason)
-        listener, self.listener = self.listener, None
-        if listener is not None:
-            listener.leave()
-
-    def pauseProducing(self) -> None:
-        """Called by the transport when its buffer is full."""
-        if self.listener is not None:
-            self.listener.pause()
-
-    def resumeProducing(self) -> None:
-        """Called by the transport when its buffer is empty again."""
-        if self.listener is not None:
-            self.listener.resume()
-
-    def stopProducing(self) -> None:
-        """Called by the transport when it is lost; ``connectionLost`` follows."""
+        self.tell_left()
 
     def read_body(self) -> bytes:
         """Return the whole body."""
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connections to upstreams and from callers, with framing checked by h11."""
 
+from ._callers import CallerListener, ListenedConnection
 from ._client import (
     ClientConnection,
     Exchange,
@@ -11,7 +12,6 @@
 from ._pool import ConnectionPool, Endpoint
 from ._server import (
     CallerConnection,
-    CallerListener,
     IncomingRequest,
     LimitExceeded,
     Responder,
@@ -30,6 +30,7 @@
     "HeaderList",
     "IncomingRequest",
     "LimitExceeded",
+    "ListenedConnection",
     "OutgoingRequest",
     "Responder",
     "ResponseHead",
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -12,6 +12,7 @@
 
 from greengagestage.catalog import ConnectionLimits
 
+from ._callers import CallerListener, ListenedConnection
 from ._sockets import tune_socket
 from ._types import HeaderList
 
@@ -54,19 +55,6 @@
         return next(iter(self.get_all(name)), None)
 
 
-class CallerListener(Protocol):
-    """Hears what a caller's connection does while its answer is made."""
-
-    def leave(self) -> None:
-        """The caller closed its connection."""
-
-    def pause(self) -> None:
-        """The caller reads slower than the answer comes."""
-
-    def resume(self) -> None:
-        """The caller has caught up."""
-
-
 class Responder(Protocol):
     """Takes the answer to one request."""
 
@@ -133,14 +121,13 @@
     size: int = 0
 
 
-class CallerConnection(TwistedProtocol):
+class CallerConnection(ListenedConnection, TwistedProtocol):
     """A caller's connection; also the responder of its current request."""
 
     transport: Any
 
     def __init__(self, *, factory: ServerFactory) -> None:
         self.factory: ServerFactory = factory
-        self.listener: CallerListener | None = None
         self._codec = h11.Connection(
             h11.SERVER, max_incomplete_event_size=factory.limits.header_bytes
         )
@@ -178,22 +165,7 @@
         """Tell the listener that the caller has left."""
         self._stop_timer()
         self.factory.connections.discard(self)
-        listener, self.listener = self.listener, None
-        if listener is not None:
-            listener.leave()
-
-    def pauseProducing(self) -> None:
-        """Called by the transport when its buffer is full."""
-        if self.listener is not None:
-            self.listener.pause()
-
-    def resumeProducing(self) -> None:
-        """Called by the transport when its buffer is empty again."""
-        if self.listener is not None:
-            self.listener.resume()
-
-    def stopProducing(self) -> None:
-        """Called by the transport when it is lost; ``connectionLost`` follows."""
+        self.tell_left()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
         """Send a whole answer."""
