Compute a prompt's shared part once for a placement

Cause: each engine's forecast summed the shared parts and estimated the least prefill again, though neither depends on the engine; the demand meter summed them too. Change: Prompt.shared_tokens, and one estimate before the loop.

--- a/greengagestage/catalog/_prompts.py
+++ b/greengagestage/catalog/_prompts.py
@@ -31,6 +31,11 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.shared_parts)
+
     @property
     def affinity_key(self) -> PromptPartId | None:
         """The longest shared beginning, named by its last part."""
--- a/greengagestage/routing/_demand.py
+++ b/greengagestage/routing/_demand.py
@@ -62,7 +62,7 @@
     def note(self, prompt: Prompt, *, sensitive: bool, now_s: float) -> None:
         """Count a caller's request."""
         self._fade(now_s)
-        shared = sum(part.tokens for part in prompt.shared_parts)
+        shared = prompt.shared_tokens
         new_tokens = max(prompt.tokens - shared, 1)
         work_s = estimate_prefill_s(new_tokens=new_tokens, cached_tokens=shared)
         work_s += estimate_decode_s(prompt)
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -10,7 +10,7 @@
 from ._demand import Demand, EngineSplit
 from ._jobs import Job, Waiting
 from ._upstreams import UpstreamState
-from ._work import OUTPUT_SHARE
+from ._work import OUTPUT_SHARE, estimate_prompt_prefill_s
 
 TOLERANT_GAP_RATIO = 2.0
 """A route whose pauses may be this many times longer than the strictest one's tolerates long
@@ -293,15 +293,21 @@
         ranked = list(engines)
         if key is not None:
             ranked.sort(key=lambda state: state.score_affinity(key), reverse=True)
+        shared_tokens = prompt.shared_tokens
+        least_prefill_s = estimate_prompt_prefill_s(prompt, shared_tokens)
         for rank, state in enumerate(ranked):
-            yield self._forecast(prompt, state, now_s, is_first=rank == 0)
+            cached = shared_tokens if rank == 0 else state.count_cached(prompt, now_s)
+            prefill_s = estimate_prompt_prefill_s(prompt, cached)
+            yield self._forecast(prompt, state, prefill_s, prefill_s - least_prefill_s, now_s)
 
     def _forecast(
-        self, prompt: Prompt, state: UpstreamState, now_s: float, *, is_first: bool
+        self,
+        prompt: Prompt,
+        state: UpstreamState,
+        prefill_s: float,
+        wasted_s: float,
+        now_s: float,
     ) -> _Forecast:
-        shared = sum(part.tokens for part in prompt.shared_parts)
-        cached = shared if is_first else state.count_cached(prompt, now_s)
-        prefill_s = state.estimate_prefill_s(prompt, cached)
         load = state.measure(now_s)
         first_event_s = state.forecast_first_event_s(prefill_s, load, now_s)
         slots = min(state.record.slots, self._engine.slots)
@@ -314,7 +320,7 @@
             state=state,
             prefill_s=prefill_s,
             first_event_s=first_event_s,
-            wasted_s=prefill_s - state.estimate_prefill_s(prompt, shared),
+            wasted_s=wasted_s,
             requests=load.requests,
             whole_s=first_event_s + events * state.forecast_gap_s(tokens_per_event, load),
         )
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -9,7 +9,7 @@
 
 from ._health import Health
 from ._loads import LoadTotal, UpstreamLoad, WorkItem
-from ._work import FIRST_EVENT_OVERHEAD_S, estimate_prefill_s
+from ._work import FIRST_EVENT_OVERHEAD_S
 
 PACE_WEIGHT = 0.25
 PACE_RANGE = (0.3, 12.0)
@@ -156,11 +156,6 @@
         slowness = self.read_pace(now_s) * (COLD_FACTOR if now_s < self._cold_until_s else 1.0)
         return FIRST_EVENT_OVERHEAD_S + slowness * (load.prefill_s + prefill_s)
 
-    def estimate_prefill_s(self, prompt: Prompt, cached_tokens: int) -> float:
-        """Return the prefill that a prompt brings."""
-        cached = min(cached_tokens, max(prompt.tokens - 1, 0))
-        return estimate_prefill_s(new_tokens=prompt.tokens - cached, cached_tokens=cached)
-
     def start(self, attempt_id: AttemptId, item: WorkItem, prompt: Prompt | None) -> None:
         """Book a request that is being sent."""
         self._own[attempt_id] = item
--- a/greengagestage/routing/_work.py
+++ b/greengagestage/routing/_work.py
@@ -19,6 +19,12 @@
     return new_tokens / PREFILL_TOKENS_PER_S + pairs * ATTENTION_S_PER_PAIR
 
 
+def estimate_prompt_prefill_s(prompt: Prompt, cached_tokens: int) -> float:
+    """Return the seconds to read a prompt of which a beginning is cached; its end never is."""
+    cached = min(cached_tokens, max(prompt.tokens - 1, 0))
+    return estimate_prefill_s(new_tokens=prompt.tokens - cached, cached_tokens=cached)
+
+
 OUTPUT_SHARE = 0.35
 """Part of the output that callers allow which they usually take: half of the answers on both
 deployments take less than 0.3, nine in ten less than 0.55."""
