Read pages, note reports and spread pauses in one place each

Cause: the paging loop stood in the registry watch and in TableClient, and the host list read one page only; reports were noted by three copies of a call; six pauses were spread by the same expression; the registry's change was found by hashing each entry twice, and each step hashed what the step before had. Change: RowClient.read reads all pages, _note, spread_pause, _list_facts. In the store's calls a status list held two that its condition covers, and the end of a call was named cancel. Digests and texts on the wire are unchanged.

--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/_host_list.py
@@ -13,7 +13,7 @@
 from greengagestage.ids import HostId
 from greengagestage.platform import HOST_TABLE, RowClient, RowsRead
 
-from ._loops import RepeatingTask
+from ._loops import RepeatingTask, spread_pause
 
 REFRESH_S = 25.0
 """How often the list is read again; new hosts make themselves heard at once."""
@@ -62,7 +62,7 @@
             self._registered = yield self._register()
         listed = yield self._rows.read(HOST_TABLE)
         if not self._registered or not isinstance(listed, RowsRead):
-            return RETRY_S * (0.5 + self._random.random())
+            return spread_pause(RETRY_S, self._random)
         self._on_hosts(self._decode(listed))
         return REFRESH_S * (0.75 + 0.5 * self._random.random())
 
--- a/greengagestage/gateway/_load_exchange.py
+++ b/greengagestage/gateway/_load_exchange.py
@@ -121,23 +121,19 @@
 
     def hear(self, message: PeerMessage, now_s: float) -> None:
         """Take in another host's report."""
-        host, sequence = message.sender.host, message.sender.sequence
+        host = message.sender.host
         self._silent.discard(host)
         match message.body:
             case LoadReport() as body:
                 self.add_host(host, body.domain)
                 if body.domain == self._domain:
-                    self._reports[host] = _Heard(
-                        host=host, sequence=sequence, heard_s=now_s, body=body
-                    )
+                    self._reports[host] = _note(message, body, now_s)
             case DomainReport() as body:
                 self.add_host(host, body.domain)
                 if body.domain != self._domain:
-                    self._domains[body.domain] = _Heard(
-                        host=host, sequence=sequence, heard_s=now_s, body=body
-                    )
+                    self._domains[body.domain] = _note(message, body, now_s)
             case TotalsReport() as body if host == self._choose_hub():
-                self._totals = _Heard(host=host, sequence=sequence, heard_s=now_s, body=body)
+                self._totals = _note(message, body, now_s)
 
     def plan(self, work: Work, sequence: int, now_s: float) -> list[Send]:
         """Return what to send now, as the round with a sequence; to be called every interval."""
@@ -272,3 +268,8 @@
     @property
     def _silence_s(self) -> float:
         return max(HUB_SILENCE_S, HUB_SILENCE_INTERVALS * self.interval_s)
+
+
+def _note(message: PeerMessage, body: _T, now_s: float) -> _Heard[_T]:
+    sender = message.sender
+    return _Heard(host=sender.host, sequence=sender.sequence, heard_s=now_s, body=body)
--- a/greengagestage/gateway/_loops.py
+++ b/greengagestage/gateway/_loops.py
@@ -1,6 +1,7 @@
 """A task that repeats until it is stopped, whatever goes wrong in one round."""
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -12,6 +13,11 @@
 """Pause after an unexpected exception, so that it cannot fill the log."""
 
 
+def spread_pause(pause_s: float, random: Random) -> float:
+    """Return a pause that is up to half shorter or longer, so that hosts do not act together."""
+    return pause_s * (0.5 + random.random())
+
+
 class RepeatingTask:
     """Runs a step again and again; each step returns the pause before the next one."""
 
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -14,7 +14,7 @@
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, read_upstream
 
-from ._loops import RepeatingTask
+from ._loops import RepeatingTask, spread_pause
 from ._peer_messages import RegistryNews
 
 READ_INTERVAL_S = 0.75
@@ -117,19 +117,12 @@
         age_s = self._age_s()
         if age_s is not None and age_s < READ_INTERVAL_S and not self._heard_revision:
             return READ_INTERVAL_S - age_s + self._compute_rank_delay_s()
-        rows: list[StoredRow] = []
-        after_key = None
-        while True:
-            page = yield self._rows.read(REGISTRY_TABLE, after_key=after_key)
-            if not isinstance(page, RowsRead):
-                return self._fail(page)
-            rows.extend(page.rows)
-            if not page.more or not page.rows:
-                break
-            after_key = page.rows[-1].key
-        self._take(rows, page.revision)
+        read = yield self._rows.read(REGISTRY_TABLE)
+        if not isinstance(read, RowsRead):
+            return self._fail(read)
+        self._take(read.rows, read.revision)
         if self._heard_revision:
-            return RETRY_S * (0.5 + self._random.random())
+            return spread_pause(RETRY_S, self._random)
         return READ_INTERVAL_S + self._compute_rank_delay_s()
 
     def _compute_rank_delay_s(self) -> float:
@@ -139,7 +132,7 @@
     def _fail(self, outcome: Any) -> float:
         reason = outcome.reason if isinstance(outcome, Unavailable) else "unexpected answer"
         log_message(message_type="registry: not read", reason=reason, age_s=self._age_s())
-        return RETRY_S * (0.5 + self._random.random())
+        return spread_pause(RETRY_S, self._random)
 
     def _age_s(self) -> float | None:
         return None if self._current_s is None else self._reactor.seconds() - self._current_s
@@ -207,30 +200,37 @@
     revision: int,
 ) -> list[RegistryNews]:
     """Return what to tell of a read: the change in steps, unless it is none or a large one."""
-    listed = [u for key, u in after.items() if _hash_registry([u]) != _hash_known(before, key)]
+    listed = [
+        upstream
+        for key, upstream in after.items()
+        if key not in before or _list_facts(before[key]) != _list_facts(upstream)
+    ]
     dropped = sorted(before.keys() - after.keys())
     steps = [listed[i : i + ENTRIES_PER_NEWS] for i in range(0, len(listed), ENTRIES_PER_NEWS)]
     if len(listed) > MAX_TOLD_ENTRIES or len(dropped) > MAX_TOLD_ENTRIES or not (steps or dropped):
         return [RegistryNews(_hash_registry(after.values()), revision)]
-    news, current = [], dict(before)
-    for position, step in enumerate(steps or [[]]):
-        digest = _hash_registry(current.values())
-        gone = dropped if position == 0 else []
-        current = {key: u for key, u in current.items() if key not in gone}
+    news = []
+    current = {key: upstream for key, upstream in before.items() if key not in dropped}
+    digest, gone = _hash_registry(before.values()), dropped
+    for step in steps or [[]]:
         current.update({upstream.instance: upstream for upstream in step})
-        news.append(RegistryNews(_hash_registry(current.values()), revision, digest, step, gone))
+        known, digest = digest, _hash_registry(current.values())
+        news.append(RegistryNews(digest, revision, known, step, gone))
+        gone = []
     return news
 
 
-def _hash_known(known: Mapping[InstanceId, RegisteredUpstream], key: InstanceId) -> int | None:
-    return _hash_registry([known[key]]) if key in known else None
+def _list_facts(upstream: RegisteredUpstream) -> tuple[object, ...]:
+    """Return what decides where requests go."""
+    return (
+        (upstream.instance, upstream.started_ms, upstream.availability.value),
+        (upstream.service, upstream.address, upstream.port, upstream.slots),
+    )
 
 
 def _hash_registry(upstreams: Iterable[RegisteredUpstream]) -> int:
     """Hash what decides where requests go; equal on all hosts that know the same."""
     digest = xxhash.xxh64()
     for upstream in sorted(upstreams, key=lambda upstream: upstream.instance):
-        parts = (upstream.instance, upstream.started_ms, upstream.availability.value)
-        place = (upstream.service, upstream.address, upstream.port, upstream.slots)
-        digest.update(repr((parts, place)).encode())
+        digest.update(repr(_list_facts(upstream)).encode())
     return digest.intdigest()
--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/_route_watch.py
@@ -20,7 +20,7 @@
     read_route_table,
 )
 
-from ._loops import RepeatingTask
+from ._loops import RepeatingTask, spread_pause
 from ._store_clock import StoreClock, read_boot_time_s
 
 WATCHERS = 2
@@ -118,7 +118,7 @@
                 self._note_reachable(True, "")
                 self._take(outcome, sent_s)
                 if self._revision is None or self._heard_revision:
-                    return RETRY_S * (0.5 + self._random.random())
+                    return spread_pause(RETRY_S, self._random)
                 early = read_boot_time_s() - sent_s < min(wait_s, EMPTY_ANSWER_PAUSE_S)
                 return EMPTY_ANSWER_PAUSE_S if early and not outcome.rows else 0.0
             case HistoryLost():
@@ -127,7 +127,7 @@
                 return 0.0
             case Unavailable(reason=reason):
                 self._note_reachable(False, reason)
-                return RETRY_S * (0.5 + self._random.random())
+                return spread_pause(RETRY_S, self._random)
 
     def _compute_pause_s(self) -> float:
         """Return how long this host relies on the others; 0 where it asks the store now."""
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -19,6 +19,7 @@
 
 from ._context import ExchangeContext
 from ._exchange import ExchangeInputs, RequestExchange
+from ._loops import spread_pause
 from ._refusal_answers import answer_refusal
 
 ELSEWHERE_RETRY_S = 0.1
@@ -141,7 +142,7 @@
     def _send_elsewhere(
         self, request: IncomingRequest, facts: CallerFacts, responder: Responder, code: ResultCode
     ) -> None:
-        delay_s = ELSEWHERE_RETRY_S * (0.5 + self._random.random())
+        delay_s = spread_pause(ELSEWHERE_RETRY_S, self._random)
         self._refuse(request, facts, responder, Refusal(code=code, retry_after_s=delay_s))
 
     def _refuse(
--- a/greengagestage/platform/_rows.py
+++ b/greengagestage/platform/_rows.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from msgspec import Struct, field
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, inlineCallbacks
 
 from greengagestage.http1 import Endpoint
 from greengagestage.outcomes import Unavailable, Unknown
@@ -127,19 +127,39 @@
         """Calls sent so far."""
         return self._calls.sent
 
+    @inlineCallbacks
+    def _read(self, table: str, first_key: str, end_key: str | None, limit: int | None) -> Any:
+        rows: list[StoredRow] = []
+        while True:
+            wanted = PAGE_ROWS if limit is None else min(limit - len(rows), PAGE_ROWS)
+            page = yield self._read_page(table, first_key, end_key, wanted)
+            if not isinstance(page, RowsRead):
+                return page
+            rows.extend(page.rows)
+            if not page.more or not page.rows or len(rows) == limit:
+                return msgspec.structs.replace(page, rows=rows)
+            first_key = page.rows[-1].key + "\0"
+
     def read(
         self,
         table: str,
         *,
-        after_key: str | None = None,
         first_key: str = "",
         end_key: str | None = None,
-        limit: int = PAGE_ROWS,
+        limit: int | None = None,
+    ) -> Deferred[ReadOutcome]:
+        """Read a table's rows by key, in as many pages as it takes, up to ``end_key`` without it.
+
+        The revision is that of the last page.
+        """
+        return self._read(table, first_key, end_key, limit)
+
+    def _read_page(
+        self, table: str, first_key: str, end_key: str | None, limit: int
     ) -> Deferred[ReadOutcome]:
-        """Read a table's rows by key, a page at a time, up to ``end_key`` without it."""
         query = {"Table": table, "part": ""}
-        if after_key is not None or first_key:
-            query["From"] = first_key if after_key is None else after_key + "\0"
+        if first_key:
+            query["From"] = first_key
         if end_key is not None:
             query["To"] = end_key
         if limit < PAGE_ROWS:
--- a/greengagestage/platform/_store_calls.py
+++ b/greengagestage/platform/_store_calls.py
@@ -30,8 +30,8 @@
 CALLS_IN_FLIGHT = 64
 """Calls that wait for an answer at most: with the store's usual 4 ms, 16,000 calls a second."""
 
-NOTHING_DONE = (412, 429, 503)
-"""Statuses of 4xx and 5xx by which the store says that it did nothing; so does any other 4xx."""
+UNAVAILABLE_STATUS = 503
+"""The only 5xx by which the store says that it did nothing; each 4xx says so too."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,7 +75,7 @@
             timeout_s=wait_s + self._timeout_s,
         )
         if self._in_flight >= CALLS_IN_FLIGHT:
-            call.cancel(Unavailable(reason="too many calls in flight"))
+            call.finish(Unavailable(reason="too many calls in flight"))
             return call.done
         self._in_flight += 1
         self.sent += 1
@@ -102,7 +102,7 @@
 def judge_status(status: int) -> Unavailable | Unknown:
     """Return what a failing status proves about a call that changes something."""
     reason = f"status {status}"
-    if 400 <= status < 500 or status in NOTHING_DONE:
+    if 400 <= status < 500 or status == UNAVAILABLE_STATUS:
         return Unavailable(reason=reason)
     return Unknown(reason=reason)
 
@@ -132,10 +132,10 @@
         self._pool.open(
             self._endpoint,
             on_open=lambda connection: self._send(connection, exchange),
-            on_failed=lambda: self.cancel(Unavailable(reason="not connected")),
+            on_failed=lambda: self.finish(Unavailable(reason="not connected")),
         )
 
-    def cancel(self, outcome: CallOutcome) -> None:
+    def finish(self, outcome: CallOutcome) -> None:
         """End the call with an outcome, unless it has one."""
         if self._timer.active():
             self._timer.cancel()
@@ -156,11 +156,11 @@
 
     def end_response(self) -> None:
         """Give the whole answer."""
-        self.cancel(StoreAnswer(status=self._status, body=b"".join(self._parts)))
+        self.finish(StoreAnswer(status=self._status, body=b"".join(self._parts)))
 
     def fail_response(self, failure: ExchangeFailure) -> None:
         """Report that no whole answer came."""
-        self.cancel(Unknown(reason=failure.value))
+        self.finish(Unknown(reason=failure.value))
 
     def _send(self, connection: ClientConnection, exchange: Exchange) -> None:
         if self.done.called:
@@ -171,11 +171,11 @@
 
     def _time_out(self) -> None:
         if self._connection is None:
-            self.cancel(Unavailable(reason="not connected in time"))
+            self.finish(Unavailable(reason="not connected in time"))
             return
         self._give_up("no answer in time")
 
     def _give_up(self, reason: str) -> None:
         if self._connection is not None:
             self._connection.close()
-        self.cancel(Unknown(reason=reason))
+        self.finish(Unknown(reason=reason))
--- a/greengagestage/services/_table.py
+++ b/greengagestage/services/_table.py
@@ -9,7 +9,6 @@
 from greengagestage.http1 import Endpoint
 from greengagestage.outcomes import Unavailable, Unknown
 from greengagestage.platform import (
-    PAGE_ROWS,
     TRANSACTION_ROWS,
     RowClient,
     RowConflict,
@@ -56,23 +55,12 @@
 
     @inlineCallbacks
     def _read_rows(self, prefix: str, limit: int) -> Any:
-        found: list[StoredRow] = []
-        after_key = None
-        while len(found) < limit:
-            page = yield self._rows.read(
-                PRODUCT_TABLE,
-                after_key=after_key,
-                first_key=prefix,
-                end_key=_find_end(prefix),
-                limit=min(limit - len(found), PAGE_ROWS),
-            )
-            if not isinstance(page, RowsRead):
-                return _describe_failure(page)
-            found.extend(page.rows)
-            if not page.more or not page.rows:
-                break
-            after_key = page.rows[-1].key
-        return tuple(_read_row(row) for row in found[:limit])
+        read = yield self._rows.read(
+            PRODUCT_TABLE, first_key=prefix, end_key=_find_end(prefix), limit=limit
+        )
+        if not isinstance(read, RowsRead):
+            return _describe_failure(read)
+        return tuple(_read_row(row) for row in read.rows)
 
     def read_rows(self, prefix: str, limit: int) -> Deferred[tuple[Row, ...] | Unavailable]:
         """Read the first rows, by key, whose keys begin with a prefix."""
