Store a possible run's outcome before refusing its caller

Ruled out: a resend that waits for the row; it polls for every resend of a request that really runs (docs/design/claims.md weighs both).

Change: the refusal follows the record of the possible run, at most store_wait_s later; the same write, earlier.

Test: test_a_refusal_follows_the_record_of_its_possible_run fails without it.

--- a/greengagestage/entry/_conclusions.py
+++ b/greengagestage/entry/_conclusions.py
@@ -1,6 +1,7 @@
 """Ends requests: each gets exactly one final result, as soon as the policy has decided it."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -30,9 +31,10 @@
 class RequestFinisher:
     """Ends requests with their final result.
 
-    The answer of a non-idempotent request is normally stored before its end is sent to the caller.
-    The end is also sent if the answer is too large to store, if storing it fails, or if the store
-    does not reply within ``store_wait_s``.
+    The outcome of a non-idempotent request that may have run is normally stored before its caller
+    gets the end of the answer or the refusal, so that a resend through any host meets the outcome.
+    The caller is answered without it if the answer is too large to store, if storing fails, or if
+    the store does not reply within ``store_wait_s``.
 
     Attributes:
         pending_store_calls: Calls to the claims store that have not returned.
@@ -74,13 +76,16 @@
         active = self._requests.pop(request_id)
         if active is None:
             return
-        self._finish_request(active, code)
-        active.delivery.refuse(Refusal(code=code, retry_after_s=retry_after_s))
-        if active.claim is not None and _may_have_run(code):
-            claim = active.claim
-            self._track_store_call(
-                self._claims.mark_unknown(claim.workspace, claim.idempotency_key, claim.attempt_id)
-            )
+        refusal = Refusal(code=code, retry_after_s=retry_after_s)
+        claim = active.claim
+        if claim is None or not _may_have_run(code):
+            self._refuse(active, refusal)
+            return
+        active.stop_run()
+        marked = self._claims.mark_unknown(
+            claim.workspace, claim.idempotency_key, claim.attempt_id
+        )
+        self._finish_after(marked, active, lambda: self._refuse(active, refusal))
 
     def replay(self, request_id: RequestId) -> None:
         """End a request with the answer stored under its idempotency key."""
@@ -136,26 +141,33 @@
             )
             return
         active.stop_run()
-        timeout = self._reactor.callLater(self._limits.store_wait_s, self._deliver_if_open, active)
         stored = self._claims.record_answer(
             claim.workspace, claim.idempotency_key, claim.attempt_id, answer
         )
+        self._finish_after(stored, active, lambda: self._deliver_answer(active))
+
+    def _finish_after(
+        self, stored: Deferred[Any], active: ActiveRequest, finish: Callable[[], None]
+    ) -> None:
+        """Finish a request after a store call, and after ``store_wait_s`` at the latest."""
 
-        def finish_delivery(_: object) -> None:
+        def finish_if_open(_: object = None) -> None:
             if timeout.active():
                 timeout.cancel()
-                self._deliver_if_open(active)
+            if active.code is None:
+                finish()
 
-        self._track_store_call(stored.addErrback(_log_store_fault).addCallback(finish_delivery))
-
-    def _deliver_if_open(self, active: ActiveRequest) -> None:
-        if active.code is None:
-            self._deliver_answer(active)
+        timeout = self._reactor.callLater(self._limits.store_wait_s, finish_if_open)
+        self._track_store_call(stored.addErrback(_log_store_fault).addCallback(finish_if_open))
 
     def _deliver_answer(self, active: ActiveRequest) -> None:
         self._finish_request(active, ResultCode.DELIVERED)
         active.delivery.end()
 
+    def _refuse(self, active: ActiveRequest, refusal: Refusal) -> None:
+        self._finish_request(active, refusal.code)
+        active.delivery.refuse(refusal)
+
     def _finish_request(self, active: ActiveRequest, code: ResultCode) -> None:
         """Set the final result, stop the current attempt, and record the result for reports."""
         active.finish(code)
--- a/greengagestage/entry/_settings.py
+++ b/greengagestage/entry/_settings.py
@@ -17,7 +17,8 @@
         collected_answer_bytes: Largest completion that is returned as a single JSON body.
         kept_answer_bytes: Largest answer of a non-idempotent request that is stored.
         caller_stall_s: How long a caller may stop reading before its connection is closed.
-        store_wait_s: How long the end of a non-idempotent answer is delayed until it is stored.
+        store_wait_s: How long the end of a non-idempotent answer, or the refusal after a possible
+            run, is delayed until the outcome is stored.
     """
 
     service_buffer_bytes: int = 262_144
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -104,6 +104,7 @@
         self.rows: dict[tuple[str, str], Any] = {}
         self.released: list[ReleaseClaim] = []
         self.recorded: Deferred[bool] | None = None
+        self.marked: Deferred[None] | None = None
 
     def start(self) -> None:
         pass
@@ -130,7 +131,7 @@
 
     def mark_unknown(self, workspace: Any, key: Any, attempt_id: Any) -> Any:
         self.rows[workspace, key] = "unknown"
-        return succeed(None)
+        return self.marked if self.marked is not None else succeed(None)
 
     def read_answer(self, workspace: Any, key: Any) -> Any:
         return succeed(self.rows.get((workspace, key)))
--- a/tests/test_entry_services.py
+++ b/tests/test_entry_services.py
@@ -201,6 +201,28 @@
         assert first.error["run"] == again.error["run"] == "may_have_run"
         assert len(service.requests) + len(other.requests) == 1
 
+    @inlineCallbacks
+    def test_a_refusal_follows_the_record_of_its_possible_run(self):
+        """A resend right after the refusal must not be told that the first run goes on."""
+        self.claims.marked = Deferred()
+        self.configure(services=(self.start_upstream(lambda r: r.send(CLOSE)),))
+        caller = yield self.send(build_order())
+        yield wait_until(lambda: "unknown" in self.claims.rows.values())
+        assert not self.process.shell.finisher.ended_records
+        self.claims.marked.callback(None)
+        yield wait_until(lambda: caller.is_complete)
+        assert caller.error["code"] == ResultCode.UPSTREAM_LOST.value
+        again = yield self.call(build_order())
+        assert again.error["code"] == ResultCode.EARLIER_RUN_UNKNOWN.value
+
+    @inlineCallbacks
+    def test_a_silent_store_delays_a_refusal_for_a_bounded_time(self):
+        self.claims.marked = Deferred()
+        self.configure(services=(self.start_upstream(lambda r: r.send(CLOSE)),))
+        caller = yield self.call(build_order())
+        assert caller.error["code"] == ResultCode.UPSTREAM_LOST.value
+        self.claims.marked.callback(None)
+
     @inlineCallbacks
     def test_a_refused_request_releases_its_claim(self):
         self.configure(services=(self.start_upstream(refuse),))
