Refuse no request beside a free slot because of an estimate

Cause, found by the policy machine with random seeds once its clock fired due timers: one long run made the expected time in a slot longer than the target of a class whose late answers are useless, and every request of that class was refused beside idle engines. Only runs correct the estimate, so that it never recovered.

--- a/greengagestage/policy/_admission.py
+++ b/greengagestage/policy/_admission.py
@@ -222,12 +222,21 @@
         expiry_s = find_expiry(record)
         if expiry_s is not None and expiry_s <= state.now_s:
             return ResultCode.DEADLINE_PASSED
+        if self._can_start(record):
+            # Only requests that run correct the estimates, so none is refused beside a free slot.
+            return None
         wait_s = self._estimate_wait(record)
         state.log_decision(record, f"expected to wait {wait_s:.3f} s")
         return (
             ResultCode.TARGET_UNREACHABLE if is_target_unreachable(state, record, wait_s) else None
         )
 
+    def _can_start(self, record: RequestRecord) -> bool:
+        """Return whether a slot is free and no request of the same or a higher class waits."""
+        pool = self._state.get_pool(record.pool)
+        ahead = pool.queue.count_at_or_above(record.priority)
+        return ahead == 0 and self._router.has_free_slot(record.pool)
+
     def _estimate_wait(self, record: RequestRecord) -> float:
         """Return the expected wait in seconds; slots of lower classes count as obtainable."""
         state = self._state
@@ -238,7 +247,7 @@
             for each in state.classes.values()
             if each.priority > record.priority
         )
-        if ahead < obtainable or (ahead == 0 and self._router.has_free_slot(record.pool)):
+        if ahead < obtainable:
             return 0.0
         return state.estimator.estimate_wait(record, pool, state.views.find(record.pool).slots)
 
--- a/tests/test_policy_faults.py
+++ b/tests/test_policy_faults.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from greengagestage.configuration import LateAnswer
 from greengagestage.ids import Fingerprint, HostId, UpstreamName, WorkspaceId
 from greengagestage.policy import (
     Action,
@@ -64,6 +65,20 @@
     assert host.dispatches("later")[0].upstream == first.upstream
 
 
+def test_an_idle_pool_refuses_nothing_on_an_old_estimate() -> None:
+    """A long run of another class must not make a class whose late answers are useless unservable.
+
+    Only requests that run correct the estimate.
+    """
+    classes = [build_class("desk"), build_class("phone", late_answer=LateAnswer.USELESS)]
+    host = Host(build_declaration(engines=2, slots=2, classes=classes))
+    host.arrive("slow", "desk")
+    host.finish(host.dispatches("slow")[0].attempt_id, after_s=40.0)
+    host.arrive("call", "phone")
+    assert host.code("call") is None
+    assert host.dispatches("call")
+
+
 def test_a_live_report_after_a_leaving_report_marks_the_upstream_live() -> None:
     host = Host(build_declaration(engines=1, slots=4))
     host.arrive("r0")
--- a/tests/test_policy_machine.py
+++ b/tests/test_policy_machine.py
@@ -218,6 +218,17 @@
 
     @rule(wait_s=waits)
     def wait(self, wait_s: float) -> None:
+        """Move the clock and fire the timers that become due on the way, each at its time."""
+        end_s = self.now_s + wait_s
+        while self.wake_s is not None and self.wake_s <= end_s:
+            self.now_s = max(self.now_s, self.wake_s)
+            self.wake_s = None
+            self.send(TimerFired())
+        self.now_s = end_s
+
+    @rule(wait_s=waits)
+    def wait_suspended(self, wait_s: float) -> None:
+        """Move the clock of a process that did not run meanwhile: its timer fires late."""
         self.now_s += wait_s
         if self.wake_s is not None and self.wake_s <= self.now_s:
             self.wake_s = None
@@ -225,7 +236,7 @@
 
     @rule(name=st.sampled_from(ENGINES), state=st.sampled_from(list(UpstreamState)))
     def report(self, name: str, state: UpstreamState) -> None:
-        self.now_s += 40.0
+        self.wait(40.0)
         self.states[name] = state
         self.update_usable()
         report = UpstreamReport(
