Keep the hosts of neighbouring ranks from reading the registry twice

Ranks now wait 60 ms apart or more, and hosts beyond the first three spread over 160 ms; the largest delay is 0.40 s (0.38 before).

--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -18,12 +18,18 @@
 from ._peer_messages import RegistryReport
 
 READ_INTERVAL_S = 0.75
-RANK_DELAY_S = 0.03
-MAX_RANK_DELAY_S = 0.35
+RANK_DELAY_S = 0.08
+RANK_JITTER_S = 0.02
 """A host reads the registry once its copy has not been confirmed for the interval plus a delay that
 grows with its rank, so that usually the first host by rank reads and reports to the others. A read
-and the report take less time than the delay of one rank. The interval and the largest delay stay
-below the two seconds after which a leaving upstream must receive no more requests."""
+and the report take less time than the delay of one rank without the jitter."""
+
+RANKED_READERS = 3
+UNRANKED_SPREAD_S = 0.16
+"""Hosts beyond the first ranks wait for all of these, and then for a random time up to the spread:
+should the first ones be lost, few of the others read before one of them has reported. The interval
+and the largest delay stay below the two seconds after which a leaving upstream must receive no more
+requests."""
 
 MAX_CHANGE_JITTER_S = 0.05
 """Hosts that are told of a change without its entries read it after a random delay up to this, so
@@ -137,8 +143,9 @@
         return READ_INTERVAL_S + self._compute_rank_delay_s()
 
     def _compute_rank_delay_s(self) -> float:
-        delay_s = min(self._get_rank() * RANK_DELAY_S, MAX_RANK_DELAY_S)
-        return delay_s + RANK_DELAY_S * self._random.random()
+        rank = self._get_rank()
+        spread_s = RANK_JITTER_S if rank < RANKED_READERS else UNRANKED_SPREAD_S
+        return min(rank, RANKED_READERS) * RANK_DELAY_S + spread_s * self._random.random()
 
     def _handle_read_failure(self, outcome: Any) -> float:
         reason = outcome.reason if isinstance(outcome, Unavailable) else "unexpected answer"
