Run the time limits of two client tests on a Clock; mend an underflow

Cause of two known red entries: time limits of 0.4 and 0.5 s of real time passed on a busy machine before anything was sent. ClockedReactor has real connections and virtual timers.

--- a/greengagestage/membership/_shares.py
+++ b/greengagestage/membership/_shares.py
@@ -114,7 +114,7 @@
     if total <= 0:
         return dict.fromkeys(demands, even_weight)
     return {
-        host: EVEN_FRACTION * even_weight + (1 - EVEN_FRACTION) * demand / total
+        host: EVEN_FRACTION * even_weight + (1 - EVEN_FRACTION) * (demand / total)
         for host, demand in demands.items()
     }
 
--- a/tests/reactors.py
+++ b/tests/reactors.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from random import SystemRandom
+from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.task import Clock
+from zope.interface import directlyProvides, providedBy
 
 CONDITION_TIMEOUT_S = 10.0
 
@@ -57,3 +60,23 @@
     while not condition():
         assert time.monotonic() < deadline_s, "the condition did not hold in time"
         reactor.iterate(0.01)
+
+
+class ClockedReactor:
+    """A reactor with real connections, whose timers run on a ``Clock``.
+
+    A time-out passes only when a test advances the clock, however slow the machine is.
+
+    Attributes:
+        clock: Drives ``callLater`` and ``seconds``.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self.clock = Clock()
+        self.callLater = self.clock.callLater
+        self.seconds = self.clock.seconds
+        directlyProvides(self, providedBy(reactor))
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reactor, name)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -30,7 +30,11 @@
     WeightClient,
 )
 
+from .raw_caller import wait_until
+from .reactors import ClockedReactor
+
 TIMEOUT_S = 0.4
+"""Time limit of the clients' calls. Their clock stands still until a request is not answered."""
 
 
 def build_response(status: int, body: bytes | str = b"", *headers: str, length: int | None = None):
@@ -59,6 +63,10 @@
 ROWS = json.dumps({"Rows": [ROW], "HasMore": False, "SchemaVersion": 7, "NowMs": 5})
 
 SILENT = None
+"""No answer, until the client's time limit has passed."""
+
+HELD = "held"
+"""No answer; the test advances the clock itself."""
 CLOSED = b""
 TRUNCATED = build_response(200, ROWS, length=len(ROWS) + 9)
 OVERSIZE = build_response(200, b" " * 10, length=MAX_ANSWER_BYTES + 1) + b" " * (MAX_ANSWER_BYTES)
@@ -81,6 +89,9 @@
         self.factory.requests.append((head, body))
         self.received = b""
         if self.factory.answer is SILENT:
+            self.factory.clock.advance(TIMEOUT_S)
+            return
+        if self.factory.answer is HELD:
             return
         self.transport.write(self.factory.answer)
         if self.factory.answer in (CLOSED, TRUNCATED):
@@ -91,15 +102,17 @@
     """Starts a scripted server on loopback and creates clients for it."""
 
     def setUp(self) -> None:
+        self.reactor = ClockedReactor(reactor)
         self.factory = Factory.forProtocol(ScriptedServer)
         self.factory.requests = []
         self.factory.answer = CLOSED
+        self.factory.clock = self.reactor.clock
         self.port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
         self.url = f"http://127.0.0.1:{self.port.getHost().port}"
         self.clients: list[Any] = []
 
     def create_client(self, kind: Any) -> Any:
-        client = kind(reactor=reactor, base_url=self.url, timeout_s=TIMEOUT_S)
+        client = kind(reactor=self.reactor, base_url=self.url, timeout_s=TIMEOUT_S)
         self.clients.append(client)
         return client
 
@@ -246,11 +259,15 @@
 
     @inlineCallbacks
     def test_concurrent_calls_are_limited(self):
-        self.factory.answer = SILENT
+        self.factory.answer = HELD
         client = self.create_client(TableClient)
         calls = [client.read_row("a") for _ in range(65)]
         last = yield calls.pop()
         assert last == Unavailable(reason="too many calls in flight")
+        yield wait_until(
+            lambda: len(self.factory.requests) + sum(bool(c.called) for c in calls) == len(calls)
+        )
+        self.reactor.clock.advance(TIMEOUT_S)
         yield gatherResults(calls)
 
 
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -30,10 +30,12 @@
 from .builders import build_engine
 from .claim_builders import SMALL, WORKSPACE, build_ask
 from .order_builders import build_command
-from .reactors import run_until, running_reactor
+from .reactors import ClockedReactor, run_until, running_reactor
 
 pytestmark = [pytest.mark.process, pytest.mark.xdist_group("state")]
 TIMEOUT_S = 0.5
+STEP_S = 0.2
+"""Time between two rounds of a reconciler. No call is under way when the clock advances."""
 KEY_COUNT = 12
 FAULTS = {
     "none": PlatformFaultKind.NONE,
@@ -153,26 +155,26 @@
     engine_url = start_process("engine", "--model", "small", "--fencing", fencing.value)
     upstream = build_engine("e0", url=engine_url, models=(ModelName("small"),), fencing=fencing)
     with running_reactor() as reactor:
+        clocked = ClockedReactor(reactor)
         options: dict[str, Any] = {
-            "reactor": reactor,
+            "reactor": clocked,
             "base_url": platform,
             "timeout_s": TIMEOUT_S,
         }
         reconciler = Reconciler(
-            reactor=reactor,
+            reactor=clocked,
             table=TableClient(**options),
             weights=WeightClient(**options),
             host=HostId("h1"),
             upstreams=lambda: [upstream],
             hosts=lambda: [HostId("h1")],
         )
-        engine = EngineClient(reactor=reactor, url=engine_url, timeout_s=TIMEOUT_S)
+        engine = EngineClient(reactor=clocked, url=engine_url, timeout_s=TIMEOUT_S)
         accepted = wait_for_result(reactor, reconciler.request_order(build_command(1)))
         assert isinstance(accepted, OrderAccepted)
 
         def has_ordered_models() -> bool:
-            for _ in range(20):
-                reactor.iterate(0.01)
+            clocked.clock.advance(STEP_S)
             wait_for_result(reactor, reconciler.maintain_leases())
             wait_for_result(reactor, reconciler.reconcile())
             state = wait_for_result(reactor, engine.read())
