--- a/greengagestage/entry/_conclusions.py
+++ b/greengagestage/entry/_conclusions.py
@@ -82,9 +82,7 @@
             self._refuse(active, refusal)
             return
         active.stop_run()
-        marked = self._claims.mark_unknown(
-            claim.workspace, claim.idempotency_key, claim.attempt_id
-        )
+        marked = self._claims.mark_unknown(claim.workspace, claim.idempotency_key, claim.attempt_id)
         self._finish_after(marked, active, lambda: self._refuse(active, refusal))
 
     def replay(self, request_id: RequestId) -> None:
