Route from learned engine speeds and from the length of prompts

Change: the speed (overhead and time per token) is fitted to the first events of all hosts, as sums that the hubs add; a route is tolerant if prefilling a whole prompt of it takes a third of the strictest pause; the split of engines has the fewest expected late requests, from arrivals, prompt lengths, stream durations, slots and targets. The constants for prefill speed, attention and the split's weight, thresholds and default ratio are gone.

Tests: test_long_prompts_stay_apart_where_the_allowed_pauses_are_alike and test_short_prompts_share_all_engines_whatever_pauses_they_allow fail without it; test_engine_model covers 20 to 200 tokens a ms.

--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -51,12 +51,43 @@
     stalled: int = 0
 
 
+class RouteEntry(Struct, frozen=True, array_like=True):
+    """Recent traffic of one route, as sums over some seconds.
+
+    Attributes:
+        route: Hash of the route's name, to save space.
+        prompts: Number of prompts.
+        whole_prefill_ms: Time to prefill them without any cached tokens.
+        prefill_ms: Prefill time of the tokens that no other request shares.
+        prefill_squares_ms_s: Squares of these times, in milliseconds times seconds.
+        streams: Number of completed streams.
+        stream_ms: Duration of these.
+    """
+
+    route: int
+    prompts: int
+    whole_prefill_ms: int
+    prefill_ms: int
+    prefill_squares_ms_s: int
+    streams: int
+    stream_ms: int
+
+
 class DemandEntry(Struct, frozen=True, array_like=True):
-    """Callers' demand for one service, in engine milliseconds per second."""
+    """Callers' demand for one service, and samples of the speed of its engines.
+
+    Attributes:
+        sensitive_ms: Work of latency-sensitive streams in engine milliseconds per second.
+        tolerant_ms: Work of all other requests.
+        routes: Recent traffic by route.
+        prefill: The sums of ``PrefillSamples`` in the order of its fields; empty without samples.
+    """
 
     service: ServiceName
     sensitive_ms: int
     tolerant_ms: int
+    routes: list[RouteEntry] = []
+    prefill: list[int] = []
 
 
 class Work(Struct, frozen=True, array_like=True):
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -1,7 +1,7 @@
 """The link to the other hosts: exchanges load reports, and broadcasts what one host has learnt."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
 import xxhash
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
-from greengagestage.routing import Demand, UpstreamLoad
+from greengagestage.routing import Demand, PrefillSamples, RouteTraffic, UpstreamLoad
 
 from ._load_exchange import LoadExchange
 from ._loops import RepeatingTask
@@ -24,6 +24,7 @@
     PeerBody,
     PeerMessage,
     RegistryReport,
+    RouteEntry,
     Sender,
     TotalsReport,
     Work,
@@ -244,10 +245,7 @@
 def _build_work(loads: Loads, demands: Demands) -> Work:
     return Work(
         [_encode_load(instance, load) for instance, load in loads.items()],
-        [
-            DemandEntry(service, round(each.sensitive * 1_000), round(each.tolerant * 1_000))
-            for service, each in demands.items()
-        ],
+        [_encode_demand(service, demand) for service, demand in demands.items()],
     )
 
 
@@ -263,8 +261,52 @@
     )
 
 
+def _encode_demand(service: ServiceName, demand: Demand) -> DemandEntry:
+    samples = demand.prefill
+    return DemandEntry(
+        service,
+        round(demand.sensitive * 1_000),
+        round(demand.tolerant * 1_000),
+        [_encode_traffic(route, traffic) for route, traffic in demand.routes.items()],
+        [round(getattr(samples, each.name)) for each in fields(PrefillSamples)],
+    )
+
+
+def _encode_traffic(route: int, traffic: RouteTraffic) -> RouteEntry:
+    return RouteEntry(
+        route,
+        round(traffic.prompts),
+        round(traffic.whole_prefill_s * 1_000),
+        round(traffic.prefill_s * 1_000),
+        round(traffic.prefill_squares_s2 * 1_000),
+        round(traffic.streams),
+        round(traffic.stream_s * 1_000),
+    )
+
+
+def _decode_traffic(entry: RouteEntry) -> RouteTraffic:
+    return RouteTraffic(
+        prompts=entry.prompts,
+        whole_prefill_s=entry.whole_prefill_ms / 1_000,
+        prefill_s=entry.prefill_ms / 1_000,
+        prefill_squares_s2=entry.prefill_squares_ms_s / 1_000,
+        streams=entry.streams,
+        stream_s=entry.stream_ms / 1_000,
+    )
+
+
 def _decode_demand(entry: DemandEntry) -> Demand:
-    return Demand(sensitive=entry.sensitive_ms / 1_000, tolerant=entry.tolerant_ms / 1_000)
+    return Demand(
+        sensitive=entry.sensitive_ms / 1_000,
+        tolerant=entry.tolerant_ms / 1_000,
+        routes={each.route: _decode_traffic(each) for each in entry.routes},
+        prefill=PrefillSamples(
+            **{
+                each.name: float(value)
+                for each, value in zip(fields(PrefillSamples), entry.prefill, strict=False)
+            }
+        ),
+    )
 
 
 def _decode_load(entry: LoadEntry) -> UpstreamLoad:
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -3,29 +3,35 @@
 The package does no I/O and reads no clock: callers pass in times and observations.
 """
 
-from ._demand import Demand, EngineSplit
+from ._demand import Demand
+from ._engine_model import EngineModel, EngineSpeed, PrefillSamples
+from ._engine_split import EngineSplit, GroupDemand
 from ._health import Health
 from ._jobs import Job, Placement, Refused, Waiting
 from ._loads import UpstreamLoad
 from ._losses import LossTracker
 from ._retries import RetryBudget
+from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
 from ._upstreams import UpstreamState
-from ._work import estimate_prefill_s
 
 __all__ = [
     "AttemptEnd",
     "Demand",
+    "EngineModel",
+    "EngineSpeed",
     "EngineSplit",
+    "GroupDemand",
     "Health",
     "Job",
     "LossTracker",
     "Placement",
+    "PrefillSamples",
     "Refused",
     "RetryBudget",
+    "RouteTraffic",
     "Router",
     "UpstreamLoad",
     "UpstreamState",
     "Waiting",
-    "estimate_prefill_s",
 ]
--- a/greengagestage/routing/_loads.py
+++ b/greengagestage/routing/_loads.py
@@ -16,6 +16,9 @@
             it was sent.
         answer_begun: Data of the answer has arrived, be it the head alone.
         last_data_s: Monotonic time of the latest data, be it a head or a piece of a body.
+        route: Number by which hosts identify its route.
+        sample_tokens: Work of the prompt in prefill tokens if its first event shows the speed of
+            the engine: the engine had no other prefill, and what it has cached is certain.
     """
 
     sent_s: float
@@ -25,6 +28,8 @@
     expected_s: float
     answer_begun: bool = False
     last_data_s: float = 0.0
+    route: int = 0
+    sample_tokens: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -1,7 +1,8 @@
 """The choice of an upstream for a job, from forecasts of its latency on each candidate.
 
-A job's target is the time that its route sets for the first event. Sensitive jobs are those of
-routes that also need short gaps between events; all others are tolerant.
+A job's target is the time that its route sets for the first event. Sensitive jobs are those whose
+routes need short gaps between events, and whose own prompts leave others that need; all others are
+tolerant.
 """
 
 from collections.abc import Callable, Iterator, Sequence
@@ -11,14 +12,10 @@
 from greengagestage.catalog import EngineProfile, Prompt
 from greengagestage.ids import FailureDomain
 
-from ._demand import Demand, EngineSplit
+from ._engine_model import EXPECTED_OUTPUT_SHARE, EngineSpeed, count_prefill_tokens
+from ._engine_split import EngineSplit, GroupDemand
 from ._jobs import Job, Waiting
 from ._upstreams import UpstreamState
-from ._work import EXPECTED_OUTPUT_SHARE, estimate_prompt_prefill_s
-
-TOLERANT_GAP_RATIO = 2.0
-"""A route is latency-tolerant if its gap target is at least this multiple of the strictest one of
-the service. Its streams can share engines with long prompts."""
 
 CACHED_DELAY_SHARE = 0.6
 """Share of the target that a tolerant job may wait for an engine that has its prefix cached, before
@@ -92,6 +89,10 @@
 """Expected wait for each request that must finish before a job gets a slot: about the time in
 which an engine with some ten running requests finishes one."""
 
+UNCONTENDED_SHARE = 0.1
+"""Prefill of other requests on an engine, as a share of a job's own, up to which its first event
+shows the speed of the engine."""
+
 DEFAULT_ANSWER_TIME_S = 0.05
 """Answer time assumed for an upstream of a plain service that has not answered yet."""
 
@@ -117,6 +118,7 @@
         reason: Why this upstream was chosen, for the log.
         completion_s: Forecast time to the end of a stream; 0 for a plain service.
         min_completion_s: The same for an answer that is shorter than expected.
+        sample_tokens: See ``InFlightRequest.sample_tokens``.
     """
 
     state: UpstreamState
@@ -125,6 +127,7 @@
     reason: str
     completion_s: float = 0.0
     min_completion_s: float = 0.0
+    sample_tokens: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -137,6 +140,7 @@
         redundant_prefill_s: Prefill time that an engine with the shared prefix cached would save.
         completion_s: Time to the end of the stream.
         requests: Number of requests on the engine.
+        sample_tokens: See ``InFlightRequest.sample_tokens``.
     """
 
     state: UpstreamState
@@ -145,18 +149,7 @@
     redundant_prefill_s: float
     completion_s: float
     requests: int
-
-
-def is_sensitive(gap_s: float | None, strictest_s: float | None) -> bool:
-    """Whether a route is latency-sensitive.
-
-    Args:
-        gap_s: Gap target of the route; None if it has none.
-        strictest_s: Shortest gap target of all routes to the same service.
-    """
-    if gap_s is None:
-        return False
-    return gap_s < TOLERANT_GAP_RATIO * (gap_s if strictest_s is None else strictest_s)
+    sample_tokens: float | None
 
 
 def choose_plain(
@@ -222,6 +215,7 @@
             for rank, state in enumerate(sorted(engines, key=lambda state: state.sort_key))
         }
         self._split = split
+        self._speed = EngineSpeed()
         self._draw = draw
 
     def choose(
@@ -231,7 +225,8 @@
         candidates: Sequence[UpstreamState],
         *,
         sensitive: bool,
-        demand: Demand,
+        groups: tuple[GroupDemand | None, GroupDemand | None],
+        speed: EngineSpeed,
         report_delay_s: float,
         now_s: float,
     ) -> Choice | Waiting:
@@ -239,24 +234,30 @@
 
         Args:
             sensitive: Whether the job's route is latency-sensitive.
-            demand: Demand on the service from all hosts.
+            groups: Demand of sensitive and of tolerant routes from all hosts; None without any.
+            speed: Learned speed of the service's engines.
             report_delay_s: Usual delay of other hosts' load reports.
         """
-        partition = self._update_partition(candidates, sensitive, demand)
+        self._speed = speed
+        partition = self._update_partition(candidates, sensitive, groups)
         if sensitive:
             return self._choose_sensitive(job, prompt, partition, candidates, now_s)
         engines = partition or candidates
-        unreported_s = demand.tolerant * report_delay_s / len(engines)
+        tolerant = groups[1]
+        unreported_s = 0.0 if tolerant is None else tolerant.work * report_delay_s / len(engines)
         return self._choose_tolerant(job, prompt, engines, unreported_s, now_s)
 
     def _update_partition(
-        self, candidates: Sequence[UpstreamState], sensitive: bool, demand: Demand
+        self,
+        candidates: Sequence[UpstreamState],
+        sensitive: bool,
+        groups: tuple[GroupDemand | None, GroupDemand | None],
     ) -> list[UpstreamState]:
         """Adjust the split to the demand; return the candidates that serve a job's kind."""
         engines = len(self._ranks)
         if engines == 1:
             return list(candidates)
-        split = self._split.update_split(engines, demand)
+        split = self._split.update_split(engines, self._engine.slots, *groups)
         return [
             state
             for state in candidates
@@ -373,22 +374,24 @@
         if key is not None:
             ranked.sort(key=lambda state: state.score_affinity(key), reverse=True)
         shared_tokens = prompt.shared_tokens
-        min_prefill_s = estimate_prompt_prefill_s(prompt, shared_tokens)
         for rank, state in enumerate(ranked):
-            cached = shared_tokens if rank == 0 else state.count_cached_tokens(prompt, now_s)
-            prefill_s = estimate_prompt_prefill_s(prompt, cached)
-            yield self._forecast(prompt, state, prefill_s, prefill_s - min_prefill_s, now_s)
+            known = state.count_cached_tokens(prompt, now_s)
+            cached = shared_tokens if rank == 0 else known
+            yield self._forecast(prompt, state, cached, known == cached, now_s)
 
     def _forecast(
         self,
         prompt: Prompt,
         state: UpstreamState,
-        prefill_s: float,
-        redundant_prefill_s: float,
+        cached_tokens: int,
+        certain: bool,
         now_s: float,
     ) -> _Forecast:
+        speed = self._speed
+        prefill_s = speed.estimate_prompt_prefill_s(prompt, cached_tokens)
+        min_prefill_s = speed.estimate_prompt_prefill_s(prompt, prompt.shared_tokens)
         load = state.measure(now_s)
-        first_event_s = state.forecast_first_event_s(prefill_s, load, now_s)
+        first_event_s = state.forecast_first_event_s(prefill_s, load, speed.overhead_s, now_s)
         slots = min(state.record.slots, self._engine.slots)
         memory_full = (
             load.tokens + prompt.tokens > MAX_MEMORY_SHARE * self._engine.kv_capacity_tokens
@@ -401,9 +404,14 @@
             state=state,
             prefill_s=prefill_s,
             first_event_s=first_event_s,
-            redundant_prefill_s=redundant_prefill_s,
+            redundant_prefill_s=prefill_s - min_prefill_s,
             requests=load.requests,
             completion_s=first_event_s + events * state.forecast_gap_s(tokens_per_event, load),
+            sample_tokens=(
+                count_prefill_tokens(prompt.tokens - cached_tokens, cached_tokens)
+                if certain and queued <= 0 and load.prefill_s <= UNCONTENDED_SHARE * prefill_s
+                else None
+            ),
         )
 
 
@@ -426,4 +434,5 @@
         completion_s=forecast.completion_s,
         min_completion_s=forecast.first_event_s
         + SHORT_OUTPUT_SHARE * (forecast.completion_s - forecast.first_event_s),
+        sample_tokens=forecast.sample_tokens,
     )
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -1,19 +1,22 @@
 """The router of one host: tracks upstreams, load and demand, and places jobs."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from enum import Enum
 
-from greengagestage.catalog import Bounds, RegisteredUpstream, RouteTable, Service
-from greengagestage.ids import AttemptId, FailureDomain, InstanceId, ServiceName
+from greengagestage.catalog import Bounds, RegisteredUpstream, Route, RouteTable, Service
+from greengagestage.ids import AttemptId, FailureDomain, InstanceId, RouteName, ServiceName
 from greengagestage.results import ResultCode
 
-from ._demand import Demand, DemandMeter, EngineSplit
+from ._demand import Demand, DemandMeter
+from ._engine_model import EngineModel
+from ._engine_split import URGENT_WEIGHT, EngineSplit, GroupDemand, build_group
 from ._jobs import Job, Placement, Refused, Waiting
 from ._loads import InFlightRequest, UpstreamLoad
-from ._placement import Choice, EngineChooser, choose_plain, is_sensitive
+from ._placement import Choice, EngineChooser, choose_plain
 from ._retries import RetryBudget
-from ._upstreams import UpstreamState
+from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
+from ._upstreams import DECODE_STEP_S, UpstreamState
 
 NO_UPSTREAM_RETRY_S = 0.4
 """Mean retry delay for callers while a service has no upstream. New ones register within
@@ -60,6 +63,13 @@
     CANCELLED = "cancelled"
 
 
+def _is_more_urgent(routes: Sequence[Route], others: Sequence[Route]) -> bool:
+    """Whether the most urgent of some routes is more urgent than the most urgent of others."""
+    if not routes or not others:
+        return False
+    return min(route.priority for route in routes) < min(route.priority for route in others)
+
+
 class Router:
     """Tracks the upstreams and their load, and places jobs.
 
@@ -82,6 +92,11 @@
         self._upstreams: dict[InstanceId, UpstreamState] = {}
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._demand_meters: dict[ServiceName, DemandMeter] = {}
+        self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
+        self._models: dict[ServiceName, EngineModel] = {}
+        self._sensitive_cache: dict[tuple[ServiceName, RouteName], bool] = {}
+        self._group_cache: dict[ServiceName, tuple[GroupDemand | None, GroupDemand | None]] = {}
+        self._routes: tuple[Route, ...] = ()
         self._peer_loads: Mapping[InstanceId, UpstreamLoad] = {}
         self._peer_demand: Mapping[ServiceName, Demand] = {}
         self._demand_cache: dict[ServiceName, tuple[float, Demand]] = {}
@@ -106,6 +121,8 @@
     def update_routes(self, table: RouteTable) -> None:
         """Apply the services of a configuration and the shortest gap target of each."""
         self._services = table.services
+        self._routes = tuple(route for route in table.routes if route.carries_prompt)
+        self._group_cache.clear()
         self._strictest_gap_s = {}
         for route in table.routes:
             for destination in route.destinations:
@@ -134,9 +151,19 @@
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
         self._get_retry_budget(job.service).record_request(now_s)
-        if job.prompt is not None:
-            meter = self._demand_meters.setdefault(job.service, DemandMeter())
-            meter.record(job.prompt, sensitive=self._is_sensitive(job), now_s=now_s)
+        if job.prompt is None:
+            return
+        speed = self._get_model(job.service).speed
+        prefill_s = speed.estimate_prompt_prefill_s(job.prompt, job.prompt.shared_tokens)
+        self._get_traffic_meter(job.service).record_prompt(
+            hash_route(job.route),
+            whole_prefill_s=speed.estimate_prompt_prefill_s(job.prompt, 0),
+            prefill_s=prefill_s,
+            now_s=now_s,
+        )
+        meter = self._demand_meters.setdefault(job.service, DemandMeter())
+        sensitive = self._is_sensitive(job, now_s)
+        meter.record(job.prompt, speed=speed, sensitive=sensitive, now_s=now_s)
 
     def try_acquire_retry(self, service: ServiceName, now_s: float) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
@@ -170,7 +197,7 @@
         choice = self._choose(job, service, ready, connectable, now_s)
         if isinstance(choice, Waiting):
             return replace(choice, delay_s=choice.delay_s * (0.75 + 0.5 * self._draw()))
-        if not self._is_sensitive(job) and now_s + choice.min_completion_s > job.deadline_s:
+        if not self._is_sensitive(job, now_s) and now_s + choice.min_completion_s > job.deadline_s:
             return self._refuse_late(job, choice)
         self._track(job, choice, now_s)
         return Placement(
@@ -183,8 +210,12 @@
     def record_data(self, attempt_id: AttemptId, instance: InstanceId, now_s: float) -> None:
         """Record that a response head or a piece of a body arrived for an attempt."""
         state = self._upstreams.get(instance)
-        if state is not None:
-            state.record_data(attempt_id, now_s)
+        if state is None:
+            return
+        begun = state.record_data(attempt_id, now_s)
+        if begun is not None and begun.sample_tokens is not None:
+            model = self._get_model(state.record.service)
+            model.observe(instance, begun.sample_tokens, now_s - begun.sent_s, now_s)
 
     def record_end(
         self, attempt_id: AttemptId, instance: InstanceId, end: AttemptEnd, now_s: float
@@ -203,6 +234,8 @@
                 state.health.record_answer(failed=end is AttemptEnd.FAILED)
                 if request is not None and end is AttemptEnd.ANSWERED:
                     state.record_answer_time(now_s - request.sent_s)
+                    meter = self._get_traffic_meter(state.record.service)
+                    meter.record_stream(request.route, now_s - request.sent_s, now_s)
             case AttemptEnd.LOST:
                 state.health.record_lost_answer(now_s)
             case AttemptEnd.UNREACHABLE:
@@ -222,12 +255,14 @@
     ) -> None:
         """Replace the known load and demand of all other hosts."""
         self._peer_loads, self._peer_demand = loads, demands
+        for service, demand in demands.items():
+            self._get_model(service).set_peer_samples(demand.prefill)
         for instance, state in self._upstreams.items():
             state.set_peer_load(loads.get(instance))
 
     def measure_local_demand(self, now_s: float) -> dict[ServiceName, Demand]:
         """Return the demand that reaches this host."""
-        return {service: meter.measure(now_s) for service, meter in self._demand_meters.items()}
+        return {service: self._measure_local(service, now_s) for service in self._demand_meters}
 
     def measure_local_loads(self, now_s: float) -> dict[InstanceId, UpstreamLoad]:
         """Return the load that this host puts on each upstream with open requests."""
@@ -260,8 +295,9 @@
             job,
             job.prompt,
             candidates,
-            sensitive=self._is_sensitive(job),
-            demand=self._measure_demand(job.service, now_s),
+            sensitive=self._is_sensitive(job, now_s),
+            groups=self._measure_groups(job.service, now_s),
+            speed=self._get_model(job.service).speed,
             report_delay_s=self.report_delay_s,
             now_s=now_s,
         )
@@ -271,14 +307,69 @@
         cached = self._demand_cache.get(service)
         if cached is not None and now_s - cached[0] < DEMAND_CACHE_S:
             return cached[1]
-        meter = self._demand_meters.get(service)
-        local = Demand() if meter is None else meter.measure(now_s)
-        total = local + self._peer_demand.get(service, Demand())
+        total = self._measure_local(service, now_s) + self._peer_demand.get(service, Demand())
         self._demand_cache[service] = (now_s, total)
+        self._sensitive_cache.clear()
+        self._group_cache.pop(service, None)
         return total
 
-    def _is_sensitive(self, job: Job) -> bool:
-        return is_sensitive(job.route.gap_target_s, self._strictest_gap_s.get(job.service))
+    def _measure_local(self, service: ServiceName, now_s: float) -> Demand:
+        meter = self._demand_meters.get(service)
+        if meter is None:
+            return Demand()
+        return replace(
+            meter.measure(now_s),
+            routes=self._get_traffic_meter(service).measure(now_s),
+            prefill=self._get_model(service).measure(now_s),
+        )
+
+    def _is_sensitive(self, job: Job, now_s: float) -> bool:
+        key = (job.service, job.route.name)
+        demand = self._measure_demand(job.service, now_s)
+        if key not in self._sensitive_cache:
+            whole_s = self._estimate_whole_prefill_s(job.route, demand)
+            self._sensitive_cache[key] = not self._is_tolerant(job.service, job.route, whole_s)
+        return self._sensitive_cache[key]
+
+    def _is_tolerant(self, service: ServiceName, route: Route, whole_s: float | None) -> bool:
+        engine = self._services[service].engine if service in self._services else None
+        return is_tolerant(
+            route.gap_target_s,
+            self._strictest_gap_s.get(service),
+            step_s=0.0 if engine is None else engine.tokens_per_event * DECODE_STEP_S,
+            whole_prefill_s=whole_s,
+        )
+
+    def _estimate_whole_prefill_s(self, route: Route, demand: Demand) -> float | None:
+        """Return the mean time to prefill a whole prompt of a route; None before any prompt."""
+        traffic = demand.routes.get(hash_route(route), RouteTraffic())
+        return traffic.whole_prefill_s / traffic.prompts if traffic.prompts else None
+
+    def _measure_groups(
+        self, service: ServiceName, now_s: float
+    ) -> tuple[GroupDemand | None, GroupDemand | None]:
+        """Return the demand of a service's sensitive and of its tolerant routes."""
+        demand = self._measure_demand(service, now_s)
+        if service not in self._group_cache:
+            sensitive: list[Route] = []
+            tolerant: list[Route] = []
+            for route in self._routes:
+                if any(each.service == service for each in route.destinations):
+                    whole_s = self._estimate_whole_prefill_s(route, demand)
+                    is_tolerant_route = self._is_tolerant(service, route, whole_s)
+                    (tolerant if is_tolerant_route else sensitive).append(route)
+            weight = URGENT_WEIGHT if _is_more_urgent(sensitive, tolerant) else 1.0
+            self._group_cache[service] = (
+                build_group(sensitive, demand.sensitive, demand.routes, weight=weight),
+                build_group(tolerant, demand.tolerant, demand.routes),
+            )
+        return self._group_cache[service]
+
+    def _get_traffic_meter(self, service: ServiceName) -> TrafficMeter:
+        return self._traffic_meters.setdefault(service, TrafficMeter())
+
+    def _get_model(self, service: ServiceName) -> EngineModel:
+        return self._models.setdefault(service, EngineModel())
 
     def _track(self, job: Job, choice: Choice, now_s: float) -> None:
         prompt = job.prompt
@@ -286,7 +377,9 @@
             sent_s=now_s,
             prefill_s=choice.prefill_s,
             tokens=0 if prompt is None else prompt.tokens + prompt.output_tokens,
-            sensitive=self._is_sensitive(job),
+            sensitive=self._is_sensitive(job, now_s),
+            route=hash_route(job.route),
+            sample_tokens=choice.sample_tokens,
             expected_s=choice.expected_s,
         )
         choice.state.add_request(job.attempt_id, request, prompt)
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -9,7 +9,6 @@
 
 from ._health import Health
 from ._loads import InFlightRequest, LoadTotal, UpstreamLoad
-from ._work import FIRST_EVENT_OVERHEAD_S
 
 OBSERVATION_WEIGHT = 0.25
 SLOWDOWN_RANGE = (0.3, 12.0)
@@ -173,16 +172,19 @@
         decay = math.exp(-max(now_s - self._slowdown_updated_s, 0.0) / SLOWDOWN_TIME_CONSTANT_S)
         return 1.0 + (self._slowdown - 1.0) * decay
 
-    def forecast_first_event_s(self, prefill_s: float, load: LoadTotal, now_s: float) -> float:
+    def forecast_first_event_s(
+        self, prefill_s: float, load: LoadTotal, overhead_s: float, now_s: float
+    ) -> float:
         """Return the expected time to the first event of a prompt.
 
         Args:
             prefill_s: Prefill time of the prompt on an engine without load.
+            overhead_s: Time to the first event of an empty prompt on such an engine.
         """
         slowdown = self.estimate_slowdown(now_s) * (
             WARMUP_SLOWDOWN if now_s < self._warmup_until_s else 1.0
         )
-        return FIRST_EVENT_OVERHEAD_S + slowdown * (load.prefill_s + prefill_s)
+        return overhead_s + slowdown * (load.prefill_s + prefill_s)
 
     def add_request(
         self, attempt_id: AttemptId, request: InFlightRequest, prompt: Prompt | None
@@ -192,24 +194,28 @@
         if prompt is not None:
             self._mark_cached(prompt, request.sent_s)
 
-    def record_data(self, attempt_id: AttemptId, now_s: float) -> None:
+    def record_data(self, attempt_id: AttemptId, now_s: float) -> InFlightRequest | None:
         """Record that a response head or a piece of a body arrived for a request.
 
         The first data, which is the head, ends the request's prefill and updates the slowdown. The
         gaps are the times between later pieces, whether they belong to a stream or not.
+
+        Returns:
+            The request whose answer begins; None for later data and unknown requests.
         """
         self._last_activity_s = now_s
         request = self._in_flight.get(attempt_id)
         if request is None:
-            return
+            return None
         if request.answer_begun:
             self._update_gap(now_s - request.last_data_s, now_s)
             request.last_data_s = now_s
-            return
+            return None
         request.answer_begun = True
         request.last_data_s = now_s
         request.prefill_s = 0.0
         self._update_slowdown(now_s - request.sent_s, request.expected_s, now_s)
+        return request
 
     def remove_request(self, attempt_id: AttemptId) -> InFlightRequest | None:
         """Remove a request from the load and return it; None if it is unknown."""
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from greengagestage.ids import InstanceId
+from greengagestage.ids import InstanceId, RouteName
 from greengagestage.routing import (
     AttemptEnd,
     Demand,
@@ -20,8 +20,10 @@
     SHORT,
     build_job,
     build_prompt,
+    build_route,
     build_router,
     build_short_prompt,
+    build_table,
 )
 
 
@@ -48,6 +50,45 @@
     assert not short & long
 
 
+def test_long_prompts_stay_apart_where_the_allowed_pauses_are_alike() -> None:
+    """Drafts allow pauses of 250 ms and reviews of 400 ms; the length of the prompts decides.
+
+    The split has settled after the first second.
+    """
+    drafts = build_route(name=RouteName("draft"), target_s=0.4, gap_target_s=0.25)
+    reviews = build_route(
+        name=RouteName("review"), target_s=0.6, gap_target_s=0.4, priority=1, max_attempts=1
+    )
+    router = build_router(engines=9)
+    router.update_routes(build_table(routes=(drafts, reviews)))
+    used: dict[str, set[InstanceId]] = {"draft": set(), "review": set()}
+    for number in range(60):
+        route = reviews if number % 2 else drafts
+        shared = f"s{number}"
+        prompt = build_prompt(shared=shared) if number % 2 else build_short_prompt(shared)
+        job = build_job(number, route=route, prompt=prompt, now_s=number / 20)
+        router.count_request(job, number / 20)
+        placed = router.place(job, number / 20)
+        assert isinstance(placed, Placement)
+        if number >= 30:
+            used[route.name].add(placed.upstream.instance)
+        finish(router, number, placed.upstream.instance, number / 20)
+    assert not used["draft"] & used["review"]
+
+
+def test_short_prompts_share_all_engines_whatever_pauses_they_allow() -> None:
+    """Where no route has long prompts, no engine is reserved for any of them."""
+    calm = build_route(name=RouteName("calm"), gap_target_s=0.8)
+    router = build_router(engines=4)
+    router.update_routes(build_table(routes=(SHORT, calm)))
+    used: set[InstanceId] = set()
+    for number in range(80):
+        job = build_job(number, route=calm, prompt=build_short_prompt(f"s{number}"))
+        router.count_request(job, 0.0)
+        used.add(place(router, number, route=calm, prompt=job.prompt))
+    assert len(used) == 4
+
+
 def test_higher_sensitive_demand_gets_more_engines() -> None:
     calm, burst = build_router(engines=10), build_router(engines=10)
     calm.update_peer_loads({}, {ENGINES: Demand(sensitive=0.4, tolerant=3.0)})
