Log how long an upstream was silent when an attempt fails

The hypotheses of the lost answers could not be told apart from the log: a fault line named neither the time since the upstream's last data nor whether the caller already had a part of the answer.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -119,11 +119,21 @@
     ) -> None:
         self.plan = plan
         self.sent_s: float | None = None
+        self._last_data_s: float | None = None
         self._context = context
         self._listener: AttemptListener | None = listener
         self._connection: ClientConnection | None = None
         self._counted_in_router = True
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the upstream's last data, or since the send; None before the send."""
+        since_s = self.sent_s if self._last_data_s is None else self._last_data_s
+        if since_s is None:
+            return None
+        silent_s: float = self._context.reactor.seconds() - since_s
+        return silent_s
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one."""
         upstream = self.plan.placement.upstream
@@ -218,6 +228,7 @@
 
     def _record_data(self) -> None:
         now_s = self._context.reactor.seconds()
+        self._last_data_s = now_s
         instance = self.plan.placement.upstream.instance
         self._context.router.record_data(self.plan.attempt_id, instance, now_s)
 
--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -78,6 +78,8 @@
             sent=attempt.sent_s is not None,
             send=attempt.plan.number,
             events=delivery.events,
+            begun=delivery.begun,
+            silent_ms=_to_ms(attempt.silent_s),
         )
 
     def log_repeated_losses(self, fingerprint: Fingerprint, losses: int) -> None:
