Keep a silent upstream until another one has accepted the request

What callers saw: a resumable stream ended without an answer although its upstream was alive. The operators count it as LOST beside a change of the configuration, where every request that was read and passed on must end with an answer.

Cause: after 0.9 s without an event (0.7 s before the first) the host cut the upstream off and only then looked for another one. If that one was full, failed or lost, or the retry budget was used up by the other streams of the same silent upstream, nothing was left to answer from and the caller's connection was aborted. The class of fault is break before make: a live resource is given up on suspicion before its replacement is secured.

Change: the silent upstream's attempt is kept while a second one, the successor, is sent. The first upstream is given up once the successor answers, or has not refused for 0.2 s, so that two upstreams never work on one stream for the operators' 0.4 s. The successor is dropped if it fails or if the first upstream goes on. The limit is 1.4 s: longer than the pauses of sound upstreams, and early enough that the next upstream's event comes before callers leave at 2 s. Silence is not counted while the caller does not read, and a plain answer that is still arriving is no longer given up.

Why it works: an exchange now loses its last live upstream only if that upstream ends the connection itself. Further tests cover the longer silence, an empty budget, an upstream that stays silent, and a first upstream that goes on or is lost during the handover.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -38,7 +38,9 @@
         MISDIRECTED: The request reached another instance than the one it names.
         LOST: The connection ended before the answer was complete.
         MALFORMED: The response is malformed, or does not prove which upstream made it.
-        SILENT: The upstream did not send its answer, or the next event of a stream, in time.
+        FAILED: The upstream answered with a server error.
+        SILENT: The upstream did not send its answer, or the next event of a stream, in time, and
+            another one has taken over.
     """
 
     UNREACHABLE = "unreachable"
@@ -46,6 +48,7 @@
     MISDIRECTED = "elsewhere"
     LOST = "lost"
     MALFORMED = "malformed"
+    FAILED = "failed"
     SILENT = "silent"
 
     @property
@@ -61,6 +64,7 @@
     AttemptFault.MISDIRECTED: AttemptEnd.MISDIRECTED,
     AttemptFault.LOST: AttemptEnd.LOST,
     AttemptFault.MALFORMED: AttemptEnd.FAILED,
+    AttemptFault.FAILED: AttemptEnd.FAILED,
     AttemptFault.SILENT: AttemptEnd.LOST,
 }
 
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -17,6 +17,7 @@
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
 from ._refusal_answers import answer_refusal
+from ._silence import MAX_PAUSE_S, SilenceWatch, compute_answer_limit
 
 MAX_SENDS = 4
 """Maximum number of attempts to send one request, including those that provably did not run it.
@@ -29,22 +30,12 @@
 MIN_TIME_FOR_RETRY_S = 0.03
 """No retry is started with less time left than this: plain answers take about 20 ms."""
 
-PLAIN_TIMEOUT_FACTOR = 4.0
-MIN_PLAIN_TIMEOUT_S = 0.25
-"""A retryable request that describes no prompt is sent elsewhere unless its answer is complete, or
-its stream has begun, within four times the upstream's expected answer time, and at least this time,
-which is longer than nearly all answers take. Data of a plain answer does not extend the time."""
+HANDOVER_S = 0.2
+"""Time after which a successor that has not refused a stream is taken to run it. Refusals come at
+once, and two upstreams must not work on one stream for longer than 0.4 s."""
 
-FIRST_EVENT_TIMEOUT_FACTOR = 3.0
-MIN_FIRST_EVENT_TIMEOUT_S = 0.7
-"""A retryable request that describes its prompt is sent elsewhere unless its stream has begun, or
-its plain answer is complete, within three times the forecast time to the first event, and at least
-this time. Callers disconnect after two seconds at the earliest."""
-
-NEXT_EVENT_TIMEOUT_S = 0.9
-"""A retryable stream is resumed elsewhere if no event arrives for this long after its head or its
-last event. A pause this long misses the target for time between events in every operator's
-requirements."""
+SUCCESSOR_RETRY_S = 0.25
+"""Time until another successor is sought for a silent upstream if none could be found or kept."""
 
 REFUSED_RETRY_AFTER_S = 0.3
 """``Retry-After`` once upstreams have refused a request for lack of capacity."""
@@ -72,7 +63,10 @@
 class RequestExchange:
     """Handles one caller's request until its final answer; listens to its caller and its attempts.
 
-    Each attempt is at most one ``http1.Exchange`` on a connection to an upstream.
+    Each attempt is at most one ``http1.Exchange`` on a connection to an upstream. A silent upstream
+    may be sound and go on at any time. Its attempt is therefore kept until a second one, the
+    successor, has been accepted by another upstream, and the successor is dropped if the first
+    upstream goes on before that.
     """
 
     def __init__(
@@ -84,13 +78,16 @@
         self._route = inputs.job.route
         self._responder = responder
         self._attempt: Attempt | None = None
+        self._successor: Attempt | None = None
+        self._paused = False
         self._tried: frozenset[InstanceId] = frozenset()
         self._sends = 0
         self._possible_runs = 0  # attempts that may have run, or may be running, the request
         self._last_fault: AttemptFault | None = None
         self._done = False
+        self._silence = SilenceWatch(reactor=context.reactor, on_silent=self._handle_silence)
         self._deadline_timer: Any = None
-        self._response_timer: Any = None
+        self._handover_timer: Any = None
         self._placement_timer: Any = None
         self._waited = False
         workspace = "" if inputs.workspace is None else inputs.workspace.name
@@ -138,11 +135,15 @@
 
     def pause(self) -> None:
         """Stop reading from the upstream, since the caller reads too slowly."""
+        self._paused = True
+        self._silence.pause()
         if self._attempt is not None:
             self._attempt.pause()
 
     def resume(self) -> None:
         """Read from the upstream again, since the caller has caught up."""
+        self._paused = False
+        self._silence.resume()
         if self._attempt is not None:
             self._attempt.resume()
 
@@ -161,6 +162,10 @@
             waited_s = self._context.reactor.seconds() - self._job.arrived_s
             self._request_timer.observe(Timing.QUEUE_WAIT, waited_s)
         self._possible_runs += 1
+        if attempt is self._successor and self._route.kind is RouteKind.STREAM:
+            self._handover_timer = self._context.reactor.callLater(
+                HANDOVER_S, self._promote_successor
+            )
         workspace = self._inputs.workspace
         metadata = UpstreamRequestMetadata(
             instance=attempt.plan.placement.upstream.instance,
@@ -180,20 +185,34 @@
     def attempt_head_received(self, attempt: Attempt, head: ResponseHead) -> None:
         """Start relaying a stream or buffering a plain answer."""
         streams = self._route.kind is RouteKind.STREAM and 200 <= head.status < 300
-        if self._delivery.is_stream and not streams:
+        continues = streams or not self._delivery.is_stream
+        failed = head.status >= 500 or not continues
+        if attempt is self._successor:
+            if failed:
+                attempt.cancel(AttemptEnd.FAILED)
+                self._drop_failed_successor(attempt, AttemptFault.FAILED)
+                return
+            self._promote_successor()
+        elif self._successor is not None:
+            if failed:
+                attempt.cancel(AttemptEnd.FAILED)
+                self._handle_fault(attempt, AttemptFault.FAILED)
+                return
+            self._cancel_successor()
+        if not continues:
             attempt.cancel(AttemptEnd.FAILED)
             self._handle_fault(attempt, AttemptFault.MALFORMED)
-            return
-        if not streams:
+        elif streams:
+            self._delivery.begin_stream(head)
+            self._watch_events()
+        else:
             self._delivery.begin_plain(head)
-            return
-        self._delivery.begin_stream(head)
-        self._start_next_event_timer()
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Relay complete events, or buffer a part of a plain answer."""
         if self._delivery.feed(data):
-            self._start_next_event_timer()
+            self._cancel_successor()
+            self._watch_events()
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Deliver a complete answer, or retry if the upstream answered with a server error."""
@@ -211,7 +230,10 @@
 
     def attempt_failed(self, attempt: Attempt, fault: AttemptFault) -> None:
         """Retry if that is safe, else refuse the request."""
-        self._handle_fault(attempt, fault)
+        if attempt is self._successor:
+            self._drop_failed_successor(attempt, fault)
+        else:
+            self._handle_fault(attempt, fault)
 
     # Placement and retries.
 
@@ -238,6 +260,11 @@
         self._placement_timer = self._context.reactor.callLater(waiting.delay_s, self._send_next)
 
     def _send_to(self, placement: Placement) -> None:
+        self._attempt = self._create_attempt(placement)
+        self._watch_answer(placement)
+        self._attempt.start()
+
+    def _create_attempt(self, placement: Placement) -> Attempt:
         self._sends += 1
         self._log.log_sent(placement, self._sends)
         plan = AttemptPlan(
@@ -246,25 +273,28 @@
             placement=placement,
             non_retryable=not self._route.is_retryable,
         )
-        self._attempt = Attempt(context=self._context, plan=plan, listener=self)
         self._tried |= {placement.upstream.instance}
-        self._start_first_answer_timer(placement)
-        self._attempt.start()
+        return Attempt(context=self._context, plan=plan, listener=self)
 
     def _handle_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
-        self._cancel_response_timer()
+        self._silence.stop()
         self._attempt = None
+        self._record_fault(attempt, fault)
+        if self._successor is not None:
+            self._promote_successor()
+        elif self._try_acquire_resend(fault):
+            self._delivery.discard_undelivered()
+            self._send_next()
+        else:
+            self._refuse_after_fault(fault)
+
+    def _record_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._last_fault = fault
         if fault.proves_not_run and attempt.sent_s is not None:
             self._possible_runs -= 1
         if fault is AttemptFault.LOST:
             self._record_loss(attempt)
         self._log.log_attempt_fault(attempt, fault, self._delivery)
-        if self._try_acquire_resend(fault):
-            self._delivery.discard_undelivered()
-            self._send_next()
-            return
-        self._refuse_after_fault(fault)
 
     def _try_acquire_resend(self, fault: AttemptFault) -> bool:
         """Return whether the request can be sent again after a fault; count it as a retry if so.
@@ -282,14 +312,18 @@
 
     def _try_acquire_retry(self) -> bool:
         """Return whether a request that may have run can be sent again; count a retry if so."""
+        if not self._may_run_again():
+            return False
+        now_s = self._context.reactor.seconds()
+        return self._context.router.try_acquire_retry(self._job.service, now_s)
+
+    def _may_run_again(self) -> bool:
+        """Whether a request that may have run, and whose answer may have begun, can be resent."""
         if not self._route.is_retryable or self._possible_runs >= self._route.max_attempts:
             return False
         if not self._has_time() or self._sends >= MAX_SENDS:
             return False
-        if not self._delivery.can_restart:
-            return False
-        now_s = self._context.reactor.seconds()
-        return self._context.router.try_acquire_retry(self._job.service, now_s)
+        return self._delivery.can_restart
 
     def _has_time(self) -> bool:
         return bool(self._job.deadline_s - self._context.reactor.seconds() >= MIN_TIME_FOR_RETRY_S)
@@ -327,44 +361,70 @@
         code = ResultCode.DEADLINE_PASSED_RUNNING if may_have_run else ResultCode.DEADLINE_PASSED
         self._refuse(Refusal(code=code))
 
-    # Timeouts of upstreams.
+    # Silent upstreams.
 
-    def _start_first_answer_timer(self, placement: Placement) -> None:
-        if not self._route.is_retryable or self._possible_runs + 1 >= self._route.max_attempts:
-            return
-        if self._job.prompt is None:
-            timeout_s = max(PLAIN_TIMEOUT_FACTOR * placement.expected_s, MIN_PLAIN_TIMEOUT_S)
-        else:
-            scaled_forecast_s = FIRST_EVENT_TIMEOUT_FACTOR * placement.expected_s
-            timeout_s = max(scaled_forecast_s, MIN_FIRST_EVENT_TIMEOUT_S)
-        self._restart_response_timer(timeout_s)
-
-    def _start_next_event_timer(self) -> None:
-        if self._route.is_retryable and self._possible_runs < self._route.max_attempts:
-            self._restart_response_timer(NEXT_EVENT_TIMEOUT_S)
-
-    def _restart_response_timer(self, timeout_s: float) -> None:
-        self._cancel_response_timer()
-        self._response_timer = self._context.reactor.callLater(
-            timeout_s, self._handle_response_timeout
-        )
+    def _watch_answer(self, placement: Placement) -> None:
+        if self._route.is_retryable and self._possible_runs + 1 < self._route.max_attempts:
+            self._silence.start(compute_answer_limit(self._job, placement))
 
-    def _handle_response_timeout(self) -> None:
-        """Abandon an upstream that did not answer in time, if another one may run the request."""
-        attempt = self._attempt
-        if attempt is None or not self._try_acquire_retry():
+    def _watch_events(self) -> None:
+        if self._may_run_again():
+            self._silence.start(MAX_PAUSE_S)
+
+    def _handle_silence(self) -> None:
+        """Send the request to another upstream too, if that one may run it."""
+        if self._attempt is None or not self._may_run_again():
             return
-        attempt.cancel(AttemptEnd.LOST)
-        self._attempt = None
-        self._last_fault = AttemptFault.SILENT
-        self._log.log_attempt_fault(attempt, AttemptFault.SILENT, self._delivery)
+        now_s = self._context.reactor.seconds()
+        if self._context.losses.is_quarantined(self._inputs.fingerprint, now_s):
+            return
+        placed = self._context.router.place(self._job, now_s, self._tried)
+        if not isinstance(placed, Placement):
+            self._silence.start(SUCCESSOR_RETRY_S)
+            return
+        successor = self._create_attempt(placed)
+        if not self._context.router.try_acquire_retry(self._job.service, now_s):
+            successor.cancel()
+            self._silence.start(SUCCESSOR_RETRY_S)
+            return
+        self._successor = successor
+        successor.start()
+
+    def _promote_successor(self) -> None:
+        """Give up the silent upstream: the successor alone answers from now on."""
+        attempt, self._attempt = self._attempt, self._successor
+        self._successor = None
+        self._cancel_handover_timer()
+        self._silence.stop()
+        if attempt is not None:
+            self._record_fault(attempt, AttemptFault.SILENT)
+            attempt.cancel(AttemptEnd.LOST)
         self._delivery.discard_undelivered()
-        self._send_next()
-
-    def _cancel_response_timer(self) -> None:
-        if self._response_timer is not None and self._response_timer.active():
-            self._response_timer.cancel()
-        self._response_timer = None
+        successor = self._attempt
+        if successor is None:
+            return
+        if self._may_run_again():
+            self._silence.start(compute_answer_limit(self._job, successor.plan.placement))
+        if self._paused:
+            successor.pause()
+
+    def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
+        self._cancel_handover_timer()
+        self._successor = None
+        self._record_fault(attempt, fault)
+        self._silence.start(SUCCESSOR_RETRY_S)
+
+    def _cancel_successor(self) -> None:
+        """Drop the successor, since the first upstream goes on or the exchange ends."""
+        self._cancel_handover_timer()
+        successor, self._successor = self._successor, None
+        if successor is not None:
+            successor.cancel()
+
+    def _cancel_handover_timer(self) -> None:
+        if self._handover_timer is not None and self._handover_timer.active():
+            self._handover_timer.cancel()
+        self._handover_timer = None
 
     # Final answer.
 
@@ -381,7 +441,8 @@
         self._done = True
         self._attempt = None
         self._responder.listener = None
-        self._cancel_response_timer()
+        self._silence.stop()
+        self._cancel_successor()
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 import pytest
+from twisted.internet.task import Clock
 
+from greengagestage.gateway._silence import SilenceWatch
 from greengagestage.http1 import IncomingRequest, Responder
 
 from . import host_harness as harness
@@ -12,6 +14,9 @@
 PAUSE_S = 1.2
 """A sound upstream may fall silent for about a second."""
 
+LONG_PAUSE_S = 1.7
+"""Long enough for another upstream to be asked, and shorter than callers wait."""
+
 
 @pytest.fixture
 def fleet():
@@ -20,7 +25,7 @@
 
 
 def pause_after(
-    events: int,
+    events: int, pause_s: float = PAUSE_S
 ) -> Callable[[UpstreamStandin, IncomingRequest, Responder], None]:
     """Return a behavior that sends some events, falls silent and then completes the stream."""
 
@@ -35,7 +40,7 @@
         responder.begin(200, harness.build_identity_headers(request))
         for event in EVENTS[:events]:
             responder.write(event)
-        upstream.reactor.callLater(PAUSE_S, complete)
+        upstream.reactor.callLater(pause_s, complete)
 
     return behave
 
@@ -64,3 +69,94 @@
     fleet.run_until(lambda: caller.is_complete or caller.closed)
     assert (caller.status, caller.body) == (200, b"".join(EVENTS))
     assert first.disconnects == 0
+
+
+# Guards against a stream that is cut from a live upstream before another one has taken it.
+@pytest.mark.parametrize("events", [0, 2])
+@pytest.mark.parametrize("other", [harness.refuse, harness.fail, harness.reset])
+def test_a_stream_survives_a_long_silence_if_no_other_upstream_takes_it(
+    fleet: HostFleet, events: int, other: harness.Behavior
+) -> None:
+    caller, first, second = start_stream(fleet, pause_after(events, LONG_PAUSE_S), other)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert first.disconnects == 0
+    assert second.requests
+
+
+# Guards against a stream that loses its only upstream because the retry budget is used up.
+def test_a_stream_stays_at_a_silent_upstream_without_a_retry_budget(fleet: HostFleet) -> None:
+    upstreams = [
+        fleet.add_upstream(name, service="engines", behavior=pause_after(2, LONG_PAUSE_S))
+        for name in ("one", "two")
+    ]
+    fleet.start_host(retry_ratio=0.0, retry_slack=0.0)
+    fleet.wait_ready()
+    caller = fleet.call("/short/x", deadline_ms=10_000)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+
+@pytest.mark.parametrize("events", [0, 2])
+def test_a_stream_goes_on_elsewhere_if_its_upstream_stays_silent(
+    fleet: HostFleet, events: int
+) -> None:
+    caller, first, second = start_stream(fleet, pause_after(events, 60.0), harness.serve)
+    began_s = fleet.reactor.seconds()
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert fleet.reactor.seconds() - began_s < 2.0  # callers disconnect after two seconds
+    assert second.requests[0].get(b"last-event-id") == (b"2" if events else None)
+    fleet.run_until(lambda: first.disconnects == 1)
+
+
+# Guards against two upstreams that work on one stream for long.
+def test_a_silent_upstream_is_given_up_once_another_one_has_accepted(fleet: HostFleet) -> None:
+    caller, first, second = start_stream(fleet, pause_after(2, 60.0), harness.hang)
+    fleet.run_until(lambda: bool(second.hanging))
+    accepted_s = fleet.reactor.seconds()
+    fleet.run_until(lambda: first.disconnects == 1)
+    assert fleet.reactor.seconds() - accepted_s < 0.4
+    assert not caller.closed
+
+
+def test_a_second_upstream_is_dropped_if_the_first_one_goes_on(fleet: HostFleet) -> None:
+    caller, first, second = start_stream(fleet, pause_after(2, 1.5), harness.hang)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert first.disconnects == 0
+    fleet.run_until(lambda: second.disconnects == 1)
+
+
+def test_the_second_upstream_takes_over_if_the_first_one_is_lost_meanwhile(
+    fleet: HostFleet,
+) -> None:
+    def answer_late(upstream, request, responder) -> None:
+        upstream.reactor.callLater(0.15, harness.serve, upstream, request, responder)
+
+    def lose(upstream, request, responder) -> None:
+        responder.begin(200, harness.build_identity_headers(request))
+        responder.write(EVENTS[0])
+        upstream.reactor.callLater(1.45, responder.abort)
+
+    caller, _, second = start_stream(fleet, lose, answer_late)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert len(second.requests) == 1
+
+
+# Guards against an upstream that is taken for silent because its caller reads slowly.
+def test_silence_is_not_counted_while_the_caller_does_not_read() -> None:
+    clock, reports = Clock(), []
+    watch = SilenceWatch(reactor=clock, on_silent=lambda: reports.append(clock.seconds()))
+    watch.start(1.0)
+    clock.advance(0.9)
+    watch.pause()
+    clock.advance(5.0)
+    watch.resume()
+    clock.advance(0.9)
+    assert not reports
+    clock.advance(0.2)
+    assert len(reports) == 1
+    clock.advance(5.0)
+    assert len(reports) == 1
