Split the limits on sends and the handover out of the exchange

A denied retry no longer counts as a send while a successor is sought: the budget is asked before the attempt is created.

--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -5,7 +5,7 @@
 
 from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import IncomingRequest, OutgoingRequest, Responder, ResponseHead
-from greengagestage.ids import ClassName, Fingerprint, InstanceId, WorkspaceId
+from greengagestage.ids import ClassName, Fingerprint, WorkspaceId
 from greengagestage.platform import UpstreamRequestMetadata, build_upstream_headers
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
@@ -16,30 +16,18 @@
 from ._context import ExchangeContext
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
-from ._refusal_answers import answer_refusal
+from ._handover import Handover
+from ._refusal_answers import answer_refusal, choose_fault_refusal
+from ._send_limits import SendLimits
 from ._silence import MAX_PAUSE_S, SilenceWatch, compute_answer_limit
 
-MAX_SENDS = 4
-"""Maximum number of attempts to send one request, including those that provably did not run it.
-``Route.max_attempts`` limits only the attempts that may have run it."""
-
 DEADLINE_SLACK_S = 0.05
 """Time after the deadline in which an upstream's own answer is still awaited: links add a few
 milliseconds."""
 
-MIN_TIME_FOR_RETRY_S = 0.03
-"""No retry is started with less time left than this: plain answers take about 20 ms."""
-
-HANDOVER_S = 0.2
-"""Time after which a successor that has not refused a stream is taken to run it. Refusals come at
-once, and two upstreams must not work on one stream for longer than 0.4 s."""
-
 SUCCESSOR_RETRY_S = 0.25
 """Time until another successor is sought for a silent upstream if none could be found or kept."""
 
-REFUSED_RETRY_AFTER_S = 0.3
-"""``Retry-After`` once upstreams have refused a request for lack of capacity."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExchangeInputs:
@@ -78,16 +66,13 @@
         self._route = inputs.job.route
         self._responder = responder
         self._attempt: Attempt | None = None
-        self._successor: Attempt | None = None
+        self._handover = Handover(reactor=context.reactor, on_accepted=self._promote_successor)
         self._paused = False
-        self._tried: frozenset[InstanceId] = frozenset()
-        self._sends = 0
-        self._possible_runs = 0  # attempts that may have run, or may be running, the request
+        self._limits = SendLimits(job=inputs.job, router=context.router)
         self._last_fault: AttemptFault | None = None
         self._done = False
         self._silence = SilenceWatch(reactor=context.reactor, on_silent=self._handle_silence)
         self._deadline_timer: Any = None
-        self._handover_timer: Any = None
         self._placement_timer: Any = None
         self._waited = False
         workspace = "" if inputs.workspace is None else inputs.workspace.name
@@ -119,7 +104,7 @@
         """Give the final answer now, since the host is about to stop."""
         if self._attempt is not None:
             self._attempt.cancel()
-        may_have_run = self._possible_runs > 0
+        may_have_run = self._limits.may_have_run
         code = ResultCode.HOST_STOPPED_RUNNING if may_have_run else ResultCode.STOPPING
         self._refuse(Refusal(code=code, retry_after_s=None if may_have_run else 0.0))
 
@@ -138,7 +123,7 @@
                 self._attempt.detach()
             else:
                 self._attempt.cancel()
-        may_have_run = self._possible_runs > 0
+        may_have_run = self._limits.may_have_run
         self._conclude(ResultCode.CALLER_LEFT_RUNNING if may_have_run else ResultCode.CALLER_LEFT)
 
     def pause(self) -> None:
@@ -155,6 +140,11 @@
         if self._attempt is not None:
             self._attempt.resume()
 
+    @property
+    def _now_s(self) -> float:
+        now_s: float = self._context.reactor.seconds()
+        return now_s
+
     # Attempt events.
 
     def prepare_attempt_request(self, attempt: Attempt) -> OutgoingRequest | None:
@@ -163,17 +153,15 @@
         A returned request is counted as one that may have run. For the first attempt, the time
         since the request's arrival is recorded in the metrics.
         """
-        remaining_s = self._job.deadline_s - self._context.reactor.seconds()
+        remaining_s = self._job.deadline_s - self._now_s
         if self._done or remaining_s <= 0:
             return None
         if attempt.plan.number == 1:
-            waited_s = self._context.reactor.seconds() - self._job.arrived_s
+            waited_s = self._now_s - self._job.arrived_s
             self._request_timer.observe(Timing.QUEUE_WAIT, waited_s)
-        self._possible_runs += 1
-        if attempt is self._successor and self._route.kind is RouteKind.STREAM:
-            self._handover_timer = self._context.reactor.callLater(
-                HANDOVER_S, self._promote_successor
-            )
+        self._limits.possible_runs += 1
+        if attempt is self._handover.successor and self._route.kind is RouteKind.STREAM:
+            self._handover.await_refusal()
         workspace = self._inputs.workspace
         metadata = UpstreamRequestMetadata(
             instance=attempt.plan.placement.upstream.instance,
@@ -195,18 +183,18 @@
         streams = self._route.kind is RouteKind.STREAM and 200 <= head.status < 300
         continues = streams or not self._delivery.is_stream
         failed = head.status >= 500 or not continues
-        if attempt is self._successor:
+        if attempt is self._handover.successor:
             if failed:
                 attempt.cancel(AttemptEnd.FAILED)
                 self._drop_failed_successor(attempt, AttemptFault.FAILED)
                 return
             self._promote_successor()
-        elif self._successor is not None:
+        elif self._handover.successor is not None:
             if failed:
                 attempt.cancel(AttemptEnd.FAILED)
                 self._handle_fault(attempt, AttemptFault.FAILED)
                 return
-            self._cancel_successor()
+            self._handover.cancel()
         if not continues:
             attempt.cancel(AttemptEnd.FAILED)
             self._handle_fault(attempt, AttemptFault.MALFORMED)
@@ -219,7 +207,7 @@
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Relay complete events, or buffer a part of a plain answer."""
         if self._delivery.feed(data):
-            self._cancel_successor()
+            self._handover.cancel()
             self._watch_events()
 
     def attempt_ended(self, attempt: Attempt) -> None:
@@ -227,7 +215,7 @@
         head = self._delivery.head
         if head is not None and head.status >= 500:
             attempt.settle_early(AttemptEnd.FAILED)
-            if not self._delivery.begun and self._try_acquire_retry():
+            if not self._delivery.begun and self._limits.try_acquire_retry(self._now_s):
                 self._delivery.discard_undelivered()
                 self._send_next()
                 return
@@ -238,7 +226,7 @@
 
     def attempt_failed(self, attempt: Attempt, fault: AttemptFault) -> None:
         """Retry if that is safe, else refuse the request."""
-        if attempt is self._successor:
+        if attempt is self._handover.successor:
             self._drop_failed_successor(attempt, fault)
         else:
             self._handle_fault(attempt, fault)
@@ -246,13 +234,13 @@
     # Placement and retries.
 
     def _send_next(self) -> None:
-        now_s = self._context.reactor.seconds()
+        now_s = self._now_s
         if self._context.losses.is_quarantined(self._inputs.fingerprint, now_s):
-            may_have_run = self._possible_runs > 0
+            may_have_run = self._limits.may_have_run
             code = ResultCode.CRASHED_UPSTREAMS if may_have_run else ResultCode.QUARANTINED
             self._refuse(Refusal(code=code))
             return
-        placed = self._context.router.place(self._job, now_s, self._tried)
+        placed = self._context.router.place(self._job, now_s, self._limits.tried)
         match placed:
             case Refused():
                 self._refuse_unplaced(placed)
@@ -273,22 +261,21 @@
         self._attempt.start()
 
     def _create_attempt(self, placement: Placement) -> Attempt:
-        self._sends += 1
-        self._log.log_sent(placement, self._sends)
+        self._limits.record_send(placement.upstream.instance)
+        self._log.log_sent(placement, self._limits.sends)
         plan = AttemptPlan(
             attempt_id=self._job.attempt_id,
-            number=self._sends,
+            number=self._limits.sends,
             placement=placement,
             non_retryable=not self._route.is_retryable,
         )
-        self._tried |= {placement.upstream.instance}
         return Attempt(context=self._context, plan=plan, listener=self)
 
     def _handle_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._silence.stop()
         self._attempt = None
         self._record_fault(attempt, fault)
-        if self._successor is not None:
+        if self._handover.successor is not None:
             self._promote_successor()
         elif self._try_acquire_resend(fault):
             self._delivery.discard_undelivered()
@@ -299,45 +286,22 @@
     def _record_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._last_fault = fault
         if fault.proves_not_run and attempt.sent_s is not None:
-            self._possible_runs -= 1
+            self._limits.possible_runs -= 1
         if fault is AttemptFault.LOST:
             self._record_loss(attempt)
         self._log.log_attempt_fault(attempt, fault, self._delivery)
 
     def _try_acquire_resend(self, fault: AttemptFault) -> bool:
-        """Return whether the request can be sent again after a fault; count it as a retry if so.
-
-        A send after a failed connection is not counted, since nothing had been sent.
-        """
-        if not self._has_time() or self._sends >= MAX_SENDS:
+        if not fault.proves_not_run and not self._delivery.can_restart:
             return False
-        if fault is AttemptFault.UNREACHABLE:
-            return self._possible_runs == 0 or self._route.is_retryable
-        if fault.proves_not_run:
-            now_s = self._context.reactor.seconds()
-            return self._context.router.try_acquire_retry(self._job.service, now_s)
-        return self._try_acquire_retry()
-
-    def _try_acquire_retry(self) -> bool:
-        """Return whether a request that may have run can be sent again; count a retry if so."""
-        if not self._may_run_again():
-            return False
-        now_s = self._context.reactor.seconds()
-        return self._context.router.try_acquire_retry(self._job.service, now_s)
+        return self._limits.try_acquire_resend(fault, self._now_s)
 
     def _may_run_again(self) -> bool:
-        """Whether a request that may have run, and whose answer may have begun, can be resent."""
-        if not self._route.is_retryable or self._possible_runs >= self._route.max_attempts:
-            return False
-        if not self._has_time() or self._sends >= MAX_SENDS:
-            return False
-        return self._delivery.can_restart
-
-    def _has_time(self) -> bool:
-        return bool(self._job.deadline_s - self._context.reactor.seconds() >= MIN_TIME_FOR_RETRY_S)
+        """Whether the request, whose answer may have begun, can run at another upstream."""
+        return self._delivery.can_restart and self._limits.may_run_again(self._now_s)
 
     def _refuse_unplaced(self, refused: Refused) -> None:
-        if self._possible_runs > 0 or self._delivery.begun:
+        if self._limits.may_have_run or self._delivery.begun:
             self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
             return
         self._refuse(
@@ -345,34 +309,21 @@
         )
 
     def _refuse_after_fault(self, fault: AttemptFault) -> None:
-        if self._possible_runs == 0 and not self._delivery.begun:
-            code = ResultCode.UPSTREAM_REFUSED
-            if fault is AttemptFault.UNREACHABLE:
-                code = ResultCode.NO_UPSTREAM
-            self._refuse(
-                Refusal(code=code, detail=fault.value, retry_after_s=REFUSED_RETRY_AFTER_S)
-            )
-            return
-        match fault:
-            case AttemptFault.SILENT:
-                self._refuse(Refusal(code=ResultCode.UPSTREAM_SILENT))
-            case AttemptFault.MALFORMED:
-                self._refuse(Refusal(code=ResultCode.ANSWER_INCOMPLETE))
-            case _:
-                self._refuse(Refusal(code=ResultCode.UPSTREAM_LOST))
+        may_have_run = self._limits.may_have_run or self._delivery.begun
+        self._refuse(choose_fault_refusal(fault, may_have_run=may_have_run))
 
     def _handle_deadline(self) -> None:
         """Give the final answer at the deadline."""
         if self._attempt is not None:
             self._attempt.cancel()
-        may_have_run = self._possible_runs > 0
+        may_have_run = self._limits.may_have_run
         code = ResultCode.DEADLINE_PASSED_RUNNING if may_have_run else ResultCode.DEADLINE_PASSED
         self._refuse(Refusal(code=code))
 
     # Silent upstreams.
 
     def _watch_answer(self, placement: Placement) -> None:
-        if self._route.is_retryable and self._possible_runs + 1 < self._route.max_attempts:
+        if self._route.is_retryable and self._limits.possible_runs + 1 < self._route.max_attempts:
             self._silence.start(compute_answer_limit(self._job, placement))
 
     def _watch_events(self) -> None:
@@ -383,26 +334,24 @@
         """Send the request to another upstream too, if that one may run it."""
         if self._attempt is None or not self._may_run_again():
             return
-        now_s = self._context.reactor.seconds()
+        now_s = self._now_s
         if self._context.losses.is_quarantined(self._inputs.fingerprint, now_s):
             return
-        placed = self._context.router.place(self._job, now_s, self._tried)
+        router = self._context.router
+        placed = router.place(self._job, now_s, self._limits.tried)
         if not isinstance(placed, Placement):
             self._silence.start(SUCCESSOR_RETRY_S)
             return
-        successor = self._create_attempt(placed)
-        if not self._context.router.try_acquire_retry(self._job.service, now_s):
-            successor.cancel()
+        if not self._limits.try_spend_retry(now_s):
+            instance = placed.upstream.instance
+            router.record_end(self._job.attempt_id, instance, AttemptEnd.CANCELLED, now_s)
             self._silence.start(SUCCESSOR_RETRY_S)
             return
-        self._successor = successor
-        successor.start()
+        self._handover.begin(self._create_attempt(placed))
 
     def _promote_successor(self) -> None:
         """Give up the silent upstream: the successor alone answers from now on."""
-        attempt, self._attempt = self._attempt, self._successor
-        self._successor = None
-        self._cancel_handover_timer()
+        attempt, self._attempt = self._attempt, self._handover.take()
         self._silence.stop()
         if attempt is not None:
             self._record_fault(attempt, AttemptFault.SILENT)
@@ -417,23 +366,10 @@
             successor.pause()
 
     def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
-        self._cancel_handover_timer()
-        self._successor = None
+        self._handover.take()
         self._record_fault(attempt, fault)
         self._silence.start(SUCCESSOR_RETRY_S)
 
-    def _cancel_successor(self) -> None:
-        """Drop the successor, since the first upstream goes on or the exchange ends."""
-        self._cancel_handover_timer()
-        successor, self._successor = self._successor, None
-        if successor is not None:
-            successor.cancel()
-
-    def _cancel_handover_timer(self) -> None:
-        if self._handover_timer is not None and self._handover_timer.active():
-            self._handover_timer.cancel()
-        self._handover_timer = None
-
     # Final answer.
 
     def _refuse(self, refusal: Refusal) -> None:
@@ -441,7 +377,7 @@
         if self._delivery.begun:
             self._responder.abort()
         else:
-            remaining_s = self._job.deadline_s - self._context.reactor.seconds()
+            remaining_s = self._job.deadline_s - self._now_s
             answer_refusal(self._responder, refusal, time_left_s=remaining_s)
         self._conclude(refusal.code, refusal.retry_after_s)
 
@@ -450,17 +386,17 @@
         self._attempt = None
         self._responder.listener = None
         self._silence.stop()
-        self._cancel_successor()
+        self._handover.cancel()
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
                 timer.cancel()
         self._context.open_exchanges.discard(self)
-        elapsed_s = self._context.reactor.seconds() - self._job.arrived_s
+        elapsed_s = self._now_s - self._job.arrived_s
         self._request_timer.observe(Timing.ANSWER, elapsed_s)
         self._context.metrics.count_result(code, ClassName(self._route.name))
         outcome = ExchangeOutcome(
             code=code,
-            sends=self._sends,
+            sends=self._limits.sends,
             waited=self._waited,
             elapsed_s=elapsed_s,
             retry_after_s=retry_after_s,
@@ -474,7 +410,7 @@
         """
         fingerprint = self._inputs.fingerprint
         loss_id = f"{self._job.attempt_id}.{attempt.plan.number}"
-        now_s = self._context.reactor.seconds()
+        now_s = self._now_s
         count = self._context.losses.record_loss(fingerprint, loss_id, now_s)
         self._context.report_loss(fingerprint, loss_id)
         if count > 1:
--- a/greengagestage/gateway/_refusal_answers.py
+++ b/greengagestage/gateway/_refusal_answers.py
@@ -3,6 +3,12 @@
 from greengagestage.http1 import Responder
 from greengagestage.platform import format_retry_after, get_refusal_status
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
+from greengagestage.results import ResultCode
+
+from ._attempt import AttemptFault
+
+REFUSED_RETRY_AFTER_S = 0.3
+"""``Retry-After`` once upstreams have refused a request for lack of capacity."""
 
 
 def answer_refusal(responder: Responder, refusal: Refusal, *, time_left_s: float) -> None:
@@ -12,3 +18,18 @@
         value = format_retry_after(refusal.retry_after_s, time_left_s)
         headers.append((b"Retry-After", value))
     responder.answer(get_refusal_status(refusal.code), headers, encode_refusal(refusal))
+
+
+def choose_fault_refusal(fault: AttemptFault, *, may_have_run: bool) -> Refusal:
+    """Return the final answer after the last attempt has failed."""
+    if not may_have_run:
+        unreachable = fault is AttemptFault.UNREACHABLE
+        code = ResultCode.NO_UPSTREAM if unreachable else ResultCode.UPSTREAM_REFUSED
+        return Refusal(code=code, detail=fault.value, retry_after_s=REFUSED_RETRY_AFTER_S)
+    match fault:
+        case AttemptFault.SILENT:
+            return Refusal(code=ResultCode.UPSTREAM_SILENT)
+        case AttemptFault.MALFORMED:
+            return Refusal(code=ResultCode.ANSWER_INCOMPLETE)
+        case _:
+            return Refusal(code=ResultCode.UPSTREAM_LOST)
--- /dev/null
+++ b/greengagestage/gateway/_send_limits.py
@@ -0,0 +1,72 @@
+"""Decides whether a request can be sent to another upstream."""
+
+from greengagestage.ids import InstanceId
+from greengagestage.routing import Job, Router
+
+from ._attempt import AttemptFault
+
+MAX_SENDS = 4
+"""Maximum number of attempts to send one request, including those that provably did not run it.
+``Route.max_attempts`` limits only the attempts that may have run it."""
+
+MIN_TIME_FOR_RETRY_S = 0.03
+"""No retry is started with less time left than this: plain answers take about 20 ms."""
+
+
+class SendLimits:
+    """Counts the sends of one request and decides whether another one is safe and allowed.
+
+    Attributes:
+        tried: The upstreams that were chosen so far.
+        sends: Number of attempts to send the request.
+        possible_runs: Number of attempts that may have run, or may be running, the request.
+    """
+
+    def __init__(self, *, job: Job, router: Router) -> None:
+        self.tried: frozenset[InstanceId] = frozenset()
+        self.sends = 0
+        self.possible_runs = 0
+        self._job = job
+        self._router = router
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.possible_runs > 0
+
+    def record_send(self, instance: InstanceId) -> None:
+        """Count an attempt to send the request to an upstream."""
+        self.sends += 1
+        self.tried |= {instance}
+
+    def may_run_again(self, now_s: float) -> bool:
+        """Whether a request that may have run, or may be running, can be sent again."""
+        route = self._job.route
+        if not route.is_retryable or self.possible_runs >= route.max_attempts:
+            return False
+        return self._may_send(now_s)
+
+    def try_acquire_retry(self, now_s: float) -> bool:
+        """Return whether a request that may have run can be sent again; count a retry if so."""
+        return self.may_run_again(now_s) and self.try_spend_retry(now_s)
+
+    def try_acquire_resend(self, fault: AttemptFault, now_s: float) -> bool:
+        """Return whether a request can be sent again after a fault; count it as a retry if so.
+
+        A send after a failed connection is not counted, since nothing had been sent.
+        """
+        if not self._may_send(now_s):
+            return False
+        if fault is AttemptFault.UNREACHABLE:
+            return not self.may_have_run or self._job.route.is_retryable
+        if fault.proves_not_run:
+            return self.try_spend_retry(now_s)
+        return self.try_acquire_retry(now_s)
+
+    def try_spend_retry(self, now_s: float) -> bool:
+        """Return whether the retry budget allows another send; count a retry if so."""
+        return self._router.try_acquire_retry(self._job.service, now_s)
+
+    def _may_send(self, now_s: float) -> bool:
+        has_time = self._job.deadline_s - now_s >= MIN_TIME_FOR_RETRY_S
+        return has_time and self.sends < MAX_SENDS
