Read and log the software version of upstreams and streams taken up again

The registry's Version is decoded and compared between hosts; the headers Last-Event-Id and Resumes are parsed. No decision uses them yet.

--- a/greengagestage/catalog/_upstreams.py
+++ b/greengagestage/catalog/_upstreams.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from greengagestage.ids import FailureDomain, InstanceId, ServiceName
+from greengagestage.ids import FailureDomain, InstanceId, ServiceName, SoftwareVersion
 
 
 class Availability(Enum):
@@ -25,6 +25,8 @@
         started_ms: Unix time of the process's start in milliseconds; None if it is not known. A
             new value under the same instance is a new process without any cached state.
         cold_s: Remaining warm-up time, during which the upstream is slow.
+        software_version: Version of its software; None if the entry does not tell. A stream that
+            one version has begun cannot go on at another.
     """
 
     instance: InstanceId
@@ -36,6 +38,7 @@
     availability: Availability
     started_ms: int | None = None
     cold_s: float = 0.0
+    software_version: SoftwareVersion | None = None
 
     @property
     def incarnation(self) -> tuple[InstanceId, int | None]:
--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -60,6 +60,7 @@
             version=self._version,
             version_age_s=_round(self._version_age_s),
             upstream=placement.upstream.instance,
+            software=placement.upstream.software_version,
             reason=placement.reason,
             expected_ms=_to_ms(placement.expected_s),
             prefill_ms=_to_ms(placement.prefill_s),
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -207,6 +207,7 @@
                     upstream=instance,
                     service=upstream.service,
                     availability=upstream.availability.value,
+                    software=upstream.software_version,
                     started_ms=upstream.started_ms,
                 )
         self._known = upstreams
@@ -259,6 +260,7 @@
     return (
         (upstream.instance, upstream.started_ms, upstream.availability.value),
         (upstream.service, upstream.address, upstream.port, upstream.slots),
+        upstream.software_version,
     )
 
 
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -137,6 +137,14 @@
         workspace: Workspace | None,
     ) -> None:
         service = route.pick_service(self._random.random())
+        if metadata.takes_up_stream:
+            log_message(
+                message_type="request: takes up a stream",
+                request=metadata.attempt_id,
+                route=route.name,
+                began_as=metadata.resumed_attempt,
+                last_event=(metadata.last_event_id or b"").decode("latin-1"),
+            )
         job = _build_job(request, metadata, table, route, service, workspace)
         self._context.router.count_request(job, self._context.reactor.seconds())
         inputs = ExchangeInputs(
--- a/greengagestage/ids.py
+++ b/greengagestage/ids.py
@@ -23,5 +23,7 @@
 RouteName = NewType("RouteName", str)
 InstanceId = NewType("InstanceId", str)
 """The identity under which an upstream registered itself."""
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""The version of an upstream's software; what two versions write in a stream does not fit."""
 PromptPartId = NewType("PromptPartId", str)
 """A part of a prompt that other requests may share; equal parts have equal ids."""
--- a/greengagestage/platform/_headers.py
+++ b/greengagestage/platform/_headers.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = b"greengagestage-not-executed"
 PROMPT_PARTS = b"greengagestage-prompt-prefix"
 PRIORITY = b"greengagestage-request-priority"
+RESUMED_ATTEMPT = b"resumes"
 SIGNATURE = b"greengagestage-server-signature"
 TENANT = b"greengagestage-tenant"
 TOKENS = b"greengagestage-token-usage"
@@ -72,6 +73,8 @@
         prompt_tokens: Size of the prompt; 0 if not stated.
         output_tokens: Maximum size of the output; 0 if not stated.
         parts: The parts of the prompt in sequence, with their sizes.
+        last_event_id: The last event that the caller has of a stream that it takes up again.
+        resumed_attempt: The caller's attempt that brought the first event of that stream.
     """
 
     attempt_id: AttemptId
@@ -82,6 +85,13 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    last_event_id: bytes | None = None
+    resumed_attempt: AttemptId | None = None
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has a part of the stream already."""
+        return self.last_event_id is not None or self.resumed_attempt is not None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,6 +137,8 @@
             prompt_tokens=prompt,
             output_tokens=output,
             parts=_parse_prompt_parts(first_values.get(PROMPT_PARTS, b"")),
+            last_event_id=first_values.get(LAST_EVENT_ID),
+            resumed_attempt=_parse_resumed_attempt(first_values.get(RESUMED_ATTEMPT)),
         )
     )
 
@@ -196,6 +208,12 @@
     return int(value) / 1_000
 
 
+def _parse_resumed_attempt(value: bytes | None) -> AttemptId | None:
+    if not value or len(value) > MAX_ATTEMPT_ID_BYTES or not value.isascii():
+        return None
+    return AttemptId(value.decode("ascii"))
+
+
 def _parse_key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").partition(b" ")
     return key.strip().decode("latin-1") if scheme.lower() == b"bearer" else None
--- a/greengagestage/platform/_registry_codec.py
+++ b/greengagestage/platform/_registry_codec.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from greengagestage.catalog import Availability, RegisteredUpstream
-from greengagestage.ids import FailureDomain, InstanceId, ServiceName
+from greengagestage.ids import FailureDomain, InstanceId, ServiceName, SoftwareVersion
 
 from ._host_settings import MS_PER_S
 
@@ -21,6 +21,7 @@
         address: ``ip:port``.
         failure_domain: ``Zone`` on the platform.
         cold_remaining_ms: Remaining warm-up time, during which the upstream is slow.
+        software_version: ``Version`` on the platform, where weights and documents have others.
         born: Unix time in milliseconds at which the process started.
     """
 
@@ -31,6 +32,7 @@
     state: str = field(name="State")
     sequence: int = field(name="Sequence")
     cold_remaining_ms: float = field(name="ColdRemainingMs", default=0.0)
+    software_version: str | None = field(name="Version", default=None)
     born: int | None = None
 
 
@@ -57,5 +59,8 @@
             availability=availability,
             started_ms=entry.born,
             cold_s=entry.cold_remaining_ms / MS_PER_S,
+            software_version=(
+                None if entry.software_version is None else SoftwareVersion(entry.software_version)
+            ),
         )
     )
