Show that streams go on at another software version

Known red until the fixes: a host resumes an interrupted stream at any upstream, and a caller that takes its stream up at another host gets any upstream.

--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,146 @@
+"""Streams while upstreams of several software versions serve, over loopback sockets."""
+
+import pytest
+
+from greengagestage.http1 import IncomingRequest, Responder
+
+from . import host_harness as harness
+from .host_harness import EVENTS, HostFleet, UpstreamStandin, choose_port, running_fleet
+from .raw_caller import RawCaller
+
+OLD, NEW = "v1", "v2"
+
+RESUMED = ("Last-Event-Id: 2",)
+
+
+@pytest.fixture
+def fleet():
+    with running_fleet() as running:
+        yield running
+
+
+def add_engine(
+    fleet: HostFleet, name: str, version: str, behavior: harness.Behavior = harness.serve
+) -> UpstreamStandin:
+    engine = fleet.add_upstream(name, service="engines", behavior=behavior)
+    fleet.store.put("servers", name, engine.build_entry(Version=version))
+    return engine
+
+
+def write_two_events(
+    upstream: UpstreamStandin, request: IncomingRequest, responder: Responder
+) -> None:
+    responder.begin(200, harness.build_identity_headers(request))
+    responder.write(EVENTS[0] + EVENTS[1])
+    upstream.hanging.append(responder)
+
+
+def wait_listed(fleet: HostFleet) -> None:
+    """Wait until all hosts know all upstreams."""
+    fleet.run_until(
+        lambda: all(len(each._router.upstreams) == len(fleet.upstreams) for each in fleet.processes)
+    )
+
+
+def begin_stream(fleet: HostFleet) -> tuple[RawCaller, UpstreamStandin]:
+    """Start a stream at the only upstream; return its caller, with two events, and the upstream."""
+    engine = add_engine(fleet, "first", OLD, write_two_events)
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.connect(harness.build_request("/short/x", deadline_ms=10_000))
+    fleet.run_until(lambda: b"id: 2" in caller.data)
+    return caller, engine
+
+
+# Guards against a stream that a host resumes at another software version than it began at.
+def test_an_interrupted_stream_resumes_at_the_version_that_began_it(fleet: HostFleet) -> None:
+    caller, first = begin_stream(fleet)
+    others = [add_engine(fleet, f"new-{number}", NEW) for number in range(8)]
+    same = add_engine(fleet, "same", OLD)
+    wait_listed(fleet)
+    first.hanging[0].abort()
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS))
+    assert sum(len(other.requests) for other in others) == 0
+    assert same.requests[0].get(b"last-event-id") == b"2"
+
+
+# Guards against a stream that goes on at another software version because no other one is left.
+def test_a_stream_whose_version_is_gone_does_not_go_on(fleet: HostFleet) -> None:
+    caller, first = begin_stream(fleet)
+    other = add_engine(fleet, "new", NEW)
+    wait_listed(fleet)
+    first.hanging[0].abort()
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert not caller.is_complete
+    assert caller.body == EVENTS[0] + EVENTS[1]
+    assert not other.requests
+
+
+class TwoHosts:
+    """Two connected hosts and one stream of each version that was begun on the first host."""
+
+    def __init__(self, fleet: HostFleet) -> None:
+        self.fleet = fleet
+        self.old = add_engine(fleet, "old", OLD, write_two_events)
+        port = choose_port()
+        for number in (1, 2):
+            fleet.start_host(f"host-{number}", address=f"127.0.0.{number}", peer_port=port)
+        fleet.run_until(lambda: all(each._peers.active_peers == 1 for each in fleet.processes))
+        fleet.wait_ready()
+        self.begin("began-old")
+        self.new = add_engine(fleet, "new", NEW, write_two_events)
+        wait_listed(fleet)
+        fleet.store.put("servers", "old", self.old.build_entry(Version=OLD, State="draining"))
+        fleet.run_until(lambda: self.begin("began-new") is self.new)
+        fleet.store.put("servers", "old", self.old.build_entry(Version=OLD))
+        fleet.run_for(1.5)
+        self.old.behavior = self.new.behavior = harness.serve
+
+    def begin(self, attempt: str) -> UpstreamStandin:
+        """Begin a stream on the first host and return the upstream that got it."""
+        engines = list(self.fleet.upstreams.values())
+        counts = [len(engine.requests) for engine in engines]
+        request = harness.build_request("/short/x", attempt=attempt, deadline_ms=10_000)
+        caller = self.fleet.connect(request, self.fleet._host_settings[0].callers)
+        self.fleet.run_until(lambda: b"id: 2" in caller.data)
+        caller.transport.abortConnection()
+        (served,) = (
+            engine
+            for engine, count in zip(engines, counts, strict=True)
+            if len(engine.requests) > count
+        )
+        return served
+
+    def take_up(self, began_as: str, attempt: str) -> RawCaller:
+        """Take up a stream on the second host after its second event."""
+        headers = (*RESUMED, f"Resumes: {began_as}")
+        request = harness.build_request("/short/x", attempt=attempt, headers=headers)
+        caller = self.fleet.connect(request, self.fleet._host_settings[1].callers)
+        self.fleet.run_until(lambda: caller.is_complete or caller.closed)
+        return caller
+
+
+# Guards against a stream that a caller takes up at a host that does not know which software version
+# began it.
+@pytest.mark.parametrize("version", [OLD, NEW])
+def test_a_stream_taken_up_at_another_host_goes_on_at_its_version(
+    fleet: HostFleet, version: str
+) -> None:
+    hosts = TwoHosts(fleet)
+    engine = hosts.old if version == OLD else hosts.new
+    began_as = "began-old" if version == OLD else "began-new"
+    for number in range(6):
+        caller = hosts.take_up(began_as, f"again-{number}")
+        assert (caller.status, caller.body) == (200, b"".join(EVENTS[2:]))
+    attempts = [attempt for attempt in engine.attempt_ids if attempt.startswith(b"again")]
+    assert len(attempts) == 6
+
+
+# Guards against a stream of unknown origin that goes on at a guessed software version.
+def test_a_stream_of_unknown_origin_is_refused_while_two_versions_serve(fleet: HostFleet) -> None:
+    hosts = TwoHosts(fleet)
+    caller = hosts.take_up("never-seen", "again")
+    assert (caller.status, caller.error["run"]) == (503, "not_run")
+    assert float(caller.headers["retry-after"]) > 0
+    assert b"again" not in hosts.old.attempt_ids + hosts.new.attempt_ids
