Continue a stream only at the software version that began it

What callers saw: streams of a lost upstream went on, in the same answer, with events of another software version; the parts do not fit.

Cause: a host sought a replacement among all upstreams of the service. Which software an upstream runs was not known to the placement.

Change: the first relayed event pins the request to the version of its upstream. Retries, and the second attempt at a silent upstream, are placed among upstreams of that version; without one the stream is aborted and never looks complete.

Why it works: every send after the first event passes the one filter in Router.place.

--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -1,6 +1,6 @@
 """The exchange of one caller's request: places, sends and if safe retries it, answers it once."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from greengagestage.catalog import RouteKind, Workspace
@@ -9,7 +9,7 @@
 from greengagestage.platform import UpstreamRequestMetadata, build_upstream_headers
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
-from greengagestage.routing import AttemptEnd, Job, Placement, Refused, Waiting
+from greengagestage.routing import AttemptEnd, Job, Placement, Refused, StreamOrigin, Waiting
 from greengagestage.telemetry import Timing
 
 from ._attempt import Attempt, AttemptFault, AttemptPlan
@@ -208,6 +208,7 @@
         """Relay complete events, or buffer a part of a plain answer."""
         if self._delivery.feed(data):
             self._handover.cancel()
+            self._pin_version(attempt)
             self._watch_events()
 
     def attempt_ended(self, attempt: Attempt) -> None:
@@ -326,6 +327,13 @@
         if self._route.is_retryable and self._limits.possible_runs + 1 < self._route.max_attempts:
             self._silence.start(compute_answer_limit(self._job, placement))
 
+    def _pin_version(self, attempt: Attempt) -> None:
+        """Let only upstreams of the version that began the stream continue it."""
+        if self._job.began_at is None:
+            upstream = attempt.plan.placement.upstream
+            began_at = StreamOrigin(software_version=upstream.software_version)
+            self._job = replace(self._job, began_at=began_at)
+
     def _watch_events(self) -> None:
         if self._may_run_again():
             self._silence.start(MAX_PAUSE_S)
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -7,7 +7,7 @@
 from ._engine_model import EngineModel, EngineSpeed, PrefillSamples
 from ._engine_split import EngineSplit, GroupDemand
 from ._health import Health
-from ._jobs import Job, Placement, Refused, Waiting
+from ._jobs import Job, Placement, Refused, StreamOrigin, Waiting
 from ._loads import UpstreamLoad
 from ._losses import LossTracker
 from ._retries import RetryBudget
@@ -31,6 +31,7 @@
     "RetryBudget",
     "RouteTraffic",
     "Router",
+    "StreamOrigin",
     "UpstreamLoad",
     "UpstreamState",
     "Waiting",
--- a/greengagestage/routing/_jobs.py
+++ b/greengagestage/routing/_jobs.py
@@ -3,10 +3,22 @@
 from dataclasses import dataclass
 
 from greengagestage.catalog import Prompt, RegisteredUpstream, Route
-from greengagestage.ids import AttemptId, ServiceName
+from greengagestage.ids import AttemptId, ServiceName, SoftwareVersion
 from greengagestage.results import ResultCode
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamOrigin:
+    """The software that began a stream, which only upstreams of the same version can continue.
+
+    Attributes:
+        software_version: None if the upstream did not tell its version, like all others that do
+            not.
+    """
+
+    software_version: SoftwareVersion | None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Job:
     """A request to be placed.
@@ -20,6 +32,7 @@
         deadline_s: Monotonic time after which the answer is useless. It is later than the route's
             target, after which an answer is only worth less.
         prompt: None where the request does not describe one.
+        began_at: The upstreams that may continue the job's stream; None if it has not begun.
     """
 
     attempt_id: AttemptId
@@ -29,6 +42,7 @@
     arrived_s: float
     deadline_s: float
     prompt: Prompt | None = None
+    began_at: StreamOrigin | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -188,8 +188,11 @@
             if state.record.service == job.service and state.accepts_requests(now_s)
         ]
         candidates = [state for state in ready if state.record.instance not in tried]
+        if job.began_at is not None:
+            version = job.began_at.software_version
+            candidates = [state for state in candidates if state.record.software_version == version]
         if service is None or not candidates:
-            return self._refuse_without_upstream(ready)
+            return self._refuse_without_upstream(job, ready)
         healthy = [state for state in candidates if state.is_healthy(now_s)] or candidates
         connectable = [
             state for state in healthy if self._has_free_connection(state, service)
@@ -388,12 +391,13 @@
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
 
-    def _refuse_without_upstream(self, ready: list[UpstreamState]) -> Refused:
-        reason = (
-            "all ready upstreams were tried, or the service is not configured"
-            if ready
-            else "no upstream of the service is ready"
-        )
+    def _refuse_without_upstream(self, job: Job, ready: list[UpstreamState]) -> Refused:
+        if not ready:
+            reason = "no upstream of the service is ready"
+        elif job.began_at is not None:
+            reason = "no other upstream of the version that began the stream is ready"
+        else:
+            reason = "all ready upstreams were tried, or the service is not configured"
         retry_after_s = NO_UPSTREAM_RETRY_S * (0.5 + self._draw())
         return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=retry_after_s, reason=reason)
 
