Take up a stream only at the software version that began it

What callers saw: a caller that took its broken stream up at another host got the rest of it from an upstream of another software version.

Cause: a host placed a request with Last-Event-Id like a new one. It did not know where the stream had begun, and nothing told it.

Change: while several versions serve, hosts tell each other, by way of the hubs, which version began each resumable stream. A take-up is placed at that version only. While one version serves, a current copy of the registry tells as much without any message. A host that cannot tell refuses with 2018, not run. New versions get resumable streams once all hosts know them. A route's split picks the service by the stream's id, so that a take-up comes to the same service.

Why it works: every take-up is placed from a known origin or refused; the only guess left is a version that changes under the same id.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -17,6 +17,7 @@
     Attributes:
         losses: Answers that were lost, by the request's fingerprint.
         report_loss: Tells the other hosts of such a loss; takes the fingerprint and the loss's id.
+        read_registry_age_s: Returns the seconds since the list of upstreams was confirmed.
         open_exchanges: All exchanges that have not delivered a final answer.
     """
 
@@ -26,4 +27,5 @@
     losses: LossTracker
     metrics: EntryMetrics
     report_loss: Callable[[Fingerprint, str], None]
+    read_registry_age_s: Callable[[], float | None]
     open_exchanges: set[Any] = field(default_factory=set)
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -5,7 +5,7 @@
 
 from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import IncomingRequest, OutgoingRequest, Responder, ResponseHead
-from greengagestage.ids import ClassName, Fingerprint, WorkspaceId
+from greengagestage.ids import AttemptId, ClassName, Fingerprint, WorkspaceId
 from greengagestage.platform import UpstreamRequestMetadata, build_upstream_headers
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
@@ -35,6 +35,8 @@
 
     Attributes:
         workspace: The workspace that owns the caller's key; None on routes without keys.
+        stream: The caller's attempt that brought the first event of the stream: this one, unless it
+            takes up an earlier one.
         fingerprint: Hash that is equal for equal requests of one caller.
         version: Version of the configuration that admitted the request.
         version_age_s: Time since that version was known to be the newest.
@@ -43,6 +45,7 @@
     request: IncomingRequest
     job: Job
     workspace: Workspace | None
+    stream: AttemptId
     fingerprint: Fingerprint
     version: int
     version_age_s: float | None
@@ -75,6 +78,7 @@
         self._deadline_timer: Any = None
         self._placement_timer: Any = None
         self._waited = False
+        self._origin_recorded = False
         workspace = "" if inputs.workspace is None else inputs.workspace.name
         # In the metrics, the route takes the place of a service class.
         timer = context.metrics.create_request_timer(
@@ -208,7 +212,8 @@
         """Relay complete events, or buffer a part of a plain answer."""
         if self._delivery.feed(data):
             self._handover.cancel()
-            self._pin_version(attempt)
+            if not self._origin_recorded:
+                self._record_origin(attempt)
             self._watch_events()
 
     def attempt_ended(self, attempt: Attempt) -> None:
@@ -327,12 +332,15 @@
         if self._route.is_retryable and self._limits.possible_runs + 1 < self._route.max_attempts:
             self._silence.start(compute_answer_limit(self._job, placement))
 
-    def _pin_version(self, attempt: Attempt) -> None:
-        """Let only upstreams of the version that began the stream continue it."""
-        if self._job.began_at is None:
-            upstream = attempt.plan.placement.upstream
-            began_at = StreamOrigin(software_version=upstream.software_version)
-            self._job = replace(self._job, began_at=began_at)
+    def _record_origin(self, attempt: Attempt) -> None:
+        """Let only upstreams of the version that began the stream continue it, on any host."""
+        self._origin_recorded = True
+        upstream = attempt.plan.placement.upstream
+        began_at = StreamOrigin(software_version=upstream.software_version)
+        self._job = replace(self._job, began_at=began_at)
+        if self._route.resumable:
+            origins = self._context.router.stream_versions.origins
+            origins.record_local(self._inputs.stream, began_at, self._now_s)
 
     def _watch_events(self) -> None:
         if self._may_run_again():
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -167,6 +167,10 @@
                 on_loss=self._record_peer_loss,
                 on_registry=self._registry.receive_report,
                 on_configuration=self._routes.receive_confirmation,
+                take_streams=self._router.stream_versions.take_reports,
+                on_streams=lambda records: self._router.stream_versions.origins.learn(
+                    records, self._reactor.seconds()
+                ),
             ),
         )
 
@@ -178,6 +182,7 @@
             losses=self._losses,
             metrics=self._metrics,
             report_loss=self._peers.report_loss,
+            read_registry_age_s=lambda: self._registry.age_s,
         )
 
     def _build_caller_server(self, random: Random) -> ServerFactory:
--- a/greengagestage/gateway/_load_exchange.py
+++ b/greengagestage/gateway/_load_exchange.py
@@ -105,6 +105,20 @@
         """The host that this one reports to; itself if it is the hub."""
         return self._hub
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this host is the hub of its failure domain."""
+        return self._hub == self._own_host
+
+    def list_reporting_hosts(self) -> list[HostId]:
+        """Return the hosts that have lately reported to this one as their hub."""
+        return sorted(self._host_reports)
+
+    def list_remote_hubs(self, now_s: float) -> list[HostId]:
+        """Return the hosts that are assumed to be the hubs of the other failure domains."""
+        domains = set(self._known_hosts.values()) - {self._domain}
+        return [self._choose_remote_hub(domain, now_s) for domain in sorted(domains)]
+
     @property
     def interval_s(self) -> float:
         """Time between two reports, in seconds."""
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -1,10 +1,19 @@
 """Messages that hosts send to each other as datagrams."""
 
+from enum import Enum
+
 import msgspec
 from msgspec import Struct
 
 from greengagestage.catalog import RegisteredUpstream
-from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
+from greengagestage.ids import (
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    InstanceId,
+    ServiceName,
+    SoftwareVersion,
+)
 
 MAX_DATAGRAM_BYTES = 1_400
 """Larger datagrams would be fragmented, and lost if any fragment is lost."""
@@ -181,8 +190,40 @@
     store_s: float
 
 
+class RelaySource(Enum):
+    """Who sends a report of streams, from which follows to whom it is passed on.
+
+    Attributes:
+        DOMAIN_HOST: A host to its hub, which tells its other hosts and the remote hubs.
+        REMOTE_HUB: The hub of another domain to this one, which tells its hosts.
+        OWN_HUB: A hub to a host of its domain.
+    """
+
+    DOMAIN_HOST = 0
+    REMOTE_HUB = 1
+    OWN_HUB = 2
+
+
+class VersionStreams(Struct, frozen=True, array_like=True):
+    """Streams that one software version has begun.
+
+    Attributes:
+        streams: Hashes of the ids of the callers' attempts that brought the first events.
+    """
+
+    version: SoftwareVersion | None
+    streams: list[int]
+
+
+class StreamsReport(Struct, frozen=True, array_like=True, tag="streams"):
+    """Reports which software versions have begun new streams."""
+
+    source: RelaySource
+    versions: list[VersionStreams]
+
+
 WorkReport = LoadReport | DomainReport | TotalsReport
-PeerBody = WorkReport | LossReport | RegistryReport | ConfigurationReport
+PeerBody = WorkReport | LossReport | RegistryReport | ConfigurationReport | StreamsReport
 
 
 class PeerMessage(Struct, frozen=True, array_like=True):
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -1,6 +1,6 @@
 """The link to the other hosts: exchanges load reports, and broadcasts what one host has learnt."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, fields
 from typing import Any
 
@@ -9,7 +9,13 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
-from greengagestage.routing import Demand, PrefillSamples, RouteTraffic, UpstreamLoad
+from greengagestage.routing import (
+    Demand,
+    PrefillSamples,
+    RouteTraffic,
+    StreamRecord,
+    UpstreamLoad,
+)
 
 from ._load_exchange import LoadExchange
 from ._loops import RepeatingTask
@@ -26,11 +32,13 @@
     RegistryReport,
     RouteEntry,
     Sender,
+    StreamsReport,
     TotalsReport,
     Work,
     decode_message,
     encode_message,
 )
+from ._stream_relay import StreamRelay
 
 SENDS_PER_REPORT = 2
 """How many times a loss or a changed configuration is broadcast, since datagrams can be lost."""
@@ -61,6 +69,9 @@
             loss.
         on_registry: Handles a report about the registry of upstreams.
         on_configuration: Handles the newest revision and the store's time in seconds.
+        take_streams: Returns the streams, begun at this host, to tell the others of at a time in
+            seconds.
+        on_streams: Handles the streams that other hosts have begun.
     """
 
     measure_local_loads: Callable[[float], Loads]
@@ -70,6 +81,8 @@
     on_loss: Callable[[Fingerprint, str], None]
     on_registry: Callable[[RegistryReport], None]
     on_configuration: Callable[[int, float], None]
+    take_streams: Callable[[float], Sequence[StreamRecord]]
+    on_streams: Callable[[Sequence[StreamRecord]], None]
 
 
 class PeerLink(DatagramProtocol):
@@ -94,6 +107,7 @@
         self._callbacks = callbacks
         self._peers: dict[HostId, Peer] = {}
         self._load_exchange = LoadExchange(host=host, domain=domain)
+        self._stream_relay = StreamRelay(exchange=self._load_exchange)
         self._logged_hub = host
         self._task = RepeatingTask(reactor=reactor, name="peers", step=self._send_reports)
         self._sequence = 0
@@ -172,6 +186,8 @@
                 self._callbacks.on_registry(report)
             case ConfigurationReport(revision=revision, store_s=store_s):
                 self._callbacks.on_configuration(revision, store_s)
+            case StreamsReport() as streams:
+                self._callbacks.on_streams(self._stream_relay.receive(streams))
 
     def _accept_sender(self, sender: Sender, addr: tuple[str, int]) -> bool:
         """Record the sender; return whether the message is newer than all earlier ones from it."""
@@ -194,9 +210,10 @@
             self._callbacks.measure_local_loads(now_s), self._callbacks.measure_local_demand(now_s)
         )
         for host, body in self._load_exchange.plan_reports(work, sender.sequence, now_s):
-            peer = self._peers.get(host)
-            if peer is not None:
-                self.transport.write(encode_message(PeerMessage(sender, body)), peer.address)
+            self._send(host, PeerMessage(sender, body))
+        own_streams = self._callbacks.take_streams(now_s)
+        for host, streams in self._stream_relay.plan_reports(own_streams, now_s):
+            self._send(host, PeerMessage(self._take_next_sender(), streams))
         self._update_router()
         self._log_hub_change()
         return self._load_exchange.interval_s
@@ -225,6 +242,11 @@
                 hosts=self._load_exchange.active_hosts,
             )
 
+    def _send(self, host: HostId, message: PeerMessage) -> None:
+        peer = self._peers.get(host)
+        if peer is not None:
+            self.transport.write(encode_message(message), peer.address)
+
     def _broadcast(self, body: PeerBody) -> None:
         if self.transport is None:
             return  # the port is closed: the host is stopping
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -103,6 +103,11 @@
         """Whether the registry was read at least once, be it empty."""
         return self._confirmed_s is not None
 
+    @property
+    def age_s(self) -> float | None:
+        """Seconds since the copy was last confirmed; None before the first read."""
+        return None if self._confirmed_s is None else self._reactor.seconds() - self._confirmed_s
+
     def receive_report(self, report: RegistryReport) -> None:
         """Apply another host's report, or schedule a read if it does not fit this host's copy."""
         if not self.is_loaded:
@@ -131,7 +136,7 @@
 
     @inlineCallbacks
     def _step(self) -> Any:
-        age_s = self._compute_age_s()
+        age_s = self.age_s
         if age_s is not None and age_s < READ_INTERVAL_S and not self._pending_revision:
             return READ_INTERVAL_S - age_s + self._compute_rank_delay_s()
         read = yield self._rows.read(REGISTRY_TABLE)
@@ -149,15 +154,12 @@
 
     def _handle_read_failure(self, outcome: Any) -> float:
         reason = outcome.reason if isinstance(outcome, Unavailable) else "unexpected answer"
-        log_message(message_type="registry: not read", reason=reason, age_s=self._compute_age_s())
+        log_message(message_type="registry: not read", reason=reason, age_s=self.age_s)
         return add_jitter(RETRY_S, self._random)
 
-    def _compute_age_s(self) -> float | None:
-        return None if self._confirmed_s is None else self._reactor.seconds() - self._confirmed_s
-
     def _process_read(self, rows: list[StoredRow], revision: int) -> None:
         now_s = self._reactor.seconds()
-        age_s = self._compute_age_s()
+        age_s = self.age_s
         if age_s is not None and age_s > MIN_OUTAGE_S:
             self._retain_until_s = now_s + RETENTION_AFTER_OUTAGE_S
             log_message(message_type="registry: read after an outage", age_s=age_s)
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -1,7 +1,7 @@
 """Admission of callers' requests: finds the route, checks the API key, starts the exchange."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -11,11 +11,11 @@
 
 from greengagestage.catalog import Prompt, Route, RouteTable, Workspace
 from greengagestage.http1 import IncomingRequest, LimitExceeded, Responder
-from greengagestage.ids import ClassName, Fingerprint, ServiceName
+from greengagestage.ids import AttemptId, ClassName, Fingerprint, ServiceName
 from greengagestage.platform import CallerRequestMetadata, parse_caller_headers
 from greengagestage.refusals import Refusal, encode_refusal
 from greengagestage.results import ResultCode
-from greengagestage.routing import Job
+from greengagestage.routing import Job, StreamOrigin
 
 from ._context import ExchangeContext
 from ._exchange import ExchangeInputs, RequestExchange
@@ -136,27 +136,50 @@
         route: Route,
         workspace: Workspace | None,
     ) -> None:
-        service = route.pick_service(self._random.random())
-        if metadata.takes_up_stream:
-            log_message(
-                message_type="request: takes up a stream",
-                request=metadata.attempt_id,
-                route=route.name,
-                began_as=metadata.resumed_attempt,
-                last_event=(metadata.last_event_id or b"").decode("latin-1"),
-            )
+        stream = metadata.resumed_attempt or metadata.attempt_id
+        service = route.pick_service(_compute_split_point(stream))
         job = _build_job(request, metadata, table, route, service, workspace)
+        if route.resumable and metadata.takes_up_stream:
+            began_at = self._find_origin(metadata, stream, service)
+            if began_at is None:
+                code = ResultCode.STREAM_ORIGIN_UNKNOWN
+                self._refuse_temporarily(request, metadata, responder, code)
+                return
+            job = replace(job, began_at=began_at)
         self._context.router.count_request(job, self._context.reactor.seconds())
         inputs = ExchangeInputs(
             request=request,
             job=job,
             workspace=workspace,
+            stream=stream,
             fingerprint=_compute_fingerprint(request, metadata),
             version=table.version,
             version_age_s=self._configuration.read_age_s(),
         )
         RequestExchange(context=self._context, inputs=inputs, responder=responder).start()
 
+    def _find_origin(
+        self, metadata: CallerRequestMetadata, stream: AttemptId, service: ServiceName
+    ) -> StreamOrigin | None:
+        """Return where a stream that the caller takes up has begun; None if it is not known."""
+        registry_age_s = self._context.read_registry_age_s()
+        origin = self._context.router.stream_versions.find_origin(
+            stream,
+            service,
+            registry_age_s=registry_age_s,
+            now_s=self._context.reactor.seconds(),
+        )
+        log_message(
+            message_type="request: takes up a stream",
+            request=metadata.attempt_id,
+            began_as=metadata.resumed_attempt,
+            last_event=(metadata.last_event_id or b"").decode("latin-1"),
+            known=origin is not None,
+            software=None if origin is None else origin.software_version,
+            registry_age_s=registry_age_s,
+        )
+        return origin
+
     def _refuse_temporarily(
         self,
         request: IncomingRequest,
@@ -220,6 +243,11 @@
     )
 
 
+def _compute_split_point(stream: AttemptId) -> float:
+    """Return a number from 0 up to 1 that is the same on each host that the stream comes to."""
+    return xxhash.xxh32_intdigest(stream.encode()) / 2**32
+
+
 def _compute_fingerprint(request: IncomingRequest, metadata: CallerRequestMetadata) -> Fingerprint:
     digest = xxhash.xxh3_128()
     for part in (request.target, (metadata.key or "").encode("latin-1"), request.body):
--- a/greengagestage/results.py
+++ b/greengagestage/results.py
@@ -56,6 +56,7 @@
     STILL_RUNNING = 2015
     CALLER_LEFT = 2016
     CONFIGURATION_STALE = 2017
+    STREAM_ORIGIN_UNKNOWN = 2018
 
     UPSTREAM_LOST = 3001
     UPSTREAM_SILENT = 3002
@@ -163,6 +164,9 @@
     ResultCode.CONFIGURATION_STALE: _not_run(
         503, "This host cannot confirm which keys are in force"
     ),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: _not_run(
+        503, "This host does not know which software version began the stream"
+    ),
     ResultCode.UPSTREAM_LOST: _may_have_run(502, "The upstream was lost while it ran"),
     ResultCode.UPSTREAM_SILENT: _may_have_run(504, "The upstream stopped sending"),
     ResultCode.ANSWER_INCOMPLETE: _may_have_run(502, "The upstream's answer has no proper end"),
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -13,6 +13,7 @@
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
+from ._software_versions import StreamRecord, StreamVersions
 from ._upstreams import UpstreamState
 
 __all__ = [
@@ -32,6 +33,8 @@
     "RouteTraffic",
     "Router",
     "StreamOrigin",
+    "StreamRecord",
+    "StreamVersions",
     "UpstreamLoad",
     "UpstreamState",
     "Waiting",
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -16,6 +16,7 @@
 from ._placement import Choice, EngineChooser, choose_plain
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
+from ._software_versions import StreamVersions
 from ._upstreams import DECODE_STEP_S, UpstreamState
 
 NO_UPSTREAM_RETRY_S = 0.4
@@ -81,6 +82,7 @@
     Attributes:
         hosts: Number of known hosts; None until the host list has been read.
         report_delay_s: Usual delay until this host knows the load that other hosts add.
+        stream_versions: The software versions of the upstreams, and those that began streams.
     """
 
     def __init__(self, *, domain: FailureDomain, bounds: Bounds, draw: Callable[[], float]) -> None:
@@ -104,6 +106,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.hosts: int | None = None
         self.report_delay_s = DEFAULT_REPORT_DELAY_S
+        self.stream_versions = StreamVersions()
 
     @property
     def upstreams(self) -> Mapping[InstanceId, UpstreamState]:
@@ -146,6 +149,9 @@
             elif state.record != record:
                 state.record = record
             self._upstreams[record.instance] = state
+        self.stream_versions.history.observe(
+            (state.record for state in self._upstreams.values()), now_s
+        )
         self._choosers.clear()
 
     def count_request(self, job: Job, now_s: float) -> None:
@@ -191,6 +197,10 @@
         if job.began_at is not None:
             version = job.began_at.software_version
             candidates = [state for state in candidates if state.record.software_version == version]
+        elif job.route.resumable:
+            candidates = [
+                state for state in candidates if self._is_settled(state, now_s)
+            ] or candidates
         if service is None or not candidates:
             return self._refuse_without_upstream(job, ready)
         healthy = [state for state in candidates if state.is_healthy(now_s)] or candidates
@@ -387,6 +397,13 @@
         )
         choice.state.add_request(job.attempt_id, request, prompt)
 
+    def _is_settled(self, state: UpstreamState, now_s: float) -> bool:
+        """Whether all hosts know the upstream's version, so that they can take up its streams."""
+        record = state.record
+        return self.stream_versions.history.is_settled(
+            record.service, record.software_version, now_s
+        )
+
     def _has_free_connection(self, state: UpstreamState, service: Service) -> bool:
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -160,6 +160,8 @@
                 on_loss=lambda fingerprint, loss_id: self.calls.append(loss_id),
                 on_registry=self.calls.append,
                 on_configuration=lambda *confirmation: self.calls.append(confirmation),
+                take_streams=lambda now_s: [],
+                on_streams=self.calls.append,
             ),
         )
         self.link.transport = self.transport = RecordingTransport()
