Resume a stream only after an event with an id

What callers saw: a stream with events that carry no id could be sent again from its beginning, or from an earlier event, after it was interrupted, so that events came twice.

Cause: only events with an id were counted as relayed.

Change: the relay notes whether the last complete event carried an id; without one the stream is not resumed. Two of the eight cases of the new test failed with the former condition (no events with an id, or any id so far), run on this tree.

--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/_delivery.py
@@ -63,7 +63,7 @@
     def can_restart(self) -> bool:
         """Whether another upstream's answer can supply the missing part."""
         if self._relay is not None:
-            return not self._relay.events or self._relay.last_event_id is not None
+            return self._relay.can_resume
         return not self.begun
 
     def begin_plain(self, head: ResponseHead) -> None:
--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -12,11 +12,14 @@
     Attributes:
         last_event_id: Id of the last complete event that carried one.
         events: Number of complete events that carried an id.
+        can_resume: Whether another upstream can continue after what was relayed: nothing, or an
+            event with an id as the last one.
     """
 
     def __init__(self) -> None:
         self.last_event_id: bytes | None = None
         self.events = 0
+        self.can_resume = True
         self._partial = b""
 
     @property
@@ -42,10 +45,18 @@
         self._partial = b""
 
     def _record_event_ids(self, complete_events: bytes) -> None:
+        has_id = has_data = False
         for line in complete_events.splitlines():
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip()
                 self.events += 1
+                has_id = True
+            elif line.startswith(b"data"):
+                has_data = True
+            elif not line:
+                if has_id or has_data:
+                    self.can_resume = has_id
+                has_id = has_data = False
 
 
 def _find_last_event_end(data: bytes, separator: bytes) -> int:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -56,6 +56,26 @@
     assert passed == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 
 
+# Guards against a stream that is resumed before its last event, which is then repeated.
+@pytest.mark.parametrize(
+    ("data", "can_resume"),
+    [
+        (b"", True),
+        (b"data: x\n\n", False),
+        (b"id: 1\ndata: x\n\n", True),
+        (b"data: x\nid: 1\n\n", True),
+        (b"id: 1\ndata: x\n\ndata: y\n\n", False),
+        (b"id: 1\ndata: x\n\ndata: y\n\nid: 2\ndata: z\n\n", True),
+        (b"id: 1\ndata: x\n\n: keep-alive\n\n", True),
+        (b"id: 1\ndata: x\n\ndata: y", True),
+    ],
+)
+def test_a_stream_is_resumed_only_after_an_event_with_an_id(data: bytes, can_resume: bool) -> None:
+    relay = EventRelay()
+    relay.feed(data)
+    assert relay.can_resume is can_resume
+
+
 def test_bytes_after_the_last_event_are_relayed_at_the_end() -> None:
     relay = EventRelay()
     assert relay.feed(b"id: 1\n\n: bye") == b"id: 1\n\n"
