Count silence from the head and from each part of a plain answer

What callers saw: nothing; upstreams were sent the same request twice. A plain answer that was still arriving counted as silent, and a stream had 1.4 s from its head to its first event even where the forecast was longer.

Change: the head starts the time to the first event anew, and each part of a plain answer counts as a sign of life. The watch keeps one timer instead of one per event.

Measured: both new tests of second sends failed before (two sends in place of one).

--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -204,7 +204,7 @@
             self._handle_fault(attempt, AttemptFault.MALFORMED)
         elif streams:
             self._delivery.begin_stream(head)
-            self._watch_events()
+            self._watch_answer(attempt)
         else:
             self._delivery.begin_plain(head)
 
@@ -214,7 +214,9 @@
             self._handover.cancel()
             if not self._origin_recorded:
                 self._record_origin(attempt)
-            self._watch_events()
+            self._watch_silence(MAX_PAUSE_S)
+        elif not self._delivery.is_stream:
+            self._silence.restart()
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Deliver a complete answer, or retry if the upstream answered with a server error."""
@@ -263,7 +265,7 @@
 
     def _send_to(self, placement: Placement) -> None:
         self._attempt = self._create_attempt(placement)
-        self._watch_answer(placement)
+        self._watch_answer(self._attempt)
         self._attempt.start()
 
     def _create_attempt(self, placement: Placement) -> Attempt:
@@ -328,9 +330,12 @@
 
     # Silent upstreams.
 
-    def _watch_answer(self, placement: Placement) -> None:
-        if self._route.is_retryable and self._limits.possible_runs + 1 < self._route.max_attempts:
-            self._silence.start(compute_answer_limit(self._job, placement))
+    def _watch_answer(self, attempt: Attempt) -> None:
+        self._watch_silence(compute_answer_limit(self._job, attempt.plan.placement))
+
+    def _watch_silence(self, limit_s: float) -> None:
+        if self._limits.has_runs_left:
+            self._silence.start(limit_s)
 
     def _record_origin(self, attempt: Attempt) -> None:
         """Let only upstreams of the version that began the stream continue it, on any host."""
@@ -342,10 +347,6 @@
             origins = self._context.router.stream_versions.origins
             origins.record_local(self._inputs.stream, began_at, self._now_s)
 
-    def _watch_events(self) -> None:
-        if self._may_run_again():
-            self._silence.start(MAX_PAUSE_S)
-
     def _handle_silence(self) -> None:
         """Send the request to another upstream too, if that one may run it."""
         if self._attempt is None or not self._may_run_again():
@@ -376,8 +377,7 @@
         successor = self._attempt
         if successor is None:
             return
-        if self._may_run_again():
-            self._silence.start(compute_answer_limit(self._job, successor.plan.placement))
+        self._watch_answer(successor)
         if self._paused:
             successor.pause()
 
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -34,6 +34,12 @@
         """Whether an upstream may have run the request."""
         return self.possible_runs > 0
 
+    @property
+    def has_runs_left(self) -> bool:
+        """Whether another upstream may run the request although one may have done so."""
+        route = self._job.route
+        return route.is_retryable and self.possible_runs < route.max_attempts
+
     def record_send(self, instance: InstanceId) -> None:
         """Count an attempt to send the request to an upstream."""
         self.sends += 1
@@ -41,10 +47,7 @@
 
     def may_run_again(self, now_s: float) -> bool:
         """Whether a request that may have run, or may be running, can be sent again."""
-        route = self._job.route
-        if not route.is_retryable or self.possible_runs >= route.max_attempts:
-            return False
-        return self._may_send(now_s)
+        return self.has_runs_left and self._may_send(now_s)
 
     def try_acquire_retry(self, now_s: float) -> bool:
         """Return whether a request that may have run can be sent again; count a retry if so."""
--- a/greengagestage/gateway/_silence.py
+++ b/greengagestage/gateway/_silence.py
@@ -38,15 +38,20 @@
         self._reactor = reactor
         self._on_silent = on_silent
         self._limit_s: float | None = None
+        self._due_s = 0.0
         self._timer: Any = None
         self._paused = False
 
     def start(self, limit_s: float) -> None:
         """Start to count the silence from now on."""
-        self._stop_timer()
         self._limit_s = limit_s
-        if not self._paused:
-            self._timer = self._reactor.callLater(limit_s, self._report)
+        if self._paused:
+            return
+        self._due_s = self._reactor.seconds() + limit_s
+        # A timer that expires too early is set again then, which is cheaper than for each event.
+        if self._timer is None or not self._timer.active() or self._timer.getTime() > self._due_s:
+            self._stop_timer()
+            self._timer = self._reactor.callLater(limit_s, self._check)
 
     def restart(self) -> None:
         """Count the silence from now on with the same limit; do nothing if it is not counted."""
@@ -68,7 +73,11 @@
         self._paused = False
         self.restart()
 
-    def _report(self) -> None:
+    def _check(self) -> None:
+        remaining_s = self._due_s - self._reactor.seconds()
+        if remaining_s > 0:
+            self._timer = self._reactor.callLater(remaining_s, self._check)
+            return
         self._limit_s = None
         self._on_silent()
 
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -5,6 +5,7 @@
 import pytest
 from twisted.internet.task import Clock
 
+from greengagestage.gateway import _exchange
 from greengagestage.gateway._silence import SilenceWatch
 from greengagestage.http1 import IncomingRequest, Responder
 
@@ -145,6 +146,20 @@
     assert len(second.requests) == 1
 
 
+# Guards against a silence that is counted from an earlier event than the last one.
+def test_each_event_starts_the_silence_anew() -> None:
+    clock, reports = Clock(), []
+    watch = SilenceWatch(reactor=clock, on_silent=lambda: reports.append(clock.seconds()))
+    watch.start(3.0)
+    for _ in range(4):
+        clock.advance(0.7)
+        watch.start(1.0)
+    clock.advance(0.9)
+    assert not reports
+    clock.advance(0.2)
+    assert reports == [pytest.approx(3.9)]
+
+
 # Guards against an upstream that is taken for silent because its caller reads slowly.
 def test_silence_is_not_counted_while_the_caller_does_not_read() -> None:
     clock, reports = Clock(), []
@@ -160,3 +175,28 @@
     assert len(reports) == 1
     clock.advance(5.0)
     assert len(reports) == 1
+
+
+# Guards against a second send while an answer is arriving slowly.
+def test_a_plain_answer_that_is_still_arriving_is_not_asked_for_again(fleet: HostFleet) -> None:
+    def answer_slowly(upstream, request, responder) -> None:
+        responder.begin(200, harness.build_identity_headers(request))
+        for piece in range(5):
+            upstream.reactor.callLater(0.15 * piece, responder.write, b"%d" % piece)
+        upstream.reactor.callLater(0.7, responder.finish)
+
+    upstreams = [fleet.add_upstream(name, behavior=answer_slowly) for name in ("one", "two")]
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.call("/lookup/x")
+    assert (caller.status, caller.body) == (200, b"01234")
+    assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+
+# Guards against a second send while the first event, expected late, is not yet due.
+def test_a_first_event_may_come_long_after_the_head(fleet: HostFleet, monkeypatch) -> None:
+    monkeypatch.setattr(_exchange, "compute_answer_limit", lambda job, placement: 3.0)
+    caller, _, second = start_stream(fleet, pause_after(0, 2.0), harness.serve)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert not second.requests
