State why sends after a failed connection are outside the retry budget

Listed by readers: a host sends again after a failed connection without asking the retry budget. This is meant: the operators count arrivals at upstreams, and nothing arrives before a connection is open. Trace, with a budget of zero and two of four upstreams closed: each of 8 requests passes the closed ports and arrives exactly once, whether the upstream refuses it or resets the connection; a retry whose own connection fails was counted before.

Change: one sentence in RetryBudget, and the trace as a test, which passes before and after.

--- a/greengagestage/routing/_retries.py
+++ b/greengagestage/routing/_retries.py
@@ -13,7 +13,8 @@
 class RetryBudget:
     """Limits the retries of one service on this host within a sliding window.
 
-    Sends after a failed connection are not counted, since nothing was sent before.
+    Sends after a failed connection are not counted: the budget limits repeated arrivals at
+    upstreams, and nothing arrived there.
 
     Args:
         ratio: Retries allowed per request.
--- a/tests/test_host_requests.py
+++ b/tests/test_host_requests.py
@@ -98,6 +98,21 @@
     assert float(caller.headers["retry-after"]) > 0
 
 
+@pytest.mark.parametrize("behavior", [harness.refuse, harness.reset])
+def test_only_sends_after_an_arrival_at_an_upstream_need_the_retry_budget(fleet, behavior) -> None:
+    """Without any budget, a request passes closed ports and arrives at one upstream only."""
+    for name in ("closed", "closed-2"):
+        fleet.add_upstream(name).port.stopListening()
+    for name in ("open", "open-2"):
+        fleet.add_upstream(name, behavior=behavior)
+    fleet.start_host(retry_ratio=0.0, retry_slack=0.0)
+    fleet.wait_ready()
+    for number in range(8):
+        caller = fleet.call("/lookup/x", attempt=f"a{number}", body=b"body %d" % number)
+        assert caller.status in (502, 503)
+        assert count_sends(fleet) == number + 1
+
+
 @pytest.mark.parametrize("behavior", [harness.reset, harness.answer_unidentified])
 @pytest.mark.parametrize("path", ["/order/x", "/long/x"])
 def test_a_request_that_may_have_run_is_not_sent_again(fleet, path, behavior) -> None:
