Report a change of an upstream's failure domain alone to other hosts

Cause: the digest by which hosts compare their copies of the registry left out the failure domain, so that a change of it alone fitted every other host's copy and, confirmed by peers, these hosts never read it.

Change: the digest covers it. The remaining warm-up time stays out, and the docstring says why: it counts down with every heartbeat and is used only when a process is first listed.

Test: the domain now varies in test_reported_changes_give_the_same_registry_or_trigger_a_read, which failed before with one entry moved from domain a to b and no report lost.

--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -9,7 +9,9 @@
 MAX_DATAGRAM_BYTES = 1_400
 """Larger datagrams would be fragmented, and lost if any fragment is lost."""
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
+"""Raised also with the fields that the registry's digest covers: hosts whose digests always differ
+would make each other read the registry with every report."""
 
 
 class Sender(Struct, frozen=True, array_like=True):
@@ -154,8 +156,7 @@
 
     Attributes:
         digest: Hash of the entries after the changes below. It covers the fields by which hosts
-            compare their copies, which are all but the failure domain and the remaining warm-up
-            time.
+            compare their copies, which are all but the remaining warm-up time.
         revision: The store's revision at the time of the read.
         before: The same hash before the changes below; None if the report contains no changes.
         listed: Entries that are new, or changed in one of the compared fields.
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -253,12 +253,13 @@
 def _list_hashed_fields(upstream: RegisteredUpstream) -> tuple[object, ...]:
     """Return the fields by which copies of the registry are compared between hosts.
 
-    The failure domain and the remaining warm-up time are left out, so that a change of these alone
-    is not reported to other hosts.
+    The remaining warm-up time is left out: it changes with every heartbeat, and hosts use it only
+    when a process is first listed.
     """
     return (
         (upstream.instance, upstream.started_ms, upstream.availability.value),
         (upstream.service, upstream.address, upstream.port, upstream.slots),
+        upstream.failure_domain,
     )
 
 
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -239,24 +239,26 @@
     assert (caller.status, caller.error["code"]) == (503, 2017)
 
 
-def build_upstream(number: int, availability: Availability) -> RegisteredUpstream:
+def build_upstream(number: int, availability: Availability, domain: str) -> RegisteredUpstream:
     return RegisteredUpstream(
         instance=InstanceId(f"i-{number}"),
         service=ServiceName("archive"),
         address="10.0.0.1",
         port=80,
-        failure_domain=FailureDomain("a"),
+        failure_domain=FailureDomain(domain),
         slots=4,
         availability=availability,
     )
 
 
 REGISTRIES = st.dictionaries(
-    st.integers(min_value=0, max_value=12), st.sampled_from(Availability), max_size=12
+    st.integers(min_value=0, max_value=12),
+    st.tuples(st.sampled_from(Availability), st.sampled_from(["a", "b"])),
+    max_size=12,
 ).map(
-    lambda states: {
-        InstanceId(f"i-{number}"): build_upstream(number, availability)
-        for number, availability in states.items()
+    lambda entries: {
+        InstanceId(f"i-{number}"): build_upstream(number, availability, domain)
+        for number, (availability, domain) in entries.items()
     }
 )
 
