Keep retry delays within their maximum

Cause: the jitter was added after the limit, so that a delay reached 1.5 times MAXIMUM_RETRY_AFTER_S, 90 s. Change: the delay is limited to the maximum divided by the largest jitter, so that delays end at 60 s and are still spread over a third of it; cutting after the jitter would send many callers back at once.

Test: test_retry_delays_of_a_long_queue_stay_within_the_maximum_and_keep_their_jitter failed before with delays from 60.1 to 90 s (82.9 for the first of 55); the policy's oracle allows the maximum now, no longer 90 s.

--- a/greengagestage/policy/_estimates.py
+++ b/greengagestage/policy/_estimates.py
@@ -10,7 +10,7 @@
 QUEUE_FRACTION_TO_DRAIN = 0.5
 DEFAULT_LENGTH_TOKENS = 64.0
 MINIMUM_RETRY_AFTER_S = 0.25
-MAXIMUM_RETRY_AFTER_S = 60.0  # before jitter
+MAXIMUM_RETRY_AFTER_S = 60.0
 JITTER_FRACTION = 0.5
 
 
@@ -54,10 +54,11 @@
         return ahead_s * QUEUE_FRACTION_TO_DRAIN / max(slots, 1)
 
     def compute_retry_after(self, retry_after_s: float) -> float:
-        """Return a retry delay in seconds, within limits and then lengthened by jitter.
+        """Return a retry delay in seconds, lengthened by jitter and within limits.
 
         The jitter prevents callers from retrying at the same time. It lengthens the delay by up to
-        ``JITTER_FRACTION``, also beyond ``MAXIMUM_RETRY_AFTER_S``.
+        ``JITTER_FRACTION``, and the longest delays are shortened first to leave room for it.
         """
-        bounded_s = min(max(retry_after_s, MINIMUM_RETRY_AFTER_S), MAXIMUM_RETRY_AFTER_S)
+        longest_s = MAXIMUM_RETRY_AFTER_S / (1.0 + JITTER_FRACTION)
+        bounded_s = min(max(retry_after_s, MINIMUM_RETRY_AFTER_S), longest_s)
         return bounded_s * (1.0 + JITTER_FRACTION * self._jitter.draw())
--- a/tests/policy_oracle.py
+++ b/tests/policy_oracle.py
@@ -17,6 +17,7 @@
     ReplayAnswer,
     Request,
 )
+from greengagestage.policy._estimates import MAXIMUM_RETRY_AFTER_S
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 from tests.policy_builders import TIERS
 
@@ -164,7 +165,7 @@
         if action.code is ResultCode.TARGET_UNREACHABLE:
             self._check_no_slot_preemptible(model)
         if action.retry_after_s is not None:
-            assert 0.0 < action.retry_after_s <= 90.0
+            assert 0.0 < action.retry_after_s <= MAXIMUM_RETRY_AFTER_S
 
     def _check_no_slot_preemptible(self, refused: RequestModel) -> None:
         """Assert that every preemptible slot is needed by another waiting request."""
--- a/tests/test_policy_load.py
+++ b/tests/test_policy_load.py
@@ -28,6 +28,7 @@
     choose_subset,
 )
 from greengagestage.policy._departures import DepartureEstimator
+from greengagestage.policy._estimates import MAXIMUM_RETRY_AFTER_S
 from greengagestage.policy._lengths import LengthEstimator
 from greengagestage.policy._minimum_shares import compute_wait_bound
 from greengagestage.results import ResultCode
@@ -115,6 +116,17 @@
     assert all(t is not None and 16.0 <= t <= 28.0 for t in times)
 
 
+def test_retry_delays_of_a_long_queue_stay_within_the_maximum_and_keep_their_jitter() -> None:
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("warm-up", "brief")
+    host.finish(host.dispatches("warm-up")[0].attempt_id, after_s=300.0)
+    for n in range(64):
+        host.arrive(f"r{n}", "brief")
+    times = [v.retry_after_s for v in host.actions if isinstance(v, Reject)]
+    assert len(times) == len(set(times)) == 55
+    assert 40.0 <= min(times) < 45.0 and 55.0 < max(times) <= MAXIMUM_RETRY_AFTER_S
+
+
 def test_request_useless_when_late_is_refused_when_its_target_is_unreachable() -> None:
     classes = [build_class(name, late_answer=LateAnswer.USELESS) for name in TIERS]
     host = Host(build_declaration(engines=1, slots=1, classes=classes))
