Report all ended requests to the agent, in several messages if necessary

Cause: a report had one message with the oldest 64 of up to 256 records of ended requests and cleared the rest, so that above 64 requests a second the agent's log and its counts by minute missed the newest ones without saying so. Change: a report sends all of them, 64 a message; open requests follow in the last.

Tests: test_every_ended_request_is_reported_in_messages_of_limited_size and test_open_requests_are_reported_beside_many_ended_ones failed before, both without 192 of 256 records.

--- a/greengagestage/entry/_conclusions.py
+++ b/greengagestage/entry/_conclusions.py
@@ -25,7 +25,7 @@
 REPLAY_RETRY_AFTER_S = 1.0
 MAX_ENDED_RECORDS = 256
 """Largest number of records of ended requests kept between two reports to the agent; beyond it, the
-oldest are dropped. A report contains fewer of them: see ``AgentControl``."""
+oldest are dropped."""
 
 
 class RequestFinisher:
--- a/greengagestage/entry/_control.py
+++ b/greengagestage/entry/_control.py
@@ -39,11 +39,11 @@
 
 STATUS_INTERVAL_S = 1.0
 ENDED_RECORDS_PER_MESSAGE = 64
-"""Largest number of ended requests in one report. Any others are dropped, not reported later."""
+"""Largest number of ended requests in one message; a report has several messages if necessary."""
 
 OPEN_RECORDS_PER_MESSAGE = 32
-"""Number of open requests that fit in a report in addition to ``ENDED_RECORDS_PER_MESSAGE`` ended
-ones. With fewer ended ones, more open ones fit."""
+"""Number of open requests that fit in a report's last message in addition to
+``ENDED_RECORDS_PER_MESSAGE`` ended ones. With fewer ended ones, more open ones fit."""
 
 OPEN_RECORD_AGE_S = 1.0
 """Age from which an open request is reported to the agent."""
@@ -111,8 +111,12 @@
         self._sender.send(
             EntryStatus(demand=demand, in_flight=in_flight, stopping=self._readiness.stopping)
         )
-        records = self._take_records()
-        if records:
+        explain = self._shell.policy.explain
+        for group in self._take_records():
+            records = tuple(
+                msgspec.structs.replace(record, notes=explain(record.request_id))
+                for record in group
+            )
             self._sender.send(RequestRecords(records=records))
 
     def _adopt(self, message: ConfigurationInForce) -> None:
@@ -151,23 +155,22 @@
             cached_prefixes=frozenset(status.cached_prefixes),
         )
 
-    def _take_records(self) -> tuple[RequestRecord, ...]:
-        """Clear the ended records; return the oldest of them, and records of open requests."""
+    def _take_records(self) -> list[list[RequestRecord]]:
+        """Clear the ended records; return them and records of open requests, by message."""
         ended_records = self._shell.finisher.ended_records
-        records = [
-            ended_records.popleft()
-            for _ in range(min(len(ended_records), ENDED_RECORDS_PER_MESSAGE))
-        ]
+        ended = list(ended_records)
         ended_records.clear()
+        groups = [
+            ended[i : i + ENDED_RECORDS_PER_MESSAGE]
+            for i in range(0, len(ended), ENDED_RECORDS_PER_MESSAGE)
+        ] or [[]]
+        last = groups[-1]
         for active in self._shell.requests:
-            if len(records) >= ENDED_RECORDS_PER_MESSAGE + OPEN_RECORDS_PER_MESSAGE:
+            if len(last) >= ENDED_RECORDS_PER_MESSAGE + OPEN_RECORDS_PER_MESSAGE:
                 break
             if active.age_s >= OPEN_RECORD_AGE_S:
-                records.append(build_request_record(active))
-        explain = self._shell.policy.explain
-        return tuple(
-            msgspec.structs.replace(record, notes=explain(record.request_id)) for record in records
-        )
+                last.append(build_request_record(active))
+        return [group for group in groups if group]
 
 
 def _build_version_fields(message: ConfigurationInForce) -> dict[str, object]:
--- a/tests/test_entry_control.py
+++ b/tests/test_entry_control.py
@@ -1,10 +1,13 @@
 """Messages to and from the agent, and the graceful stop."""
 
+import msgspec
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
 
 from greengagestage.configuration import compute_digest, encode_declaration
 from greengagestage.entry import FleetView, LifecycleTimes
+from greengagestage.entry._conclusions import MAX_ENDED_RECORDS
+from greengagestage.entry._control import ENDED_RECORDS_PER_MESSAGE, OPEN_RECORD_AGE_S
 from greengagestage.ids import ConfigurationVersion, Fingerprint, HostId, UpstreamName
 from greengagestage.policy import (
     DeclarationAdopted,
@@ -102,6 +105,39 @@
         assert (record.attempts, record.within_target, record.notes) == (1, True, ("a note",))
         assert [m for m in self.link.sent if isinstance(m, EntryStatus)]
 
+    def report_ended(self, names):
+        """Report requests that all ended like the one that ended before."""
+        ended_records = self.process.shell.finisher.ended_records
+        record = ended_records.popleft()
+        ended_records.extend(msgspec.structs.replace(record, request_id=name) for name in names)
+        self.process.control.send_report()
+        assert not ended_records
+        return [m.records for m in self.link.sent if isinstance(m, RequestRecords)]
+
+    @inlineCallbacks
+    def test_every_ended_request_is_reported_in_messages_of_limited_size(self):
+        self.process.control.stop()
+        self.configure(self.start_upstream(answer_whole))
+        yield self.call(build_request(build_body()))
+        names = [f"r{number}" for number in range(MAX_ENDED_RECORDS)]
+        messages = self.report_ended(names)
+        assert [each.request_id for records in messages for each in records] == names
+        assert max(len(records) for records in messages) <= ENDED_RECORDS_PER_MESSAGE
+
+    @inlineCallbacks
+    def test_open_requests_are_reported_beside_many_ended_ones(self):
+        self.process.control.stop()
+        self.configure(self.start_upstream(answer_then(2), answer_whole))
+        yield self.send(build_request(build_body()))
+        yield wait_until(lambda: len(self.process.shell.requests) == 1)
+        yield self.call(build_request(build_body()))
+        (active,) = self.process.shell.requests
+        active.arrived_s -= OPEN_RECORD_AGE_S
+        names = [f"r{number}" for number in range(MAX_ENDED_RECORDS)]
+        messages = self.report_ended(names)
+        reported = [each.request_id for records in messages for each in records]
+        assert reported == [*names, active.request_id]
+
 
 class StopCase(EntryCase):
     times = LifecycleTimes(drain_notice_s=2.0)
