State that a full class takes queue places of lower classes

Listed by readers: a request whose class has reached its queue limit sheds a queued request of another class and exceeds its limit. This is meant: under load the places of lower classes go to higher ones (docs/design/classes.md), and test_sheds_the_lowest_class_before_any_other holds the order. Trace: with limits of 8 for each of three classes and 30 arrivals of each, the lowest first, the queue never exceeds 24 and ends with 22, 1 and 1 requests; the last request of a class is not shed.

Change: the docstrings say so, and the trace is a test, which passes before and after.

--- a/greengagestage/configuration/_declaration.py
+++ b/greengagestage/configuration/_declaration.py
@@ -50,7 +50,8 @@
     Attributes:
         minimum_share: Fraction of a pool's slots that the class receives even when classes of
             higher priority could fill them all.
-        queue_limit: Number of requests of the class that may wait for one pool on one host.
+        queue_limit: Number of requests of the class that may wait for one pool on one host. Beyond
+            it, a request may take the place of a waiting one of a lower class.
         retry_ratio: Retries that each new request adds to the retry budget of its class.
     """
 
--- a/greengagestage/policy/_admission.py
+++ b/greengagestage/policy/_admission.py
@@ -255,7 +255,8 @@
         """Apply the queue limit of a request's class; return whether the request may be queued.
 
         At the limit, it may be queued if an upstream can take it now, or if a queued request of a
-        lower class is shed for it. The queue of its class then exceeds the limit.
+        lower class is shed for it. The queue of its class then exceeds the limit, but the whole
+        queue does not grow: under load, the places of lower classes go to higher ones.
         """
         queue = self._state.get_pool(record.pool).queue
         if queue.count(record.service_class.name) < record.service_class.queue_limit:
--- a/tests/test_policy_load.py
+++ b/tests/test_policy_load.py
@@ -33,6 +33,7 @@
 from greengagestage.policy._minimum_shares import compute_wait_bound
 from greengagestage.results import ResultCode
 from tests.policy_builders import (
+    POOL,
     TIERS,
     Host,
     build_class,
@@ -392,6 +393,18 @@
     assert estimator.estimate_departure(brief, 12.0, 5.0) == 0.0
 
 
+def test_shedding_keeps_the_queue_within_the_limits_of_all_classes_together() -> None:
+    """A full class takes places of lower ones; the queue as a whole must not grow."""
+    host = Host(build_declaration(engines=1, slots=1))
+    host.arrive("running", "phone")
+    queue = host.policy._state.get_pool(POOL).queue
+    for tier in reversed(TIERS):
+        for n in range(30):
+            host.arrive(f"{tier}{n}", tier)
+            assert len(queue) <= 8 * len(TIERS)
+    assert [queue.count(ClassName(tier)) for tier in TIERS] == [22, 1, 1]
+
+
 def test_sheds_the_lowest_class_before_any_other() -> None:
     host = Host(build_declaration(engines=1, slots=1))
     host.arrive("running", "phone")
