Compare text fields with the word as typed

Cause: the parser turned 5m, true, 007, 80% and 1.50 into numbers and flags, and a text field was then compared with the text of these, 300000 or True, which no row has. Change: a value in a condition keeps the word beside what it denotes; text fields use the word.

Test: test_text_is_compared_with_the_word_as_typed failed before in 6 of 8 cases; a part of a number and quoted words were found already.

--- a/greengagestage/language/_commands.py
+++ b/greengagestage/language/_commands.py
@@ -45,6 +45,19 @@
     ADAPTER = "adapter"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Literal:
+    """A value in a condition.
+
+    Attributes:
+        text: The word as typed, without quotes. Text fields are compared with it.
+        value: The value that the word denotes. All other fields are compared with it.
+    """
+
+    text: str
+    value: Scalar
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Comparison:
     """A field compared with one value.
@@ -54,7 +67,7 @@
 
     field: str
     comparator: Comparator
-    value: Scalar
+    value: Literal
     column: int
 
 
@@ -63,7 +76,7 @@
     """A field that must equal one of several values. ``column`` is as in ``Comparison``."""
 
     field: str
-    values: tuple[Scalar, ...]
+    values: tuple[Literal, ...]
     column: int
 
 
--- a/greengagestage/language/_evaluation.py
+++ b/greengagestage/language/_evaluation.py
@@ -18,6 +18,7 @@
     Comparator,
     Comparison,
     Condition,
+    Literal,
     Membership,
     Negation,
     Scalar,
@@ -127,7 +128,7 @@
     for comparison in _list_comparisons(show.condition):
         field = schema.find_field(comparison.field)
         values = comparison.values if isinstance(comparison, Membership) else (comparison.value,)
-        if field is not None and not all(_accepts(field, value) for value in values):
+        if field is not None and not all(_accepts(field, each.value) for each in values):
             return Failure(
                 LanguageFault(
                     code=ResultCode.WRONG_TYPE,
@@ -176,9 +177,8 @@
             assert_never(condition)
 
 
-def _compare(actual: Scalar, comparator: Comparator, value: Scalar) -> bool:
-    if isinstance(actual, str):
-        value = str(value)
+def _compare(actual: Scalar, comparator: Comparator, literal: Literal) -> bool:
+    value = literal.text if isinstance(actual, str) else literal.value
     match comparator:
         case Comparator.EQUAL:
             return actual == value
--- a/greengagestage/language/_transformer.py
+++ b/greengagestage/language/_transformer.py
@@ -21,6 +21,7 @@
     Explain,
     FieldReference,
     Help,
+    Literal,
     Membership,
     Negation,
     OrderArtifact,
@@ -99,7 +100,7 @@
         return Comparison(
             field=str(field),
             comparator=Comparator(str(comparator)),
-            value=parse_scalar(value.type, str(value)),
+            value=_build_literal(value),
             column=_get_column(field),
         )
 
@@ -107,7 +108,7 @@
         """Return a test for equality with one of several values."""
         return Membership(
             field=str(field),
-            values=tuple(parse_scalar(value.type, str(value)) for value in values),
+            values=tuple(_build_literal(value) for value in values),
             column=_get_column(field),
         )
 
@@ -209,3 +210,7 @@
 
 def _build_field_reference(field: Token) -> FieldReference:
     return FieldReference(name=str(field), column=_get_column(field))
+
+
+def _build_literal(token: Token) -> Literal:
+    return Literal(text=str(token).strip('"'), value=parse_scalar(token.type, str(token)))
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -126,6 +126,28 @@
     assert [row[0] for row in run_show(line, UPSTREAM_ROWS)] == names
 
 
+TYPED_NAMES = ["5m", "true", "007", "80%", "1.50", "other"]
+"""Names that read like values of another type."""
+
+
+@pytest.mark.parametrize(
+    ("condition", "names"),
+    [
+        ("name = 5m", ["5m"]),
+        ("name = true", ["true"]),
+        ("name = 007", ["007"]),
+        ("name in (80%, 1.50, 5m)", ["5m", "80%", "1.50"]),
+        ("name != true", ["5m", "007", "80%", "1.50", "other"]),
+        ("name ~ 50", ["1.50"]),
+        ("name >= true", ["true"]),
+        ('name = "5m" or name = "true"', ["5m", "true"]),
+    ],
+)
+def test_text_is_compared_with_the_word_as_typed(condition: str, names: list[str]) -> None:
+    rows = [(name, *UPSTREAM_ROWS[0][1:]) for name in TYPED_NAMES]
+    assert [row[0] for row in run_show(f"show upstreams where {condition}", rows)] == names
+
+
 def test_groups_sum_fields_and_compute_ratios_from_the_sums() -> None:
     rows = [
         ("h1", "phone", "gyor", 100, 10, 9, 1, 0, 9, 90, 0.9),
