Refuse to sort groups by a field that they do not have

Cause: the check of order by accepted every field of the table, and the sort was left out without an error if the groups drop the field, as in by state order by name. The same check accepted the column rows of groups in by and where, where it is no field: a KeyError.

Change: order by is checked against the columns of the result, and by and where against the fields of the table.

Tests: test_unknown_names_and_wrong_types_are_reported failed before in the two new cases of a dropped field and the two of rows; test_groups_are_sorted_by_their_columns holds what stays.

--- a/greengagestage/language/_evaluation.py
+++ b/greengagestage/language/_evaluation.py
@@ -54,10 +54,13 @@
                 expected=tuple(SCHEMAS),
             )
         )
-    known = set(schema.list_field_names())
+    known = schema.list_field_names()
     for name, column in _list_field_references(show):
-        if name not in known and not (show.group_by and name == COUNT_FIELD):
-            return Failure(_build_unknown_field_fault(schema, name, column))
+        if name not in known:
+            return Failure(_build_unknown_field_fault(schema, name, column, known))
+    order, columns = show.order_by, _list_columns(show, schema)
+    if order is not None and order.name not in columns:
+        return Failure(_build_unknown_field_fault(schema, order.name, order.column, columns))
     return _check_types(show, schema)
 
 
@@ -80,13 +83,11 @@
 
 
 def arrange_rows(show: Show, rows: Sequence[Row]) -> RowSet:
-    """Group, sort and limit selected rows."""
+    """Group, sort and limit the selected rows of a query that ``check_show`` accepted."""
     schema = SCHEMAS[show.table]
-    columns: tuple[str, ...] = schema.list_field_names()
-    arranged = list(rows)
-    if show.group_by:
-        columns, arranged = _group(schema, tuple(f.name for f in show.group_by), arranged)
-    if show.order_by is not None and show.order_by.name in columns:
+    columns = _list_columns(show, schema)
+    arranged = _group(schema, _list_group_names(show), rows) if show.group_by else list(rows)
+    if show.order_by is not None:
         index = columns.index(show.order_by.name)
         arranged.sort(key=lambda row: _sort_key(row[index]), reverse=show.descending)
     if show.limit is not None:
@@ -94,10 +95,23 @@
     return RowSet(columns=columns, rows=tuple(arranged))
 
 
+def _list_group_names(show: Show) -> tuple[str, ...]:
+    return tuple(reference.name for reference in show.group_by)
+
+
+def _list_columns(show: Show, schema: TableSchema) -> tuple[str, ...]:
+    """Return the columns of a query's result, which groups have of their own."""
+    if not show.group_by:
+        return schema.list_field_names()
+    names = _list_group_names(show)
+    aggregated = (field.name for field in _list_aggregated_fields(schema, names))
+    ratios = (ratio.field for ratio in schema.ratios)
+    return (*names, COUNT_FIELD, *aggregated, *ratios)
+
+
 def _list_field_references(show: Show) -> list[tuple[str, int]]:
+    """Return the fields that the groups and the condition name, with their positions."""
     fields = [(reference.name, reference.column) for reference in show.group_by]
-    if show.order_by is not None:
-        fields.append((show.order_by.name, show.order_by.column))
     return fields + [(c.field, c.column) for c in _list_comparisons(show.condition)]
 
 
@@ -115,12 +129,16 @@
             assert_never(condition)
 
 
-def _build_unknown_field_fault(schema: TableSchema, name: str, column: int) -> LanguageFault:
+def _build_unknown_field_fault(
+    schema: TableSchema, name: str, column: int, expected: tuple[str, ...]
+) -> LanguageFault:
+    """Build the fault for a name that is not a field, or is one that groups do not have."""
+    subject = "A group of" if name in schema.list_field_names() else "The table"
     return LanguageFault(
         code=ResultCode.UNKNOWN_FIELD,
-        message=f"The table {schema.name!r} has no field {name!r}",
+        message=f"{subject} {schema.name!r} has no field {name!r}",
         column=column,
-        expected=schema.list_field_names(),
+        expected=expected,
     )
 
 
@@ -213,19 +231,17 @@
     return (1, float(value), "")
 
 
-def _group(
-    schema: TableSchema, names: tuple[str, ...], rows: Sequence[Row]
-) -> tuple[tuple[str, ...], list[Row]]:
-    all_names = schema.list_field_names()
-    indexes = {name: index for index, name in enumerate(all_names)}
-    aggregated = [
-        f for f in schema.fields if f.aggregate is not Aggregate.DROP and f.name not in names
-    ]
+def _list_aggregated_fields(schema: TableSchema, names: tuple[str, ...]) -> list[Field]:
+    return [f for f in schema.fields if f.aggregate is not Aggregate.DROP and f.name not in names]
+
+
+def _group(schema: TableSchema, names: tuple[str, ...], rows: Sequence[Row]) -> list[Row]:
+    """Return one row for each group, with the columns of ``_list_columns``."""
+    indexes = {name: index for index, name in enumerate(schema.list_field_names())}
+    aggregated = _list_aggregated_fields(schema, names)
     groups: dict[Row, list[Row]] = {}
     for row in rows:
         groups.setdefault(tuple(row[indexes[name]] for name in names), []).append(row)
-    ratios = tuple(ratio.field for ratio in schema.ratios)
-    columns = (*names, COUNT_FIELD, *(field.name for field in aggregated), *ratios)
     arranged: list[Row] = []
     for key, members in groups.items():
         values = {f.name: _aggregate(f, [m[indexes[f.name]] for m in members]) for f in aggregated}
@@ -233,7 +249,7 @@
             _divide(values.get(r.numerator), values.get(r.denominator)) for r in schema.ratios
         )
         arranged.append((*key, len(members), *values.values(), *computed))
-    return columns, arranged
+    return arranged
 
 
 def _aggregate(field: Field, values: Sequence[Scalar]) -> Scalar:
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -97,6 +97,11 @@
         ("show upstreams by state, colour", ResultCode.UNKNOWN_FIELD, 26),
         ("show upstreams where load > heavy", ResultCode.WRONG_TYPE, 22),
         ("show requests where within_target = 1", ResultCode.WRONG_TYPE, 21),
+        ("show upstreams by state order by name", ResultCode.UNKNOWN_FIELD, 34),
+        ("show attainment by class order by host", ResultCode.UNKNOWN_FIELD, 35),
+        ("show upstreams by rows", ResultCode.UNKNOWN_FIELD, 19),
+        ("show upstreams where rows > 1 by state", ResultCode.UNKNOWN_FIELD, 22),
+        ("show upstreams order by rows", ResultCode.UNKNOWN_FIELD, 25),
     ],
 )
 def test_unknown_names_and_wrong_types_are_reported(
@@ -162,6 +167,19 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("clauses", "states"),
+    [
+        ("order by state", ["leaving", "live"]),
+        ("order by slots", ["live", "leaving"]),
+        ("order by rows desc", ["live", "leaving"]),
+    ],
+)
+def test_groups_are_sorted_by_their_columns(clauses: str, states: list[str]) -> None:
+    rows = [*UPSTREAM_ROWS[:2], (*UPSTREAM_ROWS[2][:5], 9, *UPSTREAM_ROWS[2][6:])]
+    assert [row[0] for row in run_show(f"show upstreams by state {clauses}", rows)] == states
+
+
 def test_set_maps_language_fields_to_declaration_fields() -> None:
     change = parse("set class phone first_token = 900ms, minimum_share = 10%").unwrap()
     changed = apply_change(change, build_declaration()).unwrap()  # type: ignore[arg-type]
