Limit the size of a declaration's document, not only of its text

Cause: MAX_DECLARATION_BYTES was compared with the TOML text, but what is sent is the JSON document, which also holds the defaults that a text leaves out, and a change by a command was not measured at all. A document above 4 MiB was accepted and then dropped on its way to the entry processes.

Change: the check of a declaration measures its document; the text keeps its limit.

Tests: test_a_short_text_of_a_long_document_is_refused (1.9 MB of text) and the new case of test_fault_is_reported_with_its_path failed before, both without any fault.

--- a/greengagestage/configuration/_checks.py
+++ b/greengagestage/configuration/_checks.py
@@ -16,6 +16,7 @@
     UpstreamKind,
     Workspace,
 )
+from ._documents import MAX_DECLARATION_BYTES, encode_declaration
 from ._faults import Fault
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
@@ -39,6 +40,7 @@
         _check_services,
         _check_operators,
         _check_quarantined,
+        _check_document,
     )
     return tuple(fault for check in checks for fault in check(declaration))
 
@@ -237,3 +239,12 @@
     for path, value in paths:
         if not value:
             yield Fault(path=path, message="it is empty")
+
+
+def _check_document(declaration: Declaration) -> _Faults:
+    size = len(encode_declaration(declaration))
+    if size > MAX_DECLARATION_BYTES:
+        yield Fault(
+            path="document",
+            message=f"as JSON, the declaration has {size} bytes, above {MAX_DECLARATION_BYTES}",
+        )
--- a/greengagestage/configuration/_documents.py
+++ b/greengagestage/configuration/_documents.py
@@ -6,6 +6,11 @@
 
 from ._declaration import Declaration
 
+MAX_DECLARATION_BYTES = 3 * 1024 * 1024
+"""Limit of a declaration's document, and of the text that it is read from, in bytes of UTF-8. It is
+below the limit of a message between processes, 4 MiB, to leave room for the message's envelope:
+header, sender and counter."""
+
 _ENCODER = msgspec.json.Encoder(order="deterministic")
 _DECODER = msgspec.json.Decoder(Declaration)
 
--- a/greengagestage/configuration/_reading.py
+++ b/greengagestage/configuration/_reading.py
@@ -9,13 +9,9 @@
 
 from ._checks import check_declaration
 from ._declaration import Declaration
+from ._documents import MAX_DECLARATION_BYTES
 from ._faults import Fault, find_line
 
-MAX_DECLARATION_BYTES = 3 * 1024 * 1024
-"""Limit of the TOML text, in bytes of UTF-8. It is below the limit of a message between processes,
-4 MiB, to leave room for the message's envelope: header, sender and counter. What is sent is the
-declaration as JSON, whose size is not checked here."""
-
 
 def read_checked_declaration(text: str) -> Result[Declaration, tuple[Fault, ...]]:
     """Read and check a TOML text; return the declaration or its faults.
--- a/tests/test_configuration_checks.py
+++ b/tests/test_configuration_checks.py
@@ -15,6 +15,7 @@
     encode_declaration,
     read_checked_declaration,
 )
+from greengagestage.configuration._documents import MAX_DECLARATION_BYTES
 from greengagestage.ids import OperatorName
 
 from .builders import build_class, build_declaration, build_engine, build_workspace
@@ -94,6 +95,7 @@
     ({"operators": (replace(OPERATOR, sha256=EMPTY_KEY_DIGEST),)}, "operators[0].sha256"),
     ({"quarantined": ("f", "f")}, "quarantined[1]"),
     ({"quarantined": ("",)}, "quarantined[0]"),
+    ({"quarantined": ("f" * MAX_DECLARATION_BYTES,)}, "document"),
 ]
 
 CONSEQUENT_FAULTS = {
@@ -139,6 +141,17 @@
 """
 
 
+WELL_TYPED_CLASS = """
+[[classes]]
+name = "phone"
+priority = 0
+first_token_target_ms = 1
+inter_token_target_ms = 1
+answer_target_ms = 1
+
+"""
+
+
 def test_all_type_faults_of_a_text_are_reported_with_their_lines() -> None:
     faults = {f.path: f.line for f in read_checked_declaration(TEXT).failure()}
     assert faults == {
@@ -166,6 +179,18 @@
     assert read_checked_declaration(text).failure()
 
 
+def test_a_short_text_of_a_long_document_is_refused() -> None:
+    """The document, which is sent, holds the defaults that a text may leave out."""
+    workspaces = "".join(
+        f'[[workspaces]]\nname = "w{number}"\ndefault_class = "phone"\nkeys = []\n'
+        for number in range(30_000)
+    )
+    text = WELL_TYPED_CLASS + workspaces
+    assert len(text) < MAX_DECLARATION_BYTES
+    (fault,) = read_checked_declaration(text).failure()
+    assert fault.path == "document"
+
+
 def test_differences_list_every_change() -> None:
     before = build_declaration(quarantined=("f",))
     changed = (build_class("phone", 0, answer_target_ms=9_000), build_class("quick", 2))
