Take no engine for gone through another pool

Cause: the engines of a pool of which more than half are silent are not taken for gone, since this host's network is the likelier cause; but an engine that also serves a larger pool was, through that one. A model whose engines all serve a larger model too lost all of them at once, and its requests were refused. Change: silent engines of such a pool are kept whatever else they serve.

Test: test_most_of_no_pool_is_taken_for_gone_where_engines_serve_two failed before in 4 of 5 cases.

--- a/greengagestage/agent/_upstream_view.py
+++ b/greengagestage/agent/_upstream_view.py
@@ -89,16 +89,17 @@
         """Return the engines that answer no host, unless they are more than half of their pool.
 
         When more than half of a pool seems to be gone, this host's own network is the likelier
-        cause, so that pool adds no engine to the result. An engine of several pools is returned if
-        at least one of them adds it.
+        cause, so none of its engines is returned, also if it serves other pools. If it is gone
+        after all, the requests sent to it fail and are retried, where without any engine all
+        requests of the pool would be refused.
         """
         pools: dict[PoolName, list[UpstreamName]] = defaultdict(list)
         for upstream in self._declared.values():
             for pool in list_pools(upstream):
                 pools[pool].append(upstream.name)
         gone: set[UpstreamName] = set()
+        kept: set[UpstreamName] = set()
         for names in pools.values():
             silent = [name for name in names if self._poller.is_gone(name)]
-            if 2 * len(silent) <= len(names):
-                gone.update(silent)
-        return gone
+            (gone if 2 * len(silent) <= len(names) else kept).update(silent)
+        return gone - kept
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -3,7 +3,7 @@
 import hashlib
 import time
 import zlib
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Any
 
 import pytest
@@ -24,6 +24,7 @@
 from greengagestage.ids import (
     ClassName,
     HostId,
+    ModelName,
     OperatorName,
     PoolName,
     RequestId,
@@ -193,7 +194,14 @@
         return None
 
 
-def build_view(fleet: MembershipFleet, engines: int, silent: int) -> UpstreamView:
+def build_view(
+    fleet: MembershipFleet, engines: int, silent: int, large: Collection[int] = ()
+) -> UpstreamView:
+    """Return a view of engines of one model, of which the first ones are silent.
+
+    Args:
+        large: Numbers of the engines that serve a second model too.
+    """
     membership = fleet.members[HostId("host-0")]
     poller = LoadPoller(
         reactor=Clock(),
@@ -208,7 +216,12 @@
     poller.set_engines(dict.fromkeys(names, "http://127.0.0.1:1"))
     poller._failures = dict.fromkeys(names[:silent], FAILURES_BEFORE_GONE)
     view = UpstreamView(membership=membership, poller=poller)
-    view.set_declaration(build_declaration(upstreams=tuple(build_engine(name) for name in names)))
+    small_only, both = (ModelName("small"),), (ModelName("small"), ModelName("large"))
+    upstreams = tuple(
+        build_engine(name, models=both if number in large else small_only)
+        for number, name in enumerate(names)
+    )
+    view.set_declaration(build_declaration(upstreams=upstreams))
     return view
 
 
@@ -223,6 +236,25 @@
     assert len(list(view.list_available())) == engines - gone
 
 
+@pytest.mark.parametrize(
+    ("engines", "silent", "large", "gone"),
+    [
+        (3, 1, [0], []),
+        (4, 2, [0, 1], []),
+        (4, 2, [0], ["engine-1"]),
+        (4, 2, [0, 2], ["engine-0", "engine-1"]),
+        (4, 3, [0, 3], []),
+    ],
+)
+def test_most_of_no_pool_is_taken_for_gone_where_engines_serve_two(
+    engines: int, silent: int, large: list[int], gone: list[str]
+) -> None:
+    view = build_view(MembershipFleet(size=1), engines, silent, large)
+    statuses = view.build_statuses(view.declared)
+    assert [status.upstream for status in statuses if status.state == "gone"] == gone
+    assert len(list(view.list_available())) == engines - len(gone)
+
+
 def test_engine_that_answers_another_host_is_not_gone() -> None:
     fleet = MembershipFleet(size=1)
     view = build_view(fleet, 3, 1)
