Read NaN in Retry-After as unreadable

Cause: min and max pass NaN on, so that a weight store's Retry-After: nan became a delay of NaN seconds, outside its limits. Change: it gives the default delay, as any other unreadable value.

Test: test_permit_outcomes failed before with PermitDelayed(retry_after_s=nan); its new case for inf passed, limited to 600 s.

--- a/greengagestage/services/_weights.py
+++ b/greengagestage/services/_weights.py
@@ -1,5 +1,6 @@
 """The client of the weight store, which limits the rate of downloads with permits."""
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -94,4 +95,6 @@
         seconds = float(values[0])
     except ValueError:
         return DEFAULT_RETRY_AFTER_S
+    if math.isnan(seconds):
+        return DEFAULT_RETRY_AFTER_S
     return min(max(seconds, 0.0), MAX_RETRY_AFTER_S)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -339,6 +339,8 @@
             (build_response(429, b"", "Retry-After: 2"), PermitDelayed(retry_after_s=2.0)),
             (build_response(429, b"", "Retry-After: -2"), PermitDelayed(retry_after_s=0.0)),
             (build_response(429, b"", "Retry-After: x"), PermitDelayed(retry_after_s=5.0)),
+            (build_response(429, b"", "Retry-After: nan"), PermitDelayed(retry_after_s=5.0)),
+            (build_response(429, b"", "Retry-After: inf"), PermitDelayed(retry_after_s=600.0)),
             (build_response(500), Unknown(reason="status 500")),
             (build_response(404), Unavailable(reason="status 404")),
         ]
