Count failed sends of an agent apart from full queues

Cause: PeerSocket counted every error of its sockets as unsent, so that a host with an invalid address looked like one with a full queue, without a log line. Change: only a full queue is unsent; other errors are counted as failed, with a log message for the 1st, 2nd, 4th, ... and a direction of their own in greengage_agent_messages_total.

Test: test_an_invalid_address_is_not_counted_as_a_full_queue failed before: no count of failures; a run of its three sends gave unsent = 3.

--- a/greengagestage/agent/_metrics.py
+++ b/greengagestage/agent/_metrics.py
@@ -74,5 +74,6 @@
     messages.add_metric([side, "sent"], counts.sent_messages)
     messages.add_metric([side, "received"], counts.received_messages)
     messages.add_metric([side, "unsent"], counts.unsent)
+    messages.add_metric([side, "failed"], counts.failed)
     sizes.add_metric([side, "sent"], counts.sent_bytes)
     sizes.add_metric([side, "received"], counts.received_bytes)
--- a/greengagestage/wire/_counts.py
+++ b/greengagestage/wire/_counts.py
@@ -13,8 +13,8 @@
     """Messages and bytes of one socket since its start.
 
     Attributes:
-        unsent: Messages that the socket did not accept, usually because its queue was full. A
-            ``PeerSocket`` also counts all other errors of its socket here.
+        unsent: Messages that the socket did not accept because its queue was full.
+        failed: Messages that were not sent because of another error, such as an invalid address.
         dropped: Received messages that failed a check, and messages that were not sent because
             they are too large, by result code.
     """
@@ -24,6 +24,7 @@
     received_messages: int = 0
     received_bytes: int = 0
     unsent: int = 0
+    failed: int = 0
     dropped: Counter[ResultCode] = field(default_factory=Counter)
 
     def count_sent(self, size: int) -> None:
@@ -43,5 +44,15 @@
         """
         self.dropped[code] += 1
         count = self.dropped[code]
-        if count & (count - 1) == 0:
+        if _is_power_of_two(count):
             log_message("wire: message dropped", code=code.value, reason=code.name, count=count)
+
+    def count_failed(self, address: str, reason: str) -> None:
+        """Count a message that was not sent because of an error; logs the 1st, 2nd, 4th, ..."""
+        self.failed += 1
+        if _is_power_of_two(self.failed):
+            log_message("wire: message not sent", address=address, reason=reason, count=self.failed)
+
+
+def _is_power_of_two(count: int) -> bool:
+    return count & (count - 1) == 0
--- a/greengagestage/wire/_peer_socket.py
+++ b/greengagestage/wire/_peer_socket.py
@@ -77,8 +77,10 @@
             return
         try:
             self._get_sender(address).send(frame, block=False)
-        except pynng.exceptions.NNGException:
+        except pynng.TryAgain:
             self.counts.unsent += 1
+        except pynng.NNGException as error:
+            self.counts.count_failed(address, str(error))
         else:
             self.counts.count_sent(len(frame))
 
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -382,6 +382,14 @@
     assert first.counts.unsent > 0
 
 
+def test_an_invalid_address_is_not_counted_as_a_full_queue(peers: PeerSockets) -> None:
+    socket, _ = peers.start("host-1", ("key",))
+    for address in ("not an address", "", "not an address"):
+        socket.send(address, GOSSIP)
+    counts = socket.counts
+    assert (counts.failed, counts.unsent, counts.sent_messages) == (3, 0, 0)
+
+
 def test_live_hosts_stay_unknown_until_hosts_could_be_discovered() -> None:
     clock = Clock()
     fleet = MembershipFleet(size=1)
