Keep the runs of every crash of a stand-in

Cause: a stand-in wrote its ledger over the file of its last crash, so that after the second crash of a restarted engine its earlier runs were missing from what the tests check. Change: it adds its runs to the file, services too; a new fleet in the same directory begins without files.

Test: test_runs_survive_every_crash_of_a_restarted_engine failed before: a3 in place of a1, a2 and a3.

--- a/standins/_engine.py
+++ b/standins/_engine.py
@@ -27,7 +27,7 @@
         cache_tokens: Capacity of the prefix cache.
         event_lag_s: Delay before a cache event is published.
         event_gap_share: Fraction of cache events that are never published.
-        ledger_file: File that the ledger is written to when the engine crashes.
+        ledger_file: File that the ledger is added to when the engine crashes.
     """
 
     models: tuple[str, ...]
@@ -82,7 +82,7 @@
     def crash(self) -> None:
         """Exit the process without cleanup, so that open connections break."""
         if self.settings.ledger_file is not None:
-            self.ledger.write(self.settings.ledger_file)
+            self.ledger.append_to(self.settings.ledger_file)
         os._exit(CRASH_EXIT_CODE)
 
     def submit(
--- a/standins/_fleet.py
+++ b/standins/_fleet.py
@@ -73,6 +73,8 @@
     def launch_upstreams(self) -> None:
         """Start the platform and every upstream without waiting until they listen."""
         self.directory.mkdir(parents=True, exist_ok=True)
+        for ledger_file in self.directory.glob("*.ledger"):
+            ledger_file.unlink()
         self._add_standin(PLATFORM, "platform", *self.shape.platform_options)
         for engine in self.shape.engines:
             self._add_standin(
--- a/standins/_ledger.py
+++ b/standins/_ledger.py
@@ -59,6 +59,9 @@
         """Return all runs."""
         return LedgerPage(runs=self._runs)
 
-    def write(self, path: Path) -> None:
-        """Write all runs to a file, so that they survive a crash of the process."""
-        path.write_bytes(msgspec.json.encode(self.build_page()))
+    def append_to(self, path: Path) -> None:
+        """Add all runs to a file, so that they survive this and later crashes of the process."""
+        runs = self._runs
+        if path.exists():
+            runs = msgspec.json.decode(path.read_bytes(), type=LedgerPage).runs + runs
+        path.write_bytes(msgspec.json.encode(LedgerPage(runs=runs)))
--- a/standins/_service_routes.py
+++ b/standins/_service_routes.py
@@ -41,7 +41,7 @@
     def _set_fault(self, fault: Fault) -> None:
         if fault.kind is FaultKind.CRASH:
             if self._ledger_file is not None:
-                self._ledger.write(self._ledger_file)
+                self._ledger.append_to(self._ledger_file)
             os._exit(CRASH_EXIT_CODE)
         self._faults.set(fault)
         if self._faults.is_active(FaultKind.FREEZE):
--- a/tests/test_standin_parts.py
+++ b/tests/test_standin_parts.py
@@ -1,11 +1,17 @@
 """The components of the stand-ins, tested in one process."""
 
+import os
+import sys
+from pathlib import Path
 from typing import Any
 
 import msgspec
+import pytest
 
 from standins._batch import Batch, Sequence, StepCosts
+from standins._engine import Engine, EngineSettings
 from standins._lagging_load import LaggingLoad
+from standins._ledger import LedgerPage, Run
 from standins._output import VOCABULARY, analyze_prompt, compute_output, decode_tokens, pick_token
 from standins._prefix_cache import PrefixCache
 from standins._row_tables import RowTables
@@ -147,3 +153,21 @@
     page = msgspec.json.decode(reply.body)
     assert [row["Key"] for row in page["Rows"]] == ["a/1", "a/2"]
     assert page["HasMore"]
+
+
+def _crash_engine(ledger_file: Path, attempt_id: str) -> None:
+    engine = Engine(settings=EngineSettings(models=("small",), ledger_file=ledger_file))
+    engine.ledger.add(Run(request_id="r", attempt_id=attempt_id))
+    with pytest.raises(SystemExit):
+        engine.crash()
+
+
+def test_runs_survive_every_crash_of_a_restarted_engine(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(os, "_exit", sys.exit)
+    ledger_file = tmp_path / "engine.ledger"
+    for attempt_id in ("a1", "a2", "a3"):
+        _crash_engine(ledger_file, attempt_id)
+    page = msgspec.json.decode(ledger_file.read_bytes(), type=LedgerPage)
+    assert [run.attempt_id for run in page.runs] == ["a1", "a2", "a3"]
