Check that crashes are free of the retry budget

Cause: the test of the retry budget lets attempts time out and never crashes an upstream: with the exemption of a first loss removed, all tests of the policy passed. Change, tests only: with a spent budget, requests lost in a crash are delivered, and a second loss is refused.

Tests: test_requests_lost_in_a_crash_are_delivered_without_a_retry_budget fails in both cases without the exemption, test_the_second_loss_of_a_request_uses_the_retry_budget in both if every loss is exempt. A second loss of kind LOST is not used there: it ends in quarantine.

--- a/tests/test_policy_faults.py
+++ b/tests/test_policy_faults.py
@@ -197,6 +197,51 @@
     assert {host.code(f"r{n}") for n in range(20)} == {None}
 
 
+def spend_retry_budget(host: Host) -> None:
+    """Let requests time out until one is refused because the budget is spent."""
+    names = [f"spent{n}" for n in range(6)]
+    for name in names:
+        host.arrive(name)
+    for name in names:
+        host.fail(host.dispatches(name)[0].attempt_id, FailureKind.SILENT)
+    assert host.code(names[-1]) == "UPSTREAM_SILENT"
+    for name in names[:-1]:
+        host.finish(host.dispatches(name)[1].attempt_id)
+
+
+@pytest.mark.parametrize("kind", [FailureKind.LOST, FailureKind.INCOMPLETE])
+def test_requests_lost_in_a_crash_are_delivered_without_a_retry_budget(kind: FailureKind) -> None:
+    classes = [build_class("desk", retry_ratio=0.0, queue_limit=100)]
+    host = Host(build_declaration(engines=3, slots=8, classes=classes))
+    spend_retry_budget(host)
+    names = [f"r{n}" for n in range(12)]
+    for name in names:
+        host.arrive(name)
+    crashed = host.dispatches("r0")[0].upstream
+    lost = [name for name in names if host.dispatches(name)[0].upstream == crashed]
+    assert len(lost) >= 3
+    for name in lost:
+        host.fail(host.dispatches(name)[0].attempt_id, kind)
+    assert {host.code(name) for name in lost} == {None}
+    for _ in lost:
+        for name in names:
+            if host.code(name) is None and host.dispatches(name)[-1].upstream != crashed:
+                host.finish(host.dispatches(name)[-1].attempt_id)
+    assert {host.code(name) for name in lost} == {"DELIVERED"}
+
+
+@pytest.mark.parametrize("first", [FailureKind.LOST, FailureKind.INCOMPLETE])
+def test_the_second_loss_of_a_request_uses_the_retry_budget(first: FailureKind) -> None:
+    classes = [build_class("desk", retry_ratio=0.0, queue_limit=100)]
+    host = Host(build_declaration(engines=4, slots=8, classes=classes))
+    spend_retry_budget(host)
+    host.arrive("twice")
+    for kind in (first, FailureKind.INCOMPLETE):
+        host.fail(host.dispatches("twice")[-1].attempt_id, kind)
+    assert len(host.dispatches("twice")) == 2
+    assert host.code("twice") == "ANSWER_INCOMPLETE"
+
+
 def test_errors_of_one_workspace_eject_no_upstream_and_errors_of_several_do() -> None:
     workspaces = [build_workspace(f"w{n}") for n in range(4)]
     host = Host(build_declaration(engines=2, slots=8, workspaces=workspaces))
