Leave a pooled connection to the request that uses it

What callers saw: a request got no answer until its deadline although its upstream had answered, or its upstream's run was cut off.

Cause: an attempt kept its connection after the answer had ended, when the pool may already have given it to another request. If the first request's caller left, its deadline came or the host stopped, the other request's connection was closed and its exchange never told. And an answer over 64 KiB, or the end of a stream to a slow caller, paused the connection just as it went back to the pool, where nobody resumed it: the next answer on it was never read.

Change: an attempt gives up its connection when its response ends or fails; a connection is read again before it becomes idle; a detached attempt is read to its end.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -163,6 +163,7 @@
     def detach(self) -> None:
         """Let the upstream finish; the listener gets no further events."""
         self._listener = None
+        self.resume()
 
     def pause(self) -> None:
         """Stop reading the response."""
@@ -195,7 +196,8 @@
             self._listener.attempt_body_received(self, data)
 
     def end_response(self) -> None:
-        """Settle the attempt after the end of an answer."""
+        """Settle the attempt after the end of an answer; its connection may now serve another."""
+        self._connection = None
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_ended(self)
@@ -237,6 +239,7 @@
         self._context.router.record_data(self.plan.attempt_id, instance, now_s)
 
     def _fail(self, fault: AttemptFault) -> None:
+        self._connection = None
         self._settle(_END_BY_FAULT[fault])
         listener, self._listener = self._listener, None
         if listener is not None:
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -118,6 +118,7 @@
         self._codec = _create_codec()
         self._dropping_response = False
         self._closed = False
+        self._paused = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since_s = 0.0
 
@@ -155,12 +156,14 @@
 
     def pause(self) -> None:
         """Stop reading until ``resume`` is called."""
-        if not self._closed:
+        if not self._closed and not self._paused:
+            self._paused = True
             self.transport.pauseProducing()
 
     def resume(self) -> None:
         """Continue reading."""
-        if not self._closed:
+        if not self._closed and self._paused:
+            self._paused = False
             self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:
@@ -258,6 +261,7 @@
             self.close()
             return
         codec.start_next_cycle()
+        self.resume()  # the end may have been read together with the part at which it was paused
         self._idle_since_s = self._seconds()
         self._on_idle(self)
 
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -112,6 +112,19 @@
     upstream.hanging.append(responder)
 
 
+def delay(delay_s: float, behavior: Behavior) -> Behavior:
+    """Return a behavior that acts later, unless the host has closed the connection by then."""
+
+    def behave(upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder) -> None:
+        def act() -> None:
+            if not upstream.disconnects:
+                behavior(upstream, request, responder)
+
+        upstream.reactor.callLater(delay_s, act)
+
+    return behave
+
+
 def answer_unidentified(
     upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder
 ) -> None:
--- /dev/null
+++ b/tests/test_upstream_connections.py
@@ -0,0 +1,99 @@
+"""Use of the connections to upstreams by one request after the other, over loopback sockets."""
+
+import pytest
+
+from greengagestage.routing import Waiting
+
+from . import host_harness as harness
+from .host_harness import EVENTS, HostFleet, running_fleet
+
+
+@pytest.fixture
+def fleet():
+    with running_fleet() as running:
+        yield running
+
+
+def start(fleet: HostFleet):
+    process = fleet.start_host()
+    fleet.wait_ready()
+    return process
+
+
+# Guards against a request that closes a pooled connection on which another one is under way.
+# The first case is a control: the caller of the waiting request stays.
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_request_does_not_close_the_connection_of_another_one(
+    fleet: HostFleet, leaves: bool
+) -> None:
+    upstream = fleet.add_upstream("one", service="engines", behavior=harness.fail)
+    process = start(fleet)
+    place = process._router.place
+
+    def place_or_wait(job, now_s, tried=frozenset()):
+        return Waiting(delay_s=0.1, reason="busy") if tried else place(job, now_s, tried)
+
+    process._router.place = place_or_wait
+    caller = fleet.connect(harness.build_request("/short/x", deadline_ms=10_000))
+    fleet.run_until(lambda: bool(upstream.requests))
+    fleet.run_for(0.1)
+    upstream.behavior = harness.delay(0.5, harness.serve)
+    other = fleet.connect(harness.build_request("/long/x", attempt="a2"))
+    fleet.run_until(lambda: len(upstream.requests) == 2)
+    if leaves:
+        caller.transport.abortConnection()
+    fleet.run_until(lambda: other.is_complete or other.closed)
+    assert (other.status, other.body) == (200, b"".join(EVENTS))
+    assert process._pool.opened == 1
+
+
+# Guards against a pooled connection that stays paused and is never read again.
+@pytest.mark.parametrize("size", [10_000, 70_000, 500_000])
+def test_a_connection_is_read_again_after_a_large_answer(fleet: HostFleet, size: int) -> None:
+    def answer_large(upstream, request, responder) -> None:
+        responder.answer(200, harness.build_identity_headers(request), b"x" * size)
+
+    upstream = fleet.add_upstream("one", behavior=answer_large)
+    start(fleet)
+    assert len(fleet.call("/order/x").body) == size
+    upstream.behavior = harness.serve
+    caller = fleet.call("/order/x", attempt="a2")
+    assert len(upstream.requests) == 2
+    assert caller.status == 200
+
+
+# The same after a stream whose end arrives while its caller reads too slowly.
+def test_a_connection_is_read_again_after_a_stream_to_a_slow_caller(fleet: HostFleet) -> None:
+    event = b"id: 1\ndata: " + b"x" * 100_000 + b"\n\n"
+
+    def stream_large(upstream, request, responder) -> None:
+        responder.begin(200, harness.build_identity_headers(request))
+        for _ in range(30):
+            responder.write(event)
+        responder.finish()
+
+    upstream = fleet.add_upstream("one", service="engines", behavior=stream_large)
+    start(fleet)
+    assert len(fleet.call("/long/x").body) == 30 * len(event)
+    upstream.behavior = harness.serve
+    caller = fleet.call("/long/x", attempt="a2")
+    assert len(upstream.requests) == 2
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+
+
+# Guards against an upstream that can never finish a request, since its caller left while paused.
+def test_a_detached_upstream_is_read_to_its_end(fleet: HostFleet) -> None:
+    def answer_large(upstream, request, responder) -> None:
+        responder.answer(200, harness.build_identity_headers(request), b"x" * 30_000_000)
+
+    upstream = fleet.add_upstream("one", behavior=answer_large)
+    start(fleet)
+    caller = fleet.connect(harness.build_request("/order/x"))
+    caller.transport.pauseProducing()
+    fleet.run_until(lambda: bool(upstream.requests))
+    fleet.run_for(0.7)
+    caller.transport.abortConnection()
+    fleet.run_for(1.0)
+    (connection,) = upstream.port.factory.connections
+    transport = connection.transport
+    assert len(transport.dataBuffer) - transport.offset + transport._tempDataLen == 0
