Give up a silent upstream only for one that answers

What callers saw: a stream whose upstream paused was cut although the upstream went on, if the second upstream accepted the request and then failed, refused late or never answered. A complete error answer of an upstream was replaced by the host's own if no other upstream could be asked.

Change: the successor takes over only with its answer's head, which an upstream sends when it begins to run a request, so that two upstreams still do not run one stream at the same time for 0.4 s. An error answer is given up only once the request is placed elsewhere; a successor that is under way takes over from an upstream that ends with an error. Refused successors do not use up the sends that a lost upstream needs. A request that waits is sent again only while its route allows another run.

--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -56,7 +56,7 @@
 
     Each attempt is at most one ``http1.Exchange`` on a connection to an upstream. A silent upstream
     may be sound and go on at any time. Its attempt is therefore kept until a second one, the
-    successor, has been accepted by another upstream, and the successor is dropped if the first
+    successor, is being answered by another upstream, and the successor is dropped if the first
     upstream goes on before that.
     """
 
@@ -69,7 +69,7 @@
         self._route = inputs.job.route
         self._responder = responder
         self._attempt: Attempt | None = None
-        self._handover = Handover(reactor=context.reactor, on_accepted=self._promote_successor)
+        self._handover = Handover()
         self._paused = False
         self._limits = SendLimits(job=inputs.job, router=context.router)
         self._last_fault: AttemptFault | None = None
@@ -164,8 +164,6 @@
             waited_s = self._now_s - self._job.arrived_s
             self._request_timer.observe(Timing.QUEUE_WAIT, waited_s)
         self._limits.possible_runs += 1
-        if attempt is self._handover.successor and self._route.kind is RouteKind.STREAM:
-            self._handover.await_refusal()
         workspace = self._inputs.workspace
         metadata = UpstreamRequestMetadata(
             instance=attempt.plan.placement.upstream.instance,
@@ -220,12 +218,12 @@
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Deliver a complete answer, or retry if the upstream answered with a server error."""
+        self._attempt = None
+        self._silence.stop()
         head = self._delivery.head
         if head is not None and head.status >= 500:
             attempt.settle_early(AttemptEnd.FAILED)
-            if not self._delivery.begun and self._limits.try_acquire_retry(self._now_s):
-                self._delivery.discard_undelivered()
-                self._send_next()
+            if self._replace_error(attempt):
                 return
         if self._delivery.finish():
             self._conclude(ResultCode.DELIVERED)
@@ -243,7 +241,10 @@
 
     def _send_next(self) -> None:
         now_s = self._now_s
-        if self._context.losses.is_quarantined(self._inputs.fingerprint, now_s):
+        if self._limits.may_have_run and not self._limits.has_runs_left:
+            self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
+            return
+        if self._is_quarantined:
             may_have_run = self._limits.may_have_run
             code = ResultCode.CRASHED_UPSTREAMS if may_have_run else ResultCode.QUARANTINED
             self._refuse(Refusal(code=code))
@@ -304,10 +305,6 @@
             return False
         return self._limits.try_acquire_resend(fault, self._now_s)
 
-    def _may_run_again(self) -> bool:
-        """Whether the request, whose answer may have begun, can run at another upstream."""
-        return self._delivery.can_restart and self._limits.may_run_again(self._now_s)
-
     def _refuse_unplaced(self, refused: Refused) -> None:
         if self._limits.may_have_run or self._delivery.begun:
             self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
@@ -349,22 +346,49 @@
 
     def _handle_silence(self) -> None:
         """Send the request to another upstream too, if that one may run it."""
-        if self._attempt is None or not self._may_run_again():
+        if self._attempt is None or self._handover.successor is not None:
             return
-        now_s = self._now_s
-        if self._context.losses.is_quarantined(self._inputs.fingerprint, now_s):
+        if not self._delivery.can_restart or not self._limits.may_have_successor(self._now_s):
             return
+        placement = self._place_elsewhere()
+        if placement is None:
+            self._silence.start(SUCCESSOR_RETRY_S)
+        else:
+            self._handover.begin(self._create_attempt(placement))
+
+    def _replace_error(self, attempt: Attempt) -> bool:
+        """Ask another upstream in place of one that answered with an error, if there is one."""
+        if self._handover.successor is not None:
+            self._record_fault(attempt, AttemptFault.FAILED)
+            self._promote_successor()
+            return True
+        if self._delivery.begun or not self._limits.may_run_again(self._now_s):
+            return False
+        placement = self._place_elsewhere()
+        if placement is None:
+            return False
+        self._delivery.discard_undelivered()
+        self._send_to(placement)
+        return True
+
+    def _place_elsewhere(self) -> Placement | None:
+        """Place the request at another upstream if there is room and a retry is allowed."""
+        now_s = self._now_s
+        if self._is_quarantined:
+            return None
         router = self._context.router
         placed = router.place(self._job, now_s, self._limits.tried)
         if not isinstance(placed, Placement):
-            self._silence.start(SUCCESSOR_RETRY_S)
-            return
+            return None
         if not self._limits.try_spend_retry(now_s):
             instance = placed.upstream.instance
             router.record_end(self._job.attempt_id, instance, AttemptEnd.CANCELLED, now_s)
-            self._silence.start(SUCCESSOR_RETRY_S)
-            return
-        self._handover.begin(self._create_attempt(placed))
+            return None
+        return placed
+
+    @property
+    def _is_quarantined(self) -> bool:
+        return self._context.losses.is_quarantined(self._inputs.fingerprint, self._now_s)
 
     def _promote_successor(self) -> None:
         """Give up the silent upstream: the successor alone answers from now on."""
@@ -384,6 +408,8 @@
     def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._handover.take()
         self._record_fault(attempt, fault)
+        if fault.proves_not_run:
+            self._limits.record_refused_successor()
         self._silence.start(SUCCESSOR_RETRY_S)
 
     # Final answer.
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -9,6 +9,10 @@
 """Maximum number of attempts to send one request, including those that provably did not run it.
 ``Route.max_attempts`` limits only the attempts that may have run it."""
 
+MAX_REFUSED_SUCCESSORS = 3
+"""Number of refusals after which no further upstream is asked in addition to a silent one. They do
+not count as sends, so that the request can still be sent elsewhere if the silent one is lost."""
+
 MIN_TIME_FOR_RETRY_S = 0.03
 """No retry is started with less time left than this: plain answers take about 20 ms."""
 
@@ -26,6 +30,7 @@
         self.tried: frozenset[InstanceId] = frozenset()
         self.sends = 0
         self.possible_runs = 0
+        self._refused_successors = 0
         self._job = job
         self._router = router
 
@@ -49,9 +54,13 @@
         """Whether a request that may have run, or may be running, can be sent again."""
         return self.has_runs_left and self._may_send(now_s)
 
-    def try_acquire_retry(self, now_s: float) -> bool:
-        """Return whether a request that may have run can be sent again; count a retry if so."""
-        return self.may_run_again(now_s) and self.try_spend_retry(now_s)
+    def may_have_successor(self, now_s: float) -> bool:
+        """Whether the request may be sent to a second upstream while the first one is silent."""
+        return self.may_run_again(now_s) and self._refused_successors < MAX_REFUSED_SUCCESSORS
+
+    def record_refused_successor(self) -> None:
+        """Count a second upstream that has provably not run the request."""
+        self._refused_successors += 1
 
     def try_acquire_resend(self, fault: AttemptFault, now_s: float) -> bool:
         """Return whether a request can be sent again after a fault; count it as a retry if so.
@@ -64,7 +73,7 @@
             return not self.may_have_run or self._job.route.is_retryable
         if fault.proves_not_run:
             return self.try_spend_retry(now_s)
-        return self.try_acquire_retry(now_s)
+        return self.has_runs_left and self.try_spend_retry(now_s)
 
     def try_spend_retry(self, now_s: float) -> bool:
         """Return whether the retry budget allows another send; count a retry if so."""
@@ -72,4 +81,4 @@
 
     def _may_send(self, now_s: float) -> bool:
         has_time = self._job.deadline_s - now_s >= MIN_TIME_FOR_RETRY_S
-        return has_time and self.sends < MAX_SENDS
+        return has_time and self.sends - self._refused_successors < MAX_SENDS
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -112,15 +112,89 @@
 
 
 # Guards against two upstreams that work on one stream for long.
-def test_a_silent_upstream_is_given_up_once_another_one_has_accepted(fleet: HostFleet) -> None:
+def test_a_silent_upstream_is_given_up_once_another_one_answers(fleet: HostFleet) -> None:
     caller, first, second = start_stream(fleet, pause_after(2, 60.0), harness.hang)
     fleet.run_until(lambda: bool(second.hanging))
-    accepted_s = fleet.reactor.seconds()
+    fleet.run_for(0.4)
+    assert first.disconnects == 0
+    second.hanging[0].begin(200, harness.build_identity_headers(second.requests[0]))
+    answered_s = fleet.reactor.seconds()
     fleet.run_until(lambda: first.disconnects == 1)
-    assert fleet.reactor.seconds() - accepted_s < 0.4
+    assert fleet.reactor.seconds() - answered_s < 0.4
     assert not caller.closed
 
 
+# Guards against a live upstream that is given up because its successor has not refused yet.
+@pytest.mark.parametrize("events", [0, 2])
+@pytest.mark.parametrize("other", [harness.refuse, harness.fail, harness.reset])
+def test_a_stream_survives_a_successor_that_fails_late(
+    fleet: HostFleet, events: int, other: harness.Behavior
+) -> None:
+    behavior = pause_after(events, 1.9)
+    caller, first, second = start_stream(fleet, behavior, harness.delay(0.3, other))
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert second.requests
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+    assert first.disconnects == 0
+
+
+# Guards against a live upstream that is given up for one that accepts connections only.
+def test_a_stream_survives_a_successor_that_never_answers(fleet: HostFleet) -> None:
+    caller, _, second = start_stream(fleet, pause_after(2, 1.9), harness.hang)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert second.requests
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+
+
+# Guards against a live second upstream that is dropped for the first one's late error.
+def test_a_live_successor_is_kept_if_the_first_answer_is_an_error(fleet: HostFleet) -> None:
+    def fail_slowly(upstream, request, responder) -> None:
+        responder.begin(500, harness.build_identity_headers(request))
+        upstream.reactor.callLater(0.5, responder.finish)
+
+    upstreams = [fleet.add_upstream(name, behavior=fail_slowly) for name in ("one", "two")]
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.connect(harness.build_request("/lookup/x"))
+    fleet.run_until(lambda: any(upstream.requests for upstream in upstreams))
+    _, second = sorted(upstreams, key=lambda upstream: not upstream.requests)
+    second.behavior = harness.delay(0.4, harness.serve)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert second.requests
+    assert caller.status == 200
+
+
+# Guards against refused successors that use up the sends of a request whose upstream is then lost.
+@pytest.mark.parametrize("refusing", [1, 3])
+def test_refused_successors_leave_a_send_for_a_lost_upstream(
+    fleet: HostFleet, refusing: int
+) -> None:
+    def lose(upstream, request, responder) -> None:
+        responder.begin(200, harness.build_identity_headers(request))
+        responder.write(EVENTS[0] + EVENTS[1])
+        upstream.reactor.callLater(2.3, responder.abort)
+
+    def refuse_first(upstream, request, responder) -> None:
+        refused.append(upstream.name)
+        answer = harness.refuse if len(refused) <= refusing else harness.serve
+        answer(upstream, request, responder)
+
+    refused: list[str] = []
+    upstreams = [
+        fleet.add_upstream(f"u{number}", service="engines", behavior=lose) for number in range(5)
+    ]
+    routes = [{**route, "TimeoutMs": 10_000} for route in harness.ROUTES]
+    fleet.store.put("op", "config", harness.build_document(Routes=routes))
+    fleet.start_host(retry_ratio=1.0, retry_slack=100.0)
+    fleet.wait_ready()
+    caller = fleet.connect(harness.build_request("/short/x", deadline_ms=10_000))
+    fleet.run_until(lambda: any(upstream.requests for upstream in upstreams))
+    for upstream in upstreams:
+        upstream.behavior = refuse_first
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert (caller.status, caller.body) == (200, b"".join(EVENTS))
+
+
 def test_a_second_upstream_is_dropped_if_the_first_one_goes_on(fleet: HostFleet) -> None:
     caller, first, second = start_stream(fleet, pause_after(2, 1.5), harness.hang)
     fleet.run_until(lambda: caller.is_complete or caller.closed)
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -97,3 +97,35 @@
     (connection,) = upstream.port.factory.connections
     transport = connection.transport
     assert len(transport.dataBuffer) - transport.offset + transport._tempDataLen == 0
+
+
+# Guards against an upstream's own answer that is dropped before another one can be had.
+def test_an_upstreams_own_error_is_kept_if_no_other_upstream_is_left(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=harness.fail)
+    start(fleet)
+    caller = fleet.call("/lookup/x")
+    assert (caller.status, caller.body) == (500, b"broken")
+
+
+# Guards against more runs than the route allows, while a request waits after an error.
+def test_a_waiting_request_is_not_sent_twice_at_once(fleet: HostFleet) -> None:
+    upstreams = [
+        fleet.add_upstream(name, service="engines", behavior=harness.fail)
+        for name in ("one", "two", "three", "four")
+    ]
+    process = start(fleet)
+    place = process._router.place
+
+    def place_late(job, now_s, tried=frozenset()):
+        if tried and now_s - job.arrived_s < 1.395:
+            return Waiting(delay_s=0.1, reason="busy")
+        return place(job, now_s, tried)
+
+    process._router.place = place_late
+    caller = fleet.connect(harness.build_request("/short/x", deadline_ms=10_000))
+    fleet.run_until(lambda: any(upstream.requests for upstream in upstreams))
+    for upstream in upstreams:
+        upstream.behavior = harness.delay(0.3, harness.serve)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    sends = sum(len(upstream.requests) for upstream in upstreams)
+    assert (caller.status, sends) in ((200, 2), (500, 1))
