Let the store's answers take as long as they keep arriving

Cause: a call to the store had 0.7 s in all. Half a megabyte takes longer on a link of 10 Mbit/s, so the call was aborted and begun anew without end, which also kept the link full.

Change: the limit holds for the begin of an answer and for each further part of it.

Measured: the new test of an answer of five parts 0.6 s apart failed before.

--- a/greengagestage/platform/_store_calls.py
+++ b/greengagestage/platform/_store_calls.py
@@ -18,8 +18,10 @@
 from greengagestage.outcomes import Unavailable, Unknown
 
 CALL_TIMEOUT_S = 0.7
-"""Time limit for a call, in addition to the time that a watch waits. The store usually answers in
-4 ms, and in 240 ms when it is sixty times slower."""
+"""Time limit for the begin of an answer, in addition to the time that a watch waits, and for each
+further part of it. The store usually answers in 4 ms, and in 240 ms when it is sixty times slower.
+The transfer of a large answer, like a configuration with many routes, takes seconds on a slow
+link."""
 
 MAX_IDLE_S = 30.0
 """Idle time from which a connection is not reused; the store may close it at any time. The idle
@@ -81,6 +83,7 @@
             pool=self._pool,
             endpoint=self._endpoint,
             timeout_s=wait_s + self._timeout_s,
+            part_timeout_s=self._timeout_s,
         )
         if self._in_flight >= MAX_CALLS_IN_FLIGHT:
             call.finish(Unavailable(reason="too many calls in flight"))
@@ -116,10 +119,21 @@
 
 
 class _Call:
-    """One request to the store and its complete response."""
+    """One request to the store and its complete response.
+
+    Args:
+        timeout_s: Time limit for the begin of the response.
+        part_timeout_s: Time limit for each further part of it.
+    """
 
     def __init__(
-        self, *, reactor: Any, pool: ConnectionPool, endpoint: Endpoint, timeout_s: float
+        self,
+        *,
+        reactor: Any,
+        pool: ConnectionPool,
+        endpoint: Endpoint,
+        timeout_s: float,
+        part_timeout_s: float,
     ) -> None:
         self.done: Deferred[CallOutcome] = Deferred()
         self._endpoint = endpoint
@@ -128,6 +142,7 @@
         self._status = 0
         self._parts: list[bytes] = []
         self._size = 0
+        self._part_timeout_s = part_timeout_s
         self._timer = reactor.callLater(timeout_s, self._time_out)
 
     def start(self, request: OutgoingRequest) -> None:
@@ -153,6 +168,7 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Record the status."""
         self._status = head.status
+        self._await_next_part()
 
     def receive_body(self, data: bytes) -> None:
         """Buffer the next bytes of the body; abort the call if the body exceeds the limit."""
@@ -161,6 +177,7 @@
             self._abort("the answer is too large")
             return
         self._parts.append(data)
+        self._await_next_part()
 
     def end_response(self) -> None:
         """End the call with the complete response."""
@@ -177,6 +194,10 @@
         self._connection = connection
         connection.send(exchange)
 
+    def _await_next_part(self) -> None:
+        if self._timer.active():
+            self._timer.reset(self._part_timeout_s)
+
     def _time_out(self) -> None:
         if self._connection is None:
             self.finish(Unavailable(reason="not connected in time"))
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -8,11 +8,13 @@
 from twisted.internet import reactor
 from twisted.internet.defer import gatherResults, inlineCallbacks
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import Clock
 from twisted.trial.unittest import TestCase
 
+from greengagestage.http1 import ConnectionPool, Endpoint, ResponseHead
 from greengagestage.outcomes import Unavailable, Unknown
 from greengagestage.platform import AlreadyStored, ObjectClient, ObjectMissing, Stored
-from greengagestage.platform._store_calls import MAX_ANSWER_BYTES
+from greengagestage.platform._store_calls import MAX_ANSWER_BYTES, StoreAnswer, _Call
 from greengagestage.services import (
     PRODUCT_TABLE,
     Check,
@@ -355,3 +357,26 @@
     assert not row.exists
     with pytest.raises(ValueError):
         row.decode(dict[str, int])
+
+
+# Guards against a configuration that is never adopted on a host whose link takes longer to carry it
+# than a call may be without an answer.
+@pytest.mark.parametrize(("pause_s", "completes"), [(0.6, True), (0.8, False)])
+def test_an_answer_may_take_long_while_it_keeps_arriving(pause_s: float, completes: bool) -> None:
+    clock = Clock()
+    call = _Call(
+        reactor=clock,
+        pool=ConnectionPool(reactor=clock),
+        endpoint=Endpoint(address="10.0.0.1", port=80),
+        timeout_s=0.7,
+        part_timeout_s=0.7,
+    )
+    outcomes: list[object] = []
+    call.done.addCallback(outcomes.append)
+    call.receive_head(ResponseHead(status=200, headers=[]))
+    for _ in range(5):
+        clock.advance(pause_s)
+        call.receive_body(b"x")
+    call.end_response()
+    (outcome,) = outcomes
+    assert (outcome == StoreAnswer(status=200, body=b"xxxxx")) is completes
