Linger only after the last answer has arrived

What callers saw: a caller that read slowly got a part of its last answer on a connection, then a reset.

Cause: after an answer with Connection: close, or a refusal of an unread request, the connection was aborted one second after the last write, whether or not the bytes had left the process.

Change: the second starts once the caller has acknowledged all bytes, those in the kernel's send queue included, and the connection is then closed in order. A caller that takes nothing is bounded by the limit for unacknowledged bytes and by the idle timeout. Reading that was paused for pipelined requests goes on while lingering, so that the close finds no unread data.

The two new tests of the server side, on a fake transport, failed before too.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -13,12 +13,15 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import CallerListener, ObservedConnection
-from ._sockets import tune_socket
+from ._sockets import count_unsent_bytes, tune_socket
 from ._types import HeaderList
 
 LINGER_S = 1.0
-"""How long the rest of a refused request is read before the connection is closed. Closing with
-unread data would reset the connection, and the caller could lose the refusal."""
+"""How long a connection is still read after its last answer has arrived. Closing with unread data
+would reset the connection, and the caller could lose the answer."""
+
+SENDING_CHECK_INTERVAL_S = 0.1
+"""Time between two checks whether the last answer has arrived."""
 
 MAX_PIPELINED_BYTES = 65_536
 """Limit for buffered bytes of later requests while one is answered; reading pauses above it."""
@@ -156,6 +159,11 @@
         """Whether no request is being read or answered."""
         return not self._answering and self._incoming is None and not self._ignoring_input
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the caller has not acknowledged yet."""
+        return count_unsent_bytes(self.transport)
+
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes up to the end of one request."""
         if self._ignoring_input:
@@ -214,10 +222,13 @@
         self._ignoring_input = True
         self.transport.abortConnection()
 
-    def _resume_reading(self) -> None:
+    def _unpause_reading(self) -> None:
         if self._paused_reading:
             self._paused_reading = False
             self.transport.resumeProducing()
+
+    def _resume_reading(self) -> None:
+        self._unpause_reading()
         if self._codec.trailing_data[0]:
             self._begin_reading()
             self._read_events()
@@ -306,11 +317,36 @@
         self.transport.loseConnection()
 
     def _linger(self) -> None:
-        """Close the sending side; discard what is received for ``LINGER_S``, then abort."""
+        """Close the sending side, and the connection ``LINGER_S`` after the last byte has arrived.
+
+        What is received meanwhile is discarded.
+        """
         self._ignoring_input = True
+        self._unpause_reading()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._set_timer(LINGER_S, self.transport.abortConnection)
+        self._await_sent(self.unsent_bytes, self.factory.reactor.seconds())
+
+    def _await_sent(self, unsent_bytes: int, progress_s: float) -> None:
+        """Wait while the caller still receives bytes; abort after the idle timeout without any.
+
+        Args:
+            unsent_bytes: Bytes that were unsent at the previous check.
+            progress_s: When that number last decreased.
+        """
+        now_s = self.factory.reactor.seconds()
+        still_unsent = self.unsent_bytes
+        if not still_unsent:
+            self._set_timer(LINGER_S, self.transport.loseConnection)
+            return
+        if still_unsent < unsent_bytes:
+            progress_s = now_s
+        elif now_s - progress_s > self.factory.limits.idle_timeout_s:
+            self.transport.abortConnection()
+            return
+        self._set_timer(
+            SENDING_CHECK_INTERVAL_S, lambda: self._await_sent(still_unsent, progress_s)
+        )
 
     def _limit_pipelining(self) -> None:
         if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES and not self._paused_reading:
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -1,6 +1,9 @@
 """Socket options shared by all connections."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 UNACKNOWLEDGED_LIMIT_MS = 2_500
@@ -16,3 +19,25 @@
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
     if option is not None:
         transport.getHandle().setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_LIMIT_MS)
+
+
+def count_unsent_bytes(transport: Any) -> int:
+    """Return the number of written bytes that the peer has not acknowledged yet; 0 once closed.
+
+    Twisted has no public interface for the size of a transport's buffer.
+    """
+    if not transport.connected:
+        return 0
+    buffered: int = len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+    return buffered + _count_unacknowledged(transport.getHandle())
+
+
+def _count_unacknowledged(handle: socket.socket) -> int:
+    """Return the number of bytes in the kernel's send queue; 0 where it cannot be read."""
+    size = struct.Struct("i")
+    try:
+        answer = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(size.size))
+    except OSError:
+        return 0
+    unacknowledged: int = size.unpack(answer)[0]
+    return unacknowledged
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,5 +1,7 @@
 """Tests of HTTP/1.1 framing, limits and connection reuse on the server and client sides."""
 
+import socket
+
 import h11
 import pytest
 from hypothesis import given
@@ -19,18 +21,27 @@
 )
 from greengagestage.http1._client import DEFAULT_IDLE_S
 
+UNCONNECTED = socket.socket()
+
 
 class Transport(StringTransport):
+    """A transport whose buffer is ``dataBuffer``, which the test sets."""
+
     aborted = False
+    closed = False
+    dataBuffer = b""  # noqa: N815
+    offset = 0
+    _tempDataLen = 0  # noqa: N815
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         pass
 
     def getHandle(self):  # noqa: N802
-        return self
+        return UNCONNECTED
 
-    def setsockopt(self, *arguments: int) -> None:
-        pass
+    def loseConnection(self) -> None:  # noqa: N802
+        super().loseConnection()
+        self.closed = True
 
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.disconnecting = True
@@ -141,6 +152,34 @@
     assert server.transport.disconnecting
 
 
+# Guards against an answer that is cut while its caller still reads it.
+def test_a_connection_is_closed_only_after_its_last_answer_has_arrived() -> None:
+    server = ServerHarness(header_timeout_s=3.0, idle_timeout_s=5.0)
+    server.transport.dataBuffer = b"x" * 100
+    server.receive(HEAD)
+    server.clock.advance(3.1)
+    for unsent in range(99, -1, -1):
+        server.clock.advance(1.0)
+        assert not server.transport.closed
+        server.transport.dataBuffer = b"x" * unsent
+    server.clock.advance(1.0)
+    server.clock.advance(1.1)
+    assert server.transport.closed
+    assert not server.transport.aborted
+
+
+# Guards against a connection that is kept for ever for a caller that reads nothing.
+def test_a_caller_that_reads_nothing_is_disconnected_after_the_idle_timeout() -> None:
+    server = ServerHarness(header_timeout_s=3.0, idle_timeout_s=5.0)
+    server.transport.dataBuffer = b"x"
+    server.receive(HEAD)
+    server.clock.advance(3.1)
+    server.clock.advance(4.9)
+    assert not server.transport.aborted
+    server.clock.advance(0.2)
+    assert server.transport.aborted
+
+
 def test_a_caller_disconnect_is_reported_to_the_listener() -> None:
     server = ServerHarness()
     server.receive(HEAD + b"\r\n")
