Wait at a stop until all answers have been sent

What callers saw: the last answer of a stopping host was cut if its caller read slowly.

Cause: the stop counted open exchanges. An exchange ends with its last write, and the bytes that were still in the transport's buffer went down with the process.

Change: within the grace period, the stop also waits for caller connections with bytes that the process still holds, and logs their number if the period ends first. What the kernel holds outlives the process; only lingering connections wait for that too.

--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -62,8 +62,8 @@
     def begin(self) -> Deferred[None]:
         """Start the shutdown.
 
-        The result fires once the load balancer has had time to remove the host and no request is
-        open any more, or shortly before the grace period ends.
+        The result fires once the load balancer has had time to remove the host, no request is open
+        any more and all answers have been sent, or shortly before the grace period ends.
         """
         if self._done is None:
             self._done = Deferred()
@@ -79,12 +79,17 @@
 
     def _check_open_requests(self) -> None:
         open_requests = len(self._open_exchanges)
+        unsent_answers = self._caller_server.count_sending()
         elapsed_s = self._reactor.seconds() - self._began_s
-        if open_requests and elapsed_s < self.grace_s - GRACE_MARGIN_S:
+        if (open_requests or unsent_answers) and elapsed_s < self.grace_s - GRACE_MARGIN_S:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_open_requests)
             return
-        if open_requests:
-            log_message(message_type="host: grace is over", open_requests=open_requests)
+        if open_requests or unsent_answers:
+            log_message(
+                message_type="host: grace is over",
+                open_requests=open_requests,
+                unsent_answers=unsent_answers,
+            )
             for exchange in list(self._open_exchanges):
                 exchange.stop()
         if self._done is not None and not self._done.called:
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -13,14 +13,14 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import CallerListener, ObservedConnection
-from ._sockets import count_unsent_bytes, tune_socket
+from ._sockets import count_undelivered_bytes, count_unsent_bytes, tune_socket
 from ._types import HeaderList
 
 LINGER_S = 1.0
 """How long a connection is still read after its last answer has arrived. Closing with unread data
 would reset the connection, and the caller could lose the answer."""
 
-SENDING_CHECK_INTERVAL_S = 0.1
+DELIVERY_CHECK_INTERVAL_S = 0.1
 """Time between two checks whether the last answer has arrived."""
 
 MAX_PIPELINED_BYTES = 65_536
@@ -118,6 +118,10 @@
             if connection.idle:
                 connection.transport.loseConnection()
 
+    def count_sending(self) -> int:
+        """Return the number of connections with written bytes that the process still holds."""
+        return sum(connection.unsent_bytes > 0 for connection in self.connections)
+
 
 @dataclass(slots=True, kw_only=True)
 class _PartialRequest:
@@ -161,7 +165,7 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Number of written bytes that the caller has not acknowledged yet."""
+        """Number of written bytes that the process still holds, since the caller reads slowly."""
         return count_unsent_bytes(self.transport)
 
     def dataReceived(self, data: bytes) -> None:
@@ -325,28 +329,27 @@
         self._unpause_reading()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._await_sent(self.unsent_bytes, self.factory.reactor.seconds())
+        undelivered = count_undelivered_bytes(self.transport)
+        self._await_delivery(undelivered, self.factory.reactor.seconds())
 
-    def _await_sent(self, unsent_bytes: int, progress_s: float) -> None:
+    def _await_delivery(self, undelivered: int, progress_s: float) -> None:
         """Wait while the caller still receives bytes; abort after the idle timeout without any.
 
         Args:
-            unsent_bytes: Bytes that were unsent at the previous check.
+            undelivered: Undelivered bytes at the previous check.
             progress_s: When that number last decreased.
         """
         now_s = self.factory.reactor.seconds()
-        still_unsent = self.unsent_bytes
-        if not still_unsent:
+        left = count_undelivered_bytes(self.transport)
+        if not left:
             self._set_timer(LINGER_S, self.transport.loseConnection)
             return
-        if still_unsent < unsent_bytes:
+        if left < undelivered:
             progress_s = now_s
         elif now_s - progress_s > self.factory.limits.idle_timeout_s:
             self.transport.abortConnection()
             return
-        self._set_timer(
-            SENDING_CHECK_INTERVAL_S, lambda: self._await_sent(still_unsent, progress_s)
-        )
+        self._set_timer(DELIVERY_CHECK_INTERVAL_S, lambda: self._await_delivery(left, progress_s))
 
     def _limit_pipelining(self) -> None:
         if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES and not self._paused_reading:
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -22,14 +22,21 @@
 
 
 def count_unsent_bytes(transport: Any) -> int:
-    """Return the number of written bytes that the peer has not acknowledged yet; 0 once closed.
+    """Return the number of written bytes that the process still holds; 0 once closed.
 
     Twisted has no public interface for the size of a transport's buffer.
     """
     if not transport.connected:
         return 0
-    buffered: int = len(transport.dataBuffer) - transport.offset + transport._tempDataLen
-    return buffered + _count_unacknowledged(transport.getHandle())
+    unsent: int = len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+    return unsent
+
+
+def count_undelivered_bytes(transport: Any) -> int:
+    """Return the number of written bytes that the peer has not acknowledged; 0 once closed."""
+    if not transport.connected:
+        return 0
+    return count_unsent_bytes(transport) + _count_unacknowledged(transport.getHandle())
 
 
 def _count_unacknowledged(handle: socket.socket) -> int:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,6 +1,12 @@
 """Slow callers, callers that close halfway and unusual requests, over loopback sockets."""
 
+import socket
+
 import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from greengagestage.gateway import HostProcess
 
 from . import host_harness as harness
 from .host_harness import HostFleet, running_fleet
@@ -15,10 +21,37 @@
         yield running
 
 
+SLOW_ROUTE = harness.build_route("slow", "idempotent", "archive", TimeoutMs=20_000, MaxAttempts=1)
+"""A route whose requests may last longer than a host takes to stop."""
+
+
 def answer_large(upstream, request, responder) -> None:
     responder.answer(200, harness.build_identity_headers(request), b"x" * LARGE)
 
 
+def answer_large_after(delay_s: float) -> harness.Behavior:
+    def behave(upstream, request, responder) -> None:
+        upstream.reactor.callLater(delay_s, answer_large, upstream, request, responder)
+
+    return behave
+
+
+def connect_with_small_buffer(fleet: HostFleet, process: HostProcess):
+    """Return a caller and the host's side of its connection, whose kernel buffer is small."""
+    known = set(process._caller_server.connections)
+    caller = fleet.connect(b"")
+    fleet.run_until(lambda: process._caller_server.connections - known)
+    (connection,) = process._caller_server.connections - known
+    connection.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+    return caller, connection
+
+
+def close_sockets(process: HostProcess) -> None:
+    """Close the callers' sockets, as the reactor does when it stops."""
+    for connection in list(process._caller_server.connections):
+        connection.transport.connectionLost(Failure(ConnectionLost()))
+
+
 # Guards against an answer that is cut because its caller reads slowly.
 def test_a_slow_caller_gets_the_whole_last_answer(fleet: HostFleet) -> None:
     fleet.add_upstream("one", behavior=answer_large)
@@ -31,3 +64,42 @@
     caller.transport.resumeProducing()
     fleet.run_until(lambda: caller.is_complete or caller.closed)
     assert len(caller.body) == LARGE
+
+
+# Guards against a process that ends before its last answer has left it.
+def test_a_stop_waits_until_a_slow_caller_has_its_answer(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=answer_large_after(2.4))
+    fleet.store.put("op", "config", harness.build_document(Routes=[*harness.ROUTES, SLOW_ROUTE]))
+    process = fleet.start_host(stop_grace_s=8.0)
+    fleet.wait_ready()
+    caller, _ = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/slow/x", deadline_ms=10_000))
+    caller.transport.pauseProducing()
+    fleet.run_for(0.1)
+    stopped: list[object] = []
+    process.stop().addCallback(stopped.append)
+    fleet.run_for(3.3)
+    assert not process._context.open_exchanges
+    assert not stopped
+    caller.transport.resumeProducing()
+    fleet.run_until(lambda: bool(stopped))
+    close_sockets(process)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert len(caller.body) == LARGE
+
+
+# Guards against a stop that waits beyond the grace period for a caller that never reads.
+def test_a_stop_waits_for_a_slow_caller_only_until_the_grace_period_ends(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=answer_large_after(2.4))
+    fleet.store.put("op", "config", harness.build_document(Routes=[*harness.ROUTES, SLOW_ROUTE]))
+    process = fleet.start_host(stop_grace_s=4.0)
+    fleet.wait_ready()
+    caller, connection = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/slow/x", deadline_ms=10_000))
+    caller.transport.pauseProducing()
+    began_s = fleet.reactor.seconds()
+    stopped: list[object] = []
+    process.stop().addCallback(stopped.append)
+    fleet.run_until(lambda: bool(stopped))
+    assert 3.5 < fleet.reactor.seconds() - began_s < 4.0
+    assert connection.unsent_bytes
