Close idle connections whose callers read slowly

What callers saw: on a kept connection, a request that was neither answered nor refused. It was sent after the host had closed the connection, which stayed open and was not read.

Cause: the connection was closed while its paused producer was registered. Such a transport stops reading and waits for the producer to finish before it closes, which never happened.

Change: the producer is unregistered first. If the caller has not acknowledged all of its last answer, the connection lingers instead, so that a request that crosses the close cannot reset it and cut the answer. From the close on, received bytes are discarded, also those read in the same turn of the reactor.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -116,7 +116,7 @@
         """Close the connections on which no request has begun."""
         for connection in list(self.connections):
             if connection.idle:
-                connection.transport.loseConnection()
+                connection.close_idle()
 
     def count_sending(self) -> int:
         """Return the number of connections with written bytes that the process still holds."""
@@ -156,7 +156,7 @@
         tune_socket(self.transport)
         self.factory.connections.add(self)
         self.transport.registerProducer(self, True)
-        self._set_timer(self.factory.limits.idle_timeout_s, self._close_idle)
+        self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
 
     @property
     def idle(self) -> bool:
@@ -217,7 +217,7 @@
             self._linger()
             return
         self._codec.start_next_cycle()
-        self._set_timer(self.factory.limits.idle_timeout_s, self._close_idle)
+        self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
         self._resume_reading()
 
     def abort(self) -> None:
@@ -226,6 +226,18 @@
         self._ignoring_input = True
         self.transport.abortConnection()
 
+    def close_idle(self) -> None:
+        """Close the connection, on which no request has begun, once its last answer is delivered.
+
+        A transport with a registered producer that it has paused would never close.
+        """
+        if count_undelivered_bytes(self.transport):
+            self._linger()
+            return
+        self._ignoring_input = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
     def _unpause_reading(self) -> None:
         if self._paused_reading:
             self._paused_reading = False
@@ -317,9 +329,6 @@
     def _refuse_too_slow(self) -> None:
         self._refuse(LimitExceeded.TOO_SLOW)
 
-    def _close_idle(self) -> None:
-        self.transport.loseConnection()
-
     def _linger(self) -> None:
         """Close the sending side, and the connection ``LINGER_S`` after the last byte has arrived.
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -103,3 +103,35 @@
     fleet.run_until(lambda: bool(stopped))
     assert 3.5 < fleet.reactor.seconds() - began_s < 4.0
     assert connection.unsent_bytes
+
+
+# Guards against a connection that is neither read nor closed any more.
+@pytest.mark.parametrize("size", [10_000, LARGE])
+@pytest.mark.parametrize("times_out", [False, True])
+def test_an_idle_connection_is_closed_after_a_slow_caller_has_its_answer(
+    fleet: HostFleet, size: int, times_out: bool
+) -> None:
+    def answer(upstream, request, responder) -> None:
+        responder.answer(200, harness.build_identity_headers(request), b"x" * size)
+
+    fleet.add_upstream("one", behavior=answer)
+    limits = {"HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 500}
+    fleet.store.put("op", "config", harness.build_document(Limits=limits))
+    process = fleet.start_host()
+    fleet.wait_ready()
+    caller, connection = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/order/x"))
+    caller.transport.pauseProducing()
+    fleet.run_for(0.3)
+    assert connection.idle
+    if times_out:
+        fleet.run_for(0.4)
+    else:
+        process._caller_server.close_idle()
+    caller.transport.resumeProducing()
+    fleet.run_until(lambda: caller.closed or len(caller.body) == size)
+    assert len(caller.body) == size
+    caller.transport.write(harness.build_request("/order/x", attempt="a2"))
+    fleet.run_for(1.0)
+    assert caller.closed
+    assert len(fleet.upstreams["one"].requests) == 1
