Answer HEAD requests

What callers saw: a HEAD request that was refused, for whatever reason, ended with a closed connection and no answer. One that was open at the end of a stop kept the host from stopping.

Cause: the parser takes no body after the head of an answer to HEAD and raised. Twisted closes the connection of a protocol that raises; in the timer of the stop, the exception ended the stop.

Change: the server discards the body of an answer to HEAD and keeps its length. An empty body is sent without a length: it is all that an upstream's answer to HEAD has, and its length is not that of GET.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -145,6 +145,7 @@
         )
         self._incoming: _PartialRequest | None = None
         self._answering = False
+        self._answers_head = False
         # Set once the connection is to be closed: after a refusal, after the last answer, or by
         # abort. Bytes received from then on are discarded.
         self._ignoring_input = False
@@ -187,8 +188,10 @@
         self.notify_disconnected()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete response."""
-        length = [] if status in (204, 304) else [(b"Content-Length", b"%d" % len(body))]
+        """Send a complete response; one to a HEAD request has no body, only its length."""
+        # An empty body of an answer to HEAD says nothing about the length that GET would have.
+        without_length = status in (204, 304) or (self._answers_head and not body)
+        length = [] if without_length else [(b"Content-Length", b"%d" % len(body))]
         self._send(
             h11.Response(
                 status_code=status, headers=[*headers, *length, *self._build_connection_header()]
@@ -205,8 +208,9 @@
         )
 
     def write(self, data: bytes) -> None:
-        """Send the next bytes of the body."""
-        self._send(h11.Data(data=data))
+        """Send the next bytes of the body; discard them if the request was HEAD."""
+        if not self._answers_head:
+            self._send(h11.Data(data=data))
 
     def finish(self) -> None:
         """Complete the response and read the next request."""
@@ -302,6 +306,7 @@
             return
         self._incoming = None
         self._answering = True
+        self._answers_head = head.method == b"HEAD"
         self._stop_timer()
         request = IncomingRequest(
             method=bytes(head.method),
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -135,3 +135,41 @@
     fleet.run_for(1.0)
     assert caller.closed
     assert len(fleet.upstreams["one"].requests) == 1
+
+
+# Guards against an exception that closes the connection of a request that was read.
+@pytest.mark.parametrize("path", ["/nowhere/x", "/order/x"])
+@pytest.mark.parametrize(
+    ("method", "headers"),
+    [("HEAD", ()), ("POST", ("Upgrade: x",))],
+)
+def test_unusual_requests_are_answered(
+    fleet: HostFleet, path: str, method: str, headers: tuple[str, ...]
+) -> None:
+    upstream = fleet.add_upstream("one")
+    fleet.start_host()
+    fleet.wait_ready()
+    assert fleet.call("/order/x").status == 200  # leaves an idle connection
+    caller = fleet.connect(
+        harness.build_request(path, attempt="a2", method=method, headers=headers, body=b"")
+    )
+    fleet.run_until(lambda: bool(caller.data) or caller.closed)
+    assert caller.data
+    assert caller.status == (404 if path == "/nowhere/x" else 200)
+    assert len(upstream.requests) == (1 if path == "/nowhere/x" else 2)
+
+
+# Guards against a stop that never ends because a HEAD request cannot be refused.
+def test_a_host_stops_while_a_head_request_is_open(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=harness.hang)
+    fleet.store.put("op", "config", harness.build_document(Routes=[*harness.ROUTES, SLOW_ROUTE]))
+    process = fleet.start_host(stop_grace_s=3.5)
+    fleet.wait_ready()
+    caller = fleet.connect(
+        harness.build_request("/slow/x", method="HEAD", body=b"", deadline_ms=10_000)
+    )
+    stopped: list[object] = []
+    process.stop().addCallback(stopped.append)
+    fleet.run_for(3.6)
+    assert stopped
+    assert caller.status == 502
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -205,6 +205,26 @@
     assert server.transport.value().endswith(b"0\r\n\r\n")
 
 
+# Guards against an answer to HEAD whose body would be read as the start of the next answer.
+@pytest.mark.parametrize("streamed", [False, True])
+def test_an_answer_to_head_has_no_body(streamed: bool) -> None:
+    server = ServerHarness()
+    server.receive(b"HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+    responder = server.requests[0][1]
+    if streamed:
+        responder.begin(200, [])
+        responder.write(b"body")
+        responder.finish()
+    else:
+        responder.answer(200, [], b"body")
+    head, _, rest = server.transport.value().partition(b"\r\n\r\n")
+    assert rest == b""
+    assert streamed or b"Content-Length: 4" in head
+    assert [request.target for request, _ in server.requests] == [b"/1", b"/2"]
+    responder.answer(200, [], b"next")
+    assert server.transport.value().endswith(b"Content-Length: 4\r\n\r\nnext")
+
+
 class Listener:
     """Records the events of one response."""
 
