Forward Host even if Connection lists it

What callers saw: a request with Connection: host got neither an answer nor a refusal; its connection was closed.

Cause: every header that Connection lists was taken as hop-by-hop. Without Host, the request to the upstream could not be encoded, and the exception closed the caller's connection.

Change: Host is forwarded in any case.

--- a/greengagestage/platform/_headers.py
+++ b/greengagestage/platform/_headers.py
@@ -168,10 +168,10 @@
 
 
 def _list_hop_by_hop_names(headers: HeaderList) -> frozenset[bytes]:
-    """Return the header names that ``Connection`` lists, without the platform's own headers.
+    """Return the header names that ``Connection`` lists, without those that are always end-to-end.
 
-    Listed headers are hop-by-hop and are not forwarded. The platform's own headers are end-to-end,
-    so they are forwarded even if they are listed.
+    Listed headers are hop-by-hop and are not forwarded. ``Host`` and the platform's own headers are
+    forwarded even if they are listed.
     """
     hop_by_hop_names = (
         part.strip().lower()
@@ -179,7 +179,11 @@
         if name == b"connection"
         for part in value.split(b",")
     )
-    return frozenset(part for part in hop_by_hop_names if not part.startswith(b"greengagestage-"))
+    return frozenset(
+        part
+        for part in hop_by_hop_names
+        if part != b"host" and not part.startswith(b"greengagestage-")
+    )
 
 
 def _parse_token_counts(value: bytes) -> tuple[int, int]:
--- a/tests/test_adapter_codecs.py
+++ b/tests/test_adapter_codecs.py
@@ -261,6 +261,12 @@
     assert not dropped & sent.keys()
 
 
+# Guards against a request that cannot be sent because it has lost its Host header.
+def test_host_is_forwarded_even_if_it_is_listed_as_hop_by_hop() -> None:
+    headers = build_upstream_headers([*HEADERS, (b"connection", b"Host, x-hop")], build_metadata())
+    assert (b"host", b"Shop.example:80") in headers
+
+
 def test_hop_by_hop_headers_are_not_forwarded() -> None:
     connection_headers = [
         (b"connection", b"close, X-Hop, greengagestage-model"),
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -141,7 +141,7 @@
 @pytest.mark.parametrize("path", ["/nowhere/x", "/order/x"])
 @pytest.mark.parametrize(
     ("method", "headers"),
-    [("HEAD", ()), ("POST", ("Upgrade: x",))],
+    [("HEAD", ()), ("POST", ("Connection: host",)), ("POST", ("Upgrade: x",))],
 )
 def test_unusual_requests_are_answered(
     fleet: HostFleet, path: str, method: str, headers: tuple[str, ...]
