Stop a host even if one request cannot be answered

What callers saw: nothing of the first request; but the host did not stop, and the requests after it got no final answer before the process was killed.

Cause: the requests that are still open when the grace period ends are stopped in a loop in a timer, and an exception of one ended the loop and the stop.

Change: the exception is logged with its traceback and the request's id, if the exchange names it (attempt_id), and the loop goes on.

Measured: the new test, on a fake clock, failed before with the exception of the second of three requests; now all three are stopped, the host too, and the log names the second.

--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from greengagestage.http1 import ServerFactory
+from greengagestage.telemetry import log_current_exception
 
 from ._site import ConfigurationView
 
@@ -91,6 +92,14 @@
                 unsent_answers=unsent_answers,
             )
             for exchange in list(self._open_exchanges):
-                exchange.stop()
+                self._stop_exchange(exchange)
         if self._done is not None and not self._done.called:
             self._reactor.callLater(CHECK_INTERVAL_S, self._done.callback, None)
+
+    def _stop_exchange(self, exchange: Stoppable) -> None:
+        """Stop one request. An exception must not keep the host from stopping, so it is logged."""
+        try:
+            exchange.stop()
+        except Exception:
+            attempt_id = getattr(exchange, "attempt_id", None)
+            log_current_exception("host: request not answered", request=attempt_id)
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,67 @@
+"""Tests of a host's shutdown on a fake clock."""
+
+from typing import Any
+
+import eliot
+import pytest
+from twisted.internet.task import Clock
+
+from greengagestage.gateway._shutdown import Shutdown
+from greengagestage.gateway._site import ConfigurationView
+from greengagestage.http1 import ServerFactory
+
+GRACE_S = 5.0
+
+
+class OpenRequest:
+    """A request that stays open until the shutdown stops it."""
+
+    def __init__(self, attempt_id: str, requests: set[Any], error: Exception | None) -> None:
+        self.attempt_id = attempt_id
+        self.stopped = False
+        self._requests = requests
+        self._error = error
+        requests.add(self)
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self._error is not None:
+            raise self._error
+        self._requests.discard(self)
+
+
+@pytest.fixture
+def messages():
+    logged: list[dict[str, Any]] = []
+    eliot.add_destinations(logged.append)
+    yield logged
+    eliot.remove_destination(logged.append)
+
+
+def build_shutdown(clock: Clock, open_requests: set[Any]) -> Shutdown:
+    server = ServerFactory(reactor=clock, on_request=lambda *_: None, on_refused=lambda limit: b"")
+    return Shutdown(
+        reactor=clock,
+        grace_s=GRACE_S,
+        caller_server=server,
+        configuration=ConfigurationView(read_age_s=lambda: 0.0, key_revocation_s=None),
+        open_exchanges=open_requests,
+    )
+
+
+# Guards against one request that cannot be answered and keeps the host from stopping.
+def test_a_host_stops_although_one_request_cannot_be_answered(messages) -> None:
+    clock, open_requests = Clock(), set()
+    requests = [
+        OpenRequest("a1", open_requests, None),
+        OpenRequest("a2", open_requests, RuntimeError("no answer")),
+        OpenRequest("a3", open_requests, None),
+    ]
+    stopped: list[object] = []
+    build_shutdown(clock, open_requests).begin().addCallback(stopped.append)
+    clock.pump([0.1] * int(GRACE_S / 0.1))
+    assert stopped
+    assert all(request.stopped for request in requests)
+    (failure,) = [m for m in messages if m.get("message_type") == "host: request not answered"]
+    assert failure["request"] == "a2"
+    assert "no answer" in failure["fault"]
