Ignore SIGHUP until a starting host can handle it

What callers saw: a host that was asked to reload while it started was gone, and its callers with it.

Cause: the handler was installed after all imports and the construction of the host's parts. Until then the default action of SIGHUP ended the process.

Change: the program's first statement ignores the signal; the command with its imports is now a module of its own, which that program imports.

Measured: the new test sends the signal during the first large import, which a stand-in package prolongs.

--- a/tests/test_host_command.py
+++ b/tests/test_host_command.py
@@ -1,5 +1,6 @@
 """Tests of the command ``greengage-host``: settings check, reload and stop by signal."""
 
+import os
 import signal
 import subprocess
 import sys
@@ -9,7 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
-from greengagestage.commands.host import EXIT_INVALID_SETTINGS, main
+from greengagestage.commands._host_command import EXIT_INVALID_SETTINGS, main
 
 from .reactors import choose_address
 
@@ -75,6 +76,35 @@
     assert b"host: stopped" in log.read_bytes()
 
 
+# Guards against a reload that ends a process which still starts.
+@pytest.mark.process
+def test_sighup_during_the_imports_does_not_end_the_process(tmp_path: Path) -> None:
+    importing = tmp_path / "importing"
+    # Stands in for the first large package, and gives the test time to send the signal.
+    (tmp_path / "click.py").write_text(
+        "import pathlib, sys, time\n"
+        f"pathlib.Path({str(importing)!r}).write_text('click')\n"
+        "time.sleep(0.5)\n"
+        "sys.exit(7)\n"
+    )
+    default_action = "import os, signal, sys; signal.signal(signal.SIGHUP, signal.SIG_DFL)"
+    process = subprocess.Popen(
+        [sys.executable, "-c", f"{default_action}; os.execv(sys.executable, sys.argv[1:])"]
+        + [sys.executable, "-m", "greengagestage.commands.host"],
+        env={**os.environ, "PYTHONPATH": str(tmp_path)},
+    )
+    wait_until_exists(importing)
+    process.send_signal(signal.SIGHUP)
+    assert process.wait(10) == 7
+
+
+def wait_until_exists(path: Path) -> None:
+    end_s = time.monotonic() + 10
+    while not path.exists():
+        assert time.monotonic() < end_s
+        time.sleep(0.02)
+
+
 def wait_for(log: Path, text: bytes) -> None:
     end_s = time.monotonic() + 10
     while text not in log.read_bytes():
