Decide that a half-closed connection counts as closed

What callers saw: a caller that closes its sending side after a whole request gets no answer.

Decision: this stays. RFC 9112, section 9.6, describes the half close as the server's way to end a connection and requires no answer to a caller that uses it. Servers differ: nginx as a proxy and Go's net/http take it as the end of the caller.

Change: the docstring says so, and a test fixes it.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -134,7 +134,11 @@
 
 
 class CallerConnection(ObservedConnection, TwistedProtocol):
-    """A caller's connection, which is also the responder for its current request."""
+    """A caller's connection, which is also the responder for its current request.
+
+    A caller that closes only its sending side counts as gone, as with many HTTP servers: until a
+    write fails, that looks like a full close, after which work has to be cancelled at once.
+    """
 
     transport: Any
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -173,3 +173,20 @@
     fleet.run_for(3.6)
     assert stopped
     assert caller.status == 502
+
+
+# Guards against work that goes on for callers that have closed their connection: the end of what
+# they send is all that the host learns of it until a write fails.
+@pytest.mark.parametrize(("path", "cancelled"), [("/lookup/x", True), ("/order/x", False)])
+def test_a_caller_that_closes_its_sending_side_counts_as_gone(
+    fleet: HostFleet, path: str, cancelled: bool
+) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.hang)
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.connect(harness.build_request(path))
+    fleet.run_until(lambda: bool(upstream.requests))
+    caller.transport.loseWriteConnection()
+    fleet.run_for(0.3)
+    assert caller.closed
+    assert bool(upstream.disconnects) is cancelled
