--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -104,6 +104,11 @@
         self._deadline_timer = reactor.callLater(max(remaining_s, 0.0), self._handle_deadline)
         self._send_next()
 
+    @property
+    def attempt_id(self) -> AttemptId:
+        """The id that the caller gave the request."""
+        return self._job.attempt_id
+
     def stop(self) -> None:
         """Give the final answer now, since the host is about to stop."""
         if self._attempt is not None:
--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from greengagestage.http1 import ServerFactory
+from greengagestage.ids import AttemptId
 from greengagestage.telemetry import log_current_exception
 
 from ._site import ConfigurationView
@@ -26,6 +27,10 @@
 class Stoppable(Protocol):
     """A request that is still open."""
 
+    @property
+    def attempt_id(self) -> AttemptId:
+        """The id that the caller gave the request."""
+
     def stop(self) -> None:
         """Give the request's final answer now."""
 
@@ -101,5 +106,4 @@
         try:
             exchange.stop()
         except Exception:
-            attempt_id = getattr(exchange, "attempt_id", None)
-            log_current_exception("host: request not answered", request=attempt_id)
+            log_current_exception("host: request not answered", request=exchange.attempt_id)
