Keep a silent attempt until another upstream has begun to answer

What callers saw: an answer ended after 2.0 s of silence (the shortest limit) although its engine was alive, with a single engine, with others that refused, and for requests that must not be repeated.

The exchange closed a silent run by itself, and the policy learned of it as a failure, when nothing was left to continue from.

Change: silence is an event. The exchange reports it each time the limit passes and goes on (AttemptSilent; AttemptContinued once data comes again). The policy holds the silent attempt, queues the request and dispatches a second attempt beside it, subject to the retry budget, room and classes as any retry. The held attempt is cancelled once the second one begins to answer; the second one is cancelled if the first goes on. If the second one fails, is silent too, or none can be sent, the request stays where it is. A retry that was withdrawn from the budget but not sent is refunded. A request that must not be repeated only waits; while silent it ends at its deadline, or when its answer is due if its caller has left.

Tests replaced, since they fixed the opposite: test_silence_limits now expects exact numbers of reports and an open connection; the three silent cases of test_failure_kinds moved to a test of their own with the same checks, that also expects no AttemptFailed and that the engine is told of the cancellation. The oracle models held attempts; the machine sends the new events, also for held attempts. The texts of three guards follow the code.

--- a/bench/_baselines.py
+++ b/bench/_baselines.py
@@ -17,6 +17,7 @@
     AttemptFailed,
     AttemptFinished,
     AttemptProgressed,
+    AttemptSilent,
     CallerLeft,
     CancelAttempt,
     CancelReason,
@@ -96,6 +97,8 @@
                 return self._finish(attempt_id)
             case AttemptFailed():
                 return self._handle_failure(event)
+            case AttemptSilent():
+                return self._end_silent_attempt(event)
             case CallerLeft(request_id=request_id):
                 return self._cancel(request_id)
             case DeclarationAdopted(declaration=declaration):
@@ -220,6 +223,15 @@
             return self._dispatch(record)
         return self._reject(record, _FAILURE_CODES[event.kind], None)
 
+    def _end_silent_attempt(self, event: AttemptSilent) -> list[Action]:
+        if event.attempt_id not in self._records_by_attempt:
+            return []
+        failure = AttemptFailed(
+            attempt_id=event.attempt_id, kind=FailureKind.SILENT, resumable=event.resumable
+        )
+        cancel = CancelAttempt(attempt_id=event.attempt_id, reason=CancelReason.SILENT)
+        return [cancel, *self._handle_failure(failure)]
+
     def _cancel(self, request_id: RequestId) -> list[Action]:
         record = self._records.get(request_id)
         if record is None or (record.attempt_id and not record.request.idempotent):
--- a/greengagestage/entry/_active.py
+++ b/greengagestage/entry/_active.py
@@ -22,16 +22,17 @@
 
 
 class ActiveRequest:
-    """An open request with its caller, its delivery and its current attempt.
+    """An open request with its caller, its delivery and its attempts.
 
     Attributes:
         caller: The caller's HTTP request, through which the answer is sent.
         headers: Headers that the router adds to the answer, such as ``X-Request-Id``.
-        run: The current attempt, or None while the request is queued.
+        runs: The attempts that have not ended, oldest first: two while another upstream is asked
+            to replace a silent one.
         claim: The claim of a non-idempotent request: set when it is requested, before it is
             granted, and None again if it is not granted.
         arrived_s: Reactor time of the arrival; ``first_token_s`` and ``ended_s`` likewise.
-        upstream: The upstream of the latest attempt.
+        upstream: The upstream of the latest attempt, or of the one that goes on.
         code: The final result, or None while the request is open.
     """
 
@@ -51,7 +52,7 @@
         self.caller = caller
         self.headers = headers
         self.delivery = delivery
-        self.run: Run | None = None
+        self.runs: dict[AttemptId, Run] = {}
         self.claim: AcquireClaim | None = None
         self.arrived_s = reactor.seconds()
         self.first_token_s: float | None = None
@@ -88,30 +89,41 @@
         return float(end_s - self.arrived_s)
 
     def register_run(self, run: Run) -> None:
-        """Make an attempt the current one and log it; its exchange is started afterwards."""
+        """Add and log an attempt; its exchange is started afterwards."""
         if not self.attempt_ids:
             self._timer.observe(Timing.QUEUE_WAIT, self.age_s)
         self.attempt_ids.append(run.attempt_id)
-        self.run = run
+        self.runs[run.attempt_id] = run
         self.upstream = run.upstream
         self._log.log(
             message_type="entry: attempt sent", attempt_id=run.attempt_id, upstream=run.upstream
         )
 
-    def stop_run(self) -> Run | None:
-        """Stop the current attempt; return it if it had not ended."""
-        run, self.run = self.run, None
+    def stop_runs(self) -> None:
+        """Stop all attempts."""
+        for attempt_id in list(self.runs):
+            self.stop_run(attempt_id)
+
+    def stop_run(self, attempt_id: AttemptId) -> Run | None:
+        """Stop an attempt; return it if it had not ended."""
+        run = self._remove_run(attempt_id)
         if run is None or run.is_over:
             return None
         run.stop()
         return run
 
+    def _remove_run(self, attempt_id: AttemptId) -> Run | None:
+        run = self.runs.pop(attempt_id, None)
+        for remaining in self.runs.values():
+            self.upstream = remaining.upstream
+        return run
+
     def finish(self, code: ResultCode) -> None:
-        """Stop the current attempt, closing its connection; record and log the final result."""
+        """Stop the attempts, closing their connections; record and log the final result."""
         self.code = code
         self.ended_s = self._reactor.seconds()
         self._cancel_stall_timer()
-        self.stop_run()
+        self.stop_runs()
         if code is ResultCode.DELIVERED:
             self._timer.observe(Timing.ANSWER, self.age_s)
         self._log.add_success_fields(code=code.value, name=code.name, tokens=self.tokens)
@@ -130,8 +142,8 @@
         return now_s
 
     def record_failure(self, run: Run, failure: AttemptFailure) -> None:
-        """Clear the current attempt and log its failure."""
-        self.run = None
+        """Remove an attempt and log its failure."""
+        self._remove_run(run.attempt_id)
         self._log.log(
             message_type="entry: attempt failed",
             attempt_id=run.attempt_id,
@@ -142,7 +154,7 @@
     def pause(self) -> None:
         """Stop reading from the upstream because the caller reads too slowly.
 
-        The caller is disconnected if it does not catch up in time. The current attempt of a
+        The caller is disconnected if it does not catch up in time. The attempt of a
         non-idempotent request is not paused, because its answer is stored in any case. The
         dispatcher pauses every attempt that it starts while the caller is stalled.
         """
@@ -150,14 +162,15 @@
             self._stall_timer = self._reactor.callLater(
                 self._stall_limit_s, self._disconnect_caller
             )
-        if self.run is not None and self.call.request.idempotent:
-            self.run.pause()
+        if self.call.request.idempotent:
+            for run in self.runs.values():
+                run.pause()
 
     def resume(self) -> None:
         """Continue reading from the upstream after the caller has caught up."""
         self._cancel_stall_timer()
-        if self.run is not None:
-            self.run.resume()
+        for run in self.runs.values():
+            run.resume()
 
     def handle_disconnect(self) -> None:
         """Tell the policy that the caller is gone.
--- a/greengagestage/entry/_conclusions.py
+++ b/greengagestage/entry/_conclusions.py
@@ -81,7 +81,7 @@
         if claim is None or not _may_have_run(code):
             self._refuse(active, refusal)
             return
-        active.stop_run()
+        active.stop_runs()
         marked = self._claims.mark_unknown(claim.workspace, claim.idempotency_key, claim.attempt_id)
         self._finish_after(marked, active, lambda: self._refuse(active, refusal))
 
@@ -138,7 +138,7 @@
                 self._claims.mark_unknown(claim.workspace, claim.idempotency_key, claim.attempt_id)
             )
             return
-        active.stop_run()
+        active.stop_runs()
         stored = self._claims.record_answer(
             claim.workspace, claim.idempotency_key, claim.attempt_id, answer
         )
--- a/greengagestage/entry/_dispatch.py
+++ b/greengagestage/entry/_dispatch.py
@@ -73,7 +73,7 @@
     def cancel(self, attempt_id: AttemptId) -> None:
         """Close an attempt's connection at once; if it ran on an engine, cancel it there too."""
         active = self._requests.unbind_attempt(attempt_id)
-        run = None if active is None else active.stop_run()
+        run = None if active is None else active.stop_run(attempt_id)
         if isinstance(run, EngineRun):
             self._send_cancel(run)
 
@@ -126,7 +126,8 @@
         self._sender.send(UpstreamLeavingNotice(upstream=run.upstream))
 
     def _send_cancel(self, run: Run) -> None:
-        Exchange(
+        listener = _ResponseDiscarder()
+        listener.exchange = Exchange(
             reactor=self._reactor,
             pool=self._pool,
             address=run.address,
@@ -134,12 +135,18 @@
                 method=b"DELETE", target=b"/v1/attempts/%b" % run.attempt_id.encode()
             ),
             limits=CANCEL_LIMITS,
-            listener=_ResponseDiscarder(),
-        ).start()
+            listener=listener,
+        )
+        listener.exchange.start()
 
 
 class _ResponseDiscarder:
-    """Listener that ignores the response to a cancellation: the attempt is already stopped here."""
+    """Listener that ignores the response to a cancellation: the attempt is already stopped here.
+
+    An upstream that does not respond in time is no longer awaited.
+    """
+
+    exchange: Exchange | None = None
 
     def receive_head(self, head: ResponseHead) -> None:
         pass
@@ -150,5 +157,9 @@
     def end_body(self) -> None:
         pass
 
+    def report_silence(self) -> None:
+        if self.exchange is not None:
+            self.exchange.close()
+
     def fail(self, kind: FailureKind) -> None:
         pass
--- a/greengagestage/entry/_records.py
+++ b/greengagestage/entry/_records.py
@@ -39,7 +39,7 @@
 def _determine_state(active: ActiveRequest) -> str:
     if active.code is not None:
         return _FINAL_STATES[CODE_DETAILS[active.code].verdict]
-    if active.run is None:
+    if not active.runs:
         return "queued"
     return "dispatched" if active.first_token_s is None else "streaming"
 
--- a/greengagestage/entry/_runs.py
+++ b/greengagestage/entry/_runs.py
@@ -6,9 +6,11 @@
 from greengagestage.ids import AttemptId, UpstreamName
 from greengagestage.policy import (
     AttemptAccepted,
+    AttemptContinued,
     AttemptFailed,
     AttemptFinished,
     AttemptProgressed,
+    AttemptSilent,
     Event,
     FailureKind,
 )
@@ -65,6 +67,7 @@
         self._feed = feed
         self._observer = observer
         self._report_leaving = report_leaving
+        self._is_silent = False
         self._unreported_tokens = 0
         self._next_report_s = 0.0
 
@@ -86,6 +89,13 @@
         if self.exchange is not None:
             self.exchange.resume()
 
+    def report_silence(self) -> None:
+        """Report to the policy that the upstream sends nothing; the attempt continues."""
+        if not self.is_over:
+            self._is_silent = True
+            self._report_progress()
+            self._feed(AttemptSilent(attempt_id=self.attempt_id, resumable=self._resumable))
+
     def fail(self, failure: AttemptFailure) -> None:
         """End the attempt without a complete answer and report the failure to the policy."""
         if self.is_over:
@@ -114,6 +124,15 @@
     def _resumable(self) -> bool:
         raise NotImplementedError
 
+    def _end_silence(self) -> None:
+        """Report that a silent upstream sends data, before any of it is delivered.
+
+        The policy then cancels a later attempt of the request, which would deliver the same data.
+        """
+        if self._is_silent:
+            self._is_silent = False
+            self._feed(AttemptContinued(attempt_id=self.attempt_id))
+
     def _accept(self) -> None:
         self._feed(AttemptAccepted(attempt_id=self.attempt_id))
 
@@ -153,11 +172,13 @@
 
     def accept(self) -> None:
         """Report that the engine has started its answer."""
+        self._end_silence()
         if not self.is_over:
             self._accept()
 
     def receive_chunks(self, chunks: Sequence[CompletionChunk]) -> None:
         """Deliver chunks to the caller; fail the attempt if the answer becomes too large."""
+        self._end_silence()
         if self.is_over:
             return
         self._count_tokens(self.delivery.add(chunks))
@@ -166,6 +187,7 @@
 
     def finish(self, tail: Sequence[CompletionChunk]) -> None:
         """Finish the attempt; the last chunks are held until the policy confirms the delivery."""
+        self._end_silence()
         if not self.is_over:
             self._count_tokens(self.delivery.hold_tail(tail))
             self._finish()
@@ -185,12 +207,14 @@
 
     def accept(self, head: ResponseHead) -> None:
         """Start the delivery with the head of the service's answer."""
+        self._end_silence()
         if not self.is_over:
             self.delivery.begin(head)
             self._accept()
 
     def receive_body(self, data: bytes) -> None:
         """Deliver a piece of the body; the first piece counts as one token."""
+        self._end_silence()
         if self.is_over:
             return
         self.delivery.add(data)
@@ -200,5 +224,6 @@
 
     def finish(self) -> None:
         """Finish the attempt; its answer is complete."""
+        self._end_silence()
         if not self.is_over:
             self._finish()
--- a/greengagestage/policy/__init__.py
+++ b/greengagestage/policy/__init__.py
@@ -19,9 +19,11 @@
 )
 from ._events import (
     AttemptAccepted,
+    AttemptContinued,
     AttemptFailed,
     AttemptFinished,
     AttemptProgressed,
+    AttemptSilent,
     CallerLeft,
     ClaimAnswered,
     ClaimOutcome,
@@ -47,9 +49,11 @@
     "AcquireClaim",
     "Action",
     "AttemptAccepted",
+    "AttemptContinued",
     "AttemptFailed",
     "AttemptFinished",
     "AttemptProgressed",
+    "AttemptSilent",
     "CallerLeft",
     "CancelAttempt",
     "CancelReason",
--- a/greengagestage/policy/_actions.py
+++ b/greengagestage/policy/_actions.py
@@ -23,6 +23,8 @@
         DEADLINE: The caller's deadline has passed.
         TARGET: The answer is useless when late, and its target time has passed.
         QUARANTINED: The request's fingerprint was quarantined.
+        SILENT: The upstream is silent, and a later attempt has begun to answer.
+        CONTINUED: An earlier attempt, whose upstream was silent, goes on.
     """
 
     CALLER_LEFT = "caller_left"
@@ -30,6 +32,8 @@
     DEADLINE = "deadline"
     TARGET = "target"
     QUARANTINED = "quarantined"
+    SILENT = "silent"
+    CONTINUED = "continued"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,12 +59,14 @@
 class Dispatch:
     """Send an attempt to an upstream.
 
+    An earlier attempt of the request continues beside it if its upstream is silent.
+
     Attributes:
         priority: Scheduling priority passed to the engine, 0 the highest.
         resume_tokens: Tokens already delivered; the upstream continues after them.
-        first_token_timeout_s: Longest wait for the first token, timed to the first byte of the
-            answer's body.
-        inter_token_timeout_s: Longest wait between tokens, timed between bytes of the body.
+        first_token_timeout_s: Wait for the first token after which ``AttemptSilent`` is due, timed
+            to the first byte of the answer's body.
+        inter_token_timeout_s: The same between tokens, timed between bytes of the body.
     """
 
     request_id: RequestId
--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -182,7 +182,7 @@
     def _evict(self, victim: RequestRecord, attempt: Attempt) -> None:
         state = self._state
         state.emit(CancelAttempt(attempt_id=attempt.attempt_id, reason=CancelReason.PREEMPTED))
-        state.release_attempt(victim)
+        state.release_attempt(victim, attempt)
         victim.preemptions += 1
         victim.tried.remove(attempt.upstream)
         victim.cached_upstream = attempt.upstream
@@ -199,6 +199,7 @@
         if record.attempts_sent == 0:
             state.retries.deposit(record.service_class, state.now_s)
         record.attempts_sent += 1
+        record.has_unused_retry = False
         attempt = Attempt(
             attempt_id=AttemptId(f"{record.request_id}.{record.attempts_sent}"),
             upstream=entry.name,
@@ -247,7 +248,7 @@
 def _compute_timeouts(
     service_class: ServiceClass, entry: UpstreamEntry, pool: PoolState
 ) -> tuple[float, float]:
-    """Return the timeouts for the first byte and between bytes of the answer, in seconds.
+    """Return the silence limits for the first byte and between bytes of the answer, in seconds.
 
     They are derived from the class's targets for tokens and from the measured time to the first
     token; for a service, from the target for the whole answer.
--- a/greengagestage/policy/_events.py
+++ b/greengagestage/policy/_events.py
@@ -46,7 +46,8 @@
         NOT_SENT: The request was not sent, for example because the connection failed.
         REFUSED: The upstream said that it did not start the request.
         LOST: The connection was lost after the request was sent.
-        SILENT: The upstream sent nothing for longer than the timeout.
+        SILENT: The upstream sent nothing for longer than the timeout, and another one has begun to
+            answer.
         INCOMPLETE: The answer began but did not end properly.
         ERROR: The upstream answered with an error, or its answer could not be processed.
     """
@@ -148,6 +149,27 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptSilent:
+    """The upstream has sent nothing for as long as its ``Dispatch`` allows.
+
+    The attempt goes on. The event is repeated each time that the same span passes without data.
+
+    Attributes:
+        resumable: The delivered tokens are known, so another upstream can continue after them.
+    """
+
+    attempt_id: AttemptId
+    resumable: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptContinued:
+    """The upstream of a silent attempt has sent data again, which is not delivered yet."""
+
+    attempt_id: AttemptId
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLeft:
     """The caller closed its connection before the final answer."""
@@ -230,6 +252,8 @@
     | AttemptProgressed
     | AttemptFinished
     | AttemptFailed
+    | AttemptSilent
+    | AttemptContinued
     | CallerLeft
     | UpstreamsReported
     | SharesUpdated
--- a/greengagestage/policy/_policy.py
+++ b/greengagestage/policy/_policy.py
@@ -7,9 +7,11 @@
 from ._dispatching import Dispatcher
 from ._events import (
     AttemptAccepted,
+    AttemptContinued,
     AttemptFailed,
     AttemptFinished,
     AttemptProgressed,
+    AttemptSilent,
     CallerLeft,
     ClaimAnswered,
     CrashReported,
@@ -30,6 +32,15 @@
 from ._snapshot import PolicySnapshot, take_snapshot
 from ._state import PolicyState
 
+AttemptEvent = (
+    AttemptAccepted
+    | AttemptProgressed
+    | AttemptContinued
+    | AttemptSilent
+    | AttemptFinished
+    | AttemptFailed
+)
+
 
 class Policy:
     """The routing policy of one host; deterministic for a given seed and sequence of events."""
@@ -76,7 +87,9 @@
                 self._admission.admit(request)
             case ClaimAnswered():
                 self._handle_claim_answer(event)
-            case AttemptAccepted() | AttemptProgressed() | AttemptFinished() | AttemptFailed():
+            case AttemptAccepted() | AttemptProgressed() | AttemptContinued() | AttemptSilent():
+                self._handle_attempt_event(event)
+            case AttemptFinished() | AttemptFailed():
                 self._handle_attempt_event(event)
             case CallerLeft(request_id=request_id):
                 self._handle_caller_left(request_id)
@@ -91,22 +104,26 @@
             case _:
                 self._update_environment(event)
 
-    def _handle_attempt_event(
-        self, event: AttemptAccepted | AttemptProgressed | AttemptFinished | AttemptFailed
-    ) -> None:
+    def _handle_attempt_event(self, event: AttemptEvent) -> None:
         current = find_current_attempt(self._state, event.attempt_id)
         if current is None:
             return
         record, attempt = current
+        match event:
+            case AttemptFailed():
+                self._outcomes.fail(record, attempt, event)
+                return
+            case AttemptSilent(resumable=resumable):
+                self._outcomes.handle_silence(record, attempt, resumable=resumable)
+                return
+        self._outcomes.select_attempt(record, attempt)
         match event:
             case AttemptAccepted():
-                self._outcomes.accept(record)
+                self._outcomes.accept(record, attempt)
             case AttemptProgressed(tokens=tokens):
                 self._outcomes.progress(record, attempt, tokens)
             case AttemptFinished():
                 self._outcomes.finish(record, attempt)
-            case AttemptFailed():
-                self._outcomes.fail(record, attempt, event)
 
     def _handle_claim_answer(self, event: ClaimAnswered) -> None:
         record = self._state.records.get(event.request_id)
--- a/greengagestage/policy/_preemption.py
+++ b/greengagestage/policy/_preemption.py
@@ -65,7 +65,9 @@
 
 def _list_preemptible(entry: UpstreamEntry, priority: int) -> Iterator[RequestRecord]:
     for running in entry.in_flight.values():
-        if running.priority > priority and is_preemptible(running):
+        attempt = running.attempt
+        here = attempt is not None and attempt.upstream == entry.name
+        if here and running.priority > priority and is_preemptible(running):
             yield running
 
 
--- a/greengagestage/policy/_quarantine.py
+++ b/greengagestage/policy/_quarantine.py
@@ -7,7 +7,7 @@
 from greengagestage.ids import Fingerprint, UpstreamName
 from greengagestage.results import ResultCode
 
-from ._actions import CancelAttempt, CancelReason, QuarantineFingerprint, ReportCrash
+from ._actions import CancelReason, QuarantineFingerprint, ReportCrash
 from ._lifecycle import RequestState
 from ._records import RequestRecord
 from ._state import PolicyState
@@ -45,10 +45,7 @@
 
     def _end_request(self, record: RequestRecord) -> None:
         state = self._state
-        if record.attempt is not None:
-            state.emit(
-                CancelAttempt(attempt_id=record.attempt.attempt_id, reason=CancelReason.QUARANTINED)
-            )
+        state.cancel_attempts(record, CancelReason.QUARANTINED)
         if record.state is RequestState.CLAIMING and record.claim_attempt_id is not None:
             state.orphan_claims[record.request_id] = record.claim_attempt_id
         state.reject(record, ResultCode.QUARANTINED)
--- a/greengagestage/policy/_records.py
+++ b/greengagestage/policy/_records.py
@@ -29,6 +29,8 @@
         span_start_tokens: Tokens received by then.
         probe: The attempt decides whether its ejected upstream is used again.
         first_token_at_s: Time of the first token, None before it.
+        accepted: The upstream has begun its answer.
+        silent: The upstream has sent nothing since an ``AttemptSilent``.
     """
 
     attempt_id: AttemptId
@@ -40,6 +42,8 @@
     charged_s: float = 0.0
     suspect: bool = False
     probe: bool = False
+    accepted: bool = False
+    silent: bool = False
     first_token_at_s: float | None = None
     tokens: int = 0
     span_start_s: float = 0.0
@@ -53,7 +57,10 @@
     Attributes:
         sequence: Order of arrival at this host.
         due_s: Time by which the answer should be complete.
+        attempt: The current attempt, None while the request is queued.
+        held: An earlier attempt at a silent upstream, kept until a later one begins to answer.
         possibly_ran: An attempt was sent and nothing proves that it did not run.
+        has_unused_retry: A retry was withdrawn from the budget, and its attempt is not sent yet.
         attempts_sent: Number of attempts dispatched.
         refused_by: The upstreams among those tried whose last attempt certainly did not run: it
             was refused, or it was not sent, for example because the connection failed.
@@ -82,8 +89,10 @@
     due_s: float
     state: RequestState = RequestState.RECEIVED
     attempt: Attempt | None = None
+    held: Attempt | None = None
     tried: list[UpstreamName] = field(default_factory=list)
     refused_by: list[UpstreamName] = field(default_factory=list)
+    has_unused_retry: bool = False
     attempts_sent: int = 0
     tokens: int = 0
     possibly_ran: bool = False
@@ -106,6 +115,11 @@
         """The request's id."""
         return self.request.request_id
 
+    @property
+    def attempts(self) -> list[Attempt]:
+        """The attempts that occupy a slot: the current one and the one that is held."""
+        return [attempt for attempt in (self.attempt, self.held) if attempt is not None]
+
     @property
     def workspace(self) -> WorkspaceId:
         """The workspace that the request belongs to."""
--- a/greengagestage/policy/_retries.py
+++ b/greengagestage/policy/_retries.py
@@ -43,6 +43,11 @@
         balance.retries -= 1.0
         return True
 
+    def refund(self, service_class: ServiceClass, now_s: float) -> None:
+        """Return a withdrawn retry that was not made."""
+        balance = self._get_or_create(service_class, now_s)
+        balance.retries = min(MAXIMUM_BALANCE, balance.retries + 1.0)
+
     def _get_or_create(self, service_class: ServiceClass, now_s: float) -> RetryBalance:
         balance = self._balances.get(service_class.name)
         if balance is None:
--- a/greengagestage/policy/_reviews.py
+++ b/greengagestage/policy/_reviews.py
@@ -2,10 +2,11 @@
 
 from greengagestage.results import ResultCode
 
-from ._actions import CancelAttempt, CancelReason, WakeAt
+from ._actions import CancelReason, WakeAt
 from ._lifecycle import RequestState
 from ._preemption import compute_preemption_time, may_preempt
 from ._records import MS_PER_S, RequestRecord
+from ._silence import restore_held_attempt
 from ._state import PolicyState
 from ._timers import DispatchTimer, ReviewTimer
 
@@ -63,6 +64,13 @@
     )
 
 
+def cancel_expired(state: PolicyState, record: RequestRecord) -> None:
+    """End a running request whose expiry has passed."""
+    reason = CancelReason.TARGET if record.late_is_useless else CancelReason.DEADLINE
+    state.cancel_attempts(record, reason)
+    state.reject(record, ResultCode.DEADLINE_PASSED_RUNNING)
+
+
 class Reviewer:
     """Reviews requests when their timers expire."""
 
@@ -89,22 +97,14 @@
     def _review(self, record: RequestRecord) -> None:
         expiry_s = find_expiry(record)
         expired = expiry_s is not None and expiry_s <= self._state.now_s
-        if record.attempt is not None:
-            if expired and record.request.idempotent:
-                self._cancel_expired(record)
+        if expired and record.attempts:
+            if record.request.idempotent or all(attempt.silent for attempt in record.attempts):
+                cancel_expired(self._state, record)
         elif expired:
             self._reject_expired(record)
         elif record.state is RequestState.QUEUED:
             self._review_queued(record)
 
-    def _cancel_expired(self, record: RequestRecord) -> None:
-        attempt = record.attempt
-        if attempt is None:
-            return
-        reason = CancelReason.TARGET if record.late_is_useless else CancelReason.DEADLINE
-        self._state.emit(CancelAttempt(attempt_id=attempt.attempt_id, reason=reason))
-        self._state.reject(record, ResultCode.DEADLINE_PASSED_RUNNING)
-
     def _reject_expired(self, record: RequestRecord) -> None:
         state = self._state
         if record.state is RequestState.CLAIMING and record.claim_attempt_id is not None:
@@ -117,6 +117,9 @@
     def _review_queued(self, record: RequestRecord) -> None:
         state = self._state
         if is_target_unreachable(state, record):
+            if record.held is not None:
+                restore_held_attempt(state, record, record.held)
+                return
             state.reject(record, ResultCode.TARGET_UNREACHABLE, suggest_retry_after(state, record))
             return
         if not record.late and state.now_s >= _compute_demotion_time(state, record):
--- a/greengagestage/policy/_state.py
+++ b/greengagestage/policy/_state.py
@@ -14,7 +14,7 @@
 )
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 
-from ._actions import Action, Reject, ReleaseClaim
+from ._actions import Action, CancelAttempt, CancelReason, Reject, ReleaseClaim
 from ._crashes import CrashTracker
 from ._departures import DepartureEstimator
 from ._estimates import TimeEstimator
@@ -36,12 +36,13 @@
     """Everything that the policy's decisions read and change.
 
     Attributes:
-        records_by_attempt: The requests that hold a slot, by the id of their current attempt.
+        records_by_attempt: The requests that hold a slot, by the ids of their attempts.
         orphan_claims: Claims still being acquired whose requests have ended.
         dirty_pools: Pools whose queue or slots changed in this event, as an ordered set.
         actions: The actions of the current event so far.
         running_by_priority: Number of running requests, by priority of their class.
-        running_by_fingerprint: The upstreams of all running attempts, by fingerprint and attempt.
+        running_by_fingerprint: The upstreams of all running attempts except held ones, by
+            fingerprint and attempt.
     """
 
     def __init__(self, *, host: HostId, seed: int, failure_domain: FailureDomain | None) -> None:
@@ -151,20 +152,34 @@
         self.running_by_priority[record.priority] = (
             self.running_by_priority.get(record.priority, 0) + 1
         )
-        duplicates = self.running_by_fingerprint.setdefault(record.request.fingerprint, {})
-        duplicates[attempt.attempt_id] = entry.name
+        self._add_duplicate(record, attempt)
 
-    def release_attempt(self, record: RequestRecord) -> None:
-        """Free the slot of a request's current attempt."""
-        attempt = record.attempt
-        if attempt is None:
-            return
-        record.attempt = None
+    def hold_attempt(self, record: RequestRecord, attempt: Attempt) -> None:
+        """Keep the current attempt beside the next one; its duplicates may run elsewhere."""
+        record.attempt, record.held = None, attempt
+        self._remove_duplicate(record, attempt)
+
+    def restore_attempt(self, record: RequestRecord, attempt: Attempt) -> None:
+        """Make the held attempt the current one again."""
+        record.attempt, record.held = attempt, None
+        self._add_duplicate(record, attempt)
+
+    def cancel_attempts(self, record: RequestRecord, reason: CancelReason) -> None:
+        """Cancel all attempts of a request that is about to end."""
+        for attempt in record.attempts:
+            self.emit(CancelAttempt(attempt_id=attempt.attempt_id, reason=reason))
+
+    def release_attempt(self, record: RequestRecord, attempt: Attempt) -> None:
+        """Free the slot of an attempt."""
+        if attempt is record.held:
+            record.held = None
+        else:
+            record.attempt = None
+            self._remove_duplicate(record, attempt)
         del self.records_by_attempt[attempt.attempt_id]
         pool = self.get_pool(record.pool)
         pool.note_ended(record, attempt)
         self.running_by_priority[attempt.priority] -= 1
-        self._remove_duplicate(record, attempt)
         self.dirty_pools[record.pool] = None
         if attempt.reserved:
             slots = self.views.find(record.pool).slots
@@ -179,6 +194,10 @@
         for name in self.upstreams.list_pools_of(entry):
             self.dirty_pools[name] = None
 
+    def _add_duplicate(self, record: RequestRecord, attempt: Attempt) -> None:
+        duplicates = self.running_by_fingerprint.setdefault(record.request.fingerprint, {})
+        duplicates[attempt.attempt_id] = attempt.upstream
+
     def _remove_duplicate(self, record: RequestRecord, attempt: Attempt) -> None:
         duplicates = self.running_by_fingerprint[record.request.fingerprint]
         del duplicates[attempt.attempt_id]
@@ -208,7 +227,8 @@
 
     def forget(self, record: RequestRecord) -> None:
         """Drop the record of a request that has its final answer."""
-        self.release_attempt(record)
+        for attempt in record.attempts:
+            self.release_attempt(record, attempt)
         self.limits.close(record)
         self.get_pool(record.pool).preemptors.discard(record)
         self.records.pop(record.request_id, None)
--- a/greengagestage/upstream/_attempts.py
+++ b/greengagestage/upstream/_attempts.py
@@ -43,6 +43,9 @@
     def finish(self, tail: Sequence[CompletionChunk]) -> None:
         """Handle the complete end of the response; ``tail`` holds its last chunks."""
 
+    def report_silence(self) -> None:
+        """Handle silence for as long as the limit."""
+
     def fail(self, failure: AttemptFailure) -> None:
         """Handle a response that cannot be completed."""
 
@@ -59,6 +62,9 @@
     def finish(self) -> None:
         """Handle the end of a body that is complete by its framing."""
 
+    def report_silence(self) -> None:
+        """Handle silence for as long as the limit."""
+
     def fail(self, failure: AttemptFailure) -> None:
         """Handle a response that cannot be completed."""
 
@@ -122,6 +128,11 @@
         if not self._ended:
             self._end()
 
+    def report_silence(self) -> None:
+        """Report that the upstream sends nothing, unless the attempt has ended."""
+        if not self._ended:
+            self._listener.report_silence()
+
     def fail(self, kind: FailureKind) -> None:
         """Report a failed exchange, unless the attempt has ended."""
         if not self._ended:
@@ -169,6 +180,11 @@
             self._ended = True
             self._listener.finish()
 
+    def report_silence(self) -> None:
+        """Report that the upstream sends nothing, unless the attempt has ended."""
+        if not self._ended:
+            self._listener.report_silence()
+
     def fail(self, kind: FailureKind) -> None:
         """Report a failed exchange; a connection lost after the head means a truncated body."""
         if self._ended:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -8,6 +8,7 @@
     AcquireClaim,
     AttemptFailed,
     AttemptFinished,
+    AttemptSilent,
     CallerLeft,
     CancelAttempt,
     CancelReason,
@@ -61,6 +62,9 @@
                 return [Deliver(request_id=attempt_id.rpartition(".")[0])]
             case AttemptFailed(attempt_id=attempt_id):
                 return [self._handle_failure(event, *attempt_id.rsplit(".", 1))]
+            case AttemptSilent(attempt_id=attempt_id):
+                cancel = CancelAttempt(attempt_id=attempt_id, reason=CancelReason.SILENT)
+                return [cancel, self._handle_failure(event, *attempt_id.rsplit(".", 1))]
             case CallerLeft(request_id=request_id):
                 attempt_id = f"{request_id}.0"
                 cancel = CancelAttempt(attempt_id=attempt_id, reason=CancelReason.CALLER_LEFT)
