--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -9,7 +9,17 @@
 from .builders import build_class
 from .entry_harness import EntryCase
 from .raw_caller import build_body, build_request, wait_until
-from .scripted_upstreams import HEAD, LAST_CHUNK, TEXT, chunked, refuse, stream_events
+from .scripted_upstreams import (
+    HEAD,
+    LAST_CHUNK,
+    TEXT,
+    answer_then,
+    answer_whole,
+    chunked,
+    refuse,
+    stay_silent,
+    stream_events,
+)
 
 PAUSE_S = 2.6
 """Longer than the shortest time between tokens after which an engine counts as silent, 2.0 s."""
@@ -62,3 +72,46 @@
         request = build_request(build_body(), "X-Idempotent: false", "Idempotency-Key: k1")
         caller = yield self.call(request)
         assert caller.text == TEXT
+
+    # Guards against a caller that waits for an engine that never goes on.
+    @inlineCallbacks
+    def test_another_engine_takes_over_an_answer_that_stays_silent(self):
+        first, second, caller = yield self.start_two(answer_then(2), answer_whole)
+        yield wait_until(lambda: caller.is_complete or caller.closed)
+        assert caller.text == TEXT
+        assert second.requests[0].json["resume"]["token_ids"] == [0, 1]
+        yield wait_until(lambda: first.requests[0].closed)
+        assert first.cancelled == [first.requests[0].headers["x-attempt-id"]]
+        assert not second.cancelled
+
+    # Guards against a second attempt that goes on beside the first one.
+    @inlineCallbacks
+    def test_the_second_attempt_is_cancelled_once_the_first_engine_goes_on(self):
+        first, second, caller = yield self.start_two(self.pause_after_two_tokens, stay_silent)
+        yield wait_until(lambda: caller.is_complete or caller.closed)
+        assert caller.text == TEXT
+        yield wait_until(lambda: second.requests[0].closed and second.cancelled)
+        assert second.cancelled == [second.requests[0].headers["x-attempt-id"]]
+        assert not first.cancelled
+
+    @inlineCallbacks
+    def start_two(self, first_script, second_script):
+        """Send a request; the engine that gets it runs the first script, the other the second."""
+        engines = [self.start_upstream(first_script) for _ in range(2)]
+        self.configure(*engines)
+        caller = yield self.send(build_request(build_body()))
+        yield wait_until(lambda: engines[0].requests or engines[1].requests)
+        first, second = engines if engines[0].requests else reversed(engines)
+        second.scripts = [second_script]
+        return first, second, caller
+
+    # Guards against a run that must not be repeated and occupies a dead engine without an end.
+    @inlineCallbacks
+    def test_a_silent_request_that_runs_once_ends_at_its_deadline(self):
+        engine = self.start_upstream(stay_silent)
+        self.configure(engine)
+        headers = "X-Idempotent: false", "Idempotency-Key: k1", "X-Deadline-Ms: 3000"
+        caller = yield self.call(build_request(build_body(), *headers))
+        assert caller.error["run"] == "may_have_run"
+        assert len(engine.requests) == 1
+        yield wait_until(lambda: engine.requests[0].closed)
