--- a/bench/_guard_table.py
+++ b/bench/_guard_table.py
@@ -56,6 +56,14 @@
         without="        if False:\n            self._enqueue_retry(record)\n",
         tests=(_REQUESTS, "-k", "passed_over and refuse"),
     ),
+    Guard(
+        name="silence",
+        promise="an answer is not ended for silence because no other upstream takes it",
+        file="greengagestage/policy/_outcomes.py",
+        text="            self._enqueue_retry(record)\n        elif record.held is not None:\n",
+        without="            self._enqueue_retry(record)\n        elif False:\n",
+        tests=("tests/test_policy_silence.py", "-k", "kept_if_the_second_fails"),
+    ),
     Guard(
         name="cancel",
         promise="a caller that leaves cancels its run",
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -1,10 +1,13 @@
-"""Silence of engines while they owe a part of an answer."""
+"""Silence of engines and services while they owe a part of an answer."""
 
 from typing import Any
 
 from twisted.internet import reactor
 from twisted.internet.defer import inlineCallbacks
 
+from greengagestage.entry import DeliveryLimits
+from greengagestage.policy import _dispatching
+
 from . import entry_harness
 from .builders import build_class
 from .entry_harness import EntryCase
@@ -115,3 +118,51 @@
         assert caller.error["run"] == "may_have_run"
         assert len(engine.requests) == 1
         yield wait_until(lambda: engine.requests[0].closed)
+
+
+class SilentServiceCase(EntryCase):
+    limits = DeliveryLimits(service_buffer_bytes=1_000)
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.patch(_dispatching, "MINIMUM_SERVICE_TIMEOUT_S", 0.3)
+        self.patch(
+            entry_harness,
+            "build_class",
+            lambda name, priority: build_class(name, priority, answer_target_ms=300),
+        )
+
+    # Guards against an answer that mixes the bytes of two upstreams.
+    @inlineCallbacks
+    def test_a_service_that_goes_on_alone_completes_its_answer(self):
+        paused, hanging, caller = yield self.start_two()
+        paused.requests[0].send(chunked(b"b" * 900))
+        yield wait_until(lambda: hanging.requests[0].closed)
+        paused.requests[0].send(chunked(b"c" * 900), LAST_CHUNK)
+        yield wait_until(lambda: caller.is_complete or caller.closed)
+        assert caller.body == b"a" * 900 + b"b" * 900 + b"c" * 900
+
+    @inlineCallbacks
+    def test_a_service_that_answers_replaces_a_silent_one(self):
+        paused, hanging, caller = yield self.start_two()
+        hanging.requests[0].send(HEAD, chunked(b"d" * 2_000))
+        yield wait_until(lambda: paused.requests[0].closed)
+        hanging.requests[0].send(LAST_CHUNK)
+        yield wait_until(lambda: caller.is_complete or caller.closed)
+        assert caller.body == b"d" * 2_000
+
+    @inlineCallbacks
+    def start_two(self):
+        """Start an answer at a service that falls silent, and wait for the second attempt."""
+        services = [
+            self.start_upstream(lambda request: request.send(HEAD, chunked(b"a" * 900)))
+            for _ in range(2)
+        ]
+        self.configure(services=tuple(services))
+        request = build_request(None, method="GET", path="/services/bookings/orders")
+        caller = yield self.send(request)
+        yield wait_until(lambda: services[0].requests or services[1].requests)
+        first, second = services if services[0].requests else reversed(services)
+        second.scripts = [stay_silent]
+        yield wait_until(lambda: second.requests)
+        return first, second, caller
