Test a booking whose service freezes: it waits, and ends at its deadline

The FREEZE case of test_a_service_lost_while_it_runs_may_have_run fixed the opposite: a booking without a deadline was cut after 10 s of silence. It failed with a caller that got no answer within its own limit. It now sends a deadline and keeps every check; a new case shows that a service that freezes for longer than its limit and goes on completes the answer, with one run. The policy logs why such a request waits.

--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -57,6 +57,8 @@
         if not record.request.idempotent:
             if _has_outlived_use(record, state.now_s):
                 cancel_expired(state, record)
+            else:
+                state.log_decision(record, f"{attempt.upstream} is silent; must not be repeated")
             return
         if record.held is not None:
             record.last_failure = FailureKind.SILENT
--- a/tests/test_matrix_claims.py
+++ b/tests/test_matrix_claims.py
@@ -4,6 +4,7 @@
 must agree with that count: "not run" is allowed only if nothing ran.
 """
 
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -34,6 +35,8 @@
 TABLE_DELAY_MS = 800
 ANSWER_TARGET_MS = 8_000
 """Limits the wait for a service that does not answer."""
+SERVICE_SILENCE_S = 10.5
+"""Longer than the time after which a service counts as silent, 10 s."""
 
 
 def build_shape() -> FleetShape:
@@ -102,7 +105,9 @@
     first, second = fleet.entry_urls()
     if kind is FaultKind.CUT_AFTER:
         fleet.set_fault(SERVICE, Fault(kind=kind, tokens=1))
-    pending = send_booking(first, KEY)
+    # Silence alone does not end a run that must not be repeated; its deadline does.
+    deadline = {"X-Deadline-Ms": "2000"} if kind is FaultKind.FREEZE else {}
+    pending = send_booking(first, KEY, **deadline)
     reach_step(fleet, "running")
     if kind is not FaultKind.CUT_AFTER:
         fleet.set_fault(SERVICE, Fault(kind=kind))
@@ -113,6 +118,19 @@
     check_honest(fleet, answer, resend)
 
 
+# Guards against a run that is reported as lost although its service only pauses.
+def test_a_service_that_pauses_longer_than_its_limit_completes_its_answer(fleet: Fleet) -> None:
+    first, second = fleet.entry_urls()
+    pending = send_booking(first, KEY)
+    reach_step(fleet, "running")
+    fleet.set_fault(SERVICE, Fault(kind=FaultKind.FREEZE))
+    time.sleep(SERVICE_SILENCE_S)
+    fleet.set_fault(SERVICE, Fault())
+    answer = pending.read()
+    assert answer.is_complete
+    check_honest(fleet, answer, book(second, KEY))
+
+
 @pytest.mark.parametrize("kind", [FaultKind.REFUSE, FaultKind.LEAVING])
 def test_a_refusing_service_leaves_the_key_free(fleet: Fleet, kind: FaultKind) -> None:
     first, second = fleet.entry_urls()
