Check the queues in the policy machine, and explore more sequences

A request that stayed in its queue after the silent upstream went on was found by no test: the machine now compares the queues with the states of the requests after every event, and test_policy_silence.py checks the queue.

--- a/tests/test_policy_machine.py
+++ b/tests/test_policy_machine.py
@@ -76,6 +76,9 @@
             a.attempt_id for r in state.records.values() for a in r.attempts if a.reserved
         }
         self.oracle.check(answers[0])
+        queued = [r.request_id for pool in state.pools.values() for r in pool.queue]
+        expected = [r.request_id for r in state.records.values() if r.state.value == "queued"]
+        assert sorted(queued) == sorted(expected), "the queues hold other requests than queued ones"
         for model in self.oracle.models.values():
             model.chosen = None
         for action in answers[0]:
@@ -359,4 +362,4 @@
 
 
 TestPolicyMachine = PolicyMachine.TestCase
-TestPolicyMachine.settings = settings(max_examples=150, stateful_step_count=40)
+TestPolicyMachine.settings = settings(max_examples=400, stateful_step_count=40)
--- a/tests/test_policy_silence.py
+++ b/tests/test_policy_silence.py
@@ -31,6 +31,11 @@
     return [(a.attempt_id, a.reason) for a in host.actions if isinstance(a, CancelAttempt)]
 
 
+def list_queued(host: Host) -> list[str]:
+    pools = host.policy._state.pools.values()
+    return [record.request_id for pool in pools for record in pool.queue]
+
+
 def count_slots_in_use(host: Host) -> int:
     return sum(load.in_flight for load in host.policy.inspect().upstreams)
 
@@ -110,8 +115,9 @@
     host = Host(build_declaration(slots=1))
     host.arrive("other")
     first = start_silent(host)
-    assert len(host.dispatches("r")) == 1
+    assert (len(host.dispatches("r")), list_queued(host)) == (1, ["r"])
     host.send(AttemptContinued(attempt_id=first.attempt_id))
+    assert list_queued(host) == []
     host.finish(host.dispatches("other")[0].attempt_id)
     assert len(host.dispatches("r")) == 1
     host.send(AttemptSilent(attempt_id=first.attempt_id), after_s=2.0)
