Send nothing more to an upstream that states that it leaves

Cause: an upstream that leaves says so in all its answers (Server-Leaving: 1), and a host that has passed on such an answer must send it no request later than the drain time. Hosts knew only the registry, which may say "ready" for longer, or again.

Change: the head of every answer is read for the statement, refusals, errors and answers without proof included; not that of a 421, which comes from another upstream. The router excludes the incarnation at once, also while its entry is missing from the registry and after it came back. A request that was placed there and waits for its connection is placed elsewhere (fault "withdrawn"). Other hosts are not told: each learns from the registry or from its own first answer.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -17,6 +17,7 @@
 from greengagestage.routing import AttemptEnd, Placement
 
 from ._context import ExchangeContext
+from ._upstream_notices import record_notices
 
 MAX_IDLE_NON_RETRYABLE_S = 1.5
 """A request that is not retryable only uses a connection idle for less than this: on a connection
@@ -30,10 +31,11 @@
 class AttemptFault(Enum):
     """Why an attempt yielded no complete answer.
 
-    Only the first three prove that the request did not run.
+    Only the first four prove that the request did not run.
 
     Attributes:
         UNREACHABLE: No connection could be opened.
+        WITHDRAWN: The upstream stopped accepting requests before this one was sent.
         REFUSED: The upstream stated that it did not run the request.
         MISDIRECTED: The request reached another instance than the one it names.
         LOST: The connection ended before the answer was complete.
@@ -42,6 +44,7 @@
     """
 
     UNREACHABLE = "unreachable"
+    WITHDRAWN = "withdrawn"
     REFUSED = "refused"
     MISDIRECTED = "elsewhere"
     LOST = "lost"
@@ -51,12 +54,18 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the fault proves that the upstream did not run the request."""
-        return self in (AttemptFault.UNREACHABLE, AttemptFault.REFUSED, AttemptFault.MISDIRECTED)
+        return self.proves_not_sent or self in (AttemptFault.REFUSED, AttemptFault.MISDIRECTED)
+
+    @property
+    def proves_not_sent(self) -> bool:
+        """Whether the fault proves that nothing was sent to the upstream."""
+        return self in (AttemptFault.UNREACHABLE, AttemptFault.WITHDRAWN)
 
 
 # A refusal is taken to mean that the upstream is at capacity, whatever its reason was.
 _END_BY_FAULT = {
     AttemptFault.UNREACHABLE: AttemptEnd.UNREACHABLE,
+    AttemptFault.WITHDRAWN: AttemptEnd.CANCELLED,
     AttemptFault.REFUSED: AttemptEnd.FULL,
     AttemptFault.MISDIRECTED: AttemptEnd.MISDIRECTED,
     AttemptFault.LOST: AttemptEnd.LOST,
@@ -163,6 +172,7 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Classify the response as an answer, a refusal, or neither."""
         self._record_data()
+        record_notices(self._context.router, self.plan.placement.upstream, head)
         match classify_response(head):
             case ResponseKind.NOT_RUN:
                 self._fail(AttemptFault.REFUSED)
@@ -200,6 +210,11 @@
         self._settle(end)
 
     def _send(self, connection: ClientConnection, endpoint: Endpoint) -> None:
+        incarnation = self.plan.placement.upstream.incarnation
+        if not self._context.router.accepts_requests(incarnation, self._context.reactor.seconds()):
+            self._context.pool.put_idle(endpoint, connection)
+            self._fail(AttemptFault.WITHDRAWN)
+            return
         request = None if self._listener is None else self._listener.prepare_attempt_request(self)
         if request is None:
             self._context.pool.put_idle(endpoint, connection)
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -269,11 +269,11 @@
     def _try_acquire_resend(self, fault: AttemptFault) -> bool:
         """Return whether the request can be sent again after a fault; count it as a retry if so.
 
-        A send after a failed connection is not counted, since nothing had been sent.
+        A send after an attempt that sent nothing is not counted.
         """
         if not self._has_time() or self._sends >= MAX_SENDS:
             return False
-        if fault is AttemptFault.UNREACHABLE:
+        if fault.proves_not_sent:
             return self._possible_runs == 0 or self._route.is_retryable
         if fault.proves_not_run:
             now_s = self._context.reactor.seconds()
@@ -305,7 +305,7 @@
     def _refuse_after_fault(self, fault: AttemptFault) -> None:
         if self._possible_runs == 0 and not self._delivery.begun:
             code = ResultCode.UPSTREAM_REFUSED
-            if fault is AttemptFault.UNREACHABLE:
+            if fault.proves_not_sent:
                 code = ResultCode.NO_UPSTREAM
             self._refuse(
                 Refusal(code=code, detail=fault.value, retry_after_s=REFUSED_RETRY_AFTER_S)
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -9,6 +9,7 @@
     format_retry_after,
     get_refusal_status,
     is_answer_to,
+    states_leaving,
 )
 from ._headers import (
     CallerRequestMetadata,
@@ -74,4 +75,5 @@
     "is_answer_to",
     "parse_caller_headers",
     "parse_host_settings",
+    "states_leaving",
 ]
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -6,7 +6,7 @@
 from greengagestage.ids import AttemptId
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 
-from ._headers import ATTEMPT_ID, NOT_EXECUTED, SIGNATURE
+from ._headers import ATTEMPT_ID, LEAVING, NOT_EXECUTED, SIGNATURE
 
 MISDIRECTED = 421
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -48,6 +48,14 @@
     return ResponseKind.UNPROVEN if head.status in NOT_RUN_STATUSES else ResponseKind.FAILURE
 
 
+def states_leaving(head: ResponseHead) -> bool:
+    """Whether a response states that the upstream which the request named is about to end.
+
+    A misdirected request was answered by another upstream.
+    """
+    return head.get(LEAVING) == b"1" and head.status != MISDIRECTED
+
+
 _REFUSAL_STATUSES = {
     ResultCode.UNKNOWN_PATH: 404,
     ResultCode.MISSING_CREDENTIALS: 401,
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -13,6 +13,7 @@
 from ._engine_split import URGENT_WEIGHT, EngineSplit, GroupDemand, build_group
 from ._jobs import Job, Placement, Refused, Waiting
 from ._loads import InFlightRequest, UpstreamLoad
+from ._notices import Incarnation, NoticeBoard
 from ._placement import Choice, EngineChooser, choose_plain
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
@@ -90,6 +91,7 @@
         self._services: Mapping[ServiceName, Service] = {}
         self._strictest_gap_s: dict[ServiceName, float] = {}
         self._upstreams: dict[InstanceId, UpstreamState] = {}
+        self._notices = NoticeBoard()
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._demand_meters: dict[ServiceName, DemandMeter] = {}
         self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
@@ -141,12 +143,35 @@
         for record in records:
             state = previous.get(record.instance)
             if state is None or state.record.incarnation != record.incarnation:
-                state = UpstreamState(record=record, now_s=now_s)
+                notice = self._notices.get(record.incarnation)
+                state = UpstreamState(record=record, now_s=now_s, notice=notice)
                 state.set_peer_load(self._peer_loads.get(record.instance))
             elif state.record != record:
                 state.record = record
             self._upstreams[record.instance] = state
+        self._notices.forget_except(
+            {state.record.incarnation for state in self._upstreams.values()}
+        )
+        self._choosers.clear()
+
+    def record_leaving(self, incarnation: Incarnation) -> bool:
+        """Record that an upstream states that it leaves; return whether this was not known.
+
+        It gets no more requests, whatever the registry says. The notice ends with the incarnation.
+        """
+        notice = self._notices.get(incarnation)
+        if notice.leaving:
+            return False
+        notice.leaving = True
         self._choosers.clear()
+        return True
+
+    def accepts_requests(self, incarnation: Incarnation, now_s: float) -> bool:
+        """Whether a request that was placed at an upstream may still be sent to it."""
+        state = self._upstreams.get(incarnation[0])
+        if state is not None and state.record.incarnation == incarnation:
+            return state.accepts_requests(now_s)
+        return self._notices.get(incarnation).allows_requests
 
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -9,6 +9,7 @@
 
 from ._health import Health
 from ._loads import InFlightRequest, LoadTotal, UpstreamLoad
+from ._notices import Notice
 
 OBSERVATION_WEIGHT = 0.25
 SLOWDOWN_RANGE = (0.3, 12.0)
@@ -65,8 +66,11 @@
             answered at its address.
     """
 
-    def __init__(self, *, record: RegisteredUpstream, now_s: float) -> None:
+    def __init__(
+        self, *, record: RegisteredUpstream, now_s: float, notice: Notice | None = None
+    ) -> None:
         self.record = record
+        self._notice = notice or Notice()
         self.health = Health()
         self._slowdown = 1.0
         self._slowdown_updated_s = now_s
@@ -92,9 +96,14 @@
         """Number of this host's open requests at the upstream."""
         return len(self._in_flight)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream is about to end, by its registry entry or its own answers."""
+        return self.record.availability is Availability.LEAVING or self._notice.leaving
+
     def accepts_requests(self, now_s: float) -> bool:
         """Whether new requests may be sent to the upstream at all."""
-        return self.record.availability is Availability.READY and now_s >= self.misdirected_until_s
+        return not self.is_leaving and now_s >= self.misdirected_until_s
 
     def is_healthy(self, now_s: float) -> bool:
         """Whether the upstream is neither excluded nor stalled, here or on another host."""
