Obey the pause that an upstream asks for with a 503

Cause: an upstream that turns a request away with 503 may add Retry-After and then wants nothing from that host for so long; more than two requests later than half a second break a rule. A refusal only excluded the upstream for 0.15 s, and as a preference: the only one was used all the same.

Change: the value (seconds, fractions; dates, nan and the like ignored, an hour at most) excludes the incarnation for this host from the head of the answer on, whether or not the 503 states that nothing ran. It is part of the same notice as leaving: placement, repeats, resumption and requests whose connection is still opening pass it. The refusal of the caller names no earlier time than the end of the first pause. Engines are sorted for the split whether paused or not: before, a pause at the moment of sorting mixed long and short prompts later.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -172,7 +172,8 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Classify the response as an answer, a refusal, or neither."""
         self._record_data()
-        record_notices(self._context.router, self.plan.placement.upstream, head)
+        now_s = self._context.reactor.seconds()
+        record_notices(self._context.router, self.plan.placement.upstream, head, now_s)
         match classify_response(head):
             case ResponseKind.NOT_RUN:
                 self._fail(AttemptFault.REFUSED)
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -307,9 +307,10 @@
             code = ResultCode.UPSTREAM_REFUSED
             if fault.proves_not_sent:
                 code = ResultCode.NO_UPSTREAM
-            self._refuse(
-                Refusal(code=code, detail=fault.value, retry_after_s=REFUSED_RETRY_AFTER_S)
-            )
+            now_s = self._context.reactor.seconds()
+            pause_s = self._context.router.measure_pause_s(self._job.service, now_s)
+            retry_after_s = max(REFUSED_RETRY_AFTER_S, pause_s)
+            self._refuse(Refusal(code=code, detail=fault.value, retry_after_s=retry_after_s))
             return
         match fault:
             case AttemptFault.SILENT:
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -9,6 +9,7 @@
     format_retry_after,
     get_refusal_status,
     is_answer_to,
+    read_pause_s,
     states_leaving,
 )
 from ._headers import (
@@ -75,5 +76,6 @@
     "is_answer_to",
     "parse_caller_headers",
     "parse_host_settings",
+    "read_pause_s",
     "states_leaving",
 ]
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -1,18 +1,28 @@
 """Classification of upstream responses and the statuses of the router's own refusals."""
 
+import math
+import re
 from enum import Enum
 
 from greengagestage.http1 import ResponseHead
 from greengagestage.ids import AttemptId
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 
-from ._headers import ATTEMPT_ID, LEAVING, NOT_EXECUTED, SIGNATURE
+from ._headers import ATTEMPT_ID, LEAVING, NOT_EXECUTED, RETRY_AFTER, SIGNATURE
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise a caller that its request has not run and never will."""
 
 
+MAX_PAUSE_S = 3_600.0
+"""Longer pauses are shortened to this. With a wrong value, callers would otherwise lose the
+upstream until it restarts."""
+
+_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+
+
 class ResponseKind(Enum):
     """What a response head states about the execution of its request.
 
@@ -56,6 +66,18 @@
     return head.get(LEAVING) == b"1" and head.status != MISDIRECTED
 
 
+def read_pause_s(head: ResponseHead) -> float | None:
+    """Return the seconds for which an upstream wants no requests from this host; None for none.
+
+    Only a 503 asks for a pause. Dates and values that are not positive numbers are ignored.
+    """
+    text = (head.get(RETRY_AFTER) or b"").strip()
+    if head.status != UNAVAILABLE or not _DECIMAL.fullmatch(text):
+        return None
+    pause_s = float(text)
+    return min(pause_s, MAX_PAUSE_S) if 0 < pause_s < math.inf else None
+
+
 _REFUSAL_STATUSES = {
     ResultCode.UNKNOWN_PATH: 404,
     ResultCode.MISSING_CREDENTIALS: 401,
--- a/greengagestage/routing/_notices.py
+++ b/greengagestage/routing/_notices.py
@@ -18,14 +18,15 @@
 
     Attributes:
         leaving: It is about to end. This is never withdrawn.
+        paused_until_s: It wants no requests until then.
     """
 
     leaving: bool = False
+    paused_until_s: float = 0.0
 
-    @property
-    def allows_requests(self) -> bool:
+    def allows_requests(self, now_s: float) -> bool:
         """Whether the incarnation accepts new requests, as far as it has stated."""
-        return not self.leaving
+        return not self.leaving and now_s >= self.paused_until_s
 
 
 class NoticeBoard:
@@ -41,11 +42,14 @@
         """Return the notice of an incarnation, which may be modified."""
         return self._notices.setdefault(incarnation, Notice())
 
-    def forget_except(self, listed: Collection[Incarnation]) -> None:
-        """Forget unlisted incarnations: empty notices and, beyond a limit, the oldest ones."""
+    def forget_except(self, listed: Collection[Incarnation], now_s: float) -> None:
+        """Forget unlisted incarnations: those without a notice in effect, and the oldest ones.
+
+        The oldest ones are forgotten beyond a limit.
+        """
         unlisted = [incarnation for incarnation in self._notices if incarnation not in listed]
         for incarnation in unlisted:
-            if self._notices[incarnation] == Notice():
+            if self._notices[incarnation].allows_requests(now_s):
                 del self._notices[incarnation]
         remembered = [incarnation for incarnation in unlisted if incarnation in self._notices]
         for incarnation in remembered[:-MAX_REMEMBERED]:
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -150,7 +150,7 @@
                 state.record = record
             self._upstreams[record.instance] = state
         self._notices.forget_except(
-            {state.record.incarnation for state in self._upstreams.values()}
+            {state.record.incarnation for state in self._upstreams.values()}, now_s
         )
         self._choosers.clear()
 
@@ -166,12 +166,34 @@
         self._choosers.clear()
         return True
 
+    def record_pause(self, incarnation: Incarnation, pause_s: float, now_s: float) -> bool:
+        """Record that an upstream wants no requests from this host for a while.
+
+        Returns whether it was not paused already. A longer pause is not shortened.
+        """
+        notice = self._notices.get(incarnation)
+        begins = now_s >= notice.paused_until_s
+        notice.paused_until_s = max(notice.paused_until_s, now_s + pause_s)
+        return begins
+
+    def measure_pause_s(self, service: ServiceName, now_s: float) -> float:
+        """Return the time until the first paused upstream accepts requests; 0 if one already does.
+
+        It is also 0 if none is paused.
+        """
+        pauses_s = [
+            state.measure_pause_s(now_s)
+            for state in self._upstreams.values()
+            if state.record.service == service and not state.is_leaving
+        ]
+        return min(pauses_s, default=0.0)
+
     def accepts_requests(self, incarnation: Incarnation, now_s: float) -> bool:
         """Whether a request that was placed at an upstream may still be sent to it."""
         state = self._upstreams.get(incarnation[0])
         if state is not None and state.record.incarnation == incarnation:
             return state.accepts_requests(now_s)
-        return self._notices.get(incarnation).allows_requests
+        return self._notices.get(incarnation).allows_requests(now_s)
 
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
@@ -207,19 +229,20 @@
             tried: Upstreams that already got the job and are not used again.
         """
         service = self._services.get(job.service)
-        ready = [
+        staying = [
             state
             for state in self._upstreams.values()
-            if state.record.service == job.service and state.accepts_requests(now_s)
+            if state.record.service == job.service and not state.is_leaving
         ]
+        ready = [state for state in staying if state.accepts_requests(now_s)]
         candidates = [state for state in ready if state.record.instance not in tried]
         if service is None or not candidates:
-            return self._refuse_without_upstream(ready)
+            return self._refuse_without_upstream(job.service, ready, now_s)
         healthy = [state for state in candidates if state.is_healthy(now_s)] or candidates
         connectable = [
             state for state in healthy if self._has_free_connection(state, service)
         ] or healthy
-        choice = self._choose(job, service, ready, connectable, now_s)
+        choice = self._choose(job, service, staying, connectable, now_s)
         if isinstance(choice, Waiting):
             return replace(choice, delay_s=choice.delay_s * (0.75 + 0.5 * self._draw()))
         if not self._is_sensitive(job, now_s) and now_s + choice.min_completion_s > job.deadline_s:
@@ -301,7 +324,7 @@
         self,
         job: Job,
         service: Service,
-        ready: list[UpstreamState],
+        staying: list[UpstreamState],
         candidates: list[UpstreamState],
         now_s: float,
     ) -> Choice | Waiting:
@@ -311,7 +334,7 @@
         if chooser is None:
             chooser = EngineChooser(
                 engine=service.engine,
-                engines=ready,
+                engines=staying,
                 split=self._splits.setdefault(service.name, EngineSplit()),
                 draw=self._draw,
             )
@@ -413,13 +436,17 @@
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
 
-    def _refuse_without_upstream(self, ready: list[UpstreamState]) -> Refused:
-        reason = (
-            "all ready upstreams were tried, or the service is not configured"
-            if ready
-            else "no upstream of the service is ready"
-        )
-        retry_after_s = NO_UPSTREAM_RETRY_S * (0.5 + self._draw())
+    def _refuse_without_upstream(
+        self, service: ServiceName, ready: list[UpstreamState], now_s: float
+    ) -> Refused:
+        pause_s = self.measure_pause_s(service, now_s)
+        if ready:
+            reason = "all ready upstreams were tried, or the service is not configured"
+        elif pause_s:
+            reason = f"the upstreams of the service want no requests for {pause_s:.1f} s"
+        else:
+            reason = "no upstream of the service is ready"
+        retry_after_s = max(pause_s, NO_UPSTREAM_RETRY_S / 2) + NO_UPSTREAM_RETRY_S * self._draw()
         return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=retry_after_s, reason=reason)
 
     def _refuse_late(self, job: Job, choice: Choice) -> Refused:
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -103,7 +103,15 @@
 
     def accepts_requests(self, now_s: float) -> bool:
         """Whether new requests may be sent to the upstream at all."""
-        return not self.is_leaving and now_s >= self.misdirected_until_s
+        return (
+            self.record.availability is Availability.READY
+            and self._notice.allows_requests(now_s)
+            and now_s >= self.misdirected_until_s
+        )
+
+    def measure_pause_s(self, now_s: float) -> float:
+        """Return how much longer the upstream wants no requests from this host."""
+        return max(self._notice.paused_until_s - now_s, 0.0)
 
     def is_healthy(self, now_s: float) -> bool:
         """Whether the upstream is neither excluded nor stalled, here or on another host."""
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -94,6 +94,13 @@
     responder.answer(503, [(b"Greengagestage-Not-Executed", b"1")], b"full")
 
 
+def refuse_without_proof(
+    upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder
+) -> None:
+    """Answer 503 without stating that the request was not run."""
+    responder.answer(503, [], b"unavailable")
+
+
 def answer_misdirected(
     upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder
 ) -> None:
