Let the stand-in store come back from an older copy

Cause: in a drill the platform's store can come back from a copy some seconds old. Nothing here could play that.

Measured: tests/test_standin_parts.py and tests/test_host_watches.py pass; the new test needs the new method (it failed without it with AttributeError).

--- a/standins/_row_tables.py
+++ b/standins/_row_tables.py
@@ -69,18 +69,28 @@
     """Tables whose rows share one revision counter, and objects.
 
     Attributes:
+        era: Grows by one each time the tables come back from an older copy. Revisions that the
+            copy does not have are given out again.
         now_ms: The store's clock, included in answers.
     """
 
+    era: int = 1
     revision: int = 0
     now_ms: int = 0
     objects: dict[str, bytes] = field(default_factory=dict)
     _rows: SortedDict = field(default_factory=SortedDict)
 
     def copy(self) -> "RowTables":
-        """Return a snapshot of the current state, for stale reads."""
+        """Return a snapshot of the current state, for stale reads or to come back from."""
         return deepcopy(self)
 
+    def restore(self, copy: "RowTables") -> None:
+        """Begin a new era with the content of an older copy; what was written since is lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self._rows = copy._rows.copy()
+
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row in a separate transaction."""
         self.revision += 1
--- a/tests/test_standin_parts.py
+++ b/tests/test_standin_parts.py
@@ -139,6 +139,21 @@
     assert [row.removed for row in tables.list_changes("t", 0)] == [False]
 
 
+def test_tables_that_come_back_from_a_copy_give_out_revisions_again() -> None:
+    tables = RowTables()
+    tables.put("t", "a", b"1")
+    copy = tables.copy()
+    tables.put("t", "a", b"2")
+    tables.put("t", "b", b"2")
+    tables.restore(copy)
+    assert (tables.era, tables.revision) == (2, 1)
+    assert [(row.key, row.value) for row in tables.list_rows("t")] == [("a", b"1")]
+    status, body = transact(tables, Puts=[build_row("c", Value="MQ==")])
+    assert (status, body["SchemaVersion"]) == (200, 2)
+    tables.restore(copy)
+    assert [row.key for row in tables.list_rows("t")] == ["a"]
+
+
 def test_key_range_is_read_in_order_and_in_pages() -> None:
     tables = RowTables()
     for key in ("b", "a/2", "a/1", "a/3"):
