Tell the eras of the store apart when watching the configuration

Cause: the store may come back from a copy some seconds old (Store-Era rises by one). Its revisions are then given out again: a host that watched after a revision of the former era missed a version written at that revision, an old revision of a peer confirmed or blocked a new one, and the copy's older version (or a copy without a version that no host had seen) confirmed keys that may have been taken away.

Change: the client reads the era from every answer; StoreEra keeps the newest one for the host. In a new era RouteWatch forgets revisions and the offset of the store's clock and reads the whole table. Reports between hosts name the era and the newest known version (protocol version 3); those of an older era are ignored. The operator's Version keeps its order in all eras: older ones are never adopted, and confirm nothing while the store shows one; nor does anything in the first 2.3 s of an era, until lost writes have been repeated. The adopted Version with other content, first in a new era, is adopted. Pages of two eras are not joined. Readiness follows the last read instead of the last confirmation, so that hosts do not all go out of rotation in those seconds. The first watch after a failed call is answered at once.

Measured: tests/test_store_era.py, 13 tests. The asserts on reports in test_gateway_parts.py and calls in test_host_watches.py follow the changed signature, the values are the same.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -23,13 +23,14 @@
 from ._route_watch import RouteWatch
 from ._shutdown import Shutdown
 from ._site import CallerRequestHandler, ConfigurationView
+from ._store_era import StoreEra
 
 MAX_WORKSPACE_LABELS = 50
 """Workspaces with their own metric label; the others share one."""
 
 MAX_READY_CONFIGURATION_AGE_S = 2.5
-"""A host whose configuration was confirmed longer ago reports itself as not ready. Confirmations
-normally arrive about every second."""
+"""A host that has learned longer ago what the store shows reports itself as not ready. It normally
+learns that about every second."""
 
 LISTEN_BACKLOG = 1_024
 """Listen backlog in connections. When it is full, callers' SYN packets are dropped and connecting
@@ -50,7 +51,12 @@
         self._losses = LossTracker()
         self._pool = ConnectionPool(reactor=reactor)
         address, port = settings.store
-        self._rows = RowClient(reactor=reactor, endpoint=Endpoint(address=address, port=port))
+        self._era = StoreEra()
+        self._rows = RowClient(
+            reactor=reactor,
+            endpoint=Endpoint(address=address, port=port),
+            on_era=self._era.observe,
+        )
         self._routes = self._build_route_watch(random)
         self._registry = self._build_registry_watch(random)
         self._peers = self._build_peers(incarnation)
@@ -134,10 +140,11 @@
         return RouteWatch(
             reactor=self._reactor,
             rows=self._rows,
+            era=self._era,
             random=random,
             on_table=self._adopt_routes,
-            on_confirmed=lambda revision, store_s, changed: self._peers.report_configuration(
-                revision, store_s, changed=changed
+            on_report=lambda report, changed: self._peers.report_configuration(
+                report, changed=changed
             ),
             get_rank=lambda: self._peers.rank,
         )
@@ -166,7 +173,7 @@
                 on_work=self._update_peer_loads,
                 on_loss=self._record_peer_loss,
                 on_registry=self._registry.receive_report,
-                on_configuration=self._routes.receive_confirmation,
+                on_configuration=self._routes.receive_report,
             ),
         )
 
@@ -204,7 +211,7 @@
             return "no configuration"
         if not self._registry.is_loaded:
             return "registry of upstreams not read yet"
-        age_s = self._routes.age_s
+        age_s = self._routes.observed_age_s
         if age_s is None or age_s > MAX_READY_CONFIGURATION_AGE_S or self._configuration.is_stale:
             return "configuration not confirmed"
         return None
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -9,7 +9,7 @@
 MAX_DATAGRAM_BYTES = 1_400
 """Larger datagrams would be fragmented, and lost if any fragment is lost."""
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 
 class Sender(Struct, frozen=True, array_like=True):
@@ -160,6 +160,7 @@
         before: The same hash before the changes below; None if the report contains no changes.
         listed: Entries that are new, or changed in one of the compared fields.
         dropped: Entries that were removed.
+        era: The store's era at the time of the read; None if the store does not state it.
     """
 
     digest: int
@@ -167,18 +168,23 @@
     before: int | None = None
     listed: list[RegisteredUpstream] = []
     dropped: list[InstanceId] = []
+    era: int | None = None
 
 
 class ConfigurationReport(Struct, frozen=True, array_like=True, tag="configuration"):
-    """Reports that the store has just confirmed the sender's configuration as the newest.
+    """Reports which configuration the sender has just seen in the store.
 
     Attributes:
         revision: Revision of the configuration's row.
         store_s: The store's clock at that time, in seconds.
+        era: The store's era at that time; None if the store does not state it.
+        version: The newest version that the sender knows, which the store may have lost.
     """
 
     revision: int
     store_s: float
+    era: int | None = None
+    version: int = -1
 
 
 WorkReport = LoadReport | DomainReport | TotalsReport
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -60,7 +60,7 @@
         on_loss: Handles the fingerprint of a request whose answer was lost, and the id of the
             loss.
         on_registry: Handles a report about the registry of upstreams.
-        on_configuration: Handles the newest revision and the store's time in seconds.
+        on_configuration: Handles a report about the configuration in the store.
     """
 
     measure_local_loads: Callable[[float], Loads]
@@ -69,7 +69,7 @@
     on_work: Callable[[Loads, Demands], None]
     on_loss: Callable[[Fingerprint, str], None]
     on_registry: Callable[[RegistryReport], None]
-    on_configuration: Callable[[int, float], None]
+    on_configuration: Callable[[ConfigurationReport], None]
 
 
 class PeerLink(DatagramProtocol):
@@ -145,10 +145,10 @@
         """Tell all peers what was read in the registry."""
         self._broadcast(report)
 
-    def report_configuration(self, revision: int, store_s: float, *, changed: bool) -> None:
-        """Tell all peers which configuration was the newest at a time on the store's clock."""
+    def report_configuration(self, report: ConfigurationReport, *, changed: bool) -> None:
+        """Tell all peers which configuration the store has; a change is sent more than once."""
         for _ in range(SENDS_PER_REPORT if changed else 1):
-            self._broadcast(ConfigurationReport(revision, store_s))
+            self._broadcast(report)
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Decode and process a message of a peer; older and invalid messages are ignored."""
@@ -170,8 +170,8 @@
                 self._callbacks.on_loss(fingerprint, loss_id)
             case RegistryReport() as report:
                 self._callbacks.on_registry(report)
-            case ConfigurationReport(revision=revision, store_s=store_s):
-                self._callbacks.on_configuration(revision, store_s)
+            case ConfigurationReport() as report:
+                self._callbacks.on_configuration(report)
 
     def _accept_sender(self, sender: Sender, addr: tuple[str, int]) -> bool:
         """Record the sender; return whether the message is newer than all earlier ones from it."""
--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/_route_watch.py
@@ -4,11 +4,13 @@
 from random import Random
 from typing import Any
 
+import xxhash
 from eliot import log_message
 from returns.result import Success
 from twisted.internet.defer import inlineCallbacks
 
 from greengagestage.catalog import RouteTable
+from greengagestage.ids import ConfigurationVersion
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import (
     CONFIGURATION_KEY,
@@ -21,7 +23,9 @@
 )
 
 from ._loops import RepeatingTask, add_jitter
+from ._peer_messages import ConfigurationReport
 from ._store_clock import StoreClock, read_boot_time_s
+from ._store_era import REWRITE_S, StoreEra
 
 WATCHING_HOSTS = 2
 """Number of hosts that watch the configuration, the first by rank; they report to the others. With
@@ -58,10 +62,18 @@
     content: the table is known up to one revision, and the configuration's row has the revision at
     which it was last written.
 
+    Revisions are the store's, and given out again in a new era. The version inside the document is
+    the operator's, and keeps its order in all eras: what the store has lost, the operator writes
+    again under the same version. Until then the store shows an older version, which is neither
+    adopted nor taken as proof that the adopted one is the newest. The same holds at the beginning
+    of an era whatever the store shows, since it may have lost a version that this host never saw.
+    Only where the store shows the adopted version with another content, first in a new era, the
+    operator has used its number again and the content is adopted.
+
     Args:
         on_table: Handles an adopted configuration.
-        on_confirmed: Handles the revision of the newest configuration, the seconds of the store's
-            clock at which it was the newest, and whether the revision was not reported before.
+        on_report: Handles a report of what the store shows, to be sent to the other hosts, and
+            whether its revision was not reported before.
         get_rank: Returns this host's position among all hosts.
     """
 
@@ -70,27 +82,36 @@
         *,
         reactor: Any,
         rows: RowClient,
+        era: StoreEra,
         random: Random,
         on_table: Callable[[RouteTable], None],
-        on_confirmed: Callable[[int, float, bool], None],
+        on_report: Callable[[ConfigurationReport, bool], None],
         get_rank: Callable[[], int],
     ) -> None:
         self._rows = rows
+        self._era = era
         self._random = random
         self._on_table = on_table
-        self._on_confirmed = on_confirmed
+        self._on_report = on_report
         self._get_rank = get_rank
         self._clock = StoreClock()
         self._task = RepeatingTask(reactor=reactor, name="configuration", step=self._step)
         self._table_revision: int | None = None  # None: the whole table has to be read
         self._adopted_version = -1
+        self._adopted_digest = 0
+        self._adopted_in_era = True  # False from a new era on, until the store shows the version
+        self._known_version = -1  # newest version of this host and its peers
+        self._row_version = -1  # version that the store shows; -1 for none in this era
         # Revisions of the configuration's row, or 0: of the last one that could be decoded, even if
         # its version was not newer; of the last reported one; of an unread one known from a peer.
         self._row_revision = 0
         self._reported_row_revision = 0
         self._pending_row_revision = 0
-        self._confirmed_s: float | None = None
+        self._observed_s: float | None = None  # when the store last showed the known row
+        self._confirmed_s: float | None = None  # when the adopted version was last the newest
+        self._unproven_until_s = 0.0
         self._reachable = True
+        era.add_listener(self._begin_era)
 
     def start(self) -> None:
         """Start watching."""
@@ -105,17 +126,38 @@
         """Seconds since the adopted version was known to be the newest; None if none was read."""
         return None if self._confirmed_s is None else read_boot_time_s() - self._confirmed_s
 
-    def receive_confirmation(self, revision: int, store_s: float) -> None:
-        """Handle a peer's report of the newest revision at a time on the store's clock.
+    @property
+    def observed_age_s(self) -> float | None:
+        """Seconds since the store is known to have been read, whatever it showed."""
+        return None if self._observed_s is None else read_boot_time_s() - self._observed_s
+
+    def receive_report(self, report: ConfigurationReport) -> None:
+        """Handle a peer's report of what the store showed at a time on the store's clock.
 
         A newer revision than this host's triggers a read at once, and confirms nothing until then.
         """
-        if revision > self._row_revision:
-            self._pending_row_revision = max(self._pending_row_revision, revision)
+        self._known_version = max(self._known_version, report.version)
+        self._era.observe(report.era)
+        if not self._era.is_current(report.era):
+            return
+        if report.revision > self._row_revision:
+            self._pending_row_revision = max(self._pending_row_revision, report.revision)
             self._task.run_within(MAX_CHANGE_JITTER_S * self._random.random())
-        elif revision == self._row_revision and self._confirmed_s is not None:
-            confirmed_s = self._clock.convert_store_time(store_s=store_s, now_s=read_boot_time_s())
-            self._confirmed_s = max(self._confirmed_s, confirmed_s or 0.0)
+        elif report.revision == self._row_revision and self._observed_s is not None:
+            seen_s = self._clock.convert_store_time(
+                store_s=report.store_s, now_s=read_boot_time_s()
+            )
+            self._record_observation(seen_s or 0.0)
+
+    def _begin_era(self) -> None:
+        """Forget what the store's revisions and clock meant, and read the whole table again."""
+        self._clock = StoreClock()
+        self._table_revision = None
+        self._row_version = -1
+        self._row_revision = self._reported_row_revision = self._pending_row_revision = 0
+        self._adopted_in_era = False
+        self._unproven_until_s = read_boot_time_s() + REWRITE_S
+        self._task.run_within(MAX_CHANGE_JITTER_S * self._random.random())
 
     @inlineCallbacks
     def _step(self) -> Any:
@@ -123,14 +165,19 @@
         if pause_s > 0:
             return pause_s
         sent_s = read_boot_time_s()
-        wait_s = WATCH_WAIT_S if self._get_rank() < WATCHING_HOSTS else 0.0
-        if self._table_revision is None:
+        # The first answer after an outage is not delayed: it may tell of a new era.
+        waits = self._get_rank() < WATCHING_HOSTS and self._reachable
+        wait_s = WATCH_WAIT_S if waits else 0.0
+        watched_revision = self._table_revision
+        if watched_revision is None:
             outcome = yield self._rows.read(OPERATOR_TABLE)
         else:
-            outcome = yield self._rows.watch(
-                OPERATOR_TABLE, after=self._table_revision, wait_s=wait_s
-            )
+            outcome = yield self._rows.watch(OPERATOR_TABLE, after=watched_revision, wait_s=wait_s)
         match outcome:
+            case RowsRead(era=era) if not self._era.is_current(era):
+                return add_jitter(RETRY_S, self._random)
+            case RowsRead() if watched_revision != self._table_revision:
+                return 0.0  # a new era began meanwhile: these are only a part of its changes
             case RowsRead():
                 self._set_reachable(True, "")
                 self._process_read(outcome, sent_s)
@@ -150,14 +197,15 @@
 
     def _compute_pause_s(self) -> float:
         """Return how long to rely on the reports of other hosts; 0 to read the store now."""
-        age_s, rank = self.age_s, self._get_rank()
+        rank = self._get_rank()
         if (
-            age_s is None
+            self._observed_s is None
             or self._table_revision is None
             or self._pending_row_revision
             or rank < WATCHING_HOSTS
         ):
             return 0.0
+        age_s = read_boot_time_s() - self._observed_s
         delay_s = min(rank * RANK_DELAY_S, MAX_RANK_DELAY_S)
         return max(MAX_RELAYED_AGE_S + delay_s - age_s, 0.0)
 
@@ -171,23 +219,39 @@
                     return
                 self._row_revision = row.revision
         self._table_revision = rows.revision
-        self._record_confirmation(rows.store_clock_ms / 1_000, sent_s)
-
-    def _record_confirmation(self, store_s: float, sent_s: float) -> None:
-        self._confirmed_s = self._clock.record_answer_time(
+        store_s = rows.store_clock_ms / 1_000
+        seen_s = self._clock.record_answer_time(
             sent_s=sent_s, received_s=read_boot_time_s(), store_s=store_s
         )
-        if self._row_revision:
-            changed = self._row_revision != self._reported_row_revision
-            self._reported_row_revision = self._row_revision
-            self._on_confirmed(self._row_revision, store_s, changed)
+        self._record_observation(seen_s)
+        self._report(store_s)
+
+    def _record_observation(self, seen_s: float) -> None:
+        """Record when the store showed the known row, and whether that confirms the adopted one."""
+        self._observed_s = max(self._observed_s or 0.0, seen_s)
+        if seen_s >= self._unproven_until_s and self._row_version >= self._known_version:
+            self._confirmed_s = max(self._confirmed_s or 0.0, seen_s)
+
+    def _report(self, store_s: float) -> None:
+        if not self._row_revision:
+            return
+        changed = self._row_revision != self._reported_row_revision
+        self._reported_row_revision = self._row_revision
+        self._on_report(
+            ConfigurationReport(self._row_revision, store_s, self._era.number, self._known_version),
+            changed,
+        )
 
     def _adopt(self, row: StoredRow) -> bool:
         """Adopt the row's version if it is newer; return whether the row could be decoded."""
         match decode_route_table(row.value):
             case Success(table):
-                if table.version > self._adopted_version:
+                self._row_version = table.version
+                digest = xxhash.xxh64_intdigest(row.value)
+                if self._is_newer(table.version, digest):
                     self._adopted_version = table.version
+                    self._adopted_digest = digest
+                    self._known_version = max(self._known_version, table.version)
                     log_message(
                         message_type="configuration: adopted",
                         version=table.version,
@@ -196,6 +260,10 @@
                         priorities=table.count_priorities(),
                     )
                     self._on_table(table)
+                if table.version == self._adopted_version:
+                    self._adopted_in_era = True
+                else:
+                    self._log_older_version(table.version)
                 return True
             case failure:
                 log_message(
@@ -205,6 +273,19 @@
                 )
                 return False
 
+    def _is_newer(self, version: ConfigurationVersion, digest: int) -> bool:
+        """Whether a version is to be adopted; the adopted one only if its number was used again."""
+        if version == self._adopted_version:
+            return not self._adopted_in_era and digest != self._adopted_digest
+        return version > self._adopted_version
+
+    def _log_older_version(self, version: ConfigurationVersion) -> None:
+        log_message(
+            message_type="configuration: older version in the store",
+            version=version,
+            adopted=self._adopted_version,
+        )
+
     def _set_reachable(self, reachable: bool, reason: str) -> None:
         if reachable != self._reachable:
             self._reachable = reachable
--- a/greengagestage/platform/_headers.py
+++ b/greengagestage/platform/_headers.py
@@ -19,6 +19,7 @@
 PRIORITY = b"greengagestage-request-priority"
 RETRY_AFTER = b"retry-after"
 SIGNATURE = b"greengagestage-server-signature"
+STORE_ERA = b"store-era"
 TENANT = b"greengagestage-tenant"
 TOKENS = b"greengagestage-token-usage"
 
--- a/greengagestage/platform/_rows.py
+++ b/greengagestage/platform/_rows.py
@@ -1,7 +1,7 @@
 """A client for the platform's row store: reads, watches and transactions, without retries."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
@@ -69,12 +69,14 @@
             it, and rows that a transaction wrote have this revision.
         store_clock_ms: The store's monotonic clock at that time.
         has_more: Whether rows were left out; the next page begins after the last key.
+        era: The store's era; see ``StoreAnswer``. Revisions of different eras are unrelated.
     """
 
     rows: list[StoredRow] = field(name="Rows", default_factory=list)
     revision: int = field(name="SchemaVersion")
     store_clock_ms: float = field(name="NowMs", default=0.0)
     has_more: bool = field(name="HasMore", default=False)
+    era: int | None = field(name="Store-Era", default=None)
 
 
 class HistoryLost(Struct, frozen=True):
@@ -126,12 +128,23 @@
 
 
 class RowClient:
-    """Reads and writes rows; never retries a call."""
+    """Reads and writes rows; never retries a call.
+
+    Args:
+        on_era: Handles the store's era in each response; see ``StoreCalls``.
+    """
 
     def __init__(
-        self, *, reactor: Any, endpoint: Endpoint, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        *,
+        reactor: Any,
+        endpoint: Endpoint,
+        timeout_s: float = CALL_TIMEOUT_S,
+        on_era: Callable[[int], None] = lambda era: None,
     ) -> None:
-        self._calls = StoreCalls(reactor=reactor, endpoint=endpoint, timeout_s=timeout_s)
+        self._calls = StoreCalls(
+            reactor=reactor, endpoint=endpoint, timeout_s=timeout_s, on_era=on_era
+        )
 
     @property
     def calls(self) -> int:
@@ -141,11 +154,15 @@
     @inlineCallbacks
     def _read(self, table: str, first_key: str, end_key: str | None, limit: int | None) -> Any:
         rows: list[StoredRow] = []
+        era: int | None = None
         while True:
             page_limit = MAX_PAGE_ROWS if limit is None else min(limit - len(rows), MAX_PAGE_ROWS)
             page = yield self._read_page(table, first_key, end_key, page_limit)
             if not isinstance(page, RowsRead):
                 return page
+            if rows and page.era != era:
+                return Unavailable(reason="the store came back from a copy between two pages")
+            era = page.era
             rows.extend(page.rows)
             if not page.has_more or not page.rows or len(rows) == limit:
                 return msgspec.structs.replace(page, rows=rows)
@@ -215,8 +232,8 @@
     match answer:
         case Unavailable() | Unknown():
             return Unavailable(reason=answer.reason)
-        case StoreAnswer(status=200, body=body):
-            read = _decode(body, RowsRead)
+        case StoreAnswer(status=200):
+            read = _decode_rows(answer)
             return Unavailable(reason=read.reason) if isinstance(read, Unknown) else read
         case StoreAnswer(status=410):
             return HistoryLost()
@@ -228,14 +245,21 @@
     match answer:
         case Unavailable() | Unknown():
             return answer
-        case StoreAnswer(status=200, body=body):
-            return _decode(body, RowsRead)
+        case StoreAnswer(status=200):
+            return _decode_rows(answer)
         case StoreAnswer(status=412, body=body):
             return _decode(body, RowConflict)
         case StoreAnswer(status=status):
             return classify_error_status(status)
 
 
+def _decode_rows(answer: StoreAnswer) -> RowsRead | Unknown:
+    read = _decode(answer.body, RowsRead)
+    if isinstance(read, Unknown):
+        return read
+    return msgspec.structs.replace(read, era=answer.era)
+
+
 def _decode(body: bytes, result_type: type[_T]) -> _T | Unknown:
     try:
         return msgspec.json.decode(body, type=result_type)
--- a/greengagestage/platform/_store_calls.py
+++ b/greengagestage/platform/_store_calls.py
@@ -1,5 +1,6 @@
 """Single HTTP calls to the platform's stores, each with its complete response."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +18,8 @@
 )
 from greengagestage.outcomes import Unavailable, Unknown
 
+from ._headers import MAX_NUMBER_DIGITS, STORE_ERA
+
 CALL_TIMEOUT_S = 0.7
 """Time limit for a call, in addition to the time that a watch waits. The store usually answers in
 4 ms, and in 240 ms when it is sixty times slower."""
@@ -39,10 +42,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreAnswer:
-    """A complete response of the store."""
+    """A complete response of the store.
+
+    Attributes:
+        era: The store's era, which grows by one each time the store comes back from an older copy
+            and loses its newest writes; None if the store does not state it. Revisions and clock
+            times of different eras cannot be compared.
+    """
 
     status: int
     body: bytes
+    era: int | None = None
 
 
 CallOutcome = StoreAnswer | Unavailable | Unknown
@@ -51,15 +61,24 @@
 class StoreCalls:
     """Sends calls to the store; never retries one.
 
+    Args:
+        on_era: Handles the store's era in the head of each response, before the call ends.
+
     Attributes:
         sent: Number of calls started so far, including those for which no connection could be
             opened, but not those refused because of ``MAX_CALLS_IN_FLIGHT``.
     """
 
     def __init__(
-        self, *, reactor: Any, endpoint: Endpoint, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        *,
+        reactor: Any,
+        endpoint: Endpoint,
+        timeout_s: float = CALL_TIMEOUT_S,
+        on_era: Callable[[int], None] = lambda era: None,
     ) -> None:
         self._reactor = reactor
+        self._on_era = on_era
         self._endpoint = endpoint
         self._timeout_s = timeout_s
         self._pool = ConnectionPool(reactor=reactor)
@@ -81,6 +100,7 @@
             pool=self._pool,
             endpoint=self._endpoint,
             timeout_s=wait_s + self._timeout_s,
+            on_era=self._on_era,
         )
         if self._in_flight >= MAX_CALLS_IN_FLIGHT:
             call.finish(Unavailable(reason="too many calls in flight"))
@@ -119,8 +139,16 @@
     """One request to the store and its complete response."""
 
     def __init__(
-        self, *, reactor: Any, pool: ConnectionPool, endpoint: Endpoint, timeout_s: float
+        self,
+        *,
+        reactor: Any,
+        pool: ConnectionPool,
+        endpoint: Endpoint,
+        timeout_s: float,
+        on_era: Callable[[int], None],
     ) -> None:
+        self._on_era = on_era
+        self._era: int | None = None
         self.done: Deferred[CallOutcome] = Deferred()
         self._endpoint = endpoint
         self._pool = pool
@@ -151,8 +179,11 @@
             self.done.callback(outcome)
 
     def receive_head(self, head: ResponseHead) -> None:
-        """Record the status."""
+        """Record the status and the store's era."""
         self._status = head.status
+        self._era = _parse_era(head.get(STORE_ERA))
+        if self._era is not None:
+            self._on_era(self._era)
 
     def receive_body(self, data: bytes) -> None:
         """Buffer the next bytes of the body; abort the call if the body exceeds the limit."""
@@ -164,7 +195,8 @@
 
     def end_response(self) -> None:
         """End the call with the complete response."""
-        self.finish(StoreAnswer(status=self._status, body=b"".join(self._parts)))
+        body = b"".join(self._parts)
+        self.finish(StoreAnswer(status=self._status, body=body, era=self._era))
 
     def fail_response(self, failure: ExchangeFailure) -> None:
         """End the call without a complete response; it may have had an effect."""
@@ -187,3 +219,9 @@
         if self._connection is not None:
             self._connection.close()
         self.finish(Unknown(reason=reason))
+
+
+def _parse_era(value: bytes | None) -> int | None:
+    if value is None or not value.isdigit() or len(value) > MAX_NUMBER_DIGITS:
+        return None
+    return int(value)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -111,7 +111,9 @@
         TotalsReport(7, 1, 9, WORK),
         LossReport(Fingerprint("f"), "a1.1"),
         RegistryReport(1, 2),
+        RegistryReport(1, 2, era=3),
         ConfigurationReport(4, 5.5),
+        ConfigurationReport(4, 5.5, era=3, version=7),
     ],
 )
 def test_encoded_messages_decode_to_equal_messages(body) -> None:
@@ -159,7 +161,7 @@
                 on_work=lambda loads, demands: self.calls.append((loads, demands)),
                 on_loss=lambda fingerprint, loss_id: self.calls.append(loss_id),
                 on_registry=self.calls.append,
-                on_configuration=lambda *confirmation: self.calls.append(confirmation),
+                on_configuration=self.calls.append,
             ),
         )
         self.link.transport = self.transport = RecordingTransport()
@@ -179,9 +181,9 @@
         harness.receive(
             ConfigurationReport(sequence, 1.0), sequence=sequence, incarnation=incarnation
         )
-    assert harness.calls == [(5, 1.0)]
+    assert harness.calls == [ConfigurationReport(5, 1.0)]
     harness.receive(ConfigurationReport(1, 1.0), sequence=1, incarnation=2)
-    assert harness.calls[-1] == (1, 1.0)
+    assert harness.calls[-1] == ConfigurationReport(1, 1.0)
 
 
 def test_a_crash_report_after_the_port_was_closed_is_ignored() -> None:
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -11,6 +11,7 @@
 from greengagestage.gateway._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
+    ConfigurationReport,
     PeerMessage,
     RegistryReport,
     Sender,
@@ -190,7 +191,9 @@
         """Simulate confirmations of a revision by peers; by default of the adopted revision."""
         for _ in range(round(duration_s / 0.2)):
             confirmed_revision = self.routes._row_revision if revision is None else revision
-            self.routes.receive_confirmation(confirmed_revision, self.fleet.reactor.seconds())
+            self.routes.receive_report(
+                ConfigurationReport(confirmed_revision, self.fleet.reactor.seconds())
+            )
             self.fleet.run_for(0.2)
 
     def count_calls(self) -> int:
@@ -225,7 +228,7 @@
     old_s = fleet.reactor.seconds() - 30.0
     fleet.run_for(0.5)
     before_s = host.routes.age_s
-    host.routes.receive_confirmation(host.routes._row_revision, old_s)
+    host.routes.receive_report(ConfigurationReport(host.routes._row_revision, old_s))
     assert host.routes.age_s >= before_s
 
 
--- /dev/null
+++ b/tests/test_store_era.py
@@ -0,0 +1,256 @@
+"""Tests of hosts whose store comes back from an older copy and gives out its revisions again."""
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from greengagestage.gateway import HostProcess
+from greengagestage.gateway._peer_messages import ConfigurationReport
+from greengagestage.http1 import Endpoint, IncomingRequest, Responder
+from greengagestage.outcomes import Unavailable
+from greengagestage.platform import HistoryLost, RowClient
+from standins._row_tables import RowTables
+from standins.row_store import StoreFault
+
+from .host_harness import (
+    KEY,
+    ROUTES,
+    HostFleet,
+    build_document,
+    choose_port,
+    running_fleet,
+)
+
+ONLY_LOOKUP = {"Routes": ROUTES[:1]}
+OTHER_KEY = {"Tenants": [{"Name": "gyor", "ApiKeys": ["other"]}]}
+
+
+@pytest.fixture
+def fleet():
+    with running_fleet() as running:
+        running.add_upstream("one")
+        yield running
+
+
+def start(fleet: HostFleet, **bounds: float) -> HostProcess:
+    process = fleet.start_host(**bounds)
+    fleet.wait_ready()
+    return process
+
+
+def adopt(fleet: HostFleet, version: int, **changes: object) -> None:
+    """Let the operator write a version, and wait until the host has adopted it."""
+    fleet.store.put("op", "config", build_document(version, **changes))
+    fleet.run_until(
+        lambda: all(each._routes._adopted_version == version for each in fleet.processes)
+    )
+
+
+def lose_version(fleet: HostFleet, version: int, **changes: object) -> RowTables:
+    """Let the host adopt a version which the store then loses; return the copy without it."""
+    copy = fleet.store.take_copy()
+    adopt(fleet, version, **changes)
+    fleet.store.restore(copy)
+    return copy
+
+
+def request(fleet: HostFleet, path: str = "/order/x", key: str = KEY) -> tuple[int, int]:
+    """Return the status of a request and its error code, 0 for a success."""
+    caller = fleet.call(path, key=key)
+    return caller.status, 0 if caller.status == 200 else caller.error["code"]
+
+
+class StoreCaller:
+    """A client of the store that records the eras of its answers."""
+
+    def __init__(self, fleet: HostFleet) -> None:
+        self._fleet = fleet
+        address = fleet.store_port.getHost()
+        self.eras: list[int] = []
+        self.client = RowClient(
+            reactor=fleet.reactor,
+            endpoint=Endpoint(address=address.host, port=address.port),
+            on_era=self.eras.append,
+        )
+
+    def wait_for(self, answer: Deferred[object]) -> object:
+        outcomes: list[object] = []
+        answer.addCallback(outcomes.append)
+        self._fleet.run_until(lambda: bool(outcomes))
+        return outcomes[0]
+
+
+def test_the_era_is_read_from_answers_and_refusals(fleet: HostFleet) -> None:
+    caller = StoreCaller(fleet)
+    assert caller.wait_for(caller.client.read("op")).era == 1
+    fleet.store.restore(fleet.store.take_copy())
+    watched = caller.wait_for(caller.client.watch("op", after=10_000, wait_s=0.0))
+    assert isinstance(watched, HistoryLost)
+    fleet.store.restore(fleet.store.take_copy())
+    fleet.store.fault = StoreFault.DOWN
+    assert isinstance(caller.wait_for(caller.client.read("op")), Unavailable)
+    assert caller.eras == [1, 2, 3]
+
+
+def test_pages_of_two_eras_are_not_joined(fleet: HostFleet) -> None:
+    for number in range(700):
+        fleet.store.put("t", f"{number:04}", b"x")
+    copy = fleet.store.take_copy()
+
+    def restore_after_answer(request: IncomingRequest, responder: Responder) -> None:
+        fleet.store.handle(request, responder)
+        fleet.store.restore(copy)
+
+    caller = StoreCaller(fleet)
+    assert len(caller.wait_for(caller.client.read("t")).rows) == 700
+    fleet.store_port.factory.on_request = restore_after_answer
+    assert isinstance(caller.wait_for(caller.client.read("t")), Unavailable)
+    assert caller.eras[-2:] == [1, 2]
+
+
+def test_a_version_written_at_a_reused_revision_is_adopted(fleet: HostFleet) -> None:
+    """The host watches after the revision at which the next version is written again."""
+    start(fleet)
+    lose_version(fleet, 2, **ONLY_LOOKUP)
+    fleet.store.put("op", "config", build_document(3))
+    fleet.run_for(1.3)
+    assert request(fleet) == (200, 0)
+
+
+def test_an_older_version_of_the_copy_is_not_adopted(fleet: HostFleet) -> None:
+    start(fleet)
+    lose_version(fleet, 2, **ONLY_LOOKUP)
+    for _ in range(5):
+        fleet.run_for(0.3)
+        assert request(fleet) == (404, 1010)
+        assert fleet.ask_readiness() == 200
+    fleet.store.put("op", "config", build_document(2, **ONLY_LOOKUP))
+    fleet.run_for(0.3)
+    assert request(fleet) == (404, 1010)
+    adopt(fleet, 3)
+    assert request(fleet) == (200, 0)
+
+
+def test_an_older_version_of_the_copy_does_not_prove_that_keys_are_valid(fleet: HostFleet) -> None:
+    start(fleet, key_revocation_s=2.0)
+    lose_version(fleet, 2)
+    fleet.run_for(4.0)
+    assert request(fleet) == (503, 2017)
+    fleet.store.put("op", "config", build_document(2))
+    fleet.run_for(0.3)
+    assert request(fleet) == (200, 0)
+
+
+def test_a_version_that_peers_know_counts_as_known(fleet: HostFleet) -> None:
+    process = start(fleet, key_revocation_s=2.0)
+    process._routes.receive_report(ConfigurationReport(1, 0.0, version=2))
+    fleet.run_for(2.2)
+    assert request(fleet) == (503, 2017)
+    adopt(fleet, 2)
+    assert request(fleet) == (200, 0)
+
+
+def test_a_version_lost_before_this_host_saw_it_may_have_revoked_keys(fleet: HostFleet) -> None:
+    """At the beginning of an era the store may lack a version until the operator repeats it."""
+    start(fleet, key_revocation_s=2.0)
+    copy = fleet.store.take_copy()
+    fleet.store.fault = StoreFault.DOWN
+    fleet.run_for(1.0)
+    fleet.store.put("op", "config", build_document(2, **OTHER_KEY))
+    fleet.store.restore(copy)
+    fleet.store.fault = StoreFault.NONE
+    fleet.run_for(1.8)
+    assert request(fleet) == (503, 2017)
+    fleet.store.put("op", "config", build_document(2, **OTHER_KEY))
+    fleet.run_for(0.3)
+    assert request(fleet)[0] in (401, 503)
+    fleet.run_for(2.0)
+    assert request(fleet) == (401, 1015)
+    assert request(fleet, key="other") == (200, 0)
+
+
+def test_keys_are_accepted_again_if_nothing_was_lost(fleet: HostFleet) -> None:
+    start(fleet, key_revocation_s=2.0)
+    fleet.store.restore(fleet.store.take_copy())
+    for _ in range(4):
+        fleet.run_for(1.0)
+        fleet.ask_readiness()
+    assert request(fleet) == (200, 0)
+    assert fleet.ask_readiness() == 200
+
+
+def test_a_version_number_used_again_replaces_the_lost_content(fleet: HostFleet) -> None:
+    start(fleet)
+    lose_version(fleet, 2, **ONLY_LOOKUP)
+    fleet.store.put("op", "config", build_document(2))
+    fleet.run_for(1.3)
+    assert request(fleet) == (200, 0)
+    fleet.store.put("op", "config", build_document(2, **ONLY_LOOKUP))
+    fleet.run_for(1.3)
+    assert request(fleet) == (200, 0)
+
+
+class NonWatchingHost:
+    """A host of low rank, after the store has come back from a copy as old as itself."""
+
+    def __init__(self, fleet: HostFleet, *, clock_offset_s: float = 0.0) -> None:
+        self.routes = start(fleet)._routes
+        self.routes._get_rank = lambda: 5
+        fleet.store.restore(fleet.store.take_copy())
+        fleet.store.clock_offset_s = clock_offset_s
+        fleet.run_for(4.0)
+        assert self.routes._era.number == 2
+
+
+def test_a_report_of_an_older_era_neither_confirms_nor_starts_a_read(fleet: HostFleet) -> None:
+    routes = NonWatchingHost(fleet).routes
+    fleet.store.fault = StoreFault.DOWN
+    fleet.run_for(0.3)
+    before_s = routes.age_s
+    now_s = fleet.reactor.seconds()
+    routes.receive_report(ConfigurationReport(routes._row_revision, now_s, era=1))
+    routes.receive_report(ConfigurationReport(10_000, now_s, era=1))
+    assert routes.age_s >= before_s
+    assert not routes._pending_row_revision
+    routes.receive_report(ConfigurationReport(routes._row_revision, now_s, era=2))
+    assert routes.age_s < 0.1
+
+
+def test_the_clock_of_an_older_era_does_not_date_reports(fleet: HostFleet) -> None:
+    """The store's clock is ahead of its former one, so that old times would seem to be new."""
+    routes = NonWatchingHost(fleet, clock_offset_s=100.0).routes
+    fleet.store.fault = StoreFault.DOWN
+    fleet.run_for(0.3)
+    before_s = routes.age_s
+    old_s = fleet.reactor.seconds() + 100.0 - 30.0
+    routes.receive_report(ConfigurationReport(routes._row_revision, old_s, era=2))
+    assert routes.age_s >= before_s
+
+
+def test_a_report_of_a_new_era_makes_the_host_read_the_table_again(fleet: HostFleet) -> None:
+    routes = start(fleet)._routes
+    routes._get_rank = lambda: 5
+    lose_version(fleet, 2, **ONLY_LOOKUP)
+    fleet.store.put("op", "config", build_document(3))
+    revision = fleet.store.take_copy().revision
+    assert revision == routes._row_revision
+    routes.receive_report(ConfigurationReport(revision, 0.0, era=2))
+    fleet.run_for(0.2)
+    assert routes._adopted_version == 3
+
+
+def test_connected_hosts_pass_on_a_new_era_without_a_storm_of_calls(fleet: HostFleet) -> None:
+    """One host alone learns from the store that the era has changed."""
+    port = choose_port()
+    for number in range(4):
+        address = f"127.0.0.{number + 1}"
+        fleet.start_host(f"host-{number}", address=address, domain="a", peer_port=port)
+    fleet.run_until(lambda: all(each._peers.active_peers == 3 for each in fleet.processes))
+    fleet.run_for(1.5)
+    lose_version(fleet, 2, **ONLY_LOOKUP)
+    fleet.store.put("op", "config", build_document(3))
+    fleet.store.calls.clear()
+    fleet.run_for(1.0)
+    assert {each._routes._adopted_version for each in fleet.processes} == {3}
+    assert {each._era.number for each in fleet.processes} == {2}
+    fleet.run_for(1.5)
+    assert fleet.store.calls.count("/rows-get") + fleet.store.calls.count("/rows-feed") <= 40
