Tell the eras of the store apart when reading the registry

Cause: after the store came back from an older copy its revision is lower. Hosts dropped every read as old until the revision had passed the former one, and reports of the former era blocked those of the new one. Entries that the store lost would have vanished at once, and entries that had been drained or removed after the copy would have been used again.

Change: RegistryWatch forgets its revision in a new era and keeps missing entries as long as after an outage; reads and reports of an older era are dropped. The router keeps an incarnation excluded once it was listed as leaving. An entry that was removed in one era and is listed in another pauses its upstream for 5 s.

Measured: tests/test_store_era.py, 9 more tests. The builders of RegistryWatch in two other test files pass the new arguments.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -28,6 +28,11 @@
 MAX_WORKSPACE_LABELS = 50
 """Workspaces with their own metric label; the others share one."""
 
+RETURNED_ENTRY_PAUSE_S = 5.0
+"""Time for which an upstream gets no requests whose removed entry came back with an older copy of
+the store. The registry removes the entry of a silent upstream again after three missed heartbeats,
+and is read about every second."""
+
 MAX_READY_CONFIGURATION_AGE_S = 2.5
 """A host that has learned longer ago what the store shows reports itself as not ready. It normally
 learns that about every second."""
@@ -153,8 +158,10 @@
         return RegistryWatch(
             reactor=self._reactor,
             rows=self._rows,
+            era=self._era,
             random=random,
             on_change=self._adopt_upstreams,
+            on_returned=self._pause_returned_upstream,
             on_report=lambda report: self._peers.report_registry(report),
             get_rank=lambda: self._peers.rank,
         )
@@ -230,6 +237,11 @@
                 self._pool.close_endpoint(Endpoint(address=address[0], port=address[1]))
         self._router.update_upstreams(records, self._reactor.seconds())
 
+    def _pause_returned_upstream(self, upstream: RegisteredUpstream) -> None:
+        self._router.record_pause(
+            upstream.incarnation, RETURNED_ENTRY_PAUSE_S, self._reactor.seconds()
+        )
+
     def _adopt_hosts(self, rows: Mapping[HostId, HostRow]) -> None:
         for host, row in rows.items():
             self._peers.add_peer(host, row.address, FailureDomain(row.failure_domain))
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -10,12 +10,13 @@
 from twisted.internet.defer import inlineCallbacks
 
 from greengagestage.catalog import RegisteredUpstream
-from greengagestage.ids import InstanceId
+from greengagestage.ids import Incarnation, InstanceId
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, decode_upstream
 
 from ._loops import RepeatingTask, add_jitter
 from ._peer_messages import RegistryReport
+from ._store_era import StoreEra
 
 READ_INTERVAL_S = 0.75
 RANK_DELAY_S = 0.08
@@ -47,8 +48,11 @@
 """A read this long after the last confirmation was delayed by the store or the network."""
 
 RETENTION_AFTER_OUTAGE_S = 2.3
-"""Missing entries are kept for this long after an outage: upstreams whose entries expired in it
-write them again within two seconds."""
+"""Missing entries are kept for this long after an outage and after the start of an era of the
+store: upstreams whose entries expired or were lost write them again within two seconds."""
+
+MAX_REMEMBERED_GONE = 1_024
+"""Maximum number of removed entries that are remembered; the oldest ones are forgotten."""
 
 
 class RegistryWatch:
@@ -57,11 +61,14 @@
     The copy is confirmed by every read of the store, also by one whose result is dropped as older
     than the copy, and by reports of other hosts that fit the copy.
 
-    An entry that is missing right after an outage is kept for a while: it may have expired
-    because its upstream could not renew it.
+    An entry that is missing right after an outage or in a new era of the store is kept for a while:
+    it may have expired because its upstream could not renew it, or the store may have lost it. The
+    other way round, an older copy of the store may contain an entry that had been removed.
 
     Args:
         on_change: Handles all upstreams after a change.
+        on_returned: Handles an upstream that was removed in one era and is listed in another, just
+            before that change.
         on_report: Handles each report of a read, to be sent to the other hosts.
         get_rank: Returns this host's position among all hosts.
     """
@@ -71,15 +78,19 @@
         *,
         reactor: Any,
         rows: RowClient,
+        era: StoreEra,
         random: Random,
         on_change: Callable[[Iterable[RegisteredUpstream]], None],
+        on_returned: Callable[[RegisteredUpstream], None],
         on_report: Callable[[RegistryReport], None],
         get_rank: Callable[[], int],
     ) -> None:
         self._reactor = reactor
         self._rows = rows
+        self._era = era
         self._random = random
         self._on_change = on_change
+        self._on_returned = on_returned
         self._on_report = on_report
         self._get_rank = get_rank
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
@@ -89,6 +100,8 @@
         self._retain_until_s = 0.0
         self._revision = 0
         self._digest = _hash_registry(())
+        self._gone: dict[Incarnation, int | None] = {}  # era in which each one was removed
+        era.add_listener(self._begin_era)
 
     def start(self) -> None:
         """Start the periodic reads."""
@@ -105,7 +118,8 @@
 
     def receive_report(self, report: RegistryReport) -> None:
         """Apply another host's report, or schedule a read if it does not fit this host's copy."""
-        if not self.is_loaded:
+        self._era.observe(report.era)
+        if not self.is_loaded or not self._era.is_current(report.era):
             return
         if report.digest == self._digest:
             self._confirmed_s = self._reactor.seconds()
@@ -114,6 +128,11 @@
             self._pending_revision = report.revision
             self._task.run_within(MAX_CHANGE_JITTER_S * self._random.random())
 
+    def _begin_era(self) -> None:
+        """Forget what the revisions meant, and keep the entries that the store may have lost."""
+        self._revision = self._pending_revision = 0
+        self._retain_until_s = self._reactor.seconds() + RETENTION_AFTER_OUTAGE_S
+
     def _apply_report(self, report: RegistryReport) -> bool:
         """Apply changes that are based on this host's copy; return whether they were applied."""
         if report.before != self._digest or report.revision < self._revision:
@@ -137,6 +156,8 @@
         read = yield self._rows.read(REGISTRY_TABLE)
         if not isinstance(read, RowsRead):
             return self._handle_read_failure(read)
+        if not self._era.is_current(read.era):
+            return add_jitter(RETRY_S, self._random)
         self._process_read(read.rows, read.revision)
         if self._pending_revision:
             return add_jitter(RETRY_S, self._random)
@@ -177,7 +198,7 @@
             upstreams = {**retained, **upstreams}
         known = self._known
         self._replace(upstreams)
-        for report in build_registry_reports(known, upstreams, revision):
+        for report in build_registry_reports(known, upstreams, revision, era=self._era.number):
             self._on_report(report)
 
     def _decode(self, rows: list[StoredRow]) -> dict[InstanceId, RegisteredUpstream]:
@@ -199,8 +220,12 @@
             return
         for instance in self._known.keys() - upstreams.keys():
             log_message(message_type="registry: upstream gone", upstream=instance)
+            self._remember_gone(self._known[instance])
         for instance, upstream in upstreams.items():
             known = self._known.get(instance)
+            if known is None and self._returned_from_older_copy(upstream):
+                log_message(message_type="registry: upstream returned", upstream=instance)
+                self._on_returned(upstream)
             if known is None or known.availability is not upstream.availability:
                 log_message(
                     message_type="registry: upstream listed",
@@ -213,11 +238,23 @@
         self._digest = _hash_registry(upstreams.values())
         self._on_change(upstreams.values())
 
+    def _remember_gone(self, upstream: RegisteredUpstream) -> None:
+        self._gone[upstream.incarnation] = self._era.number
+        while len(self._gone) > MAX_REMEMBERED_GONE:
+            self._gone.pop(next(iter(self._gone)))
+
+    def _returned_from_older_copy(self, upstream: RegisteredUpstream) -> bool:
+        """Whether an upstream that is listed now was removed in a former era of the store."""
+        current = self._era.number
+        return self._gone.pop(upstream.incarnation, current) != current
+
 
 def build_registry_reports(
     before: Mapping[InstanceId, RegisteredUpstream],
     after: Mapping[InstanceId, RegisteredUpstream],
     revision: int,
+    *,
+    era: int | None = None,
 ) -> list[RegistryReport]:
     """Return the reports of a read for the other hosts.
 
@@ -238,14 +275,14 @@
         or len(dropped) > MAX_REPORTED_ENTRIES
         or not (batches or dropped)
     ):
-        return [RegistryReport(_hash_registry(after.values()), revision)]
+        return [RegistryReport(_hash_registry(after.values()), revision, era=era)]
     reports = []
     current = {key: upstream for key, upstream in before.items() if key not in dropped}
     digest, removed = _hash_registry(before.values()), dropped
     for batch in batches or [[]]:
         current.update({upstream.instance: upstream for upstream in batch})
         previous_digest, digest = digest, _hash_registry(current.values())
-        reports.append(RegistryReport(digest, revision, previous_digest, batch, removed))
+        reports.append(RegistryReport(digest, revision, previous_digest, batch, removed, era))
         removed = []
     return reports
 
--- a/greengagestage/ids.py
+++ b/greengagestage/ids.py
@@ -23,5 +23,7 @@
 RouteName = NewType("RouteName", str)
 InstanceId = NewType("InstanceId", str)
 """The identity under which an upstream registered itself."""
+Incarnation = tuple[InstanceId, int | None]
+"""One process among those that have used the same instance id."""
 PromptPartId = NewType("PromptPartId", str)
 """A part of a prompt that other requests may share; equal parts have equal ids."""
--- a/greengagestage/routing/_notices.py
+++ b/greengagestage/routing/_notices.py
@@ -3,14 +3,12 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from greengagestage.ids import InstanceId
+from greengagestage.ids import Incarnation
 
 MAX_REMEMBERED = 1_024
 """Maximum number of incarnations that are remembered although the registry does not list them. An
 entry can be missing for a while and come back."""
 
-Incarnation = tuple[InstanceId, int | None]
-
 
 @dataclass(slots=True, kw_only=True)
 class Notice:
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -4,8 +4,22 @@
 from dataclasses import replace
 from enum import Enum
 
-from greengagestage.catalog import Bounds, RegisteredUpstream, Route, RouteTable, Service
-from greengagestage.ids import AttemptId, FailureDomain, InstanceId, RouteName, ServiceName
+from greengagestage.catalog import (
+    Availability,
+    Bounds,
+    RegisteredUpstream,
+    Route,
+    RouteTable,
+    Service,
+)
+from greengagestage.ids import (
+    AttemptId,
+    FailureDomain,
+    Incarnation,
+    InstanceId,
+    RouteName,
+    ServiceName,
+)
 from greengagestage.results import ResultCode
 
 from ._demand import Demand, DemandMeter
@@ -13,7 +27,7 @@
 from ._engine_split import URGENT_WEIGHT, EngineSplit, GroupDemand, build_group
 from ._jobs import Job, Placement, Refused, Waiting
 from ._loads import InFlightRequest, UpstreamLoad
-from ._notices import Incarnation, NoticeBoard
+from ._notices import NoticeBoard
 from ._placement import Choice, EngineChooser, choose_plain
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
@@ -137,10 +151,13 @@
     def update_upstreams(self, records: Iterable[RegisteredUpstream], now_s: float) -> None:
         """Apply the entries of the registry.
 
-        State is kept for known incarnations; a new incarnation starts without any history.
+        State is kept for known incarnations; a new incarnation starts without any history. One that
+        was listed as leaving stays so, since the registry may come back from an older copy.
         """
         previous, self._upstreams = self._upstreams, {}
         for record in records:
+            if record.availability is Availability.LEAVING:
+                self._notices.get(record.incarnation).leaving = True
             state = previous.get(record.instance)
             if state is None or state.record.incarnation != record.incarnation:
                 notice = self._notices.get(record.incarnation)
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -19,6 +19,7 @@
     encode_message,
 )
 from greengagestage.gateway._registry_watch import RegistryWatch, build_registry_reports
+from greengagestage.gateway._store_era import StoreEra
 from greengagestage.ids import FailureDomain, HostId, InstanceId, ServiceName
 from standins.row_store import StoreFault
 
@@ -281,8 +282,10 @@
     registry = RegistryWatch(
         reactor=clock,
         rows=None,
+        era=StoreEra(),
         random=Random(1),
         on_change=lambda upstreams: None,
+        on_returned=lambda upstream: None,
         on_report=lambda reports: None,
         get_rank=lambda: 5,
     )
--- a/tests/test_registry_sharing.py
+++ b/tests/test_registry_sharing.py
@@ -10,6 +10,7 @@
 
 from greengagestage.gateway._peer_messages import RegistryReport
 from greengagestage.gateway._registry_watch import READ_INTERVAL_S, RegistryWatch
+from greengagestage.gateway._store_era import StoreEra
 from greengagestage.platform import RowsRead, StoredRow
 
 READ_TIME_S = 0.03
@@ -55,8 +56,10 @@
         return RegistryWatch(
             reactor=self.clock,
             rows=self.rows,
+            era=StoreEra(),
             random=random,
             on_change=lambda upstreams: None,
+            on_returned=lambda upstream: None,
             on_report=self._send_report,
             get_rank=lambda: rank,
         )
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -1,13 +1,21 @@
 """Tests of hosts whose store comes back from an older copy and gives out its revisions again."""
 
+from base64 import b64encode
+from random import Random
+
 import pytest
 from twisted.internet.defer import Deferred
-
-from greengagestage.gateway import HostProcess
-from greengagestage.gateway._peer_messages import ConfigurationReport
+from twisted.internet.task import Clock
+
+from greengagestage.catalog import Availability, RouteTable
+from greengagestage.gateway import HostProcess, _host
+from greengagestage.gateway._peer_messages import ConfigurationReport, RegistryReport
+from greengagestage.gateway._registry_watch import RegistryWatch
+from greengagestage.gateway._route_watch import RouteWatch
+from greengagestage.gateway._store_era import StoreEra
 from greengagestage.http1 import Endpoint, IncomingRequest, Responder
 from greengagestage.outcomes import Unavailable
-from greengagestage.platform import HistoryLost, RowClient
+from greengagestage.platform import HistoryLost, RowClient, RowsRead, StoredRow
 from standins._row_tables import RowTables
 from standins.row_store import StoreFault
 
@@ -254,3 +262,165 @@
     assert {each._era.number for each in fleet.processes} == {2}
     fleet.run_for(1.5)
     assert fleet.store.calls.count("/rows-get") + fleet.store.calls.count("/rows-feed") <= 40
+
+
+def list_upstreams(process: HostProcess) -> list[str]:
+    return sorted(process._router.upstreams)
+
+
+def test_registry_changes_at_reused_revisions_are_seen(fleet: HostFleet) -> None:
+    process = start(fleet)
+    copy = fleet.store.take_copy()
+    for number in range(5):
+        fleet.store.put("t", f"{number}", b"x")
+    fleet.run_for(1.2)
+    fleet.store.restore(copy)
+    fleet.add_upstream("two")
+    fleet.run_for(1.2)
+    assert list_upstreams(process) == ["one", "two"]
+
+
+def test_entries_that_the_store_lost_are_kept_for_a_while(fleet: HostFleet) -> None:
+    """The upstream writes its entry again, or is gone."""
+    process = start(fleet)
+    copy = fleet.store.take_copy()
+    for name in ("two", "three"):
+        fleet.add_upstream(name)
+    fleet.run_until(lambda: list_upstreams(process) == ["one", "three", "two"])
+    fleet.store.restore(copy)
+    fleet.run_for(1.5)
+    assert list_upstreams(process) == ["one", "three", "two"]
+    fleet.store.put("servers", "two", fleet.upstreams["two"].build_entry())
+    fleet.run_for(2.7)
+    assert list_upstreams(process) == ["one", "two"]
+    assert request(fleet) == (200, 0)
+
+
+def test_a_draining_upstream_stays_excluded_when_its_older_entry_returns(fleet: HostFleet) -> None:
+    process = start(fleet)
+    copy = fleet.store.take_copy()
+    upstream = fleet.upstreams["one"]
+    fleet.store.put("servers", "one", upstream.build_entry(State="draining"))
+    fleet.run_until(lambda: process._router.upstreams["one"].is_leaving)
+    fleet.store.restore(copy)
+    for _ in range(4):
+        fleet.run_for(0.4)
+        assert request(fleet)[0] == 503
+    assert process._registry._known["one"].availability is Availability.READY
+    fleet.store.put("servers", "one", upstream.build_entry(born=2_000))
+    fleet.run_for(1.2)
+    assert request(fleet) == (200, 0)
+
+
+def test_an_upstream_that_was_gone_is_not_used_when_its_older_entry_returns(
+    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Until the registry has removed the entry again, or shown that the upstream renews it."""
+    monkeypatch.setattr(_host, "RETURNED_ENTRY_PAUSE_S", 2.0)
+    process = start(fleet)
+    copy = fleet.store.take_copy()
+    fleet.store.remove("servers", "one")
+    fleet.run_until(lambda: not list_upstreams(process))
+    fleet.store.restore(copy)
+    fleet.run_until(lambda: list_upstreams(process) == ["one"])
+    assert request(fleet)[0] == 503
+    assert not fleet.upstreams["one"].requests
+    fleet.run_for(2.1)
+    assert request(fleet) == (200, 0)
+
+
+def test_an_entry_that_returns_in_the_same_era_is_used_at_once(fleet: HostFleet) -> None:
+    process = start(fleet)
+    fleet.store.remove("servers", "one")
+    fleet.run_until(lambda: not list_upstreams(process))
+    fleet.store.put("servers", "one", fleet.upstreams["one"].build_entry())
+    fleet.run_until(lambda: list_upstreams(process) == ["one"])
+    assert request(fleet) == (200, 0)
+
+
+def test_a_registry_report_of_an_older_era_is_ignored(fleet: HostFleet) -> None:
+    registry = start(fleet)._registry
+    registry.receive_report(RegistryReport(registry._digest, 5, era=2))
+    confirmed_s = registry._confirmed_s
+    registry.receive_report(RegistryReport(registry._digest, 10_000, era=1))
+    registry.receive_report(RegistryReport(12_345, 10_000, era=1))
+    assert (registry._confirmed_s, registry._revision) == (confirmed_s, 5)
+    assert not registry._pending_revision
+
+
+def test_a_registry_report_of_a_new_era_replaces_revisions_and_keeps_entries(
+    fleet: HostFleet,
+) -> None:
+    """The host has a higher revision of the former era, and has to read what the report names."""
+    process = start(fleet)
+    copy = fleet.store.take_copy()
+    fleet.add_upstream("two")
+    fleet.run_until(lambda: list_upstreams(process) == ["one", "two"])
+    registry = process._registry
+    revision = registry._revision
+    fleet.store.restore(copy)
+    registry.receive_report(RegistryReport(12_345, revision - 1, era=2))
+    assert registry._pending_revision == revision - 1
+    fleet.run_for(0.3)
+    assert not registry._pending_revision
+    assert list_upstreams(process) == ["one", "two"]
+
+
+class HeldRows:
+    """Holds the answer to each call until the test releases it."""
+
+    def __init__(self) -> None:
+        self.held: list[Deferred[RowsRead]] = []
+
+    def read(self, table: str) -> Deferred[RowsRead]:
+        self.held.append(Deferred())
+        return self.held[-1]
+
+
+def test_a_registry_read_answered_in_an_older_era_is_dropped() -> None:
+    """The answer was on its way while another host reported the new era."""
+    clock, rows, era = Clock(), HeldRows(), StoreEra()
+    watch = RegistryWatch(
+        reactor=clock,
+        rows=rows,
+        era=era,
+        random=Random(1),
+        on_change=lambda upstreams: None,
+        on_returned=lambda upstream: None,
+        on_report=lambda report: None,
+        get_rank=lambda: 0,
+    )
+    era.observe(1)
+    watch.start()
+    clock.advance(0.0)
+    era.observe(2)
+    rows.held[0].callback(RowsRead(rows=[], revision=9, era=1))
+    assert not watch.is_loaded
+    clock.advance(0.5)
+    rows.held[1].callback(RowsRead(rows=[], revision=4, era=2))
+    assert (watch.is_loaded, watch._revision) == (True, 4)
+
+
+def test_a_configuration_read_answered_in_an_older_era_is_dropped() -> None:
+    clock, rows, era = Clock(), HeldRows(), StoreEra()
+    adopted: list[RouteTable] = []
+    watch = RouteWatch(
+        reactor=clock,
+        rows=rows,
+        era=era,
+        random=Random(1),
+        on_table=adopted.append,
+        on_report=lambda report, changed: None,
+        get_rank=lambda: 0,
+    )
+    value = b64encode(build_document(1)).decode()
+    row = StoredRow(key="config", value_base64=value, revision=3)
+    era.observe(1)
+    watch.start()
+    clock.advance(0.0)
+    era.observe(2)
+    rows.held[0].callback(RowsRead(rows=[row], revision=9, era=1))
+    assert (adopted, watch.age_s) == ([], None)
+    clock.advance(0.5)
+    rows.held[1].callback(RowsRead(rows=[row], revision=4, era=2))
+    assert len(adopted) == 1
