Register a host again when the store lost its row

Cause: a host wrote its row once at its start. A store that came back from an older copy may lack it, and hosts that started later would not have known the others.

Change: in each new era a host writes its row again, at a random time within 2 s since writes are limited, and reads the list once more some 4 s later, when all others have written. A write that was answered in an older era does not count.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -68,6 +68,7 @@
         self._hosts = HostList(
             reactor=reactor,
             rows=self._rows,
+            era=self._era,
             settings=settings,
             random=random,
             on_hosts=self._adopt_hosts,
--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/_host_list.py
@@ -14,10 +14,19 @@
 from greengagestage.platform import HOST_TABLE, RowClient, RowsRead
 
 from ._loops import RepeatingTask, add_jitter
+from ._store_era import StoreEra
 
 REFRESH_INTERVAL_S = 25.0
 """Time between two reads of the list. New hosts announce themselves to their peers at once."""
 
+REGISTRATION_SPREAD_S = 2.0
+"""Time over which hosts spread their writes when the store may have lost their rows. The store
+limits the number of writes per second."""
+
+REREAD_S = 4.0
+"""Time from such a write to another read, with a jitter of 25%: then all hosts have written, also
+those that have started meanwhile."""
+
 RETRY_S = 0.4
 """Pause after a failed call, with a jitter of 50%."""
 
@@ -30,23 +39,27 @@
 
 
 class HostList:
-    """Registers this host and reads the rows of the others."""
+    """Registers this host, again in each era of the store, and reads the rows of the others."""
 
     def __init__(
         self,
         *,
         reactor: Any,
         rows: RowClient,
+        era: StoreEra,
         settings: HostSettings,
         random: Random,
         on_hosts: Callable[[Mapping[HostId, HostRow]], None],
     ) -> None:
         self._rows = rows
+        self._era = era
         self._settings = settings
         self._random = random
         self._on_hosts = on_hosts
         self._task = RepeatingTask(reactor=reactor, name="host list", step=self._step)
         self._registered = False
+        self._rereads = False
+        era.add_listener(self._begin_era)
 
     def start(self) -> None:
         """Register this host and start the periodic reads."""
@@ -56,6 +69,11 @@
         """Stop the periodic reads; the row stays, since the host usually starts again."""
         self._task.stop()
 
+    def _begin_era(self) -> None:
+        self._registered = False
+        self._rereads = True
+        self._task.run_within(REGISTRATION_SPREAD_S * self._random.random())
+
     @inlineCallbacks
     def _step(self) -> Any:
         if not self._registered:
@@ -64,7 +82,9 @@
         if not self._registered or not isinstance(listed, RowsRead):
             return add_jitter(RETRY_S, self._random)
         self._on_hosts(self._decode(listed))
-        return REFRESH_INTERVAL_S * (0.75 + 0.5 * self._random.random())
+        pause_s = REREAD_S if self._rereads else REFRESH_INTERVAL_S
+        self._rereads = False
+        return pause_s * (0.75 + 0.5 * self._random.random())
 
     @inlineCallbacks
     def _register(self) -> Any:
@@ -72,7 +92,7 @@
         row = HostRow(address=settings.address, failure_domain=settings.failure_domain)
         # The store answers a successful write, like a read, with ``RowsRead``.
         outcome = yield self._rows.put(HOST_TABLE, settings.host, msgspec.json.encode(row))
-        return isinstance(outcome, RowsRead)
+        return isinstance(outcome, RowsRead) and self._era.is_current(outcome.era)
 
     def _decode(self, listed: RowsRead) -> dict[HostId, HostRow]:
         hosts = {}
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -7,13 +7,15 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from greengagestage.catalog import Availability, RouteTable
+from greengagestage.catalog import Availability, Bounds, HostSettings, RouteTable
 from greengagestage.gateway import HostProcess, _host
+from greengagestage.gateway._host_list import HostList
 from greengagestage.gateway._peer_messages import ConfigurationReport, RegistryReport
 from greengagestage.gateway._registry_watch import RegistryWatch
 from greengagestage.gateway._route_watch import RouteWatch
 from greengagestage.gateway._store_era import StoreEra
 from greengagestage.http1 import Endpoint, IncomingRequest, Responder
+from greengagestage.ids import FailureDomain, HostId
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import HistoryLost, RowClient, RowsRead, StoredRow
 from standins._row_tables import RowTables
@@ -424,3 +426,93 @@
     clock.advance(0.5)
     rows.held[1].callback(RowsRead(rows=[row], revision=4, era=2))
     assert len(adopted) == 1
+
+
+def test_a_host_registers_again_when_the_store_lost_its_row(fleet: HostFleet) -> None:
+    copy = fleet.store.take_copy()
+    start(fleet)
+    fleet.run_until(lambda: fleet.store.list_keys("greengagestage-hosts") == ["host-1"])
+    fleet.store.restore(copy)
+    fleet.run_for(3.5)
+    assert fleet.store.list_keys("greengagestage-hosts") == ["host-1"]
+
+
+class HostRows:
+    """Answers writes of a host's row and reads of the list after a while, in the given era."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.era = 1
+        self.puts_s: list[float] = []
+        self.reads_s: list[float] = []
+        self._clock = clock
+
+    def put(self, table: str, key: str, value: bytes) -> Deferred[RowsRead]:
+        self.puts_s.append(self._clock.seconds())
+        return self._answer()
+
+    def read(self, table: str) -> Deferred[RowsRead]:
+        self.reads_s.append(self._clock.seconds())
+        return self._answer()
+
+    def _answer(self) -> Deferred[RowsRead]:
+        answer: Deferred[RowsRead] = Deferred()
+        self._clock.callLater(0.1, answer.callback, RowsRead(revision=1, era=self.era))
+        return answer
+
+
+class HostListHarness:
+    """A host list on a simulated clock, some time after its start."""
+
+    def __init__(self, *, ran_s: float = 5.0) -> None:
+        self.clock, self.era = Clock(), StoreEra()
+        self.rows = HostRows(self.clock)
+        self.hosts = HostList(
+            reactor=self.clock,
+            rows=self.rows,
+            era=self.era,
+            settings=HostSettings(
+                host=HostId("h1"),
+                address="10.0.0.1",
+                failure_domain=FailureDomain("a"),
+                callers=("10.0.0.1", 80),
+                readiness=("10.0.0.1", 81),
+                peer_port=7_340,
+                store=("10.0.0.9", 80),
+                bounds=Bounds(),
+            ),
+            random=Random(1),
+            on_hosts=lambda rows: None,
+        )
+        self.era.observe(1)
+        self.hosts.start()
+        self.run_for(ran_s)
+
+    def begin_era(self) -> None:
+        self.rows.era += 1
+        self.era.observe(self.rows.era)
+
+    def run_for(self, duration_s: float) -> None:
+        self.clock.pump([0.05] * round(duration_s / 0.05))
+
+
+def test_the_host_list_is_read_again_once_the_other_hosts_have_registered() -> None:
+    """Otherwise hosts that start after the loss would stay unknown until the usual refresh."""
+    harness = HostListHarness()
+    assert (len(harness.rows.puts_s), len(harness.rows.reads_s)) == (1, 1)
+    harness.begin_era()
+    harness.run_for(3.0)
+    assert len(harness.rows.puts_s) == 2
+    harness.run_for(6.0)
+    assert len(harness.rows.puts_s) == 2
+    assert harness.rows.reads_s[-1] - harness.rows.puts_s[-1] > 2.0
+    harness.run_for(10.0)
+    assert len(harness.rows.reads_s) == 3
+
+
+@pytest.mark.parametrize("ran_s", [0.05, 0.15])
+def test_a_row_written_just_before_a_new_era_is_written_again(ran_s: float) -> None:
+    """The new era is known while the answer to the write or to the read is on its way."""
+    harness = HostListHarness(ran_s=ran_s)
+    harness.begin_era()
+    harness.run_for(3.0)
+    assert len(harness.rows.puts_s) == 2
