Do not apply plans of one era of the store to rows of another

Cause: claims, leases and configuration versions write under the condition that a row has the revision that was read. A store that came back from an older copy gives out revisions again, so that the condition could be met by another row's content, which was then overwritten.

Change: TableClient adds the store's era to the revisions of rows. A transaction that expects a revision of another era than the newest known one is not sent: the current rows are read and returned as a conflict, which all users plan again from. If the answer to a transaction shows that it met a new era unknowingly, it is reported as undecided, not as committed. Without Store-Era nothing changes.

--- a/greengagestage/platform/_rows.py
+++ b/greengagestage/platform/_rows.py
@@ -88,9 +88,11 @@
 
     Attributes:
         rows: The expected rows that exist, with their current contents.
+        era: See ``RowsRead``.
     """
 
     rows: list[StoredRow] = field(name="Rows", default_factory=list)
+    era: int | None = field(name="Store-Era", default=None)
 
 
 class RowId(Struct, frozen=True, kw_only=True):
@@ -121,7 +123,7 @@
     removals: Sequence[RowId] = field(name="Remove", default=())
 
 
-_T = TypeVar("_T")
+_T = TypeVar("_T", RowsRead, RowConflict)
 
 ReadOutcome = RowsRead | HistoryLost | Unavailable
 WriteOutcome = RowsRead | RowConflict | Unavailable | Unknown
@@ -233,7 +235,7 @@
         case Unavailable() | Unknown():
             return Unavailable(reason=answer.reason)
         case StoreAnswer(status=200):
-            read = _decode_rows(answer)
+            read = _decode(answer, RowsRead)
             return Unavailable(reason=read.reason) if isinstance(read, Unknown) else read
         case StoreAnswer(status=410):
             return HistoryLost()
@@ -246,22 +248,16 @@
         case Unavailable() | Unknown():
             return answer
         case StoreAnswer(status=200):
-            return _decode_rows(answer)
-        case StoreAnswer(status=412, body=body):
-            return _decode(body, RowConflict)
+            return _decode(answer, RowsRead)
+        case StoreAnswer(status=412):
+            return _decode(answer, RowConflict)
         case StoreAnswer(status=status):
             return classify_error_status(status)
 
 
-def _decode_rows(answer: StoreAnswer) -> RowsRead | Unknown:
-    read = _decode(answer.body, RowsRead)
-    if isinstance(read, Unknown):
-        return read
-    return msgspec.structs.replace(read, era=answer.era)
-
-
-def _decode(body: bytes, result_type: type[_T]) -> _T | Unknown:
+def _decode(answer: StoreAnswer, result_type: type[_T]) -> _T | Unknown:
     try:
-        return msgspec.json.decode(body, type=result_type)
+        decoded = msgspec.json.decode(answer.body, type=result_type)
+        return msgspec.structs.replace(decoded, era=answer.era)
     except msgspec.DecodeError as error:
         return Unknown(reason=f"the answer cannot be decoded: {error}")
--- a/greengagestage/services/_operations.py
+++ b/greengagestage/services/_operations.py
@@ -47,7 +47,8 @@
 
     Attributes:
         value: The encoded JSON value; ``null`` for an absent row.
-        revision: Increases with each write and is never reused; ``ABSENT`` for an absent row.
+        revision: Increases with each write and is never reused, also not when the store comes back
+            from an older copy; ``ABSENT`` for an absent row.
     """
 
     key: str
--- a/greengagestage/services/_table.py
+++ b/greengagestage/services/_table.py
@@ -25,30 +25,56 @@
 
 PRODUCT_TABLE = "greengagestage"
 
+ERA_SHIFT = 48
+"""Position of the store's era in the revision of a row, above the store's own revision."""
+
 
 class TableClient:
-    """Runs transactions and reads on the router's own table, without automatic retries."""
+    """Runs transactions and reads on the router's own table, without automatic retries.
+
+    A store that comes back from an older copy gives out its revisions again. Rows therefore have
+    revisions that include the store's era, and a transaction that expects a revision of another
+    era is answered here as a conflict, with the current rows.
+    """
 
     def __init__(self, *, reactor: Any, base_url: str, timeout_s: float) -> None:
         endpoint = Endpoint.from_url(base_url)
-        self._rows = RowClient(reactor=reactor, endpoint=endpoint, timeout_s=timeout_s)
+        self._era = 0  # newest known era of the store; 0 where it does not state one
+        self._rows = RowClient(
+            reactor=reactor, endpoint=endpoint, timeout_s=timeout_s, on_era=self._observe_era
+        )
 
     def close(self) -> Deferred[None]:
         """Close the idle connections."""
         self._rows.close()
         return succeed(None)
 
+    def _observe_era(self, era: int) -> None:
+        self._era = max(self._era, era)
+
     @inlineCallbacks
     def _transact(self, operations: Sequence[Operation]) -> Any:
+        planned_in = {_read_era(operation) for operation in operations if operation.expect}
+        if planned_in - {self._era}:
+            return (yield self._build_era_conflict(operations))
         outcome = yield self._rows.transact(build_transaction(operations))
         match outcome:
-            case RowsRead(revision=revision):
-                return Committed(rows=tuple(_build_written_rows(operations, revision)))
-            case RowConflict(rows=rows):
-                return interpret_conflict(operations, rows)
+            case RowsRead(revision=revision, era=era):
+                if planned_in and era is not None and planned_in != {era}:
+                    return Unknown(reason="the store came back from an older copy")
+                written = _build_written_rows(operations, pack_revision(era, revision))
+                return Committed(rows=tuple(written))
+            case RowConflict(rows=rows, era=era):
+                return interpret_conflict(operations, rows, era)
             case _:
                 return outcome
 
+    @inlineCallbacks
+    def _build_era_conflict(self, operations: Sequence[Operation]) -> Any:
+        """Return the conflict of a transaction planned in another era, which is not sent."""
+        rows = yield self._read_atomically([operation.key for operation in operations])
+        return rows if isinstance(rows, Unavailable) else _find_conflict(operations, rows)
+
     def transact(self, operations: Sequence[Operation]) -> Deferred[TransactOutcome]:
         """Apply all operations or none.
 
@@ -65,7 +91,7 @@
         )
         if not isinstance(read, RowsRead):
             return _convert_failure(read)
-        return tuple(_convert_row(row) for row in read.rows)
+        return tuple(_convert_row(row, read.era) for row in read.rows)
 
     def read_rows(self, prefix: str, limit: int) -> Deferred[tuple[Row, ...] | Unavailable]:
         """Read the rows whose keys begin with a prefix, in key order, at most ``limit`` of them."""
@@ -94,7 +120,7 @@
         page = yield self._rows.read(PRODUCT_TABLE, first_key=key, end_key=key + "\0")
         if not isinstance(page, RowsRead):
             return _convert_failure(page)
-        return _select_rows([key], page.rows)[0]
+        return _select_rows([key], page.rows, page.era)[0]
 
     def read_row(self, key: str) -> Deferred[Row | Unavailable]:
         """Read one row; an absent one has the revision ``ABSENT``."""
@@ -112,9 +138,9 @@
         outcome = yield self._rows.transact(Transaction(expected=expected))
         match outcome:
             case RowsRead():
-                return _select_rows(keys, [])
-            case RowConflict(rows=rows):
-                return _select_rows(keys, rows)
+                return _select_rows(keys, [], None)
+            case RowConflict(rows=rows, era=era):
+                return _select_rows(keys, rows, era)
             case Unavailable() | Unknown():
                 return Unavailable(reason=outcome.reason)
 
@@ -125,7 +151,11 @@
     for operation in operations:
         if operation.expect is not None:
             expected.append(
-                RowExpectation(table=PRODUCT_TABLE, key=operation.key, revision=operation.expect)
+                RowExpectation(
+                    table=PRODUCT_TABLE,
+                    key=operation.key,
+                    revision=operation.expect % (1 << ERA_SHIFT),
+                )
             )
         match operation:
             case Put(key=key, value=value):
@@ -136,13 +166,26 @@
 
 
 def interpret_conflict(
-    operations: Sequence[Operation], stored: Sequence[StoredRow]
+    operations: Sequence[Operation], stored: Sequence[StoredRow], era: int | None = None
 ) -> Conflict | Unknown:
     """Return which expected revisions did not match.
 
     The outcome is ``Unknown`` if every row of the answer has its expected revision.
     """
-    rows = _select_rows([operation.key for operation in operations], stored)
+    rows = _select_rows([operation.key for operation in operations], stored, era)
+    return _find_conflict(operations, rows)
+
+
+def pack_revision(era: int | None, revision: int) -> int:
+    """Return a row's revision with the store's era; ``ABSENT`` stays the same in all eras."""
+    return revision if revision == ABSENT else ((era or 0) << ERA_SHIFT) + revision
+
+
+def _read_era(operation: Operation) -> int:
+    return (operation.expect or 0) >> ERA_SHIFT
+
+
+def _find_conflict(operations: Sequence[Operation], rows: tuple[Row, ...]) -> Conflict | Unknown:
     failed = tuple(
         index
         for index, (operation, row) in enumerate(zip(operations, rows, strict=True))
@@ -167,15 +210,19 @@
                 yield Row(key=key, revision=expect)
 
 
-def _select_rows(keys: Sequence[str], stored: Sequence[StoredRow]) -> tuple[Row, ...]:
+def _select_rows(
+    keys: Sequence[str], stored: Sequence[StoredRow], era: int | None
+) -> tuple[Row, ...]:
     found = {row.key: row for row in stored if not row.removed}
     return tuple(
-        _convert_row(found[key]) if key in found else Row(key=key, revision=ABSENT) for key in keys
+        _convert_row(found[key], era) if key in found else Row(key=key, revision=ABSENT)
+        for key in keys
     )
 
 
-def _convert_row(stored: StoredRow) -> Row:
-    return Row(key=stored.key, revision=stored.revision, value=msgspec.Raw(stored.value))
+def _convert_row(stored: StoredRow, era: int | None) -> Row:
+    revision = pack_revision(era, stored.revision)
+    return Row(key=stored.key, revision=revision, value=msgspec.Raw(stored.value))
 
 
 def _compute_end_key(prefix: str) -> str | None:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -16,8 +16,17 @@
 from greengagestage.gateway._store_era import StoreEra
 from greengagestage.http1 import Endpoint, IncomingRequest, Responder
 from greengagestage.ids import FailureDomain, HostId
-from greengagestage.outcomes import Unavailable
+from greengagestage.outcomes import Unavailable, Unknown
 from greengagestage.platform import HistoryLost, RowClient, RowsRead, StoredRow
+from greengagestage.services import (
+    ABSENT,
+    PRODUCT_TABLE,
+    Committed,
+    Conflict,
+    Put,
+    Row,
+    TableClient,
+)
 from standins._row_tables import RowTables
 from standins.row_store import StoreFault
 
@@ -516,3 +525,73 @@
     harness.begin_era()
     harness.run_for(3.0)
     assert len(harness.rows.puts_s) == 2
+
+
+class TableHarness:
+    """A client of the router's own table, and the row ``a`` as the client has read it."""
+
+    def __init__(self, fleet: HostFleet) -> None:
+        self.fleet = fleet
+        address = fleet.store_port.getHost()
+        self.table = TableClient(
+            reactor=fleet.reactor, base_url=f"http://{address.host}:{address.port}", timeout_s=1.0
+        )
+        self.copy = fleet.store.take_copy()
+        fleet.store.put(PRODUCT_TABLE, "a", b'"first"')
+        self.row = self.read()
+
+    def read(self) -> Row:
+        return self.wait_for(self.table.read_row("a"))
+
+    def write(self, value: str, *, expect: int) -> object:
+        return self.wait_for(self.table.transact([Put(key="a", value=value, expect=expect)]))
+
+    def wait_for(self, answer: Deferred[object]) -> object:
+        outcomes: list[object] = []
+        answer.addCallback(outcomes.append)
+        self.fleet.run_until(lambda: bool(outcomes))
+        return outcomes[0]
+
+    def lose_row(self) -> None:
+        """Replace the row by one that another host wrote at the same revision of a new era."""
+        self.fleet.store.restore(self.copy)
+        self.fleet.store.put(PRODUCT_TABLE, "a", b'"other"')
+
+
+def test_a_row_is_not_overwritten_by_a_plan_from_an_older_era(fleet: HostFleet) -> None:
+    harness = TableHarness(fleet)
+    harness.lose_row()
+    assert isinstance(harness.wait_for(harness.table.read_row("b")), Row)
+    outcome = harness.write("second", expect=harness.row.revision)
+    assert isinstance(outcome, Conflict)
+    (row,) = outcome.rows
+    assert (outcome.failed, row.decode(str)) == ((0,), "other")
+    written = harness.write("third", expect=row.revision)
+    assert isinstance(written, Committed)
+    assert written.rows[0] == harness.read()
+
+
+def test_a_write_that_met_an_unknown_new_era_is_not_reported_as_committed(
+    fleet: HostFleet,
+) -> None:
+    """The client learns of the era from the answer, after its condition was met by chance."""
+    harness = TableHarness(fleet)
+    harness.lose_row()
+    assert isinstance(harness.write("second", expect=harness.row.revision), Unknown)
+
+
+def test_a_conflict_in_a_new_era_shows_revisions_of_that_era(fleet: HostFleet) -> None:
+    harness = TableHarness(fleet)
+    harness.fleet.store.restore(harness.copy)
+    harness.fleet.store.put("t", "x", b"x")
+    harness.fleet.store.put(PRODUCT_TABLE, "a", b'"other"')
+    outcome = harness.write("second", expect=harness.row.revision)
+    assert isinstance(outcome, Conflict)
+    assert outcome.rows == (harness.read(),)
+
+
+def test_rows_that_must_be_absent_can_be_written_in_any_era(fleet: HostFleet) -> None:
+    harness = TableHarness(fleet)
+    harness.fleet.store.restore(harness.copy)
+    assert isinstance(harness.write("second", expect=ABSENT), Committed)
+    assert harness.read().decode(str) == "second"
