Wait for lost writes again after a further outage

Cause: random drills (series of outages and losses under four hosts) found confirmations of a version although a newer one had been acknowledged: the store failed again within the first 2.3 s of its era, so that the operator could not repeat the lost version, and the wait ended meanwhile; and a host that did not call the store in that outage took the reports of others as proof.

Change: a failed call within the wait starts it again. A report says whether its sender takes it as proof, and proves nothing otherwise.

--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -179,12 +179,14 @@
         store_s: The store's clock at that time, in seconds.
         era: The store's era at that time; None if the store does not state it.
         version: The newest version that the sender knows, which the store may have lost.
+        confirms: Whether the sender took this as proof that its version is the newest.
     """
 
     revision: int
     store_s: float
     era: int | None = None
     version: int = -1
+    confirms: bool = True
 
 
 WorkReport = LoadReport | DomainReport | TotalsReport
--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/_route_watch.py
@@ -147,7 +147,7 @@
             seen_s = self._clock.convert_store_time(
                 store_s=report.store_s, now_s=read_boot_time_s()
             )
-            self._record_observation(seen_s or 0.0)
+            self._record_observation(seen_s or 0.0, confirms=report.confirms)
 
     def _begin_era(self) -> None:
         """Forget what the store's revisions and clock meant, and read the whole table again."""
@@ -156,9 +156,13 @@
         self._row_version = -1
         self._row_revision = self._reported_row_revision = self._pending_row_revision = 0
         self._adopted_in_era = False
-        self._unproven_until_s = read_boot_time_s() + REWRITE_S
+        self._await_rewrites()
         self._task.run_within(MAX_CHANGE_JITTER_S * self._random.random())
 
+    def _await_rewrites(self) -> None:
+        """Take nothing as confirmed until the operator has had time to repeat lost writes."""
+        self._unproven_until_s = read_boot_time_s() + REWRITE_S
+
     @inlineCallbacks
     def _step(self) -> Any:
         pause_s = self._compute_pause_s()
@@ -193,6 +197,8 @@
                 return 0.0
             case Unavailable(reason=reason):
                 self._set_reachable(False, reason)
+                if read_boot_time_s() < self._unproven_until_s:
+                    self._await_rewrites()  # the operator cannot reach the store either
                 return add_jitter(RETRY_S, self._random)
 
     def _compute_pause_s(self) -> float:
@@ -223,22 +229,30 @@
         seen_s = self._clock.record_answer_time(
             sent_s=sent_s, received_s=read_boot_time_s(), store_s=store_s
         )
-        self._record_observation(seen_s)
-        self._report(store_s)
+        self._report(store_s, confirms=self._record_observation(seen_s, confirms=True))
 
-    def _record_observation(self, seen_s: float) -> None:
-        """Record when the store showed the known row, and whether that confirms the adopted one."""
+    def _record_observation(self, seen_s: float, *, confirms: bool) -> bool:
+        """Record when the store showed the known row; return whether that confirms its version.
+
+        Args:
+            confirms: Whether it does as far as the host knows that read the row.
+        """
         self._observed_s = max(self._observed_s or 0.0, seen_s)
-        if seen_s >= self._unproven_until_s and self._row_version >= self._known_version:
-            self._confirmed_s = max(self._confirmed_s or 0.0, seen_s)
+        is_newest = self._row_version >= self._known_version
+        if not confirms or not is_newest or seen_s < self._unproven_until_s:
+            return False
+        self._confirmed_s = max(self._confirmed_s or 0.0, seen_s)
+        return True
 
-    def _report(self, store_s: float) -> None:
+    def _report(self, store_s: float, *, confirms: bool) -> None:
         if not self._row_revision:
             return
         changed = self._row_revision != self._reported_row_revision
         self._reported_row_revision = self._row_revision
         self._on_report(
-            ConfigurationReport(self._row_revision, store_s, self._era.number, self._known_version),
+            ConfigurationReport(
+                self._row_revision, store_s, self._era.number, self._known_version, confirms
+            ),
             changed,
         )
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -113,7 +113,7 @@
         RegistryReport(1, 2),
         RegistryReport(1, 2, era=3),
         ConfigurationReport(4, 5.5),
-        ConfigurationReport(4, 5.5, era=3, version=7),
+        ConfigurationReport(4, 5.5, era=3, version=7, confirms=False),
     ],
 )
 def test_encoded_messages_decode_to_equal_messages(body) -> None:
