Keep the staying upstreams of each service between placements

Change: the upstreams of a service that are not leaving are listed once per change of the registry or of a notice, instead of filtering all upstreams at each placement.

The tests of routing, hosts, notices and eras pass.

--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -106,6 +106,7 @@
         self._strictest_gap_s: dict[ServiceName, float] = {}
         self._upstreams: dict[InstanceId, UpstreamState] = {}
         self._notices = NoticeBoard()
+        self._staying: dict[ServiceName, list[UpstreamState]] = {}
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._demand_meters: dict[ServiceName, DemandMeter] = {}
         self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
@@ -169,6 +170,7 @@
         self._notices.forget_except(
             {state.record.incarnation for state in self._upstreams.values()}, now_s
         )
+        self._staying.clear()
         self._choosers.clear()
 
     def record_leaving(self, incarnation: Incarnation) -> bool:
@@ -180,6 +182,7 @@
         if notice.leaving:
             return False
         notice.leaving = True
+        self._staying.clear()
         self._choosers.clear()
         return True
 
@@ -198,11 +201,7 @@
 
         It is also 0 if none is paused.
         """
-        pauses_s = [
-            state.measure_pause_s(now_s)
-            for state in self._upstreams.values()
-            if state.record.service == service and not state.is_leaving
-        ]
+        pauses_s = (state.measure_pause_s(now_s) for state in self._list_staying(service))
         return min(pauses_s, default=0.0)
 
     def accepts_requests(self, incarnation: Incarnation, now_s: float) -> bool:
@@ -246,11 +245,7 @@
             tried: Upstreams that already got the job and are not used again.
         """
         service = self._services.get(job.service)
-        staying = [
-            state
-            for state in self._upstreams.values()
-            if state.record.service == job.service and not state.is_leaving
-        ]
+        staying = self._list_staying(job.service)
         ready = [state for state in staying if state.accepts_requests(now_s)]
         candidates = [state for state in ready if state.record.instance not in tried]
         if service is None or not candidates:
@@ -337,6 +332,17 @@
             if state.local_requests
         }
 
+    def _list_staying(self, service: ServiceName) -> list[UpstreamState]:
+        """Return the upstreams of a service that are not leaving."""
+        staying = self._staying.get(service)
+        if staying is None:
+            staying = self._staying[service] = [
+                state
+                for state in self._upstreams.values()
+                if state.record.service == service and not state.is_leaving
+            ]
+        return staying
+
     def _choose(
         self,
         job: Job,
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -103,11 +103,9 @@
 
     def accepts_requests(self, now_s: float) -> bool:
         """Whether new requests may be sent to the upstream at all."""
-        return (
-            self.record.availability is Availability.READY
-            and self._notice.allows_requests(now_s)
-            and now_s >= self.misdirected_until_s
-        )
+        if now_s < self.misdirected_until_s or not self._notice.allows_requests(now_s):
+            return False
+        return self.record.availability is Availability.READY
 
     def measure_pause_s(self, now_s: float) -> float:
         """Return how much longer the upstream wants no requests from this host."""
