--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -40,7 +40,9 @@
         MISDIRECTED: The request reached another instance than the one it names.
         LOST: The connection ended before the answer was complete.
         MALFORMED: The response is malformed, or does not prove which upstream made it.
-        SILENT: The upstream did not send its answer, or the next event of a stream, in time.
+        FAILED: The upstream answered with a server error.
+        SILENT: The upstream did not send its answer, or the next event of a stream, in time, and
+            another one has taken over.
     """
 
     UNREACHABLE = "unreachable"
@@ -49,6 +51,7 @@
     MISDIRECTED = "elsewhere"
     LOST = "lost"
     MALFORMED = "malformed"
+    FAILED = "failed"
     SILENT = "silent"
 
     @property
@@ -70,6 +73,7 @@
     AttemptFault.MISDIRECTED: AttemptEnd.MISDIRECTED,
     AttemptFault.LOST: AttemptEnd.LOST,
     AttemptFault.MALFORMED: AttemptEnd.FAILED,
+    AttemptFault.FAILED: AttemptEnd.FAILED,
     AttemptFault.SILENT: AttemptEnd.LOST,
 }
 
@@ -128,11 +132,21 @@
     ) -> None:
         self.plan = plan
         self.sent_s: float | None = None
+        self._last_data_s: float | None = None
         self._context = context
         self._listener: AttemptListener | None = listener
         self._connection: ClientConnection | None = None
         self._counted_in_router = True
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the upstream's last data, or since the send; None before the send."""
+        since_s = self.sent_s if self._last_data_s is None else self._last_data_s
+        if since_s is None:
+            return None
+        silent_s: float = self._context.reactor.seconds() - since_s
+        return silent_s
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one."""
         upstream = self.plan.placement.upstream
@@ -158,6 +172,7 @@
     def detach(self) -> None:
         """Let the upstream finish; the listener gets no further events."""
         self._listener = None
+        self.resume()
 
     def pause(self) -> None:
         """Stop reading the response."""
@@ -192,7 +207,8 @@
             self._listener.attempt_body_received(self, data)
 
     def end_response(self) -> None:
-        """Settle the attempt after the end of an answer."""
+        """Settle the attempt after the end of an answer; its connection may now serve another."""
+        self._connection = None
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_ended(self)
@@ -234,10 +250,12 @@
 
     def _record_data(self) -> None:
         now_s = self._context.reactor.seconds()
+        self._last_data_s = now_s
         instance = self.plan.placement.upstream.instance
         self._context.router.record_data(self.plan.attempt_id, instance, now_s)
 
     def _fail(self, fault: AttemptFault) -> None:
+        self._connection = None
         self._settle(_END_BY_FAULT[fault])
         listener, self._listener = self._listener, None
         if listener is not None:
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -1,53 +1,32 @@
 """The exchange of one caller's request: places, sends and if safe retries it, answers it once."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import IncomingRequest, OutgoingRequest, Responder, ResponseHead
-from greengagestage.ids import ClassName, Fingerprint, InstanceId, WorkspaceId
+from greengagestage.ids import AttemptId, ClassName, Fingerprint, WorkspaceId
 from greengagestage.platform import UpstreamRequestMetadata, build_upstream_headers
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
-from greengagestage.routing import AttemptEnd, Job, Placement, Refused, Waiting
+from greengagestage.routing import AttemptEnd, Job, Placement, Refused, StreamOrigin, Waiting
 from greengagestage.telemetry import Timing
 
 from ._attempt import Attempt, AttemptFault, AttemptPlan
 from ._context import ExchangeContext
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
-from ._refusal_answers import answer_refusal
-
-MAX_SENDS = 4
-"""Maximum number of attempts to send one request, including those that provably did not run it.
-``Route.max_attempts`` limits only the attempts that may have run it."""
+from ._handover import Handover
+from ._refusal_answers import answer_refusal, choose_fault_refusal
+from ._send_limits import SendLimits
+from ._silence import MAX_PAUSE_S, SilenceWatch, compute_answer_limit
 
 DEADLINE_SLACK_S = 0.05
 """Time after the deadline in which an upstream's own answer is still awaited: links add a few
 milliseconds."""
 
-MIN_TIME_FOR_RETRY_S = 0.03
-"""No retry is started with less time left than this: plain answers take about 20 ms."""
-
-PLAIN_TIMEOUT_FACTOR = 4.0
-MIN_PLAIN_TIMEOUT_S = 0.25
-"""A retryable request that describes no prompt is sent elsewhere unless its answer is complete, or
-its stream has begun, within four times the upstream's expected answer time, and at least this time,
-which is longer than nearly all answers take. Data of a plain answer does not extend the time."""
-
-FIRST_EVENT_TIMEOUT_FACTOR = 3.0
-MIN_FIRST_EVENT_TIMEOUT_S = 0.7
-"""A retryable request that describes its prompt is sent elsewhere unless its stream has begun, or
-its plain answer is complete, within three times the forecast time to the first event, and at least
-this time. Callers disconnect after two seconds at the earliest."""
-
-NEXT_EVENT_TIMEOUT_S = 0.9
-"""A retryable stream is resumed elsewhere if no event arrives for this long after its head or its
-last event. A pause this long misses the target for time between events in every operator's
-requirements."""
-
-REFUSED_RETRY_AFTER_S = 0.3
-"""``Retry-After`` once upstreams have refused a request for lack of capacity."""
+SUCCESSOR_RETRY_S = 0.25
+"""Time until another successor is sought for a silent upstream if none could be found or kept."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,6 +35,8 @@
 
     Attributes:
         workspace: The workspace that owns the caller's key; None on routes without keys.
+        stream: The caller's attempt that brought the first event of the stream: this one, unless it
+            takes up an earlier one.
         fingerprint: Hash that is equal for equal requests of one caller.
         version: Version of the configuration that admitted the request.
         version_age_s: Time since that version was known to be the newest.
@@ -64,6 +45,7 @@
     request: IncomingRequest
     job: Job
     workspace: Workspace | None
+    stream: AttemptId
     fingerprint: Fingerprint
     version: int
     version_age_s: float | None
@@ -72,7 +54,10 @@
 class RequestExchange:
     """Handles one caller's request until its final answer; listens to its caller and its attempts.
 
-    Each attempt is at most one ``http1.Exchange`` on a connection to an upstream.
+    Each attempt is at most one ``http1.Exchange`` on a connection to an upstream. A silent upstream
+    may be sound and go on at any time. Its attempt is therefore kept until a second one, the
+    successor, is being answered by another upstream, and the successor is dropped if the first
+    upstream goes on before that.
     """
 
     def __init__(
@@ -84,15 +69,16 @@
         self._route = inputs.job.route
         self._responder = responder
         self._attempt: Attempt | None = None
-        self._tried: frozenset[InstanceId] = frozenset()
-        self._sends = 0
-        self._possible_runs = 0  # attempts that may have run, or may be running, the request
+        self._handover = Handover()
+        self._paused = False
+        self._limits = SendLimits(job=inputs.job, router=context.router)
         self._last_fault: AttemptFault | None = None
         self._done = False
+        self._silence = SilenceWatch(reactor=context.reactor, on_silent=self._handle_silence)
         self._deadline_timer: Any = None
-        self._response_timer: Any = None
         self._placement_timer: Any = None
         self._waited = False
+        self._origin_recorded = False
         workspace = "" if inputs.workspace is None else inputs.workspace.name
         # In the metrics, the route takes the place of a service class.
         timer = context.metrics.create_request_timer(
@@ -118,6 +104,19 @@
         self._deadline_timer = reactor.callLater(max(remaining_s, 0.0), self._handle_deadline)
         self._send_next()
 
+    @property
+    def attempt_id(self) -> AttemptId:
+        """The id that the caller gave the request."""
+        return self._job.attempt_id
+
+    def stop(self) -> None:
+        """Give the final answer now, since the host is about to stop."""
+        if self._attempt is not None:
+            self._attempt.cancel()
+        may_have_run = self._limits.may_have_run
+        code = ResultCode.HOST_STOPPED_RUNNING if may_have_run else ResultCode.STOPPING
+        self._refuse(Refusal(code=code, retry_after_s=None if may_have_run else 0.0))
+
     # Caller events.
 
     def handle_disconnect(self) -> None:
@@ -133,19 +132,28 @@
                 self._attempt.detach()
             else:
                 self._attempt.cancel()
-        may_have_run = self._possible_runs > 0
+        may_have_run = self._limits.may_have_run
         self._conclude(ResultCode.CALLER_LEFT_RUNNING if may_have_run else ResultCode.CALLER_LEFT)
 
     def pause(self) -> None:
         """Stop reading from the upstream, since the caller reads too slowly."""
+        self._paused = True
+        self._silence.pause()
         if self._attempt is not None:
             self._attempt.pause()
 
     def resume(self) -> None:
         """Read from the upstream again, since the caller has caught up."""
+        self._paused = False
+        self._silence.resume()
         if self._attempt is not None:
             self._attempt.resume()
 
+    @property
+    def _now_s(self) -> float:
+        now_s: float = self._context.reactor.seconds()
+        return now_s
+
     # Attempt events.
 
     def prepare_attempt_request(self, attempt: Attempt) -> OutgoingRequest | None:
@@ -154,13 +162,13 @@
         A returned request is counted as one that may have run. For the first attempt, the time
         since the request's arrival is recorded in the metrics.
         """
-        remaining_s = self._job.deadline_s - self._context.reactor.seconds()
+        remaining_s = self._job.deadline_s - self._now_s
         if self._done or remaining_s <= 0:
             return None
         if attempt.plan.number == 1:
-            waited_s = self._context.reactor.seconds() - self._job.arrived_s
+            waited_s = self._now_s - self._job.arrived_s
             self._request_timer.observe(Timing.QUEUE_WAIT, waited_s)
-        self._possible_runs += 1
+        self._limits.possible_runs += 1
         workspace = self._inputs.workspace
         metadata = UpstreamRequestMetadata(
             instance=attempt.plan.placement.upstream.instance,
@@ -180,29 +188,47 @@
     def attempt_head_received(self, attempt: Attempt, head: ResponseHead) -> None:
         """Start relaying a stream or buffering a plain answer."""
         streams = self._route.kind is RouteKind.STREAM and 200 <= head.status < 300
-        if self._delivery.is_stream and not streams:
+        continues = streams or not self._delivery.is_stream
+        failed = head.status >= 500 or not continues
+        if attempt is self._handover.successor:
+            if failed:
+                attempt.cancel(AttemptEnd.FAILED)
+                self._drop_failed_successor(attempt, AttemptFault.FAILED)
+                return
+            self._promote_successor()
+        elif self._handover.successor is not None:
+            if failed:
+                attempt.cancel(AttemptEnd.FAILED)
+                self._handle_fault(attempt, AttemptFault.FAILED)
+                return
+            self._handover.cancel()
+        if not continues:
             attempt.cancel(AttemptEnd.FAILED)
             self._handle_fault(attempt, AttemptFault.MALFORMED)
-            return
-        if not streams:
+        elif streams:
+            self._delivery.begin_stream(head)
+            self._watch_answer(attempt)
+        else:
             self._delivery.begin_plain(head)
-            return
-        self._delivery.begin_stream(head)
-        self._start_next_event_timer()
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Relay complete events, or buffer a part of a plain answer."""
         if self._delivery.feed(data):
-            self._start_next_event_timer()
+            self._handover.cancel()
+            if not self._origin_recorded:
+                self._record_origin(attempt)
+            self._watch_silence(MAX_PAUSE_S)
+        elif not self._delivery.is_stream:
+            self._silence.restart()
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Deliver a complete answer, or retry if the upstream answered with a server error."""
+        self._attempt = None
+        self._silence.stop()
         head = self._delivery.head
         if head is not None and head.status >= 500:
             attempt.settle_early(AttemptEnd.FAILED)
-            if not self._delivery.begun and self._try_acquire_retry():
-                self._delivery.discard_undelivered()
-                self._send_next()
+            if self._replace_error(attempt):
                 return
         if self._delivery.finish():
             self._conclude(ResultCode.DELIVERED)
@@ -211,18 +237,24 @@
 
     def attempt_failed(self, attempt: Attempt, fault: AttemptFault) -> None:
         """Retry if that is safe, else refuse the request."""
-        self._handle_fault(attempt, fault)
+        if attempt is self._handover.successor:
+            self._drop_failed_successor(attempt, fault)
+        else:
+            self._handle_fault(attempt, fault)
 
     # Placement and retries.
 
     def _send_next(self) -> None:
-        now_s = self._context.reactor.seconds()
-        if self._context.losses.is_quarantined(self._inputs.fingerprint, now_s):
-            may_have_run = self._possible_runs > 0
+        now_s = self._now_s
+        if self._limits.may_have_run and not self._limits.has_runs_left:
+            self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
+            return
+        if self._is_quarantined:
+            may_have_run = self._limits.may_have_run
             code = ResultCode.CRASHED_UPSTREAMS if may_have_run else ResultCode.QUARANTINED
             self._refuse(Refusal(code=code))
             return
-        placed = self._context.router.place(self._job, now_s, self._tried)
+        placed = self._context.router.place(self._job, now_s, self._limits.tried)
         match placed:
             case Refused():
                 self._refuse_unplaced(placed)
@@ -238,64 +270,48 @@
         self._placement_timer = self._context.reactor.callLater(waiting.delay_s, self._send_next)
 
     def _send_to(self, placement: Placement) -> None:
-        self._sends += 1
-        self._log.log_sent(placement, self._sends)
+        self._attempt = self._create_attempt(placement)
+        self._watch_answer(self._attempt)
+        self._attempt.start()
+
+    def _create_attempt(self, placement: Placement) -> Attempt:
+        self._limits.record_send(placement.upstream.instance)
+        self._log.log_sent(placement, self._limits.sends)
         plan = AttemptPlan(
             attempt_id=self._job.attempt_id,
-            number=self._sends,
+            number=self._limits.sends,
             placement=placement,
             non_retryable=not self._route.is_retryable,
         )
-        self._attempt = Attempt(context=self._context, plan=plan, listener=self)
-        self._tried |= {placement.upstream.instance}
-        self._start_first_answer_timer(placement)
-        self._attempt.start()
+        return Attempt(context=self._context, plan=plan, listener=self)
 
     def _handle_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
-        self._cancel_response_timer()
+        self._silence.stop()
         self._attempt = None
+        self._record_fault(attempt, fault)
+        if self._handover.successor is not None:
+            self._promote_successor()
+        elif self._try_acquire_resend(fault):
+            self._delivery.discard_undelivered()
+            self._send_next()
+        else:
+            self._refuse_after_fault(fault)
+
+    def _record_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._last_fault = fault
         if fault.proves_not_run and attempt.sent_s is not None:
-            self._possible_runs -= 1
+            self._limits.possible_runs -= 1
         if fault is AttemptFault.LOST:
             self._record_loss(attempt)
         self._log.log_attempt_fault(attempt, fault, self._delivery)
-        if self._try_acquire_resend(fault):
-            self._delivery.discard_undelivered()
-            self._send_next()
-            return
-        self._refuse_after_fault(fault)
 
     def _try_acquire_resend(self, fault: AttemptFault) -> bool:
-        """Return whether the request can be sent again after a fault; count it as a retry if so.
-
-        A send after an attempt that sent nothing is not counted.
-        """
-        if not self._has_time() or self._sends >= MAX_SENDS:
-            return False
-        if fault.proves_not_sent:
-            return self._possible_runs == 0 or self._route.is_retryable
-        if fault.proves_not_run:
-            now_s = self._context.reactor.seconds()
-            return self._context.router.try_acquire_retry(self._job.service, now_s)
-        return self._try_acquire_retry()
-
-    def _try_acquire_retry(self) -> bool:
-        """Return whether a request that may have run can be sent again; count a retry if so."""
-        if not self._route.is_retryable or self._possible_runs >= self._route.max_attempts:
+        if not fault.proves_not_run and not self._delivery.can_restart:
             return False
-        if not self._has_time() or self._sends >= MAX_SENDS:
-            return False
-        if not self._delivery.can_restart:
-            return False
-        now_s = self._context.reactor.seconds()
-        return self._context.router.try_acquire_retry(self._job.service, now_s)
-
-    def _has_time(self) -> bool:
-        return bool(self._job.deadline_s - self._context.reactor.seconds() >= MIN_TIME_FOR_RETRY_S)
+        return self._limits.try_acquire_resend(fault, self._now_s)
 
     def _refuse_unplaced(self, refused: Refused) -> None:
-        if self._possible_runs > 0 or self._delivery.begun:
+        if self._limits.may_have_run or self._delivery.begun:
             self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
             return
         self._refuse(
@@ -303,69 +319,105 @@
         )
 
     def _refuse_after_fault(self, fault: AttemptFault) -> None:
-        if self._possible_runs == 0 and not self._delivery.begun:
-            code = ResultCode.UPSTREAM_REFUSED
-            if fault.proves_not_sent:
-                code = ResultCode.NO_UPSTREAM
-            now_s = self._context.reactor.seconds()
-            pause_s = self._context.router.measure_pause_s(self._job.service, now_s)
-            retry_after_s = max(REFUSED_RETRY_AFTER_S, pause_s)
-            self._refuse(Refusal(code=code, detail=fault.value, retry_after_s=retry_after_s))
-            return
-        match fault:
-            case AttemptFault.SILENT:
-                self._refuse(Refusal(code=ResultCode.UPSTREAM_SILENT))
-            case AttemptFault.MALFORMED:
-                self._refuse(Refusal(code=ResultCode.ANSWER_INCOMPLETE))
-            case _:
-                self._refuse(Refusal(code=ResultCode.UPSTREAM_LOST))
+        may_have_run = self._limits.may_have_run or self._delivery.begun
+        pause_s = self._context.router.measure_pause_s(self._job.service, self._now_s)
+        refusal = choose_fault_refusal(fault, may_have_run=may_have_run, pause_s=pause_s)
+        self._refuse(refusal)
 
     def _handle_deadline(self) -> None:
         """Give the final answer at the deadline."""
         if self._attempt is not None:
             self._attempt.cancel()
-        may_have_run = self._possible_runs > 0
+        may_have_run = self._limits.may_have_run
         code = ResultCode.DEADLINE_PASSED_RUNNING if may_have_run else ResultCode.DEADLINE_PASSED
         self._refuse(Refusal(code=code))
 
-    # Timeouts of upstreams.
+    # Silent upstreams.
+
+    def _watch_answer(self, attempt: Attempt) -> None:
+        self._watch_silence(compute_answer_limit(self._job, attempt.plan.placement))
+
+    def _watch_silence(self, limit_s: float) -> None:
+        if self._limits.has_runs_left:
+            self._silence.start(limit_s)
+
+    def _record_origin(self, attempt: Attempt) -> None:
+        """Let only upstreams of the version that began the stream continue it, on any host."""
+        self._origin_recorded = True
+        upstream = attempt.plan.placement.upstream
+        began_at = StreamOrigin(software_version=upstream.software_version)
+        self._job = replace(self._job, began_at=began_at)
+        if self._route.resumable:
+            origins = self._context.router.stream_versions.origins
+            origins.record_local(self._inputs.stream, began_at, self._now_s)
 
-    def _start_first_answer_timer(self, placement: Placement) -> None:
-        if not self._route.is_retryable or self._possible_runs + 1 >= self._route.max_attempts:
+    def _handle_silence(self) -> None:
+        """Send the request to another upstream too, if that one may run it."""
+        if self._attempt is None or self._handover.successor is not None:
             return
-        if self._job.prompt is None:
-            timeout_s = max(PLAIN_TIMEOUT_FACTOR * placement.expected_s, MIN_PLAIN_TIMEOUT_S)
+        if not self._delivery.can_restart or not self._limits.may_have_successor(self._now_s):
+            return
+        placement = self._place_elsewhere()
+        if placement is None:
+            self._silence.start(SUCCESSOR_RETRY_S)
         else:
-            scaled_forecast_s = FIRST_EVENT_TIMEOUT_FACTOR * placement.expected_s
-            timeout_s = max(scaled_forecast_s, MIN_FIRST_EVENT_TIMEOUT_S)
-        self._restart_response_timer(timeout_s)
-
-    def _start_next_event_timer(self) -> None:
-        if self._route.is_retryable and self._possible_runs < self._route.max_attempts:
-            self._restart_response_timer(NEXT_EVENT_TIMEOUT_S)
-
-    def _restart_response_timer(self, timeout_s: float) -> None:
-        self._cancel_response_timer()
-        self._response_timer = self._context.reactor.callLater(
-            timeout_s, self._handle_response_timeout
-        )
+            self._handover.begin(self._create_attempt(placement))
+
+    def _replace_error(self, attempt: Attempt) -> bool:
+        """Ask another upstream in place of one that answered with an error, if there is one."""
+        if self._handover.successor is not None:
+            self._record_fault(attempt, AttemptFault.FAILED)
+            self._promote_successor()
+            return True
+        if self._delivery.begun or not self._limits.may_run_again(self._now_s):
+            return False
+        placement = self._place_elsewhere()
+        if placement is None:
+            return False
+        self._delivery.discard_undelivered()
+        self._send_to(placement)
+        return True
 
-    def _handle_response_timeout(self) -> None:
-        """Abandon an upstream that did not answer in time, if another one may run the request."""
-        attempt = self._attempt
-        if attempt is None or not self._try_acquire_retry():
-            return
-        attempt.cancel(AttemptEnd.LOST)
-        self._attempt = None
-        self._last_fault = AttemptFault.SILENT
-        self._log.log_attempt_fault(attempt, AttemptFault.SILENT, self._delivery)
+    def _place_elsewhere(self) -> Placement | None:
+        """Place the request at another upstream if there is room and a retry is allowed."""
+        now_s = self._now_s
+        if self._is_quarantined:
+            return None
+        router = self._context.router
+        placed = router.place(self._job, now_s, self._limits.tried)
+        if not isinstance(placed, Placement):
+            return None
+        if not self._limits.try_spend_retry(now_s):
+            instance = placed.upstream.instance
+            router.record_end(self._job.attempt_id, instance, AttemptEnd.CANCELLED, now_s)
+            return None
+        return placed
+
+    @property
+    def _is_quarantined(self) -> bool:
+        return self._context.losses.is_quarantined(self._inputs.fingerprint, self._now_s)
+
+    def _promote_successor(self) -> None:
+        """Give up the silent upstream: the successor alone answers from now on."""
+        attempt, self._attempt = self._attempt, self._handover.take()
+        self._silence.stop()
+        if attempt is not None:
+            self._record_fault(attempt, AttemptFault.SILENT)
+            attempt.cancel(AttemptEnd.LOST)
         self._delivery.discard_undelivered()
-        self._send_next()
+        successor = self._attempt
+        if successor is None:
+            return
+        self._watch_answer(successor)
+        if self._paused:
+            successor.pause()
 
-    def _cancel_response_timer(self) -> None:
-        if self._response_timer is not None and self._response_timer.active():
-            self._response_timer.cancel()
-        self._response_timer = None
+    def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
+        self._handover.take()
+        self._record_fault(attempt, fault)
+        if fault.proves_not_run:
+            self._limits.record_refused_successor()
+        self._silence.start(SUCCESSOR_RETRY_S)
 
     # Final answer.
 
@@ -374,7 +426,7 @@
         if self._delivery.begun:
             self._responder.abort()
         else:
-            remaining_s = self._job.deadline_s - self._context.reactor.seconds()
+            remaining_s = self._job.deadline_s - self._now_s
             answer_refusal(self._responder, refusal, time_left_s=remaining_s)
         self._conclude(refusal.code, refusal.retry_after_s)
 
@@ -382,17 +434,18 @@
         self._done = True
         self._attempt = None
         self._responder.listener = None
-        self._cancel_response_timer()
+        self._silence.stop()
+        self._handover.cancel()
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
                 timer.cancel()
         self._context.open_exchanges.discard(self)
-        elapsed_s = self._context.reactor.seconds() - self._job.arrived_s
+        elapsed_s = self._now_s - self._job.arrived_s
         self._request_timer.observe(Timing.ANSWER, elapsed_s)
         self._context.metrics.count_result(code, ClassName(self._route.name))
         outcome = ExchangeOutcome(
             code=code,
-            sends=self._sends,
+            sends=self._limits.sends,
             waited=self._waited,
             elapsed_s=elapsed_s,
             retry_after_s=retry_after_s,
@@ -406,7 +459,7 @@
         """
         fingerprint = self._inputs.fingerprint
         loss_id = f"{self._job.attempt_id}.{attempt.plan.number}"
-        now_s = self._context.reactor.seconds()
+        now_s = self._now_s
         count = self._context.losses.record_loss(fingerprint, loss_id, now_s)
         self._context.report_loss(fingerprint, loss_id)
         if count > 1:
--- /dev/null
+++ b/greengagestage/gateway/_send_limits.py
@@ -0,0 +1,84 @@
+"""Decides whether a request can be sent to another upstream."""
+
+from greengagestage.ids import InstanceId
+from greengagestage.routing import Job, Router
+
+from ._attempt import AttemptFault
+
+MAX_SENDS = 4
+"""Maximum number of attempts to send one request, including those that provably did not run it.
+``Route.max_attempts`` limits only the attempts that may have run it."""
+
+MAX_REFUSED_SUCCESSORS = 3
+"""Number of refusals after which no further upstream is asked in addition to a silent one. They do
+not count as sends, so that the request can still be sent elsewhere if the silent one is lost."""
+
+MIN_TIME_FOR_RETRY_S = 0.03
+"""No retry is started with less time left than this: plain answers take about 20 ms."""
+
+
+class SendLimits:
+    """Counts the sends of one request and decides whether another one is safe and allowed.
+
+    Attributes:
+        tried: The upstreams that were chosen so far.
+        sends: Number of attempts to send the request.
+        possible_runs: Number of attempts that may have run, or may be running, the request.
+    """
+
+    def __init__(self, *, job: Job, router: Router) -> None:
+        self.tried: frozenset[InstanceId] = frozenset()
+        self.sends = 0
+        self.possible_runs = 0
+        self._refused_successors = 0
+        self._job = job
+        self._router = router
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.possible_runs > 0
+
+    @property
+    def has_runs_left(self) -> bool:
+        """Whether another upstream may run the request although one may have done so."""
+        route = self._job.route
+        return route.is_retryable and self.possible_runs < route.max_attempts
+
+    def record_send(self, instance: InstanceId) -> None:
+        """Count an attempt to send the request to an upstream."""
+        self.sends += 1
+        self.tried |= {instance}
+
+    def may_run_again(self, now_s: float) -> bool:
+        """Whether a request that may have run, or may be running, can be sent again."""
+        return self.has_runs_left and self._may_send(now_s)
+
+    def may_have_successor(self, now_s: float) -> bool:
+        """Whether the request may be sent to a second upstream while the first one is silent."""
+        return self.may_run_again(now_s) and self._refused_successors < MAX_REFUSED_SUCCESSORS
+
+    def record_refused_successor(self) -> None:
+        """Count a second upstream that has provably not run the request."""
+        self._refused_successors += 1
+
+    def try_acquire_resend(self, fault: AttemptFault, now_s: float) -> bool:
+        """Return whether a request can be sent again after a fault; count it as a retry if so.
+
+        A send after an attempt that sent nothing is not counted.
+        """
+        if not self._may_send(now_s):
+            return False
+        if fault.proves_not_sent:
+            return not self.may_have_run or self._job.route.is_retryable
+        if fault.proves_not_run:
+            return self.try_spend_retry(now_s)
+        return self.has_runs_left and self.try_spend_retry(now_s)
+
+    def try_spend_retry(self, now_s: float) -> bool:
+        """Return whether the retry budget allows another send; count a retry if so."""
+        return self._router.try_acquire_retry(self._job.service, now_s)
+
+    def _may_send(self, now_s: float) -> bool:
+        has_time = self._job.deadline_s - now_s >= MIN_TIME_FOR_RETRY_S
+        return has_time and self.sends - self._refused_successors < MAX_SENDS
--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -1,12 +1,14 @@
 """Graceful shutdown of a host, which waits for open requests as long as the grace period allows."""
 
-from collections.abc import Sized
-from typing import Any
+from collections.abc import Collection
+from typing import Any, Protocol
 
 from eliot import log_message
 from twisted.internet.defer import Deferred
 
 from greengagestage.http1 import ServerFactory
+from greengagestage.ids import AttemptId
+from greengagestage.telemetry import log_current_exception
 
 from ._site import ConfigurationView
 
@@ -22,12 +24,23 @@
 would be killed."""
 
 
+class Stoppable(Protocol):
+    """A request that is still open."""
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """The id that the caller gave the request."""
+
+    def stop(self) -> None:
+        """Give the request's final answer now."""
+
+
 class Shutdown:
     """Stops a host in steps.
 
     It reports itself as not ready, still serves requests until the load balancer has removed it,
     then refuses new ones and waits for the open ones. Requests that are still open shortly before
-    the end of the grace period are interrupted.
+    the end of the grace period are interrupted; callers whose answer has not begun are told so.
     """
 
     def __init__(
@@ -37,7 +50,7 @@
         grace_s: float,
         caller_server: ServerFactory,
         configuration: ConfigurationView,
-        open_exchanges: Sized,
+        open_exchanges: Collection[Stoppable],
     ) -> None:
         self._reactor = reactor
         self.grace_s = grace_s
@@ -55,8 +68,8 @@
     def begin(self) -> Deferred[None]:
         """Start the shutdown.
 
-        The result fires once the load balancer has had time to remove the host and no request is
-        open any more, or shortly before the grace period ends.
+        The result fires once the load balancer has had time to remove the host, no request is open
+        any more and all answers have been sent, or shortly before the grace period ends.
         """
         if self._done is None:
             self._done = Deferred()
@@ -72,11 +85,25 @@
 
     def _check_open_requests(self) -> None:
         open_requests = len(self._open_exchanges)
+        unsent_answers = self._caller_server.count_sending()
         elapsed_s = self._reactor.seconds() - self._began_s
-        if open_requests and elapsed_s < self.grace_s - GRACE_MARGIN_S:
+        if (open_requests or unsent_answers) and elapsed_s < self.grace_s - GRACE_MARGIN_S:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_open_requests)
             return
-        if open_requests:
-            log_message(message_type="host: grace is over", open_requests=open_requests)
+        if open_requests or unsent_answers:
+            log_message(
+                message_type="host: grace is over",
+                open_requests=open_requests,
+                unsent_answers=unsent_answers,
+            )
+            for exchange in list(self._open_exchanges):
+                self._stop_exchange(exchange)
         if self._done is not None and not self._done.called:
             self._reactor.callLater(CHECK_INTERVAL_S, self._done.callback, None)
+
+    def _stop_exchange(self, exchange: Stoppable) -> None:
+        """Stop one request. An exception must not keep the host from stopping, so it is logged."""
+        try:
+            exchange.stop()
+        except Exception:
+            log_current_exception("host: request not answered", request=exchange.attempt_id)
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -13,12 +13,15 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import CallerListener, ObservedConnection
-from ._sockets import tune_socket
+from ._sockets import count_undelivered_bytes, count_unsent_bytes, tune_socket
 from ._types import HeaderList
 
 LINGER_S = 1.0
-"""How long the rest of a refused request is read before the connection is closed. Closing with
-unread data would reset the connection, and the caller could lose the refusal."""
+"""How long a connection is still read after its last answer has arrived. Closing with unread data
+would reset the connection, and the caller could lose the answer."""
+
+DELIVERY_CHECK_INTERVAL_S = 0.1
+"""Time between two checks whether the last answer has arrived."""
 
 MAX_PIPELINED_BYTES = 65_536
 """Limit for buffered bytes of later requests while one is answered; reading pauses above it."""
@@ -113,7 +116,11 @@
         """Close the connections on which no request has begun."""
         for connection in list(self.connections):
             if connection.idle:
-                connection.transport.loseConnection()
+                connection.close_idle()
+
+    def count_sending(self) -> int:
+        """Return the number of connections with written bytes that the process still holds."""
+        return sum(connection.unsent_bytes > 0 for connection in self.connections)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -127,7 +134,11 @@
 
 
 class CallerConnection(ObservedConnection, TwistedProtocol):
-    """A caller's connection, which is also the responder for its current request."""
+    """A caller's connection, which is also the responder for its current request.
+
+    A caller that closes only its sending side counts as gone, as with many HTTP servers: until a
+    write fails, that looks like a full close, after which work has to be cancelled at once.
+    """
 
     transport: Any
 
@@ -138,6 +149,7 @@
         )
         self._incoming: _PartialRequest | None = None
         self._answering = False
+        self._answers_head = False
         # Set once the connection is to be closed: after a refusal, after the last answer, or by
         # abort. Bytes received from then on are discarded.
         self._ignoring_input = False
@@ -149,13 +161,18 @@
         tune_socket(self.transport)
         self.factory.connections.add(self)
         self.transport.registerProducer(self, True)
-        self._set_timer(self.factory.limits.idle_timeout_s, self._close_idle)
+        self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
 
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
         return not self._answering and self._incoming is None and not self._ignoring_input
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the process still holds, since the caller reads slowly."""
+        return count_unsent_bytes(self.transport)
+
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes up to the end of one request."""
         if self._ignoring_input:
@@ -175,8 +192,10 @@
         self.notify_disconnected()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete response."""
-        length = [] if status in (204, 304) else [(b"Content-Length", b"%d" % len(body))]
+        """Send a complete response; one to a HEAD request has no body, only its length."""
+        # An empty body of an answer to HEAD says nothing about the length that GET would have.
+        without_length = status in (204, 304) or (self._answers_head and not body)
+        length = [] if without_length else [(b"Content-Length", b"%d" % len(body))]
         self._send(
             h11.Response(
                 status_code=status, headers=[*headers, *length, *self._build_connection_header()]
@@ -193,8 +212,9 @@
         )
 
     def write(self, data: bytes) -> None:
-        """Send the next bytes of the body."""
-        self._send(h11.Data(data=data))
+        """Send the next bytes of the body; discard them if the request was HEAD."""
+        if not self._answers_head:
+            self._send(h11.Data(data=data))
 
     def finish(self) -> None:
         """Complete the response and read the next request."""
@@ -205,7 +225,7 @@
             self._linger()
             return
         self._codec.start_next_cycle()
-        self._set_timer(self.factory.limits.idle_timeout_s, self._close_idle)
+        self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
         self._resume_reading()
 
     def abort(self) -> None:
@@ -214,10 +234,25 @@
         self._ignoring_input = True
         self.transport.abortConnection()
 
-    def _resume_reading(self) -> None:
+    def close_idle(self) -> None:
+        """Close the connection, on which no request has begun, once its last answer is delivered.
+
+        A transport with a registered producer that it has paused would never close.
+        """
+        if count_undelivered_bytes(self.transport):
+            self._linger()
+            return
+        self._ignoring_input = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def _unpause_reading(self) -> None:
         if self._paused_reading:
             self._paused_reading = False
             self.transport.resumeProducing()
+
+    def _resume_reading(self) -> None:
+        self._unpause_reading()
         if self._codec.trailing_data[0]:
             self._begin_reading()
             self._read_events()
@@ -275,6 +310,7 @@
             return
         self._incoming = None
         self._answering = True
+        self._answers_head = head.method == b"HEAD"
         self._stop_timer()
         request = IncomingRequest(
             method=bytes(head.method),
@@ -302,15 +338,36 @@
     def _refuse_too_slow(self) -> None:
         self._refuse(LimitExceeded.TOO_SLOW)
 
-    def _close_idle(self) -> None:
-        self.transport.loseConnection()
-
     def _linger(self) -> None:
-        """Close the sending side; discard what is received for ``LINGER_S``, then abort."""
+        """Close the sending side, and the connection ``LINGER_S`` after the last byte has arrived.
+
+        What is received meanwhile is discarded.
+        """
         self._ignoring_input = True
+        self._unpause_reading()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._set_timer(LINGER_S, self.transport.abortConnection)
+        undelivered = count_undelivered_bytes(self.transport)
+        self._await_delivery(undelivered, self.factory.reactor.seconds())
+
+    def _await_delivery(self, undelivered: int, progress_s: float) -> None:
+        """Wait while the caller still receives bytes; abort after the idle timeout without any.
+
+        Args:
+            undelivered: Undelivered bytes at the previous check.
+            progress_s: When that number last decreased.
+        """
+        now_s = self.factory.reactor.seconds()
+        left = count_undelivered_bytes(self.transport)
+        if not left:
+            self._set_timer(LINGER_S, self.transport.loseConnection)
+            return
+        if left < undelivered:
+            progress_s = now_s
+        elif now_s - progress_s > self.factory.limits.idle_timeout_s:
+            self.transport.abortConnection()
+            return
+        self._set_timer(DELIVERY_CHECK_INTERVAL_S, lambda: self._await_delivery(left, progress_s))
 
     def _limit_pipelining(self) -> None:
         if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES and not self._paused_reading:
--- a/greengagestage/ids.py
+++ b/greengagestage/ids.py
@@ -25,5 +25,7 @@
 """The identity under which an upstream registered itself."""
 Incarnation = tuple[InstanceId, int | None]
 """One process among those that have used the same instance id."""
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""The version of an upstream's software; what two versions write in a stream does not fit."""
 PromptPartId = NewType("PromptPartId", str)
 """A part of a prompt that other requests may share; equal parts have equal ids."""
--- a/greengagestage/platform/_headers.py
+++ b/greengagestage/platform/_headers.py
@@ -17,6 +17,7 @@
 NOT_EXECUTED = b"greengagestage-not-executed"
 PROMPT_PARTS = b"greengagestage-prompt-prefix"
 PRIORITY = b"greengagestage-request-priority"
+RESUMED_ATTEMPT = b"resumes"
 RETRY_AFTER = b"retry-after"
 SIGNATURE = b"greengagestage-server-signature"
 STORE_ERA = b"store-era"
@@ -75,6 +76,8 @@
         prompt_tokens: Size of the prompt; 0 if not stated.
         output_tokens: Maximum size of the output; 0 if not stated.
         parts: The parts of the prompt in sequence, with their sizes.
+        last_event_id: The last event that the caller has of a stream that it takes up again.
+        resumed_attempt: The caller's attempt that brought the first event of that stream.
     """
 
     attempt_id: AttemptId
@@ -85,6 +88,13 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
+    last_event_id: bytes | None = None
+    resumed_attempt: AttemptId | None = None
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has a part of the stream already."""
+        return self.last_event_id is not None or self.resumed_attempt is not None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,6 +140,8 @@
             prompt_tokens=prompt,
             output_tokens=output,
             parts=_parse_prompt_parts(first_values.get(PROMPT_PARTS, b"")),
+            last_event_id=first_values.get(LAST_EVENT_ID),
+            resumed_attempt=_parse_resumed_attempt(first_values.get(RESUMED_ATTEMPT)),
         )
     )
 
@@ -159,10 +171,10 @@
 
 
 def _list_hop_by_hop_names(headers: HeaderList) -> frozenset[bytes]:
-    """Return the header names that ``Connection`` lists, without the platform's own headers.
+    """Return the header names that ``Connection`` lists, without those that are always end-to-end.
 
-    Listed headers are hop-by-hop and are not forwarded. The platform's own headers are end-to-end,
-    so they are forwarded even if they are listed.
+    Listed headers are hop-by-hop and are not forwarded. ``Host`` and the platform's own headers are
+    forwarded even if they are listed.
     """
     hop_by_hop_names = (
         part.strip().lower()
@@ -170,7 +182,11 @@
         if name == b"connection"
         for part in value.split(b",")
     )
-    return frozenset(part for part in hop_by_hop_names if not part.startswith(b"greengagestage-"))
+    return frozenset(
+        part
+        for part in hop_by_hop_names
+        if part != b"host" and not part.startswith(b"greengagestage-")
+    )
 
 
 def _parse_token_counts(value: bytes) -> tuple[int, int]:
@@ -199,6 +215,12 @@
     return int(value) / 1_000
 
 
+def _parse_resumed_attempt(value: bytes | None) -> AttemptId | None:
+    if not value or len(value) > MAX_ATTEMPT_ID_BYTES or not value.isascii():
+        return None
+    return AttemptId(value.decode("ascii"))
+
+
 def _parse_key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").partition(b" ")
     return key.strip().decode("latin-1") if scheme.lower() == b"bearer" else None
--- a/greengagestage/results.py
+++ b/greengagestage/results.py
@@ -56,6 +56,7 @@
     STILL_RUNNING = 2015
     CALLER_LEFT = 2016
     CONFIGURATION_STALE = 2017
+    STREAM_ORIGIN_UNKNOWN = 2018
 
     UPSTREAM_LOST = 3001
     UPSTREAM_SILENT = 3002
@@ -65,6 +66,7 @@
     CRASHED_UPSTREAMS = 3006
     UPSTREAM_ERROR = 3007
     CALLER_LEFT_RUNNING = 3009
+    HOST_STOPPED_RUNNING = 3010
 
     DECLARATION_INVALID = 4001
     VERSION_CONFLICT = 4002
@@ -162,6 +164,9 @@
     ResultCode.CONFIGURATION_STALE: _not_run(
         503, "This host cannot confirm which keys are in force"
     ),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: _not_run(
+        503, "This host does not know which software version began the stream"
+    ),
     ResultCode.UPSTREAM_LOST: _may_have_run(502, "The upstream was lost while it ran"),
     ResultCode.UPSTREAM_SILENT: _may_have_run(504, "The upstream stopped sending"),
     ResultCode.ANSWER_INCOMPLETE: _may_have_run(502, "The upstream's answer has no proper end"),
@@ -172,6 +177,7 @@
     ResultCode.CRASHED_UPSTREAMS: _may_have_run(502, "The request crashed its upstreams"),
     ResultCode.UPSTREAM_ERROR: _may_have_run(502, "The upstream answered with an error"),
     ResultCode.CALLER_LEFT_RUNNING: _may_have_run(499, "The caller left while it ran"),
+    ResultCode.HOST_STOPPED_RUNNING: _may_have_run(502, "The host stopped while it ran"),
     ResultCode.DECLARATION_INVALID: _not_run(422, "The declaration has faults"),
     ResultCode.VERSION_CONFLICT: _not_run(409, "Another version was accepted first"),
     ResultCode.STORE_UNAVAILABLE: _not_run(503, "The platform's store does not answer"),
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -7,12 +7,13 @@
 from ._engine_model import EngineModel, EngineSpeed, PrefillSamples
 from ._engine_split import EngineSplit, GroupDemand
 from ._health import Health
-from ._jobs import Job, Placement, Refused, Waiting
+from ._jobs import Job, Placement, Refused, StreamOrigin, Waiting
 from ._loads import UpstreamLoad
 from ._losses import LossTracker
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
+from ._software_versions import StreamRecord, StreamVersions
 from ._upstreams import UpstreamState
 
 __all__ = [
@@ -31,6 +32,9 @@
     "RetryBudget",
     "RouteTraffic",
     "Router",
+    "StreamOrigin",
+    "StreamRecord",
+    "StreamVersions",
     "UpstreamLoad",
     "UpstreamState",
     "Waiting",
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -31,6 +31,7 @@
 from ._placement import Choice, EngineChooser, choose_plain
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
+from ._software_versions import StreamVersions
 from ._upstreams import DECODE_STEP_S, UpstreamState
 
 NO_UPSTREAM_RETRY_S = 0.4
@@ -96,6 +97,7 @@
     Attributes:
         hosts: Number of known hosts; None until the host list has been read.
         report_delay_s: Usual delay until this host knows the load that other hosts add.
+        stream_versions: The software versions of the upstreams, and those that began streams.
     """
 
     def __init__(self, *, domain: FailureDomain, bounds: Bounds, draw: Callable[[], float]) -> None:
@@ -121,6 +123,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.hosts: int | None = None
         self.report_delay_s = DEFAULT_REPORT_DELAY_S
+        self.stream_versions = StreamVersions()
 
     @property
     def upstreams(self) -> Mapping[InstanceId, UpstreamState]:
@@ -171,6 +174,9 @@
             {state.record.incarnation for state in self._upstreams.values()}, now_s
         )
         self._staying.clear()
+        self.stream_versions.history.observe(
+            (state.record for state in self._upstreams.values()), now_s
+        )
         self._choosers.clear()
 
     def record_leaving(self, incarnation: Incarnation) -> bool:
@@ -248,8 +254,15 @@
         staying = self._list_staying(job.service)
         ready = [state for state in staying if state.accepts_requests(now_s)]
         candidates = [state for state in ready if state.record.instance not in tried]
+        if job.began_at is not None:
+            version = job.began_at.software_version
+            candidates = [state for state in candidates if state.record.software_version == version]
+        elif job.route.resumable:
+            candidates = [
+                state for state in candidates if self._is_settled(state, now_s)
+            ] or candidates
         if service is None or not candidates:
-            return self._refuse_without_upstream(job.service, ready, now_s)
+            return self._refuse_without_upstream(job, ready, now_s)
         healthy = [state for state in candidates if state.is_healthy(now_s)] or candidates
         connectable = [
             state for state in healthy if self._has_free_connection(state, service)
@@ -455,20 +468,29 @@
         )
         choice.state.add_request(job.attempt_id, request, prompt)
 
+    def _is_settled(self, state: UpstreamState, now_s: float) -> bool:
+        """Whether all hosts know the upstream's version, so that they can take up its streams."""
+        record = state.record
+        return self.stream_versions.history.is_settled(
+            record.service, record.software_version, now_s
+        )
+
     def _has_free_connection(self, state: UpstreamState, service: Service) -> bool:
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
 
     def _refuse_without_upstream(
-        self, service: ServiceName, ready: list[UpstreamState], now_s: float
+        self, job: Job, ready: list[UpstreamState], now_s: float
     ) -> Refused:
-        pause_s = self.measure_pause_s(service, now_s)
-        if ready:
-            reason = "all ready upstreams were tried, or the service is not configured"
-        elif pause_s:
+        pause_s = self.measure_pause_s(job.service, now_s)
+        if not ready and pause_s:
             reason = f"the upstreams of the service want no requests for {pause_s:.1f} s"
-        else:
+        elif not ready:
             reason = "no upstream of the service is ready"
+        elif job.began_at is not None:
+            reason = "no other upstream of the version that began the stream is ready"
+        else:
+            reason = "all ready upstreams were tried, or the service is not configured"
         retry_after_s = max(pause_s, NO_UPSTREAM_RETRY_S / 2) + NO_UPSTREAM_RETRY_S * self._draw()
         return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=retry_after_s, reason=reason)
 
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,192 @@
+"""Slow callers, callers that close halfway and unusual requests, over loopback sockets."""
+
+import socket
+
+import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from greengagestage.gateway import HostProcess
+
+from . import host_harness as harness
+from .host_harness import HostFleet, running_fleet
+
+LARGE = 900_000
+"""Bytes of an answer that does not fit into the buffers of a connection."""
+
+
+@pytest.fixture
+def fleet():
+    with running_fleet() as running:
+        yield running
+
+
+SLOW_ROUTE = harness.build_route("slow", "idempotent", "archive", TimeoutMs=20_000, MaxAttempts=1)
+"""A route whose requests may last longer than a host takes to stop."""
+
+
+def answer_large(upstream, request, responder) -> None:
+    responder.answer(200, harness.build_identity_headers(request), b"x" * LARGE)
+
+
+def answer_large_after(delay_s: float) -> harness.Behavior:
+    def behave(upstream, request, responder) -> None:
+        upstream.reactor.callLater(delay_s, answer_large, upstream, request, responder)
+
+    return behave
+
+
+def connect_with_small_buffer(fleet: HostFleet, process: HostProcess):
+    """Return a caller and the host's side of its connection, whose kernel buffer is small."""
+    known = set(process._caller_server.connections)
+    caller = fleet.connect(b"")
+    fleet.run_until(lambda: process._caller_server.connections - known)
+    (connection,) = process._caller_server.connections - known
+    connection.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+    return caller, connection
+
+
+def close_sockets(process: HostProcess) -> None:
+    """Close the callers' sockets, as the reactor does when it stops."""
+    for connection in list(process._caller_server.connections):
+        connection.transport.connectionLost(Failure(ConnectionLost()))
+
+
+# Guards against an answer that is cut because its caller reads slowly.
+def test_a_slow_caller_gets_the_whole_last_answer(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=answer_large)
+    fleet.start_host()
+    fleet.wait_ready()
+    request = harness.build_request("/order/x", headers=("Connection: close",))
+    caller = fleet.connect(request)
+    caller.transport.pauseProducing()
+    fleet.run_for(1.5)
+    caller.transport.resumeProducing()
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert len(caller.body) == LARGE
+
+
+# Guards against a process that ends before its last answer has left it.
+def test_a_stop_waits_until_a_slow_caller_has_its_answer(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=answer_large_after(2.4))
+    fleet.store.put("op", "config", harness.build_document(Routes=[*harness.ROUTES, SLOW_ROUTE]))
+    process = fleet.start_host(stop_grace_s=8.0)
+    fleet.wait_ready()
+    caller, _ = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/slow/x", deadline_ms=10_000))
+    caller.transport.pauseProducing()
+    fleet.run_for(0.1)
+    stopped: list[object] = []
+    process.stop().addCallback(stopped.append)
+    fleet.run_for(3.3)
+    assert not process._context.open_exchanges
+    assert not stopped
+    caller.transport.resumeProducing()
+    fleet.run_until(lambda: bool(stopped))
+    close_sockets(process)
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert len(caller.body) == LARGE
+
+
+# Guards against a stop that waits beyond the grace period for a caller that never reads.
+def test_a_stop_waits_for_a_slow_caller_only_until_the_grace_period_ends(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=answer_large_after(2.4))
+    fleet.store.put("op", "config", harness.build_document(Routes=[*harness.ROUTES, SLOW_ROUTE]))
+    process = fleet.start_host(stop_grace_s=4.0)
+    fleet.wait_ready()
+    caller, connection = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/slow/x", deadline_ms=10_000))
+    caller.transport.pauseProducing()
+    began_s = fleet.reactor.seconds()
+    stopped: list[object] = []
+    process.stop().addCallback(stopped.append)
+    fleet.run_until(lambda: bool(stopped))
+    assert 3.5 < fleet.reactor.seconds() - began_s < 4.0
+    assert connection.unsent_bytes
+
+
+# Guards against a connection that is neither read nor closed any more.
+@pytest.mark.parametrize("size", [10_000, LARGE])
+@pytest.mark.parametrize("times_out", [False, True])
+def test_an_idle_connection_is_closed_after_a_slow_caller_has_its_answer(
+    fleet: HostFleet, size: int, times_out: bool
+) -> None:
+    def answer(upstream, request, responder) -> None:
+        responder.answer(200, harness.build_identity_headers(request), b"x" * size)
+
+    fleet.add_upstream("one", behavior=answer)
+    limits = {"HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 500}
+    fleet.store.put("op", "config", harness.build_document(Limits=limits))
+    process = fleet.start_host()
+    fleet.wait_ready()
+    caller, connection = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/order/x"))
+    caller.transport.pauseProducing()
+    fleet.run_for(0.3)
+    assert connection.idle
+    if times_out:
+        fleet.run_for(0.4)
+    else:
+        process._caller_server.close_idle()
+    caller.transport.resumeProducing()
+    fleet.run_until(lambda: caller.closed or len(caller.body) == size)
+    assert len(caller.body) == size
+    caller.transport.write(harness.build_request("/order/x", attempt="a2"))
+    fleet.run_for(1.0)
+    assert caller.closed
+    assert len(fleet.upstreams["one"].requests) == 1
+
+
+# Guards against an exception that closes the connection of a request that was read.
+@pytest.mark.parametrize("path", ["/nowhere/x", "/order/x"])
+@pytest.mark.parametrize(
+    ("method", "headers"),
+    [("HEAD", ()), ("POST", ("Connection: host",)), ("POST", ("Upgrade: x",))],
+)
+def test_unusual_requests_are_answered(
+    fleet: HostFleet, path: str, method: str, headers: tuple[str, ...]
+) -> None:
+    upstream = fleet.add_upstream("one")
+    fleet.start_host()
+    fleet.wait_ready()
+    assert fleet.call("/order/x").status == 200  # leaves an idle connection
+    caller = fleet.connect(
+        harness.build_request(path, attempt="a2", method=method, headers=headers, body=b"")
+    )
+    fleet.run_until(lambda: bool(caller.data) or caller.closed)
+    assert caller.data
+    assert caller.status == (404 if path == "/nowhere/x" else 200)
+    assert len(upstream.requests) == (1 if path == "/nowhere/x" else 2)
+
+
+# Guards against a stop that never ends because a HEAD request cannot be refused.
+def test_a_host_stops_while_a_head_request_is_open(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=harness.hang)
+    fleet.store.put("op", "config", harness.build_document(Routes=[*harness.ROUTES, SLOW_ROUTE]))
+    process = fleet.start_host(stop_grace_s=3.5)
+    fleet.wait_ready()
+    caller = fleet.connect(
+        harness.build_request("/slow/x", method="HEAD", body=b"", deadline_ms=10_000)
+    )
+    stopped: list[object] = []
+    process.stop().addCallback(stopped.append)
+    fleet.run_for(3.6)
+    assert stopped
+    assert caller.status == 502
+
+
+# Guards against work that goes on for callers that have closed their connection: the end of what
+# they send is all that the host learns of it until a write fails.
+@pytest.mark.parametrize(("path", "cancelled"), [("/lookup/x", True), ("/order/x", False)])
+def test_a_caller_that_closes_its_sending_side_counts_as_gone(
+    fleet: HostFleet, path: str, cancelled: bool
+) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.hang)
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.connect(harness.build_request(path))
+    fleet.run_until(lambda: bool(upstream.requests))
+    caller.transport.loseWriteConnection()
+    fleet.run_for(0.3)
+    assert caller.closed
+    assert bool(upstream.disconnects) is cancelled
