--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -320,7 +320,9 @@
 
     def _refuse_after_fault(self, fault: AttemptFault) -> None:
         may_have_run = self._limits.may_have_run or self._delivery.begun
-        self._refuse(choose_fault_refusal(fault, may_have_run=may_have_run))
+        pause_s = self._context.router.measure_pause_s(self._job.service, self._now_s)
+        refusal = choose_fault_refusal(fault, may_have_run=may_have_run, pause_s=pause_s)
+        self._refuse(refusal)
 
     def _handle_deadline(self) -> None:
         """Give the final answer at the deadline."""
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -23,13 +23,19 @@
 from ._route_watch import RouteWatch
 from ._shutdown import Shutdown
 from ._site import CallerRequestHandler, ConfigurationView
+from ._store_era import StoreEra
 
 MAX_WORKSPACE_LABELS = 50
 """Workspaces with their own metric label; the others share one."""
 
+RETURNED_ENTRY_PAUSE_S = 5.0
+"""Time for which an upstream gets no requests whose removed entry came back with an older copy of
+the store. The registry removes the entry of a silent upstream again after three missed heartbeats,
+and is read about every second."""
+
 MAX_READY_CONFIGURATION_AGE_S = 2.5
-"""A host whose configuration was confirmed longer ago reports itself as not ready. Confirmations
-normally arrive about every second."""
+"""A host that has learned longer ago what the store shows reports itself as not ready. It normally
+learns that about every second."""
 
 LISTEN_BACKLOG = 1_024
 """Listen backlog in connections. When it is full, callers' SYN packets are dropped and connecting
@@ -50,13 +56,19 @@
         self._losses = LossTracker()
         self._pool = ConnectionPool(reactor=reactor)
         address, port = settings.store
-        self._rows = RowClient(reactor=reactor, endpoint=Endpoint(address=address, port=port))
+        self._era = StoreEra()
+        self._rows = RowClient(
+            reactor=reactor,
+            endpoint=Endpoint(address=address, port=port),
+            on_era=self._era.observe,
+        )
         self._routes = self._build_route_watch(random)
         self._registry = self._build_registry_watch(random)
         self._peers = self._build_peers(incarnation)
         self._hosts = HostList(
             reactor=reactor,
             rows=self._rows,
+            era=self._era,
             settings=settings,
             random=random,
             on_hosts=self._adopt_hosts,
@@ -134,10 +146,11 @@
         return RouteWatch(
             reactor=self._reactor,
             rows=self._rows,
+            era=self._era,
             random=random,
             on_table=self._adopt_routes,
-            on_confirmed=lambda revision, store_s, changed: self._peers.report_configuration(
-                revision, store_s, changed=changed
+            on_report=lambda report, changed: self._peers.report_configuration(
+                report, changed=changed
             ),
             get_rank=lambda: self._peers.rank,
         )
@@ -146,8 +159,10 @@
         return RegistryWatch(
             reactor=self._reactor,
             rows=self._rows,
+            era=self._era,
             random=random,
             on_change=self._adopt_upstreams,
+            on_returned=self._pause_returned_upstream,
             on_report=lambda report: self._peers.report_registry(report),
             get_rank=lambda: self._peers.rank,
         )
@@ -166,7 +181,7 @@
                 on_work=self._update_peer_loads,
                 on_loss=self._record_peer_loss,
                 on_registry=self._registry.receive_report,
-                on_configuration=self._routes.receive_confirmation,
+                on_configuration=self._routes.receive_report,
                 take_streams=self._router.stream_versions.take_reports,
                 on_streams=lambda records: self._router.stream_versions.origins.learn(
                     records, self._reactor.seconds()
@@ -209,7 +224,7 @@
             return "no configuration"
         if not self._registry.is_loaded:
             return "registry of upstreams not read yet"
-        age_s = self._routes.age_s
+        age_s = self._routes.observed_age_s
         if age_s is None or age_s > MAX_READY_CONFIGURATION_AGE_S or self._configuration.is_stale:
             return "configuration not confirmed"
         return None
@@ -228,6 +243,11 @@
                 self._pool.close_endpoint(Endpoint(address=address[0], port=address[1]))
         self._router.update_upstreams(records, self._reactor.seconds())
 
+    def _pause_returned_upstream(self, upstream: RegisteredUpstream) -> None:
+        self._router.record_pause(
+            upstream.incarnation, RETURNED_ENTRY_PAUSE_S, self._reactor.seconds()
+        )
+
     def _adopt_hosts(self, rows: Mapping[HostId, HostRow]) -> None:
         for host, row in rows.items():
             self._peers.add_peer(host, row.address, FailureDomain(row.failure_domain))
--- a/greengagestage/gateway/_refusal_answers.py
+++ b/greengagestage/gateway/_refusal_answers.py
@@ -20,12 +20,18 @@
     responder.answer(get_refusal_status(refusal.code), headers, encode_refusal(refusal))
 
 
-def choose_fault_refusal(fault: AttemptFault, *, may_have_run: bool) -> Refusal:
-    """Return the final answer after the last attempt has failed."""
+def choose_fault_refusal(
+    fault: AttemptFault, *, may_have_run: bool, pause_s: float = 0.0
+) -> Refusal:
+    """Return the final answer after the last attempt has failed.
+
+    Args:
+        pause_s: Time until an upstream of the service accepts requests again.
+    """
     if not may_have_run:
-        unreachable = fault is AttemptFault.UNREACHABLE
-        code = ResultCode.NO_UPSTREAM if unreachable else ResultCode.UPSTREAM_REFUSED
-        return Refusal(code=code, detail=fault.value, retry_after_s=REFUSED_RETRY_AFTER_S)
+        code = ResultCode.NO_UPSTREAM if fault.proves_not_sent else ResultCode.UPSTREAM_REFUSED
+        retry_after_s = max(REFUSED_RETRY_AFTER_S, pause_s)
+        return Refusal(code=code, detail=fault.value, retry_after_s=retry_after_s)
     match fault:
         case AttemptFault.SILENT:
             return Refusal(code=ResultCode.UPSTREAM_SILENT)
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -65,11 +65,11 @@
     def try_acquire_resend(self, fault: AttemptFault, now_s: float) -> bool:
         """Return whether a request can be sent again after a fault; count it as a retry if so.
 
-        A send after a failed connection is not counted, since nothing had been sent.
+        A send after an attempt that sent nothing is not counted.
         """
         if not self._may_send(now_s):
             return False
-        if fault is AttemptFault.UNREACHABLE:
+        if fault.proves_not_sent:
             return not self.may_have_run or self._job.route.is_retryable
         if fault.proves_not_run:
             return self.try_spend_retry(now_s)
--- a/greengagestage/ids.py
+++ b/greengagestage/ids.py
@@ -23,6 +23,8 @@
 RouteName = NewType("RouteName", str)
 InstanceId = NewType("InstanceId", str)
 """The identity under which an upstream registered itself."""
+Incarnation = tuple[InstanceId, int | None]
+"""One process among those that have used the same instance id."""
 SoftwareVersion = NewType("SoftwareVersion", str)
 """The version of an upstream's software; what two versions write in a stream does not fit."""
 PromptPartId = NewType("PromptPartId", str)
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -4,8 +4,22 @@
 from dataclasses import replace
 from enum import Enum
 
-from greengagestage.catalog import Bounds, RegisteredUpstream, Route, RouteTable, Service
-from greengagestage.ids import AttemptId, FailureDomain, InstanceId, RouteName, ServiceName
+from greengagestage.catalog import (
+    Availability,
+    Bounds,
+    RegisteredUpstream,
+    Route,
+    RouteTable,
+    Service,
+)
+from greengagestage.ids import (
+    AttemptId,
+    FailureDomain,
+    Incarnation,
+    InstanceId,
+    RouteName,
+    ServiceName,
+)
 from greengagestage.results import ResultCode
 
 from ._demand import Demand, DemandMeter
@@ -13,6 +27,7 @@
 from ._engine_split import URGENT_WEIGHT, EngineSplit, GroupDemand, build_group
 from ._jobs import Job, Placement, Refused, Waiting
 from ._loads import InFlightRequest, UpstreamLoad
+from ._notices import NoticeBoard
 from ._placement import Choice, EngineChooser, choose_plain
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
@@ -92,6 +107,8 @@
         self._services: Mapping[ServiceName, Service] = {}
         self._strictest_gap_s: dict[ServiceName, float] = {}
         self._upstreams: dict[InstanceId, UpstreamState] = {}
+        self._notices = NoticeBoard()
+        self._staying: dict[ServiceName, list[UpstreamState]] = {}
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._demand_meters: dict[ServiceName, DemandMeter] = {}
         self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
@@ -138,22 +155,68 @@
     def update_upstreams(self, records: Iterable[RegisteredUpstream], now_s: float) -> None:
         """Apply the entries of the registry.
 
-        State is kept for known incarnations; a new incarnation starts without any history.
+        State is kept for known incarnations; a new incarnation starts without any history. One that
+        was listed as leaving stays so, since the registry may come back from an older copy.
         """
         previous, self._upstreams = self._upstreams, {}
         for record in records:
+            if record.availability is Availability.LEAVING:
+                self._notices.get(record.incarnation).leaving = True
             state = previous.get(record.instance)
             if state is None or state.record.incarnation != record.incarnation:
-                state = UpstreamState(record=record, now_s=now_s)
+                notice = self._notices.get(record.incarnation)
+                state = UpstreamState(record=record, now_s=now_s, notice=notice)
                 state.set_peer_load(self._peer_loads.get(record.instance))
             elif state.record != record:
                 state.record = record
             self._upstreams[record.instance] = state
+        self._notices.forget_except(
+            {state.record.incarnation for state in self._upstreams.values()}, now_s
+        )
+        self._staying.clear()
         self.stream_versions.history.observe(
             (state.record for state in self._upstreams.values()), now_s
         )
         self._choosers.clear()
 
+    def record_leaving(self, incarnation: Incarnation) -> bool:
+        """Record that an upstream states that it leaves; return whether this was not known.
+
+        It gets no more requests, whatever the registry says. The notice ends with the incarnation.
+        """
+        notice = self._notices.get(incarnation)
+        if notice.leaving:
+            return False
+        notice.leaving = True
+        self._staying.clear()
+        self._choosers.clear()
+        return True
+
+    def record_pause(self, incarnation: Incarnation, pause_s: float, now_s: float) -> bool:
+        """Record that an upstream wants no requests from this host for a while.
+
+        Returns whether it was not paused already. A longer pause is not shortened.
+        """
+        notice = self._notices.get(incarnation)
+        begins = now_s >= notice.paused_until_s
+        notice.paused_until_s = max(notice.paused_until_s, now_s + pause_s)
+        return begins
+
+    def measure_pause_s(self, service: ServiceName, now_s: float) -> float:
+        """Return the time until the first paused upstream accepts requests; 0 if one already does.
+
+        It is also 0 if none is paused.
+        """
+        pauses_s = (state.measure_pause_s(now_s) for state in self._list_staying(service))
+        return min(pauses_s, default=0.0)
+
+    def accepts_requests(self, incarnation: Incarnation, now_s: float) -> bool:
+        """Whether a request that was placed at an upstream may still be sent to it."""
+        state = self._upstreams.get(incarnation[0])
+        if state is not None and state.record.incarnation == incarnation:
+            return state.accepts_requests(now_s)
+        return self._notices.get(incarnation).allows_requests(now_s)
+
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
         self._get_retry_budget(job.service).record_request(now_s)
@@ -188,11 +251,8 @@
             tried: Upstreams that already got the job and are not used again.
         """
         service = self._services.get(job.service)
-        ready = [
-            state
-            for state in self._upstreams.values()
-            if state.record.service == job.service and state.accepts_requests(now_s)
-        ]
+        staying = self._list_staying(job.service)
+        ready = [state for state in staying if state.accepts_requests(now_s)]
         candidates = [state for state in ready if state.record.instance not in tried]
         if job.began_at is not None:
             version = job.began_at.software_version
@@ -202,12 +262,12 @@
                 state for state in candidates if self._is_settled(state, now_s)
             ] or candidates
         if service is None or not candidates:
-            return self._refuse_without_upstream(job, ready)
+            return self._refuse_without_upstream(job, ready, now_s)
         healthy = [state for state in candidates if state.is_healthy(now_s)] or candidates
         connectable = [
             state for state in healthy if self._has_free_connection(state, service)
         ] or healthy
-        choice = self._choose(job, service, ready, connectable, now_s)
+        choice = self._choose(job, service, staying, connectable, now_s)
         if isinstance(choice, Waiting):
             return replace(choice, delay_s=choice.delay_s * (0.75 + 0.5 * self._draw()))
         if not self._is_sensitive(job, now_s) and now_s + choice.min_completion_s > job.deadline_s:
@@ -285,11 +345,22 @@
             if state.local_requests
         }
 
+    def _list_staying(self, service: ServiceName) -> list[UpstreamState]:
+        """Return the upstreams of a service that are not leaving."""
+        staying = self._staying.get(service)
+        if staying is None:
+            staying = self._staying[service] = [
+                state
+                for state in self._upstreams.values()
+                if state.record.service == service and not state.is_leaving
+            ]
+        return staying
+
     def _choose(
         self,
         job: Job,
         service: Service,
-        ready: list[UpstreamState],
+        staying: list[UpstreamState],
         candidates: list[UpstreamState],
         now_s: float,
     ) -> Choice | Waiting:
@@ -299,7 +370,7 @@
         if chooser is None:
             chooser = EngineChooser(
                 engine=service.engine,
-                engines=ready,
+                engines=staying,
                 split=self._splits.setdefault(service.name, EngineSplit()),
                 draw=self._draw,
             )
@@ -408,14 +479,19 @@
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
 
-    def _refuse_without_upstream(self, job: Job, ready: list[UpstreamState]) -> Refused:
-        if not ready:
+    def _refuse_without_upstream(
+        self, job: Job, ready: list[UpstreamState], now_s: float
+    ) -> Refused:
+        pause_s = self.measure_pause_s(job.service, now_s)
+        if not ready and pause_s:
+            reason = f"the upstreams of the service want no requests for {pause_s:.1f} s"
+        elif not ready:
             reason = "no upstream of the service is ready"
         elif job.began_at is not None:
             reason = "no other upstream of the version that began the stream is ready"
         else:
             reason = "all ready upstreams were tried, or the service is not configured"
-        retry_after_s = NO_UPSTREAM_RETRY_S * (0.5 + self._draw())
+        retry_after_s = max(pause_s, NO_UPSTREAM_RETRY_S / 2) + NO_UPSTREAM_RETRY_S * self._draw()
         return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=retry_after_s, reason=reason)
 
     def _refuse_late(self, job: Job, choice: Choice) -> Refused:
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -11,6 +11,7 @@
 from greengagestage.gateway._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
+    ConfigurationReport,
     PeerMessage,
     RegistryReport,
     Sender,
@@ -18,6 +19,7 @@
     encode_message,
 )
 from greengagestage.gateway._registry_watch import RegistryWatch, build_registry_reports
+from greengagestage.gateway._store_era import StoreEra
 from greengagestage.ids import FailureDomain, HostId, InstanceId, ServiceName
 from standins.row_store import StoreFault
 
@@ -190,7 +192,9 @@
         """Simulate confirmations of a revision by peers; by default of the adopted revision."""
         for _ in range(round(duration_s / 0.2)):
             confirmed_revision = self.routes._row_revision if revision is None else revision
-            self.routes.receive_confirmation(confirmed_revision, self.fleet.reactor.seconds())
+            self.routes.receive_report(
+                ConfigurationReport(confirmed_revision, self.fleet.reactor.seconds())
+            )
             self.fleet.run_for(0.2)
 
     def count_calls(self) -> int:
@@ -225,7 +229,7 @@
     old_s = fleet.reactor.seconds() - 30.0
     fleet.run_for(0.5)
     before_s = host.routes.age_s
-    host.routes.receive_confirmation(host.routes._row_revision, old_s)
+    host.routes.receive_report(ConfigurationReport(host.routes._row_revision, old_s))
     assert host.routes.age_s >= before_s
 
 
@@ -280,8 +284,10 @@
     registry = RegistryWatch(
         reactor=clock,
         rows=None,
+        era=StoreEra(),
         random=Random(1),
         on_change=lambda upstreams: None,
+        on_returned=lambda upstream: None,
         on_report=lambda reports: None,
         get_rank=lambda: 5,
     )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -91,7 +91,7 @@
         self.begin("began-old")
         self.new = add_engine(fleet, "new", NEW, write_two_events)
         wait_listed(fleet)
-        fleet.store.put("servers", "old", self.old.build_entry(Version=OLD, State="draining"))
+        fleet.store.remove("servers", "old")
         fleet.run_until(lambda: self.begin("began-new") is self.new)
         fleet.store.put("servers", "old", self.old.build_entry(Version=OLD))
         fleet.run_for(1.5)
