--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	touch $(STAMP)
 
 format: install
-	$(BIN)/black --quiet greengagestage standins bench tests examples
-	$(BIN)/ruff check --quiet --fix greengagestage standins bench tests examples
+	$(BIN)/black --quiet greengagestage standins bench soak tests examples
+	$(BIN)/ruff check --quiet --fix greengagestage standins bench soak tests examples
 
 lint: install
-	$(BIN)/black --check --quiet greengagestage standins bench tests examples
-	$(BIN)/ruff check greengagestage standins bench tests examples
+	$(BIN)/black --check --quiet greengagestage standins bench soak tests examples
+	$(BIN)/ruff check greengagestage standins bench soak tests examples
 
 types: install
 	$(BIN)/mypy
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of ``greengage-host`` on the operators' platform protocol."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,107 @@
+"""The soak's commands: ``python -m soak run`` and ``python -m soak hunt``."""
+
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import Deferred
+
+from ._hunt import hunt_seeds
+from ._run import RunOptions, SoakRun, summarize
+from ._store import run_store
+
+DIRECTORY = Path(".run") / "soak"
+EXIT_FINDINGS = 1
+
+
+@click.group(context_settings={"max_content_width": 100})
+def main() -> None:
+    """Run real host processes under randomized faults and check what callers and upstreams see."""
+
+
+@main.command()
+@click.option("--seed", type=int, required=True, help="Seed of all draws.")
+@click.option("--hosts", default=3, show_default=True, help="Number of hosts.")
+@click.option("--upstreams", default=8, show_default=True, help="Number of upstreams.")
+@click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
+@click.option("--faults/--calm", default=True, show_default=True, help="Whether to inject faults.")
+@click.option("--directory", type=click.Path(path_type=Path), help="Directory for the logs.")
+def run(
+    seed: int, hosts: int, upstreams: int, seconds: float, faults: bool, directory: Path | None
+) -> None:
+    """Run one seed and print its findings."""
+    options = RunOptions(
+        seed=seed,
+        hosts=hosts,
+        upstreams=upstreams,
+        seconds=seconds,
+        faults=faults,
+        directory=directory or DIRECTORY / f"seed-{seed}",
+    )
+    sys.exit(play(options))
+
+
+def play(options: RunOptions) -> int:
+    """Run the reactor for one run; return the exit status."""
+    reactor: Any = default_reactor
+    reactor.seconds = time.monotonic
+    soak = SoakRun(options, reactor)
+    failures: list[Any] = []
+
+    def finish(_: object) -> None:
+        soak.close()
+        if reactor.running:
+            reactor.stop()
+
+    def begin() -> None:
+        playing: Deferred[None] = Deferred.fromCoroutine(soak.play())
+        playing.addErrback(failures.append)
+        playing.addBoth(finish)
+
+    def interrupt() -> None:
+        failures.append("interrupted")
+        finish(None)
+
+    reactor.callWhenRunning(begin)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(interrupt))
+    try:
+        reactor.run(installSignalHandlers=False)
+    finally:
+        soak.close()
+    for failure in failures:
+        click.echo(failure, err=True)
+    for finding in soak.findings.listed:
+        click.echo(finding.describe(options.seed))
+    click.echo(f"seed {options.seed}: {summarize(list(soak.ledger.attempts.values()))}")
+    click.echo(f"seed {options.seed}: {len(soak.findings.listed)} findings, {options.directory}")
+    return EXIT_FINDINGS if failures or soak.findings.listed else 0
+
+
+@main.command()
+@click.option("--seeds", required=True, help="First and last seed: A-B.")
+@click.option("--jobs", default=2, show_default=True, help="Runs at the same time.")
+@click.option("--hosts", default=3, show_default=True, help="Number of hosts.")
+@click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
+def hunt(seeds: str, jobs: int, hosts: int, seconds: float) -> None:
+    """Run many seeds and print their findings."""
+    first, _, last = seeds.partition("-")
+    options = ["--hosts", str(hosts), "--seconds", str(seconds)]
+    sys.exit(hunt_seeds(range(int(first), int(last or first) + 1), jobs=jobs, options=options))
+
+
+@main.command(hidden=True)
+@click.option("--address", required=True)
+@click.option("--port", type=int, required=True)
+@click.option("--control-port", type=int, required=True)
+def store(address: str, port: int, control_port: int) -> None:
+    """Run the store process of a run."""
+    run_store(address, port, control_port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/_answer_checks.py
@@ -0,0 +1,193 @@
+"""Checks of what callers receive."""
+
+from collections.abc import Callable
+
+from ._bounds import CONFIGURATION_APPLY_S, GRACE_S, LOSS_SLACK_S
+from ._disturbances import STORE, Disturbances
+from ._findings import Findings, Rule
+from ._ledger import Arrival, Attempt, Ending, Ledger
+from ._operator import Operator
+
+ALLOWED_MIXED_STREAMS = 2
+ALLOWED_OVER_ATTEMPTS = 3
+LATE_SHARE_OF_GRACE = 1 / 6
+LATE_REQUEST_S = 3.0
+
+
+class AnswerChecks:
+    """Checks each answer at its end, and counts those for the rules about shares."""
+
+    def __init__(
+        self,
+        *,
+        ledger: Ledger,
+        findings: Findings,
+        operator: Operator,
+        disturbances: Disturbances,
+        count_version: Callable[[str], int],
+    ) -> None:
+        self._ledger = ledger
+        self._findings = findings
+        self._operator = operator
+        self._disturbances = disturbances
+        self._count_version = count_version
+        self._mixed_streams = 0
+        self._over_attempts = 0
+        self._begun = [0, 0]  # new streams: sent, begun
+        self._resumed = [0, 0]  # resumed streams: sent, gone on
+
+    def check(self, attempt: Attempt) -> None:
+        """Check the answer to a request that has ended for its caller."""
+        runs = self._ledger.list_runs(attempt.plan.attempt)
+        if attempt.status in (408, 421, 429, 503) and runs:
+            self._add(Rule.REFUSED, attempt, f"has run at {runs[0].upstream}")
+        self._check_own_answer(attempt, runs)
+        self._check_denied(attempt)
+        self._check_lost(attempt)
+        self._check_servers(attempt, runs)
+        if attempt.plan.events:
+            self._check_events(attempt)
+            self._count_stream(attempt)
+
+    def check_stray(self, attempt: Attempt | None, data: bytes, now_s: float) -> None:
+        """Report bytes that belong to no request or are no answer."""
+        if attempt is None:
+            self._findings.add(Rule.MIXED, now_s, "-", f"bytes without a request: {data[:80]!r}")
+        else:
+            self._add(Rule.MIXED, attempt, f"no answer in the protocol: {data[:80]!r}")
+
+    def finish(self, now_s: float) -> None:
+        """Check the rules about shares at the end of a run."""
+        sent, gone_on = self._resumed
+        new, begun = self._begun
+        if sent >= 12 and new and gone_on / sent < 0.5 * begun / new:
+            text = f"{gone_on} of {sent} resumed streams go on, {begun} of {new} new ones begin"
+            self._findings.add(Rule.LOST, now_s, "-", text)
+
+    def _add(self, rule: Rule, attempt: Attempt, text: str) -> None:
+        self._findings.add_for(rule, attempt.ended_s, attempt, text)
+
+    def _check_own_answer(self, attempt: Attempt, runs: list[Arrival]) -> None:
+        """Check that the answer is one whole answer of one of the request's own runs."""
+        signature = attempt.headers.get("greengagestage-server-signature")
+        run = next((run for run in runs if run.signature == signature), None)
+        success = 200 <= attempt.status < 300
+        if success and run is None:
+            self._add(Rule.MIXED, attempt, f"a success with the signature {signature}")
+        elif signature is not None and run is not None and run.status != attempt.status:
+            self._add(Rule.MIXED, attempt, f"{attempt.status}, but the upstream gave {run.status}")
+        elif signature is not None and run is None:
+            self._add(Rule.MIXED, attempt, f"a failure with the signature {signature}")
+        if run is None or attempt.plan.events or attempt.ending is not Ending.COMPLETE:
+            return
+        if bytes(attempt.body) != run.body:
+            self._add(Rule.MIXED, attempt, f"other body: {bytes(attempt.body[:80])!r}")
+
+    def _check_events(self, attempt: Attempt) -> None:
+        plan = attempt.plan
+        numbers = [event.number for event in attempt.events]
+        if numbers != list(range(plan.last_event + 1, plan.last_event + 1 + len(numbers))):
+            self._add(Rule.ORDER, attempt, f"events {numbers} after {plan.last_event}")
+        if any(event.work != plan.work for event in attempt.events):
+            self._add(Rule.MIXED, attempt, "events of another stream")
+        last = numbers[-1] if numbers else plan.last_event
+        if attempt.served and last != plan.events:
+            self._add(Rule.ORDER, attempt, f"complete after event {last} of {plan.events}")
+        versions = list(dict.fromkeys(event.version for event in attempt.events))
+        if plan.version is not None and plan.version not in versions[:1]:
+            versions = [plan.version, *versions]
+        if len(versions) > 1:
+            self._mixed_streams += 1
+            text = f"stream {self._mixed_streams} with events of {', '.join(versions)}"
+            if self._mixed_streams > ALLOWED_MIXED_STREAMS:
+                self._add(Rule.ORDER, attempt, text)
+
+    def _check_denied(self, attempt: Attempt) -> None:
+        if attempt.status not in (401, 403, 404) or attempt.ending is not Ending.COMPLETE:
+            return
+        plan = attempt.plan
+        in_touch = self._disturbances.is_in_touch(attempt.host, attempt.sent_s, attempt.ended_s)
+        in_force = self._operator.list_in_force(
+            attempt.sent_s - CONFIGURATION_APPLY_S, attempt.ended_s
+        )
+        every = [entry.configuration for entry in self._operator.history]
+        if all(version.allows(plan.route, plan.key) for version in every):
+            self._add(Rule.DENIED, attempt, "all versions allow it")
+        elif in_touch and all(version.allows(plan.route, plan.key) for version in in_force):
+            self._add(Rule.CONFIG, attempt, "denied as only older versions do")
+
+    def _check_servers(self, attempt: Attempt, runs: list[Arrival]) -> None:
+        spec = self._operator.history[0].configuration.routes.get(attempt.plan.route)
+        if spec is not None and len({run.upstream for run in runs}) > spec.max_attempts:
+            self._over_attempts += 1
+            if self._over_attempts > ALLOWED_OVER_ATTEMPTS:
+                self._add(Rule.BUDGET, attempt, "ran on more upstreams than MaxAttempts, again")
+
+    def _check_lost(self, attempt: Attempt) -> None:
+        """Check a connection that ended without a complete answer, and failures of the host."""
+        own_failure = attempt.status in (500, 502, 504) and (
+            "greengagestage-server-signature" not in attempt.headers
+        )
+        if attempt.ending is not Ending.BROKEN and not own_failure:
+            return
+        plan, host = attempt.plan, attempt.host
+        began_s, ended_s = attempt.sent_s, attempt.ended_s
+        elapsed_s = ended_s - began_s
+        if elapsed_s >= min(plan.deadline_s, self._get_timeout_s(attempt)) - 0.02:
+            return
+        excused = not self._disturbances.is_calm(host, began_s, ended_s)
+        if plan.key is not None:
+            excused |= not self._disturbances.is_calm(STORE, began_s, ended_s)
+        arrivals = self._ledger.arrivals.get(plan.attempt, [])
+        excused |= any(
+            not self._disturbances.is_calm(arrival.upstream, arrival.arrived_s, ended_s)
+            for arrival in arrivals
+        )
+        if excused or self._was_at_work_late(attempt, arrivals):
+            return
+        causes = self._list_planned(attempt)
+        passed_on = bool(arrivals)
+        if passed_on or (causes and not own_failure and elapsed_s > LOSS_SLACK_S):
+            what = f"own {attempt.status}" if own_failure else "cut"
+            where = ", ".join(a.upstream for a in arrivals) or "not passed on"
+            self._add(
+                Rule.LOST, attempt, f"{what} after {elapsed_s:.2f} s ({where}) around {causes}"
+            )
+
+    def _get_timeout_s(self, attempt: Attempt) -> float:
+        versions = self._operator.list_in_force(0.0, attempt.ended_s)
+        specs = [version.routes.get(attempt.plan.route) for version in versions]
+        return min((spec.timeout_s for spec in specs if spec is not None), default=6.0)
+
+    def _was_at_work_late(self, attempt: Attempt, arrivals: list[Arrival]) -> bool:
+        """Whether an upstream worked on it in the last part of the host's grace period."""
+        stop = self._disturbances.find_stop(attempt.host, attempt.sent_s - GRACE_S, attempt.ended_s)
+        if stop is None or attempt.sent_s > stop.began_s + LATE_REQUEST_S:
+            return False
+        late_s = stop.began_s + GRACE_S * (1 - LATE_SHARE_OF_GRACE)
+        return any((arrival.finished_s or attempt.ended_s) >= late_s for arrival in arrivals)
+
+    def _list_planned(self, attempt: Attempt) -> list[str]:
+        began_s, ended_s, host = attempt.sent_s, attempt.ended_s, attempt.host
+        causes = []
+        stop = self._disturbances.find_stop(host, began_s - GRACE_S - 1.0, ended_s)
+        if stop is not None and ended_s <= stop.began_s + GRACE_S + 1.0:
+            causes.append("stop")
+        if self._disturbances.find_reload(host, began_s - CONFIGURATION_APPLY_S, ended_s):
+            causes.append("reload")
+        if self._operator.find_change(began_s - CONFIGURATION_APPLY_S - 1.0, ended_s):
+            causes.append("configuration")
+        return causes
+
+    def _count_stream(self, attempt: Attempt) -> None:
+        plan = attempt.plan
+        in_touch = self._disturbances.is_in_touch(attempt.host, attempt.sent_s, attempt.ended_s)
+        if not in_touch or not plan.resumable or attempt.ending is Ending.LEFT:
+            return
+        if plan.last_event and plan.version is not None:
+            if self._count_version(plan.version) >= 2:
+                self._resumed[0] += 1
+                self._resumed[1] += bool(attempt.events)
+        elif plan.resumes is None:
+            self._begun[0] += 1
+            self._begun[1] += bool(attempt.events)
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,45 @@
+"""The schedule of faults, drawn from the seed."""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+MEAN_PAUSE_S = 0.8
+"""Mean time between the beginnings of two faults; most faults last longer, so that they overlap."""
+
+SERIES_CHANCE = 0.15
+MAX_SERIES = 4
+SERIES_PAUSE_S = 0.15
+
+
+class Fault(Enum):
+    """Kinds of faults and planned work; names in the order of what they disturb."""
+
+    CONFIGURATION = "configuration"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ScheduledFault:
+    """A fault with its time since the beginning, and a seed for its details."""
+
+    at_s: float
+    fault: Fault
+    seed: int
+
+
+def draw_schedule(random: Random, began_s: float, ended_s: float) -> list[ScheduledFault]:
+    """Draw faults one after another, some of them as a quick series of the same kind."""
+    schedule = []
+    at_s = began_s
+    while (at_s := at_s + random.expovariate(1 / MEAN_PAUSE_S)) < ended_s:
+        fault = random.choice(list(Fault))
+        times = random.randint(2, MAX_SERIES) if random.random() < SERIES_CHANCE else 1
+        for number in range(times):
+            schedule.append(
+                ScheduledFault(
+                    at_s=at_s + number * SERIES_PAUSE_S,
+                    fault=fault,
+                    seed=random.randrange(2**32),
+                )
+            )
+    return sorted(schedule, key=lambda item: item.at_s)
--- /dev/null
+++ b/soak/_hosts.py
@@ -0,0 +1,121 @@
+"""Host processes: their settings files, starts, signals and ends."""
+
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ._bounds import LINES
+from ._proxy import Link
+
+CALLERS_PORT = 20_080
+READINESS_PORT = 20_081
+PEER_PORT = 20_090
+"""The same on all hosts, each of which has a loopback address of its own. Operating systems assign
+no port of this range to sockets by themselves."""
+
+SETTINGS = """\
+Node={name}
+Role=entry
+MachineClass=front
+Serves=front
+Ip={address}
+Zone={domain}
+Region=r1
+Listen.Front={address}:{callers}
+Listen.Ready={address}:{readiness}
+InternalPortRange={peers},{last_peer}
+FirstStart=true
+Discovery=platform
+{bounds}Bounds.RetryBudgetSlack={slack}
+Platform.Address={store}
+Platform.form=table
+"""
+
+
+@dataclass(slots=True, kw_only=True)
+class Host:
+    """A host and the links that lead to it and from it to the store.
+
+    Attributes:
+        stopping_s: Time of the SIGTERM that the running process received, if any.
+        killed: Whether the soak has killed the running process.
+    """
+
+    name: str
+    address: str
+    domain: str
+    directory: Path
+    callers_link: Link
+    store_link: Link
+    callers: tuple[str, int]
+    store: tuple[str, int]
+    slack: int = 50
+    stopping_s: float | None = None
+    killed: bool = False
+    suspended: bool = False
+    in_rotation: bool = True
+    missed_probes: int = 0
+    process: subprocess.Popen[bytes] | None = field(default=None)
+
+    @property
+    def settings_path(self) -> Path:
+        """The settings file."""
+        return self.directory / f"{self.name}.conf"
+
+    @property
+    def readiness(self) -> tuple[str, int]:
+        """The address of the readiness check."""
+        return self.address, READINESS_PORT
+
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def write_settings(self) -> None:
+        """Replace the settings file at once."""
+        text = SETTINGS.format(
+            name=self.name,
+            address=self.address,
+            domain=self.domain,
+            callers=CALLERS_PORT,
+            readiness=READINESS_PORT,
+            peers=PEER_PORT,
+            last_peer=PEER_PORT + 9,
+            bounds=LINES,
+            slack=self.slack,
+            store=f"{self.store[0]}:{self.store[1]}",
+        )
+        temporary = self.settings_path.with_suffix(".new")
+        temporary.write_text(text)
+        temporary.replace(self.settings_path)
+
+    def start(self) -> None:
+        """Start the process, whose output is appended to a log file."""
+        self.write_settings()
+        self.stopping_s, self.killed, self.suspended = None, False, False
+        environment = {**os.environ, "GREENGAGESTAGE_CONFIG": str(self.settings_path)}
+        with (self.directory / f"{self.name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "greengagestage.commands.host"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+                start_new_session=True,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.process is not None and self.running:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and collect it."""
+        self.killed = True
+        if self.process is not None and self.running:
+            self.process.kill()
+            self.process.wait()
--- /dev/null
+++ b/soak/_ledger.py
@@ -0,0 +1,118 @@
+"""What callers sent and received, and what upstreams received and ran."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from greengagestage.http1 import IncomingRequest
+
+
+class Ending(Enum):
+    """How a caller's request ended."""
+
+    OPEN = "open"
+    COMPLETE = "complete"
+    BROKEN = "broken"
+    LEFT = "left"
+    TIMED_OUT = "timed_out"
+    NOT_SENT = "not_sent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamEvent:
+    """An event of a stream as the caller received it."""
+
+    number: int
+    work: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestPlan:
+    """A request before it is sent.
+
+    Attributes:
+        work: Id of the work, the same in all attempts of one caller.
+        events: Number of events of a stream; 0 for a plain answer.
+        resumes: Id of the attempt that brought the stream's first event.
+    """
+
+    attempt: str
+    work: str
+    route: str
+    kind: str
+    resumable: bool
+    target: str
+    body: bytes
+    key: str | None
+    workspace: str | None
+    headers: tuple[tuple[str, str], ...]
+    events: int
+    deadline_s: float
+    timeout_s: float
+    last_event: int = 0
+    resumes: str | None = None
+    version: str | None = None
+    leaves_after_s: float | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.kind == "idempotent" or (self.kind == "streaming" and self.resumable)
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """A caller's request on one connection, and its answer."""
+
+    plan: RequestPlan
+    host: str
+    sent_s: float
+    kept: bool
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    events: list[StreamEvent] = field(default_factory=list)
+    ending: Ending = Ending.OPEN
+    ended_s: float = 0.0
+
+    @property
+    def served(self) -> bool:
+        """Whether the caller received a complete success."""
+        return self.ending is Ending.COMPLETE and 200 <= self.status < 300
+
+
+@dataclass(slots=True, kw_only=True)
+class Arrival:
+    """A request at an upstream.
+
+    Attributes:
+        ran: Whether the upstream began to work on it.
+        upstream: Instance id of the upstream.
+        body: The answer's complete body, once a plain answer was produced.
+    """
+
+    request: IncomingRequest
+    attempt: str
+    upstream: str
+    service: str
+    version: str
+    arrived_s: float
+    ran: bool = False
+    signature: str = ""
+    status: int = 0
+    body: bytes = b""
+    finished_s: float | None = None
+    dropped_s: float | None = None
+
+
+@dataclass(slots=True)
+class Ledger:
+    """All requests of a run."""
+
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    arrivals: dict[str, list[Arrival]] = field(default_factory=lambda: defaultdict(list))
+
+    def list_runs(self, attempt: str) -> list[Arrival]:
+        """Return the arrivals that an upstream began to work on."""
+        return [arrival for arrival in self.arrivals.get(attempt, ()) if arrival.ran]
--- /dev/null
+++ b/soak/_proxy.py
@@ -0,0 +1,203 @@
+"""A loopback proxy that delays, holds back or resets the connections of one link."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+class LinkFault(Enum):
+    """What a link does to the bytes of its connections.
+
+    ``CUT_REQUESTS`` and ``CUT_ANSWERS`` hold one direction back, ``SILENT`` both, until the fault
+    ends. ``REFUSING`` resets new connections.
+    """
+
+    NONE = "none"
+    DELAYED = "delayed"
+    CUT_REQUESTS = "cut_requests"
+    CUT_ANSWERS = "cut_answers"
+    SILENT = "silent"
+    REFUSING = "refusing"
+
+
+_HELD = {
+    LinkFault.CUT_REQUESTS: (True,),
+    LinkFault.CUT_ANSWERS: (False,),
+    LinkFault.SILENT: (True, False),
+}
+
+
+class _Close(Enum):
+    HALF = "half"
+    FULL = "full"
+    RESET = "reset"
+
+
+@implementer(IHalfCloseableProtocol)
+class _Side(Protocol):
+    """One of the two connections of a pair; queues what its peer received for it."""
+
+    transport: Any
+
+    def __init__(self, link: "Link", *, takes_requests: bool) -> None:
+        self.link = link
+        self.takes_requests = takes_requests
+        self.peer: _Side | None = None
+        self._queue: deque[tuple[float, bytes | _Close]] = deque()
+        self._open = False
+        self._read_closed = False
+        self._write_closed = False
+
+    def connectionMade(self) -> None:
+        """Send what was received before the connection was open."""
+        self._open = True
+        self.transport.setTcpNoDelay(True)
+        self.link.sides.add(self)
+        if not self.takes_requests:
+            self.link.connect(self)
+        self.pump()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Queue data at the peer."""
+        self._pass_on(data)
+
+    def readConnectionLost(self) -> None:
+        """Close the peer's sending side."""
+        self._read_closed = True
+        self._pass_on(_Close.HALF)
+        self._close_if_done()
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: the proxy itself closed the sending side."""
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Close the peer in the same way."""
+        self._open = False
+        self.link.sides.discard(self)
+        clean = isinstance(reason.value, ConnectionDone)
+        self._pass_on(_Close.FULL if clean else _Close.RESET)
+
+    def enqueue(self, item: bytes | _Close) -> None:
+        """Queue an item that is sent once the link lets it pass."""
+        self._queue.append((self.link.seconds() + self.link.delay_s, item))
+        if self.link.delay_s:
+            self.link.reactor.callLater(self.link.delay_s, self.pump)
+        self.pump()
+
+    def pump(self) -> None:
+        """Send the queued items that are due, unless this direction is held back."""
+        if not self._open or self.link.holds(requests=self.takes_requests):
+            return
+        while self._open and self._queue and self._queue[0][0] <= self.link.seconds() + 1e-6:
+            self._send(self._queue.popleft()[1])
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        if self._open:
+            self.transport.abortConnection()
+
+    def _send(self, item: bytes | _Close) -> None:
+        match item:
+            case _Close.HALF:
+                self._write_closed = True
+                self.transport.loseWriteConnection()
+                self._close_if_done()
+            case _Close.FULL:
+                self.transport.loseConnection()
+            case _Close.RESET:
+                self.reset()
+            case bytes():
+                self.transport.write(item)
+
+    def _pass_on(self, item: bytes | _Close) -> None:
+        if self.peer is not None:
+            self.peer.enqueue(item)
+
+    def _close_if_done(self) -> None:
+        if self._read_closed and self._write_closed:
+            self.transport.loseConnection()
+
+
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, side: _Side) -> None:
+        self._side = side
+
+    def buildProtocol(self, addr: Any) -> _Side:  # type: ignore[override]
+        """Return the side that connects to the target."""
+        return self._side
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Reset the accepted connection: the target is gone."""
+        if self._side.peer is not None:
+            self._side.peer.reset()
+
+
+class _Acceptor(Factory):
+    noisy = False
+
+    def __init__(self, link: "Link") -> None:
+        self._link = link
+
+    def buildProtocol(self, addr: Any) -> _Side:
+        """Return the side that accepted a connection."""
+        return _Side(self._link, takes_requests=False)
+
+
+@dataclass(slots=True, kw_only=True)
+class Link:
+    """A listening port whose connections lead to a target through the proxy."""
+
+    reactor: Any
+    interface: str
+    target: tuple[str, int]
+    fault: LinkFault = LinkFault.NONE
+    delay_s: float = 0.0
+    sides: set[_Side] = field(default_factory=set)
+    address: tuple[str, int] = ("", 0)
+
+    def open(self) -> tuple[str, int]:
+        """Listen, and return the address."""
+        port = self.reactor.listenTCP(0, _Acceptor(self), interface=self.interface)
+        self.address = self.interface, int(port.getHost().port)
+        return self.address
+
+    def seconds(self) -> float:
+        """Return the reactor's time."""
+        return float(self.reactor.seconds())
+
+    def holds(self, *, requests: bool) -> bool:
+        """Return whether a direction is held back."""
+        return requests in _HELD.get(self.fault, ())
+
+    def set_fault(self, fault: LinkFault, *, delay_s: float = 0.0) -> None:
+        """Change the link's behavior; what was held back is sent if it may pass now."""
+        self.fault = fault
+        self.delay_s = delay_s
+        for side in list(self.sides):
+            side.pump()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for side in list(self.sides):
+            side.reset()
+
+    def connect(self, accepted: _Side) -> None:
+        """Connect a new pair to the target."""
+        if self.fault is LinkFault.REFUSING:
+            accepted.reset()
+            return
+        side = _Side(self, takes_requests=True)
+        side.peer, accepted.peer = accepted, side
+        address, port = self.target
+        self.reactor.connectTCP(address, port, _Connector(side), timeout=CONNECT_TIMEOUT_S)
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,234 @@
+"""One run of the soak: sets the system up, injects faults, checks and cleans up."""
+
+import os
+import shutil
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.error import ConnectError
+
+from ._answer_checks import AnswerChecks
+from ._arrival_checks import ArrivalChecks
+from ._bounds import RECOVERY_S
+from ._dialing import dial
+from ._disturbances import Disturbances
+from ._faults import draw_schedule
+from ._findings import Findings, Rule
+from ._fleet import VERSIONS, UpstreamFleet
+from ._host_fleet import HostFleet
+from ._injection import Injector
+from ._ledger import Attempt, Ending, Ledger
+from ._operator import Operator
+from ._store import StoreControl
+from ._traffic import Caller, TrafficContext, sleep
+
+STORE_PORT = 20_070
+CONTROL_PORT = 20_071
+START_TIMEOUT_S = 30.0
+CONNECT_PAUSE_S = 0.05
+WARM_UP_S = 1.5
+MEASURED_S = 3.0
+MIN_SERVED_SHARE = 0.25
+CALLERS_PER_HOST = 6
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunOptions:
+    """What a run is started with."""
+
+    seed: int
+    hosts: int
+    upstreams: int
+    seconds: float
+    directory: Path
+    faults: bool = True
+
+
+class SoakRun:
+    """One run in this process's reactor."""
+
+    def __init__(self, options: RunOptions, reactor: Any) -> None:
+        self._options = options
+        self._reactor = reactor
+        self._network = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
+        self._disturbances = Disturbances()
+        self._ledger = Ledger()
+        self._findings = Findings(began_s=self._reactor.seconds(), disturbances=self._disturbances)
+        self._hosts = HostFleet(
+            reactor=self._reactor, disturbances=self._disturbances, findings=self._findings
+        )
+        self._store_process: subprocess.Popen[bytes] | None = None
+        self._upstreams: UpstreamFleet | None = None
+        self._callers: list[Deferred[None]] = []
+
+    @property
+    def findings(self) -> Findings:
+        """The findings so far."""
+        return self._findings
+
+    @property
+    def ledger(self) -> Ledger:
+        """All requests of the run."""
+        return self._ledger
+
+    async def play(self) -> None:
+        """Run from the first start to the measured recovery."""
+        options = self._options
+        store = await self._start_store()
+        operator = Operator(
+            reactor=self._reactor, store=store, random=Random(f"{options.seed}/operator")
+        )
+        arrivals = ArrivalChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+        )
+        upstreams = self._start_upstreams(store, arrivals)
+        await operator.publish_first()
+        self._start_hosts()
+        await self._wait_ready()
+        answers = AnswerChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+            count_version=lambda version: list(upstreams.list_versions()).count(version),
+        )
+        traffic = self._start_traffic(operator, answers)
+        await sleep(self._reactor, WARM_UP_S)
+        if options.faults:
+            schedule = draw_schedule(Random(f"{options.seed}/faults"), 0.0, options.seconds)
+            injector = Injector(
+                reactor=self._reactor,
+                disturbances=self._disturbances,
+                hosts=self._hosts,
+                upstreams=upstreams,
+                operator=operator,
+                store=store,
+            )
+            injector.schedule(schedule)
+        await sleep(self._reactor, options.seconds)
+        await self._check_recovery()
+        traffic.stopped = True
+        await DeferredList(self._callers)
+        answers.finish(self._reactor.seconds())
+
+    def close(self) -> None:
+        """End all processes and upstreams of the run."""
+        self._hosts.close()
+        if self._upstreams is not None:
+            self._upstreams.close()
+        process = self._store_process
+        if process is not None and process.poll() is None:
+            process.kill()
+            process.wait()
+
+    async def _start_store(self) -> StoreControl:
+        directory = self._options.directory
+        shutil.rmtree(directory, ignore_errors=True)
+        directory.mkdir(parents=True)
+        command = [sys.executable, "-m", "soak", "store", "--address", f"{self._network}.251"]
+        with (directory / "store.log").open("wb") as log:
+            self._store_process = subprocess.Popen(
+                [*command, "--port", str(STORE_PORT), "--control-port", str(CONTROL_PORT)],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+        give_up_s = self._reactor.seconds() + START_TIMEOUT_S
+        while True:
+            try:
+                control: StoreControl = await dial(
+                    self._reactor, StoreControl, (f"{self._network}.251", CONTROL_PORT)
+                )
+                return control
+            except ConnectError:
+                if self._reactor.seconds() > give_up_s:
+                    raise
+                await sleep(self._reactor, CONNECT_PAUSE_S)
+
+    def _start_upstreams(self, store: StoreControl, arrivals: ArrivalChecks) -> UpstreamFleet:
+        upstreams = UpstreamFleet(
+            reactor=self._reactor,
+            address=f"{self._network}.252",
+            store=store,
+            random=Random(f"{self._options.seed}/upstreams"),
+            observer=arrivals,
+            disturbances=self._disturbances,
+        )
+        arrivals.fleet = self._upstreams = upstreams
+        for number in range(self._options.upstreams):
+            service = ("engines", "archive", "engines", "annex")[number % 4]
+            upstreams.add(service, VERSIONS[number // 4 % len(VERSIONS)])
+        return upstreams
+
+    def _start_hosts(self) -> None:
+        for number in range(self._options.hosts):
+            self._hosts.add(
+                number, self._network, (f"{self._network}.251", STORE_PORT), self._options.directory
+            )
+        self._hosts.start()
+
+    async def _wait_ready(self) -> None:
+        give_up_s = self._reactor.seconds() + START_TIMEOUT_S
+        await sleep(self._reactor, WARM_UP_S)
+        while not all(host.in_rotation for host in self._hosts.hosts):
+            if self._reactor.seconds() > give_up_s:
+                raise TimeoutError("the hosts did not become ready")
+            await sleep(self._reactor, CONNECT_PAUSE_S)
+
+    def _start_traffic(self, operator: Operator, answers: AnswerChecks) -> TrafficContext:
+        context = TrafficContext(
+            reactor=self._reactor,
+            ledger=self._ledger,
+            operator=operator,
+            hosts=self._hosts.hosts,
+            on_end=answers.check,
+            on_stray=lambda attempt, data: answers.check_stray(
+                attempt, data, self._reactor.seconds()
+            ),
+        )
+        for number in range(CALLERS_PER_HOST * len(self._hosts.hosts)):
+            caller = Caller(context=context, random=Random(f"{self._options.seed}/caller/{number}"))
+            running: Deferred[None] = Deferred.fromCoroutine(caller.run())
+            running.addErrback(lambda failure: self._fail(failure))
+            self._callers.append(running)
+        return context
+
+    def _fail(self, failure: Any) -> None:
+        failure.printTraceback()
+        self._findings.add(Rule.OWN_END, self._reactor.seconds(), "soak", str(failure.value))
+
+    async def _check_recovery(self) -> None:
+        """Measure the share of served requests once the bound of recovery has passed."""
+        await sleep(self._reactor, RECOVERY_S if self._options.faults else 0.0)
+        began_s = self._reactor.seconds()
+        await sleep(self._reactor, MEASURED_S)
+        sent = [
+            attempt
+            for attempt in self._ledger.attempts.values()
+            if attempt.sent_s >= began_s
+            and attempt.ending not in (Ending.OPEN, Ending.LEFT)
+            and attempt.status not in (401, 404)
+        ]
+        served = sum(attempt.served for attempt in sent)
+        if not sent or served / len(sent) < MIN_SERVED_SHARE:
+            text = f"{served} of {len(sent)} requests served after all faults"
+            self._findings.add(Rule.RECOVER, self._reactor.seconds(), "-", text)
+
+
+def summarize(attempts: list[Attempt]) -> str:
+    """Return the numbers of requests by ending and status."""
+    counts: dict[str, int] = {}
+    for attempt in attempts:
+        name = str(attempt.status) if attempt.ending is Ending.COMPLETE else attempt.ending.value
+        counts[name] = counts.get(name, 0) + 1
+    parts = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
+    return f"{len(attempts)} requests ({parts})"
--- /dev/null
+++ b/soak/_upstream.py
@@ -0,0 +1,225 @@
+"""Stand-in upstreams: engines that stream events and plain services, with faults on demand."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from greengagestage.http1 import IncomingRequest, LimitExceeded, Responder, ServerFactory
+
+from ._ledger import Arrival
+
+SLOTS = 8
+QUEUE = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamIdentity:
+    """An upstream process: its id, its service and the version of its software."""
+
+    instance: str
+    service: str
+    version: str
+    domain: str
+
+
+class UpstreamObserver:
+    """Receives what happens at upstreams."""
+
+    def record_arrival(self, arrival: Arrival) -> None:
+        """Handle a request before the upstream decides about it."""
+
+    def record_run(self, arrival: Arrival) -> None:
+        """Handle a request that the upstream begins to work on."""
+
+
+class _Work:
+    """One request that an upstream works on; it stops when its connection closes."""
+
+    def __init__(self, upstream: "Upstream", arrival: Arrival, responder: Responder) -> None:
+        self._upstream = upstream
+        self._arrival = arrival
+        self._responder = responder
+        self._open = True
+        body = json.loads(arrival.request.body or b"{}")
+        self._work = body.get("work", "")
+        self._events = int(body.get("events", 0))
+        self._pace_s = body.get("pace_ms", 20) / 1e3
+        self._fails = bool(body.get("fails"))
+        self._next = int(arrival.request.get(b"last-event-id") or b"0") + 1
+        responder.listener = self
+
+    def start(self) -> None:
+        """Schedule the answer or the first event."""
+        self._upstream.work.add(self)
+        if not self._events:
+            self._upstream.call_awake(self._pace_s, self._answer)
+            return
+        self._upstream.call_awake(0.03, self._begin)
+
+    def handle_disconnect(self) -> None:
+        """Stop: the host has closed the connection."""
+        self._arrival.dropped_s = self._upstream.reactor.seconds()
+        self._finish()
+
+    def pause(self) -> None:
+        """Ignore flow control: answers are small."""
+
+    def resume(self) -> None:
+        """Ignore flow control: answers are small."""
+
+    def abort(self) -> None:
+        """Break off in the middle of an event."""
+        if self._open:
+            if self._events and self._arrival.status:
+                self._responder.write(b"id: %d\nda" % self._next)
+            self._responder.abort()
+            self._finish()
+
+    def _answer(self) -> None:
+        if not self._open:
+            return
+        arrival = self._arrival
+        arrival.status = 500 if self._fails else 200
+        arrival.body = f"{self._work} by {arrival.signature}".encode()
+        self._responder.answer(arrival.status, self._upstream.build_headers(arrival), arrival.body)
+        self._finish()
+
+    def _begin(self) -> None:
+        if not self._open:
+            return
+        self._arrival.status = 200
+        headers = self._upstream.build_headers(self._arrival)
+        self._responder.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        self._send_event()
+
+    def _send_event(self) -> None:
+        if not self._open:
+            return
+        if self._next > self._events:
+            self._responder.finish()
+            self._finish()
+            return
+        text = f"id: {self._next}\ndata: {self._work}/{self._next}/{self._arrival.version}\n\n"
+        self._responder.write(text.encode())
+        self._next += 1
+        self._upstream.call_awake(self._pace_s, self._send_event)
+
+    def _finish(self) -> None:
+        self._open = False
+        self._responder.listener = None
+        self._arrival.finished_s = self._upstream.reactor.seconds()
+        self._upstream.work.discard(self)
+
+
+@dataclass(slots=True, kw_only=True)
+class Upstream:
+    """One incarnation of an upstream on a port of its own.
+
+    Attributes:
+        silent_until_s: Answers and events are held back until then.
+        refuses_until_s: Requests are refused as if it were full until then.
+    """
+
+    identity: UpstreamIdentity
+    reactor: Any
+    random: Random
+    observer: UpstreamObserver
+    listening_port: int = 0
+    silent_until_s: float = 0.0
+    refuses_until_s: float = 0.0
+    leaving: bool = False
+    work: set[_Work] = field(default_factory=set)
+    _factory: Any = None
+    _port: Any = None
+    _runs: int = 0
+
+    def open(self, address: str) -> tuple[str, int]:
+        """Listen, and return the address; a new incarnation may listen where one has ended."""
+        self._factory = ServerFactory(
+            reactor=self.reactor, on_request=self.handle, on_refused=self._explain
+        )
+        self._port = self.reactor.listenTCP(self.listening_port, self._factory, interface=address)
+        return address, int(self._port.getHost().port)
+
+    def close(self) -> None:
+        """Stop listening and abort all connections, as a process that ends."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        self.reset()
+
+    def reset(self) -> None:
+        """Abort all connections."""
+        for work in list(self.work):
+            work.abort()
+        for connection in list(self._factory.connections):
+            connection.abort()
+
+    def drop_idle(self) -> None:
+        """Close the connections without a request."""
+        self._factory.close_idle()
+
+    def break_off(self) -> None:
+        """Break off the answers in progress in the middle of an event."""
+        for work in list(self.work):
+            work.abort()
+
+    def leave(self) -> None:
+        """Close each connection after its next answer from now on."""
+        self.leaving = True
+        self._factory.closing = True
+
+    def call_awake(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Call after a delay, and not before the upstream's silence ends."""
+
+        def call_or_wait() -> None:
+            wait_s = self.silent_until_s - self.reactor.seconds()
+            if wait_s > 0:
+                self.reactor.callLater(wait_s + 0.001, call_or_wait)
+            else:
+                call()
+
+        self.reactor.callLater(delay_s, call_or_wait)
+
+    def handle(self, request: IncomingRequest, responder: Responder) -> None:
+        """Refuse a request, or begin to work on it."""
+        identity = self.identity
+        arrival = Arrival(
+            request=request,
+            attempt=(request.get(b"greengagestage-attempt-id") or b"").decode("latin-1"),
+            upstream=identity.instance,
+            service=identity.service,
+            version=identity.version,
+            arrived_s=self.reactor.seconds(),
+        )
+        expected = request.get(b"greengagestage-expect-instance")
+        if expected is not None and expected != identity.instance.encode():
+            responder.answer(421, [], b"")
+            return
+        self.observer.record_arrival(arrival)
+        full = len(self.work) >= SLOTS + QUEUE
+        if full or self.reactor.seconds() < self.refuses_until_s:
+            echo = (b"Greengagestage-Attempt-Id", arrival.attempt.encode())
+            responder.answer(503, [echo, (b"Greengagestage-Not-Executed", b"1")], b"full")
+            return
+        self._runs += 1
+        arrival.ran = True
+        arrival.signature = f"{identity.instance}.{arrival.attempt}.{self._runs}"
+        self.observer.record_run(arrival)
+        _Work(self, arrival, responder).start()
+
+    def build_headers(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer to a request that ran."""
+        headers = [
+            (b"Greengagestage-Attempt-Id", arrival.attempt.encode()),
+            (b"Greengagestage-Server-Signature", arrival.signature.encode()),
+            (b"Keep-Alive", b"timeout=5"),
+        ]
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
+
+    def _explain(self, limit: LimitExceeded) -> bytes:
+        return limit.name.encode()
