--- a/soak/_disturbances.py
+++ b/soak/_disturbances.py
@@ -77,11 +77,11 @@
         reloads = [reload for reload in self._reloads[host] if reload.touches(began_s, ended_s)]
         return reloads[-1] if reloads else None
 
-    def list_recent(self, began_s: float, ended_s: float) -> list[str]:
-        """Describe all disturbances that overlap a span."""
+    def list_recent(self, began_s: float, ended_s: float, *, origin_s: float) -> list[str]:
+        """Describe all disturbances that overlap a span, with times since the origin."""
         tables = (self._faults, self._stops, self._reloads)
         return [
-            f"{target}:{item.kind}@{item.began_s:.2f}"
+            f"{target}:{item.kind}@{item.began_s - origin_s:.2f}"
             for table in tables
             for target, items in table.items()
             for item in items
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,11 @@
     """Kinds of faults and planned work; names in the order of what they disturb."""
 
     CONFIGURATION = "configuration"
+    HOST_STOP = "host stop"
+    HOST_KILL = "host kill"
+    HOST_FREEZE = "host freeze"
+    HOST_RELOAD = "host reload"
+    SETTINGS_CHANGE = "settings change"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -56,7 +56,7 @@
     def add_for(self, rule: Rule, now_s: float, attempt: Attempt, text: str) -> None:
         """Add a finding about a request, with what was disturbed around it."""
         plan = attempt.plan
-        recent = self.disturbances.list_recent(attempt.sent_s - 3.0, now_s)
+        recent = self.disturbances.list_recent(attempt.sent_s - 3.0, now_s, origin_s=self.began_s)
         facts = (
             f"{text}; {plan.kind} {plan.route} at {attempt.host}, sent "
             f"{attempt.sent_s - self.began_s:.3f}, deadline {plan.deadline_s:.1f}, "
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -31,7 +31,17 @@
     def inject(self, scheduled: ScheduledFault) -> None:
         """Begin one fault; its details are drawn from its own seed."""
         random = Random(scheduled.seed)
+        host = random.choice(self.hosts.hosts)
         match scheduled.fault:
             case Fault.CONFIGURATION:
                 self.operator.change()
-        del random
+            case Fault.HOST_STOP:
+                self.hosts.stop_host(host)
+            case Fault.HOST_KILL:
+                self.hosts.kill_host(host)
+            case Fault.HOST_FREEZE:
+                self.hosts.suspend_host(host, random.choice((0.1, 0.5, 1.5, 4.0)))
+            case Fault.HOST_RELOAD:
+                self.hosts.reload_host(host, random, signalled=True)
+            case Fault.SETTINGS_CHANGE:
+                self.hosts.reload_host(host, random, signalled=False)
