Inject faults of upstreams, links and the store into the soak

An own failure in place of an upstream's 500 is not counted as LOST from here on: the rule is about connections that end without a complete answer.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,8 @@
 
 DIRECTORY = Path(".run") / "soak"
 EXIT_FINDINGS = 1
+MAX_PRINTED = 20
+"""Findings that are printed; all of them are in ``findings.txt`` beside the logs."""
 
 
 @click.group(context_settings={"max_content_width": 100})
@@ -75,10 +77,12 @@
         soak.close()
     for failure in failures:
         click.echo(failure, err=True)
-    for finding in soak.findings.listed:
-        click.echo(finding.describe(options.seed))
-    click.echo(f"seed {options.seed}: {summarize(list(soak.ledger.attempts.values()))}")
-    click.echo(f"seed {options.seed}: {len(soak.findings.listed)} findings, {options.directory}")
+    lines = [finding.describe(options.seed) for finding in soak.findings.listed]
+    lines.append(f"seed {options.seed}: {summarize(list(soak.ledger.attempts.values()))}")
+    lines.append(f"seed {options.seed}: findings: {soak.findings.count_rules()}")
+    click.echo("\n".join([*lines[:-2][:MAX_PRINTED], *lines[-2:]]))
+    with (options.directory / "findings.txt").open("w") as output:
+        output.writelines(f"{line}\n" for line in lines)
     return EXIT_FINDINGS if failures or soak.findings.listed else 0
 
 
--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -143,15 +143,20 @@
             not self._disturbances.is_calm(arrival.upstream, arrival.arrived_s, ended_s)
             for arrival in arrivals
         )
+        # The rule is about connections; a host's own failure counts where an upstream merely owed
+        # its answer. One that failed has answered, and the host's failure promises no more than it.
+        excused |= own_failure and any(arrival.status == 500 for arrival in arrivals)
         if excused or self._was_at_work_late(attempt, arrivals):
             return
         causes = self._list_planned(attempt)
         passed_on = bool(arrivals)
         if passed_on or (causes and not own_failure and elapsed_s > LOSS_SLACK_S):
             what = f"own {attempt.status}" if own_failure else "cut"
-            where = ", ".join(a.upstream for a in arrivals) or "not passed on"
+            where = ", ".join(f"{a.upstream} {a.status or 'unanswered'}" for a in arrivals)
             self._add(
-                Rule.LOST, attempt, f"{what} after {elapsed_s:.2f} s ({where}) around {causes}"
+                Rule.LOST,
+                attempt,
+                f"{what} after {elapsed_s:.2f} s (at {where or 'no upstream'}) around {causes}",
             )
 
     def _get_timeout_s(self, attempt: Attempt) -> float:
--- a/soak/_disturbances.py
+++ b/soak/_disturbances.py
@@ -21,6 +21,10 @@
         """Return whether the disturbance overlaps a span."""
         return self.began_s <= ended_s and self.ended_s >= began_s
 
+    def is_final(self, now_s: float) -> bool:
+        """Return whether it began before a time and does not end, as that of an ended upstream."""
+        return math.isinf(self.ended_s) and self.began_s < now_s
+
 
 @dataclass(slots=True)
 class Disturbances:
@@ -85,5 +89,5 @@
             for table in tables
             for target, items in table.items()
             for item in items
-            if item.touches(began_s, ended_s)
+            if item.touches(began_s, ended_s) and not item.is_final(began_s)
         ]
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -21,6 +21,20 @@
     HOST_FREEZE = "host freeze"
     HOST_RELOAD = "host reload"
     SETTINGS_CHANGE = "settings change"
+    UPSTREAM_SILENCE = "upstream silence"
+    UPSTREAM_RESET = "upstream reset"
+    UPSTREAM_BREAK = "upstream breaks off"
+    UPSTREAM_DROP = "upstream drops idle connections"
+    UPSTREAM_FULL = "upstream refuses"
+    UPSTREAM_DRAIN = "upstream drains"
+    UPSTREAM_UNLIST = "upstream is removed"
+    UPSTREAM_CRASH = "upstream crash"
+    UPSTREAM_EXPIRY = "entries of upstreams expire in an outage of the store"
+    CALLERS_LINK = "link from callers to a host"
+    UPSTREAM_LINK = "link to an upstream"
+    STORE_LINK = "link from a host to the store"
+    STORE_LINKS = "links from all hosts to the store"
+    STORE_FAULT = "store"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -1,5 +1,6 @@
 """Findings of a run."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -47,6 +48,11 @@
     disturbances: Disturbances
     listed: list[Finding] = field(default_factory=list)
 
+    def count_rules(self) -> str:
+        """Return the number of findings by rule."""
+        counts = Counter(finding.rule.value for finding in self.listed)
+        return ", ".join(f"{rule} {count}" for rule, count in counts.items()) or "none"
+
     def add(self, rule: Rule, now_s: float, request: str, text: str) -> None:
         """Add a finding."""
         self.listed.append(
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -90,6 +90,11 @@
         """Return the upstreams that have not ended."""
         return [member for member in self.members.values() if member.alive]
 
+    def can_lose(self, member: Member) -> bool:
+        """Return whether another upstream of the service is ready, and this one stays so far."""
+        others = self.list_ready(member.upstream.identity.service)
+        return member in others and len(others) > 1
+
     def drain(self, member: Member, *, announced: bool) -> None:
         """Let an upstream leave, with the state ``draining`` or by removing its entry."""
         member.state = "draining"
@@ -108,6 +113,19 @@
         member.alive = False
         member.upstream.close()
         self.reactor.callLater(MISSED_HEARTBEATS * HEARTBEAT_S, self._remove_entry, member)
+        self._schedule_replacement(member)
+
+    def expire(self, member: Member, back_s: float) -> None:
+        """Remove the entry of an upstream that is well; it writes it again after a time."""
+        member.listed = False
+        self.store.remove("servers", member.upstream.identity.instance)
+
+        def write_again() -> None:
+            if member.alive and member.state == "ready":
+                member.listed = True
+                self._beat(member)
+
+        self.reactor.callLater(back_s, write_again)
 
     def replace(self, member: Member, service: str, version: str) -> None:
         """Start a new incarnation at the address of an upstream that has ended."""
@@ -134,6 +152,10 @@
         member.alive = False
         member.upstream.close()
         self._remove_entry(member)
+        self._schedule_replacement(member)
+
+    def _schedule_replacement(self, member: Member) -> None:
+        """Start another incarnation later, at times of another version or another service."""
         identity = member.upstream.identity
         version = self.random.choice((identity.version, *VERSIONS))
         delay_s = ADDRESS_REUSE_S + self.random.uniform(0.1, 1.0)
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -201,6 +201,7 @@
         self.observer.record_arrival(arrival)
         full = len(self.work) >= SLOTS + QUEUE
         if full or self.reactor.seconds() < self.refuses_until_s:
+            arrival.status = 503
             echo = (b"Greengagestage-Attempt-Id", arrival.attempt.encode())
             responder.answer(503, [echo, (b"Greengagestage-Not-Executed", b"1")], b"full")
             return
