--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -6,6 +6,7 @@
 from ._disturbances import STORE, Disturbances
 from ._findings import Findings, Rule
 from ._ledger import Arrival, Attempt, Ending, Ledger
+from ._notice_checks import NoticeChecks
 from ._operator import Operator
 
 ALLOWED_MIXED_STREAMS = 2
@@ -24,12 +25,14 @@
         findings: Findings,
         operator: Operator,
         disturbances: Disturbances,
+        notices: NoticeChecks,
         count_version: Callable[[str], int],
     ) -> None:
         self._ledger = ledger
         self._findings = findings
         self._operator = operator
         self._disturbances = disturbances
+        self._notices = notices
         self._count_version = count_version
         self._mixed_streams = 0
         self._over_attempts = 0
@@ -78,6 +81,8 @@
             self._add(Rule.MIXED, attempt, f"{attempt.status}, but the upstream gave {run.status}")
         elif signature is not None and run is None:
             self._add(Rule.MIXED, attempt, f"a failure with the signature {signature}")
+        if run is not None:
+            self._notices.record_answer(attempt, run.upstream)
         if run is None or attempt.plan.events or attempt.ending is not Ending.COMPLETE:
             return
         if bytes(attempt.body) != run.body:
--- a/soak/_arrival_checks.py
+++ b/soak/_arrival_checks.py
@@ -5,6 +5,7 @@
 from ._findings import Findings, Rule
 from ._fleet import UpstreamFleet
 from ._ledger import Arrival, Attempt, Ledger
+from ._notice_checks import NoticeChecks
 from ._operator import Operator
 from ._upstream import UpstreamObserver
 
@@ -33,11 +34,13 @@
         findings: Findings,
         operator: Operator,
         disturbances: Disturbances,
+        notices: NoticeChecks,
     ) -> None:
         self._ledger = ledger
         self._findings = findings
         self._operator = operator
         self._disturbances = disturbances
+        self._notices = notices
         self.fleet: UpstreamFleet | None = None
 
     def record_arrival(self, arrival: Arrival) -> None:
@@ -50,6 +53,13 @@
             )
             return
         self._check_draining(attempt, arrival)
+        self._notices.check_arrival(attempt, arrival)
+
+    def record_pause(self, arrival: Arrival, pause_s: float) -> None:
+        """Remember for how long an upstream wants nothing from a host."""
+        attempt = self._ledger.attempts.get(arrival.attempt)
+        if attempt is not None:
+            self._notices.record_pause(attempt, arrival, pause_s)
 
     def record_run(self, arrival: Arrival) -> None:
         """Check a request that an upstream begins to work on."""
--- a/soak/_disturbances.py
+++ b/soak/_disturbances.py
@@ -63,6 +63,11 @@
             fault.touches(began_s - STABILITY_WINDOW_S, ended_s) for fault in self._faults[target]
         )
 
+    def was_harmed(self, target: str, began_s: float, ended_s: float) -> bool:
+        """Return whether a fault or a stop touched a target within a span."""
+        faults = any(fault.touches(began_s, ended_s) for fault in self._faults[target])
+        return faults or self.find_stop(target, began_s, ended_s) is not None
+
     def is_in_touch(self, host: str, began_s: float, ended_s: float) -> bool:
         """Return whether a host and the store were calm, and the host was not stopped."""
         return (
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -78,6 +78,7 @@
                 member.upstream.drop_idle()
             case Fault.UPSTREAM_FULL:
                 member.upstream.refuses_until_s = now_s + random.uniform(0.5, 3.0)
+                member.upstream.names_pause = random.random() < 0.5
             case Fault.UPSTREAM_DRAIN | Fault.UPSTREAM_UNLIST:
                 if self.upstreams.can_lose(member):
                     self.upstreams.drain(member, announced=fault is Fault.UPSTREAM_DRAIN)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -23,6 +23,7 @@
 from ._host_fleet import HostFleet
 from ._injection import Injector
 from ._ledger import Attempt, Ending, Ledger
+from ._notice_checks import NoticeChecks
 from ._operator import Operator
 from ._store import StoreControl
 from ._traffic import Caller, TrafficContext, sleep
@@ -80,6 +81,7 @@
         """Run from the first start to the measured recovery."""
         options = self._options
         store = await self._start_store()
+        notices = NoticeChecks(findings=self._findings, disturbances=self._disturbances)
         operator = Operator(
             reactor=self._reactor, store=store, random=Random(f"{options.seed}/operator")
         )
@@ -88,6 +90,7 @@
             findings=self._findings,
             operator=operator,
             disturbances=self._disturbances,
+            notices=notices,
         )
         upstreams = self._start_upstreams(store, arrivals)
         await operator.publish_first()
@@ -98,6 +101,7 @@
             findings=self._findings,
             operator=operator,
             disturbances=self._disturbances,
+            notices=notices,
             count_version=lambda version: list(upstreams.list_versions()).count(version),
         )
         traffic = self._start_traffic(operator, answers)
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -30,6 +30,9 @@
     def record_arrival(self, arrival: Arrival) -> None:
         """Handle a request before the upstream decides about it."""
 
+    def record_pause(self, arrival: Arrival, pause_s: float) -> None:
+        """Handle a refusal that names the time for which the upstream wants no request."""
+
     def record_run(self, arrival: Arrival) -> None:
         """Handle a request that the upstream begins to work on."""
 
@@ -120,6 +123,7 @@
     Attributes:
         silent_until_s: Answers and events are held back until then.
         refuses_until_s: Requests are refused as if it were full until then.
+        names_pause: Whether these refusals say for how long.
     """
 
     identity: UpstreamIdentity
@@ -129,6 +133,7 @@
     listening_port: int = 0
     silent_until_s: float = 0.0
     refuses_until_s: float = 0.0
+    names_pause: bool = False
     leaving: bool = False
     work: set[_Work] = field(default_factory=set)
     _factory: Any = None
@@ -203,7 +208,12 @@
         if full or self.reactor.seconds() < self.refuses_until_s:
             arrival.status = 503
             echo = (b"Greengagestage-Attempt-Id", arrival.attempt.encode())
-            responder.answer(503, [echo, (b"Greengagestage-Not-Executed", b"1")], b"full")
+            headers = [echo, (b"Greengagestage-Not-Executed", b"1")]
+            if not full and self.names_pause:
+                pause_s = self.refuses_until_s - self.reactor.seconds()
+                headers.append((b"Retry-After", f"{pause_s:.2f}".encode()))
+                self.observer.record_pause(arrival, pause_s)
+            responder.answer(503, headers, b"full")
             return
         self._runs += 1
         arrival.ran = True
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,212 @@
+"""Tests that each check of the soak reports the fault that it is for, and no excused one."""
+
+from random import Random
+
+import pytest
+
+from soak._bounds import STABILITY_WINDOW_S
+from soak._faults import Fault, draw_schedule
+from soak._ledger import Ending
+
+from .soak_builders import KEY, ROUTES, SENT_S, SoakRecords, build_events, build_plan
+
+
+@pytest.fixture
+def records() -> SoakRecords:
+    return SoakRecords()
+
+
+def test_a_request_with_its_own_answer_breaks_no_rule(records: SoakRecords) -> None:
+    plan = build_plan()
+    attempt = records.send(plan)
+    arrival = records.receive(plan)
+    records.answer(attempt, 200, arrival.body, arrival.signature)
+    assert records.rules == []
+
+
+@pytest.mark.parametrize(("route", "rules"), [("order", ["TWICE"]), ("lookup", [])])
+def test_only_a_non_idempotent_request_must_not_run_twice(
+    records: SoakRecords, route: str, rules: list[str]
+) -> None:
+    plan = build_plan(route)
+    records.send(plan)
+    records.receive(plan)
+    records.receive(plan, upstream="i-2")
+    assert records.rules == rules
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_promise_after_a_run_is_reported(records: SoakRecords, status: int) -> None:
+    plan = build_plan()
+    attempt = records.send(plan)
+    records.receive(plan)
+    records.answer(attempt, status, b"", None)
+    assert "REFUSED" in records.rules
+
+
+def test_a_run_after_a_promise_is_reported(records: SoakRecords) -> None:
+    plan = build_plan()
+    records.answer(records.send(plan), 503, b"", None)
+    records.receive(plan)
+    assert records.rules == ["REFUSED"]
+
+
+@pytest.mark.parametrize(
+    ("body", "signature"),
+    [(b"answer of another", "i-1.1"), (b"answer", None), (b"answer", "i-2.7")],
+)
+def test_an_answer_that_is_not_the_own_whole_one_is_reported(
+    records: SoakRecords, body: bytes, signature: str | None
+) -> None:
+    plan = build_plan()
+    attempt = records.send(plan)
+    records.receive(plan)
+    records.answer(attempt, 200, body, signature)
+    assert records.rules == ["MIXED"]
+
+
+def test_a_changed_body_and_a_passed_on_key_are_reported(records: SoakRecords) -> None:
+    plan = build_plan()
+    records.send(plan)
+    records.receive(plan, body=b"{ }", headers=((b"authorization", b"Bearer k"),))
+    assert records.rules == ["UNASKED"]
+    assert "authorization, body" in records.findings.listed[0].text
+
+
+def test_a_request_that_no_caller_sent_is_reported(records: SoakRecords) -> None:
+    records.receive(build_plan(attempt="unknown"))
+    assert records.rules == ["UNASKED"]
+
+
+@pytest.mark.parametrize("numbers", [(1, 3), (1, 1, 2), (2, 3)])
+def test_missing_and_repeated_events_are_reported(
+    records: SoakRecords, numbers: tuple[int, ...]
+) -> None:
+    attempt = records.send(build_plan("talk", events=5), events=build_events(*numbers))
+    records.end(attempt, Ending.LEFT)
+    assert records.rules == ["ORDER"]
+
+
+def test_a_stream_that_ends_as_complete_too_early_is_reported(records: SoakRecords) -> None:
+    plan = build_plan("talk", events=5)
+    attempt = records.send(plan, events=build_events(1, 2))
+    arrival = records.receive(plan, service="engines")
+    records.answer(attempt, 200, b"", arrival.signature)
+    assert records.rules == ["ORDER"]
+
+
+def test_the_third_stream_with_two_software_versions_is_reported(records: SoakRecords) -> None:
+    for number in range(3):
+        plan = build_plan("talk", attempt=f"a{number}", events=5, last_event=1, version="v1.2")
+        attempt = records.send(plan, events=build_events(2, 3, version="v1.1"))
+        records.end(attempt, Ending.LEFT)
+    assert records.rules == ["ORDER"]
+
+
+def test_a_cut_request_is_lost_if_nothing_was_disturbed(records: SoakRecords) -> None:
+    plan = build_plan()
+    attempt = records.send(plan)
+    records.receive(plan)
+    records.end(attempt, Ending.BROKEN)
+    assert records.rules == ["LOST"]
+
+
+@pytest.mark.parametrize("target", ["host-1", "i-1", "store"])
+def test_a_disturbance_excuses_a_cut_request(records: SoakRecords, target: str) -> None:
+    records.disturbances.mark(target, "reset", SENT_S - STABILITY_WINDOW_S + 0.1)
+    plan = build_plan()
+    attempt = records.send(plan)
+    records.receive(plan)
+    records.end(attempt, Ending.BROKEN)
+    assert records.rules == []
+
+
+def test_a_disturbed_store_does_not_excuse_a_request_without_a_key(records: SoakRecords) -> None:
+    records.disturbances.mark("store", "down", SENT_S)
+    plan = build_plan("open", key=None, workspace=None)
+    attempt = records.send(plan)
+    records.receive(plan)
+    records.end(attempt, Ending.BROKEN)
+    assert records.rules == ["LOST"]
+
+
+def test_a_stop_does_not_excuse_a_cut_request_within_the_grace_period(records: SoakRecords) -> None:
+    records.disturbances.begin_stop("host-1", SENT_S - 1.0)
+    records.end(records.send(build_plan()), Ending.BROKEN)
+    assert records.rules == ["LOST"]
+
+
+def test_an_own_failure_while_an_upstream_is_merely_silent_is_lost(records: SoakRecords) -> None:
+    plan = build_plan("lookup")
+    attempt = records.send(plan)
+    records.receive(plan).status = 0
+    records.answer(attempt, 504, b"", None)
+    assert records.rules == ["LOST"]
+
+
+def test_a_run_by_the_service_of_an_old_version_is_reported(records: SoakRecords) -> None:
+    routes = {**ROUTES, "order": ROUTES["lookup"]}
+    del routes["moved"]
+    records.publish(routes, {KEY: "gyor"}, at_s=SENT_S - 10.0)
+    plan = build_plan("moved")
+    records.send(plan)
+    records.receive(plan)
+    assert records.rules == ["CONFIG"]
+
+
+def test_a_run_by_a_service_that_no_version_names_is_reported(records: SoakRecords) -> None:
+    plan = build_plan()
+    records.send(plan)
+    records.receive(plan, service="annex")
+    assert "ROUTE" in records.rules
+
+
+def test_a_revoked_key_is_reported_also_at_a_disturbed_host(records: SoakRecords) -> None:
+    records.publish(dict(ROUTES), {}, at_s=SENT_S - 10.0)
+    records.disturbances.begin("host-1", "silent link", SENT_S - 20.0)
+    plan = build_plan()
+    records.send(plan)
+    records.receive(plan)
+    assert records.rules == ["CONFIG"]
+
+
+def test_a_request_that_all_versions_allow_must_not_be_denied(records: SoakRecords) -> None:
+    records.answer(records.send(build_plan()), 404, b"", None)
+    assert records.rules == ["DENIED"]
+
+
+@pytest.mark.parametrize(("harmed", "rules"), [(False, ["DRAIN"]), (True, [])])
+def test_a_request_long_after_an_upstream_said_that_it_leaves_is_reported(
+    records: SoakRecords, harmed: bool, rules: list[str]
+) -> None:
+    told = records.send(build_plan(attempt="a0"), headers={"server-leaving": "1"})
+    told.ended_s = SENT_S - 3.0
+    records.notices.record_answer(told, "i-1")
+    if harmed:
+        records.disturbances.mark("host-1", "freeze", SENT_S - 1.0)
+    plan = build_plan()
+    records.send(plan)
+    records.receive(plan)
+    assert records.rules == rules
+
+
+def test_the_third_request_before_the_time_of_retry_after_is_reported(records: SoakRecords) -> None:
+    refused = build_plan(attempt="a0")
+    records.send(refused)
+    records.arrivals.record_pause(records.receive(refused), 3.0)
+    for number in range(1, 3):
+        plan = build_plan(attempt=f"a{number}")
+        records.send(plan)
+        records.receive(plan, at_s=SENT_S + number)
+    assert records.rules == []
+    for number in range(3, 5):
+        plan = build_plan(attempt=f"a{number}")
+        records.send(plan)
+        records.receive(plan, at_s=SENT_S + 1.0)
+    assert records.rules == ["BUDGET"]
+
+
+def test_equal_seeds_draw_equal_schedules_with_all_kinds_of_faults() -> None:
+    schedule = draw_schedule(Random(7), 0.0, 300.0)
+    assert schedule == draw_schedule(Random(7), 0.0, 300.0)
+    assert {item.fault for item in schedule} == set(Fault)
