Draw the kinds and the rate of faults of each soak run

A run with all kinds of faults excuses most requests. The summary now counts the requests at hosts in touch.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,13 +11,13 @@
 from twisted.internet.defer import Deferred
 
 from ._hunt import hunt_seeds
-from ._run import RunOptions, SoakRun, summarize
+from ._run import RunOptions, SoakRun
 from ._store import run_store
 
 DIRECTORY = Path(".run") / "soak"
 EXIT_FINDINGS = 1
-MAX_PRINTED = 20
-"""Findings that are printed; all of them are in ``findings.txt`` beside the logs."""
+MAX_PRINTED = 3
+"""Findings about each rule that are printed; ``findings.txt`` has all of them beside the logs."""
 
 
 @click.group(context_settings={"max_content_width": 100})
@@ -77,15 +77,22 @@
         soak.close()
     for failure in failures:
         click.echo(failure, err=True)
-    lines = [finding.describe(options.seed) for finding in soak.findings.listed]
-    lines.append(f"seed {options.seed}: {summarize(list(soak.ledger.attempts.values()))}")
-    lines.append(f"seed {options.seed}: findings: {soak.findings.count_rules()}")
-    click.echo("\n".join([*lines[:-2][:MAX_PRINTED], *lines[-2:]]))
-    with (options.directory / "findings.txt").open("w") as output:
-        output.writelines(f"{line}\n" for line in lines)
+    report(options, soak)
     return EXIT_FINDINGS if failures or soak.findings.listed else 0
 
 
+def report(options: RunOptions, soak: SoakRun) -> None:
+    """Print a summary with some findings, and write all of them beside the logs."""
+    seed, findings = options.seed, soak.findings
+    click.echo(
+        "".join(f"{each.describe(seed)}\n" for each in findings.list_first(MAX_PRINTED)), nl=False
+    )
+    click.echo(f"seed {seed}: {soak.summarize()}")
+    click.echo(f"seed {seed}: findings: {findings.count_rules()}")
+    with (options.directory / "findings.txt").open("w") as output:
+        output.writelines(f"{each.describe(seed)}\n" for each in findings.listed)
+
+
 @main.command()
 @click.option("--seeds", required=True, help="First and last seed: A-B.")
 @click.option("--jobs", default=2, show_default=True, help="Runs at the same time.")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,9 +4,6 @@
 from enum import Enum
 from random import Random
 
-MEAN_PAUSE_S = 0.8
-"""Mean time between the beginnings of two faults; most faults last longer, so that they overlap."""
-
 SERIES_CHANCE = 0.15
 MAX_SERIES = 4
 SERIES_PAUSE_S = 0.15
@@ -37,6 +34,14 @@
     STORE_FAULT = "store"
 
 
+MEAN_PAUSES_S = (0.4, 0.8, 2.0)
+"""Mean times between the beginnings of two faults, of which each run draws one. Faults last up to
+some seconds, so that they overlap."""
+
+KINDS = (3, 6, len(Fault))
+"""Numbers of kinds of faults, of which each run draws one: many faults at once excuse much."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ScheduledFault:
     """A fault with its time since the beginning, and a seed for its details."""
@@ -48,10 +53,12 @@
 
 def draw_schedule(random: Random, began_s: float, ended_s: float) -> list[ScheduledFault]:
     """Draw faults one after another, some of them as a quick series of the same kind."""
+    kinds = random.sample(list(Fault), random.choice(KINDS))
+    mean_pause_s = random.choice(MEAN_PAUSES_S)
     schedule = []
     at_s = began_s
-    while (at_s := at_s + random.expovariate(1 / MEAN_PAUSE_S)) < ended_s:
-        fault = random.choice(list(Fault))
+    while (at_s := at_s + random.expovariate(1 / mean_pause_s)) < ended_s:
+        fault = random.choice(kinds)
         times = random.randint(2, MAX_SERIES) if random.random() < SERIES_CHANCE else 1
         for number in range(times):
             schedule.append(
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import groupby, islice
 
 from ._disturbances import Disturbances
 from ._ledger import Attempt
@@ -40,6 +41,10 @@
         return f"seed {seed} {self.at_s:8.3f} s {self.rule.value} {self.request}: {self.text}"
 
 
+def _get_rule(finding: Finding) -> str:
+    return finding.rule.value
+
+
 @dataclass(slots=True, kw_only=True)
 class Findings:
     """Collects findings, with times since the beginning of the run."""
@@ -48,6 +53,11 @@
     disturbances: Disturbances
     listed: list[Finding] = field(default_factory=list)
 
+    def list_first(self, count: int) -> list[Finding]:
+        """Return the first findings about each rule."""
+        by_rule = groupby(sorted(self.listed, key=_get_rule), key=_get_rule)
+        return [finding for _, group in by_rule for finding in islice(group, count)]
+
     def count_rules(self) -> str:
         """Return the number of findings by rule."""
         counts = Counter(finding.rule.value for finding in self.listed)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -4,6 +4,7 @@
 import shutil
 import subprocess
 import sys
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -22,7 +23,7 @@
 from ._fleet import VERSIONS, UpstreamFleet
 from ._host_fleet import HostFleet
 from ._injection import Injector
-from ._ledger import Attempt, Ending, Ledger
+from ._ledger import Ending, Ledger
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
 from ._store import StoreControl
@@ -72,10 +73,19 @@
         """The findings so far."""
         return self._findings
 
-    @property
-    def ledger(self) -> Ledger:
-        """All requests of the run."""
-        return self._ledger
+    def summarize(self) -> str:
+        """Return the numbers of requests by ending and status, and how many were undisturbed."""
+        attempts = self._ledger.attempts.values()
+        counts = Counter(
+            str(each.status) if each.ending is Ending.COMPLETE else each.ending.value
+            for each in attempts
+        )
+        in_touch = sum(
+            self._disturbances.is_in_touch(each.host, each.sent_s, each.ended_s)
+            for each in attempts
+        )
+        endings = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
+        return f"{len(attempts)} requests, {in_touch} at hosts in touch ({endings})"
 
     async def play(self) -> None:
         """Run from the first start to the measured recovery."""
@@ -226,13 +236,3 @@
         if not sent or served / len(sent) < MIN_SERVED_SHARE:
             text = f"{served} of {len(sent)} requests served after all faults"
             self._findings.add(Rule.RECOVER, self._reactor.seconds(), "-", text)
-
-
-def summarize(attempts: list[Attempt]) -> str:
-    """Return the numbers of requests by ending and status."""
-    counts: dict[str, int] = {}
-    for attempt in attempts:
-        name = str(attempt.status) if attempt.ending is Ending.COMPLETE else attempt.ending.value
-        counts[name] = counts.get(name, 0) + 1
-    parts = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
-    return f"{len(attempts)} requests ({parts})"
