--- a/soak/_hunt.py
+++ b/soak/_hunt.py
@@ -1,5 +1,6 @@
 """Runs many seeds as processes of their own."""
 
+import signal
 import subprocess
 import sys
 import time
@@ -15,6 +16,7 @@
     waiting = list(seeds)
     running: dict[int, subprocess.Popen[bytes]] = {}
     failed: list[int] = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     try:
         while waiting or running:
             while waiting and len(running) < jobs:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,21 @@
         process.wait()
 
 
+def test_an_interrupted_hunt_ends_its_runs(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "soak", "hunt", "--seeds", "1001-1002", "--jobs", "2"]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        wait_until(lambda: sum(len(list_children(x)) for x in list_children(process.pid)) == 8)
+        runs = list_children(process.pid)
+        hosts = [child for run in runs for child in list_children(run)]
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(ENDED_LIMIT_S) != 0
+        wait_until(lambda: not any(Path(f"/proc/{pid}").exists() for pid in (*runs, *hosts)))
+    finally:
+        process.kill()
+        process.wait()
+
+
 def list_children(pid: int) -> list[int]:
     """Return the ids of a process's children: a store and three hosts."""
     tasks = Path(f"/proc/{pid}/task/{pid}/children")
