--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -145,7 +145,8 @@
             excused |= not self._disturbances.is_calm(STORE, began_s, ended_s)
         arrivals = self._ledger.arrivals.get(plan.attempt, [])
         excused |= any(
-            not self._disturbances.is_calm(arrival.upstream, arrival.arrived_s, ended_s)
+            arrival.broke_off
+            or not self._disturbances.is_calm(arrival.upstream, arrival.arrived_s, ended_s)
             for arrival in arrivals
         )
         # The rule is about connections; a host's own failure counts where an upstream merely owed
@@ -155,7 +156,9 @@
             return
         causes = self._list_planned(attempt)
         passed_on = bool(arrivals)
-        if passed_on or (causes and not own_failure and elapsed_s > LOSS_SLACK_S):
+        if passed_on or (
+            causes and not own_failure and ended_s > attempt.last_byte_s + LOSS_SLACK_S
+        ):
             what = f"own {attempt.status}" if own_failure else "cut"
             where = ", ".join(f"{a.upstream} {a.status or 'unanswered'}" for a in arrivals)
             self._add(
--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -41,16 +41,30 @@
         self._attempt, self._done = attempt, Deferred()
         self._pending_events = b""
         self.requests += 1
-        headers = [("Host", HOST_NAME), *plan.headers, ("Content-Length", str(len(plan.body)))]
+        length = ("Content-Length", str(len(plan.body)))
+        framing = ("Transfer-Encoding", "chunked") if plan.chunked else length
+        headers = [("Host", HOST_NAME), *plan.headers, framing]
         data = self._codec.send(h11.Request(method="POST", target=plan.target, headers=headers))
-        data += self._codec.send(h11.Data(data=plan.body))
-        self.transport.write(data + self._codec.send(h11.EndOfMessage()))
+        half = len(plan.body) // 2
+        self.transport.write(data + self._codec.send(h11.Data(data=plan.body[:half])))
         later = self._clock.callLater
+        if plan.pause_s:
+            later(plan.pause_s, self._send_rest, attempt)
+        else:
+            self._send_rest(attempt)
         self._timers = [later(plan.deadline_s + ANSWER_SLACK_S, self._abandon, Ending.TIMED_OUT)]
         if plan.leaves_after_s is not None:
             self._timers.append(later(plan.leaves_after_s, self._abandon, Ending.LEFT))
         return self._done
 
+    def _send_rest(self, attempt: Attempt) -> None:
+        if self._attempt is not attempt or self._codec.our_state is not h11.SEND_BODY:
+            return
+        rest = attempt.plan.body[len(attempt.plan.body) // 2 :]
+        data = self._codec.send(h11.Data(data=rest))
+        self.transport.write(data + self._codec.send(h11.EndOfMessage()))
+        attempt.last_byte_s = self._clock.seconds()
+
     def dataReceived(self, data: bytes) -> None:
         """Parse a part of the answer."""
         if self._attempt is None:
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -1,5 +1,6 @@
 """What callers sent and received, and what upstreams received and ran."""
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
@@ -35,6 +36,8 @@
         work: Id of the work, the same in all attempts of one caller.
         events: Number of events of a stream; 0 for a plain answer.
         resumes: Id of the attempt that brought the stream's first event.
+        version: Software version of the stream's first event.
+        pause_s: Pause in the middle of sending the body.
     """
 
     attempt: str
@@ -54,6 +57,8 @@
     resumes: str | None = None
     version: str | None = None
     leaves_after_s: float | None = None
+    chunked: bool = False
+    pause_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
@@ -69,6 +74,7 @@
     host: str
     sent_s: float
     kept: bool
+    last_byte_s: float = math.inf
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
@@ -90,6 +96,7 @@
         ran: Whether the upstream began to work on it.
         upstream: Instance id of the upstream.
         body: The answer's complete body, once a plain answer was produced.
+        broke_off: Whether the upstream itself did not complete its answer.
     """
 
     request: IncomingRequest
@@ -104,6 +111,7 @@
     body: bytes = b""
     finished_s: float | None = None
     dropped_s: float | None = None
+    broke_off: bool = False
 
 
 @dataclass(slots=True)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -14,6 +14,7 @@
 from ._hosts import Host
 from ._ledger import Attempt, Ending, Ledger, RequestPlan
 from ._operator import BASE_KEYS, Operator, RouteSpec
+from ._upstream import AnswerStyle
 
 MAX_TRIES = 3
 PROMISES = (408, 421, 429, 503)
@@ -155,8 +156,8 @@
         pace_ms = random.choice((15, 30, 60) if events else (5, 20, 60, 400))
         identifier = self._draw_id()
         body: dict[str, Any] = {"work": identifier, "events": events, "pace_ms": pace_ms}
-        if not events and random.random() < 0.03:
-            body["fails"] = True
+        if not events and random.random() < 0.1:
+            body["style"] = random.choice(list(AnswerStyle)).value
         body["padding"] = "x" * random.choice((0, 10, 4_000))
         plan = RequestPlan(
             attempt=identifier,
@@ -172,6 +173,8 @@
             events=events,
             deadline_s=random.choice((4.0, 6.0, 8.0)),
             timeout_s=spec.timeout_s,
+            chunked=random.random() < 0.2,
+            pause_s=random.choice((0.01, 0.1, 0.5)) if random.random() < 0.1 else 0.0,
             leaves_after_s=random.uniform(0.01, 0.8) if random.random() < 0.08 else None,
         )
         return replace(plan, headers=_build_headers(plan))
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from random import Random
 from typing import Any
 
@@ -12,6 +13,27 @@
 
 SLOTS = 8
 QUEUE = 2
+REPEAT_DELAY_S = 0.003
+"""Shorter than any answer takes, so that a repeated answer comes where the next one is expected."""
+
+
+class AnswerStyle(Enum):
+    """How an upstream gives a plain answer, as the request's body asks for.
+
+    ``UNFRAMED`` ends with the connection, ``CUT`` does so in its middle by a reset, ``SHORT`` ends
+    before its length, ``NOISE`` is no answer, and ``REPEATED`` is followed by the same again.
+    """
+
+    FRAMED = "framed"
+    FAILED = "failed"
+    UNFRAMED = "unframed"
+    CUT = "cut"
+    SHORT = "short"
+    NOISE = "noise"
+    REPEATED = "repeated"
+
+
+BROKEN_STYLES = (AnswerStyle.CUT, AnswerStyle.SHORT, AnswerStyle.NOISE)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,7 +62,7 @@
 class _Work:
     """One request that an upstream works on; it stops when its connection closes."""
 
-    def __init__(self, upstream: "Upstream", arrival: Arrival, responder: Responder) -> None:
+    def __init__(self, upstream: "Upstream", arrival: Arrival, responder: Any) -> None:
         self._upstream = upstream
         self._arrival = arrival
         self._responder = responder
@@ -49,7 +71,7 @@
         self._work = body.get("work", "")
         self._events = int(body.get("events", 0))
         self._pace_s = body.get("pace_ms", 20) / 1e3
-        self._fails = bool(body.get("fails"))
+        self._style = AnswerStyle(body.get("style", "framed"))
         self._next = int(arrival.request.get(b"last-event-id") or b"0") + 1
         responder.listener = self
 
@@ -75,6 +97,7 @@
     def abort(self) -> None:
         """Break off in the middle of an event."""
         if self._open:
+            self._arrival.broke_off = True
             if self._events and self._arrival.status:
                 self._responder.write(b"id: %d\nda" % self._next)
             self._responder.abort()
@@ -84,9 +107,31 @@
         if not self._open:
             return
         arrival = self._arrival
-        arrival.status = 500 if self._fails else 200
+        arrival.status = 500 if self._style is AnswerStyle.FAILED else 200
         arrival.body = f"{self._work} by {arrival.signature}".encode()
-        self._responder.answer(arrival.status, self._upstream.build_headers(arrival), arrival.body)
+        arrival.broke_off = self._style in BROKEN_STYLES
+        headers = self._upstream.build_headers(arrival)
+        head = b"".join(b"%s: %s\r\n" % header for header in headers)
+        head = b"HTTP/1.1 200 OK\r\n" + head
+        length = b"Content-Length: %d\r\n" % len(arrival.body)
+        transport = self._responder.transport
+        match self._style:
+            case AnswerStyle.UNFRAMED:
+                transport.write(head + b"Connection: close\r\n\r\n" + arrival.body)
+                transport.loseConnection()
+            case AnswerStyle.CUT:
+                transport.write(head + b"Connection: close\r\n\r\n" + arrival.body[:9])
+                self._upstream.reactor.callLater(0.01, transport.abortConnection)
+            case AnswerStyle.SHORT:
+                transport.write(head + length + b"\r\n" + arrival.body[:9])
+                transport.loseConnection()
+            case AnswerStyle.NOISE:
+                transport.write(b"\x00\x01 no answer\r\n\r\n")
+            case _:
+                self._responder.answer(arrival.status, headers, arrival.body)
+        if self._style is AnswerStyle.REPEATED:
+            again = head + length + b"\r\n" + arrival.body
+            self._upstream.reactor.callLater(REPEAT_DELAY_S, transport.write, again)
         self._finish()
 
     def _begin(self) -> None:
