--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -149,9 +149,9 @@
             or not self._disturbances.is_calm(arrival.upstream, arrival.arrived_s, ended_s)
             for arrival in arrivals
         )
-        # The rule is about connections; a host's own failure counts where an upstream merely owed
-        # its answer. One that failed has answered, and the host's failure promises no more than it.
-        excused |= own_failure and any(arrival.status == 500 for arrival in arrivals)
+        # The rule is about connections. A host's own failure counts only where an upstream merely
+        # owed its answer; it is the right answer after a failure or a lost connection.
+        excused |= own_failure and not any(each.ran and not each.status for each in arrivals)
         if excused or self._was_at_work_late(attempt, arrivals):
             return
         causes = self._list_planned(attempt)
