--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -38,7 +38,9 @@
         MISDIRECTED: The request reached another instance than the one it names.
         LOST: The connection ended before the answer was complete.
         MALFORMED: The response is malformed, or does not prove which upstream made it.
-        SILENT: The upstream did not send its answer, or the next event of a stream, in time.
+        FAILED: The upstream answered with a server error.
+        SILENT: The upstream did not send its answer, or the next event of a stream, in time, and
+            another one has taken over.
     """
 
     UNREACHABLE = "unreachable"
@@ -46,6 +48,7 @@
     MISDIRECTED = "elsewhere"
     LOST = "lost"
     MALFORMED = "malformed"
+    FAILED = "failed"
     SILENT = "silent"
 
     @property
@@ -61,6 +64,7 @@
     AttemptFault.MISDIRECTED: AttemptEnd.MISDIRECTED,
     AttemptFault.LOST: AttemptEnd.LOST,
     AttemptFault.MALFORMED: AttemptEnd.FAILED,
+    AttemptFault.FAILED: AttemptEnd.FAILED,
     AttemptFault.SILENT: AttemptEnd.LOST,
 }
 
@@ -119,11 +123,21 @@
     ) -> None:
         self.plan = plan
         self.sent_s: float | None = None
+        self._last_data_s: float | None = None
         self._context = context
         self._listener: AttemptListener | None = listener
         self._connection: ClientConnection | None = None
         self._counted_in_router = True
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the upstream's last data, or since the send; None before the send."""
+        since_s = self.sent_s if self._last_data_s is None else self._last_data_s
+        if since_s is None:
+            return None
+        silent_s: float = self._context.reactor.seconds() - since_s
+        return silent_s
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one."""
         upstream = self.plan.placement.upstream
@@ -218,6 +232,7 @@
 
     def _record_data(self) -> None:
         now_s = self._context.reactor.seconds()
+        self._last_data_s = now_s
         instance = self.plan.placement.upstream.instance
         self._context.router.record_data(self.plan.attempt_id, instance, now_s)
 
