--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -33,14 +33,12 @@
         self._timers: list[Any] = []
         self._pending_events = b""
         self.usable = True
-        self.requests = 0
 
     def send(self, attempt: Attempt) -> "Deferred[None]":
         """Send a request; the result fires at its end."""
         plan = attempt.plan
         self._attempt, self._done = attempt, Deferred()
         self._pending_events = b""
-        self.requests += 1
         length = ("Content-Length", str(len(plan.body)))
         framing = ("Transfer-Encoding", "chunked") if plan.chunked else length
         headers = [("Host", HOST_NAME), *plan.headers, framing]
@@ -66,7 +64,6 @@
         attempt.last_byte_s = self._clock.seconds()
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse a part of the answer."""
         if self._attempt is None:
             if self.usable:
                 self._on_stray(None, data)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -1,7 +1,6 @@
 """The upstreams of a run: they register, send heartbeats, leave, crash and are replaced."""
 
 import json
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -61,7 +60,6 @@
         upstream = Upstream(
             identity=identity,
             reactor=self.reactor,
-            random=self.random,
             observer=self.observer,
             listening_port=port,
         )
@@ -194,7 +192,7 @@
         }
         return self.store.put("servers", identity.instance, json.dumps(entry).encode())
 
-    def list_versions(self) -> Iterator[str]:
-        """Yield the software version of each engine that is ready."""
-        for member in self.list_ready("engines"):
-            yield member.upstream.identity.version
+    def count_version(self, version: str) -> int:
+        """Return how many engines with a software version are ready."""
+        ready = self.list_ready("engines")
+        return sum(member.upstream.identity.version == version for member in ready)
--- a/soak/_host_fleet.py
+++ b/soak/_host_fleet.py
@@ -1,6 +1,7 @@
 """Hosts under the platform's care: readiness probes, signals, restarts and unexpected ends."""
 
 import signal
+from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -48,8 +49,7 @@
     disturbances: Disturbances
     findings: Findings
     hosts: list[Host] = field(default_factory=list)
-    _stops: dict[str, Disturbance] = field(default_factory=dict)
-    _outages: dict[str, Disturbance] = field(default_factory=dict)
+    _interruptions: dict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _closed: bool = False
 
     def add(self, number: int, network: str, store: tuple[str, int], directory: Path) -> Host:
@@ -85,14 +85,15 @@
             return
         now_s = self.reactor.seconds()
         host.stopping_s = now_s
-        self._stops[host.name] = self.disturbances.begin_stop(host.name, now_s)
+        self._interruptions[host.name].append(self.disturbances.begin_stop(host.name, now_s))
         host.send_signal(signal.SIGTERM)
         self.reactor.callLater(MAX_READY_AFTER_STOP_S, self._check_rotation, host, now_s)
 
     def kill_host(self, host: Host) -> None:
         """Kill a host; it starts again shortly after."""
         if host.running and not host.killed:
-            self._begin_outage(host, "kill")
+            now_s = self.reactor.seconds()
+            self._interruptions[host.name].append(self.disturbances.begin(host.name, "kill", now_s))
             host.kill()
             self._schedule_start(host)
 
@@ -127,11 +128,6 @@
         for host in self.hosts:
             host.kill()
 
-    def _begin_outage(self, host: Host, kind: str) -> None:
-        if host.name not in self._outages:
-            outage = self.disturbances.begin(host.name, kind, self.reactor.seconds())
-            self._outages[host.name] = outage
-
     def _schedule_start(self, host: Host) -> None:
         self.reactor.callLater(RESTART_DELAY_S, self._start_again, host)
 
@@ -141,10 +137,8 @@
         host.start()
         now_s = self.reactor.seconds()
         self.disturbances.mark(host.name, "start", now_s)
-        for table in (self._stops, self._outages):
-            ended = table.pop(host.name, None)
-            if ended is not None:
-                ended.ended_s = now_s
+        for ended in self._interruptions.pop(host.name, ()):
+            ended.ended_s = now_s
 
     def _watch(self) -> None:
         """Notice ends of processes, and kill those whose grace period is over."""
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -52,7 +52,6 @@
     headers: tuple[tuple[str, str], ...]
     events: int
     deadline_s: float
-    timeout_s: float
     last_event: int = 0
     resumes: str | None = None
     version: str | None = None
@@ -73,7 +72,6 @@
     plan: RequestPlan
     host: str
     sent_s: float
-    kept: bool
     last_byte_s: float = math.inf
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
@@ -110,7 +108,6 @@
     status: int = 0
     body: bytes = b""
     finished_s: float | None = None
-    dropped_s: float | None = None
     broke_off: bool = False
 
 
--- a/soak/_operator.py
+++ b/soak/_operator.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -61,7 +61,7 @@
     RouteSpec(name="moved", kind="idempotent", service="archive", max_attempts=2),
 )
 BASE_KEYS = {"key-gyor-1": "gyor", "key-pecs-1": "pecs"}
-SERVICES = ("archive", "annex", "engines")
+PLAIN_SERVICES = ("archive", "annex")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -85,8 +85,8 @@
             "Version": self.version,
             "Routes": [spec.build() for spec in self.routes.values()],
             "Services": [
-                {"Name": name, "MaxConnections": 100, **({"Engine": engine} if plain else {})}
-                for name, plain in ((name, name == "engines") for name in SERVICES)
+                {"Name": "engines", "MaxConnections": 100, "Engine": engine},
+                *({"Name": name, "MaxConnections": 100} for name in PLAIN_SERVICES),
             ],
             "Limits": {"HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000},
             "Tenants": [
@@ -129,8 +129,8 @@
         """The configuration that was sent last."""
         return self.history[-1].configuration
 
-    def change(self) -> str:
-        """Publish a version with one drawn change, and return what changes."""
+    def change(self) -> None:
+        """Publish a version with one drawn change."""
         routes, keys = dict(self.newest.routes), dict(self.newest.keys)
         added_routes = [name for name in routes if name.startswith("extra")]
         added_keys = [key for key in keys if key not in BASE_KEYS]
@@ -150,20 +150,12 @@
                 del keys[self.random.choice(added_keys)]
             case "move":
                 service = "annex" if routes["moved"].service == "archive" else "archive"
-                routes["moved"] = RouteSpec(
-                    name="moved", kind="idempotent", service=service, max_attempts=2
-                )
+                routes["moved"] = replace(routes["moved"], service=service)
             case "timeout":
-                routes["lookup"] = RouteSpec(
-                    name="lookup",
-                    kind="idempotent",
-                    service="archive",
-                    max_attempts=2,
-                    timeout_s=self.random.choice((5.0, 6.0, 7.0)),
-                )
+                timeout_s = self.random.choice((5.0, 6.0, 7.0))
+                routes["lookup"] = replace(routes["lookup"], timeout_s=timeout_s)
         version = self.newest.version + self.random.randint(1, 3)
         self._publish(Configuration(version=version, routes=routes, keys=keys))
-        return choice
 
     def list_in_force(self, began_s: float, ended_s: float) -> list[Configuration]:
         """Return the versions that may be in force, if one must be ``began_s`` after its ack."""
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -58,7 +58,6 @@
         self._write_closed = False
 
     def connectionMade(self) -> None:
-        """Send what was received before the connection was open."""
         self._open = True
         self.transport.setTcpNoDelay(True)
         self.link.sides.add(self)
@@ -67,7 +66,6 @@
         self.pump()
 
     def dataReceived(self, data: bytes) -> None:
-        """Queue data at the peer."""
         self._pass_on(data)
 
     def readConnectionLost(self) -> None:
@@ -134,7 +132,6 @@
         self._side = side
 
     def buildProtocol(self, addr: Any) -> _Side:  # type: ignore[override]
-        """Return the side that connects to the target."""
         return self._side
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
@@ -150,7 +147,6 @@
         self._link = link
 
     def buildProtocol(self, addr: Any) -> _Side:
-        """Return the side that accepted a connection."""
         return _Side(self._link, takes_requests=False)
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -66,6 +66,7 @@
         )
         self._store_process: subprocess.Popen[bytes] | None = None
         self._upstreams: UpstreamFleet | None = None
+        self._closed = False
         self._callers: list[Deferred[None]] = []
 
     @property
@@ -112,7 +113,7 @@
             operator=operator,
             disturbances=self._disturbances,
             notices=notices,
-            count_version=lambda version: list(upstreams.list_versions()).count(version),
+            count_version=upstreams.count_version,
         )
         traffic = self._start_traffic(operator, answers)
         await sleep(self._reactor, WARM_UP_S)
@@ -134,7 +135,8 @@
         answers.finish(self._reactor.seconds())
 
     def close(self) -> None:
-        """End all processes and upstreams of the run."""
+        """End all processes and upstreams of the run; what breaks by that is not checked."""
+        self._closed = True
         self._hosts.close()
         if self._upstreams is not None:
             self._upstreams.close()
@@ -204,7 +206,7 @@
             ledger=self._ledger,
             operator=operator,
             hosts=self._hosts.hosts,
-            on_end=answers.check,
+            on_end=lambda attempt: None if self._closed else answers.check(attempt),
             on_stray=lambda attempt, data: answers.check_stray(
                 attempt, data, self._reactor.seconds()
             ),
--- a/soak/_store.py
+++ b/soak/_store.py
@@ -28,7 +28,6 @@
         self._reactor = reactor
 
     def lineReceived(self, line: bytes) -> None:
-        """Execute a command."""
         command = json.loads(line)
         match command["do"]:
             case "put":
@@ -68,7 +67,6 @@
         return self._send({"do": "fault", "fault": fault.value})
 
     def lineReceived(self, line: bytes) -> None:
-        """Acknowledge the oldest command."""
         self._waiting.pop(0).callback(None)
 
     def _send(self, command: dict[str, str]) -> "Deferred[None]":
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -101,19 +101,17 @@
         return replace(following, headers=_build_headers(following))
 
     async def _try(self, host: Host, plan: RequestPlan, *, new: bool) -> Attempt:
-        connection = None if new else self._connections.get(host.name)
-        kept = connection is not None and connection.usable
-        attempt = Attempt(
-            plan=plan, host=host.name, sent_s=self.context.reactor.seconds(), kept=kept
-        )
+        seconds = self.context.reactor.seconds
+        attempt = Attempt(plan=plan, host=host.name, sent_s=seconds())
         self.context.ledger.attempts[plan.attempt] = attempt
-        if not kept or connection is None:
+        connection = None if new else self._connections.get(host.name)
+        if connection is None or not connection.usable:
             try:
                 connection = await self._connect(host)
             except ConnectError:
-                attempt.ending, attempt.ended_s = Ending.NOT_SENT, self.context.reactor.seconds()
+                attempt.ending, attempt.ended_s = Ending.NOT_SENT, seconds()
                 return attempt
-            attempt.sent_s = self.context.reactor.seconds()
+            attempt.sent_s = seconds()
         await connection.send(attempt)
         return attempt
 
@@ -172,7 +170,6 @@
             headers=(),
             events=events,
             deadline_s=random.choice((4.0, 6.0, 8.0)),
-            timeout_s=spec.timeout_s,
             chunked=random.random() < 0.2,
             pause_s=random.choice((0.01, 0.1, 0.5)) if random.random() < 0.1 else 0.0,
             leaves_after_s=random.uniform(0.01, 0.8) if random.random() < 0.08 else None,
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from random import Random
 from typing import Any
 
 from greengagestage.http1 import IncomingRequest, LimitExceeded, Responder, ServerFactory
@@ -85,7 +84,6 @@
 
     def handle_disconnect(self) -> None:
         """Stop: the host has closed the connection."""
-        self._arrival.dropped_s = self._upstream.reactor.seconds()
         self._finish()
 
     def pause(self) -> None:
@@ -173,7 +171,6 @@
 
     identity: UpstreamIdentity
     reactor: Any
-    random: Random
     observer: UpstreamObserver
     listening_port: int = 0
     silent_until_s: float = 0.0
