--- a/soak/_host_fleet.py
+++ b/soak/_host_fleet.py
@@ -155,6 +155,9 @@
         status = host.process.poll()
         if status is not None:
             host.killed = True
+            # A process that had not listened yet has read no request; it may end by the signal.
+            if status == -signal.SIGTERM and host.stopping_s is not None and not host.has_listened:
+                status = 0
             if host.stopping_s is None or status != 0:
                 stopped = "" if host.stopping_s is None else " after SIGTERM"
                 self._add(host, f"ended with status {status}{stopped}")
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -59,6 +59,7 @@
     in_rotation: bool = True
     missed_probes: int = 0
     process: subprocess.Popen[bytes] | None = field(default=None)
+    _log_begin: int = 0
 
     @property
     def settings_path(self) -> Path:
@@ -75,6 +76,18 @@
         """Whether the process was started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def log_path(self) -> Path:
+        """The log of all processes of this host."""
+        return self.directory / f"{self.name}.log"
+
+    @property
+    def has_listened(self) -> bool:
+        """Whether the last process has reported that it listens for callers."""
+        with self.log_path.open("rb") as log:
+            log.seek(self._log_begin)
+            return b'"host: started"' in log.read()
+
     def write_settings(self) -> None:
         """Replace the settings file at once."""
         text = SETTINGS.format(
@@ -98,7 +111,8 @@
         self.write_settings()
         self.stopping_s, self.killed, self.suspended = None, False, False
         environment = {**os.environ, "GREENGAGESTAGE_CONFIG": str(self.settings_path)}
-        with (self.directory / f"{self.name}.log").open("ab") as log:
+        with self.log_path.open("ab") as log:
+            self._log_begin = log.tell()
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "greengagestage.commands.host"],
                 stdin=subprocess.DEVNULL,
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -154,7 +154,7 @@
         pace_ms = random.choice((15, 30, 60) if events else (5, 20, 60, 400))
         identifier = self._draw_id()
         body: dict[str, Any] = {"work": identifier, "events": events, "pace_ms": pace_ms}
-        if not events and random.random() < 0.1:
+        if not events and random.random() < 0.05:
             body["style"] = random.choice(list(AnswerStyle)).value
         body["padding"] = "x" * random.choice((0, 10, 4_000))
         plan = RequestPlan(
