--- a/soak/_operator.py
+++ b/soak/_operator.py
@@ -47,7 +47,7 @@
 
 BASE_ROUTES = (
     RouteSpec(name="lookup", kind="idempotent", service="archive", max_attempts=2),
-    RouteSpec(name="order", kind="non_idempotent", service="archive"),
+    RouteSpec(name="order", kind="non_idempotent", service="archive", max_attempts=2),
     RouteSpec(
         name="talk",
         kind="streaming",
@@ -56,7 +56,7 @@
         resumable=True,
         gap_ms=200,
     ),
-    RouteSpec(name="draft", kind="streaming", service="engines", gap_ms=800),
+    RouteSpec(name="draft", kind="streaming", service="engines", max_attempts=2, gap_ms=800),
     RouteSpec(name="open", kind="idempotent", service="archive", max_attempts=2, public=True),
     RouteSpec(name="moved", kind="idempotent", service="archive", max_attempts=2),
 )
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -149,7 +149,7 @@
         if random.random() < 0.15:
             name = random.choice(self._list_extra_routes() or [name])
         spec = newest.routes.get(name) or RouteSpec(name=name, kind="idempotent", service="")
-        key = None if spec.public else random.choice(self._list_keys())
+        key = None if spec.public else self._draw_key()
         events = random.choice((3, 8, 15, 40)) if spec.kind == "streaming" else 0
         pace_ms = random.choice((15, 30, 60) if events else (5, 20, 60, 400))
         identifier = self._draw_id()
@@ -187,15 +187,16 @@
             }
         )
 
-    def _list_keys(self) -> list[str]:
-        """Return the basic keys several times, and all others that ever existed."""
-        keys = {
-            key: None
+    def _draw_key(self) -> str:
+        """Draw a basic key, or at times any other key that ever existed."""
+        added = [
+            key
             for entry in self.context.operator.history
             for key in entry.configuration.keys
             if key not in BASE_KEYS
-        }
-        return [*BASE_KEYS, *BASE_KEYS, *BASE_KEYS, *keys]
+        ]
+        usual = not added or self.random.random() < 0.85
+        return self.random.choice(list(BASE_KEYS) if usual else added)
 
     def _find_workspace(self, key: str | None) -> str | None:
         if key is None:
