--- a/soak/_host_fleet.py
+++ b/soak/_host_fleet.py
@@ -20,6 +20,7 @@
 WATCH_INTERVAL_S = 0.05
 MAX_READY_AFTER_STOP_S = 4.0
 RESTART_DELAY_S = 0.5
+EARLY_STATUSES = (-signal.SIGTERM, -signal.SIGHUP)
 END_SLACK_S = 0.3
 """Time after the grace period in which the soak may notice the end of a process."""
 
@@ -43,13 +44,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class HostFleet:
-    """All hosts of a run."""
+    """All hosts of a run.
+
+    Attributes:
+        early_ends: Processes that a signal ended before they listened.
+    """
 
     reactor: Any
     disturbances: Disturbances
     findings: Findings
     hosts: list[Host] = field(default_factory=list)
     _interruptions: dict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
+    early_ends: int = 0
     _closed: bool = False
 
     def add(self, number: int, network: str, store: tuple[str, int], directory: Path) -> Host:
@@ -155,10 +161,11 @@
         status = host.process.poll()
         if status is not None:
             host.killed = True
-            # A process that had not listened yet has read no request; it may end by the signal.
-            if status == -signal.SIGTERM and host.stopping_s is not None and not host.has_listened:
-                status = 0
-            if host.stopping_s is None or status != 0:
+            # The rules excuse an end within a second of a start. One by a signal of the soak before
+            # the process has listened has lost no request either; it is counted apart.
+            early = status in EARLY_STATUSES and not host.has_listened
+            self.early_ends += early
+            if not early and (host.stopping_s is None or status != 0):
                 stopped = "" if host.stopping_s is None else " after SIGTERM"
                 self._add(host, f"ended with status {status}{stopped}")
             self._schedule_start(host)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -86,7 +86,11 @@
             for each in attempts
         )
         endings = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
-        return f"{len(attempts)} requests, {in_touch} at hosts in touch ({endings})"
+        early = self._hosts.early_ends
+        return (
+            f"{len(attempts)} requests, {in_touch} at hosts in touch ({endings}); "
+            f"{early} processes ended by a signal before they listened"
+        )
 
     async def play(self) -> None:
         """Run from the first start to the measured recovery."""
