--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,8 +18,9 @@
     return [sys.executable, "-m", "soak", "run", "--directory", str(directory), *options]
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [1, 4])
 def test_no_rule_is_broken_under_faults(tmp_path: Path, seed: int) -> None:
+    """Seed 1 showed streams with two software versions, seed 4 also answers given up as silent."""
     command = build_command(tmp_path / "run", "--seed", str(seed), "--seconds", "10")
     result = subprocess.run(command, capture_output=True, text=True, timeout=RUN_LIMIT_S)
     assert result.returncode == 0, result.stdout + result.stderr
