Pause between reads of a store that keeps no history

What callers saw: nothing; a host called a store that answered 410 to every watch without a pause.

Cause: a lost history is answered by a read at once, and the read by a watch at once.

Change: only the first loss is followed by a read without a pause.

--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/_route_watch.py
@@ -111,6 +111,7 @@
         self._confirmed_s: float | None = None  # when the adopted version was last the newest
         self._unproven_until_s = 0.0
         self._reachable = True
+        self._history_lost = False  # the last watch was refused for lack of history
         era.add_listener(self._begin_era)
 
     def start(self) -> None:
@@ -184,6 +185,7 @@
                 return 0.0  # a new era began meanwhile: these are only a part of its changes
             case RowsRead():
                 self._set_reachable(True, "")
+                self._history_lost = self._history_lost and watched_revision is None
                 self._process_read(outcome, sent_s)
                 if self._table_revision is None or self._pending_row_revision:
                     return add_jitter(RETRY_S, self._random)
@@ -194,7 +196,8 @@
                     message_type="configuration: history lost", revision=self._table_revision
                 )
                 self._table_revision = None
-                return 0.0
+                lost_again, self._history_lost = self._history_lost, True
+                return add_jitter(RETRY_S, self._random) if lost_again else 0.0
             case Unavailable(reason=reason):
                 self._set_reachable(False, reason)
                 if read_boot_time_s() < self._unproven_until_s:
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -19,6 +19,7 @@
     encode_message,
 )
 from greengagestage.gateway._registry_watch import RegistryWatch, build_registry_reports
+from greengagestage.gateway._route_watch import RETRY_S
 from greengagestage.gateway._store_era import StoreEra
 from greengagestage.ids import FailureDomain, HostId, InstanceId, ServiceName
 from standins.row_store import StoreFault
@@ -89,6 +90,17 @@
     assert request_status(fleet) == 404
 
 
+# Guards against a loop of reads and watches without a pause.
+def test_a_store_without_any_history_is_not_called_without_end(fleet: HostFleet) -> None:
+    start(fleet)
+    fleet.store.fault = StoreFault.HISTORY_LOST
+    fleet.run_for(0.5)
+    fleet.store.calls.clear()
+    fleet.run_for(2.0)
+    calls = [path for path in fleet.store.calls if path == "/rows-feed"]
+    assert 2 <= len(calls) <= 2.0 / (RETRY_S * 0.5) + 1
+
+
 def test_a_watch_that_is_never_answered_times_out(fleet: HostFleet) -> None:
     start(fleet)
     fleet.store.fault = StoreFault.SILENT
