--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -109,6 +109,11 @@
         """The id that the caller gave the request."""
         return self._job.attempt_id
 
+    @property
+    def _now_s(self) -> float:
+        now_s: float = self._context.reactor.seconds()
+        return now_s
+
     def stop(self) -> None:
         """Give the final answer now, since the host is about to stop."""
         if self._attempt is not None:
@@ -149,11 +154,6 @@
         if self._attempt is not None:
             self._attempt.resume()
 
-    @property
-    def _now_s(self) -> float:
-        now_s: float = self._context.reactor.seconds()
-        return now_s
-
     # Attempt events.
 
     def prepare_attempt_request(self, attempt: Attempt) -> OutgoingRequest | None:
@@ -186,7 +186,10 @@
         )
 
     def attempt_head_received(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Start relaying a stream or buffering a plain answer."""
+        """Start relaying a stream or buffering a plain answer.
+
+        If two attempts are under way, the one that answers first without an error is kept.
+        """
         streams = self._route.kind is RouteKind.STREAM and 200 <= head.status < 300
         continues = streams or not self._delivery.is_stream
         failed = head.status >= 500 or not continues
