Remember a possible run beside a held attempt

What callers saw (own interface): a request could be refused as not run although a second upstream, asked while the first was silent, may have run it.

Cause: an attempt remembers whether an earlier one may have run; what ran while it was held was forgotten when it became the current one again and then failed without having been sent.

Change: a later attempt that is cancelled, preempted or fails after it may have run marks the held one.

--- a/greengagestage/policy/_dispatching.py
+++ b/greengagestage/policy/_dispatching.py
@@ -183,6 +183,8 @@
         state = self._state
         state.emit(CancelAttempt(attempt_id=attempt.attempt_id, reason=CancelReason.PREEMPTED))
         state.release_attempt(victim, attempt)
+        if victim.held is not None:
+            victim.held.possibly_ran_before = True
         victim.preemptions += 1
         victim.tried.remove(attempt.upstream)
         victim.cached_upstream = attempt.upstream
--- a/greengagestage/policy/_outcomes.py
+++ b/greengagestage/policy/_outcomes.py
@@ -115,6 +115,8 @@
             record.refused_by.append(attempt.upstream)
         else:
             record.refused_by = [u for u in record.refused_by if u != attempt.upstream]
+            if record.held is not None:
+                record.held.possibly_ran_before = True
         self._measurements.note_failure(record, attempt, event)
         self._state.release_attempt(record, attempt)
         if kind is FailureKind.LOST and self._quarantine.handle_lost_attempt(
--- a/greengagestage/policy/_records.py
+++ b/greengagestage/policy/_records.py
@@ -22,7 +22,8 @@
     Attributes:
         reserved: The slot was granted from the minimum share of the request's class.
         priority: Priority of the request's class when the attempt was sent.
-        possibly_ran_before: An earlier attempt may have run when this one was sent.
+        possibly_ran_before: Another attempt may have run, before this one was sent or while this
+            one was held.
         charged_s: Slot-seconds charged to the minimum share of the class.
         suspect: The request's fingerprint was a suspect when the attempt was sent.
         span_start_s: Start of the span of tokens over which the time between tokens is averaged.
--- a/greengagestage/policy/_silence.py
+++ b/greengagestage/policy/_silence.py
@@ -20,6 +20,7 @@
         state.retries.refund(record.service_class, state.now_s)
     attempt = record.attempt
     if attempt is not None:
+        held.possibly_ran_before = True
         state.emit(CancelAttempt(attempt_id=attempt.attempt_id, reason=CancelReason.CONTINUED))
         state.release_attempt(record, attempt)
     state.restore_attempt(record, held)
--- a/tests/test_policy_silence.py
+++ b/tests/test_policy_silence.py
@@ -15,6 +15,7 @@
     FailureKind,
     TimerFired,
 )
+from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 from tests.policy_builders import Host, build_class, build_declaration, build_request
 
 
@@ -229,3 +230,24 @@
     host.send(AttemptSilent(attempt_id=first.attempt_id), after_s=10.0)
     assert host.code("r") == "DEADLINE_PASSED_RUNNING"
     assert count_slots_in_use(host) == 0
+
+
+# Guards against "not run" for a request that a second upstream may have run meanwhile.
+@pytest.mark.parametrize("second_end", ["silent", "lost"])
+def test_a_possible_run_beside_a_held_attempt_is_not_forgotten(second_end: str) -> None:
+    host = Host(build_declaration(engines=2))
+    host.arrive("r", deadline_s=host.now_s + 20.0)
+    (first,) = host.dispatches("r")
+    host.send(AttemptSilent(attempt_id=first.attempt_id), after_s=2.0)
+    second = host.dispatches("r")[1]
+    if second_end == "silent":
+        host.send(AttemptSilent(attempt_id=second.attempt_id), after_s=2.0)
+    else:
+        host.fail(second.attempt_id, FailureKind.LOST)
+    host.fail(first.attempt_id, FailureKind.NOT_SENT)
+    for attempt in host.dispatches("r")[2:]:
+        host.fail(attempt.attempt_id, FailureKind.NOT_SENT)
+    host.send(TimerFired(), after_s=30.0)
+    code = host.code("r")
+    assert code is not None
+    assert CODE_DETAILS[ResultCode[code]].verdict is RunVerdict.MAY_HAVE_RUN
