Log the shared prompt parts of a failed attempt

Which part the requests at a crash have in common could be read only where it is the last shared part: `request: sent` names no other.

--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -71,6 +71,7 @@
 
     def log_attempt_fault(self, attempt: Attempt, fault: AttemptFault, delivery: Delivery) -> None:
         """Log that an attempt ended without a complete answer."""
+        prompt = self._job.prompt
         log_message(
             message_type="request: attempt failed",
             request=self._job.attempt_id,
@@ -81,6 +82,7 @@
             events=delivery.events,
             begun=delivery.begun,
             silent_ms=_to_ms(attempt.silent_s),
+            parts=None if prompt is None else [each.part for each in prompt.shared_parts],
         )
 
     def log_repeated_losses(self, fingerprint: Fingerprint, losses: int) -> None:
