Show that requests with a crashing prompt part reach one upstream after the other

Five tests of hosts, a store and upstreams that crash once they begin to answer a prompt with one part: at one host, between hosts, at a host that starts later, and that sound requests with the other parts are served.

--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -119,6 +119,23 @@
     upstream.hanging.append(responder)
 
 
+def crash(upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder) -> None:
+    """Begin an answer, then lose all connections and accept no more."""
+    responder.begin(200, build_identity_headers(request))
+    upstream.reactor.callLater(0.02, upstream.crash)
+
+
+def crash_on_part(part: str) -> Behavior:
+    """Return a behavior that crashes on requests with a shared prompt part and serves others."""
+
+    def behave(upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder) -> None:
+        parts = (request.get(b"greengagestage-prompt-prefix") or b"").decode().split(",")
+        deadly = any(each.startswith(f"{part}:") for each in parts[:-1])
+        (crash if deadly else serve)(upstream, request, responder)
+
+    return behave
+
+
 def delay(delay_s: float, behavior: Behavior) -> Behavior:
     """Return a behavior that acts later, unless the host has closed the connection by then."""
 
@@ -173,6 +190,12 @@
     def handle_disconnect(self) -> None:
         self.disconnects += 1
 
+    def crash(self) -> None:
+        """Reset all connections and stop listening, as the end of a process does."""
+        self.port.stopListening()
+        for connection in list(self.port.factory.connections):
+            connection.transport.abortConnection()
+
     def pause(self) -> None:
         pass
 
@@ -270,7 +293,12 @@
 
     def call(self, path: str, **fields: Any) -> RawCaller:
         """Send a request and wait for the complete answer or the end of the connection."""
-        caller = self.connect(build_request(path, **fields))
+        return self.call_at(-1, path, **fields)
+
+    def call_at(self, host: int, path: str, **fields: Any) -> RawCaller:
+        """Send a request to one of the hosts, by the order of their start; see ``call``."""
+        endpoint = self._host_settings[host].callers
+        caller = self.connect(build_request(path, **fields), endpoint)
         self.run_until(lambda: caller.is_complete or caller.closed)
         return caller
 
@@ -300,6 +328,7 @@
     body: bytes = b"body",
     deadline_ms: int = 2_000,
     headers: tuple[str, ...] = (),
+    parts: str = "aa:600,bb:400",
 ) -> bytes:
     lines = [
         f"{method} {path} HTTP/1.1",
@@ -313,7 +342,7 @@
         lines.append(f"Authorization: Bearer {key}")
     if path.startswith(("/short/", "/long/")):
         lines.append("Greengagestage-Token-Usage: 1000,50")
-        lines.append("Greengagestage-Prompt-Prefix: aa:600,bb:400")
+        lines.append(f"Greengagestage-Prompt-Prefix: {parts}")
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,102 @@
+"""Tests of prompt parts that crash each upstream that begins to answer them."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from . import host_harness as harness
+from .host_harness import EVENTS, HostFleet, UpstreamStandin, choose_port, running_fleet
+
+MAX_CRASHES = 5
+"""Crashes after which the hosts must know the part, by the operators' rules."""
+
+
+@pytest.fixture
+def fleet() -> Iterator[HostFleet]:
+    with running_fleet() as running:
+        yield running
+
+
+def add_engines(fleet: HostFleet, count: int, part: str = "bad") -> list[UpstreamStandin]:
+    behavior = harness.crash_on_part(part)
+    return [
+        fleet.add_upstream(f"u{number}", service="engines", behavior=behavior)
+        for number in range(count)
+    ]
+
+
+def count_arrivals(engines: list[UpstreamStandin], part: str = "bad") -> int:
+    return sum(
+        f"{part}:".encode() in (request.get(b"greengagestage-prompt-prefix") or b"")
+        for engine in engines
+        for request in engine.requests
+    )
+
+
+def send(fleet: HostFleet, number: int, parts: str, path: str = "/long") -> harness.RawCaller:
+    """Send a request that is equal to no other one and wait until the hosts know its outcome."""
+    name = f"a{number}"
+    caller = fleet.call(f"{path}/{name}", attempt=name, body=name.encode(), parts=parts)
+    fleet.run_for(0.2)
+    return caller
+
+
+# Guards against different requests with one deadly part crashing one upstream after the other.
+@pytest.mark.parametrize("parts", ["aa:600,bad:300,{}:40", "bad:600,bb:300,{}:40"])
+def test_different_requests_with_a_crashing_part_stop_reaching_upstreams(fleet, parts) -> None:
+    engines = add_engines(fleet, 9)
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(8):
+        caller = send(fleet, number, parts.format(f"own{number}"))
+    assert count_arrivals(engines) <= MAX_CRASHES
+    assert (caller.status, caller.error["code"]) == (503, 2012)
+
+
+# Guards against a part that sound requests share being taken for the one that crashes.
+def test_sound_requests_with_the_other_parts_are_served(fleet: HostFleet) -> None:
+    engines = add_engines(fleet, 9)
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(8):
+        send(fleet, number, f"aa:600,bad:300,own{number}:40")
+    assert count_arrivals(engines) <= MAX_CRASHES
+    for number in range(8, 11):
+        caller = send(fleet, number, f"aa:600,bb:300,own{number}:40")
+        assert caller.body == b"".join(EVENTS)
+
+
+# Guards against each host finding out for itself, which costs some crashes a host.
+def test_crashes_at_one_host_keep_the_part_from_all_hosts(fleet: HostFleet) -> None:
+    engines = add_engines(fleet, 9)
+    peer_port = choose_port()
+    for number in range(3):
+        fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=peer_port)
+        fleet.wait_ready()
+    fleet.run_until(lambda: all(host._peers.active_peers == 2 for host in fleet.processes))
+    for number in range(6):
+        send(fleet, number, f"aa:600,bad:300,own{number}:40")
+    arrivals = count_arrivals(engines)
+    assert arrivals <= MAX_CRASHES
+    for index in range(2):
+        caller = fleet.call_at(index, f"/long/b{index}", parts="aa:600,bad:300,c:4", attempt="b1")
+        assert caller.error["code"] == 2012
+    assert count_arrivals(engines) == arrivals
+
+
+# Guards against a host that starts after the crashes crashing further upstreams.
+def test_a_host_that_starts_later_learns_of_a_crashing_part(fleet: HostFleet) -> None:
+    engines = add_engines(fleet, 9)
+    peer_port = choose_port()
+    fleet.start_host("host-1", address="127.0.0.1", peer_port=peer_port)
+    fleet.wait_ready()
+    for number in range(6):
+        send(fleet, number, f"aa:600,bad:300,own{number}:40")
+    arrivals = count_arrivals(engines)
+    fleet.start_host("host-2", address="127.0.0.2", peer_port=peer_port)
+    fleet.wait_ready()
+    fleet.run_until(lambda: fleet.processes[1]._peers.active_peers == 1)
+    fleet.run_for(2.0)
+    caller = send(fleet, 9, "aa:600,bad:300,own9:40")
+    assert caller.error["code"] == 2012
+    assert count_arrivals(engines) == arrivals <= MAX_CRASHES
