Keep prompts with a part that crashes upstreams from being sent

Cause: losses were counted by a fingerprint of target, key and body. Requests with the deadly part differ in these, so that no count ever reached two. The class of fault: blame was kept per request, where what crashes can be a component that many requests share.

Change: the evidence is kept per shared part of the prompt and per crash. An answer lost before its first event, with all connections to its upstream gone 0.1 s later, makes its parts suspects; an answer to any prompt with a part cancels what was held against it. Two crashes under answers that had begun, or three under any, quarantine a part for 60 s, doubling with further crashes. Only a request sent after the previous crash counts, since upstreams that fail together have a common cause. A part is not blamed for what another quarantined part accounts for in prompts without that other part, so that what all prompts of a route share is not taken for the culprit. Changes are broadcast; besides, hosts gossip what they know, and some tell a starting host at once.

Why it works: a deadly part is never answered, so that nothing cancels its evidence, and it is in each of its crashes, so that no other part accounts for it.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -147,6 +147,11 @@
         silent_s: float = self._context.reactor.seconds() - since_s
         return silent_s
 
+    @property
+    def answer_begun(self) -> bool:
+        """Whether the head of the upstream's answer has arrived."""
+        return self._last_data_s is not None
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one."""
         upstream = self.plan.placement.upstream
--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -9,6 +9,8 @@
 from greengagestage.routing import LossTracker, Router
 from greengagestage.telemetry import EntryMetrics
 
+from ._crash_watch import CrashWatch
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExchangeContext:
@@ -16,6 +18,7 @@
 
     Attributes:
         losses: Answers that were lost, by the request's fingerprint.
+        crash_watch: Finds prompts that crash upstreams.
         report_loss: Tells the other hosts of such a loss; takes the fingerprint and the loss's id.
         read_registry_age_s: Returns the seconds since the list of upstreams was confirmed.
         open_exchanges: All exchanges that have not delivered a final answer.
@@ -25,6 +28,7 @@
     router: Router
     pool: ConnectionPool
     losses: LossTracker
+    crash_watch: CrashWatch
     metrics: EntryMetrics
     report_loss: Callable[[Fingerprint, str], None]
     read_registry_age_s: Callable[[], float | None]
--- /dev/null
+++ b/greengagestage/gateway/_crash_watch.py
@@ -0,0 +1,100 @@
+"""Recognizes crashes of upstreams under prompts, and keeps crashing prompts from being sent."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+from eliot import log_message
+
+from greengagestage.catalog import Prompt, RegisteredUpstream
+from greengagestage.http1 import ConnectionPool, Endpoint
+from greengagestage.ids import AttemptId, Crash, PromptPartId
+from greengagestage.routing import CrashSuspects, PartLoss, SuspectRecord
+
+CRASH_CONFIRMATION_S = 0.1
+"""Time after a lost answer at which the other connections to its upstream are looked at. A crash
+ends all of them within a few milliseconds."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LostAnswer:
+    """An answer to a prompt that was lost before any event of it arrived.
+
+    Attributes:
+        sent_s: Time at which the request was sent.
+        lost_s: Time at which the answer was lost.
+        begun: Whether the head of the answer had arrived.
+    """
+
+    attempt_id: AttemptId
+    prompt: Prompt
+    upstream: RegisteredUpstream
+    sent_s: float
+    lost_s: float
+    begun: bool
+
+
+class CrashWatch:
+    """Records which prompts were lost in crashes and which were answered.
+
+    Args:
+        report: Tells the other hosts of changed records.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        pool: ConnectionPool,
+        report: Callable[[Sequence[SuspectRecord]], None],
+    ) -> None:
+        self.suspects = CrashSuspects()
+        self._reactor = reactor
+        self._pool = pool
+        self._report = report
+
+    def examine_loss(self, lost: LostAnswer) -> None:
+        """Record the loss once it turns out that the upstream has crashed."""
+        self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost)
+
+    def record_answer(self, prompt: Prompt) -> None:
+        """Record that the answer to a prompt has produced an event or is complete."""
+        cleared = self.suspects.record_answer(_list_parts(prompt), self._reactor.seconds())
+        if cleared:
+            self._report(cleared)
+
+    def find_crashing_part(self, prompt: Prompt) -> PromptPartId | None:
+        """Return the part for which a prompt must not be sent; None if it may be sent."""
+        return self.suspects.find_crashing_part(_list_parts(prompt), self._reactor.seconds())
+
+    def _confirm(self, lost: LostAnswer) -> None:
+        """Record the loss unless a connection from before it is still open."""
+        upstream = lost.upstream
+        endpoint = Endpoint(address=upstream.address, port=upstream.port)
+        survivors = self._pool.count_open_since_before(endpoint, lost.lost_s)
+        log_message(
+            message_type="upstream: connection lost" if survivors else "upstream: crashed",
+            upstream=upstream.instance,
+            request=lost.attempt_id,
+            parts=_list_parts(lost.prompt),
+            begun=lost.begun,
+            open_connections=survivors,
+        )
+        if survivors:
+            return
+        loss = PartLoss(
+            crash=_hash_incarnation(upstream),
+            sent_s=lost.sent_s,
+            lost_s=lost.lost_s,
+            begun=lost.begun,
+        )
+        self._report(self.suspects.record_loss(_list_parts(lost.prompt), loss))
+
+
+def _list_parts(prompt: Prompt) -> list[PromptPartId]:
+    return [each.part for each in prompt.shared_parts]
+
+
+def _hash_incarnation(upstream: RegisteredUpstream) -> Crash:
+    return Crash(xxhash.xxh64_intdigest(repr(upstream.incarnation).encode()))
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -14,6 +14,7 @@
 
 from ._attempt import Attempt, AttemptFault, AttemptPlan
 from ._context import ExchangeContext
+from ._crash_watch import LostAnswer
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
 from ._handover import Handover
@@ -220,6 +221,7 @@
             self._handover.cancel()
             if not self._origin_recorded:
                 self._record_origin(attempt)
+                self._record_answer()
             self._watch_silence(MAX_PAUSE_S)
         elif not self._delivery.is_stream:
             self._silence.restart()
@@ -234,6 +236,8 @@
             if self._replace_error(attempt):
                 return
         if self._delivery.finish():
+            if not self._delivery.is_stream:
+                self._record_answer()
             self._conclude(ResultCode.DELIVERED)
         else:
             self._handle_fault(attempt, AttemptFault.LOST)
@@ -252,10 +256,11 @@
         if self._limits.may_have_run and not self._limits.has_runs_left:
             self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
             return
-        if self._is_quarantined:
+        detail = self._find_quarantine()
+        if detail is not None:
             may_have_run = self._limits.may_have_run
             code = ResultCode.CRASHED_UPSTREAMS if may_have_run else ResultCode.QUARANTINED
-            self._refuse(Refusal(code=code))
+            self._refuse(Refusal(code=code, detail=detail))
             return
         placed = self._context.router.place(self._job, now_s, self._limits.tried)
         match placed:
@@ -384,7 +389,7 @@
     def _place_elsewhere(self) -> Placement | None:
         """Place the request at another upstream if there is room and a retry is allowed."""
         now_s = self._now_s
-        if self._is_quarantined:
+        if self._find_quarantine() is not None:
             return None
         router = self._context.router
         placed = router.place(self._job, now_s, self._limits.tried)
@@ -396,9 +401,13 @@
             return None
         return placed
 
-    @property
-    def _is_quarantined(self) -> bool:
-        return self._context.losses.is_quarantined(self._inputs.fingerprint, self._now_s)
+    def _find_quarantine(self) -> str | None:
+        """Return why the request must not be sent to any upstream; None if it may be sent."""
+        if self._context.losses.is_quarantined(self._inputs.fingerprint, self._now_s):
+            return "equal requests crashed upstreams"
+        prompt = self._job.prompt
+        part = None if prompt is None else self._context.crash_watch.find_crashing_part(prompt)
+        return None if part is None else f"prompts with the part {part} crashed upstreams"
 
     def _promote_successor(self) -> None:
         """Give up the silent upstream: the successor alone answers from now on."""
@@ -467,3 +476,24 @@
         self._context.report_loss(fingerprint, loss_id)
         if count > 1:
             self._log.log_repeated_losses(fingerprint, count)
+        self._examine_crash(attempt)
+
+    def _examine_crash(self, attempt: Attempt) -> None:
+        """Suspect the prompt of having crashed its upstream, unless an event has arrived."""
+        prompt = self._job.prompt
+        if prompt is None or attempt.sent_s is None or self._delivery.first_event_s is not None:
+            return
+        self._context.crash_watch.examine_loss(
+            LostAnswer(
+                attempt_id=self._job.attempt_id,
+                prompt=prompt,
+                upstream=attempt.plan.placement.upstream,
+                sent_s=attempt.sent_s,
+                lost_s=self._now_s,
+                begun=attempt.answer_begun,
+            )
+        )
+
+    def _record_answer(self) -> None:
+        if self._job.prompt is not None:
+            self._context.crash_watch.record_answer(self._job.prompt)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -16,6 +16,7 @@
 from greengagestage.telemetry import EntryMetrics
 
 from ._context import ExchangeContext
+from ._crash_watch import CrashWatch
 from ._host_list import HostList, HostRow
 from ._peers import PeerCallbacks, PeerLink
 from ._readiness import ReadinessHandler
@@ -55,6 +56,11 @@
         )
         self._losses = LossTracker()
         self._pool = ConnectionPool(reactor=reactor)
+        self._crash_watch = CrashWatch(
+            reactor=reactor,
+            pool=self._pool,
+            report=lambda records: self._peers.report_suspects(records),
+        )
         address, port = settings.store
         self._era = StoreEra()
         self._rows = RowClient(
@@ -64,7 +70,7 @@
         )
         self._routes = self._build_route_watch(random)
         self._registry = self._build_registry_watch(random)
-        self._peers = self._build_peers(incarnation)
+        self._peers = self._build_peers(incarnation, random)
         self._hosts = HostList(
             reactor=reactor,
             rows=self._rows,
@@ -167,19 +173,23 @@
             get_rank=lambda: self._peers.rank,
         )
 
-    def _build_peers(self, incarnation: int) -> PeerLink:
+    def _build_peers(self, incarnation: int, random: Random) -> PeerLink:
+        suspects = self._crash_watch.suspects
         return PeerLink(
             reactor=self._reactor,
             host=self._settings.host,
             incarnation=incarnation,
             port=self._settings.peer_port,
             domain=self._settings.failure_domain,
+            draw=random.random,
             callbacks=PeerCallbacks(
                 measure_local_loads=self._router.measure_local_loads,
                 measure_local_demand=self._router.measure_local_demand,
                 list_upstreams=lambda: self._router.upstreams,
                 on_work=self._update_peer_loads,
                 on_loss=self._record_peer_loss,
+                list_suspects=suspects.list_records,
+                on_suspects=suspects.learn,
                 on_registry=self._registry.receive_report,
                 on_configuration=self._routes.receive_report,
                 take_streams=self._router.stream_versions.take_reports,
@@ -195,6 +205,7 @@
             router=self._router,
             pool=self._pool,
             losses=self._losses,
+            crash_watch=self._crash_watch,
             metrics=self._metrics,
             report_loss=self._peers.report_loss,
             read_registry_age_s=lambda: self._registry.age_s,
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -160,6 +160,42 @@
     strike: str
 
 
+class LossEntry(Struct, frozen=True, array_like=True):
+    """The loss of an answer to a prompt in a crash of its upstream.
+
+    Attributes:
+        crash: Hash of the upstream's incarnation.
+        sent_ms: Time since the request was sent.
+        lost_ms: Time since the answer was lost.
+        begun: Whether the answer had begun.
+    """
+
+    crash: int
+    sent_ms: int
+    lost_ms: int
+    begun: bool
+
+
+class SuspectEntry(Struct, frozen=True, array_like=True):
+    """What a host knows about a part of prompts that is suspected of crashing upstreams.
+
+    Attributes:
+        part: Hash of the part's id.
+        answered_ms: Time since the latest answer to a prompt with the part; None without any.
+        losses: One loss for each crash since then.
+    """
+
+    part: int
+    answered_ms: int | None
+    losses: list[LossEntry]
+
+
+class SuspectsReport(Struct, frozen=True, array_like=True, tag="suspects"):
+    """Reports parts of prompts that are, or were, suspected of crashing upstreams."""
+
+    suspects: list[SuspectEntry]
+
+
 class RegistryReport(Struct, frozen=True, array_like=True, tag="registry"):
     """Reports what the sender has read in the registry of upstreams.
 
@@ -232,7 +268,9 @@
 
 
 WorkReport = LoadReport | DomainReport | TotalsReport
-PeerBody = WorkReport | LossReport | RegistryReport | ConfigurationReport | StreamsReport
+PeerBody = (
+    WorkReport | LossReport | SuspectsReport | RegistryReport | ConfigurationReport | StreamsReport
+)
 
 
 class PeerMessage(Struct, frozen=True, array_like=True):
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -14,6 +14,7 @@
     PrefillSamples,
     RouteTraffic,
     StreamRecord,
+    SuspectRecord,
     UpstreamLoad,
 )
 
@@ -33,15 +34,18 @@
     RouteEntry,
     Sender,
     StreamsReport,
+    SuspectsReport,
     TotalsReport,
     Work,
     decode_message,
     encode_message,
 )
 from ._stream_relay import StreamRelay
+from ._suspect_reports import SuspectGossip, build_suspect_reports, read_suspect_report
 
 SENDS_PER_REPORT = 2
-"""How many times a loss or a changed configuration is broadcast, since datagrams can be lost."""
+"""How many times a loss, a changed suspicion or a changed configuration is broadcast, since
+datagrams can be lost."""
 
 Loads = Mapping[InstanceId, UpstreamLoad]
 Demands = Mapping[ServiceName, Demand]
@@ -67,6 +71,9 @@
         on_work: Handles the load and demand of all other hosts.
         on_loss: Handles the fingerprint of a request whose answer was lost, and the id of the
             loss.
+        list_suspects: Returns the prompt parts that are suspected of crashing upstreams, those with
+            the most evidence first.
+        on_suspects: Handles what another host knows about such parts.
         on_registry: Handles a report about the registry of upstreams.
         on_configuration: Handles a report about the configuration in the store.
         take_streams: Returns the streams, begun at this host, to tell the others of at a time in
@@ -79,6 +86,8 @@
     list_upstreams: Callable[[], Iterable[InstanceId]]
     on_work: Callable[[Loads, Demands], None]
     on_loss: Callable[[Fingerprint, str], None]
+    list_suspects: Callable[[], Sequence[SuspectRecord]]
+    on_suspects: Callable[[Sequence[SuspectRecord]], None]
     on_registry: Callable[[RegistryReport], None]
     on_configuration: Callable[[ConfigurationReport], None]
     take_streams: Callable[[float], Sequence[StreamRecord]]
@@ -99,6 +108,7 @@
         incarnation: int,
         port: int,
         callbacks: PeerCallbacks,
+        draw: Callable[[], float],
     ) -> None:
         self._reactor = reactor
         self._host = host
@@ -108,6 +118,7 @@
         self._peers: dict[HostId, Peer] = {}
         self._load_exchange = LoadExchange(host=host, domain=domain)
         self._stream_relay = StreamRelay(exchange=self._load_exchange)
+        self._suspect_gossip = SuspectGossip(draw=draw)
         self._logged_hub = host
         self._task = RepeatingTask(reactor=reactor, name="peers", step=self._send_reports)
         self._sequence = 0
@@ -155,6 +166,12 @@
         for _ in range(SENDS_PER_REPORT):
             self._broadcast(LossReport(fingerprint, loss_id))
 
+    def report_suspects(self, records: Sequence[SuspectRecord]) -> None:
+        """Tell all peers what has changed about suspected parts of prompts."""
+        for report in build_suspect_reports(records, self._reactor.seconds()):
+            for _ in range(SENDS_PER_REPORT):
+                self._broadcast(report)
+
     def report_registry(self, report: RegistryReport) -> None:
         """Tell all peers what was read in the registry."""
         self._broadcast(report)
@@ -182,6 +199,9 @@
                 self._update_router()
             case LossReport(fingerprint=fingerprint, strike=loss_id):
                 self._callbacks.on_loss(fingerprint, loss_id)
+            case SuspectsReport() as suspects:
+                records = read_suspect_report(suspects, self._reactor.seconds())
+                self._callbacks.on_suspects(records)
             case RegistryReport() as report:
                 self._callbacks.on_registry(report)
             case ConfigurationReport() as report:
@@ -197,10 +217,12 @@
         position = (sender.incarnation, sender.sequence)
         if position <= (peer.incarnation, peer.sequence):
             return False
-        if sender.incarnation != peer.incarnation:
-            log_message(message_type="peers: heard", peer=sender.host, address=addr[0])
+        has_started = sender.incarnation != peer.incarnation
         peer.address = (addr[0], self._port)
         peer.incarnation, peer.sequence = position
+        if has_started:
+            log_message(message_type="peers: heard", peer=sender.host, address=addr[0])
+            self._tell_suspects(sender.host)
         return True
 
     def _send_reports(self) -> float:
@@ -214,10 +236,25 @@
         own_streams = self._callbacks.take_streams(now_s)
         for host, streams in self._stream_relay.plan_reports(own_streams, now_s):
             self._send(host, PeerMessage(self._take_next_sender(), streams))
+        self._gossip_suspects(now_s)
         self._update_router()
         self._log_hub_change()
         return self._load_exchange.interval_s
 
+    def _gossip_suspects(self, now_s: float) -> None:
+        if not self._suspect_gossip.is_due(now_s):
+            return
+        records = self._callbacks.list_suspects()
+        for host, report in self._suspect_gossip.plan_reports(records, list(self._peers), now_s):
+            self._send(host, PeerMessage(self._take_next_sender(), report))
+
+    def _tell_suspects(self, host: HostId) -> None:
+        """Tell a host that has started, or that this host has not heard before."""
+        records = self._callbacks.list_suspects()
+        now_s = self._reactor.seconds()
+        for report in self._suspect_gossip.plan_reply(records, len(self._peers), now_s):
+            self._send(host, PeerMessage(self._take_next_sender(), report))
+
     def _update_router(self) -> None:
         """Pass the work of all other hosts to this host's router."""
         work = self._load_exchange.sum_peer_work(self._reactor.seconds())
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -100,6 +100,9 @@
         seconds: Returns the monotonic time.
         on_idle: Called when the connection can be used for another exchange.
         on_closed: Called when the connection is lost, in any state.
+
+    Attributes:
+        opened_s: Monotonic time at which the connection was opened.
     """
 
     transport: Any
@@ -121,10 +124,11 @@
         self._paused = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since_s = 0.0
+        self.opened_s = 0.0
 
     def connectionMade(self) -> None:
         """Set the socket options and record that the connection is idle from now on."""
-        self._idle_since_s = self._seconds()
+        self.opened_s = self._idle_since_s = self._seconds()
         tune_socket(self.transport)
 
     @property
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -84,6 +84,7 @@
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Endpoint, list[ClientConnection]] = {}
+        self._open: dict[Endpoint, set[ClientConnection]] = {}
         self.opened = 0
 
     def take_idle(self, endpoint: Endpoint, *, idle_limit_s: float) -> ClientConnection | None:
@@ -105,10 +106,15 @@
     ) -> None:
         """Open a connection; calls either ``on_open`` or ``on_failed``, once."""
         self.opened += 1
+
+        def handle_open(connection: ClientConnection) -> None:
+            self._open.setdefault(endpoint, set()).add(connection)
+            on_open(connection)
+
         factory = _ConnectionFactory(
             lambda: _PooledConnection(
                 seconds=self._reactor.seconds,
-                on_open=on_open,
+                on_open=handle_open,
                 on_idle=lambda connection: self.put_idle(endpoint, connection),
                 on_closed=lambda connection: self._discard(endpoint, connection),
             ),
@@ -126,6 +132,10 @@
             return
         idle.append(connection)
 
+    def count_open_since_before(self, endpoint: Endpoint, time_s: float) -> int:
+        """Return how many connections to a server were opened before a time and are still open."""
+        return sum(connection.opened_s < time_s for connection in self._open.get(endpoint, ()))
+
     def close_endpoint(self, endpoint: Endpoint) -> None:
         """Close the idle connections to a server that is gone."""
         for connection in self._idle.pop(endpoint, []):
@@ -137,6 +147,10 @@
             self.close_endpoint(endpoint)
 
     def _discard(self, endpoint: Endpoint, connection: ClientConnection) -> None:
+        connections = self._open.get(endpoint, set())
+        connections.discard(connection)
+        if not connections:
+            self._open.pop(endpoint, None)
         idle = self._idle.get(endpoint)
         if idle is not None and connection in idle:
             idle.remove(connection)
--- a/greengagestage/ids.py
+++ b/greengagestage/ids.py
@@ -29,3 +29,7 @@
 """The version of an upstream's software; what two versions write in a stream does not fit."""
 PromptPartId = NewType("PromptPartId", str)
 """A part of a prompt that other requests may share; equal parts have equal ids."""
+PartHash = NewType("PartHash", int)
+"""A hash of the id of a part of a prompt, by which hosts identify the part to each other."""
+Crash = NewType("Crash", int)
+"""A hash of the incarnation of an upstream that has ended in a crash."""
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -3,6 +3,7 @@
 The package does no I/O and reads no clock: callers pass in times and observations.
 """
 
+from ._crash_suspects import CrashSuspects, PartLoss, SuspectRecord
 from ._demand import Demand
 from ._engine_model import EngineModel, EngineSpeed, PrefillSamples
 from ._engine_split import EngineSplit, GroupDemand
@@ -18,6 +19,7 @@
 
 __all__ = [
     "AttemptEnd",
+    "CrashSuspects",
     "Demand",
     "EngineModel",
     "EngineSpeed",
@@ -26,6 +28,7 @@
     "Health",
     "Job",
     "LossTracker",
+    "PartLoss",
     "Placement",
     "PrefillSamples",
     "Refused",
@@ -35,6 +38,7 @@
     "StreamOrigin",
     "StreamRecord",
     "StreamVersions",
+    "SuspectRecord",
     "UpstreamLoad",
     "UpstreamState",
     "Waiting",
--- /dev/null
+++ b/tests/test_crash_suspects.py
@@ -0,0 +1,155 @@
+"""Tests of the search for prompt parts that crash upstreams, without network or clock."""
+
+from itertools import permutations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagestage.ids import Crash, PromptPartId
+from greengagestage.routing import CrashSuspects, PartLoss
+
+from .suspect_builders import build_loss, build_parts, record_losses
+
+
+def is_kept_back(suspects: CrashSuspects, parts: str, now_s: float = 10.0) -> bool:
+    return suspects.find_crashing_part(build_parts(parts), now_s) is not None
+
+
+@pytest.mark.parametrize(("begun", "crashes"), [(True, 2), (False, 3)])
+def test_a_part_is_quarantined_after_few_crashes(begun: bool, crashes: int) -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "bad", range(1, crashes), begun=begun)
+    assert not is_kept_back(suspects, "bad")
+    record_losses(suspects, "bad", [crashes], begun=begun)
+    assert is_kept_back(suspects, "bad")
+
+
+# Guards against a part that all sound requests share being taken for the one that crashes.
+@pytest.mark.parametrize("order", ["all bad", "bad all"])
+def test_parts_shared_by_all_prompts_are_not_blamed(order: str) -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, order, range(1, 6))
+    assert is_kept_back(suspects, order)
+    assert not is_kept_back(suspects, "all good")
+    assert not is_kept_back(suspects, "all")
+
+
+# Guards against blaming a shared part because one host did not learn of one crash.
+def test_a_missed_report_does_not_turn_the_blame_to_a_shared_part() -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "all bad", [1, 2, 4])
+    record_losses(suspects, "all", [3])
+    assert is_kept_back(suspects, "all bad")
+    assert not is_kept_back(suspects, "all good")
+
+
+def test_prompts_lost_beside_the_crashing_one_are_not_kept_back() -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "all bad", range(1, 5))
+    record_losses(suspects, "all beside", range(1, 4), begun=False)
+    assert is_kept_back(suspects, "all bad")
+    assert not is_kept_back(suspects, "all beside")
+
+
+def test_two_crashing_parts_are_both_found() -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "all bad", [1, 3, 5])
+    record_losses(suspects, "all worse", [2, 4, 6])
+    suspects.record_answer(build_parts("all good"), 6.5)
+    assert is_kept_back(suspects, "all bad")
+    assert is_kept_back(suspects, "all worse")
+    assert not is_kept_back(suspects, "all good")
+
+
+# Guards against a failure domain that loses power being blamed on the prompts of that moment.
+def test_crashes_at_the_same_moment_count_once() -> None:
+    suspects = CrashSuspects()
+    for crash in range(1, 6):
+        loss = build_loss(crash, sent_s=0.5, lost_s=1.0 + crash / 1_000)
+        suspects.record_loss(build_parts("all some"), loss)
+    assert not is_kept_back(suspects, "all some")
+
+
+def test_an_answer_proves_that_a_part_is_sound() -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "part", [1])
+    assert [record.losses for record in suspects.record_answer(build_parts("part"), 1.5)] == [()]
+    assert suspects.record_answer(build_parts("part"), 1.6) == []
+    record_losses(suspects, "part", [2])
+    assert not is_kept_back(suspects, "part")
+
+
+# Guards against a late report of an old crash outweighing an answer since then.
+def test_a_loss_from_before_an_answer_is_ignored() -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "part", [1])
+    suspects.record_answer(build_parts("part"), 5.0)
+    record_losses(suspects, "part", [2, 3, 4])
+    assert not is_kept_back(suspects, "part")
+
+
+@pytest.mark.parametrize(
+    ("crashes", "after_s", "kept_back"),
+    [(2, 59.0, True), (2, 61.0, False), (3, 61.0, True), (3, 121.0, False)],
+)
+def test_each_further_crash_doubles_the_quarantine(
+    crashes: int, after_s: float, kept_back: bool
+) -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "bad", range(1, crashes + 1))
+    assert is_kept_back(suspects, "bad", crashes + after_s) is kept_back
+
+
+def test_what_is_tracked_is_bounded() -> None:
+    suspects = CrashSuspects()
+    for number in range(3_000):
+        suspects.record_loss([PromptPartId(f"p{number}")], build_loss(number))
+    record_losses(suspects, "bad", range(4_000, 4_100))
+    records = suspects.list_records()
+    assert len(records) == 2_048
+    assert max(len(record.losses) for record in records) == 8
+    assert is_kept_back(suspects, "bad", 4_100.0)
+
+
+LOSSES = st.builds(
+    build_loss,
+    st.integers(1, 6),
+    lost_s=st.floats(0, 10),
+    begun=st.booleans(),
+)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["all bad", "all good", "all"]), LOSSES), max_size=12))
+def test_hosts_that_exchange_records_agree(observed: list[tuple[str, PartLoss]]) -> None:
+    hosts = [CrashSuspects() for _ in range(3)]
+    for index, (parts, loss) in enumerate(observed):
+        hosts[index % 3].record_loss(build_parts(parts), loss)
+    for _ in range(2):
+        for sender, receiver in permutations(hosts, 2):
+            receiver.learn(sender.list_records())
+    crashes = [
+        {record.part: {loss.crash for loss in record.losses} for record in host.list_records()}
+        for host in hosts
+    ]
+    assert crashes[0] == crashes[1] == crashes[2]
+
+
+# Guards against any mix of losses and answers keeping back parts that were just answered.
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["all bad", "all good", "good"]), st.booleans(), st.booleans()),
+        max_size=30,
+    )
+)
+def test_a_part_is_never_kept_back_right_after_its_answer(steps: list) -> None:
+    suspects = CrashSuspects()
+    for number, (parts, answered, begun) in enumerate(steps, 1):
+        if answered:
+            suspects.record_answer(build_parts(parts), float(number))
+            assert not is_kept_back(suspects, parts, float(number))
+        else:
+            loss = PartLoss(
+                crash=Crash(number), sent_s=number - 0.5, lost_s=float(number), begun=begun
+            )
+            suspects.record_loss(build_parts(parts), loss)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -19,20 +19,26 @@
     DomainReport,
     LoadEntry,
     LoadReport,
+    LossEntry,
     LossReport,
     PeerMessage,
     RegistryReport,
     Sender,
+    SuspectEntry,
+    SuspectsReport,
     TotalsReport,
     Work,
     decode_message,
     encode_message,
 )
 from greengagestage.gateway._peers import PeerCallbacks, PeerLink
+from greengagestage.gateway._suspect_reports import build_suspect_reports, read_suspect_report
 from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
-from greengagestage.routing import Demand, UpstreamLoad
+from greengagestage.routing import CrashSuspects, Demand, SuspectRecord, UpstreamLoad
 from greengagestage.telemetry import BoundedOutput
 
+from .suspect_builders import record_losses
+
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 8))
 
 
@@ -130,6 +136,7 @@
         DomainReport(DOMAIN, 3, WORK),
         TotalsReport(7, 1, 9, WORK),
         LossReport(Fingerprint("f"), "a1.1"),
+        SuspectsReport([SuspectEntry(7, 120, [LossEntry(9, 300, 200, True)])]),
         RegistryReport(1, 2),
         RegistryReport(1, 2, era=3),
         ConfigurationReport(4, 5.5),
@@ -168,18 +175,22 @@
         self.clock = Clock()
         self.loads: dict[InstanceId, UpstreamLoad] = {}
         self.calls: list = []
+        self.suspects: list[SuspectRecord] = []
         self.link = PeerLink(
             reactor=self.clock,
             host=HostId("h1"),
             domain=DOMAIN,
             incarnation=9,
             port=7_340,
+            draw=lambda: 0.5,
             callbacks=PeerCallbacks(
                 measure_local_loads=lambda now_s: dict(self.loads),
                 measure_local_demand=lambda now_s: {},
                 list_upstreams=lambda: [InstanceId("i-1"), InstanceId("i-2")],
                 on_work=lambda loads, demands: self.calls.append((loads, demands)),
                 on_loss=lambda fingerprint, loss_id: self.calls.append(loss_id),
+                list_suspects=lambda: list(self.suspects),
+                on_suspects=self.calls.append,
                 on_registry=self.calls.append,
                 on_configuration=self.calls.append,
                 take_streams=lambda now_s: [],
@@ -214,6 +225,28 @@
     harness.link.report_loss(Fingerprint("f"), "a1.1")
 
 
+# Guards against reports that a datagram cannot hold, which no host would read.
+def test_suspects_are_reported_whole_in_datagrams_of_any_number() -> None:
+    suspects = CrashSuspects()
+    for number in range(40):
+        record_losses(suspects, f"part-{number}", range(100, 108), lost_s=None)
+    records = suspects.list_records()
+    reports = list(build_suspect_reports(records, 200.0))
+    assert all(decode_message(encode_message(build_message(report))) for report in reports)
+    read = [record for report in reports for record in read_suspect_report(report, 200.0)]
+    assert read == records
+
+
+def test_a_host_tells_others_what_it_knows_of_suspects() -> None:
+    harness = PeerLinkHarness()
+    suspects = CrashSuspects()
+    record_losses(suspects, "bad", [1])
+    harness.suspects = suspects.list_records()
+    harness.clock.advance(1.0)
+    messages = [decode_message(data) for data, _ in harness.transport.sent]
+    assert any(isinstance(each.body, SuspectsReport) for each in messages if each is not None)
+
+
 def test_totals_of_the_hub_are_decoded_into_loads_and_demands() -> None:
     harness = PeerLinkHarness()
     harness.receive(TotalsReport(0, 3, 9, WORK))
