Suspect only prompts whose answers had begun

Requests to upstreams that had just ended were accepted by their links and cut after 3 ms; three of these in 0.1 s, without an answer in between, counted as three crashes under the part.

Cause: a connection that is cut before any answer says nothing about the prompt, and answers that came between a loss and its confirmation 0.1 s later were not remembered. The class of fault: evidence that an outage produces as well as the suspected cause does.

The times of answers are kept for parts that are not suspected, so that a loss from before an answer is ignored, here and when other hosts tell of it; a host that holds such a loss is told. Another part accounts for crashes that it shares, however the two are counted. The parts of a request that was refused are in the log.

--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -19,12 +19,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LostAnswer:
-    """An answer to a prompt that was lost before any event of it arrived.
+    """An answer to a prompt that had begun, and was lost before any event of it arrived.
 
     Attributes:
         sent_s: Time at which the request was sent.
         lost_s: Time at which the answer was lost.
-        begun: Whether the head of the answer had arrived.
     """
 
     attempt_id: AttemptId
@@ -32,7 +31,6 @@
     upstream: RegisteredUpstream
     sent_s: float
     lost_s: float
-    begun: bool
 
 
 class CrashWatch:
@@ -78,7 +76,6 @@
             upstream=upstream.instance,
             request=lost.attempt_id,
             parts=_list_parts(lost.prompt),
-            begun=lost.begun,
             open_connections=survivors,
         )
         if survivors:
@@ -87,7 +84,6 @@
             crash=_hash_incarnation(upstream),
             sent_s=lost.sent_s,
             lost_s=lost.lost_s,
-            begun=lost.begun,
         )
         self._report(self.suspects.record_loss(_list_parts(lost.prompt), loss))
 
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -440,9 +440,9 @@
         else:
             remaining_s = self._job.deadline_s - self._now_s
             answer_refusal(self._responder, refusal, time_left_s=remaining_s)
-        self._conclude(refusal.code, refusal.retry_after_s)
+        self._conclude(refusal.code, refusal)
 
-    def _conclude(self, code: ResultCode, retry_after_s: float | None = None) -> None:
+    def _conclude(self, code: ResultCode, refusal: Refusal | None = None) -> None:
         self._done = True
         self._attempt = None
         self._responder.listener = None
@@ -460,7 +460,8 @@
             sends=self._limits.sends,
             waited=self._waited,
             elapsed_s=elapsed_s,
-            retry_after_s=retry_after_s,
+            retry_after_s=None if refusal is None else refusal.retry_after_s,
+            detail=None if refusal is None else refusal.detail,
         )
         self._log.log_end(outcome, self._delivery)
 
@@ -479,9 +480,11 @@
         self._examine_crash(attempt)
 
     def _examine_crash(self, attempt: Attempt) -> None:
-        """Suspect the prompt of having crashed its upstream, unless an event has arrived."""
+        """Suspect the prompt of a crash if its answer had begun and no event has arrived."""
         prompt = self._job.prompt
-        if prompt is None or attempt.sent_s is None or self._delivery.first_event_s is not None:
+        if prompt is None or attempt.sent_s is None or not attempt.answer_begun:
+            return
+        if self._delivery.first_event_s is not None:
             return
         self._context.crash_watch.examine_loss(
             LostAnswer(
@@ -490,7 +493,6 @@
                 upstream=attempt.plan.placement.upstream,
                 sent_s=attempt.sent_s,
                 lost_s=self._now_s,
-                begun=attempt.answer_begun,
             )
         )
 
--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -21,6 +21,7 @@
         waited: Whether the request waited on this host for an upstream.
         elapsed_s: Time from the request's arrival to its end.
         retry_after_s: When the caller was told to try again; None if it was not.
+        detail: Why the request was refused, as far as the code does not say it.
     """
 
     code: ResultCode
@@ -28,6 +29,7 @@
     waited: bool
     elapsed_s: float
     retry_after_s: float | None
+    detail: str | None = None
 
 
 class ExchangeLog:
@@ -110,6 +112,7 @@
             longest_gap_ms=_to_ms(delivery.longest_gap_s),
             elapsed_ms=_to_ms(outcome.elapsed_s),
             retry_after_s=outcome.retry_after_s,
+            detail=outcome.detail,
         )
 
 
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -167,13 +167,11 @@
         crash: Hash of the upstream's incarnation.
         sent_ms: Time since the request was sent.
         lost_ms: Time since the answer was lost.
-        begun: Whether the answer had begun.
     """
 
     crash: int
     sent_ms: int
     lost_ms: int
-    begun: bool
 
 
 class SuspectEntry(Struct, frozen=True, array_like=True):
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -73,7 +73,7 @@
             loss.
         list_suspects: Returns the prompt parts that are suspected of crashing upstreams, those with
             the most evidence first.
-        on_suspects: Handles what another host knows about such parts.
+        on_suspects: Handles what another host knows about such parts; returns what contradicts it.
         on_registry: Handles a report about the registry of upstreams.
         on_configuration: Handles a report about the configuration in the store.
         take_streams: Returns the streams, begun at this host, to tell the others of at a time in
@@ -87,7 +87,7 @@
     on_work: Callable[[Loads, Demands], None]
     on_loss: Callable[[Fingerprint, str], None]
     list_suspects: Callable[[], Sequence[SuspectRecord]]
-    on_suspects: Callable[[Sequence[SuspectRecord]], None]
+    on_suspects: Callable[[Sequence[SuspectRecord]], Sequence[SuspectRecord]]
     on_registry: Callable[[RegistryReport], None]
     on_configuration: Callable[[ConfigurationReport], None]
     take_streams: Callable[[float], Sequence[StreamRecord]]
@@ -200,8 +200,7 @@
             case LossReport(fingerprint=fingerprint, strike=loss_id):
                 self._callbacks.on_loss(fingerprint, loss_id)
             case SuspectsReport() as suspects:
-                records = read_suspect_report(suspects, self._reactor.seconds())
-                self._callbacks.on_suspects(records)
+                self._learn_suspects(suspects)
             case RegistryReport() as report:
                 self._callbacks.on_registry(report)
             case ConfigurationReport() as report:
@@ -248,6 +247,13 @@
         for host, report in self._suspect_gossip.plan_reports(records, list(self._peers), now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
 
+    def _learn_suspects(self, suspects: SuspectsReport) -> None:
+        """Learn what another host knows, and perhaps tell all hosts what contradicts it."""
+        now_s = self._reactor.seconds()
+        contradicting = self._callbacks.on_suspects(read_suspect_report(suspects, now_s))
+        for report in self._suspect_gossip.plan_reply(contradicting, len(self._peers), now_s):
+            self._broadcast(report)
+
     def _tell_suspects(self, host: HostId) -> None:
         """Tell a host that has started, or that this host has not heard before."""
         records = self._callbacks.list_suspects()
--- a/greengagestage/gateway/_suspect_reports.py
+++ b/greengagestage/gateway/_suspect_reports.py
@@ -16,8 +16,8 @@
 """How often a host tells others all that it knows, and how many of them. Each host is told several
 times a second on average, however many hosts there are."""
 
-REPLIES_PER_START = 4.0
-"""Mean number of hosts that tell a newly started one what they know as soon as they hear of it."""
+REPLIES_PER_REPORT = 4.0
+"""Mean number of hosts that reply if all hosts know what another one lacks."""
 
 MAX_GOSSIP_LOSSES = 120
 """Maximum number of losses told in one round, of the parts with the most evidence."""
@@ -55,8 +55,14 @@
     def plan_reply(
         self, records: Iterable[SuspectRecord], peers: int, now_s: float
     ) -> list[SuspectsReport]:
-        """Return the reports to a peer that has just started; only some hosts reply to it."""
-        if self._draw() * peers >= REPLIES_PER_START:
+        """Return the reports of what another host lacks.
+
+        They are empty at random, since all other hosts may know the same.
+
+        Args:
+            peers: Number of other hosts.
+        """
+        if self._draw() * peers >= REPLIES_PER_REPORT:
             return []
         return _build_limited_reports(records, now_s)
 
@@ -109,7 +115,6 @@
                 loss.crash,
                 _to_age_ms(loss.sent_s, now_s),
                 _to_age_ms(loss.lost_s, now_s),
-                loss.begun,
             )
             for loss in record.losses
         ],
@@ -125,7 +130,6 @@
                 crash=Crash(loss.crash),
                 sent_s=_to_time_s(loss.sent_ms, now_s),
                 lost_s=_to_time_s(loss.lost_ms, now_s),
-                begun=loss.begun,
             )
             for loss in entry.losses
         ),
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -7,36 +7,38 @@
 
 from greengagestage.ids import Crash, PartHash, PromptPartId
 
-BEGUN_WEIGHT = 3
-UNBEGUN_WEIGHT = 2
-QUARANTINE_WEIGHT = 6
-"""A part is quarantined after two crashes under answers that had begun, or three under any."""
+CRASHES_TO_QUARANTINE = 2
+"""Crashes under a part, one after the other and without an answer, for which it is quarantined.
+Upstreams also crash for other causes, so that one crash could be a coincidence."""
 
 FIRST_QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 3_600.0
 """A quarantine begins with the latest crash. Its duration doubles with each further crash."""
 
+MIN_COMMON_CRASHES = 2
+"""Number of crashes that two parts must have in common for one to account for the other's."""
+
 MAX_CRASHES_PER_PART = 8
 """Maximum number of crashes kept for one part; the oldest ones are dropped."""
 
 MAX_PARTS = 2_048
-"""Maximum number of tracked parts; the one with the oldest change is dropped first."""
+"""Maximum number of suspected parts, and of answered ones; the oldest are dropped first."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PartLoss:
     """The loss of the answer to a prompt with some part, in the crash of an upstream.
 
+    The answer had begun, and no event of it had arrived.
+
     Attributes:
         sent_s: Time at which the request was sent.
         lost_s: Time at which the answer was lost.
-        begun: Whether the answer had begun. No event of it had arrived.
     """
 
     crash: Crash
     sent_s: float
     lost_s: float
-    begun: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,117 +60,109 @@
     return PartHash(xxhash.xxh64_intdigest(part.encode()))
 
 
-def _weigh(losses: Iterable[PartLoss]) -> int:
-    """Return the weight of the evidence in some losses.
+def _count_successive(losses: Iterable[PartLoss]) -> int:
+    """Return how many of some losses came one after the other.
 
     A loss counts only if its request was sent after the previous counted one was lost. Upstreams
     that crash together have a common cause, and say no more about a part than one of them.
     """
-    weight, lost_s = 0, float("-inf")
+    count, lost_s = 0, float("-inf")
     for loss in sorted(losses, key=lambda loss: loss.lost_s):
         if loss.sent_s >= lost_s:
-            weight += BEGUN_WEIGHT if loss.begun else UNBEGUN_WEIGHT
-            lost_s = loss.lost_s
-    return weight
+            count, lost_s = count + 1, loss.lost_s
+    return count
 
 
 @dataclass(slots=True, kw_only=True)
 class _Suspect:
-    """The evidence against one part, which an answer to a prompt with the part cancels."""
+    """The losses under one part since the latest answer to a prompt with it, by crash.
+
+    Attributes:
+        crashes: Number of losses that came one after the other.
+    """
 
-    answered_s: float | None = None
     losses: dict[Crash, PartLoss] = field(default_factory=dict)
-    weight: int = 0
+    crashes: int = 0
 
     def add(self, loss: PartLoss) -> None:
-        known = self.losses.get(loss.crash)
-        if self.answered_s is not None and loss.lost_s <= self.answered_s:
-            return
-        if known is not None and (known.begun or not loss.begun):
+        if loss.crash in self.losses:
             return
         self.losses[loss.crash] = loss
         while len(self.losses) > MAX_CRASHES_PER_PART:
             del self.losses[min(self.losses, key=lambda crash: self.losses[crash].lost_s)]
-        self.weight = _weigh(self.losses.values())
-
-    def cancel(self, answered_s: float) -> bool:
-        """Drop all losses up to an answer; return whether there were any."""
-        if self.answered_s is None or answered_s > self.answered_s:
-            self.answered_s = answered_s
-        kept = {crash: loss for crash, loss in self.losses.items() if loss.lost_s > self.answered_s}
-        cancelled = len(kept) < len(self.losses)
-        if cancelled:
-            self.losses, self.weight = kept, _weigh(kept.values())
-        return cancelled
+        self.crashes = _count_successive(self.losses.values())
+
+    def drop_until(self, answered_s: float) -> bool:
+        """Drop the losses up to an answer; return whether there were any."""
+        kept = {crash: loss for crash, loss in self.losses.items() if loss.lost_s > answered_s}
+        dropped = len(kept) < len(self.losses)
+        self.losses, self.crashes = kept, _count_successive(kept.values())
+        return dropped
 
     def is_quarantined(self, now_s: float) -> bool:
-        if self.weight < QUARANTINE_WEIGHT:
+        if self.crashes < CRASHES_TO_QUARANTINE:
             return False
-        doublings = (self.weight - QUARANTINE_WEIGHT) // BEGUN_WEIGHT
+        doublings = self.crashes - CRASHES_TO_QUARANTINE
         duration_s: float = min(FIRST_QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
         last_lost_s = max(loss.lost_s for loss in self.losses.values())
         return now_s < last_lost_s + duration_s
 
     def explains(self, other: "_Suspect") -> bool:
-        """Whether the crashes under this part also account for the evidence against another.
-
-        An answer that had not begun does not account for the loss of one that had.
-        """
-        if self.weight < QUARANTINE_WEIGHT:
+        """Whether the crashes under this part also account for the evidence against another."""
+        unexplained = [loss for crash, loss in other.losses.items() if crash not in self.losses]
+        if len(other.losses) - len(unexplained) < MIN_COMMON_CRASHES:
             return False
-        unexplained = (
-            loss for loss in other.losses.values() if not self._has_as_strong_a_loss(loss)
-        )
-        return _weigh(unexplained) < QUARANTINE_WEIGHT
-
-    def _has_as_strong_a_loss(self, loss: PartLoss) -> bool:
-        own = self.losses.get(loss.crash)
-        return own is not None and (own.begun or not loss.begun)
+        return _count_successive(unexplained) < CRASHES_TO_QUARANTINE
 
 
 class CrashSuspects:
     """Finds the parts of prompts that crash upstreams, from the answers lost in crashes.
 
-    All parts of a lost prompt that other prompts may share are suspects, and so are those of the
-    prompts that were lost beside it. An answer to any prompt with a part proves that the part is
-    sound. What remains is blamed on as few parts as possible.
+    All parts of a lost prompt that other prompts may share are suspects, and so are those of
+    prompts whose answers had also just begun. An answer to any prompt with a part proves that the
+    part is sound. What remains is blamed on as few parts as possible.
     """
 
     def __init__(self) -> None:
         self._suspects: dict[PartHash, _Suspect] = {}
+        self._answered_s: dict[PartHash, float] = {}
 
     def record_loss(self, parts: Iterable[PromptPartId], loss: PartLoss) -> list[SuspectRecord]:
-        """Record that an answer to a prompt was lost in a crash; return the parts' records."""
+        """Record that an answer to a prompt was lost in a crash.
+
+        Returns the records of the parts, without those that were answered since the loss.
+        """
         hashes = [hash_part(part) for part in parts]
-        for part in hashes:
-            self._touch(part).add(loss)
-        return [self._build_record(part) for part in hashes]
+        return [self._build_record(part) for part in hashes if self._add_loss(part, loss)]
 
     def record_answer(self, parts: Iterable[PromptPartId], now_s: float) -> list[SuspectRecord]:
         """Record an answer to a prompt; return the records of the parts that were suspected."""
-        if not self._suspects:
-            return []
         hashes = [hash_part(part) for part in parts]
-        known = [part for part in hashes if part in self._suspects]
-        return [self._build_record(part) for part in known if self._touch(part).cancel(now_s)]
+        return [self._build_record(part) for part in hashes if self._add_answer(part, now_s)]
 
-    def learn(self, records: Iterable[SuspectRecord]) -> None:
-        """Add what another host knows."""
+    def learn(self, records: Iterable[SuspectRecord]) -> list[SuspectRecord]:
+        """Add what another host knows.
+
+        Returns the records of parts that were answered here since a loss that the other host still
+        holds against them.
+        """
+        contradicted = []
         for record in records:
-            suspect = self._touch(record.part)
             if record.answered_s is not None:
-                suspect.cancel(record.answered_s)
-            for loss in record.losses:
-                suspect.add(loss)
+                self._add_answer(record.part, record.answered_s)
+            added = [self._add_loss(record.part, loss) for loss in record.losses]
+            if not all(added):
+                contradicted.append(self._build_record(record.part))
+        return contradicted
 
     def find_crashing_part(
         self, parts: Collection[PromptPartId], now_s: float
     ) -> PromptPartId | None:
         """Return the part for which a prompt must not be sent; None if it may be sent.
 
-        A part is not blamed for crashes that another quarantined part accounts for, in prompts
-        without that other part. Parts that all prompts of a caller share are lost with
-        each crashing part, and must not be taken for it.
+        A part is not blamed for crashes that another suspected part accounts for, in prompts
+        without that other part. Parts that all prompts of a caller share are lost with each
+        crashing part, and must not be taken for it.
 
         Args:
             parts: The parts of the prompt that other prompts may share.
@@ -186,20 +180,35 @@
         return None
 
     def list_records(self) -> list[SuspectRecord]:
-        """Return the records of all parts, those with the most evidence first."""
-        parts = sorted(self._suspects, key=lambda part: self._suspects[part].weight, reverse=True)
+        """Return the records of all suspected parts, those with the most evidence first."""
+        parts = sorted(self._suspects, key=lambda part: self._suspects[part].crashes, reverse=True)
         return [self._build_record(part) for part in parts]
 
-    def _touch(self, part: PartHash) -> _Suspect:
-        """Return the suspect, as the one that was changed last; add it if it is new."""
+    def _add_loss(self, part: PartHash, loss: PartLoss) -> bool:
+        """Add a loss unless the part was answered since; return whether it was not."""
+        if loss.lost_s <= self._answered_s.get(part, float("-inf")):
+            return False
         suspect = self._suspects.pop(part, None) or _Suspect()
+        suspect.add(loss)
         self._suspects[part] = suspect
         if len(self._suspects) > MAX_PARTS:
             del self._suspects[next(iter(self._suspects))]
-        return suspect
+        return True
+
+    def _add_answer(self, part: PartHash, answered_s: float) -> bool:
+        """Add the time of an answer; return whether the part was suspected of an earlier loss."""
+        answered_s = max(answered_s, self._answered_s.pop(part, answered_s))
+        self._answered_s[part] = answered_s
+        if len(self._answered_s) > MAX_PARTS:
+            del self._answered_s[next(iter(self._answered_s))]
+        suspect = self._suspects.get(part)
+        if suspect is None or not suspect.drop_until(answered_s):
+            return False
+        if not suspect.losses:
+            del self._suspects[part]
+        return True
 
     def _build_record(self, part: PartHash) -> SuspectRecord:
-        suspect = self._suspects[part]
-        return SuspectRecord(
-            part=part, answered_s=suspect.answered_s, losses=tuple(suspect.losses.values())
-        )
+        suspect = self._suspects.get(part)
+        losses = () if suspect is None else tuple(suspect.losses.values())
+        return SuspectRecord(part=part, answered_s=self._answered_s.get(part), losses=losses)
