--- a/greengagestage/results.py
+++ b/greengagestage/results.py
@@ -156,7 +156,7 @@
     ResultCode.NOT_READY: _not_run(503, "This host has no configuration in force"),
     ResultCode.STOPPING: _not_run(503, "This host is stopping"),
     ResultCode.DEADLINE_PASSED: _not_run(504, "The deadline passed before the request ran"),
-    ResultCode.QUARANTINED: _not_run(422, "Equal requests crashed upstreams; it is not run again"),
+    ResultCode.QUARANTINED: _not_run(422, "Requests like it crashed upstreams; it is not run"),
     ResultCode.UPSTREAM_REFUSED: _not_run(503, "Every upstream asked refused to start it"),
     ResultCode.RETRY_BUDGET_SPENT: _not_run(503, "The retry budget of the class is spent"),
     ResultCode.STILL_RUNNING: _not_run(409, "The first run under this key has not ended"),
