Show that hosts send an upstream more than the limit that it names

Hosts with a preferred upstream that names 2 requests a second go on sending it all requests, and none is refused where it is the only one.

--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -136,6 +136,16 @@
     return behave
 
 
+def name_limit(limit_per_s: float) -> Behavior:
+    """Return a behavior that names a limit of requests a second in each of its answers."""
+
+    def behave(upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder) -> None:
+        limit = (b"Server-Limit", f"{limit_per_s}".encode())
+        responder.answer(200, [*build_identity_headers(request), limit], b"limited")
+
+    return behave
+
+
 def delay(delay_s: float, behavior: Behavior) -> Behavior:
     """Return a behavior that acts later, unless the host has closed the connection by then."""
 
