Keep to the request rate that an upstream names

Cause: `Server-Limit` was not read. The class of fault: a statement of upstreams that no program looks for; and, in what would follow from reading it alone, a bound on the sum of all hosts that each host keeps to by itself.

Change: the rate belongs to the notice of an incarnation, like its leaving and its pauses. Each host may send in slots of its own: at an equal share of 0.65 of the rate, from a random time on, each slot valid for 0.5 s, so that neither a quiet time nor a simultaneous start adds up to a burst. A change is told to all hosts at once. The first answer without a rate ends it, if its request was sent after the rate was last named. Other upstreams get what a limited one does not take; if there is none, the caller is told when the next slot opens.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -17,7 +17,6 @@
 from greengagestage.routing import AttemptEnd, Placement
 
 from ._context import ExchangeContext
-from ._upstream_notices import record_notices
 
 MAX_IDLE_NON_RETRYABLE_S = 1.5
 """A request that is not retryable only uses a connection idle for less than this: on a connection
@@ -193,7 +192,9 @@
         """Classify the response as an answer, a refusal, or neither."""
         self._record_data()
         now_s = self._context.reactor.seconds()
-        record_notices(self._context.router, self.plan.placement.upstream, head, now_s)
+        sent_s = now_s if self.sent_s is None else self.sent_s
+        upstream = self.plan.placement.upstream
+        self._context.notices.record(upstream, head, sent_s=sent_s, now_s=now_s)
         match classify_response(head):
             case ResponseKind.NOT_RUN:
                 self._fail(AttemptFault.REFUSED)
--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -10,6 +10,7 @@
 from greengagestage.telemetry import EntryMetrics
 
 from ._crash_watch import CrashWatch
+from ._upstream_notices import UpstreamNotices
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -18,6 +19,7 @@
 
     Attributes:
         losses: Answers that were lost, by the request's fingerprint.
+        notices: Records what upstreams state about further requests.
         crash_watch: Finds prompts that crash upstreams.
         report_loss: Tells the other hosts of such a loss; takes the fingerprint and the loss's id.
         read_registry_age_s: Returns the seconds since the list of upstreams was confirmed.
@@ -29,6 +31,7 @@
     pool: ConnectionPool
     losses: LossTracker
     crash_watch: CrashWatch
+    notices: UpstreamNotices
     metrics: EntryMetrics
     report_loss: Callable[[Fingerprint, str], None]
     read_registry_age_s: Callable[[], float | None]
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -10,7 +10,14 @@
 
 from greengagestage.catalog import HostSettings, RegisteredUpstream, RouteTable
 from greengagestage.http1 import ConnectionPool, Endpoint, ServerFactory
-from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
+from greengagestage.ids import (
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+)
 from greengagestage.platform import RowClient
 from greengagestage.routing import Demand, LossTracker, Router, UpstreamLoad
 from greengagestage.telemetry import EntryMetrics
@@ -25,6 +32,7 @@
 from ._shutdown import Shutdown
 from ._site import CallerRequestHandler, ConfigurationView
 from ._store_era import StoreEra
+from ._upstream_notices import UpstreamNotices
 
 MAX_WORKSPACE_LABELS = 50
 """Workspaces with their own metric label; the others share one."""
@@ -190,6 +198,7 @@
                 on_loss=self._record_peer_loss,
                 list_suspects=suspects.list_records,
                 on_suspects=suspects.learn,
+                on_limit=self._record_peer_limit,
                 on_registry=self._registry.receive_report,
                 on_configuration=self._routes.receive_report,
                 take_streams=self._router.stream_versions.take_reports,
@@ -206,6 +215,7 @@
             pool=self._pool,
             losses=self._losses,
             crash_watch=self._crash_watch,
+            notices=UpstreamNotices(router=self._router, report_limit=self._peers.report_limit),
             metrics=self._metrics,
             report_loss=self._peers.report_loss,
             read_registry_age_s=lambda: self._registry.age_s,
@@ -274,6 +284,13 @@
         if self._router.hosts is not None:
             self._router.hosts = self._peers.known_hosts
 
+    def _record_peer_limit(self, incarnation: Incarnation, limit_per_s: float | None) -> None:
+        now_s = self._reactor.seconds()
+        if limit_per_s is None:
+            self._router.end_limit(incarnation, now_s)
+        else:
+            self._router.record_limit(incarnation, limit_per_s, now_s)
+
     def _record_peer_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
 
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -194,6 +194,19 @@
     suspects: list[SuspectEntry]
 
 
+class LimitReport(Struct, frozen=True, array_like=True, tag="limit"):
+    """Reports the rate of requests that an upstream takes from all hosts together.
+
+    Attributes:
+        instance: The upstream; together with ``started_ms`` its incarnation.
+        per_s: Requests per second; None if the upstream names no rate any more.
+    """
+
+    instance: InstanceId
+    started_ms: int | None
+    per_s: float | None
+
+
 class RegistryReport(Struct, frozen=True, array_like=True, tag="registry"):
     """Reports what the sender has read in the registry of upstreams.
 
@@ -267,7 +280,13 @@
 
 WorkReport = LoadReport | DomainReport | TotalsReport
 PeerBody = (
-    WorkReport | LossReport | SuspectsReport | RegistryReport | ConfigurationReport | StreamsReport
+    WorkReport
+    | LossReport
+    | SuspectsReport
+    | LimitReport
+    | RegistryReport
+    | ConfigurationReport
+    | StreamsReport
 )
 
 
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -8,7 +8,14 @@
 from eliot import log_message
 from twisted.internet.protocol import DatagramProtocol
 
-from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
+from greengagestage.ids import (
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+)
 from greengagestage.routing import (
     Demand,
     PrefillSamples,
@@ -25,6 +32,7 @@
     ConfigurationReport,
     DemandEntry,
     DomainReport,
+    LimitReport,
     LoadEntry,
     LoadReport,
     LossReport,
@@ -44,8 +52,8 @@
 from ._suspect_reports import SuspectGossip, build_suspect_reports, read_suspect_report
 
 SENDS_PER_REPORT = 2
-"""How many times a loss, a changed suspicion or a changed configuration is broadcast, since
-datagrams can be lost."""
+"""How many times a loss, or a change of a suspicion, of an upstream's rate or of the configuration
+is broadcast, since datagrams can be lost."""
 
 Loads = Mapping[InstanceId, UpstreamLoad]
 Demands = Mapping[ServiceName, Demand]
@@ -74,6 +82,8 @@
         list_suspects: Returns the prompt parts that are suspected of crashing upstreams, those with
             the most evidence first.
         on_suspects: Handles what another host knows about such parts; returns what contradicts it.
+        on_limit: Handles the requests per second that an upstream takes from all hosts; None if it
+            names none any more.
         on_registry: Handles a report about the registry of upstreams.
         on_configuration: Handles a report about the configuration in the store.
         take_streams: Returns the streams, begun at this host, to tell the others of at a time in
@@ -88,6 +98,7 @@
     on_loss: Callable[[Fingerprint, str], None]
     list_suspects: Callable[[], Sequence[SuspectRecord]]
     on_suspects: Callable[[Sequence[SuspectRecord]], Sequence[SuspectRecord]]
+    on_limit: Callable[[Incarnation, float | None], None]
     on_registry: Callable[[RegistryReport], None]
     on_configuration: Callable[[ConfigurationReport], None]
     take_streams: Callable[[float], Sequence[StreamRecord]]
@@ -172,6 +183,12 @@
             for _ in range(SENDS_PER_REPORT):
                 self._broadcast(report)
 
+    def report_limit(self, incarnation: Incarnation, limit_per_s: float | None) -> None:
+        """Tell all peers which rate of requests an upstream takes; None for any."""
+        instance, started_ms = incarnation
+        for _ in range(SENDS_PER_REPORT):
+            self._broadcast(LimitReport(instance, started_ms, limit_per_s))
+
     def report_registry(self, report: RegistryReport) -> None:
         """Tell all peers what was read in the registry."""
         self._broadcast(report)
@@ -201,6 +218,8 @@
                 self._callbacks.on_loss(fingerprint, loss_id)
             case SuspectsReport() as suspects:
                 self._learn_suspects(suspects)
+            case LimitReport(instance=instance, started_ms=started_ms, per_s=per_s):
+                self._callbacks.on_limit((instance, started_ms), per_s)
             case RegistryReport() as report:
                 self._callbacks.on_registry(report)
             case ConfigurationReport() as report:
--- a/greengagestage/gateway/_upstream_notices.py
+++ b/greengagestage/gateway/_upstream_notices.py
@@ -1,29 +1,74 @@
 """Records what upstreams state about further requests in the heads of their answers."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from eliot import log_message
 
 from greengagestage.catalog import RegisteredUpstream
 from greengagestage.http1 import ResponseHead
-from greengagestage.platform import read_pause_s, states_leaving
+from greengagestage.ids import Incarnation
+from greengagestage.platform import (
+    names_limit,
+    names_no_limit,
+    read_limit_per_s,
+    read_pause_s,
+    states_leaving,
+)
 from greengagestage.routing import Router
 
 
-def record_notices(
-    router: Router, upstream: RegisteredUpstream, head: ResponseHead, now_s: float
-) -> None:
-    """Pass the statements of an answer to the router, and log those that are new."""
-    if states_leaving(head) and router.record_leaving(upstream.incarnation):
-        log_message(
-            message_type="upstream: leaving",
-            upstream=upstream.instance,
-            service=upstream.service,
-            status=head.status,
-        )
-    pause_s = read_pause_s(head)
-    if pause_s is not None and router.record_pause(upstream.incarnation, pause_s, now_s):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamNotices:
+    """Passes the statements of answers to the router, and logs those that are new.
+
+    Attributes:
+        report_limit: Tells the other hosts of the requests per second that an upstream takes from
+            all hosts, or that it names none any more. What else upstreams state is for this host.
+    """
+
+    router: Router
+    report_limit: Callable[[Incarnation, float | None], None]
+
+    def record(
+        self, upstream: RegisteredUpstream, head: ResponseHead, *, sent_s: float, now_s: float
+    ) -> None:
+        """Record what an answer states.
+
+        Args:
+            sent_s: When the request was sent.
+        """
+        if states_leaving(head) and self.router.record_leaving(upstream.incarnation):
+            log_message(
+                message_type="upstream: leaving",
+                upstream=upstream.instance,
+                service=upstream.service,
+                status=head.status,
+            )
+        pause_s = read_pause_s(head)
+        if pause_s is not None and self.router.record_pause(upstream.incarnation, pause_s, now_s):
+            log_message(
+                message_type="upstream: paused",
+                upstream=upstream.instance,
+                service=upstream.service,
+                pause_s=pause_s,
+            )
+        self._record_limit(upstream, head, sent_s, now_s)
+
+    def _record_limit(
+        self, upstream: RegisteredUpstream, head: ResponseHead, sent_s: float, now_s: float
+    ) -> None:
+        limit_per_s = read_limit_per_s(head) if names_limit(head) else None
+        if limit_per_s is not None:
+            changed = self.router.record_limit(upstream.incarnation, limit_per_s, now_s)
+        else:
+            changed = names_no_limit(head) and self.router.end_limit(upstream.incarnation, sent_s)
+        if not changed:
+            return
         log_message(
-            message_type="upstream: paused",
+            message_type="upstream: limited" if limit_per_s is not None else "upstream: unlimited",
             upstream=upstream.instance,
             service=upstream.service,
-            pause_s=pause_s,
+            limit_per_s=limit_per_s,
         )
+        self.report_limit(upstream.incarnation, limit_per_s)
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -9,6 +9,9 @@
     format_retry_after,
     get_refusal_status,
     is_answer_to,
+    names_limit,
+    names_no_limit,
+    read_limit_per_s,
     read_pause_s,
     states_leaving,
 )
@@ -74,8 +77,11 @@
     "format_retry_after",
     "get_refusal_status",
     "is_answer_to",
+    "names_limit",
+    "names_no_limit",
     "parse_caller_headers",
     "parse_host_settings",
+    "read_limit_per_s",
     "read_pause_s",
     "states_leaving",
 ]
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -8,7 +8,7 @@
 from greengagestage.ids import AttemptId
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 
-from ._headers import ATTEMPT_ID, LEAVING, NOT_EXECUTED, RETRY_AFTER, SIGNATURE
+from ._headers import ATTEMPT_ID, LEAVING, LIMIT, NOT_EXECUTED, RETRY_AFTER, SIGNATURE
 
 MISDIRECTED = 421
 UNAVAILABLE = 503
@@ -66,6 +66,29 @@
     return head.get(LEAVING) == b"1" and head.status != MISDIRECTED
 
 
+def names_limit(head: ResponseHead) -> bool:
+    """Whether the upstream that the request named limits the rate of requests."""
+    return head.get(LIMIT) is not None and head.status != MISDIRECTED
+
+
+def names_no_limit(head: ResponseHead) -> bool:
+    """Whether the upstream that the request named states that it limits no rate.
+
+    Only an answer that names its request tells this: other bytes may come from elsewhere.
+    """
+    answers = head.get(ATTEMPT_ID) is not None and head.status != MISDIRECTED
+    return answers and head.get(LIMIT) is None
+
+
+def read_limit_per_s(head: ResponseHead) -> float | None:
+    """Return the requests a second that an upstream takes from all hosts; None if unreadable."""
+    text = (head.get(LIMIT) or b"").strip()
+    if not _DECIMAL.fullmatch(text):
+        return None
+    limit = float(text)
+    return limit if limit < math.inf else None
+
+
 def read_pause_s(head: ResponseHead) -> float | None:
     """Return the seconds for which an upstream wants no requests from this host; None for none.
 
--- a/greengagestage/routing/_notices.py
+++ b/greengagestage/routing/_notices.py
@@ -5,6 +5,8 @@
 
 from greengagestage.ids import Incarnation
 
+from ._request_pacer import RequestPacer
+
 MAX_REMEMBERED = 1_024
 """Maximum number of incarnations that are remembered although the registry does not list them. An
 entry can be missing for a while and come back."""
@@ -17,15 +19,23 @@
     Attributes:
         leaving: It is about to end. This is never withdrawn.
         paused_until_s: It wants no requests until then.
+        pacer: Keeps to the request rate that it names; None while it names none.
+        limited_s: When it last named a rate.
     """
 
     leaving: bool = False
     paused_until_s: float = 0.0
+    pacer: RequestPacer | None = None
+    limited_s: float = 0.0
 
     def allows_requests(self, now_s: float) -> bool:
         """Whether the incarnation accepts new requests, as far as it has stated."""
         return not self.leaving and now_s >= self.paused_until_s
 
+    def is_in_effect(self, now_s: float) -> bool:
+        """Whether the incarnation has stated anything that still restricts requests."""
+        return self.pacer is not None or not self.allows_requests(now_s)
+
 
 class NoticeBoard:
     """The notices of all incarnations, which outlive their entries in the registry."""
@@ -47,7 +57,7 @@
         """
         unlisted = [incarnation for incarnation in self._notices if incarnation not in listed]
         for incarnation in unlisted:
-            if self._notices[incarnation].allows_requests(now_s):
+            if not self._notices[incarnation].is_in_effect(now_s):
                 del self._notices[incarnation]
         remembered = [incarnation for incarnation in unlisted if incarnation in self._notices]
         for incarnation in remembered[:-MAX_REMEMBERED]:
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -29,6 +29,7 @@
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
 from ._placement import Choice, EngineChooser, choose_plain
+from ._request_pacer import RequestPacer
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
 from ._software_versions import StreamVersions
@@ -202,12 +203,39 @@
         notice.paused_until_s = max(notice.paused_until_s, now_s + pause_s)
         return begins
 
+    def record_limit(self, incarnation: Incarnation, rate_per_s: float, now_s: float) -> bool:
+        """Record the requests per second that an upstream takes from all hosts together.
+
+        Returns whether it has not named the same rate before.
+        """
+        notice = self._notices.get(incarnation)
+        notice.limited_s = now_s
+        if notice.pacer is not None and notice.pacer.rate_per_s == rate_per_s:
+            return False
+        notice.pacer = RequestPacer(rate_per_s=rate_per_s, draw=self._draw)
+        return True
+
+    def end_limit(self, incarnation: Incarnation, sent_s: float) -> bool:
+        """Record that an upstream names no rate any more; return whether it did before.
+
+        Args:
+            sent_s: When the request was sent whose answer names none. Answers can overtake each
+                other, so that one to an earlier request says nothing.
+        """
+        notice = self._notices.get(incarnation)
+        if notice.pacer is None or sent_s < notice.limited_s:
+            return False
+        notice.pacer = None
+        return True
+
     def measure_pause_s(self, service: ServiceName, now_s: float) -> float:
         """Return the time until the first paused upstream accepts requests; 0 if one already does.
 
         It is also 0 if none is paused.
         """
-        pauses_s = (state.measure_pause_s(now_s) for state in self._list_staying(service))
+        pauses_s = (
+            state.measure_pause_s(self.hosts, now_s) for state in self._list_staying(service)
+        )
         return min(pauses_s, default=0.0)
 
     def accepts_requests(self, incarnation: Incarnation, now_s: float) -> bool:
@@ -252,7 +280,11 @@
         """
         service = self._services.get(job.service)
         staying = self._list_staying(job.service)
-        ready = [state for state in staying if state.accepts_requests(now_s)]
+        ready = [
+            state
+            for state in staying
+            if state.accepts_requests(now_s) and not state.measure_pause_s(self.hosts, now_s)
+        ]
         candidates = [state for state in ready if state.record.instance not in tried]
         if job.began_at is not None:
             version = job.began_at.software_version
@@ -467,6 +499,7 @@
             expected_s=choice.expected_s,
         )
         choice.state.add_request(job.attempt_id, request, prompt)
+        choice.state.use_slot(self.hosts, now_s)
 
     def _is_settled(self, state: UpstreamState, now_s: float) -> bool:
         """Whether all hosts know the upstream's version, so that they can take up its streams."""
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -107,9 +107,15 @@
             return False
         return self.record.availability is Availability.READY
 
-    def measure_pause_s(self, now_s: float) -> float:
-        """Return how much longer the upstream wants no requests from this host."""
-        return max(self._notice.paused_until_s - now_s, 0.0)
+    def measure_pause_s(self, hosts: int | None, now_s: float) -> float:
+        """Return how much longer the upstream takes no requests from this host.
+
+        Args:
+            hosts: Number of hosts that share the upstream; None while it is unknown.
+        """
+        pause_s = max(self._notice.paused_until_s - now_s, 0.0)
+        pacer = self._notice.pacer
+        return pause_s if pacer is None else max(pause_s, pacer.measure_wait_s(hosts, now_s))
 
     def is_healthy(self, now_s: float) -> bool:
         """Whether the upstream is neither excluded nor stalled, here or on another host."""
@@ -209,6 +215,11 @@
         if prompt is not None:
             self._mark_cached(prompt, request.sent_s)
 
+    def use_slot(self, hosts: int | None, now_s: float) -> None:
+        """Count a request, which is about to be sent, against the upstream's named rate."""
+        if self._notice.pacer is not None:
+            self._notice.pacer.use_slot(hosts, now_s)
+
     def record_data(self, attempt_id: AttemptId, now_s: float) -> InFlightRequest | None:
         """Record that a response head or a piece of a body arrived for a request.
 
