Cut off bytes without end from upstreams in trouble

What callers and upstreams saw: a response that was no answer (unsigned, or a refusal) was read for as long as the upstream sent, on a connection that nobody used any more; an event without end grew in the host's memory until the deadline; the run of a caller that left could keep its connection open for ever.

Cause: a failed attempt let go of its connection in the middle of the response, and trusted the upstream to end it. The class of fault: reading without a bound of size or time what the other side decides.

Change: a response that is no answer closes its connection. The rest of a refusal is read for 0.5 s and 65,536 bytes at most, so that the connection can be used again. An event may have 262,144 bytes. A run whose caller has left ends at its deadline.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from greengagestage.http1 import (
     ClientConnection,
@@ -22,6 +22,11 @@
 """A request that is not retryable only uses a connection idle for less than this: on a connection
 that the upstream is just closing it would be lost."""
 
+MAX_DRAIN_S = 0.5
+MAX_DRAIN_BYTES = 65_536
+"""Limits on the rest of a refusal, which is read so that its connection can be used again. An
+upstream in trouble may send bytes without end."""
+
 MAX_IDLE_S = 30.0
 """Idle limit for other requests, which may use any connection that its upstream has not announced
 to close."""
@@ -135,6 +140,8 @@
         self._context = context
         self._listener: AttemptListener | None = listener
         self._connection: ClientConnection | None = None
+        self._closing_timer: Any = None
+        self._drained_bytes = 0
         self._counted_in_router = True
 
     @property
@@ -173,10 +180,11 @@
         if self._connection is not None:
             self._connection.close()
 
-    def detach(self) -> None:
-        """Let the upstream finish; the listener gets no further events."""
+    def detach(self, limit_s: float) -> None:
+        """Let the upstream finish within a time limit; the listener gets no further events."""
         self._listener = None
         self.resume()
+        self._close_after(limit_s)
 
     def pause(self) -> None:
         """Stop reading the response."""
@@ -197,24 +205,32 @@
         self._context.notices.record(upstream, head, sent_s=sent_s, now_s=now_s)
         match classify_response(head):
             case ResponseKind.NOT_RUN:
+                self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.REFUSED)
             case ResponseKind.MISDIRECTED:
+                self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.MISDIRECTED)
             case ResponseKind.UNPROVEN:
                 self._fail(AttemptFault.MALFORMED)
+                self._close()
             case ResponseKind.SUCCESS | ResponseKind.FAILURE:
                 if self._listener is not None:
                     self._listener.attempt_head_received(self, head)
 
     def receive_body(self, data: bytes) -> None:
         """Pass a part of the body to the listener."""
-        self._record_data()
+        if self._counted_in_router:
+            self._record_data()
+        else:
+            self._drained_bytes += len(data)
+            if self._drained_bytes > MAX_DRAIN_BYTES:
+                self._close()
         if self._listener is not None:
             self._listener.attempt_body_received(self, data)
 
     def end_response(self) -> None:
         """Settle the attempt after the end of an answer; its connection may now serve another."""
-        self._connection = None
+        self._forget_connection()
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_ended(self)
@@ -222,6 +238,7 @@
 
     def fail_response(self, failure: ExchangeFailure) -> None:
         """Settle the attempt after an incomplete or malformed response."""
+        self._forget_connection()
         malformed = failure is ExchangeFailure.MALFORMED
         self._fail(AttemptFault.MALFORMED if malformed else AttemptFault.LOST)
 
@@ -260,8 +277,25 @@
         instance = self.plan.placement.upstream.instance
         self._context.router.record_data(self.plan.attempt_id, instance, now_s)
 
-    def _fail(self, fault: AttemptFault) -> None:
+    def _close_after(self, limit_s: float) -> None:
+        """Close the connection unless the response has ended by then."""
+        self._closing_timer = self._context.reactor.callLater(max(limit_s, 0.0), self._close)
+
+    def _close(self) -> None:
+        """Close the connection in the middle of its response."""
+        connection = self._connection
+        self._forget_connection()
+        self._settle(AttemptEnd.CANCELLED)
+        if connection is not None:
+            connection.close()
+
+    def _forget_connection(self) -> None:
+        """Leave the connection to others, since the response has ended."""
         self._connection = None
+        if self._closing_timer is not None and self._closing_timer.active():
+            self._closing_timer.cancel()
+
+    def _fail(self, fault: AttemptFault) -> None:
         self._settle(_END_BY_FAULT[fault])
         listener, self._listener = self._listener, None
         if listener is not None:
--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/_delivery.py
@@ -77,6 +77,10 @@
             self._relay = EventRelay()
         self._send_head(head)
 
+    def has_oversized_event(self, data: bytes) -> bool:
+        """Whether the next bytes of a stream make its unfinished event larger than allowed."""
+        return self._relay is not None and self._relay.has_oversized_event(data)
+
     def feed(self, data: bytes) -> bool:
         """Process a part of the body; return whether events were relayed."""
         if self._relay is not None:
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -135,7 +135,8 @@
             return
         if self._attempt is not None:
             if self._route.kind is RouteKind.NON_IDEMPOTENT:
-                self._attempt.detach()
+                remaining_s = self._job.deadline_s - self._now_s
+                self._attempt.detach(limit_s=remaining_s + DEADLINE_SLACK_S)
             else:
                 self._attempt.cancel()
         may_have_run = self._limits.may_have_run
@@ -217,7 +218,10 @@
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Relay complete events, or buffer a part of a plain answer."""
-        if self._delivery.feed(data):
+        if self._delivery.has_oversized_event(data):
+            attempt.cancel(AttemptEnd.FAILED)
+            self._handle_fault(attempt, AttemptFault.MALFORMED)
+        elif self._delivery.feed(data):
             self._handover.cancel()
             if not self._origin_recorded:
                 self._record_origin(attempt)
--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -3,6 +3,10 @@
 _SEPARATORS = (b"\n\n", b"\r\n\r\n")
 
 
+MAX_EVENT_BYTES = 262_144
+"""Larger events are taken for bytes without end. An event holds a few tokens."""
+
+
 class EventRelay:
     """Splits a stream into events, so that another upstream can resume it.
 
@@ -27,6 +31,13 @@
         """Whether an event was received in part."""
         return bool(self._partial)
 
+    def has_oversized_event(self, data: bytes) -> bool:
+        """Whether the partial event would be too large with further bytes that do not end it."""
+        if len(self._partial) + len(data) <= MAX_EVENT_BYTES:
+            return False
+        ends = max(_find_last_event_end(self._partial[-3:] + data, each) for each in _SEPARATORS)
+        return ends == 0
+
     def feed(self, data: bytes) -> bytes:
         """Process received bytes and return the complete events to relay."""
         data = self._partial + data
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -146,6 +146,23 @@
     return behave
 
 
+def send_endlessly(head: bytes, piece: bytes) -> Behavior:
+    """Return a behavior that sends bytes and then a piece each 10 ms until the host closes."""
+
+    def behave(upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder) -> None:
+        transport = responder.transport  # type: ignore[attr-defined]
+        transport.write(head)
+
+        def send_piece() -> None:
+            if transport.connected and not transport.disconnecting:
+                transport.write(piece)
+                upstream.reactor.callLater(0.01, send_piece)
+
+        send_piece()
+
+    return behave
+
+
 def delay(delay_s: float, behavior: Behavior) -> Behavior:
     """Return a behavior that acts later, unless the host has closed the connection by then."""
 
