Play named limits and answers without end in the soak

In half of the runs, single upstreams name a request rate for some seconds. The soak counts what they get from hosts that have passed an answer with the rate on, by the operators' bound. One stream in ten ends with its connection, and one plain answer in a hundred is a head or a body without end.

--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -7,6 +7,7 @@
 from ._disturbances import STORE, Disturbances
 from ._findings import Findings, Rule
 from ._ledger import Arrival, Attempt, Ending, Ledger
+from ._limit_checks import LimitChecks
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
 
@@ -28,6 +29,7 @@
         disturbances: Disturbances,
         notices: NoticeChecks,
         crashes: CrashChecks,
+        limits: LimitChecks,
         count_version: Callable[[str], int],
     ) -> None:
         self._ledger = ledger
@@ -36,6 +38,7 @@
         self._disturbances = disturbances
         self._notices = notices
         self._crashes = crashes
+        self._limits = limits
         self._count_version = count_version
         self._mixed_streams = 0
         self._over_attempts = 0
@@ -87,6 +90,7 @@
             self._add(Rule.MIXED, attempt, f"a failure with the signature {signature}")
         if run is not None:
             self._notices.record_answer(attempt, run.upstream)
+            self._limits.record_answer(attempt, run.upstream)
         if run is None or attempt.plan.events or attempt.ending is not Ending.COMPLETE:
             return
         if bytes(attempt.body) != run.body:
--- a/soak/_arrival_checks.py
+++ b/soak/_arrival_checks.py
@@ -6,6 +6,7 @@
 from ._findings import Findings, Rule
 from ._fleet import UpstreamFleet
 from ._ledger import Arrival, Attempt, Ledger
+from ._limit_checks import LimitChecks
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
 from ._upstream import UpstreamObserver
@@ -37,6 +38,7 @@
         disturbances: Disturbances,
         notices: NoticeChecks,
         crashes: CrashChecks,
+        limits: LimitChecks,
     ) -> None:
         self._ledger = ledger
         self._findings = findings
@@ -44,6 +46,7 @@
         self._disturbances = disturbances
         self._notices = notices
         self._crashes = crashes
+        self._limits = limits
         self.fleet: UpstreamFleet | None = None
 
     def record_arrival(self, arrival: Arrival) -> None:
@@ -58,6 +61,7 @@
         self._check_draining(attempt, arrival)
         self._notices.check_arrival(attempt, arrival)
         self._crashes.check_arrival(attempt, arrival)
+        self._limits.check_arrival(attempt, arrival)
 
     def record_pause(self, arrival: Arrival, pause_s: float) -> None:
         """Remember for how long an upstream wants nothing from a host."""
--- a/soak/_findings.py
+++ b/soak/_findings.py
@@ -18,6 +18,7 @@
     REFUSED = "REFUSED"
     DENIED = "DENIED"
     BUDGET = "BUDGET"
+    LIMIT = "LIMIT"
     LOST = "LOST"
     ROUTE = "ROUTE"
     CONFIG = "CONFIG"
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -39,6 +39,7 @@
         version: Software version of the stream's first event.
         pause_s: Pause in the middle of sending the body.
         deadly: Whether the prompt has the part that crashes upstreams.
+        unframed: Whether the answer ends with its connection.
     """
 
     attempt: str
@@ -60,6 +61,7 @@
     chunked: bool = False
     pause_s: float = 0.0
     deadly: bool = False
+    unframed: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -21,10 +21,11 @@
 from ._disturbances import Disturbances
 from ._faults import draw_schedule
 from ._findings import Findings, Rule
-from ._fleet import VERSIONS, UpstreamFleet
+from ._fleet import VERSIONS, Member, UpstreamFleet
 from ._host_fleet import HostFleet
 from ._injection import Injector
 from ._ledger import Ending, Ledger
+from ._limit_checks import LimitChecks
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
 from ._store import StoreControl
@@ -38,6 +39,7 @@
 MEASURED_S = 3.0
 MIN_SERVED_SHARE = 0.25
 DEADLY_PART_CHANCE = 0.5
+LIMITS_CHANCE = 0.5
 CALLERS_PER_HOST = 6
 
 
@@ -67,6 +69,7 @@
             reactor=self._reactor, disturbances=self._disturbances, findings=self._findings
         )
         self._crashes = CrashChecks(findings=self._findings, disturbances=self._disturbances)
+        self._limits = LimitChecks(findings=self._findings, disturbances=self._disturbances)
         self._store_process: subprocess.Popen[bytes] | None = None
         self._upstreams: UpstreamFleet | None = None
         self._closed = False
@@ -110,6 +113,7 @@
             disturbances=self._disturbances,
             notices=notices,
             crashes=self._crashes,
+            limits=self._limits,
         )
         upstreams = self._start_upstreams(store, arrivals)
         await operator.publish_first()
@@ -122,6 +126,7 @@
             disturbances=self._disturbances,
             notices=notices,
             crashes=self._crashes,
+            limits=self._limits,
             count_version=upstreams.count_version,
         )
         traffic = self._start_traffic(operator, answers)
@@ -138,6 +143,7 @@
             )
             injector.schedule(schedule)
             self._schedule_deadly_part(traffic)
+            self._schedule_limits(upstreams)
         await sleep(self._reactor, options.seconds)
         await self._check_recovery()
         traffic.stopped = True
@@ -204,6 +210,30 @@
             share = random.choice((0.05, 0.15, 0.4))
             self._reactor.callLater(begins_s, setattr, traffic, "deadly_share", share)
 
+    def _schedule_limits(self, upstreams: UpstreamFleet) -> None:
+        """Let single upstreams name a limit for some seconds, again and again, in some runs."""
+        random = Random(f"{self._options.seed}/limits")
+        if random.random() > LIMITS_CHANCE:
+            return
+
+        def begin() -> None:
+            if self._closed:
+                return
+            member = random.choice(upstreams.list_alive())
+            instance = member.upstream.identity.instance
+            if member.upstream.limit_per_s is None:
+                member.upstream.limit_per_s = random.choice((0.5, 1.0, 2.8))
+                now_s = self._reactor.seconds()
+                self._limits.begin(instance, member.upstream.limit_per_s, now_s)
+                self._reactor.callLater(random.uniform(5.0, 12.0), end, member)
+            self._reactor.callLater(random.uniform(1.0, 4.0), begin)
+
+        def end(member: Member) -> None:
+            member.upstream.limit_per_s = None
+            self._limits.end(member.upstream.identity.instance)
+
+        self._reactor.callLater(random.uniform(0.0, 3.0), begin)
+
     def _start_hosts(self) -> None:
         for number in range(self._options.hosts):
             self._hosts.add(
@@ -234,7 +264,7 @@
             caller = Caller(
                 context=context,
                 random=Random(f"{self._options.seed}/caller/{number}"),
-                deadly_random=Random(f"{self._options.seed}/deadly part/{number}"),
+                hazard_random=Random(f"{self._options.seed}/hazards/{number}"),
             )
             running: Deferred[None] = Deferred.fromCoroutine(caller.run())
             running.addErrback(lambda failure: self._fail(failure))
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -15,11 +15,13 @@
 from ._hosts import Host
 from ._ledger import Attempt, Ending, Ledger, RequestPlan
 from ._operator import BASE_KEYS, Operator, RouteSpec
-from ._upstream import AnswerStyle
+from ._upstream import ENDLESS_STYLES, USUAL_STYLES
 
 MAX_TRIES = 3
 PROMISES = (408, 421, 429, 503)
 FINAL = (400, 401, 404, 413, 431)
+UNFRAMED_SHARE = 0.1
+ENDLESS_SHARE = 0.01
 
 
 def sleep(reactor: Any, delay_s: float) -> "Deferred[None]":
@@ -53,13 +55,13 @@
     """A sequential caller with one kept connection to each host that it has used.
 
     Attributes:
-        deadly_random: Draws the prompts with the part that crashes upstreams. Its own source leaves
-            the other draws as they are without such prompts.
+        hazard_random: Draws crashing prompts, streams without a length and endless answers. Its own
+            source leaves the other draws of a seed as they were.
     """
 
     context: TrafficContext
     random: Random
-    deadly_random: Random
+    hazard_random: Random
     _connections: dict[str, CallerConnection] = field(default_factory=dict)
 
     async def run(self) -> None:
@@ -167,7 +169,13 @@
         identifier = self._draw_id()
         body: dict[str, Any] = {"work": identifier, "events": events, "pace_ms": pace_ms}
         if not events and random.random() < 0.05:
-            body["style"] = random.choice(list(AnswerStyle)).value
+            body["style"] = random.choice(USUAL_STYLES).value
+        hazards = self.hazard_random
+        unframed = events > 0 and hazards.random() < UNFRAMED_SHARE
+        if unframed:
+            body["unframed"] = True
+        if not events and hazards.random() < ENDLESS_SHARE:
+            body["style"] = hazards.choice(ENDLESS_STYLES).value
         body["padding"] = "x" * random.choice((0, 10, 4_000))
         plan = RequestPlan(
             attempt=identifier,
@@ -185,7 +193,8 @@
             chunked=random.random() < 0.2,
             pause_s=random.choice((0.01, 0.1, 0.5)) if random.random() < 0.1 else 0.0,
             leaves_after_s=random.uniform(0.01, 0.8) if random.random() < 0.08 else None,
-            deadly=events > 0 and self.deadly_random.random() < self.context.deadly_share,
+            deadly=events > 0 and hazards.random() < self.context.deadly_share,
+            unframed=unframed,
         )
         return replace(plan, headers=_build_headers(plan))
 
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -14,6 +14,7 @@
 SLOTS = 8
 QUEUE = 2
 CRASH_DELAY_S = 0.05
+NOISE_PAUSE_S = 0.005
 REPEAT_DELAY_S = 0.003
 """Shorter than any answer takes, so that a repeated answer comes where the next one is expected."""
 
@@ -23,6 +24,7 @@
 
     ``UNFRAMED`` ends with the connection, ``CUT`` does so in its middle by a reset, ``SHORT`` ends
     before its length, ``NOISE`` is no answer, and ``REPEATED`` is followed by the same again.
+    ``ENDLESS_HEAD`` and ``ENDLESS_BODY`` are no answers, and go on until the host closes.
     """
 
     FRAMED = "framed"
@@ -32,9 +34,13 @@
     SHORT = "short"
     NOISE = "noise"
     REPEATED = "repeated"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_BODY = "endless_body"
 
 
-BROKEN_STYLES = (AnswerStyle.CUT, AnswerStyle.SHORT, AnswerStyle.NOISE)
+ENDLESS_STYLES = (AnswerStyle.ENDLESS_HEAD, AnswerStyle.ENDLESS_BODY)
+BROKEN_STYLES = (AnswerStyle.CUT, AnswerStyle.SHORT, AnswerStyle.NOISE, *ENDLESS_STYLES)
+USUAL_STYLES = [style for style in AnswerStyle if style not in ENDLESS_STYLES]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +82,7 @@
         self._next = int(arrival.request.get(b"last-event-id") or b"0") + 1
         parts = (arrival.request.get(b"greengagestage-prompt-prefix") or b"").decode("latin-1")
         self._deadly = f"{DEADLY_PART}:" in parts
+        self._unframed = bool(body.get("unframed"))
         responder.listener = self
 
     def start(self) -> None:
@@ -101,7 +108,7 @@
         if self._open:
             self._arrival.broke_off = True
             if self._events and self._arrival.status:
-                self._responder.write(b"id: %d\nda" % self._next)
+                self._write(b"id: %d\nda" % self._next)
             self._responder.abort()
             self._finish()
 
@@ -127,6 +134,14 @@
             case AnswerStyle.SHORT:
                 transport.write(head + length + b"\r\n" + arrival.body[:9])
                 transport.loseConnection()
+            case AnswerStyle.ENDLESS_HEAD:
+                transport.write(b"HTTP/1.1 200 OK\r\n")
+                self._send_noise(b"x-noise: abcdef\r\n" * 10)
+                return
+            case AnswerStyle.ENDLESS_BODY:
+                transport.write(b"HTTP/1.1 200 OK\r\n\r\n")
+                self._send_noise(b"x" * 1_000)
+                return
             case AnswerStyle.NOISE:
                 transport.write(b"\x00\x01 no answer\r\n\r\n")
             case _:
@@ -141,7 +156,12 @@
             return
         self._arrival.status = 200
         headers = self._upstream.build_headers(self._arrival)
-        self._responder.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
+        headers.append((b"Content-Type", b"text/event-stream"))
+        if self._unframed:
+            head = b"".join(b"%s: %s\r\n" % header for header in headers)
+            self._write(b"HTTP/1.1 200 OK\r\n" + head + b"Connection: close\r\n\r\n")
+        else:
+            self._responder.begin(200, headers)
         if self._deadly:
             self._upstream.call_awake(CRASH_DELAY_S, self._upstream.on_crash)
         else:
@@ -151,14 +171,30 @@
         if not self._open:
             return
         if self._next > self._events:
-            self._responder.finish()
+            if self._unframed:
+                self._responder.transport.unregisterProducer()
+                self._responder.transport.loseConnection()
+            else:
+                self._responder.finish()
             self._finish()
             return
         text = f"id: {self._next}\ndata: {self._work}/{self._next}/{self._arrival.version}\n\n"
-        self._responder.write(text.encode())
+        self._write(text.encode())
         self._next += 1
         self._upstream.call_awake(self._pace_s, self._send_event)
 
+    def _write(self, data: bytes) -> None:
+        if self._unframed:
+            self._responder.transport.write(data)
+        else:
+            self._responder.write(data)
+
+    def _send_noise(self, piece: bytes) -> None:
+        """Send bytes that are no answer until the host closes the connection."""
+        if self._open:
+            self._responder.transport.write(piece)
+            self._upstream.reactor.callLater(NOISE_PAUSE_S, self._send_noise, piece)
+
     def _finish(self) -> None:
         self._open = False
         self._responder.listener = None
@@ -174,6 +210,7 @@
         silent_until_s: Answers and events are held back until then.
         refuses_until_s: Requests are refused as if it were full until then.
         names_pause: Whether these refusals say for how long.
+        limit_per_s: The rate of requests that its answers name, if any.
         on_crash: Ends this upstream as a crash does; called for requests that cause one.
     """
 
@@ -186,6 +223,7 @@
     refuses_until_s: float = 0.0
     names_pause: bool = False
     leaving: bool = False
+    limit_per_s: float | None = None
     work: set[_Work] = field(default_factory=set)
     _factory: Any = None
     _port: Any = None
@@ -281,6 +319,8 @@
         ]
         if self.leaving:
             headers.append((b"Server-Leaving", b"1"))
+        if self.limit_per_s is not None:
+            headers.append((b"Server-Limit", b"%.2f" % self.limit_per_s))
         return headers
 
     def _explain(self, limit: LimitExceeded) -> bytes:
--- a/tests/soak_builders.py
+++ b/tests/soak_builders.py
@@ -9,6 +9,7 @@
 from soak._disturbances import Disturbances
 from soak._findings import Findings
 from soak._ledger import Arrival, Attempt, Ending, Ledger, RequestPlan, StreamEvent
+from soak._limit_checks import LimitChecks
 from soak._notice_checks import NoticeChecks
 from soak._operator import BASE_KEYS, BASE_ROUTES, Configuration, Operator, Publication, RouteSpec
 
@@ -51,6 +52,7 @@
         self.publish(dict(ROUTES), dict(BASE_KEYS), at_s=0.0)
         self.notices = NoticeChecks(findings=self.findings, disturbances=self.disturbances)
         self.crashes = CrashChecks(findings=self.findings, disturbances=self.disturbances)
+        self.limits = LimitChecks(findings=self.findings, disturbances=self.disturbances)
         shared = {
             "ledger": self.ledger,
             "findings": self.findings,
@@ -58,6 +60,7 @@
             "disturbances": self.disturbances,
             "notices": self.notices,
             "crashes": self.crashes,
+            "limits": self.limits,
         }
         self.arrivals = ArrivalChecks(**shared)  # type: ignore[arg-type]
         self.answers = AnswerChecks(**shared, count_version=lambda _: 2)  # type: ignore[arg-type]
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -230,3 +230,21 @@
     attempt = records.send(build_plan("draft", deadly=deadly, events=3))
     records.answer(attempt, 503, b"prompts with the part aa", None)
     assert records.rules == rules
+
+
+@pytest.mark.parametrize(("harmed", "rules"), [(False, ["LIMIT"]), (True, [])])
+def test_one_request_more_than_a_named_rate_allows_is_reported(
+    records: SoakRecords, harmed: bool, rules: list[str]
+) -> None:
+    records.limits.begin("i-1", 1.0, SENT_S - 10.0)
+    told = records.send(build_plan("lookup", attempt="told"))
+    told.headers = {"server-limit": "1"}
+    told.ended_s = SENT_S - 5.0
+    records.limits.record_answer(told, "i-1")
+    if harmed:
+        records.disturbances.mark("host-1", "kill", SENT_S - 4.0)
+    for number in range(12):  # 1.5 times 1 a second for 4 s, and 5 more, are 11
+        plan = build_plan("lookup", attempt=f"a{number}")
+        records.send(plan)
+        records.receive(plan, at_s=SENT_S + number / 10)
+    assert records.rules == rules
