Drop evidence against parts of prompts that is out of date

Hosts told each other of each single crash for as long as they ran: a part that was lost once and never asked for again stayed suspected, at up to ten datagrams a second from each host. Evidence is now dropped twice the quarantine after its last crash, before it is told. Found by reading; the test failed before.

--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -80,7 +80,7 @@
         on_loss: Handles the fingerprint of a request whose answer was lost, and the id of the
             loss.
         list_suspects: Returns the prompt parts that are suspected of crashing upstreams, those with
-            the most evidence first.
+            the most evidence first, at a time in seconds.
         on_suspects: Handles what another host knows about such parts; returns what contradicts it.
         on_limit: Handles the requests per second that an upstream takes from all hosts; None if it
             names none any more.
@@ -96,7 +96,7 @@
     list_upstreams: Callable[[], Iterable[InstanceId]]
     on_work: Callable[[Loads, Demands], None]
     on_loss: Callable[[Fingerprint, str], None]
-    list_suspects: Callable[[], Sequence[SuspectRecord]]
+    list_suspects: Callable[[float], Sequence[SuspectRecord]]
     on_suspects: Callable[[Sequence[SuspectRecord]], Sequence[SuspectRecord]]
     on_limit: Callable[[Incarnation, float | None], None]
     on_registry: Callable[[RegistryReport], None]
@@ -262,7 +262,7 @@
     def _gossip_suspects(self, now_s: float) -> None:
         if not self._suspect_gossip.is_due(now_s):
             return
-        records = self._callbacks.list_suspects()
+        records = self._callbacks.list_suspects(now_s)
         for host, report in self._suspect_gossip.plan_reports(records, list(self._peers), now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
 
@@ -275,8 +275,8 @@
 
     def _tell_suspects(self, host: HostId) -> None:
         """Tell a host that has started, or that this host has not heard before."""
-        records = self._callbacks.list_suspects()
         now_s = self._reactor.seconds()
+        records = self._callbacks.list_suspects(now_s)
         for report in self._suspect_gossip.plan_reply(records, len(self._peers), now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
 
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -102,10 +102,20 @@
     def is_quarantined(self, now_s: float) -> bool:
         if self.crashes < CRASHES_TO_QUARANTINE:
             return False
-        doublings = self.crashes - CRASHES_TO_QUARANTINE
+        return self._measure_age_s(now_s) < self._quarantine_s
+
+    def is_expired(self, now_s: float) -> bool:
+        """Whether the last crash is so long ago that it says nothing about the next one."""
+        return self._measure_age_s(now_s) >= 2 * self._quarantine_s
+
+    @property
+    def _quarantine_s(self) -> float:
+        doublings = max(self.crashes - CRASHES_TO_QUARANTINE, 0)
         duration_s: float = min(FIRST_QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
-        last_lost_s = max(loss.lost_s for loss in self.losses.values())
-        return now_s < last_lost_s + duration_s
+        return duration_s
+
+    def _measure_age_s(self, now_s: float) -> float:
+        return now_s - max(loss.lost_s for loss in self.losses.values())
 
     def explains(self, other: "_Suspect") -> bool:
         """Whether the crashes under this part also account for the evidence against another."""
@@ -179,8 +189,13 @@
                 return name
         return None
 
-    def list_records(self) -> list[SuspectRecord]:
-        """Return the records of all suspected parts, those with the most evidence first."""
+    def list_records(self, now_s: float) -> list[SuspectRecord]:
+        """Return the records of all suspected parts, those with the most evidence first.
+
+        Expired evidence is dropped.
+        """
+        for part in [key for key, each in self._suspects.items() if each.is_expired(now_s)]:
+            del self._suspects[part]
         parts = sorted(self._suspects, key=lambda part: self._suspects[part].crashes, reverse=True)
         return [self._build_record(part) for part in parts]
 
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -103,10 +103,10 @@
     suspects, other = CrashSuspects(), CrashSuspects()
     suspects.record_answer(build_parts("part"), 5.0)
     record_losses(other, "part", [1, 2])
-    contradicting = suspects.learn(other.list_records())
+    contradicting = suspects.learn(other.list_records(5.0))
     assert [record.answered_s for record in contradicting] == [5.0]
     assert other.learn(contradicting) == []
-    assert other.list_records() == []
+    assert other.list_records(5.0) == []
 
 
 @pytest.mark.parametrize(
@@ -124,14 +124,23 @@
 def test_what_is_tracked_is_bounded() -> None:
     suspects = CrashSuspects()
     for number in range(3_000):
-        suspects.record_loss([PromptPartId(f"p{number}")], build_loss(number))
+        suspects.record_loss([PromptPartId(f"p{number}")], build_loss(number, lost_s=3_000.0))
     record_losses(suspects, "bad", range(4_000, 4_100))
-    records = suspects.list_records()
+    records = suspects.list_records(3_000.0)
     assert len(records) == 2_048
     assert max(len(record.losses) for record in records) == 8
     assert is_kept_back(suspects, "bad", 4_100.0)
 
 
+# Guards against hosts that go on telling each other of single crashes for ever.
+@pytest.mark.parametrize(("crashes", "kept_s"), [(1, 120.0), (2, 120.0), (3, 240.0)])
+def test_old_evidence_is_dropped(crashes: int, kept_s: float) -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "part", range(1, crashes + 1))
+    assert suspects.list_records(crashes + kept_s - 1.0)
+    assert not suspects.list_records(crashes + kept_s + 1.0)
+
+
 LOSSES = st.builds(
     build_loss,
     st.integers(1, 6),
@@ -146,9 +155,9 @@
         hosts[index % 3].record_loss(build_parts(parts), loss)
     for _ in range(2):
         for sender, receiver in permutations(hosts, 2):
-            receiver.learn(sender.list_records())
+            receiver.learn(sender.list_records(10.0))
     crashes = [
-        {record.part: {loss.crash for loss in record.losses} for record in host.list_records()}
+        {record.part: {loss.crash for loss in record.losses} for record in host.list_records(10.0)}
         for host in hosts
     ]
     assert crashes[0] == crashes[1] == crashes[2]
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -192,7 +192,7 @@
                 list_upstreams=lambda: [InstanceId("i-1"), InstanceId("i-2")],
                 on_work=lambda loads, demands: self.calls.append((loads, demands)),
                 on_loss=lambda fingerprint, loss_id: self.calls.append(loss_id),
-                list_suspects=lambda: list(self.suspects),
+                list_suspects=lambda now_s: list(self.suspects),
                 on_suspects=lambda records: self.calls.append(records) or [],
                 on_limit=lambda incarnation, per_s: self.calls.append((incarnation, per_s)),
                 on_registry=self.calls.append,
@@ -234,7 +234,7 @@
     suspects = CrashSuspects()
     for number in range(40):
         record_losses(suspects, f"part-{number}", range(100, 108), lost_s=None)
-    records = suspects.list_records()
+    records = suspects.list_records(200.0)
     reports = list(build_suspect_reports(records, 200.0))
     assert all(decode_message(encode_message(build_message(report))) for report in reports)
     read = [record for report in reports for record in read_suspect_report(report, 200.0)]
@@ -245,7 +245,7 @@
     harness = PeerLinkHarness()
     suspects = CrashSuspects()
     record_losses(suspects, "bad", [1])
-    harness.suspects = suspects.list_records()
+    harness.suspects = suspects.list_records(1.0)
     harness.clock.advance(1.0)
     messages = [decode_message(data) for data, _ in harness.transport.sent]
     assert any(isinstance(each.body, SuspectsReport) for each in messages if each is not None)
