Scale the wait for the next slot when a named rate changes

A new rate, or another number of hosts, drew a new time for the next slot. With a rate that changes with each answer, a host would have had a slot each half interval on average, twice its share.

--- a/greengagestage/routing/_request_pacer.py
+++ b/greengagestage/routing/_request_pacer.py
@@ -23,20 +23,21 @@
     Hosts do not coordinate: each has slots at a constant interval from a random time on.
 
     Args:
-        rate_per_s: Requests per second that the upstream takes from all hosts together.
         draw: Returns random numbers from 0 up to 1.
+
+    Attributes:
+        rate_per_s: Requests per second that the upstream takes from all hosts together.
     """
 
     def __init__(self, *, rate_per_s: float, draw: Callable[[], float]) -> None:
         self.rate_per_s = rate_per_s
         self._draw = draw
-        self._hosts: int | None = None
         self._interval_s = 0.0
         self._origin_s = 0.0
         self._next_slot = 0
 
     def __repr__(self) -> str:
-        return f"RequestPacer(rate_per_s={self.rate_per_s}, hosts={self._hosts})"
+        return f"RequestPacer(rate_per_s={self.rate_per_s}, interval_s={self._interval_s:.2f})"
 
     def measure_wait_s(self, hosts: int | None, now_s: float) -> float:
         """Return the time until the next slot; 0 if a request may be sent now.
@@ -44,25 +45,33 @@
         Args:
             hosts: Number of hosts that share the rate; None while it is unknown.
         """
-        self._divide_among(hosts, now_s)
-        opens_s = self._origin_s + self._find_slot(now_s) * self._interval_s
-        return max(opens_s - now_s, 0.0)
+        self._update_interval(hosts, now_s)
+        return self._measure_wait_s(now_s)
 
     def use_slot(self, hosts: int | None, now_s: float) -> None:
         """Count a request against the oldest valid slot, or the next one if there is none."""
-        self._divide_among(hosts, now_s)
+        self._update_interval(hosts, now_s)
         self._next_slot = self._find_slot(now_s) + 1
 
-    def _divide_among(self, hosts: int | None, now_s: float) -> None:
-        """Begin new slots if the number of hosts has changed."""
+    def _update_interval(self, hosts: int | None, now_s: float) -> None:
+        """Follow the rate and the number of hosts.
+
+        The wait for the next slot is scaled and not drawn again: a rate that changes with each
+        answer would otherwise double the number of slots.
+        """
         sharing = max(hosts or ASSUMED_HOSTS, 1)
-        if sharing == self._hosts:
+        interval_s = sharing / (RATE_SHARE * max(self.rate_per_s, MIN_RATE_PER_S))
+        if interval_s == self._interval_s:
             return
-        self._hosts = sharing
-        self._interval_s = sharing / (RATE_SHARE * max(self.rate_per_s, MIN_RATE_PER_S))
-        self._origin_s = now_s + self._draw() * self._interval_s
+        began = self._interval_s > 0
+        share = self._measure_wait_s(now_s) / self._interval_s if began else self._draw()
+        self._interval_s, self._origin_s = interval_s, now_s + share * interval_s
         self._next_slot = 0
 
+    def _measure_wait_s(self, now_s: float) -> float:
+        opens_s = self._origin_s + self._find_slot(now_s) * self._interval_s
+        return max(opens_s - now_s, 0.0)
+
     def _find_slot(self, now_s: float) -> int:
         """Return the first unused slot that has not expired."""
         oldest = math.ceil((now_s - SLOT_LIFETIME_S - self._origin_s) / self._interval_s)
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -210,10 +210,12 @@
         """
         notice = self._notices.get(incarnation)
         notice.limited_s = now_s
-        if notice.pacer is not None and notice.pacer.rate_per_s == rate_per_s:
-            return False
-        notice.pacer = RequestPacer(rate_per_s=rate_per_s, draw=self._draw)
-        return True
+        if notice.pacer is None:
+            notice.pacer = RequestPacer(rate_per_s=rate_per_s, draw=self._draw)
+            return True
+        changed = notice.pacer.rate_per_s != rate_per_s
+        notice.pacer.rate_per_s = rate_per_s
+        return changed
 
     def end_limit(self, incarnation: Incarnation, sent_s: float) -> bool:
         """Record that an upstream names no rate any more; return whether it did before.
--- a/tests/test_request_pacer.py
+++ b/tests/test_request_pacer.py
@@ -84,6 +84,23 @@
     assert pacer.measure_wait_s(None, 0.0) == pytest.approx(16 * alone_s)
 
 
+# Guards against a rate that changes with each answer and gives a new slot each time.
+@pytest.mark.parametrize("hosts", [1, 8])
+def test_a_changing_rate_gives_no_additional_slots(hosts: int) -> None:
+    for seed in range(10):
+        random = Random(seed)
+        pacers = [RequestPacer(rate_per_s=3.0, draw=random.random) for _ in range(hosts)]
+        times = []
+        for step in range(2_000):
+            now_s = step / 100
+            for pacer in pacers:
+                pacer.rate_per_s = 2.8 + 0.4 * random.random()
+                if pacer.measure_wait_s(hosts, now_s) == 0.0:
+                    pacer.use_slot(hosts, now_s)
+                    times.append(now_s)
+        assert count_most_in_window(times) <= measure_allowance(2.8)
+
+
 def place(router: Router, number: int, now_s: float) -> Placement | Refused:
     placed = router.place(
         build_job(number, now_s=now_s, prompt=build_short_prompt(f"s{number}")), now_s
