--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -1,10 +1,9 @@
 """The link to the other hosts: exchanges load reports, and broadcasts what one host has learnt."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, fields
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
-import xxhash
 from eliot import log_message
 from twisted.internet.protocol import DatagramProtocol
 
@@ -14,15 +13,10 @@
     HostId,
     Incarnation,
     InstanceId,
-    ServiceName,
 )
 from greengagestage.routing import (
-    Demand,
-    PrefillSamples,
-    RouteTraffic,
     StreamRecord,
     SuspectRecord,
-    UpstreamLoad,
 )
 
 from ._load_exchange import LoadExchange
@@ -30,34 +24,28 @@
 from ._peer_messages import (
     PROTOCOL_VERSION,
     ConfigurationReport,
-    DemandEntry,
     DomainReport,
     LimitReport,
-    LoadEntry,
     LoadReport,
     LossReport,
     PeerBody,
     PeerMessage,
     RegistryReport,
-    RouteEntry,
     Sender,
     StreamsReport,
     SuspectsReport,
     TotalsReport,
-    Work,
     decode_message,
     encode_message,
 )
 from ._stream_relay import StreamRelay
 from ._suspect_reports import SuspectGossip, build_suspect_reports, read_suspect_report
+from ._work_codec import Demands, Loads, build_work, read_work
 
 SENDS_PER_REPORT = 2
 """How many times a loss, or a change of a suspicion, of an upstream's rate or of the configuration
 is broadcast, since datagrams can be lost."""
 
-Loads = Mapping[InstanceId, UpstreamLoad]
-Demands = Mapping[ServiceName, Demand]
-
 
 @dataclass(slots=True, kw_only=True)
 class Peer:
@@ -246,7 +234,7 @@
     def _send_reports(self) -> float:
         now_s = self._reactor.seconds()
         sender = self._take_next_sender()
-        work = _build_work(
+        work = build_work(
             self._callbacks.measure_local_loads(now_s), self._callbacks.measure_local_demand(now_s)
         )
         for host, body in self._load_exchange.plan_reports(work, sender.sequence, now_s):
@@ -283,17 +271,7 @@
     def _update_router(self) -> None:
         """Pass the work of all other hosts to this host's router."""
         work = self._load_exchange.sum_peer_work(self._reactor.seconds())
-        names = {
-            _hash_instance(instance): instance for instance in self._callbacks.list_upstreams()
-        }
-        loads = {
-            names[entry.upstream]: _decode_load(entry)
-            for entry in work.loads
-            if entry.upstream in names
-        }
-        self._callbacks.on_work(
-            loads, {entry.service: _decode_demand(entry) for entry in work.demands}
-        )
+        self._callbacks.on_work(*read_work(work, self._callbacks.list_upstreams()))
 
     def _log_hub_change(self) -> None:
         if self._load_exchange.hub != self._logged_hub:
@@ -320,86 +298,3 @@
         """Increment the sequence and return the sender of the next messages."""
         self._sequence += 1
         return Sender(PROTOCOL_VERSION, self._host, self._incarnation, self._sequence)
-
-
-def _hash_instance(instance: InstanceId) -> int:
-    return xxhash.xxh32_intdigest(instance.encode())
-
-
-def _build_work(loads: Loads, demands: Demands) -> Work:
-    return Work(
-        [_encode_load(instance, load) for instance, load in loads.items()],
-        [_encode_demand(service, demand) for service, demand in demands.items()],
-    )
-
-
-def _encode_load(instance: InstanceId, load: UpstreamLoad) -> LoadEntry:
-    return LoadEntry(
-        _hash_instance(instance),
-        round(load.prefill_s * 1_000),
-        load.sensitive_requests,
-        load.tolerant_requests,
-        round(load.tokens / 1_000),
-        round(load.gap_s * 1_000) * load.requests,
-        int(load.stalled),
-    )
-
-
-def _encode_demand(service: ServiceName, demand: Demand) -> DemandEntry:
-    samples = demand.prefill
-    return DemandEntry(
-        service,
-        round(demand.sensitive * 1_000),
-        round(demand.tolerant * 1_000),
-        [_encode_traffic(route, traffic) for route, traffic in demand.routes.items()],
-        [round(getattr(samples, each.name)) for each in fields(PrefillSamples)],
-    )
-
-
-def _encode_traffic(route: int, traffic: RouteTraffic) -> RouteEntry:
-    return RouteEntry(
-        route,
-        round(traffic.prompts),
-        round(traffic.whole_prefill_s * 1_000),
-        round(traffic.prefill_s * 1_000),
-        round(traffic.prefill_squares_s2 * 1_000),
-        round(traffic.streams),
-        round(traffic.stream_s * 1_000),
-    )
-
-
-def _decode_traffic(entry: RouteEntry) -> RouteTraffic:
-    return RouteTraffic(
-        prompts=entry.prompts,
-        whole_prefill_s=entry.whole_prefill_ms / 1_000,
-        prefill_s=entry.prefill_ms / 1_000,
-        prefill_squares_s2=entry.prefill_squares_ms_s / 1_000,
-        streams=entry.streams,
-        stream_s=entry.stream_ms / 1_000,
-    )
-
-
-def _decode_demand(entry: DemandEntry) -> Demand:
-    return Demand(
-        sensitive=entry.sensitive_ms / 1_000,
-        tolerant=entry.tolerant_ms / 1_000,
-        routes={each.route: _decode_traffic(each) for each in entry.routes},
-        prefill=PrefillSamples(
-            **{
-                each.name: float(value)
-                for each, value in zip(fields(PrefillSamples), entry.prefill, strict=False)
-            }
-        ),
-    )
-
-
-def _decode_load(entry: LoadEntry) -> UpstreamLoad:
-    requests = entry.sensitive + entry.tolerant
-    return UpstreamLoad(
-        prefill_s=entry.prefill_ms / 1_000,
-        sensitive_requests=entry.sensitive,
-        tolerant_requests=entry.tolerant,
-        tokens=entry.kilotokens * 1_000,
-        gap_s=entry.gap_weight_ms / requests / 1_000 if requests else 0.0,
-        stalled=entry.stalled > 0,
-    )
