End the soak's named limits with its other faults

The hosts' logs show that each refusal was for want of a slot: limits of 0.5 to 2.8 requests a second went on being named by most upstreams while the recovery was measured. They now end with the time with faults.

--- a/soak/_run.py
+++ b/soak/_run.py
@@ -211,13 +211,16 @@
             self._reactor.callLater(begins_s, setattr, traffic, "deadly_share", share)
 
     def _schedule_limits(self, upstreams: UpstreamFleet) -> None:
-        """Let single upstreams name a limit for some seconds, again and again, in some runs."""
+        """Let single upstreams name a limit now and then while there are faults, in some runs."""
         random = Random(f"{self._options.seed}/limits")
         if random.random() > LIMITS_CHANCE:
             return
 
+        ended_s = self._reactor.seconds() + self._options.seconds
+
         def begin() -> None:
-            if self._closed:
+            left_s = ended_s - self._reactor.seconds()
+            if self._closed or left_s <= 0:
                 return
             member = random.choice(upstreams.list_alive())
             instance = member.upstream.identity.instance
@@ -225,7 +228,7 @@
                 member.upstream.limit_per_s = random.choice((0.5, 1.0, 2.8))
                 now_s = self._reactor.seconds()
                 self._limits.begin(instance, member.upstream.limit_per_s, now_s)
-                self._reactor.callLater(random.uniform(5.0, 12.0), end, member)
+                self._reactor.callLater(min(random.uniform(5.0, 12.0), left_s), end, member)
             self._reactor.callLater(random.uniform(1.0, 4.0), begin)
 
         def end(member: Member) -> None:
