Excuse late requests in the soak that a harmed link has held up

The operators' rules do not count a request as late if the link to the upstream was cut or harmed in the last stability window ("Held up").

--- a/soak/_arrival_checks.py
+++ b/soak/_arrival_checks.py
@@ -1,6 +1,6 @@
 """Checks of what upstreams receive."""
 
-from ._bounds import CONFIGURATION_APPLY_S, DRAIN_S, REVOCATION_S
+from ._bounds import CONFIGURATION_APPLY_S, DRAIN_S, REVOCATION_S, STABILITY_WINDOW_S
 from ._crash_checks import CrashChecks
 from ._disturbances import STORE, Disturbances
 from ._findings import Findings, Rule
@@ -137,6 +137,9 @@
             return
         in_touch = self._disturbances.is_in_touch(attempt.host, attempt.sent_s, arrival.arrived_s)
         stable = self._disturbances.is_calm(STORE, acknowledged_s, acknowledged_s)
-        if in_touch and stable:
+        held_up = self._disturbances.was_link_harmed(
+            arrival.upstream, arrival.arrived_s - STABILITY_WINDOW_S, arrival.arrived_s
+        )
+        if in_touch and stable and not held_up:
             late_s = arrival.arrived_s - acknowledged_s
             self._add(Rule.DRAIN, attempt, arrival, f"reaches it {late_s:.2f} s after its leaving")
--- a/soak/_disturbances.py
+++ b/soak/_disturbances.py
@@ -68,6 +68,13 @@
         faults = any(fault.touches(began_s, ended_s) for fault in self._faults[target])
         return faults or self.find_stop(target, began_s, ended_s) is not None
 
+    def was_link_harmed(self, target: str, began_s: float, ended_s: float) -> bool:
+        """Return whether the link to a target was harmed within a span."""
+        return any(
+            fault.kind.endswith("link") and fault.touches(began_s, ended_s)
+            for fault in self._faults[target]
+        )
+
     def is_in_touch(self, host: str, began_s: float, ended_s: float) -> bool:
         """Return whether a host and the store were calm, and the host was not stopped."""
         return (
