Look at a named rate only where there is one when placing

Each placement computed the pause of each upstream of the service, 143 on the largest site so far, although the pause itself is checked already. The check of the slot is now skipped for upstreams that name no rate.

--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -285,7 +285,7 @@
         ready = [
             state
             for state in staying
-            if state.accepts_requests(now_s) and not state.measure_pause_s(self.hosts, now_s)
+            if state.accepts_requests(now_s) and state.has_slot(self.hosts, now_s)
         ]
         candidates = [state for state in ready if state.record.instance not in tried]
         if job.began_at is not None:
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -215,6 +215,11 @@
         if prompt is not None:
             self._mark_cached(prompt, request.sent_s)
 
+    def has_slot(self, hosts: int | None, now_s: float) -> bool:
+        """Whether the upstream's named rate, if any, leaves a slot for a request now."""
+        pacer = self._notice.pacer
+        return pacer is None or pacer.measure_wait_s(hosts, now_s) == 0.0
+
     def use_slot(self, hosts: int | None, now_s: float) -> None:
         """Count a request, which is about to be sent, against the upstream's named rate."""
         if self._notice.pacer is not None:
