Take no connection that has gone silent for proof that an upstream is alive

A crash is told from the loss of a single connection by the other connections to the upstream. One that went silent without a reset stays open until it is taken from the pool, and would have hidden each crash at its address from this host, of later incarnations too. Idle connections now count only while they could be reused. Found by reading; the test failed before (8 crashes, 5 allowed).

--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -67,10 +67,10 @@
         return self.suspects.find_crashing_part(_list_parts(prompt), self._reactor.seconds())
 
     def _confirm(self, lost: LostAnswer) -> None:
-        """Record the loss unless a connection from before it is still open."""
+        """Record the loss unless a connection from before it is still in use."""
         upstream = lost.upstream
         endpoint = Endpoint(address=upstream.address, port=upstream.port)
-        survivors = self._pool.count_open_since_before(endpoint, lost.lost_s)
+        survivors = self._pool.count_alive_since_before(endpoint, lost.lost_s)
         log_message(
             message_type="upstream: connection lost" if survivors else "upstream: crashed",
             upstream=upstream.instance,
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -132,9 +132,15 @@
             return
         idle.append(connection)
 
-    def count_open_since_before(self, endpoint: Endpoint, time_s: float) -> int:
-        """Return how many connections to a server were opened before a time and are still open."""
-        return sum(connection.opened_s < time_s for connection in self._open.get(endpoint, ()))
+    def count_alive_since_before(self, endpoint: Endpoint, time_s: float) -> int:
+        """Return how many connections to a server were opened before a time and are in use.
+
+        Idle ones count while they are reusable: a connection can be silent for good without a reset.
+        """
+        return sum(
+            connection.opened_s < time_s and (connection.busy or connection.reusable)
+            for connection in self._open.get(endpoint, ())
+        )
 
     def close_endpoint(self, endpoint: Endpoint) -> None:
         """Close the idle connections to a server that is gone."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from greengagestage.http1 import ClientConnection, Endpoint
+
 from . import host_harness as harness
 from .host_harness import EVENTS, HostFleet, UpstreamStandin, choose_port, running_fleet
 
@@ -100,3 +102,22 @@
     caller = send(fleet, 9, "aa:600,bad:300,own9:40")
     assert caller.error["code"] == 2012
     assert count_arrivals(engines) == arrivals <= MAX_CRASHES
+
+
+# Guards against a connection that has gone silent passing for proof that its upstream is alive.
+def test_a_silent_connection_does_not_hide_a_crash(fleet: HostFleet) -> None:
+    engines = add_engines(fleet, 9)
+    host = fleet.start_host()
+    fleet.wait_ready()
+    silent = ClientConnection(  # idle since time 0
+        seconds=fleet.reactor.seconds,
+        on_idle=lambda connection: None,
+        on_closed=lambda connection: None,
+    )
+    for engine in engines:
+        address = engine.port.getHost()
+        host._pool._open[Endpoint(address=address.host, port=address.port)] = {silent}
+    for number in range(8):
+        caller = send(fleet, number, f"aa:600,bad:300,own{number}:40")
+    assert count_arrivals(engines) <= MAX_CRASHES
+    assert caller.error["code"] == 2012
