Keep quarantined parts when very many others are suspected

Beyond 2,048 suspects the one with the oldest change was dropped. A quarantined part does not change any more, since its prompts are not sent, so that an outage of many upstreams at once could displace it. The one with the least evidence is dropped now. Found by reading; the test failed before.

--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -22,7 +22,8 @@
 """Maximum number of crashes kept for one part; the oldest ones are dropped."""
 
 MAX_PARTS = 2_048
-"""Maximum number of suspected parts, and of answered ones; the oldest are dropped first."""
+"""Maximum number of suspected parts, of which those with the least evidence are dropped first, and
+of answered ones, of which the oldest are."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -207,7 +208,7 @@
         suspect.add(loss)
         self._suspects[part] = suspect
         if len(self._suspects) > MAX_PARTS:
-            del self._suspects[next(iter(self._suspects))]
+            del self._suspects[min(self._suspects, key=lambda key: self._suspects[key].crashes)]
         return True
 
     def _add_answer(self, part: PartHash, answered_s: float) -> bool:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -141,6 +141,15 @@
     assert not suspects.list_records(crashes + kept_s + 1.0)
 
 
+# Guards against a crash of very many upstreams that displaces what is known for certain.
+def test_many_new_suspects_do_not_displace_a_quarantined_part() -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "bad", [1, 2])
+    for number in range(3_000):
+        suspects.record_loss([PromptPartId(f"p{number}")], build_loss(10 + number, lost_s=3.0))
+    assert is_kept_back(suspects, "bad")
+
+
 LOSSES = st.builds(
     build_loss,
     st.integers(1, 6),
