--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -135,7 +135,7 @@
     def count_alive_since_before(self, endpoint: Endpoint, time_s: float) -> int:
         """Return how many connections to a server were opened before a time and are in use.
 
-        Idle ones count while they are reusable: a connection can be silent for good without a reset.
+        Idle ones count while they are reusable: a connection can go silent without a reset.
         """
         return sum(
             connection.opened_s < time_s and (connection.busy or connection.reusable)
