Put what keeps requests back behind one object

An exchange asked two trackers, told the other hosts of losses and built the evidence of crashes by itself. `Quarantine` does this for equal requests and for parts of prompts; the exchange asks it for a reason and tells it of answers and losses. The parts that the host builds have functions of their own. No behaviour changes.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -5,11 +5,10 @@
 from typing import Any
 
 from greengagestage.http1 import ConnectionPool
-from greengagestage.ids import Fingerprint
-from greengagestage.routing import LossTracker, Router
+from greengagestage.routing import Router
 from greengagestage.telemetry import EntryMetrics
 
-from ._crash_watch import CrashWatch
+from ._quarantine import Quarantine
 from ._upstream_notices import UpstreamNotices
 
 
@@ -18,10 +17,8 @@
     """The objects that the ``RequestExchange`` objects of a host share.
 
     Attributes:
-        losses: Answers that were lost, by the request's fingerprint.
+        quarantine: Keeps requests from being sent that crash upstreams.
         notices: Records what upstreams state about further requests.
-        crash_watch: Finds prompts that crash upstreams.
-        report_loss: Tells the other hosts of such a loss; takes the fingerprint and the loss's id.
         read_registry_age_s: Returns the seconds since the list of upstreams was confirmed.
         open_exchanges: All exchanges that have not delivered a final answer.
     """
@@ -29,10 +26,8 @@
     reactor: Any
     router: Router
     pool: ConnectionPool
-    losses: LossTracker
-    crash_watch: CrashWatch
+    quarantine: Quarantine
     notices: UpstreamNotices
     metrics: EntryMetrics
-    report_loss: Callable[[Fingerprint, str], None]
     read_registry_age_s: Callable[[], float | None]
     open_exchanges: set[Any] = field(default_factory=set)
--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -9,7 +9,7 @@
 
 from greengagestage.catalog import Prompt, RegisteredUpstream
 from greengagestage.http1 import ConnectionPool, Endpoint
-from greengagestage.ids import AttemptId, Crash, PromptPartId
+from greengagestage.ids import AttemptId, Crash, Fingerprint, PromptPartId
 from greengagestage.routing import CrashSuspects, PartLoss, SuspectRecord
 
 CRASH_CONFIRMATION_S = 0.1
@@ -19,18 +19,23 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LostAnswer:
-    """An answer to a prompt that had begun, and was lost before any event of it arrived.
+    """An answer whose connection ended before it was complete.
 
     Attributes:
+        number: Number of the attempt; all attempts share the request's id.
         sent_s: Time at which the request was sent.
         lost_s: Time at which the answer was lost.
+        had_just_begun: Whether the head of the answer had arrived, but no event.
     """
 
     attempt_id: AttemptId
-    prompt: Prompt
+    number: int
+    fingerprint: Fingerprint
+    prompt: Prompt | None
     upstream: RegisteredUpstream
     sent_s: float
     lost_s: float
+    had_just_begun: bool
 
 
 class CrashWatch:
@@ -52,9 +57,9 @@
         self._pool = pool
         self._report = report
 
-    def examine_loss(self, lost: LostAnswer) -> None:
-        """Record the loss once it turns out that the upstream has crashed."""
-        self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost)
+    def examine_loss(self, lost: LostAnswer, prompt: Prompt) -> None:
+        """Suspect a prompt whose answer had just begun, if its upstream has crashed."""
+        self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost, _list_parts(prompt))
 
     def record_answer(self, prompt: Prompt) -> None:
         """Record that the answer to a prompt has produced an event or is complete."""
@@ -66,7 +71,7 @@
         """Return the part for which a prompt must not be sent; None if it may be sent."""
         return self.suspects.find_crashing_part(_list_parts(prompt), self._reactor.seconds())
 
-    def _confirm(self, lost: LostAnswer) -> None:
+    def _confirm(self, lost: LostAnswer, parts: list[PromptPartId]) -> None:
         """Record the loss unless a connection from before it is still in use."""
         upstream = lost.upstream
         endpoint = Endpoint(address=upstream.address, port=upstream.port)
@@ -75,7 +80,7 @@
             message_type="upstream: connection lost" if survivors else "upstream: crashed",
             upstream=upstream.instance,
             request=lost.attempt_id,
-            parts=_list_parts(lost.prompt),
+            parts=parts,
             open_connections=survivors,
         )
         if survivors:
@@ -85,7 +90,7 @@
             sent_s=lost.sent_s,
             lost_s=lost.lost_s,
         )
-        self._report(self.suspects.record_loss(_list_parts(lost.prompt), loss))
+        self._report(self.suspects.record_loss(parts, loss))
 
 
 def _list_parts(prompt: Prompt) -> list[PromptPartId]:
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -225,7 +225,7 @@
             self._handover.cancel()
             if not self._origin_recorded:
                 self._record_origin(attempt)
-                self._record_answer()
+                self._context.quarantine.record_answer(self._job.prompt)
             self._watch_silence(MAX_PAUSE_S)
         elif not self._delivery.is_stream:
             self._silence.restart()
@@ -241,7 +241,7 @@
                 return
         if self._delivery.finish():
             if not self._delivery.is_stream:
-                self._record_answer()
+                self._context.quarantine.record_answer(self._job.prompt)
             self._conclude(ResultCode.DELIVERED)
         else:
             self._handle_fault(attempt, AttemptFault.LOST)
@@ -406,12 +406,8 @@
         return placed
 
     def _find_quarantine(self) -> str | None:
-        """Return why the request must not be sent to any upstream; None if it may be sent."""
-        if self._context.losses.is_quarantined(self._inputs.fingerprint, self._now_s):
-            return "equal requests crashed upstreams"
-        prompt = self._job.prompt
-        part = None if prompt is None else self._context.crash_watch.find_crashing_part(prompt)
-        return None if part is None else f"prompts with the part {part} crashed upstreams"
+        quarantine = self._context.quarantine
+        return quarantine.find_reason(self._inputs.fingerprint, self._job.prompt, self._now_s)
 
     def _promote_successor(self) -> None:
         """Give up the silent upstream: the successor alone answers from now on."""
@@ -470,36 +466,17 @@
         self._log.log_end(outcome, self._delivery)
 
     def _record_loss(self, attempt: Attempt) -> None:
-        """Count a lost answer and report it to the other hosts.
-
-        The number distinguishes the attempts, which all have the request's id.
-        """
-        fingerprint = self._inputs.fingerprint
-        loss_id = f"{self._job.attempt_id}.{attempt.plan.number}"
-        now_s = self._now_s
-        count = self._context.losses.record_loss(fingerprint, loss_id, now_s)
-        self._context.report_loss(fingerprint, loss_id)
-        if count > 1:
-            self._log.log_repeated_losses(fingerprint, count)
-        self._examine_crash(attempt)
-
-    def _examine_crash(self, attempt: Attempt) -> None:
-        """Suspect the prompt of a crash if its answer had begun and no event has arrived."""
-        prompt = self._job.prompt
-        if prompt is None or attempt.sent_s is None or not attempt.answer_begun:
-            return
-        if self._delivery.first_event_s is not None:
-            return
-        self._context.crash_watch.examine_loss(
-            LostAnswer(
-                attempt_id=self._job.attempt_id,
-                prompt=prompt,
-                upstream=attempt.plan.placement.upstream,
-                sent_s=attempt.sent_s,
-                lost_s=self._now_s,
-            )
+        plan, now_s = attempt.plan, self._now_s
+        lost = LostAnswer(
+            attempt_id=plan.attempt_id,
+            number=plan.number,
+            fingerprint=self._inputs.fingerprint,
+            prompt=self._job.prompt,
+            upstream=plan.placement.upstream,
+            sent_s=now_s if attempt.sent_s is None else attempt.sent_s,
+            lost_s=now_s,
+            had_just_begun=attempt.answer_begun and self._delivery.first_event_s is None,
         )
-
-    def _record_answer(self) -> None:
-        if self._job.prompt is not None:
-            self._context.crash_watch.record_answer(self._job.prompt)
+        count = self._context.quarantine.record_loss(lost)
+        if count > 1:
+            self._log.log_repeated_losses(lost.fingerprint, count)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -26,6 +26,7 @@
 from ._crash_watch import CrashWatch
 from ._host_list import HostList, HostRow
 from ._peers import PeerCallbacks, PeerLink
+from ._quarantine import Quarantine
 from ._readiness import ReadinessHandler
 from ._registry_watch import RegistryWatch
 from ._route_watch import RouteWatch
@@ -64,18 +65,9 @@
         )
         self._losses = LossTracker()
         self._pool = ConnectionPool(reactor=reactor)
-        self._crash_watch = CrashWatch(
-            reactor=reactor,
-            pool=self._pool,
-            report=lambda records: self._peers.report_suspects(records),
-        )
-        address, port = settings.store
+        self._crash_watch = self._build_crash_watch()
         self._era = StoreEra()
-        self._rows = RowClient(
-            reactor=reactor,
-            endpoint=Endpoint(address=address, port=port),
-            on_era=self._era.observe,
-        )
+        self._rows = self._build_row_client()
         self._routes = self._build_route_watch(random)
         self._registry = self._build_registry_watch(random)
         self._peers = self._build_peers(incarnation, random)
@@ -156,6 +148,21 @@
             self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
         )
 
+    def _build_crash_watch(self) -> CrashWatch:
+        return CrashWatch(
+            reactor=self._reactor,
+            pool=self._pool,
+            report=lambda records: self._peers.report_suspects(records),
+        )
+
+    def _build_row_client(self) -> RowClient:
+        address, port = self._settings.store
+        return RowClient(
+            reactor=self._reactor,
+            endpoint=Endpoint(address=address, port=port),
+            on_era=self._era.observe,
+        )
+
     def _build_route_watch(self, random: Random) -> RouteWatch:
         return RouteWatch(
             reactor=self._reactor,
@@ -213,11 +220,13 @@
             reactor=self._reactor,
             router=self._router,
             pool=self._pool,
-            losses=self._losses,
-            crash_watch=self._crash_watch,
+            quarantine=Quarantine(
+                losses=self._losses,
+                crash_watch=self._crash_watch,
+                report_loss=self._peers.report_loss,
+            ),
             notices=UpstreamNotices(router=self._router, report_limit=self._peers.report_limit),
             metrics=self._metrics,
-            report_loss=self._peers.report_loss,
             read_registry_age_s=lambda: self._registry.age_s,
         )
 
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -7,17 +7,8 @@
 from eliot import log_message
 from twisted.internet.protocol import DatagramProtocol
 
-from greengagestage.ids import (
-    FailureDomain,
-    Fingerprint,
-    HostId,
-    Incarnation,
-    InstanceId,
-)
-from greengagestage.routing import (
-    StreamRecord,
-    SuspectRecord,
-)
+from greengagestage.ids import FailureDomain, Fingerprint, HostId, Incarnation, InstanceId
+from greengagestage.routing import StreamRecord, SuspectRecord
 
 from ._load_exchange import LoadExchange
 from ._loops import RepeatingTask
--- /dev/null
+++ b/greengagestage/gateway/_quarantine.py
@@ -0,0 +1,53 @@
+"""Keeps requests from being sent that have crashed upstreams, or are like those that did."""
+
+from collections.abc import Callable
+
+from greengagestage.catalog import Prompt
+from greengagestage.ids import Fingerprint
+from greengagestage.routing import LossTracker
+
+from ._crash_watch import CrashWatch, LostAnswer
+
+
+class Quarantine:
+    """Judges requests by what they share with others: the whole request, or a part of the prompt.
+
+    Args:
+        losses: Lost answers by fingerprint, to which those of other hosts are added elsewhere.
+        crash_watch: Finds the parts of prompts that crash upstreams.
+        report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
+    """
+
+    def __init__(
+        self,
+        *,
+        losses: LossTracker,
+        crash_watch: CrashWatch,
+        report_loss: Callable[[Fingerprint, str], None],
+    ) -> None:
+        self._losses = losses
+        self._crash_watch = crash_watch
+        self._report_loss = report_loss
+
+    def find_reason(
+        self, fingerprint: Fingerprint, prompt: Prompt | None, now_s: float
+    ) -> str | None:
+        """Return why a request must not be sent to any upstream; None if it may be sent."""
+        if self._losses.is_quarantined(fingerprint, now_s):
+            return "equal requests crashed upstreams"
+        part = None if prompt is None else self._crash_watch.find_crashing_part(prompt)
+        return None if part is None else f"prompts with the part {part} crashed upstreams"
+
+    def record_answer(self, prompt: Prompt | None) -> None:
+        """Record that the answer to a request has produced an event or is complete."""
+        if prompt is not None:
+            self._crash_watch.record_answer(prompt)
+
+    def record_loss(self, lost: LostAnswer) -> int:
+        """Record a lost answer, report it, and return how many to equal requests were lost."""
+        loss_id = f"{lost.attempt_id}.{lost.number}"
+        count = self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
+        self._report_loss(lost.fingerprint, loss_id)
+        if lost.prompt is not None and lost.had_just_begun:
+            self._crash_watch.examine_loss(lost, lost.prompt)
+        return count
