--- a/soak/_run.py
+++ b/soak/_run.py
@@ -132,16 +132,7 @@
         traffic = self._start_traffic(operator, answers)
         await sleep(self._reactor, WARM_UP_S)
         if options.faults:
-            schedule = draw_schedule(Random(f"{options.seed}/faults"), 0.0, options.seconds)
-            injector = Injector(
-                reactor=self._reactor,
-                disturbances=self._disturbances,
-                hosts=self._hosts,
-                upstreams=upstreams,
-                operator=operator,
-                store=store,
-            )
-            injector.schedule(schedule)
+            self._schedule_faults(upstreams, operator, store)
             self._schedule_deadly_part(traffic)
             self._schedule_limits(upstreams)
         await sleep(self._reactor, options.seconds)
@@ -202,6 +193,20 @@
             upstreams.add(service, VERSIONS[number // 4 % len(VERSIONS)])
         return upstreams
 
+    def _schedule_faults(
+        self, upstreams: UpstreamFleet, operator: Operator, store: StoreControl
+    ) -> None:
+        options = self._options
+        injector = Injector(
+            reactor=self._reactor,
+            disturbances=self._disturbances,
+            hosts=self._hosts,
+            upstreams=upstreams,
+            operator=operator,
+            store=store,
+        )
+        injector.schedule(draw_schedule(Random(f"{options.seed}/faults"), 0.0, options.seconds))
+
     def _schedule_deadly_part(self, traffic: TrafficContext) -> None:
         """Let some prompts have a part that crashes upstreams, from some time on in some runs."""
         random = Random(f"{self._options.seed}/deadly part")
