--- /dev/null
+++ b/tests/cut_links.py
@@ -0,0 +1,79 @@
+"""A host's links to upstreams, which a test cuts while the host itself stays reachable."""
+
+from collections.abc import Collection
+from enum import Enum
+from typing import Any
+
+from twisted.internet.error import ConnectionRefusedError, TCPTimedOutError
+from twisted.python.failure import Failure
+from zope.interface import directlyProvides, providedBy
+
+
+class Cut(Enum):
+    """What a cut does to a host's connections to upstreams.
+
+    Attributes:
+        HANGING: Open ones go silent, and new ones are not answered.
+        RESET: Open ones are reset, and new ones are refused.
+        SURVIVING: Open ones go on, and new ones are refused.
+    """
+
+    HANGING = "hanging"
+    RESET = "reset"
+    SURVIVING = "surviving"
+
+
+class CuttableReactor:
+    """A reactor for one host, whose connections to some ports can be cut.
+
+    Attributes:
+        attempts: Ports to which connections were opened or tried, in order.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._cut: Cut | None = None
+        self._ports: frozenset[int] = frozenset()
+        self._connections: list[tuple[int, Any]] = []
+        self.attempts: list[int] = []
+        directlyProvides(self, providedBy(reactor))
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reactor, name)
+
+    def cut(self, cut: Cut, ports: Collection[int]) -> None:
+        """Cut the links to some ports."""
+        self._cut, self._ports = cut, frozenset(ports)
+        for port, protocol in self._connections:
+            if port not in self._ports or protocol.transport is None:
+                continue
+            if cut is Cut.RESET:
+                protocol.transport.abortConnection()
+            elif cut is Cut.HANGING and protocol.transport.connected:
+                protocol.transport.stopReading()
+                protocol.transport.stopWriting()
+                protocol.transport.write = lambda data: None
+
+    def heal(self) -> None:
+        """Let new connections through; silent ones stay silent."""
+        self._cut, self._ports = None, frozenset()
+
+    def connectTCP(  # noqa: N802
+        self, host: str, port: int, factory: Any, timeout: float = 30.0, **arguments: Any
+    ) -> Any:
+        """Connect, or fail as the cut does."""
+        self.attempts.append(port)
+        if port in self._ports:
+            error = TCPTimedOutError() if self._cut is Cut.HANGING else ConnectionRefusedError()
+            delay_s = timeout if self._cut is Cut.HANGING else 0.0
+            failed = factory.clientConnectionFailed
+            return self._reactor.callLater(delay_s, failed, None, Failure(error))
+        build = factory.buildProtocol
+
+        def build_and_remember(address: Any) -> Any:
+            protocol = build(address)
+            self._connections.append((port, protocol))
+            return protocol
+
+        factory.buildProtocol = build_and_remember
+        return self._reactor.connectTCP(host, port, factory, timeout=timeout, **arguments)
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -281,6 +281,7 @@
         address: str = "127.0.0.1",
         domain: str = "a",
         peer_port: int | None = None,
+        reactor: Any = None,
         **bounds: Any,
     ) -> HostProcess:
         store = self.store_port.getHost()
@@ -294,7 +295,7 @@
             store=(store.host, store.port),
             bounds=Bounds(**{"key_revocation_s": 5.0, **bounds}),
         )
-        process = HostProcess(reactor=self.reactor, settings=settings)
+        process = HostProcess(reactor=reactor or self.reactor, settings=settings)
         process.start()
         self.processes.append(process)
         self._host_settings.append(settings)
