Pass requests on through other hosts where a host's own links are cut

Cause: a host had no path to an upstream but its own link.

Now a host that cannot connect to several upstreams sends its requests through another host that can. All decisions stay with the first one; the other one forwards a single attempt, says so if it sent nothing, and never passes it further. The link is tried again once a second while another host proves the upstream alive.

--- a/greengagestage/catalog/_settings.py
+++ b/greengagestage/catalog/_settings.py
@@ -34,7 +34,8 @@
         address: Address for messages between hosts.
         callers: ``(address, port)`` on which callers connect.
         readiness: ``(address, port)`` of the readiness check for the load balancer.
-        peer_port: UDP port for messages between hosts, the same on all of them.
+        peer_port: Port for messages between hosts over UDP, and for requests that they forward for
+            each other over TCP; the same on all of them.
         store: ``(address, port)`` of the platform's store.
     """
 
--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -6,17 +6,19 @@
 
 from greengagestage.http1 import (
     ClientConnection,
+    ConnectionPool,
     Endpoint,
     Exchange,
     ExchangeFailure,
     OutgoingRequest,
     ResponseHead,
 )
-from greengagestage.ids import AttemptId
+from greengagestage.ids import AttemptId, HostId
 from greengagestage.platform import ResponseKind, classify_response, is_answer_to
-from greengagestage.routing import AttemptEnd, Placement
+from greengagestage.routing import AttemptEnd, ForwardingHost, Placement
 
 from ._context import ExchangeContext
+from ._forwarding_protocol import ForwardFault, address_request, read_fault, restore_head
 
 MAX_IDLE_NON_RETRYABLE_S = 1.5
 """A request that is not retryable only uses a connection idle for less than this: on a connection
@@ -35,10 +37,11 @@
 class AttemptFault(Enum):
     """Why an attempt yielded no complete answer.
 
-    Only the first four prove that the request did not run.
+    Only the first five prove that the request did not run.
 
     Attributes:
         UNREACHABLE: No connection could be opened.
+        UNFORWARDED: The host that was to forward the request did not send it.
         WITHDRAWN: The upstream stopped accepting requests before this one was sent.
         REFUSED: The upstream stated that it did not run the request.
         MISDIRECTED: The request reached another instance than the one it names.
@@ -50,6 +53,7 @@
     """
 
     UNREACHABLE = "unreachable"
+    UNFORWARDED = "unforwarded"
     WITHDRAWN = "withdrawn"
     REFUSED = "refused"
     MISDIRECTED = "elsewhere"
@@ -66,12 +70,17 @@
     @property
     def proves_not_sent(self) -> bool:
         """Whether the fault proves that nothing was sent to the upstream."""
-        return self in (AttemptFault.UNREACHABLE, AttemptFault.WITHDRAWN)
+        return self in (
+            AttemptFault.UNREACHABLE,
+            AttemptFault.UNFORWARDED,
+            AttemptFault.WITHDRAWN,
+        )
 
 
 # A refusal is taken to mean that the upstream is at capacity, whatever its reason was.
 _END_BY_FAULT = {
     AttemptFault.UNREACHABLE: AttemptEnd.UNREACHABLE,
+    AttemptFault.UNFORWARDED: AttemptEnd.CANCELLED,
     AttemptFault.WITHDRAWN: AttemptEnd.CANCELLED,
     AttemptFault.REFUSED: AttemptEnd.FULL,
     AttemptFault.MISDIRECTED: AttemptEnd.MISDIRECTED,
@@ -143,6 +152,7 @@
         self._closing_timer: Any = None
         self._drained_bytes = 0
         self._counted_in_router = True
+        self._forwarded_by: HostId | None = None
 
     @property
     def silent_s(self) -> float | None:
@@ -158,20 +168,32 @@
         """Whether the head of the upstream's answer has arrived."""
         return self._last_data_s is not None
 
+    @property
+    def forwarded_by(self) -> HostId | None:
+        """The host that forwards the request; None if it is sent directly."""
+        return self._forwarded_by
+
     def start(self) -> None:
-        """Send on an idle connection, or open a new one."""
-        upstream = self.plan.placement.upstream
+        """Send on an idle connection, or open a new one to the upstream or a forwarding host."""
+        upstream, via = self.plan.placement.upstream, self.plan.placement.via
         endpoint = Endpoint(address=upstream.address, port=upstream.port)
         idle_limit_s = MAX_IDLE_NON_RETRYABLE_S if self.plan.non_retryable else MAX_IDLE_S
-        idle = self._context.pool.take_idle(endpoint, idle_limit_s=idle_limit_s)
+        if via is not None:
+            # A connection that has brought data since the link was cut lives on.
+            cut_s = self._context.router.links.get_cut_s(upstream.instance)
+            idle_limit_s = min(idle_limit_s, self._context.reactor.seconds() - cut_s)
+        pool = self._context.pool
+        idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s)
         if idle is not None:
-            self._send(idle, endpoint)
-            return
-        self._context.pool.open(
-            endpoint,
-            on_open=lambda connection: self._send(connection, endpoint),
-            on_failed=lambda: self._fail(AttemptFault.UNREACHABLE),
-        )
+            self._send(idle, pool, endpoint)
+        elif via is not None:
+            self._start_forwarding(via)
+        else:
+            pool.open(
+                endpoint,
+                on_open=lambda connection: self._handle_open(connection, endpoint),
+                on_failed=self._fail_unreachable,
+            )
 
     def cancel(self, end: AttemptEnd = AttemptEnd.CANCELLED) -> None:
         """Close the connection, which cancels the run; the listener gets no further events."""
@@ -198,6 +220,15 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Classify the response as an answer, a refusal, or neither."""
+        if self._forwarded_by is not None:
+            fault = read_fault(head)
+            if fault is not None:
+                self._fail_forwarding(self._forwarded_by, fault)
+                return
+            head = restore_head(head)
+            self._context.link_watch.record_forwarded(
+                self._forwarded_by, self.plan.placement.upstream
+            )
         self._record_data()
         now_s = self._context.reactor.seconds()
         sent_s = now_s if self.sent_s is None else self.sent_s
@@ -249,17 +280,64 @@
         """
         self._settle(end)
 
-    def _send(self, connection: ClientConnection, endpoint: Endpoint) -> None:
+    def _start_forwarding(self, via: ForwardingHost) -> None:
+        self._forwarded_by = via.host
+        pool = self._context.forwarding_pool
+        endpoint = Endpoint(address=via.address, port=via.port)
+        idle = pool.take_idle(endpoint, idle_limit_s=MAX_IDLE_NON_RETRYABLE_S)
+        if idle is not None:
+            self._send(idle, pool, endpoint)
+            return
+        pool.open(
+            endpoint,
+            on_open=lambda connection: self._send(connection, pool, endpoint),
+            on_failed=lambda: self._fail_forwarding(via.host, ForwardFault.STOPPING),
+        )
+
+    def _fail_forwarding(self, host: HostId, fault: ForwardFault) -> None:
+        """Handle a fault that the forwarding host states, or that it cannot be reached."""
+        links, now_s = self._context.router.links, self._context.reactor.seconds()
+        if self._connection is not None:
+            self._close_after(MAX_DRAIN_S)
+        match fault:
+            case ForwardFault.LOST:
+                self._fail(AttemptFault.LOST)
+                return
+            case ForwardFault.MALFORMED:
+                self._fail(AttemptFault.MALFORMED)
+                return
+        if fault.concerns_host:
+            links.record_unusable(host, now_s)
+        else:
+            links.record_miss(
+                host,
+                self.plan.placement.upstream.instance,
+                now_s,
+                down=fault is ForwardFault.UNREACHABLE,
+            )
+        self._fail(AttemptFault.UNFORWARDED)
+
+    def _fail_unreachable(self) -> None:
+        self._fail(AttemptFault.UNREACHABLE)
+        self._context.link_watch.log_unreachable(self.plan.placement.upstream)
+
+    def _handle_open(self, connection: ClientConnection, endpoint: Endpoint) -> None:
+        self._context.link_watch.record_opened(self.plan.placement.upstream)
+        self._send(connection, self._context.pool, endpoint)
+
+    def _send(self, connection: ClientConnection, pool: ConnectionPool, endpoint: Endpoint) -> None:
         incarnation = self.plan.placement.upstream.incarnation
         if not self._context.router.accepts_requests(incarnation, self._context.reactor.seconds()):
-            self._context.pool.put_idle(endpoint, connection)
+            pool.put_idle(endpoint, connection)
             self._fail(AttemptFault.WITHDRAWN)
             return
         request = None if self._listener is None else self._listener.prepare_attempt_request(self)
         if request is None:
-            self._context.pool.put_idle(endpoint, connection)
+            pool.put_idle(endpoint, connection)
             self._settle(AttemptEnd.CANCELLED)
             return
+        if self._forwarded_by is not None:
+            request = address_request(request, incarnation)
         self._connection = connection
         self.sent_s = self._context.reactor.seconds()
         attempt_id = self.plan.attempt_id
--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -8,6 +8,7 @@
 from greengagestage.routing import Router
 from greengagestage.telemetry import EntryMetrics
 
+from ._link_watch import LinkWatch
 from ._quarantine import Quarantine
 from ._upstream_notices import UpstreamNotices
 
@@ -17,6 +18,8 @@
     """The objects that the ``RequestExchange`` objects of a host share.
 
     Attributes:
+        forwarding_pool: Connections to other hosts, which forward requests to upstreams.
+        link_watch: Follows the links to the upstreams.
         quarantine: Keeps requests from being sent that crash upstreams.
         notices: Records what upstreams state about further requests.
         read_registry_age_s: Returns the seconds since the list of upstreams was confirmed.
@@ -26,6 +29,8 @@
     reactor: Any
     router: Router
     pool: ConnectionPool
+    forwarding_pool: ConnectionPool
+    link_watch: LinkWatch
     quarantine: Quarantine
     notices: UpstreamNotices
     metrics: EntryMetrics
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -256,7 +256,6 @@
     # Placement and retries.
 
     def _send_next(self) -> None:
-        now_s = self._now_s
         if self._limits.may_have_run and not self._limits.has_runs_left:
             self._refuse_after_fault(self._last_fault or AttemptFault.LOST)
             return
@@ -266,7 +265,7 @@
             code = ResultCode.CRASHED_UPSTREAMS if may_have_run else ResultCode.QUARANTINED
             self._refuse(Refusal(code=code, detail=detail))
             return
-        placed = self._context.router.place(self._job, now_s, self._limits.tried)
+        placed = self._place()
         match placed:
             case Refused():
                 self._refuse_unplaced(placed)
@@ -275,6 +274,10 @@
             case Waiting():
                 self._schedule_placement(placed)
 
+    def _place(self) -> Placement | Refused | Waiting:
+        limits = self._limits
+        return self._context.router.place(self._job, self._now_s, limits.tried, limits.unreached)
+
     def _schedule_placement(self, waiting: Waiting) -> None:
         if not self._waited:
             self._waited = True
@@ -313,6 +316,7 @@
         self._last_fault = fault
         if fault.proves_not_run and attempt.sent_s is not None:
             self._limits.possible_runs -= 1
+        self._limits.record_unsent(attempt.plan.placement.upstream.instance, fault)
         if fault is AttemptFault.LOST:
             self._record_loss(attempt)
         self._log.log_attempt_fault(attempt, fault, self._delivery)
@@ -395,13 +399,14 @@
         now_s = self._now_s
         if self._find_quarantine() is not None:
             return None
-        router = self._context.router
-        placed = router.place(self._job, now_s, self._limits.tried)
+        placed = self._place()
         if not isinstance(placed, Placement):
             return None
         if not self._limits.try_spend_retry(now_s):
             instance = placed.upstream.instance
-            router.record_end(self._job.attempt_id, instance, AttemptEnd.CANCELLED, now_s)
+            self._context.router.record_end(
+                self._job.attempt_id, instance, AttemptEnd.CANCELLED, now_s
+            )
             return None
         return placed
 
@@ -427,9 +432,9 @@
     def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._handover.take()
         self._record_fault(attempt, fault)
-        if fault.proves_not_run:
+        if fault.proves_not_run and fault is not AttemptFault.UNFORWARDED:
             self._limits.record_refused_successor()
-        self._silence.start(SUCCESSOR_RETRY_S)
+        self._silence.start(0.0 if fault.proves_not_sent else SUCCESSOR_RETRY_S)
 
     # Final answer.
 
@@ -475,7 +480,11 @@
             upstream=plan.placement.upstream,
             sent_s=now_s if attempt.sent_s is None else attempt.sent_s,
             lost_s=now_s,
-            had_just_begun=attempt.answer_begun and self._delivery.first_event_s is None,
+            had_just_begun=(
+                attempt.answer_begun
+                and attempt.forwarded_by is None
+                and self._delivery.first_event_s is None
+            ),
         )
         count = self._context.quarantine.record_loss(lost)
         if count > 1:
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -19,12 +20,14 @@
     ServiceName,
 )
 from greengagestage.platform import RowClient
-from greengagestage.routing import Demand, LossTracker, Router, UpstreamLoad
+from greengagestage.routing import Demand, ForwardingHost, LossTracker, Router, UpstreamLoad
 from greengagestage.telemetry import EntryMetrics
 
 from ._context import ExchangeContext
 from ._crash_watch import CrashWatch
+from ._forwarding import ForwardingHandler
 from ._host_list import HostList, HostRow
+from ._link_watch import LinkWatch
 from ._peers import PeerCallbacks, PeerLink
 from ._quarantine import Quarantine
 from ._readiness import ReadinessHandler
@@ -47,6 +50,9 @@
 """A host that has learned longer ago what the store shows reports itself as not ready. It normally
 learns that about every second."""
 
+FORWARDING_HEADER_BYTES = 4_096
+"""Room for the headers that hosts add to a caller's request."""
+
 LISTEN_BACKLOG = 1_024
 """Listen backlog in connections. When it is full, callers' SYN packets are dropped and connecting
 takes seconds."""
@@ -65,6 +71,10 @@
         )
         self._losses = LossTracker()
         self._pool = ConnectionPool(reactor=reactor)
+        self._forwarding_pool = ConnectionPool(reactor=reactor, bind_address=settings.address)
+        self._link_watch = LinkWatch(
+            reactor=reactor, router=self._router, pool=self._pool, draw=random.random
+        )
         self._crash_watch = self._build_crash_watch()
         self._era = StoreEra()
         self._rows = self._build_row_client()
@@ -88,11 +98,21 @@
         )
         self._context = self._build_context()
         self._caller_server = self._build_caller_server(random)
+        self._forwarding = ForwardingHandler(
+            context=self._context,
+            is_peer=self._peers.is_peer_address,
+            is_stopping=lambda: self._shutdown.begun,
+        )
+        self._forwarding_server = ServerFactory(
+            reactor=reactor,
+            on_request=self._forwarding.handle,
+            on_refused=self._forwarding.explain_limit,
+        )
         self._readiness_server = self._build_readiness_server()
         self._shutdown = Shutdown(
             reactor=reactor,
             grace_s=settings.bounds.stop_grace_s,
-            caller_server=self._caller_server,
+            servers=(self._caller_server, self._forwarding_server),
             configuration=self._configuration,
             open_exchanges=self._context.open_exchanges,
         )
@@ -108,6 +128,7 @@
         settings = self._settings
         self._listen(settings.callers, self._caller_server)
         self._listen(settings.readiness, self._readiness_server)
+        self._listen((settings.address, settings.peer_port), self._forwarding_server)
         self._ports.append(
             self._reactor.listenUDP(
                 settings.peer_port, self._peers, interface=settings.address, maxPacketSize=2_048
@@ -139,6 +160,7 @@
         for task in self._tasks:
             task.stop()
         self._pool.close()
+        self._forwarding_pool.close()
         self._rows.close()
         log_message(message_type="host: stopped")
 
@@ -212,6 +234,7 @@
                 on_streams=lambda records: self._router.stream_versions.origins.learn(
                     records, self._reactor.seconds()
                 ),
+                on_peers=self._adopt_peers,
             ),
         )
 
@@ -220,6 +243,8 @@
             reactor=self._reactor,
             router=self._router,
             pool=self._pool,
+            forwarding_pool=self._forwarding_pool,
+            link_watch=self._link_watch,
             quarantine=Quarantine(
                 losses=self._losses,
                 crash_watch=self._crash_watch,
@@ -262,6 +287,9 @@
     def _adopt_routes(self, table: RouteTable) -> None:
         self._configuration.table = table
         self._caller_server.limits = table.limits
+        self._forwarding_server.limits = replace(
+            table.limits, header_bytes=table.limits.header_bytes + FORWARDING_HEADER_BYTES
+        )
         self._router.update_routes(table)
 
     def _adopt_upstreams(self, records: Iterable[RegisteredUpstream]) -> None:
@@ -278,6 +306,13 @@
             upstream.incarnation, RETURNED_ENTRY_PAUSE_S, self._reactor.seconds()
         )
 
+    def _adopt_peers(self, addresses: Mapping[HostId, str]) -> None:
+        port = self._settings.peer_port
+        self._router.links.update_hosts(
+            ForwardingHost(host=host, address=address, port=port)
+            for host, address in addresses.items()
+        )
+
     def _adopt_hosts(self, rows: Mapping[HostId, HostRow]) -> None:
         for host, row in rows.items():
             self._peers.add_peer(host, row.address, FailureDomain(row.failure_domain))
@@ -311,4 +346,6 @@
             "active_peers": self._peers.active_peers,
             "store_calls": self._rows.calls,
             "upstream_connections_opened": self._pool.opened,
+            "requests_forwarded_by_others": self._link_watch.forwarded,
+            "requests_forwarded_for_others": self._forwarding.forwarded,
         }
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -1,6 +1,6 @@
 """The link to the other hosts: exchanges load reports, and broadcasts what one host has learnt."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -68,6 +68,7 @@
         take_streams: Returns the streams, begun at this host, to tell the others of at a time in
             seconds.
         on_streams: Handles the streams that other hosts have begun.
+        on_peers: Handles the addresses of all known hosts, after a change.
     """
 
     measure_local_loads: Callable[[float], Loads]
@@ -82,6 +83,7 @@
     on_configuration: Callable[[ConfigurationReport], None]
     take_streams: Callable[[float], Sequence[StreamRecord]]
     on_streams: Callable[[Sequence[StreamRecord]], None]
+    on_peers: Callable[[Mapping[HostId, str]], None]
 
 
 class PeerLink(DatagramProtocol):
@@ -149,8 +151,13 @@
         known = self._peers.get(host)
         if known is None or known.address[0] != address:
             self._peers[host] = Peer(address=(address, self._port))
+            self._report_addresses()
         self._load_exchange.add_host(host, domain)
 
+    def is_peer_address(self, address: str) -> bool:
+        """Whether another host has this address."""
+        return any(peer.address[0] == address for peer in self._peers.values())
+
     def report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Tell all peers that the answer to a request was lost."""
         for _ in range(SENDS_PER_REPORT):
@@ -211,17 +218,23 @@
         peer = self._peers.get(sender.host)
         if peer is None:
             peer = self._peers[sender.host] = Peer(address=(addr[0], self._port))
+            self._report_addresses()
         position = (sender.incarnation, sender.sequence)
         if position <= (peer.incarnation, peer.sequence):
             return False
         has_started = sender.incarnation != peer.incarnation
-        peer.address = (addr[0], self._port)
         peer.incarnation, peer.sequence = position
+        if peer.address[0] != addr[0]:
+            peer.address = (addr[0], self._port)
+            self._report_addresses()
         if has_started:
             log_message(message_type="peers: heard", peer=sender.host, address=addr[0])
             self._tell_suspects(sender.host)
         return True
 
+    def _report_addresses(self) -> None:
+        self._callbacks.on_peers({host: peer.address[0] for host, peer in self._peers.items()})
+
     def _send_reports(self) -> float:
         now_s = self._reactor.seconds()
         sender = self._take_next_sender()
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -13,6 +13,10 @@
 """Number of refusals after which no further upstream is asked in addition to a silent one. They do
 not count as sends, so that the request can still be sent elsewhere if the silent one is lost."""
 
+MAX_UNFORWARDED = 8
+"""Maximum number of attempts that other hosts did not forward. They do not count as sends: a host
+that cannot forward says so at once."""
+
 MIN_TIME_FOR_RETRY_S = 0.03
 """No retry is started with less time left than this: plain answers take about 20 ms."""
 
@@ -21,16 +25,19 @@
     """Counts the sends of one request and decides whether another one is safe and allowed.
 
     Attributes:
-        tried: The upstreams that were chosen so far.
+        tried: The upstreams that were chosen so far, except those that certainly got nothing.
+        unreached: The upstreams to which this host could not connect.
         sends: Number of attempts to send the request.
         possible_runs: Number of attempts that may have run, or may be running, the request.
     """
 
     def __init__(self, *, job: Job, router: Router) -> None:
         self.tried: frozenset[InstanceId] = frozenset()
+        self.unreached: frozenset[InstanceId] = frozenset()
         self.sends = 0
         self.possible_runs = 0
         self._refused_successors = 0
+        self._unforwarded = 0
         self._job = job
         self._router = router
 
@@ -50,6 +57,16 @@
         self.sends += 1
         self.tried |= {instance}
 
+    def record_unsent(self, instance: InstanceId, fault: AttemptFault) -> None:
+        """Count an attempt that sent nothing to an upstream, which may get the request later."""
+        match fault:
+            case AttemptFault.UNREACHABLE:
+                self.tried -= {instance}
+                self.unreached |= {instance}
+            case AttemptFault.UNFORWARDED:
+                self.tried -= {instance}
+                self._unforwarded += 1
+
     def may_run_again(self, now_s: float) -> bool:
         """Whether a request that may have run, or may be running, can be sent again."""
         return self.has_runs_left and self._may_send(now_s)
@@ -81,4 +98,5 @@
 
     def _may_send(self, now_s: float) -> bool:
         has_time = self._job.deadline_s - now_s >= MIN_TIME_FOR_RETRY_S
-        return has_time and self.sends - self._refused_successors < MAX_SENDS
+        sends = self.sends - self._refused_successors - self._unforwarded
+        return has_time and sends < MAX_SENDS and self._unforwarded <= MAX_UNFORWARDED
--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -1,6 +1,6 @@
 """Graceful shutdown of a host, which waits for open requests as long as the grace period allows."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import Any, Protocol
 
 from eliot import log_message
@@ -48,13 +48,13 @@
         *,
         reactor: Any,
         grace_s: float,
-        caller_server: ServerFactory,
+        servers: Sequence[ServerFactory],
         configuration: ConfigurationView,
         open_exchanges: Collection[Stoppable],
     ) -> None:
         self._reactor = reactor
         self.grace_s = grace_s
-        self._caller_server = caller_server
+        self._servers = servers
         self._configuration = configuration
         self._open_exchanges = open_exchanges
         self._done: Deferred[None] | None = None
@@ -74,18 +74,20 @@
         if self._done is None:
             self._done = Deferred()
             self._began_s = self._reactor.seconds()
-            self._caller_server.closing = True
+            for server in self._servers:
+                server.closing = True
             self._reactor.callLater(LOAD_BALANCER_DELAY_S, self._refuse_new)
         return self._done
 
     def _refuse_new(self) -> None:
         self._configuration.refuses_requests = True
-        self._caller_server.close_idle()
+        for server in self._servers:
+            server.close_idle()
         self._check_open_requests()
 
     def _check_open_requests(self) -> None:
         open_requests = len(self._open_exchanges)
-        unsent_answers = self._caller_server.count_sending()
+        unsent_answers = sum(server.count_sending() for server in self._servers)
         elapsed_s = self._reactor.seconds() - self._began_s
         if (open_requests or unsent_answers) and elapsed_s < self.grace_s - GRACE_MARGIN_S:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_open_requests)
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -76,13 +76,23 @@
 class ConnectionPool:
     """Provides idle connections, most recently used first, and opens new ones.
 
+    Args:
+        bind_address: Local address of the connections; None to let the system choose.
+
     Attributes:
         opened: Number of attempts to open a connection so far, including those that failed.
     """
 
-    def __init__(self, *, reactor: Any, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        bind_address: str | None = None,
+    ) -> None:
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
+        self._bind_address = None if bind_address is None else (bind_address, 0)
         self._idle: dict[Endpoint, list[ClientConnection]] = {}
         self._open: dict[Endpoint, set[ClientConnection]] = {}
         self.opened = 0
@@ -121,7 +131,11 @@
             on_failed,
         )
         self._reactor.connectTCP(
-            endpoint.address, endpoint.port, factory, timeout=self._connect_timeout_s
+            endpoint.address,
+            endpoint.port,
+            factory,
+            timeout=self._connect_timeout_s,
+            bindAddress=self._bind_address,
         )
 
     def put_idle(self, endpoint: Endpoint, connection: ClientConnection) -> None:
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -21,6 +21,7 @@
     build_caller_headers,
     build_upstream_headers,
     parse_caller_headers,
+    replace_time_left,
 )
 from ._host_settings import READINESS_PATH, SETTINGS_PATH, SETTINGS_VARIABLE, parse_host_settings
 from ._objects import AlreadyStored, ObjectClient, ObjectMissing, PutOutcome, Stored
@@ -83,5 +84,6 @@
     "parse_host_settings",
     "read_limit_per_s",
     "read_pause_s",
+    "replace_time_left",
     "states_leaving",
 ]
--- a/greengagestage/platform/_headers.py
+++ b/greengagestage/platform/_headers.py
@@ -165,6 +165,12 @@
     return forwarded
 
 
+def replace_time_left(headers: HeaderList, time_left_s: float) -> HeaderList:
+    """Return an upstream's request headers with another deadline."""
+    value = b"%d" % max(int(time_left_s * 1_000), 1)
+    return [(name, value if name.lower() == DEADLINE else text) for name, text in headers]
+
+
 def build_caller_headers(headers: HeaderList) -> HeaderList:
     """Return an upstream's headers as they are sent to the caller."""
     dropped = _CONNECTION_HEADERS | _list_hop_by_hop_names(headers)
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -9,6 +9,7 @@
 from ._engine_split import EngineSplit, GroupDemand
 from ._health import Health
 from ._jobs import Job, Placement, Refused, StreamOrigin, Waiting
+from ._links import ForwardingHost, LinkMonitor
 from ._loads import UpstreamLoad
 from ._losses import LossTracker
 from ._retries import RetryBudget
@@ -25,8 +26,10 @@
     "EngineSpeed",
     "EngineSplit",
     "GroupDemand",
+    "ForwardingHost",
     "Health",
     "Job",
+    "LinkMonitor",
     "LossTracker",
     "PartLoss",
     "Placement",
--- a/greengagestage/routing/_health.py
+++ b/greengagestage/routing/_health.py
@@ -60,6 +60,11 @@
         """Record a failed attempt to connect, which excludes the upstream at once."""
         self._exclude(now_s)
 
+    def end_exclusion(self) -> None:
+        """Use the upstream again, since its failures had another cause."""
+        self._exclusions = 0
+        self._excluded_until_s = 0.0
+
     def record_full(self, now_s: float) -> None:
         """Record that the upstream refused a request, and exclude it for a moment.
 
--- a/greengagestage/routing/_jobs.py
+++ b/greengagestage/routing/_jobs.py
@@ -6,6 +6,8 @@
 from greengagestage.ids import AttemptId, ServiceName, SoftwareVersion
 from greengagestage.results import ResultCode
 
+from ._links import ForwardingHost
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StreamOrigin:
@@ -53,12 +55,15 @@
         reason: Why this upstream was chosen, for the log.
         expected_s: Forecast time to the first event, or to the answer of a plain service.
         prefill_s: Forecast prefill time that the job adds on the upstream.
+        via: The host that forwards the request, since this one has no link to the upstream; None
+            if it is sent directly.
     """
 
     upstream: RegisteredUpstream
     reason: str
     expected_s: float
     prefill_s: float = 0.0
+    via: ForwardingHost | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -26,6 +26,7 @@
 from ._engine_model import EngineModel
 from ._engine_split import URGENT_WEIGHT, EngineSplit, GroupDemand, build_group
 from ._jobs import Job, Placement, Refused, Waiting
+from ._links import ForwardingHost, LinkMonitor
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
 from ._placement import Choice, EngineChooser, choose_plain
@@ -99,6 +100,7 @@
         hosts: Number of known hosts; None until the host list has been read.
         report_delay_s: Usual delay until this host knows the load that other hosts add.
         stream_versions: The software versions of the upstreams, and those that began streams.
+        links: The links from this host to the upstreams.
     """
 
     def __init__(self, *, domain: FailureDomain, bounds: Bounds, draw: Callable[[], float]) -> None:
@@ -125,6 +127,7 @@
         self.hosts: int | None = None
         self.report_delay_s = DEFAULT_REPORT_DELAY_S
         self.stream_versions = StreamVersions()
+        self.links = LinkMonitor(draw=draw)
 
     @property
     def upstreams(self) -> Mapping[InstanceId, UpstreamState]:
@@ -175,6 +178,9 @@
             {state.record.incarnation for state in self._upstreams.values()}, now_s
         )
         self._staying.clear()
+        self.links.update_upstreams(
+            {instance: state.record.service for instance, state in self._upstreams.items()}
+        )
         self.stream_versions.history.observe(
             (state.record for state in self._upstreams.values()), now_s
         )
@@ -273,12 +279,18 @@
         return True
 
     def place(
-        self, job: Job, now_s: float, tried: frozenset[InstanceId] = frozenset()
+        self,
+        job: Job,
+        now_s: float,
+        tried: frozenset[InstanceId] = frozenset(),
+        unreached: frozenset[InstanceId] = frozenset(),
     ) -> Placement | Refused | Waiting:
         """Choose an upstream for a job and add the job to its load.
 
         Args:
             tried: Upstreams that already got the job and are not used again.
+            unreached: Upstreams to which this host could not connect for the job. They are used
+                again only through another host.
         """
         service = self._services.get(job.service)
         staying = self._list_staying(job.service)
@@ -287,7 +299,12 @@
             for state in staying
             if state.accepts_requests(now_s) and state.has_slot(self.hosts, now_s)
         ]
-        candidates = [state for state in ready if state.record.instance not in tried]
+        candidates = [
+            state
+            for state in ready
+            if state.record.instance not in tried
+            and (state.record.instance not in unreached or self._can_forward(state, now_s))
+        ]
         if job.began_at is not None:
             version = job.began_at.software_version
             candidates = [state for state in candidates if state.record.software_version == version]
@@ -297,7 +314,9 @@
             ] or candidates
         if service is None or not candidates:
             return self._refuse_without_upstream(job, ready, now_s)
-        healthy = [state for state in candidates if state.is_healthy(now_s)] or candidates
+        reachable = [state for state in candidates if self._is_reachable(state, now_s)]
+        healthy = [state for state in reachable if state.is_healthy(now_s)]
+        healthy = healthy or reachable or candidates
         connectable = [
             state for state in healthy if self._has_free_connection(state, service)
         ] or healthy
@@ -312,6 +331,7 @@
             reason=choice.reason,
             expected_s=choice.expected_s,
             prefill_s=choice.prefill_s,
+            via=self._choose_via(choice.state, now_s),
         )
 
     def record_data(self, attempt_id: AttemptId, instance: InstanceId, now_s: float) -> None:
@@ -346,7 +366,7 @@
             case AttemptEnd.LOST:
                 state.health.record_lost_answer(now_s)
             case AttemptEnd.UNREACHABLE:
-                state.health.record_connection_failure(now_s)
+                self._record_unreachable(state, now_s)
             case AttemptEnd.FULL:
                 state.record_activity(now_s)
                 state.health.record_full(now_s)
@@ -510,6 +530,25 @@
             record.service, record.software_version, now_s
         )
 
+    def _record_unreachable(self, state: UpstreamState, now_s: float) -> None:
+        """Blame the upstream, or this host's links if these count as cut."""
+        for instance in self.links.record_unreachable(state.record.instance, now_s):
+            self._upstreams[instance].forget_connection_failures(now_s)
+        if not self.links.is_cut(state.record.instance):
+            state.health.record_connection_failure(now_s)
+
+    def _is_reachable(self, state: UpstreamState, now_s: float) -> bool:
+        return not self.links.is_cut(state.record.instance) or self._can_forward(state, now_s)
+
+    def _can_forward(self, state: UpstreamState, now_s: float) -> bool:
+        instance = state.record.instance
+        return self.links.is_cut(instance) and self.links.can_forward(instance, now_s)
+
+    def _choose_via(self, state: UpstreamState, now_s: float) -> ForwardingHost | None:
+        if not self._can_forward(state, now_s):
+            return None
+        return self.links.choose_host(state.record.instance, now_s)
+
     def _has_free_connection(self, state: UpstreamState, service: Service) -> bool:
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -82,6 +82,7 @@
         self._peer_load: UpstreamLoad | None = None
         self._cached_parts: dict[PromptPartId, float] = {}
         self._last_activity_s = now_s
+        self._link_cut_s = -math.inf
         self._gap_s = 0.0
         self._gap_updated_s = 0.0
 
@@ -134,6 +135,8 @@
         if silence_s < STALL_TIMEOUT_S:
             return False
         for request in self._in_flight.values():
+            if request.sent_s <= self._link_cut_s:
+                continue
             age_s = now_s - request.sent_s
             if request.answer_begun and age_s > STALL_TIMEOUT_S:
                 return True
@@ -143,6 +146,14 @@
                 return True
         return False
 
+    def forget_connection_failures(self, now_s: float) -> None:
+        """Forget what a cut link has made look like a fault of the upstream.
+
+        Requests that are in progress say nothing about the upstream any more.
+        """
+        self._link_cut_s = now_s
+        self.health.end_exclusion()
+
     def score_affinity(self, key: PromptPartId) -> int:
         """Return the rendezvous hashing score of a shared prompt prefix.
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -43,7 +43,7 @@
     return Shutdown(
         reactor=clock,
         grace_s=GRACE_S,
-        caller_server=server,
+        servers=(server,),
         configuration=ConfigurationView(read_age_s=lambda: 0.0, key_revocation_s=None),
         open_exchanges=open_requests,
     )
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -30,8 +30,8 @@
     process = start(fleet)
     place = process._router.place
 
-    def place_or_wait(job, now_s, tried=frozenset()):
-        return Waiting(delay_s=0.1, reason="busy") if tried else place(job, now_s, tried)
+    def place_or_wait(job, now_s, tried=frozenset(), unreached=frozenset()):
+        return Waiting(delay_s=0.1, reason="busy") if tried else place(job, now_s, tried, unreached)
 
     process._router.place = place_or_wait
     caller = fleet.connect(harness.build_request("/short/x", deadline_ms=10_000))
@@ -116,10 +116,10 @@
     process = start(fleet)
     place = process._router.place
 
-    def place_late(job, now_s, tried=frozenset()):
+    def place_late(job, now_s, tried=frozenset(), unreached=frozenset()):
         if tried and now_s - job.arrived_s < 1.395:
             return Waiting(delay_s=0.1, reason="busy")
-        return place(job, now_s, tried)
+        return place(job, now_s, tried, unreached)
 
     process._router.place = place_late
     caller = fleet.connect(harness.build_request("/short/x", deadline_ms=10_000))
