--- a/greengagestage/gateway/_link_watch.py
+++ b/greengagestage/gateway/_link_watch.py
@@ -10,6 +10,9 @@
 from greengagestage.ids import HostId, Incarnation, InstanceId
 from greengagestage.routing import Router
 
+RESTORED_PROBE_SPREAD_S = 0.2
+"""Time over which the other links are tried once one of them is back."""
+
 PROBE_INTERVAL_S = 1.0
 """Mean time between two attempts to connect to an upstream whose link is cut, while requests to it
 are forwarded. The actual time varies by up to half, so that hosts do not connect in lockstep."""
@@ -18,8 +21,9 @@
 class LinkWatch:
     """Follows the links of one host.
 
-    An upstream is probed only after another host has forwarded a request to it: one that has ended
-    is not connected to again and again, and its return does not meet a probe of each host.
+    An upstream is probed only after another host has forwarded a request to it, or once another
+    link is back: one that has ended is not connected to again and again, and its return does not
+    meet a probe of each host.
     """
 
     def __init__(
@@ -35,10 +39,16 @@
 
     def record_opened(self, upstream: RegisteredUpstream) -> None:
         """Record that a connection to an upstream was opened."""
-        self._router.links.record_opened(upstream.instance, self._reactor.seconds())
+        links = self._router.links
+        was_cut = links.record_opened(upstream.instance, self._reactor.seconds())
         if upstream.instance in self._logged:
             self._logged.discard(upstream.instance)
             log_message(message_type="upstream: link restored", upstream=upstream.instance)
+        if not was_cut:
+            return
+        for state in self._router.upstreams.values():
+            if links.has_failed(state.record.instance):
+                self._schedule_probe(state.record, RESTORED_PROBE_SPREAD_S * self._draw())
 
     def log_unreachable(self, upstream: RegisteredUpstream) -> None:
         """Log that the link to an upstream, which could not be connected to, counts as cut."""
@@ -56,14 +66,21 @@
         links = self._router.links
         self.forwarded += 1
         links.record_forwarded(host, upstream.instance, self._reactor.seconds())
-        if upstream.incarnation in self._probed or not links.is_cut(upstream.instance):
-            return
-        self._probed.add(upstream.incarnation)
-        interval_s = PROBE_INTERVAL_S * (0.5 + self._draw())
-        delay_s = interval_s if links.has_failed(upstream.instance) else 0.0
-        self._reactor.callLater(delay_s, self._probe, upstream)
+        if links.is_cut(upstream.instance):
+            interval_s = PROBE_INTERVAL_S * (0.5 + self._draw())
+            delay_s = interval_s if links.has_failed(upstream.instance) else 0.0
+            self._schedule_probe(upstream, delay_s)
+
+    def _schedule_probe(self, upstream: RegisteredUpstream, delay_s: float) -> None:
+        if upstream.incarnation not in self._probed:
+            self._probed.add(upstream.incarnation)
+            self._reactor.callLater(delay_s, self._probe, upstream)
 
     def _probe(self, upstream: RegisteredUpstream) -> None:
+        state = self._router.upstreams.get(upstream.instance)
+        if state is None or state.record.incarnation != upstream.incarnation:
+            self._probed.discard(upstream.incarnation)
+            return
         endpoint = Endpoint(address=upstream.address, port=upstream.port)
 
         def handle_open(connection: ClientConnection) -> None:
--- a/greengagestage/routing/_links.py
+++ b/greengagestage/routing/_links.py
@@ -180,6 +180,7 @@
             return
         downs[host] = now_s + MISS_LIFETIME_S
         if sum(until_s > now_s for until_s in downs.values()) >= MAX_MISSES:
+            downs.clear()
             times = self._downs.get(instance, 0)
             self._downs[instance] = times + 1
             self._down_until_s[instance] = now_s + min(MIN_DOWN_S * 2**times, MAX_DOWN_S)
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -8,6 +8,8 @@
 from twisted.python.failure import Failure
 from zope.interface import directlyProvides, providedBy
 
+from .host_harness import HostFleet, choose_port
+
 
 class Cut(Enum):
     """What a cut does to a host's connections to upstreams.
@@ -77,3 +79,51 @@
 
         factory.buildProtocol = build_and_remember
         return self._reactor.connectTCP(host, port, factory, timeout=timeout, **arguments)
+
+
+class CutHost:
+    """A host with links that can be cut, beside two others with links of their own."""
+
+    def __init__(self, fleet: HostFleet) -> None:
+        self.fleet = fleet
+        for number in (1, 2, 3):
+            fleet.add_upstream(f"archive-{number}")
+            fleet.add_upstream(f"engine-{number}", service="engines")
+        port = choose_port()
+        self.links = CuttableReactor(fleet.reactor)
+        self.others = [
+            fleet.start_host(f"host-{number}", address=f"127.0.0.{number}", peer_port=port)
+            for number in (2, 3)
+        ]
+        self.process = fleet.start_host(
+            "host-1", address="127.0.0.4", peer_port=port, reactor=self.links
+        )
+        fleet.wait_ready()
+        fleet.run_until(lambda: self.process._peers.known_hosts == 3)
+
+    def cut(self, cut: Cut) -> None:
+        """Cut the links to all upstreams."""
+        ports = [each.port.getHost().port for each in self.fleet.upstreams.values()]
+        self.links.cut(cut, ports)
+
+    def lose_links(self, cut: Cut = Cut.RESET) -> None:
+        """Cut the links and let the host notice."""
+        self.cut(cut)
+        for number in range(4):
+            self.fleet.call("/lookup/x", attempt=f"notice-{number}")
+            self.fleet.call("/long/x", attempt=f"notice-stream-{number}")
+
+    def set_behavior(self, behavior: Any) -> None:
+        """Change what all upstreams do with requests."""
+        for upstream in self.fleet.upstreams.values():
+            upstream.behavior = behavior
+
+    @property
+    def forwarded(self) -> int:
+        """Number of requests that the other hosts have forwarded."""
+        return sum(each._forwarding.forwarded for each in self.others)
+
+    def count_runs(self, attempt: str) -> int:
+        """Return how often upstreams have received a request."""
+        upstreams = self.fleet.upstreams.values()
+        return sum(each.attempt_ids.count(attempt.encode()) for each in upstreams)
--- a/tests/test_cut_links.py
+++ b/tests/test_cut_links.py
@@ -2,43 +2,12 @@
 
 import pytest
 
-from .cut_links import Cut, CuttableReactor
-from .host_harness import EVENTS, HostFleet, choose_port, running_fleet
+from .cut_links import Cut, CutHost
+from .host_harness import EVENTS, running_fleet
 
 CALLS = 12
 
 
-class CutHost:
-    """A host with links that can be cut, beside two others with links of their own."""
-
-    def __init__(self, fleet: HostFleet) -> None:
-        self.fleet = fleet
-        for number in (1, 2, 3):
-            fleet.add_upstream(f"archive-{number}")
-            fleet.add_upstream(f"engine-{number}", service="engines")
-        port = choose_port()
-        self.links = CuttableReactor(fleet.reactor)
-        self.others = [
-            fleet.start_host(f"host-{number}", address=f"127.0.0.{number}", peer_port=port)
-            for number in (2, 3)
-        ]
-        self.process = fleet.start_host(
-            "host-1", address="127.0.0.4", peer_port=port, reactor=self.links
-        )
-        fleet.wait_ready()
-        fleet.run_until(lambda: self.process._peers.known_hosts == 3)
-
-    def cut(self, cut: Cut) -> None:
-        """Cut the links to all upstreams."""
-        ports = [each.port.getHost().port for each in self.fleet.upstreams.values()]
-        self.links.cut(cut, ports)
-
-    def count_runs(self, attempt: str) -> int:
-        """Return how often upstreams have received a request."""
-        upstreams = self.fleet.upstreams.values()
-        return sum(each.attempt_ids.count(attempt.encode()) for each in upstreams)
-
-
 @pytest.fixture
 def host():
     with running_fleet() as fleet:
