Let callers read nothing for as long as they may be idle

A caller that reads nothing for 2.5 s lost the rest of its answer: TCP_USER_TIMEOUT, meant for broken paths, also ends a connection whose window stays closed, although the peer acknowledges each probe. Shown over loopback: 128,916 of 900,000 bytes after a pause of 4 s; now the whole answer. Connections of callers get the configuration's idle limit; those to servers keep 2.5 s. No keep-alive is enabled, about which the option would decide as well; a test holds that.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -158,7 +158,8 @@
 
     def connectionMade(self) -> None:
         """Set the socket options and wait for the first request."""
-        tune_socket(self.transport)
+        # A sound caller may read nothing for a while: it is cut off like any other idle one.
+        tune_socket(self.transport, unacknowledged_limit_s=self.factory.limits.idle_timeout_s)
         self.factory.connections.add(self)
         self.transport.registerProducer(self, True)
         self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -6,19 +6,24 @@
 import termios
 from typing import Any
 
-UNACKNOWLEDGED_LIMIT_MS = 2_500
-"""A connection whose sent bytes stay unacknowledged for this long is closed; otherwise a broken
-network path goes unnoticed. The limit is shorter than three seconds, the bound set by the operators
+UNACKNOWLEDGED_LIMIT_S = 2.5
+"""A connection to a server whose sent bytes stay unacknowledged for this long is closed; otherwise a
+broken network path goes unnoticed. The limit is shorter than three seconds, the bound set by the operators
 after which they count a host as reachable again, so that connections broken in the meantime are
 closed by then."""
 
 
-def tune_socket(transport: Any) -> None:
-    """Disable Nagle's algorithm and limit the time that sent bytes may stay unacknowledged."""
+def tune_socket(transport: Any, *, unacknowledged_limit_s: float = UNACKNOWLEDGED_LIMIT_S) -> None:
+    """Disable Nagle's algorithm and limit the time that sent bytes may stay unacknowledged.
+
+    The limit also ends a connection whose peer is alive but reads nothing, and would decide when
+    keep-alive probes give up. These are not enabled.
+    """
     transport.setTcpNoDelay(True)
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
     if option is not None:
-        transport.getHandle().setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_LIMIT_MS)
+        limit_ms = max(round(unacknowledged_limit_s * 1_000), 1)
+        transport.getHandle().setsockopt(socket.IPPROTO_TCP, option, limit_ms)
 
 
 def count_unsent_bytes(transport: Any) -> int:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -11,6 +11,9 @@
 from . import host_harness as harness
 from .host_harness import HostFleet, running_fleet
 
+READING_PAUSE_S = 4.0
+"""Longer than sent bytes may stay unacknowledged on other connections."""
+
 LARGE = 900_000
 """Bytes of an answer that does not fit into the buffers of a connection."""
 
@@ -66,6 +69,38 @@
     assert len(caller.body) == LARGE
 
 
+# Guards against an answer that the kernel breaks off because its caller, which is sound, reads
+# nothing for a few seconds: a window that stays closed counts as bytes that are not acknowledged.
+def test_a_caller_that_reads_nothing_for_seconds_gets_its_whole_answer(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", behavior=answer_large)
+    process = fleet.start_host()
+    fleet.wait_ready()
+    caller, _ = connect_with_small_buffer(fleet, process)
+    caller.transport.pauseProducing()
+    caller.transport.write(harness.build_request("/order/x"))
+    fleet.run_for(READING_PAUSE_S)
+    caller.transport.resumeProducing()
+    fleet.run_until(lambda: caller.is_complete or caller.closed)
+    assert len(caller.body) == LARGE
+
+
+# Guards against a limit for broken paths that decides about callers or keep-alive probes.
+def test_only_connections_to_servers_give_up_after_seconds(fleet: HostFleet) -> None:
+    fleet.add_upstream("one")
+    process = fleet.start_host()
+    fleet.wait_ready()
+    caller, connection = connect_with_small_buffer(fleet, process)
+    caller.transport.write(harness.build_request("/lookup/x"))
+    fleet.run_until(lambda: caller.is_complete)
+    (to_upstream,) = (each for idle in process._pool._idle.values() for each in idle)
+    limits_ms = [
+        each.transport.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        for each in (connection, to_upstream)
+    ]
+    assert limits_ms == [15_000, 2_500]
+    assert not to_upstream.transport.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+
 # Guards against a process that ends before its last answer has left it.
 def test_a_stop_waits_until_a_slow_caller_has_its_answer(fleet: HostFleet) -> None:
     fleet.add_upstream("one", behavior=answer_large_after(2.4))
