--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 UNACKNOWLEDGED_LIMIT_S = 2.5
-"""A connection to a server whose sent bytes stay unacknowledged for this long is closed; otherwise a
-broken network path goes unnoticed. The limit is shorter than three seconds, the bound set by the operators
-after which they count a host as reachable again, so that connections broken in the meantime are
-closed by then."""
+"""A connection to a server whose sent bytes stay unacknowledged for this long is closed; otherwise
+a broken network path goes unnoticed. The limit is shorter than three seconds, the bound set by the
+operators after which they count a host as reachable again, so that connections broken in the
+meantime are closed by then."""
 
 
 def tune_socket(transport: Any, *, unacknowledged_limit_s: float = UNACKNOWLEDGED_LIMIT_S) -> None:
