Send brittle upstreams no more than they have room for

An upstream that says Server-Brittle falls over when it must turn too many requests away in a second.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -228,6 +228,7 @@
                 list_suspects=suspects.list_records,
                 on_suspects=suspects.learn,
                 on_limit=self._record_peer_limit,
+                on_rejection=self._record_peer_rejection,
                 on_registry=self._registry.receive_report,
                 on_configuration=self._routes.receive_report,
                 take_streams=self._router.stream_versions.take_reports,
@@ -250,7 +251,11 @@
                 crash_watch=self._crash_watch,
                 report_loss=self._peers.report_loss,
             ),
-            notices=UpstreamNotices(router=self._router, report_limit=self._peers.report_limit),
+            notices=UpstreamNotices(
+                router=self._router,
+                report_limit=self._peers.report_limit,
+                report_rejection=self._peers.report_rejection,
+            ),
             metrics=self._metrics,
             read_registry_age_s=lambda: self._registry.age_s,
         )
@@ -335,6 +340,11 @@
         else:
             self._router.record_limit(incarnation, limit_per_s, now_s)
 
+    def _record_peer_rejection(self, incarnation: Incarnation, allowance: int) -> None:
+        now_s = self._reactor.seconds()
+        self._router.record_brittle(incarnation, allowance, now_s)
+        self._router.record_rejection(incarnation, now_s)
+
     def _record_peer_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
 
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -207,6 +207,19 @@
     per_s: float | None
 
 
+class RejectionReport(Struct, frozen=True, array_like=True, tag="rejection"):
+    """Reports that a brittle upstream has turned a request of the sender away.
+
+    Attributes:
+        instance: The upstream; together with ``started_ms`` its incarnation.
+        allowance: Requests a second that it can turn away before it falls over.
+    """
+
+    instance: InstanceId
+    started_ms: int | None
+    allowance: int
+
+
 class RegistryReport(Struct, frozen=True, array_like=True, tag="registry"):
     """Reports what the sender has read in the registry of upstreams.
 
@@ -284,6 +297,7 @@
     | LossReport
     | SuspectsReport
     | LimitReport
+    | RejectionReport
     | RegistryReport
     | ConfigurationReport
     | StreamsReport
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -22,6 +22,7 @@
     PeerBody,
     PeerMessage,
     RegistryReport,
+    RejectionReport,
     Sender,
     StreamsReport,
     SuspectsReport,
@@ -63,6 +64,8 @@
         on_suspects: Handles what another host knows about such parts; returns what contradicts it.
         on_limit: Handles the requests per second that an upstream takes from all hosts; None if it
             names none any more.
+        on_rejection: Handles that a brittle upstream has turned a request away, with the number
+            that it bears in a second.
         on_registry: Handles a report about the registry of upstreams.
         on_configuration: Handles a report about the configuration in the store.
         take_streams: Returns the streams, begun at this host, to tell the others of at a time in
@@ -79,6 +82,7 @@
     list_suspects: Callable[[float], Sequence[SuspectRecord]]
     on_suspects: Callable[[Sequence[SuspectRecord]], Sequence[SuspectRecord]]
     on_limit: Callable[[Incarnation, float | None], None]
+    on_rejection: Callable[[Incarnation, int], None]
     on_registry: Callable[[RegistryReport], None]
     on_configuration: Callable[[ConfigurationReport], None]
     take_streams: Callable[[float], Sequence[StreamRecord]]
@@ -175,6 +179,12 @@
         for _ in range(SENDS_PER_REPORT):
             self._broadcast(LimitReport(instance, started_ms, limit_per_s))
 
+    def report_rejection(self, incarnation: Incarnation, allowance: int) -> None:
+        """Tell all peers that a brittle upstream has turned a request away."""
+        instance, started_ms = incarnation
+        for _ in range(SENDS_PER_REPORT):
+            self._broadcast(RejectionReport(instance, started_ms, allowance))
+
     def report_registry(self, report: RegistryReport) -> None:
         """Tell all peers what was read in the registry."""
         self._broadcast(report)
@@ -206,6 +216,8 @@
                 self._learn_suspects(suspects)
             case LimitReport(instance=instance, started_ms=started_ms, per_s=per_s):
                 self._callbacks.on_limit((instance, started_ms), per_s)
+            case RejectionReport(instance=instance, started_ms=started_ms, allowance=allowance):
+                self._callbacks.on_rejection((instance, started_ms), allowance)
             case RegistryReport() as report:
                 self._callbacks.on_registry(report)
             case ConfigurationReport() as report:
--- a/greengagestage/gateway/_upstream_notices.py
+++ b/greengagestage/gateway/_upstream_notices.py
@@ -9,8 +9,11 @@
 from greengagestage.http1 import ResponseHead
 from greengagestage.ids import Incarnation
 from greengagestage.platform import (
+    is_rejection,
     names_limit,
+    names_no_allowance,
     names_no_limit,
+    read_allowance,
     read_limit_per_s,
     read_pause_s,
     states_leaving,
@@ -24,11 +27,14 @@
 
     Attributes:
         report_limit: Tells the other hosts of the requests per second that an upstream takes from
-            all hosts, or that it names none any more. What else upstreams state is for this host.
+            all hosts, or that it names none any more.
+        report_rejection: Tells the other hosts that a brittle upstream has turned a request away,
+            with the number that it bears in a second. What else upstreams state is for this host.
     """
 
     router: Router
     report_limit: Callable[[Incarnation, float | None], None]
+    report_rejection: Callable[[Incarnation, int], None]
 
     def record(
         self, upstream: RegisteredUpstream, head: ResponseHead, *, sent_s: float, now_s: float
@@ -54,6 +60,28 @@
                 pause_s=pause_s,
             )
         self._record_limit(upstream, head, sent_s, now_s)
+        self._record_brittle(upstream, head, sent_s, now_s)
+
+    def _record_brittle(
+        self, upstream: RegisteredUpstream, head: ResponseHead, sent_s: float, now_s: float
+    ) -> None:
+        allowance = read_allowance(head)
+        if allowance is not None:
+            changed = self.router.record_brittle(upstream.incarnation, allowance, now_s)
+        else:
+            changed = names_no_allowance(head) and self.router.end_brittle(
+                upstream.incarnation, sent_s
+            )
+        if changed:
+            log_message(
+                message_type="upstream: sturdy" if allowance is None else "upstream: brittle",
+                upstream=upstream.instance,
+                service=upstream.service,
+                allowance=allowance,
+            )
+        if allowance is not None and is_rejection(head):
+            self.router.record_rejection(upstream.incarnation, now_s)
+            self.report_rejection(upstream.incarnation, allowance)
 
     def _record_limit(
         self, upstream: RegisteredUpstream, head: ResponseHead, sent_s: float, now_s: float
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -8,7 +8,16 @@
 from greengagestage.ids import AttemptId
 from greengagestage.results import CODE_DETAILS, ResultCode, RunVerdict
 
-from ._headers import ATTEMPT_ID, LEAVING, LIMIT, NOT_EXECUTED, RETRY_AFTER, SIGNATURE
+from ._headers import (
+    ATTEMPT_ID,
+    BRITTLE,
+    LEAVING,
+    LIMIT,
+    MAX_NUMBER_DIGITS,
+    NOT_EXECUTED,
+    RETRY_AFTER,
+    SIGNATURE,
+)
 
 MISDIRECTED = 421
 UNAVAILABLE = 503
@@ -89,6 +98,31 @@
     return limit if limit < math.inf else None
 
 
+def read_allowance(head: ResponseHead) -> int | None:
+    """Return how many requests a second a brittle upstream can turn away before it falls over.
+
+    None if the upstream that the request named does not say so.
+    """
+    text = (head.get(BRITTLE) or b"").strip()
+    if head.status == MISDIRECTED or not _DECIMAL.fullmatch(text):
+        return None
+    return int(float(text)) if len(text) <= MAX_NUMBER_DIGITS else None
+
+
+def names_no_allowance(head: ResponseHead) -> bool:
+    """Whether the upstream that the request named states that it is not brittle.
+
+    Only an answer that names its request tells this: other bytes may come from elsewhere.
+    """
+    answers = head.get(ATTEMPT_ID) is not None and head.status != MISDIRECTED
+    return answers and head.get(BRITTLE) is None
+
+
+def is_rejection(head: ResponseHead) -> bool:
+    """Whether an upstream has turned a request away for want of room."""
+    return head.status == UNAVAILABLE and head.get(NOT_EXECUTED) is not None
+
+
 def read_pause_s(head: ResponseHead) -> float | None:
     """Return the seconds for which an upstream wants no requests from this host; None for none.
 
--- a/greengagestage/routing/_notices.py
+++ b/greengagestage/routing/_notices.py
@@ -5,6 +5,7 @@
 
 from greengagestage.ids import Incarnation
 
+from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 
 MAX_REMEMBERED = 1_024
@@ -21,12 +22,14 @@
         paused_until_s: It wants no requests until then.
         pacer: Keeps to the request rate that it names; None while it names none.
         limited_s: When it last named a rate.
+        guard: Keeps requests away that it would turn away; None unless it says that it is brittle.
     """
 
     leaving: bool = False
     paused_until_s: float = 0.0
     pacer: RequestPacer | None = None
     limited_s: float = 0.0
+    guard: RejectionGuard | None = None
 
     def allows_requests(self, now_s: float) -> bool:
         """Whether the incarnation accepts new requests, as far as it has stated."""
@@ -34,7 +37,8 @@
 
     def is_in_effect(self, now_s: float) -> bool:
         """Whether the incarnation has stated anything that still restricts requests."""
-        return self.pacer is not None or not self.allows_requests(now_s)
+        restricted = self.pacer is not None or self.guard is not None
+        return restricted or not self.allows_requests(now_s)
 
 
 class NoticeBoard:
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -29,7 +29,8 @@
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
-from ._placement import Choice, EngineChooser, choose_plain
+from ._placement import MAX_WAIT_TARGETS, Choice, EngineChooser, choose_plain
+from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
@@ -44,6 +45,9 @@
 """Mean retry delay for callers while no engine can finish another answer in time. Each engine
 finishes several answers in this time. The actual delay varies by up to half in both directions."""
 
+ROOM_RECHECK_S = 0.05
+"""Time until a request that waits for room at brittle upstreams is placed again, on average."""
+
 MISDIRECTED_EXCLUSION_S = 3.0
 """Time for which an upstream gets no requests after a different one answered at its address. The
 registry drops an entry after three missed heartbeats."""
@@ -236,6 +240,38 @@
         notice.pacer = None
         return True
 
+    def record_brittle(self, incarnation: Incarnation, allowance: int, now_s: float) -> bool:
+        """Record how many requests a second an upstream can turn away before it falls over.
+
+        Returns whether it has not said the same before.
+        """
+        notice = self._notices.get(incarnation)
+        if notice.guard is None:
+            notice.guard = RejectionGuard(allowance=allowance, named_s=now_s, draw=self._draw)
+            return True
+        changed = notice.guard.allowance != allowance
+        notice.guard.allowance, notice.guard.named_s = allowance, now_s
+        return changed
+
+    def end_brittle(self, incarnation: Incarnation, sent_s: float) -> bool:
+        """Record that an upstream is brittle no more; return whether it was before.
+
+        Args:
+            sent_s: When the request was sent whose answer says nothing of it. Answers can overtake
+                each other, so that one to an earlier request says nothing.
+        """
+        notice = self._notices.get(incarnation)
+        if notice.guard is None or sent_s < notice.guard.named_s:
+            return False
+        notice.guard = None
+        return True
+
+    def record_rejection(self, incarnation: Incarnation, now_s: float) -> None:
+        """Record that a brittle upstream has turned a request away, here or at another host."""
+        guard = self._notices.get(incarnation).guard
+        if guard is not None:
+            guard.record_rejection(now_s)
+
     def measure_pause_s(self, service: ServiceName, now_s: float) -> float:
         """Return the time until the first paused upstream accepts requests; 0 if one already does.
 
@@ -299,9 +335,12 @@
             for state in staying
             if state.accepts_requests(now_s) and state.has_slot(self.hosts, now_s)
         ]
+        roomy = [state for state in ready if state.has_room(self.hosts, len(ready), now_s)]
+        if ready and not roomy:
+            return self._wait_for_room(job, now_s)
         candidates = [
             state
-            for state in ready
+            for state in roomy
             if state.record.instance not in tried
             and (state.record.instance not in unreached or self._can_forward(state, now_s))
         ]
@@ -317,6 +356,9 @@
         reachable = [state for state in candidates if self._is_reachable(state, now_s)]
         healthy = [state for state in reachable if state.is_healthy(now_s)]
         healthy = healthy or reachable or candidates
+        if job.prompt is None and any(state.is_brittle for state in healthy):
+            # The room of each is shared by all hosts, which would all prefer the same one.
+            healthy = [healthy[int(self._draw() * len(healthy))]]
         connectable = [
             state for state in healthy if self._has_free_connection(state, service)
         ] or healthy
@@ -553,6 +595,18 @@
         share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
         return state.local_requests < max(share, 1)
 
+    def _wait_for_room(self, job: Job, now_s: float) -> Waiting | Refused:
+        """Keep a job here: an upstream without room would turn it away, and may end by it."""
+        reason = "the upstreams of the service are brittle and have no room"
+        latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
+        if now_s < min(latest_s, job.deadline_s):
+            return Waiting(delay_s=ROOM_RECHECK_S * (0.5 + self._draw()), reason=reason)
+        return Refused(
+            code=ResultCode.NO_UPSTREAM,
+            retry_after_s=OVERLOAD_RETRY_S * (0.5 + self._draw()),
+            reason=reason,
+        )
+
     def _refuse_without_upstream(
         self, job: Job, ready: list[UpstreamState], now_s: float
     ) -> Refused:
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -10,6 +10,7 @@
 from ._health import Health
 from ._loads import InFlightRequest, LoadTotal, UpstreamLoad
 from ._notices import Notice
+from ._retries import ASSUMED_HOSTS
 
 OBSERVATION_WEIGHT = 0.25
 SLOWDOWN_RANGE = (0.3, 12.0)
@@ -102,6 +103,11 @@
         """Whether the upstream is about to end, by its registry entry or its own answers."""
         return self.record.availability is Availability.LEAVING or self._notice.leaving
 
+    @property
+    def is_brittle(self) -> bool:
+        """Whether the upstream says that it falls over after some rejections."""
+        return self._notice.guard is not None
+
     def accepts_requests(self, now_s: float) -> bool:
         """Whether new requests may be sent to the upstream at all."""
         if now_s < self.misdirected_until_s or not self._notice.allows_requests(now_s):
@@ -231,6 +237,23 @@
         pacer = self._notice.pacer
         return pacer is None or pacer.measure_wait_s(hosts, now_s) == 0.0
 
+    def has_room(self, hosts: int | None, upstreams: int, now_s: float) -> bool:
+        """Whether a request may be sent without much risk that the upstream turns it away.
+
+        It is True for upstreams that have not said that they are brittle.
+
+        Args:
+            upstreams: Number of upstreams among which requests choose.
+        """
+        guard = self._notice.guard
+        return guard is None or guard.allows_request(
+            slots=self.record.slots,
+            requests=self.measure(now_s).requests,
+            hosts=hosts or ASSUMED_HOSTS,
+            upstreams=upstreams,
+            now_s=now_s,
+        )
+
     def use_slot(self, hosts: int | None, now_s: float) -> None:
         """Count a request, which is about to be sent, against the upstream's named rate."""
         if self._notice.pacer is not None:
--- /dev/null
+++ b/tests/brittle_fleet.py
@@ -0,0 +1,165 @@
+"""A simulated fleet of hosts before plain upstreams that fall over after too many rejections."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from greengagestage.catalog import Bounds
+from greengagestage.ids import FailureDomain, InstanceId
+from greengagestage.routing import AttemptEnd, Job, Placement, Router, UpstreamLoad, Waiting
+
+from .catalog_builders import ARCHIVE, LOOKUP, build_job, build_table, build_upstream
+
+WORK_S = 0.1
+REPORT_DELAY_S = 0.06
+TOLD_DELAY_S = 0.003
+FALL_S = 3.0
+STABLE_FROM_S = 1.0
+"""Until then upstreams bear any number of rejections, as at the beginning of a brittle time."""
+
+
+@dataclass(kw_only=True)
+class BrittleFleet:
+    """Hosts that decide with routers of their own, and learn late what the others do.
+
+    Attributes:
+        tells: Whether hosts learn that the upstreams are brittle.
+        falls: Times at which an upstream has turned away more than it bears in a second.
+        outcomes: How many requests were served, refused and turned away.
+    """
+
+    hosts: int
+    upstreams: int
+    slots: int = 6
+    allowance: int = 4
+    tells: bool = True
+    seed: int = 0
+    falls: list[float] = field(default_factory=list)
+    outcomes: Counter[str] = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        self._random = Random(self.seed)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = 0
+        self._names = [InstanceId(f"i-{number}") for number in range(self.upstreams)]
+        self._running = dict.fromkeys(self._names, 0)
+        self._rejections: dict[InstanceId, list[float]] = {name: [] for name in self._names}
+        self._back_s = dict.fromkeys(self._names, 0.0)
+        records = [
+            build_upstream(number, service=ARCHIVE, slots=self.slots)
+            for number in range(self.upstreams)
+        ]
+        self._records = {record.instance: record for record in records}
+        self.routers = []
+        for number in range(self.hosts):
+            draw = Random(f"{self.seed}/{number}").random
+            router = Router(domain=FailureDomain("a"), bounds=Bounds(), draw=draw)
+            router.hosts = self.hosts
+            router.update_routes(build_table())
+            router.update_upstreams(records, 0.0)
+            if self.tells:
+                for record in records:
+                    router.record_brittle(record.incarnation, self.allowance, 0.0)
+            self.routers.append(router)
+
+    def run(self, *, rate_per_s: float, duration_s: float) -> None:
+        """Send requests at random times to random hosts."""
+        now_s, number = 0.0, 0
+        while (now_s := now_s + self._random.expovariate(rate_per_s)) < duration_s:
+            number += 1
+            router = self._random.choice(self.routers)
+            job = build_job(number, route=LOOKUP, now_s=now_s)
+            self._at(now_s, lambda at_s, r=router, j=job: self._place(r, j, frozenset(), at_s))
+        for step in range(int(duration_s / REPORT_DELAY_S)):
+            self._at(step * REPORT_DELAY_S, self._exchange_loads)
+        while self._events:
+            at_s, _, call = heapq.heappop(self._events)
+            call(at_s)
+
+    def _at(self, at_s: float, call: Callable[[float], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._events, (at_s, self._order, call))
+
+    def _exchange_loads(self, now_s: float) -> None:
+        local = [router.measure_local_loads(now_s) for router in self.routers]
+        totals: Counter[InstanceId] = Counter()
+        for loads in local:
+            totals.update({name: load.requests for name, load in loads.items()})
+
+        def deliver(_: float) -> None:
+            for router, own in zip(self.routers, local, strict=True):
+                others = {
+                    name: UpstreamLoad(
+                        tolerant_requests=count - (own[name].requests if name in own else 0)
+                    )
+                    for name, count in totals.items()
+                }
+                router.update_peer_loads(others, {})
+
+        self._at(now_s + REPORT_DELAY_S, deliver)
+
+    def _place(self, router: Router, job: Job, tried: frozenset[InstanceId], now_s: float) -> None:
+        placed = router.place(job, now_s, tried)
+        match placed:
+            case Waiting(delay_s=delay_s):
+                self._at(now_s + delay_s, lambda at_s: self._place(router, job, tried, at_s))
+            case Placement():
+                self._arrive(router, job, placed.upstream.instance, tried, now_s)
+            case _:
+                self.outcomes["refused"] += 1
+
+    def _arrive(
+        self,
+        router: Router,
+        job: Job,
+        name: InstanceId,
+        tried: frozenset[InstanceId],
+        now_s: float,
+    ) -> None:
+        if now_s < self._back_s[name]:
+            self._fail_to_connect(router, job, name, tried, now_s)
+            return
+        if self._running[name] < self.slots:
+            self._running[name] += 1
+            self._at(now_s + WORK_S, lambda at_s: self._finish(router, job, name, at_s))
+            return
+        self.outcomes["turned away"] += 1
+        router.record_end(job.attempt_id, name, AttemptEnd.FULL, now_s)
+        self._count_rejection(router, name, now_s)
+        if len(tried) < 2:
+            self._place(router, job, tried | {name}, now_s + 0.002)
+
+    def _fail_to_connect(
+        self,
+        router: Router,
+        job: Job,
+        name: InstanceId,
+        tried: frozenset[InstanceId],
+        now_s: float,
+    ) -> None:
+        router.record_end(job.attempt_id, name, AttemptEnd.UNREACHABLE, now_s)
+        if len(tried) < 3:
+            self._place(router, job, tried | {name}, now_s + 0.002)
+        else:
+            self.outcomes["refused"] += 1
+
+    def _count_rejection(self, router: Router, name: InstanceId, now_s: float) -> None:
+        since_s = max(now_s - 1.0, STABLE_FROM_S)
+        recent = [at_s for at_s in (*self._rejections[name], now_s) if at_s > since_s]
+        self._rejections[name] = recent
+        incarnation = self._records[name].incarnation
+        if len(recent) > self.allowance:
+            self.falls.append(now_s)
+            self._back_s[name] = now_s + FALL_S
+        router.record_rejection(incarnation, now_s)
+        for other in self.routers:
+            self._at(
+                now_s + TOLD_DELAY_S, lambda at_s, r=other: r.record_rejection(incarnation, at_s)
+            )
+
+    def _finish(self, router: Router, job: Job, name: InstanceId, now_s: float) -> None:
+        self._running[name] -= 1
+        self.outcomes["served"] += 1
+        router.record_end(job.attempt_id, name, AttemptEnd.ANSWERED, now_s)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -195,6 +195,7 @@
                 list_suspects=lambda now_s: list(self.suspects),
                 on_suspects=lambda records: self.calls.append(records) or [],
                 on_limit=lambda incarnation, per_s: self.calls.append((incarnation, per_s)),
+                on_rejection=lambda incarnation, number: self.calls.append((incarnation, number)),
                 on_registry=self.calls.append,
                 on_configuration=self.calls.append,
                 take_streams=lambda now_s: [],
