Reject malformed addresses of forwarded requests

A number of thousands of digits in the header that names the upstream raised an exception in the host that was asked: its connection was lost, so that the request looked like one that may have run. Now it is rejected like any other unreadable address, with nothing sent. A second test shows that a late second answer on a connection in use again is dropped by the forwarding host.

--- a/greengagestage/gateway/_forwarding_protocol.py
+++ b/greengagestage/gateway/_forwarding_protocol.py
@@ -18,6 +18,9 @@
 
 FAULT_STATUS = 502
 
+MAX_TIME_DIGITS = 18
+"""Longer texts are no Unix times in milliseconds; Python refuses to read very long numbers."""
+
 
 class ForwardFault(Enum):
     """Why a host did not pass an upstream's answer back.
@@ -75,7 +78,8 @@
         return None
     position = names.index(FORWARD_TO.lower())
     started, separator, instance = headers[position][1].decode("latin-1").partition("/")
-    if not separator or not instance or not (started == "" or started.isdecimal()):
+    readable = started == "" or (started.isdecimal() and len(started) <= MAX_TIME_DIGITS)
+    if not separator or not instance or not readable:
         return None
     incarnation = (InstanceId(instance), int(started) if started else None)
     return incarnation, [*headers[:position], *headers[position + 1 :]]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from greengagestage.gateway import _forwarding
-from greengagestage.gateway._forwarding_protocol import ForwardFault
+from greengagestage.gateway._forwarding_protocol import ForwardFault, take_address
 from greengagestage.ids import InstanceId
 
 from . import host_harness as harness
@@ -204,6 +204,38 @@
     assert count_received(host.fleet) == received
 
 
+# Guards against a malformed message that takes a host down.
+@pytest.mark.parametrize(
+    "address", ["", "/", "1000", "1000/", "x/archive-1", "9" * 5_000 + "/archive-1", "-1/archive-1"]
+)
+def test_a_host_survives_malformed_addresses(host: CutHost, address: str) -> None:
+    other = host.others[0]
+    endpoint = other._settings.address, other._settings.peer_port
+    request = harness.build_request("/lookup/x", headers=(f"Greengage-Forward-To: {address}",))
+    caller = host.fleet.connect(request, endpoint)
+    host.fleet.run_until(lambda: caller.is_complete)
+    assert caller.headers["greengage-forward-fault"] == ForwardFault.REJECTED.value
+    assert take_address([(b"greengage-forward-to", address.encode())]) is None
+    assert host.fleet.call("/order/x").status == 200
+
+
+# Guards against a second answer that comes late on the connection of a forwarded request, and is
+# taken for the answer to the next one.
+def test_a_late_second_answer_reaches_no_other_caller_through_another_host(host: CutHost) -> None:
+    def answer_twice(upstream, request, responder) -> None:
+        name = request.get(b"greengagestage-attempt-id") or b""
+        headers = harness.build_identity_headers(request)
+        responder.answer(200, headers, b"for " + name)
+        head = b"".join(b"%s: %s\r\n" % header for header in headers)
+        again = b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 7\r\n\r\nsecond!"
+        upstream.reactor.callLater(0.003, responder.transport.write, again)
+
+    host.set_behavior(answer_twice)
+    for number in range(12):
+        caller = host.fleet.call("/lookup/x", attempt=f"own-{number}")
+        assert (caller.status, caller.body) == (200, b"for own-%d" % number)
+
+
 # Guards against unbounded work for other hosts.
 def test_a_host_takes_no_more_than_its_limit_for_others(
     host: CutHost, monkeypatch: pytest.MonkeyPatch
