--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -58,6 +58,7 @@
             message_type="request: sent",
             request=self._job.attempt_id,
             route=self._job.route.name,
+            urgency=self._job.urgency,
             version=self._version,
             version_age_s=_round(self._version_age_s),
             upstream=placement.upstream.instance,
@@ -93,6 +94,8 @@
         log_message(
             message_type="request: ended",
             request=self._job.attempt_id,
+            route=self._job.route.name,
+            urgency=self._job.urgency,
             code=outcome.code.value,
             result=outcome.code.name,
             status=None if delivery.head is None else delivery.head.status,
