--- a/tests/brittle_fleet.py
+++ b/tests/brittle_fleet.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from greengagestage.catalog import Bounds
-from greengagestage.ids import FailureDomain, InstanceId
-from greengagestage.routing import AttemptEnd, Job, Placement, Router, UpstreamLoad, Waiting
+from greengagestage.catalog import Bounds, Route
+from greengagestage.ids import FailureDomain, InstanceId, RouteName
+from greengagestage.routing import AttemptEnd, Job, Placement, Router, Waiting
 
 from .catalog_builders import ARCHIVE, LOOKUP, build_job, build_table, build_upstream
+from .load_reports import take_load_reports
 
 WORK_S = 0.1
 REPORT_DELAY_S = 0.06
@@ -26,6 +27,8 @@
 
     Attributes:
         tells: Whether hosts learn that the upstreams are brittle.
+        limit_per_s: Rate that each upstream names; None if it names none.
+        routes: The routes from which each request takes one.
         falls: Times at which an upstream has turned away more than it bears in a second.
         outcomes: How many requests were served, refused and turned away.
     """
@@ -35,12 +38,16 @@
     slots: int = 6
     allowance: int = 4
     tells: bool = True
+    limit_per_s: float | None = None
+    routes: tuple[Route, ...] = (LOOKUP,)
     seed: int = 0
     falls: list[float] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
+    outcomes_by_route: dict[RouteName, Counter[str]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._random = Random(self.seed)
+        self.outcomes_by_route = {route.name: Counter() for route in self.routes}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = 0
         self._names = [InstanceId(f"i-{number}") for number in range(self.upstreams)]
@@ -57,20 +64,30 @@
             draw = Random(f"{self.seed}/{number}").random
             router = Router(domain=FailureDomain("a"), bounds=Bounds(), draw=draw)
             router.hosts = self.hosts
-            router.update_routes(build_table())
+            router.update_routes(build_table(routes=self.routes))
             router.update_upstreams(records, 0.0)
             if self.tells:
                 for record in records:
                     router.record_brittle(record.incarnation, self.allowance, 0.0)
+            if self.limit_per_s is not None:
+                for record in records:
+                    router.record_limit(record.incarnation, self.limit_per_s, 0.0)
             self.routers.append(router)
 
+    @property
+    def capacity_per_s(self) -> float:
+        """Requests per second that all upstreams together can answer."""
+        return self.upstreams * self.slots / WORK_S
+
     def run(self, *, rate_per_s: float, duration_s: float) -> None:
         """Send requests at random times to random hosts."""
         now_s, number = 0.0, 0
         while (now_s := now_s + self._random.expovariate(rate_per_s)) < duration_s:
             number += 1
             router = self._random.choice(self.routers)
-            job = build_job(number, route=LOOKUP, now_s=now_s)
+            route = self.routes[number % len(self.routes)]
+            job = build_job(number, route=route, now_s=now_s)
+            router.count_request(job, now_s)
             self._at(now_s, lambda at_s, r=router, j=job: self._place(r, j, frozenset(), at_s))
         for step in range(int(duration_s / REPORT_DELAY_S)):
             self._at(step * REPORT_DELAY_S, self._exchange_loads)
@@ -82,23 +99,12 @@
         self._order += 1
         heapq.heappush(self._events, (at_s, self._order, call))
 
+    def _count(self, job: Job, outcome: str) -> None:
+        self.outcomes[outcome] += 1
+        self.outcomes_by_route[job.route.name][outcome] += 1
+
     def _exchange_loads(self, now_s: float) -> None:
-        local = [router.measure_local_loads(now_s) for router in self.routers]
-        totals: Counter[InstanceId] = Counter()
-        for loads in local:
-            totals.update({name: load.requests for name, load in loads.items()})
-
-        def deliver(_: float) -> None:
-            for router, own in zip(self.routers, local, strict=True):
-                others = {
-                    name: UpstreamLoad(
-                        tolerant_requests=count - (own[name].requests if name in own else 0)
-                    )
-                    for name, count in totals.items()
-                }
-                router.update_peer_loads(others, {})
-
-        self._at(now_s + REPORT_DELAY_S, deliver)
+        self._at(now_s + REPORT_DELAY_S, take_load_reports(self.routers, now_s))
 
     def _place(self, router: Router, job: Job, tried: frozenset[InstanceId], now_s: float) -> None:
         placed = router.place(job, now_s, tried)
@@ -108,7 +114,7 @@
             case Placement():
                 self._arrive(router, job, placed.upstream.instance, tried, now_s)
             case _:
-                self.outcomes["refused"] += 1
+                self._count(job, "refused")
 
     def _arrive(
         self,
@@ -125,7 +131,7 @@
             self._running[name] += 1
             self._at(now_s + WORK_S, lambda at_s: self._finish(router, job, name, at_s))
             return
-        self.outcomes["turned away"] += 1
+        self._count(job, "turned away")
         router.record_end(job.attempt_id, name, AttemptEnd.FULL, now_s)
         self._count_rejection(router, name, now_s)
         if len(tried) < 2:
@@ -143,7 +149,7 @@
         if len(tried) < 3:
             self._place(router, job, tried | {name}, now_s + 0.002)
         else:
-            self.outcomes["refused"] += 1
+            self._count(job, "refused")
 
     def _count_rejection(self, router: Router, name: InstanceId, now_s: float) -> None:
         since_s = max(now_s - 1.0, STABLE_FROM_S)
@@ -161,5 +167,5 @@
 
     def _finish(self, router: Router, job: Job, name: InstanceId, now_s: float) -> None:
         self._running[name] -= 1
-        self.outcomes["served"] += 1
+        self._count(job, "served")
         router.record_end(job.attempt_id, name, AttemptEnd.ANSWERED, now_s)
