Send less urgent requests only where more urgent ones have room

Callers saw: in a crowd that met fewer engines, torque summaries got nothing while gearbox reviews, less urgent and five times their size, began.

Cause: no host looked at urgency when it decided what to send. A review that had waited long enough was sent to an engine whatever queue was there; engines admit urgent requests first, but a review that has begun keeps its slot and its prefill, and slows all streams of the engine down. Urgent requests in turn passed by engines at which less urgent ones only waited. The same at brittle upstreams (the longer wait won) and at named rates (whoever came first).

Change: hosts tell each other how many requests of each urgency arrive, wait and are overdue. While a more urgent kind is short of room, less urgent ones of like or larger size wait on their hosts, unless an engine is free, and are refused after their wait limit. The queue on the hosts is bounded; no queue of long prompts builds up at engines; forecasts for urgent requests leave out what waits behind them.

test_a_waiting_prompt_is_sent_after_the_wait_limit expected a send to an engine whose first event was 2.1 s away, at a target of 1.5 s: this is the queue that the incident grew from. Two tests replace it: such a prompt is refused at the same moment, and one that can begin soon is sent. A datagram holds up to 64 upstreams in place of 70, and fewer beside much demand, so that it is never too large to be read.

--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -51,6 +51,8 @@
         gap_weight_ms: Usual time between events multiplied by the number of requests, so that it
             can be summed.
         stalled: Number of hosts whose requests at the upstream have been silent for too long.
+        tolerant_prefill_cs: The part of the prompt processing time that is of tolerant requests, in
+            hundredths of a second.
     """
 
     upstream: int
@@ -60,6 +62,7 @@
     kilotokens: int
     gap_weight_ms: int = 0
     stalled: int = 0
+    tolerant_prefill_cs: int = 0
 
 
 class RouteEntry(Struct, frozen=True, array_like=True):
@@ -84,6 +87,26 @@
     stream_ms: int
 
 
+class UrgencyEntry(Struct, frozen=True, array_like=True):
+    """Requests of one urgency; numbers are in tenths, so that rounding does not lose them.
+
+    Attributes:
+        urgency: Rank among all requests; 0 is the most urgent.
+        arrivals: Requests that arrived within about a second.
+        size: Sum of their sizes, in hundreds of tokens.
+        overdue: Requests that wait for much longer than their target, or found no room.
+        waiting: Requests that wait on hosts.
+        placed: Requests that were placed within about a second.
+    """
+
+    urgency: int
+    arrivals: int
+    size: int
+    overdue: int
+    waiting: int
+    placed: int
+
+
 class DemandEntry(Struct, frozen=True, array_like=True):
     """Callers' demand for one service, and samples of the speed of its engines.
 
@@ -92,6 +115,7 @@
         tolerant_ms: Work of all other requests.
         routes: Recent traffic by route.
         prefill: The sums of ``PrefillSamples`` in the order of its fields; empty without samples.
+        urgencies: Recent requests by urgency.
     """
 
     service: ServiceName
@@ -99,6 +123,7 @@
     tolerant_ms: int
     routes: list[RouteEntry] = []
     prefill: list[int] = []
+    urgencies: list[UrgencyEntry] = []
 
 
 class Work(Struct, frozen=True, array_like=True):
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -33,6 +33,7 @@
 from ._stream_relay import StreamRelay
 from ._suspect_reports import SuspectGossip, build_suspect_reports, read_suspect_report
 from ._work_codec import Demands, Loads, build_work, read_work
+from ._work_sums import add_work
 
 SENDS_PER_REPORT = 2
 """How many times a loss, or a change of a suspicion, of an upstream's rate or of the configuration
@@ -250,9 +251,10 @@
     def _send_reports(self) -> float:
         now_s = self._reactor.seconds()
         sender = self._take_next_sender()
-        work = build_work(
+        own = build_work(
             self._callbacks.measure_local_loads(now_s), self._callbacks.measure_local_demand(now_s)
         )
+        work = add_work([own])
         for host, body in self._load_exchange.plan_reports(work, sender.sequence, now_s):
             self._send(host, PeerMessage(sender, body))
         own_streams = self._callbacks.take_streams(now_s)
--- a/greengagestage/gateway/_work_codec.py
+++ b/greengagestage/gateway/_work_codec.py
@@ -6,9 +6,15 @@
 import xxhash
 
 from greengagestage.ids import InstanceId, ServiceName
-from greengagestage.routing import Demand, PrefillSamples, RouteTraffic, UpstreamLoad
+from greengagestage.routing import (
+    Demand,
+    PrefillSamples,
+    RouteTraffic,
+    UpstreamLoad,
+    UrgencyTraffic,
+)
 
-from ._peer_messages import DemandEntry, LoadEntry, RouteEntry, Work
+from ._peer_messages import DemandEntry, LoadEntry, RouteEntry, UrgencyEntry, Work
 
 Loads = Mapping[InstanceId, UpstreamLoad]
 Demands = Mapping[ServiceName, Demand]
@@ -46,6 +52,7 @@
         round(load.tokens / 1_000),
         round(load.gap_s * 1_000) * load.requests,
         int(load.stalled),
+        round(load.tolerant_prefill_s * 100),
     )
 
 
@@ -57,6 +64,18 @@
         round(demand.tolerant * 1_000),
         [_encode_traffic(route, traffic) for route, traffic in demand.routes.items()],
         [round(getattr(samples, each.name)) for each in fields(PrefillSamples)],
+        [_encode_urgency(urgency, requests) for urgency, requests in demand.urgencies.items()],
+    )
+
+
+def _encode_urgency(urgency: int, requests: UrgencyTraffic) -> UrgencyEntry:
+    return UrgencyEntry(
+        urgency,
+        round(requests.arrivals * 10),
+        round(requests.size / 100),
+        round(requests.overdue * 10),
+        round(requests.waiting * 10),
+        round(requests.placed * 10),
     )
 
 
@@ -94,6 +113,16 @@
                 for each, value in zip(fields(PrefillSamples), entry.prefill, strict=False)
             }
         ),
+        urgencies={
+            each.urgency: UrgencyTraffic(
+                arrivals=each.arrivals / 10,
+                size=each.size * 100.0,
+                overdue=each.overdue / 10,
+                waiting=each.waiting / 10,
+                placed=each.placed / 10,
+            )
+            for each in entry.urgencies
+        },
     )
 
 
@@ -106,4 +135,5 @@
         tokens=entry.kilotokens * 1_000,
         gap_s=entry.gap_weight_ms / requests / 1_000 if requests else 0.0,
         stalled=entry.stalled > 0,
+        tolerant_prefill_s=entry.tolerant_prefill_cs / 100,
     )
--- a/greengagestage/gateway/_work_sums.py
+++ b/greengagestage/gateway/_work_sums.py
@@ -5,25 +5,31 @@
 from itertools import starmap, zip_longest
 from operator import add, sub
 
+import msgspec
 from msgspec.structs import astuple
 
 from greengagestage.ids import ServiceName
 
-from ._peer_messages import DemandEntry, LoadEntry, RouteEntry, Work
+from ._peer_messages import DemandEntry, LoadEntry, RouteEntry, UrgencyEntry, Work
 
-MAX_LOAD_ENTRIES = 70
-"""Maximum number of upstreams in a datagram: each takes up to 17 bytes, and the rest 200 bytes."""
+MAX_WORK_BYTES = 1_280
+MAX_LOAD_ENTRY_BYTES = 20
+"""Size of the load and demand in a datagram, and of the load of one upstream."""
+
+MAX_LOAD_ENTRIES = MAX_WORK_BYTES // MAX_LOAD_ENTRY_BYTES
+"""Maximum number of upstreams in a datagram. Demand leaves room for fewer of them."""
 
 _Counts = tuple[int, ...]
 
 
 @dataclass(slots=True, kw_only=True)
 class _DemandSum:
-    """The demand for one service, with sums by position and by route."""
+    """The demand for one service, with sums by position, by route and by urgency."""
 
     work: _Counts = (0, 0)
     prefill: _Counts = ()
     routes: dict[int, _Counts] = field(default_factory=dict)
+    urgencies: dict[int, _Counts] = field(default_factory=dict)
 
     def combine(self, entry: DemandEntry, combine: Callable[[int, int], int]) -> None:
         self.work = _combine(self.work, (entry.sensitive_ms, entry.tolerant_ms), combine)
@@ -31,6 +37,9 @@
         for each in entry.routes:
             counts = self.routes.get(each.route, ())
             self.routes[each.route] = _combine(counts, astuple(each)[1:], combine)
+        for requests in entry.urgencies:
+            counts = self.urgencies.get(requests.urgency, ())
+            self.urgencies[requests.urgency] = _combine(counts, astuple(requests)[1:], combine)
 
     def build_entry(self, service: ServiceName) -> DemandEntry | None:
         """Return the sum as an entry; None if it is empty."""
@@ -40,10 +49,15 @@
             if any(_limit(counts))
         ]
         prefill = list(_limit(self.prefill)) if any(_limit(self.prefill)) else []
-        if not (any(_limit(self.work)) or routes or prefill):
+        urgencies = [
+            UrgencyEntry(urgency, *_limit(counts))
+            for urgency, counts in sorted(self.urgencies.items())
+            if any(_limit(counts))
+        ]
+        if not (any(_limit(self.work)) or routes or prefill or urgencies):
             return None
         sensitive_ms, tolerant_ms = _limit(self.work)
-        return DemandEntry(service, sensitive_ms, tolerant_ms, routes, prefill)
+        return DemandEntry(service, sensitive_ms, tolerant_ms, routes, prefill, urgencies)
 
 
 def _combine(one: _Counts, other: _Counts, combine: Callable[[int, int], int]) -> _Counts:
@@ -90,22 +104,22 @@
 def _build_work(loads: dict[int, _Counts], demands: dict[ServiceName, _DemandSum]) -> Work:
     """Return work without empty entries.
 
-    Upstreams beyond the entry limit are left out, those with the least prefill time first.
+    Upstreams that do not fit into a datagram are left out, those with the least prefill time first.
     """
+    demand_entries = [
+        entry
+        for service, demand in sorted(demands.items())
+        if (entry := demand.build_entry(service)) is not None
+    ]
+    demand_bytes = len(msgspec.msgpack.encode(demand_entries)) if demand_entries else 0
+    fitting = max(MAX_WORK_BYTES - demand_bytes, 0) // MAX_LOAD_ENTRY_BYTES
     entries = [
         LoadEntry(upstream, *_limit(counts))
         for upstream, counts in loads.items()
         if any(count > 0 for count in counts)
     ]
     entries.sort(key=lambda entry: (-entry.prefill_ms, entry.upstream))
-    return Work(
-        entries[:MAX_LOAD_ENTRIES],
-        [
-            entry
-            for service, demand in demands.items()
-            if (entry := demand.build_entry(service)) is not None
-        ],
-    )
+    return Work(entries[:fitting], demand_entries)
 
 
 def _list_load_counts(entry: LoadEntry) -> _Counts:
@@ -116,4 +130,5 @@
         entry.kilotokens,
         entry.gap_weight_ms,
         entry.stalled,
+        entry.tolerant_prefill_cs,
     )
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -12,6 +12,7 @@
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import UpstreamLoad
 from ._losses import LossTracker
+from ._overload import UrgencyTraffic
 from ._retries import RetryBudget
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
@@ -44,5 +45,6 @@
     "SuspectRecord",
     "UpstreamLoad",
     "UpstreamState",
+    "UrgencyTraffic",
     "Waiting",
 ]
--- a/greengagestage/routing/_demand.py
+++ b/greengagestage/routing/_demand.py
@@ -7,6 +7,7 @@
 from greengagestage.catalog import Prompt
 
 from ._engine_model import EngineSpeed, PrefillSamples
+from ._overload import UrgencyTraffic
 from ._route_groups import RouteTraffic
 
 DEMAND_TIME_CONSTANT_S = 1.5
@@ -25,22 +26,28 @@
         tolerant: Work of all other requests.
         routes: Traffic by route.
         prefill: Samples of the time that prompts take.
+        urgencies: Requests by urgency, and how many of them are overdue.
     """
 
     sensitive: float = 0.0
     tolerant: float = 0.0
     routes: Mapping[int, RouteTraffic] = field(default_factory=dict)
     prefill: PrefillSamples = PrefillSamples()
+    urgencies: Mapping[int, UrgencyTraffic] = field(default_factory=dict)
 
     def __add__(self, other: "Demand") -> "Demand":
         routes = dict(self.routes)
         for route, traffic in other.routes.items():
             routes[route] = routes.get(route, RouteTraffic()) + traffic
+        urgencies = dict(self.urgencies)
+        for urgency, requests in other.urgencies.items():
+            urgencies[urgency] = urgencies.get(urgency, UrgencyTraffic()) + requests
         return Demand(
             sensitive=self.sensitive + other.sensitive,
             tolerant=self.tolerant + other.tolerant,
             routes=routes,
             prefill=self.prefill + other.prefill,
+            urgencies=urgencies,
         )
 
 
--- a/greengagestage/routing/_engine_split.py
+++ b/greengagestage/routing/_engine_split.py
@@ -44,6 +44,7 @@
         target_s: Shortest delay of a first event or pause that makes a request late.
         stream_s: Mean time for which a request occupies a slot.
         weight: Weight of a late request.
+        is_more_urgent: Whether engines begin these requests before those of the other group.
     """
 
     work: float = 0.0
@@ -52,6 +53,12 @@
     target_s: float = 1.0
     stream_s: float = 0.0
     weight: float = 1.0
+    is_more_urgent: bool = False
+
+    @property
+    def request_s(self) -> float:
+        """Mean work of a request in engine seconds; 0 without any requests."""
+        return self.work / self.requests_per_s if self.requests_per_s else 0.0
 
     def forecast_late(self, engines: int, slots: int) -> float:
         """Return the expected late requests per second, weighted, on a number of engines."""
@@ -87,7 +94,7 @@
     work: float,
     traffic: Mapping[int, RouteTraffic],
     *,
-    weight: float = 1.0,
+    is_more_urgent: bool = False,
 ) -> GroupDemand | None:
     """Return the demand of some routes, or None without any routes.
 
@@ -109,7 +116,8 @@
         residual_s=squares_s2 / (2 * prefill_s),
         target_s=min(min(each.target_s, each.gap_target_s or each.target_s) for each in routes),
         stream_s=total.stream_s / total.streams if total.streams else 0.0,
-        weight=weight,
+        weight=URGENT_WEIGHT if is_more_urgent else 1.0,
+        is_more_urgent=is_more_urgent,
     )
 
 
--- a/greengagestage/routing/_loads.py
+++ b/greengagestage/routing/_loads.py
@@ -1,5 +1,6 @@
 """Requests in flight at an upstream and the load that they add up to."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -14,6 +15,8 @@
         sensitive: Whether the request is latency-sensitive: long prompts must not delay its events.
         expected_s: Time to its first event, or to the answer of a plain service, as forecast when
             it was sent.
+        urgency: Rank among all requests; 0 is the most urgent.
+        overdue_s: Time to the first event, or to the answer, after which the request is overdue.
         answer_begun: Data of the answer has arrived, be it the head alone.
         last_data_s: Monotonic time of the latest data, be it a head or a piece of a body.
         route: Number by which hosts identify its route.
@@ -26,6 +29,8 @@
     tokens: int
     sensitive: bool
     expected_s: float
+    urgency: int = 0
+    overdue_s: float = math.inf
     answer_begun: bool = False
     last_data_s: float = 0.0
     route: int = 0
@@ -44,6 +49,8 @@
         gap_s: Average gap between received pieces of its answers, which for streams are events;
             0 where none was observed.
         stalled: Whether the upstream has sent nothing for too long while requests were open.
+        tolerant_prefill_s: The part of the remaining prefill time that is not of sensitive
+            requests.
     """
 
     prefill_s: float = 0.0
@@ -52,6 +59,7 @@
     tokens: int = 0
     gap_s: float = 0.0
     stalled: bool = False
+    tolerant_prefill_s: float = 0.0
 
     @property
     def requests(self) -> int:
@@ -75,6 +83,7 @@
         "sensitive_requests",
         "stalled_loads",
         "tokens",
+        "tolerant_prefill_s",
         "tolerant_requests",
     )
 
@@ -83,6 +92,7 @@
         self.sensitive_requests = 0
         self.tolerant_requests = 0
         self.tokens = 0
+        self.tolerant_prefill_s = 0.0
         self.stalled_loads = 0
         self._gap_requests = 0
         self._gap_weight = 0.0
@@ -97,12 +107,27 @@
         """Average gap in seconds between received pieces of answers; 0 where none was observed."""
         return self._gap_weight / self._gap_requests if self._gap_requests else 0.0
 
+    def estimate_ahead(self, slots: int, *, sensitive_first: bool) -> tuple[int, float]:
+        """Return the requests and the prefill time that a new request may have to wait for.
+
+        Args:
+            slots: Number of requests that the upstream runs at once.
+            sensitive_first: Whether the upstream begins the new request before any tolerant one
+                that still waits for a slot there.
+        """
+        if not sensitive_first or not self.tolerant_requests:
+            return self.requests, self.prefill_s
+        queued = min(max(self.requests - slots, 0), self.tolerant_requests)
+        passed_s = self.tolerant_prefill_s * queued / self.tolerant_requests
+        return self.requests - queued, self.prefill_s - passed_s
+
     def add(self, load: UpstreamLoad) -> None:
         """Add the load of one or more hosts."""
         self.prefill_s += load.prefill_s
         self.sensitive_requests += load.sensitive_requests
         self.tolerant_requests += load.tolerant_requests
         self.tokens += load.tokens
+        self.tolerant_prefill_s += load.tolerant_prefill_s
         self.stalled_loads += load.stalled
         if load.gap_s > 0:
             self._gap_requests += load.requests
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -38,7 +38,12 @@
 
 MAX_WAIT_TARGETS = 2.5
 """Longest wait of a job, as a multiple of its target. Callers leave after four targets without an
-event."""
+event, and the rest of their patience is left for the engine."""
+
+MAX_QUEUE_TARGETS = 0.6
+"""Longest expected time to the first event of a job that has waited for as long as it may, as a
+multiple of its target. Longer queues at engines would hold the next jobs up, and begin when more
+urgent ones need the room."""
 
 RECHECK_INTERVAL_S = 0.1
 """Interval at which a waiting job is placed again: about the time of a long prompt's prefill."""
@@ -93,6 +98,10 @@
 """Prefill of other requests on an engine, as a share of a job's own, up to which its first event
 shows the speed of the engine."""
 
+IDLE_PREFILL_S = 0.1
+"""Prefill of other requests on an engine up to which a new request begins at once: about that of
+one long prompt."""
+
 DEFAULT_ANSWER_TIME_S = 0.05
 """Answer time assumed for an upstream of a plain service that has not answered yet."""
 
@@ -119,12 +128,14 @@
         completion_s: Forecast time to the end of a stream; 0 for a plain service.
         min_completion_s: The same for an answer that is shorter than expected.
         sample_tokens: See ``InFlightRequest.sample_tokens``.
+        begins_at_once: Whether the upstream has a free slot and little other work.
     """
 
     state: UpstreamState
     expected_s: float
     prefill_s: float
     reason: str
+    begins_at_once: bool
     completion_s: float = 0.0
     min_completion_s: float = 0.0
     sample_tokens: float | None = None
@@ -140,6 +151,7 @@
         redundant_prefill_s: Prefill time that an engine with the shared prefix cached would save.
         completion_s: Time to the end of the stream.
         requests: Number of requests on the engine.
+        begins_at_once: Whether the engine has a free slot and little other work.
         sample_tokens: See ``InFlightRequest.sample_tokens``.
     """
 
@@ -149,6 +161,7 @@
     redundant_prefill_s: float
     completion_s: float
     requests: int
+    begins_at_once: bool
     sample_tokens: float | None
 
 
@@ -190,7 +203,24 @@
         )
 
     best = min(candidates, key=cost_s)
-    return Choice(state=best, expected_s=estimate_s(best), prefill_s=0.0, reason="fastest")
+    return Choice(
+        state=best,
+        expected_s=estimate_s(best),
+        prefill_s=0.0,
+        reason="fastest",
+        begins_at_once=not best.is_rationed and best.measure(now_s).requests < best.record.slots,
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NoRoom:
+    """No engine has room for a job that has waited for as long as it may.
+
+    Attributes:
+        first_event_s: Forecast time to the first event on the best engine.
+    """
+
+    first_event_s: float
 
 
 class EngineChooser:
@@ -216,6 +246,7 @@
         }
         self._split = split
         self._speed = EngineSpeed()
+        self._is_first = False
         self._draw = draw
 
     def choose(
@@ -228,8 +259,9 @@
         groups: tuple[GroupDemand | None, GroupDemand | None],
         speed: EngineSpeed,
         report_delay_s: float,
+        waiting: float,
         now_s: float,
-    ) -> Choice | Waiting:
+    ) -> Choice | Waiting | NoRoom:
         """Choose an engine; the candidates must not be empty.
 
         Args:
@@ -237,15 +269,21 @@
             groups: Demand of sensitive and of tolerant routes from all hosts; None without any.
             speed: Learned speed of the service's engines.
             report_delay_s: Usual delay of other hosts' load reports.
+            waiting: Number of jobs on all hosts that wait and are at least as urgent.
         """
         self._speed = speed
+        self._is_first = sensitive and groups[0] is not None and groups[0].is_more_urgent
         partition = self._update_partition(candidates, sensitive, groups)
         if sensitive:
             return self._choose_sensitive(job, prompt, partition, candidates, now_s)
         engines = partition or candidates
         tolerant = groups[1]
-        unreported_s = 0.0 if tolerant is None else tolerant.work * report_delay_s / len(engines)
-        return self._choose_tolerant(job, prompt, engines, unreported_s, now_s)
+        new_s = backlog_s = 0.0
+        if tolerant is not None:
+            placed_again = waiting * min(report_delay_s / RECHECK_INTERVAL_S, 1.0)
+            backlog_s = tolerant.request_s * placed_again / len(engines)
+            new_s = tolerant.work * report_delay_s / len(engines)
+        return self._choose_tolerant(job, prompt, engines, new_s + backlog_s, backlog_s, now_s)
 
     def _update_partition(
         self,
@@ -296,8 +334,9 @@
         prompt: Prompt,
         engines: Sequence[UpstreamState],
         unreported_s: float,
+        backlog_s: float,
         now_s: float,
-    ) -> Choice | Waiting:
+    ) -> Choice | Waiting | NoRoom:
         """Choose an engine for a tolerant job, or let the job wait.
 
         The engines with the highest affinity to the prompt's prefix are tried first: those that
@@ -307,6 +346,7 @@
 
         Args:
             unreported_s: Work per engine that other hosts have probably sent but not reported yet.
+            backlog_s: The part of it that waited on hosts before.
         """
         ranked = self._forecast_all(prompt, engines, now_s)
         preferred = list(islice(ranked, max(MIN_REPLICAS, round(REPLICA_SHARE * len(self._ranks)))))
@@ -317,7 +357,7 @@
             if rank and forecast.redundant_prefill_s > 0:
                 continue
             if (
-                forecast.first_event_s <= cached_limit_s
+                self._should_send(forecast, cached_limit_s, backlog_s)
                 and forecast.completion_s <= completion_limit_s
             ):
                 return _build_choice(forecast, "cached prompt")
@@ -331,11 +371,17 @@
             return _build_choice(idle, "additional replica")
         best = preferred[0]
         latest_start_s = job.deadline_s - COMPLETION_MARGIN * best.completion_s
-        if waited_s < MAX_WAIT_TARGETS * target_s and now_s < latest_start_s:
+        has_room = best.first_event_s <= MAX_QUEUE_TARGETS * target_s
+        could_complete = now_s + best.completion_s - best.first_event_s < job.deadline_s
+        if waited_s < MAX_WAIT_TARGETS * target_s and (
+            now_s < latest_start_s or (could_complete and not has_room)
+        ):
             return Waiting(
                 delay_s=RECHECK_INTERVAL_S,
                 reason=f"expected first event after {best.first_event_s:.2f} s",
             )
+        if not has_room:
+            return NoRoom(first_event_s=best.first_event_s)
         return _build_choice(best, "wait limit reached")
 
     def _find_idle(
@@ -391,12 +437,13 @@
         prefill_s = speed.estimate_prompt_prefill_s(prompt, cached_tokens)
         min_prefill_s = speed.estimate_prompt_prefill_s(prompt, prompt.shared_tokens)
         load = state.measure(now_s)
-        first_event_s = state.forecast_first_event_s(prefill_s, load, speed.overhead_s, now_s)
         slots = min(state.record.slots, self._engine.slots)
+        requests, ahead_s = load.estimate_ahead(slots, sensitive_first=self._is_first)
+        first_event_s = state.forecast_first_event_s(ahead_s + prefill_s, speed.overhead_s, now_s)
         memory_full = (
             load.tokens + prompt.tokens > MAX_MEMORY_SHARE * self._engine.kv_capacity_tokens
         )
-        queued = max(load.requests + 1 - slots, 1 if memory_full else 0)
+        queued = max(requests + 1 - slots, 1 if memory_full else 0)
         first_event_s += max(queued, 0) * SLOT_WAIT_S
         tokens_per_event = self._engine.tokens_per_event
         events = EXPECTED_OUTPUT_SHARE * prompt.output_tokens / tokens_per_event
@@ -406,6 +453,7 @@
             first_event_s=first_event_s,
             redundant_prefill_s=prefill_s - min_prefill_s,
             requests=load.requests,
+            begins_at_once=load.requests < slots and load.prefill_s <= IDLE_PREFILL_S,
             completion_s=first_event_s + events * state.forecast_gap_s(tokens_per_event, load),
             sample_tokens=(
                 count_prefill_tokens(prompt.tokens - cached_tokens, cached_tokens)
@@ -431,6 +479,7 @@
         expected_s=forecast.first_event_s,
         prefill_s=forecast.prefill_s,
         reason=reason,
+        begins_at_once=forecast.begins_at_once,
         completion_s=forecast.completion_s,
         min_completion_s=forecast.first_event_s
         + SHORT_OUTPUT_SHARE * (forecast.completion_s - forecast.first_event_s),
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -1,5 +1,6 @@
 """The router of one host: tracks upstreams, load and demand, and places jobs."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from enum import Enum
@@ -24,12 +25,25 @@
 
 from ._demand import Demand, DemandMeter
 from ._engine_model import EngineModel
-from ._engine_split import URGENT_WEIGHT, EngineSplit, GroupDemand, build_group
+from ._engine_split import EngineSplit, GroupDemand, build_group
 from ._jobs import Job, Placement, Refused, Waiting
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
-from ._placement import MAX_WAIT_TARGETS, Choice, EngineChooser, choose_plain
+from ._overload import (
+    OVERDUE_TARGETS,
+    OverloadMeter,
+    UrgencyTraffic,
+    find_urgency_in_need,
+    is_queue_full,
+)
+from ._placement import (
+    MAX_WAIT_TARGETS,
+    Choice,
+    EngineChooser,
+    NoRoom,
+    choose_plain,
+)
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 from ._retries import RetryBudget
@@ -45,6 +59,9 @@
 """Mean retry delay for callers while no engine can finish another answer in time. Each engine
 finishes several answers in this time. The actual delay varies by up to half in both directions."""
 
+URGENT_RECHECK_S = 0.1
+"""Time until a request that leaves room to more urgent ones is placed again, on average."""
+
 ROOM_RECHECK_S = 0.05
 """Time until a request that waits for room at brittle upstreams is placed again, on average."""
 
@@ -119,6 +136,7 @@
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._demand_meters: dict[ServiceName, DemandMeter] = {}
         self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
+        self._overload_meters: dict[ServiceName, OverloadMeter] = {}
         self._models: dict[ServiceName, EngineModel] = {}
         self._sensitive_cache: dict[tuple[ServiceName, RouteName], bool] = {}
         self._group_cache: dict[ServiceName, tuple[GroupDemand | None, GroupDemand | None]] = {}
@@ -292,6 +310,9 @@
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
         self._get_retry_budget(job.service).record_request(now_s)
+        self._get_overload_meter(job.service).record_arrival(
+            job.urgency, 1.0 if job.prompt is None else job.prompt.tokens, now_s
+        )
         if job.prompt is None:
             return
         speed = self._get_model(job.service).speed
@@ -328,6 +349,53 @@
             unreached: Upstreams to which this host could not connect for the job. They are used
                 again only through another host.
         """
+        placed = self._place(job, now_s, tried, unreached)
+        meter = self._get_overload_meter(job.service)
+        if isinstance(placed, Waiting) and not meter.is_waiting(job.attempt_id):
+            placed = self._refuse_if_queue_is_full(job, now_s) or placed
+        match placed:
+            case Waiting(delay_s=delay_s):
+                due_s = job.arrived_s + OVERDUE_TARGETS * job.route.target_s
+                meter.record_waiting(
+                    job.attempt_id, urgency=job.urgency, due_s=due_s, now_s=now_s, delay_s=delay_s
+                )
+            case Placement():
+                meter.forget_waiting(job.attempt_id)
+                meter.record_placement(job.urgency, now_s)
+            case Refused():
+                meter.forget_waiting(job.attempt_id)
+        return placed
+
+    def _refuse_if_queue_is_full(self, job: Job, now_s: float) -> Refused | None:
+        urgencies = self._measure_demand(job.service, now_s).urgencies
+        requests = urgencies.get(job.urgency, UrgencyTraffic())
+        upstreams = len(self._list_staying(job.service))
+        if not is_queue_full(requests, upstreams, MAX_WAIT_TARGETS * job.route.target_s):
+            return None
+        reason = f"{requests.waiting:.0f} requests of the same urgency wait"
+        return self._reject(job, ResultCode.QUEUE_FULL, reason, now_s)
+
+    def _leave_room(self, job: Job, now_s: float) -> Waiting | Refused | None:
+        """Keep a job here while more urgent ones get no room; a stream that has begun goes on."""
+        if job.began_at is not None:
+            return None
+        urgencies = self._measure_demand(job.service, now_s).urgencies
+        urgent = find_urgency_in_need(urgencies, job.urgency)
+        if urgent is None:
+            return None
+        reason = f"requests of urgency {urgent} are overdue"
+        latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
+        if now_s < min(latest_s, job.deadline_s):
+            return Waiting(delay_s=URGENT_RECHECK_S * (0.5 + self._draw()), reason=reason)
+        return self._reject(job, ResultCode.SHED, reason, now_s)
+
+    def _place(
+        self,
+        job: Job,
+        now_s: float,
+        tried: frozenset[InstanceId],
+        unreached: frozenset[InstanceId],
+    ) -> Placement | Refused | Waiting:
         service = self._services.get(job.service)
         staying = self._list_staying(job.service)
         ready = [
@@ -365,8 +433,13 @@
         choice = self._choose(job, service, staying, connectable, now_s)
         if isinstance(choice, Waiting):
             return replace(choice, delay_s=choice.delay_s * (0.75 + 0.5 * self._draw()))
+        if isinstance(choice, NoRoom):
+            reason = f"the first event is expected after {choice.first_event_s:.1f} s"
+            return self._reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
         if not self._is_sensitive(job, now_s) and now_s + choice.min_completion_s > job.deadline_s:
-            return self._refuse_late(job, choice)
+            return self._refuse_late(job, choice, now_s)
+        if not choice.begins_at_once and (kept := self._leave_room(job, now_s)) is not None:
+            return kept
         self._track(job, choice, now_s)
         return Placement(
             upstream=choice.state.record,
@@ -410,6 +483,9 @@
             case AttemptEnd.UNREACHABLE:
                 self._record_unreachable(state, now_s)
             case AttemptEnd.FULL:
+                if request is not None:
+                    overload = self._get_overload_meter(state.record.service)
+                    overload.record_rejection(request.urgency, now_s)
                 state.record_activity(now_s)
                 state.health.record_full(now_s)
             case AttemptEnd.MISDIRECTED:
@@ -431,7 +507,7 @@
 
     def measure_local_demand(self, now_s: float) -> dict[ServiceName, Demand]:
         """Return the demand that reaches this host."""
-        return {service: self._measure_local(service, now_s) for service in self._demand_meters}
+        return {service: self._measure_local(service, now_s) for service in self._overload_meters}
 
     def measure_local_loads(self, now_s: float) -> dict[InstanceId, UpstreamLoad]:
         """Return the load that this host puts on each upstream with open requests."""
@@ -459,7 +535,7 @@
         staying: list[UpstreamState],
         candidates: list[UpstreamState],
         now_s: float,
-    ) -> Choice | Waiting:
+    ) -> Choice | Waiting | NoRoom:
         if service.engine is None or job.prompt is None:
             return choose_plain(candidates, domain=self._domain, now_s=now_s, draw=self._draw)
         chooser = self._choosers.get(service.name)
@@ -479,9 +555,17 @@
             groups=self._measure_groups(job.service, now_s),
             speed=self._get_model(job.service).speed,
             report_delay_s=self.report_delay_s,
+            waiting=self._count_waiting(job, now_s),
             now_s=now_s,
         )
 
+    def _count_waiting(self, job: Job, now_s: float) -> float:
+        """Return how many requests wait on all hosts that are at least as urgent as a job."""
+        urgencies = self._measure_demand(job.service, now_s).urgencies
+        return sum(
+            requests.waiting for urgency, requests in urgencies.items() if urgency <= job.urgency
+        )
+
     def _measure_demand(self, service: ServiceName, now_s: float) -> Demand:
         """Return the demand on all hosts, as far as it has been reported."""
         cached = self._demand_cache.get(service)
@@ -494,15 +578,25 @@
         return total
 
     def _measure_local(self, service: ServiceName, now_s: float) -> Demand:
+        urgencies = self._measure_urgencies(service, now_s)
         meter = self._demand_meters.get(service)
         if meter is None:
-            return Demand()
+            return Demand(urgencies=urgencies)
         return replace(
             meter.measure(now_s),
+            urgencies=urgencies,
             routes=self._get_traffic_meter(service).measure(now_s),
             prefill=self._get_model(service).measure(now_s),
         )
 
+    def _measure_urgencies(self, service: ServiceName, now_s: float) -> dict[int, UrgencyTraffic]:
+        """Return this host's requests by urgency; links that are cut say nothing about room."""
+        overdue: Counter[int] = Counter()
+        for instance, state in self._upstreams.items():
+            if state.record.service == service and not self.links.is_cut(instance):
+                overdue += state.count_overdue(now_s)
+        return self._get_overload_meter(service).measure(overdue, now_s)
+
     def _is_sensitive(self, job: Job, now_s: float) -> bool:
         key = (job.service, job.route.name)
         demand = self._measure_demand(job.service, now_s)
@@ -538,13 +632,16 @@
                     whole_s = self._estimate_whole_prefill_s(route, demand)
                     is_tolerant_route = self._is_tolerant(service, route, whole_s)
                     (tolerant if is_tolerant_route else sensitive).append(route)
-            weight = URGENT_WEIGHT if _is_more_urgent(sensitive, tolerant) else 1.0
+            is_urgent = _is_more_urgent(sensitive, tolerant)
             self._group_cache[service] = (
-                build_group(sensitive, demand.sensitive, demand.routes, weight=weight),
+                build_group(sensitive, demand.sensitive, demand.routes, is_more_urgent=is_urgent),
                 build_group(tolerant, demand.tolerant, demand.routes),
             )
         return self._group_cache[service]
 
+    def _get_overload_meter(self, service: ServiceName) -> OverloadMeter:
+        return self._overload_meters.setdefault(service, OverloadMeter())
+
     def _get_traffic_meter(self, service: ServiceName) -> TrafficMeter:
         return self._traffic_meters.setdefault(service, TrafficMeter())
 
@@ -561,6 +658,8 @@
             route=hash_route(job.route),
             sample_tokens=choice.sample_tokens,
             expected_s=choice.expected_s,
+            urgency=job.urgency,
+            overdue_s=OVERDUE_TARGETS * job.route.target_s,
         )
         choice.state.add_request(job.attempt_id, request, prompt)
         choice.state.use_slot(self.hosts, now_s)
@@ -601,11 +700,7 @@
         latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
         if now_s < min(latest_s, job.deadline_s):
             return Waiting(delay_s=ROOM_RECHECK_S * (0.5 + self._draw()), reason=reason)
-        return Refused(
-            code=ResultCode.NO_UPSTREAM,
-            retry_after_s=OVERLOAD_RETRY_S * (0.5 + self._draw()),
-            reason=reason,
-        )
+        return self._reject(job, ResultCode.NO_UPSTREAM, reason, now_s)
 
     def _refuse_without_upstream(
         self, job: Job, ready: list[UpstreamState], now_s: float
@@ -621,21 +716,28 @@
             reason = "all ready upstreams were tried, or the service is not configured"
         # A named time needs no spread over the time in which new upstreams may register.
         spread_s = NO_UPSTREAM_RETRY_S / 2 if pause_s else NO_UPSTREAM_RETRY_S
+        if pause_s:
+            self._get_overload_meter(job.service).record_rejection(job.urgency, now_s)
         retry_after_s = max(pause_s, NO_UPSTREAM_RETRY_S / 2) + spread_s * self._draw()
         return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=retry_after_s, reason=reason)
 
-    def _refuse_late(self, job: Job, choice: Choice) -> Refused:
+    def _refuse_late(self, job: Job, choice: Choice, now_s: float) -> Refused:
         """Refuse a job that even a short answer could not complete by its deadline.
 
         ``TARGET_UNREACHABLE`` stands for the deadline here; a job that can only miss the target of
         its route is not refused.
         """
-        return Refused(
-            code=ResultCode.TARGET_UNREACHABLE,
-            retry_after_s=OVERLOAD_RETRY_S * (0.5 + self._draw()),
-            reason=f"even a short answer is expected to take {choice.min_completion_s:.1f} s "
-            f"at {choice.state.record.instance}",
+        reason = (
+            f"even a short answer is expected to take {choice.min_completion_s:.1f} s "
+            f"at {choice.state.record.instance}"
         )
+        return self._reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
+
+    def _reject(self, job: Job, code: ResultCode, reason: str, now_s: float) -> Refused:
+        """Refuse a job for lack of room, and count that."""
+        self._get_overload_meter(job.service).record_rejection(job.urgency, now_s)
+        retry_after_s = OVERLOAD_RETRY_S * (0.5 + self._draw())
+        return Refused(code=code, retry_after_s=retry_after_s, reason=reason)
 
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -1,6 +1,7 @@
 """The state of one upstream on this host: registry entry, load, latency, cached prompts, health."""
 
 import math
+from collections import Counter
 
 import xxhash
 
@@ -108,6 +109,11 @@
         """Whether the upstream says that it falls over after some rejections."""
         return self._notice.guard is not None
 
+    @property
+    def is_rationed(self) -> bool:
+        """Whether the upstream has stated how much it bears, so that hosts divide that."""
+        return self._notice.guard is not None or self._notice.pacer is not None
+
     def accepts_requests(self, now_s: float) -> bool:
         """Whether new requests may be sent to the upstream at all."""
         if now_s < self.misdirected_until_s or not self._notice.allows_requests(now_s):
@@ -187,6 +193,9 @@
             tokens=sum(request.tokens for request in self._in_flight.values()),
             gap_s=self._gap_s if now_s - self._gap_updated_s < GAP_LIFETIME_S else 0.0,
             stalled=self.is_stalled(now_s),
+            tolerant_prefill_s=sum(
+                request.prefill_s for request in self._in_flight.values() if not request.sensitive
+            ),
         )
 
     def measure(self, now_s: float) -> LoadTotal:
@@ -210,19 +219,17 @@
         decay = math.exp(-max(now_s - self._slowdown_updated_s, 0.0) / SLOWDOWN_TIME_CONSTANT_S)
         return 1.0 + (self._slowdown - 1.0) * decay
 
-    def forecast_first_event_s(
-        self, prefill_s: float, load: LoadTotal, overhead_s: float, now_s: float
-    ) -> float:
+    def forecast_first_event_s(self, prefill_s: float, overhead_s: float, now_s: float) -> float:
         """Return the expected time to the first event of a prompt.
 
         Args:
-            prefill_s: Prefill time of the prompt on an engine without load.
+            prefill_s: Time to prefill the prompt and all those before it on a usual engine.
             overhead_s: Time to the first event of an empty prompt on such an engine.
         """
         slowdown = self.estimate_slowdown(now_s) * (
             WARMUP_SLOWDOWN if now_s < self._warmup_until_s else 1.0
         )
-        return overhead_s + slowdown * (load.prefill_s + prefill_s)
+        return overhead_s + slowdown * prefill_s
 
     def add_request(
         self, attempt_id: AttemptId, request: InFlightRequest, prompt: Prompt | None
@@ -282,6 +289,14 @@
         self._update_slowdown(now_s - request.sent_s, request.expected_s, now_s)
         return request
 
+    def count_overdue(self, now_s: float) -> Counter[int]:
+        """Return the number of this host's requests by urgency that are overdue."""
+        return Counter(
+            request.urgency
+            for request in self._in_flight.values()
+            if not request.answer_begun and now_s - request.sent_s > request.overdue_s
+        )
+
     def remove_request(self, attempt_id: AttemptId) -> InFlightRequest | None:
         """Remove a request from the load and return it; None if it is unknown."""
         return self._in_flight.pop(attempt_id, None)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -19,6 +19,8 @@
     LoadEntry,
     PeerMessage,
     Sender,
+    TotalsReport,
+    UrgencyEntry,
     Work,
     encode_message,
 )
@@ -214,11 +216,26 @@
             st.builds(
                 LoadEntry,
                 st.integers(1, 5),
-                *[st.integers(0, 9)] * 6,
+                *[st.integers(0, 9)] * 7,
             ),
             max_size=4,
             unique_by=lambda entry: entry.upstream,
         ),
+        st.lists(
+            st.builds(
+                DemandEntry,
+                st.sampled_from(["one", "two"]),
+                st.integers(0, 9),
+                st.integers(0, 9),
+                urgencies=st.lists(
+                    st.builds(UrgencyEntry, st.integers(0, 3), *[st.integers(0, 9)] * 5),
+                    max_size=3,
+                    unique_by=lambda entry: entry.urgency,
+                ),
+            ),
+            max_size=2,
+            unique_by=lambda entry: entry.service,
+        ),
     ),
     max_size=5,
 )
@@ -235,7 +252,27 @@
 
 
 def test_work_at_very_many_upstreams_is_limited_to_the_busiest() -> None:
-    busy = Work([LoadEntry(2**32 - 1 - n, 30_000 + n, 60, 60, 5_000, 9_000, 9) for n in range(300)])
+    busy = Work(
+        [LoadEntry(2**32 - 1 - n, 30_000 + n, 60, 60, 5_000, 9_000, 9, 900) for n in range(300)]
+    )
     total = add_work([busy])
     assert len(total.loads) == MAX_LOAD_ENTRIES
     assert total.loads[0].prefill_ms == 30_299
+
+
+# Guards against reports that are too large to be read, since demand and load share a datagram.
+def test_work_with_demand_of_every_urgency_fits_into_a_datagram() -> None:
+    loads = [
+        LoadEntry(2**32 - 1 - n, 30_000 + n, 60, 60, 5_000, 9_000, 9, 3_000) for n in range(300)
+    ]
+    urgencies = [UrgencyEntry(number, 20_000, 20_000, 9_000, 9_000, 20_000) for number in range(10)]
+    demands = [
+        DemandEntry(ServiceName(f"service-{number}"), 9_000, 9_000, [], [], urgencies)
+        for number in range(3)
+    ]
+    total = add_work([Work(loads, demands)])
+    assert [entry.urgencies for entry in total.demands] == [urgencies] * 3
+    assert len(total.loads) >= 30
+    report = TotalsReport(2**32 - 1, 300, 371, total)
+    sender = Sender(PROTOCOL_VERSION, HostId("front-csepel-a-100"), 2**42, 2**32 - 1)
+    assert len(encode_message(PeerMessage(sender, report))) <= MAX_DATAGRAM_BYTES
--- a/tests/test_routing_load.py
+++ b/tests/test_routing_load.py
@@ -136,14 +136,27 @@
     assert isinstance(router.place(build_job(1, route=LONG), 0.8), Placement)
 
 
+# Guards against prompts that wait on their host although an engine could soon begin them.
 def test_a_waiting_prompt_is_sent_after_the_wait_limit() -> None:
     router = build_router(engines=6)
-    report_prefill(router, 2.0)
+    report_prefill(router, 0.7)
     job = build_job(1, route=LONG)
     assert isinstance(router.place(job, 3.0), Waiting)
     assert isinstance(router.place(job, 4.0), Placement)
 
 
+# Guards against queues at engines that grow by prompts which have waited in vain on their hosts.
+def test_a_prompt_that_no_engine_can_begin_soon_is_refused_after_the_wait_limit() -> None:
+    router = build_router(engines=6)
+    report_prefill(router, 2.0)
+    job = build_job(1, route=LONG)
+    assert isinstance(router.place(job, 3.0), Waiting)
+    refused = router.place(job, 4.0)
+    assert isinstance(refused, Refused)
+    assert refused.retry_after_s > 0
+    assert not router.measure_local_loads(4.0)
+
+
 def test_requests_with_a_shared_prefix_go_to_one_engine() -> None:
     router = build_router(engines=8)
     for shared in ("s1", "s2", "s3"):
