Play streams that end inside an event with their connection, without a reset

A stream without length and chunks that ends like a complete one, but inside an event, was tested on routes that are not resumed and through another host. Now a test shows that a resumable one goes on at another upstream, each event once, and the soak's upstreams break such streams off without a reset.

--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -104,12 +104,20 @@
         """Ignore flow control: answers are small."""
 
     def abort(self) -> None:
-        """Break off in the middle of an event."""
+        """Break off in the middle of an event.
+
+        A stream without framing then ends like a complete one, but for the event.
+        """
         if self._open:
             self._arrival.broke_off = True
-            if self._events and self._arrival.status:
+            in_stream = bool(self._events and self._arrival.status)
+            if in_stream:
                 self._write(b"id: %d\nda" % self._next)
-            self._responder.abort()
+            if in_stream and self._unframed:
+                self._responder.transport.unregisterProducer()
+                self._responder.transport.loseConnection()
+            else:
+                self._responder.abort()
             self._finish()
 
     def _answer(self) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -124,3 +124,22 @@
     start(fleet)
     caller = fleet.call("/long/x")
     assert caller.is_complete is whole
+
+
+# Guards against a broken event, or one that comes twice, where a stream without framing goes on.
+def test_a_stream_that_ends_inside_an_event_goes_on_at_another_upstream(fleet: HostFleet) -> None:
+    def break_off(upstream, request, responder) -> None:
+        headers = harness.build_identity_headers(request)
+        head = HEAD + b"".join(b"%s: %s\r\n" % header for header in headers) + b"\r\n"
+        responder.transport.write(head + EVENTS[0] + EVENTS[1] + b"id: 3\nda")
+        responder.transport.loseConnection()
+
+    broken = fleet.add_upstream("one", service="engines", behavior=break_off)
+    sound = fleet.add_upstream("two", service="engines")
+    start(fleet)
+    callers = [
+        fleet.call("/short/x", attempt=f"a{number}", body=b"body %d" % number)
+        for number in range(4)
+    ]
+    assert broken.requests and sound.requests
+    assert [each.body for each in callers] == [b"".join(EVENTS)] * 4
