Divide the slots of brittle upstreams among the hosts

30 hosts before 13 brittle upstreams lost all of them: hosts decided by the load that others had reported, and at that size the requests that are not reported yet are as many as the reported ones. Where the load was below the capacity, one fall led to the next.

Now each slot belongs to one host. All hosts compute the same division from the upstreams and hosts that they know, so that nothing is sent for it. A host without a slot, and all hosts while some are silent, use free room by the reported load as before, but half as much.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -322,6 +322,7 @@
         for host, row in rows.items():
             self._peers.add_peer(host, row.address, FailureDomain(row.failure_domain))
         self._router.hosts = self._peers.known_hosts
+        self._router.position = self._peers.position
 
     def _update_peer_loads(
         self,
@@ -332,6 +333,8 @@
         self._router.report_delay_s = self._peers.delay_s
         if self._router.hosts is not None:
             self._router.hosts = self._peers.known_hosts
+            self._router.position = self._peers.position
+        self._router.silent_hosts = self._peers.known_hosts - 1 - self._peers.active_peers
 
     def _record_peer_limit(self, incarnation: Incarnation, limit_per_s: float | None) -> None:
         now_s = self._reactor.seconds()
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -134,6 +134,11 @@
         """Number of known hosts, including this one."""
         return len(self._peers) + 1
 
+    @property
+    def position(self) -> int:
+        """Place of this host among the known hosts, in the order of their ids."""
+        return sum(host < self._host for host in self._peers)
+
     @property
     def active_peers(self) -> int:
         """Number of other hosts with recent reports."""
--- a/greengagestage/routing/_rejection_guard.py
+++ b/greengagestage/routing/_rejection_guard.py
@@ -1,13 +1,13 @@
-"""Keeps all hosts together from sending a brittle upstream more requests than it has room for."""
+"""Use of free slots that belong to other hosts, at upstreams that fall over after rejections."""
 
 import math
 from collections.abc import Callable
 
-LOAD_SHARE = 0.8
-"""Share of a brittle upstream's slots that all hosts fill. The rest is room for requests that other
-hosts have sent and not reported yet, since the upstream may let none wait."""
+LOAD_SHARE = 0.5
+"""Share of a brittle upstream's slots up to which hosts use slots that are not their own. The rest
+is room for requests that others have sent and not reported yet: the upstream may let none wait."""
 
-ROOM_SHARE = 0.5
+ROOM_SHARE = 0.25
 """Share of the free room that all hosts use on average until they know of each other's requests."""
 
 EXCHANGE_S = 0.1
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -46,8 +46,9 @@
 )
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
-from ._retries import RetryBudget
+from ._retries import ASSUMED_HOSTS, RetryBudget
 from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
+from ._slot_shares import divide_slots
 from ._software_versions import StreamVersions
 from ._upstreams import DECODE_STEP_S, UpstreamState
 
@@ -119,6 +120,8 @@
 
     Attributes:
         hosts: Number of known hosts; None until the host list has been read.
+        position: Place of this host among the known hosts, in the order of their ids.
+        silent_hosts: Number of known hosts that have not reported lately.
         report_delay_s: Usual delay until this host knows the load that other hosts add.
         stream_versions: The software versions of the upstreams, and those that began streams.
         links: The links from this host to the upstreams.
@@ -147,6 +150,8 @@
         self._splits: dict[ServiceName, EngineSplit] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.hosts: int | None = None
+        self.position = 0
+        self.silent_hosts = 0
         self.report_delay_s = DEFAULT_REPORT_DELAY_S
         self.stream_versions = StreamVersions()
         self.links = LinkMonitor(draw=draw)
@@ -366,6 +371,30 @@
                 meter.forget_waiting(job.attempt_id)
         return placed
 
+    def _filter_roomy(self, ready: list[UpstreamState], now_s: float) -> list[UpstreamState]:
+        """Return the upstreams that will hardly turn a request away.
+
+        At brittle ones, hosts divide the slots. A host that has none, and all while some hosts are
+        silent, also use free room that they see in the reported load.
+        """
+        if not any(state.is_brittle for state in ready):
+            return ready
+        own, any_own = self._list_with_own_slots(ready)
+        if own or (any_own and not self.silent_hosts):
+            return own
+        hosts = self.hosts or ASSUMED_HOSTS
+        return [state for state in ready if state.has_room(hosts, len(ready), now_s)]
+
+    def _list_with_own_slots(self, ready: list[UpstreamState]) -> tuple[list[UpstreamState], bool]:
+        """Return the upstreams at which this host has a free slot, and whether it has any slot."""
+        if self.hosts is None:
+            return [], False
+        slots = [(state.sort_key, state.record.instance, state.record.slots) for state in ready]
+        hosts = max(self.hosts, self.position + 1)
+        shares = divide_slots(slots, position=self.position, hosts=hosts)
+        own = [state for state in ready if state.local_requests < shares[state.record.instance]]
+        return own, any(shares.values())
+
     def _refuse_if_queue_is_full(self, job: Job, now_s: float) -> Refused | None:
         urgencies = self._measure_demand(job.service, now_s).urgencies
         requests = urgencies.get(job.urgency, UrgencyTraffic())
@@ -403,7 +432,7 @@
             for state in staying
             if state.accepts_requests(now_s) and state.has_slot(self.hosts, now_s)
         ]
-        roomy = [state for state in ready if state.has_room(self.hosts, len(ready), now_s)]
+        roomy = self._filter_roomy(ready, now_s)
         if ready and not roomy:
             return self._wait_for_room(job, now_s)
         candidates = [
--- a/tests/brittle_fleet.py
+++ b/tests/brittle_fleet.py
@@ -63,7 +63,7 @@
         for number in range(self.hosts):
             draw = Random(f"{self.seed}/{number}").random
             router = Router(domain=FailureDomain("a"), bounds=Bounds(), draw=draw)
-            router.hosts = self.hosts
+            router.hosts, router.position = self.hosts, number
             router.update_routes(build_table(routes=self.routes))
             router.update_upstreams(records, 0.0)
             if self.tells:
--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -16,6 +16,7 @@
     RetryBudget,
     UpstreamLoad,
 )
+from greengagestage.routing._slot_shares import divide_slots
 
 from .catalog_builders import (
     ARCHIVE,
@@ -215,3 +216,19 @@
     records = [state.record for state in router.upstreams.values()]
     router.update_upstreams([*records[1:], build_upstream(9)], 0.0)
     assert count_sensitive_engines() == before
+
+
+# Guards against slots of brittle upstreams that two hosts use, or none.
+@given(
+    st.lists(st.integers(0, 9), min_size=1, max_size=8),
+    st.integers(1, 40),
+)
+def test_each_slot_belongs_to_one_host(numbers: list[int], hosts: int) -> None:
+    slots = [
+        (1_000 - index, InstanceId(f"i-{index}"), number) for index, number in enumerate(numbers)
+    ]
+    shares = [divide_slots(slots, position=position, hosts=hosts) for position in range(hosts)]
+    for _, instance, number in slots:
+        assert sum(share[instance] for share in shares) == number
+    totals = [sum(share.values()) for share in shares]
+    assert max(totals) - min(totals) <= 1
