Move what a host does about overload out of the router; divide slots over all upstreams

The router had grown by the mend of urgent requests: what waits, what is refused and what is counted for it are now in _overload_control, and nothing changes by that.

The division of brittle upstreams' slots was computed over those that one host may use at the moment, which differ between hosts, so that two could have the same slot; it is now over all that stay.

--- a/greengagestage/routing/_overload.py
+++ b/greengagestage/routing/_overload.py
@@ -25,9 +25,6 @@
 """Less urgent requests that are smaller than this, in relation to those that are short of room, are
 sent all the same: they fit where the others do not."""
 
-OVERDUE_TARGETS = 2.0
-"""Waiting time after which a request is overdue, as a multiple of its target."""
-
 WAITING_LIFETIME_S = 0.3
 """Time after its last placement for which a request counts as waiting on this host. It is placed
 again sooner, unless its caller has left."""
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -30,13 +30,8 @@
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
-from ._overload import (
-    OVERDUE_TARGETS,
-    OverloadMeter,
-    UrgencyTraffic,
-    find_urgency_in_need,
-    is_queue_full,
-)
+from ._overload import UrgencyTraffic
+from ._overload_control import OVERDUE_TARGETS, OverloadControl
 from ._placement import (
     MAX_WAIT_TARGETS,
     Choice,
@@ -56,13 +51,6 @@
 """Mean retry delay for callers while a service has no upstream. New ones register within
 seconds."""
 
-OVERLOAD_RETRY_S = 2.0
-"""Mean retry delay for callers while no engine can finish another answer in time. Each engine
-finishes several answers in this time. The actual delay varies by up to half in both directions."""
-
-URGENT_RECHECK_S = 0.1
-"""Time until a request that leaves room to more urgent ones is placed again, on average."""
-
 ROOM_RECHECK_S = 0.05
 """Time until a request that waits for room at brittle upstreams is placed again, on average."""
 
@@ -139,7 +127,7 @@
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._demand_meters: dict[ServiceName, DemandMeter] = {}
         self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
-        self._overload_meters: dict[ServiceName, OverloadMeter] = {}
+        self._overload = OverloadControl(draw=draw)
         self._models: dict[ServiceName, EngineModel] = {}
         self._sensitive_cache: dict[tuple[ServiceName, RouteName], bool] = {}
         self._group_cache: dict[ServiceName, tuple[GroupDemand | None, GroupDemand | None]] = {}
@@ -315,9 +303,7 @@
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
         self._get_retry_budget(job.service).record_request(now_s)
-        self._get_overload_meter(job.service).record_arrival(
-            job.urgency, 1.0 if job.prompt is None else job.prompt.tokens, now_s
-        )
+        self._overload.record_arrival(job, now_s)
         if job.prompt is None:
             return
         speed = self._get_model(job.service).speed
@@ -355,68 +341,43 @@
                 again only through another host.
         """
         placed = self._place(job, now_s, tried, unreached)
-        meter = self._get_overload_meter(job.service)
-        if isinstance(placed, Waiting) and not meter.is_waiting(job.attempt_id):
-            placed = self._refuse_if_queue_is_full(job, now_s) or placed
-        match placed:
-            case Waiting(delay_s=delay_s):
-                due_s = job.arrived_s + OVERDUE_TARGETS * job.route.target_s
-                meter.record_waiting(
-                    job.attempt_id, urgency=job.urgency, due_s=due_s, now_s=now_s, delay_s=delay_s
-                )
-            case Placement():
-                meter.forget_waiting(job.attempt_id)
-                meter.record_placement(job.urgency, now_s)
-            case Refused():
-                meter.forget_waiting(job.attempt_id)
+        if isinstance(placed, Waiting):
+            upstreams = len(self._list_staying(job.service))
+            urgencies = self._measure_demand(job.service, now_s).urgencies
+            refused = self._overload.refuse_if_queue_is_full(job, urgencies, upstreams, now_s)
+            placed = refused or placed
+        self._overload.record_placed(job, placed, now_s)
         return placed
 
-    def _filter_roomy(self, ready: list[UpstreamState], now_s: float) -> list[UpstreamState]:
+    def _filter_roomy(
+        self, ready: list[UpstreamState], staying: list[UpstreamState], now_s: float
+    ) -> list[UpstreamState]:
         """Return the upstreams that will hardly turn a request away.
 
-        At brittle ones, hosts divide the slots. A host that has none, and all while some hosts are
-        silent, also use free room that they see in the reported load.
+        The hosts divide the slots of all upstreams of a service, and keep to that while all of
+        these are brittle. A host that has no slot, and all while some hosts are silent or some
+        upstreams may not be brittle, also use free room that they see in the reported load.
         """
         if not any(state.is_brittle for state in ready):
             return ready
-        own, any_own = self._list_with_own_slots(ready)
-        if own or (any_own and not self.silent_hosts):
-            return own
+        shares = self._divide_slots(staying)
+        all_brittle = all(state.is_brittle for state in ready)
+        keeps_to_own = all_brittle and any(shares.values()) and not self.silent_hosts
         hosts = self.hosts or ASSUMED_HOSTS
-        return [state for state in ready if state.has_room(hosts, len(ready), now_s)]
+        return [
+            state
+            for state in ready
+            if state.local_requests < shares.get(state.record.instance, 0)
+            or (not keeps_to_own and state.has_room(hosts, len(ready), now_s))
+        ]
 
-    def _list_with_own_slots(self, ready: list[UpstreamState]) -> tuple[list[UpstreamState], bool]:
-        """Return the upstreams at which this host has a free slot, and whether it has any slot."""
+    def _divide_slots(self, staying: list[UpstreamState]) -> dict[InstanceId, int]:
+        """Return how many slots of each upstream belong to this host; none if that is unknown."""
         if self.hosts is None:
-            return [], False
-        slots = [(state.sort_key, state.record.instance, state.record.slots) for state in ready]
+            return {}
+        slots = [(state.sort_key, state.record.instance, state.record.slots) for state in staying]
         hosts = max(self.hosts, self.position + 1)
-        shares = divide_slots(slots, position=self.position, hosts=hosts)
-        own = [state for state in ready if state.local_requests < shares[state.record.instance]]
-        return own, any(shares.values())
-
-    def _refuse_if_queue_is_full(self, job: Job, now_s: float) -> Refused | None:
-        urgencies = self._measure_demand(job.service, now_s).urgencies
-        requests = urgencies.get(job.urgency, UrgencyTraffic())
-        upstreams = len(self._list_staying(job.service))
-        if not is_queue_full(requests, upstreams, MAX_WAIT_TARGETS * job.route.target_s):
-            return None
-        reason = f"{requests.waiting:.0f} requests of the same urgency wait"
-        return self._reject(job, ResultCode.QUEUE_FULL, reason, now_s)
-
-    def _leave_room(self, job: Job, now_s: float) -> Waiting | Refused | None:
-        """Keep a job here while more urgent ones get no room; a stream that has begun goes on."""
-        if job.began_at is not None:
-            return None
-        urgencies = self._measure_demand(job.service, now_s).urgencies
-        urgent = find_urgency_in_need(urgencies, job.urgency)
-        if urgent is None:
-            return None
-        reason = f"requests of urgency {urgent} are overdue"
-        latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
-        if now_s < min(latest_s, job.deadline_s):
-            return Waiting(delay_s=URGENT_RECHECK_S * (0.5 + self._draw()), reason=reason)
-        return self._reject(job, ResultCode.SHED, reason, now_s)
+        return divide_slots(slots, position=self.position, hosts=hosts)
 
     def _place(
         self,
@@ -432,7 +393,7 @@
             for state in staying
             if state.accepts_requests(now_s) and state.has_slot(self.hosts, now_s)
         ]
-        roomy = self._filter_roomy(ready, now_s)
+        roomy = self._filter_roomy(ready, staying, now_s)
         if ready and not roomy:
             return self._wait_for_room(job, now_s)
         candidates = [
@@ -464,11 +425,14 @@
             return replace(choice, delay_s=choice.delay_s * (0.75 + 0.5 * self._draw()))
         if isinstance(choice, NoRoom):
             reason = f"the first event is expected after {choice.first_event_s:.1f} s"
-            return self._reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
+            return self._overload.reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
         if not self._is_sensitive(job, now_s) and now_s + choice.min_completion_s > job.deadline_s:
             return self._refuse_late(job, choice, now_s)
-        if not choice.begins_at_once and (kept := self._leave_room(job, now_s)) is not None:
-            return kept
+        if not choice.begins_at_once:
+            urgencies = self._measure_demand(job.service, now_s).urgencies
+            kept = self._overload.keep_back(job, urgencies, now_s)
+            if kept is not None:
+                return kept
         self._track(job, choice, now_s)
         return Placement(
             upstream=choice.state.record,
@@ -513,8 +477,7 @@
                 self._record_unreachable(state, now_s)
             case AttemptEnd.FULL:
                 if request is not None:
-                    overload = self._get_overload_meter(state.record.service)
-                    overload.record_rejection(request.urgency, now_s)
+                    self._overload.record_rejection(state.record.service, request.urgency, now_s)
                 state.record_activity(now_s)
                 state.health.record_full(now_s)
             case AttemptEnd.MISDIRECTED:
@@ -536,7 +499,10 @@
 
     def measure_local_demand(self, now_s: float) -> dict[ServiceName, Demand]:
         """Return the demand that reaches this host."""
-        return {service: self._measure_local(service, now_s) for service in self._overload_meters}
+        return {
+            service: self._measure_local(service, now_s)
+            for service in self._overload.list_services()
+        }
 
     def measure_local_loads(self, now_s: float) -> dict[InstanceId, UpstreamLoad]:
         """Return the load that this host puts on each upstream with open requests."""
@@ -624,7 +590,7 @@
         for instance, state in self._upstreams.items():
             if state.record.service == service and not self.links.is_cut(instance):
                 overdue += state.count_overdue(now_s)
-        return self._get_overload_meter(service).measure(overdue, now_s)
+        return self._overload.measure(service, overdue, now_s)
 
     def _is_sensitive(self, job: Job, now_s: float) -> bool:
         key = (job.service, job.route.name)
@@ -668,9 +634,6 @@
             )
         return self._group_cache[service]
 
-    def _get_overload_meter(self, service: ServiceName) -> OverloadMeter:
-        return self._overload_meters.setdefault(service, OverloadMeter())
-
     def _get_traffic_meter(self, service: ServiceName) -> TrafficMeter:
         return self._traffic_meters.setdefault(service, TrafficMeter())
 
@@ -729,7 +692,7 @@
         latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
         if now_s < min(latest_s, job.deadline_s):
             return Waiting(delay_s=ROOM_RECHECK_S * (0.5 + self._draw()), reason=reason)
-        return self._reject(job, ResultCode.NO_UPSTREAM, reason, now_s)
+        return self._overload.reject(job, ResultCode.NO_UPSTREAM, reason, now_s)
 
     def _refuse_without_upstream(
         self, job: Job, ready: list[UpstreamState], now_s: float
@@ -746,7 +709,7 @@
         # A named time needs no spread over the time in which new upstreams may register.
         spread_s = NO_UPSTREAM_RETRY_S / 2 if pause_s else NO_UPSTREAM_RETRY_S
         if pause_s:
-            self._get_overload_meter(job.service).record_rejection(job.urgency, now_s)
+            self._overload.record_rejection(job.service, job.urgency, now_s)
         retry_after_s = max(pause_s, NO_UPSTREAM_RETRY_S / 2) + spread_s * self._draw()
         return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=retry_after_s, reason=reason)
 
@@ -760,13 +723,7 @@
             f"even a short answer is expected to take {choice.min_completion_s:.1f} s "
             f"at {choice.state.record.instance}"
         )
-        return self._reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
-
-    def _reject(self, job: Job, code: ResultCode, reason: str, now_s: float) -> Refused:
-        """Refuse a job for lack of room, and count that."""
-        self._get_overload_meter(job.service).record_rejection(job.urgency, now_s)
-        retry_after_s = OVERLOAD_RETRY_S * (0.5 + self._draw())
-        return Refused(code=code, retry_after_s=retry_after_s, reason=reason)
+        return self._overload.reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
 
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
