Choose no port twice in the tests of one process

A test chooses several ports before it listens on any, and each choice was independent among 12,000: two parts of one test can get the same port.

--- a/tests/reactors.py
+++ b/tests/reactors.py
@@ -2,8 +2,10 @@
 
 import socket
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from itertools import islice
 from random import SystemRandom
 from typing import Any
 
@@ -17,7 +19,11 @@
 NON_EPHEMERAL_PORTS = range(20_000, 32_000)
 """Ports outside the range from which operating systems assign free ports to sockets."""
 
+MAX_REMEMBERED_PORTS = 400
+"""Number of ports that are not chosen again: at most those that a test chooses before it listens."""
+
 _random = SystemRandom()
+_chosen_ports: deque[int] = deque(maxlen=MAX_REMEMBERED_PORTS)
 
 
 def choose_address() -> str:
@@ -26,9 +32,13 @@
     The port lies outside the ephemeral range, so that the system does not assign it to another
     socket before the test listens on it.
     """
+    remembered = min(MAX_REMEMBERED_PORTS, len(NON_EPHEMERAL_PORTS) // 2)
     while True:
         port = _random.choice(NON_EPHEMERAL_PORTS)
+        if port in islice(reversed(_chosen_ports), remembered):
+            continue
         if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            _chosen_ports.append(port)
             return f"127.0.0.1:{port}"
 
 
