--- a/tests/reactors.py
+++ b/tests/reactors.py
@@ -20,7 +20,7 @@
 """Ports outside the range from which operating systems assign free ports to sockets."""
 
 MAX_REMEMBERED_PORTS = 400
-"""Number of ports that are not chosen again: at most those that a test chooses before it listens."""
+"""Number of ports that are not chosen again: more than a test chooses before it listens."""
 
 _random = SystemRandom()
 _chosen_ports: deque[int] = deque(maxlen=MAX_REMEMBERED_PORTS)
