Count requests without prompts so that rounding does not lose them

Their size was 1, told to other hosts in hundreds: the sums of other hosts came as 0, and the mean size of an urgency depended on how much of its traffic the host saw itself. At a plain service, a less urgent request could then seem smaller than the urgent ones and be sent. The new test fails without the change (mean size 0).

A stream that has begun is no longer refused because many requests wait: its caller has part of the answer.

--- a/greengagestage/routing/_overload.py
+++ b/greengagestage/routing/_overload.py
@@ -36,7 +36,7 @@
 
     Attributes:
         arrivals: Requests that arrived within about a second.
-        size: Sum of their sizes: prompt tokens, or 1 for each request without a prompt.
+        size: Sum of their sizes in prompt tokens; requests without a prompt count alike.
         overdue: Requests that wait for much longer than the target of their route, or that found
             no room within about a second.
         waiting: Requests that wait on hosts.
--- a/greengagestage/routing/_overload_control.py
+++ b/greengagestage/routing/_overload_control.py
@@ -19,6 +19,9 @@
 OVERDUE_TARGETS = 2.0
 """Waiting time after which a job is overdue, as a multiple of its target."""
 
+PLAIN_SIZE_TOKENS = 1_000
+"""Size at which requests without a prompt are counted: all alike, and not lost in rounding."""
+
 Urgencies = Mapping[int, UrgencyTraffic]
 
 
@@ -39,7 +42,7 @@
 
     def record_arrival(self, job: Job, now_s: float) -> None:
         """Count a caller's request."""
-        size = 1.0 if job.prompt is None else job.prompt.tokens
+        size = PLAIN_SIZE_TOKENS if job.prompt is None else job.prompt.tokens
         self._get_meter(job.service).record_arrival(job.urgency, size, now_s)
 
     def record_rejection(self, service: ServiceName, urgency: int, now_s: float) -> None:
@@ -76,11 +79,14 @@
     ) -> Refused | None:
         """Refuse a job that begins to wait here if as many wait as can be sent in time.
 
+        A stream that has begun is not refused: its caller has part of the answer.
+
         Args:
             urgencies: Jobs of all hosts for the service by urgency.
             upstreams: Number of upstreams of the service.
         """
-        if self._get_meter(job.service).is_waiting(job.attempt_id):
+        is_waiting = self._get_meter(job.service).is_waiting(job.attempt_id)
+        if is_waiting or job.began_at is not None:
             return None
         requests = urgencies.get(job.urgency, UrgencyTraffic())
         if not is_queue_full(requests, upstreams, MAX_WAIT_TARGETS * job.route.target_s):
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -588,8 +588,9 @@
         """Return this host's requests by urgency; links that are cut say nothing about room."""
         overdue: Counter[int] = Counter()
         for instance, state in self._upstreams.items():
-            if state.record.service == service and not self.links.is_cut(instance):
-                overdue += state.count_overdue(now_s)
+            is_concerned = state.local_requests and state.record.service == service
+            if is_concerned and not self.links.is_cut(instance):
+                overdue.update(state.count_overdue(now_s))
         return self._overload.measure(service, overdue, now_s)
 
     def _is_sensitive(self, job: Job, now_s: float) -> bool:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from greengagestage.gateway._work_codec import build_work, read_work
+from greengagestage.gateway._work_sums import add_work
 from greengagestage.ids import AttemptId
 from greengagestage.routing import (
     AttemptEnd,
@@ -19,13 +21,7 @@
     is_queue_full,
 )
 
-from .catalog_builders import (
-    ENGINES,
-    LONG,
-    SHORT,
-    build_job,
-    build_router,
-)
+from .catalog_builders import ARCHIVE, ENGINES, LONG, LOOKUP, SHORT, build_job, build_router
 
 SHORT_OF_ROOM = UrgencyTraffic(arrivals=40, size=32_000, overdue=20)
 CALM = UrgencyTraffic(arrivals=40, size=32_000, overdue=2)
@@ -138,3 +134,15 @@
         assert traffic.overdue == overdue
     router.record_end(build_job(1).attempt_id, placed.upstream.instance, AttemptEnd.FULL, 0.6)
     assert router.measure_local_demand(0.6)[ENGINES].urgencies[0].overdue == 1.0
+
+
+# Guards against sizes that are lost in rounding, so that nothing is kept back at plain services.
+def test_requests_without_prompts_leave_room_to_more_urgent_ones_of_other_hosts() -> None:
+    router = build_router(engines=0, plain=1)
+    for number in range(2):
+        router.count_request(build_job(number, route=LOOKUP, urgency=0), 0.0)
+    work = build_work({}, router.measure_local_demand(0.0))
+    _, demands = read_work(add_work([work] * 30), [])
+    urgencies = demands[ARCHIVE].urgencies
+    assert urgencies[0].arrivals == pytest.approx(60)
+    assert urgencies[0].mean_size == pytest.approx(1_000)
