--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -246,7 +246,7 @@
         }
         self._split = split
         self._speed = EngineSpeed()
-        self._is_first = False
+        self._sensitive_first = False
         self._draw = draw
 
     def choose(
@@ -272,7 +272,7 @@
             waiting: Number of jobs on all hosts that wait and are at least as urgent.
         """
         self._speed = speed
-        self._is_first = sensitive and groups[0] is not None and groups[0].is_more_urgent
+        self._sensitive_first = sensitive and groups[0] is not None and groups[0].is_more_urgent
         partition = self._update_partition(candidates, sensitive, groups)
         if sensitive:
             return self._choose_sensitive(job, prompt, partition, candidates, now_s)
@@ -369,7 +369,17 @@
         idle = self._find_idle(list(ranked), NEW_REPLICA_DELAY_SHARE * target_s, unreported_s)
         if idle is not None:
             return _build_choice(idle, "additional replica")
-        best = preferred[0]
+        return self._wait_or_give_up(job, preferred[0], now_s)
+
+    def _wait_or_give_up(
+        self, job: Job, best: _Forecast, now_s: float
+    ) -> Choice | Waiting | NoRoom:
+        """Let a job wait that no engine can begin soon, for as long as that may help it.
+
+        Args:
+            best: Forecast for the engine with the least cost.
+        """
+        waited_s, target_s = now_s - job.arrived_s, job.route.target_s
         latest_start_s = job.deadline_s - COMPLETION_MARGIN * best.completion_s
         has_room = best.first_event_s <= MAX_QUEUE_TARGETS * target_s
         could_complete = now_s + best.completion_s - best.first_event_s < job.deadline_s
@@ -438,7 +448,7 @@
         min_prefill_s = speed.estimate_prompt_prefill_s(prompt, prompt.shared_tokens)
         load = state.measure(now_s)
         slots = min(state.record.slots, self._engine.slots)
-        requests, ahead_s = load.estimate_ahead(slots, sensitive_first=self._is_first)
+        requests, ahead_s = load.estimate_ahead(slots, sensitive_first=self._sensitive_first)
         first_event_s = state.forecast_first_event_s(ahead_s + prefill_s, speed.overhead_s, now_s)
         memory_full = (
             load.tokens + prompt.tokens > MAX_MEMORY_SHARE * self._engine.kv_capacity_tokens
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -27,8 +27,14 @@
 CHUNK_TOKENS = 2_048
 TOKENS_PER_EVENT = 7
 QUEUE = 100
+"""A batch step takes longer for each request and for the prompts that it reads. An engine turns
+requests away once this many wait."""
+
 NOTICE_DELAY_S = 0.03
+"""Time until all hosts know that an engine leaves."""
+
 RETURN_LIMIT_S = 3.0
+"""Longest time after which a refused caller comes back, once."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
