Move the demand of services out of the router, and the list of candidates out of placing

The router mixed three jobs: which upstreams there are, what callers request of each service, and where a job goes. The lines are moved; no decision is meant to change.

--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -1,7 +1,7 @@
 """The router of one host: tracks upstreams, load and demand, and places jobs."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from enum import Enum
 
@@ -9,7 +9,6 @@
     Availability,
     Bounds,
     RegisteredUpstream,
-    Route,
     RouteTable,
     Service,
 )
@@ -18,14 +17,12 @@
     FailureDomain,
     Incarnation,
     InstanceId,
-    RouteName,
     ServiceName,
 )
 from greengagestage.results import ResultCode
 
-from ._demand import Demand, DemandMeter
-from ._engine_model import EngineModel
-from ._engine_split import EngineSplit, GroupDemand, build_group
+from ._demand import Demand
+from ._engine_split import EngineSplit
 from ._jobs import Job, Placement, Refused, Waiting
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import InFlightRequest, UpstreamLoad
@@ -42,10 +39,11 @@
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 from ._retries import ASSUMED_HOSTS, RetryBudget
-from ._route_groups import RouteTraffic, TrafficMeter, hash_route, is_tolerant
+from ._route_groups import hash_route
+from ._service_demand import ServiceDemand
 from ._slot_shares import divide_slots
 from ._software_versions import StreamVersions
-from ._upstreams import DECODE_STEP_S, UpstreamState
+from ._upstreams import UpstreamState
 
 NO_UPSTREAM_RETRY_S = 0.4
 """Mean retry delay for callers while a service has no upstream. New ones register within
@@ -58,9 +56,6 @@
 """Time for which an upstream gets no requests after a different one answered at its address. The
 registry drops an entry after three missed heartbeats."""
 
-DEMAND_CACHE_S = 0.1
-"""Time for which the total demand of all hosts is cached: it takes over a second to change."""
-
 DEFAULT_REPORT_DELAY_S = 0.1
 """Assumed delay of other hosts' load reports until the actual delay is known."""
 
@@ -91,13 +86,6 @@
     CANCELLED = "cancelled"
 
 
-def _is_more_urgent(routes: Sequence[Route], others: Sequence[Route]) -> bool:
-    """Whether the most urgent of some routes is more urgent than the most urgent of others."""
-    if not routes or not others:
-        return False
-    return min(route.priority for route in routes) < min(route.priority for route in others)
-
-
 class Router:
     """Tracks the upstreams and their load, and places jobs.
 
@@ -120,21 +108,13 @@
         self._bounds = bounds
         self._draw = draw
         self._services: Mapping[ServiceName, Service] = {}
-        self._strictest_gap_s: dict[ServiceName, float] = {}
         self._upstreams: dict[InstanceId, UpstreamState] = {}
         self._notices = NoticeBoard()
         self._staying: dict[ServiceName, list[UpstreamState]] = {}
         self._choosers: dict[ServiceName, EngineChooser] = {}
-        self._demand_meters: dict[ServiceName, DemandMeter] = {}
-        self._traffic_meters: dict[ServiceName, TrafficMeter] = {}
         self._overload = OverloadControl(draw=draw)
-        self._models: dict[ServiceName, EngineModel] = {}
-        self._sensitive_cache: dict[tuple[ServiceName, RouteName], bool] = {}
-        self._group_cache: dict[ServiceName, tuple[GroupDemand | None, GroupDemand | None]] = {}
-        self._routes: tuple[Route, ...] = ()
+        self._demand = ServiceDemand(measure_urgencies=self._measure_urgencies)
         self._peer_loads: Mapping[InstanceId, UpstreamLoad] = {}
-        self._peer_demand: Mapping[ServiceName, Demand] = {}
-        self._demand_cache: dict[ServiceName, tuple[float, Demand]] = {}
         self._splits: dict[ServiceName, EngineSplit] = {}
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.hosts: int | None = None
@@ -158,17 +138,9 @@
             )
 
     def update_routes(self, table: RouteTable) -> None:
-        """Apply the services of a configuration and the shortest gap target of each."""
+        """Apply the services and routes of a configuration."""
         self._services = table.services
-        self._routes = tuple(route for route in table.routes if route.carries_prompt)
-        self._group_cache.clear()
-        self._strictest_gap_s = {}
-        for route in table.routes:
-            for destination in route.destinations:
-                gap_s = route.gap_target_s
-                if gap_s is not None:
-                    strictest_s = self._strictest_gap_s.get(destination.service, gap_s)
-                    self._strictest_gap_s[destination.service] = min(strictest_s, gap_s)
+        self._demand.update_routes(table)
         self._choosers.clear()
 
     def update_upstreams(self, records: Iterable[RegisteredUpstream], now_s: float) -> None:
@@ -304,19 +276,7 @@
         """Count a caller's request in the retry budget and the demand."""
         self._get_retry_budget(job.service).record_request(now_s)
         self._overload.record_arrival(job, now_s)
-        if job.prompt is None:
-            return
-        speed = self._get_model(job.service).speed
-        prefill_s = speed.estimate_prompt_prefill_s(job.prompt, job.prompt.shared_tokens)
-        self._get_traffic_meter(job.service).record_prompt(
-            hash_route(job.route),
-            whole_prefill_s=speed.estimate_prompt_prefill_s(job.prompt, 0),
-            prefill_s=prefill_s,
-            now_s=now_s,
-        )
-        meter = self._demand_meters.setdefault(job.service, DemandMeter())
-        sensitive = self._is_sensitive(job, now_s)
-        meter.record(job.prompt, speed=speed, sensitive=sensitive, now_s=now_s)
+        self._demand.record_request(job, now_s)
 
     def try_acquire_retry(self, service: ServiceName, now_s: float) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
@@ -343,12 +303,34 @@
         placed = self._place(job, now_s, tried, unreached)
         if isinstance(placed, Waiting):
             upstreams = len(self._list_staying(job.service))
-            urgencies = self._measure_demand(job.service, now_s).urgencies
+            urgencies = self._demand.measure(job.service, now_s).urgencies
             refused = self._overload.refuse_if_queue_is_full(job, urgencies, upstreams, now_s)
             placed = refused or placed
         self._overload.record_placed(job, placed, now_s)
         return placed
 
+    def _list_candidates(
+        self,
+        job: Job,
+        upstreams: list[UpstreamState],
+        tried: frozenset[InstanceId],
+        unreached: frozenset[InstanceId],
+        now_s: float,
+    ) -> list[UpstreamState]:
+        """Return the upstreams to which a job may be sent; see ``place``."""
+        candidates = [
+            state
+            for state in upstreams
+            if state.record.instance not in tried
+            and (state.record.instance not in unreached or self._can_forward(state, now_s))
+        ]
+        if job.began_at is not None:
+            version = job.began_at.software_version
+            return [state for state in candidates if state.record.software_version == version]
+        if job.route.resumable:
+            return [state for state in candidates if self._is_settled(state, now_s)] or candidates
+        return candidates
+
     def _filter_roomy(
         self, ready: list[UpstreamState], staying: list[UpstreamState], now_s: float
     ) -> list[UpstreamState]:
@@ -396,19 +378,7 @@
         roomy = self._filter_roomy(ready, staying, now_s)
         if ready and not roomy:
             return self._wait_for_room(job, now_s)
-        candidates = [
-            state
-            for state in roomy
-            if state.record.instance not in tried
-            and (state.record.instance not in unreached or self._can_forward(state, now_s))
-        ]
-        if job.began_at is not None:
-            version = job.began_at.software_version
-            candidates = [state for state in candidates if state.record.software_version == version]
-        elif job.route.resumable:
-            candidates = [
-                state for state in candidates if self._is_settled(state, now_s)
-            ] or candidates
+        candidates = self._list_candidates(job, roomy, tried, unreached, now_s)
         if service is None or not candidates:
             return self._refuse_without_upstream(job, ready, now_s)
         reachable = [state for state in candidates if self._is_reachable(state, now_s)]
@@ -426,10 +396,11 @@
         if isinstance(choice, NoRoom):
             reason = f"the first event is expected after {choice.first_event_s:.1f} s"
             return self._overload.reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
-        if not self._is_sensitive(job, now_s) and now_s + choice.min_completion_s > job.deadline_s:
+        is_late = now_s + choice.min_completion_s > job.deadline_s
+        if is_late and not self._demand.is_sensitive(job, now_s):
             return self._refuse_late(job, choice, now_s)
         if not choice.begins_at_once:
-            urgencies = self._measure_demand(job.service, now_s).urgencies
+            urgencies = self._demand.measure(job.service, now_s).urgencies
             kept = self._overload.keep_back(job, urgencies, now_s)
             if kept is not None:
                 return kept
@@ -449,7 +420,7 @@
             return
         begun = state.record_data(attempt_id, now_s)
         if begun is not None and begun.sample_tokens is not None:
-            model = self._get_model(state.record.service)
+            model = self._demand.get_model(state.record.service)
             model.observe(instance, begun.sample_tokens, now_s - begun.sent_s, now_s)
 
     def record_end(
@@ -469,8 +440,10 @@
                 state.health.record_answer(failed=end is AttemptEnd.FAILED)
                 if request is not None and end is AttemptEnd.ANSWERED:
                     state.record_answer_time(now_s - request.sent_s)
-                    meter = self._get_traffic_meter(state.record.service)
-                    meter.record_stream(request.route, now_s - request.sent_s, now_s)
+                    duration_s = now_s - request.sent_s
+                    self._demand.record_stream(
+                        state.record.service, request.route, duration_s, now_s
+                    )
             case AttemptEnd.LOST:
                 state.health.record_lost_answer(now_s)
             case AttemptEnd.UNREACHABLE:
@@ -491,18 +464,15 @@
         demands: Mapping[ServiceName, Demand],
     ) -> None:
         """Replace the known load and demand of all other hosts."""
-        self._peer_loads, self._peer_demand = loads, demands
-        for service, demand in demands.items():
-            self._get_model(service).set_peer_samples(demand.prefill)
+        self._peer_loads = loads
+        self._demand.update_peers(demands)
         for instance, state in self._upstreams.items():
             state.set_peer_load(loads.get(instance))
 
     def measure_local_demand(self, now_s: float) -> dict[ServiceName, Demand]:
         """Return the demand that reaches this host."""
-        return {
-            service: self._measure_local(service, now_s)
-            for service in self._overload.list_services()
-        }
+        services = self._overload.list_services()
+        return {service: self._demand.measure_local(service, now_s) for service in services}
 
     def measure_local_loads(self, now_s: float) -> dict[InstanceId, UpstreamLoad]:
         """Return the load that this host puts on each upstream with open requests."""
@@ -546,44 +516,14 @@
             job,
             job.prompt,
             candidates,
-            sensitive=self._is_sensitive(job, now_s),
-            groups=self._measure_groups(job.service, now_s),
-            speed=self._get_model(job.service).speed,
+            sensitive=self._demand.is_sensitive(job, now_s),
+            groups=self._demand.measure_groups(job.service, now_s),
+            speed=self._demand.get_model(job.service).speed,
             report_delay_s=self.report_delay_s,
-            waiting=self._count_waiting(job, now_s),
+            waiting=self._demand.count_waiting(job, now_s),
             now_s=now_s,
         )
 
-    def _count_waiting(self, job: Job, now_s: float) -> float:
-        """Return how many requests wait on all hosts that are at least as urgent as a job."""
-        urgencies = self._measure_demand(job.service, now_s).urgencies
-        return sum(
-            requests.waiting for urgency, requests in urgencies.items() if urgency <= job.urgency
-        )
-
-    def _measure_demand(self, service: ServiceName, now_s: float) -> Demand:
-        """Return the demand on all hosts, as far as it has been reported."""
-        cached = self._demand_cache.get(service)
-        if cached is not None and now_s - cached[0] < DEMAND_CACHE_S:
-            return cached[1]
-        total = self._measure_local(service, now_s) + self._peer_demand.get(service, Demand())
-        self._demand_cache[service] = (now_s, total)
-        self._sensitive_cache.clear()
-        self._group_cache.pop(service, None)
-        return total
-
-    def _measure_local(self, service: ServiceName, now_s: float) -> Demand:
-        urgencies = self._measure_urgencies(service, now_s)
-        meter = self._demand_meters.get(service)
-        if meter is None:
-            return Demand(urgencies=urgencies)
-        return replace(
-            meter.measure(now_s),
-            urgencies=urgencies,
-            routes=self._get_traffic_meter(service).measure(now_s),
-            prefill=self._get_model(service).measure(now_s),
-        )
-
     def _measure_urgencies(self, service: ServiceName, now_s: float) -> dict[int, UrgencyTraffic]:
         """Return this host's requests by urgency; links that are cut say nothing about room."""
         overdue: Counter[int] = Counter()
@@ -593,61 +533,13 @@
                 overdue.update(state.count_overdue(now_s))
         return self._overload.measure(service, overdue, now_s)
 
-    def _is_sensitive(self, job: Job, now_s: float) -> bool:
-        key = (job.service, job.route.name)
-        demand = self._measure_demand(job.service, now_s)
-        if key not in self._sensitive_cache:
-            whole_s = self._estimate_whole_prefill_s(job.route, demand)
-            self._sensitive_cache[key] = not self._is_tolerant(job.service, job.route, whole_s)
-        return self._sensitive_cache[key]
-
-    def _is_tolerant(self, service: ServiceName, route: Route, whole_s: float | None) -> bool:
-        engine = self._services[service].engine if service in self._services else None
-        return is_tolerant(
-            route.gap_target_s,
-            self._strictest_gap_s.get(service),
-            step_s=0.0 if engine is None else engine.tokens_per_event * DECODE_STEP_S,
-            whole_prefill_s=whole_s,
-        )
-
-    def _estimate_whole_prefill_s(self, route: Route, demand: Demand) -> float | None:
-        """Return the mean time to prefill a whole prompt of a route; None before any prompt."""
-        traffic = demand.routes.get(hash_route(route), RouteTraffic())
-        return traffic.whole_prefill_s / traffic.prompts if traffic.prompts else None
-
-    def _measure_groups(
-        self, service: ServiceName, now_s: float
-    ) -> tuple[GroupDemand | None, GroupDemand | None]:
-        """Return the demand of a service's sensitive and of its tolerant routes."""
-        demand = self._measure_demand(service, now_s)
-        if service not in self._group_cache:
-            sensitive: list[Route] = []
-            tolerant: list[Route] = []
-            for route in self._routes:
-                if any(each.service == service for each in route.destinations):
-                    whole_s = self._estimate_whole_prefill_s(route, demand)
-                    is_tolerant_route = self._is_tolerant(service, route, whole_s)
-                    (tolerant if is_tolerant_route else sensitive).append(route)
-            is_urgent = _is_more_urgent(sensitive, tolerant)
-            self._group_cache[service] = (
-                build_group(sensitive, demand.sensitive, demand.routes, is_more_urgent=is_urgent),
-                build_group(tolerant, demand.tolerant, demand.routes),
-            )
-        return self._group_cache[service]
-
-    def _get_traffic_meter(self, service: ServiceName) -> TrafficMeter:
-        return self._traffic_meters.setdefault(service, TrafficMeter())
-
-    def _get_model(self, service: ServiceName) -> EngineModel:
-        return self._models.setdefault(service, EngineModel())
-
     def _track(self, job: Job, choice: Choice, now_s: float) -> None:
         prompt = job.prompt
         request = InFlightRequest(
             sent_s=now_s,
             prefill_s=choice.prefill_s,
             tokens=0 if prompt is None else prompt.tokens + prompt.output_tokens,
-            sensitive=self._is_sensitive(job, now_s),
+            sensitive=self._demand.is_sensitive(job, now_s),
             route=hash_route(job.route),
             sample_tokens=choice.sample_tokens,
             expected_s=choice.expected_s,
