Log and count the sizes of prompts by how their requests end

Cause: which sizes are served, refused or lost could not be read from the logs or the metrics: the line 'request: ended' had no size, and a request that is refused at once has no 'request: sent' line.

Change: 'request: waits', 'request: sent' and 'request: ended' carry the tokens of the prompt; greengage_entry_prompt_tokens is a histogram of them by class and verdict. No decision changes.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -7,7 +7,8 @@
 
 from greengagestage.catalog import Workspace
 from greengagestage.http1 import ConnectionPool
-from greengagestage.ids import WorkspaceId
+from greengagestage.ids import ClassName, WorkspaceId
+from greengagestage.results import ResultCode
 from greengagestage.routing import Job, Router
 from greengagestage.telemetry import EntryMetrics
 
@@ -42,6 +43,16 @@
     count_begun: Callable[[WorkspaceId], None] = lambda workspace: None
     open_exchanges: set[Any] = field(default_factory=set)
 
+    def count_result(self, job: Job, code: ResultCode) -> None:
+        """Count the end of a request in the metrics.
+
+        In the metrics, the route takes the place of a service class.
+        """
+        service_class = ClassName(job.route.name)
+        self.metrics.count_result(code, service_class)
+        if job.prompt is not None:
+            self.metrics.prompt_sizes.observe(code, service_class, job.prompt.tokens)
+
     def build_run_counter(self, job: Job, workspace: Workspace | None) -> Callable[[], None]:
         """Return a function that counts a request when it begins to run.
 
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -459,7 +459,7 @@
         self._context.open_exchanges.discard(self)
         elapsed_s = self._now_s - self._job.arrived_s
         self._request_timer.observe(Timing.ANSWER, elapsed_s)
-        self._context.metrics.count_result(code, ClassName(self._route.name))
+        self._context.count_result(self._job, code)
         outcome = ExchangeOutcome(
             code=code,
             sends=self._limits.sends,
--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -41,6 +41,7 @@
         self._job = job
         self._version = version
         self._version_age_s = version_age_s
+        self._prompt_tokens = None if job.prompt is None else job.prompt.tokens
 
     def log_waiting(self, waiting: Waiting) -> None:
         """Log that the request waits on this host."""
@@ -48,6 +49,7 @@
             message_type="request: waits",
             request=self._job.attempt_id,
             route=self._job.route.name,
+            prompt_tokens=self._prompt_tokens,
             reason=waiting.reason,
         )
 
@@ -68,6 +70,7 @@
             expected_ms=_to_ms(placement.expected_s),
             prefill_ms=_to_ms(placement.prefill_s),
             beginning=None if prompt is None else prompt.affinity_key,
+            prompt_tokens=self._prompt_tokens,
             output_tokens=None if prompt is None else prompt.output_tokens,
             send=send,
         )
@@ -96,6 +99,7 @@
             request=self._job.attempt_id,
             route=self._job.route.name,
             urgency=self._job.urgency,
+            prompt_tokens=self._prompt_tokens,
             code=outcome.code.value,
             result=outcome.code.name,
             status=None if delivery.head is None else delivery.head.status,
--- a/greengagestage/telemetry/_metrics.py
+++ b/greengagestage/telemetry/_metrics.py
@@ -15,6 +15,7 @@
 
 from ._forecast_errors import ForecastErrors
 from ._histograms import Histogram, observe
+from ._prompt_sizes import PromptSizes
 
 OTHER_WORKSPACES = WorkspaceId("other")
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -76,6 +77,7 @@
 
     Attributes:
         forecast_errors: Errors of the forecasts of first events, by route.
+        prompt_sizes: Sizes of prompts by how their requests ended.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self._workspaces: dict[WorkspaceId, Timings] = {}
         self._results: Counter[tuple[ResultCode, ClassName]] = Counter()
         self.forecast_errors = ForecastErrors()
+        self.prompt_sizes = PromptSizes()
         self._registry = CollectorRegistry()
         for collector in (self, *collectors):
             self._registry.register(collector)
@@ -122,6 +125,7 @@
             results.add_metric([str(code.value), code.name, service_class], count)
         yield results
         yield from self.forecast_errors.collect()
+        yield from self.prompt_sizes.collect()
         for name, value in self._read_gauges().items():
             yield GaugeMetricFamily(f"greengage_entry_{name}", name.replace("_", " "), value)
         yield from self._collect_labelled_gauges()
