--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -1,6 +1,7 @@
 """A simulated fleet of hosts before model engines that run their requests in batches."""
 
 import heapq
+import math
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -16,6 +17,7 @@
 )
 from greengagestage.ids import AttemptId, FailureDomain, InstanceId, PromptPartId, RouteName
 from greengagestage.routing import AttemptEnd, Crossing, Job, Placement, Refused, Router, Waiting
+from greengagestage.routing._engine_model import count_prefill_tokens
 
 from .catalog_builders import ENGINES, build_route, build_table, build_upstream
 from .load_reports import take_load_reports
@@ -30,6 +32,9 @@
 """A batch step takes longer for each request and for the prompts that it reads. An engine turns
 requests away once this many wait."""
 
+MAX_SIZE = 8.0
+"""Largest own part of a prompt, as a multiple of the usual one."""
+
 NOTICE_DELAY_S = 0.03
 """Time until all hosts know that an engine leaves."""
 
@@ -39,13 +44,22 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Kind:
-    """A kind of request: its route, its rate, and its usual size in tokens."""
+    """A kind of request: its route, its rate, and its usual size in tokens.
+
+    Attributes:
+        size_deviation: Standard deviation of the logarithm of the request's own tokens, which are
+            at most ``MAX_SIZE`` times the usual. None if sizes are spread evenly around the usual
+            one, and engines prefill that one for each request.
+        shared_parts: Number of shared prefixes among which requests choose.
+    """
 
     route: Route
     rate_per_s: float
     shared_tokens: int
     own_tokens: int
     output_tokens: int
+    size_deviation: float | None = None
+    shared_parts: int = 40
 
     @property
     def tokens(self) -> int:
@@ -123,6 +137,18 @@
     prefill_tokens: float = 0.0
     output_tokens: int = 0
 
+    @property
+    def size(self) -> int:
+        """Number of tokens in its prompt."""
+        assert self.job.prompt is not None
+        return self.job.prompt.tokens
+
+    def count_prefill_tokens(self, cached: int) -> float:
+        """Return the prefill work of its prompt after cached tokens."""
+        if self.kind.size_deviation is None:
+            return self.kind.tokens - cached
+        return count_prefill_tokens(self.size - cached, cached)
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Engine:
@@ -143,7 +169,7 @@
             request = self.waiting.pop(0)
             part = request.job.prompt.shared_parts[0].part if request.job.prompt else None
             cached = request.kind.shared_tokens if part in self.cached else 0
-            request.prefill_tokens = request.kind.tokens - cached
+            request.prefill_tokens = request.count_prefill_tokens(cached)
             if part is not None:
                 self.cached.add(part)
             self.running.append(request)
@@ -161,6 +187,7 @@
         domains: Number of failure domains, over which hosts and engines are spread evenly.
         demand: Returns the demand of the callers in each domain at a time, relative to the usual.
         crowds: Times from and until which callers send ``crowd_factor`` times as much.
+        crowd_kinds: The kinds of which they send more; None for all.
         leaving: Times at which one of the engines leaves.
         reclaimed: Times at which all engines but some of the first domain leave, with the number
             of those that stay.
@@ -175,6 +202,7 @@
         kinds: Iterable[Kind] = KINDS,
         crowds: Iterable[tuple[float, float]] = (),
         crowd_factor: float = 3.5,
+        crowd_kinds: Iterable[Kind] | None = None,
         leaving: Iterable[float] = (),
         reclaimed: Iterable[tuple[float, int]] = (),
         domains: int = 1,
@@ -185,6 +213,7 @@
         self.kinds = tuple(kinds)
         self._crowds = tuple(crowds)
         self._crowd_factor = crowd_factor
+        self._crowd_kinds = self.kinds if crowd_kinds is None else tuple(crowd_kinds)
         self.domains = [FailureDomain(chr(ord("a") + number)) for number in range(domains)]
         self._demand = demand
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
@@ -279,7 +308,9 @@
         heapq.heappush(self._events, (at_s, self._order, call))
 
     def _schedule_arrival(self, kind: Kind, now_s: float, end_s: float) -> None:
-        in_crowd = any(from_s <= now_s < until_s for from_s, until_s in self._crowds)
+        in_crowd = kind in self._crowd_kinds and any(
+            from_s <= now_s < until_s for from_s, until_s in self._crowds
+        )
         rate_per_s = kind.rate_per_s * (self._crowd_factor if in_crowd else 1.0)
         if self._demand is not None:
             rate_per_s *= sum(self._demand(now_s)) / len(self.domains)
@@ -293,8 +324,8 @@
 
     def _send(self, kind: Kind, now_s: float, deadline_s: float, *, returns: bool) -> None:
         number = len(self.requests)
-        own = max(int(kind.own_tokens * self._random.uniform(0.3, 1.7)), 1)
-        shared = PromptPartId(f"{kind.route.name}-{self._random.randrange(40)}")
+        own = self._draw_own_tokens(kind)
+        shared = PromptPartId(f"{kind.route.name}-{self._random.randrange(kind.shared_parts)}")
         prompt = Prompt(
             tokens=kind.shared_tokens + own,
             output_tokens=3 * kind.output_tokens,
@@ -319,6 +350,13 @@
         self._at(now_s + kind.patience_s, lambda at_s: self._give_up(request, at_s))
         self._place(request, frozenset(), now_s)
 
+    def _draw_own_tokens(self, kind: Kind) -> int:
+        if kind.size_deviation is None:
+            return max(int(kind.own_tokens * self._random.uniform(0.3, 1.7)), 1)
+        mean = math.log(kind.own_tokens) - kind.size_deviation**2 / 2
+        own = self._random.lognormvariate(mean, kind.size_deviation)
+        return max(int(min(own, MAX_SIZE * kind.own_tokens)), 1)
+
     def _choose_router(self, now_s: float) -> Router:
         routers = self.routers
         if self._demand is not None:
