Take no unnamed refusal on a kept connection as proof that a request has not run

A repeated refusal that names the earlier request was dropped already.

Change: a response knows whether its connection has carried an earlier request; there, a refusal or a 421 that names no request proves nothing, as a success without its id does. A host that forwards states the answer as malformed, since the other host cannot see its connection.

--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -20,7 +20,9 @@
 )
 from greengagestage.ids import AttemptId
 from greengagestage.platform import (
+    ResponseKind,
     build_caller_headers,
+    classify_response,
     is_answer_to,
     parse_caller_headers,
     replace_time_left,
@@ -203,6 +205,10 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Begin to pass the answer back, and record what it states for this host, too."""
+        if classify_response(head) is ResponseKind.UNPROVEN:
+            self._close_upstream()
+            self.fail_response(ExchangeFailure.MALFORMED)
+            return
         now_s = self._context.reactor.seconds()
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -49,11 +49,14 @@
     Attributes:
         framed: Whether the body's end is marked by its framing rather than by the connection's
             end.
+        on_kept_connection: Whether the connection has carried an earlier request, so that the
+            response may be a late one to that.
     """
 
     status: int
     headers: HeaderList
     framed: bool = True
+    on_kept_connection: bool = False
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or ``None``; ``name`` is in lower case."""
@@ -119,6 +122,7 @@
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._exchange: Exchange | None = None
+        self._exchanges = 0
         self._codec = _create_codec()
         self._dropping_response = False
         self._closed = False
@@ -151,6 +155,7 @@
     def send(self, exchange: Exchange) -> None:
         """Send the exchange's request; the connection must be idle."""
         self._exchange = exchange
+        self._exchanges += 1
         self.transport.write(_encode_request(self._codec, exchange.request))
 
     def close(self) -> None:
@@ -225,6 +230,7 @@
             status=event.status_code,
             headers=list(event.headers),
             framed=_is_framed(exchange.request, event),
+            on_kept_connection=self._exchanges > 1,
         )
         self._dropping_response = not exchange.is_answer(head)
         if self._dropping_response:
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -55,11 +55,16 @@
 
 
 def classify_response(head: ResponseHead) -> ResponseKind:
-    """Return what a response states about the execution of its request."""
-    if head.status == MISDIRECTED:
-        return ResponseKind.MISDIRECTED
-    if head.get(NOT_EXECUTED) is not None:
-        return ResponseKind.NOT_RUN
+    """Return what a response states about the execution of its request.
+
+    On a kept connection, a refusal that does not name its request may be one of an earlier request,
+    which an upstream has written once more.
+    """
+    if head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None:
+        if head.on_kept_connection and head.get(ATTEMPT_ID) is None:
+            return ResponseKind.UNPROVEN
+        is_misdirected = head.status == MISDIRECTED
+        return ResponseKind.MISDIRECTED if is_misdirected else ResponseKind.NOT_RUN
     if 200 <= head.status < 300:
         proven = head.get(SIGNATURE) is not None and head.get(ATTEMPT_ID) is not None
         encoded = head.get(b"content-encoding") not in (None, b"identity")
