Take a stream without framing or events as lost

Change: it also has to bring an event from that upstream. Otherwise it is lost: a stream that may be resumed goes on elsewhere, any other one ends as 502 or is broken off. Two cases of tests/test_faulty_answers.py failed before and pass.

--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/_delivery.py
@@ -47,6 +47,7 @@
         self._on_begun: Callable[[], None] | None = on_begun
         self._last_event_s = 0.0
         self._relay: EventRelay | None = None
+        self._has_events = False
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
 
@@ -80,6 +81,7 @@
     def begin_stream(self, head: ResponseHead) -> None:
         """Start relaying a stream; only the first upstream's head is sent to the caller."""
         self.head = head
+        self._has_events = False
         if self._relay is None:
             self._relay = EventRelay()
         self._send_head(head)
@@ -103,13 +105,13 @@
     def finish(self) -> bool:
         """Complete the answer; return False if it is certainly incomplete.
 
-        That is a response without a head, or a stream without framing that ends within an event.
-        Other answers without framing are taken to be complete.
+        That is a response without a head, or a stream without framing that ends within an event or
+        has none. Other answers without framing are taken to be complete.
         """
         if self.head is None:
             return False
         if self._relay is not None:
-            if not self.head.framed and self._relay.has_partial:
+            if not self.head.framed and (self._relay.has_partial or not self._has_events):
                 return False
             self._write(self._relay.finish())
             self._responder.finish()
@@ -138,6 +140,7 @@
         events = relay.feed(data)
         self._write(events)
         if events:
+            self._has_events = True
             self._observe_event()
         return bool(events)
 
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -163,3 +163,23 @@
     fleet.start_host()
     fleet.wait_ready()
     assert fleet.call(path).status == 502
+
+
+# Guards against an empty success for a stream of which no event has come.
+def test_a_stream_without_framing_or_events_is_not_complete(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", service="engines", behavior=write_and_close(None))
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.call("/long/x")
+    assert not (caller.is_complete and caller.status == 200)
+
+
+# Guards against the same where another upstream can still serve the whole stream.
+def test_a_stream_without_framing_or_events_begins_at_another_upstream(fleet: HostFleet) -> None:
+    fleet.add_upstream("one", service="engines", behavior=write_and_close(None))
+    fleet.add_upstream("two", service="engines")
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(4):
+        caller = fleet.call("/short/x", attempt=f"a{number}", body=b"body %d" % number)
+        assert (caller.status, caller.body) == (200, b"".join(EVENTS))
