Report the load of all upstreams, in several datagrams if one is too small

Hosts saw no load at engines that were full: a report was cut to one datagram, and the upstreams with the least prefill were left out first.

Ruled out: limits of waiting alone.

Up to 192 upstreams are reported, the busiest first by prefill and requests.

--- a/greengagestage/gateway/_load_exchange.py
+++ b/greengagestage/gateway/_load_exchange.py
@@ -15,17 +15,19 @@
 from ._peer_messages import (
     DomainReport,
     LoadReport,
+    LoadsReport,
     PeerMessage,
     TotalsReport,
     Work,
     WorkReport,
 )
-from ._work_sums import add_work, subtract_work
+from ._report_parts import AddressedReport, ReportAssembler, split_reports
+from ._work_sums import add_work, count_parts, subtract_work
 
 MIN_REPORT_INTERVAL_S = 0.04
 """Shortest time between two reports: less than an engine needs to prefill a usual prompt."""
 
-MAX_HUB_DATAGRAMS_PER_S = 400.0
+MAX_HUB_DATAGRAMS_PER_S = 600.0
 """Datagram rate that a hub may send and receive in total; larger domains report less often."""
 
 HOPS = 3
@@ -59,9 +61,6 @@
 UNKNOWN_RANK = 5
 """Rank of a host that no hub has ranked yet: after the hosts that read the store for all."""
 
-AddressedReport = tuple[HostId, WorkReport]
-
-
 _T = TypeVar("_T", LoadReport, DomainReport, TotalsReport)
 
 
@@ -92,6 +91,8 @@
         self._host_reports: dict[HostId, _ReceivedReport[LoadReport]] = {}
         self._domain_reports: dict[FailureDomain, _ReceivedReport[DomainReport]] = {}
         self._totals: _ReceivedReport[TotalsReport] | None = None
+        self._assembler = ReportAssembler()
+        self._parts = 1
         self._remote_hubs: dict[FailureDomain, tuple[HostId, float]] = {}
         self._sent: deque[tuple[int, Work]] = deque(maxlen=MAX_SENT_REPORTS)
         self._last_reported: Work | None = None
@@ -124,7 +125,8 @@
         """Time between two reports, in seconds."""
         members = 1 + sum(domain == self._domain for domain in self._known_hosts.values())
         domains = len({self._domain, *self._known_hosts.values()})
-        return max(MIN_REPORT_INTERVAL_S, 2 * (members + domains) / MAX_HUB_DATAGRAMS_PER_S)
+        datagrams = 2 * (members + domains) * self._parts
+        return max(MIN_REPORT_INTERVAL_S, datagrams / MAX_HUB_DATAGRAMS_PER_S)
 
     @property
     def delay_s(self) -> float:
@@ -137,10 +139,22 @@
             self._known_hosts[host] = domain
             self._pending_announcements[host] = ANNOUNCEMENTS_PER_HOST
 
-    def receive(self, message: PeerMessage, now_s: float) -> None:
-        """Process another host's report."""
+    def receive(self, message: PeerMessage, now_s: float) -> bool:
+        """Process another host's report, or a part of one.
+
+        Returns whether the sum of all hosts' work has been replaced.
+        """
+        self._unresponsive.discard(message.sender.host)
+        complete: PeerMessage | None = None
+        match message.body:
+            case LoadReport() | DomainReport() | TotalsReport() as report:
+                complete = self._assembler.add_report(message, report)
+            case LoadsReport() as part:
+                complete = self._assembler.add_part(message.sender.host, part)
+        return complete is not None and self._take_report(complete, now_s)
+
+    def _take_report(self, message: PeerMessage, now_s: float) -> bool:
         host = message.sender.host
-        self._unresponsive.discard(host)
         match message.body:
             case LoadReport() as body:
                 self.add_host(host, body.domain)
@@ -152,21 +166,25 @@
                     self._domain_reports[body.domain] = _build_received_report(message, body, now_s)
             case TotalsReport() as body if host == self._choose_hub():
                 self._totals = _build_received_report(message, body, now_s)
+                self._parts = count_parts(body.work)
+                return True
+        return False
 
     def plan_reports(self, work: Work, sequence: int, now_s: float) -> list[AddressedReport]:
-        """Return the reports to send in this round.
+        """Return the reports to send in this round, and the parts that follow them.
 
-        To be called every interval, with the sequence under which the reports are sent.
+        To be called every interval, with the sequence under which the reports are sent. Parts are
+        sent under later ones.
         """
         self._reset_timeouts_after_suspension(now_s)
         self._expire_reports(now_s)
         self._update_hub(now_s)
-        announcements = [
+        announcements: list[tuple[HostId, WorkReport]] = [
             (host, LoadReport(self._domain, work))
             for host in self._take_announcement_targets(now_s)
         ]
         if self._hub == self._own_host:
-            return [*self._plan_as_hub(work, now_s), *announcements]
+            return split_reports([*self._plan_as_hub(work, now_s), *announcements], sequence)
         if (
             work == self._last_reported
             and now_s - self._last_reported_s < KEEPALIVE_INTERVAL_S
@@ -175,7 +193,8 @@
             return []
         self._last_reported, self._last_reported_s = work, now_s
         self._sent.append((sequence, work))
-        return [(self._hub, LoadReport(self._domain, work)), *announcements]
+        report = LoadReport(self._domain, work)
+        return split_reports([(self._hub, report), *announcements], sequence)
 
     def sum_peer_work(self, now_s: float) -> Work:
         """Return the summed work of all other hosts of all domains with unexpired reports."""
@@ -203,7 +222,7 @@
             return 1 + len(self._host_reports) + other_domain_hosts
         return 1 if self._totals is None else self._totals.body.hosts
 
-    def _plan_as_hub(self, work: Work, now_s: float) -> list[AddressedReport]:
+    def _plan_as_hub(self, work: Work, now_s: float) -> list[tuple[HostId, WorkReport]]:
         own_domain = add_work([work, *(report.body.work for report in self._host_reports.values())])
         total = add_work(
             [own_domain, *(report.body.work for report in self._domain_reports.values())]
@@ -211,7 +230,8 @@
         if total == self._last_reported and now_s - self._last_reported_s < KEEPALIVE_INTERVAL_S:
             return []
         self._last_reported, self._last_reported_s = total, now_s
-        sends: list[AddressedReport] = []
+        self._parts = count_parts(total)
+        sends: list[tuple[HostId, WorkReport]] = []
         domains = self._list_domains()
         hosts = self.active_hosts
         for position, host in enumerate(sorted(self._host_reports), 1):
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -128,10 +128,16 @@
 
 
 class Work(Struct, frozen=True, array_like=True):
-    """Load and demand of one or several hosts; what is not listed is zero."""
+    """Load and demand of one or several hosts; what is not listed is zero.
+
+    Attributes:
+        further_parts: Number of ``LoadsReport`` messages that follow with the loads of further
+            upstreams.
+    """
 
     loads: list[LoadEntry] = []
     demands: list[DemandEntry] = []
+    further_parts: int = 0
 
 
 class LoadReport(Struct, frozen=True, array_like=True, tag="load"):
@@ -172,6 +178,17 @@
     work: Work
 
 
+class LoadsReport(Struct, frozen=True, array_like=True, tag="loads"):
+    """Loads of upstreams that did not fit into the sender's report to the same host.
+
+    Attributes:
+        report: Sequence of that report.
+    """
+
+    report: int
+    loads: list[LoadEntry]
+
+
 class LossReport(Struct, frozen=True, array_like=True, tag="strike"):
     """Reports that the answer to a request of the sender was lost.
 
@@ -350,6 +367,7 @@
 WorkReport = LoadReport | DomainReport | TotalsReport
 PeerBody = (
     WorkReport
+    | LoadsReport
     | LossReport
     | SuspectsReport
     | LimitReport
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -19,6 +19,7 @@
     DomainReport,
     LimitReport,
     LoadReport,
+    LoadsReport,
     LossReport,
     PeerBody,
     PeerMessage,
@@ -232,11 +233,9 @@
 
     def _dispatch(self, message: PeerMessage) -> None:
         match message.body:
-            case LoadReport() | DomainReport():
-                self._load_exchange.receive(message, self._reactor.seconds())
-            case TotalsReport():
-                self._load_exchange.receive(message, self._reactor.seconds())
-                self._update_router()
+            case LoadReport() | DomainReport() | TotalsReport() | LoadsReport():
+                if self._load_exchange.receive(message, self._reactor.seconds()):
+                    self._update_router()
             case LossReport(fingerprint=fingerprint, strike=loss_id):
                 self._callbacks.on_loss(fingerprint, loss_id)
             case SuspectsReport() as suspects:
@@ -286,7 +285,8 @@
         )
         work = add_work([own])
         for host, body in self._load_exchange.plan_reports(work, sender.sequence, now_s):
-            self._send(host, PeerMessage(sender, body))
+            is_part = isinstance(body, LoadsReport)
+            self._send(host, PeerMessage(self._take_next_sender() if is_part else sender, body))
         own_streams = self._callbacks.take_streams(now_s)
         for host, streams in self._stream_relay.plan_reports(own_streams, now_s):
             self._send(host, PeerMessage(self._take_next_sender(), streams))
--- a/greengagestage/gateway/_work_sums.py
+++ b/greengagestage/gateway/_work_sums.py
@@ -13,11 +13,13 @@
 from ._peer_messages import DemandEntry, LoadEntry, RouteEntry, UrgencyEntry, Work
 
 MAX_WORK_BYTES = 1_280
-MAX_LOAD_ENTRY_BYTES = 20
-"""Size of the load and demand in a datagram, and of the load of one upstream."""
+"""Size of the load and demand in a datagram."""
 
-MAX_LOAD_ENTRIES = MAX_WORK_BYTES // MAX_LOAD_ENTRY_BYTES
-"""Maximum number of upstreams in a datagram. Demand leaves room for fewer of them."""
+MAX_LOADS = 192
+"""Maximum number of upstreams in a report and the parts that follow it."""
+
+REQUEST_MS = 100
+"""Prefill time in milliseconds that counts as much as a request where loads are compared."""
 
 _Counts = tuple[int, ...]
 
@@ -101,25 +103,50 @@
         demands.setdefault(demand.service, _DemandSum()).combine(demand, combine)
 
 
+def split_work(work: Work) -> tuple[Work, list[list[LoadEntry]]]:
+    """Split work into what fits into one datagram and the loads for further ones."""
+    encoder = msgspec.msgpack.Encoder()
+    demand_bytes = len(encoder.encode(work.demands)) if work.demands else 0
+    parts: list[list[LoadEntry]] = [[]]
+    free_bytes = MAX_WORK_BYTES - demand_bytes
+    for entry in work.loads:
+        entry_bytes = len(encoder.encode(entry))
+        if entry_bytes > free_bytes:
+            parts.append([])
+            free_bytes = MAX_WORK_BYTES
+        parts[-1].append(entry)
+        free_bytes -= entry_bytes
+    first, further = parts[0], parts[1:]
+    return Work(first, work.demands, len(further)) if further else work, further
+
+
+def count_parts(work: Work) -> int:
+    """Return the number of datagrams that a report of work takes."""
+    return 1 + len(split_work(work)[1])
+
+
 def _build_work(loads: dict[int, _Counts], demands: dict[ServiceName, _DemandSum]) -> Work:
-    """Return work without empty entries.
+    """Return work without empty entries, those of the busiest upstreams first.
 
-    Upstreams that do not fit into a datagram are left out, those with the least prefill time first.
+    Upstreams beyond ``MAX_LOADS`` are left out.
     """
     demand_entries = [
         entry
         for service, demand in sorted(demands.items())
         if (entry := demand.build_entry(service)) is not None
     ]
-    demand_bytes = len(msgspec.msgpack.encode(demand_entries)) if demand_entries else 0
-    fitting = max(MAX_WORK_BYTES - demand_bytes, 0) // MAX_LOAD_ENTRY_BYTES
     entries = [
         LoadEntry(upstream, *_limit(counts))
         for upstream, counts in loads.items()
         if any(count > 0 for count in counts)
     ]
-    entries.sort(key=lambda entry: (-entry.prefill_ms, entry.upstream))
-    return Work(entries[:fitting], demand_entries)
+    entries.sort(key=_order_by_load)
+    return Work(entries[:MAX_LOADS], demand_entries)
+
+
+def _order_by_load(entry: LoadEntry) -> tuple[int, int]:
+    requests = entry.sensitive + entry.tolerant
+    return -(entry.prefill_ms + REQUEST_MS * requests), entry.upstream
 
 
 def _list_load_counts(entry: LoadEntry) -> _Counts:
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -10,6 +10,8 @@
 from greengagestage.gateway._host_list import HostRow
 from greengagestage.gateway._peer_messages import (
     PROTOCOL_VERSION,
+    LoadEntry,
+    LoadsReport,
     PeerBody,
     PeerMessage,
     Sender,
@@ -28,6 +30,7 @@
 MESSAGES = RECORDING["messages"]
 
 ADDED = {
+    "loads": LoadsReport(41, [LoadEntry(7, 120, 1, 2, 30, 90, 0, 11)]),
     "duty": DutyReport("usage_reporting", HostId("front-1"), 7, 3, 1, HostId("front-2"), 70, 69),
     "usage": UsageReport(71, {WorkspaceId("ws-1"): 412}, True, 0, 1),
     "usage-receipt": UsageReceipt(71),
