Give prompts of any size room by the delay before them, and late ones only what is idle

Cause: the limits of waiting and sending are shares of the route's target, and were compared with the time to the first event, which includes the prompt's own prefill. A prompt of 50,000 tokens prefills for 0.9 s; the limits are 0.54 to 0.93 s there. 0.44 of the largest tenth ended as TARGET_UNREACHABLE without being sent, 0.04 of the smaller half.

Change: routing/_room.py compares the delay, without the prefill that the prompt needs itself. What placement decided about waiting and giving up has moved there.

--- a/greengagestage/routing/_overload_control.py
+++ b/greengagestage/routing/_overload_control.py
@@ -7,7 +7,7 @@
 
 from ._jobs import Job, Placement, Refused, Waiting
 from ._overload import OverloadMeter, UrgencyTraffic, find_urgency_in_need, is_queue_full
-from ._placement import MAX_WAIT_TARGETS
+from ._room import MAX_WAIT_TARGETS
 
 OVERLOAD_RETRY_S = 2.0
 """Mean retry delay for callers while no engine can finish another answer in time. Each engine
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -17,11 +17,12 @@
 from ._engine_model import EXPECTED_OUTPUT_SHARE, EngineSpeed, count_prefill_tokens
 from ._engine_split import EngineSplit, GroupDemand
 from ._jobs import Job, Waiting
+from ._room import IDLE_DELAY_S, RoomDecision, RoomRequest, may_use_room
 from ._upstreams import UpstreamState
 
 CACHED_DELAY_SHARE = 0.6
-"""Share of the target that a tolerant job may wait for an engine that has its prefix cached, before
-other engines are considered. Computing a long shared prefix again costs about as much as the
+"""Share of the target that a tolerant job may be delayed at an engine that has its prefix cached,
+before other engines are considered. Computing a long shared prefix again costs about as much as the
 answer is worth."""
 
 SENSITIVE_CACHED_DELAY_SHARE = 0.3
@@ -33,27 +34,12 @@
 answer that misses its target but not its deadline is still useful."""
 
 TOTAL_DELAY_SHARE = 0.75
-MIN_DELAY_SHARE = 0.35
-"""A job is sent if its first event is expected within the first share of the target, minus the
-time it has already waited, so that it meets its target. A job that has waited too long for that
-is sent only within the second share, so that it does not make other jobs late."""
-
-MAX_WAIT_TARGETS = 2.5
-"""Longest wait of a job, as a multiple of its target. Callers leave after four targets without an
-event, and the rest of their patience is left for the engine."""
-
-MAX_QUEUE_TARGETS = 0.6
-"""Longest expected time to the first event of a job that has waited for as long as it may, as a
-multiple of its target. Longer queues at engines would hold the next jobs up, and begin when more
-urgent ones need the room."""
+"""A job is sent if an engine begins it within this share of the target, minus the time it has
+already waited, so that it meets its target."""
 
 RECHECK_INTERVAL_S = 0.1
 """Interval at which a waiting job is placed again: about the time of a long prompt's prefill."""
 
-COMPLETION_MARGIN = 1.3
-"""A waiting job is sent at the latest when the time left falls to this multiple of the forecast
-time to the end of its stream."""
-
 MIN_REPLICAS = 2
 REPLICA_SHARE = 0.06
 """Number of engines that cache the same prefix of long prompts, usually those with the highest
@@ -61,8 +47,8 @@
 prefill time; a single one could be slow or lost."""
 
 NEW_REPLICA_DELAY_SHARE = 0.3
-"""Share of the target within which the first event must be expected on a further engine before
-the prefix is computed there as well."""
+"""Share of the target within which a further engine must be expected to begin a job before the
+prefix is computed there as well."""
 
 SENSITIVE_CANDIDATES = 4
 """Number of engines from which a sensitive job takes the best one while its preferred engine is
@@ -100,10 +86,6 @@
 """Prefill of other requests on an engine, as a share of a job's own, up to which its first event
 shows the speed of the engine."""
 
-IDLE_PREFILL_S = 0.1
-"""Prefill of other requests on an engine up to which a new request begins at once: about that of
-one long prompt."""
-
 DEFAULT_ANSWER_TIME_S = 0.05
 """Answer time assumed for an upstream of a plain service that has not answered yet."""
 
@@ -152,6 +134,7 @@
     Attributes:
         prefill_s: Time to prefill the tokens that the engine is not assumed to have cached.
         first_event_s: Time to the first event.
+        delay_s: The part of it that is not the job's own prefill after its shared prefix.
         redundant_prefill_s: Prefill time that an engine with the shared prefix cached would save.
         completion_s: Time to the end of the stream.
         requests: Number of requests on the engine.
@@ -162,6 +145,7 @@
     state: UpstreamState
     prefill_s: float
     first_event_s: float
+    delay_s: float
     redundant_prefill_s: float
     completion_s: float
     requests: int
@@ -283,13 +267,19 @@
         if sensitive:
             return self._choose_sensitive(job, prompt, partition, candidates, now_s)
         engines = partition or candidates
+        request = RoomRequest(
+            waited_s=now_s - job.arrived_s,
+            target_s=job.route.target_s,
+            time_left_s=job.deadline_s - now_s,
+            contended=waiting > len(engines),
+        )
         tolerant = groups[1]
         new_s = backlog_s = 0.0
         if tolerant is not None:
             placed_again = waiting * min(report_delay_s / RECHECK_INTERVAL_S, 1.0)
             backlog_s = tolerant.request_s * placed_again / len(engines)
             new_s = tolerant.work * report_delay_s / len(engines)
-        return self._choose_tolerant(job, prompt, engines, new_s + backlog_s, backlog_s, now_s)
+        return self._choose_tolerant(request, prompt, engines, new_s + backlog_s, backlog_s, now_s)
 
     def list_group(
         self,
@@ -336,7 +326,7 @@
 
     def _choose_tolerant(
         self,
-        job: Job,
+        request: RoomRequest,
         prompt: Prompt,
         engines: Sequence[UpstreamState],
         unreported_s: float,
@@ -356,9 +346,8 @@
         """
         ranked = self._forecast_all(prompt, engines, now_s)
         preferred = list(islice(ranked, max(MIN_REPLICAS, round(REPLICA_SHARE * len(self._ranks)))))
-        waited_s, target_s = now_s - job.arrived_s, job.route.target_s
-        completion_limit_s = COMPLETION_TIME_SHARE * (job.deadline_s - now_s)
-        cached_limit_s = max(CACHED_DELAY_SHARE * target_s - waited_s, MIN_DELAY_SHARE * target_s)
+        completion_limit_s = COMPLETION_TIME_SHARE * request.time_left_s
+        cached_limit_s = request.limit_delay_s(CACHED_DELAY_SHARE)
         for rank, forecast in enumerate(preferred):
             if rank and forecast.redundant_prefill_s > 0:
                 continue
@@ -367,38 +356,24 @@
                 and forecast.completion_s <= completion_limit_s
             ):
                 return _build_choice(forecast, "cached prompt")
-        limit_s = max(TOTAL_DELAY_SHARE * target_s - waited_s, MIN_DELAY_SHARE * target_s)
+        limit_s = request.limit_delay_s(TOTAL_DELAY_SHARE)
         preferred.sort(key=_compute_cost_s)
         for forecast in preferred:
             if self._should_send(forecast, limit_s, unreported_s * len(preferred)):
                 return _build_choice(forecast, "least delay")
-        idle = self._find_idle(list(ranked), NEW_REPLICA_DELAY_SHARE * target_s, unreported_s)
+        replica_limit_s = NEW_REPLICA_DELAY_SHARE * request.target_s
+        idle = self._find_idle(list(ranked), replica_limit_s, unreported_s)
         if idle is not None:
             return _build_choice(idle, "additional replica")
-        return self._wait_or_give_up(job, preferred[0], now_s)
-
-    def _wait_or_give_up(
-        self, job: Job, best: _Forecast, now_s: float
-    ) -> Choice | Waiting | NoRoom:
-        """Let a job wait that no engine can begin soon, for as long as that may help it.
-
-        Args:
-            best: Forecast for the engine with the least cost.
-        """
-        waited_s, target_s = now_s - job.arrived_s, job.route.target_s
-        latest_start_s = job.deadline_s - COMPLETION_MARGIN * best.completion_s
-        has_room = best.first_event_s <= MAX_QUEUE_TARGETS * target_s
-        could_complete = now_s + best.completion_s - best.first_event_s < job.deadline_s
-        if waited_s < MAX_WAIT_TARGETS * target_s and (
-            now_s < latest_start_s or (could_complete and not has_room)
-        ):
-            return Waiting(
-                delay_s=RECHECK_INTERVAL_S,
-                reason=f"expected first event after {best.first_event_s:.2f} s",
-            )
-        if not has_room:
-            return NoRoom(first_event_s=best.first_event_s)
-        return _build_choice(best, "wait limit reached")
+        best = preferred[0]
+        match request.decide(delay_s=best.delay_s, completion_s=best.completion_s):
+            case RoomDecision.WAIT:
+                reason = f"expected first event after {best.first_event_s:.2f} s"
+                return Waiting(delay_s=RECHECK_INTERVAL_S, reason=reason)
+            case RoomDecision.REFUSE:
+                return NoRoom(first_event_s=best.first_event_s)
+            case RoomDecision.SEND:
+                return _build_choice(best, "wait limit reached")
 
     def _find_idle(
         self, forecasts: Sequence[_Forecast], limit_s: float, unreported_s: float
@@ -407,7 +382,7 @@
 
         The fewer idle engines there are, the more hosts would send to each of them.
         """
-        idle = [forecast for forecast in forecasts if forecast.first_event_s <= limit_s]
+        idle = [forecast for forecast in forecasts if forecast.delay_s <= limit_s]
         if not idle or not self._should_send(
             idle[0], limit_s, unreported_s * len(forecasts) / len(idle)
         ):
@@ -415,13 +390,7 @@
         return idle[0]
 
     def _should_send(self, forecast: _Forecast, limit_s: float, unreported_s: float) -> bool:
-        """Decide at random whether to send to an engine, given the work not reported yet.
-
-        All hosts see the same free capacity and would use it at the same time. Each uses it with
-        the probability at which all of them together just fill it.
-        """
-        capacity_s = limit_s - forecast.first_event_s
-        return capacity_s >= 0 and self._draw() * unreported_s <= capacity_s
+        return may_use_room(limit_s - forecast.delay_s, unreported_s, self._draw())
 
     def _forecast_all(
         self, prompt: Prompt, engines: Sequence[UpstreamState], now_s: float
@@ -467,9 +436,10 @@
             state=state,
             prefill_s=prefill_s,
             first_event_s=first_event_s,
+            delay_s=first_event_s - min_prefill_s,
             redundant_prefill_s=prefill_s - min_prefill_s,
             requests=load.requests,
-            begins_at_once=load.requests < slots and load.prefill_s <= IDLE_PREFILL_S,
+            begins_at_once=load.requests < slots and load.prefill_s <= IDLE_DELAY_S,
             completion_s=first_event_s + events * state.forecast_gap_s(tokens_per_event, load),
             sample_tokens=(
                 count_prefill_tokens(prompt.tokens - cached_tokens, cached_tokens)
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -30,10 +30,11 @@
 from ._notices import NoticeBoard
 from ._overload import UrgencyTraffic
 from ._overload_control import OVERDUE_TARGETS, OverloadControl
-from ._placement import MAX_WAIT_TARGETS, Choice, NoRoom
+from ._placement import Choice, NoRoom
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 from ._retries import ASSUMED_HOSTS, RetryBudget
+from ._room import MAX_WAIT_TARGETS
 from ._route_groups import hash_route
 from ._service_demand import ServiceDemand
 from ._slot_shares import divide_slots
