End a test's pause before the timeout of its route

test_a_first_event_may_come_long_after_the_head once got a 200 with an empty body. Traced: its upstream sent the events 2.0 s after the request had reached it, and the route's TimeoutMs is 2,000, so that the host breaks the stream off 2.05 s after the arrival. Beside another run, both times can pass in one turn of the event loop. Shown with a pause of 2.1 s: the same 200 with an empty body.

The test was wrong, not the host: the pause is now 1.7 s, like the other long ones of the file. It is still longer than the pause after which another upstream is asked otherwise (1.4 s), and asserts the same.

--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -270,7 +270,7 @@
 # Guards against a second send while the first event, expected late, is not yet due.
 def test_a_first_event_may_come_long_after_the_head(fleet: HostFleet, monkeypatch) -> None:
     monkeypatch.setattr(_exchange, "compute_answer_limit", lambda job, placement: 3.0)
-    caller, _, second = start_stream(fleet, pause_after(0, 2.0), harness.serve)
+    caller, _, second = start_stream(fleet, pause_after(0, LONG_PAUSE_S), harness.serve)
     fleet.run_until(lambda: caller.is_complete or caller.closed)
     assert (caller.status, caller.body) == (200, b"".join(EVENTS))
     assert not second.requests
