Forecast only engines that may be chosen, and keep sums until they change

A host's processor time under overload: each job that waits is placed again every 0.1 s, and each time a forecast was made for all engines of its group, their in-flight requests were summed up and their affinities hashed.

LoadTotal.stalled_loads was read nowhere and is gone.

--- a/greengagestage/gateway/_load_exchange.py
+++ b/greengagestage/gateway/_load_exchange.py
@@ -91,6 +91,7 @@
         self._host_reports: dict[HostId, _ReceivedReport[LoadReport]] = {}
         self._domain_reports: dict[FailureDomain, _ReceivedReport[DomainReport]] = {}
         self._totals: _ReceivedReport[TotalsReport] | None = None
+        self._peer_work: Work | None = None
         self._assembler = ReportAssembler()
         self._parts = 1
         self._remote_hubs: dict[FailureDomain, tuple[HostId, float]] = {}
@@ -166,6 +167,7 @@
                     self._domain_reports[body.domain] = _build_received_report(message, body, now_s)
             case TotalsReport() as body if host == self._choose_hub():
                 self._totals = _build_received_report(message, body, now_s)
+                self._peer_work = None
                 self._parts = count_parts(body.work)
                 return True
         return False
@@ -203,9 +205,11 @@
             return add_work(self._iterate_peer_work())
         if self._totals is None:
             return Work()
-        included = self._totals.body.included
-        own = next((work for sequence, work in self._sent if sequence == included), Work())
-        return subtract_work(self._totals.body.work, own)
+        if self._peer_work is None:
+            included = self._totals.body.included
+            own = next((work for sequence, work in self._sent if sequence == included), Work())
+            self._peer_work = subtract_work(self._totals.body.work, own)
+        return self._peer_work
 
     @property
     def rank(self) -> int:
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -30,6 +30,7 @@
     SuspectsReport,
     TotalsReport,
     VersionsReport,
+    Work,
     decode_message,
     encode_message,
 )
@@ -125,6 +126,8 @@
         self._stream_relay = StreamRelay(exchange=self._load_exchange)
         self._suspect_gossip = SuspectGossip(draw=draw)
         self._logged_hub = host
+        self._routed_work: Work | None = None
+        self._routed_upstreams: list[InstanceId] = []
         self._task = RepeatingTask(reactor=reactor, name="peers", step=self._send_reports)
         self._sequence = 0
         self.rejected_datagrams = 0
@@ -319,7 +322,10 @@
     def _update_router(self) -> None:
         """Pass the work of all other hosts to this host's router."""
         work = self._load_exchange.sum_peer_work(self._reactor.seconds())
-        self._callbacks.on_work(*read_work(work, self._callbacks.list_upstreams()))
+        upstreams = list(self._callbacks.list_upstreams())
+        if work is not self._routed_work or upstreams != self._routed_upstreams:
+            self._routed_work, self._routed_upstreams = work, upstreams
+            self._callbacks.on_work(*read_work(work, upstreams))
 
     def _log_hub_change(self) -> None:
         if self._load_exchange.hub != self._logged_hub:
--- a/greengagestage/gateway/_work_sums.py
+++ b/greengagestage/gateway/_work_sums.py
@@ -64,11 +64,15 @@
 
 def _combine(one: _Counts, other: _Counts, combine: Callable[[int, int], int]) -> _Counts:
     """Combine counts position by position; missing ones count as 0."""
+    if len(one) == len(other):
+        return tuple(map(combine, one, other))
     return tuple(starmap(combine, zip_longest(one, other, fillvalue=0)))
 
 
 def _limit(counts: _Counts) -> _Counts:
     """Replace counts below 0, which arise if a subtracted part was not in the sum."""
+    if not counts or min(counts) >= 0:
+        return counts
     return tuple(max(count, 0) for count in counts)
 
 
--- a/greengagestage/routing/_engine_split.py
+++ b/greengagestage/routing/_engine_split.py
@@ -126,6 +126,7 @@
 
     def __init__(self) -> None:
         self._share = DEFAULT_SHARE
+        self._inputs: tuple[int, int, GroupDemand | None, GroupDemand | None] | None = None
 
     def update_split(
         self,
@@ -147,6 +148,10 @@
             return engines
         if sensitive.work + tolerant.work < MIN_WORK:
             return self._round_to_engines(engines)
+        inputs = (engines, slots, sensitive, tolerant)
+        if inputs == self._inputs:
+            return self._round_to_engines(engines)  # the same demand moves nothing further
+        self._inputs = inputs
         current = self._round_to_engines(engines)
         late = {
             split: sensitive.forecast_late(split, slots)
--- a/greengagestage/routing/_loads.py
+++ b/greengagestage/routing/_loads.py
@@ -71,9 +71,6 @@
     """The sum of several hosts' loads at one upstream.
 
     The gap is the average of the known gaps, weighted by the requests of each load.
-
-    Attributes:
-        stalled_loads: Number of loads that report a stall.
     """
 
     __slots__ = (
@@ -81,7 +78,6 @@
         "_gap_weight",
         "prefill_s",
         "sensitive_requests",
-        "stalled_loads",
         "tokens",
         "tolerant_prefill_s",
         "tolerant_requests",
@@ -93,7 +89,6 @@
         self.tolerant_requests = 0
         self.tokens = 0
         self.tolerant_prefill_s = 0.0
-        self.stalled_loads = 0
         self._gap_requests = 0
         self._gap_weight = 0.0
 
@@ -128,7 +123,6 @@
         self.tolerant_requests += load.tolerant_requests
         self.tokens += load.tokens
         self.tolerant_prefill_s += load.tolerant_prefill_s
-        self.stalled_loads += load.stalled
         if load.gap_s > 0:
             self._gap_requests += load.requests
             self._gap_weight += load.requests * load.gap_s
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -5,13 +5,13 @@
 tolerant.
 """
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from itertools import islice
 
 from greengagestage.catalog import EngineProfile, Prompt
 from greengagestage.ids import FailureDomain
 
+from ._affinity import AffinityOrders
 from ._domain_shares import sort_engines
 from ._domain_traffic import Crossing
 from ._engine_model import EXPECTED_OUTPUT_SHARE, EngineSpeed, count_prefill_tokens
@@ -235,6 +235,7 @@
         ordered = sort_engines(engines, divides_domains=divides_domains)
         self._ranks = {state.sort_key: rank for rank, state in enumerate(ordered)}
         self._split = split
+        self._orders = AffinityOrders(ordered)
         self._speed = EngineSpeed()
         self._sensitive_first = False
         self._draw = draw
@@ -307,7 +308,7 @@
         now_s: float,
     ) -> Choice:
         if partition:
-            forecasts = list(self._forecast_all(prompt, partition, now_s))
+            forecasts = self._forecast_all(prompt, self._rank(prompt, partition), now_s)
             preferred = forecasts[0]
             mean_requests = sum(forecast.requests for forecast in forecasts) / len(forecasts)
             is_balanced = (
@@ -321,7 +322,8 @@
             best = min(forecasts[:SENSITIVE_CANDIDATES], key=_compute_cost_s)
             if best.first_event_s <= SPILLOVER_DELAY_SHARE * job.route.target_s:
                 return _build_choice(best, "least delay")
-        best = min(self._forecast_all(prompt, candidates, now_s), key=_compute_cost_s)
+        everywhere = self._forecast_all(prompt, self._rank(prompt, candidates), now_s)
+        best = min(everywhere, key=_compute_cost_s)
         return _build_choice(best, "least delay anywhere")
 
     def _choose_tolerant(
@@ -344,8 +346,9 @@
             unreported_s: Work per engine that other hosts have probably sent but not reported yet.
             backlog_s: The part of it that waited on hosts before.
         """
-        ranked = self._forecast_all(prompt, engines, now_s)
-        preferred = list(islice(ranked, max(MIN_REPLICAS, round(REPLICA_SHARE * len(self._ranks)))))
+        ranked = self._rank(prompt, engines)
+        replicas = max(MIN_REPLICAS, round(REPLICA_SHARE * len(self._ranks)))
+        preferred = self._forecast_all(prompt, ranked[:replicas], now_s)
         completion_limit_s = COMPLETION_TIME_SHARE * request.time_left_s
         cached_limit_s = request.limit_delay_s(CACHED_DELAY_SHARE)
         for rank, forecast in enumerate(preferred):
@@ -362,7 +365,8 @@
             if self._should_send(forecast, limit_s, unreported_s * len(preferred)):
                 return _build_choice(forecast, "least delay")
         replica_limit_s = NEW_REPLICA_DELAY_SHARE * request.target_s
-        idle = self._find_idle(list(ranked), replica_limit_s, unreported_s)
+        others = ranked[replicas:]
+        idle = self._find_idle(prompt, others, replica_limit_s, unreported_s, now_s)
         if idle is not None:
             return _build_choice(idle, "additional replica")
         best = preferred[0]
@@ -376,39 +380,58 @@
                 return _build_choice(best, "wait limit reached")
 
     def _find_idle(
-        self, forecasts: Sequence[_Forecast], limit_s: float, unreported_s: float
+        self,
+        prompt: Prompt,
+        engines: Sequence[UpstreamState],
+        limit_s: float,
+        unreported_s: float,
+        now_s: float,
     ) -> _Forecast | None:
         """Return an engine that is idle enough for a new replica of the prefix, or None.
 
         The fewer idle engines there are, the more hosts would send to each of them.
         """
-        idle = [forecast for forecast in forecasts if forecast.delay_s <= limit_s]
+        idle = []
+        for state in engines:
+            if self._measure_slot_wait_s(state, now_s) <= limit_s:
+                known = state.count_cached_tokens(prompt, now_s)
+                forecast = self._forecast(prompt, state, known, True, now_s)
+                if forecast.delay_s <= limit_s:
+                    idle.append(forecast)
         if not idle or not self._should_send(
-            idle[0], limit_s, unreported_s * len(forecasts) / len(idle)
+            idle[0], limit_s, unreported_s * len(engines) / len(idle)
         ):
             return None
         return idle[0]
 
+    def _measure_slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
+        """Return the part of the delay at an engine that is the wait for a slot."""
+        slots = min(state.record.slots, self._engine.slots)
+        requests, _ = state.measure(now_s).estimate_ahead(
+            slots, sensitive_first=self._sensitive_first
+        )
+        return max(requests + 1 - slots, 0) * SLOT_WAIT_S
+
     def _should_send(self, forecast: _Forecast, limit_s: float, unreported_s: float) -> bool:
         return may_use_room(limit_s - forecast.delay_s, unreported_s, self._draw())
 
     def _forecast_all(
-        self, prompt: Prompt, engines: Sequence[UpstreamState], now_s: float
-    ) -> Iterator[_Forecast]:
-        """Yield a forecast for each engine, by descending affinity to the prompt's prefix.
+        self, prompt: Prompt, ranked: Sequence[UpstreamState], now_s: float
+    ) -> list[_Forecast]:
+        """Return a forecast for each engine, in the order of affinity to the prompt's prefix.
 
         The first engine is assumed to have the whole shared prefix cached, as all hosts prefer it
         for this prefix; for the others, only the prompts that this host sent there are known.
         """
-        key = prompt.affinity_key
-        ranked = list(engines)
-        if key is not None:
-            ranked.sort(key=lambda state: state.score_affinity(key), reverse=True)
-        shared_tokens = prompt.shared_tokens
+        forecasts = []
         for rank, state in enumerate(ranked):
             known = state.count_cached_tokens(prompt, now_s)
-            cached = shared_tokens if rank == 0 else known
-            yield self._forecast(prompt, state, cached, known == cached, now_s)
+            cached = known if rank else prompt.shared_tokens
+            forecasts.append(self._forecast(prompt, state, cached, known == cached, now_s))
+        return forecasts
+
+    def _rank(self, prompt: Prompt, engines: Sequence[UpstreamState]) -> Sequence[UpstreamState]:
+        return self._orders.sort(engines, prompt.affinity_key)
 
     def _forecast(
         self,
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -82,6 +82,8 @@
         self._warmup_until_s = now_s + record.cold_s
         self._in_flight: dict[AttemptId, InFlightRequest] = {}
         self._peer_load: UpstreamLoad | None = None
+        self._total: LoadTotal | None = None
+        self._total_expires_s = 0.0
         self._cached_parts: dict[PromptPartId, float] = {}
         self._last_activity_s = now_s
         self._link_cut_s = -math.inf
@@ -199,16 +201,24 @@
         )
 
     def measure(self, now_s: float) -> LoadTotal:
-        """Return the load from all hosts, as far as it has been reported."""
-        total = LoadTotal()
-        total.add(self.measure_local_load(now_s))
-        if self._peer_load is not None:
-            total.add(self._peer_load)
-        return total
+        """Return the load from all hosts, as far as it has been reported.
+
+        It is kept until the load changes, and must not be changed by the caller.
+        """
+        if self._total is None or now_s >= self._total_expires_s:
+            self._total = LoadTotal()
+            self._total.add(self.measure_local_load(now_s))
+            if self._peer_load is not None:
+                self._total.add(self._peer_load)
+            gap_expires_s = self._gap_updated_s + GAP_LIFETIME_S
+            self._total_expires_s = gap_expires_s if now_s < gap_expires_s else math.inf
+        return self._total
 
     def set_peer_load(self, load: UpstreamLoad | None) -> None:
         """Replace the load from all other hosts; None for no load."""
-        self._peer_load = load
+        if load != self._peer_load:
+            self._peer_load = load
+            self._total = None
 
     def forecast_gap_s(self, tokens_per_event: int, load: LoadTotal) -> float:
         """Return the expected gap in seconds between the events of a new stream."""
@@ -236,6 +246,7 @@
     ) -> None:
         """Count a request, which is about to be sent, in the upstream's load."""
         self._in_flight[attempt_id] = request
+        self._total = None
         if prompt is not None:
             self._mark_cached(prompt, request.sent_s)
 
@@ -279,6 +290,7 @@
         request = self._in_flight.get(attempt_id)
         if request is None:
             return None
+        self._total = None
         if request.answer_begun:
             self._update_gap(now_s - request.last_data_s, now_s)
             request.last_data_s = now_s
@@ -299,6 +311,7 @@
 
     def remove_request(self, attempt_id: AttemptId) -> InFlightRequest | None:
         """Remove a request from the load and return it; None if it is unknown."""
+        self._total = None
         return self._in_flight.pop(attempt_id, None)
 
     def record_answer_time(self, duration_s: float) -> None:
