--- a/greengagestage/routing/_overload_control.py
+++ b/greengagestage/routing/_overload_control.py
@@ -106,8 +106,7 @@
         if urgent is None:
             return None
         reason = f"requests of urgency {urgent} are overdue"
-        latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
-        if now_s < min(latest_s, job.deadline_s):
+        if may_wait(job, now_s):
             return Waiting(delay_s=URGENT_RECHECK_S * (0.5 + self._draw()), reason=reason)
         return self.reject(job, ResultCode.SHED, reason, now_s)
 
@@ -119,3 +118,9 @@
 
     def _get_meter(self, service: ServiceName) -> OverloadMeter:
         return self._meters.setdefault(service, OverloadMeter())
+
+
+def may_wait(job: Job, now_s: float) -> bool:
+    """Whether a job may still wait on its host."""
+    latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
+    return now_s < min(latest_s, job.deadline_s)
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 
 from greengagestage.catalog import EngineProfile, Prompt
-from greengagestage.ids import FailureDomain
 
 from ._affinity import AffinityOrders
 from ._domain_shares import sort_engines
@@ -86,20 +85,6 @@
 """Prefill of other requests on an engine, as a share of a job's own, up to which its first event
 shows the speed of the engine."""
 
-DEFAULT_ANSWER_TIME_S = 0.05
-"""Answer time assumed for an upstream of a plain service that has not answered yet."""
-
-FAILURE_COST_FACTOR = 3.0
-"""Relative cost of failures of a plain service's upstream: each costs a retry or the answer."""
-
-CROSS_DOMAIN_COST_S = 0.002
-"""Cost of sending to another failure domain: a round trip of up to 2 ms, and paid traffic. The same
-cost is added to an upstream of any domain in proportion to its open requests per slot, so that
-equal upstreams share the load."""
-
-TIE_BREAK_S = 0.001
-"""Upper bound of the random cost that spreads jobs over equal choices."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Choice:
@@ -153,53 +138,6 @@
     sample_tokens: float | None
 
 
-def choose_plain(
-    candidates: Sequence[UpstreamState],
-    *,
-    domain: FailureDomain,
-    now_s: float,
-    draw: Callable[[], float],
-) -> Choice:
-    """Choose the upstream of a plain service with the shortest expected answer time.
-
-    Failures, queues, load and other failure domains add to the expected time.
-    """
-
-    def estimate_s(state: UpstreamState) -> float:
-        answer_time_s = (
-            DEFAULT_ANSWER_TIME_S if state.answer_time_s is None else state.answer_time_s
-        )
-        open_requests = state.measure(now_s).requests
-        slots = max(state.record.slots, 1)
-        queue_ratio = max(0.0, (open_requests + 1 - slots) / slots)
-        return (
-            answer_time_s
-            * (1 + queue_ratio)
-            * (1 + FAILURE_COST_FACTOR * state.health.failure_share)
-        )
-
-    def cost_s(state: UpstreamState) -> float:
-        in_other_domain = state.record.failure_domain != domain
-        load_cost_s = (
-            state.measure(now_s).requests / max(state.record.slots, 1) * CROSS_DOMAIN_COST_S
-        )
-        return (
-            estimate_s(state)
-            + in_other_domain * CROSS_DOMAIN_COST_S
-            + load_cost_s
-            + draw() * TIE_BREAK_S
-        )
-
-    best = min(candidates, key=cost_s)
-    return Choice(
-        state=best,
-        expected_s=estimate_s(best),
-        prefill_s=0.0,
-        reason="fastest",
-        begins_at_once=not best.is_rationed and best.measure(now_s).requests < best.record.slots,
-    )
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoRoom:
     """No engine has room for a job that has waited for as long as it may.
@@ -369,7 +307,14 @@
         idle = self._find_idle(prompt, others, replica_limit_s, unreported_s, now_s)
         if idle is not None:
             return _build_choice(idle, "additional replica")
-        best = preferred[0]
+        return self._wait_or_give_up(request, preferred[0])
+
+    def _wait_or_give_up(self, request: RoomRequest, best: _Forecast) -> Choice | Waiting | NoRoom:
+        """Decide about a job that no engine begins within its limit.
+
+        Args:
+            best: Forecast for the engine with the least cost.
+        """
         match request.decide(delay_s=best.delay_s, completion_s=best.completion_s):
             case RoomDecision.WAIT:
                 reason = f"expected first event after {best.first_event_s:.2f} s"
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -29,12 +29,11 @@
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
 from ._overload import UrgencyTraffic
-from ._overload_control import OVERDUE_TARGETS, OverloadControl
+from ._overload_control import OVERDUE_TARGETS, OverloadControl, may_wait
 from ._placement import Choice, NoRoom
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 from ._retries import ASSUMED_HOSTS, RetryBudget
-from ._room import MAX_WAIT_TARGETS
 from ._route_groups import hash_route
 from ._service_demand import ServiceDemand
 from ._slot_shares import divide_slots
@@ -564,8 +563,7 @@
     def _wait_for_room(self, job: Job, now_s: float) -> Waiting | Refused:
         """Keep a job here: an upstream without room would turn it away, and may end by it."""
         reason = "the upstreams of the service are brittle and have no room"
-        latest_s = job.arrived_s + MAX_WAIT_TARGETS * job.route.target_s
-        if now_s < min(latest_s, job.deadline_s):
+        if may_wait(job, now_s):
             return Waiting(delay_s=ROOM_RECHECK_S * (0.5 + self._draw()), reason=reason)
         return self._overload.reject(job, ResultCode.NO_UPSTREAM, reason, now_s)
 
