Count a queue as contended if it takes longer than a target, not by the number of engines

Change: a queue of an urgency is contended if more wait than engines begin within a target at the rate of the last second (routing/_room.py, is_contended), on few engines and on many alike.

--- a/greengagestage/routing/_choices.py
+++ b/greengagestage/routing/_choices.py
@@ -133,6 +133,7 @@
                 speed=self._demand.get_model(job.service).speed,
                 report_delay_s=report_delay_s,
                 waiting=self._demand.count_waiting(job, now_s),
+                alike=self._demand.measure_urgency(job, now_s),
                 now_s=now_s,
             )
 
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -16,7 +16,8 @@
 from ._engine_model import EXPECTED_OUTPUT_SHARE, EngineSpeed, count_prefill_tokens
 from ._engine_split import EngineSplit, GroupDemand
 from ._jobs import Job, Waiting
-from ._room import IDLE_DELAY_S, RoomDecision, RoomRequest, may_use_room
+from ._overload import UrgencyTraffic
+from ._room import IDLE_DELAY_S, RoomDecision, RoomRequest, is_contended, may_use_room
 from ._upstreams import UpstreamState
 
 CACHED_DELAY_SHARE = 0.6
@@ -189,6 +190,7 @@
         speed: EngineSpeed,
         report_delay_s: float,
         waiting: float,
+        alike: UrgencyTraffic,
         now_s: float,
     ) -> Choice | Waiting | NoRoom:
         """Choose an engine; the candidates must not be empty.
@@ -199,6 +201,7 @@
             speed: Learned speed of the service's engines.
             report_delay_s: Usual delay of other hosts' load reports.
             waiting: Number of jobs on all hosts that wait and are at least as urgent.
+            alike: Jobs on all hosts that are as urgent.
         """
         self._speed = speed
         self._sensitive_first = sensitive and groups[0] is not None and groups[0].is_more_urgent
@@ -210,7 +213,7 @@
             waited_s=now_s - job.arrived_s,
             target_s=job.route.target_s,
             time_left_s=job.deadline_s - now_s,
-            contended=waiting > len(engines),
+            contended=is_contended(alike, len(engines), job.route.target_s),
         )
         tolerant = groups[1]
         new_s = backlog_s = 0.0
--- a/greengagestage/routing/_room.py
+++ b/greengagestage/routing/_room.py
@@ -2,13 +2,15 @@
 
 Requests are compared by their delay: the time until an engine begins them. The prefill that a
 request needs itself is no part of it, so that a limit holds for the smallest and the largest
-prompts alike. Where more requests wait than there are engines, those that can still be in time come
-before those that are late already.
+prompts alike. Where more requests wait than can be in time, those that still can be in time
+come before those that are late already.
 """
 
 from dataclasses import dataclass
 from enum import Enum
 
+from ._overload import MEMORY_S, UrgencyTraffic
+
 LATE_DELAY_SHARE = 0.35
 """Longest delay of a request that has waited for too long to be in time, as a share of its
 target: it is sent where it does not make other requests late."""
@@ -47,7 +49,7 @@
         waited_s: Time since its arrival.
         target_s: Target of its route for the first event.
         time_left_s: Time until its deadline.
-        contended: Whether more requests wait for room than there are engines.
+        contended: Whether more requests wait for room than can be in time.
     """
 
     waited_s: float
@@ -82,6 +84,17 @@
         return IDLE_DELAY_S if self.contended else share * self.target_s
 
 
+def is_contended(alike: UrgencyTraffic, engines: int, target_s: float) -> bool:
+    """Whether more requests wait than engines begin within a target at the present rate.
+
+    One for each engine may always wait, so that a pause in the traffic is no contention.
+
+    Args:
+        alike: Requests on all hosts that are as urgent.
+    """
+    return alike.waiting > max(engines, alike.placed / MEMORY_S * target_s)
+
+
 def may_use_room(room_s: float, unreported_s: float, draw: float) -> bool:
     """Decide at random whether to use the room on an engine, given the work not reported yet.
 
--- a/greengagestage/routing/_service_demand.py
+++ b/greengagestage/routing/_service_demand.py
@@ -120,6 +120,11 @@
             requests.waiting for urgency, requests in urgencies.items() if urgency <= job.urgency
         )
 
+    def measure_urgency(self, job: Job, now_s: float) -> UrgencyTraffic:
+        """Return the requests on all hosts that are as urgent as a job."""
+        urgencies = self.measure(job.service, now_s).urgencies
+        return urgencies.get(job.urgency, UrgencyTraffic())
+
     def is_sensitive(self, job: Job, now_s: float) -> bool:
         """Whether long prompts must be kept away from a job's route."""
         key = (job.service, job.route.name)
