--- a/greengagestage/gateway/_report_parts.py
+++ b/greengagestage/gateway/_report_parts.py
@@ -13,7 +13,7 @@
 
 
 def split_reports(reports: list[tuple[HostId, WorkReport]], sequence: int) -> list[AddressedReport]:
-    """Return reports that fit into datagrams, and after them the parts that did not.
+    """Cut reports to the size of a datagram; return them and then the parts that were cut off.
 
     Args:
         sequence: The sequence under which the reports are sent. Their parts follow under later
@@ -34,13 +34,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Incomplete:
+    """A report whose parts have not all come.
+
+    Attributes:
+        message: The message that brought the report.
+        loads: The loads of the report and of the parts that have come.
+        missing: Number of parts that have not.
+    """
+
     message: PeerMessage
     report: WorkReport
     loads: list[LoadEntry]
     missing: int
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, kw_only=True)
 class ReportAssembler:
     """Puts the reports of other hosts together from their parts.
 
--- a/greengagestage/routing/_affinity.py
+++ b/greengagestage/routing/_affinity.py
@@ -11,7 +11,11 @@
 
 
 class AffinityOrders:
-    """Sorts engines by their affinity to prefixes, once for each prefix."""
+    """Sorts engines by their affinity to prefixes, once for each prefix.
+
+    Args:
+        engines: All engines that may have to be sorted.
+    """
 
     def __init__(self, engines: Sequence[UpstreamState]) -> None:
         self._engines = engines
@@ -20,7 +24,7 @@
     def sort(
         self, engines: Sequence[UpstreamState], key: PromptPartId | None
     ) -> Sequence[UpstreamState]:
-        """Return some of the engines by descending affinity; unsorted without a prefix."""
+        """Return some of the engines by descending affinity; as they are without a prefix."""
         if key is None:
             return engines
         order = self._orders.get(key)
