--- a/tests/test_brittle_upstreams.py
+++ b/tests/test_brittle_upstreams.py
@@ -11,6 +11,9 @@
 
 ALLOWANCE = 3
 BRITTLE = (b"Server-Brittle", b"%d" % ALLOWANCE)
+MAX_CALLS = 60
+"""Number of requests of which one reaches a certain one of two upstreams, for all that is drawn."""
+
 DURATION_S = 4.0
 
 
@@ -129,10 +132,6 @@
         assert (archive.count_most_rejections_in_a_second() <= ALLOWANCE) is brittle
 
 
-MAX_CALLS = 60
-"""Number of requests of which one reaches a certain one of two upstreams, for all that is drawn."""
-
-
 # Guards against requests that are kept back from an upstream that has recovered.
 def test_an_upstream_that_is_brittle_no_more_is_used_as_usual() -> None:
     """Which upstream a request goes to is drawn at random until the brittle one has answered."""
