--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 bench: install
 	$(BIN)/python -m bench
+	$(BIN)/python -m bench.host_cost
 
 soak: install
 	$(BIN)/python -m soak hunt --seeds 1-$(SEEDS) --jobs $(SOAK_JOBS)
