Make the forecasts of a placement share what they have in common

Cause: a placement estimated the prefill of the same prompt twice for each engine, made forecasts of all engines of a group for an urgent prompt that goes to the first one, and asked for each upstream whether its link was cut, which counted the upstreams of its service again while any could not be reached: the square of their number.

Change, without any other decision: routing/_forecasts.py makes the forecasts of one placement; the other engines of a group are only counted where the first one is good enough; links are asked once any has failed; upstreams are counted once.

--- a/greengagestage/routing/_links.py
+++ b/greengagestage/routing/_links.py
@@ -1,6 +1,7 @@
 """Decides which upstreams this host reaches only through another host, and through which one."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -60,6 +61,7 @@
         self._draw = draw
         self._hosts: dict[HostId, ForwardingHost] = {}
         self._services: dict[InstanceId, ServiceName] = {}
+        self._upstream_counts: Counter[ServiceName] = Counter()
         self._opened_s: dict[InstanceId, float] = {}
         self._failed_s: dict[InstanceId, float] = {}
         self._failed_in_row: dict[ServiceName, dict[InstanceId, float]] = {}
@@ -80,6 +82,7 @@
     def update_upstreams(self, services: Mapping[InstanceId, ServiceName]) -> None:
         """Replace the registered upstreams and their services; the others are forgotten."""
         self._services = dict(services)
+        self._upstream_counts = Counter(self._services.values())
         tables: tuple[dict[InstanceId, Any], ...] = (
             self._opened_s,
             self._failed_s,
@@ -113,6 +116,11 @@
         self._failed_in_row.setdefault(service, {}).setdefault(instance, now_s)
         return sorted(self._list_cut() - cut_before)
 
+    @property
+    def any_failed(self) -> bool:
+        """Whether any attempt to connect has failed lately, so that links may be cut."""
+        return bool(self._failed_s or self._failed_in_row)
+
     def is_cut(self, instance: InstanceId) -> bool:
         """Whether the link to an upstream is taken to be cut."""
         if instance in self._failed_s and len(self._failed_s) >= MIN_UNREACHABLE:
@@ -199,10 +207,9 @@
         """Return since when all links to an upstream's service are suspected; None if not."""
         service = self._services.get(instance)
         failed = None if service is None else self._failed_in_row.get(service)
-        if not failed:
+        if service is None or not failed:
             return None
-        upstreams = sum(each == service for each in self._services.values())
-        if len(failed) < min(MIN_UNREACHABLE_IN_ROW, upstreams):
+        if len(failed) < min(MIN_UNREACHABLE_IN_ROW, self._upstream_counts[service]):
             return None
         return min(failed.values())
 
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -13,11 +13,12 @@
 from ._affinity import AffinityOrders
 from ._domain_shares import sort_engines
 from ._domain_traffic import Crossing
-from ._engine_model import EXPECTED_OUTPUT_SHARE, EngineSpeed, count_prefill_tokens
+from ._engine_model import EngineSpeed
 from ._engine_split import EngineSplit, GroupDemand
+from ._forecasts import Forecast, Forecaster
 from ._jobs import Job, Waiting
 from ._overload import UrgencyTraffic
-from ._room import IDLE_DELAY_S, RoomDecision, RoomRequest, is_contended, may_use_room
+from ._room import RoomDecision, RoomRequest, is_contended, may_use_room
 from ._upstreams import UpstreamState
 
 CACHED_DELAY_SHARE = 0.6
@@ -60,9 +61,6 @@
 """An engine gets sensitive jobs for their cached prefix until its number of requests exceeds the
 mean by this factor plus this number. More concurrent requests mean longer gaps for all of them."""
 
-CONCURRENT_REQUEST_COST_S = 0.002
-"""Cost of each request that already runs on an engine, since it lengthens the batch steps."""
-
 COMPLETION_TIME_SHARE = 0.8
 """Share of the time left within which a tolerant job's stream must be expected to complete on an
 engine that has its prefix cached."""
@@ -70,22 +68,6 @@
 SPILLOVER_DELAY_SHARE = 0.7
 """Share of the target above which a sensitive job is placed outside the engines for its kind."""
 
-REDUNDANT_PREFILL_WEIGHT = 2.0
-"""Weight of prefill for tokens that another engine has cached. It counts for more than its time,
-since it is wasted work."""
-
-MAX_MEMORY_SHARE = 0.85
-"""Share of an engine's KV cache that running requests may occupy. Beyond it, engines preempt some
-of them."""
-
-SLOT_WAIT_S = 0.3
-"""Expected wait for each request that must finish before a job gets a slot: about the time in
-which an engine with some ten running requests finishes one."""
-
-UNCONTENDED_SHARE = 0.1
-"""Prefill of other requests on an engine, as a share of a job's own, up to which its first event
-shows the speed of the engine."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Choice:
@@ -113,32 +95,6 @@
     sample_tokens: float | None = None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Forecast:
-    """The forecast for a job on one engine.
-
-    Attributes:
-        prefill_s: Time to prefill the tokens that the engine is not assumed to have cached.
-        first_event_s: Time to the first event.
-        delay_s: The part of it that is not the job's own prefill after its shared prefix.
-        redundant_prefill_s: Prefill time that an engine with the shared prefix cached would save.
-        completion_s: Time to the end of the stream.
-        requests: Number of requests on the engine.
-        begins_at_once: Whether the engine has a free slot and little other work.
-        sample_tokens: See ``InFlightRequest.sample_tokens``.
-    """
-
-    state: UpstreamState
-    prefill_s: float
-    first_event_s: float
-    delay_s: float
-    redundant_prefill_s: float
-    completion_s: float
-    requests: int
-    begins_at_once: bool
-    sample_tokens: float | None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NoRoom:
     """No engine has room for a job that has waited for as long as it may.
@@ -175,8 +131,6 @@
         self._ranks = {state.sort_key: rank for rank, state in enumerate(ordered)}
         self._split = split
         self._orders = AffinityOrders(ordered)
-        self._speed = EngineSpeed()
-        self._sensitive_first = False
         self._draw = draw
 
     def choose(
@@ -203,11 +157,19 @@
             waiting: Number of jobs on all hosts that wait and are at least as urgent.
             alike: Jobs on all hosts that are as urgent.
         """
-        self._speed = speed
-        self._sensitive_first = sensitive and groups[0] is not None and groups[0].is_more_urgent
+        urgent_group = groups[0]
+        forecaster = Forecaster(
+            prompt=prompt,
+            engine=self._engine,
+            speed=speed,
+            sensitive_first=(
+                sensitive and urgent_group is not None and urgent_group.is_more_urgent
+            ),
+            now_s=now_s,
+        )
         partition = self.list_group(candidates, sensitive, groups)
         if sensitive:
-            return self._choose_sensitive(job, prompt, partition, candidates, now_s)
+            return self._choose_sensitive(job, prompt, partition, candidates, forecaster)
         engines = partition or candidates
         request = RoomRequest(
             waited_s=now_s - job.arrived_s,
@@ -221,7 +183,9 @@
             placed_again = waiting * min(report_delay_s / RECHECK_INTERVAL_S, 1.0)
             backlog_s = tolerant.request_s * placed_again / len(engines)
             new_s = tolerant.work * report_delay_s / len(engines)
-        return self._choose_tolerant(request, prompt, engines, new_s + backlog_s, backlog_s, now_s)
+        return self._choose_tolerant(
+            request, self._rank(prompt, engines), forecaster, new_s + backlog_s, backlog_s
+        )
 
     def list_group(
         self,
@@ -246,12 +210,12 @@
         prompt: Prompt,
         partition: Sequence[UpstreamState],
         candidates: Sequence[UpstreamState],
-        now_s: float,
+        forecaster: Forecaster,
     ) -> Choice:
         if partition:
-            forecasts = self._forecast_all(prompt, self._rank(prompt, partition), now_s)
-            preferred = forecasts[0]
-            mean_requests = sum(forecast.requests for forecast in forecasts) / len(forecasts)
+            ranked = self._rank(prompt, partition)
+            preferred = forecaster.forecast(ranked[0], is_first=True)
+            mean_requests = forecaster.count_mean_requests(ranked)
             is_balanced = (
                 preferred.requests <= MAX_IMBALANCE * mean_requests + IMBALANCE_SLACK_REQUESTS
             )
@@ -260,21 +224,19 @@
                 and preferred.first_event_s <= SENSITIVE_CACHED_DELAY_SHARE * job.route.target_s
             ):
                 return _build_choice(preferred, "cached prompt")
-            best = min(forecasts[:SENSITIVE_CANDIDATES], key=_compute_cost_s)
+            best = _find_least_cost(forecaster.forecast_ranked(ranked[:SENSITIVE_CANDIDATES]))
             if best.first_event_s <= SPILLOVER_DELAY_SHARE * job.route.target_s:
                 return _build_choice(best, "least delay")
-        everywhere = self._forecast_all(prompt, self._rank(prompt, candidates), now_s)
-        best = min(everywhere, key=_compute_cost_s)
-        return _build_choice(best, "least delay anywhere")
+        everywhere = forecaster.forecast_ranked(self._rank(prompt, candidates))
+        return _build_choice(_find_least_cost(everywhere), "least delay anywhere")
 
     def _choose_tolerant(
         self,
         request: RoomRequest,
-        prompt: Prompt,
-        engines: Sequence[UpstreamState],
+        ranked: Sequence[UpstreamState],
+        forecaster: Forecaster,
         unreported_s: float,
         backlog_s: float,
-        now_s: float,
     ) -> Choice | Waiting | NoRoom:
         """Choose an engine for a tolerant job, or let the job wait.
 
@@ -284,12 +246,12 @@
         on this host and not in an engine's queue, where it would make the next jobs late as well.
 
         Args:
+            ranked: The engines, by descending affinity to the prompt's prefix.
             unreported_s: Work per engine that other hosts have probably sent but not reported yet.
             backlog_s: The part of it that waited on hosts before.
         """
-        ranked = self._rank(prompt, engines)
         replicas = max(MIN_REPLICAS, round(REPLICA_SHARE * len(self._ranks)))
-        preferred = self._forecast_all(prompt, ranked[:replicas], now_s)
+        preferred = forecaster.forecast_ranked(ranked[:replicas])
         completion_limit_s = COMPLETION_TIME_SHARE * request.time_left_s
         cached_limit_s = request.limit_delay_s(CACHED_DELAY_SHARE)
         for rank, forecast in enumerate(preferred):
@@ -301,18 +263,18 @@
             ):
                 return _build_choice(forecast, "cached prompt")
         limit_s = request.limit_delay_s(TOTAL_DELAY_SHARE)
-        preferred.sort(key=_compute_cost_s)
+        preferred.sort(key=lambda forecast: forecast.cost_s)
         for forecast in preferred:
             if self._should_send(forecast, limit_s, unreported_s * len(preferred)):
                 return _build_choice(forecast, "least delay")
         replica_limit_s = NEW_REPLICA_DELAY_SHARE * request.target_s
         others = ranked[replicas:]
-        idle = self._find_idle(prompt, others, replica_limit_s, unreported_s, now_s)
+        idle = self._find_idle(others, forecaster, replica_limit_s, unreported_s)
         if idle is not None:
             return _build_choice(idle, "additional replica")
         return self._wait_or_give_up(request, preferred[0])
 
-    def _wait_or_give_up(self, request: RoomRequest, best: _Forecast) -> Choice | Waiting | NoRoom:
+    def _wait_or_give_up(self, request: RoomRequest, best: Forecast) -> Choice | Waiting | NoRoom:
         """Decide about a job that no engine begins within its limit.
 
         Args:
@@ -329,21 +291,19 @@
 
     def _find_idle(
         self,
-        prompt: Prompt,
         engines: Sequence[UpstreamState],
+        forecaster: Forecaster,
         limit_s: float,
         unreported_s: float,
-        now_s: float,
-    ) -> _Forecast | None:
+    ) -> Forecast | None:
         """Return an engine that is idle enough for a new replica of the prefix, or None.
 
         The fewer idle engines there are, the more hosts would send to each of them.
         """
         idle = []
         for state in engines:
-            if self._measure_slot_wait_s(state, now_s) <= limit_s:
-                known = state.count_cached_tokens(prompt, now_s)
-                forecast = self._forecast(prompt, state, known, True, now_s)
+            if forecaster.measure_slot_wait_s(state) <= limit_s:
+                forecast = forecaster.forecast(state)
                 if forecast.delay_s <= limit_s:
                     idle.append(forecast)
         if not idle or not self._should_send(
@@ -352,85 +312,18 @@
             return None
         return idle[0]
 
-    def _measure_slot_wait_s(self, state: UpstreamState, now_s: float) -> float:
-        """Return the part of the delay at an engine that is the wait for a slot."""
-        slots = min(state.record.slots, self._engine.slots)
-        requests, _ = state.measure(now_s).estimate_ahead(
-            slots, sensitive_first=self._sensitive_first
-        )
-        return max(requests + 1 - slots, 0) * SLOT_WAIT_S
-
-    def _should_send(self, forecast: _Forecast, limit_s: float, unreported_s: float) -> bool:
+    def _should_send(self, forecast: Forecast, limit_s: float, unreported_s: float) -> bool:
         return may_use_room(limit_s - forecast.delay_s, unreported_s, self._draw())
 
-    def _forecast_all(
-        self, prompt: Prompt, ranked: Sequence[UpstreamState], now_s: float
-    ) -> list[_Forecast]:
-        """Return a forecast for each engine, in the order of affinity to the prompt's prefix.
-
-        The first engine is assumed to have the whole shared prefix cached, as all hosts prefer it
-        for this prefix; for the others, only the prompts that this host sent there are known.
-        """
-        forecasts = []
-        for rank, state in enumerate(ranked):
-            known = state.count_cached_tokens(prompt, now_s)
-            cached = known if rank else prompt.shared_tokens
-            forecasts.append(self._forecast(prompt, state, cached, known == cached, now_s))
-        return forecasts
-
     def _rank(self, prompt: Prompt, engines: Sequence[UpstreamState]) -> Sequence[UpstreamState]:
         return self._orders.sort(engines, prompt.affinity_key)
 
-    def _forecast(
-        self,
-        prompt: Prompt,
-        state: UpstreamState,
-        cached_tokens: int,
-        certain: bool,
-        now_s: float,
-    ) -> _Forecast:
-        speed = self._speed
-        prefill_s = speed.estimate_prompt_prefill_s(prompt, cached_tokens)
-        min_prefill_s = speed.estimate_prompt_prefill_s(prompt, prompt.shared_tokens)
-        load = state.measure(now_s)
-        slots = min(state.record.slots, self._engine.slots)
-        requests, ahead_s = load.estimate_ahead(slots, sensitive_first=self._sensitive_first)
-        first_event_s = state.forecast_first_event_s(ahead_s + prefill_s, speed.overhead_s, now_s)
-        memory_full = (
-            load.tokens + prompt.tokens > MAX_MEMORY_SHARE * self._engine.kv_capacity_tokens
-        )
-        queued = max(requests + 1 - slots, 1 if memory_full else 0)
-        first_event_s += max(queued, 0) * SLOT_WAIT_S
-        tokens_per_event = self._engine.tokens_per_event
-        events = EXPECTED_OUTPUT_SHARE * prompt.output_tokens / tokens_per_event
-        return _Forecast(
-            state=state,
-            prefill_s=prefill_s,
-            first_event_s=first_event_s,
-            delay_s=first_event_s - min_prefill_s,
-            redundant_prefill_s=prefill_s - min_prefill_s,
-            requests=load.requests,
-            begins_at_once=load.requests < slots and load.prefill_s <= IDLE_DELAY_S,
-            completion_s=first_event_s + events * state.forecast_gap_s(tokens_per_event, load),
-            sample_tokens=(
-                count_prefill_tokens(prompt.tokens - cached_tokens, cached_tokens)
-                if certain and queued <= 0 and load.prefill_s <= UNCONTENDED_SHARE * prefill_s
-                else None
-            ),
-        )
 
-
-def _compute_cost_s(forecast: _Forecast) -> float:
-    """Return the cost of a forecast in seconds, by which engines are compared."""
-    concurrency_cost_s = forecast.requests * CONCURRENT_REQUEST_COST_S
-    return (
-        forecast.first_event_s
-        + concurrency_cost_s
-        + (REDUNDANT_PREFILL_WEIGHT - 1) * forecast.redundant_prefill_s
-    )
+def _find_least_cost(forecasts: Sequence[Forecast]) -> Forecast:
+    return min(forecasts, key=lambda forecast: forecast.cost_s)
 
 
-def _build_choice(forecast: _Forecast, reason: str) -> Choice:
+def _build_choice(forecast: Forecast, reason: str) -> Choice:
     return Choice(
         state=forecast.state,
         expected_s=forecast.first_event_s,
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -375,26 +375,23 @@
     ) -> Placement | Refused | Waiting:
         service = self._services.get(job.service)
         staying = self._list_staying(job.service)
-        ready = [
-            state
-            for state in staying
-            if state.accepts_requests(now_s) and state.has_slot(self.hosts, now_s)
-        ]
+        ready = [state for state in staying if state.is_open(self.hosts, now_s)]
         roomy = self._filter_roomy(ready, staying, now_s)
         if ready and not roomy:
             return self._wait_for_room(job, now_s)
         candidates = self._list_candidates(job, roomy, tried, unreached, now_s)
         if service is None or not candidates:
             return self._refuse_without_upstream(job, ready, now_s)
-        reachable = [state for state in candidates if self._is_reachable(state, now_s)]
+        reachable = candidates
+        if self.links.any_failed:
+            reachable = [state for state in candidates if self._is_reachable(state, now_s)]
         healthy = [state for state in reachable if state.is_healthy(now_s)]
         healthy = healthy or reachable or candidates
         if job.prompt is None and any(state.is_brittle for state in healthy):
             # The room of each is shared by all hosts, which would all prefer the same one.
             healthy = [healthy[int(self._draw() * len(healthy))]]
-        connectable = [
-            state for state in healthy if self._has_free_connection(state, service)
-        ] or healthy
+        max_requests = self._limit_connections(service)
+        connectable = [state for state in healthy if state.local_requests < max_requests] or healthy
         choice = self._chooser.choose(
             job,
             service,
@@ -556,9 +553,9 @@
             return None
         return self.links.choose_host(state.record.instance, now_s)
 
-    def _has_free_connection(self, state: UpstreamState, service: Service) -> bool:
-        share = CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1)
-        return state.local_requests < max(share, 1)
+    def _limit_connections(self, service: Service) -> float:
+        """Return the connections that this host may have to each upstream of a service."""
+        return max(CONNECTIONS_SHARE * service.max_connections / max(self.hosts or 1, 1), 1)
 
     def _wait_for_room(self, job: Job, now_s: float) -> Waiting | Refused:
         """Keep a job here: an upstream without room would turn it away, and may end by it."""
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -57,6 +57,9 @@
 """Assumed slowdown of an upstream during the warm-up time that it has announced."""
 
 
+_NO_LOAD = UpstreamLoad()
+
+
 class UpstreamState:
     """Tracks one incarnation of an upstream.
 
@@ -187,6 +190,9 @@
 
     def measure_local_load(self, now_s: float) -> UpstreamLoad:
         """Return the load that this host puts on the upstream."""
+        if not self._in_flight:
+            has_gap = self._gap_s and now_s - self._gap_updated_s < GAP_LIFETIME_S
+            return UpstreamLoad(gap_s=self._gap_s) if has_gap else _NO_LOAD
         sensitive_requests = sum(request.sensitive for request in self._in_flight.values())
         return UpstreamLoad(
             prefill_s=sum(request.prefill_s for request in self._in_flight.values()),
@@ -250,8 +256,10 @@
         if prompt is not None:
             self._mark_cached(prompt, request.sent_s)
 
-    def has_slot(self, hosts: int | None, now_s: float) -> bool:
-        """Whether the upstream's named rate, if any, leaves a slot for a request now."""
+    def is_open(self, hosts: int | None, now_s: float) -> bool:
+        """Whether requests may be sent now, also by the rate that the upstream names, if any."""
+        if not self.accepts_requests(now_s):
+            return False
         pacer = self._notice.pacer
         return pacer is None or pacer.measure_wait_s(hosts, now_s) == 0.0
 
