Let requests that wait on a host take turns

Cause: each request that waits was placed again every 0.1 s, with forecasts of its engines each time, whether or not anything had changed.

Change: routing/_waiting_line.py. Of the requests of a route and urgency that wait on a host only the first four are placed again within 0.1 s, twice as many after each that finds room, half as many after each that does not. Those that can still be in time come before late ones. Each is placed again within half of its target at the latest, and when its longest wait ends. A request that has just come is placed at once, as before.

--- a/greengagestage/routing/_overload_control.py
+++ b/greengagestage/routing/_overload_control.py
@@ -7,7 +7,8 @@
 
 from ._jobs import Job, Placement, Refused, Waiting
 from ._overload import OverloadMeter, UrgencyTraffic, find_urgency_in_need, is_queue_full
-from ._room import MAX_WAIT_TARGETS
+from ._room import MAX_WAIT_TARGETS, TOTAL_DELAY_SHARE
+from ._waiting_line import WaitingLines
 
 OVERLOAD_RETRY_S = 2.0
 """Mean retry delay for callers while no engine can finish another answer in time. Each engine
@@ -35,6 +36,9 @@
     def __init__(self, *, draw: Callable[[], float]) -> None:
         self._draw = draw
         self._meters: dict[ServiceName, OverloadMeter] = {}
+        self._lines = WaitingLines(
+            in_time_targets=TOTAL_DELAY_SHARE, max_wait_targets=MAX_WAIT_TARGETS
+        )
 
     def list_services(self) -> list[ServiceName]:
         """Return the services for which callers have sent requests."""
@@ -49,15 +53,25 @@
         """Count a job that found no room, here or at its upstream."""
         self._get_meter(service).record_rejection(urgency, now_s)
 
+    def keep_in_line(self, job: Job, now_s: float) -> Waiting | None:
+        """Let a job wait on while it is the turn of others; see ``WaitingLines``.
+
+        Plain services and streams that have begun have no line.
+        """
+        if job.prompt is None or job.began_at is not None:
+            return None
+        kept = self._lines.keep_in_line(job, now_s)
+        if kept is not None:
+            self._record_waiting(job, kept, now_s)
+        return kept
+
     def record_placed(self, job: Job, placed: Placement | Refused | Waiting, now_s: float) -> None:
         """Count the result of placing a job."""
+        self._lines.record_placed(job, placed, now_s)
         meter = self._get_meter(job.service)
         match placed:
-            case Waiting(delay_s=delay_s):
-                due_s = job.arrived_s + OVERDUE_TARGETS * job.route.target_s
-                meter.record_waiting(
-                    job.attempt_id, urgency=job.urgency, due_s=due_s, now_s=now_s, delay_s=delay_s
-                )
+            case Waiting():
+                self._record_waiting(job, placed, now_s)
             case Placement():
                 meter.forget_waiting(job.attempt_id)
                 meter.record_placement(job.urgency, now_s)
@@ -116,6 +130,15 @@
         retry_after_s = OVERLOAD_RETRY_S * (0.5 + self._draw())
         return Refused(code=code, retry_after_s=retry_after_s, reason=reason)
 
+    def _record_waiting(self, job: Job, waiting: Waiting, now_s: float) -> None:
+        self._get_meter(job.service).record_waiting(
+            job.attempt_id,
+            urgency=job.urgency,
+            due_s=job.arrived_s + OVERDUE_TARGETS * job.route.target_s,
+            now_s=now_s,
+            delay_s=waiting.delay_s,
+        )
+
     def _get_meter(self, service: ServiceName) -> OverloadMeter:
         return self._meters.setdefault(service, OverloadMeter())
 
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -18,8 +18,15 @@
 from ._forecasts import Forecast, Forecaster
 from ._jobs import Job, Waiting
 from ._overload import UrgencyTraffic
-from ._room import RoomDecision, RoomRequest, is_contended, may_use_room
+from ._room import (
+    TOTAL_DELAY_SHARE,
+    RoomDecision,
+    RoomRequest,
+    is_contended,
+    may_use_room,
+)
 from ._upstreams import UpstreamState
+from ._waiting_line import RECHECK_INTERVAL_S
 
 CACHED_DELAY_SHARE = 0.6
 """Share of the target that a tolerant job may be delayed at an engine that has its prefix cached,
@@ -34,13 +41,6 @@
 the expected output; sensitive jobs are not refused for that. Forecasts are often too long, and an
 answer that misses its target but not its deadline is still useful."""
 
-TOTAL_DELAY_SHARE = 0.75
-"""A job is sent if an engine begins it within this share of the target, minus the time it has
-already waited, so that it meets its target."""
-
-RECHECK_INTERVAL_S = 0.1
-"""Interval at which a waiting job is placed again: about the time of a long prompt's prefill."""
-
 MIN_REPLICAS = 2
 REPLICA_SHARE = 0.06
 """Number of engines that cache the same prefix of long prompts, usually those with the highest
--- a/greengagestage/routing/_room.py
+++ b/greengagestage/routing/_room.py
@@ -11,6 +11,10 @@
 
 from ._overload import MEMORY_S, UrgencyTraffic
 
+TOTAL_DELAY_SHARE = 0.75
+"""A request is sent if an engine begins it within this share of the target, minus the time it has
+already waited, so that it meets its target."""
+
 LATE_DELAY_SHARE = 0.35
 """Longest delay of a request that has waited for too long to be in time, as a share of its
 target: it is sent where it does not make other requests late."""
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -305,6 +305,9 @@
             unreached: Upstreams to which this host could not connect for the job. They are used
                 again only through another host.
         """
+        kept = self._overload.keep_in_line(job, now_s)
+        if kept is not None:
+            return kept
         placed = self._place(job, now_s, tried, unreached)
         if isinstance(placed, Waiting):
             upstreams = len(self._list_staying(job.service))
