--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from greengagestage.catalog import (
@@ -110,6 +110,25 @@
     output_tokens=385,
 )
 KINDS = (CHAT, SUMMARY, REVIEW)
+BRIEF = Kind(
+    route=build_route(
+        name=RouteName("brief"),
+        prefix="/brief/",
+        target_s=1.5,
+        gap_target_s=1.0,
+        timeout_s=10.0,
+        priority=2,
+        max_attempts=1,
+        resumable=False,
+    ),
+    rate_per_s=21.0,
+    shared_tokens=5_400,
+    own_tokens=6_600,
+    output_tokens=380,
+    size_deviation=1.1,
+    shared_parts=110,
+)
+BRIEF_KINDS = (BRIEF, replace(CHAT, rate_per_s=11.0), replace(SUMMARY, rate_per_s=24.0))
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
--- a/tests/test_size_shares.py
+++ b/tests/test_size_shares.py
@@ -1,39 +1,16 @@
 """Requests of one kind are served whatever their size, also while there is too little room."""
 
-from dataclasses import replace
-
 import pytest
 
-from greengagestage.ids import RouteName
 from greengagestage.routing import Placement, UpstreamLoad
 
-from .catalog_builders import LONG, build_job, build_prompt, build_route, build_router
-from .engine_fleet import CHAT, SUMMARY, EngineFleet, Kind, Request
+from .catalog_builders import LONG, build_job, build_prompt, build_router
+from .engine_fleet import BRIEF, BRIEF_KINDS, EngineFleet, Request
 
 CROWD_S = (0.5, 7.5)
 SHORT_SHARE = 0.5
 """The least share of the large requests that is served, relative to all of their kind."""
 
-BRIEF = Kind(
-    route=build_route(
-        name=RouteName("brief"),
-        prefix="/brief/",
-        target_s=1.5,
-        gap_target_s=1.0,
-        timeout_s=10.0,
-        priority=2,
-        max_attempts=1,
-        resumable=False,
-    ),
-    rate_per_s=21.0,
-    shared_tokens=5_400,
-    own_tokens=6_600,
-    output_tokens=380,
-    size_deviation=1.1,
-    shared_parts=110,
-)
-KINDS = (BRIEF, replace(CHAT, rate_per_s=11.0), replace(SUMMARY, rate_per_s=24.0))
-
 
 def compute_served_share(requests: list[Request]) -> float:
     return sum(each.completed_s is not None for each in requests) / len(requests)
@@ -47,7 +24,7 @@
     fleet = EngineFleet(
         engines=8,
         hosts=4,
-        kinds=KINDS,
+        kinds=BRIEF_KINDS,
         crowds=[CROWD_S],
         crowd_factor=crowd_factor,
         crowd_kinds=[BRIEF],
--- a/tests/test_urgent_load.py
+++ b/tests/test_urgent_load.py
@@ -1,14 +1,16 @@
 """More urgent requests come first wherever they and less urgent ones need the same room."""
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
 
-from greengagestage.ids import RouteName
+from greengagestage.ids import InstanceId, RouteName
+from greengagestage.routing import Placement, UpstreamLoad
 
 from .brittle_fleet import BrittleFleet
-from .catalog_builders import LOOKUP
-from .engine_fleet import CHAT, KINDS, REVIEW, SUMMARY, EngineFleet, Kind
+from .catalog_builders import LOOKUP, build_job, build_router, build_short_prompt
+from .engine_fleet import BRIEF_KINDS, CHAT, KINDS, REVIEW, SUMMARY, EngineFleet, Kind
 
 CROWD_S = (3.0, 12.0)
 WINDOW_S = 5.0
@@ -83,3 +85,42 @@
     fleet.run(rate_per_s=60.0, duration_s=6.0)
     served = fleet.outcomes_by_route
     assert served[URGENT_LOOKUP.name]["served"] > 2 * served[PATIENT_LOOKUP.name]["served"]
+
+
+# Guards against hosts that all send to the one engine which looks idle until they learn what the
+# others have sent: urgent requests while all other engines are busy.
+def test_hosts_do_not_all_send_urgent_requests_to_the_same_engine() -> None:
+    chosen: Counter[InstanceId] = Counter()
+    for number in range(20):
+        router = build_router(engines=28, seed=number)
+        *busy, _ = router.upstreams
+        load = UpstreamLoad(prefill_s=0.5, sensitive_requests=40, tokens=100_000)
+        router.update_peer_loads(dict.fromkeys(busy, load), {})
+        placed = router.place(build_job(number, prompt=build_short_prompt(f"s{number}")), 0.0)
+        assert isinstance(placed, Placement)
+        chosen[placed.upstream.instance] += 1
+    assert max(chosen.values()) <= 10
+
+
+# Guards against long prompts that take the engines of urgent requests: a crowd of them beside the
+# usual urgent requests in a fleet of 30 hosts.
+def test_urgent_requests_are_in_time_beside_a_crowd_of_long_prompts() -> None:
+    factor = 28 / 8
+    brief, *urgent = (replace(kind, rate_per_s=kind.rate_per_s * factor) for kind in BRIEF_KINDS)
+    fleet = EngineFleet(
+        engines=28,
+        hosts=30,
+        kinds=(brief, *urgent),
+        crowds=[(0.5, 5.0)],
+        crowd_factor=2.9,
+        crowd_kinds=[brief],
+    )
+    fleet.run(5.0)
+    for kind in urgent:
+        sent = fleet.list_sent(kind, 0.5, 5.0)
+        in_time = [
+            each
+            for each in sent
+            if each.begun_s is not None and each.begun_s - each.job.arrived_s <= kind.route.target_s
+        ]
+        assert len(in_time) >= 0.85 * len(sent)
