--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from enum import Enum
+from functools import partial
 
 from greengagestage.catalog import (
     Availability,
@@ -21,6 +22,7 @@
 )
 from greengagestage.results import ResultCode
 
+from ._candidates import filter_roomy, filter_usable
 from ._choices import UpstreamChooser
 from ._demand import Demand
 from ._domain_traffic import DomainTraffic
@@ -339,28 +341,6 @@
             return [state for state in candidates if self._is_settled(state, now_s)] or candidates
         return candidates
 
-    def _filter_roomy(
-        self, ready: list[UpstreamState], staying: list[UpstreamState], now_s: float
-    ) -> list[UpstreamState]:
-        """Return the upstreams that will hardly turn a request away.
-
-        The hosts divide the slots of all upstreams of a service, and keep to that while all of
-        these are brittle. A host that has no slot, and all while some hosts are silent or some
-        upstreams may not be brittle, also use free room that they see in the reported load.
-        """
-        if not any(state.is_brittle for state in ready):
-            return ready
-        shares = self._divide_slots(staying)
-        all_brittle = all(state.is_brittle for state in ready)
-        keeps_to_own = all_brittle and any(shares.values()) and not self.silent_hosts
-        hosts = self.hosts or ASSUMED_HOSTS
-        return [
-            state
-            for state in ready
-            if state.local_requests < shares.get(state.record.instance, 0)
-            or (not keeps_to_own and state.has_room(hosts, len(ready), now_s))
-        ]
-
     def _divide_slots(self, staying: list[UpstreamState]) -> dict[InstanceId, int]:
         """Return how many slots of each upstream belong to this host; none if that is unknown."""
         if self.hosts is None:
@@ -379,36 +359,54 @@
         service = self._services.get(job.service)
         staying = self._list_staying(job.service)
         ready = [state for state in staying if state.is_open(self.hosts, now_s)]
-        roomy = self._filter_roomy(ready, staying, now_s)
+        roomy = filter_roomy(
+            ready,
+            partial(self._divide_slots, staying),
+            hosts=self.hosts or ASSUMED_HOSTS,
+            silent_hosts=self.silent_hosts,
+            now_s=now_s,
+        )
         if ready and not roomy:
             return self._wait_for_room(job, now_s)
         candidates = self._list_candidates(job, roomy, tried, unreached, now_s)
         if service is None or not candidates:
             return self._refuse_without_upstream(job, ready, now_s)
-        reachable = candidates
-        if self.links.any_failed:
-            reachable = [state for state in candidates if self._is_reachable(state, now_s)]
-        healthy = [state for state in reachable if state.is_healthy(now_s)]
-        healthy = healthy or reachable or candidates
-        if job.prompt is None and any(state.is_brittle for state in healthy):
-            # The room of each is shared by all hosts, which would all prefer the same one.
-            healthy = [healthy[int(self._draw() * len(healthy))]]
-        max_requests = self._limit_connections(service)
-        connectable = [state for state in healthy if state.local_requests < max_requests] or healthy
         choice = self._chooser.choose(
             job,
             service,
             staying,
-            connectable,
+            self._list_usable(job, service, candidates, now_s),
             is_retry=bool(tried or unreached),
             report_delay_s=self.report_delay_s,
             now_s=now_s,
         )
-        if isinstance(choice, Waiting):
-            return replace(choice, delay_s=choice.delay_s * (0.75 + 0.5 * self._draw()))
-        if isinstance(choice, NoRoom):
-            reason = f"the first event is expected after {choice.first_event_s:.1f} s"
-            return self._overload.reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
+        match choice:
+            case Waiting(delay_s=delay_s):
+                return replace(choice, delay_s=delay_s * (0.75 + 0.5 * self._draw()))
+            case NoRoom(first_event_s=first_event_s):
+                reason = f"the first event is expected after {first_event_s:.1f} s"
+                return self._overload.reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
+            case Choice():
+                return self._use_choice(job, choice, now_s)
+
+    def _list_usable(
+        self, job: Job, service: Service, candidates: list[UpstreamState], now_s: float
+    ) -> list[UpstreamState]:
+        """Return the candidates of which the best is chosen."""
+        any_cut = self.links.any_failed
+        return filter_usable(
+            candidates,
+            is_reachable=partial(self._is_reachable, now_s=now_s) if any_cut else None,
+            chosen_by_chance=self._draw_upstream if job.prompt is None else None,
+            max_requests=self._limit_connections(service),
+            now_s=now_s,
+        )
+
+    def _draw_upstream(self, upstreams: list[UpstreamState]) -> UpstreamState:
+        return upstreams[int(self._draw() * len(upstreams))]
+
+    def _use_choice(self, job: Job, choice: Choice, now_s: float) -> Placement | Refused | Waiting:
+        """Place a job at the chosen upstream, unless it would be late or leaves room to others."""
         is_late = now_s + choice.min_completion_s > job.deadline_s
         if is_late and not self._demand.is_sensitive(job, now_s):
             return self._refuse_late(job, choice, now_s)
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -141,7 +141,7 @@
             return False
         if self.health.is_excluded(now_s):
             return False
-        return not self.is_stalled(now_s)
+        return not (self._in_flight and self.is_stalled(now_s))
 
     def is_stalled(self, now_s: float) -> bool:
         """Whether the upstream has been silent for too long while it had a request of this host.
