Keep requests for plain services out of the lines

Read in review: entries were recorded for each request that waits, but taken out for plain services and begun streams only when one is placed or refused, so that callers who leave while brittle upstreams have no room left an entry each. They are not recorded now.

--- a/greengagestage/routing/_overload_control.py
+++ b/greengagestage/routing/_overload_control.py
@@ -54,12 +54,7 @@
         self._get_meter(service).record_rejection(urgency, now_s)
 
     def keep_in_line(self, job: Job, now_s: float) -> Waiting | None:
-        """Let a job wait on while it is the turn of others; see ``WaitingLines``.
-
-        Plain services and streams that have begun have no line.
-        """
-        if job.prompt is None or job.began_at is not None:
-            return None
+        """Let a job wait on while it is the turn of others; see ``WaitingLines``."""
         kept = self._lines.keep_in_line(job, now_s)
         if kept is not None:
             self._record_waiting(job, kept, now_s)
--- a/greengagestage/routing/_waiting_line.py
+++ b/greengagestage/routing/_waiting_line.py
@@ -115,6 +115,9 @@
 class WaitingLines:
     """The lines of this host by route and urgency.
 
+    Plain services, whose upstreams are compared at little cost, and streams that have begun have
+    no line.
+
     Args:
         in_time_targets: Time since its arrival within which a request can still be in time, as a
             multiple of its target.
@@ -126,6 +129,9 @@
         self._max_wait_targets = max_wait_targets
         self._lines: dict[Hashable, WaitingLine] = {}
 
+    def __len__(self) -> int:
+        return sum(len(line) for line in self._lines.values())
+
     def keep_in_line(self, job: Job, now_s: float) -> Waiting | None:
         """Return the wait of a request whose turn it is not; None if it is, or it is in no line."""
         line = self._lines.get(_get_key(job))
@@ -136,6 +142,8 @@
 
     def record_placed(self, job: Job, placed: Placement | Refused | Waiting, now_s: float) -> None:
         """Record the result of placing a request."""
+        if job.prompt is None or job.began_at is not None:
+            return
         line = self._lines.get(_get_key(job))
         match placed:
             case Waiting(delay_s=delay_s):
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -1,9 +1,12 @@
 """Tests of the turns that requests take which wait on one host."""
 
-from greengagestage.routing import Job, Placement, UpstreamLoad, Waiting
+import pytest
+
+from greengagestage.results import ResultCode
+from greengagestage.routing import Job, Placement, Refused, UpstreamLoad, Waiting
 from greengagestage.routing._waiting_line import MIN_TURNS, RECHECK_INTERVAL_S, WaitingLines
 
-from .catalog_builders import LONG, build_job, build_router
+from .catalog_builders import LONG, LOOKUP, build_job, build_router, build_upstream
 
 IN_TIME_TARGETS = 0.75
 MAX_WAIT_TARGETS = 2.5
@@ -113,3 +116,27 @@
     kept = lines.keep_in_line(ahead[-1], end_s - 0.05)
     assert kept is not None and kept.delay_s <= 0.05 + 1e-9
     assert lines.keep_in_line(ahead[-1], end_s) is None
+
+
+# Guards against entries that nothing removes: requests for a plain service that wait for room at
+# brittle upstreams, and whose callers leave.
+def test_requests_for_plain_services_are_in_no_line() -> None:
+    lines = build_lines([build_job(number, route=LOOKUP) for number in range(20)])
+    assert len(lines) == 0
+    assert len(build_lines(build_jobs(20))) == 20
+
+
+# Guards against lines that keep requests which have been sent or refused.
+@pytest.mark.parametrize(
+    "placed",
+    [
+        Placement(upstream=build_upstream(1), reason="", expected_s=0.1),
+        Refused(code=ResultCode.SHED, retry_after_s=1.0, reason=""),
+    ],
+)
+def test_a_request_leaves_its_line_when_it_is_sent_or_refused(placed: Placement | Refused) -> None:
+    jobs = build_jobs(6)
+    lines = build_lines(jobs)
+    for job in jobs:
+        lines.record_placed(job, placed, 0.1)
+    assert len(lines) == 0
