--- a/bench/host_cost.py
+++ b/bench/host_cost.py
@@ -58,14 +58,26 @@
 ENGINES = ServiceName("engines")
 SLOTS = 16
 ENGINE_SHARE = 0.5
+"""Requests that an engine runs at once, and the share of the upstreams that are engines."""
+
 REQUESTS_PER_S = 10.0
 OVERLOAD_FACTOR = 3.0
+"""Requests a second that callers send to the host, and how many times as many in an overload."""
+
 DURATION_S = 10.0
 WARM_UP_S = 2.0
+"""Simulated time that is measured, and the time before it that is not."""
+
 REPORT_INTERVAL_S = 0.1
+"""Time between two reports of the load of all other hosts."""
+
 SHARED_PARTS = 200
+"""Number of prefixes among which the prompts of a route choose."""
+
 EVENTS = 30
 EVENT_GAP_S = 0.05
+"""Events of an answer, and the time between them."""
+
 MS = 1_000
 
 
--- a/greengagestage/routing/_candidates.py
+++ b/greengagestage/routing/_candidates.py
@@ -43,7 +43,7 @@
     candidates: list[UpstreamState],
     *,
     is_reachable: Callable[[UpstreamState], bool] | None,
-    chosen_by_chance: Callable[[list[UpstreamState]], UpstreamState] | None,
+    choose_brittle: Callable[[list[UpstreamState]], UpstreamState] | None,
     max_requests: float,
     now_s: float,
 ) -> list[UpstreamState]:
@@ -53,7 +53,7 @@
 
     Args:
         is_reachable: None if all are.
-        chosen_by_chance: Chooses among brittle upstreams, whose room all hosts share; None if they
+        choose_brittle: Chooses among brittle upstreams, whose room all hosts share; None if they
             are compared like others.
         max_requests: Number of requests that this host may have open at each upstream.
     """
@@ -61,6 +61,6 @@
     if is_reachable is not None:
         reachable = [state for state in candidates if is_reachable(state)]
     healthy = [state for state in reachable if state.is_healthy(now_s)] or reachable or candidates
-    if chosen_by_chance is not None and any(state.is_brittle for state in healthy):
-        healthy = [chosen_by_chance(healthy)]
+    if choose_brittle is not None and any(state.is_brittle for state in healthy):
+        healthy = [choose_brittle(healthy)]
     return [state for state in healthy if state.local_requests < max_requests] or healthy
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -397,7 +397,7 @@
         return filter_usable(
             candidates,
             is_reachable=partial(self._is_reachable, now_s=now_s) if any_cut else None,
-            chosen_by_chance=self._draw_upstream if job.prompt is None else None,
+            choose_brittle=self._draw_upstream if job.prompt is None else None,
             max_requests=self._limit_connections(service),
             now_s=now_s,
         )
--- a/greengagestage/routing/_waiting_line.py
+++ b/greengagestage/routing/_waiting_line.py
@@ -30,8 +30,8 @@
 or sent in time whatever its place in the line."""
 
 LIFETIME_S = 0.3
-"""Time for which a request that is due stays in a line. It comes back sooner, unless its caller has
-left."""
+"""Time after its delay for which a request stays in a line. It comes back sooner, unless its caller
+has left."""
 
 _Position = tuple[float, AttemptId]
 
@@ -62,13 +62,16 @@
         self._max_wait_s = max_wait_s
         self._entries: SortedDict[_Position, _Entry] = SortedDict()
         self._turns = MIN_TURNS
-        self._expires_s = 0.0
+        self._next_cleanup_s = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
 
     def find_delay_s(self, job: Job, now_s: float) -> float:
-        """Return the time until a request may take its turn; 0 if it may now."""
+        """Return the time until a request may take its turn; 0 if it may now.
+
+        The request counts as waiting until then, and a while longer.
+        """
         entry = self._entries.get(_locate(job))
         if entry is None or now_s >= entry.latest_turn_s:
             return 0.0
@@ -98,6 +101,10 @@
         self._entries.pop(_locate(job), None)
 
     def _count_ahead(self, job: Job, now_s: float) -> int:
+        """Return how many requests are placed before a job.
+
+        Entries are sorted by arrival: the late ones come first, and their turn last.
+        """
         first_in_time = self._entries.bisect_left((now_s - self._in_time_s, ""))
         position = self._entries.bisect_left(_locate(job))
         if position >= first_in_time:
@@ -105,9 +112,9 @@
         return int(len(self._entries) - first_in_time + position)
 
     def _drop_expired(self, now_s: float) -> None:
-        if now_s < self._expires_s:
+        if now_s < self._next_cleanup_s:
             return
-        self._expires_s = now_s + RECHECK_INTERVAL_S
+        self._next_cleanup_s = now_s + RECHECK_INTERVAL_S
         for position in [each for each, entry in self._entries.items() if entry.expires_s < now_s]:
             del self._entries[position]
 
