--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -1,4 +1,4 @@
-"""Tests of the turns that requests take which wait on one host."""
+"""Tests of the turns that waiting requests take on one host."""
 
 import pytest
 
@@ -23,8 +23,9 @@
     return lines
 
 
-def build_jobs(count: int, *, arrived_s: float = 0.0) -> list[Job]:
-    return [build_job(100 + each, route=LONG, now_s=arrived_s) for each in range(count)]
+def build_jobs(count: int) -> list[Job]:
+    """Return jobs that arrive at the same time, in the order of their ids."""
+    return [build_job(100 + each, route=LONG) for each in range(count)]
 
 
 def list_turns(lines: WaitingLines, jobs: list[Job], now_s: float) -> list[Job]:
@@ -106,16 +107,15 @@
 
 # Guards against requests that wait on past the longest wait since it is never their turn.
 def test_a_request_takes_its_turn_when_its_longest_wait_ends() -> None:
-    ahead = build_jobs(20)
-    last = build_job(1, route=LONG, now_s=0.0)
-    lines = build_lines([last, *ahead])
+    jobs = build_jobs(20)
+    lines = build_lines(jobs)
     end_s = MAX_WAIT_TARGETS * LONG.target_s
     waiting = Waiting(delay_s=RECHECK_INTERVAL_S, reason="no room")
-    for job in [last, *ahead]:
+    for job in jobs:
         lines.record_placed(job, waiting, end_s - 0.1)
-    kept = lines.keep_in_line(ahead[-1], end_s - 0.05)
+    kept = lines.keep_in_line(jobs[-1], end_s - 0.05)
     assert kept is not None and kept.delay_s <= 0.05 + 1e-9
-    assert lines.keep_in_line(ahead[-1], end_s) is None
+    assert lines.keep_in_line(jobs[-1], end_s) is None
 
 
 # Guards against entries that nothing removes: requests for a plain service that wait for room at
