--- a/greengagestage/routing/_candidates.py
+++ b/greengagestage/routing/_candidates.py
@@ -53,8 +53,8 @@
 
     Args:
         is_reachable: None if all are.
-        choose_brittle: Chooses one if some are brittle, whose room all hosts share: all would prefer
-            the same one. None if brittle upstreams are compared like others.
+        choose_brittle: Chooses one if some are brittle. All hosts share the room of each, and would
+            all prefer the same one. None if brittle upstreams are compared like others.
         max_requests: Number of requests that this host may have open at each upstream.
     """
     reachable = candidates
