--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -12,10 +12,12 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs
@@ -130,10 +132,11 @@
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._doors: list[asyncio.Server] = []
 
     async def start(self) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, *self.address)
+        self._server = await asyncio.start_server(self.serve, *self.address)
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
         """Write a row, or remove it, as the operator and the servers do."""
@@ -145,6 +148,12 @@
         """Return a copy, for a drill."""
         return copy.deepcopy(self._tables)
 
+    async def open_door(self) -> "Door":
+        """Open another address of the store, which can be cut by itself."""
+        door = Door(self)
+        self._doors.append(await asyncio.start_server(door.serve, *door.address))
+        return door
+
     def go_down(self) -> None:
         """Reset all connections; refuse new ones until ``come_back``."""
         self.up = False
@@ -170,15 +179,25 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_cut: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Answer the calls of one connection; none of them while it is cut."""
         self._writers.add(writer)
         try:
             while self.up and (head := await read_head(reader)) is not None:
                 body = await reader.readexactly(int(head.get("content-length", "0")))
+                if is_cut():
+                    continue
                 await asyncio.sleep(STORE_ANSWER_S)
                 status, answer = await self._handle(head.first[1], body)
                 if not self.up:
                     break
+                if is_cut():
+                    continue
                 text = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -262,6 +281,19 @@
         return 200, self._describe([])
 
 
+class Door:
+    """An address of the store for one host. While it is cut, calls and answers are lost silently."""
+
+    def __init__(self, store: Store) -> None:
+        self.cut = False
+        self.address = ("127.0.2.1", pick_port("127.0.2.1"))
+        self._store = store
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass a connection to the store."""
+        await self._store.serve(reader, writer, lambda: self.cut)
+
+
 def _encode(table: str, key: str, value: bytes | None, revision: int) -> dict[str, object]:
     row: dict[str, object] = {"Table": table, "part": "", "Key": key, "SchemaVersion": revision}
     if value is None:
@@ -317,7 +349,7 @@
         self.alive = True
         self.write_entry()
         self._beat = asyncio.create_task(self._write_heartbeats())
-        self.world.record(f"server {self.name} ({self.service} v{self.version}) registers")
+        self.world.record(f"server {self.name} ({self.service}, version {self.version}) registers")
 
     def write_entry(self) -> bool:
         """Write the entry; return whether the store took it."""
@@ -430,6 +462,8 @@
         self.address = f"127.0.1.{number}"
         self.front = pick_port(self.address)
         self.ready = pick_port(self.address)
+        self.inner_port = world.inner_port
+        self.store_address = world.store.address
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
 
@@ -442,7 +476,7 @@
             f"Node={self.name}\nRole=entry\nMachineClass=front\nServes=front\nIp={self.address}\n"
             f"Zone={self.zone}\nRegion=north\n{zones}"
             f"Listen.Front={self.address}:{self.front}\nListen.Ready={self.address}:{self.ready}\n"
-            f"InternalPortRange={world.inner_port},{world.inner_port}\n"
+            f"InternalPortRange={self.inner_port},{self.inner_port}\n"
             f"FirstStart={'true' if first else 'false'}\nCountsAsLoss=true\n"
             f"Limits.CpuShare=1.0\nLimits.Cores=1\nLimits.MemoryMb=300\nLimits.MaxFds=4100\n"
             f"HeartbeatMs={round(HEARTBEAT_S * 1_000)}\nDiscovery=platform\nEntry=vip\n"
@@ -456,7 +490,7 @@
             f"Bounds.RevokeMs={round(REVOKE_S * 1_000)}\nBounds.RetryBudgetRatio=0.2\n"
             "Bounds.RetryWindowS=10\nBounds.RetryBudgetSlack=58\n"
             f"Bounds.RecoveryS={round(RECOVERY_S)}\nBounds.PassMs=120\nBounds.ReuseWindowS=10\n"
-            f"Platform.Address={world.store.address[0]}:{world.store.address[1]}\n"
+            f"Platform.Address={self.store_address[0]}:{self.store_address[1]}\n"
             "Platform.form=table\nPlatform.WritesPerS=400\nPlatform.ReadsPerS=2000\n"
             "Platform.TxMs=3.0\nPlatform.PartitionWritesS=300\nPlatform.RowBytes=65536\n"
             "Platform.Across=true\nPlatform.HistoryS=20\n"
@@ -511,6 +545,108 @@
             self.process.wait()
 
 
+# Proxies.
+
+
+class _Relay(asyncio.DatagramProtocol):
+    """Receives the datagrams from one host to another, and sends them on unless they are cut."""
+
+    def __init__(self, links: "PeerLinks", source: Host, target: Host) -> None:
+        self._links, self._ends = links, (source, target)
+        self._address = (target.address, target.inner_port)
+        self._sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sender.bind((source.address, 0))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if not any(host.name in self._links.cut for host in self._ends):
+            self._sender.sendto(data, self._address)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._sender.close()
+
+
+class PeerLinks:
+    """Proxies of the datagrams between all hosts.
+
+    Each host has an internal port of its own, and sends to that port at all others. There a proxy
+    listens, which sends on to the other host's port, from an address of the sender.
+
+    Attributes:
+        cut: Names of the hosts that neither send to others nor hear them.
+    """
+
+    def __init__(self) -> None:
+        self.cut: set[str] = set()
+        self._transports: list[asyncio.BaseTransport] = []
+
+    async def start(self, hosts: list[Host]) -> None:
+        """Give each host its port and start the proxies; the hosts are not running yet."""
+        for host in hosts:
+            host.inner_port = pick_port(*(each.address for each in hosts))
+        loop = asyncio.get_running_loop()
+        for source in hosts:
+            for target in hosts:
+                if source is not target:
+                    relay = _Relay(self, source, target)
+                    transport, _ = await loop.create_datagram_endpoint(
+                        lambda relay=relay: relay, local_addr=(target.address, source.inner_port)
+                    )
+                    self._transports.append(transport)
+
+    def close(self) -> None:
+        """End the proxies."""
+        for transport in self._transports:
+            transport.close()
+
+
+class FrontProxy:
+    """A proxy of the connections of clients to one host, which can reset them."""
+
+    def __init__(self, host: Host) -> None:
+        self.address = "127.0.4.1"
+        self.port = pick_port(self.address)
+        self._host = host
+        self._server: asyncio.Server | None = None
+        self._open: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = []
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, self.address, self.port)
+
+    def reset_half(self) -> int:
+        """Reset every other connection on both sides; return how many."""
+        pairs = self._open[::-2]
+        for pair in pairs:
+            for writer in pair:
+                raw = writer.get_extra_info("socket")
+                if raw is not None:
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+        return len(pairs)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            onward = await asyncio.open_connection(self._host.address, self._host.front)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, onward[1])
+        self._open.append(pair)
+        await asyncio.gather(_pass_on(reader, onward[1]), _pass_on(onward[0], writer))
+        self._open.remove(pair)
+
+
+async def _pass_on(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while data := await reader.read(65_536):
+            writer.write(data)
+            await writer.drain()
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+
+
 # Clients.
 
 
