--- a/review/2/case.py
+++ b/review/2/case.py
@@ -62,6 +62,7 @@
         return [(int(number), version.decode()) for number, version, _ in EVENT.findall(self.body)]
 
     def build_headers(self, attempt: str) -> dict[str, str]:
+        """Return the headers of an attempt."""
         return {
             "Host": "lm.example",
             "Greengagestage-Attempt-Id": attempt,
@@ -69,6 +70,8 @@
         }
 
     async def run(self, address: str, port: int) -> None:
+        """Send the first attempt and take its events as they come."""
+
         def take(body: bytes) -> None:
             self.body = body
 
@@ -81,6 +84,7 @@
             self.status = 0
 
     async def take_up(self, address: str, port: int) -> tuple[int, list[tuple[int, str]], bool]:
+        """Take the stream up after its last event; return status, events and completeness."""
         attempt, last = self.world.next_attempt(), self.events[-1][0]
         headers = self.build_headers(attempt)
         headers |= {"Last-Event-Id": str(last), "Resumes": self.attempt}
@@ -96,6 +100,7 @@
 
 
 async def case(world: World) -> bool:
+    """Play the case; return whether the rule was broken."""
     world.write_configuration(DOCUMENT)
     old = [await world.add_server(f"i-old-{z}", "lm", zone=z, version="v1") for z in "ab"]
     hosts = [world.add_host(f"front-{number}", "ab"[number % 2]) for number in range(3)]
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import copy
 import json
 import os
@@ -52,6 +53,7 @@
         self._began = now()
 
     def __call__(self, text: str) -> None:
+        """Write a line."""
         self._file.write(f"{now() - self._began:8.3f}  {text}\n")
         self._file.flush()
 
@@ -257,10 +259,8 @@
             left = end - now()
             if newest or left <= 0 or not self.up:
                 return 200, self._describe(list(newest.values()))
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
-            except TimeoutError:
-                pass
 
     def _transact(self, entry: dict[str, list[dict[str, object]]]) -> tuple[int, dict[str, object]]:
         rows, conflict = [], False
@@ -282,7 +282,7 @@
 
 
 class Door:
-    """An address of the store for one host. While it is cut, calls and answers are lost silently."""
+    """An address of the store for one host. While it is cut, calls and answers are lost."""
 
     def __init__(self, store: Store) -> None:
         self.cut = False
@@ -533,7 +533,7 @@
             answer = await asyncio.wait_for(
                 send_request(self.address, self.ready, "GET", "/readiness", {}), 1.0
             )
-        except (OSError, TimeoutError, asyncio.TimeoutError):
+        except (OSError, TimeoutError):
             return False
         return answer.status == 200
 
@@ -800,5 +800,3 @@
             await world.close()
 
     return asyncio.run(play())
-
-
