--- a/review/new/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/new/case.py
