--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,6 +24,9 @@
 BEGUN = 10
 """Streams of the new version that have begun when connections are reset."""
 
+CUT_S = 5.0
+"""Length of the cut."""
+
 ALLOWED = 2
 """ORDER is broken by more than two streams."""
 
@@ -136,6 +139,14 @@
         door.cut = True
         world.record(f"{hosts[0].name} is cut off from the store and from the other hosts")
     cut_s = now()
+
+    async def heal() -> None:
+        await asyncio.sleep(CUT_S)
+        links.cut.clear()
+        door.cut = False
+        world.record("the cut ends")
+
+    healing = asyncio.create_task(heal())
     for zone in "ab":
         await world.add_server(f"i-new-{zone}", "lm", zone=zone, version="v2")
     drained_s = max(server.drain() for server in old)
@@ -177,8 +188,7 @@
     if len(broken) <= ALLOWED:
         raise RuntimeError("too few streams of the new version broke in time")
     await asyncio.sleep(max(drained_s + DRAIN_S + LINGER_S - now(), 0.0))
-    links.cut.clear()
-    door.cut = False
+    await healing
     links.close()
     return len(joined) > ALLOWED
 
