Log how many requests are known at the upstream that a request is sent to

The logs did not say whether an engine was full of less urgent requests when an urgent one was sent there. "request: sent" now has the requests and the tolerant requests that the host knows of at the upstream. The types of a choice move to a module of their own, so that the placement is built there; no decision changes.

--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -69,6 +69,8 @@
             via=None if placement.via is None else placement.via.host,
             expected_ms=_to_ms(placement.expected_s),
             prefill_ms=_to_ms(placement.prefill_s),
+            upstream_requests=placement.requests,
+            upstream_tolerant=placement.tolerant_requests,
             beginning=None if prompt is None else prompt.affinity_key,
             prompt_tokens=self._prompt_tokens,
             output_tokens=None if prompt is None else prompt.output_tokens,
--- a/greengagestage/routing/_choices.py
+++ b/greengagestage/routing/_choices.py
@@ -20,10 +20,11 @@
     find_exemption,
 )
 from ._domain_traffic import Crossing, DomainTraffic, estimate_redundant_share
+from ._engine_choice import Choice, NoRoom
 from ._engine_split import EngineSplit
 from ._forecasts import SLOT_WAIT_S
 from ._jobs import Job, Waiting
-from ._placement import Choice, EngineChooser, NoRoom
+from ._placement import EngineChooser
 from ._plain_choice import choose_plain
 from ._route_groups import RouteTraffic, hash_route
 from ._service_demand import ServiceDemand
--- a/greengagestage/routing/_jobs.py
+++ b/greengagestage/routing/_jobs.py
@@ -56,6 +56,8 @@
         reason: Why this upstream was chosen, for the log.
         expected_s: Forecast time to the first event, or to the answer of a plain service.
         prefill_s: Forecast prefill time that the job adds on the upstream.
+        requests: Number of other requests that are known to be on the upstream, from all hosts.
+        tolerant_requests: Those of them that are not latency-sensitive.
         via: The host that forwards the request, since this one has no link to the upstream; None
             if it is sent directly.
         crossing: Between which domains the job is sent, and why.
@@ -65,6 +67,8 @@
     reason: str
     expected_s: float
     prefill_s: float = 0.0
+    requests: int = 0
+    tolerant_requests: int = 0
     via: ForwardingHost | None = None
     crossing: Crossing | None = None
 
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -6,13 +6,12 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from greengagestage.catalog import EngineProfile, Prompt
 
 from ._affinity import AffinityOrders
 from ._domain_shares import sort_engines
-from ._domain_traffic import Crossing
+from ._engine_choice import Choice, NoRoom, build_choice, find_least_cost
 from ._engine_model import EngineSpeed
 from ._engine_split import EngineSplit, GroupDemand
 from ._forecasts import Forecast, Forecaster
@@ -36,11 +35,6 @@
 SENSITIVE_CACHED_DELAY_SHARE = 0.3
 """The same share for sensitive jobs, whose prompts are short and cheap to compute again."""
 
-SHORT_OUTPUT_SHARE = 0.7
-"""A tolerant job is refused only if it could not complete by its deadline even with this share of
-the expected output; sensitive jobs are not refused for that. Forecasts are often too long, and an
-answer that misses its target but not its deadline is still useful."""
-
 MIN_REPLICAS = 2
 REPLICA_SHARE = 0.06
 """Number of engines that cache the same prefix of long prompts, usually those with the highest
@@ -69,43 +63,6 @@
 """Share of the target above which a sensitive job is placed outside the engines for its kind."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Choice:
-    """A chosen upstream with the forecast for the job.
-
-    Attributes:
-        expected_s: Forecast time to the first event, or to the answer of a plain service.
-        prefill_s: Forecast prefill time of the job.
-        reason: Why this upstream was chosen, for the log.
-        completion_s: Forecast time to the end of a stream; 0 for a plain service.
-        min_completion_s: The same for an answer that is shorter than expected.
-        sample_tokens: See ``InFlightRequest.sample_tokens``.
-        begins_at_once: Whether the upstream has a free slot and little other work.
-        crossing: Between which domains the job is sent.
-    """
-
-    state: UpstreamState
-    expected_s: float
-    prefill_s: float
-    reason: str
-    begins_at_once: bool
-    crossing: Crossing | None = None
-    completion_s: float = 0.0
-    min_completion_s: float = 0.0
-    sample_tokens: float | None = None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class NoRoom:
-    """No engine has room for a job that has waited for as long as it may.
-
-    Attributes:
-        first_event_s: Forecast time to the first event on the best engine.
-    """
-
-    first_event_s: float
-
-
 class EngineChooser:
     """Chooses among the engines of one service.
 
@@ -223,12 +180,12 @@
                 is_balanced
                 and preferred.first_event_s <= SENSITIVE_CACHED_DELAY_SHARE * job.route.target_s
             ):
-                return _build_choice(preferred, "cached prompt")
-            best = _find_least_cost(forecaster.forecast_ranked(ranked[:SENSITIVE_CANDIDATES]))
+                return build_choice(preferred, "cached prompt")
+            best = find_least_cost(forecaster.forecast_ranked(ranked[:SENSITIVE_CANDIDATES]))
             if best.first_event_s <= SPILLOVER_DELAY_SHARE * job.route.target_s:
-                return _build_choice(best, "least delay")
+                return build_choice(best, "least delay")
         everywhere = forecaster.forecast_ranked(self._rank(prompt, candidates))
-        return _build_choice(_find_least_cost(everywhere), "least delay anywhere")
+        return build_choice(find_least_cost(everywhere), "least delay anywhere")
 
     def _choose_tolerant(
         self,
@@ -261,17 +218,17 @@
                 self._should_send(forecast, cached_limit_s, backlog_s)
                 and forecast.completion_s <= completion_limit_s
             ):
-                return _build_choice(forecast, "cached prompt")
+                return build_choice(forecast, "cached prompt")
         limit_s = request.limit_delay_s(TOTAL_DELAY_SHARE)
         preferred.sort(key=lambda forecast: forecast.cost_s)
         for forecast in preferred:
             if self._should_send(forecast, limit_s, unreported_s * len(preferred)):
-                return _build_choice(forecast, "least delay")
+                return build_choice(forecast, "least delay")
         replica_limit_s = NEW_REPLICA_DELAY_SHARE * request.target_s
         others = ranked[replicas:]
         idle = self._find_idle(others, forecaster, replica_limit_s, unreported_s)
         if idle is not None:
-            return _build_choice(idle, "additional replica")
+            return build_choice(idle, "additional replica")
         return self._wait_or_give_up(request, preferred[0])
 
     def _wait_or_give_up(self, request: RoomRequest, best: Forecast) -> Choice | Waiting | NoRoom:
@@ -287,7 +244,7 @@
             case RoomDecision.REFUSE:
                 return NoRoom(first_event_s=best.first_event_s)
             case RoomDecision.SEND:
-                return _build_choice(best, "wait limit reached")
+                return build_choice(best, "wait limit reached")
 
     def _find_idle(
         self,
@@ -317,21 +274,3 @@
 
     def _rank(self, prompt: Prompt, engines: Sequence[UpstreamState]) -> Sequence[UpstreamState]:
         return self._orders.sort(engines, prompt.affinity_key)
-
-
-def _find_least_cost(forecasts: Sequence[Forecast]) -> Forecast:
-    return min(forecasts, key=lambda forecast: forecast.cost_s)
-
-
-def _build_choice(forecast: Forecast, reason: str) -> Choice:
-    return Choice(
-        state=forecast.state,
-        expected_s=forecast.first_event_s,
-        prefill_s=forecast.prefill_s,
-        reason=reason,
-        begins_at_once=forecast.begins_at_once,
-        completion_s=forecast.completion_s,
-        min_completion_s=forecast.first_event_s
-        + SHORT_OUTPUT_SHARE * (forecast.completion_s - forecast.first_event_s),
-        sample_tokens=forecast.sample_tokens,
-    )
--- a/greengagestage/routing/_plain_choice.py
+++ b/greengagestage/routing/_plain_choice.py
@@ -4,7 +4,7 @@
 
 from greengagestage.ids import FailureDomain
 
-from ._placement import Choice
+from ._engine_choice import Choice
 from ._upstreams import UpstreamState
 
 DEFAULT_ANSWER_TIME_S = 0.05
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -26,13 +26,13 @@
 from ._choices import UpstreamChooser
 from ._demand import Demand
 from ._domain_traffic import DomainTraffic
+from ._engine_choice import Choice, NoRoom
 from ._jobs import Job, Placement, Refused, Waiting
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import InFlightRequest, UpstreamLoad
 from ._notices import NoticeBoard
 from ._overload import UrgencyTraffic
 from ._overload_control import OVERDUE_TARGETS, OverloadControl, may_wait
-from ._placement import Choice, NoRoom
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
 from ._retries import ASSUMED_HOSTS, RetryBudget
@@ -415,15 +415,10 @@
             kept = self._overload.keep_back(job, urgencies, now_s)
             if kept is not None:
                 return kept
+        via = self._choose_via(choice.state, now_s)
+        placement = choice.build_placement(via=via, now_s=now_s)
         self._track(job, choice, now_s)
-        return Placement(
-            upstream=choice.state.record,
-            reason=choice.reason,
-            expected_s=choice.expected_s,
-            prefill_s=choice.prefill_s,
-            via=self._choose_via(choice.state, now_s),
-            crossing=choice.crossing,
-        )
+        return placement
 
     def record_data(self, attempt_id: AttemptId, instance: InstanceId, now_s: float) -> None:
         """Record that a response head or a piece of a body arrived for an attempt."""
