Leave room for the next crowd of urgent requests

Cause: what a host sends cannot be called back, but was limited only by what the request itself bears. When a crowd came while engines left, reviews held up to 39 of the 48 slots of an engine that stayed, and up to 1.4 s of prefill waited there; chats then took all other slots for two seconds. What held the reviews back, summaries that had waited too long, came 0.6 s after the crowd.

Change: hosts remember for about 30 s how many slots urgent requests used in a crowd that took most of them. While the engines that are left would be short of room in such a crowd, tolerant requests take only what it would leave, and are sent only where an engine begins them at once. Callers who leave without an answer count as a lack of room for another second.

--- a/greengagestage/routing/_choices.py
+++ b/greengagestage/routing/_choices.py
@@ -28,6 +28,7 @@
 from ._plain_choice import choose_plain
 from ._route_groups import RouteTraffic, hash_route
 from ._service_demand import ServiceDemand
+from ._slot_reserve import SlotReserve
 from ._upstreams import UpstreamState
 
 SHARE_INTERVAL_S = 0.05
@@ -78,6 +79,7 @@
         self._draw = draw
         self._choosers: dict[ServiceName, EngineChooser] = {}
         self._splits: dict[ServiceName, EngineSplit] = {}
+        self._reserves: dict[ServiceName, SlotReserve] = {}
         self._exemptions: dict[ServiceName, LeavingReason | None] = {}
         self._shares: dict[tuple[ServiceName, int], RouteShares] = {}
         self._leaving: dict[tuple[ServiceName, int], tuple[float, LeavingShare | None]] = {}
@@ -164,10 +166,17 @@
                 engines=staying,
                 divides_domains=self._cost_s_per_gb is not None,
                 split=self._splits.setdefault(service, EngineSplit()),
+                reserve=self._get_reserve(service, engine),
                 draw=self._draw,
             )
         return chooser
 
+    def _get_reserve(self, service: ServiceName, engine: EngineProfile) -> SlotReserve:
+        reserve = self._reserves.get(service)
+        if reserve is None or reserve.slots != engine.slots:
+            reserve = self._reserves[service] = SlotReserve(slots=engine.slots)
+        return reserve
+
     def _find_exemption(
         self, service: ServiceName, staying: Sequence[UpstreamState]
     ) -> LeavingReason | None:
--- a/greengagestage/routing/_loads.py
+++ b/greengagestage/routing/_loads.py
@@ -36,6 +36,10 @@
     route: int = 0
     sample_tokens: float | None = None
 
+    def is_overdue(self, now_s: float) -> bool:
+        """Whether no answer has begun although the request is overdue."""
+        return not self.answer_begun and now_s - self.sent_s > self.overdue_s
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamLoad:
--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -24,6 +24,7 @@
     is_contended,
     may_use_room,
 )
+from ._slot_reserve import SlotReserve
 from ._upstreams import UpstreamState
 from ._waiting_line import RECHECK_INTERVAL_S
 
@@ -81,12 +82,15 @@
         engines: Sequence[UpstreamState],
         divides_domains: bool,
         split: EngineSplit,
+        reserve: SlotReserve,
         draw: Callable[[], float],
     ) -> None:
         self._engine = engine
+        self._engines = engines
         ordered = sort_engines(engines, divides_domains=divides_domains)
         self._ranks = {state.sort_key: rank for rank, state in enumerate(ordered)}
         self._split = split
+        self._reserve = reserve
         self._orders = AffinityOrders(ordered)
         self._draw = draw
 
@@ -114,25 +118,27 @@
             waiting: Number of jobs on all hosts that wait and are at least as urgent.
             alike: Jobs on all hosts that are as urgent.
         """
-        urgent_group = groups[0]
+        urgent = groups[0] if groups[0] is not None and groups[0].is_more_urgent else None
         forecaster = Forecaster(
             prompt=prompt,
             engine=self._engine,
             speed=speed,
-            sensitive_first=(
-                sensitive and urgent_group is not None and urgent_group.is_more_urgent
-            ),
+            sensitive_first=sensitive and urgent is not None,
             now_s=now_s,
         )
+        if urgent is not None:
+            self._reserve.update(self._engines, now_s)
         partition = self.list_group(candidates, sensitive, groups)
         if sensitive:
             return self._choose_sensitive(job, prompt, partition, candidates, forecaster)
-        engines = partition or candidates
+        engines: Sequence[UpstreamState] = partition or candidates
+        leaves_room = urgent is not None and self._reserve.is_scarce
         request = RoomRequest(
             waited_s=now_s - job.arrived_s,
             target_s=job.route.target_s,
             time_left_s=job.deadline_s - now_s,
             contended=is_contended(alike, len(engines), job.route.target_s),
+            leaves_room=leaves_room,
         )
         tolerant = groups[1]
         new_s = backlog_s = 0.0
@@ -140,6 +146,13 @@
             placed_again = waiting * min(report_delay_s / RECHECK_INTERVAL_S, 1.0)
             backlog_s = tolerant.request_s * placed_again / len(engines)
             new_s = tolerant.work * report_delay_s / len(engines)
+        if leaves_room and job.began_at is None:
+            pool = self.list_group(self._engines, sensitive, groups) or self._engines
+            open_engines = self._reserve.list_open(engines, pool, now_s)
+            if not open_engines:
+                best = forecaster.forecast(self._rank(prompt, engines)[0], is_first=True)
+                return _wait_for_slot(request, best)
+            engines, backlog_s, new_s = open_engines, backlog_s + new_s, 0.0
         return self._choose_tolerant(
             request, self._rank(prompt, engines), forecaster, new_s + backlog_s, backlog_s
         )
@@ -274,3 +287,11 @@
 
     def _rank(self, prompt: Prompt, engines: Sequence[UpstreamState]) -> Sequence[UpstreamState]:
         return self._orders.sort(engines, prompt.affinity_key)
+
+
+def _wait_for_slot(request: RoomRequest, best: Forecast) -> Waiting | NoRoom:
+    """Decide about a job while the free slots are kept for more urgent ones."""
+    if request.may_wait:
+        reason = "the free slots are kept for more urgent requests"
+        return Waiting(delay_s=RECHECK_INTERVAL_S, reason=reason)
+    return NoRoom(first_event_s=best.first_event_s)
--- a/greengagestage/routing/_room.py
+++ b/greengagestage/routing/_room.py
@@ -30,7 +30,8 @@
 
 IDLE_DELAY_S = 0.1
 """Delay up to which an engine begins a request at once: about the prefill of one long prompt. Late
-requests get no other room while requests wait that can be in time."""
+requests get no other room while requests wait that can be in time, and no request does while it
+has to leave room to more urgent ones."""
 
 COMPLETION_MARGIN = 1.3
 """A waiting request is sent at the latest when the time left falls to this multiple of the forecast
@@ -54,12 +55,20 @@
         target_s: Target of its route for the first event.
         time_left_s: Time until its deadline.
         contended: Whether more requests wait for room than can be in time.
+        leaves_room: Whether more urgent requests may soon need the room of those that wait at
+            engines, which cannot be called back.
     """
 
     waited_s: float
     target_s: float
     time_left_s: float
     contended: bool
+    leaves_room: bool = False
+
+    @property
+    def may_wait(self) -> bool:
+        """Whether the request may wait on its host for longer."""
+        return self.waited_s < MAX_WAIT_TARGETS * self.target_s
 
     def limit_delay_s(self, share: float) -> float:
         """Return the longest delay, in seconds, with which the request is sent to an engine.
@@ -67,6 +76,8 @@
         Args:
             share: Share of the target up to which the request may be delayed in all.
         """
+        if self.leaves_room:
+            return IDLE_DELAY_S
         return max(share * self.target_s - self.waited_s, self._limit_late_s(LATE_DELAY_SHARE))
 
     def decide(self, *, delay_s: float, completion_s: float) -> RoomDecision:
@@ -79,13 +90,12 @@
         has_room = delay_s <= self._limit_late_s(LAST_DELAY_SHARE)
         could_complete = completion_s - delay_s < self.time_left_s
         must_start = COMPLETION_MARGIN * completion_s >= self.time_left_s
-        may_wait = self.waited_s < MAX_WAIT_TARGETS * self.target_s
-        if may_wait and (not must_start or (could_complete and not has_room)):
+        if self.may_wait and (not must_start or (could_complete and not has_room)):
             return RoomDecision.WAIT
         return RoomDecision.SEND if has_room else RoomDecision.REFUSE
 
     def _limit_late_s(self, share: float) -> float:
-        return IDLE_DELAY_S if self.contended else share * self.target_s
+        return IDLE_DELAY_S if self.contended or self.leaves_room else share * self.target_s
 
 
 def is_contended(alike: UrgencyTraffic, engines: int, target_s: float) -> bool:
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -463,7 +463,8 @@
             case AttemptEnd.MISDIRECTED:
                 state.misdirected_until_s = now_s + MISDIRECTED_EXCLUSION_S
             case AttemptEnd.CANCELLED:
-                pass
+                if request is not None and request.is_overdue(now_s):
+                    self._overload.record_rejection(state.record.service, request.urgency, now_s)
 
     def update_peer_loads(
         self,
--- a/greengagestage/routing/_upstreams.py
+++ b/greengagestage/routing/_upstreams.py
@@ -312,9 +312,7 @@
     def count_overdue(self, now_s: float) -> Counter[int]:
         """Return the number of this host's requests by urgency that are overdue."""
         return Counter(
-            request.urgency
-            for request in self._in_flight.values()
-            if not request.answer_begun and now_s - request.sent_s > request.overdue_s
+            request.urgency for request in self._in_flight.values() if request.is_overdue(now_s)
         )
 
     def remove_request(self, attempt_id: AttemptId) -> InFlightRequest | None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -21,7 +21,16 @@
     is_queue_full,
 )
 
-from .catalog_builders import ARCHIVE, ENGINES, LONG, LOOKUP, SHORT, build_job, build_router
+from .catalog_builders import (
+    ARCHIVE,
+    ENGINES,
+    LONG,
+    LOOKUP,
+    SHORT,
+    build_job,
+    build_router,
+    build_short_prompt,
+)
 
 SHORT_OF_ROOM = UrgencyTraffic(arrivals=40, size=32_000, overdue=20)
 CALM = UrgencyTraffic(arrivals=40, size=32_000, overdue=2)
@@ -146,3 +155,18 @@
     urgencies = demands[ARCHIVE].urgencies
     assert urgencies[0].arrivals == pytest.approx(60)
     assert urgencies[0].mean_size == pytest.approx(1_000)
+
+
+# Guards against a lack of room that is forgotten as soon as those who suffer from it have left.
+@pytest.mark.parametrize(("left_s", "overdue"), [(0.1, 0), (2.4, 1)])
+def test_callers_who_leave_without_an_answer_show_a_lack_of_room(
+    left_s: float, overdue: int
+) -> None:
+    router = build_router()
+    job = build_job(1, prompt=build_short_prompt())
+    router.count_request(job, 0.0)
+    placed = router.place(job, 0.0)
+    assert isinstance(placed, Placement)
+    router.record_end(job.attempt_id, placed.upstream.instance, AttemptEnd.CANCELLED, left_s)
+    demand = router.measure_local_demand(left_s)[ENGINES]
+    assert demand.urgencies[job.urgency].overdue == overdue
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -73,3 +73,14 @@
     assert sum(may_use_room(0.2, 0.8, draw) for draw in draws) == pytest.approx(25, abs=1)
     assert all(may_use_room(0.2, 0.1, draw) for draw in draws)
     assert not any(may_use_room(-0.1, 0.0, draw) for draw in draws)
+
+
+# Guards against prompts that wait at an engine, from where they cannot be called back, while more
+# urgent requests may soon need their room.
+@pytest.mark.parametrize("waited_s", [0.0, 1.0, 3.75])
+def test_a_request_that_leaves_room_is_sent_only_where_it_begins_at_once(waited_s: float) -> None:
+    request = build_request(waited_s=waited_s, leaves_room=True)
+    assert request.limit_delay_s(0.75) == IDLE_DELAY_S
+    assert request.decide(delay_s=0.05, completion_s=9.0) is not RoomDecision.REFUSE
+    refused = RoomDecision.REFUSE if waited_s >= 3.75 else RoomDecision.WAIT
+    assert request.decide(delay_s=0.2, completion_s=1.0) is refused
