Decode what others wrote for all bytes

Cause: decoders caught the errors of the decoder alone. Nested text raises RecursionError, a number above 1e308 OverflowError, and a port of more than 4,300 digits ValueError; each left the reader's step, which had already noted the copy as confirmed. A slot count above 64 bits was read, but could not be told to other hosts.

Change: greengagestage/decoding.py decides for all decoders of rows, entries, documents and datagrams what counts as unreadable. A copy of the registry is confirmed only once the whole read has been applied. An unreadable entry is logged once, and not at every read. Addresses must be IP numbers.

--- a/greengagestage/duties/_lease.py
+++ b/greengagestage/duties/_lease.py
@@ -5,11 +5,11 @@
 
 from math import isinf
 
-import msgspec
 import xxhash
 from msgspec import Struct
 
 from greengagestage.catalog import Duty
+from greengagestage.decoding import Integer, decode_json
 from greengagestage.ids import HostId
 
 CLOCK_DRIFT = 0.1
@@ -56,16 +56,13 @@
     holder: HostId
     address: str
     instance: str
-    token: int
-    duration_ms: int
+    token: Integer
+    duration_ms: Integer
 
 
 def decode_lease(value: bytes) -> LeaseRow | None:
     """Return the lease of a row's value; None if it cannot be read."""
-    try:
-        return msgspec.json.decode(value, type=LeaseRow)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(value, LeaseRow).value_or(None)
 
 
 def build_token(*, host: HostId, floor: int, unix_ms: int) -> int:
--- a/greengagestage/duties/_lease_keeper.py
+++ b/greengagestage/duties/_lease_keeper.py
@@ -1,14 +1,17 @@
 """Keeps the rows of the duties' leases, and writes the decisions of usage windows, in the store."""
 
+import re
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 from eliot import log_message
 from msgspec import Struct
+from returns.result import Success
 from twisted.internet.defer import inlineCallbacks
 
 from greengagestage.catalog import Duty
+from greengagestage.decoding import decode_json
 from greengagestage.ids import HostId, WorkspaceId
 from greengagestage.outcomes import Unavailable, Unknown
 from greengagestage.platform import (
@@ -39,6 +42,8 @@
 MAX_REMOVALS = 20
 """Usage rows that are removed in one transaction."""
 
+_WINDOW = re.compile("[0-9]{1,15}")
+
 
 class UsageRow(Struct, frozen=True, kw_only=True):
     """The decided counts of a usage window as stored in the table."""
@@ -158,14 +163,13 @@
 
     def _learn_usage(self, key: str, value: bytes) -> None:
         window = key.removeprefix(USAGE_PREFIX)
-        if self._usage is None or window == key or not window.isdecimal():
-            return
-        try:
-            counts = msgspec.json.decode(value, type=UsageRow).counts
-        except msgspec.DecodeError as error:
-            log_message(message_type="usage: row unreadable", key=key, fault=str(error))
+        if self._usage is None or window == key or not _WINDOW.fullmatch(window):
             return
-        self._usage.windows.learn_decision(int(window), counts)
+        match decode_json(value, UsageRow):
+            case Success(row):
+                self._usage.windows.learn_decision(int(window), row.counts)
+            case failure:
+                log_message(message_type="usage: row unreadable", key=key, fault=failure.failure())
 
     @inlineCallbacks
     def _release(self) -> Any:
--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/_host_list.py
@@ -7,9 +7,11 @@
 import msgspec
 from eliot import log_message
 from msgspec import Struct
+from returns.result import Success
 from twisted.internet.defer import inlineCallbacks
 
 from greengagestage.catalog import HostSettings
+from greengagestage.decoding import decode_json
 from greengagestage.ids import HostId
 from greengagestage.platform import HOST_TABLE, RowClient, RowsRead
 
@@ -97,10 +99,12 @@
     def _decode(self, listed: RowsRead) -> dict[HostId, HostRow]:
         hosts = {}
         for row in listed.rows:
-            try:
-                hosts[HostId(row.key)] = msgspec.json.decode(row.value, type=HostRow)
-            except msgspec.DecodeError as error:
-                log_message(
-                    message_type="host list: entry unreadable", entry=row.key, fault=str(error)
-                )
+            match decode_json(row.value, HostRow):
+                case Success(host):
+                    hosts[HostId(row.key)] = host
+                case failure:
+                    fault = failure.failure()
+                    log_message(
+                        message_type="host list: entry unreadable", entry=row.key, fault=fault
+                    )
         return hosts
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from greengagestage.catalog import RegisteredUpstream
+from greengagestage.decoding import DECODE_ERRORS
 from greengagestage.duties import DutyReport, UsageReceipt, UsageReport
 from greengagestage.ids import (
     FailureDomain,
@@ -404,6 +405,6 @@
         return None
     try:
         message = _DECODER.decode(data)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     return message if message.sender.version == PROTOCOL_VERSION else None
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -97,6 +97,7 @@
         self._retries = StoreRetries(first_s=RETRY_S, random=random)
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
         self._known: dict[InstanceId, RegisteredUpstream] = {}
+        self._unreadable: dict[str, bytes] = {}
         self._confirmed_s: float | None = None  # monotonic time of the last confirmation
         self._pending_revision = 0
         self._retain_until_s = 0.0
@@ -192,13 +193,10 @@
         if age_s is not None and age_s > MIN_OUTAGE_S:
             self._retain_until_s = now_s + RETENTION_AFTER_OUTAGE_S
             log_message(message_type="registry: read after an outage", age_s=age_s)
-        self._confirmed_s = now_s
-        if revision >= self._pending_revision:
-            self._pending_revision = 0
         if revision < self._revision:
+            self._confirm(revision, now_s)
             log_message(message_type="registry: old read dropped", revision=revision)
             return
-        self._revision = revision
         upstreams = self._decode(rows)
         if now_s < self._retain_until_s:
             present = {row.key for row in rows}
@@ -208,21 +206,32 @@
             upstreams = {**retained, **upstreams}
         known = self._known
         self._replace(upstreams)
+        self._revision = revision
+        self._confirm(revision, now_s)
         for report in build_registry_reports(known, upstreams, revision, era=self._era.number):
             self._on_report(report)
 
+    def _confirm(self, revision: int, now_s: float) -> None:
+        """Record that all of a read has been applied, or that the copy is newer."""
+        self._confirmed_s = now_s
+        if revision >= self._pending_revision:
+            self._pending_revision = 0
+
     def _decode(self, rows: list[StoredRow]) -> dict[InstanceId, RegisteredUpstream]:
-        upstreams = {}
+        upstreams, unreadable = {}, {}
         for row in rows:
             match decode_upstream(row.key, row.value):
                 case Success(upstream):
                     upstreams[upstream.instance] = upstream
                 case failure:
-                    log_message(
-                        message_type="registry: entry unreadable",
-                        entry=row.key,
-                        fault=str(failure.failure()),
-                    )
+                    unreadable[row.key] = row.value
+                    if self._unreadable.get(row.key) != row.value:
+                        log_message(
+                            message_type="registry: entry unreadable",
+                            entry=row.key,
+                            fault=failure.failure(),
+                        )
+        self._unreadable = unreadable
         return upstreams
 
     def _replace(self, upstreams: dict[InstanceId, RegisteredUpstream]) -> None:
--- a/greengagestage/gateway/_version_rows.py
+++ b/greengagestage/gateway/_version_rows.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import UNSET, Struct, UnsetType
 
+from greengagestage.decoding import convert_json
 from greengagestage.ids import ServiceName, SoftwareVersion
 from greengagestage.platform import ClockReading
 from greengagestage.routing import VersionRecord
@@ -66,16 +67,16 @@
         now_s: Current monotonic time.
         store_s: A lower bound of the store's clock at that time.
     """
-    try:
-        row = msgspec.json.decode(value, type=VersionsRow)
-    except msgspec.DecodeError:
-        return None
-    if row.era != era:
-        return None
-    times = [VersionTimes(version, last_ms) for version, last_ms in row.versions.items()]
-    if row.unstated_ms is not UNSET:
-        times.append(VersionTimes(None, row.unstated_ms))
-    return _build_record(row.since_ms, times, now_s=now_s, store_s=store_s)
+
+    def build_record(row: VersionsRow) -> VersionRecord | None:
+        if row.era != era:
+            return None
+        times = [VersionTimes(version, last_ms) for version, last_ms in row.versions.items()]
+        if row.unstated_ms is not UNSET:
+            times.append(VersionTimes(None, row.unstated_ms))
+        return _build_record(row.since_ms, times, now_s=now_s, store_s=store_s)
+
+    return convert_json(value, VersionsRow, build_record).value_or(None)
 
 
 def build_report(
--- a/greengagestage/platform/_document_checks.py
+++ b/greengagestage/platform/_document_checks.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from greengagestage.catalog import Route, RouteTable
+from greengagestage.decoding import decode_json
 
 from ._route_codec import decode_route_table
 
@@ -100,10 +101,7 @@
 
 
 def _parse_object(data: bytes) -> dict[str, Any] | None:
-    try:
-        return msgspec.json.decode(data, type=dict[str, Any])
-    except msgspec.DecodeError:
-        return None
+    return decode_json(data, dict[str, Any]).value_or(None)
 
 
 def _reject(location: str, message: str) -> DocumentFinding:
@@ -120,11 +118,11 @@
 
 
 def _check_table(table: RouteTable, data: bytes) -> _Findings:
-    try:
-        lists = msgspec.json.decode(data, type=_CheckedLists)
-    except msgspec.DecodeError as error:
-        yield _reject("Services", str(error))
+    decoded = decode_json(data, _CheckedLists)
+    if not isinstance(decoded, Success):
+        yield _reject("Services", decoded.failure())
         return
+    lists = decoded.unwrap()
     names = [service.name for service in lists.services]
     yield from _check_matches(table.routes)
     yield from _check_destinations(table)
--- a/greengagestage/platform/_registry_codec.py
+++ b/greengagestage/platform/_registry_codec.py
@@ -1,18 +1,28 @@
 """Decoding of the entries that upstreams write to the platform's registry."""
 
+import re
+from ipaddress import ip_address
 from typing import Annotated, Any
 
-import msgspec
 from msgspec import Meta, Struct, field
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from greengagestage.catalog import Availability, RegisteredUpstream
+from greengagestage.decoding import Integer, convert_json
 from greengagestage.ids import FailureDomain, InstanceId, ServiceName, SoftwareVersion
 
 from ._host_settings import MS_PER_S
 
 _AVAILABILITY = {"ready": Availability.READY, "draining": Availability.LEAVING}
 
+MAX_SLOTS = 1_000_000
+"""An entry with more slots is taken to be wrong: sums over all upstreams stay exact."""
+
+MAX_SHOWN = 60
+"""Number of characters of an address that a failure shows."""
+
+_PORT = re.compile("[0-9]{1,5}")
+
 
 class _Entry(Struct):
     """An upstream's entry.
@@ -31,49 +41,56 @@
     service: Annotated[str, Meta(min_length=1)] = field(name="Service")
     address: str = field(name="Address")
     failure_domain: str = field(name="Zone")
-    slots: Annotated[int, Meta(ge=1)] = field(name="Slots")
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)] = field(name="Slots")
     state: str = field(name="State")
-    sequence: int = field(name="Sequence")
+    sequence: Integer = field(name="Sequence")
     cold_remaining_ms: float = field(name="ColdRemainingMs", default=0.0)
     software_version: str | None = field(name="Version", default=None)
-    born: int | None = None
+    born: Integer | None = None
     spot: Any = field(name="Spot", default=False)
     leaves_ms: Any = None
 
 
 def decode_upstream(instance: str, data: bytes) -> Result[RegisteredUpstream, str]:
     """Decode an entry; a failure says why it does not describe a usable upstream."""
-    try:
-        entry = msgspec.json.decode(data, type=_Entry)
-    except msgspec.DecodeError as error:
-        return Failure(str(error))
+    return convert_json(data, _Entry, lambda entry: _build_upstream(instance, entry))
+
+
+def _build_upstream(instance: str, entry: _Entry) -> RegisteredUpstream:
     availability = _AVAILABILITY.get(entry.state)
     if availability is None:
-        return Failure(f"unknown state {entry.state!r}")
-    address, _, port = entry.address.rpartition(":")
-    if not address or not port.isdecimal() or not 0 < int(port) < 65_536:
-        return Failure(f"address {entry.address!r} is not ip:port")
-    return Success(
-        RegisteredUpstream(
-            instance=InstanceId(instance),
-            service=ServiceName(entry.service),
-            address=address,
-            port=int(port),
-            failure_domain=FailureDomain(entry.failure_domain),
-            slots=entry.slots,
-            availability=availability,
-            started_ms=entry.born,
-            cold_s=entry.cold_remaining_ms / MS_PER_S,
-            software_version=(
-                None if entry.software_version is None else SoftwareVersion(entry.software_version)
-            ),
-            spot=entry.spot is True,
-            leaves_s=_read_time_s(entry.leaves_ms),
-        )
+        raise ValueError(f"unknown state {entry.state!r}")
+    address, port = _parse_address(entry.address)
+    return RegisteredUpstream(
+        instance=InstanceId(instance),
+        service=ServiceName(entry.service),
+        address=address,
+        port=port,
+        failure_domain=FailureDomain(entry.failure_domain),
+        slots=entry.slots,
+        availability=availability,
+        started_ms=entry.born,
+        cold_s=max(entry.cold_remaining_ms, 0.0) / MS_PER_S,
+        software_version=(
+            None if entry.software_version is None else SoftwareVersion(entry.software_version)
+        ),
+        spot=entry.spot is True,
+        leaves_s=_read_time_s(entry.leaves_ms),
     )
 
 
+def _parse_address(text: str) -> tuple[str, int]:
+    address, _, port = text.rpartition(":")
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65_536:
+        raise ValueError(f"address {text[:MAX_SHOWN]!r} is not ip:port")
+    ip_address(address)
+    return address, int(port)
+
+
 def _read_time_s(value_ms: object) -> float | None:
     if isinstance(value_ms, bool) or not isinstance(value_ms, int | float):
         return None
-    return max(value_ms, 0.0) / MS_PER_S
+    try:
+        return max(float(value_ms), 0.0) / MS_PER_S
+    except OverflowError:
+        return None
--- a/greengagestage/platform/_route_codec.py
+++ b/greengagestage/platform/_route_codec.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from msgspec import Meta, Struct, field
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from greengagestage.catalog import (
     ConnectionLimits,
@@ -17,6 +17,7 @@
     Service,
     Workspace,
 )
+from greengagestage.decoding import convert_json
 from greengagestage.ids import (
     ConfigurationVersion,
     FailureDomain,
@@ -134,19 +135,17 @@
 
 def decode_route_table(data: bytes) -> Result[RouteTable, str]:
     """Decode a configuration document; a failure says why all of it is rejected."""
-    try:
-        document = msgspec.json.decode(data, type=_Document)
-        return Success(
-            RouteTable(
-                version=ConfigurationVersion(document.version),
-                routes=[_build_route(route) for route in document.routes],
-                services=[_build_service(service) for service in document.services],
-                workspaces=_index_workspaces(document.workspaces),
-                limits=_build_limits(document.limits),
-            )
-        )
-    except (msgspec.DecodeError, ValueError) as error:
-        return Failure(str(error))
+    return convert_json(data, _Document, _build_table)
+
+
+def _build_table(document: _Document) -> RouteTable:
+    return RouteTable(
+        version=ConfigurationVersion(document.version),
+        routes=[_build_route(route) for route in document.routes],
+        services=[_build_service(service) for service in document.services],
+        workspaces=_index_workspaces(document.workspaces),
+        limits=_build_limits(document.limits),
+    )
 
 
 def _build_route(route: _Route) -> Route:
--- a/greengagestage/platform/_rows.py
+++ b/greengagestage/platform/_rows.py
@@ -10,6 +10,7 @@
 from msgspec import Struct, field
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from greengagestage.decoding import DECODE_ERRORS
 from greengagestage.http1 import Endpoint
 from greengagestage.outcomes import Unavailable, Unknown
 
@@ -307,5 +308,5 @@
     try:
         decoded = msgspec.json.decode(answer.body, type=result_type)
         return msgspec.structs.replace(decoded, era=answer.era)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Unknown(reason=f"the answer cannot be decoded: {error}")
