Take up a stream of unknown origin only on a registry read after its caller came

Cause: a copy of the registry that was confirmed up to two seconds ago counted as proof that only one version serves. Hosts keep resumable streams off a new version for longer than that only while an older one is left.

Change: a stream that no host has told of is taken up only if a read that began after the caller came shows a single version; the stream cannot have begun at a server that was listed later. The caller waits for the read for half a second at most, and is refused as not run otherwise, or at once while reads fail. MAX_REGISTRY_AGE_S is gone, and with it the two cases of its test that stand for ages: an unconfirmed copy of any age proves nothing now.

Measured: three tests of test_stream_versions.py fail on the code before.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -5,6 +5,8 @@
 from functools import partial
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from greengagestage.catalog import Workspace
 from greengagestage.http1 import ConnectionPool
 from greengagestage.ids import ClassName, WorkspaceId
@@ -26,7 +28,7 @@
         link_watch: Follows the links to the upstreams.
         quarantine: Keeps requests from being sent that crash upstreams.
         notices: Records what upstreams state about further requests.
-        read_registry_age_s: Returns the seconds since the list of upstreams was confirmed.
+        confirm_registry: Reads the list of upstreams; the result is whether that succeeded.
         count_begun: Counts a request of a workspace that has begun to run, for usage reports.
         open_exchanges: All exchanges that have not delivered a final answer.
     """
@@ -39,7 +41,7 @@
     quarantine: Quarantine
     notices: UpstreamNotices
     metrics: EntryMetrics
-    read_registry_age_s: Callable[[], float | None]
+    confirm_registry: Callable[[], Deferred[bool]]
     count_begun: Callable[[WorkspaceId], None] = lambda workspace: None
     open_exchanges: set[Any] = field(default_factory=set)
 
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -322,7 +322,7 @@
                 report_rejection=self._peers.report_rejection,
             ),
             metrics=self._metrics,
-            read_registry_age_s=lambda: self._registry.age_s,
+            confirm_registry=lambda: self._registry.confirm(),
             count_begun=self._count_begun,
         )
 
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -7,7 +7,7 @@
 import xxhash
 from eliot import log_message
 from returns.result import Success
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
 from greengagestage.catalog import RegisteredUpstream
 from greengagestage.ids import Incarnation, InstanceId
@@ -52,6 +52,9 @@
 """Missing entries are kept for this long after an outage and after the start of an era of the
 store: upstreams whose entries expired or were lost write them again within two seconds."""
 
+CONFIRMATION_TIMEOUT_S = 0.5
+"""Longest wait for a read that confirms the copy."""
+
 MAX_REMEMBERED_GONE = 1_024
 """Maximum number of removed entries that are remembered; the oldest ones are forgotten."""
 
@@ -98,6 +101,8 @@
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
         self._known: dict[InstanceId, RegisteredUpstream] = {}
         self._unreadable: dict[str, bytes] = {}
+        self._waiters: list[Deferred[bool]] = []
+        self._is_failing = False
         self._confirmed_s: float | None = None  # monotonic time of the last confirmation
         self._pending_revision = 0
         self._retain_until_s = 0.0
@@ -129,6 +134,20 @@
         """Seconds since the copy was last confirmed; None before the first read."""
         return None if self._confirmed_s is None else self._reactor.seconds() - self._confirmed_s
 
+    def confirm(self) -> Deferred[bool]:
+        """Read the store now; the result is whether the copy is at least as new as this call.
+
+        An old confirmation, or the report of a read that began before, does not show what has been
+        listed since. While reads fail, the result is False at once.
+        """
+        if self._is_failing:
+            return succeed(False)
+        waiter: Deferred[bool] = Deferred()
+        waiter.addTimeout(CONFIRMATION_TIMEOUT_S, self._reactor, onTimeoutCancel=lambda *_: False)
+        self._waiters.append(waiter)
+        self._task.run_within(0.0)
+        return waiter
+
     def receive_report(self, report: RegistryReport) -> None:
         """Apply another host's report, or schedule a read if it does not fit this host's copy."""
         self._era.observe(report.era)
@@ -164,9 +183,23 @@
     @inlineCallbacks
     def _step(self) -> Any:
         age_s = self.age_s
-        if age_s is not None and age_s < READ_INTERVAL_S and not self._pending_revision:
+        is_due = age_s is None or age_s >= READ_INTERVAL_S
+        if age_s is not None and not (is_due or self._pending_revision or self._waiters):
             return READ_INTERVAL_S - age_s + self._compute_rank_delay_s()
-        read = yield self._rows.read(REGISTRY_TABLE)
+        waiters, self._waiters = self._waiters, []
+        is_applied = False
+        try:
+            read = yield self._rows.read(REGISTRY_TABLE)
+            delay_s = self._apply_read(read)
+            is_applied = isinstance(read, RowsRead) and self._era.is_current(read.era)
+        finally:
+            self._is_failing = not is_applied
+            for waiter in waiters:
+                waiter.callback(is_applied)
+        return 0.0 if self._waiters and not self._is_failing else delay_s
+
+    def _apply_read(self, read: Any) -> float:
+        """Apply the result of a read, and return the pause before the next one."""
         if not isinstance(read, RowsRead):
             return self._handle_read_failure(read)
         if not self._era.is_current(read.era):
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -21,6 +21,7 @@
 from ._exchange import ExchangeInputs, RequestExchange
 from ._loops import add_jitter
 from ._refusal_answers import answer_refusal
+from ._stream_origins import OriginSearch
 
 OTHER_HOST_RETRY_AFTER_S = 0.1
 """``Retry-After`` of a refusal where another host can probably serve the request at once."""
@@ -139,14 +140,6 @@
         stream = metadata.resumed_attempt or metadata.attempt_id
         service = route.pick_service(_compute_split_point(stream))
         job = _build_job(request, metadata, table, route, service, workspace)
-        if route.resumable and metadata.takes_up_stream:
-            began_at = self._find_origin(metadata, stream, service)
-            if began_at is None:
-                code = ResultCode.STREAM_ORIGIN_UNKNOWN
-                self._refuse_temporarily(request, metadata, responder, code)
-                return
-            job = replace(job, began_at=began_at)
-        self._context.router.count_request(job, self._context.reactor.seconds())
         inputs = ExchangeInputs(
             request=request,
             job=job,
@@ -156,29 +149,30 @@
             version=table.version,
             version_age_s=self._configuration.read_age_s(),
         )
-        RequestExchange(context=self._context, inputs=inputs, responder=responder).start()
+        if not (route.resumable and metadata.takes_up_stream):
+            self._run_exchange(inputs, responder)
+            return
 
-    def _find_origin(
-        self, metadata: CallerRequestMetadata, stream: AttemptId, service: ServiceName
-    ) -> StreamOrigin | None:
-        """Return where a stream that the caller takes up has begun; None if it is not known."""
-        registry_age_s = self._context.read_registry_age_s()
-        origin = self._context.router.stream_versions.find_origin(
-            stream,
-            service,
-            registry_age_s=registry_age_s,
-            now_s=self._context.reactor.seconds(),
-        )
-        log_message(
-            message_type="request: takes up a stream",
-            request=metadata.attempt_id,
-            began_as=metadata.resumed_attempt,
-            last_event=(metadata.last_event_id or b"").decode("latin-1"),
-            known=origin is not None,
-            software=None if origin is None else origin.software_version,
-            registry_age_s=registry_age_s,
-        )
-        return origin
+        def take_up(began_at: StreamOrigin | None) -> None:
+            if began_at is None:
+                code = ResultCode.STREAM_ORIGIN_UNKNOWN
+                self._refuse_temporarily(request, metadata, responder, code)
+            else:
+                resumed = replace(inputs, job=replace(job, began_at=began_at))
+                self._run_exchange(resumed, responder)
+
+        OriginSearch(
+            context=self._context,
+            attempt_id=metadata.attempt_id,
+            stream=stream,
+            service=service,
+            responder=responder,
+            on_found=take_up,
+        ).start()
+
+    def _run_exchange(self, inputs: ExchangeInputs, responder: Responder) -> None:
+        self._context.router.count_request(inputs.job, self._context.reactor.seconds())
+        RequestExchange(context=self._context, inputs=inputs, responder=responder).start()
 
     def _refuse_temporarily(
         self,
--- /dev/null
+++ b/greengagestage/gateway/_stream_origins.py
@@ -0,0 +1,101 @@
+"""Finds at which software version a stream that a caller takes up has begun."""
+
+from collections.abc import Callable
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+
+from greengagestage.http1 import Responder
+from greengagestage.ids import AttemptId, ServiceName
+from greengagestage.routing import StreamOrigin
+from greengagestage.telemetry import log_unexpected_failure
+
+from ._context import ExchangeContext
+
+
+class OriginSearch:
+    """The search for the origin of one stream, while its caller waits.
+
+    Hosts tell each other where streams began while several versions serve. A stream that nobody
+    has told of began at the only version that serves, if the registry shows just one after the
+    caller has come: its stream cannot have begun at a server that was listed later.
+
+    Args:
+        attempt_id: The caller's id of this request.
+        stream: The caller's attempt that brought the first event.
+        on_found: Called once with the origin, or None if it is not known. It is not called if the
+            caller leaves before that.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: ExchangeContext,
+        attempt_id: AttemptId,
+        stream: AttemptId,
+        service: ServiceName,
+        responder: Responder,
+        on_found: Callable[[StreamOrigin | None], None],
+    ) -> None:
+        self.attempt_id = attempt_id
+        self._context = context
+        self._stream = stream
+        self._service = service
+        self._responder = responder
+        self._on_found = on_found
+        self._ended = False
+
+    def start(self) -> None:
+        """Search among the streams that are known, and otherwise read the registry."""
+        origin = self._find(is_confirmed=False)
+        if origin is not None:
+            self._end(origin, is_confirmed=False)
+            return
+        self._responder.listener = self
+        self._context.open_exchanges.add(self)
+        confirmed: Deferred[bool] = self._context.confirm_registry()
+        confirmed.addCallback(self._handle_confirmation)
+        confirmed.addErrback(lambda failure: log_unexpected_failure("stream origin", failure))
+
+    def stop(self) -> None:
+        """End the search now, since the host is about to stop."""
+        self._end(None, is_confirmed=False)
+
+    def handle_disconnect(self) -> None:
+        """Forget the caller."""
+        self._ended = True
+        self._context.open_exchanges.discard(self)
+
+    def pause(self) -> None:
+        """Do nothing: nothing is sent to the caller yet."""
+
+    def resume(self) -> None:
+        """Do nothing: nothing is sent to the caller yet."""
+
+    def _handle_confirmation(self, is_confirmed: bool) -> None:
+        if not self._ended:
+            self._end(self._find(is_confirmed=is_confirmed), is_confirmed=is_confirmed)
+
+    def _find(self, *, is_confirmed: bool) -> StreamOrigin | None:
+        return self._context.router.stream_versions.find_origin(
+            self._stream,
+            self._service,
+            is_confirmed=is_confirmed,
+            now_s=self._context.reactor.seconds(),
+        )
+
+    def _end(self, origin: StreamOrigin | None, *, is_confirmed: bool) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._responder.listener = None
+        self._context.open_exchanges.discard(self)
+        log_message(
+            message_type="request: takes up a stream",
+            request=self.attempt_id,
+            began_as=self._stream,
+            known=origin is not None,
+            software=None if origin is None else origin.software_version,
+            registry_confirmed=is_confirmed,
+        )
+        self._on_found(origin)
--- a/greengagestage/routing/_software_versions.py
+++ b/greengagestage/routing/_software_versions.py
@@ -28,9 +28,6 @@
 """Time from a version's first appearance until resumable streams are begun at it, if others serve.
 By then each host whose copy of the registry counts as current knows that there are two."""
 
-MAX_REGISTRY_AGE_S = 2.0
-"""An older copy of the registry does not prove that only one version serves."""
-
 MIN_HISTORY_S = 5.0
 """At the first start of the whole system no stream is older than a host. A host that has seen the
 registry for a shorter time still cannot tell which versions served when a stream began: upstreams
@@ -291,18 +288,20 @@
         stream: AttemptId,
         service: ServiceName,
         *,
-        registry_age_s: float | None,
+        is_confirmed: bool,
         now_s: float,
     ) -> StreamOrigin | None:
         """Return where a stream began; None if this host cannot tell.
 
         Args:
-            registry_age_s: Time since this host's copy of the registry was confirmed.
+            is_confirmed: Whether this host's copy of the registry was read after the caller's
+                request had come. An older copy does not prove that only one version serves: the
+                stream may have begun at another one since.
         """
         origin = self.origins.find(stream, now_s)
         if origin is not None:
             return origin
-        if registry_age_s is None or registry_age_s > MAX_REGISTRY_AGE_S:
+        if not is_confirmed:
             return None
         versions = self.history.list_recent(service, now_s)
         if not self.history.is_complete(service, now_s) or len(versions) != 1:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -47,19 +47,16 @@
     versions.history.observe(upstreams, now_s)
 
 
-def find(versions: StreamVersions, now_s: float, *, registry_age_s: float | None = 0.5):
-    return versions.find_origin(STREAM, ENGINES, registry_age_s=registry_age_s, now_s=now_s)
+def find(versions: StreamVersions, now_s: float, *, is_confirmed: bool = True):
+    return versions.find_origin(STREAM, ENGINES, is_confirmed=is_confirmed, now_s=now_s)
 
 
 def test_a_stream_can_only_have_begun_at_the_single_version_that_serves() -> None:
     assert find(build_versions(OLD, OLD), 10.0) == OLD
 
 
-@pytest.mark.parametrize("registry_age_s", [None, 2.5])
-def test_an_old_copy_of_the_registry_does_not_prove_a_single_version(
-    registry_age_s: float | None,
-) -> None:
-    assert find(build_versions(OLD), 10.0, registry_age_s=registry_age_s) is None
+def test_an_old_copy_of_the_registry_does_not_prove_a_single_version() -> None:
+    assert find(build_versions(OLD), 10.0, is_confirmed=False) is None
 
 
 def test_a_host_that_has_just_started_does_not_know_what_served_before() -> None:
@@ -78,7 +75,7 @@
 def test_a_known_origin_goes_before_what_the_registry_shows() -> None:
     versions = build_versions(OLD, NEW)
     versions.origins.record_local(STREAM, NEW, 10.0)
-    assert find(versions, 11.0, registry_age_s=None) == NEW
+    assert find(versions, 11.0, is_confirmed=False) == NEW
     assert find(versions, 41.0) is None
 
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Streams while upstreams of several software versions serve, over loopback sockets."""
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from greengagestage.http1 import IncomingRequest, Responder
 from standins._row_tables import RowTables, StoreReply
@@ -243,3 +244,53 @@
     fleet.run_for(2.0)
     written.append(fleet.store.calls.count("/rows-tx"))
     assert [count - written[0] for count in written] == [0, 1, 2]
+
+
+def start_after_a_while(fleet: HostFleet) -> UpstreamStandin:
+    """Start a host that knows that one version alone has served; return the upstream."""
+    engine = add_engine(fleet, "first", OLD)
+    fleet.start_host(first_start=True)
+    fleet.wait_ready()
+    fleet.run_for(5.5)
+    return engine
+
+
+# Guards against text of two versions in one stream: a server of a new version has joined since the
+# host last read the registry, and began the stream through another host.
+def test_a_stream_that_may_have_begun_since_the_last_read_is_refused(fleet: HostFleet) -> None:
+    engine = start_after_a_while(fleet)
+    registry = fleet.processes[0]._registry
+    age_s = registry.age_s
+    fleet.run_until(lambda: registry.age_s < age_s)
+    add_engine(fleet, "new", NEW)
+    resumed = take_up(fleet, "begun-elsewhere")
+    assert (resumed.status, resumed.error["run"]) == (503, "not_run")
+    assert not engine.requests
+
+
+# Guards against the same at a host that is cut off from the store: its copy is young, but older
+# than the stream may be.
+def test_a_host_that_cannot_read_the_registry_takes_up_no_stream_of_unknown_origin(
+    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    engine = start_after_a_while(fleet)
+
+    def fail(tables: RowTables, arguments: dict[str, str]) -> StoreReply:
+        return StoreReply(status=503, body=b"")
+
+    monkeypatch.setattr(RowTables, "read", fail)
+    resumed = take_up(fleet, "begun-elsewhere")
+    assert (resumed.status, resumed.error["run"]) == (503, "not_run")
+    assert not engine.requests
+
+
+# Guards against callers who wait for a store that does not answer.
+def test_a_caller_waits_only_shortly_for_the_registry(
+    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    start_after_a_while(fleet)
+    process = fleet.processes[0]
+    monkeypatch.setattr(process._registry._rows, "read", lambda table: Deferred())
+    began_s = process._reactor.seconds()
+    assert take_up(fleet, "begun-elsewhere").status == 503
+    assert process._reactor.seconds() - began_s < 1.0
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -123,7 +123,7 @@
         """Return the version at which this host would continue a stream; None if it refuses."""
         now_s = self.fleet.clock.seconds()
         origin = self.versions.find_origin(
-            AttemptId(stream), ENGINES, registry_age_s=0.1, now_s=now_s
+            AttemptId(stream), ENGINES, is_confirmed=True, now_s=now_s
         )
         return None if origin is None else origin.software_version
 
