Send nothing for the first time late in a planned stop

Here requests that reach a host later than 2.6 s after SIGTERM are refused as not run; a test shows it for each kind of route. One way was open: a request that came before, and waited for room, was still sent at any time. Now a request is not sent for the first time once the host refuses new ones, nor again if it may run only once; its caller is told that it has not run, and finds another host. Other retries go on as before.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -7,17 +7,20 @@
 
 from twisted.internet.defer import Deferred
 
-from greengagestage.catalog import Workspace
+from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import ConnectionPool
-from greengagestage.ids import ClassName, WorkspaceId
+from greengagestage.ids import ClassName, InstanceId, WorkspaceId
 from greengagestage.results import ResultCode
-from greengagestage.routing import Job, Router
+from greengagestage.routing import Job, Placement, Refused, Router, Waiting
 from greengagestage.telemetry import EntryMetrics
 
 from ._link_watch import LinkWatch
 from ._quarantine import Quarantine
 from ._upstream_notices import UpstreamNotices
 
+OTHER_HOST_RETRY_AFTER_S = 0.1
+"""``Retry-After`` of a refusal where another host can probably serve the request at once."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExchangeContext:
@@ -29,6 +32,7 @@
         quarantine: Keeps requests from being sent that crash upstreams.
         notices: Records what upstreams state about further requests.
         confirm_registry: Reads the list of upstreams; the result is whether that succeeded.
+        takes_requests: Returns whether the host is not in the later part of a shutdown.
         count_begun: Counts a request of a workspace that has begun to run, for usage reports.
         open_exchanges: All exchanges that have not delivered a final answer.
     """
@@ -42,9 +46,27 @@
     notices: UpstreamNotices
     metrics: EntryMetrics
     confirm_registry: Callable[[], Deferred[bool]]
+    takes_requests: Callable[[], bool] = lambda: True
     count_begun: Callable[[WorkspaceId], None] = lambda workspace: None
     open_exchanges: set[Any] = field(default_factory=set)
 
+    def place(
+        self, job: Job, tried: frozenset[InstanceId], unreached: frozenset[InstanceId]
+    ) -> Placement | Refused | Waiting:
+        """Choose an upstream for a job; see ``Router.place``.
+
+        Late in a shutdown, a job is not sent for the first time, nor again if it may run only
+        once: it would be cut off with an unknown result, while another host can serve it. A job
+        that has been sent may be retried.
+        """
+        is_first = not tried and not unreached
+        may_repeat = job.route.kind is not RouteKind.NON_IDEMPOTENT
+        if job.began_at is None and (is_first or not may_repeat) and not self.takes_requests():
+            retry_after_s = OTHER_HOST_RETRY_AFTER_S
+            reason = "the host is about to stop"
+            return Refused(code=ResultCode.STOPPING, retry_after_s=retry_after_s, reason=reason)
+        return self.router.place(job, self.reactor.seconds(), tried, unreached)
+
     def count_result(self, job: Job, code: ResultCode) -> None:
         """Count the end of a request in the metrics.
 
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -275,8 +275,7 @@
                 self._schedule_placement(placed)
 
     def _place(self) -> Placement | Refused | Waiting:
-        limits = self._limits
-        return self._context.router.place(self._job, self._now_s, limits.tried, limits.unreached)
+        return self._context.place(self._job, self._limits.tried, self._limits.unreached)
 
     def _schedule_placement(self, waiting: Waiting) -> None:
         if not self._waited:
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -323,6 +323,7 @@
             ),
             metrics=self._metrics,
             confirm_registry=lambda: self._registry.confirm(),
+            takes_requests=lambda: not self._configuration.refuses_requests,
             count_begun=self._count_begun,
         )
 
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -17,15 +17,12 @@
 from greengagestage.results import ResultCode
 from greengagestage.routing import Job, StreamOrigin
 
-from ._context import ExchangeContext
+from ._context import OTHER_HOST_RETRY_AFTER_S, ExchangeContext
 from ._exchange import ExchangeInputs, RequestExchange
 from ._loops import add_jitter
 from ._refusal_answers import answer_refusal
 from ._stream_origins import OriginSearch
 
-OTHER_HOST_RETRY_AFTER_S = 0.1
-"""``Retry-After`` of a refusal where another host can probably serve the request at once."""
-
 DEFAULT_TIME_LEFT_S = 1.0
 """Time left that is assumed for ``Retry-After`` if the caller sent no deadline."""
 
--- a/tests/test_host_requests.py
+++ b/tests/test_host_requests.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from greengagestage.routing import Job, Waiting
+
 from . import host_harness as harness
 from .host_harness import EVENTS, HostFleet, running_fleet
 
@@ -297,3 +299,48 @@
     fleet.run_for(0.05)
     assert (caller.status, caller.error["code"]) == (502, 3010)
     assert caller.error["run"] == "may_have_run"
+
+
+# Guards against requests that come late in the grace of a planned stop, are passed on and then cut
+# off: all that reach the host after the load balancer has removed it.
+@pytest.mark.parametrize("path", ["/order/x", "/long/x", "/read/x"])
+def test_requests_late_in_the_grace_are_refused_and_not_passed_on(
+    fleet: HostFleet, path: str
+) -> None:
+    service = "engines" if path == "/long/x" else "archive"
+    upstream = fleet.add_upstream("one", service=service, behavior=harness.hang)
+    fleet.start_host(stop_grace_s=4.5)
+    fleet.wait_ready()
+    idle = fleet.connect(b"")
+    open_caller = fleet.connect(harness.build_request("/long/y", attempt="open"))
+    fleet.processes[0].stop()
+    fleet.run_for(2.8)
+    assert not [each for each in upstream.attempt_ids if each != b"open"]
+    late = fleet.call(path, attempt="late")
+    assert (late.status, late.error["code"], late.error["run"]) == (503, 2010, "not_run")
+    assert b"late" not in upstream.attempt_ids
+    assert idle.closed or not idle.data
+    open_caller.transport.abortConnection()
+
+
+# Guards against a request that waits for room in a planned stop, is sent late in the grace for the
+# first time and cut off at its end.
+def test_a_request_that_waits_is_not_sent_late_in_the_grace(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.hang)
+    process = fleet.start_host(stop_grace_s=4.5)
+    fleet.wait_ready()
+    router = process._router
+    place = router.place
+
+    def wait_first(job: Job, now_s: float, *tried: object) -> object:
+        if now_s - job.arrived_s < 1.2:
+            return Waiting(delay_s=0.1, reason="no room")
+        return place(job, now_s, *tried)
+
+    router.place = wait_first
+    process.stop()
+    fleet.run_for(2.0)
+    caller = fleet.connect(harness.build_request("/order/x", attempt="waits", deadline_ms=9_000))
+    fleet.run_until(lambda: caller.is_complete)
+    assert (caller.status, caller.error["code"], caller.error["run"]) == (503, 2010, "not_run")
+    assert not upstream.requests
