--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -160,7 +160,7 @@
 
         OriginSearch(
             context=self._context,
-            attempt_id=metadata.attempt_id,
+            metadata=metadata,
             stream=stream,
             service=service,
             responder=responder,
--- a/greengagestage/gateway/_stream_origins.py
+++ b/greengagestage/gateway/_stream_origins.py
@@ -7,6 +7,7 @@
 
 from greengagestage.http1 import Responder
 from greengagestage.ids import AttemptId, ServiceName
+from greengagestage.platform import CallerRequestMetadata
 from greengagestage.routing import StreamOrigin
 from greengagestage.telemetry import log_unexpected_failure
 
@@ -21,7 +22,7 @@
     caller has come: its stream cannot have begun at a server that was listed later.
 
     Args:
-        attempt_id: The caller's id of this request.
+        metadata: Headers of the request that takes up the stream.
         stream: The caller's attempt that brought the first event.
         on_found: Called once with the origin, or None if it is not known. It is not called if the
             caller leaves before that.
@@ -31,13 +32,13 @@
         self,
         *,
         context: ExchangeContext,
-        attempt_id: AttemptId,
+        metadata: CallerRequestMetadata,
         stream: AttemptId,
         service: ServiceName,
         responder: Responder,
         on_found: Callable[[StreamOrigin | None], None],
     ) -> None:
-        self.attempt_id = attempt_id
+        self._metadata = metadata
         self._context = context
         self._stream = stream
         self._service = service
@@ -45,6 +46,11 @@
         self._on_found = on_found
         self._ended = False
 
+    @property
+    def attempt_id(self) -> AttemptId:
+        """The id that the caller gave the request."""
+        return self._metadata.attempt_id
+
     def start(self) -> None:
         """Search among the streams that are known, and otherwise read the registry."""
         origin = self._find(is_confirmed=False)
@@ -93,7 +99,8 @@
         log_message(
             message_type="request: takes up a stream",
             request=self.attempt_id,
-            began_as=self._stream,
+            began_as=self._metadata.resumed_attempt,
+            last_event=(self._metadata.last_event_id or b"").decode("latin-1"),
             known=origin is not None,
             software=None if origin is None else origin.software_version,
             registry_confirmed=is_confirmed,
