Let the test of free ports choose its port outside the ephemeral range

The test took an ephemeral port of one address; other processes may hold the same number at another one. The test now takes a port that is free at all addresses to begin with, as all other tests do; its assertions are unchanged.

--- a/tests/test_reactors.py
+++ b/tests/test_reactors.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .reactors import is_free
+from .reactors import choose_address, is_free
 
 
 # Guards against a port that another test's host uses at another loopback address.
@@ -13,10 +13,10 @@
 def test_a_port_that_is_used_at_any_address_is_not_free(
     address: str, kind: socket.SocketKind
 ) -> None:
+    port = int(choose_address().rpartition(":")[2])
     with socket.socket(type=kind) as used:
-        used.bind((address, 0))
+        used.bind((address, port))
         if kind is socket.SOCK_STREAM:
             used.listen()
-        port = used.getsockname()[1]
         assert not is_free(port, kind)
     assert is_free(port, kind)
