Split the estimate of unreported work from the choice of an engine

Nothing else changes in the code; tests of onset, reserve, room, routing, domains, sizes, overload and lines pass.

--- a/greengagestage/routing/_placement.py
+++ b/greengagestage/routing/_placement.py
@@ -140,18 +140,14 @@
             contended=is_contended(alike, len(engines), job.route.target_s),
             leaves_room=leaves_room,
         )
-        tolerant = groups[1]
-        new_s = backlog_s = 0.0
-        if tolerant is not None:
-            placed_again = waiting * min(report_delay_s / RECHECK_INTERVAL_S, 1.0)
-            backlog_s = tolerant.request_s * placed_again / len(engines)
-            new_s = tolerant.work * report_delay_s / len(engines)
+        new_s, backlog_s = _estimate_unreported_s(groups[1], waiting, report_delay_s, len(engines))
         if leaves_room and job.began_at is None:
             pool = self.list_group(self._engines, sensitive, groups) or self._engines
             open_engines = self._reserve.list_open(engines, pool, now_s)
             if not open_engines:
                 best = forecaster.forecast(self._rank(prompt, engines)[0], is_first=True)
                 return _wait_for_slot(request, best)
+            # New work counts at engines with a cached prefix, too: none may have to wait there.
             engines, backlog_s, new_s = open_engines, backlog_s + new_s, 0.0
         return self._choose_tolerant(
             request, self._rank(prompt, engines), forecaster, new_s + backlog_s, backlog_s
@@ -289,6 +285,20 @@
         return self._orders.sort(engines, prompt.affinity_key)
 
 
+def _estimate_unreported_s(
+    tolerant: GroupDemand | None, waiting: float, report_delay_s: float, engines: int
+) -> tuple[float, float]:
+    """Return the seconds of work per engine that other hosts have probably sent but not reported.
+
+    The first part is of new requests, the second of those that waited on hosts before.
+    """
+    if tolerant is None:
+        return 0.0, 0.0
+    placed_again = waiting * min(report_delay_s / RECHECK_INTERVAL_S, 1.0)
+    new_s = tolerant.work * report_delay_s / engines
+    return new_s, tolerant.request_s * placed_again / engines
+
+
 def _wait_for_slot(request: RoomRequest, best: Forecast) -> Waiting | NoRoom:
     """Decide about a job while the free slots are kept for more urgent ones."""
     if request.may_wait:
--- a/greengagestage/routing/_slot_reserve.py
+++ b/greengagestage/routing/_slot_reserve.py
@@ -28,8 +28,8 @@
 to it."""
 
 MIN_TOLERANT_SHARE = 1 / 16
-"""Share of an engine's slots that tolerant requests may use in any case, so that they are served at
-last."""
+"""Share of an engine's slots that tolerant requests may use in any case, one at least, so that they
+are served at last."""
 
 
 class SlotReserve:
