Prove where a stream began only by a list that its writers have completed

Cause: a read that began after the caller came counted as proof that only one version serves, if it succeeded and was of the current era. In the first seconds of an era, and after an outage in which entries expire, the list lacks entries that their upstreams have not written again. The watch knew this for the entries that it keeps, and did not ask it for the proof.

Change: one module, greengagestage/evidence, says whether rows that exist may be missing from a copy; the entries that are kept and the proof both ask it. It runs on the boot-time clock, since a host that was suspended has a gap as well. An exception while a read is applied leaves the gap open, as before.

--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -10,12 +10,14 @@
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
 from greengagestage.catalog import RegisteredUpstream
+from greengagestage.evidence import CopyEvidence
 from greengagestage.ids import Incarnation, InstanceId
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, decode_upstream
 
 from ._loops import RepeatingTask, add_jitter
 from ._peer_messages import RegistryReport
+from ._store_clock import read_boot_time_s
 from ._store_era import StoreEra
 from ._store_retries import StoreRetries
 
@@ -45,13 +47,6 @@
 RETRY_S = 0.2
 """Pause after the first failed call, with a jitter of 50%."""
 
-MIN_OUTAGE_S = 1.5
-"""A read this long after the last confirmation was delayed by the store or the network."""
-
-RETENTION_AFTER_OUTAGE_S = 2.3
-"""Missing entries are kept for this long after an outage and after the start of an era of the
-store: upstreams whose entries expired or were lost write them again within two seconds."""
-
 CONFIRMATION_TIMEOUT_S = 0.5
 """Longest wait for a read that confirms the copy."""
 
@@ -97,6 +92,7 @@
         self._on_returned = on_returned
         self._on_report = on_report
         self._get_rank = get_rank
+        self._evidence = CopyEvidence()
         self._retries = StoreRetries(first_s=RETRY_S, random=random)
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
         self._known: dict[InstanceId, RegisteredUpstream] = {}
@@ -105,7 +101,6 @@
         self._is_failing = False
         self._confirmed_s: float | None = None  # monotonic time of the last confirmation
         self._pending_revision = 0
-        self._retain_until_s = 0.0
         self._revision = 0
         self._digest = _hash_registry(())
         self._gone: dict[Incarnation, int | None] = {}  # era in which each one was removed
@@ -135,12 +130,13 @@
         return None if self._confirmed_s is None else self._reactor.seconds() - self._confirmed_s
 
     def confirm(self) -> Deferred[bool]:
-        """Read the store now; the result is whether the copy is at least as new as this call.
+        """Read the store now; the result is whether that shows all that was listed at this call.
 
         An old confirmation, or the report of a read that began before, does not show what has been
-        listed since. While reads fail, the result is False at once.
+        listed since. The result is False at once while reads fail, and while entries may be missing
+        that their upstreams have not written again.
         """
-        if self._is_failing:
+        if self._is_failing or not self._evidence.is_complete(read_boot_time_s()):
             return succeed(False)
         waiter: Deferred[bool] = Deferred()
         waiter.addTimeout(CONFIRMATION_TIMEOUT_S, self._reactor, onTimeoutCancel=lambda *_: False)
@@ -154,7 +150,8 @@
         if not self.is_loaded or not self._era.is_current(report.era):
             return
         if report.digest == self._digest:
-            self._confirmed_s = self._reactor.seconds()
+            self._handle_gap()
+            self._record_confirmation()
             self._revision = max(self._revision, report.revision)
         elif not self._apply_report(report) and report.revision > self._revision:
             self._pending_revision = report.revision
@@ -163,7 +160,7 @@
     def _begin_era(self) -> None:
         """Forget what the revisions meant, and keep the entries that the store may have lost."""
         self._revision = self._pending_revision = 0
-        self._retain_until_s = self._reactor.seconds() + RETENTION_AFTER_OUTAGE_S
+        self._evidence.begin_era(read_boot_time_s())
 
     def _apply_report(self, report: RegistryReport) -> bool:
         """Apply changes that are based on this host's copy; return whether they were applied."""
@@ -175,11 +172,21 @@
         upstreams.update({upstream.instance: upstream for upstream in report.listed})
         if _hash_registry(upstreams.values()) != report.digest:
             return False
-        self._confirmed_s = self._reactor.seconds()
+        self._handle_gap()
+        self._record_confirmation()
         self._revision = report.revision
         self._replace(upstreams)
         return True
 
+    def _handle_gap(self) -> None:
+        gap_s = self._evidence.detect_gap(read_boot_time_s())
+        if gap_s is not None:
+            log_message(message_type="registry: read after an outage", age_s=gap_s)
+
+    def _record_confirmation(self) -> None:
+        self._confirmed_s = self._reactor.seconds()
+        self._evidence.record_confirmation(read_boot_time_s())
+
     @inlineCallbacks
     def _step(self) -> Any:
         age_s = self.age_s
@@ -194,8 +201,9 @@
             is_applied = isinstance(read, RowsRead) and self._era.is_current(read.era)
         finally:
             self._is_failing = not is_applied
+            is_complete = is_applied and self._evidence.is_complete(read_boot_time_s())
             for waiter in waiters:
-                waiter.callback(is_applied)
+                waiter.callback(is_complete)
         return 0.0 if self._waiters and not self._is_failing else delay_s
 
     def _apply_read(self, read: Any) -> float:
@@ -216,22 +224,19 @@
         return min(rank, RANKED_READERS) * RANK_DELAY_S + spread_s * self._random.random()
 
     def _handle_read_failure(self, outcome: Any) -> float:
+        self._evidence.record_failure(read_boot_time_s())
         reason = outcome.reason if isinstance(outcome, Unavailable) else "unexpected answer"
         log_message(message_type="registry: not read", reason=reason, age_s=self.age_s)
         return self._retries.record_failure(rank=self._get_rank(), age_s=self.age_s)
 
     def _process_read(self, rows: list[StoredRow], revision: int) -> None:
-        now_s = self._reactor.seconds()
-        age_s = self.age_s
-        if age_s is not None and age_s > MIN_OUTAGE_S:
-            self._retain_until_s = now_s + RETENTION_AFTER_OUTAGE_S
-            log_message(message_type="registry: read after an outage", age_s=age_s)
+        self._handle_gap()
         if revision < self._revision:
-            self._confirm(revision, now_s)
+            self._confirm(revision)
             log_message(message_type="registry: old read dropped", revision=revision)
             return
         upstreams = self._decode(rows)
-        if now_s < self._retain_until_s:
+        if not self._evidence.is_complete(read_boot_time_s()):
             present = {row.key for row in rows}
             retained = {
                 key: upstream for key, upstream in self._known.items() if key not in present
@@ -240,13 +245,13 @@
         known = self._known
         self._replace(upstreams)
         self._revision = revision
-        self._confirm(revision, now_s)
+        self._confirm(revision)
         for report in build_registry_reports(known, upstreams, revision, era=self._era.number):
             self._on_report(report)
 
-    def _confirm(self, revision: int, now_s: float) -> None:
+    def _confirm(self, revision: int) -> None:
         """Record that all of a read has been applied, or that the copy is newer."""
-        self._confirmed_s = now_s
+        self._record_confirmation()
         if revision >= self._pending_revision:
             self._pending_revision = 0
 
--- /dev/null
+++ b/tests/test_origin_proofs.py
@@ -0,0 +1,44 @@
+"""What proves that a stream of unknown origin began at the only version that a host sees."""
+
+import pytest
+
+from greengagestage.ids import AttemptId
+
+from .store_timeline import NEW, OLD, Timeline
+
+
+def release_at_once(timeline: Timeline) -> None:
+    """Let the new version's upstream join and the old one's drain."""
+    timeline.list_upstream(NEW)
+    timeline.list_upstream(OLD, "draining")
+
+
+def begin_at_new(timeline: Timeline, number: int) -> AttemptId:
+    """Begin a stream at the new version as soon as the host may."""
+    for _ in range(400):
+        stream = timeline.hosts[number].begin_stream()
+        if stream is not None and timeline.hosts[number].begun[stream] == NEW:
+            return stream
+        timeline.run(0.01)
+    raise AssertionError("no stream began at the new version")
+
+
+# Guards against text of two versions in one stream: the store has lost the entries of a release,
+# whose upstreams have not written them again, when a host reads them for the first time.
+@pytest.mark.parametrize("from_copy", [True, False])
+def test_a_list_that_its_writers_have_not_completed_proves_nothing(
+    monkeypatch: pytest.MonkeyPatch, from_copy: bool
+) -> None:
+    timeline = Timeline(monkeypatch)
+    timeline.cut.add(0)
+    release_at_once(timeline)
+    stream = begin_at_new(timeline, 1)
+    timeline.run(1.6)
+    timeline.take_down()
+    timeline.run(0.5)
+    timeline.bring_back(from_copy=from_copy, without=(NEW,))
+    timeline.cut.clear()
+    timeline.apart = True
+    for _ in range(30):
+        assert timeline.hosts[0].take_up(stream) in (None, NEW)
+        timeline.run(0.1)
