Restart the history of versions after a gap in a host's observation

What callers saw: nothing yet; found by a test. A host that is cut off for four seconds, while a server of a new version joins, begins a stream through another host and leaves, lets that stream go on at the old version.

Cause: the history of versions reached back to the host's start, whatever it had missed since.

Change: a gap in the confirmations of the registry, by reads or by reports of other hosts, restarts the history, and the table of versions is read again, as at a start. A report of another host is not learnt before that read, and a read that began before the gap's end is dropped: neither covers the gap. This also holds for a host that stood still with reports or an answer in its queues.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -234,6 +234,7 @@
             on_returned=self._pause_returned_upstream,
             on_report=lambda report: self._peers.report_registry(report),
             get_rank=lambda: self._peers.rank,
+            on_gap=lambda: self._versions.handle_gap(),
         )
 
     def _build_version_table(self, random: Random) -> VersionTable:
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -69,6 +69,7 @@
         on_returned: Handles an upstream that was removed in one era and is listed in another, just
             before that change.
         on_report: Handles each report of a read, to be sent to the other hosts.
+        on_gap: Called before the change when this host may have missed entries that came and went.
         get_rank: Returns this host's position among all hosts.
     """
 
@@ -83,6 +84,7 @@
         on_returned: Callable[[RegisteredUpstream], None],
         on_report: Callable[[RegistryReport], None],
         get_rank: Callable[[], int],
+        on_gap: Callable[[], None] = lambda: None,
     ) -> None:
         self._reactor = reactor
         self._rows = rows
@@ -92,6 +94,7 @@
         self._on_returned = on_returned
         self._on_report = on_report
         self._get_rank = get_rank
+        self._on_gap = on_gap
         self._evidence = CopyEvidence()
         self._retries = StoreRetries(first_s=RETRY_S, random=random)
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
@@ -182,6 +185,7 @@
         gap_s = self._evidence.detect_gap(read_boot_time_s())
         if gap_s is not None:
             log_message(message_type="registry: read after an outage", age_s=gap_s)
+            self._on_gap()
 
     def _record_confirmation(self) -> None:
         self._confirmed_s = self._reactor.seconds()
--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/_version_table.py
@@ -112,7 +112,8 @@
         self._get_rank = get_rank
         self._on_report = on_report
         self._task = RepeatingTask(reactor=reactor, name="versions", step=self._step)
-        self._was_read = False
+        self._was_read = False  # since the start, or the last gap in this host's observation
+        self._gaps = 0
         self._is_current = False  # False: the revisions of the rows are not known
         self._known: dict[ServiceName, _KnownRow] = {}
         self._due_s: dict[ServiceName, float] = {}
@@ -140,9 +141,22 @@
         """Compare the rows with the registry now, since it has changed."""
         self._task.run_within(0.0)
 
+    def handle_gap(self) -> None:
+        """Read the table again: versions may have come and gone that this host did not see."""
+        self._versions.history.restart(self._reactor.seconds())
+        self._gaps += 1
+        self._was_read = self._is_current = False
+        self._task.run_within(0.0)
+
     def receive_report(self, report: VersionsReport) -> None:
-        """Learn a row that another host has written."""
+        """Learn a row that another host has written.
+
+        A report that was sent before the end of a gap does not cover it, so that reports are
+        ignored until the table has been read.
+        """
         self._era.observe(report.era)
+        if not self._was_read:
+            return
         known = self._known.get(report.service)
         if not self._era.is_current(report.era) or (
             known is not None and known.revision >= report.revision
@@ -185,13 +199,17 @@
 
     @inlineCallbacks
     def _read(self) -> Any:
-        """Read the table; return whether that succeeded in the current era."""
+        """Read the table; return whether that succeeded in the current era and without a gap."""
+        gaps = self._gaps
         read = yield self._rows.read(VERSION_TABLE)
+        if gaps != self._gaps:
+            return False
         if not isinstance(read, RowsRead) or not self._era.is_current(read.era):
             reason = read.reason if isinstance(read, Unavailable) else "history lost or older era"
             log_message(message_type="versions: not read", reason=reason)
             return False
-        is_first, self._was_read, self._is_current = not self._was_read, True, True
+        is_first = not self._was_read and self._gaps == 0
+        self._was_read = self._is_current = True
         if is_first and self._first_start and not read.rows:
             self._versions.history.assume_first_start()
         self._adopt(read.rows, read.store_clock_ms / 1_000, settled=is_first)
@@ -242,9 +260,12 @@
             return bool(own.last_listed_s)
         if (self._read_registry_revision() or 0) < row.revision:
             return False  # the host that wrote the row may have read a newer registry
-        return own.listed != row.record.listed or (
-            not row.record.is_complete(now_s)
-            and row.record.complete_since_s - own.complete_since_s > MIN_EARLIER_S
+        return (
+            own.listed != row.record.listed
+            or (
+                not row.record.is_complete(now_s)
+                and row.record.complete_since_s - own.complete_since_s > MIN_EARLIER_S
+            )
         )
 
     def _compute_rank_delay_s(self) -> float:
--- a/greengagestage/routing/_software_versions.py
+++ b/greengagestage/routing/_software_versions.py
@@ -105,6 +105,12 @@
                     each.last_s = now_s
         self._forget(now_s)
 
+    def restart(self, now_s: float) -> None:
+        """Record that versions may have been listed and removed unseen until now."""
+        self._since_s = now_s
+        self._is_first_start = False
+        self._recorded_since_s.clear()
+
     def assume_first_start(self) -> None:
         """Take it as proven that no stream is older than this host's observation."""
         self._is_first_start = True
--- a/tests/store_timeline.py
+++ b/tests/store_timeline.py
@@ -218,6 +218,7 @@
                 number, lambda host: host.registry.receive_report(report)
             ),
             get_rank=lambda: number,
+            on_gap=lambda: self.table.handle_gap(),
         )
         self.table = VersionTable(
             reactor=timeline.clock,
--- a/tests/test_origin_proofs.py
+++ b/tests/test_origin_proofs.py
@@ -42,3 +42,22 @@
     for _ in range(30):
         assert timeline.hosts[0].take_up(stream) in (None, NEW)
         timeline.run(0.1)
+
+
+# Guards against a version that came and went while a host was cut off.
+@pytest.mark.parametrize("cut_s", [4.0, 8.0])
+def test_a_version_that_came_and_went_during_a_cut_still_counts(
+    monkeypatch: pytest.MonkeyPatch, cut_s: float
+) -> None:
+    timeline = Timeline(monkeypatch)
+    timeline.cut.add(0)
+    release_at_once(timeline)
+    stream = begin_at_new(timeline, 1)
+    timeline.remove_upstream(NEW)
+    timeline.list_upstream(OLD)
+    timeline.run(cut_s)
+    timeline.cut.clear()
+    timeline.apart = True
+    for _ in range(60):
+        assert timeline.hosts[0].take_up(stream) in (None, NEW)
+        timeline.run(0.1)
