Read the registry for a caller again once other hosts have confirmed the copy

What callers saw: after an outage of the store, a host that other hosts keep current refused every stream of unknown origin for as long as they did so.

Cause: a failed read makes further callers fail at once, until a read succeeds. A host that is told by others what they read makes no reads of its own.

Change: a confirmation by another host ends the failure, so that the next caller starts a read.

--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -189,6 +189,7 @@
 
     def _record_confirmation(self) -> None:
         self._confirmed_s = self._reactor.seconds()
+        self._is_failing = False
         self._evidence.record_confirmation(read_boot_time_s())
 
     @inlineCallbacks
--- a/tests/test_origin_proofs.py
+++ b/tests/test_origin_proofs.py
@@ -61,3 +61,30 @@
     for _ in range(60):
         assert timeline.hosts[0].take_up(stream) in (None, NEW)
         timeline.run(0.1)
+
+
+# Guards against refusals for longer than upstreams need to write their entries again.
+@pytest.mark.parametrize(("down_s", "from_copy"), [(0.5, True), (0.5, False), (4.0, False)])
+def test_streams_are_taken_up_again_soon_after_an_outage(
+    monkeypatch: pytest.MonkeyPatch, down_s: float, from_copy: bool
+) -> None:
+    timeline = Timeline(monkeypatch)
+    timeline.take_down()
+    timeline.run(down_s)
+    timeline.bring_back(from_copy=from_copy)
+    timeline.run(3.5)
+    assert {host.take_up(AttemptId("elsewhere")) for host in timeline.hosts.values()} == {OLD}
+
+
+# Guards against refusals of streams that their host can tell of, while no host can prove that it
+# has seen all versions: the store was away for long and has lost the row.
+def test_streams_of_running_hosts_are_taken_up_after_a_long_drill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeline = Timeline(monkeypatch)
+    stream = timeline.hosts[1].begin_stream()
+    timeline.take_down()
+    timeline.run(4.0)
+    timeline.bring_back(from_copy=True)
+    timeline.run(1.5)
+    assert timeline.hosts[0].take_up(stream) == OLD
