Add the versions to a row that its writer did not know

What callers saw: nothing yet; found by a test. After a restored copy of the store a host that had not seen a version may write the row first. The hosts that had seen it left the row as it was, so that a host that started then took the only version of the row for the origin of any stream.

Cause: a row was compared only by the versions that are listed now, not by those that were listed within the lifetime of streams.

Change: a row that lacks any recent version differs, and is written again. No write is added where a row is complete: a version that joins changes the listed ones anyway.

Evidence: test_hosts_add_what_a_row_of_a_new_era_lacks failed before.

--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/_version_table.py
@@ -262,6 +262,7 @@
             return False  # the host that wrote the row may have read a newer registry
         return (
             own.listed != row.record.listed
+            or bool(own.last_listed_s.keys() - row.record.last_listed_s.keys())
             or (
                 not row.record.is_complete(now_s)
                 and row.record.complete_since_s - own.complete_since_s > MIN_EARLIER_S
--- a/tests/test_version_table.py
+++ b/tests/test_version_table.py
@@ -104,6 +104,28 @@
     assert alone.find() == NEW
 
 
+# Guards against a row that lacks a version which only some hosts have seen: the host that writes
+# first in a new era was cut off while the version came and went.
+def test_hosts_add_what_a_row_of_a_new_era_lacks() -> None:
+    fleet = run_system(OLD)
+    copy = fleet.store.tables.copy()
+    cut_off = fleet.hosts.pop(0)
+    fleet.list(OLD, NEW)
+    fleet.run(7.0)
+    fleet.list(OLD)
+    fleet.run(1.0)
+    fleet.store.tables.restore(copy)
+    fleet.hosts.insert(0, cut_off)
+    for host in fleet.hosts:
+        host.era.observe(fleet.store.tables.era)
+    fleet.run(3.0)
+    (alone,) = fleet.start()
+    fleet.run(1.0)
+    assert alone.find("begun at v2") is None
+    fleet.run(30.0)
+    assert alone.find() == OLD
+
+
 # Guards against needless refusals: the row of a host that knew nothing is completed by the others.
 def test_hosts_complete_the_row_of_a_host_that_knows_less() -> None:
     fleet = run_system(OLD)
