Record a version before streams begin at it also where it is listed alone

A version that is listed alone got resumable streams before any host had recorded it. If all hosts were replaced then and the earlier version came back, the next hosts let those streams go on at the earlier one.

Cause: the router dropped the conditions for a new version as soon as no settled version was left.

Which upstreams may begin a stream is a module of its own; the router loses its lines.

--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -40,6 +40,7 @@
 from ._service_demand import ServiceDemand
 from ._slot_shares import divide_slots
 from ._software_versions import StreamVersions
+from ._stream_start import await_record, filter_beginnings
 from ._upstreams import UpstreamState
 
 NO_UPSTREAM_RETRY_S = 0.4
@@ -338,7 +339,7 @@
             version = job.began_at.software_version
             return [state for state in candidates if state.record.software_version == version]
         if job.route.resumable:
-            return [state for state in candidates if self._is_settled(state, now_s)] or candidates
+            return filter_beginnings(candidates, self.stream_versions, now_s)
         return candidates
 
     def _divide_slots(self, staying: list[UpstreamState]) -> dict[InstanceId, int]:
@@ -370,7 +371,8 @@
             return self._wait_for_room(job, now_s)
         candidates = self._list_candidates(job, roomy, tried, unreached, now_s)
         if service is None or not candidates:
-            return self._refuse_without_upstream(job, ready, now_s)
+            waiting = await_record(job, ready, self.stream_versions, now_s)
+            return waiting or self._refuse_without_upstream(job, ready, now_s)
         choice = self._chooser.choose(
             job,
             service,
@@ -526,11 +528,6 @@
         choice.state.add_request(job.attempt_id, request, prompt)
         choice.state.use_slot(self.hosts, now_s)
 
-    def _is_settled(self, state: UpstreamState, now_s: float) -> bool:
-        """Whether all hosts know the upstream's version, so that they can take up its streams."""
-        record = state.record
-        return self.stream_versions.is_settled(record.service, record.software_version, now_s)
-
     def _record_unreachable(self, state: UpstreamState, now_s: float) -> None:
         """Blame the upstream, or this host's links if these count as cut."""
         for instance in self.links.record_unreachable(state.record.instance, now_s):
--- a/greengagestage/routing/_software_versions.py
+++ b/greengagestage/routing/_software_versions.py
@@ -289,6 +289,27 @@
             return False
         return self.history.is_settled(service, version, now_s)
 
+    def list_beginnings(
+        self,
+        service: ServiceName,
+        serving: Collection[SoftwareVersion | None],
+        now_s: float,
+    ) -> Collection[SoftwareVersion | None]:
+        """Return the versions at which resumable streams may be begun, of those that serve.
+
+        Where none is settled, those that the store's record lacks wait for it as long as they would
+        take to settle: a host that starts could not know of their streams.
+        """
+        settled = {each for each in serving if self.is_settled(service, each, now_s)}
+        recorded = self._recorded.get(service)
+        if settled or recorded is None or not self.requires_record:
+            return settled or serving
+        return {
+            each
+            for each in serving
+            if each in recorded or self.history.is_settled(service, each, now_s)
+        }
+
     def find_origin(
         self,
         stream: AttemptId,
--- a/tests/store_timeline.py
+++ b/tests/store_timeline.py
@@ -12,7 +12,7 @@
 
 import msgspec
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
 from greengagestage.catalog import RegisteredUpstream
@@ -46,6 +46,7 @@
 
     Attributes:
         is_down: Whether the store is away.
+        takes_writes: Whether the store serves transactions.
         cut: Numbers of the hosts that reach neither the store nor each other.
         apart: Whether the hosts do not reach each other.
     """
@@ -57,6 +58,7 @@
             monkeypatch.setattr(module, "read_boot_time_s", self.clock.seconds, raising=False)
         self.tables = RowTables(revision=1)
         self.is_down = False
+        self.takes_writes = True
         self.cut: set[int] = set()
         self.apart = False
         self.listed: dict[str, str] = {}
@@ -130,7 +132,7 @@
     def send(self, sender: int, deliver: Callable[["TimelineHost"], None]) -> None:
         """Send a datagram to the other hosts."""
         for number, host in self.hosts.items():
-            if number != sender and self.are_connected(sender, number):
+            if number != sender and host.is_running and self.are_connected(sender, number):
                 self.clock.callLater(DATAGRAM_S, deliver, host)
 
 
@@ -153,6 +155,8 @@
 
     def transact(self, transaction: Transaction) -> Deferred[Any]:
         body = msgspec.json.encode(transaction)
+        if not self._timeline.takes_writes:
+            return succeed(Unavailable(reason="writes refused"))
         return self._call(
             lambda: self._timeline.tables.transact(body),
             lambda answer, sent_s: self._keep_clock(_interpret_write(answer), sent_s),
@@ -202,6 +206,7 @@
 
     def __init__(self, timeline: Timeline, number: int, *, first_start: bool) -> None:
         self.timeline, self.number = timeline, number
+        self.is_running = True
         self.upstreams: list[RegisteredUpstream] = []
         self.begun: dict[AttemptId, SoftwareVersion | None] = {}
         self.versions = StreamVersions()
@@ -246,6 +251,7 @@
 
     def stop(self) -> None:
         """Stop the host; its memory is lost."""
+        self.is_running = False
         self.registry.stop()
         self.table.stop()
 
@@ -253,25 +259,16 @@
         """Begin a stream where the host may; return its id, None if it may nowhere."""
         now_s = self.timeline.clock.seconds()
         ready = [each for each in self.upstreams if each.availability.name == "READY"]
-        allowed = self._list_beginnings(ready, now_s)
+        serving = {each.software_version for each in ready}
+        allowed = self.versions.list_beginnings(ENGINES, serving, now_s)
         if not allowed:
             return None
-        version = max(each.software_version or "" for each in allowed)
+        version = max(each or "" for each in allowed)
         stream = AttemptId(f"{self.number}-{len(self.begun)}-{now_s}")
         self.begun[stream] = SoftwareVersion(version)
         self.versions.origins.record_local(stream, StreamOrigin(software_version=version), now_s)
         return stream
 
-    def _list_beginnings(
-        self, ready: list[RegisteredUpstream], now_s: float
-    ) -> list[RegisteredUpstream]:
-        settled = [
-            each
-            for each in ready
-            if self.versions.is_settled(each.service, each.software_version, now_s)
-        ]
-        return settled or ready
-
     def take_up(self, stream: AttemptId) -> str | None:
         """Return the version at which the host lets a stream go on; None if it refuses."""
         found: list[StreamOrigin | None] = []
@@ -296,7 +293,7 @@
 
     def _share_streams(self) -> None:
         clock = self.timeline.clock
-        if self.timeline.hosts.get(self.number, self) is self:
+        if self.is_running:
             records = self.versions.take_reports(clock.seconds())
             if records:
                 self.timeline.send(
--- a/tests/test_origin_proofs.py
+++ b/tests/test_origin_proofs.py
@@ -63,6 +63,35 @@
         timeline.run(0.1)
 
 
+# Guards against a version that no row and no host remembers: it was listed alone, got streams at
+# once, and left while all hosts were replaced.
+def test_a_version_that_is_listed_alone_is_recorded_before_streams_begin(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeline = Timeline(monkeypatch)
+    timeline.cut.add(0)  # the host that would write at once
+    release_at_once(timeline)
+    stream = begin_at_new(timeline, 1)
+    timeline.cut.clear()
+    for host in timeline.hosts.values():
+        host.stop()
+    timeline.remove_upstream(NEW)
+    timeline.list_upstream(OLD)
+    timeline.start_host(0)
+    timeline.run(3.0)
+    assert timeline.hosts[0].take_up(stream) in (None, NEW)
+
+
+# Guards against streams that wait without end while the store takes no writes.
+def test_a_version_that_is_listed_alone_serves_soon_without_a_record(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeline = Timeline(monkeypatch)
+    timeline.takes_writes = False
+    release_at_once(timeline)
+    assert begin_at_new(timeline, 1)
+
+
 # Guards against refusals for longer than upstreams need to write their entries again.
 @pytest.mark.parametrize(("down_s", "from_copy"), [(0.5, True), (0.5, False), (4.0, False)])
 def test_streams_are_taken_up_again_soon_after_an_outage(
