Read the record of versions too before a stream of unknown origin goes on

What callers saw: nothing yet; found by a test and by exploring orders of events. A version that was listed between two reads of a host only, while no datagram of the other host arrived, began a stream that the first host let go on at the old version.

Cause: the proof rested on the registry and on what the host had seen of it. A list that is read after the caller came shows what is there, not what was there.

Change: the store's row of the service is read after the registry, for all callers that wait, and has to be of the current era. It contains each version at which a stream began, since streams begin at a version only once it is recorded. Callers who wait for a read are a class of their own, used by both watches.

Evidence: test_a_version_that_came_and_went_between_two_reads_still_counts failed before.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -9,7 +9,7 @@
 
 from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import ConnectionPool
-from greengagestage.ids import ClassName, InstanceId, WorkspaceId
+from greengagestage.ids import ClassName, InstanceId, ServiceName, WorkspaceId
 from greengagestage.results import ResultCode
 from greengagestage.routing import Job, Placement, Refused, Router, Waiting
 from greengagestage.telemetry import EntryMetrics
@@ -31,7 +31,8 @@
         link_watch: Follows the links to the upstreams.
         quarantine: Keeps requests from being sent that crash upstreams.
         notices: Records what upstreams state about further requests.
-        confirm_registry: Reads the list of upstreams; the result is whether that succeeded.
+        confirm_versions: Reads which versions of a service are, and were, listed; the result is
+            whether each version at which a stream began is known then.
         takes_requests: Returns whether the host is not in the later part of a shutdown.
         count_begun: Counts a request of a workspace that has begun to run, for usage reports.
         open_exchanges: All exchanges that have not delivered a final answer.
@@ -45,7 +46,7 @@
     quarantine: Quarantine
     notices: UpstreamNotices
     metrics: EntryMetrics
-    confirm_registry: Callable[[], Deferred[bool]]
+    confirm_versions: Callable[[ServiceName], Deferred[bool]]
     takes_requests: Callable[[], bool] = lambda: True
     count_begun: Callable[[WorkspaceId], None] = lambda workspace: None
     open_exchanges: set[Any] = field(default_factory=set)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -323,7 +323,7 @@
                 report_rejection=self._peers.report_rejection,
             ),
             metrics=self._metrics,
-            confirm_registry=lambda: self._registry.confirm(),
+            confirm_versions=self._confirm_versions,
             takes_requests=lambda: not self._configuration.refuses_requests,
             count_begun=self._count_begun,
         )
@@ -385,6 +385,11 @@
         self._router.update_upstreams(records, self._reactor.seconds())
         self._versions.check()
 
+    def _confirm_versions(self, service: ServiceName) -> Deferred[bool]:
+        return self._registry.confirm().addCallback(
+            lambda is_complete: self._versions.confirm(service) if is_complete else False
+        )
+
     def _pause_returned_upstream(self, upstream: RegisteredUpstream) -> None:
         self._router.record_pause(
             upstream.incarnation, RETURNED_ENTRY_PAUSE_S, self._reactor.seconds()
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -15,6 +15,7 @@
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, decode_upstream
 
+from ._confirmations import Confirmations
 from ._loops import RepeatingTask, add_jitter
 from ._peer_messages import RegistryReport
 from ._store_clock import read_boot_time_s
@@ -47,9 +48,6 @@
 RETRY_S = 0.2
 """Pause after the first failed call, with a jitter of 50%."""
 
-CONFIRMATION_TIMEOUT_S = 0.5
-"""Longest wait for a read that confirms the copy."""
-
 MAX_REMEMBERED_GONE = 1_024
 """Maximum number of removed entries that are remembered; the oldest ones are forgotten."""
 
@@ -100,7 +98,7 @@
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
         self._known: dict[InstanceId, RegisteredUpstream] = {}
         self._unreadable: dict[str, bytes] = {}
-        self._waiters: list[Deferred[bool]] = []
+        self._confirmations = Confirmations(reactor=reactor)
         self._is_failing = False
         self._confirmed_s: float | None = None  # monotonic time of the last confirmation
         self._pending_revision = 0
@@ -141,11 +139,8 @@
         """
         if self._is_failing or not self._evidence.is_complete(read_boot_time_s()):
             return succeed(False)
-        waiter: Deferred[bool] = Deferred()
-        waiter.addTimeout(CONFIRMATION_TIMEOUT_S, self._reactor, onTimeoutCancel=lambda *_: False)
-        self._waiters.append(waiter)
         self._task.run_within(0.0)
-        return waiter
+        return self._confirmations.wait()
 
     def receive_report(self, report: RegistryReport) -> None:
         """Apply another host's report, or schedule a read if it does not fit this host's copy."""
@@ -196,9 +191,9 @@
     def _step(self) -> Any:
         age_s = self.age_s
         is_due = age_s is None or age_s >= READ_INTERVAL_S
-        if age_s is not None and not (is_due or self._pending_revision or self._waiters):
+        if age_s is not None and not (is_due or self._pending_revision or self._confirmations):
             return READ_INTERVAL_S - age_s + self._compute_rank_delay_s()
-        waiters, self._waiters = self._waiters, []
+        waiters = self._confirmations.take()
         is_applied = False
         try:
             read = yield self._rows.read(REGISTRY_TABLE)
@@ -209,7 +204,7 @@
             is_complete = is_applied and self._evidence.is_complete(read_boot_time_s())
             for waiter in waiters:
                 waiter.callback(is_complete)
-        return 0.0 if self._waiters and not self._is_failing else delay_s
+        return 0.0 if self._confirmations and not self._is_failing else delay_s
 
     def _apply_read(self, read: Any) -> float:
         """Apply the result of a read, and return the pause before the next one."""
--- a/greengagestage/gateway/_stream_origins.py
+++ b/greengagestage/gateway/_stream_origins.py
@@ -18,8 +18,9 @@
     """The search for the origin of one stream, while its caller waits.
 
     Hosts tell each other where streams began while several versions serve. A stream that nobody
-    has told of began at the only version that serves, if the registry shows just one after the
-    caller has come: its stream cannot have begun at a server that was listed later.
+    has told of began at the only version that serves, if the registry and the store's record of
+    versions show just one after the caller has come: its stream cannot have begun at a server that
+    was listed later.
 
     Args:
         metadata: Headers of the request that takes up the stream.
@@ -52,14 +53,14 @@
         return self._metadata.attempt_id
 
     def start(self) -> None:
-        """Search among the streams that are known, and otherwise read the registry."""
+        """Search among the streams that are known, and otherwise read the store."""
         origin = self._find(is_confirmed=False)
         if origin is not None:
             self._end(origin, is_confirmed=False)
             return
         self._responder.listener = self
         self._context.open_exchanges.add(self)
-        confirmed: Deferred[bool] = self._context.confirm_registry()
+        confirmed: Deferred[bool] = self._context.confirm_versions(self._service)
         confirmed.addCallback(self._handle_confirmation)
         confirmed.addErrback(lambda failure: log_unexpected_failure("stream origin", failure))
 
--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/_version_table.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from eliot import log_message
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 
 from greengagestage.ids import ServiceName, SoftwareVersion
 from greengagestage.outcomes import Unavailable
@@ -28,6 +28,7 @@
 )
 from greengagestage.routing import StreamVersions, VersionRecord
 
+from ._confirmations import Confirmations
 from ._loops import RepeatingTask, add_jitter
 from ._peer_messages import VersionsReport
 from ._store_clock import read_boot_time_s
@@ -114,6 +115,7 @@
         self._task = RepeatingTask(reactor=reactor, name="versions", step=self._step)
         self._was_read = False  # since the start, or the last gap in this host's observation
         self._gaps = 0
+        self._confirmations = Confirmations(reactor=reactor)
         self._is_current = False  # False: the revisions of the rows are not known
         self._known: dict[ServiceName, _KnownRow] = {}
         self._due_s: dict[ServiceName, float] = {}
@@ -141,6 +143,20 @@
         """Compare the rows with the registry now, since it has changed."""
         self._task.run_within(0.0)
 
+    def confirm(self, service: ServiceName) -> Deferred[bool]:
+        """Read the table now; the result is whether that shows a service's row of this era.
+
+        The row contains each version at which a stream began, also one that was listed and removed
+        between two reads of the registry.
+        """
+        self._task.run_within(0.0)
+        read = self._confirmations.wait()
+        return read.addCallback(lambda was_read: was_read and self._has_record(service))
+
+    def _has_record(self, service: ServiceName) -> bool:
+        row = self._known.get(service)
+        return row is not None and row.record is not None
+
     def handle_gap(self) -> None:
         """Read the table again: versions may have come and gone that this host did not see."""
         self._versions.history.restart(self._reactor.seconds())
@@ -176,8 +192,16 @@
         if self._read_registry_revision() is None:
             return REGISTRY_WAIT_S
         self._versions.history.begin(self._reactor.seconds())
-        if not self._was_read and not (yield self._read()):
-            return add_jitter(RETRY_S, self._random)
+        waiters = self._confirmations.take()
+        if waiters or not self._was_read:
+            was_read = False
+            try:
+                was_read = yield self._read()
+            finally:
+                for waiter in waiters:
+                    waiter.callback(was_read)
+            if not was_read:
+                return add_jitter(RETRY_S, self._random)
         due = self._list_due(self._reactor.seconds())
         if not due:
             return self._compute_pause_s()
@@ -192,6 +216,8 @@
 
     def _compute_pause_s(self) -> float:
         now_s: float = self._reactor.seconds()
+        if self._confirmations:
+            return 0.0
         next_s = min(self._due_s.values(), default=now_s + CHECK_INTERVAL_S)
         return min(max(next_s - now_s, 0.01), CHECK_INTERVAL_S)
 
--- a/greengagestage/routing/_software_versions.py
+++ b/greengagestage/routing/_software_versions.py
@@ -321,9 +321,9 @@
         """Return where a stream began; None if this host cannot tell.
 
         Args:
-            is_confirmed: Whether this host's copy of the registry was read after the caller's
-                request had come. An older copy does not prove that only one version serves: the
-                stream may have begun at another one since.
+            is_confirmed: Whether the registry and the record of versions were read after the
+                caller's request had come. An older copy does not prove that only one version
+                serves: the stream may have begun at another one since.
         """
         origin = self.origins.find(stream, now_s)
         if origin is not None:
--- a/tests/store_timeline.py
+++ b/tests/store_timeline.py
@@ -242,7 +242,9 @@
         self._context: Any = SimpleNamespace(
             reactor=timeline.clock,
             router=SimpleNamespace(stream_versions=self.versions),
-            confirm_registry=self.registry.confirm,
+            confirm_versions=lambda service: self.registry.confirm().addCallback(
+                lambda is_complete: self.table.confirm(service) if is_complete else False
+            ),
             open_exchanges=set(),
         )
         self.registry.start()
--- a/tests/test_origin_proofs.py
+++ b/tests/test_origin_proofs.py
@@ -82,6 +82,29 @@
     assert timeline.hosts[0].take_up(stream) in (None, NEW)
 
 
+# Guards against a version that was listed between two reads of a host only: the other host has
+# begun a stream at it, and no datagram of that host has arrived.
+def test_a_version_that_came_and_went_between_two_reads_still_counts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeline = Timeline(monkeypatch)
+    timeline.apart = True
+    begun: list[AttemptId] = []
+    for _ in range(20):
+        release_at_once(timeline)
+        for _ in range(20):
+            timeline.run(0.02)
+            stream = timeline.hosts[1].begin_stream()
+            if stream is not None and timeline.hosts[1].begun[stream] == NEW:
+                begun.append(stream)
+                break
+        timeline.remove_upstream(NEW)
+        timeline.list_upstream(OLD)
+        assert {timeline.hosts[0].take_up(stream) for stream in begun} <= {None, NEW}
+        timeline.run(0.3)
+    assert begun
+
+
 # Guards against streams that wait without end while the store takes no writes.
 def test_a_version_that_is_listed_alone_serves_soon_without_a_record(
     monkeypatch: pytest.MonkeyPatch,
