Record a version before streams begin at it also at the start of a host

What callers saw: nothing yet; found by exploring orders of events. Hosts that start begin streams at any version that they see, recorded or not. If they are replaced and the version has left, the next hosts take another for the origin.

Cause: a host that has not read the record, or found none of this era, took that for a reason to begin at once.

Change: it waits like the others, a version's settling time (2.5 s) at most. Only where the first reads of the record fail do streams begin without one, as before.

Evidence: test_a_version_is_recorded_before_streams_begin_after_a_start failed before.

--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/_version_table.py
@@ -233,7 +233,10 @@
         if not isinstance(read, RowsRead) or not self._era.is_current(read.era):
             reason = read.reason if isinstance(read, Unavailable) else "history lost or older era"
             log_message(message_type="versions: not read", reason=reason)
+            if not self._known:
+                self._versions.requires_record = False  # a record may not come for long
             return False
+        self._versions.requires_record = True
         is_first = not self._was_read and self._gaps == 0
         self._was_read = self._is_current = True
         if is_first and self._first_start and not read.rows:
--- a/greengagestage/routing/_software_versions.py
+++ b/greengagestage/routing/_software_versions.py
@@ -301,9 +301,9 @@
         take to settle: a host that starts could not know of their streams.
         """
         settled = {each for each in serving if self.is_settled(service, each, now_s)}
-        recorded = self._recorded.get(service)
-        if settled or recorded is None or not self.requires_record:
+        if settled or not self.requires_record:
             return settled or serving
+        recorded = self._recorded.get(service, ())
         return {
             each
             for each in serving
--- a/tests/test_origin_proofs.py
+++ b/tests/test_origin_proofs.py
@@ -4,6 +4,7 @@
 
 from greengagestage.ids import AttemptId
 
+from .catalog_builders import ENGINES
 from .store_timeline import NEW, OLD, Timeline
 
 
@@ -82,6 +83,22 @@
     assert timeline.hosts[0].take_up(stream) in (None, NEW)
 
 
+# Guards against the same at hosts that have not yet read which versions are recorded.
+def test_a_version_is_recorded_before_streams_begin_after_a_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeline = Timeline(monkeypatch)
+    release_at_once(timeline)
+    timeline.run(0.1)
+    timeline.tables.remove("greengagestage-versions", ENGINES)
+    for number in (0, 1):
+        timeline.start_host(number)
+    timeline.run(0.4)
+    assert not any(host.begin_stream() for host in timeline.hosts.values())
+    timeline.run(2.0)
+    assert all(host.begin_stream() for host in timeline.hosts.values())
+
+
 # Guards against a version that was listed between two reads of a host only: the other host has
 # begun a stream at it, and no datagram of that host has arrived.
 def test_a_version_that_came_and_went_between_two_reads_still_counts(
