Begin streams at once where the store has no record of a service

Change: a host waits for the first read of the table, and for the record where the table has one that lacks the version.

--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/_version_table.py
@@ -237,6 +237,7 @@
                 self._versions.requires_record = False  # a record may not come for long
             return False
         self._versions.requires_record = True
+        self._versions.record_was_read = True
         is_first = not self._was_read and self._gaps == 0
         self._was_read = self._is_current = True
         if is_first and self._first_start and not read.rows:
--- a/greengagestage/routing/_software_versions.py
+++ b/greengagestage/routing/_software_versions.py
@@ -263,12 +263,15 @@
     Attributes:
         requires_record: Whether resumable streams are begun at a new version only once it is
             recorded in the store, if others serve.
+        record_was_read: Whether the store has shown which services have a record. Without a record
+            no host can tell where a stream began, so that none takes one up wrongly.
     """
 
     def __init__(self) -> None:
         self.history = VersionHistory()
         self.origins = StreamOrigins()
         self.requires_record = False
+        self.record_was_read = False
         self._recorded: dict[ServiceName, Collection[SoftwareVersion | None]] = {}
 
     def set_recorded(
@@ -301,9 +304,9 @@
         take to settle: a host that starts could not know of their streams.
         """
         settled = {each for each in serving if self.is_settled(service, each, now_s)}
-        if settled or not self.requires_record:
+        recorded = self._recorded.get(service, None if self.record_was_read else ())
+        if settled or recorded is None or not self.requires_record:
             return settled or serving
-        recorded = self._recorded.get(service, ())
         return {
             each
             for each in serving
