Take no configuration for the newest at a start until the store's era has lasted

A running host waits 2.3 s in a new era until writers have repeated what was lost; for a host that starts, the first era that it saw counted as proven. A configuration that was never confirmed also counted as fresh, since its age was None.

Change: a host that starts waits in the same way, and is not ready. So that each restart does not cost 2.3 s, a row in a table of its own says since when the current era is known; the first host of an era writes it, and a host that starts reads it once. Both watches use CopyEvidence now. FirstStart=true needs no wait.

Evidence: test_a_host_that_starts_after_a_loss_accepts_no_key_before_writes_are_ repeated failed before (200), test_hosts_that_start_in_a_known_era_accept_keys_at_ once as well, since the row was missing. The harness of fleets has a row of the era, as in a system that has run for a while.

--- a/greengagestage/evidence/_copies.py
+++ b/greengagestage/evidence/_copies.py
@@ -24,10 +24,14 @@
         self._confirmed_s: float | None = None
         self._complete_from_s = 0.0
 
-    def begin_era(self, now_s: float) -> None:
-        """Record that the store may have lost its newest writes."""
+    def await_rewrites(self, now_s: float) -> None:
+        """Record that the store may have lost its newest writes, as in a new era."""
         self._complete_from_s = now_s + REWRITE_S
 
+    def record_era(self, known_s: float) -> None:
+        """Record that the current era had begun at a time in the past."""
+        self._complete_from_s = min(self._complete_from_s, known_s + REWRITE_S)
+
     def record_failure(self, now_s: float) -> None:
         """Record that the store could not be reached, perhaps by its writers neither."""
         if not self.is_complete(now_s):
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -28,6 +28,7 @@
 
 from ._context import ExchangeContext
 from ._crash_watch import CrashWatch
+from ._era_table import EraTable
 from ._forwarding import ForwardingHandler
 from ._host_list import HostList, HostRow
 from ._link_watch import LinkWatch
@@ -84,6 +85,13 @@
         self._era = StoreEra()
         self._rows = self._build_row_client()
         self._routes = self._build_route_watch(random)
+        self._eras = EraTable(
+            reactor=reactor,
+            rows=self._rows,
+            era=self._era,
+            random=random,
+            on_known=self._routes.learn_era,
+        )
         self._registry = self._build_registry_watch(random)
         self._versions = self._build_version_table(random)
         self._peers = self._build_peers(incarnation, random)
@@ -136,6 +144,7 @@
         self._tasks = (
             *duties,
             self._routes,
+            self._eras,
             self._registry,
             self._versions,
             self._hosts,
@@ -222,6 +231,7 @@
                 report, changed=changed
             ),
             get_rank=lambda: self._peers.rank,
+            first_start=self._settings.first_start,
         )
 
     def _build_registry_watch(self, random: Random) -> RegistryWatch:
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -158,7 +158,7 @@
     def _begin_era(self) -> None:
         """Forget what the revisions meant, and keep the entries that the store may have lost."""
         self._revision = self._pending_revision = 0
-        self._evidence.begin_era(read_boot_time_s())
+        self._evidence.await_rewrites(read_boot_time_s())
 
     def _apply_report(self, report: RegistryReport) -> bool:
         """Apply changes that are based on this host's copy; return whether they were applied."""
--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/_route_watch.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from greengagestage.catalog import RouteTable
+from greengagestage.evidence import CopyEvidence
 from greengagestage.ids import ConfigurationVersion
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import (
@@ -25,7 +26,7 @@
 from ._loops import RepeatingTask, add_jitter
 from ._peer_messages import ConfigurationReport
 from ._store_clock import StoreClock, read_boot_time_s
-from ._store_era import REWRITE_S, StoreEra
+from ._store_era import StoreEra
 from ._store_retries import StoreRetries
 
 WATCHING_HOSTS = 2
@@ -67,7 +68,8 @@
     the operator's, and keeps its order in all eras: what the store has lost, the operator writes
     again under the same version. Until then the store shows an older version, which is neither
     adopted nor taken as proof that the adopted one is the newest. The same holds at the beginning
-    of an era whatever the store shows, since it may have lost a version that this host never saw.
+    of an era whatever the store shows, since it may have lost a version that this host never saw,
+    and at the start of a host until it knows how long the era has lasted.
     Only where the store shows the adopted version with another content, first in a new era, the
     operator has used its number again and the content is adopted.
 
@@ -76,6 +78,7 @@
         on_report: Handles a report of what the store shows, to be sent to the other hosts, and
             whether its revision was not reported before.
         get_rank: Returns this host's position among all hosts.
+        first_start: Whether the whole system starts, so that the store has lost nothing before.
     """
 
     def __init__(
@@ -88,7 +91,9 @@
         on_table: Callable[[RouteTable], None],
         on_report: Callable[[ConfigurationReport, bool], None],
         get_rank: Callable[[], int],
+        first_start: bool = False,
     ) -> None:
+        self._first_start = first_start
         self._rows = rows
         self._era = era
         self._random = random
@@ -111,13 +116,16 @@
         self._pending_row_revision = 0
         self._observed_s: float | None = None  # when the store last showed the known row
         self._confirmed_s: float | None = None  # when the adopted version was last the newest
-        self._unproven_until_s = 0.0
+        self._read_s: float | None = None  # the same for this host's own reads
+        self._evidence = CopyEvidence()
         self._reachable = True
         self._history_lost = False  # the last watch was refused for lack of history
         era.add_listener(self._begin_era)
 
     def start(self) -> None:
         """Start watching."""
+        if not self._first_start:
+            self._evidence.await_rewrites(read_boot_time_s())
         self._task.start()
 
     def stop(self) -> None:
@@ -152,6 +160,12 @@
             )
             self._record_observation(seen_s or 0.0, confirms=report.confirms)
 
+    def learn_era(self, known_s: float) -> None:
+        """Record that the store's current era had begun at a boot time, in seconds."""
+        self._evidence.record_era(known_s)
+        if self._read_s is not None:
+            self._record_observation(self._read_s, confirms=True)
+
     def _begin_era(self) -> None:
         """Forget what the store's revisions and clock meant, and read the whole table again."""
         self._clock = StoreClock()
@@ -159,13 +173,10 @@
         self._row_version = -1
         self._row_revision = self._reported_row_revision = self._pending_row_revision = 0
         self._adopted_in_era = False
-        self._await_rewrites()
+        self._read_s = None
+        self._evidence.await_rewrites(read_boot_time_s())
         self._task.run_within(MAX_CHANGE_JITTER_S * self._random.random())
 
-    def _await_rewrites(self) -> None:
-        """Take nothing as confirmed until the operator has had time to repeat lost writes."""
-        self._unproven_until_s = read_boot_time_s() + REWRITE_S
-
     @inlineCallbacks
     def _step(self) -> Any:
         pause_s = self._compute_pause_s()
@@ -203,8 +214,7 @@
                 return add_jitter(RETRY_S, self._random) if lost_again else 0.0
             case Unavailable(reason=reason):
                 self._set_reachable(False, reason)
-                if read_boot_time_s() < self._unproven_until_s:
-                    self._await_rewrites()  # the operator cannot reach the store either
+                self._evidence.record_failure(read_boot_time_s())
                 return self._retries.record_failure(
                     rank=self._get_rank(), age_s=self.observed_age_s
                 )
@@ -237,6 +247,7 @@
         seen_s = self._clock.record_answer_time(
             sent_s=sent_s, received_s=read_boot_time_s(), store_s=store_s
         )
+        self._read_s = seen_s
         self._report(store_s, confirms=self._record_observation(seen_s, confirms=True))
 
     def _record_observation(self, seen_s: float, *, confirms: bool) -> bool:
@@ -247,7 +258,7 @@
         """
         self._observed_s = max(self._observed_s or 0.0, seen_s)
         is_newest = self._row_version >= self._known_version
-        if not confirms or not is_newest or seen_s < self._unproven_until_s:
+        if not confirms or not is_newest or not self._evidence.is_complete(seen_s):
             return False
         self._confirmed_s = max(self._confirmed_s or 0.0, seen_s)
         return True
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -57,14 +57,14 @@
 
     @property
     def is_stale(self) -> bool:
-        """Whether the last confirmation is too old for keys to be accepted.
+        """Whether the last confirmation is too old for keys to be accepted, or none is known.
 
         A key may have been revoked at any time since then.
         """
         age_s = self.read_age_s()
-        if self.key_revocation_s is None or age_s is None:
+        if self.key_revocation_s is None:
             return False
-        return age_s > self.key_revocation_s - REVOCATION_MARGIN_S
+        return age_s is None or age_s > self.key_revocation_s - REVOCATION_MARGIN_S
 
 
 class CallerRequestHandler:
--- a/greengagestage/gateway/_store_era.py
+++ b/greengagestage/gateway/_store_era.py
@@ -4,10 +4,6 @@
 
 from eliot import log_message
 
-REWRITE_S = 2.3
-"""Time after the start of an era in which its writers may not have repeated lost writes yet. They
-do so within about two seconds of the store's return."""
-
 
 class StoreEra:
     """The newest era that this host knows, from the store's answers and from other hosts.
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -262,6 +262,8 @@
         self._ports: list[Any] = []
         self.store_port = self._listen(self.store)
         self.store.put("op", "config", build_document())
+        # As in a system that has run for a while.
+        self.store.put("greengagestage-eras", "current", b'{"era": 1, "known_ms": -60000}')
 
     def add_upstream(
         self, name: str, *, service: str = "archive", behavior: Behavior = serve
--- a/tests/test_boundary_decoders.py
+++ b/tests/test_boundary_decoders.py
@@ -13,6 +13,7 @@
 import greengagestage
 from greengagestage.decoding import decode_json
 from greengagestage.duties._lease import decode_lease
+from greengagestage.gateway._era_table import decode_known_ms
 from greengagestage.gateway._host_list import HostRow
 from greengagestage.gateway._peer_messages import (
     PROTOCOL_VERSION,
@@ -44,6 +45,7 @@
 DECODERS: dict[str, Callable[[bytes], object]] = {
     "duties/_lease.py": decode_lease,
     "duties/_lease_keeper.py": lambda data: decode_json(data, dict[str, int]),
+    "gateway/_era_table.py": lambda data: decode_known_ms(data, era=1),
     "gateway/_host_list.py": lambda data: decode_json(data, HostRow),
     "gateway/_peer_messages.py": decode_message,
     "gateway/_version_rows.py": lambda data: decode_row(data, era=1, now_s=0.0, store_s=0.0),
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -197,6 +197,39 @@
     assert fleet.ask_readiness() == 200
 
 
+# Guards against a key that a lost version had taken away, at a host that starts before the operator
+# has written that version again.
+def test_a_host_that_starts_after_a_loss_accepts_no_key_before_writes_are_repeated(
+    fleet: HostFleet,
+) -> None:
+    start(fleet)
+    copy = fleet.store.take_copy()
+    adopt(fleet, 2, **OTHER_KEY)
+    fleet.store.restore(copy)
+    process = fleet.start_host("host-2", address="127.0.0.2")
+    fleet.run_until(lambda: process._routes._adopted_version == 1)
+    for _ in range(4):
+        assert request(fleet) == (503, 2017)
+        assert fleet.ask_readiness() == 503
+        fleet.run_for(0.4)
+    fleet.store.put("op", "config", build_document(2, **OTHER_KEY))
+    fleet.run_for(1.8)
+    assert request(fleet) == (401, 1015)
+    assert request(fleet, key="other") == (200, 0)
+
+
+# Guards against hosts that refuse keys after each restart: all hosts are replaced at once.
+def test_hosts_that_start_in_a_known_era_accept_keys_at_once(fleet: HostFleet) -> None:
+    fleet.store.remove("greengagestage-eras", "current")
+    start(fleet)
+    assert fleet.store.list_keys("greengagestage-eras") == ["current"]
+    fleet.processes.pop()._close(None)
+    began_s = fleet.reactor.seconds()
+    start(fleet)
+    assert request(fleet) == (200, 0)
+    assert fleet.reactor.seconds() - began_s < 1.0
+
+
 def test_a_version_number_used_again_replaces_the_lost_content(fleet: HostFleet) -> None:
     start(fleet)
     lose_version(fleet, 2, **ONLY_LOOKUP)
