Drop an upstream that left during a host's own cut once other hosts show that

A host keeps missing entries for 2.3 s after a gap, since they may have expired in an outage; it could not tell that from a cut of its own, counted from its first read, and dropped them with the read after that time only.

Change: the report of a read says whether the sender vouches that missing entries are gone: it has no gap, no new era and no start within 2.3 s (a trailing field; older builds do not vouch). A host whose last read agrees with such a report drops what it had kept. Otherwise it reads the registry as soon as the time has passed.

--- a/greengagestage/evidence/_copies.py
+++ b/greengagestage/evidence/_copies.py
@@ -21,6 +21,7 @@
     """
 
     def __init__(self) -> None:
+        self._watched_from_s: float | None = None
         self._confirmed_s: float | None = None
         self._complete_from_s = 0.0
 
@@ -49,8 +50,15 @@
 
     def record_confirmation(self, now_s: float) -> None:
         """Record that the copy is known to be current."""
+        if self._watched_from_s is None:
+            self._watched_from_s = now_s + REWRITE_S
         self._confirmed_s = now_s
 
     def is_complete(self, shown_s: float) -> bool:
         """Whether each row that is in force was in the table if it was read at that time."""
         return shown_s >= self._complete_from_s
+
+    def can_vouch(self, now_s: float) -> bool:
+        """Whether other hosts may rely on this copy to tell a cut of their own from an outage."""
+        watched_from_s = self._watched_from_s
+        return self.is_complete(now_s) and watched_from_s is not None and now_s >= watched_from_s
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -275,6 +275,8 @@
         listed: Entries that are new, or changed in one of the compared fields.
         dropped: Entries that were removed.
         era: The store's era at the time of the read; None if the store does not state it.
+        is_complete: Whether an entry that is missing is gone, as far as the sender knows: neither
+            an outage nor the start of the sender lies just before the read.
     """
 
     digest: int
@@ -283,6 +285,7 @@
     listed: list[RegisteredUpstream] = []
     dropped: list[InstanceId] = []
     era: int | None = None
+    is_complete: bool = False
 
 
 class ConfigurationReport(Struct, frozen=True, array_like=True, tag="configuration"):
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -6,11 +6,12 @@
 
 import xxhash
 from eliot import log_message
+from msgspec.structs import replace
 from returns.result import Success
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
 from greengagestage.catalog import RegisteredUpstream
-from greengagestage.evidence import CopyEvidence
+from greengagestage.evidence import REWRITE_S, CopyEvidence
 from greengagestage.ids import Incarnation, InstanceId
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, decode_upstream
@@ -97,6 +98,8 @@
         self._retries = StoreRetries(first_s=RETRY_S, random=random)
         self._task = RepeatingTask(reactor=reactor, name="registry", step=self._step)
         self._known: dict[InstanceId, RegisteredUpstream] = {}
+        self._listed: dict[InstanceId, RegisteredUpstream] | None = None  # without retained ones
+        self._retention: Any = None
         self._unreadable: dict[str, bytes] = {}
         self._confirmations = Confirmations(reactor=reactor)
         self._is_failing = False
@@ -114,6 +117,8 @@
     def stop(self) -> None:
         """Stop the periodic reads."""
         self._task.stop()
+        if self._retention is not None and self._retention.active():
+            self._retention.cancel()
 
     @property
     def is_loaded(self) -> bool:
@@ -147,6 +152,9 @@
         self._era.observe(report.era)
         if not self.is_loaded or not self._era.is_current(report.era):
             return
+        listed = self._listed
+        if report.is_complete and listed and report.digest == _hash_registry(listed.values()):
+            self._drop_retained()
         if report.digest == self._digest:
             self._handle_gap()
             self._record_confirmation()
@@ -158,6 +166,7 @@
     def _begin_era(self) -> None:
         """Forget what the revisions meant, and keep the entries that the store may have lost."""
         self._revision = self._pending_revision = 0
+        self._listed = None
         self._evidence.await_rewrites(read_boot_time_s())
 
     def _apply_report(self, report: RegistryReport) -> bool:
@@ -173,6 +182,7 @@
         self._handle_gap()
         self._record_confirmation()
         self._revision = report.revision
+        self._listed = None
         self._replace(upstreams)
         return True
 
@@ -236,19 +246,48 @@
             log_message(message_type="registry: old read dropped", revision=revision)
             return
         upstreams = self._decode(rows)
+        self._listed = None
         if not self._evidence.is_complete(read_boot_time_s()):
-            present = {row.key for row in rows}
-            retained = {
-                key: upstream for key, upstream in self._known.items() if key not in present
-            }
-            upstreams = {**retained, **upstreams}
+            upstreams = self._retain_missing(upstreams, {row.key for row in rows})
         known = self._known
         self._replace(upstreams)
         self._revision = revision
         self._confirm(revision)
-        for report in build_registry_reports(known, upstreams, revision, era=self._era.number):
+        is_complete = self._evidence.can_vouch(read_boot_time_s())
+        for report in build_registry_reports(
+            known, upstreams, revision, era=self._era.number, is_complete=is_complete
+        ):
             self._on_report(report)
 
+    def _retain_missing(
+        self, listed: dict[InstanceId, RegisteredUpstream], present: set[str]
+    ) -> dict[InstanceId, RegisteredUpstream]:
+        """Add the known entries that may be missing only until their upstreams write them again.
+
+        They are kept until then, or until another host shows that they are gone: what this host
+        takes for an outage of the store was a cut of its own.
+
+        Args:
+            present: Keys of all entries that were read, also of unreadable ones.
+        """
+        retained = {key: each for key, each in self._known.items() if key not in present}
+        if not retained:
+            return listed
+        self._listed = listed
+        if self._retention is None or not self._retention.active():
+            self._retention = self._reactor.callLater(REWRITE_S, self._end_retention)
+        return {**retained, **listed}
+
+    def _end_retention(self) -> None:
+        """Read the registry now: the entries may have been written again since the last read."""
+        if self._listed is not None:
+            self.confirm()
+
+    def _drop_retained(self) -> None:
+        listed, self._listed = self._listed, None
+        if listed is not None:
+            self._replace(listed)
+
     def _confirm(self, revision: int) -> None:
         """Record that all of a read has been applied, or that the copy is newer."""
         self._record_confirmation()
@@ -313,11 +352,15 @@
     revision: int,
     *,
     era: int | None = None,
+    is_complete: bool = False,
 ) -> list[RegistryReport]:
     """Return the reports of a read for the other hosts.
 
     The change is split into several reports. If no hashed field changed, or too many entries, a
     single report without entries is returned.
+
+    Args:
+        is_complete: Whether entries that are missing after the whole change are gone.
     """
     listed = [
         upstream
@@ -333,7 +376,8 @@
         or len(dropped) > MAX_REPORTED_ENTRIES
         or not (batches or dropped)
     ):
-        return [RegistryReport(_hash_registry(after.values()), revision, era=era)]
+        digest = _hash_registry(after.values())
+        return [RegistryReport(digest, revision, era=era, is_complete=is_complete)]
     reports = []
     current = {key: upstream for key, upstream in before.items() if key not in dropped}
     digest, removed = _hash_registry(before.values()), dropped
@@ -342,6 +386,7 @@
         previous_digest, digest = digest, _hash_registry(current.values())
         reports.append(RegistryReport(digest, revision, previous_digest, batch, removed, era))
         removed = []
+    reports[-1] = replace(reports[-1], is_complete=is_complete)
     return reports
 
 
