--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -85,13 +85,7 @@
         self._era = StoreEra()
         self._rows = self._build_row_client()
         self._routes = self._build_route_watch(random)
-        self._eras = EraTable(
-            reactor=reactor,
-            rows=self._rows,
-            era=self._era,
-            random=random,
-            on_known=self._routes.learn_era,
-        )
+        self._eras = self._build_era_table(random)
         self._registry = self._build_registry_watch(random)
         self._versions = self._build_version_table(random)
         self._peers = self._build_peers(incarnation, random)
@@ -234,6 +228,15 @@
             first_start=self._settings.first_start,
         )
 
+    def _build_era_table(self, random: Random) -> EraTable:
+        return EraTable(
+            reactor=self._reactor,
+            rows=self._rows,
+            era=self._era,
+            random=random,
+            on_known=self._routes.learn_era,
+        )
+
     def _build_registry_watch(self, random: Random) -> RegistryWatch:
         return RegistryWatch(
             reactor=self._reactor,
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -269,7 +269,7 @@
 
     Attributes:
         digest: Hash of the entries after the changes below. It covers the fields by which hosts
-            compare their copies; see ``_list_hashed_fields``.
+            compare their copies; see ``hash_registry``.
         revision: The store's revision at the time of the read.
         before: The same hash before the changes below; None if the report contains no changes.
         listed: Entries that are new, or changed in one of the compared fields.
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -1,12 +1,10 @@
 """Periodic reads of the registry of upstreams, shared between hosts."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
 
-import xxhash
 from eliot import log_message
-from msgspec.structs import replace
 from returns.result import Success
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
@@ -19,6 +17,7 @@
 from ._confirmations import Confirmations
 from ._loops import RepeatingTask, add_jitter
 from ._peer_messages import RegistryReport
+from ._registry_reports import build_registry_reports, hash_registry
 from ._store_clock import read_boot_time_s
 from ._store_era import StoreEra
 from ._store_retries import StoreRetries
@@ -41,11 +40,6 @@
 """Hosts that are told of a change without its entries read it after a random delay up to this, so
 that they do not all read at once."""
 
-ENTRIES_PER_REPORT = 4
-MAX_REPORTED_ENTRIES = 24
-"""Maximum number of changed entries in one datagram, where each takes about 220 bytes, and in one
-change. After a larger change every host reads the registry itself."""
-
 RETRY_S = 0.2
 """Pause after the first failed call, with a jitter of 50%."""
 
@@ -106,7 +100,7 @@
         self._confirmed_s: float | None = None  # monotonic time of the last confirmation
         self._pending_revision = 0
         self._revision = 0
-        self._digest = _hash_registry(())
+        self._digest = hash_registry(())
         self._gone: dict[Incarnation, int | None] = {}  # era in which each one was removed
         era.add_listener(self._begin_era)
 
@@ -153,7 +147,7 @@
         if not self.is_loaded or not self._era.is_current(report.era):
             return
         listed = self._listed
-        if report.is_complete and listed and report.digest == _hash_registry(listed.values()):
+        if report.is_complete and listed and report.digest == hash_registry(listed.values()):
             self._drop_retained()
         if report.digest == self._digest:
             self._handle_gap()
@@ -177,7 +171,7 @@
             key: upstream for key, upstream in self._known.items() if key not in report.dropped
         }
         upstreams.update({upstream.instance: upstream for upstream in report.listed})
-        if _hash_registry(upstreams.values()) != report.digest:
+        if hash_registry(upstreams.values()) != report.digest:
             return False
         self._handle_gap()
         self._record_confirmation()
@@ -332,7 +326,7 @@
                     started_ms=upstream.started_ms,
                 )
         self._known = upstreams
-        self._digest = _hash_registry(upstreams.values())
+        self._digest = hash_registry(upstreams.values())
         self._on_change(upstreams.values())
 
     def _remember_gone(self, upstream: RegisteredUpstream) -> None:
@@ -344,70 +338,3 @@
         """Whether an upstream that is listed now was removed in a former era of the store."""
         current = self._era.number
         return self._gone.pop(upstream.incarnation, current) != current
-
-
-def build_registry_reports(
-    before: Mapping[InstanceId, RegisteredUpstream],
-    after: Mapping[InstanceId, RegisteredUpstream],
-    revision: int,
-    *,
-    era: int | None = None,
-    is_complete: bool = False,
-) -> list[RegistryReport]:
-    """Return the reports of a read for the other hosts.
-
-    The change is split into several reports. If no hashed field changed, or too many entries, a
-    single report without entries is returned.
-
-    Args:
-        is_complete: Whether entries that are missing after the whole change are gone.
-    """
-    listed = [
-        upstream
-        for key, upstream in after.items()
-        if key not in before or _list_hashed_fields(before[key]) != _list_hashed_fields(upstream)
-    ]
-    dropped = sorted(before.keys() - after.keys())
-    batches = [
-        listed[i : i + ENTRIES_PER_REPORT] for i in range(0, len(listed), ENTRIES_PER_REPORT)
-    ]
-    if (
-        len(listed) > MAX_REPORTED_ENTRIES
-        or len(dropped) > MAX_REPORTED_ENTRIES
-        or not (batches or dropped)
-    ):
-        digest = _hash_registry(after.values())
-        return [RegistryReport(digest, revision, era=era, is_complete=is_complete)]
-    reports = []
-    current = {key: upstream for key, upstream in before.items() if key not in dropped}
-    digest, removed = _hash_registry(before.values()), dropped
-    for batch in batches or [[]]:
-        current.update({upstream.instance: upstream for upstream in batch})
-        previous_digest, digest = digest, _hash_registry(current.values())
-        reports.append(RegistryReport(digest, revision, previous_digest, batch, removed, era))
-        removed = []
-    reports[-1] = replace(reports[-1], is_complete=is_complete)
-    return reports
-
-
-def _list_hashed_fields(upstream: RegisteredUpstream) -> tuple[object, ...]:
-    """Return the fields by which copies of the registry are compared between hosts.
-
-    The remaining warm-up time and the time until an upstream is taken away are left out: they
-    change with every heartbeat, and hosts use them only when a process is first listed, or as
-    leaving. Whether a server is a spot server is left out since builds that do not know it would
-    compute another hash; it never changes for an instance.
-    """
-    return (
-        (upstream.instance, upstream.started_ms, upstream.availability.value),
-        (upstream.service, upstream.address, upstream.port, upstream.slots),
-        (upstream.failure_domain, upstream.software_version),
-    )
-
-
-def _hash_registry(upstreams: Iterable[RegisteredUpstream]) -> int:
-    """Hash the compared fields of all entries; equal on hosts whose copies agree in them."""
-    digest = xxhash.xxh64()
-    for upstream in sorted(upstreams, key=lambda upstream: upstream.instance):
-        digest.update(repr(_list_hashed_fields(upstream)).encode())
-    return digest.intdigest()
--- a/tests/record_messages.py
+++ b/tests/record_messages.py
@@ -36,7 +36,7 @@
     Work,
     encode_message,
 )
-from greengagestage.gateway._registry_watch import _hash_registry
+from greengagestage.gateway._registry_reports import hash_registry
 from greengagestage.gateway._work_codec import _hash_instance
 from greengagestage.ids import (
     AttemptId,
@@ -102,7 +102,7 @@
 def compute_hashes() -> dict[str, int]:
     """Return the hashes by which hosts name things to each other."""
     return {
-        "registry": _hash_registry([UPSTREAM]),
+        "registry": hash_registry([UPSTREAM]),
         "instance": _hash_instance(UPSTREAM.instance),
         "stream": hash_stream(AttemptId("a1")),
         "part": hash_part(PromptPartId("p1")),
--- a/tests/test_boundary_decoders.py
+++ b/tests/test_boundary_decoders.py
@@ -22,7 +22,7 @@
     decode_message,
     encode_message,
 )
-from greengagestage.gateway._registry_watch import build_registry_reports
+from greengagestage.gateway._registry_reports import build_registry_reports
 from greengagestage.gateway._version_rows import decode_row
 from greengagestage.ids import HostId
 from greengagestage.platform import check_document, decode_route_table, decode_upstream
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -18,7 +18,8 @@
     decode_message,
     encode_message,
 )
-from greengagestage.gateway._registry_watch import RegistryWatch, build_registry_reports
+from greengagestage.gateway._registry_reports import build_registry_reports
+from greengagestage.gateway._registry_watch import RegistryWatch
 from greengagestage.gateway._route_watch import RETRY_S
 from greengagestage.gateway._store_era import StoreEra
 from greengagestage.ids import FailureDomain, HostId, InstanceId, ServiceName
