Keep the condition for new versions when a read fails in a new era

Change: only a host that has not read the table at all drops the condition. Beside this, a complete list without any upstream also ends the retention of entries.

Evidence: test_a_failed_read_in_a_new_era_does_not_let_unrecorded_versions_begin failed before.

--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/_registry_watch.py
@@ -146,9 +146,8 @@
         self._era.observe(report.era)
         if not self.is_loaded or not self._era.is_current(report.era):
             return
-        listed = self._listed
-        if report.is_complete and listed and report.digest == hash_registry(listed.values()):
-            self._drop_retained()
+        if report.is_complete:
+            self._drop_retained(report.digest)
         if report.digest == self._digest:
             self._handle_gap()
             self._record_confirmation()
@@ -277,9 +276,10 @@
         if self._listed is not None:
             self.confirm()
 
-    def _drop_retained(self) -> None:
-        listed, self._listed = self._listed, None
-        if listed is not None:
+    def _drop_retained(self, digest: int) -> None:
+        """Drop the retained entries if a complete list with this digest lacks them as well."""
+        if self._listed is not None and hash_registry(self._listed.values()) == digest:
+            listed, self._listed = self._listed, None
             self._replace(listed)
 
     def _confirm(self, revision: int) -> None:
--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/_route_watch.py
@@ -116,7 +116,7 @@
         self._pending_row_revision = 0
         self._observed_s: float | None = None  # when the store last showed the known row
         self._confirmed_s: float | None = None  # when the adopted version was last the newest
-        self._read_s: float | None = None  # the same for this host's own reads
+        self._read_s: float | None = None  # when this host itself last read the known row
         self._evidence = CopyEvidence()
         self._reachable = True
         self._history_lost = False  # the last watch was refused for lack of history
--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/_version_table.py
@@ -233,7 +233,7 @@
         if not isinstance(read, RowsRead) or not self._era.is_current(read.era):
             reason = read.reason if isinstance(read, Unavailable) else "history lost or older era"
             log_message(message_type="versions: not read", reason=reason)
-            if not self._known:
+            if not self._versions.record_was_read:
                 self._versions.requires_record = False  # a record may not come for long
             return False
         self._versions.requires_record = True
--- a/tests/test_version_table.py
+++ b/tests/test_version_table.py
@@ -165,6 +165,19 @@
     )
 
 
+# Guards against streams at a version without a record because a read fails in a new era.
+def test_a_failed_read_in_a_new_era_does_not_let_unrecorded_versions_begin() -> None:
+    fleet = run_system(OLD)
+    fleet.store.tables.restore(fleet.store.tables.copy())
+    fleet.store.available = False
+    for host in fleet.hosts:
+        host.era.observe(fleet.store.tables.era)
+    fleet.list(NEW)
+    fleet.run(1.0)
+    now_s, new = fleet.clock.seconds(), SoftwareVersion(NEW)
+    assert not any(host.versions.list_beginnings(ENGINES, {new}, now_s) for host in fleet.hosts)
+
+
 # Guards against streams at a version that left, came back, and is not recorded as listed.
 def test_a_version_that_returns_is_recorded_again_before_streams_begin() -> None:
     fleet = run_system(OLD, NEW)
