Let the soak check repeats in the retry window, deadlines handed on and crashing requests

It now counts arrivals beyond the first of each request against the ratio and the slack in each window, and requests that are given more time than their callers wait. Callers that send a second request behind the first one, and one whose request crashes each upstream, play beside the others; each has a source of its own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +11,7 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import Deferred
 
+from ._faults import Fault
 from ._hunt import hunt_seeds
 from ._run import RunOptions, SoakRun
 from ._store import run_store
@@ -20,6 +22,21 @@
 """Findings about each rule that are printed; ``findings.txt`` has all of them beside the logs."""
 
 
+def add_fault_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that replace what a seed draws about its faults."""
+    kind = click.option(
+        "--kind",
+        "kinds",
+        multiple=True,
+        type=click.Choice([fault.value for fault in Fault]),
+        help="Kind of the faults, drawn from the seed if not given; may be repeated.",
+    )
+    pause = click.option(
+        "--pause", "pause_s", type=float, help="Mean time between two faults, in seconds."
+    )
+    return kind(pause(command))
+
+
 @click.group(context_settings={"max_content_width": 100})
 def main() -> None:
     """Run real host processes under randomized faults and check what callers and upstreams see."""
@@ -31,9 +48,17 @@
 @click.option("--upstreams", default=8, show_default=True, help="Number of upstreams.")
 @click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
 @click.option("--faults/--calm", default=True, show_default=True, help="Whether to inject faults.")
+@add_fault_options
 @click.option("--directory", type=click.Path(path_type=Path), help="Directory for the logs.")
 def run(
-    seed: int, hosts: int, upstreams: int, seconds: float, faults: bool, directory: Path | None
+    seed: int,
+    hosts: int,
+    upstreams: int,
+    seconds: float,
+    faults: bool,
+    kinds: tuple[str, ...],
+    pause_s: float | None,
+    directory: Path | None,
 ) -> None:
     """Run one seed and print its findings."""
     options = RunOptions(
@@ -42,6 +67,8 @@
         upstreams=upstreams,
         seconds=seconds,
         faults=faults,
+        kinds=tuple(Fault(kind) for kind in kinds),
+        pause_s=pause_s,
         directory=directory or DIRECTORY / f"seed-{seed}",
     )
     sys.exit(play(options))
@@ -97,11 +124,25 @@
 @click.option("--seeds", required=True, help="First and last seed: A-B.")
 @click.option("--jobs", default=2, show_default=True, help="Runs at the same time.")
 @click.option("--hosts", default=3, show_default=True, help="Number of hosts.")
+@click.option("--upstreams", default=8, show_default=True, help="Number of upstreams.")
 @click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
-def hunt(seeds: str, jobs: int, hosts: int, seconds: float) -> None:
+@add_fault_options
+def hunt(
+    seeds: str,
+    jobs: int,
+    hosts: int,
+    upstreams: int,
+    seconds: float,
+    kinds: tuple[str, ...],
+    pause_s: float | None,
+) -> None:
     """Run many seeds and print their findings."""
     first, _, last = seeds.partition("-")
-    options = ["--hosts", str(hosts), "--seconds", str(seconds)]
+    options = ["--hosts", str(hosts), "--upstreams", str(upstreams), "--seconds", str(seconds)]
+    for kind in kinds:
+        options += ["--kind", kind]
+    if pause_s is not None:
+        options += ["--pause", str(pause_s)]
     sys.exit(hunt_seeds(range(int(first), int(last or first) + 1), jobs=jobs, options=options))
 
 
--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -31,6 +31,7 @@
         crashes: CrashChecks,
         limits: LimitChecks,
         count_version: Callable[[str], int],
+        has_logged: Callable[[str, str], bool] = lambda host, text: True,
     ) -> None:
         self._ledger = ledger
         self._findings = findings
@@ -40,6 +41,8 @@
         self._crashes = crashes
         self._limits = limits
         self._count_version = count_version
+        self._has_logged = has_logged
+        self._unproven: list[tuple[Attempt, str]] = []
         self._mixed_streams = 0
         self._over_attempts = 0
         self._begun = [0, 0]  # new streams: sent, begun
@@ -67,7 +70,10 @@
             self._add(Rule.MIXED, attempt, f"no answer in the protocol: {data[:80]!r}")
 
     def finish(self, now_s: float) -> None:
-        """Check the rules about shares at the end of a run."""
+        """Check the rules about shares, and cuts that only a log can judge, at the end of a run."""
+        for attempt, text in self._unproven:
+            if self._has_logged(attempt.host, attempt.plan.attempt):
+                self._add(Rule.LOST, attempt, text)
         sent, gone_on = self._resumed
         new, begun = self._begun
         if sent >= 12 and new and gone_on / sent < 0.5 * begun / new:
@@ -169,11 +175,13 @@
         ):
             what = f"own {attempt.status}" if own_failure else "cut"
             where = ", ".join(f"{a.upstream} {a.status or 'unanswered'}" for a in arrivals)
-            self._add(
-                Rule.LOST,
-                attempt,
-                f"{what} after {elapsed_s:.2f} s (at {where or 'no upstream'}) around {causes}",
-            )
+            text = f"{what} after {elapsed_s:.2f} s (at {where or 'no upstream'}) around {causes}"
+            # A process that ends resets the connections that it has not read. Only its log shows
+            # whether it has read a request that no upstream got.
+            if attempt.was_reset and not attempt.status and not passed_on:
+                self._unproven.append((attempt, text))
+            else:
+                self._add(Rule.LOST, attempt, text)
 
     def _get_timeout_s(self, attempt: Attempt) -> float:
         versions = self._operator.list_in_force(0.0, attempt.ended_s)
--- a/soak/_arrival_checks.py
+++ b/soak/_arrival_checks.py
@@ -9,6 +9,7 @@
 from ._limit_checks import LimitChecks
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
+from ._retry_checks import RetryChecks
 from ._upstream import UpstreamObserver
 
 PASSED_UNCHANGED = (
@@ -39,6 +40,7 @@
         notices: NoticeChecks,
         crashes: CrashChecks,
         limits: LimitChecks,
+        retries: RetryChecks,
     ) -> None:
         self._ledger = ledger
         self._findings = findings
@@ -47,6 +49,7 @@
         self._notices = notices
         self._crashes = crashes
         self._limits = limits
+        self._retries = retries
         self.fleet: UpstreamFleet | None = None
 
     def record_arrival(self, arrival: Arrival) -> None:
@@ -62,6 +65,7 @@
         self._notices.check_arrival(attempt, arrival)
         self._crashes.check_arrival(attempt, arrival)
         self._limits.check_arrival(attempt, arrival)
+        self._retries.check_arrival(attempt, arrival)
 
     def record_pause(self, arrival: Arrival, pause_s: float) -> None:
         """Remember for how long an upstream wants nothing from a host."""
--- a/soak/_bounds.py
+++ b/soak/_bounds.py
@@ -9,6 +9,8 @@
 RECOVERY_S = 12.0
 HEARTBEAT_S = 1.2
 ADDRESS_REUSE_S = 2.0
+RETRY_RATIO = 0.2
+RETRY_WINDOW_S = 10.0
 
 LINES = f"""\
 HeartbeatMs={HEARTBEAT_S * 1e3:.0f}
@@ -20,7 +22,7 @@
 Bounds.ConfigApplyMs={CONFIGURATION_APPLY_S * 1e3:.0f}
 Bounds.StrictRevocation=true
 Bounds.RevokeMs={REVOCATION_S * 1e3:.0f}
-Bounds.RetryBudgetRatio=0.2
-Bounds.RetryWindowS=10
+Bounds.RetryBudgetRatio={RETRY_RATIO}
+Bounds.RetryWindowS={RETRY_WINDOW_S:.0f}
 Bounds.RecoveryS={RECOVERY_S:.0f}
 """
--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -5,10 +5,11 @@
 
 import h11
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from ._ledger import Attempt, Ending, StreamEvent
+from ._ledger import Attempt, Ending, RequestPlan, StreamEvent
 from ._operator import HOST_NAME
 
 SIGNATURE = "greengagestage-server-signature"
@@ -21,6 +22,8 @@
 class CallerConnection(Protocol):
     """A connection to a host that is kept open for many requests.
 
+    At most one request is open, and one more may be sent behind it.
+
     Args:
         on_stray: Called with bytes that arrive while no request is open, or are no HTTP answer.
     """
@@ -35,6 +38,7 @@
         self._done: Deferred[None] | None = None
         self._timers: list[Any] = []
         self._pending_events = b""
+        self._following: tuple[Attempt, Deferred[None]] | None = None
         self.usable = True
 
     def send(self, attempt: Attempt) -> "Deferred[None]":
@@ -42,10 +46,7 @@
         plan = attempt.plan
         self._attempt, self._done = attempt, Deferred()
         self._pending_events = b""
-        length = ("Content-Length", str(len(plan.body)))
-        framing = ("Transfer-Encoding", "chunked") if plan.chunked else length
-        headers = [("Host", HOST_NAME), *plan.headers, framing]
-        data = self._codec.send(h11.Request(method="POST", target=plan.target, headers=headers))
+        data = self._codec.send(_build_head(plan))
         half = len(plan.body) // 2
         self.transport.write(data + self._codec.send(h11.Data(data=plan.body[:half])))
         later = self._clock.callLater
@@ -53,10 +54,32 @@
             later(plan.pause_s, self._send_rest, attempt)
         else:
             self._send_rest(attempt)
-        self._timers = [later(plan.deadline_s + ANSWER_SLACK_S, self._abandon, Ending.TIMED_OUT)]
+        self._start_timers(attempt)
+        return self._done
+
+    def send_following(self, attempt: Attempt) -> "Deferred[None]":
+        """Send a request before the answer to the open one, which has been sent whole."""
+        data = _encode_request(h11.Connection(h11.CLIENT), attempt.plan)
+        self.transport.write(data)
+        attempt.last_byte_s = self._clock.seconds()
+        self._following = attempt, Deferred()
+        return self._following[1]
+
+    def _begin_following(self) -> None:
+        """Await the answer to the request that was sent behind the answered one."""
+        if self._following is None:
+            return
+        (self._attempt, self._done), self._following = self._following, None
+        self._pending_events = b""
+        _encode_request(self._codec, self._attempt.plan)
+        self._start_timers(self._attempt)
+
+    def _start_timers(self, attempt: Attempt) -> None:
+        later, plan = self._clock.callLater, attempt.plan
+        left_s = attempt.sent_s + plan.deadline_s + ANSWER_SLACK_S - self._clock.seconds()
+        self._timers = [later(max(left_s, 0.0), self._abandon, Ending.TIMED_OUT)]
         if plan.leaves_after_s is not None:
             self._timers.append(later(plan.leaves_after_s, self._abandon, Ending.LEFT))
-        return self._done
 
     def _send_rest(self, attempt: Attempt) -> None:
         if self._attempt is not attempt or self._codec.our_state is not h11.SEND_BODY:
@@ -81,9 +104,15 @@
             self._abandon(Ending.BROKEN)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """End the open request as broken."""
+        """End the open requests as broken."""
         self.usable = False
-        self._end(Ending.BROKEN)
+        was_reset = not isinstance(reason.value, ConnectionDone)
+        if self._attempt is not None:
+            self._attempt.was_reset = was_reset
+            self._end(Ending.BROKEN)
+            self._end_following(Ending.BEHIND, was_reset=was_reset)
+        else:
+            self._end_following(Ending.BROKEN, was_reset=was_reset)
 
     def close(self) -> None:
         """Close the connection."""
@@ -130,11 +159,25 @@
             self.usable = False
             self.transport.loseConnection()
         self._end(Ending.COMPLETE)
+        if self.usable:
+            self._begin_following()
+        else:
+            self._end_following(Ending.BROKEN, was_reset=False)
 
     def _abandon(self, ending: Ending) -> None:
         self._end(ending)
+        self._end_following(Ending.BEHIND, was_reset=False)
         self.close()
 
+    def _end_following(self, ending: Ending, *, was_reset: bool) -> None:
+        """End the request that was sent behind another one, and that gets no answer."""
+        if self._following is None:
+            return
+        (attempt, done), self._following = self._following, None
+        attempt.ending, attempt.ended_s = ending, self._clock.seconds()
+        attempt.was_reset = was_reset
+        done.callback(None)
+
     def _end(self, ending: Ending) -> None:
         attempt, self._attempt = self._attempt, None
         for timer in self._timers:
@@ -148,6 +191,19 @@
         done.callback(None)
 
 
+def _build_head(plan: RequestPlan) -> h11.Request:
+    length = ("Content-Length", str(len(plan.body)))
+    framing = ("Transfer-Encoding", "chunked") if plan.chunked else length
+    headers = [("Host", HOST_NAME), *plan.headers, framing]
+    return h11.Request(method="POST", target=plan.target, headers=headers)
+
+
+def _encode_request(codec: h11.Connection, plan: RequestPlan) -> bytes:
+    head = codec.send(_build_head(plan)) or b""
+    body = codec.send(h11.Data(data=plan.body)) or b""
+    return head + body + (codec.send(h11.EndOfMessage()) or b"")
+
+
 def _parse_event(text: bytes) -> StreamEvent:
     try:
         head, _, data = text.decode().partition("\ndata: ")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,5 +1,6 @@
 """The schedule of faults, drawn from the seed."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -51,10 +52,22 @@
     seed: int
 
 
-def draw_schedule(random: Random, began_s: float, ended_s: float) -> list[ScheduledFault]:
-    """Draw faults one after another, some of them as a quick series of the same kind."""
-    kinds = random.sample(list(Fault), random.choice(KINDS))
-    mean_pause_s = random.choice(MEAN_PAUSES_S)
+def draw_schedule(
+    random: Random,
+    began_s: float,
+    ended_s: float,
+    *,
+    kinds: Sequence[Fault] = (),
+    mean_pause_s: float | None = None,
+) -> list[ScheduledFault]:
+    """Draw faults one after another, some of them as a quick series of the same kind.
+
+    Args:
+        kinds: Kinds to draw from, of which one may be listed several times; drawn too if empty.
+        mean_pause_s: Mean time between the beginnings of two faults; drawn too if None.
+    """
+    kinds = kinds or random.sample(list(Fault), random.choice(KINDS))
+    mean_pause_s = random.choice(MEAN_PAUSES_S) if mean_pause_s is None else mean_pause_s
     schedule = []
     at_s = began_s
     while (at_s := at_s + random.expovariate(1 / mean_pause_s)) < ended_s:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ._bounds import ADDRESS_REUSE_S, DRAIN_S, HEARTBEAT_S
-from ._crash_checks import CrashChecks
+from ._crash_checks import CrashCause, CrashChecks
 from ._disturbances import Disturbances
 from ._proxy import Link
 from ._store import StoreControl
@@ -71,7 +71,7 @@
             link = Link(reactor=self.reactor, interface=self.address, target=target)
             link.open()
         member = Member(upstream=upstream, link=link, born_ms=round(self.reactor.seconds() * 1e3))
-        upstream.on_crash = lambda: self._crash_under_request(member)
+        upstream.on_crash = lambda cause: self._crash_under_request(member, cause)
         self.members[instance] = member
         self._beat(member)
         return member
@@ -116,9 +116,9 @@
         self.reactor.callLater(MISSED_HEARTBEATS * HEARTBEAT_S, self._remove_entry, member)
         self._schedule_replacement(member)
 
-    def _crash_under_request(self, member: Member) -> None:
+    def _crash_under_request(self, member: Member, cause: CrashCause) -> None:
         if member.alive:
-            self.crash_checks.record_crash(self.reactor.seconds())
+            self.crash_checks.record_crash(cause, self.reactor.seconds())
             self.crash(member)
 
     def expire(self, member: Member, back_s: float) -> None:
--- a/soak/_host_fleet.py
+++ b/soak/_host_fleet.py
@@ -13,7 +13,7 @@
 from ._dialing import dial
 from ._disturbances import Disturbance, Disturbances
 from ._findings import Findings, Rule
-from ._hosts import CALLERS_PORT, Host
+from ._hosts import CALLERS_PORT, DEFAULT_SLACK, Host
 from ._proxy import Link
 
 PROBE_INTERVAL_S = 1.0
@@ -48,6 +48,7 @@
 
     Attributes:
         early_ends: Processes that a signal ended before they listened.
+        largest_slack: The largest slack of the retry budget that the settings of a host have named.
     """
 
     reactor: Any
@@ -56,6 +57,7 @@
     hosts: list[Host] = field(default_factory=list)
     _interruptions: dict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     early_ends: int = 0
+    largest_slack: int = DEFAULT_SLACK
     _closed: bool = False
 
     def add(
@@ -126,11 +128,16 @@
     def reload_host(self, host: Host, random: Random, *, signalled: bool) -> None:
         """Change the settings file, and send SIGHUP or leave it to the host to notice."""
         host.slack = random.randint(40, 60)
+        self.largest_slack = max(self.largest_slack, host.slack)
         host.write_settings()
         if signalled and host.running:
             self.disturbances.mark_reload(host.name, self.reactor.seconds())
             host.send_signal(signal.SIGHUP)
 
+    def has_logged(self, host: str, text: str) -> bool:
+        """Return whether the log of a host's processes holds a text, such as a request's id."""
+        return any(each.name == host and each.has_logged(text) for each in self.hosts)
+
     def close(self) -> None:
         """Kill all processes."""
         self._closed = True
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -16,6 +16,8 @@
 """The same on all hosts, each of which has a loopback address of its own. Operating systems assign
 no port of this range to sockets by themselves."""
 
+DEFAULT_SLACK = 50
+
 SETTINGS = """\
 Node={name}
 Role=entry
@@ -54,7 +56,7 @@
     callers: tuple[str, int]
     store: tuple[str, int]
     duties: str = ""
-    slack: int = 50
+    slack: int = DEFAULT_SLACK
     stopping_s: float | None = None
     killed: bool = False
     suspended: bool = False
@@ -90,6 +92,10 @@
             log.seek(self._log_begin)
             return b'"host: started"' in log.read()
 
+    def has_logged(self, text: str) -> bool:
+        """Return whether the log of all processes holds a text."""
+        return text.encode() in self.log_path.read_bytes()
+
     def write_settings(self) -> None:
         """Replace the settings file at once."""
         text = SETTINGS.format(
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -9,11 +9,15 @@
 
 
 class Ending(Enum):
-    """How a caller's request ended."""
+    """How a caller's request ended.
+
+    ``BEHIND`` stands for a request that was sent behind another one whose answer was broken off.
+    """
 
     OPEN = "open"
     COMPLETE = "complete"
     BROKEN = "broken"
+    BEHIND = "behind"
     LEFT = "left"
     TIMED_OUT = "timed_out"
     NOT_SENT = "not_sent"
@@ -40,6 +44,7 @@
         pause_s: Pause in the middle of sending the body.
         deadly: Whether the prompt has the part that crashes upstreams.
         unframed: Whether the answer ends with its connection.
+        crashing: Whether the request itself crashes upstreams.
     """
 
     attempt: str
@@ -62,6 +67,7 @@
     pause_s: float = 0.0
     deadly: bool = False
     unframed: bool = False
+    crashing: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -76,6 +82,7 @@
     Attributes:
         begun_s: When the caller received the first event of a stream, or the head of another
             answer of an upstream; 0 without either.
+        was_reset: Whether the connection was reset before the answer was complete.
     """
 
     plan: RequestPlan
@@ -89,6 +96,7 @@
     ending: Ending = Ending.OPEN
     ended_s: float = 0.0
     begun_s: float = 0.0
+    was_reset: bool = False
 
     @property
     def served(self) -> bool:
@@ -123,10 +131,20 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """All requests of a run."""
+    """All requests of a run.
+
+    Attributes:
+        sent_s: When requests were sent, in order, by route.
+    """
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
     arrivals: dict[str, list[Arrival]] = field(default_factory=lambda: defaultdict(list))
+    sent_s: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+
+    def add(self, attempt: Attempt) -> None:
+        """Record a request that is being sent."""
+        self.attempts[attempt.plan.attempt] = attempt
+        self.sent_s[attempt.plan.route].append(attempt.sent_s)
 
     def list_runs(self, attempt: str) -> list[Arrival]:
         """Return the arrivals that an upstream began to work on."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -20,7 +20,7 @@
 from ._dialing import dial
 from ._disturbances import Disturbances
 from ._duty_checks import DutyChecks
-from ._faults import draw_schedule
+from ._faults import Fault, draw_schedule
 from ._findings import Findings, Rule
 from ._fleet import VERSIONS, Member, UpstreamFleet
 from ._host_fleet import HostFleet
@@ -29,6 +29,8 @@
 from ._limit_checks import LimitChecks
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
+from ._retry_checks import RetryChecks
+from ._special_callers import CrashingCaller, PipeliningCaller
 from ._store import StoreControl
 from ._traffic import Caller, TrafficContext, sleep
 
@@ -41,12 +43,18 @@
 MIN_SERVED_SHARE = 0.25
 DEADLY_PART_CHANCE = 0.5
 LIMITS_CHANCE = 0.5
+CRASHING_REQUEST_CHANCE = 0.5
 CALLERS_PER_HOST = 6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunOptions:
-    """What a run is started with."""
+    """What a run is started with.
+
+    Attributes:
+        kinds: Kinds of faults; if empty, the seed draws them.
+        pause_s: Mean time between the beginnings of two faults; None if the seed draws it.
+    """
 
     seed: int
     hosts: int
@@ -54,6 +62,8 @@
     seconds: float
     directory: Path
     faults: bool = True
+    kinds: tuple[Fault, ...] = ()
+    pause_s: float | None = None
 
 
 class SoakRun:
@@ -77,6 +87,7 @@
             ledger=self._ledger,
             random=Random(f"{options.seed}/duties"),
         )
+        self._retries: RetryChecks | None = None
         self._store_process: subprocess.Popen[bytes] | None = None
         self._upstreams: UpstreamFleet | None = None
         self._closed = False
@@ -102,7 +113,9 @@
         early = self._hosts.early_ends
         return (
             f"{len(attempts)} requests, {in_touch} at hosts in touch ({endings}); "
-            f"{early} processes ended by a signal before they listened"
+            f"{early} processes ended by a signal before they listened; "
+            f"{0.0 if self._retries is None else self._retries.largest_use:.2f} of the allowed "
+            "repeats used at most"
         )
 
     async def play(self) -> None:
@@ -113,6 +126,13 @@
         operator = Operator(
             reactor=self._reactor, store=store, random=Random(f"{options.seed}/operator")
         )
+        retries = self._retries = RetryChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+            get_slack=lambda: self._hosts.largest_slack,
+        )
         arrivals = ArrivalChecks(
             ledger=self._ledger,
             findings=self._findings,
@@ -121,6 +141,7 @@
             notices=notices,
             crashes=self._crashes,
             limits=self._limits,
+            retries=retries,
         )
         upstreams = self._start_upstreams(store, arrivals)
         await operator.publish_first()
@@ -135,6 +156,7 @@
             crashes=self._crashes,
             limits=self._limits,
             count_version=upstreams.count_version,
+            has_logged=self._hosts.has_logged,
         )
         traffic = self._start_traffic(operator, answers)
         await sleep(self._reactor, WARM_UP_S)
@@ -149,6 +171,7 @@
         traffic.stopped = True
         await DeferredList(self._callers)
         answers.finish(self._reactor.seconds())
+        retries.finish(self._reactor.seconds())
         self._duties.finish(calm=not options.faults)
 
     def close(self) -> None:
@@ -216,7 +239,14 @@
             operator=operator,
             store=store,
         )
-        injector.schedule(draw_schedule(Random(f"{options.seed}/faults"), 0.0, options.seconds))
+        schedule = draw_schedule(
+            Random(f"{options.seed}/faults"),
+            0.0,
+            options.seconds,
+            kinds=options.kinds,
+            mean_pause_s=options.pause_s,
+        )
+        injector.schedule(schedule)
 
     def _schedule_deadly_part(self, traffic: TrafficContext) -> None:
         """Let some prompts have a part that crashes upstreams, from some time on in some runs."""
@@ -279,8 +309,13 @@
                 attempt, data, self._reactor.seconds()
             ),
         )
-        for number in range(CALLERS_PER_HOST * len(self._hosts.hosts)):
-            caller = Caller(
+        hosts = len(self._hosts.hosts)
+        kinds = [Caller] * (CALLERS_PER_HOST * hosts) + [PipeliningCaller] * hosts
+        crashes = Random(f"{self._options.seed}/crashing request").random()
+        if self._options.faults and crashes < CRASHING_REQUEST_CHANCE:
+            kinds.append(CrashingCaller)
+        for number, kind in enumerate(kinds):
+            caller = kind(
                 context=context,
                 random=Random(f"{self._options.seed}/caller/{number}"),
                 hazard_random=Random(f"{self._options.seed}/hazards/{number}"),
@@ -306,6 +341,7 @@
             and attempt.ending not in (Ending.OPEN, Ending.LEFT)
             and attempt.status not in (401, 404)
             and not attempt.plan.deadly
+            and not attempt.plan.crashing
         ]
         served = sum(attempt.served for attempt in sent)
         if not sent or served / len(sent) < MIN_SERVED_SHARE:
--- /dev/null
+++ b/soak/_special_callers.py
@@ -0,0 +1,79 @@
+"""Callers that send requests in unusual ways, beside the sequential ones."""
+
+import json
+from dataclasses import dataclass, replace
+
+from twisted.internet.error import ConnectError
+
+from ._hosts import Host
+from ._ledger import Attempt, Ending, RequestPlan
+from ._traffic import Caller, sleep
+
+CRASHING_BODY = json.dumps({"work": "crash", "events": 0, "pace_ms": 20, "style": "crash"}).encode()
+
+
+@dataclass(slots=True, kw_only=True)
+class PipeliningCaller(Caller):
+    """Sends pairs of requests, the second one before the answer to the first has arrived."""
+
+    async def run(self) -> None:
+        """Send pairs until the traffic stops."""
+        while not self.context.stopped:
+            await sleep(self.context.reactor, self.random.uniform(0.1, 0.6))
+            await self._send_pair(self._choose_host(None), self._draw_whole(), self._draw_whole())
+        for connection in self._connections.values():
+            connection.close()
+
+    def _draw_whole(self) -> RequestPlan:
+        """Draw a request that is sent at once and awaited until its answer."""
+        return replace(self._draw_plan(), pause_s=0.0, leaves_after_s=None)
+
+    async def _send_pair(self, host: Host, first: RequestPlan, second: RequestPlan) -> None:
+        seconds = self.context.reactor.seconds
+        connection = self._connections.get(host.name)
+        if connection is None or not connection.usable:
+            try:
+                connection = await self._connect(host)
+            except ConnectError:
+                return
+        leading = Attempt(plan=first, host=host.name, sent_s=seconds())
+        self.context.ledger.add(leading)
+        answers = [connection.send(leading)]
+        attempts = [leading]
+        await sleep(self.context.reactor, self.random.uniform(0.0, 0.3))
+        if leading.ending is Ending.OPEN and connection.usable:
+            following = Attempt(plan=second, host=host.name, sent_s=seconds())
+            self.context.ledger.add(following)
+            attempts.append(following)
+            answers.append(connection.send_following(following))
+        for answer in answers:
+            await answer
+        for attempt in attempts:
+            self.context.on_end(attempt)
+
+
+@dataclass(slots=True, kw_only=True)
+class CrashingCaller(Caller):
+    """Sends the same request, which crashes each upstream that runs it, again and again."""
+
+    async def run(self) -> None:
+        """Send the request until the traffic stops."""
+        drawn = self._draw_plan()
+        while drawn.route != "open":
+            drawn = self._draw_plan()
+        while not self.context.stopped:
+            await sleep(self.context.reactor, self.random.uniform(0.3, 1.0))
+            identifier = self._draw_id()
+            headers = [(name, value) for name, value in drawn.headers if value != drawn.attempt]
+            plan = replace(
+                drawn,
+                attempt=identifier,
+                body=CRASHING_BODY,
+                headers=(("Greengagestage-Attempt-Id", identifier), *headers),
+                pause_s=0.0,
+                leaves_after_s=None,
+                chunked=False,
+                crashing=True,
+            )
+            attempt = await self._try(self._choose_host(None), plan, new=True)
+            self.context.on_end(attempt)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -117,7 +117,7 @@
     async def _try(self, host: Host, plan: RequestPlan, *, new: bool) -> Attempt:
         seconds = self.context.reactor.seconds
         attempt = Attempt(plan=plan, host=host.name, sent_s=seconds())
-        self.context.ledger.attempts[plan.attempt] = attempt
+        self.context.ledger.add(attempt)
         connection = None if new else self._connections.get(host.name)
         if connection is None or not connection.usable:
             try:
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from typing import Any
 
 from greengagestage.http1 import IncomingRequest, LimitExceeded, Responder, ServerFactory
 
-from ._crash_checks import DEADLY_PART
+from ._crash_checks import DEADLY_PART, CrashCause
 from ._ledger import Arrival
 
 SLOTS = 8
@@ -24,7 +25,8 @@
 
     ``UNFRAMED`` ends with the connection, ``CUT`` does so in its middle by a reset, ``SHORT`` ends
     before its length, ``NOISE`` is no answer, and ``REPEATED`` is followed by the same again.
-    ``ENDLESS_HEAD`` and ``ENDLESS_BODY`` are no answers, and go on until the host closes.
+    ``ENDLESS_HEAD``, ``ENDLESS_INTERIM`` and ``ENDLESS_BODY`` are no answers, and go on until the
+    host closes. Instead of ``CRASH``, the upstream crashes.
     """
 
     FRAMED = "framed"
@@ -35,12 +37,18 @@
     NOISE = "noise"
     REPEATED = "repeated"
     ENDLESS_HEAD = "endless_head"
+    ENDLESS_INTERIM = "endless_interim"
     ENDLESS_BODY = "endless_body"
+    CRASH = "crash"
 
 
-ENDLESS_STYLES = (AnswerStyle.ENDLESS_HEAD, AnswerStyle.ENDLESS_BODY)
+ENDLESS_STYLES = (
+    AnswerStyle.ENDLESS_HEAD,
+    AnswerStyle.ENDLESS_INTERIM,
+    AnswerStyle.ENDLESS_BODY,
+)
 BROKEN_STYLES = (AnswerStyle.CUT, AnswerStyle.SHORT, AnswerStyle.NOISE, *ENDLESS_STYLES)
-USUAL_STYLES = [style for style in AnswerStyle if style not in ENDLESS_STYLES]
+USUAL_STYLES = [style for style in AnswerStyle if style not in (*ENDLESS_STYLES, AnswerStyle.CRASH)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,6 +132,9 @@
         if not self._open:
             return
         arrival = self._arrival
+        if self._style is AnswerStyle.CRASH:
+            self._upstream.on_crash(CrashCause.REQUEST)
+            return
         arrival.status = 500 if self._style is AnswerStyle.FAILED else 200
         arrival.body = f"{self._work} by {arrival.signature}".encode()
         arrival.broke_off = self._style in BROKEN_STYLES
@@ -146,6 +157,9 @@
                 transport.write(b"HTTP/1.1 200 OK\r\n")
                 self._send_noise(b"x-noise: abcdef\r\n" * 10)
                 return
+            case AnswerStyle.ENDLESS_INTERIM:
+                self._send_noise(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 200)
+                return
             case AnswerStyle.ENDLESS_BODY:
                 transport.write(b"HTTP/1.1 200 OK\r\n\r\n")
                 self._send_noise(b"x" * 1_000)
@@ -171,7 +185,8 @@
         else:
             self._responder.begin(200, headers)
         if self._deadly:
-            self._upstream.call_awake(CRASH_DELAY_S, self._upstream.on_crash)
+            crash = partial(self._upstream.on_crash, CrashCause.PART)
+            self._upstream.call_awake(CRASH_DELAY_S, crash)
         else:
             self._send_event()
 
@@ -225,7 +240,7 @@
     identity: UpstreamIdentity
     reactor: Any
     observer: UpstreamObserver
-    on_crash: Callable[[], None] = lambda: None
+    on_crash: Callable[[CrashCause], None] = lambda cause: None
     listening_port: int = 0
     silent_until_s: float = 0.0
     refuses_until_s: float = 0.0
