Keep the retry budget across restarts, waits and an unknown number of hosts

Cause: each process took its host's whole part of the slack at its start, whatever the one before it had spent in the same window. Until the list of hosts was read, the part was computed from an assumed number of hosts. A retry was counted when it was decided on; it may wait for an upstream and be sent seconds later. Change: a process with a predecessor (its host's row exists, which the conditional write of the row shows) gains its part over one window, so that all processes of a host use two halves of it at most. Without a known number of hosts only requests allow retries. A retry is reserved, and counted when it is sent. Gauges show the use by service. The budgets move out of the router.

--- a/bench/host_cost.py
+++ b/bench/host_cost.py
@@ -164,6 +164,7 @@
         )
         profile = EngineProfile(slots=SLOTS, kv_capacity_tokens=500_000, tokens_per_event=10)
         self.router.hosts = hosts
+        self.router.retries.begin_slack(0.0, has_predecessor=False)
         self.router.update_routes(
             RouteTable(
                 version=ConfigurationVersion(1),
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -289,7 +289,7 @@
         self._attempt.start()
 
     def _create_attempt(self, placement: Placement) -> Attempt:
-        self._limits.record_send(placement.upstream.instance)
+        self._limits.record_send(placement.upstream.instance, self._now_s)
         self._log.log_sent(placement, self._limits.sends)
         plan = AttemptPlan(
             job=self._job,
@@ -401,7 +401,7 @@
         placed = self._place()
         if not isinstance(placed, Placement):
             return None
-        if not self._limits.try_spend_retry(now_s):
+        if not self._limits.try_reserve_retry(now_s):
             instance = placed.upstream.instance
             self._context.router.record_end(
                 self._job.attempt_id, instance, AttemptEnd.CANCELLED, now_s
@@ -447,8 +447,8 @@
         self._conclude(refusal.code, refusal)
 
     def _conclude(self, code: ResultCode, refusal: Refusal | None = None) -> None:
-        self._done = True
-        self._attempt = None
+        self._done, self._attempt = True, None
+        self._limits.release_retry()
         self._responder.listener = None
         self._silence.stop()
         self._handover.cancel()
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -98,6 +98,7 @@
             settings=settings,
             random=random,
             on_hosts=self._adopt_hosts,
+            on_registered=self._begin_retry_slack,
         )
         self._configuration = ConfigurationView(
             read_age_s=lambda: self._routes.age_s,
@@ -415,6 +416,10 @@
             for host, address in addresses.items()
         )
 
+    def _begin_retry_slack(self, has_predecessor: bool) -> None:
+        now_s = self._reactor.seconds()
+        self._router.retries.begin_slack(now_s, has_predecessor=has_predecessor)
+
     def _adopt_hosts(self, rows: Mapping[HostId, HostRow]) -> None:
         for host, row in rows.items():
             self._peers.add_peer(host, row.address, FailureDomain(row.failure_domain))
@@ -466,7 +471,19 @@
         return (1 + self._peers.active_peers) / self._peers.known_hosts
 
     def _read_labelled_gauges(self) -> Iterable[LabelledGauge]:
-        return () if self._duties is None else self._duties.list_labelled_gauges()
+        yield from self._list_retry_gauges()
+        if self._duties is not None:
+            yield from self._duties.list_labelled_gauges()
+
+    def _list_retry_gauges(self) -> Iterable[LabelledGauge]:
+        for usage in self._router.retries.list_usage(self._router.hosts, self._reactor.seconds()):
+            labels = {"service": usage.service}
+            for name, value in (
+                ("retries_used", usage.used),
+                ("retries_allowed", usage.allowance),
+                ("retries_denied", usage.denied),
+            ):
+                yield LabelledGauge(name=name, labels=labels, value=value)
 
     def _read_gauges(self) -> dict[str, float]:
         duties = {} if self._duties is None else self._duties.read_gauges()
--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/_host_list.py
@@ -13,7 +13,15 @@
 from greengagestage.catalog import HostSettings
 from greengagestage.decoding import decode_json
 from greengagestage.ids import HostId
-from greengagestage.platform import HOST_TABLE, RowClient, RowsRead
+from greengagestage.platform import (
+    HOST_TABLE,
+    RowClient,
+    RowConflict,
+    RowExpectation,
+    RowsRead,
+    Transaction,
+    build_put,
+)
 
 from ._loops import RepeatingTask, add_jitter
 from ._store_era import StoreEra
@@ -41,7 +49,13 @@
 
 
 class HostList:
-    """Registers this host, again in each era of the store, and reads the rows of the others."""
+    """Registers this host, again in each era of the store, and reads the rows of the others.
+
+    Args:
+        on_hosts: Handles the rows of all hosts.
+        on_registered: Called before the first rows are handled, with whether a row of this host was
+            there before, which an earlier process has written.
+    """
 
     def __init__(
         self,
@@ -52,12 +66,15 @@
         settings: HostSettings,
         random: Random,
         on_hosts: Callable[[Mapping[HostId, HostRow]], None],
+        on_registered: Callable[[bool], None] = lambda has_predecessor: None,
     ) -> None:
         self._rows = rows
         self._era = era
         self._settings = settings
         self._random = random
         self._on_hosts = on_hosts
+        self._on_registered = on_registered
+        self._has_predecessor: bool | None = None
         self._task = RepeatingTask(reactor=reactor, name="host list", step=self._step)
         self._registered = False
         self._rereads = False
@@ -83,6 +100,8 @@
         listed = yield self._rows.read(HOST_TABLE)
         if not self._registered or not isinstance(listed, RowsRead):
             return add_jitter(RETRY_S, self._random)
+        if self._has_predecessor is not None:
+            self._on_registered(self._has_predecessor)
         self._on_hosts(self._decode(listed))
         pause_s = REREAD_S if self._rereads else REFRESH_INTERVAL_S
         self._rereads = False
@@ -92,9 +111,20 @@
     def _register(self) -> Any:
         settings = self._settings
         row = HostRow(address=settings.address, failure_domain=settings.failure_domain)
-        # The store answers a successful write, like a read, with ``RowsRead``.
-        outcome = yield self._rows.put(HOST_TABLE, settings.host, msgspec.json.encode(row))
-        return isinstance(outcome, RowsRead) and self._era.is_current(outcome.era)
+        put = build_put(HOST_TABLE, settings.host, msgspec.json.encode(row))
+        absent = [RowExpectation(table=HOST_TABLE, key=settings.host, revision=0)]
+        expected = absent if self._has_predecessor is None else []
+        outcome = yield self._rows.transact(Transaction(expected=expected, puts=[put]))
+        match outcome:
+            case RowConflict():
+                self._has_predecessor = True
+                registered = yield self._register()
+                return registered
+            # The store answers a successful write, like a read, with ``RowsRead``.
+            case RowsRead():
+                self._has_predecessor = bool(self._has_predecessor)
+                return self._era.is_current(outcome.era)
+        return False
 
     def _decode(self, listed: RowsRead) -> dict[HostId, HostRow]:
         hosts = {}
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -38,6 +38,7 @@
         self.possible_runs = 0
         self._refused_successors = 0
         self._unforwarded = 0
+        self._has_reserved_retry = False
         self._job = job
         self._router = router
 
@@ -52,10 +53,13 @@
         route = self._job.route
         return route.is_retryable and self.possible_runs < route.max_attempts
 
-    def record_send(self, instance: InstanceId) -> None:
-        """Count an attempt to send the request to an upstream."""
+    def record_send(self, instance: InstanceId, now_s: float) -> None:
+        """Count an attempt to send the request to an upstream, with the retry reserved for it."""
         self.sends += 1
         self.tried |= {instance}
+        if self._has_reserved_retry:
+            self._has_reserved_retry = False
+            self._router.retries.record_sent(self._job.service, now_s)
 
     def record_unsent(self, instance: InstanceId, fault: AttemptFault) -> None:
         """Count an attempt that sent nothing to an upstream, which may get the request later."""
@@ -80,21 +84,29 @@
         self._refused_successors += 1
 
     def try_acquire_resend(self, fault: AttemptFault, now_s: float) -> bool:
-        """Return whether a request can be sent again after a fault; count it as a retry if so.
+        """Return whether a request can be sent again after a fault; reserve a retry if so.
 
-        A send after an attempt that sent nothing is not counted.
+        No retry is needed for a send after an attempt that sent nothing.
         """
         if not self._may_send(now_s):
             return False
         if fault.proves_not_sent:
             return not self.may_have_run or self._job.route.is_retryable
         if fault.proves_not_run:
-            return self.try_spend_retry(now_s)
-        return self.has_runs_left and self.try_spend_retry(now_s)
-
-    def try_spend_retry(self, now_s: float) -> bool:
-        """Return whether the retry budget allows another send; count a retry if so."""
-        return self._router.try_acquire_retry(self._job.service, now_s)
+            return self.try_reserve_retry(now_s)
+        return self.has_runs_left and self.try_reserve_retry(now_s)
+
+    def try_reserve_retry(self, now_s: float) -> bool:
+        """Return whether the retry budget allows another send; reserve a retry if so."""
+        if not self._has_reserved_retry:
+            self._has_reserved_retry = self._router.try_reserve_retry(self._job.service, now_s)
+        return self._has_reserved_retry
+
+    def release_retry(self) -> None:
+        """Give back a retry that was reserved and not sent."""
+        if self._has_reserved_retry:
+            self._has_reserved_retry = False
+            self._router.retries.release(self._job.service)
 
     def _may_send(self, now_s: float) -> bool:
         has_time = self._job.deadline_s - now_s >= MIN_TIME_FOR_RETRY_S
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -22,7 +22,7 @@
 from ._loads import UpstreamLoad
 from ._losses import LossTracker
 from ._overload import UrgencyTraffic
-from ._retries import RetryBudget
+from ._retries import RetryBudgets, RetryUsage
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
 from ._software_versions import StreamRecord, StreamVersions, VersionRecord
@@ -51,7 +51,8 @@
     "Placement",
     "PrefillSamples",
     "Refused",
-    "RetryBudget",
+    "RetryBudgets",
+    "RetryUsage",
     "RouteShares",
     "RouteTraffic",
     "Router",
--- a/greengagestage/routing/_router.py
+++ b/greengagestage/routing/_router.py
@@ -35,7 +35,7 @@
 from ._overload_control import OVERDUE_TARGETS, OverloadControl, may_wait
 from ._rejection_guard import RejectionGuard
 from ._request_pacer import RequestPacer
-from ._retries import ASSUMED_HOSTS, RetryBudget
+from ._retries import ASSUMED_HOSTS, RetryBudgets
 from ._route_groups import hash_route
 from ._service_demand import ServiceDemand
 from ._slot_shares import divide_slots
@@ -99,6 +99,7 @@
         report_delay_s: Usual delay until this host knows the load that other hosts add.
         stream_versions: The software versions of the upstreams, and those that began streams.
         links: The links from this host to the upstreams.
+        retries: The retry budgets by service.
     """
 
     def __init__(self, *, domain: FailureDomain, bounds: Bounds, draw: Callable[[], float]) -> None:
@@ -117,7 +118,7 @@
             draw=draw,
         )
         self._peer_loads: Mapping[InstanceId, UpstreamLoad] = {}
-        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self.retries = RetryBudgets(bounds)
         self.hosts: int | None = None
         self.position = 0
         self.silent_hosts = 0
@@ -139,10 +140,7 @@
         """Apply changed bounds; retries that were already counted stay counted."""
         self._bounds = bounds
         self._chooser.update_cost(bounds.cross_domain_cost_s_per_gb)
-        for budget in self._budgets.values():
-            budget.update_limits(
-                ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_s=bounds.retry_window_s
-            )
+        self.retries.update_bounds(bounds)
 
     def update_routes(self, table: RouteTable) -> None:
         """Apply the services and routes of a configuration."""
@@ -281,18 +279,14 @@
 
     def count_request(self, job: Job, now_s: float) -> None:
         """Count a caller's request in the retry budget and the demand."""
-        self._get_retry_budget(job.service).record_request(now_s)
+        self.retries.record_request(job.service, now_s)
         self._overload.record_arrival(job, now_s)
         self._demand.record_request(job, now_s)
         self._chooser.record_request(job, now_s)
 
-    def try_acquire_retry(self, service: ServiceName, now_s: float) -> bool:
-        """Count a retry if the budget allows it; return whether it does."""
-        budget = self._get_retry_budget(service)
-        if not budget.allows_retry(now_s, self.hosts):
-            return False
-        budget.record_retry(now_s)
-        return True
+    def try_reserve_retry(self, service: ServiceName, now_s: float) -> bool:
+        """Reserve a retry if the budget allows it; return whether it does."""
+        return self.retries.try_reserve(service, self.hosts, now_s)
 
     def place(
         self,
@@ -588,14 +582,3 @@
             f"at {choice.state.record.instance}"
         )
         return self._overload.reject(job, ResultCode.TARGET_UNREACHABLE, reason, now_s)
-
-    def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(
-                ratio=self._bounds.retry_ratio,
-                slack=self._bounds.retry_slack,
-                window_s=self._bounds.retry_window_s,
-            )
-            self._budgets[service] = budget
-        return budget
--- a/tests/catalog_builders.py
+++ b/tests/catalog_builders.py
@@ -159,6 +159,7 @@
     numbers = _RandomNumbers(seed)
     router = Router(domain=FailureDomain("a"), bounds=bounds or Bounds(), draw=numbers.draw)
     router.hosts = 8
+    router.retries.begin_slack(0.0, has_predecessor=False)
     router.update_routes(build_table())
     upstreams = [build_upstream(number) for number in range(engines)]
     upstreams += [build_upstream(100 + number, service=ARCHIVE, slots=6) for number in range(plain)]
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -267,6 +267,7 @@
             bounds = Bounds(cross_domain_cost_s_per_gb=120.0 if domains > 1 else None)
             router = Router(domain=domain, bounds=bounds, draw=draw)
             router.hosts = hosts
+            router.retries.begin_slack(0.0, has_predecessor=False)
             router.update_routes(self._table)
             router.report_delay_s = 1.5 * REPORT_INTERVAL_S
             self.routers.append(router)
