Tell hosts that start which requests crash upstreams

Cause: the loss of an answer is broadcast once, when it occurs. A host that starts later was told of parts of prompts only, and found out for itself with three more crashes. Class: knowledge that is told once and never handed to hosts that were away. Change: hosts tell each other of the losses of equal requests whenever they tell of suspected parts, and hosts that start at once. Ages are told, so that nothing is kept alive; losses that are not judged yet are not told.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -280,6 +280,8 @@
                 list_upstreams=lambda: self._router.upstreams,
                 on_work=self._update_peer_loads,
                 on_loss=self._record_peer_loss,
+                list_losses=self._losses.list_records,
+                on_losses=lambda records: self._losses.learn(records, self._reactor.seconds()),
                 list_suspects=suspects.list_records,
                 on_suspects=suspects.learn,
                 on_limit=self._record_peer_limit,
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -204,6 +204,25 @@
     strike: str
 
 
+class FingerprintEntry(Struct, frozen=True, array_like=True):
+    """The answers that were lost under equal requests.
+
+    Attributes:
+        losses: Hashes of their ids.
+        last_ms: Time since the latest loss.
+    """
+
+    fingerprint: str
+    losses: list[int]
+    last_ms: int
+
+
+class LossesReport(Struct, frozen=True, array_like=True, tag="losses"):
+    """Reports all that the sender knows about answers lost under equal requests."""
+
+    entries: list[FingerprintEntry]
+
+
 class LossEntry(Struct, frozen=True, array_like=True):
     """The loss of an answer to a prompt in a crash of its upstream.
 
@@ -373,6 +392,7 @@
     WorkReport
     | LoadsReport
     | LossReport
+    | LossesReport
     | SuspectsReport
     | LimitReport
     | RejectionReport
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -9,10 +9,11 @@
 
 from greengagestage.duties import DutyBody, DutyReport, UsageReceipt, UsageReport
 from greengagestage.ids import FailureDomain, Fingerprint, HostId, Incarnation, InstanceId
-from greengagestage.routing import StreamRecord, SuspectRecord
+from greengagestage.routing import LossRecord, StreamRecord, SuspectRecord
 
 from ._load_exchange import LoadExchange
 from ._loops import RepeatingTask
+from ._loss_reports import build_loss_reports, read_loss_report
 from ._peer_messages import (
     PROTOCOL_VERSION,
     ConfigurationReport,
@@ -20,6 +21,7 @@
     LimitReport,
     LoadReport,
     LoadsReport,
+    LossesReport,
     LossReport,
     PeerBody,
     PeerMessage,
@@ -64,6 +66,9 @@
         on_work: Handles the load and demand of all other hosts.
         on_loss: Handles the fingerprint of a request whose answer was lost, and the id of the
             loss.
+        list_losses: Returns the losses under equal requests, those with the most first, at a time
+            in seconds.
+        on_losses: Handles what another host knows about such losses.
         list_suspects: Returns the prompt parts that are suspected of crashing upstreams, those with
             the most evidence first, at a time in seconds.
         on_suspects: Handles what another host knows about such parts; returns what contradicts it.
@@ -87,6 +92,8 @@
     list_upstreams: Callable[[], Iterable[InstanceId]]
     on_work: Callable[[Loads, Demands], None]
     on_loss: Callable[[Fingerprint, str], None]
+    list_losses: Callable[[float], Sequence[LossRecord]]
+    on_losses: Callable[[Sequence[LossRecord]], None]
     list_suspects: Callable[[float], Sequence[SuspectRecord]]
     on_suspects: Callable[[Sequence[SuspectRecord]], Sequence[SuspectRecord]]
     on_limit: Callable[[Incarnation, float | None], None]
@@ -241,6 +248,8 @@
                     self._update_router()
             case LossReport(fingerprint=fingerprint, strike=loss_id):
                 self._callbacks.on_loss(fingerprint, loss_id)
+            case LossesReport() as losses:
+                self._callbacks.on_losses(read_loss_report(losses, self._reactor.seconds()))
             case SuspectsReport() as suspects:
                 self._learn_suspects(suspects)
             case LimitReport(instance=instance, started_ms=started_ms, per_s=per_s):
@@ -274,7 +283,7 @@
             self._report_addresses()
         if has_started:
             log_message(message_type="peers: heard", peer=sender.host, address=addr[0])
-            self._tell_suspects(sender.host)
+            self._tell_crashes(sender.host)
         return True
 
     def _report_addresses(self) -> None:
@@ -293,17 +302,21 @@
         own_streams = self._callbacks.take_streams(now_s)
         for host, streams in self._stream_relay.plan_reports(own_streams, now_s):
             self._send(host, PeerMessage(self._take_next_sender(), streams))
-        self._gossip_suspects(now_s)
+        self._gossip_crashes(now_s)
         self._update_router()
         self._log_hub_change()
         return self._load_exchange.interval_s
 
-    def _gossip_suspects(self, now_s: float) -> None:
+    def _gossip_crashes(self, now_s: float) -> None:
+        """Tell some hosts what this one knows about crashing requests and prompt parts."""
         if not self._suspect_gossip.is_due(now_s):
             return
+        peers = list(self._peers)
         records = self._callbacks.list_suspects(now_s)
-        for host, report in self._suspect_gossip.plan_reports(records, list(self._peers), now_s):
+        for host, report in self._suspect_gossip.plan_reports(records, peers, now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
+        for host in self._suspect_gossip.draw_targets(peers):
+            self._tell_losses(host, now_s)
 
     def _learn_suspects(self, suspects: SuspectsReport) -> None:
         """Learn what another host knows, and perhaps tell all hosts what contradicts it."""
@@ -312,8 +325,14 @@
         for report in self._suspect_gossip.plan_reply(contradicting, len(self._peers), now_s):
             self._broadcast(report)
 
-    def _tell_suspects(self, host: HostId) -> None:
+    def _tell_losses(self, host: HostId, now_s: float) -> None:
+        for report in build_loss_reports(self._callbacks.list_losses(now_s), now_s):
+            self._send(host, PeerMessage(self._take_next_sender(), report))
+
+    def _tell_crashes(self, host: HostId) -> None:
         """Tell a host that has started, or that this host has not heard before."""
+        if self._suspect_gossip.draw_reply(len(self._peers)):
+            self._tell_losses(host, self._reactor.seconds())
         now_s = self._reactor.seconds()
         records = self._callbacks.list_suspects(now_s)
         for report in self._suspect_gossip.plan_reply(records, len(self._peers), now_s):
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -48,10 +48,10 @@
     def record_loss(self, lost: LostAnswer) -> None:
         """Record a lost answer; report it later, unless others were lost with it elsewhere."""
         loss_id = f"{lost.attempt_id}.{lost.number}"
-        count = self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
+        count = self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s, confirmed=False)
         self._crash_watch.call_when_judged(
             lost,
-            on_alone=lambda: self._report_loss(lost.fingerprint, loss_id),
+            on_alone=lambda: self._confirm_loss(lost, loss_id),
             on_common=lambda: self._losses.forget_loss(lost.fingerprint, loss_id),
         )
         if count > 1:
@@ -63,3 +63,7 @@
             )
         if lost.prompt is not None and lost.had_just_begun:
             self._crash_watch.examine_loss(lost, lost.prompt)
+
+    def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
+        self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
+        self._report_loss(lost.fingerprint, loss_id)
--- a/greengagestage/gateway/_suspect_reports.py
+++ b/greengagestage/gateway/_suspect_reports.py
@@ -49,8 +49,7 @@
         reports = _build_limited_reports(records, now_s)
         if not reports:
             return []
-        targets = {peers[int(self._draw() * len(peers))] for _ in range(GOSSIP_PEERS) if peers}
-        return [(peer, report) for peer in sorted(targets) for report in reports]
+        return [(peer, report) for peer in self.draw_targets(peers) for report in reports]
 
     def plan_reply(
         self, records: Iterable[SuspectRecord], peers: int, now_s: float
@@ -62,9 +61,15 @@
         Args:
             peers: Number of other hosts.
         """
-        if self._draw() * peers >= REPLIES_PER_REPORT:
-            return []
-        return _build_limited_reports(records, now_s)
+        return _build_limited_reports(records, now_s) if self.draw_reply(peers) else []
+
+    def draw_targets(self, peers: Sequence[HostId]) -> list[HostId]:
+        """Return the hosts that are told something in a round."""
+        return sorted({peers[int(self._draw() * len(peers))] for _ in range(GOSSIP_PEERS) if peers})
+
+    def draw_reply(self, peers: int) -> bool:
+        """Return whether to tell a host what all other hosts may know as well."""
+        return self._draw() * peers < REPLIES_PER_REPORT
 
 
 def build_suspect_reports(
--- a/greengagestage/ids.py
+++ b/greengagestage/ids.py
@@ -15,6 +15,8 @@
 AttemptId = NewType("AttemptId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 Fingerprint = NewType("Fingerprint", str)
+
+LossHash = NewType("LossHash", int)
 """A hash of the workspace and the canonical request body."""
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 FencingNumber = NewType("FencingNumber", int)
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -3,9 +3,12 @@
 A loss is an answer whose connection ended before it was complete.
 """
 
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
-from greengagestage.ids import Fingerprint
+import xxhash
+
+from greengagestage.ids import Fingerprint, LossHash
 
 LOSSES_TO_QUARANTINE = 3
 """Losses after which requests with the same fingerprint are no longer sent. Single answers get
@@ -18,11 +21,30 @@
 """Maximum number of tracked fingerprints; the one with the oldest latest loss is evicted first."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LossRecord:
+    """What a host knows about the losses of one fingerprint, in a form that hosts exchange.
+
+    Attributes:
+        losses: Hashes of the ids of the losses.
+        last_s: Time of the latest loss.
+    """
+
+    fingerprint: Fingerprint
+    losses: frozenset[LossHash]
+    last_s: float
+
+
 @dataclass(slots=True, kw_only=True)
-class _LossRecord:
-    """The distinct losses of one fingerprint and the time of the latest."""
+class _Losses:
+    """The distinct losses of one fingerprint and the time of the latest.
 
-    ids: set[str] = field(default_factory=set)
+    Attributes:
+        unconfirmed: Losses that may yet turn out to have another cause.
+    """
+
+    hashes: set[LossHash] = field(default_factory=set)
+    unconfirmed: set[LossHash] = field(default_factory=set)
     last_s: float
 
 
@@ -30,34 +52,76 @@
     """Counts, by request fingerprint, how often an answer was lost on any host."""
 
     def __init__(self) -> None:
-        self._losses: dict[Fingerprint, _LossRecord] = {}
+        self._losses: dict[Fingerprint, _Losses] = {}
 
-    def record_loss(self, fingerprint: Fingerprint, loss_id: str, now_s: float) -> int:
+    def record_loss(
+        self, fingerprint: Fingerprint, loss_id: str, now_s: float, *, confirmed: bool = True
+    ) -> int:
         """Record a loss and return the number of distinct losses of the fingerprint.
 
         Args:
             loss_id: Identifies the loss, which hosts may report more than once. Several losses may
                 have occurred at one upstream.
+            confirmed: Whether the loss is certain to count. Others are not told to other hosts.
         """
-        losses = self._losses.pop(fingerprint, None)
-        if losses is None or now_s - losses.last_s > LOSS_LIFETIME_S:
-            losses = _LossRecord(last_s=now_s)
-        losses.ids.add(loss_id)
-        losses.last_s = now_s
-        self._losses[fingerprint] = losses
-        if len(self._losses) > MAX_FINGERPRINTS:
-            del self._losses[next(iter(self._losses))]
-        return len(losses.ids)
+        loss = _hash_loss(loss_id)
+        losses = self._update(fingerprint, {loss}, now_s)
+        if confirmed:
+            losses.unconfirmed.discard(loss)
+        else:
+            losses.unconfirmed.add(loss)
+        return len(losses.hashes)
+
+    def learn(self, records: Iterable[LossRecord], now_s: float) -> None:
+        """Add what another host knows, unless it has expired."""
+        for record in records:
+            if now_s - record.last_s <= LOSS_LIFETIME_S:
+                self._update(record.fingerprint, record.losses, record.last_s)
 
     def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Forget a loss that had another cause than the request."""
         losses = self._losses.get(fingerprint)
         if losses is not None:
-            losses.ids.discard(loss_id)
+            losses.hashes.discard(_hash_loss(loss_id))
+            losses.unconfirmed.discard(_hash_loss(loss_id))
 
     def is_quarantined(self, fingerprint: Fingerprint, now_s: float) -> bool:
         """Whether requests with this fingerprint must not be sent."""
         losses = self._losses.get(fingerprint)
         if losses is None or now_s - losses.last_s > LOSS_LIFETIME_S:
             return False
-        return len(losses.ids) >= LOSSES_TO_QUARANTINE
+        return len(losses.hashes) >= LOSSES_TO_QUARANTINE
+
+    def list_records(self, now_s: float) -> list[LossRecord]:
+        """Return the records of all fingerprints with confirmed losses, those with most first.
+
+        No record has more losses than a quarantine takes.
+        """
+        records = [
+            LossRecord(
+                fingerprint=fingerprint,
+                losses=frozenset(sorted(confirmed)[:LOSSES_TO_QUARANTINE]),
+                last_s=losses.last_s,
+            )
+            for fingerprint, losses in self._losses.items()
+            if (confirmed := losses.hashes - losses.unconfirmed)
+            and now_s - losses.last_s <= LOSS_LIFETIME_S
+        ]
+        return sorted(records, key=lambda record: len(record.losses), reverse=True)
+
+    def _update(
+        self, fingerprint: Fingerprint, hashes: Collection[LossHash], last_s: float
+    ) -> _Losses:
+        losses = self._losses.pop(fingerprint, None)
+        if losses is None or last_s - losses.last_s > LOSS_LIFETIME_S:
+            losses = _Losses(last_s=last_s)
+        losses.hashes.update(hashes)
+        losses.last_s = max(losses.last_s, last_s)
+        self._losses[fingerprint] = losses
+        if len(self._losses) > MAX_FINGERPRINTS:
+            del self._losses[next(iter(self._losses))]
+        return losses
+
+
+def _hash_loss(loss_id: str) -> LossHash:
+    return LossHash(xxhash.xxh64_intdigest(loss_id.encode()))
--- a/tests/record_messages.py
+++ b/tests/record_messages.py
@@ -16,10 +16,12 @@
     ConfigurationReport,
     DemandEntry,
     DomainReport,
+    FingerprintEntry,
     LimitReport,
     LoadEntry,
     LoadReport,
     LossEntry,
+    LossesReport,
     LossReport,
     PeerMessage,
     RegistryReport,
@@ -83,6 +85,7 @@
     "domain": DomainReport(FailureDomain("a"), 12, WORK),
     "totals": TotalsReport(41, 3, 80, WORK),
     "loss": LossReport(Fingerprint("f1"), "loss-1"),
+    "losses": LossesReport([FingerprintEntry("f1", [7, 2**64 - 1], 1_200)]),
     "suspects": SuspectsReport(
         [SuspectEntry(99, 1_500, [LossEntry(5, 800, 700)]), SuspectEntry(98, None, [])]
     ),
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -191,6 +191,8 @@
                 measure_local_demand=lambda now_s: {},
                 list_upstreams=lambda: [InstanceId("i-1"), InstanceId("i-2")],
                 on_work=lambda loads, demands: self.calls.append((loads, demands)),
+                list_losses=lambda now_s: [],
+                on_losses=lambda records: None,
                 on_loss=lambda fingerprint, loss_id: self.calls.append(loss_id),
                 list_suspects=lambda now_s: list(self.suspects),
                 on_suspects=lambda records: self.calls.append(records) or [],
--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -45,6 +45,21 @@
     assert not tracker.is_quarantined(bad, 0.0)
 
 
+# Guards against hosts that keep a quarantine alive by telling each other of it, and against
+# spreading a loss that turns out to have another cause.
+def test_hosts_exchange_confirmed_losses_with_their_age() -> None:
+    first, second, bad = LossTracker(), LossTracker(), Fingerprint("f")
+    for number in range(3):
+        first.record_loss(bad, f"loss-{number}", 0.0)
+    first.record_loss(Fingerprint("g"), "loss-9", 0.0, confirmed=False)
+    for now_s in (10.0, 50.0):
+        second.learn(first.list_records(now_s), now_s)
+        first.learn(second.list_records(now_s), now_s)
+    assert second.is_quarantined(bad, 59.0)
+    assert not second.is_quarantined(bad, 61.0)
+    assert [record.fingerprint for record in second.list_records(50.0)] == [bad]
+
+
 def test_losses_expire() -> None:
     tracker, bad = LossTracker(), Fingerprint("f")
     for number in range(3):
