Count the time of a request from its arrival behind another one

What upstreams saw: more time than the caller has left, for a request that its caller sent before the answer to the one before (BUDGET, deadlines). Cause: such bytes wait in the parser, and the request's time began when they were parsed, after that answer. Change: a connection remembers when buffered bytes arrived. A metric counts the bytes that are discarded on connections about to be closed. Evidence: test_the_time_of_a_request_counts_from_its_arrival_behind_another_one failed with the parser before.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -493,6 +493,7 @@
             **duties,
             "open_requests": len(self._context.open_exchanges),
             "caller_connections": len(self._caller_server.connections),
+            "caller_bytes_discarded": self._caller_server.discarded_bytes,
             "upstreams": len(self._router.upstreams),
             "active_peers": self._peers.active_peers,
             "store_calls": self._rows.calls,
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -13,6 +13,7 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import CallerListener, ObservedConnection
+from ._pipelining import PipelinedBytes
 from ._sockets import count_undelivered_bytes, count_unsent_bytes, tune_socket
 from ._types import HeaderList
 
@@ -90,6 +91,9 @@
     Args:
         on_request: Called with each complete request and the connection that takes its response.
         on_refused: Called with the reason for refusing a request; returns the body of the refusal.
+
+    Attributes:
+        discarded_bytes: Number of bytes that were received on connections about to be closed.
     """
 
     noisy = False
@@ -106,6 +110,7 @@
         self.on_refused = on_refused
         self.limits = ConnectionLimits()
         self.closing = False
+        self.discarded_bytes = 0
         self.connections: set[CallerConnection] = set()
 
     def buildProtocol(self, addr: Any) -> Any:
@@ -148,6 +153,7 @@
             h11.SERVER, max_incomplete_event_size=factory.limits.header_bytes
         )
         self._incoming: _PartialRequest | None = None
+        self._pipelined = PipelinedBytes()
         self._answering = False
         self._answers_head = False
         # Set once the connection is to be closed: after a refusal, after the last answer, or by
@@ -177,11 +183,13 @@
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes up to the end of one request."""
         if self._ignoring_input:
+            self.factory.discarded_bytes += len(data)
             return
         if self._incoming is None and not self._answering:
-            self._begin_reading()
+            self._begin_reading(self.factory.reactor.seconds())
         self._codec.receive_data(data)
         if self._answering:
+            self._pipelined.add(len(data), self.factory.reactor.seconds())
             self._limit_pipelining()
             return
         self._read_events()
@@ -254,12 +262,14 @@
 
     def _resume_reading(self) -> None:
         self._unpause_reading()
-        if self._codec.trailing_data[0]:
-            self._begin_reading()
+        buffered = len(self._codec.trailing_data[0])
+        if buffered:
+            now_s = self.factory.reactor.seconds()
+            self._begin_reading(self._pipelined.find_arrival(buffered, default_s=now_s))
             self._read_events()
 
-    def _begin_reading(self) -> None:
-        self._incoming = _PartialRequest(received_s=self.factory.reactor.seconds())
+    def _begin_reading(self, received_s: float) -> None:
+        self._incoming = _PartialRequest(received_s=received_s)
         self._set_timer(self.factory.limits.header_timeout_s, self._refuse_too_slow)
 
     def _read_events(self) -> None:
@@ -345,6 +355,7 @@
         What is received meanwhile is discarded.
         """
         self._ignoring_input = True
+        self.factory.discarded_bytes += len(self._codec.trailing_data[0])
         self._unpause_reading()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -101,6 +101,23 @@
     assert not to_upstream.transport.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
 
 
+# Guards against upstreams that are given more time than is left for a request that has waited.
+def test_the_time_of_a_request_counts_from_its_arrival_behind_another_one(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.delay(0.5, harness.serve))
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.connect(harness.build_request("/order/x", attempt="a1"))
+    fleet.run_until(lambda: len(upstream.requests) == 1)
+    caller.transport.write(harness.build_request("/order/x", attempt="a2"))
+    fleet.run_for(0.3)
+    caller.transport.write(harness.build_request("/order/x", attempt="a3"))
+    fleet.run_until(lambda: len(upstream.requests) == 3)
+    given_ms = [int(each.get(b"greengagestage-deadline-ms") or 0) for each in upstream.requests]
+    assert given_ms[0] > 1_900
+    assert given_ms[1] < 1_600
+    assert given_ms[2] < 1_400
+
+
 # Guards against a process that ends before its last answer has left it.
 def test_a_stop_waits_until_a_slow_caller_has_its_answer(fleet: HostFleet) -> None:
     fleet.add_upstream("one", behavior=answer_large_after(2.4))
