Answer requests that wait behind another one before a stop closes their connection

Cause: every answer of a stopping host announced the close, and what was buffered behind it was discarded. Change: the close is announced with the answer that has nothing received behind it.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -387,7 +387,12 @@
             self.transport.pauseProducing()
 
     def _build_connection_header(self) -> HeaderList:
-        return [(b"Connection", b"close")] if self.factory.closing else []
+        """Return the header that announces the close, while the server stops.
+
+        A request that has been received behind this one is answered first.
+        """
+        is_last = self.factory.closing and not self._codec.trailing_data[0]
+        return [(b"Connection", b"close")] if is_last else []
 
     def _send(self, event: Any) -> None:
         self.transport.write(self._codec.send(event))
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -101,6 +101,30 @@
     assert not to_upstream.transport.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
 
 
+# Guards against a request that was read whole before a stop, and is dropped with its connection
+# once the one before it is answered.
+@pytest.mark.parametrize("path", ["/lookup/x", "/nowhere/x", "/short/x"])
+def test_requests_that_wait_behind_another_one_are_answered_at_a_stop(
+    fleet: HostFleet, path: str
+) -> None:
+    slow = harness.delay(0.4, harness.serve)
+    fleet.add_upstream("one", behavior=slow)
+    fleet.add_upstream("two", service="engines")
+    process = fleet.start_host()
+    fleet.wait_ready()
+    requests = [
+        harness.build_request("/order/x", attempt="a1"),
+        harness.build_request(path, attempt="a2", body=b""),
+        harness.build_request("/order/x", attempt="a3"),
+    ]
+    caller = fleet.connect(b"".join(requests))
+    fleet.run_until(lambda: bool(fleet.upstreams["one"].requests))
+    process.stop()
+    fleet.run_until(lambda: caller.closed)
+    assert caller.data.count(b"HTTP/1.1 ") == 3
+    assert caller.data.lower().count(b"connection: close") == 1
+
+
 # Guards against upstreams that are given more time than is left for a request that has waited.
 def test_the_time_of_a_request_counts_from_its_arrival_behind_another_one(fleet: HostFleet) -> None:
     upstream = fleet.add_upstream("one", behavior=harness.delay(0.5, harness.serve))
