Answer a long series of requests on one connection without recursion

Cause: the answer to a request read the next one from within it. Change: the loop that reads requests goes on with the next one itself.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -154,6 +154,7 @@
         )
         self._incoming: _PartialRequest | None = None
         self._pipelined = PipelinedBytes()
+        self._reading = False
         self._answering = False
         self._answers_head = False
         # Set once the connection is to be closed: after a refusal, after the last answer, or by
@@ -273,12 +274,18 @@
         self._set_timer(self.factory.limits.header_timeout_s, self._refuse_too_slow)
 
     def _read_events(self) -> None:
+        """Handle the buffered requests, one after the other while they are answered at once."""
+        if self._reading:
+            return  # called by the answer to a request that the loop below has just read
+        self._reading = True
         try:
             while self._read_event(self._codec.next_event()):
                 pass
         except h11.RemoteProtocolError as error:
             too_large = error.error_status_hint == LimitExceeded.HEAD_TOO_LARGE.value
             self._refuse(LimitExceeded.HEAD_TOO_LARGE if too_large else LimitExceeded.MALFORMED)
+        finally:
+            self._reading = False
 
     def _read_event(self, event: Any) -> bool:
         """Handle one parser event; return whether more may follow."""
@@ -292,7 +299,7 @@
                 return self._handle_body(incoming, bytes(event.data))
             case h11.EndOfMessage():
                 self._handle_end(incoming)
-                return False
+                return self._incoming is not None
             case _:
                 return False
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -125,6 +125,16 @@
     assert caller.data.lower().count(b"connection: close") == 1
 
 
+# Guards against many requests on one connection that are answered at once and end it.
+def test_a_long_series_of_requests_is_answered(fleet: HostFleet) -> None:
+    fleet.start_host()
+    fleet.wait_ready()
+    requests = [harness.build_request("/nowhere/x", attempt=f"a{n}", body=b"") for n in range(400)]
+    caller = fleet.connect(b"".join(requests))
+    fleet.run_until(lambda: caller.closed or caller.data.count(b"HTTP/1.1 404") == len(requests))
+    assert not caller.closed
+
+
 # Guards against upstreams that are given more time than is left for a request that has waited.
 def test_the_time_of_a_request_counts_from_its_arrival_behind_another_one(fleet: HostFleet) -> None:
     upstream = fleet.add_upstream("one", behavior=harness.delay(0.5, harness.serve))
