Limit the responses before the final one of an exchange

Cause: a read holds thousands of interim responses, or of complete ones that belong to earlier requests; they were parsed one after the other before anything else ran, and read again and again until the request's own timeout. Change: the connection is closed as malformed after 32 of them. Evidence: both cases of test_responses_without_end_before_the_final_one_... failed before.

--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -24,6 +24,11 @@
 """Idle limit if the server announced none; below the five seconds that servers usually allow."""
 
 
+MAX_SKIPPED_RESPONSES = 32
+"""Limit for the responses before the final one of an exchange: interim ones, and those left over
+from earlier requests. A read can hold thousands, whose parsing would hold up all other work."""
+
+
 class ExchangeFailure(Enum):
     """Why an exchange ended without a complete response."""
 
@@ -123,6 +128,7 @@
         self._on_closed = on_closed
         self._exchange: Exchange | None = None
         self._exchanges = 0
+        self._skipped_responses = 0
         self._codec = _create_codec()
         self._dropping_response = False
         self._closed = False
@@ -156,6 +162,7 @@
         """Send the exchange's request; the connection must be idle."""
         self._exchange = exchange
         self._exchanges += 1
+        self._skipped_responses = 0
         self.transport.write(_encode_request(self._codec, exchange.request))
 
     def close(self) -> None:
@@ -217,11 +224,18 @@
             case h11.EndOfMessage():
                 self._end_response()
             case h11.InformationalResponse():
-                pass
+                self._count_skipped()
             case _:
                 return False
         return True
 
+    def _count_skipped(self) -> None:
+        """Count a response that is not the final one; close the connection after too many."""
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            self._fail(ExchangeFailure.MALFORMED)
+            self.close()
+
     def _begin_response(self, event: h11.Response) -> None:
         exchange = self._exchange
         if exchange is None:
@@ -234,6 +248,7 @@
         )
         self._dropping_response = not exchange.is_answer(head)
         if self._dropping_response:
+            self._count_skipped()
             return
         self._update_idle_limit(head)
         exchange.listener.receive_head(head)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -301,6 +301,28 @@
     assert client.listener.ended
 
 
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+LEFT_OVER = b"HTTP/1.1 200 OK\r\nid: old\r\nContent-Length: 0\r\n\r\n"
+
+
+# Guards against a server whose responses before the final one hold up all other work: a single read
+# holds thousands of them.
+@pytest.mark.parametrize("piece", [INTERIM, LEFT_OVER])
+def test_responses_without_end_before_the_final_one_close_the_connection(piece: bytes) -> None:
+    client = ClientHarness()
+    client.receive(piece * 2_000)
+    assert client.listener.failure is ExchangeFailure.MALFORMED
+    assert client.transport.aborted
+
+
+@pytest.mark.parametrize("piece", [INTERIM, LEFT_OVER])
+def test_the_final_response_follows_some_others(piece: bytes) -> None:
+    client = ClientHarness()
+    client.receive(piece * 8 + COMPLETE)
+    assert client.listener.body == b"ok"
+    assert client.idle == [client.connection]
+
+
 def test_an_extra_response_closes_the_connection() -> None:
     client = ClientHarness()
     client.receive(COMPLETE + COMPLETE)
