Bound the heads of answers that the clients based on Twisted's read

Cause: Twisted's client limits the length of a line only. The same client is used by the entry and agent programs for upstreams, the platform's services, load reports and orders, and by the operators' command, which read bodies without a limit, too. Change: one protocol and one pool for all of them, which abort a connection whose head exceeds 64 KiB, as the h11 client does.

--- a/greengagestage/agent/_load_client.py
+++ b/greengagestage/agent/_load_client.py
@@ -7,7 +7,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
+
+from greengagestage.services import BoundedConnectionPool
 
 REPORT_LIMIT_BYTES = 64 * 1024
 IDLE_CONNECTION_TIMEOUT_S = 60.0
@@ -55,10 +57,9 @@
     def __init__(self, *, reactor: Any, timeout_s: float) -> None:
         self._reactor = reactor
         self._timeout_s = timeout_s
-        self._pool = cast(Any, HTTPConnectionPool)(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = 1
-        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
-        self._pool.retryAutomatically = False
+        self._pool: Any = BoundedConnectionPool(
+            reactor, idle_per_host=1, idle_timeout_s=IDLE_CONNECTION_TIMEOUT_S
+        )
         self._http = cast(Any, Agent)(reactor, connectTimeout=timeout_s, pool=self._pool)
 
     async def read(self, url: str) -> LoadReport | None:
--- a/greengagestage/commands/_agent_client.py
+++ b/greengagestage/commands/_agent_client.py
@@ -6,14 +6,17 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
-from twisted.web.client import Agent, FileBodyProducer, readBody
+from twisted.web.client import Agent, FileBodyProducer
 from twisted.web.http_headers import Headers
 
 from greengagestage.language import ApplyRequest, CommandAnswer, CommandRequest, build_code_answer
 from greengagestage.results import ResultCode
+from greengagestage.services import BoundedConnectionPool, read_body
 
 CONNECT_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 15.0
+MAX_ANSWER_BYTES = 67_108_864
+"""Larger answers are given up. A table of all requests of a large fleet is a few megabytes."""
 
 _DECODER = msgspec.json.Decoder(CommandAnswer)
 
@@ -25,7 +28,8 @@
 
     If the answer is lost, the command may have taken effect: the code is ``OUTCOME_UNKNOWN``.
     """
-    http = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)  # type: ignore[no-untyped-call]
+    pool = BoundedConnectionPool(reactor, idle_per_host=1, idle_timeout_s=1.0)
+    http = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)  # type: ignore[no-untyped-call]
     headers = Headers({"Authorization": [f"Bearer {key}"], "Content-Type": ["application/json"]})
     body: Any = FileBodyProducer(BytesIO(msgspec.json.encode(request)))  # type: ignore[no-untyped-call]
     path = "apply" if isinstance(request, ApplyRequest) else "command"
@@ -34,7 +38,7 @@
     sending.addTimeout(ANSWER_TIMEOUT_S, reactor)
     try:
         response = await sending
-        data = await readBody(response).addTimeout(ANSWER_TIMEOUT_S, reactor)
+        data = await read_body(response, MAX_ANSWER_BYTES).addTimeout(ANSWER_TIMEOUT_S, reactor)
         return _DECODER.decode(data)
     except ConnectError as error:
         return build_code_answer(ResultCode.AGENT_UNREACHABLE, f"{agent_url}: {error}")
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -6,6 +6,7 @@
 
 from ._callers import CallerListener, ObservedConnection
 from ._client import (
+    MAX_RESPONSE_HEAD_BYTES,
     ClientConnection,
     Exchange,
     ExchangeFailure,
@@ -34,6 +35,7 @@
     "HeaderList",
     "IncomingRequest",
     "LimitExceeded",
+    "MAX_RESPONSE_HEAD_BYTES",
     "ObservedConnection",
     "OutgoingRequest",
     "Responder",
--- a/greengagestage/services/_http.py
+++ b/greengagestage/services/_http.py
@@ -7,13 +7,14 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import Agent, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
 
 from greengagestage.outcomes import Unavailable, Unknown
 
 from ._body import BytesProducer
+from ._client_protocol import BoundedConnectionPool
 
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 MAX_IDLE_CONNECTIONS_PER_HOST = 4
@@ -85,13 +86,13 @@
     return done
 
 
-def create_pool(reactor: Any) -> Any:
+def create_pool(reactor: Any) -> BoundedConnectionPool:
     """Return a connection pool that keeps a few idle connections and never retries a request."""
-    pool = cast(Any, HTTPConnectionPool)(reactor, persistent=True)
-    pool.retryAutomatically = False
-    pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
-    pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
-    return pool
+    return BoundedConnectionPool(
+        reactor,
+        idle_per_host=MAX_IDLE_CONNECTIONS_PER_HOST,
+        idle_timeout_s=IDLE_CONNECTION_TIMEOUT_S,
+    )
 
 
 class HttpClient:
@@ -113,7 +114,8 @@
 
     def close(self) -> Deferred[Any]:
         """Close the idle connections."""
-        return cast(Deferred[Any], self._pool.closeCachedConnections())
+        closing: Any = self._pool.closeCachedConnections()  # type: ignore[no-untyped-call]
+        return cast(Deferred[Any], closing)
 
     @inlineCallbacks
     def send(
--- a/greengagestage/upstream/_pool.py
+++ b/greengagestage/upstream/_pool.py
@@ -10,7 +10,8 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
-from twisted.web._newclient import HTTP11ClientProtocol
+
+from greengagestage.services import BoundedClientProtocol
 
 SWEEP_INTERVAL_S = 1.0
 """How often expired idle connections are closed."""
@@ -39,7 +40,7 @@
     idle_per_address: int = 64
 
 
-class Connection(HTTP11ClientProtocol):
+class Connection(BoundedClientProtocol):
     """A client connection that records the monotonic time at which it became idle."""
 
     idle_since_s = 0.0
