Excuse a request in the soak that crosses the announced end of its connection

The head of a stream announces the end of its connection long before its last event. A request sent behind it after that, or at most LossSlackMs before, has crossed the close. A close that is announced later than that still counts.

--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from ._bounds import LOSS_SLACK_S
 from ._ledger import Attempt, Ending, RequestPlan, StreamEvent
 from ._operator import HOST_NAME
 
@@ -125,7 +126,7 @@
         assert attempt is not None
         match event:
             case h11.Response():
-                attempt.status = event.status_code
+                attempt.status, attempt.head_s = event.status_code, self._clock.seconds()
                 attempt.headers = {
                     name.decode("latin-1"): value.decode("latin-1") for name, value in event.headers
                 }
@@ -152,8 +153,7 @@
         attempt.events.extend(_parse_event(text) for text in complete)
 
     def _finish_answer(self, attempt: Attempt) -> None:
-        kept = attempt.headers.get("connection", "").lower() != "close"
-        if kept and self._codec.their_state is h11.DONE:
+        if not attempt.closes and self._codec.their_state is h11.DONE:
             self._codec.start_next_cycle()
         else:
             self.usable = False
@@ -161,8 +161,9 @@
         self._end(Ending.COMPLETE)
         if self.usable:
             self._begin_following()
-        else:
-            self._end_following(Ending.BROKEN, was_reset=False)
+        elif self._following is not None:
+            crossed = attempt.head_s <= self._following[0].last_byte_s + LOSS_SLACK_S
+            self._end_following(Ending.BEHIND if crossed else Ending.BROKEN, was_reset=False)
 
     def _abandon(self, ending: Ending) -> None:
         self._end(ending)
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -11,7 +11,8 @@
 class Ending(Enum):
     """How a caller's request ended.
 
-    ``BEHIND`` stands for a request that was sent behind another one whose answer was broken off.
+    ``BEHIND`` stands for a request that was sent behind another one whose answer was broken off, or
+    announced its connection's end before the request can have arrived.
     """
 
     OPEN = "open"
@@ -82,6 +83,7 @@
     Attributes:
         begun_s: When the caller received the first event of a stream, or the head of another
             answer of an upstream; 0 without either.
+        head_s: When the head of the answer arrived.
         was_reset: Whether the connection was reset before the answer was complete.
     """
 
@@ -96,8 +98,14 @@
     ending: Ending = Ending.OPEN
     ended_s: float = 0.0
     begun_s: float = 0.0
+    head_s: float = math.inf
     was_reset: bool = False
 
+    @property
+    def closes(self) -> bool:
+        """Whether the answer announces that it is the last one of its connection."""
+        return self.headers.get("connection", "").lower() == "close"
+
     @property
     def served(self) -> bool:
         """Whether the caller received a complete success."""
--- a/soak/_special_callers.py
+++ b/soak/_special_callers.py
@@ -41,7 +41,7 @@
         answers = [connection.send(leading)]
         attempts = [leading]
         await sleep(self.context.reactor, self.random.uniform(0.0, 0.3))
-        if leading.ending is Ending.OPEN and connection.usable:
+        if leading.ending is Ending.OPEN and connection.usable and not leading.closes:
             following = Attempt(plan=second, host=host.name, sent_s=seconds())
             self.context.ledger.add(following)
             attempts.append(following)
