Answer requests that wait behind another one also when an entry process stops

Evidence: test_entry_pipelining.py, the case with both requests in one write failed before (the second one was never passed on); the other case needs the new property.

--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -84,7 +84,8 @@
         self.setResponseCode(status)
         for name, value in headers:
             self.responseHeaders.addRawHeader(name, value)
-        if self.channel is not None and self.channel.factory.closing:
+        channel = cast("CallerChannel | None", self.channel)
+        if channel is not None and channel.factory.closing and not channel.has_buffered_bytes:
             self.close_after_answer()
 
     def begin_stream(self, status: int, headers: list[tuple[str, str]]) -> None:
@@ -181,6 +182,11 @@
         """Whether a request has arrived in part."""
         return bool(self.requests) and not self._handlingRequest
 
+    @property
+    def has_buffered_bytes(self) -> bool:
+        """Whether bytes have been received behind the open request, which is answered first."""
+        return any(self._dataBuffer)
+
     @property
     def idle(self) -> bool:
         """Whether no request is open."""
--- /dev/null
+++ b/tests/test_entry_pipelining.py
@@ -0,0 +1,48 @@
+"""Tests of requests that a caller sends to an entry process before earlier ones are answered."""
+
+from typing import Any
+
+import pytest
+from twisted.internet.protocol import ClientCreator
+
+from greengagestage.entry._http import CallerRequest, CallerServer, ServerLimits
+from greengagestage.ids import RequestId
+
+from .raw_caller import RawCaller
+from .reactors import run_until, running_reactor
+
+REQUEST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+
+
+# Guards against a request that was read whole before a stop, and is dropped with its connection
+# once the one before it is answered.
+@pytest.mark.parametrize("at_once", [True, False])
+def test_requests_that_wait_behind_another_one_are_answered_at_a_stop(at_once: bool) -> None:
+    with running_reactor() as reactor:
+        requests: list[CallerRequest] = []
+        server = CallerServer(
+            reactor=reactor,
+            limits=ServerLimits(),
+            on_request=requests.append,
+            on_refused=lambda code: RequestId("r"),
+        )
+        port: Any = server.listen("127.0.0.1", 0)
+        connected: list[RawCaller] = []
+        creator: Any = ClientCreator(reactor, RawCaller)
+        creator.connectTCP("127.0.0.1", port.getHost().port).addCallback(connected.append)
+        run_until(reactor, lambda: bool(connected))
+        caller = connected[0]
+        caller.transport.write(REQUEST % 1 + (REQUEST % 2 if at_once else b""))
+        run_until(reactor, lambda: len(requests) == 1)
+        if not at_once:
+            caller.transport.write(REQUEST % 2)
+            run_until(reactor, lambda: requests[0].channel.has_buffered_bytes)
+        server.closing = True
+        requests[0].answer(200, "text/plain", b"first", [])
+        run_until(reactor, lambda: len(requests) == 2 or caller.closed)
+        assert len(requests) == 2
+        requests[1].answer(200, "text/plain", b"second", [])
+        run_until(reactor, lambda: caller.closed)
+        assert b"first" in caller.data and b"second" in caller.data
+        assert caller.data.lower().count(b"connection: close") == 1
+        port.stopListening()
