Record in the store which requests and prompt parts crash upstreams

Cause: what hosts know about crashes was in their memory alone. Class: something that must outlast the hosts is not in the platform's store. Change: the host that sees the loss by which a request or a part becomes known writes a row; a host reads the rows when it starts. Ages are kept on the store's clock, within one era. Both cases of test_a_host_that_starts_alone_knows_what_crashed_upstreams fail without the read.

--- /dev/null
+++ b/greengagestage/gateway/_crash_table.py
@@ -0,0 +1,201 @@
+"""The store's record of requests and prompt parts that crash upstreams.
+
+Hosts tell each other what they know. The record is for those that start when no other host is left
+that knows.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import msgspec
+from eliot import log_message
+from msgspec import Struct
+from twisted.internet.defer import inlineCallbacks
+
+from greengagestage.decoding import Integer, convert_json
+from greengagestage.platform import (
+    RowClient,
+    RowId,
+    RowsRead,
+    Transaction,
+    build_put,
+)
+from greengagestage.routing import CrashSuspects, LossRecord, LossTracker, SuspectRecord
+
+from ._loops import RepeatingTask, add_jitter
+from ._loss_reports import build_loss_reports, read_loss_report
+from ._peer_messages import LossesReport, SuspectsReport
+from ._store_clock import read_boot_time_s
+from ._suspect_reports import build_suspect_reports, read_suspect_report
+
+CRASH_TABLE = "greengagestage-crashes"
+
+MIN_CRASHES = 2
+"""Crashes from which a prompt part is recorded. A single one is mostly a coincidence."""
+
+MAX_ROWS_PER_WRITE = 50
+WRITE_PAUSE_S = 0.5
+RETRY_S = 0.3
+IDLE_S = 60.0
+
+MAX_AGE_S = 7_200.0
+"""Age from which a row is removed: twice the longest quarantine."""
+
+REMOVAL_CHANCE = 0.1
+"""Share of the starting hosts that remove old rows, so that not all of them do at once."""
+
+
+class CrashRow(Struct, frozen=True, kw_only=True):
+    """What is known about one request, or one prompt part; ages count from ``written_ms``.
+
+    Attributes:
+        era: The store's era in which the row was written. In another one it is ignored, since the
+            clocks of different eras cannot be compared.
+        written_ms: Time of the write on the store's clock.
+    """
+
+    era: Integer | None
+    written_ms: Integer
+    losses: LossesReport = LossesReport([])
+    suspects: SuspectsReport = SuspectsReport([])
+
+
+class CrashTable:
+    """Reads the record at the start of a host, and adds what this host finds out itself."""
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        rows: RowClient,
+        random: Random,
+        losses: LossTracker,
+        suspects: CrashSuspects,
+    ) -> None:
+        self._reactor = reactor
+        self._rows = rows
+        self._random = random
+        self._losses = losses
+        self._suspects = suspects
+        self._task = RepeatingTask(reactor=reactor, name="crashes", step=self._step)
+        self._is_read = False
+        self._pending: dict[str, LossRecord | SuspectRecord] = {}
+
+    def start(self) -> None:
+        """Read the record."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop reading and writing."""
+        self._task.stop()
+
+    def record_request(self, record: LossRecord) -> None:
+        """Record a request that is quarantined because of a loss at this host."""
+        self._pending[f"request-{record.fingerprint}"] = record
+        self._task.run_within(0.0)
+
+    def record_parts(self, records: Sequence[SuspectRecord]) -> None:
+        """Record the parts of a prompt under which an upstream of this host has crashed again."""
+        for record in records:
+            if len(record.losses) >= MIN_CRASHES:
+                self._pending[f"part-{record.part}"] = record
+                self._task.run_within(0.0)
+
+    @inlineCallbacks
+    def _step(self) -> Any:
+        if not self._is_read:
+            read = yield self._rows.read(CRASH_TABLE)
+            if not isinstance(read, RowsRead):
+                return add_jitter(RETRY_S, self._random)
+            self._is_read = True
+            yield self._learn(read)
+        if not self._pending:
+            return IDLE_S
+        batch = dict(list(self._pending.items())[:MAX_ROWS_PER_WRITE])
+        puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in batch.items()]
+        outcome = yield self._rows.transact(Transaction(puts=puts))
+        if not isinstance(outcome, RowsRead):
+            return add_jitter(RETRY_S, self._random)
+        for key, record in batch.items():
+            if self._pending.get(key) is record:
+                del self._pending[key]
+        return WRITE_PAUSE_S if self._pending else IDLE_S
+
+    @inlineCallbacks
+    def _learn(self, read: RowsRead) -> Any:
+        """Add what the rows say, and perhaps remove the old ones."""
+        now_s = self._reactor.seconds()
+        old: list[str] = []
+        for stored in read.rows:
+            known = decode_row(stored.value, read, now_s)
+            if known is None:
+                old.append(stored.key)
+                continue
+            self._losses.learn(known.losses, now_s)
+            self._suspects.learn(known.suspects)
+        if read.rows:
+            log_message(message_type="crashes: read", rows=len(read.rows), old=len(old))
+        if old and self._random.random() < REMOVAL_CHANCE:
+            keys = old[:MAX_ROWS_PER_WRITE]
+            removals = [RowId(table=CRASH_TABLE, key=key) for key in keys]
+            yield self._rows.transact(Transaction(removals=removals))
+
+    def _encode(self, record: LossRecord | SuspectRecord) -> bytes:
+        now_s, clock = self._reactor.seconds(), self._rows.clock
+        store_s = 0.0 if clock is None else clock.store_s + read_boot_time_s() - clock.received_s
+        row = CrashRow(era=None if clock is None else clock.era, written_ms=round(store_s * 1_000))
+        match record:
+            case LossRecord():
+                (losses,) = build_loss_reports([record], now_s)
+                row = msgspec.structs.replace(row, losses=losses)
+            case SuspectRecord():
+                (suspects,) = build_suspect_reports([record], now_s)
+                row = msgspec.structs.replace(row, suspects=suspects)
+        return msgspec.json.encode(row)
+
+
+def _check_numbers(row: CrashRow) -> None:
+    """Raise ``ValueError`` for numbers that could not be told to other hosts."""
+    entries, suspects = row.losses.entries, row.suspects.suspects
+    crashes = [loss for suspect in suspects for loss in suspect.losses]
+    hashes = [suspect.part for suspect in suspects] + [loss.crash for loss in crashes]
+    hashes += [loss for entry in entries for loss in entry.losses]
+    ages_ms = [entry.last_ms for entry in entries] + [
+        suspect.answered_ms or 0 for suspect in suspects
+    ]
+    ages_ms += [age_ms for loss in crashes for age_ms in (loss.sent_ms, loss.lost_ms)]
+    if any(not 0 <= each < 2**64 for each in hashes):
+        raise ValueError("a hash does not have 64 bits")
+    if any(abs(each) > MAX_AGE_S * 1_000 for each in ages_ms):
+        raise ValueError("an age is out of range")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KnownCrashes:
+    """What a row says, with times of this host's clock."""
+
+    losses: list[LossRecord]
+    suspects: list[SuspectRecord]
+
+
+def decode_row(value: bytes, read: RowsRead, now_s: float) -> KnownCrashes | None:
+    """Return what a row says; None if it is unreadable, of another era or too old.
+
+    Args:
+        read: The read that has brought the row.
+        now_s: This host's monotonic time.
+    """
+
+    def convert(row: CrashRow) -> KnownCrashes | None:
+        age_s = max((read.store_clock_ms - row.written_ms) / 1_000, 0.0)
+        if row.era != read.era or age_s > MAX_AGE_S:
+            return None
+        _check_numbers(row)
+        return KnownCrashes(
+            losses=read_loss_report(row.losses, now_s - age_s),
+            suspects=read_suspect_report(row.suspects, now_s - age_s),
+        )
+
+    return convert_json(value, CrashRow, convert).value_or(None)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
 from random import Random
 from typing import Any
@@ -23,10 +23,18 @@
     WorkspaceId,
 )
 from greengagestage.platform import RowClient
-from greengagestage.routing import Demand, ForwardingHost, LossTracker, Router, UpstreamLoad
+from greengagestage.routing import (
+    Demand,
+    ForwardingHost,
+    LossTracker,
+    Router,
+    SuspectRecord,
+    UpstreamLoad,
+)
 from greengagestage.telemetry import DomainTrafficMetrics, EntryMetrics, LabelledGauge
 
 from ._context import ExchangeContext
+from ._crash_table import CrashTable
 from ._crash_watch import CrashWatch
 from ._era_table import EraTable
 from ._forwarding import ForwardingHandler
@@ -91,6 +99,13 @@
         self._peers = self._build_peers(incarnation, random)
         self._domain_hosts: Mapping[FailureDomain, int] = {}
         self._duties = self._build_duties(incarnation)
+        self._crashes = CrashTable(
+            reactor=reactor,
+            rows=self._rows,
+            random=random,
+            losses=self._losses,
+            suspects=self._crash_watch.suspects,
+        )
         self._hosts = HostList(
             reactor=reactor,
             rows=self._rows,
@@ -143,6 +158,7 @@
             self._registry,
             self._versions,
             self._hosts,
+            self._crashes,
             self._peers,
         )
         self._ports: list[Any] = []
@@ -204,7 +220,7 @@
         return CrashWatch(
             reactor=self._reactor,
             pool=self._pool,
-            report=lambda records: self._peers.report_suspects(records),
+            report=self._report_suspects,
         )
 
     def _build_row_client(self) -> RowClient:
@@ -331,7 +347,7 @@
             quarantine=Quarantine(
                 losses=self._losses,
                 crash_watch=self._crash_watch,
-                report_loss=self._peers.report_loss,
+                report_loss=self._report_loss,
             ),
             notices=UpstreamNotices(
                 router=self._router,
@@ -455,6 +471,18 @@
         self._router.record_brittle(incarnation, allowance, now_s)
         self._router.record_rejection(incarnation, now_s)
 
+    def _report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
+        """Tell the other hosts of a lost answer, and hosts that start later of a quarantine."""
+        self._peers.report_loss(fingerprint, loss_id)
+        record = self._losses.find_quarantined(fingerprint, self._reactor.seconds())
+        if record is not None:
+            self._crashes.record_request(record)
+
+    def _report_suspects(self, records: Sequence[SuspectRecord]) -> None:
+        """Tell the other hosts of suspected parts, and hosts that start later of crashes."""
+        self._peers.report_suspects(records)
+        self._crashes.record_parts(records)
+
     def _record_peer_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
 
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -92,23 +92,29 @@
             return False
         return len(losses.hashes) >= LOSSES_TO_QUARANTINE
 
-    def list_records(self, now_s: float) -> list[LossRecord]:
-        """Return the records of all fingerprints with confirmed losses, those with most first.
+    def find_quarantined(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
+        """Return the record of a fingerprint with enough confirmed losses for a quarantine."""
+        record = self._build_record(fingerprint, now_s)
+        return record if record and len(record.losses) >= LOSSES_TO_QUARANTINE else None
 
-        No record has more losses than a quarantine takes.
-        """
-        records = [
-            LossRecord(
-                fingerprint=fingerprint,
-                losses=frozenset(sorted(confirmed)[:LOSSES_TO_QUARANTINE]),
-                last_s=losses.last_s,
-            )
-            for fingerprint, losses in self._losses.items()
-            if (confirmed := losses.hashes - losses.unconfirmed)
-            and now_s - losses.last_s <= LOSS_LIFETIME_S
-        ]
+    def list_records(self, now_s: float) -> list[LossRecord]:
+        """Return the records of all fingerprints with confirmed losses, those with most first."""
+        built = (self._build_record(fingerprint, now_s) for fingerprint in self._losses)
+        records = [record for record in built if record is not None]
         return sorted(records, key=lambda record: len(record.losses), reverse=True)
 
+    def _build_record(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
+        """Return the confirmed losses of a fingerprint, as many as a quarantine takes."""
+        losses = self._losses.get(fingerprint)
+        if losses is None or now_s - losses.last_s > LOSS_LIFETIME_S:
+            return None
+        confirmed = sorted(losses.hashes - losses.unconfirmed)[:LOSSES_TO_QUARANTINE]
+        if not confirmed:
+            return None
+        return LossRecord(
+            fingerprint=fingerprint, losses=frozenset(confirmed), last_s=losses.last_s
+        )
+
     def _update(
         self, fingerprint: Fingerprint, hashes: Collection[LossHash], last_s: float
     ) -> _Losses:
--- a/tests/test_boundary_decoders.py
+++ b/tests/test_boundary_decoders.py
@@ -13,6 +13,7 @@
 import greengagestage
 from greengagestage.decoding import decode_json
 from greengagestage.duties._lease import decode_lease
+from greengagestage.gateway._crash_table import decode_row as decode_crashes
 from greengagestage.gateway._era_table import decode_known_ms
 from greengagestage.gateway._host_list import HostRow
 from greengagestage.gateway._peer_messages import (
@@ -25,7 +26,12 @@
 from greengagestage.gateway._registry_reports import build_registry_reports
 from greengagestage.gateway._version_rows import decode_row
 from greengagestage.ids import HostId
-from greengagestage.platform import check_document, decode_route_table, decode_upstream
+from greengagestage.platform import (
+    RowsRead,
+    check_document,
+    decode_route_table,
+    decode_upstream,
+)
 from greengagestage.platform._rows import _interpret_read, _interpret_write
 from greengagestage.platform._store_calls import StoreAnswer
 
@@ -45,6 +51,7 @@
 DECODERS: dict[str, Callable[[bytes], object]] = {
     "duties/_lease.py": decode_lease,
     "duties/_lease_keeper.py": lambda data: decode_json(data, dict[str, int]),
+    "gateway/_crash_table.py": lambda data: decode_crashes(data, RowsRead(revision=1), 0.0),
     "gateway/_era_table.py": lambda data: decode_known_ms(data, era=1),
     "gateway/_host_list.py": lambda data: decode_json(data, HostRow),
     "gateway/_peer_messages.py": decode_message,
@@ -60,6 +67,7 @@
 """The decoders of the host's processes by the module that calls them."""
 
 FIELDS = [*ENTRY, "leaves_ms", "born", "ColdRemainingMs", "era", "since_ms", "versions", "token"]
+FIELDS += ["written_ms", "losses", "suspects"]
 ODD_VALUES = st.one_of(
     st.none(),
     st.booleans(),
@@ -113,6 +121,18 @@
     return b"{" + b", ".join(items) + b"}"
 
 
+# Guards against recorded crashes with numbers that no datagram to another host can hold.
+@pytest.mark.parametrize(
+    ("loss", "crash", "age"), [(HUGE, 1, 5), (1, -1, 5), (1, 1, HUGE), (1, 1, -HUGE), (1, 1, 5)]
+)
+def test_recorded_crashes_with_odd_numbers_are_unreadable(loss: int, crash: int, age: int) -> None:
+    losses = b'"losses": ["losses", [["f", [%d], 5]]]' % loss
+    suspects = b'"suspects": ["suspects", [[1, null, [[%d, %d, 5]]]]]' % (crash, age)
+    row = b'{"era": null, "written_ms": 0, %s, %s}' % (losses, suspects)
+    known = decode_crashes(row, RowsRead(revision=1), 0.0)
+    assert (known is not None) is ((loss, crash, age) == (1, 1, 5))
+
+
 # Guards against odd datagrams of peers, cut or changed in one place.
 @pytest.mark.parametrize("name", BODIES)
 @given(cut=st.integers(0, 200), value=st.binary(max_size=3))
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -141,6 +141,34 @@
     assert all(b"b1" not in upstream.attempt_ids for upstream in upstreams)
 
 
+# Guards against losing what is known when the last host that knows it ends: the next one reads it
+# in the store.
+@pytest.mark.parametrize("path", ["/lookup/x", "/long/x"])
+def test_a_host_that_starts_alone_knows_what_crashed_upstreams(fleet: HostFleet, path: str) -> None:
+    behavior = harness.reset if path == "/lookup/x" else harness.crash_on_part("bad")
+    service = "archive" if path == "/lookup/x" else "engines"
+    upstreams = [
+        fleet.add_upstream(f"s{number}", service=service, behavior=behavior) for number in range(9)
+    ]
+    first = fleet.start_host("host-1")
+    fleet.wait_ready()
+    for number in range(4):
+        caller = fleet.call(path, attempt=f"a{number}", parts="aa:600,bad:300,own:40")
+        fleet.run_for(0.2)  # until the losses are judged
+    assert caller.error["code"] == 2012
+    fleet.run_until(lambda: bool(fleet.store.list_keys("greengagestage-crashes")))
+    first._peers.stop()
+    arrivals = sum(len(upstream.requests) for upstream in upstreams)
+    fleet.start_host("host-2")
+    fleet.wait_ready()
+    caller = fleet.call(path, attempt="b1", parts="aa:600,bad:300,own:40")
+    assert caller.error["code"] == 2012
+    assert sum(len(upstream.requests) for upstream in upstreams) == arrivals
+    if path == "/long/x":
+        sound = fleet.call(path, attempt="b2", body=b"sound", parts="aa:600,cc:300,own:40")
+        assert sound.body == b"".join(EVENTS)
+
+
 # Guards against a connection that has gone silent passing for proof that its upstream is alive.
 def test_a_silent_connection_does_not_hide_a_crash(fleet: HostFleet) -> None:
     engines = add_engines(fleet, 9)
