Answer a request that has arrived unread before closing an idle connection

Cause: a stopping host closes its idle connections by a timer, which runs before the sockets are read. On a busy machine, requests lie unread for half a second and more. Change: a connection with unread bytes is not idle, and the host does not end while there is one. Evidence: both cases of test_a_request_that_has_arrived_unread_... fail without the check.

--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -40,6 +41,7 @@
 from ._forwarding import ForwardingHandler
 from ._host_list import HostList, HostRow
 from ._link_watch import LinkWatch
+from ._loss_reports import MAX_RECORDS
 from ._peers import PeerCallbacks, PeerLink
 from ._quarantine import Quarantine
 from ._readiness import ReadinessHandler
@@ -296,7 +298,7 @@
                 list_upstreams=lambda: self._router.upstreams,
                 on_work=self._update_peer_loads,
                 on_loss=self._record_peer_loss,
-                list_losses=self._losses.list_records,
+                list_losses=partial(self._losses.list_records, most=MAX_RECORDS),
                 on_losses=lambda records: self._losses.learn(records, self._reactor.seconds()),
                 list_suspects=suspects.list_records,
                 on_suspects=suspects.learn,
--- a/greengagestage/gateway/_loss_reports.py
+++ b/greengagestage/gateway/_loss_reports.py
@@ -11,7 +11,7 @@
 
 from ._peer_messages import FingerprintEntry, LossesReport
 
-MAX_ENTRIES = 64
+MAX_RECORDS = 64
 """Maximum number of fingerprints told at a time, those with the most losses first."""
 
 MAX_ENTRIES_PER_REPORT = 16
@@ -19,8 +19,8 @@
 
 
 def build_loss_reports(records: Sequence[LossRecord], now_s: float) -> list[LossesReport]:
-    """Return reports of the records with the most losses, each of which fits into a datagram."""
-    entries = [_encode(record, now_s) for record in records[:MAX_ENTRIES]]
+    """Return reports of the records, each of which fits into a datagram."""
+    entries = [_encode(record, now_s) for record in records]
     return [
         LossesReport(entries[first : first + MAX_ENTRIES_PER_REPORT])
         for first in range(0, len(entries), MAX_ENTRIES_PER_REPORT)
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -315,8 +315,7 @@
         records = self._callbacks.list_suspects(now_s)
         for host, report in self._suspect_gossip.plan_reports(records, peers, now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
-        for host in self._suspect_gossip.draw_targets(peers):
-            self._tell_losses(host, now_s)
+        self._tell_losses(self._suspect_gossip.draw_targets(peers), now_s)
 
     def _learn_suspects(self, suspects: SuspectsReport) -> None:
         """Learn what another host knows, and perhaps tell all hosts what contradicts it."""
@@ -325,15 +324,17 @@
         for report in self._suspect_gossip.plan_reply(contradicting, len(self._peers), now_s):
             self._broadcast(report)
 
-    def _tell_losses(self, host: HostId, now_s: float) -> None:
-        for report in build_loss_reports(self._callbacks.list_losses(now_s), now_s):
-            self._send(host, PeerMessage(self._take_next_sender(), report))
+    def _tell_losses(self, hosts: Sequence[HostId], now_s: float) -> None:
+        reports = build_loss_reports(self._callbacks.list_losses(now_s), now_s)
+        for host in hosts:
+            for report in reports:
+                self._send(host, PeerMessage(self._take_next_sender(), report))
 
     def _tell_crashes(self, host: HostId) -> None:
         """Tell a host that has started, or that this host has not heard before."""
-        if self._suspect_gossip.draw_reply(len(self._peers)):
-            self._tell_losses(host, self._reactor.seconds())
         now_s = self._reactor.seconds()
+        if self._suspect_gossip.draw_reply(len(self._peers)):
+            self._tell_losses([host], now_s)
         records = self._callbacks.list_suspects(now_s)
         for report in self._suspect_gossip.plan_reply(records, len(self._peers), now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -69,7 +69,8 @@
         """Start the shutdown.
 
         The result fires once the load balancer has had time to remove the host, no request is open
-        any more and all answers have been sent, or shortly before the grace period ends.
+        or waits unread any more and all answers have been sent, or shortly before the grace period
+        ends.
         """
         if self._done is None:
             self._done = Deferred()
@@ -88,8 +89,10 @@
     def _check_open_requests(self) -> None:
         open_requests = len(self._open_exchanges)
         unsent_answers = sum(server.count_sending() for server in self._servers)
+        unread = sum(server.count_unread() for server in self._servers)
         elapsed_s = self._reactor.seconds() - self._began_s
-        if (open_requests or unsent_answers) and elapsed_s < self.grace_s - GRACE_MARGIN_S:
+        is_busy = open_requests or unsent_answers or unread
+        if is_busy and elapsed_s < self.grace_s - GRACE_MARGIN_S:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_open_requests)
             return
         if open_requests or unsent_answers:
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -14,7 +14,12 @@
 
 from ._callers import CallerListener, ObservedConnection
 from ._pipelining import PipelinedBytes
-from ._sockets import count_undelivered_bytes, count_unsent_bytes, tune_socket
+from ._sockets import (
+    count_undelivered_bytes,
+    count_unsent_bytes,
+    has_unread_bytes,
+    tune_socket,
+)
 from ._types import HeaderList
 
 LINGER_S = 1.0
@@ -123,6 +128,10 @@
             if connection.idle:
                 connection.close_idle()
 
+    def count_unread(self) -> int:
+        """Return the number of connections on which bytes wait that may be a request."""
+        return sum(connection.has_unread_bytes for connection in self.connections)
+
     def count_sending(self) -> int:
         """Return the number of connections with written bytes that the process still holds."""
         return sum(connection.unsent_bytes > 0 for connection in self.connections)
@@ -176,6 +185,11 @@
         """Whether no request is being read or answered."""
         return not self._answering and self._incoming is None and not self._ignoring_input
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes that will not be discarded have arrived and are not read yet."""
+        return not self._ignoring_input and has_unread_bytes(self.transport)
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that the process still holds, since the caller reads slowly."""
@@ -247,8 +261,11 @@
     def close_idle(self) -> None:
         """Close the connection, on which no request has begun, once its last answer is delivered.
 
-        A transport with a registered producer that it has paused would never close.
+        Bytes that the process has not read yet may be a request, which is answered first. A
+        transport with a registered producer that it has paused would never close.
         """
+        if has_unread_bytes(self.transport):
+            return
         if count_undelivered_bytes(self.transport):
             self._linger()
             return
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -44,6 +44,16 @@
     return count_unsent_bytes(transport) + _count_unacknowledged(transport.getHandle())
 
 
+def has_unread_bytes(transport: Any) -> bool:
+    """Return whether bytes have arrived that the process has not read yet."""
+    if not transport.connected:
+        return False
+    try:
+        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def _count_unacknowledged(handle: socket.socket) -> int:
     """Return the number of bytes in the kernel's send queue; 0 where it cannot be read."""
     size = struct.Struct("i")
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from heapq import nlargest
 
 import xxhash
 
@@ -97,11 +98,11 @@
         record = self._build_record(fingerprint, now_s)
         return record if record and len(record.losses) >= LOSSES_TO_QUARANTINE else None
 
-    def list_records(self, now_s: float) -> list[LossRecord]:
-        """Return the records of all fingerprints with confirmed losses, those with most first."""
-        built = (self._build_record(fingerprint, now_s) for fingerprint in self._losses)
-        records = [record for record in built if record is not None]
-        return sorted(records, key=lambda record: len(record.losses), reverse=True)
+    def list_records(self, now_s: float, *, most: int) -> list[LossRecord]:
+        """Return the records of the fingerprints with the most losses, as far as confirmed."""
+        chosen = nlargest(most, self._losses, key=lambda each: len(self._losses[each].hashes))
+        built = (self._build_record(fingerprint, now_s) for fingerprint in chosen)
+        return [record for record in built if record is not None]
 
     def _build_record(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
         """Return the confirmed losses of a fingerprint, as many as a quarantine takes."""
--- a/greengagestage/routing/_retries.py
+++ b/greengagestage/routing/_retries.py
@@ -47,7 +47,7 @@
     def record_request(self, bounds: Bounds, now_s: float) -> None:
         """Count a caller's request, which increases the allowance."""
         self._requests.append(now_s)
-        self._expire(bounds, now_s)
+        self.drop_expired(bounds, now_s)
 
     def try_reserve(self, bounds: Bounds, slack: float, now_s: float) -> bool:
         """Reserve a retry if that stays within the allowance; return whether it does.
@@ -55,7 +55,7 @@
         Args:
             slack: This host's part of the slack of all hosts.
         """
-        self._expire(bounds, now_s)
+        self.drop_expired(bounds, now_s)
         if self.used + 1 > self.compute_allowance(bounds, slack):
             self.denied += 1
             return False
@@ -80,7 +80,8 @@
         """Return the retries that this host may use in the window."""
         return LOCAL_SHARE * (bounds.retry_ratio * len(self._requests) + slack)
 
-    def _expire(self, bounds: Bounds, now_s: float) -> None:
+    def drop_expired(self, bounds: Bounds, now_s: float) -> None:
+        """Forget what lies before the current window."""
         for times in (self._requests, self._retries):
             while times and times[0] < now_s - bounds.retry_window_s:
                 times.popleft()
@@ -140,6 +141,8 @@
     def list_usage(self, hosts: int | None, now_s: float) -> list[RetryUsage]:
         """Return what this host has used, by service."""
         slack = self._compute_slack(hosts, now_s)
+        for budget in self._budgets.values():
+            budget.drop_expired(self._bounds, now_s)
         return [
             RetryUsage(
                 service=service,
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -125,6 +125,36 @@
     assert caller.data.lower().count(b"connection: close") == 1
 
 
+# Guards against a busy process that closes connections on which a request has arrived unread.
+@pytest.mark.parametrize("stops", [True, False])
+def test_a_request_that_has_arrived_unread_is_answered_before_an_idle_connection_closes(
+    fleet: HostFleet, stops: bool
+) -> None:
+    fleet.add_upstream("one")
+    process = fleet.start_host()
+    fleet.wait_ready()
+    server = process._caller_server
+    with socket.create_connection(fleet._host_settings[-1].callers) as caller:
+        fleet.run_until(lambda: any(connection.idle for connection in server.connections))
+        server.closing = stops
+        caller.sendall(harness.build_request("/lookup/x"))
+        assert server.count_unread() == 1
+        server.close_idle()
+        caller.setblocking(False)
+        received = bytearray()
+
+        def receive() -> bool:
+            try:
+                received.extend(caller.recv(4_096))
+            except BlockingIOError:
+                return False
+            return True
+
+        fleet.run_until(receive)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert (b"connection: close" in received.lower()) is stops
+
+
 # Guards against many requests on one connection that are answered at once and end it.
 def test_a_long_series_of_requests_is_answered(fleet: HostFleet) -> None:
     fleet.start_host()
--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -53,11 +53,11 @@
         first.record_loss(bad, f"loss-{number}", 0.0)
     first.record_loss(Fingerprint("g"), "loss-9", 0.0, confirmed=False)
     for now_s in (10.0, 50.0):
-        second.learn(first.list_records(now_s), now_s)
-        first.learn(second.list_records(now_s), now_s)
+        second.learn(first.list_records(now_s, most=9), now_s)
+        first.learn(second.list_records(now_s, most=9), now_s)
     assert second.is_quarantined(bad, 59.0)
     assert not second.is_quarantined(bad, 61.0)
-    assert [record.fingerprint for record in second.list_records(50.0)] == [bad]
+    assert [record.fingerprint for record in second.list_records(50.0, most=9)] == [bad]
 
 
 def test_losses_expire() -> None:
