--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 from twisted.web import http
 
-from greengagestage.http1 import ObservedConnection
+from greengagestage.http1 import ObservedConnection, has_unread_bytes
 from greengagestage.ids import RequestId
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
 from greengagestage.results import ResultCode
@@ -272,9 +272,9 @@
         return any(channel.receiving for channel in self.channels)
 
     def close_idle(self) -> None:
-        """Close the connections that have no open request."""
+        """Close the connections that have no open request and no bytes that are not read yet."""
         for channel in list(self.channels):
-            if channel.idle:
+            if channel.idle and not has_unread_bytes(channel.transport):
                 channel.loseConnection()
 
     def log(self, request: http.Request) -> None:
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -22,6 +22,7 @@
     Responder,
     ServerFactory,
 )
+from ._sockets import has_unread_bytes
 from ._types import HeaderList
 
 __all__ = [
@@ -42,4 +43,5 @@
     "ResponseHead",
     "ResponseListener",
     "ServerFactory",
+    "has_unread_bytes",
 ]
--- a/tests/test_entry_pipelining.py
+++ b/tests/test_entry_pipelining.py
@@ -1,5 +1,6 @@
 """Tests of requests that a caller sends to an entry process before earlier ones are answered."""
 
+import socket
 from typing import Any
 
 import pytest
@@ -14,18 +15,38 @@
 REQUEST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
 
 
+def build_server(reactor: Any, requests: list[CallerRequest]) -> CallerServer:
+    return CallerServer(
+        reactor=reactor,
+        limits=ServerLimits(),
+        on_request=requests.append,
+        on_refused=lambda code: RequestId("r"),
+    )
+
+
+# Guards against a busy process that closes connections on which a request has arrived unread.
+def test_a_request_that_has_arrived_unread_keeps_its_connection_open() -> None:
+    with running_reactor() as reactor:
+        requests: list[CallerRequest] = []
+        server = build_server(reactor, requests)
+        port: Any = server.listen("127.0.0.1", 0)
+        address = port.getHost()
+        with socket.create_connection((address.host, address.port)) as caller:
+            run_until(reactor, lambda: bool(server.channels))
+            caller.sendall(REQUEST % 1)
+            server.close_idle()
+            run_until(reactor, lambda: bool(requests) or not server.channels)
+            assert len(requests) == 1
+        port.stopListening()
+
+
 # Guards against a request that was read whole before a stop, and is dropped with its connection
 # once the one before it is answered.
 @pytest.mark.parametrize("at_once", [True, False])
 def test_requests_that_wait_behind_another_one_are_answered_at_a_stop(at_once: bool) -> None:
     with running_reactor() as reactor:
         requests: list[CallerRequest] = []
-        server = CallerServer(
-            reactor=reactor,
-            limits=ServerLimits(),
-            on_request=requests.append,
-            on_refused=lambda code: RequestId("r"),
-        )
+        server = build_server(reactor, requests)
         port: Any = server.listen("127.0.0.1", 0)
         connected: list[RawCaller] = []
         creator: Any = ClientCreator(reactor, RawCaller)
