Let the first host record crashes that are missing in the store

Cause: only the host that saw the last loss wrote the record. If it ended, or could not reach the store, everything was forgotten again with the last host that knew. Change: the first of all hosts checks each 5 s. A host whose row in the host list is as it should be after a restart does not write it again. Evidence: test_another_host_records_what_is_missing, which needs the check.

--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -1,10 +1,11 @@
 """The store's record of requests and prompt parts that crash upstreams.
 
 Hosts tell each other what they know. The record is for those that start when no other host is left
-that knows.
+that knows. The host that finds something out writes it at once. The first of all hosts writes what
+is missing: the other one may have ended before, or may not have reached the store.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -22,10 +23,16 @@
     Transaction,
     build_put,
 )
-from greengagestage.routing import CrashSuspects, LossRecord, LossTracker, SuspectRecord
+from greengagestage.routing import (
+    LOSSES_TO_QUARANTINE,
+    CrashSuspects,
+    LossRecord,
+    LossTracker,
+    SuspectRecord,
+)
 
 from ._loops import RepeatingTask, add_jitter
-from ._loss_reports import build_loss_reports, read_loss_report
+from ._loss_reports import MAX_RECORDS, build_loss_reports, read_loss_report
 from ._peer_messages import LossesReport, SuspectsReport
 from ._store_clock import read_boot_time_s
 from ._suspect_reports import build_suspect_reports, read_suspect_report
@@ -38,7 +45,9 @@
 MAX_ROWS_PER_WRITE = 50
 WRITE_PAUSE_S = 0.5
 RETRY_S = 0.3
-IDLE_S = 60.0
+
+CHECK_PAUSE_S = 5.0
+"""Time between two checks whether something that other hosts have found out is missing."""
 
 MAX_AGE_S = 7_200.0
 """Age from which a row is removed: twice the longest quarantine."""
@@ -63,7 +72,11 @@
 
 
 class CrashTable:
-    """Reads the record at the start of a host, and adds what this host finds out itself."""
+    """Reads the record at the start of a host, and adds what is missing.
+
+    Args:
+        get_rank: Returns the position of this host among all hosts; 0 is the first.
+    """
 
     def __init__(
         self,
@@ -73,15 +86,18 @@
         random: Random,
         losses: LossTracker,
         suspects: CrashSuspects,
+        get_rank: Callable[[], int],
     ) -> None:
         self._reactor = reactor
         self._rows = rows
         self._random = random
         self._losses = losses
         self._suspects = suspects
+        self._get_rank = get_rank
         self._task = RepeatingTask(reactor=reactor, name="crashes", step=self._step)
         self._is_read = False
         self._pending: dict[str, LossRecord | SuspectRecord] = {}
+        self._recorded: set[str] = set()
 
     def start(self) -> None:
         """Read the record."""
@@ -93,14 +109,14 @@
 
     def record_request(self, record: LossRecord) -> None:
         """Record a request that is quarantined because of a loss at this host."""
-        self._pending[f"request-{record.fingerprint}"] = record
+        self._pending[_build_key(record)] = record
         self._task.run_within(0.0)
 
     def record_parts(self, records: Sequence[SuspectRecord]) -> None:
         """Record the parts of a prompt under which an upstream of this host has crashed again."""
         for record in records:
             if len(record.losses) >= MIN_CRASHES:
-                self._pending[f"part-{record.part}"] = record
+                self._pending[_build_key(record)] = record
                 self._task.run_within(0.0)
 
     @inlineCallbacks
@@ -112,16 +128,34 @@
             self._is_read = True
             yield self._learn(read)
         if not self._pending:
-            return IDLE_S
+            self._collect_missing()
+        if not self._pending:
+            return CHECK_PAUSE_S
         batch = dict(list(self._pending.items())[:MAX_ROWS_PER_WRITE])
         puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in batch.items()]
         outcome = yield self._rows.transact(Transaction(puts=puts))
         if not isinstance(outcome, RowsRead):
             return add_jitter(RETRY_S, self._random)
         for key, record in batch.items():
+            self._recorded.add(key)
             if self._pending.get(key) is record:
                 del self._pending[key]
-        return WRITE_PAUSE_S if self._pending else IDLE_S
+        return WRITE_PAUSE_S
+
+    def _collect_missing(self) -> None:
+        """Let the first of all hosts write what it knows and what is not recorded."""
+        if self._get_rank() != 0:
+            return
+        now_s = self._reactor.seconds()
+        requests = self._losses.list_records(now_s, most=MAX_RECORDS)
+        parts = self._suspects.list_records(now_s)
+        known: list[LossRecord | SuspectRecord] = [
+            *(each for each in requests if len(each.losses) >= LOSSES_TO_QUARANTINE),
+            *(each for each in parts if len(each.losses) >= MIN_CRASHES),
+        ]
+        self._recorded &= {_build_key(each) for each in known}
+        missing = [each for each in known if _build_key(each) not in self._recorded]
+        self._pending = {_build_key(each): each for each in missing}
 
     @inlineCallbacks
     def _learn(self, read: RowsRead) -> Any:
@@ -133,6 +167,7 @@
             if known is None:
                 old.append(stored.key)
                 continue
+            self._recorded.add(stored.key)
             self._losses.learn(known.losses, now_s)
             self._suspects.learn(known.suspects)
         if read.rows:
@@ -156,6 +191,14 @@
         return msgspec.json.encode(row)
 
 
+def _build_key(record: LossRecord | SuspectRecord) -> str:
+    match record:
+        case LossRecord(fingerprint=fingerprint):
+            return f"request-{fingerprint}"
+        case SuspectRecord(part=part):
+            return f"part-{part}"
+
+
 def _check_numbers(row: CrashRow) -> None:
     """Raise ``ValueError`` for numbers that could not be told to other hosts."""
     entries, suspects = row.losses.entries, row.suspects.suspects
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -107,6 +107,7 @@
             random=random,
             losses=self._losses,
             suspects=self._crash_watch.suspects,
+            get_rank=lambda: self._peers.rank,
         )
         self._hosts = HostList(
             reactor=reactor,
--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/_host_list.py
@@ -111,13 +111,16 @@
     def _register(self) -> Any:
         settings = self._settings
         row = HostRow(address=settings.address, failure_domain=settings.failure_domain)
-        put = build_put(HOST_TABLE, settings.host, msgspec.json.encode(row))
+        value = msgspec.json.encode(row)
+        put = build_put(HOST_TABLE, settings.host, value)
         absent = [RowExpectation(table=HOST_TABLE, key=settings.host, revision=0)]
         expected = absent if self._has_predecessor is None else []
         outcome = yield self._rows.transact(Transaction(expected=expected, puts=[put]))
         match outcome:
-            case RowConflict():
+            case RowConflict(rows=rows):
                 self._has_predecessor = True
+                if any(each.value == value for each in rows):
+                    return self._era.is_current(outcome.era)
                 registered = yield self._register()
                 return registered
             # The store answers a successful write, like a read, with ``RowsRead``.
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -20,7 +20,7 @@
 from ._jobs import Job, Placement, Refused, StreamOrigin, Waiting
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import UpstreamLoad
-from ._losses import LossRecord, LossTracker
+from ._losses import LOSSES_TO_QUARANTINE, LossRecord, LossTracker
 from ._overload import UrgencyTraffic
 from ._retries import RetryBudgets, RetryUsage
 from ._route_groups import RouteTraffic
@@ -46,6 +46,7 @@
     "LeavingReason",
     "LeavingShare",
     "LinkMonitor",
+    "LOSSES_TO_QUARANTINE",
     "LossRecord",
     "LossTracker",
     "PartLoss",
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -169,6 +169,24 @@
         assert sound.body == b"".join(EVENTS)
 
 
+# Guards against a gap in the record because the host that found something out has ended, or did
+# not reach the store.
+def test_another_host_records_what_is_missing(fleet: HostFleet) -> None:
+    for number in range(9):
+        fleet.add_upstream(f"s{number}", behavior=harness.reset)
+    peer_port = choose_port()
+    for number in (1, 2):
+        fleet.start_host(f"host-{number}", address=f"127.0.0.{number}", peer_port=peer_port)
+        fleet.wait_ready()
+    fleet.run_until(lambda: all(host._peers.active_peers == 1 for host in fleet.processes))
+    fleet.processes[1]._crashes.stop()
+    for number in range(4):
+        caller = fleet.call("/lookup/x", attempt=f"a{number}")
+        fleet.run_for(0.2)  # until the losses are judged
+    assert caller.error["code"] == 2012
+    fleet.run_until(lambda: bool(fleet.store.list_keys("greengagestage-crashes")))
+
+
 # Guards against a connection that has gone silent passing for proof that its upstream is alive.
 def test_a_silent_connection_does_not_hide_a_crash(fleet: HostFleet) -> None:
     engines = add_engines(fleet, 9)
