--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -320,7 +320,7 @@
         if full or self.reactor.seconds() < self.refuses_until_s:
             arrival.status = 503
             echo = (b"Greengagestage-Attempt-Id", arrival.attempt.encode())
-            headers = [echo, (b"Greengagestage-Not-Executed", b"1")]
+            headers = [echo, (b"Greengagestage-Not-Executed", b"1"), *self._build_limit_header()]
             if not full and self.names_pause:
                 pause_s = self.refuses_until_s - self.reactor.seconds()
                 headers.append((b"Retry-After", f"{pause_s:.2f}".encode()))
@@ -342,9 +342,12 @@
         ]
         if self.leaving:
             headers.append((b"Server-Leaving", b"1"))
-        if self.limit_per_s is not None:
-            headers.append((b"Server-Limit", b"%.2f" % self.limit_per_s))
-        return headers
+        return [*headers, *self._build_limit_header()]
+
+    def _build_limit_header(self) -> list[tuple[bytes, bytes]]:
+        if self.limit_per_s is None:
+            return []
+        return [(b"Server-Limit", b"%.2f" % self.limit_per_s)]
 
     def _explain(self, limit: LimitExceeded) -> bytes:
         return limit.name.encode()
