Derive what the crash record keeps from the quarantine, and give reasons for its figures

Read as a newcomer: the number of crashes and the age of a row were figures of their own beside those of the quarantine, and three had no reason. Behaviour is unchanged.

--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -24,7 +24,9 @@
     build_put,
 )
 from greengagestage.routing import (
+    CRASHES_TO_QUARANTINE,
     LOSSES_TO_QUARANTINE,
+    MAX_QUARANTINE_S,
     CrashSuspects,
     LossRecord,
     LossTracker,
@@ -39,23 +41,29 @@
 
 CRASH_TABLE = "greengagestage-crashes"
 
-MIN_CRASHES = 2
-"""Crashes from which a prompt part is recorded. A single one is mostly a coincidence."""
-
 MAX_ROWS_PER_WRITE = 50
+"""Half of the rows that a transaction may hold; a row takes some hundred bytes."""
+
 WRITE_PAUSE_S = 0.5
+"""Pause between two writes of one host, so that many crashes at once do not crowd the store."""
+
 RETRY_S = 0.3
+"""Pause after a failed call, with a jitter of 50%."""
 
 CHECK_PAUSE_S = 5.0
 """Time between two checks whether something that other hosts have found out is missing."""
 
-MAX_AGE_S = 7_200.0
-"""Age from which a row is removed: twice the longest quarantine."""
+MAX_AGE_S = 2 * MAX_QUARANTINE_S
+"""Age from which a row is removed; what it says has expired by then."""
 
 REMOVAL_CHANCE = 0.1
 """Share of the starting hosts that remove old rows, so that not all of them do at once."""
 
 
+CrashRecord = LossRecord | SuspectRecord
+"""What is known about one request, or one prompt part."""
+
+
 class CrashRow(Struct, frozen=True, kw_only=True):
     """What is known about one request, or one prompt part; ages count from ``written_ms``.
 
@@ -96,7 +104,7 @@
         self._get_rank = get_rank
         self._task = RepeatingTask(reactor=reactor, name="crashes", step=self._step)
         self._is_read = False
-        self._pending: dict[str, LossRecord | SuspectRecord] = {}
+        self._pending: dict[str, CrashRecord] = {}
         self._recorded: set[str] = set()
 
     def start(self) -> None:
@@ -115,7 +123,7 @@
     def record_parts(self, records: Sequence[SuspectRecord]) -> None:
         """Record the parts of a prompt under which an upstream of this host has crashed again."""
         for record in records:
-            if len(record.losses) >= MIN_CRASHES:
+            if _is_known(record):
                 self._pending[_build_key(record)] = record
                 self._task.run_within(0.0)
 
@@ -149,10 +157,8 @@
         now_s = self._reactor.seconds()
         requests = self._losses.list_records(now_s, most=MAX_RECORDS)
         parts = self._suspects.list_records(now_s)
-        known: list[LossRecord | SuspectRecord] = [
-            *(each for each in requests if len(each.losses) >= LOSSES_TO_QUARANTINE),
-            *(each for each in parts if len(each.losses) >= MIN_CRASHES),
-        ]
+        records: list[CrashRecord] = [*requests, *parts]
+        known = [each for each in records if _is_known(each)]
         self._recorded &= {_build_key(each) for each in known}
         missing = [each for each in known if _build_key(each) not in self._recorded]
         self._pending = {_build_key(each): each for each in missing}
@@ -177,7 +183,7 @@
             removals = [RowId(table=CRASH_TABLE, key=key) for key in keys]
             yield self._rows.transact(Transaction(removals=removals))
 
-    def _encode(self, record: LossRecord | SuspectRecord) -> bytes:
+    def _encode(self, record: CrashRecord) -> bytes:
         now_s, clock = self._reactor.seconds(), self._rows.clock
         store_s = 0.0 if clock is None else clock.store_s + read_boot_time_s() - clock.received_s
         row = CrashRow(era=None if clock is None else clock.era, written_ms=round(store_s * 1_000))
@@ -191,7 +197,16 @@
         return msgspec.json.encode(row)
 
 
-def _build_key(record: LossRecord | SuspectRecord) -> str:
+def _is_known(record: CrashRecord) -> bool:
+    """Whether a request or a part may be quarantined. Fewer crashes are mostly a coincidence."""
+    match record:
+        case LossRecord(losses=losses):
+            return len(losses) >= LOSSES_TO_QUARANTINE
+        case SuspectRecord(losses=crashes):
+            return len(crashes) >= CRASHES_TO_QUARANTINE
+
+
+def _build_key(record: CrashRecord) -> str:
     match record:
         case LossRecord(fingerprint=fingerprint):
             return f"request-{fingerprint}"
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -3,7 +3,13 @@
 The package does no I/O and reads no clock: callers pass in times and observations.
 """
 
-from ._crash_suspects import CrashSuspects, PartLoss, SuspectRecord
+from ._crash_suspects import (
+    CRASHES_TO_QUARANTINE,
+    MAX_QUARANTINE_S,
+    CrashSuspects,
+    PartLoss,
+    SuspectRecord,
+)
 from ._demand import Demand
 from ._domain_shares import (
     DomainLoad,
@@ -30,6 +36,7 @@
 
 __all__ = [
     "AttemptEnd",
+    "CRASHES_TO_QUARANTINE",
     "CrashSuspects",
     "Crossing",
     "Demand",
@@ -49,6 +56,7 @@
     "LOSSES_TO_QUARANTINE",
     "LossRecord",
     "LossTracker",
+    "MAX_QUARANTINE_S",
     "PartLoss",
     "Placement",
     "PrefillSamples",
