Keep the crash record free of repeats and of rows that have expired

Read as a newcomer: the first host wrote again what others had written, since it knew only its own writes; rows were removed by chance at starts, so that a fleet that runs for long kept all of them. Now the first host reads the rows before it writes what is missing, and removes what has expired, unless it was written again meanwhile. Evidence: test_the_first_host_records_what_is_missing_and_removes_what_says_nothing replaces the test before it, and asks for the removal too.

--- /dev/null
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -0,0 +1,93 @@
+"""What a host knows about the requests and prompt parts that crash upstreams, and whom it tells."""
+
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+from typing import Any
+
+from greengagestage.http1 import ConnectionPool
+from greengagestage.ids import Fingerprint
+from greengagestage.platform import RowClient
+from greengagestage.routing import CrashSuspects, LossRecord, LossTracker, SuspectRecord
+
+from ._crash_table import CrashTable
+from ._crash_watch import CrashWatch
+from ._loss_reports import MAX_RECORDS
+from ._quarantine import Quarantine
+
+
+class CrashKnowledge:
+    """Joins the losses of this host, the reports of others and the record in the store.
+
+    Args:
+        report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
+        report_suspects: Tells the other hosts what has changed about suspected parts.
+        get_rank: Returns the position of this host among all hosts; 0 is the first.
+
+    Attributes:
+        quarantine: Keeps requests from being sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        pool: ConnectionPool,
+        rows: RowClient,
+        random: Random,
+        report_loss: Callable[[Fingerprint, str], None],
+        report_suspects: Callable[[Sequence[SuspectRecord]], None],
+        get_rank: Callable[[], int],
+    ) -> None:
+        self._reactor = reactor
+        self._tell_loss = report_loss
+        self._tell_suspects = report_suspects
+        self._losses = LossTracker()
+        self._watch = CrashWatch(reactor=reactor, pool=pool, report=self._report_suspects)
+        self._table = CrashTable(
+            reactor=reactor,
+            rows=rows,
+            random=random,
+            losses=self._losses,
+            suspects=self._watch.suspects,
+            get_rank=get_rank,
+        )
+        self.quarantine = Quarantine(
+            losses=self._losses, crash_watch=self._watch, report_loss=self._report_loss
+        )
+
+    @property
+    def suspects(self) -> CrashSuspects:
+        """The suspected parts of prompts."""
+        return self._watch.suspects
+
+    def start(self) -> None:
+        """Read the record in the store and keep it complete."""
+        self._table.start()
+
+    def stop(self) -> None:
+        """Stop reading and writing the record."""
+        self._table.stop()
+
+    def list_losses(self, now_s: float) -> list[LossRecord]:
+        """Return what other hosts are told about losses under equal requests."""
+        return self._losses.list_records(now_s, most=MAX_RECORDS)
+
+    def learn_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
+        """Add a loss at another host."""
+        self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
+
+    def learn_losses(self, records: Iterable[LossRecord]) -> None:
+        """Add what another host knows about losses."""
+        self._losses.learn(records, self._reactor.seconds())
+
+    def _report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
+        """Tell the other hosts of a loss, and those that start later of a quarantine."""
+        self._tell_loss(fingerprint, loss_id)
+        record = self._losses.find_quarantined(fingerprint, self._reactor.seconds())
+        if record is not None:
+            self._table.record_request(record)
+
+    def _report_suspects(self, records: Sequence[SuspectRecord]) -> None:
+        """Tell the other hosts of suspected parts, and those that start later of crashes."""
+        self._tell_suspects(records)
+        self._table.record_parts(records)
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -1,8 +1,9 @@
 """The store's record of requests and prompt parts that crash upstreams.
 
 Hosts tell each other what they know. The record is for those that start when no other host is left
-that knows. The host that finds something out writes it at once. The first of all hosts writes what
-is missing: the other one may have ended before, or may not have reached the store.
+that knows. The host that finds something out writes it at once. The first of all hosts then looks
+whether it is there, since the other one may have ended or may not have reached the store, and
+removes what has expired.
 """
 
 from collections.abc import Callable, Sequence
@@ -13,18 +14,21 @@
 import msgspec
 from eliot import log_message
 from msgspec import Struct
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
 from greengagestage.decoding import Integer, convert_json
 from greengagestage.platform import (
     RowClient,
+    RowExpectation,
     RowId,
     RowsRead,
+    StoredRow,
     Transaction,
     build_put,
 )
 from greengagestage.routing import (
     CRASHES_TO_QUARANTINE,
+    LOSS_LIFETIME_S,
     LOSSES_TO_QUARANTINE,
     MAX_QUARANTINE_S,
     CrashSuspects,
@@ -51,14 +55,11 @@
 """Pause after a failed call, with a jitter of 50%."""
 
 CHECK_PAUSE_S = 5.0
-"""Time between two checks whether something that other hosts have found out is missing."""
+"""Time between two checks whether something that this host knows may be missing."""
 
 MAX_AGE_S = 2 * MAX_QUARANTINE_S
 """Age from which a row is removed; what it says has expired by then."""
 
-REMOVAL_CHANCE = 0.1
-"""Share of the starting hosts that remove old rows, so that not all of them do at once."""
-
 
 CrashRecord = LossRecord | SuspectRecord
 """What is known about one request, or one prompt part."""
@@ -134,9 +135,13 @@
             if not isinstance(read, RowsRead):
                 return add_jitter(RETRY_S, self._random)
             self._is_read = True
-            yield self._learn(read)
-        if not self._pending:
-            self._collect_missing()
+            self._learn(read)
+        if not self._pending and self._get_rank() == 0 and self._find_missing():
+            read = yield self._rows.read(CRASH_TABLE)
+            if not isinstance(read, RowsRead):
+                return add_jitter(RETRY_S, self._random)
+            yield self._remove(self._learn(read))
+            self._pending = {**self._find_missing(), **self._pending}
         if not self._pending:
             return CHECK_PAUSE_S
         batch = dict(list(self._pending.items())[:MAX_ROWS_PER_WRITE])
@@ -150,38 +155,46 @@
                 del self._pending[key]
         return WRITE_PAUSE_S
 
-    def _collect_missing(self) -> None:
-        """Let the first of all hosts write what it knows and what is not recorded."""
-        if self._get_rank() != 0:
-            return
+    def _find_missing(self) -> dict[str, CrashRecord]:
+        """Return what this host knows and has neither written nor read in the store."""
         now_s = self._reactor.seconds()
         requests = self._losses.list_records(now_s, most=MAX_RECORDS)
         parts = self._suspects.list_records(now_s)
         records: list[CrashRecord] = [*requests, *parts]
         known = [each for each in records if _is_known(each)]
         self._recorded &= {_build_key(each) for each in known}
-        missing = [each for each in known if _build_key(each) not in self._recorded]
-        self._pending = {_build_key(each): each for each in missing}
+        return {_build_key(each): each for each in known if _build_key(each) not in self._recorded}
 
-    @inlineCallbacks
-    def _learn(self, read: RowsRead) -> Any:
-        """Add what the rows say, and perhaps remove the old ones."""
+    def _learn(self, read: RowsRead) -> list[StoredRow]:
+        """Add what the rows say; return those that say nothing any more."""
         now_s = self._reactor.seconds()
-        old: list[str] = []
+        old: list[StoredRow] = []
         for stored in read.rows:
             known = decode_row(stored.value, read, now_s)
             if known is None:
-                old.append(stored.key)
+                old.append(stored)
                 continue
             self._recorded.add(stored.key)
             self._losses.learn(known.losses, now_s)
             self._suspects.learn(known.suspects)
         if read.rows:
             log_message(message_type="crashes: read", rows=len(read.rows), old=len(old))
-        if old and self._random.random() < REMOVAL_CHANCE:
-            keys = old[:MAX_ROWS_PER_WRITE]
-            removals = [RowId(table=CRASH_TABLE, key=key) for key in keys]
-            yield self._rows.transact(Transaction(removals=removals))
+        return old
+
+    def _remove(self, old: Sequence[StoredRow]) -> Deferred[Any]:
+        """Remove rows, unless one of them has been written again since it was read."""
+        removed = old[:MAX_ROWS_PER_WRITE]
+        if not removed:
+            return succeed(None)
+        return self._rows.transact(
+            Transaction(
+                expected=[
+                    RowExpectation(table=CRASH_TABLE, key=each.key, revision=each.revision)
+                    for each in removed
+                ],
+                removals=[RowId(table=CRASH_TABLE, key=each.key) for each in removed],
+            )
+        )
 
     def _encode(self, record: CrashRecord) -> bytes:
         now_s, clock = self._reactor.seconds(), self._rows.clock
@@ -239,7 +252,7 @@
 
 
 def decode_row(value: bytes, read: RowsRead, now_s: float) -> KnownCrashes | None:
-    """Return what a row says; None if it is unreadable, of another era or too old.
+    """Return what a row says; None if it is unreadable, of another era or has expired.
 
     Args:
         read: The read that has brought the row.
@@ -251,9 +264,9 @@
         if row.era != read.era or age_s > MAX_AGE_S:
             return None
         _check_numbers(row)
-        return KnownCrashes(
-            losses=read_loss_report(row.losses, now_s - age_s),
-            suspects=read_suspect_report(row.suspects, now_s - age_s),
-        )
+        losses = read_loss_report(row.losses, now_s - age_s)
+        fresh = [each for each in losses if now_s - each.last_s <= LOSS_LIFETIME_S]
+        suspects = read_suspect_report(row.suspects, now_s - age_s)
+        return KnownCrashes(losses=fresh, suspects=suspects) if fresh or suspects else None
 
     return convert_json(value, CrashRow, convert).value_or(None)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -2,9 +2,8 @@
 
 import time
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
-from functools import partial
 from random import Random
 from typing import Any
 
@@ -16,7 +15,6 @@
 from greengagestage.http1 import ConnectionPool, Endpoint, ServerFactory
 from greengagestage.ids import (
     FailureDomain,
-    Fingerprint,
     HostId,
     Incarnation,
     InstanceId,
@@ -24,28 +22,19 @@
     WorkspaceId,
 )
 from greengagestage.platform import RowClient
-from greengagestage.routing import (
-    Demand,
-    ForwardingHost,
-    LossTracker,
-    Router,
-    SuspectRecord,
-    UpstreamLoad,
-)
+from greengagestage.routing import Demand, ForwardingHost, Router, UpstreamLoad
 from greengagestage.telemetry import DomainTrafficMetrics, EntryMetrics, LabelledGauge
 
 from ._context import ExchangeContext
-from ._crash_table import CrashTable
-from ._crash_watch import CrashWatch
+from ._crash_knowledge import CrashKnowledge
 from ._era_table import EraTable
 from ._forwarding import ForwardingHandler
 from ._host_list import HostList, HostRow
 from ._link_watch import LinkWatch
-from ._loss_reports import MAX_RECORDS
 from ._peers import PeerCallbacks, PeerLink
-from ._quarantine import Quarantine
 from ._readiness import ReadinessHandler
 from ._registry_watch import RegistryWatch
+from ._retry_gauges import build_retry_gauges
 from ._route_watch import RouteWatch
 from ._shutdown import Shutdown
 from ._site import CallerRequestHandler, ConfigurationView
@@ -85,15 +74,14 @@
         self._router = Router(
             domain=settings.failure_domain, bounds=settings.bounds, draw=random.random
         )
-        self._losses = LossTracker()
         self._pool = ConnectionPool(reactor=reactor)
         self._forwarding_pool = ConnectionPool(reactor=reactor, bind_address=settings.address)
         self._link_watch = LinkWatch(
             reactor=reactor, router=self._router, pool=self._pool, draw=random.random
         )
-        self._crash_watch = self._build_crash_watch()
         self._era = StoreEra()
         self._rows = self._build_row_client()
+        self._crashes = self._build_crash_knowledge(random)
         self._routes = self._build_route_watch(random)
         self._eras = self._build_era_table(random)
         self._registry = self._build_registry_watch(random)
@@ -101,14 +89,6 @@
         self._peers = self._build_peers(incarnation, random)
         self._domain_hosts: Mapping[FailureDomain, int] = {}
         self._duties = self._build_duties(incarnation)
-        self._crashes = CrashTable(
-            reactor=reactor,
-            rows=self._rows,
-            random=random,
-            losses=self._losses,
-            suspects=self._crash_watch.suspects,
-            get_rank=lambda: self._peers.rank,
-        )
         self._hosts = HostList(
             reactor=reactor,
             rows=self._rows,
@@ -219,11 +199,15 @@
             self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
         )
 
-    def _build_crash_watch(self) -> CrashWatch:
-        return CrashWatch(
+    def _build_crash_knowledge(self, random: Random) -> CrashKnowledge:
+        return CrashKnowledge(
             reactor=self._reactor,
             pool=self._pool,
-            report=self._report_suspects,
+            rows=self._rows,
+            random=random,
+            report_loss=lambda fingerprint, loss_id: self._peers.report_loss(fingerprint, loss_id),
+            report_suspects=lambda records: self._peers.report_suspects(records),
+            get_rank=lambda: self._peers.rank,
         )
 
     def _build_row_client(self) -> RowClient:
@@ -285,7 +269,7 @@
         )
 
     def _build_peers(self, incarnation: int, random: Random) -> PeerLink:
-        suspects = self._crash_watch.suspects
+        crashes = self._crashes
         return PeerLink(
             reactor=self._reactor,
             host=self._settings.host,
@@ -298,11 +282,11 @@
                 measure_local_demand=self._router.measure_local_demand,
                 list_upstreams=lambda: self._router.upstreams,
                 on_work=self._update_peer_loads,
-                on_loss=self._record_peer_loss,
-                list_losses=partial(self._losses.list_records, most=MAX_RECORDS),
-                on_losses=lambda records: self._losses.learn(records, self._reactor.seconds()),
-                list_suspects=suspects.list_records,
-                on_suspects=suspects.learn,
+                on_loss=crashes.learn_loss,
+                list_losses=crashes.list_losses,
+                on_losses=crashes.learn_losses,
+                list_suspects=crashes.suspects.list_records,
+                on_suspects=crashes.suspects.learn,
                 on_limit=self._record_peer_limit,
                 on_rejection=self._record_peer_rejection,
                 on_registry=self._registry.receive_report,
@@ -347,11 +331,7 @@
             pool=self._pool,
             forwarding_pool=self._forwarding_pool,
             link_watch=self._link_watch,
-            quarantine=Quarantine(
-                losses=self._losses,
-                crash_watch=self._crash_watch,
-                report_loss=self._report_loss,
-            ),
+            quarantine=self._crashes.quarantine,
             notices=UpstreamNotices(
                 router=self._router,
                 report_limit=self._peers.report_limit,
@@ -474,21 +454,6 @@
         self._router.record_brittle(incarnation, allowance, now_s)
         self._router.record_rejection(incarnation, now_s)
 
-    def _report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
-        """Tell the other hosts of a lost answer, and hosts that start later of a quarantine."""
-        self._peers.report_loss(fingerprint, loss_id)
-        record = self._losses.find_quarantined(fingerprint, self._reactor.seconds())
-        if record is not None:
-            self._crashes.record_request(record)
-
-    def _report_suspects(self, records: Sequence[SuspectRecord]) -> None:
-        """Tell the other hosts of suspected parts, and hosts that start later of crashes."""
-        self._peers.report_suspects(records)
-        self._crashes.record_parts(records)
-
-    def _record_peer_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
-        self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
-
     def _receive_duty(self, host: HostId, started_ms: int, body: DutyBody) -> None:
         if self._duties is not None:
             self._duties.receive(host, started_ms, body)
@@ -504,20 +469,11 @@
         return (1 + self._peers.active_peers) / self._peers.known_hosts
 
     def _read_labelled_gauges(self) -> Iterable[LabelledGauge]:
-        yield from self._list_retry_gauges()
+        now_s = self._reactor.seconds()
+        yield from build_retry_gauges(self._router.retries.list_usage(self._router.hosts, now_s))
         if self._duties is not None:
             yield from self._duties.list_labelled_gauges()
 
-    def _list_retry_gauges(self) -> Iterable[LabelledGauge]:
-        for usage in self._router.retries.list_usage(self._router.hosts, self._reactor.seconds()):
-            labels = {"service": usage.service}
-            for name, value in (
-                ("retries_used", usage.used),
-                ("retries_allowed", usage.allowance),
-                ("retries_denied", usage.denied),
-            ):
-                yield LabelledGauge(name=name, labels=labels, value=value)
-
     def _read_gauges(self) -> dict[str, float]:
         duties = {} if self._duties is None else self._duties.read_gauges()
         return {
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -170,8 +170,11 @@
 
 
 # Guards against a gap in the record because the host that found something out has ended, or did
-# not reach the store.
-def test_another_host_records_what_is_missing(fleet: HostFleet) -> None:
+# not reach the store, and against a record that only grows.
+def test_the_first_host_records_what_is_missing_and_removes_what_says_nothing(
+    fleet: HostFleet,
+) -> None:
+    fleet.store.put("greengagestage-crashes", "request-old", b"{}")
     for number in range(9):
         fleet.add_upstream(f"s{number}", behavior=harness.reset)
     peer_port = choose_port()
@@ -184,7 +187,11 @@
         caller = fleet.call("/lookup/x", attempt=f"a{number}")
         fleet.run_for(0.2)  # until the losses are judged
     assert caller.error["code"] == 2012
-    fleet.run_until(lambda: bool(fleet.store.list_keys("greengagestage-crashes")))
+    assert fleet.store.list_keys("greengagestage-crashes") == ["request-old"]
+    fleet.run_until(
+        lambda: fleet.store.list_keys("greengagestage-crashes") not in ([], ["request-old"])
+    )
+    assert "request-old" not in fleet.store.list_keys("greengagestage-crashes")
 
 
 # Guards against a connection that has gone silent passing for proof that its upstream is alive.
--- a/tests/test_cut_links.py
+++ b/tests/test_cut_links.py
@@ -58,6 +58,6 @@
     for number in range(6):
         host.fleet.call("/short/x", attempt=f"next-{number}", parts=f"other{number}:10,c:9")
     host.fleet.run_for(0.2)
-    suspects = host.process._crash_watch.suspects
+    suspects = host.process._crashes.suspects
     assert not suspects.list_records(host.fleet.reactor.seconds())
     assert host.fleet.call("/long/x", attempt="sound").status == 200
