--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -15,13 +15,8 @@
     ResponseListener,
 )
 from ._pool import ConnectionPool, Endpoint
-from ._server import (
-    CallerConnection,
-    IncomingRequest,
-    LimitExceeded,
-    Responder,
-    ServerFactory,
-)
+from ._requests import IncomingRequest, LimitExceeded, Responder
+from ._server import CallerConnection, ServerFactory
 from ._sockets import has_unread_bytes
 from ._types import HeaderList
 
--- /dev/null
+++ b/greengagestage/http1/_requests.py
@@ -0,0 +1,65 @@
+"""Requests as a server reads them, and the interface through which they are answered."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from ._callers import CallerListener
+from ._types import HeaderList
+
+
+class LimitExceeded(Enum):
+    """Why a request was refused before it was read to its end.
+
+    The value is the HTTP status of the refusal. ``MALFORMED`` stands for no limit but for invalid
+    or ambiguous HTTP, such as several Host headers.
+    """
+
+    MALFORMED = 400
+    TOO_SLOW = 408
+    BODY_TOO_LARGE = 413
+    HEAD_TOO_LARGE = 431
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IncomingRequest:
+    """A complete request. Header names are in lower case.
+
+    Attributes:
+        received_s: Monotonic time of its first byte.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    received_s: float
+
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header."""
+        return [value for key, value in self.headers if key == name]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or ``None``."""
+        return next(iter(self.get_all(name)), None)
+
+
+class Responder(Protocol):
+    """Sends the response to one request."""
+
+    listener: CallerListener | None
+
+    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Send a complete response."""
+
+    def begin(self, status: int, headers: HeaderList) -> None:
+        """Begin a response of unknown length."""
+
+    def write(self, data: bytes) -> None:
+        """Send the next bytes of the body."""
+
+    def finish(self) -> None:
+        """Complete the response."""
+
+    def abort(self) -> None:
+        """Abort the connection, so that the response cannot look complete."""
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
 import h11
 from twisted.internet.protocol import Factory, connectionDone
@@ -12,8 +11,9 @@
 
 from greengagestage.catalog import ConnectionLimits
 
-from ._callers import CallerListener, ObservedConnection
+from ._callers import ObservedConnection
 from ._pipelining import PipelinedBytes
+from ._requests import IncomingRequest, LimitExceeded
 from ._sockets import (
     count_undelivered_bytes,
     count_unsent_bytes,
@@ -33,63 +33,6 @@
 """Limit for buffered bytes of later requests while one is answered; reading pauses above it."""
 
 
-class LimitExceeded(Enum):
-    """Why a request was refused before it was read to its end.
-
-    The value is the HTTP status of the refusal. ``MALFORMED`` stands for no limit but for invalid
-    or ambiguous HTTP, such as several Host headers.
-    """
-
-    MALFORMED = 400
-    TOO_SLOW = 408
-    BODY_TOO_LARGE = 413
-    HEAD_TOO_LARGE = 431
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class IncomingRequest:
-    """A complete request. Header names are in lower case.
-
-    Attributes:
-        received_s: Monotonic time of its first byte.
-    """
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes
-    received_s: float
-
-    def get_all(self, name: bytes) -> list[bytes]:
-        """Return all values of a header."""
-        return [value for key, value in self.headers if key == name]
-
-    def get(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, or ``None``."""
-        return next(iter(self.get_all(name)), None)
-
-
-class Responder(Protocol):
-    """Sends the response to one request."""
-
-    listener: CallerListener | None
-
-    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete response."""
-
-    def begin(self, status: int, headers: HeaderList) -> None:
-        """Begin a response of unknown length."""
-
-    def write(self, data: bytes) -> None:
-        """Send the next bytes of the body."""
-
-    def finish(self) -> None:
-        """Complete the response."""
-
-    def abort(self) -> None:
-        """Abort the connection, so that the response cannot look complete."""
-
-
 class ServerFactory(Factory):
     """Accepts connections and passes their requests to a callback.
 
