--- a/soak/_run.py
+++ b/soak/_run.py
@@ -126,38 +126,13 @@
         operator = Operator(
             reactor=self._reactor, store=store, random=Random(f"{options.seed}/operator")
         )
-        retries = self._retries = RetryChecks(
-            ledger=self._ledger,
-            findings=self._findings,
-            operator=operator,
-            disturbances=self._disturbances,
-            get_slack=lambda: self._hosts.largest_slack,
-        )
-        arrivals = ArrivalChecks(
-            ledger=self._ledger,
-            findings=self._findings,
-            operator=operator,
-            disturbances=self._disturbances,
-            notices=notices,
-            crashes=self._crashes,
-            limits=self._limits,
-            retries=retries,
-        )
+        retries = self._retries = self._build_retry_checks(operator)
+        arrivals = self._build_arrival_checks(operator, notices, retries)
         upstreams = self._start_upstreams(store, arrivals)
         await operator.publish_first()
         self._start_hosts()
         await self._wait_ready()
-        answers = AnswerChecks(
-            ledger=self._ledger,
-            findings=self._findings,
-            operator=operator,
-            disturbances=self._disturbances,
-            notices=notices,
-            crashes=self._crashes,
-            limits=self._limits,
-            count_version=upstreams.count_version,
-            has_logged=self._hosts.has_logged,
-        )
+        answers = self._build_answer_checks(operator, notices, upstreams)
         traffic = self._start_traffic(operator, answers)
         await sleep(self._reactor, WARM_UP_S)
         self._duties.begin()
@@ -186,6 +161,44 @@
             process.kill()
             process.wait()
 
+    def _build_retry_checks(self, operator: Operator) -> RetryChecks:
+        return RetryChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+            get_slack=lambda: self._hosts.largest_slack,
+        )
+
+    def _build_arrival_checks(
+        self, operator: Operator, notices: NoticeChecks, retries: RetryChecks
+    ) -> ArrivalChecks:
+        return ArrivalChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+            notices=notices,
+            crashes=self._crashes,
+            limits=self._limits,
+            retries=retries,
+        )
+
+    def _build_answer_checks(
+        self, operator: Operator, notices: NoticeChecks, upstreams: UpstreamFleet
+    ) -> AnswerChecks:
+        return AnswerChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+            notices=notices,
+            crashes=self._crashes,
+            limits=self._limits,
+            count_version=upstreams.count_version,
+            has_logged=self._hosts.has_logged,
+        )
+
     async def _start_store(self) -> StoreControl:
         directory = self._options.directory
         shutil.rmtree(directory, ignore_errors=True)
