--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import Deferred
 
+from ._endless import PIECES, measure_endless
 from ._faults import Fault
 from ._hunt import hunt_seeds
 from ._run import RunOptions, SoakRun
@@ -146,6 +147,16 @@
     sys.exit(hunt_seeds(range(int(first), int(last or first) + 1), jobs=jobs, options=options))
 
 
+@main.command()
+@click.option("--kind", type=click.Choice(list(PIECES)), required=True, help="What has no end.")
+@click.option("--seconds", default=12.0, show_default=True, help="Time of the measurement.")
+def endless(kind: str, seconds: float) -> None:
+    """Measure memory and other callers while an upstream sends bytes without end."""
+    reactor: Any = default_reactor
+    reactor.seconds = time.monotonic
+    measure_endless(reactor, kind, seconds, DIRECTORY / "endless")
+
+
 @main.command(hidden=True)
 @click.option("--address", required=True)
 @click.option("--port", type=int, required=True)
