Review case: lost answers make all hosts refuse sound lookups

Cause: the count of lost answers by request is cleared by no success, and its quarantine is read again by hosts that start.

--- /dev/null
+++ b/review/lib2/servers.py
@@ -0,0 +1,187 @@
+"""Servers of a service: they register, heartbeat, run requests, crash and start again."""
+
+import asyncio
+import base64
+import itertools
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from .store import Store
+from .wire import Broken, Message, encode_response, read_message, reset
+
+HEARTBEAT_S = 1.2
+MISSED_HEARTBEATS = 3
+QUEUE = 24
+ATTEMPT = "Greengagestage-Attempt-Id"
+
+_numbers = itertools.count(1)
+
+
+class Server:
+    """One address of a service, with a new id at each start.
+
+    Attributes:
+        runs: Called with the server's id and the request when it begins to work on a request.
+        loses: Whether the server loses the answer to a request that it has run, and resets its
+            connection.
+        doubles: Whether the server sends a second copy of an answer, given its status, where the
+            next answer on the connection is expected.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        service: str,
+        zone: str,
+        address: str,
+        work_s: float,
+        runs: Callable[[str, Message], None],
+        log: Callable[..., None],
+        slots: int = 6,
+        doubles: Callable[[int], bool] = lambda status: False,
+        loses: Callable[[Message], bool] = lambda request: False,
+    ) -> None:
+        self._store = store
+        self._service, self._zone, self._address = service, zone, address
+        self._work_s, self._slots = work_s, slots
+        self._runs, self._log = runs, log
+        self.doubles, self.loses = doubles, loses
+        self.id = ""
+        self.port = 0
+        self.answers = self.doubled = self.lost = 0
+        self._sequence = self._open = 0
+        self._free = asyncio.Semaphore(slots)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        self.id = f"i-{next(_numbers):08x}"
+        self._sequence = self._open = 0
+        self._free = asyncio.Semaphore(self._slots)
+        self._server = await asyncio.start_server(self._serve, self._address, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self._log("server starts", id=self.id, address=f"{self._address}:{self.port}")
+        task = asyncio.create_task(self._heartbeat(self.id))
+        self._tasks.add(task)
+
+    def crash(self) -> None:
+        """End at once: connections are reset, and the entry stays until its heartbeats are missed."""
+        self._log("server crashes", id=self.id)
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+        asyncio.get_running_loop().call_later(
+            MISSED_HEARTBEATS * HEARTBEAT_S, self._store.remove, "servers", self.id
+        )
+
+    async def _heartbeat(self, id_: str) -> None:
+        born = int(time.time() * 1_000)
+        while True:
+            self._sequence += 1
+            entry = {
+                "Service": self._service,
+                "Address": f"{self._address}:{self.port}",
+                "Zone": self._zone,
+                "Version": "1",
+                "Slots": self._slots,
+                "State": "ready",
+                "ColdRemainingMs": 0,
+                "Sequence": self._sequence,
+                "born": born,
+            }
+            value = base64.b64encode(json.dumps(entry).encode()).decode()
+            self._store.put("servers", id_, value)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        id_, left_over = self.id, b""
+        try:
+            while True:
+                request = await read_message(reader, is_response=False)
+                if request is None or not request.complete:
+                    break
+                if left_over:
+                    attempt = request.headers.get(ATTEMPT.lower(), "")
+                    self._log("server sends the second copy", id=id_, before_answer_to=attempt)
+                    writer.write(left_over)
+                    left_over = b""
+                answer, status = await self._answer(id_, request, writer)
+                if status == 200 and self.loses(request):
+                    self.lost += 1
+                    reset(writer)
+                    break
+                writer.write(answer)
+                await writer.drain()
+                self.answers += 1
+                if self.doubles(status):
+                    self.doubled += 1
+                    left_over = answer
+        except (Broken, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, id_: str, request: Message, writer: asyncio.StreamWriter
+    ) -> tuple[bytes, int]:
+        """Return an answer, or the end of one that has been sent in parts, and its status."""
+        attempt = request.headers.get("greengagestage-attempt-id", "")
+        headers = {ATTEMPT: attempt, "Keep-Alive": "timeout=15"}
+        expected = request.headers.get("greengagestage-expect-instance", id_)
+        if expected != id_:
+            self._log("server rejects", id=id_, expected=expected, attempt=attempt)
+            return encode_response(421, {**headers, "Greengagestage-Instance-Id": id_}), 421
+        if self._open >= self._slots + QUEUE:
+            return encode_response(503, {**headers, "Greengagestage-Not-Executed": "1"}), 503
+        self._open += 1
+        try:
+            async with self._free:
+                headers["Greengagestage-Server-Signature"] = f"{id_}.{attempt}"
+                return await self._run(id_, request, headers, writer)
+        finally:
+            self._open -= 1
+
+    async def _run(
+        self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> tuple[bytes, int]:
+        self._runs(id_, request)
+        await asyncio.sleep(self._work_s)
+        return encode_response(200, headers, f"{id_} ran {headers[ATTEMPT]}\n".encode()), 200
+
+
+class StreamServer(Server):
+    """A server whose answers are streams; it begins to run a request with its first event.
+
+    Args:
+        events: Number of events in each stream.
+        gap_s: Time between two events.
+    """
+
+    def __init__(self, *, events: int, gap_s: float, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self._events, self._gap_s = events, gap_s
+
+    async def _run(
+        self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> tuple[bytes, int]:
+        await asyncio.sleep(self._work_s)
+        self._runs(id_, request)
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
+        for number in range(1, self._events + 1):
+            event = f"id: {number}\ndata: {id_} {number} of {self._events}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self._gap_s)
+        return b"0\r\n\r\n", 200
