--- a/review/lib2/servers.py
+++ b/review/lib2/servers.py
@@ -4,6 +4,7 @@
 import base64
 import itertools
 import json
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -24,8 +25,8 @@
 
     Attributes:
         runs: Called with the server's id and the request when it begins to work on a request.
-        loses: Whether the server loses the answer to a request that it has run, and resets its
-            connection.
+        keeps_idle_s: Returns for how long the server keeps an idle connection. It drops it then
+            without notice: what is sent next on it is reset.
         doubles: Whether the server sends a second copy of an answer, given its status, where the
             next answer on the connection is expected.
     """
@@ -42,16 +43,16 @@
         log: Callable[..., None],
         slots: int = 6,
         doubles: Callable[[int], bool] = lambda status: False,
-        loses: Callable[[Message], bool] = lambda request: False,
+        keeps_idle_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._store = store
         self._service, self._zone, self._address = service, zone, address
         self._work_s, self._slots = work_s, slots
         self._runs, self._log = runs, log
-        self.doubles, self.loses = doubles, loses
+        self.doubles, self._keeps_idle_s = doubles, keeps_idle_s
         self.id = ""
         self.port = 0
-        self.answers = self.doubled = self.lost = 0
+        self.answers = self.doubled = self.dropped = 0
         self._sequence = self._open = 0
         self._free = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
@@ -104,23 +105,27 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         id_, left_over = self.id, b""
+        idle_since_s = time.monotonic()
         try:
             while True:
                 request = await read_message(reader, is_response=False)
                 if request is None or not request.complete:
                     break
+                if time.monotonic() - idle_since_s > self._keeps_idle_s():
+                    attempt = request.headers.get(ATTEMPT.lower(), "")
+                    self._log("server had dropped the idle connection", id=id_, attempt=attempt)
+                    self.dropped += 1
+                    reset(writer)
+                    break
                 if left_over:
                     attempt = request.headers.get(ATTEMPT.lower(), "")
                     self._log("server sends the second copy", id=id_, before_answer_to=attempt)
                     writer.write(left_over)
                     left_over = b""
                 answer, status = await self._answer(id_, request, writer)
-                if status == 200 and self.loses(request):
-                    self.lost += 1
-                    reset(writer)
-                    break
                 writer.write(answer)
                 await writer.drain()
+                idle_since_s = time.monotonic()
                 self.answers += 1
                 if self.doubles(status):
                     self.doubled += 1
@@ -163,11 +168,11 @@
     """A server whose answers are streams; it begins to run a request with its first event.
 
     Args:
-        events: Number of events in each stream.
+        events: Returns the number of events in the answer to a request.
         gap_s: Time between two events.
     """
 
-    def __init__(self, *, events: int, gap_s: float, **arguments: Any) -> None:
+    def __init__(self, *, events: Callable[[Message], int], gap_s: float, **arguments: Any) -> None:
         super().__init__(**arguments)
         self._events, self._gap_s = events, gap_s
 
@@ -179,8 +184,9 @@
         lines = [f"{name}: {value}" for name, value in headers.items()]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
-        for number in range(1, self._events + 1):
-            event = f"id: {number}\ndata: {id_} {number} of {self._events}\n\n".encode()
+        events = self._events(request)
+        for number in range(1, events + 1):
+            event = f"id: {number}\ndata: {id_} {number} of {events}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self._gap_s)
