Review case 6: a request sent behind another one is cut off as too old

Cause: PipelinedBytes.find_arrival returns the time of bytes of an earlier request when a part of the buffer was not recorded.

--- a/review/lib2/servers.py
+++ b/review/lib2/servers.py
@@ -165,27 +165,43 @@
 
 
 class StreamServer(Server):
-    """A server whose answers are streams; it begins to run a request with its first event.
+    """A server whose answers are streams, and which stops at the deadline that it receives.
 
     Args:
         events: Returns the number of events in the answer to a request.
         gap_s: Time between two events.
+        first_event_s: Time from the head of an answer to its first event.
     """
 
-    def __init__(self, *, events: Callable[[Message], int], gap_s: float, **arguments: Any) -> None:
+    def __init__(
+        self,
+        *,
+        events: Callable[[Message], int],
+        gap_s: float,
+        first_event_s: float = 0.0,
+        **arguments: Any,
+    ) -> None:
         super().__init__(**arguments)
         self._events, self._gap_s = events, gap_s
+        self._first_event_s = first_event_s
 
     async def _run(
         self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> tuple[bytes, int]:
+        began_s = time.monotonic()
+        limit_s = float(request.headers.get("greengagestage-deadline-ms", "inf")) / 1_000
         await asyncio.sleep(self._work_s)
         self._runs(id_, request)
         lines = [f"{name}: {value}" for name, value in headers.items()]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines) + "\r\n\r\n").encode())
+        await writer.drain()
+        await asyncio.sleep(self._first_event_s)
         events = self._events(request)
         for number in range(1, events + 1):
+            if time.monotonic() - began_s > limit_s:
+                reset(writer)
+                raise Broken("the deadline has passed")
             event = f"id: {number}\ndata: {id_} {number} of {events}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
