Review case: a caller gets parts of two answers as one success

Cause: the successor of a plain answer that has paused is not cancelled when the first answer goes on and is begun to be sent to the caller.

--- a/review/lib2/servers.py
+++ b/review/lib2/servers.py
@@ -15,6 +15,7 @@
 HEARTBEAT_S = 1.2
 MISSED_HEARTBEATS = 3
 QUEUE = 24
+SLOW_PART_S = 0.033
 ATTEMPT = "Greengagestage-Attempt-Id"
 
 _numbers = itertools.count(1)
@@ -207,3 +208,55 @@
             await writer.drain()
             await asyncio.sleep(self._gap_s)
         return b"0\r\n\r\n", 200
+
+
+class FileServer(Server):
+    """A server whose answers are files of some megabytes.
+
+    Args:
+        size: Bytes in an answer.
+        stalls: Whether the server is slow with the next answer: it pauses in the middle of it.
+        pause_s: Returns how long it pauses.
+    """
+
+    def __init__(
+        self,
+        *,
+        size: int,
+        stalls: Callable[[], bool] = lambda: False,
+        pause_s: Callable[[], float] = lambda: 0.0,
+        **arguments: Any,
+    ) -> None:
+        super().__init__(**arguments)
+        self._size, self._stalls, self._pause_s = size, stalls, pause_s
+
+    async def _run(
+        self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> tuple[bytes, int]:
+        self._runs(id_, request)
+        stalls = self._stalls()
+        await asyncio.sleep(self._work_s)
+        body = build_file(id_, headers[ATTEMPT], self._size)
+        answer = encode_response(200, headers, body)
+        if not stalls:
+            return answer, 200
+        pause_s = self._pause_s()
+        self._log("server pauses", id=id_, attempt=headers[ATTEMPT], pause_s=round(pause_s, 3))
+        begun, sent = self._size * 4 // 10, self._size * 8 // 10
+        writer.write(answer[:begun])
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        writer.write(answer[begun:sent])
+        while sent < len(answer) - self._size // 20:
+            await writer.drain()
+            await asyncio.sleep(SLOW_PART_S)
+            writer.write(answer[sent : sent + self._size // 20])
+            sent += self._size // 20
+        self._log("server ends its slow answer", id=id_, attempt=headers[ATTEMPT])
+        return answer[sent:], 200
+
+
+def build_file(id_: str, attempt: str, size: int) -> bytes:
+    """Return the body of an answer: equal lines that name the server and the request."""
+    line = f"{id_} {attempt} ".ljust(63, "-").encode() + b"\n"
+    return (line * (size // len(line) + 1))[:size]
