--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,7 @@
-"""A server pauses in the middle of a large answer; its caller gets parts of two answers as one."""
+"""A request crashes each server that runs it, and its client repeats it at once at other hosts."""
 
 import asyncio
 import itertools
-import random
 import shutil
 import sys
 from pathlib import Path
@@ -20,20 +19,22 @@
 )
 from lib2.clients import Client
 from lib2.hosts import Host, find_ports, make_folder, wait_until_ready
-from lib2.servers import FileServer, build_file
+from lib2.servers import Server
 from lib2.store import Store
 from lib2.wire import Message
 
-SERVERS = 4
-SLOW_SHARE = 0.05
-"""The share of the answers that are slow, at all servers; see claim.txt for the limits."""
-
-PLAY_S = 30.0
-CLIENTS = 4
-PAUSE_S = 0.05
-WORK_S = 0.1
-SIZE = 1_500_000
-PAUSES_S = (0.45, 0.6)
+HOSTS = 3
+SERVERS = 6
+PLAY_S = 72.0
+VISIT_INTERVAL_S = 12.5
+RETRIES = 2
+DOWN_S = 3.0
+WORK_S = 0.045
+STABILITY_WINDOW_S = 3.0
+MAX_RETRIES_AFTER = 3
+POISON_PATH = "/lookup/table-17"
+CLIENTS_PER_HOST = 4
+PAUSE_S = 0.1
 
 
 async def play(record: Record) -> list[str]:
@@ -49,90 +50,136 @@
 
 async def play_in(folder: str, hosts: list[Host], record: Record) -> list[str]:
     trouble = has_trouble()
-    draw = random.Random(9)
+    clock = asyncio.get_running_loop().time
     store = Store()
     await store.start("127.0.0.1")
-    runs: dict[str, list[str]] = {}
+    by_id: dict[str, Server] = {}
+    arrivals_s: list[float] = []
+    restarts: set[asyncio.Task] = set()
+
+    async def restart(server: Server) -> None:
+        server.crash()
+        await asyncio.sleep(DOWN_S)
+        await server.start()
+        by_id[server.id] = server
 
-    def note_run(server: str, request: Message) -> None:
+    def note_run(id_: str, request: Message) -> None:
         attempt = request.headers.get("greengagestage-attempt-id", "")
-        runs.setdefault(attempt, []).append(server)
-        record("runs", server=server, attempt=attempt)
+        record("runs", server=id_, attempt=attempt, path=request.start[1])
+        if request.start[1] != POISON_PATH:
+            return
+        arrivals_s.append(clock())
+        if trouble:
+            restarts.add(asyncio.create_task(restart(by_id[id_])))
 
-    for number in range(SERVERS):
-        server = FileServer(
+    servers = [
+        Server(
             store=store,
             service="app",
             zone=("za", "zb")[number % 2],
             address=f"127.0.0.{11 + number}",
             work_s=WORK_S,
-            size=SIZE,
             runs=note_run,
             log=record,
-            stalls=lambda: trouble and draw.random() < SLOW_SHARE,
-            pause_s=lambda: draw.uniform(*PAUSES_S),
         )
+        for number in range(SERVERS)
+    ]
+    for server in servers:
         await server.start()
+        by_id[server.id] = server
+    routes = [
+        build_route("lookup", "idempotent", "app", MaxAttempts=2),
+        build_route("order", "non_idempotent", "app"),
+    ]
+    tenants = [{"Name": "t1", "ApiKeys": ["key-1"]}, {"Name": "t2", "ApiKeys": ["key-2"]}]
     write_configuration(
         store,
         version=3,
-        routes=[build_route("fetch", "idempotent", "app", MaxAttempts=2)],
+        routes=routes,
         services=[{"Name": "app", "MaxConnections": 110}],
+        tenants=tenants,
     )
-    host = Host(
-        node="front-0",
-        address="127.0.0.1",
-        zone="za",
-        ports=find_ports(["127.0.0.1"], 3),
-        store=f"127.0.0.1:{store.port}",
-        folder=folder,
-    )
-    hosts.append(host)
-    host.start()
+    addresses = [f"127.0.0.{1 + number}" for number in range(HOSTS)]
+    ports = find_ports(addresses, 3)
+    for number, address in enumerate(addresses):
+        host = Host(
+            node=f"front-{number}",
+            address=address,
+            zone=("za", "zb")[number % 2],
+            ports=ports,
+            store=f"127.0.0.1:{store.port}",
+            folder=folder,
+        )
+        hosts.append(host)
+        host.start()
     if not await wait_until_ready(hosts):
-        raise CannotRun("the host is not ready")
-    record("the host is ready")
+        raise CannotRun("the hosts are not ready")
+    record("hosts are ready")
     ending = asyncio.Event()
     numbers = itertools.count()
-    mixed: list[str] = []
-    whole = 0
+    lost: list[str] = []
 
-    async def fetch() -> None:
-        nonlocal whole
+    async def order(host: Host) -> None:
         client = Client(address=host.address, port=host.front)
         while not ending.is_set():
-            attempt = f"a{next(numbers):05d}"
+            attempt = f"o{next(numbers):06d}"
             outcome = await client.send(
-                attempt, method="GET", path=f"/fetch/{attempt}", host=HOST_NAME, deadline_s=1.5
+                attempt,
+                method="POST",
+                path="/order/x",
+                host=HOST_NAME,
+                deadline_s=1.5,
+                body=f"order {attempt}".encode(),
+                headers={"Authorization": "Bearer key-2"},
             )
-            files = [build_file(server, attempt, SIZE) for server in runs.get(attempt, [])]
-            if outcome.status == 200 and outcome.body in files:
-                whole += 1
-            elif outcome.status == 200:
-                mixed.append(attempt)
-                lines = outcome.body.split(b"\n")
-                names = [line.split(b" ")[0].decode("latin-1") for line in lines]
-                changes = [n for n, _ in itertools.groupby(names)]
-                record(
-                    "SUCCESS WITH ANOTHER BODY",
-                    attempt=attempt,
-                    bytes=len(outcome.body),
-                    parts=changes[:5],
-                    servers=runs.get(attempt),
-                )
-            else:
-                record("no success", attempt=attempt, status=outcome.status, fault=outcome.fault)
+            if outcome.status != 200:
+                lost.append(attempt)
+                record("order not done", attempt=attempt, status=outcome.status)
             await asyncio.sleep(PAUSE_S)
         client.close()
 
-    clients = [asyncio.create_task(fetch()) for _ in range(CLIENTS)]
-    await asyncio.sleep(PLAY_S)
+    async def visit() -> None:
+        """Send the request once, and again at once at the next host after each failure."""
+        for number in range(1 + RETRIES):
+            host = hosts[number % HOSTS]
+            attempt = f"p{next(numbers):06d}"
+            record("sent", attempt=attempt, host=host.node, path=POISON_PATH)
+            client = Client(address=host.address, port=host.front)
+            outcome = await client.send(
+                attempt,
+                method="GET",
+                path=POISON_PATH,
+                host=HOST_NAME,
+                deadline_s=1.5,
+                headers={"Authorization": "Bearer key-1"},
+            )
+            client.close()
+            record("answered", attempt=attempt, status=outcome.status, fault=outcome.fault)
+            if outcome.status == 200:
+                return
+
+    clients = [asyncio.create_task(order(host)) for host in hosts for _ in range(CLIENTS_PER_HOST)]
+    began_s = clock()
+    await asyncio.sleep(4.0)
+    while clock() - began_s < PLAY_S:
+        await visit()
+        await asyncio.sleep(VISIT_INTERVAL_S)
     ending.set()
     await asyncio.gather(*clients)
-    record("totals", whole=whole, mixed=len(mixed))
-    if whole < 20:
-        raise CannotRun("too few answers")
-    return [f"MIXED: {len(mixed)} successes have a body that is no server's"] if mixed else []
+    for task in restarts:
+        task.cancel()
+    crashes_s = arrivals_s if trouble else []
+    record("totals", arrivals=len(arrivals_s), crashes=len(crashes_s), orders_not_done=len(lost))
+    if not arrivals_s:
+        raise CannotRun("the request has reached no server")
+    if len(crashes_s) < 3:
+        return []
+    bound_s = crashes_s[2] + STABILITY_WINDOW_S
+    late = sum(arrival_s > bound_s for arrival_s in arrivals_s)
+    record("result", retries_later_than_the_window_after_the_third_crash=late)
+    if late <= MAX_RETRIES_AFTER:
+        return []
+    return [f"BUDGET: the request reached servers {late} times after it had crashed the third"]
 
 
 if __name__ == "__main__":
