--- a/review/9/case.py
+++ b/review/9/case.py
@@ -23,11 +23,11 @@
 from lib2.store import Store
 from lib2.wire import Message
 
-HOSTS = 3
-SERVERS = 6
+HOSTS = 4
+SERVERS = 8
 PLAY_S = 72.0
 VISIT_INTERVAL_S = 12.5
-RETRIES = 2
+RETRIES = 3
 DOWN_S = 3.0
 WORK_S = 0.045
 STABILITY_WINDOW_S = 3.0
