--- a/review/lib2/case.py
+++ b/review/lib2/case.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import os
+import signal
 import sys
 import time
 import traceback
@@ -17,6 +18,9 @@
 
 HOST_NAME = "a.example"
 
+IN_TOUCH_S = 4.0
+"""Time from the start of the hosts to the traffic; StabilityWindowMs is 3,000."""
+
 
 class CannotRun(Exception):
     """The case could not be played, so that it shows nothing."""
@@ -86,11 +90,16 @@
     record = Record(folder / "record.txt")
 
     async def limited() -> list[str]:
+        # An end by a signal cancels the play, which ends its processes.
+        task = asyncio.current_task()
+        if task is not None:
+            for signum in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(signum, task.cancel)
         return await asyncio.wait_for(play(record), LIMIT_S)
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, TimeoutError) as error:
+    except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
         record("could not run", reason=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
--- a/review/lib2/servers.py
+++ b/review/lib2/servers.py
@@ -28,8 +28,6 @@
         runs: Called with the server's id and the request when it begins to work on a request.
         keeps_idle_s: Returns for how long the server keeps an idle connection. It drops it then
             without notice: what is sent next on it is reset.
-        doubles: Whether the server sends a second copy of an answer, given its status, where the
-            next answer on the connection is expected.
     """
 
     def __init__(
@@ -43,17 +41,16 @@
         runs: Callable[[str, Message], None],
         log: Callable[..., None],
         slots: int = 6,
-        doubles: Callable[[int], bool] = lambda status: False,
         keeps_idle_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._store = store
         self._service, self._zone, self._address = service, zone, address
         self._work_s, self._slots = work_s, slots
         self._runs, self._log = runs, log
-        self.doubles, self._keeps_idle_s = doubles, keeps_idle_s
+        self._keeps_idle_s = keeps_idle_s
         self.id = ""
         self.port = 0
-        self.answers = self.doubled = self.dropped = 0
+        self.dropped = 0
         self._sequence = self._open = 0
         self._free = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
@@ -105,7 +102,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        id_, left_over = self.id, b""
+        id_ = self.id
         idle_since_s = time.monotonic()
         try:
             while True:
@@ -118,37 +115,26 @@
                     self.dropped += 1
                     reset(writer)
                     break
-                if left_over:
-                    attempt = request.headers.get(ATTEMPT.lower(), "")
-                    self._log("server sends the second copy", id=id_, before_answer_to=attempt)
-                    writer.write(left_over)
-                    left_over = b""
-                answer, status = await self._answer(id_, request, writer)
+                answer = await self._answer(id_, request, writer)
                 writer.write(answer)
                 await writer.drain()
                 idle_since_s = time.monotonic()
-                self.answers += 1
-                if self.doubles(status):
-                    self.doubled += 1
-                    left_over = answer
         except (Broken, ConnectionError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(
-        self, id_: str, request: Message, writer: asyncio.StreamWriter
-    ) -> tuple[bytes, int]:
-        """Return an answer, or the end of one that has been sent in parts, and its status."""
+    async def _answer(self, id_: str, request: Message, writer: asyncio.StreamWriter) -> bytes:
+        """Return an answer, or the end of one that has been sent in parts."""
         attempt = request.headers.get("greengagestage-attempt-id", "")
         headers = {ATTEMPT: attempt, "Keep-Alive": "timeout=15"}
         expected = request.headers.get("greengagestage-expect-instance", id_)
         if expected != id_:
             self._log("server rejects", id=id_, expected=expected, attempt=attempt)
-            return encode_response(421, {**headers, "Greengagestage-Instance-Id": id_}), 421
+            return encode_response(421, {**headers, "Greengagestage-Instance-Id": id_})
         if self._open >= self._slots + QUEUE:
-            return encode_response(503, {**headers, "Greengagestage-Not-Executed": "1"}), 503
+            return encode_response(503, {**headers, "Greengagestage-Not-Executed": "1"})
         self._open += 1
         try:
             async with self._free:
@@ -159,10 +145,10 @@
 
     async def _run(
         self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
-    ) -> tuple[bytes, int]:
+    ) -> bytes:
         self._runs(id_, request)
         await asyncio.sleep(self._work_s)
-        return encode_response(200, headers, f"{id_} ran {headers[ATTEMPT]}\n".encode()), 200
+        return encode_response(200, headers, f"{id_} ran {headers[ATTEMPT]}\n".encode())
 
 
 class StreamServer(Server):
@@ -188,7 +174,7 @@
 
     async def _run(
         self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
-    ) -> tuple[bytes, int]:
+    ) -> bytes:
         began_s = time.monotonic()
         limit_s = float(request.headers.get("greengagestage-deadline-ms", "inf")) / 1_000
         await asyncio.sleep(self._work_s)
@@ -207,7 +193,7 @@
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self._gap_s)
-        return b"0\r\n\r\n", 200
+        return b"0\r\n\r\n"
 
 
 class FileServer(Server):
@@ -232,14 +218,14 @@
 
     async def _run(
         self, id_: str, request: Message, headers: dict[str, str], writer: asyncio.StreamWriter
-    ) -> tuple[bytes, int]:
+    ) -> bytes:
         self._runs(id_, request)
         stalls = self._stalls()
         await asyncio.sleep(self._work_s)
         body = build_file(id_, headers[ATTEMPT], self._size)
         answer = encode_response(200, headers, body)
         if not stalls:
-            return answer, 200
+            return answer
         pause_s = self._pause_s()
         self._log("server pauses", id=id_, attempt=headers[ATTEMPT], pause_s=round(pause_s, 3))
         begun, sent = self._size * 4 // 10, self._size * 8 // 10
@@ -253,7 +239,7 @@
             writer.write(answer[sent : sent + self._size // 20])
             sent += self._size // 20
         self._log("server ends its slow answer", id=id_, attempt=headers[ATTEMPT])
-        return answer[sent:], 200
+        return answer[sent:]
 
 
 def build_file(id_: str, attempt: str, size: int) -> bytes:
