Review case 9: record all orders; repeat at once at two visits only

Cause: record.txt named only the orders that failed, and the client repeated at once at each visit, for longer than retry_abuse lasts in the site file. Change: review/9, with less traffic beside it.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -28,13 +28,16 @@
 PLAY_S = 72.0
 VISIT_INTERVAL_S = 12.5
 RETRIES = 3
+FORGOTTEN_S = 60.0
+"""The client repeats at once at its first visit, and at the first one after this time."""
+
 DOWN_S = 3.0
 WORK_S = 0.045
 STABILITY_WINDOW_S = 3.0
 MAX_RETRIES_AFTER = 3
 POISON_PATH = "/lookup/table-17"
 CLIENTS_PER_HOST = 4
-PAUSE_S = 0.1
+PAUSE_S = 0.4
 
 
 async def play(record: Record) -> list[str]:
@@ -123,6 +126,7 @@
         client = Client(address=host.address, port=host.front)
         while not ending.is_set():
             attempt = f"o{next(numbers):06d}"
+            record("sent", attempt=attempt, host=host.node, path="/order/x")
             outcome = await client.send(
                 attempt,
                 method="POST",
@@ -132,15 +136,15 @@
                 body=f"order {attempt}".encode(),
                 headers={"Authorization": "Bearer key-2"},
             )
+            record("answered", attempt=attempt, status=outcome.status, fault=outcome.fault)
             if outcome.status != 200:
                 lost.append(attempt)
-                record("order not done", attempt=attempt, status=outcome.status)
             await asyncio.sleep(PAUSE_S)
         client.close()
 
-    async def visit() -> None:
+    async def visit(retries: int) -> None:
         """Send the request once, and again at once at the next host after each failure."""
-        for number in range(1 + RETRIES):
+        for number in range(1 + retries):
             host = hosts[number % HOSTS]
             attempt = f"p{next(numbers):06d}"
             record("sent", attempt=attempt, host=host.node, path=POISON_PATH)
@@ -162,7 +166,8 @@
     began_s = clock()
     await asyncio.sleep(4.0)
     while clock() - began_s < PLAY_S:
-        await visit()
+        is_forgotten = not arrivals_s or clock() - arrivals_s[-1] > FORGOTTEN_S
+        await visit(RETRIES if is_forgotten else 0)
         await asyncio.sleep(VISIT_INTERVAL_S)
     ending.set()
     await asyncio.gather(*clients)
