--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -13,11 +13,12 @@
     OutgoingRequest,
     ResponseHead,
 )
-from greengagestage.ids import AttemptId, HostId
+from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.platform import ResponseKind, classify_response, is_answer_to
 from greengagestage.routing import AttemptEnd, ForwardingHost, Job, Placement
 
 from ._context import ExchangeContext
+from ._crash_watch import LostAnswer
 from ._forwarding_protocol import ForwardFault, address_request, read_fault, restore_head
 
 MAX_IDLE_NON_RETRYABLE_S = 1.5
@@ -123,11 +124,13 @@
 
     Attributes:
         job: The request.
+        fingerprint: Hash that is equal for equal requests of one caller.
         number: Position among the attempts of the request, from 1.
         non_retryable: Whether the request must not be sent again once it may have run.
     """
 
     job: Job
+    fingerprint: Fingerprint
     number: int
     placement: Placement
     non_retryable: bool
@@ -179,6 +182,26 @@
         """The host that forwards the request; None if it is sent directly."""
         return self._forwarded_by
 
+    def describe_loss(self, *, had_event: bool) -> LostAnswer:
+        """Return the loss of this attempt's answer, which has just ended.
+
+        Args:
+            had_event: Whether the caller's request had brought an event.
+        """
+        now_s = self._context.reactor.seconds()
+        return LostAnswer(
+            attempt_id=self.plan.attempt_id,
+            number=self.plan.number,
+            fingerprint=self.plan.fingerprint,
+            prompt=self.plan.job.prompt,
+            upstream=self.plan.placement.upstream,
+            sent_s=now_s if self.sent_s is None else self.sent_s,
+            lost_s=now_s,
+            forwarded_by=self._forwarded_by,
+            begun=self.answer_begun,
+            had_event=had_event,
+        )
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one to the upstream or a forwarding host."""
         upstream, via = self.plan.placement.upstream, self.plan.placement.via
@@ -354,7 +377,10 @@
         self._connection = connection
         self._body_bytes = len(request.body)
         self.sent_s = self._context.reactor.seconds()
-        attempt_id = self.plan.attempt_id
+        plan, attempt_id = self.plan, self.plan.attempt_id
+        self._context.quarantine.log_send(
+            attempt_id, plan.number, plan.fingerprint, plan.job.prompt, self.sent_s
+        )
         connection.send(
             Exchange(
                 request=request,
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -6,8 +6,10 @@
 removes what has expired.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 from random import Random
 from typing import Any
 
@@ -105,11 +107,13 @@
         self._get_rank = get_rank
         self._task = RepeatingTask(reactor=reactor, name="crashes", step=self._step)
         self._is_read = False
+        self._started_s = 0.0
         self._pending: dict[str, CrashRecord] = {}
         self._recorded: set[str] = set()
 
     def start(self) -> None:
         """Read the record."""
+        self._started_s = self._reactor.seconds()
         self._task.start()
 
     def stop(self) -> None:
@@ -133,6 +137,8 @@
         if not self._is_read:
             read = yield self._rows.read(CRASH_TABLE)
             if not isinstance(read, RowsRead):
+                after_s = round(self._reactor.seconds() - self._started_s, 3)
+                log_message(message_type="crashes: not read", after_s=after_s)
                 return add_jitter(RETRY_S, self._random)
             self._is_read = True
             self._learn(read)
@@ -147,7 +153,13 @@
         batch = dict(list(self._pending.items())[:MAX_ROWS_PER_WRITE])
         puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in batch.items()]
         outcome = yield self._rows.transact(Transaction(puts=puts))
-        if not isinstance(outcome, RowsRead):
+        is_written = isinstance(outcome, RowsRead)
+        log_message(
+            message_type="crashes: written" if is_written else "crashes: not written",
+            keys=list(batch),
+            waiting=len(self._pending) - len(batch),
+        )
+        if not is_written:
             return add_jitter(RETRY_S, self._random)
         for key, record in batch.items():
             self._recorded.add(key)
@@ -169,16 +181,23 @@
         """Add what the rows say; return those that say nothing any more."""
         now_s = self._reactor.seconds()
         old: list[StoredRow] = []
+        reasons: Counter[str] = Counter()
         for stored in read.rows:
             known = decode_row(stored.value, read, now_s)
-            if known is None:
+            if isinstance(known, IgnoredRow):
                 old.append(stored)
+                reasons[known.value] += 1
                 continue
             self._recorded.add(stored.key)
             self._losses.learn(known.losses, now_s)
             self._suspects.learn(known.suspects)
-        if read.rows:
-            log_message(message_type="crashes: read", rows=len(read.rows), old=len(old))
+        log_message(
+            message_type="crashes: read",
+            rows=len(read.rows),
+            ignored=reasons,
+            era=read.era,
+            after_s=round(now_s - self._started_s, 3),
+        )
         return old
 
     def _remove(self, old: Sequence[StoredRow]) -> Deferred[Any]:
@@ -251,22 +270,34 @@
     suspects: list[SuspectRecord]
 
 
-def decode_row(value: bytes, read: RowsRead, now_s: float) -> KnownCrashes | None:
-    """Return what a row says; None if it is unreadable, of another era or has expired.
+class IgnoredRow(Enum):
+    """Why a row is ignored."""
+
+    UNREADABLE = "unreadable"
+    OTHER_ERA = "other era"
+    EXPIRED = "expired"
+
+
+def decode_row(value: bytes, read: RowsRead, now_s: float) -> KnownCrashes | IgnoredRow:
+    """Return what a row says, or why it is ignored.
 
     Args:
         read: The read that has brought the row.
         now_s: This host's monotonic time.
     """
 
-    def convert(row: CrashRow) -> KnownCrashes | None:
+    def convert(row: CrashRow) -> KnownCrashes | IgnoredRow:
         age_s = max((read.store_clock_ms - row.written_ms) / 1_000, 0.0)
-        if row.era != read.era or age_s > MAX_AGE_S:
-            return None
+        if row.era != read.era:
+            return IgnoredRow.OTHER_ERA
+        if age_s > MAX_AGE_S:
+            return IgnoredRow.EXPIRED
         _check_numbers(row)
         losses = read_loss_report(row.losses, now_s - age_s)
         fresh = [each for each in losses if now_s - each.last_s <= LOSS_LIFETIME_S]
         suspects = read_suspect_report(row.suspects, now_s - age_s)
-        return KnownCrashes(losses=fresh, suspects=suspects) if fresh or suspects else None
+        if not fresh and not suspects:
+            return IgnoredRow.EXPIRED
+        return KnownCrashes(losses=fresh, suspects=suspects)
 
-    return convert_json(value, CrashRow, convert).value_or(None)
+    return convert_json(value, CrashRow, convert).value_or(IgnoredRow.UNREADABLE)
--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -10,7 +10,7 @@
 
 from greengagestage.catalog import Prompt, RegisteredUpstream
 from greengagestage.http1 import ConnectionPool, Endpoint
-from greengagestage.ids import AttemptId, Crash, Fingerprint, PromptPartId
+from greengagestage.ids import AttemptId, Crash, Fingerprint, HostId, PromptPartId
 from greengagestage.routing import CrashSuspects, PartLoss, SuspectRecord
 
 CRASH_CONFIRMATION_S = 0.1
@@ -34,7 +34,9 @@
         number: Number of the attempt; all attempts share the request's id.
         sent_s: Time at which the request was sent.
         lost_s: Time at which the answer was lost.
-        had_just_begun: Whether the head of the answer had arrived, but no event.
+        forwarded_by: The host that forwarded the request; None if it was sent directly.
+        begun: Whether the head of the answer had arrived.
+        had_event: Whether an event of the answer had arrived, from this upstream or another.
     """
 
     attempt_id: AttemptId
@@ -44,7 +46,18 @@
     upstream: RegisteredUpstream
     sent_s: float
     lost_s: float
-    had_just_begun: bool
+    forwarded_by: HostId | None
+    begun: bool
+    had_event: bool
+
+    @property
+    def left_out_because(self) -> str | None:
+        """Why the loss says nothing about the parts of the prompt; None if it may."""
+        if self.forwarded_by is not None:
+            return "forwarded"
+        if not self.begun:
+            return "no head"
+        return "events" if self.had_event else None
 
     def is_in_sequence_with(self, other: "LostAnswer") -> bool:
         """Whether one of two requests was sent after the answer to the other one was lost."""
@@ -93,6 +106,20 @@
             self._recent_losses.popleft()
         self._reactor.callLater(CRASH_CONFIRMATION_S, judge)
 
+    def log_evidence(self, prompt: Prompt, request: AttemptId, send: int, now_s: float) -> None:
+        """Log what is held against the parts of a prompt that is sent all the same."""
+        for known in self.suspects.list_evidence(_list_parts(prompt), now_s):
+            log_message(
+                message_type="request: sent with a suspected part",
+                request=request,
+                send=send,
+                part=known.part,
+                crashes=known.crashes,
+                counted=known.counted,
+                age_s=round(known.age_s, 3),
+                reason=known.sent_because,
+            )
+
     def record_answer(self, prompt: Prompt) -> None:
         """Record that the answer to a prompt has produced an event or is complete."""
         cleared = self.suspects.record_answer(_list_parts(prompt), self._reactor.seconds())
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -14,7 +14,6 @@
 
 from ._attempt import Attempt, AttemptFault, AttemptPlan
 from ._context import ExchangeContext
-from ._crash_watch import LostAnswer
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
 from ._handover import Handover
@@ -293,6 +292,7 @@
         self._log.log_sent(placement, self._limits.sends)
         plan = AttemptPlan(
             job=self._job,
+            fingerprint=self._inputs.fingerprint,
             number=self._limits.sends,
             placement=placement,
             non_retryable=not self._route.is_retryable,
@@ -470,19 +470,5 @@
         self._log.log_end(outcome, self._delivery)
 
     def _record_loss(self, attempt: Attempt) -> None:
-        plan, now_s = attempt.plan, self._now_s
-        lost = LostAnswer(
-            attempt_id=plan.attempt_id,
-            number=plan.number,
-            fingerprint=self._inputs.fingerprint,
-            prompt=self._job.prompt,
-            upstream=plan.placement.upstream,
-            sent_s=now_s if attempt.sent_s is None else attempt.sent_s,
-            lost_s=now_s,
-            had_just_begun=(
-                attempt.answer_begun
-                and attempt.forwarded_by is None
-                and self._delivery.first_event_s is None
-            ),
-        )
-        self._context.quarantine.record_loss(lost)
+        had_event = self._delivery.first_event_s is not None
+        self._context.quarantine.record_loss(attempt.describe_loss(had_event=had_event))
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -229,6 +229,14 @@
     def fail_response(self, failure: ExchangeFailure) -> None:
         """Break the answer off, or state the fault if none has begun."""
         self._connection = None
+        log_message(
+            message_type="forwarding: answer lost",
+            request=self.attempt_id,
+            upstream=self._upstream.instance,
+            begun=self._begun,
+            malformed=failure is ExchangeFailure.MALFORMED,
+            open_ms=round((self._context.reactor.seconds() - self._sent_s) * 1_000, 1),
+        )
         if self._begun:
             self._responder.abort()
         else:
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -5,7 +5,7 @@
 from eliot import log_message
 
 from greengagestage.catalog import Prompt
-from greengagestage.ids import Fingerprint
+from greengagestage.ids import AttemptId, Fingerprint
 from greengagestage.routing import LossTracker
 
 from ._crash_watch import CrashWatch, LostAnswer
@@ -52,7 +52,7 @@
         self._crash_watch.call_when_judged(
             lost,
             on_alone=lambda: self._confirm_loss(lost, loss_id),
-            on_common=lambda: self._losses.forget_loss(lost.fingerprint, loss_id),
+            on_common=lambda: self._forget_loss(lost, loss_id),
         )
         if count > 1:
             log_message(
@@ -61,9 +61,55 @@
                 fingerprint=lost.fingerprint,
                 losses=count,
             )
-        if lost.prompt is not None and lost.had_just_begun:
+        if lost.prompt is None:
+            return
+        reason = lost.left_out_because
+        if reason is None:
             self._crash_watch.examine_loss(lost, lost.prompt)
+        else:
+            log_message(
+                message_type="upstream: loss left out",
+                upstream=lost.upstream.instance,
+                request=lost.attempt_id,
+                send=lost.number,
+                parts=[each.part for each in lost.prompt.shared_parts],
+                reason=reason,
+                via=lost.forwarded_by,
+            )
+
+    def log_send(
+        self,
+        request: AttemptId,
+        send: int,
+        fingerprint: Fingerprint,
+        prompt: Prompt | None,
+        now_s: float,
+    ) -> None:
+        """Log what is known against a request that is sent all the same."""
+        losses = self._losses.count_losses(fingerprint)
+        if losses is not None:
+            log_message(
+                message_type="request: sent after losses of equal ones",
+                request=request,
+                send=send,
+                fingerprint=fingerprint,
+                losses=losses[0],
+                age_s=round(now_s - losses[1], 3),
+            )
+        if prompt is not None:
+            self._crash_watch.log_evidence(prompt, request, send, now_s)
 
     def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
         self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
         self._report_loss(lost.fingerprint, loss_id)
+
+    def _forget_loss(self, lost: LostAnswer, loss_id: str) -> None:
+        self._losses.forget_loss(lost.fingerprint, loss_id)
+        log_message(
+            message_type="request: loss left out",
+            request=lost.attempt_id,
+            send=lost.number,
+            upstream=lost.upstream.instance,
+            fingerprint=lost.fingerprint,
+            reason="common cause",
+        )
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -56,6 +56,24 @@
     losses: tuple[PartLoss, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PartEvidence:
+    """What is held against a part of a prompt that is sent all the same.
+
+    Attributes:
+        crashes: Number of crashes that are kept.
+        counted: Number of those that came one after the other.
+        age_s: Time since the latest of them.
+        sent_because: Why the part does not keep the prompt from being sent.
+    """
+
+    part: PromptPartId
+    crashes: int
+    counted: int
+    age_s: float
+    sent_because: str
+
+
 def hash_part(part: PromptPartId) -> PartHash:
     """Return the number by which hosts identify a part to each other."""
     return PartHash(xxhash.xxh64_intdigest(part.encode()))
@@ -109,6 +127,21 @@
         """Whether the last crash is so long ago that it says nothing about the next one."""
         return self._measure_age_s(now_s) >= 2 * self._quarantine_s
 
+    def describe(self, part: PromptPartId, now_s: float) -> PartEvidence:
+        """Return what is held against the part, in a prompt that may be sent."""
+        if self.crashes < CRASHES_TO_QUARANTINE:
+            reason = "too few crashes"
+        else:
+            blamed = self.is_quarantined(now_s)
+            reason = "another part is blamed" if blamed else "quarantine is over"
+        return PartEvidence(
+            part=part,
+            crashes=len(self.losses),
+            counted=self.crashes,
+            age_s=self._measure_age_s(now_s),
+            sent_because=reason,
+        )
+
     @property
     def _quarantine_s(self) -> float:
         doublings = max(self.crashes - CRASHES_TO_QUARANTINE, 0)
@@ -190,6 +223,13 @@
                 return name
         return None
 
+    def list_evidence(self, parts: Iterable[PromptPartId], now_s: float) -> list[PartEvidence]:
+        """Return what is held against the parts of a prompt that may be sent."""
+        if not self._suspects:
+            return []
+        known = ((part, self._suspects.get(hash_part(part))) for part in parts)
+        return [suspect.describe(part, now_s) for part, suspect in known if suspect is not None]
+
     def list_records(self, now_s: float) -> list[SuspectRecord]:
         """Return the records of all suspected parts, those with the most evidence first.
 
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -93,6 +93,11 @@
             return False
         return len(losses.hashes) >= LOSSES_TO_QUARANTINE
 
+    def count_losses(self, fingerprint: Fingerprint) -> tuple[int, float] | None:
+        """Return the number of losses that are kept and the time of the latest; None if none."""
+        losses = self._losses.get(fingerprint)
+        return None if losses is None or not losses.hashes else (len(losses.hashes), losses.last_s)
+
     def find_quarantined(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
         """Return the record of a fingerprint with enough confirmed losses for a quarantine."""
         record = self._build_record(fingerprint, now_s)
