Count crashes under requests that another host forwards

Callers of a host that takes its links for cut crashed one upstream after the other: the host that asked left the loss out, since its own connections show nothing, and the host that forwarded saw the crash and told nobody.

The host that forwards now judges the loss as it does its own, by its connections, and tells the others. It finds the parts in the request's headers; a request belongs to a prompt if the host that asked has stated its urgency. A request that is sent again keeps its id, by which retries at several upstreams are told from a common cause. The host that asked counts the loss against equal requests, as before.

--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -101,10 +101,14 @@
         def judge() -> None:
             (on_alone if self._count_aborted(lost) <= 1 else on_common)()
 
+        self.remember(lost)
+        self._reactor.callLater(CRASH_CONFIRMATION_S, judge)
+
+    def remember(self, lost: LostAnswer) -> None:
+        """Keep a loss for a while, so that the retries of its request can be found."""
         self._recent_losses.append(lost)
         while self._recent_losses[0].lost_s < lost.lost_s - RECENT_S:
             self._recent_losses.popleft()
-        self._reactor.callLater(CRASH_CONFIRMATION_S, judge)
 
     def log_evidence(self, prompt: Prompt, request: AttemptId, send: int, now_s: float) -> None:
         """Log what is held against the parts of a prompt that is sent all the same."""
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -6,7 +6,7 @@
 
 from eliot import log_message
 
-from greengagestage.catalog import RegisteredUpstream
+from greengagestage.catalog import Prompt, RegisteredUpstream
 from greengagestage.http1 import (
     CallerConnection,
     ClientConnection,
@@ -18,7 +18,7 @@
     OutgoingRequest,
     ResponseHead,
 )
-from greengagestage.ids import AttemptId
+from greengagestage.ids import AttemptId, Fingerprint
 from greengagestage.platform import (
     ResponseKind,
     build_caller_headers,
@@ -26,10 +26,12 @@
     is_answer_to,
     parse_caller_headers,
     replace_time_left,
+    states_prompt,
 )
 from greengagestage.routing import AttemptEnd
 
 from ._context import ExchangeContext
+from ._crash_watch import LostAnswer
 from ._forwarding_protocol import (
     FAULT_STATUS,
     ForwardFault,
@@ -37,6 +39,7 @@
     build_forwarded_headers,
     take_address,
 )
+from ._relay import has_event_end
 
 MAX_FORWARDED_REQUESTS = 256
 """Open requests of other hosts beyond which no more are taken. Each holds two connections."""
@@ -149,11 +152,21 @@
         self._received_s = context.reactor.seconds()
         self._sent_s = 0.0
         self._begun = False
+        self._framed = True
+        self._had_event = False
+        self._last_bytes = b""
         self._ended = False
         parsed = parse_caller_headers(request.target, request.headers)
         metadata = parsed.value_or(None)
         self.attempt_id = AttemptId("") if metadata is None else metadata.attempt_id
         self._timeout_s = None if metadata is None else metadata.timeout_s
+        self._prompt: Prompt | None = None
+        if metadata is not None and states_prompt(request.headers):
+            self._prompt = Prompt(
+                tokens=metadata.prompt_tokens,
+                output_tokens=metadata.output_tokens,
+                parts=metadata.parts,
+            )
 
     def start(self) -> None:
         """Send on an idle connection, or open a new one."""
@@ -212,17 +225,22 @@
         now_s = self._context.reactor.seconds()
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
-        self._begun = True
+        self._begun, self._framed = True, head.framed
         headers = build_forwarded_headers(head, build_caller_headers(head.headers))
         self._responder.begin(head.status, headers)
 
     def receive_body(self, data: bytes) -> None:
         """Pass a part of the body back."""
+        if self._prompt is not None and not self._had_event:
+            self._had_event = has_event_end(self._last_bytes + data)
+            self._last_bytes = (self._last_bytes + data)[-3:]
         self._responder.write(data)
 
     def end_response(self) -> None:
-        """Complete the answer."""
+        """Complete the answer; one without framing may have been broken off."""
         self._connection = None
+        if not self._framed and not self._had_event:
+            self._record_loss()
         self._responder.finish()
         self._end(AttemptEnd.CANCELLED)
 
@@ -237,6 +255,8 @@
             malformed=failure is ExchangeFailure.MALFORMED,
             open_ms=round((self._context.reactor.seconds() - self._sent_s) * 1_000, 1),
         )
+        if failure is ExchangeFailure.LOST:
+            self._record_loss()
         if self._begun:
             self._responder.abort()
         else:
@@ -246,6 +266,23 @@
             )
         self._end(AttemptEnd.LOST)
 
+    def _record_loss(self) -> None:
+        """Let this host judge whether the upstream has crashed: the other one cannot see it."""
+        self._context.quarantine.record_forwarded_loss(
+            LostAnswer(
+                attempt_id=self.attempt_id,
+                number=0,
+                fingerprint=Fingerprint(f"forwarded {self.attempt_id}"),
+                prompt=self._prompt,
+                upstream=self._upstream,
+                sent_s=self._sent_s,
+                lost_s=self._context.reactor.seconds(),
+                forwarded_by=None,
+                begun=self._begun,
+                had_event=self._had_event,
+            )
+        )
+
     def _handle_open(self, connection: ClientConnection, endpoint: Endpoint) -> None:
         self._context.link_watch.record_opened(self._upstream)
         self._send(connection, endpoint)
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -61,6 +61,19 @@
                 fingerprint=lost.fingerprint,
                 losses=count,
             )
+        self._examine(lost)
+
+    def record_forwarded_loss(self, lost: LostAnswer) -> None:
+        """Record an answer that was lost while this host passed it to another one.
+
+        Only the connections of this host show a crash. The other host counts the loss against
+        equal requests.
+        """
+        self._crash_watch.remember(lost)
+        self._examine(lost)
+
+    def _examine(self, lost: LostAnswer) -> None:
+        """Look whether a lost answer says something about the parts of its prompt."""
         if lost.prompt is None:
             return
         reason = lost.left_out_because
--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -35,8 +35,7 @@
         """Whether the partial event would be too large with further bytes that do not end it."""
         if len(self._partial) + len(data) <= MAX_EVENT_BYTES:
             return False
-        ends = max(_find_last_event_end(self._partial[-3:] + data, each) for each in _SEPARATORS)
-        return ends == 0
+        return not has_event_end(self._partial[-3:] + data)
 
     def feed(self, data: bytes) -> bytes:
         """Process received bytes and return the complete events to relay."""
@@ -70,6 +69,11 @@
                 has_id = has_data = False
 
 
+def has_event_end(data: bytes) -> bool:
+    """Return whether an event of a stream ends within some bytes."""
+    return any(_find_last_event_end(data, separator) for separator in _SEPARATORS)
+
+
 def _find_last_event_end(data: bytes, separator: bytes) -> int:
     position = data.rfind(separator)
     return 0 if position < 0 else position + len(separator)
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -27,6 +27,7 @@
     build_upstream_headers,
     parse_caller_headers,
     replace_time_left,
+    states_prompt,
 )
 from ._host_settings import READINESS_PATH, SETTINGS_PATH, SETTINGS_VARIABLE, parse_host_settings
 from ._objects import AlreadyStored, ObjectClient, ObjectMissing, PutOutcome, Stored
@@ -107,5 +108,6 @@
     "read_limit_per_s",
     "read_pause_s",
     "replace_time_left",
+    "states_prompt",
     "states_leaving",
 ]
--- a/greengagestage/platform/_headers.py
+++ b/greengagestage/platform/_headers.py
@@ -150,6 +150,11 @@
     )
 
 
+def states_prompt(headers: HeaderList) -> bool:
+    """Return whether headers that a router has built for an upstream belong to a prompt."""
+    return any(name.lower() == PRIORITY for name, _ in headers)
+
+
 def build_upstream_headers(headers: HeaderList, metadata: UpstreamRequestMetadata) -> HeaderList:
     """Return a caller's headers as they are sent to the upstream."""
     hop_by_hop_names = _list_hop_by_hop_names(headers)
