Keep the record of crashes as complete as what the hosts know, in each era of the store

After the end of all hosts, prompts with a deadly part were sent again although five crashes had been known: the row in the store said two, so that its quarantine was long over.

- The first host took a row for complete once it was there, whatever it said: 2 crashes of 5 were left after another host could not write the later ones.
- A host wrote the record of the time at which it had seen the crash, up to 0.5 s late, also over a newer one of another host: 2 of 5 were left 0.3 s after five crashes at three hosts.
- Once the store had come back from an older copy, nothing was written again, and rows from before were ignored: 0 of 5 were left, and 0 of the 3 that the copy held.

The table now compares what rows say, not that they are there; writes what is known at the time of the write, 0.1 s after the previous one, which is the time in which a host judges a loss; and takes nothing for recorded in a new era. A host that starts takes rows of another era as just written, since their ages cannot be compared. All five, or the three of the copy, are known now. Rows have the same form as before.

--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -21,6 +21,7 @@
     Args:
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
         report_suspects: Tells the other hosts what has changed about suspected parts.
+        get_era: Returns the newest known era of the store.
         get_rank: Returns the position of this host among all hosts; 0 is the first.
 
     Attributes:
@@ -36,6 +37,7 @@
         random: Random,
         report_loss: Callable[[Fingerprint, str], None],
         report_suspects: Callable[[Sequence[SuspectRecord]], None],
+        get_era: Callable[[], int | None],
         get_rank: Callable[[], int],
     ) -> None:
         self._reactor = reactor
@@ -49,6 +51,7 @@
             random=random,
             losses=self._losses,
             suspects=self._watch.suspects,
+            get_era=get_era,
             get_rank=get_rank,
         )
         self.quarantine = Quarantine(
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -39,6 +39,7 @@
     SuspectRecord,
 )
 
+from ._crash_watch import CRASH_CONFIRMATION_S
 from ._loops import RepeatingTask, add_jitter
 from ._loss_reports import MAX_RECORDS, build_loss_reports, read_loss_report
 from ._peer_messages import LossesReport, SuspectsReport
@@ -50,8 +51,9 @@
 MAX_ROWS_PER_WRITE = 50
 """Half of the rows that a transaction may hold; a row takes some hundred bytes."""
 
-WRITE_PAUSE_S = 0.5
-"""Pause between two writes of one host, so that many crashes at once do not crowd the store."""
+WRITE_PAUSE_S = CRASH_CONFIRMATION_S
+"""Pause between two writes of one host, so that many crashes at once do not crowd the store. What
+is found out in between is lost with the host."""
 
 RETRY_S = 0.3
 """Pause after a failed call, with a jitter of 50%."""
@@ -59,6 +61,9 @@
 CHECK_PAUSE_S = 5.0
 """Time between two checks whether something that this host knows may be missing."""
 
+REQUEST_TOLERANCE_S = 1.0
+"""Difference up to which two times of one loss, reckoned from two ages, count as the same."""
+
 MAX_AGE_S = 2 * MAX_QUARANTINE_S
 """Age from which a row is removed; what it says has expired by then."""
 
@@ -71,8 +76,9 @@
     """What is known about one request, or one prompt part; ages count from ``written_ms``.
 
     Attributes:
-        era: The store's era in which the row was written. In another one it is ignored, since the
-            clocks of different eras cannot be compared.
+        era: The store's era in which the row was written. The clocks of different eras cannot be
+            compared: in another one, the row counts as just written for a host that starts, and
+            for nothing later, since the other hosts have written again what they know.
         written_ms: Time of the write on the store's clock.
     """
 
@@ -86,6 +92,7 @@
     """Reads the record at the start of a host, and adds what is missing.
 
     Args:
+        get_era: Returns the newest known era of the store.
         get_rank: Returns the position of this host among all hosts; 0 is the first.
     """
 
@@ -95,6 +102,7 @@
         reactor: Any,
         rows: RowClient,
         random: Random,
+        get_era: Callable[[], int | None],
         losses: LossTracker,
         suspects: CrashSuspects,
         get_rank: Callable[[], int],
@@ -104,12 +112,15 @@
         self._random = random
         self._losses = losses
         self._suspects = suspects
+        self._get_era = get_era
         self._get_rank = get_rank
         self._task = RepeatingTask(reactor=reactor, name="crashes", step=self._step)
         self._is_read = False
         self._started_s = 0.0
+        self._is_checked = True
         self._pending: dict[str, CrashRecord] = {}
-        self._recorded: set[str] = set()
+        self._recorded: dict[str, CrashRecord] = {}
+        self._recorded_era: int | None = None
 
     def start(self) -> None:
         """Read the record."""
@@ -141,54 +152,99 @@
                 log_message(message_type="crashes: not read", after_s=after_s)
                 return add_jitter(RETRY_S, self._random)
             self._is_read = True
-            self._learn(read)
-        if not self._pending and self._get_rank() == 0 and self._find_missing():
+            self._recorded_era = read.era
+            self._learn(read, any_era=True)
+        self._forget_older_era()
+        if self._get_rank() == 0 and self._needs_check():
             read = yield self._rows.read(CRASH_TABLE)
             if not isinstance(read, RowsRead):
                 return add_jitter(RETRY_S, self._random)
-            yield self._remove(self._learn(read))
-            self._pending = {**self._find_missing(), **self._pending}
+            old = self._learn(read)
+            missing = self._find_missing()
+            removed = [each for each in old if each.key not in missing][:MAX_ROWS_PER_WRITE]
+            yield self._remove(removed)
+            self._is_checked = len(removed) < MAX_ROWS_PER_WRITE
+            self._pending = {**missing, **self._pending}
         if not self._pending:
             return CHECK_PAUSE_S
+        is_written = yield self._write()
+        return WRITE_PAUSE_S if is_written else add_jitter(RETRY_S, self._random)
+
+    @inlineCallbacks
+    def _write(self) -> Any:
+        """Write what is pending; return whether it was written."""
+        clock = self._rows.clock
+        if clock is None or clock.era != self._get_era():
+            yield self._rows.read(CRASH_TABLE)  # ages need the clock of the current era
+            clock = self._rows.clock
         batch = dict(list(self._pending.items())[:MAX_ROWS_PER_WRITE])
-        puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in batch.items()]
+        known = self._list_known()
+        current = {key: known.get(key, record) for key, record in batch.items()}
+        puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in current.items()]
         outcome = yield self._rows.transact(Transaction(puts=puts))
-        is_written = isinstance(outcome, RowsRead)
+        is_written = isinstance(outcome, RowsRead) and (clock is None or outcome.era == clock.era)
         log_message(
             message_type="crashes: written" if is_written else "crashes: not written",
             keys=list(batch),
             waiting=len(self._pending) - len(batch),
         )
-        if not is_written:
-            return add_jitter(RETRY_S, self._random)
-        for key, record in batch.items():
-            self._recorded.add(key)
-            if self._pending.get(key) is record:
-                del self._pending[key]
-        return WRITE_PAUSE_S
+        if is_written:
+            self._recorded.update(current)
+            for key, record in batch.items():
+                if self._pending.get(key) is record:
+                    del self._pending[key]
+        return is_written
+
+    def _forget_older_era(self) -> None:
+        """Take nothing for recorded after the store has come back from an older copy."""
+        era = self._get_era()
+        if era != self._recorded_era:
+            self._recorded_era = era
+            self._recorded.clear()
+            self._is_checked = False
+
+    def _needs_check(self) -> bool:
+        return not self._is_checked or (not self._pending and bool(self._find_missing()))
+
+    def _list_known(self) -> dict[str, CrashRecord]:
+        """Return what this host knows and should be recorded."""
+        now_s = self._reactor.seconds()
+        requests = self._losses.list_records(now_s, most=MAX_RECORDS)
+        records: list[CrashRecord] = [*requests, *self._suspects.list_records(now_s)]
+        return {_build_key(each): each for each in records if _is_known(each)}
 
     def _find_missing(self) -> dict[str, CrashRecord]:
         """Return what this host knows and has neither written nor read in the store."""
-        now_s = self._reactor.seconds()
-        requests = self._losses.list_records(now_s, most=MAX_RECORDS)
-        parts = self._suspects.list_records(now_s)
-        records: list[CrashRecord] = [*requests, *parts]
-        known = [each for each in records if _is_known(each)]
-        self._recorded &= {_build_key(each) for each in known}
-        return {_build_key(each): each for each in known if _build_key(each) not in self._recorded}
-
-    def _learn(self, read: RowsRead) -> list[StoredRow]:
-        """Add what the rows say; return those that say nothing any more."""
+        known = self._list_known()
+        self._recorded = {key: each for key, each in self._recorded.items() if key in known}
+        return {
+            key: each
+            for key, each in known.items()
+            if not _is_covered(each, self._recorded.get(key))
+        }
+
+    def _learn(self, read: RowsRead, *, any_era: bool = False) -> list[StoredRow]:
+        """Add what the rows say; return those that say nothing any more.
+
+        Args:
+            any_era: Whether rows of another era count as just written. They are returned, too.
+        """
         now_s = self._reactor.seconds()
         old: list[StoredRow] = []
         reasons: Counter[str] = Counter()
         for stored in read.rows:
-            known = decode_row(stored.value, read, now_s)
+            known = decode_row(stored.value, read, now_s, any_era=any_era)
             if isinstance(known, IgnoredRow):
                 old.append(stored)
                 reasons[known.value] += 1
                 continue
-            self._recorded.add(stored.key)
+            if known.is_current:
+                records: list[CrashRecord] = [*known.losses, *known.suspects]
+                self._recorded.update({_build_key(each): each for each in records})
+            else:
+                old.append(stored)
+                reasons["other era, taken as just written"] += 1
+                self._is_checked = False
             self._losses.learn(known.losses, now_s)
             self._suspects.learn(known.suspects)
         log_message(
@@ -200,9 +256,8 @@
         )
         return old
 
-    def _remove(self, old: Sequence[StoredRow]) -> Deferred[Any]:
+    def _remove(self, removed: Sequence[StoredRow]) -> Deferred[Any]:
         """Remove rows, unless one of them has been written again since it was read."""
-        removed = old[:MAX_ROWS_PER_WRITE]
         if not removed:
             return succeed(None)
         return self._rows.transact(
@@ -238,6 +293,18 @@
             return len(crashes) >= CRASHES_TO_QUARANTINE
 
 
+def _is_covered(record: CrashRecord, recorded: CrashRecord | None) -> bool:
+    """Whether the record in the store says all that is known about a request or a part."""
+    match record, recorded:
+        case LossRecord(), LossRecord():
+            is_as_late = recorded.last_s >= record.last_s - REQUEST_TOLERANCE_S
+            return is_as_late and recorded.losses >= record.losses
+        case SuspectRecord(), SuspectRecord():
+            crashes = {loss.crash for loss in recorded.losses}
+            return all(loss.crash in crashes for loss in record.losses)
+    return False
+
+
 def _build_key(record: CrashRecord) -> str:
     match record:
         case LossRecord(fingerprint=fingerprint):
@@ -264,8 +331,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KnownCrashes:
-    """What a row says, with times of this host's clock."""
+    """What a row says, with times of this host's clock.
+
+    Attributes:
+        is_current: Whether the row is of the store's current era.
+    """
 
+    is_current: bool
     losses: list[LossRecord]
     suspects: list[SuspectRecord]
 
@@ -278,18 +350,22 @@
     EXPIRED = "expired"
 
 
-def decode_row(value: bytes, read: RowsRead, now_s: float) -> KnownCrashes | IgnoredRow:
+def decode_row(
+    value: bytes, read: RowsRead, now_s: float, *, any_era: bool = False
+) -> KnownCrashes | IgnoredRow:
     """Return what a row says, or why it is ignored.
 
     Args:
         read: The read that has brought the row.
         now_s: This host's monotonic time.
+        any_era: Whether a row of another era counts as just written.
     """
 
     def convert(row: CrashRow) -> KnownCrashes | IgnoredRow:
-        age_s = max((read.store_clock_ms - row.written_ms) / 1_000, 0.0)
-        if row.era != read.era:
+        is_current = row.era == read.era
+        if not is_current and not any_era:
             return IgnoredRow.OTHER_ERA
+        age_s = max((read.store_clock_ms - row.written_ms) / 1_000, 0.0) if is_current else 0.0
         if age_s > MAX_AGE_S:
             return IgnoredRow.EXPIRED
         _check_numbers(row)
@@ -298,6 +374,6 @@
         suspects = read_suspect_report(row.suspects, now_s - age_s)
         if not fresh and not suspects:
             return IgnoredRow.EXPIRED
-        return KnownCrashes(losses=fresh, suspects=suspects)
+        return KnownCrashes(is_current=is_current, losses=fresh, suspects=suspects)
 
     return convert_json(value, CrashRow, convert).value_or(IgnoredRow.UNREADABLE)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -207,6 +207,7 @@
             random=random,
             report_loss=lambda fingerprint, loss_id: self._peers.report_loss(fingerprint, loss_id),
             report_suspects=lambda records: self._peers.report_suspects(records),
+            get_era=lambda: self._era.number,
             get_rank=lambda: self._peers.rank,
         )
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -4,9 +4,14 @@
 
 import pytest
 
+from greengagestage.gateway import HostProcess
+from greengagestage.ids import Crash
+from greengagestage.routing import PartLoss
+
 from . import host_harness as harness
 from .cut_links import Cut, CutHost
-from .host_harness import HostFleet, running_fleet
+from .host_harness import HostFleet, choose_port, running_fleet
+from .suspect_builders import build_parts
 from .test_crashing_parts import MAX_CRASHES, add_engines, count_arrivals, send
 
 
@@ -30,3 +35,86 @@
     assert host.forwarded
     assert count_arrivals(engines) <= MAX_CRASHES
     assert (caller.status, caller.error["code"]) == (503, 2012)
+
+
+def record_crash(host: HostProcess, crash: int, part: str = "bad") -> None:
+    """Let a host find out that an upstream has crashed under a prompt."""
+    now_s = host._reactor.seconds()
+    loss = PartLoss(crash=Crash(crash), sent_s=now_s - 0.02, lost_s=now_s)
+    records = host._crashes.suspects.record_loss(build_parts(part), loss)
+    host._crashes._report_suspects(records)
+
+
+def end_hosts(fleet: HostFleet) -> None:
+    """Cut off what hosts tell each other and the store, as a kill of all processes does."""
+    for host in fleet.processes:
+        host._peers.stop()
+        host._crashes.stop()
+
+
+def start_hosts(fleet: HostFleet, count: int) -> None:
+    peer_port = choose_port()
+    for number in range(count):
+        fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=peer_port)
+        fleet.wait_ready()
+    fleet.run_until(lambda: all(each._peers.active_peers == count - 1 for each in fleet.processes))
+
+
+def count_known(fleet: HostFleet) -> int:
+    """Start a host alone and return how many crashes it knows."""
+    host = fleet.start_host("later", address="127.0.0.9")
+    fleet.wait_ready()
+    fleet.run_for(0.1)
+    records = host._crashes.suspects.list_records(fleet.reactor.seconds())
+    return sum(len(each.losses) for each in records)
+
+
+# Guards against a record that stays behind what hosts know, so that after the end of all hosts a
+# part is sent again long before the end of its quarantine.
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+def test_all_crashes_that_hosts_know_outlast_them(fleet: HostFleet, pause_s: float) -> None:
+    start_hosts(fleet, 3)
+    for crash in range(5):
+        record_crash(fleet.processes[crash % 3], crash)
+        if pause_s:
+            fleet.run_for(pause_s)
+    fleet.run_for(0.3)
+    end_hosts(fleet)
+    assert count_known(fleet) == 5
+
+
+# Guards against a record that lacks crashes because the host that saw them could not write them.
+def test_the_first_host_completes_a_row_of_the_record(fleet: HostFleet) -> None:
+    start_hosts(fleet, 2)
+    for crash in range(2):
+        record_crash(fleet.processes[0], crash)
+    fleet.run_until(lambda: bool(fleet.store.list_keys("greengagestage-crashes")))
+    fleet.processes[1]._crashes._table.stop()
+    for crash in range(2, 5):
+        record_crash(fleet.processes[1], crash)
+    fleet.run_for(6.0)
+    end_hosts(fleet)
+    assert count_known(fleet) == 5
+
+
+# Guards against forgetting with the end of all hosts what crashed upstreams, once the store has
+# come back from an older copy.
+@pytest.mark.parametrize("hosts_see_it", [True, False])
+def test_crashes_outlast_the_hosts_and_an_older_copy_of_the_store(
+    fleet: HostFleet, hosts_see_it: bool
+) -> None:
+    start_hosts(fleet, 2)
+    for crash in range(3):
+        record_crash(fleet.processes[0], crash)
+        fleet.run_for(0.6)
+    copy = fleet.store.take_copy()
+    for crash in range(3, 5):
+        record_crash(fleet.processes[0], crash)
+        fleet.run_for(0.6)
+    if hosts_see_it:
+        fleet.store.restore(copy)
+        fleet.run_for(7.0)
+    end_hosts(fleet)
+    if not hosts_see_it:
+        fleet.store.restore(copy)
+    assert count_known(fleet) == (5 if hosts_see_it else 3)
