Add to what other hosts have recorded of crashes instead of replacing it

Seen by callers: after the end of all hosts, sound prompts were refused as crashing ones for a minute (2012, 503 without a time to come back).

Cause: each host replaced a part's row in the store by what it knew itself. Hosts that start have nothing else to go by.

A row is now replaced only at the revision that was read; a conflict reads the rows, joins them with what the host knows and writes again. A host whose answer clears a recorded part records that too.

The test failed before (the sound prompt got 2012) and passes now.

--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -1,7 +1,8 @@
 """The store's record of requests and prompt parts that crash upstreams.
 
 Hosts tell each other what they know. The record is for those that start when no other host is left
-that knows. The host that finds something out writes it at once. The first of all hosts then looks
+that knows. The host that finds something out writes it at once, and adds it to what others have
+written. The first of all hosts then looks
 whether it is there, since the other one may have ended or may not have reached the store, and
 removes what has expired.
 """
@@ -21,6 +22,7 @@
 from greengagestage.decoding import Integer, convert_json
 from greengagestage.platform import (
     RowClient,
+    RowConflict,
     RowExpectation,
     RowId,
     RowsRead,
@@ -49,7 +51,8 @@
 CRASH_TABLE = "greengagestage-crashes"
 
 MAX_ROWS_PER_WRITE = 50
-"""Half of the rows that a transaction may hold; a row takes some hundred bytes."""
+"""Half of the rows that a transaction may name: each is expected and written. A row takes some
+hundred bytes."""
 
 WRITE_PAUSE_S = CRASH_CONFIRMATION_S
 """Pause between two writes of one host, so that many crashes at once do not crowd the store. What
@@ -91,6 +94,8 @@
 class CrashTable:
     """Reads the record at the start of a host, and adds what is missing.
 
+    A row is only replaced by a host that has read it, so that what others know stays in it.
+
     Args:
         get_era: Returns the newest known era of the store.
         get_rank: Returns the position of this host among all hosts; 0 is the first.
@@ -121,6 +126,8 @@
         self._pending: dict[str, CrashRecord] = {}
         self._recorded: dict[str, CrashRecord] = {}
         self._recorded_era: int | None = None
+        self._revisions: dict[str, int] = {}
+        self._has_conflict = False
 
     def start(self) -> None:
         """Read the record."""
@@ -137,10 +144,14 @@
         self._task.run_within(0.0)
 
     def record_parts(self, records: Sequence[SuspectRecord]) -> None:
-        """Record the parts of a prompt under which an upstream of this host has crashed again."""
+        """Record the parts of a prompt under which an upstream of this host has crashed again.
+
+        An answer to a prompt with a part is recorded, too, if the part is in the record.
+        """
         for record in records:
-            if _is_known(record):
-                self._pending[_build_key(record)] = record
+            key = _build_key(record)
+            if _is_known(record) or key in self._recorded:
+                self._pending[key] = record
                 self._task.run_within(0.0)
 
     @inlineCallbacks
@@ -167,12 +178,18 @@
             self._pending = {**missing, **self._pending}
         if not self._pending:
             return CHECK_PAUSE_S
+        if self._has_conflict:
+            read = yield self._rows.read(CRASH_TABLE)
+            if not isinstance(read, RowsRead):
+                return add_jitter(RETRY_S, self._random)
+            self._has_conflict = False
+            self._learn(read)
         is_written = yield self._write()
         return WRITE_PAUSE_S if is_written else add_jitter(RETRY_S, self._random)
 
     @inlineCallbacks
     def _write(self) -> Any:
-        """Write what is pending; return whether it was written."""
+        """Write what is pending, unless others have written; return whether it was written."""
         clock = self._rows.clock
         if clock is None or clock.era != self._get_era():
             yield self._rows.read(CRASH_TABLE)  # ages need the clock of the current era
@@ -181,7 +198,12 @@
         known = self._list_known()
         current = {key: known.get(key, record) for key, record in batch.items()}
         puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in current.items()]
-        outcome = yield self._rows.transact(Transaction(puts=puts))
+        expected = [
+            RowExpectation(table=CRASH_TABLE, key=key, revision=self._revisions.get(key, 0))
+            for key in current
+        ]
+        outcome = yield self._rows.transact(Transaction(expected=expected, puts=puts))
+        self._has_conflict = isinstance(outcome, RowConflict)
         is_written = isinstance(outcome, RowsRead) and (clock is None or outcome.era == clock.era)
         log_message(
             message_type="crashes: written" if is_written else "crashes: not written",
@@ -190,6 +212,7 @@
         )
         if is_written:
             self._recorded.update(current)
+            self._revisions.update(dict.fromkeys(current, outcome.revision))
             for key, record in batch.items():
                 if self._pending.get(key) is record:
                     del self._pending[key]
@@ -201,6 +224,7 @@
         if era != self._recorded_era:
             self._recorded_era = era
             self._recorded.clear()
+            self._revisions.clear()
             self._is_checked = False
 
     def _needs_check(self) -> bool:
@@ -211,7 +235,18 @@
         now_s = self._reactor.seconds()
         requests = self._losses.list_records(now_s, most=MAX_RECORDS)
         records: list[CrashRecord] = [*requests, *self._suspects.list_records(now_s)]
-        return {_build_key(each): each for each in records if _is_known(each)}
+        known = {_build_key(each): each for each in records if _is_known(each)}
+        return {**self._list_cleared(), **known}
+
+    def _list_cleared(self) -> dict[str, CrashRecord]:
+        """Return the recorded parts to which answers have come since."""
+        cleared: dict[str, CrashRecord] = {}
+        for key, recorded in self._recorded.items():
+            if isinstance(recorded, SuspectRecord) and recorded.losses:
+                record = self._suspects.get_record(recorded.part)
+                if not _is_covered(record, recorded):
+                    cleared[key] = record
+        return cleared
 
     def _find_missing(self) -> dict[str, CrashRecord]:
         """Return what this host knows and has neither written nor read in the store."""
@@ -232,6 +267,7 @@
         now_s = self._reactor.seconds()
         old: list[StoredRow] = []
         reasons: Counter[str] = Counter()
+        self._revisions = {stored.key: stored.revision for stored in read.rows}
         for stored in read.rows:
             known = decode_row(stored.value, read, now_s, any_era=any_era)
             if isinstance(known, IgnoredRow):
@@ -300,8 +336,9 @@
             is_as_late = recorded.last_s >= record.last_s - REQUEST_TOLERANCE_S
             return is_as_late and recorded.losses >= record.losses
         case SuspectRecord(), SuspectRecord():
-            crashes = {loss.crash for loss in recorded.losses}
-            return all(loss.crash in crashes for loss in record.losses)
+            answered_s = float("-inf") if record.answered_s is None else record.answered_s
+            is_blamed = any(loss.lost_s <= answered_s for loss in recorded.losses)
+            return not is_blamed and record.crashes <= recorded.crashes
     return False
 
 
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -55,6 +55,11 @@
     answered_s: float | None
     losses: tuple[PartLoss, ...]
 
+    @property
+    def crashes(self) -> frozenset[Crash]:
+        """The crashes under the part."""
+        return frozenset(loss.crash for loss in self.losses)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PartEvidence:
@@ -230,6 +235,10 @@
         known = ((part, self._suspects.get(hash_part(part))) for part in parts)
         return [suspect.describe(part, now_s) for part, suspect in known if suspect is not None]
 
+    def get_record(self, part: PartHash) -> SuspectRecord:
+        """Return what is known about a part; it may be nothing."""
+        return self._build_record(part)
+
     def list_records(self, now_s: float) -> list[SuspectRecord]:
         """Return the records of all suspected parts, those with the most evidence first.
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -169,6 +169,34 @@
         assert sound.body == b"".join(EVENTS)
 
 
+# Guards against a row being replaced by a host that knows of other crashes: after the end of all
+# hosts, the parts that sound prompts share with a crashing one would be blamed.
+def test_the_record_keeps_the_crashes_that_different_hosts_have_seen(fleet: HostFleet) -> None:
+    engines = add_engines(fleet, 12)
+    apart = [fleet.start_host(f"host-{number}", address=f"127.0.0.{number}") for number in (1, 2)]
+    fleet.wait_ready()
+
+    def send_at(host: int, name: str, parts: str) -> harness.RawCaller:
+        caller = fleet.call_at(host, f"/long/{name}", attempt=name, body=name.encode(), parts=parts)
+        fleet.run_for(0.2)
+        return caller
+
+    for number in range(2):
+        send_at(0, f"a{number}", f"aa:600,bad:300,a{number}:40")
+    send_at(1, "b0", "aa:600,bad:300,b0:40")
+    send_at(1, "sound", "aa:600,cc:300,sound:40")
+    send_at(1, "b1", "aa:600,bad:300,b1:40")
+    assert count_arrivals(engines) == 4
+    fleet.run_for(1.5)  # until both have written
+    for host in apart:
+        host._peers.stop()
+    fleet.start_host("host-3", address="127.0.0.3")
+    fleet.wait_ready()
+    fleet.run_for(0.3)
+    assert send_at(2, "c0", "aa:600,bad:300,c0:40").error["code"] == 2012
+    assert send_at(2, "c1", "aa:600,cc:300,c1:40").body == b"".join(EVENTS)
+
+
 # Guards against a gap in the record because the host that found something out has ended, or did
 # not reach the store, and against a record that only grows.
 def test_the_first_host_records_what_is_missing_and_removes_what_says_nothing(
