Date a request by the first of its own bytes, also behind another one

Others were given more time than was left.

Cause: only bytes that came while an answer was under way were recorded, but the parser's buffer also holds bytes that came in one read with the end of an earlier request. Offsets in the buffer and offsets in the record were of two different streams, so that the time of older or of newer bytes was returned.

Change: every read is recorded with the offset of its end in the whole stream of the connection, until all of it is parsed. Reads within 10 ms count as one, so that single bytes take little memory; a request is dated at most that much too early. The deadline and the time that upstreams are told count from this time, as before.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -12,7 +12,7 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import ObservedConnection
-from ._pipelining import PipelinedBytes
+from ._pipelining import ByteArrivals
 from ._requests import IncomingRequest, LimitExceeded
 from ._sockets import (
     count_undelivered_bytes,
@@ -105,7 +105,7 @@
             h11.SERVER, max_incomplete_event_size=factory.limits.header_bytes
         )
         self._incoming: _PartialRequest | None = None
-        self._pipelined = PipelinedBytes()
+        self._arrivals = ByteArrivals()
         self._reading = False
         self._answering = False
         self._answers_head = False
@@ -143,11 +143,12 @@
         if self._ignoring_input:
             self.factory.discarded_bytes += len(data)
             return
+        now_s = self.factory.reactor.seconds()
+        self._arrivals.add(len(data), now_s, unparsed=len(self._codec.trailing_data[0]))
         if self._incoming is None and not self._answering:
-            self._begin_reading(self.factory.reactor.seconds())
+            self._begin_reading(now_s)
         self._codec.receive_data(data)
         if self._answering:
-            self._pipelined.add(len(data), self.factory.reactor.seconds())
             self._limit_pipelining()
             return
         self._read_events()
@@ -225,8 +226,7 @@
         self._unpause_reading()
         buffered = len(self._codec.trailing_data[0])
         if buffered:
-            now_s = self.factory.reactor.seconds()
-            self._begin_reading(self._pipelined.find_arrival(buffered, default_s=now_s))
+            self._begin_reading(self._arrivals.find_arrival(buffered))
             self._read_events()
 
     def _begin_reading(self, received_s: float) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -175,11 +175,17 @@
     caller.transport.write(harness.build_request("/order/x", attempt="a2"))
     fleet.run_for(0.3)
     caller.transport.write(harness.build_request("/order/x", attempt="a3"))
-    fleet.run_until(lambda: len(upstream.requests) == 3)
+    fleet.run_until(lambda: caller.data.count(b"HTTP/1.1 ") == 3)
+    fleet.run_for(0.8)
+    for attempt in ("a4", "a5"):
+        caller.transport.write(harness.build_request("/order/x", attempt=attempt))
+    fleet.run_until(lambda: len(upstream.requests) == 5)
     given_ms = [int(each.get(b"greengagestage-deadline-ms") or 0) for each in upstream.requests]
     assert given_ms[0] > 1_900
     assert given_ms[1] < 1_600
     assert given_ms[2] < 1_400
+    assert given_ms[3] > 1_900
+    assert 1_200 < given_ms[4] < 1_600
 
 
 # Guards against a process that ends before its last answer has left it.
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -20,6 +20,7 @@
     ServerFactory,
 )
 from greengagestage.http1._client import DEFAULT_IDLE_S
+from greengagestage.http1._pipelining import ARRIVAL_RESOLUTION_S
 
 UNCONNECTED = socket.socket()
 
@@ -111,6 +112,66 @@
     assert not server.requests
 
 
+@st.composite
+def draw_connections(draw: st.DrawFn) -> tuple[list[bytes], list[tuple[int, float, int]]]:
+    """Return requests, and reads: number of bytes, time since the last, answers after it."""
+    bodies = draw(st.lists(st.sampled_from([0, 1, 40, 700]), min_size=1, max_size=6))
+    requests = [HEAD + b"Content-Length: %d\r\n\r\n" % n + b"b" * n for n in bodies]
+    left, reads = len(b"".join(requests)), []
+    while left:
+        size = min(left, draw(st.one_of(st.integers(1, 60), st.integers(1, 2_000))))
+        gap_s = draw(st.sampled_from([0.0, 0.004, 0.3, 0.7]))
+        reads.append((size, gap_s, draw(st.integers(0, 2))))
+        left -= size
+    return requests, reads
+
+
+# Guards against a request that is dated by bytes of an earlier one, and has less time for it.
+@given(draw_connections(), st.booleans())
+def test_requests_are_dated_by_their_first_byte(connection, at_once: bool) -> None:
+    requests, reads = connection
+    harness = ServerHarness(header_timeout_s=1e6, idle_timeout_s=1e6)
+
+    def answer_first() -> None:
+        open_responders[0].answer(200, [], b"")
+        del open_responders[0]
+
+    received, open_responders = [], []
+
+    def handle(request, responder) -> None:
+        received.append(request.received_s)
+        open_responders.append(responder)
+        if at_once and len(received) % 2:
+            answer_first()
+
+    harness.factory.on_request = handle
+    stream, arrivals = b"".join(requests), []
+    for size, gap_s, answers in reads:
+        harness.clock.advance(gap_s)
+        arrivals += [harness.clock.seconds()] * size
+        harness.receive(stream[len(arrivals) - size : len(arrivals)])
+        for _ in range(answers):
+            if open_responders:
+                harness.clock.advance(0.2)
+                answer_first()
+    while open_responders:
+        answer_first()
+    firsts = [arrivals[len(b"".join(requests[:n]))] for n in range(len(requests))]
+    assert len(received) == len(firsts)
+    for received_s, first_s in zip(received, firsts, strict=True):
+        assert first_s - ARRIVAL_RESOLUTION_S <= received_s <= first_s
+
+
+# Guards against callers whose single bytes fill the memory with the times of their arrival.
+def test_single_bytes_behind_a_request_take_little_memory() -> None:
+    harness = ServerHarness()
+    harness.receive(HEAD + b"\r\n")
+    for _ in range(20_000):
+        harness.clock.advance(0.0005)
+        harness.receive(b"G")
+    assert len(harness.connection._arrivals._reads) <= 1_001
+
+
 @given(st.binary(max_size=300))
 def test_arbitrary_bytes_raise_no_exception(data: bytes) -> None:
     ServerHarness().receive(data)
