Answer a request that has arrived unread before a stop announces the connection's end

What callers saw: a request that was sent behind another one before a stop was read and discarded, and its connection closed without an answer, although the host was still to serve for seconds.

Cause: the answer before it announced the connection's end unless bytes of a later request were in the parser. Bytes that had arrived and were not read yet did not count; a busy process leaves them for tens of milliseconds.

Change: unread bytes count here, too, in the host and in the entry process.

Result: both new tests failed on the code before. The older test of the entry process waits for the bytes in the channel's buffer itself, since the property now counts unread ones as well.

--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -85,7 +85,7 @@
         for name, value in headers:
             self.responseHeaders.addRawHeader(name, value)
         channel = cast("CallerChannel | None", self.channel)
-        if channel is not None and channel.factory.closing and not channel.has_buffered_bytes:
+        if channel is not None and channel.factory.closing and not channel.has_waiting_bytes:
             self.close_after_answer()
 
     def begin_stream(self, status: int, headers: list[tuple[str, str]]) -> None:
@@ -183,9 +183,9 @@
         return bool(self.requests) and not self._handlingRequest
 
     @property
-    def has_buffered_bytes(self) -> bool:
-        """Whether bytes have been received behind the open request, which is answered first."""
-        return any(self._dataBuffer)
+    def has_waiting_bytes(self) -> bool:
+        """Whether bytes have arrived behind the open request, read or not, and are answered."""
+        return any(self._dataBuffer) or has_unread_bytes(self.transport)
 
     @property
     def idle(self) -> bool:
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -356,9 +356,13 @@
     def _build_connection_header(self) -> HeaderList:
         """Return the header that announces the close, while the server stops.
 
-        A request that has been received behind this one is answered first.
+        A request that has arrived behind this one, even unread, is answered first.
         """
-        is_last = self.factory.closing and not self._codec.trailing_data[0]
+        is_last = (
+            self.factory.closing
+            and not self._codec.trailing_data[0]
+            and not has_unread_bytes(self.transport)
+        )
         return [(b"Connection", b"close")] if is_last else []
 
     def _send(self, event: Any) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -125,6 +125,37 @@
     assert caller.data.lower().count(b"connection: close") == 1
 
 
+# Guards against a busy process that announces the end of a connection on which a request has
+# arrived unread, and discards the request.
+def test_a_request_that_has_arrived_unread_behind_another_one_is_answered_at_a_stop(
+    fleet: HostFleet,
+) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.hang)
+    process = fleet.start_host()
+    fleet.wait_ready()
+    with socket.create_connection(fleet._host_settings[-1].callers) as caller:
+        caller.sendall(harness.build_request("/order/x", attempt="a1"))
+        fleet.run_until(lambda: bool(upstream.hanging))
+        upstream.behavior = harness.serve
+        process.stop()
+        (exchange,) = process._context.open_exchanges
+        caller.sendall(harness.build_request("/order/x", attempt="a2"))
+        exchange.stop()
+        caller.setblocking(False)
+        received = bytearray()
+
+        def receive() -> bool:
+            try:
+                received.extend(caller.recv(4_096))
+            except BlockingIOError:
+                return False
+            return received.count(b"HTTP/1.1 ") == 2
+
+        fleet.run_until(receive)
+    assert b"HTTP/1.1 200" in received
+    assert received.lower().count(b"connection: close") == 1
+
+
 # Guards against a busy process that closes connections on which a request has arrived unread.
 @pytest.mark.parametrize("stops", [True, False])
 def test_a_request_that_has_arrived_unread_is_answered_before_an_idle_connection_closes(
--- a/tests/test_entry_pipelining.py
+++ b/tests/test_entry_pipelining.py
@@ -57,7 +57,7 @@
         run_until(reactor, lambda: len(requests) == 1)
         if not at_once:
             caller.transport.write(REQUEST % 2)
-            run_until(reactor, lambda: requests[0].channel.has_buffered_bytes)
+            run_until(reactor, lambda: any(requests[0].channel._dataBuffer))
         server.closing = True
         requests[0].answer(200, "text/plain", b"first", [])
         run_until(reactor, lambda: len(requests) == 2 or caller.closed)
@@ -67,3 +67,22 @@
         assert b"first" in caller.data and b"second" in caller.data
         assert caller.data.lower().count(b"connection: close") == 1
         port.stopListening()
+
+
+# Guards against a busy process that announces the end of a connection on which a request has
+# arrived unread, and discards the request.
+def test_a_request_that_has_arrived_unread_behind_another_one_is_answered_at_a_stop() -> None:
+    with running_reactor() as reactor:
+        requests: list[CallerRequest] = []
+        server = build_server(reactor, requests)
+        port: Any = server.listen("127.0.0.1", 0)
+        address = port.getHost()
+        with socket.create_connection((address.host, address.port)) as caller:
+            caller.sendall(REQUEST % 1)
+            run_until(reactor, lambda: len(requests) == 1)
+            server.closing = True
+            caller.sendall(REQUEST % 2)
+            requests[0].answer(200, "text/plain", b"first", [])
+            run_until(reactor, lambda: len(requests) == 2 or not server.channels)
+            assert len(requests) == 2
+        port.stopListening()
