Let the end of an answer not detach the request that waited behind it

What callers and upstreams saw: after a caller had left, the upstream worked on for it, if the request had been sent behind another one; and a caller that read slowly did not slow its upstream down, so that the host buffered the answer.

Cause: the end of an answer hands the next request of the connection to its exchange at once, which registers itself as the connection's listener. The earlier exchange then concluded and removed the listener, which was no longer its own.

Change: the exchange and a forwarded request leave this to the connection, which forgets the listener at the end of each response, before it reads on, and when the caller is lost.

Result: the new test failed on the code before: the upstream saw no disconnect.

--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -298,7 +298,6 @@
 
     def _end(self, end: AttemptEnd) -> None:
         self._ended = True
-        self._responder.listener = None
         self._open_requests.discard(self)
         self._context.open_exchanges.discard(self)
         if self._deadline_timer is not None and self._deadline_timer.active():
--- a/greengagestage/http1/_requests.py
+++ b/greengagestage/http1/_requests.py
@@ -45,7 +45,12 @@
 
 
 class Responder(Protocol):
-    """Sends the response to one request."""
+    """Sends the response to one request.
+
+    Attributes:
+        listener: Forgotten at the end of the response. The connection's next request may have set
+            its own by the time that the call which ends the response returns.
+    """
 
     listener: CallerListener | None
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -343,3 +343,21 @@
     fleet.run_for(0.3)
     assert caller.closed
     assert bool(upstream.disconnects) is cancelled
+
+
+# Guards against work that goes on for a caller who has left while a request was answered that had
+# waited behind another one: the end of the earlier answer must not detach the later request.
+def test_the_end_of_a_caller_reaches_a_request_that_waited_behind_another_one(
+    fleet: HostFleet,
+) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.delay(0.1, harness.serve))
+    fleet.start_host()
+    fleet.wait_ready()
+    requests = [harness.build_request("/lookup/x", attempt=attempt) for attempt in ("a1", "a2")]
+    caller = fleet.connect(b"".join(requests))
+    fleet.run_until(lambda: b"a1" in upstream.attempt_ids)
+    upstream.behavior = harness.hang
+    fleet.run_until(lambda: b"a2" in upstream.attempt_ids)
+    caller.transport.abortConnection()
+    fleet.run_for(0.3)
+    assert upstream.disconnects == 1
