Do not cut an answer whose upstream reads the rest of the request later

Cause: sent bytes may stay unacknowledged for 2.5 s on connections to upstreams, so that a broken path is noticed. To the kernel, a window that stays closed looks the same, although the upstream acknowledges each probe of it.

Change: once an answer has begun before the request has been read, the limit is lifted on this connection: the answer shows that the path is sound, and its own time limits hold. The connection takes another request only after all earlier ones have been read, with the limit set again.

Not changed: an upstream that neither reads nor answers for 2.5 s still counts as unreachable.

--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -11,7 +11,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from ._sockets import tune_socket
+from ._sockets import count_undelivered_bytes, limit_unacknowledged, tune_socket
 from ._types import HeaderList
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
@@ -133,6 +133,9 @@
         self._dropping_response = False
         self._closed = False
         self._paused = False
+        # The server has answered before it has read the request to its end. What it leaves unread
+        # looks like bytes that are not acknowledged on a broken path.
+        self._answered_early = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since_s = 0.0
         self.opened_s = 0.0
@@ -155,14 +158,22 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether another exchange can be sent: the server probably keeps the connection."""
-        return not self._closed and not self.busy and self.idle_s < self._idle_limit_s
+        """Whether another exchange can be sent: the server probably keeps the connection.
+
+        It has also read all earlier requests, behind which another one would wait.
+        """
+        if self._closed or self.busy or self.idle_s >= self._idle_limit_s:
+            return False
+        return not (self._answered_early and count_undelivered_bytes(self.transport))
 
     def send(self, exchange: Exchange) -> None:
         """Send the exchange's request; the connection must be idle."""
         self._exchange = exchange
         self._exchanges += 1
         self._skipped_responses = 0
+        if self._answered_early:
+            self._answered_early = False
+            limit_unacknowledged(self.transport)
         self.transport.write(_encode_request(self._codec, exchange.request))
 
     def close(self) -> None:
@@ -251,6 +262,9 @@
             self._count_skipped()
             return
         self._update_idle_limit(head)
+        if not self._closed and count_undelivered_bytes(self.transport):
+            self._answered_early = True
+            limit_unacknowledged(self.transport, None)
         exchange.listener.receive_head(head)
 
     def _end_response(self) -> None:
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -20,9 +20,14 @@
     keep-alive probes give up. These are not enabled.
     """
     transport.setTcpNoDelay(True)
+    limit_unacknowledged(transport, unacknowledged_limit_s)
+
+
+def limit_unacknowledged(transport: Any, limit_s: float | None = UNACKNOWLEDGED_LIMIT_S) -> None:
+    """Limit the time that sent bytes may stay unacknowledged; None leaves it to the system."""
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
     if option is not None:
-        limit_ms = max(round(unacknowledged_limit_s * 1_000), 1)
+        limit_ms = 0 if limit_s is None else max(round(limit_s * 1_000), 1)
         transport.getHandle().setsockopt(socket.IPPROTO_TCP, option, limit_ms)
 
 
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -1,6 +1,7 @@
 """Use of the connections to upstreams by one request after the other, over loopback sockets."""
 
 import pytest
+from twisted.internet.protocol import Factory, Protocol
 
 from greengagestage.routing import Waiting
 
@@ -129,3 +130,55 @@
     fleet.run_until(lambda: caller.is_complete or caller.closed)
     sends = sum(len(upstream.requests) for upstream in upstreams)
     assert (caller.status, sends) in ((200, 2), (500, 1))
+
+
+class LateReader(Protocol):
+    """An upstream that reads the head, sends a stream for seconds, and reads the body after it."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.events = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not data.startswith(b"POST "):
+            return
+        self.transport.pauseProducing()
+        attempt = data.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
+        self.transport.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            b"Greengagestage-Server-Signature: s\r\nGreengagestage-Attempt-Id: %b\r\n\r\n" % attempt
+        )
+        self.send_event()
+
+    def send_event(self) -> None:
+        if not self.connected:
+            return
+        self.events += 1
+        event = b"id: %d\ndata: token\n\n" % self.events
+        self.transport.write(b"%x\r\n%b\r\n" % (len(event), event))
+        if self.events < 10:
+            self.factory.reactor.callLater(0.4, self.send_event)
+        else:
+            self.transport.write(b"0\r\n\r\n")
+            self.factory.reactor.callLater(1.0, self.transport.resumeProducing)
+
+
+# Guards against a stream that is cut because its upstream, which is sound, reads the request's body
+# later: a window that stays closed counts as bytes that are not acknowledged.
+def test_an_upstream_may_read_a_body_after_its_answer(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one", service="engines")
+    upstream.port.stopListening()
+    factory = Factory.forProtocol(LateReader)
+    factory.reactor = fleet.reactor
+    upstream.port = fleet.reactor.listenTCP(0, factory, interface="127.0.0.1")
+    fleet.store.put("servers", "one", upstream.build_entry())
+    route = harness.build_route("long", "streaming", "engines", TimeoutMs=9_000, TargetGapMs=800)
+    fleet.store.put("op", "config", harness.build_document(Routes=[route]))
+    process = start(fleet)
+    for attempt in ("a1", "a2"):
+        body = b"x" * 4_000_000
+        request = harness.build_request("/long/x", attempt=attempt, body=body, deadline_ms=9_000)
+        caller = fleet.connect(request)
+        fleet.run_until(lambda answered=caller: answered.is_complete or answered.closed)
+        assert caller.is_complete
+        assert caller.body.count(b"data: ") == 10
+    assert process._pool.opened == 2
