--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -125,6 +125,37 @@
     assert caller.data.lower().count(b"connection: close") == 1
 
 
+# Guards against a busy process that announces the end of a connection on which a request has
+# arrived unread, and discards the request.
+def test_a_request_that_has_arrived_unread_behind_another_one_is_answered_at_a_stop(
+    fleet: HostFleet,
+) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.hang)
+    process = fleet.start_host()
+    fleet.wait_ready()
+    with socket.create_connection(fleet._host_settings[-1].callers) as caller:
+        caller.sendall(harness.build_request("/order/x", attempt="a1"))
+        fleet.run_until(lambda: bool(upstream.hanging))
+        upstream.behavior = harness.serve
+        process.stop()
+        (exchange,) = process._context.open_exchanges
+        caller.sendall(harness.build_request("/order/x", attempt="a2"))
+        exchange.stop()
+        caller.setblocking(False)
+        received = bytearray()
+
+        def receive() -> bool:
+            try:
+                received.extend(caller.recv(4_096))
+            except BlockingIOError:
+                return False
+            return received.count(b"HTTP/1.1 ") == 2
+
+        fleet.run_until(receive)
+    assert b"HTTP/1.1 200" in received
+    assert received.lower().count(b"connection: close") == 1
+
+
 # Guards against a busy process that closes connections on which a request has arrived unread.
 @pytest.mark.parametrize("stops", [True, False])
 def test_a_request_that_has_arrived_unread_is_answered_before_an_idle_connection_closes(
@@ -175,11 +206,17 @@
     caller.transport.write(harness.build_request("/order/x", attempt="a2"))
     fleet.run_for(0.3)
     caller.transport.write(harness.build_request("/order/x", attempt="a3"))
-    fleet.run_until(lambda: len(upstream.requests) == 3)
+    fleet.run_until(lambda: caller.data.count(b"HTTP/1.1 ") == 3)
+    fleet.run_for(0.8)
+    for attempt in ("a4", "a5"):
+        caller.transport.write(harness.build_request("/order/x", attempt=attempt))
+    fleet.run_until(lambda: len(upstream.requests) == 5)
     given_ms = [int(each.get(b"greengagestage-deadline-ms") or 0) for each in upstream.requests]
     assert given_ms[0] > 1_900
     assert given_ms[1] < 1_600
     assert given_ms[2] < 1_400
+    assert given_ms[3] > 1_900
+    assert 1_200 < given_ms[4] < 1_600
 
 
 # Guards against a process that ends before its last answer has left it.
@@ -306,3 +343,21 @@
     fleet.run_for(0.3)
     assert caller.closed
     assert bool(upstream.disconnects) is cancelled
+
+
+# Guards against work that goes on for a caller who has left while a request was answered that had
+# waited behind another one: the end of the earlier answer must not detach the later request.
+def test_the_end_of_a_caller_reaches_a_request_that_waited_behind_another_one(
+    fleet: HostFleet,
+) -> None:
+    upstream = fleet.add_upstream("one", behavior=harness.delay(0.1, harness.serve))
+    fleet.start_host()
+    fleet.wait_ready()
+    requests = [harness.build_request("/lookup/x", attempt=attempt) for attempt in ("a1", "a2")]
+    caller = fleet.connect(b"".join(requests))
+    fleet.run_until(lambda: b"a1" in upstream.attempt_ids)
+    upstream.behavior = harness.hang
+    fleet.run_until(lambda: b"a2" in upstream.attempt_ids)
+    caller.transport.abortConnection()
+    fleet.run_for(0.3)
+    assert upstream.disconnects == 1
