Send no request twice on a connection whose upstream is another one

A caller was told 503 for a request that was running, or the request ran a second time elsewhere. An upstream that has started again at the address of one that is still registered refuses requests for that one with 421. A faulty one sends this refusal once more where the next answer on the connection is expected. The request itself may be that next one: it goes on to the upstream that has refused it, under whose own name it is registered by then, and the copy, which bears the request's id, is taken as proof that it was not run.

A host that sends directly does so only if the request was somewhere else in between, since its connection is still busy when it sends again. A host that forwards has the connection free again by then, so that the very next send goes out on it.

Connections are kept by address and port. One that has brought a 421 leads to another upstream than the one it was used for, and the same request may come there again; it is now closed after that answer, by the host that sends and by the one that forwards. After any other refusal the upstream is not asked again with the same request, so that its connections stay in use.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -245,6 +245,10 @@
                 self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.REFUSED)
             case ResponseKind.MISDIRECTED:
+                # This request may be sent to the upstream that has answered, which may repeat its
+                # refusal on this connection.
+                if self._connection is not None:
+                    self._connection.retire()
                 self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.MISDIRECTED)
             case ResponseKind.UNPROVEN:
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -205,10 +205,13 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Begin to pass the answer back, and record what it states for this host, too."""
-        if classify_response(head) is ResponseKind.UNPROVEN:
+        kind = classify_response(head)
+        if kind is ResponseKind.UNPROVEN:
             self._close_upstream()
             self.fail_response(ExchangeFailure.MALFORMED)
             return
+        if kind is ResponseKind.MISDIRECTED and self._connection is not None:
+            self._connection.retire()  # the refusal may be repeated if the request comes again
         now_s = self._context.reactor.seconds()
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -131,6 +131,7 @@
         self._skipped_responses = 0
         self._codec = _create_codec()
         self._dropping_response = False
+        self._retired = False
         self._closed = False
         self._paused = False
         self._idle_limit_s = DEFAULT_IDLE_S
@@ -172,6 +173,10 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def retire(self) -> None:
+        """Close the connection once the response that has begun is complete."""
+        self._retired = True
+
     def pause(self) -> None:
         """Stop reading until ``resume`` is called."""
         if not self._closed and not self._paused:
@@ -286,7 +291,7 @@
         codec = self._codec
         trailing_data, _ = codec.trailing_data
         done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        if self._closed or trailing_data or not done:
+        if self._closed or self._retired or trailing_data or not done:
             self.close()
             return
         codec.start_next_cycle()
