Notice the end of a caller whose request waited behind another one

An upstream worked on for a caller that had left, up to the request's deadline, if the request had waited on its connection for the answer to the one before. When its own answer came, the host wrote to the lost connection; if that was the last answer of a stopping host, an exception kept the exchange open for good, so that the stop took the whole grace period.

The answer to a request begins the next one of its connection at once. Only after that did the exchange of the answered request end its listening, and took away the listener of the next exchange. Finishing and aborting a response and the loss of the connection end the listening themselves, before anything else begins; the line is not needed.

The test failed before: no disconnect at the upstream, and an open exchange.

--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -449,7 +449,6 @@
     def _conclude(self, code: ResultCode, refusal: Refusal | None = None) -> None:
         self._done, self._attempt = True, None
         self._limits.release_retry()
-        self._responder.listener = None
         self._silence.stop()
         self._handover.cancel()
         for timer in (self._deadline_timer, self._placement_timer):
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -306,3 +306,23 @@
     fleet.run_for(0.3)
     assert caller.closed
     assert bool(upstream.disconnects) is cancelled
+
+
+# Guards against work that goes on for a caller that has left, and an exception at its end, where
+# the request has waited behind another one on its connection.
+def test_the_end_of_a_caller_reaches_the_upstream_of_a_request_behind_another_one(
+    fleet: HostFleet,
+) -> None:
+    def serve_first(upstream, request, responder) -> None:
+        behavior = harness.serve if len(upstream.requests) == 1 else harness.hang
+        behavior(upstream, request, responder)
+
+    upstream = fleet.add_upstream("one", behavior=serve_first)
+    process = fleet.start_host()
+    fleet.wait_ready()
+    requests = [harness.build_request("/open/x", attempt=each) for each in ("first", "second")]
+    caller = fleet.connect(b"".join(requests))
+    fleet.run_until(lambda: upstream.attempt_ids == [b"first", b"second"])
+    caller.transport.abortConnection()
+    fleet.run_for(0.5)
+    assert (upstream.disconnects, len(process._context.open_exchanges)) == (1, 0)
