--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -345,19 +345,21 @@
     assert bool(upstream.disconnects) is cancelled
 
 
-# Guards against work that goes on for a caller who has left while a request was answered that had
-# waited behind another one: the end of the earlier answer must not detach the later request.
-def test_the_end_of_a_caller_reaches_a_request_that_waited_behind_another_one(
+# Guards against work that goes on for a caller that has left, and an exception at its end, where
+# the request has waited behind another one on its connection.
+def test_the_end_of_a_caller_reaches_the_upstream_of_a_request_behind_another_one(
     fleet: HostFleet,
 ) -> None:
-    upstream = fleet.add_upstream("one", behavior=harness.delay(0.1, harness.serve))
-    fleet.start_host()
+    def serve_first(upstream, request, responder) -> None:
+        behavior = harness.serve if len(upstream.requests) == 1 else harness.hang
+        behavior(upstream, request, responder)
+
+    upstream = fleet.add_upstream("one", behavior=serve_first)
+    process = fleet.start_host()
     fleet.wait_ready()
-    requests = [harness.build_request("/lookup/x", attempt=attempt) for attempt in ("a1", "a2")]
+    requests = [harness.build_request("/open/x", attempt=each) for each in ("first", "second")]
     caller = fleet.connect(b"".join(requests))
-    fleet.run_until(lambda: b"a1" in upstream.attempt_ids)
-    upstream.behavior = harness.hang
-    fleet.run_until(lambda: b"a2" in upstream.attempt_ids)
+    fleet.run_until(lambda: upstream.attempt_ids == [b"first", b"second"])
     caller.transport.abortConnection()
-    fleet.run_for(0.3)
-    assert upstream.disconnects == 1
+    fleet.run_for(0.5)
+    assert (upstream.disconnects, len(process._context.open_exchanges)) == (1, 0)
