--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/lint-imports
 
 unit: install
-	$(BIN)/python -m pytest -n 6 --dist loadgroup
+	$(BIN)/python -m pytest -n 6 --dist loadgroup -m "not memory"
+	$(BIN)/python -m pytest -m memory
 
 test: lint types imports unit
 
