Add tests of slow readers and slow senders at a real entry process

The same faults as at the host: greengage-entry buffers answers of plain services whole for callers that read slowly, answers requests sent ahead before earlier answers are sent, and holds bodies that slow callers send.

--- a/tests/slow_readers.py
+++ b/tests/slow_readers.py
@@ -1,5 +1,6 @@
-"""A host process with upstreams that send as fast as they are read, and crowds that read slowly."""
+"""Real processes beside upstreams that send as fast as they are read, and slow callers."""
 
+import hashlib
 import os
 import signal
 import socket
@@ -11,9 +12,22 @@
 from pathlib import Path
 from typing import Any
 
+from msgspec.structs import replace
 from twisted.internet.protocol import Factory, Protocol
 
+from greengagestage.configuration import (
+    UpstreamKind,
+    WorkspaceKey,
+    compute_digest,
+    encode_declaration,
+)
+from greengagestage.ids import ConfigurationVersion, ServiceName
+from greengagestage.wire import ConfigurationInForce, EntryEndpoint
+
+from .builders import build_declaration, build_engine, build_workspace
 from .host_harness import HostFleet, build_document, build_request, build_route
+from .raw_caller import KEY
+from .raw_caller import build_request as build_entry_request
 from .reactors import choose_address, running_reactor
 
 MEMORY_MB = 128
@@ -61,7 +75,8 @@
         if not separator or len(rest) < int(headers.get(b"content-length", 0)):
             return
         self._received = b""
-        self._begin_answer(head.split(b" ", 2)[1].decode(), headers[b"greengagestage-attempt-id"])
+        attempt = headers.get(b"greengagestage-attempt-id", b"")
+        self._begin_answer(head.split(b" ", 2)[1].decode(), attempt)
 
     def _begin_answer(self, path: str, attempt: bytes) -> None:
         self._framing, size = path.split("/")[-2:]
@@ -134,67 +149,40 @@
         self._socket.close()
 
 
-class BulkFleet(HostFleet):
-    """A store and four bulk upstreams in the test's reactor, and one host process.
+class CrowdPlay:
+    """A process that serves callers, started by a test, and a crowd at its door.
 
     Attributes:
-        process: The host process.
+        process: The process.
         crowd: The slow readers.
+        request: An ordinary request.
     """
 
-    def __init__(self, reactor: Any, directory: Path, max_fds: int) -> None:
-        super().__init__(reactor)
-        engine = {"Slots": 4_000, "KvCapacityTokens": 10_000_000, "Stride": 1}
-        self.store.put(
-            "op",
-            "config",
-            build_document(
-                Routes=[
-                    build_route("lookup", "idempotent", "archive", TimeoutMs=60_000),
-                    build_route("short", "streaming", "engines", TimeoutMs=60_000),
-                ],
-                Services=[
-                    {"Name": "archive", "MaxConnections": 4_000},
-                    {"Name": "engines", "MaxConnections": 4_000, "Engine": engine},
-                ],
-            ),
-        )
-        for number in range(4):
-            self._add_bulk_upstream(f"archive-{number}", "archive")
-            self._add_bulk_upstream(f"engine-{number}", "engines")
+    process: "subprocess.Popen[bytes]"
+    request: bytes
+
+    def __init__(self, reactor: Any, directory: Path) -> None:
+        self.reactor = reactor
         self.crowd: list[SlowReader] = []
         self._callers = choose_address()
-        self._readiness = choose_address()
-        self._log = directory / "host.log"
-        settings = directory / "settings.conf"
-        store = self.store_port.getHost()
-        settings.write_text(
-            SETTINGS.format(
-                callers=self._callers,
-                readiness=self._readiness,
-                peers=choose_address().rpartition(":")[2],
-                store=f"{store.host}:{store.port}",
-                memory_mb=MEMORY_MB,
-                max_fds=max_fds,
-            )
-        )
+        self._log = directory / "process.log"
+
+    def start(self, module: str, *options: str, **variables: str) -> None:
+        """Start a command's process, with some variables of the environment."""
         with self._log.open("wb") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "greengagestage.commands.host", "--settings", str(settings)],
+                [sys.executable, "-m", f"greengagestage.commands.{module}", *options],
                 stdout=output,
+                stderr=output,
+                env={**os.environ, **variables},
             )
 
     def close(self) -> None:
-        """End the host process and the crowd."""
+        """End the process and the crowd."""
         self.leave()
         self.process.kill()
         self.process.wait()
 
-    def wait_ready(self) -> None:
-        """Wait until the host serves requests."""
-        request = b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-        self._ask_until(lambda answer: answer.startswith(b"HTTP/1.1 200"), request, self._readiness)
-
     def join(self, count: int, *requests: bytes) -> None:
         """Let callers connect that send some requests one behind the other."""
         address = _split(self._callers)
@@ -222,8 +210,7 @@
 
     def check_serves(self) -> None:
         """Check that an ordinary caller is answered, at last after refusals."""
-        request = build_request("/lookup/plain/20", deadline_ms=5_000)
-        self._ask_until(lambda answer: answer.endswith(b"x" * 20), request, self._callers)
+        self.ask_until(lambda answer: answer.endswith(b"x" * 20), self.request, self._callers)
 
     def check_within_memory(self) -> None:
         """Check that the process lives and has never held more than its machine has."""
@@ -238,8 +225,8 @@
         self._wait(lambda: self.count_descriptors() <= count, START_TIMEOUT_S)
         assert self.count_descriptors() <= count
 
-    def stop_host(self) -> int | None:
-        """Stop the host as planned; return its exit status, None if it does not end."""
+    def stop_process(self) -> int | None:
+        """Stop the process as planned; return its exit status, None if it does not end."""
         self.process.send_signal(signal.SIGTERM)
         self._wait(lambda: not self.is_alive, START_TIMEOUT_S)
         return self.process.poll()
@@ -252,15 +239,7 @@
     def peak_memory_bytes(self) -> int:
         return read_peak_memory(self.process.pid)
 
-    def _add_bulk_upstream(self, name: str, service: str) -> None:
-        factory = Factory.forProtocol(BulkUpstream)
-        factory.noisy = False
-        port = self.reactor.listenTCP(0, factory, interface="127.0.0.1", backlog=1_024)
-        upstream = self.add_upstream(name, service=service)
-        upstream.port = port
-        self.store.put("servers", name, upstream.build_entry(Slots=4_000))
-
-    def _ask_until(self, is_answer: Callable[[bytes], bool], request: bytes, address: str) -> None:
+    def ask_until(self, is_answer: Callable[[bytes], bool], request: bytes, address: str) -> None:
         """Send a request again and again until it is answered so."""
         deadline_s = time.monotonic() + START_TIMEOUT_S
         answer = b""
@@ -300,6 +279,126 @@
             self.reactor.iterate(0.01)
 
 
+class HostPlay(CrowdPlay):
+    """A host, with a store and eight bulk upstreams in the test's reactor."""
+
+    request = build_request("/lookup/plain/20", deadline_ms=5_000)
+
+    def __init__(self, reactor: Any, directory: Path, *, max_fds: int = 4_100) -> None:
+        super().__init__(reactor, directory)
+        self._fleet = HostFleet(reactor)
+        engine = {"Slots": 4_000, "KvCapacityTokens": 10_000_000, "Stride": 1}
+        self._fleet.store.put(
+            "op",
+            "config",
+            build_document(
+                Routes=[
+                    build_route("lookup", "idempotent", "archive", TimeoutMs=60_000),
+                    build_route("short", "streaming", "engines", TimeoutMs=60_000),
+                ],
+                Services=[
+                    {"Name": "archive", "MaxConnections": 4_000},
+                    {"Name": "engines", "MaxConnections": 4_000, "Engine": engine},
+                ],
+            ),
+        )
+        for number in range(4):
+            self._add_upstream(f"archive-{number}", "archive")
+            self._add_upstream(f"engine-{number}", "engines")
+        self._readiness = choose_address()
+        settings = directory / "settings.conf"
+        store = self._fleet.store_port.getHost()
+        settings.write_text(
+            SETTINGS.format(
+                callers=self._callers,
+                readiness=self._readiness,
+                peers=choose_address().rpartition(":")[2],
+                store=f"{store.host}:{store.port}",
+                memory_mb=MEMORY_MB,
+                max_fds=max_fds,
+            )
+        )
+        self.start("host", "--settings", str(settings))
+
+    def wait_ready(self) -> None:
+        """Wait until the host is ready for requests."""
+        request = b"GET /readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        self.ask_until(lambda answer: answer.startswith(b"HTTP/1.1 200"), request, self._readiness)
+
+    def _add_upstream(self, name: str, service: str) -> None:
+        upstream = self._fleet.add_upstream(name, service=service)
+        upstream.port = listen_in_bulk(self.reactor)
+        self._fleet.store.put("servers", name, upstream.build_entry(Slots=4_000))
+
+
+class EntryPlay(CrowdPlay):
+    """An entry process, with its agent's side of the link and four bulk services."""
+
+    request = build_entry_request(method="GET", path="/services/bookings/plain/20")
+
+    def __init__(self, reactor: Any, directory: Path) -> None:
+        super().__init__(reactor, directory)
+        agent = choose_address()
+        key = "k" * 16
+        self._link = EntryEndpoint(
+            reactor=reactor, address=agent, fleet_keys=(key,), on_message=lambda message: None
+        )
+        self._link.start()
+        self._link.broadcast(self._build_configuration())
+        self.start(
+            "entry",
+            *("--listen", self._callers, "--agent", agent, "--platform", "http://127.0.0.1:9"),
+            *("--host", "host-1", "--failure-domain", "a", "--fleet-key", key),
+            *("--service-buffer-bytes", str(MIB)),
+            GREENGAGE_MEMORY_MB=str(MEMORY_MB),
+        )
+
+    def close(self) -> None:
+        """End the process, the crowd and the link."""
+        super().close()
+        self._link.stop()
+
+    def wait_ready(self) -> None:
+        """Wait until the process listens and has its configuration."""
+        request = b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        self.ask_until(lambda answer: answer.startswith(b"HTTP/1.1 200"), request, self._callers)
+
+    def _build_configuration(self) -> ConfigurationInForce:
+        services = [listen_in_bulk(self.reactor).getHost().port for _ in range(4)]
+        declaration = build_declaration(
+            workspaces=(
+                build_workspace(
+                    "gyor",
+                    keys=(WorkspaceKey(sha256=hashlib.sha256(KEY.encode()).hexdigest()),),
+                ),
+            ),
+            upstreams=tuple(
+                replace(
+                    build_engine(
+                        f"service-{port}",
+                        url=f"http://127.0.0.1:{port}",
+                        models=(),
+                        service=ServiceName("bookings"),
+                        slots=4_000,
+                    ),
+                    kind=UpstreamKind.SERVICE,
+                )
+                for port in services
+            ),
+        )
+        document = encode_declaration(declaration)
+        return ConfigurationInForce(
+            version=ConfigurationVersion(1), digest=compute_digest(document), document=document
+        )
+
+
+def listen_in_bulk(reactor: Any) -> Any:
+    """Return the listening port of a new bulk upstream."""
+    factory = Factory.forProtocol(BulkUpstream)
+    factory.noisy = False
+    return reactor.listenTCP(0, factory, interface="127.0.0.1", backlog=1_024)
+
+
 def read_peak_memory(pid: int) -> int:
     """Return the largest resident memory of a process so far, bytes; 0 once it has ended."""
     try:
@@ -311,16 +410,18 @@
 
 
 @contextmanager
-def running_bulk_fleet(directory: Path, *, max_fds: int = 4_100) -> Iterator[BulkFleet]:
-    """Yield a fleet whose host serves."""
+def running_play(
+    build: Callable[..., HostPlay | EntryPlay], directory: Path, **options: Any
+) -> Iterator[HostPlay | EntryPlay]:
+    """Yield a play whose process serves."""
     with running_reactor() as reactor:
-        fleet = BulkFleet(reactor, directory, max_fds)
+        play = build(reactor, directory, **options)
         try:
-            fleet.wait_ready()
-            fleet.check_serves()
-            yield fleet
+            play.wait_ready()
+            play.check_serves()
+            yield play
         finally:
-            fleet.close()
+            play.close()
 
 
 def _split(address: str) -> tuple[str, int]:
