Answer a request sent ahead only after earlier answers have been sent

The next request of a connection began as soon as the answer to the last one was complete, however much of it was still in the transport's buffer, so a caller cost the size of an answer times its requests.

A connection now remembers that its transport has asked it to pause. While it has, the next request is not begun and nothing more is read; reading goes on when the transport has sent all of its buffer. What waits meanwhile is dated by its arrival as before. A connection with such a request is not taken for an idle one.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -113,6 +113,7 @@
         # abort. Bytes received from then on are discarded.
         self._ignoring_input = False
         self._paused_reading = False
+        self._backlogged = False
         self._timer: Any = None
 
     def connectionMade(self) -> None:
@@ -125,8 +126,10 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return not self._answering and self._incoming is None and not self._ignoring_input
+        """Whether no request is being read or answered, or waits for earlier answers."""
+        if self._answering or self._incoming is not None or self._ignoring_input:
+            return False
+        return not self._codec.trailing_data[0]
 
     @property
     def has_unread_bytes(self) -> bool:
@@ -152,6 +155,18 @@
             return
         self._read_events()
 
+    def pauseProducing(self) -> None:
+        """Pause the listener; no further request begins until what is written has been sent."""
+        self._backlogged = True
+        super().pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Resume the listener, or if no request is open, read the next one."""
+        self._backlogged = False
+        super().resumeProducing()
+        if not self._answering and self._incoming is None and not self._ignoring_input:
+            self._resume_reading()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Notify the listener that the caller's connection is lost."""
         self._stop_timer()
@@ -184,7 +199,7 @@
             self._send(h11.Data(data=data))
 
     def finish(self) -> None:
-        """Complete the response and read the next request."""
+        """Complete the response, and read the next request unless too little has been sent."""
         self.listener = None
         self._send(h11.EndOfMessage())
         self._answering = False
@@ -193,7 +208,10 @@
             return
         self._codec.start_next_cycle()
         self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
-        self._resume_reading()
+        if self._backlogged:
+            self._pause_reading()
+        else:
+            self._resume_reading()
 
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
@@ -207,7 +225,7 @@
         Bytes that the process has not read yet may be a request, which is answered first. A
         transport with a registered producer that it has paused would never close.
         """
-        if has_unread_bytes(self.transport):
+        if self._codec.trailing_data[0] or has_unread_bytes(self.transport):
             return
         if count_undelivered_bytes(self.transport):
             self._linger()
@@ -216,6 +234,11 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def _pause_reading(self) -> None:
+        if not self._paused_reading:
+            self._paused_reading = True
+            self.transport.pauseProducing()
+
     def _unpause_reading(self) -> None:
         if self._paused_reading:
             self._paused_reading = False
@@ -349,9 +372,8 @@
         self._set_timer(DELIVERY_CHECK_INTERVAL_S, lambda: self._await_delivery(left, progress_s))
 
     def _limit_pipelining(self) -> None:
-        if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES and not self._paused_reading:
-            self._paused_reading = True
-            self.transport.pauseProducing()
+        if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES:
+            self._pause_reading()
 
     def _build_connection_header(self) -> HeaderList:
         """Return the header that announces the close, while the server stops.
