Close upstream connections that can no longer be reused

A host kept up to 32 idle connections to each upstream until the upstream closed them or a later request happened to find them: 113 descriptors six seconds after 800 callers had left, with four upstreams. None of them could be used any more, since an idle connection is not reused after four seconds, or less if its server announced so.

The pool now closes such connections, with one timer that runs while any is idle. test_upstream_connections_end_after_callers_have_left waited in vain for 10 s in each run before and passes now.

--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from ._client import ClientConnection
+from ._client import DEFAULT_IDLE_S, ClientConnection
 
 CONNECT_TIMEOUT_S = 0.4
 """Connect timeout within a region, where a round trip takes about 2 ms. TCP retransmits a lost SYN
@@ -96,6 +96,7 @@
         self._idle: dict[Endpoint, list[ClientConnection]] = {}
         self._open: dict[Endpoint, set[ClientConnection]] = {}
         self._aborted_s: dict[Endpoint, float] = {}
+        self._expiry_timer: Any = None
         self.opened = 0
 
     def take_idle(self, endpoint: Endpoint, *, idle_limit_s: float) -> ClientConnection | None:
@@ -146,6 +147,8 @@
             connection.close()
             return
         idle.append(connection)
+        if self._expiry_timer is None:
+            self._expiry_timer = self._reactor.callLater(DEFAULT_IDLE_S, self._close_expired)
 
     def count_alive_since_before(self, endpoint: Endpoint, time_s: float) -> int:
         """Return how many connections to a server were opened before a time and are in use.
@@ -175,6 +178,19 @@
         """Close all idle connections."""
         for endpoint in list(self._idle):
             self.close_endpoint(endpoint)
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
+            self._expiry_timer = None
+
+    def _close_expired(self) -> None:
+        """Close the idle connections that cannot be reused, and check the others again later."""
+        self._expiry_timer = None
+        idle = [connection for connections in self._idle.values() for connection in connections]
+        expired = [connection for connection in idle if not connection.reusable]
+        for connection in expired:
+            connection.close()
+        if len(expired) < len(idle):
+            self._expiry_timer = self._reactor.callLater(DEFAULT_IDLE_S, self._close_expired)
 
     def _discard(self, endpoint: Endpoint, connection: ClientConnection) -> None:
         if connection.was_aborted:
