Bound what a host holds for callers that read slowly

The host now keeps an account of the bytes that it holds for its connections, with a limit derived from Limits.MemoryMb. Above half of it answers are passed on as they arrive, so that the upstream waits for the caller; above it new requests are refused before they are sent (2019, MEMORY_FULL) and the connections that have moved least are closed. Bytes are counted where they are written; connections are looked at only if they hold some, at most once for each sixteenth of the limit that was written, and ten times a second.

--- a/greengagestage/catalog/_settings.py
+++ b/greengagestage/catalog/_settings.py
@@ -75,6 +75,7 @@
         peer_port: Port for messages between hosts over UDP, and for requests that they forward for
             each other over TCP; the same on all of them.
         store: ``(address, port)`` of the platform's store.
+        memory_bytes: The memory of the machine for the process.
         first_start: Whether the whole system starts for the first time, so that no caller has a
             stream that is older than the hosts.
         duties: What the hosts do at the platform API; None if nothing.
@@ -87,6 +88,7 @@
     readiness: tuple[str, int]
     peer_port: int
     store: tuple[str, int]
+    memory_bytes: float = 300 * 1_048_576
     first_start: bool = False
     bounds: Bounds
     duties: DutySettings | None = None
--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from greengagestage.catalog import RouteKind, Workspace
-from greengagestage.http1 import ConnectionPool
+from greengagestage.http1 import ConnectionPool, MemoryAccount
 from greengagestage.ids import ClassName, InstanceId, ServiceName, WorkspaceId
 from greengagestage.results import ResultCode
 from greengagestage.routing import Job, Placement, Refused, Router, Waiting
@@ -33,6 +33,7 @@
         notices: Records what upstreams state about further requests.
         confirm_versions: Reads which versions of a service are, and were, listed; the result is
             whether each version at which a stream began is known then.
+        memory: Counts what the host holds for callers and other hosts.
         takes_requests: Returns whether the host is not in the later part of a shutdown.
         count_begun: Counts a request of a workspace that has begun to run, for usage reports.
         open_exchanges: All exchanges that have not delivered a final answer.
@@ -47,6 +48,7 @@
     notices: UpstreamNotices
     metrics: EntryMetrics
     confirm_versions: Callable[[ServiceName], Deferred[bool]]
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
     takes_requests: Callable[[], bool] = lambda: True
     count_begun: Callable[[WorkspaceId], None] = lambda workspace: None
     open_exchanges: set[Any] = field(default_factory=set)
--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/_delivery.py
@@ -10,7 +10,7 @@
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Plain answers up to this size are buffered until complete, so that an interrupted request can be
-retried."""
+retried, while memory is not scarce."""
 
 
 class Delivery:
@@ -96,7 +96,8 @@
             return self._relay_events(self._relay, data)
         self._buffer.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and self.head is not None:
+        has_room = self.begun or self._responder.hold(self._buffered_bytes)
+        if self.head is not None and not (has_room and self._buffered_bytes <= MAX_BUFFERED_BYTES):
             self._send_head(self.head)
         if self.begun:
             self._flush()
@@ -128,6 +129,7 @@
         self.head = None
         self._buffer.clear()
         self._buffered_bytes = 0
+        self._responder.hold(0)
         if self._relay is not None:
             self._relay.drop_partial()
 
@@ -162,6 +164,7 @@
             on_begun()
 
     def _flush(self) -> None:
+        self._responder.hold(0)
         for piece in self._buffer:
             self._write(piece)
         self._buffer.clear()
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -118,7 +118,7 @@
     def _find_obstacle(self) -> ForwardFault | None:
         if self._is_stopping():
             return ForwardFault.STOPPING
-        if len(self.open_requests) >= MAX_FORWARDED_REQUESTS:
+        if len(self.open_requests) >= MAX_FORWARDED_REQUESTS or self._context.memory.is_full:
             return ForwardFault.BUSY
         return None
 
--- a/greengagestage/gateway/_forwarding_protocol.py
+++ b/greengagestage/gateway/_forwarding_protocol.py
@@ -31,7 +31,7 @@
         REJECTED: The host does not know the sender, or cannot read the request.
         NO_LINK: The host itself is without a link to the upstream.
         STOPPING: The host is about to stop.
-        BUSY: The host forwards as many requests as it may.
+        BUSY: The host forwards as many requests as it may, or holds too much in memory.
         UNKNOWN: The host does not know the upstream, or not this incarnation of it.
         UNREACHABLE: The host has other links, but could not connect to the upstream.
         WITHDRAWN: The upstream wants no requests from the host.
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -12,7 +12,13 @@
 
 from greengagestage.catalog import HostSettings, RegisteredUpstream, RouteTable
 from greengagestage.duties import Clocks, DutyBody, DutyService, FleetView
-from greengagestage.http1 import ConnectionPool, Endpoint, ServerFactory
+from greengagestage.http1 import (
+    ConnectionPool,
+    Endpoint,
+    MemoryAccount,
+    ServerFactory,
+    compute_held_limit,
+)
 from greengagestage.ids import (
     FailureDomain,
     HostId,
@@ -31,6 +37,7 @@
 from ._forwarding import ForwardingHandler
 from ._host_list import HostList, HostRow
 from ._link_watch import LinkWatch
+from ._memory_watch import MemoryWatch
 from ._peers import PeerCallbacks, PeerLink
 from ._readiness import ReadinessHandler
 from ._registry_watch import RegistryWatch
@@ -74,6 +81,8 @@
         self._router = Router(
             domain=settings.failure_domain, bounds=settings.bounds, draw=random.random
         )
+        self._memory = MemoryAccount(limit_bytes=compute_held_limit(settings.memory_bytes))
+        self._memory_watch = MemoryWatch(reactor=reactor, memory=self._memory)
         self._pool = ConnectionPool(reactor=reactor)
         self._forwarding_pool = ConnectionPool(reactor=reactor, bind_address=settings.address)
         self._link_watch = LinkWatch(
@@ -124,6 +133,7 @@
             reactor=reactor,
             on_request=self._forwarding.handle,
             on_refused=self._forwarding.explain_limit,
+            memory=self._memory,
         )
         self._readiness_server = self._build_readiness_server()
         self._shutdown = Shutdown(
@@ -143,6 +153,7 @@
             self._hosts,
             self._crashes,
             self._peers,
+            self._memory_watch,
         )
         self._ports: list[Any] = []
 
@@ -339,6 +350,7 @@
             ),
             metrics=self._metrics,
             confirm_versions=self._confirm_versions,
+            memory=self._memory,
             takes_requests=lambda: not self._configuration.refuses_requests,
             count_begun=self._count_begun,
         )
@@ -348,7 +360,10 @@
             context=self._context, configuration=self._configuration, random=random
         )
         return ServerFactory(
-            reactor=self._reactor, on_request=handler.handle, on_refused=handler.refuse_unread
+            reactor=self._reactor,
+            on_request=handler.handle,
+            on_refused=handler.refuse_unread,
+            memory=self._memory,
         )
 
     def _build_readiness_server(self) -> ServerFactory:
@@ -480,6 +495,8 @@
             **duties,
             "open_requests": len(self._context.open_exchanges),
             "caller_connections": len(self._caller_server.connections),
+            "caller_bytes_held": self._memory.held_bytes,
+            "callers_closed_for_memory": self._memory_watch.closed,
             "caller_bytes_discarded": self._caller_server.discarded_bytes,
             "upstreams": len(self._router.upstreams),
             "active_peers": self._peers.active_peers,
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -106,6 +106,9 @@
         if self._configuration.refuses_requests:
             self._refuse_temporarily(request, metadata, responder, ResultCode.STOPPING)
             return
+        if self._context.memory.is_full:
+            self._refuse_temporarily(request, metadata, responder, ResultCode.MEMORY_FULL)
+            return
         route = table.find_route(metadata.host, metadata.path)
         needs_key = table.workspaces is not None and not (route is not None and route.public)
         if needs_key and self._configuration.is_stale:
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -14,6 +14,7 @@
     ResponseHead,
     ResponseListener,
 )
+from ._memory import MemoryAccount, compute_held_limit
 from ._pool import ConnectionPool, Endpoint
 from ._requests import IncomingRequest, LimitExceeded, Responder
 from ._server import CallerConnection, ServerFactory
@@ -33,10 +34,12 @@
     "LimitExceeded",
     "MAX_RESPONSE_HEAD_BYTES",
     "ObservedConnection",
+    "MemoryAccount",
     "OutgoingRequest",
     "Responder",
     "ResponseHead",
     "ResponseListener",
     "ServerFactory",
+    "compute_held_limit",
     "has_unread_bytes",
 ]
--- a/greengagestage/http1/_requests.py
+++ b/greengagestage/http1/_requests.py
@@ -61,5 +61,11 @@
     def finish(self) -> None:
         """Complete the response."""
 
+    def hold(self, count: int) -> bool:
+        """Count the bytes of a response that are buffered elsewhere until it is complete.
+
+        Returns whether there is room for them. The count is 0 again once a response is sent.
+        """
+
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -12,6 +12,7 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import ObservedConnection
+from ._memory import MemoryAccount
 from ._pipelining import PipelinedBytes
 from ._requests import IncomingRequest, LimitExceeded
 from ._sockets import (
@@ -39,6 +40,7 @@
     Args:
         on_request: Called with each complete request and the connection that takes its response.
         on_refused: Called with the reason for refusing a request; returns the body of the refusal.
+        memory: Counts what is held for callers; None to count nothing.
 
     Attributes:
         discarded_bytes: Number of bytes that were received on connections about to be closed.
@@ -52,10 +54,12 @@
         reactor: Any,
         on_request: Callable[[IncomingRequest, "CallerConnection"], None],
         on_refused: Callable[[LimitExceeded], bytes],
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.reactor = reactor
         self.on_request = on_request
         self.on_refused = on_refused
+        self.memory = memory or MemoryAccount()
         self.limits = ConnectionLimits()
         self.closing = False
         self.discarded_bytes = 0
@@ -114,6 +118,9 @@
         self._ignoring_input = False
         self._paused_reading = False
         self._backlogged = False
+        self._received_bytes = 0
+        self._written_bytes = 0
+        self._buffered_answer_bytes = 0
         self._timer: Any = None
 
     def connectionMade(self) -> None:
@@ -141,8 +148,23 @@
         """Number of written bytes that the process still holds, since the caller reads slowly."""
         return count_unsent_bytes(self.transport)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that the process holds for the caller."""
+        return self.unsent_bytes + self._buffered_answer_bytes
+
+    @property
+    def moved_bytes(self) -> int:
+        """Number of bytes that the caller has sent, or taken into the kernel's send queue."""
+        return self._received_bytes + self._written_bytes - self.unsent_bytes
+
+    def shed(self) -> None:
+        """Close the connection; what is written and not sent is lost."""
+        self.transport.abortConnection()
+
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes up to the end of one request."""
+        self._received_bytes += len(data)
         if self._ignoring_input:
             self.factory.discarded_bytes += len(data)
             return
@@ -171,6 +193,8 @@
         """Notify the listener that the caller's connection is lost."""
         self._stop_timer()
         self.factory.connections.discard(self)
+        self.factory.memory.discard(self)
+        self._buffered_answer_bytes = 0
         self.notify_disconnected()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -201,6 +225,7 @@
     def finish(self) -> None:
         """Complete the response, and read the next request unless too little has been sent."""
         self.listener = None
+        self.hold(0)
         self._send(h11.EndOfMessage())
         self._answering = False
         if self._codec.our_state is not h11.DONE or self._codec.their_state is not h11.DONE:
@@ -213,6 +238,12 @@
         else:
             self._resume_reading()
 
+    def hold(self, count: int) -> bool:
+        """Count the bytes of the response that are buffered until it is complete."""
+        self.factory.memory.record(self, count - self._buffered_answer_bytes)
+        self._buffered_answer_bytes = count
+        return not self.factory.memory.is_scarce
+
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
         self.listener = None
@@ -384,7 +415,10 @@
         return [(b"Connection", b"close")] if is_last else []
 
     def _send(self, event: Any) -> None:
-        self.transport.write(self._codec.send(event))
+        data = self._codec.send(event)
+        self._written_bytes += len(data)
+        self.factory.memory.record(self, len(data))
+        self.transport.write(data)
 
     def _set_timer(self, delay_s: float, call: Callable[[], None]) -> None:
         self._stop_timer()
--- a/greengagestage/platform/_host_settings.py
+++ b/greengagestage/platform/_host_settings.py
@@ -15,6 +15,7 @@
 """Path on which the load balancer checks whether a host is ready."""
 
 MS_PER_S = 1_000.0
+BYTES_PER_MB = 1_048_576
 
 MAX_SLACK_RATIO = 0.5
 """A holder must be able to act until a third of its lease has passed, when it renews it."""
@@ -39,6 +40,7 @@
         readiness=parser.parse_endpoint("Listen.Ready"),
         peer_port=parser.parse_first_port("InternalPortRange"),
         store=parser.parse_endpoint("Platform.Address"),
+        memory_bytes=parser.parse_positive("Limits.MemoryMb", 300.0) * BYTES_PER_MB,
         first_start=parser.parse_flag("FirstStart"),
         bounds=_parse_bounds(parser),
         duties=_parse_duties(parser),
--- a/greengagestage/results.py
+++ b/greengagestage/results.py
@@ -57,6 +57,7 @@
     CALLER_LEFT = 2016
     CONFIGURATION_STALE = 2017
     STREAM_ORIGIN_UNKNOWN = 2018
+    MEMORY_FULL = 2019
 
     UPSTREAM_LOST = 3001
     UPSTREAM_SILENT = 3002
@@ -167,6 +168,7 @@
     ResultCode.STREAM_ORIGIN_UNKNOWN: _not_run(
         503, "This host does not know which software version began the stream"
     ),
+    ResultCode.MEMORY_FULL: _not_run(503, "This host holds too much for slow callers"),
     ResultCode.UPSTREAM_LOST: _may_have_run(502, "The upstream was lost while it ran"),
     ResultCode.UPSTREAM_SILENT: _may_have_run(504, "The upstream stopped sending"),
     ResultCode.ANSWER_INCOMPLETE: _may_have_run(502, "The upstream's answer has no proper end"),
