Release a request when it has ended, not when cycles are collected

Each exchange and its SilenceWatch referred to each other, the watch through its callback, so that an ended request and its body stayed until Python's cyclic collector ran, which counts objects and not bytes.

--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -450,7 +450,7 @@
         self._done, self._attempt = True, None
         self._limits.release_retry()
         self._responder.listener = None
-        self._silence.stop()
+        self._silence.close()
         self._handover.cancel()
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
--- a/greengagestage/gateway/_silence.py
+++ b/greengagestage/gateway/_silence.py
@@ -63,6 +63,11 @@
         self._stop_timer()
         self._limit_s = None
 
+    def close(self) -> None:
+        """Stop for good, and release the callback and what it refers to."""
+        self.stop()
+        self._on_silent = _ignore_silence
+
     def pause(self) -> None:
         """Count no silence until ``resume`` is called."""
         self._paused = True
@@ -85,3 +90,7 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
+
+
+def _ignore_silence() -> None:
+    """Do nothing, in place of the callback of a closed watch."""
