Send long bodies to upstreams in pieces

A host wrote a request's body whole to the connection to its upstream and held a second copy, and briefly a third one, until the upstream had read it.

A body of more than 64 KiB is now sent by a pull producer, so that the transport holds one piece of it. A connection whose answer ends before the body is sent is closed instead of being kept.

--- /dev/null
+++ b/greengagestage/http1/_body_sender.py
@@ -0,0 +1,35 @@
+"""Sends a long body in pieces, so that the transport holds no copy of all of it."""
+
+from typing import Any
+
+PIECE_BYTES = 65_536
+"""Size of a piece, as much as a transport's buffer takes before it asks for a pause."""
+
+
+class BodySender:
+    """A pull producer that writes the next piece whenever the last one has been sent."""
+
+    def __init__(self, transport: Any, body: bytes) -> None:
+        self._transport = transport
+        self._body = body
+        self._position = 0
+
+    @property
+    def done(self) -> bool:
+        """Whether the whole body has been written."""
+        return self._position >= len(self._body)
+
+    def start(self) -> None:
+        """Write the first piece; the transport asks for the others."""
+        self._transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Write the next piece; called by the transport when its buffer is empty."""
+        piece = self._body[self._position : self._position + PIECE_BYTES]
+        self._position += len(piece)
+        self._transport.write(piece)
+        if self.done:
+            self._transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the connection is lost, which its protocol handles."""
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from ._body_sender import PIECE_BYTES, BodySender
 from ._sockets import tune_socket
 from ._types import HeaderList
 
@@ -127,6 +128,7 @@
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._exchange: Exchange | None = None
+        self._body_sender: BodySender | None = None
         self._exchanges = 0
         self._skipped_responses = 0
         self._codec = _create_codec()
@@ -163,7 +165,14 @@
         self._exchange = exchange
         self._exchanges += 1
         self._skipped_responses = 0
-        self.transport.write(_encode_request(self._codec, exchange.request))
+        head = _encode_request(self._codec, exchange.request)
+        body = exchange.request.body
+        if len(body) <= PIECE_BYTES:
+            self.transport.write(head + body)
+            return
+        self.transport.write(head)
+        self._body_sender = BodySender(self.transport, body)
+        self._body_sender.start()
 
     def close(self) -> None:
         """Abort the connection; the listener of an open exchange is not called again."""
@@ -286,7 +295,9 @@
         codec = self._codec
         trailing_data, _ = codec.trailing_data
         done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        if self._closed or trailing_data or not done:
+        sender, self._body_sender = self._body_sender, None
+        is_sent = sender is None or sender.done
+        if self._closed or trailing_data or not done or not is_sent:
             self.close()
             return
         codec.start_next_cycle()
@@ -311,12 +322,15 @@
 
 
 def _encode_request(codec: Any, request: OutgoingRequest) -> bytes:
+    """Return the encoded head; the body follows as it is, since its length is announced."""
     headers = list(request.headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"Content-Length", b"%d" % len(request.body)))
     head = codec.send(h11.Request(method=request.method, target=request.target, headers=headers))
-    body = codec.send(h11.Data(data=request.body)) if request.body else b""
-    return bytes(head + body + codec.send(h11.EndOfMessage()))
+    if request.body:
+        codec.send(h11.Data(data=request.body))
+    codec.send(h11.EndOfMessage())
+    return bytes(head)
 
 
 def _is_framed(request: OutgoingRequest, response: h11.Response) -> bool:
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -129,3 +129,14 @@
     fleet.run_until(lambda: caller.is_complete or caller.closed)
     sends = sum(len(upstream.requests) for upstream in upstreams)
     assert (caller.status, sends) in ((200, 2), (500, 1))
+
+
+# Guards against long bodies that arrive in part, or out of order with the next request.
+def test_long_bodies_arrive_whole_on_one_connection(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one")
+    process = start(fleet)
+    bodies = [bytes(range(256)) * count for count in (256, 257, 4_000, 1)]
+    for number, body in enumerate(bodies):
+        assert fleet.call("/order/x", attempt=f"a{number}", body=body).status == 200
+    assert [request.body for request in upstream.requests] == bodies
+    assert process._pool.opened == 1
