Count the bodies of requests in what a host holds for callers

Each body is within the limit for one request, but nothing bounded their sum; callers that send slowly hold as much with few connections.

Bodies now count in the account of held bytes from their first byte to the end of the answer, as do requests sent ahead. When connections are closed for memory, a request that is not complete is refused instead, and callers that only wait for an upstream are left alone.

--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -36,6 +36,7 @@
     LimitExceeded.TOO_SLOW: ResultCode.REQUEST_TOO_SLOW,
     LimitExceeded.BODY_TOO_LARGE: ResultCode.BODY_TOO_LARGE,
     LimitExceeded.HEAD_TOO_LARGE: ResultCode.BAD_HEADER,
+    LimitExceeded.MEMORY_FULL: ResultCode.MEMORY_FULL,
 }
 
 
--- a/greengagestage/http1/_memory.py
+++ b/greengagestage/http1/_memory.py
@@ -34,6 +34,10 @@
     def held_bytes(self) -> int:
         """Number of bytes that are held now."""
 
+    @property
+    def awaits_peer(self) -> bool:
+        """Whether the peer has to take or send bytes before what is held can be released."""
+
     @property
     def moved_bytes(self) -> int:
         """Number of bytes that the peer has sent and taken so far."""
@@ -107,8 +111,9 @@
     def choose_excess(self) -> list[MemoryHolder]:
         """Return the connections to close; to be called at regular intervals.
 
-        None are returned within the limit. Else those come first that have lately moved the least
-        in proportion to what they hold, and of equal ones those that hold most.
+        None are returned within the limit. Else those whose peer is awaited come in order: first
+        those that have lately moved the least in proportion to what they hold, and of equal ones
+        those that hold most.
         """
         self.measure()
         for holder, progress in self._holders.items():
@@ -120,7 +125,8 @@
             return []
         excess = self.held_bytes - self._limit_bytes * RELIEVED_RATIO
         chosen = []
-        for holder in sorted(self._holders, key=self._rank):
+        awaiting = [holder for holder in self._holders if holder.awaits_peer]
+        for holder in sorted(awaiting, key=self._rank):
             if excess <= 0:
                 break
             chosen.append(holder)
--- a/greengagestage/http1/_requests.py
+++ b/greengagestage/http1/_requests.py
@@ -12,13 +12,20 @@
     """Why a request was refused before it was read to its end.
 
     The value is the HTTP status of the refusal. ``MALFORMED`` stands for no limit but for invalid
-    or ambiguous HTTP, such as several Host headers.
+    or ambiguous HTTP, such as several Host headers; ``MEMORY_FULL`` for a limit on what the process
+    holds for all callers.
     """
 
     MALFORMED = 400
     TOO_SLOW = 408
     BODY_TOO_LARGE = 413
     HEAD_TOO_LARGE = 431
+    MEMORY_FULL = 503
+
+    @property
+    def retry_after_s(self) -> float | None:
+        """Time after which the request may be sent again; None if it would be refused again."""
+        return 0.1 if self is LimitExceeded.MEMORY_FULL else None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -121,6 +121,7 @@
         self._received_bytes = 0
         self._written_bytes = 0
         self._buffered_answer_bytes = 0
+        self._answered_body_bytes = 0
         self._timer: Any = None
 
     def connectionMade(self) -> None:
@@ -151,7 +152,15 @@
     @property
     def held_bytes(self) -> int:
         """Number of bytes that the process holds for the caller."""
-        return self.unsent_bytes + self._buffered_answer_bytes
+        being_read = 0 if self._incoming is None else self._incoming.size
+        sent_ahead = len(self._codec.trailing_data[0])
+        answered = self._answered_body_bytes + self._buffered_answer_bytes
+        return being_read + sent_ahead + answered + self.unsent_bytes
+
+    @property
+    def awaits_peer(self) -> bool:
+        """Whether the caller has not sent its request, or not taken what is written."""
+        return self._incoming is not None or self.unsent_bytes > 0
 
     @property
     def moved_bytes(self) -> int:
@@ -159,8 +168,11 @@
         return self._received_bytes + self._written_bytes - self.unsent_bytes
 
     def shed(self) -> None:
-        """Close the connection; what is written and not sent is lost."""
-        self.transport.abortConnection()
+        """Refuse a request that is being read, else abort the connection."""
+        if self._incoming is None:
+            self.transport.abortConnection()
+        else:
+            self._refuse(LimitExceeded.MEMORY_FULL)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes up to the end of one request."""
@@ -173,6 +185,7 @@
         self._codec.receive_data(data)
         if self._answering:
             self._pipelined.add(len(data), self.factory.reactor.seconds())
+            self.factory.memory.record(self, len(data))
             self._limit_pipelining()
             return
         self._read_events()
@@ -194,7 +207,8 @@
         self._stop_timer()
         self.factory.connections.discard(self)
         self.factory.memory.discard(self)
-        self._buffered_answer_bytes = 0
+        self._incoming = None
+        self._buffered_answer_bytes = self._answered_body_bytes = 0
         self.notify_disconnected()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -226,6 +240,7 @@
         """Complete the response, and read the next request unless too little has been sent."""
         self.listener = None
         self.hold(0)
+        self._answered_body_bytes = 0
         self._send(h11.EndOfMessage())
         self._answering = False
         if self._codec.our_state is not h11.DONE or self._codec.their_state is not h11.DONE:
@@ -333,6 +348,10 @@
             self._refuse(LimitExceeded.BODY_TOO_LARGE)
             return False
         incoming.parts.append(data)
+        self.factory.memory.record(self, len(data))
+        if self.factory.memory.is_full:
+            self._refuse(LimitExceeded.MEMORY_FULL)
+            return False
         self._set_timer(self.factory.limits.idle_timeout_s, self._refuse_too_slow)
         return True
 
@@ -342,6 +361,7 @@
             return
         self._incoming = None
         self._answering = True
+        self._answered_body_bytes = incoming.size
         self._answers_head = head.method == b"HEAD"
         self._stop_timer()
         request = IncomingRequest(
@@ -359,10 +379,13 @@
             return
         body = self.factory.on_refused(reason)
         self._ignoring_input = True
+        self._incoming = None
+        retry_after_s = reason.retry_after_s
+        retry = "" if retry_after_s is None else f"Retry-After: {retry_after_s:.3f}\r\n"
         head = (
             f"HTTP/1.1 {reason.value} {reason.name.replace('_', ' ').title()}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-            "Connection: close\r\n\r\n"
+            f"{retry}Connection: close\r\n\r\n"
         )
         self.transport.write(head.encode() + body)
         self._linger()
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -11,6 +11,7 @@
 @dataclass(eq=False)
 class Holder:
     held_bytes: int = 0
+    awaits_peer: bool = True
     moved_bytes: int = 0
 
     def shed(self) -> None:
@@ -54,6 +55,14 @@
     assert account.held_bytes == 500
 
 
+# Guards against closing callers with long bodies that only wait for their answers.
+def test_callers_that_wait_for_an_upstream_are_not_closed() -> None:
+    account = MemoryAccount(limit_bytes=LIMIT)
+    waiting, slow = hold(account, 900), hold(account, 200)
+    waiting.awaits_peer = False
+    assert account.choose_excess() == [slow]
+
+
 def test_without_a_limit_nothing_is_counted() -> None:
     account = MemoryAccount()
     hold(account, 10**12)
