--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -36,6 +36,7 @@
     LimitExceeded.TOO_SLOW: ResultCode.REQUEST_TOO_SLOW,
     LimitExceeded.BODY_TOO_LARGE: ResultCode.BODY_TOO_LARGE,
     LimitExceeded.HEAD_TOO_LARGE: ResultCode.BAD_HEADER,
+    LimitExceeded.MEMORY_FULL: ResultCode.MEMORY_FULL,
 }
 
 
@@ -106,6 +107,9 @@
         if self._configuration.refuses_requests:
             self._refuse_temporarily(request, metadata, responder, ResultCode.STOPPING)
             return
+        if self._context.memory.is_full:
+            self._refuse_temporarily(request, metadata, responder, ResultCode.MEMORY_FULL)
+            return
         route = table.find_route(metadata.host, metadata.path)
         needs_key = table.workspaces is not None and not (route is not None and route.public)
         if needs_key and self._configuration.is_stale:
--- a/greengagestage/http1/_requests.py
+++ b/greengagestage/http1/_requests.py
@@ -12,13 +12,20 @@
     """Why a request was refused before it was read to its end.
 
     The value is the HTTP status of the refusal. ``MALFORMED`` stands for no limit but for invalid
-    or ambiguous HTTP, such as several Host headers.
+    or ambiguous HTTP, such as several Host headers; ``MEMORY_FULL`` for a limit on what the process
+    holds for all callers.
     """
 
     MALFORMED = 400
     TOO_SLOW = 408
     BODY_TOO_LARGE = 413
     HEAD_TOO_LARGE = 431
+    MEMORY_FULL = 503
+
+    @property
+    def retry_after_s(self) -> float | None:
+        """Time after which the request may be sent again; None if it would be refused again."""
+        return 0.1 if self is LimitExceeded.MEMORY_FULL else None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,5 +73,11 @@
     def finish(self) -> None:
         """Complete the response."""
 
+    def hold(self, count: int) -> bool:
+        """Count the bytes of a response that are buffered elsewhere until it is complete.
+
+        Returns whether there is room for them. The count is 0 again once a response is sent.
+        """
+
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -12,6 +12,7 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import ObservedConnection
+from ._memory import MemoryAccount
 from ._pipelining import ByteArrivals
 from ._requests import IncomingRequest, LimitExceeded
 from ._sockets import (
@@ -39,6 +40,7 @@
     Args:
         on_request: Called with each complete request and the connection that takes its response.
         on_refused: Called with the reason for refusing a request; returns the body of the refusal.
+        memory: Counts what is held for callers; None to count nothing.
 
     Attributes:
         discarded_bytes: Number of bytes that were received on connections about to be closed.
@@ -52,10 +54,12 @@
         reactor: Any,
         on_request: Callable[[IncomingRequest, "CallerConnection"], None],
         on_refused: Callable[[LimitExceeded], bytes],
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.reactor = reactor
         self.on_request = on_request
         self.on_refused = on_refused
+        self.memory = memory or MemoryAccount()
         self.limits = ConnectionLimits()
         self.closing = False
         self.discarded_bytes = 0
@@ -113,6 +117,11 @@
         # abort. Bytes received from then on are discarded.
         self._ignoring_input = False
         self._paused_reading = False
+        self._backlogged = False
+        self._received_bytes = 0
+        self._written_bytes = 0
+        self._buffered_answer_bytes = 0
+        self._answered_body_bytes = 0
         self._timer: Any = None
 
     def connectionMade(self) -> None:
@@ -125,8 +134,10 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return not self._answering and self._incoming is None and not self._ignoring_input
+        """Whether no request is being read or answered, or waits for earlier answers."""
+        if self._answering or self._incoming is not None or self._ignoring_input:
+            return False
+        return not self._codec.trailing_data[0]
 
     @property
     def has_unread_bytes(self) -> bool:
@@ -138,8 +149,34 @@
         """Number of written bytes that the process still holds, since the caller reads slowly."""
         return count_unsent_bytes(self.transport)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that the process holds for the caller."""
+        being_read = 0 if self._incoming is None else self._incoming.size
+        sent_ahead = len(self._codec.trailing_data[0])
+        answered = self._answered_body_bytes + self._buffered_answer_bytes
+        return being_read + sent_ahead + answered + self.unsent_bytes
+
+    @property
+    def awaits_peer(self) -> bool:
+        """Whether the caller has not sent its request, or not taken what is written."""
+        return self._incoming is not None or self.unsent_bytes > 0
+
+    @property
+    def moved_bytes(self) -> int:
+        """Number of bytes that the caller has sent, or taken into the kernel's send queue."""
+        return self._received_bytes + self._written_bytes - self.unsent_bytes
+
+    def shed(self) -> None:
+        """Refuse a request that is being read, else abort the connection."""
+        if self._incoming is None:
+            self.transport.abortConnection()
+        else:
+            self._refuse(LimitExceeded.MEMORY_FULL)
+
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes up to the end of one request."""
+        self._received_bytes += len(data)
         if self._ignoring_input:
             self.factory.discarded_bytes += len(data)
             return
@@ -149,14 +186,30 @@
             self._begin_reading(now_s)
         self._codec.receive_data(data)
         if self._answering:
+            self.factory.memory.record(self, len(data))
             self._limit_pipelining()
             return
         self._read_events()
 
+    def pauseProducing(self) -> None:
+        """Pause the listener; no further request begins until what is written has been sent."""
+        self._backlogged = True
+        super().pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Resume the listener, or if no request is open, read the next one."""
+        self._backlogged = False
+        super().resumeProducing()
+        if not self._answering and self._incoming is None and not self._ignoring_input:
+            self._resume_reading()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Notify the listener that the caller's connection is lost."""
         self._stop_timer()
         self.factory.connections.discard(self)
+        self.factory.memory.discard(self)
+        self._incoming = None
+        self._buffered_answer_bytes = self._answered_body_bytes = 0
         self.notify_disconnected()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -185,8 +238,10 @@
             self._send(h11.Data(data=data))
 
     def finish(self) -> None:
-        """Complete the response and read the next request."""
+        """Complete the response, and read the next request unless too little has been sent."""
         self.listener = None
+        self.hold(0)
+        self._answered_body_bytes = 0
         self._send(h11.EndOfMessage())
         self._answering = False
         if self._codec.our_state is not h11.DONE or self._codec.their_state is not h11.DONE:
@@ -194,7 +249,16 @@
             return
         self._codec.start_next_cycle()
         self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
-        self._resume_reading()
+        if self._backlogged:
+            self._pause_reading()
+        else:
+            self._resume_reading()
+
+    def hold(self, count: int) -> bool:
+        """Count the bytes of the response that are buffered until it is complete."""
+        self.factory.memory.record(self, count - self._buffered_answer_bytes)
+        self._buffered_answer_bytes = count
+        return not self.factory.memory.is_scarce
 
     def abort(self) -> None:
         """Abort the connection, so that the response cannot look complete."""
@@ -208,7 +272,7 @@
         Bytes that the process has not read yet may be a request, which is answered first. A
         transport with a registered producer that it has paused would never close.
         """
-        if has_unread_bytes(self.transport):
+        if self._codec.trailing_data[0] or has_unread_bytes(self.transport):
             return
         if count_undelivered_bytes(self.transport):
             self._linger()
@@ -217,6 +281,11 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def _pause_reading(self) -> None:
+        if not self._paused_reading:
+            self._paused_reading = True
+            self.transport.pauseProducing()
+
     def _unpause_reading(self) -> None:
         if self._paused_reading:
             self._paused_reading = False
@@ -279,6 +348,10 @@
             self._refuse(LimitExceeded.BODY_TOO_LARGE)
             return False
         incoming.parts.append(data)
+        self.factory.memory.record(self, len(data))
+        if self.factory.memory.is_full:
+            self._refuse(LimitExceeded.MEMORY_FULL)
+            return False
         self._set_timer(self.factory.limits.idle_timeout_s, self._refuse_too_slow)
         return True
 
@@ -288,6 +361,7 @@
             return
         self._incoming = None
         self._answering = True
+        self._answered_body_bytes = incoming.size
         self._answers_head = head.method == b"HEAD"
         self._stop_timer()
         request = IncomingRequest(
@@ -305,10 +379,13 @@
             return
         body = self.factory.on_refused(reason)
         self._ignoring_input = True
+        self._incoming = None
+        retry_after_s = reason.retry_after_s
+        retry = "" if retry_after_s is None else f"Retry-After: {retry_after_s:.3f}\r\n"
         head = (
             f"HTTP/1.1 {reason.value} {reason.name.replace('_', ' ').title()}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-            "Connection: close\r\n\r\n"
+            f"{retry}Connection: close\r\n\r\n"
         )
         self.transport.write(head.encode() + body)
         self._linger()
@@ -349,9 +426,8 @@
         self._set_timer(DELIVERY_CHECK_INTERVAL_S, lambda: self._await_delivery(left, progress_s))
 
     def _limit_pipelining(self) -> None:
-        if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES and not self._paused_reading:
-            self._paused_reading = True
-            self.transport.pauseProducing()
+        if len(self._codec.trailing_data[0]) > MAX_PIPELINED_BYTES:
+            self._pause_reading()
 
     def _build_connection_header(self) -> HeaderList:
         """Return the header that announces the close, while the server stops.
@@ -366,7 +442,10 @@
         return [(b"Connection", b"close")] if is_last else []
 
     def _send(self, event: Any) -> None:
-        self.transport.write(self._codec.send(event))
+        data = self._codec.send(event)
+        self._written_bytes += len(data)
+        self.factory.memory.record(self, len(data))
+        self.transport.write(data)
 
     def _set_timer(self, delay_s: float, call: Callable[[], None]) -> None:
         self._stop_timer()
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -182,3 +182,14 @@
         assert caller.is_complete
         assert caller.body.count(b"data: ") == 10
     assert process._pool.opened == 2
+
+
+# Guards against long bodies that arrive in part, or out of order with the next request.
+def test_long_bodies_arrive_whole_on_one_connection(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one")
+    process = start(fleet)
+    bodies = [bytes(range(256)) * count for count in (256, 257, 4_000, 1)]
+    for number, body in enumerate(bodies):
+        assert fleet.call("/order/x", attempt=f"a{number}", body=body).status == 200
+    assert [request.body for request in upstream.requests] == bodies
+    assert process._pool.opened == 1
