Let requests wait at a host that starts until it has read what crashes upstreams

In the harness, one request passed while the read took 0.4 s, and one while the first read was lost; none where the store answered at once.

Requests now wait on their host until the first read has returned, 1.85 s after the start of the host at the latest: the time in which a read that is not answered is repeated once. Usually the record comes with the configuration, without which a host refuses requests anyway. The test failed before in both cases.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -21,6 +21,9 @@
 OTHER_HOST_RETRY_AFTER_S = 0.1
 """``Retry-After`` of a refusal where another host can probably serve the request at once."""
 
+RECORD_POLL_S = 0.01
+"""Pause until a request is placed again that waits for the record of crashes."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExchangeContext:
@@ -33,6 +36,8 @@
         notices: Records what upstreams state about further requests.
         confirm_versions: Reads which versions of a service are, and were, listed; the result is
             whether each version at which a stream began is known then.
+        awaits_crashes: Returns whether this host has just started and does not know yet what has
+            crashed upstreams.
         takes_requests: Returns whether the host is not in the later part of a shutdown.
         count_begun: Counts a request of a workspace that has begun to run, for usage reports.
         open_exchanges: All exchanges that have not delivered a final answer.
@@ -47,6 +52,7 @@
     notices: UpstreamNotices
     metrics: EntryMetrics
     confirm_versions: Callable[[ServiceName], Deferred[bool]]
+    awaits_crashes: Callable[[], bool] = lambda: False
     takes_requests: Callable[[], bool] = lambda: True
     count_begun: Callable[[WorkspaceId], None] = lambda workspace: None
     open_exchanges: set[Any] = field(default_factory=set)
@@ -58,8 +64,12 @@
 
         Late in a shutdown, a job is not sent for the first time, nor again if it may run only
         once: it would be cut off with an unknown result, while another host can serve it. A job
-        that has been sent may be retried.
+        that has been sent may be retried. Right after the start, a job waits until this host knows
+        what has crashed upstreams.
         """
+        if self.awaits_crashes():
+            reason = "the record of crashes has not been read yet"
+            return Waiting(delay_s=RECORD_POLL_S, reason=reason)
         is_first = not tried and not unreached
         may_repeat = job.route.kind is not RouteKind.NON_IDEMPOTENT
         if job.began_at is None and (is_first or not may_repeat) and not self.takes_requests():
--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -63,6 +63,11 @@
         """The suspected parts of prompts."""
         return self._watch.suspects
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether this host has just started and does not know the record yet."""
+        return self._table.is_awaited
+
     def start(self) -> None:
         """Read the record in the store and keep it complete."""
         self._table.start()
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -20,6 +20,7 @@
 
 from greengagestage.decoding import Integer, convert_json
 from greengagestage.platform import (
+    CALL_TIMEOUT_S,
     RowClient,
     RowExpectation,
     RowId,
@@ -58,6 +59,10 @@
 RETRY_S = 0.3
 """Pause after a failed call, with a jitter of 50%."""
 
+MAX_READ_WAIT_S = 2 * CALL_TIMEOUT_S + 1.5 * RETRY_S
+"""Time after the start of a host for which it sends nothing while it has not read the record: one
+read may be repeated that is not answered. The store usually answers with the configuration."""
+
 CHECK_PAUSE_S = 5.0
 """Time between two checks whether something that this host knows may be missing."""
 
@@ -131,6 +136,12 @@
         """Stop reading and writing."""
         self._task.stop()
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether this host should know soon what the record says."""
+        wait_s = self._reactor.seconds() - self._started_s
+        return not self._is_read and wait_s < MAX_READ_WAIT_S
+
     def record_request(self, record: LossRecord) -> None:
         """Record a request that is quarantined because of a loss at this host."""
         self._pending[_build_key(record)] = record
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -340,6 +340,7 @@
             ),
             metrics=self._metrics,
             confirm_versions=self._confirm_versions,
+            awaits_crashes=lambda: self._crashes.is_awaited,
             takes_requests=lambda: not self._configuration.refuses_requests,
             count_begun=self._count_begun,
         )
--- a/greengagestage/platform/__init__.py
+++ b/greengagestage/platform/__init__.py
@@ -52,8 +52,10 @@
     Transaction,
     build_put,
 )
+from ._store_calls import CALL_TIMEOUT_S
 
 __all__ = [
+    "CALL_TIMEOUT_S",
     "CONFIGURATION_KEY",
     "HOST_TABLE",
     "MAX_TRANSACTION_ROWS",
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,8 +5,10 @@
 import pytest
 
 from greengagestage.gateway import HostProcess
+from greengagestage.http1 import IncomingRequest, Responder
 from greengagestage.ids import Crash
 from greengagestage.routing import PartLoss
+from standins.row_store import RowStore
 
 from . import host_harness as harness
 from .cut_links import Cut, CutHost
@@ -118,3 +120,52 @@
     if not hosts_see_it:
         fleet.store.restore(copy)
     assert count_known(fleet) == (5 if hosts_see_it else 3)
+
+
+# Guards against a host that sends requests before it has read what crashes upstreams.
+@pytest.mark.parametrize("late_s", [0.0, 0.4, 1.0])
+def test_a_host_sends_nothing_before_it_knows_what_crashes_upstreams(
+    monkeypatch: pytest.MonkeyPatch, late_s: float
+) -> None:
+    reads: list[float] = []
+
+    def answer_late(store: RowStore, request: IncomingRequest, responder: Responder) -> None:
+        is_read = b"/rows-get" in request.target and b"greengagestage-crashes" in request.target
+        if is_read:
+            reads.append(store.reactor.seconds())
+        # The first read of the host that starts is late, or not answered in time.
+        delay_s = late_s if is_read and len(reads) == 2 else 0.0
+        store.reactor.callLater(delay_s, handle, store, request, responder)
+
+    handle = RowStore.handle
+    monkeypatch.setattr(RowStore, "handle", answer_late)
+    with running_fleet() as fleet:
+        engines = add_engines(fleet, 9)
+        start_hosts(fleet, 1)
+        for number in range(3):
+            send(fleet, number, f"aa:600,bad:300,own{number}:40")
+        end_hosts(fleet)
+        arrivals = count_arrivals(engines)
+        fleet.start_host("later", address="127.0.0.9")
+        fleet.wait_ready()
+        caller = fleet.call("/long/x", attempt="b1", parts="aa:600,bad:300,c:4")
+        assert count_arrivals(engines) == arrivals
+        assert caller.error["code"] == 2012
+        assert fleet.call("/long/y", attempt="b2", parts="aa:600,cc:300,c:4").status == 200
+
+
+# Guards against a host that serves nobody while the record of crashes cannot be read.
+def test_a_host_waits_for_the_record_of_crashes_for_a_limited_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def refuse_reads(store: RowStore, request: IncomingRequest, responder: Responder) -> None:
+        if b"greengagestage-crashes" not in request.target:
+            handle(store, request, responder)
+
+    handle = RowStore.handle
+    monkeypatch.setattr(RowStore, "handle", refuse_reads)
+    with running_fleet() as fleet:
+        fleet.add_upstream("s1")
+        fleet.start_host()
+        fleet.wait_ready()
+        assert fleet.call("/lookup/x", attempt="a1", deadline_ms=3_000).status == 200
