End a host only at a moment at which all that it has read is answered

What callers saw: a request that was sent on an open connection to a host that was just stopping got no answer, and its connection was closed, although the host's log had it as refused (2010).

Cause: once nothing was open, unsent or unread, the process still ran for 0.1 s and then ended without another look. What it read last was refused, but the refusal had not left the process.

Change: the process ends in the same turn of its loop in which it has found that nothing is open, unsent or unread, so that it can read nothing more. Only requests that the end of the grace period interrupts still get 0.1 s for their last answers.

--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -103,8 +103,14 @@
             )
             for exchange in list(self._open_exchanges):
                 self._stop_exchange(exchange)
+            self._reactor.callLater(CHECK_INTERVAL_S, self._end)
+            return
+        # The process ends before it can read anything more: what it reads, it also answers.
+        self._end()
+
+    def _end(self) -> None:
         if self._done is not None and not self._done.called:
-            self._reactor.callLater(CHECK_INTERVAL_S, self._done.callback, None)
+            self._done.callback(None)
 
     def _stop_exchange(self, exchange: Stoppable) -> None:
         """Stop one request. An exception must not keep the host from stopping, so it is logged."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -30,6 +30,20 @@
         self._requests.discard(self)
 
 
+class Connection:
+    """A caller's connection on which a request is read, and its answer sent a little later."""
+
+    idle = False
+    has_unread_bytes = False
+    unsent_bytes = 0
+
+    def read(self) -> None:
+        self.unsent_bytes = 100
+
+    def send(self) -> None:
+        self.unsent_bytes = 0
+
+
 @pytest.fixture
 def messages():
     logged: list[dict[str, Any]] = []
@@ -38,8 +52,9 @@
     eliot.remove_destination(logged.append)
 
 
-def build_shutdown(clock: Clock, open_requests: set[Any]) -> Shutdown:
+def build_shutdown(clock: Clock, open_requests: set[Any], *connections: Any) -> Shutdown:
     server = ServerFactory(reactor=clock, on_request=lambda *_: None, on_refused=lambda limit: b"")
+    server.connections.update(connections)
     return Shutdown(
         reactor=clock,
         grace_s=GRACE_S,
@@ -65,3 +80,19 @@
     (failure,) = [m for m in messages if m.get("message_type") == "host: request not answered"]
     assert failure["request"] == "a2"
     assert "no answer" in failure["fault"]
+
+
+# Guards against a process that ends after it has read a request and before the answer has left.
+@pytest.mark.parametrize("came_s", [step / 50 for step in range(125, 145)])
+def test_a_host_ends_with_nothing_read_that_is_not_answered(came_s: float) -> None:
+    clock = Clock()
+    connection = Connection()
+    unsent: list[int] = []
+    done = build_shutdown(clock, set(), connection).begin()
+    done.addCallback(lambda _: unsent.append(connection.unsent_bytes))
+    for call, at_s in ((connection.read, came_s), (connection.send, came_s + 0.03)):
+        clock.callLater(at_s, call)
+    while not unsent:
+        clock.advance(0.01)
+    assert unsent == [0]
+    assert clock.seconds() < GRACE_S
