Soak: note when the proxy passes a request on, and do not count one that crossed the close

The soak's one process plays the callers, the links and the upstreams, and at times takes longer than LossSlackMs to pass a request on.

Change: the proxy sends bytes at once in place of one turn later, and notes the time if the kernel says that the host has not closed its side. All others count as before, also those whose time is not known.

--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -1,5 +1,6 @@
 """Checks of what callers receive."""
 
+import math
 from collections.abc import Callable
 
 from ._bounds import CONFIGURATION_APPLY_S, GRACE_S, LOSS_SLACK_S
@@ -170,12 +171,18 @@
             return
         causes = self._list_planned(attempt)
         passed_on = bool(arrivals)
+        # A request that crosses the close does not count. In this process, which plays the callers,
+        # the links and the upstreams, it may be on its way for longer than ``LOSS_SLACK_S``.
+        if not passed_on and attempt.passed_s == math.inf:
+            return
         if passed_on or (
             causes and not own_failure and ended_s > attempt.last_byte_s + LOSS_SLACK_S
         ):
             what = f"own {attempt.status}" if own_failure else "cut"
             where = ", ".join(f"{a.upstream} {a.status or 'unanswered'}" for a in arrivals)
             text = f"{what} after {elapsed_s:.2f} s (at {where or 'no upstream'}) around {causes}"
+            if attempt.passed_s is not None:
+                text += f", passed on after {attempt.passed_s - began_s:.2f} s"
             # A process that ends resets the connections that it has not read. Only its log shows
             # whether it has read a request that no upstream got.
             if attempt.was_reset and not attempt.status and not passed_on:
--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -1,5 +1,6 @@
 """A caller's connection: sends one request at a time and records the answer."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -27,13 +28,22 @@
 
     Args:
         on_stray: Called with bytes that arrive while no request is open, or are no HTTP answer.
+        find_passed_s: Returns when the bytes from a local port had been passed on to the host.
     """
 
     transport: Any
 
-    def __init__(self, clock: Any, on_stray: Callable[[Attempt | None, bytes], None]) -> None:
+    def __init__(
+        self,
+        clock: Any,
+        on_stray: Callable[[Attempt | None, bytes], None],
+        find_passed_s: Callable[[int, int], float],
+    ) -> None:
         self._clock = clock
         self._on_stray = on_stray
+        self._find_passed_s = find_passed_s
+        self._port = 0
+        self._sent_bytes = 0
         self._codec = h11.Connection(h11.CLIENT)
         self._attempt: Attempt | None = None
         self._done: Deferred[None] | None = None
@@ -42,6 +52,9 @@
         self._following: tuple[Attempt, Deferred[None]] | None = None
         self.usable = True
 
+    def connectionMade(self) -> None:
+        self._port = self.transport.getHost().port
+
     def send(self, attempt: Attempt) -> "Deferred[None]":
         """Send a request; the result fires at its end."""
         plan = attempt.plan
@@ -49,7 +62,7 @@
         self._pending_events = b""
         data = self._codec.send(_build_head(plan))
         half = len(plan.body) // 2
-        self.transport.write(data + self._codec.send(h11.Data(data=plan.body[:half])))
+        self._write(data + self._codec.send(h11.Data(data=plan.body[:half])))
         later = self._clock.callLater
         if plan.pause_s:
             later(plan.pause_s, self._send_rest, attempt)
@@ -60,9 +73,7 @@
 
     def send_following(self, attempt: Attempt) -> "Deferred[None]":
         """Send a request before the answer to the open one, which has been sent whole."""
-        data = _encode_request(h11.Connection(h11.CLIENT), attempt.plan)
-        self.transport.write(data)
-        attempt.last_byte_s = self._clock.seconds()
+        self._write_last(attempt, _encode_request(h11.Connection(h11.CLIENT), attempt.plan))
         self._following = attempt, Deferred()
         return self._following[1]
 
@@ -87,8 +98,25 @@
             return
         rest = attempt.plan.body[len(attempt.plan.body) // 2 :]
         data = self._codec.send(h11.Data(data=rest))
-        self.transport.write(data + self._codec.send(h11.EndOfMessage()))
+        self._write_last(attempt, data + self._codec.send(h11.EndOfMessage()))
+
+    def _write(self, data: bytes) -> None:
+        self._sent_bytes += len(data)
+        self.transport.write(data)
+
+    def _write_last(self, attempt: Attempt, data: bytes) -> None:
+        """Send the last bytes of a request."""
+        self._write(data)
         attempt.last_byte_s = self._clock.seconds()
+        attempt.last_offset = self._sent_bytes
+
+    def _close_attempt(self, attempt: Attempt, ending: Ending) -> None:
+        """Record the end of a request, and when the host can have read it."""
+        attempt.ending, attempt.ended_s = ending, self._clock.seconds()
+        is_sent = attempt.last_offset > 0
+        attempt.passed_s = (
+            self._find_passed_s(self._port, attempt.last_offset) if is_sent else math.inf
+        )
 
     def dataReceived(self, data: bytes) -> None:
         if self._attempt is None:
@@ -175,7 +203,7 @@
         if self._following is None:
             return
         (attempt, done), self._following = self._following, None
-        attempt.ending, attempt.ended_s = ending, self._clock.seconds()
+        self._close_attempt(attempt, ending)
         attempt.was_reset = was_reset
         done.callback(None)
 
@@ -186,8 +214,7 @@
                 timer.cancel()
         if attempt is None or self._done is None:
             return
-        attempt.ending = ending
-        attempt.ended_s = self._clock.seconds()
+        self._close_attempt(attempt, ending)
         done, self._done = self._done, None
         done.callback(None)
 
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -85,6 +85,9 @@
             answer of an upstream; 0 without either.
         head_s: When the head of the answer arrived.
         was_reset: Whether the connection was reset before the answer was complete.
+        last_offset: Offset of the end of the request in all that was sent on its connection.
+        passed_s: When the proxy had passed the whole request on to its host, whose side of the
+            connection was still open; infinite if it had not, None if that is not known.
     """
 
     plan: RequestPlan
@@ -100,6 +103,8 @@
     begun_s: float = 0.0
     head_s: float = math.inf
     was_reset: bool = False
+    last_offset: int = 0
+    passed_s: float | None = None
 
     @property
     def closes(self) -> bool:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,5 +1,7 @@
 """A loopback proxy that delays, holds back or resets the connections of one link."""
 
+import math
+import socket
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
@@ -12,6 +14,8 @@
 from zope.interface import implementer
 
 CONNECT_TIMEOUT_S = 2.0
+TCP_ESTABLISHED = 1
+"""State of a connection that neither side has closed, as the kernel numbers them."""
 
 
 class LinkFault(Enum):
@@ -36,6 +40,21 @@
 }
 
 
+@dataclass(slots=True)
+class Passage:
+    """When the bytes of a caller's connection were passed on to a target that was still open.
+
+    Attributes:
+        ends: Offsets of the ends of what was passed on at once, and the times.
+    """
+
+    ends: list[tuple[int, float]] = field(default_factory=list)
+
+    def find_passed_s(self, offset: int) -> float:
+        """Return when the bytes up to an offset had been passed on; infinite if they were not."""
+        return next((passed_s for end, passed_s in self.ends if end >= offset), math.inf)
+
+
 class _Close(Enum):
     HALF = "half"
     FULL = "full"
@@ -52,6 +71,7 @@
         self.link = link
         self.takes_requests = takes_requests
         self.peer: _Side | None = None
+        self.passage = Passage()
         self._queue: deque[tuple[float, bytes | _Close]] = deque()
         self._open = False
         self._read_closed = False
@@ -114,7 +134,17 @@
             case _Close.RESET:
                 self.reset()
             case bytes():
-                self.transport.write(item)
+                self._send_bytes(item)
+
+    def _send_bytes(self, data: bytes) -> None:
+        """Send bytes at once, and note those that reach a target which has not closed before."""
+        handle = self.transport.getHandle()
+        state = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        self.transport.write(data)
+        self.transport.doWrite()
+        if state == TCP_ESTABLISHED:
+            passed = self.passage.ends[-1][0] if self.passage.ends else 0
+            self.passage.ends.append((passed + len(data), self.link.seconds()))
 
     def _pass_on(self, item: bytes | _Close) -> None:
         if self.peer is not None:
@@ -160,6 +190,7 @@
     fault: LinkFault = LinkFault.NONE
     delay_s: float = 0.0
     sides: set[_Side] = field(default_factory=set)
+    passages: dict[int, Passage] = field(default_factory=dict)
     address: tuple[str, int] = ("", 0)
 
     def open(self) -> tuple[str, int]:
@@ -172,6 +203,11 @@
         """Return the reactor's time."""
         return float(self.reactor.seconds())
 
+    def find_passed_s(self, port: int, offset: int) -> float:
+        """Return when the bytes from a caller's port had been passed on; see ``Passage``."""
+        passage = self.passages.get(port)
+        return math.inf if passage is None else passage.find_passed_s(offset)
+
     def holds(self, *, requests: bool) -> bool:
         """Return whether a direction is held back."""
         return requests in _HELD.get(self.fault, ())
@@ -195,5 +231,6 @@
             return
         side = _Side(self, takes_requests=True)
         side.peer, accepted.peer = accepted, side
+        self.passages[accepted.transport.getPeer().port] = side.passage
         address, port = self.target
         self.reactor.connectTCP(address, port, _Connector(side), timeout=CONNECT_TIMEOUT_S)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -133,7 +133,9 @@
         context = self.context
         connection: CallerConnection = await dial(
             context.reactor,
-            lambda: CallerConnection(context.reactor, context.on_stray),
+            lambda: CallerConnection(
+                context.reactor, context.on_stray, host.callers_link.find_passed_s
+            ),
             host.callers,
         )
         old = self._connections.get(host.name)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,5 +1,6 @@
 """Tests that each check of the soak reports the fault that it is for, and no excused one."""
 
+import math
 from random import Random
 from types import SimpleNamespace
 
@@ -280,6 +281,30 @@
     assert records.rules == ["LOST"] * (logged or not was_reset)
 
 
+# Guards against blaming a host for a request that was still on its way when the host closed, and
+# against overlooking one that had reached the host or an upstream.
+@pytest.mark.parametrize(
+    ("passed_s", "arrived", "rules"),
+    [
+        (math.inf, False, []),
+        (math.inf, True, ["LOST"]),
+        (SENT_S + 0.1, False, ["LOST"]),
+        (None, False, ["LOST"]),
+    ],
+)
+def test_a_cut_counts_unless_the_host_had_closed_before_the_request_came(
+    records: SoakRecords, passed_s: float | None, arrived: bool, rules: list[str]
+) -> None:
+    records.disturbances.begin_stop("host-1", SENT_S - 1.0)
+    attempt = records.send(build_plan("open"))
+    attempt.passed_s = passed_s
+    if arrived:
+        records.receive(attempt.plan)
+    records.end(attempt, Ending.BROKEN)
+    records.answers.finish(SENT_S + 10.0)
+    assert records.rules == rules
+
+
 @pytest.mark.parametrize(("deadly", "rules"), [(False, ["LOST"]), (True, [])])
 def test_a_sound_request_refused_for_crashes_is_reported(
     records: SoakRecords, deadly: bool, rules: list[str]
--- /dev/null
+++ b/tests/test_soak_proxy.py
@@ -0,0 +1,32 @@
+"""The record of the soak's proxy of what reaches a host."""
+
+import math
+import socket
+from contextlib import closing
+
+from soak._proxy import Link, LinkFault
+
+from .reactors import run_until, running_reactor
+
+
+# Guards against a cut request that counts as crossing the close although it came before it, or as
+# read although it came after it.
+def test_only_bytes_that_were_passed_on_before_the_targets_close_count() -> None:
+    with running_reactor() as reactor, closing(socket.create_server(("127.0.0.1", 0))) as listener:
+        link = Link(reactor=reactor, interface="127.0.0.1", target=listener.getsockname())
+        with closing(socket.create_connection(link.open())) as caller:
+            port = caller.getsockname()[1]
+            caller.sendall(b"first")
+            run_until(reactor, lambda: link.find_passed_s(port, 5) < math.inf)
+            target = listener.accept()[0]
+            assert target.recv(64) == b"first"
+            assert link.find_passed_s(port, 5) <= link.seconds()
+            assert link.find_passed_s(port, 6) == math.inf
+            link.set_fault(LinkFault.CUT_REQUESTS)
+            caller.sendall(b"later")
+            run_until(reactor, lambda: any(side._queue for side in link.sides))
+            target.shutdown(socket.SHUT_WR)
+            link.set_fault(LinkFault.NONE)
+            assert target.recv(64) == b"later"
+            assert link.find_passed_s(port, 10) == math.inf
+            target.close()
