Entry process: do not let the idle time-out drop a request that has arrived unread

What callers saw: a busy process closed an idle connection although a request had arrived on it, if the time-out was due before the request was read.

Change: the time-out leaves such a connection open for another span.

Result: the new case of the test failed on the code before.

--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -177,6 +177,13 @@
             self._linger_timer.cancel()
         super().connectionLost(reason)
 
+    def timeoutConnection(self) -> None:
+        """Close the connection, unless bytes have arrived that are not read yet."""
+        if has_unread_bytes(self.transport):
+            self.setTimeout(self.timeOut)
+        else:
+            super().timeoutConnection()
+
     @property
     def receiving(self) -> bool:
         """Whether a request has arrived in part."""
--- a/tests/test_entry_pipelining.py
+++ b/tests/test_entry_pipelining.py
@@ -1,6 +1,7 @@
 """Tests of requests that a caller sends to an entry process before earlier ones are answered."""
 
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -15,26 +16,32 @@
 REQUEST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
 
 
-def build_server(reactor: Any, requests: list[CallerRequest]) -> CallerServer:
+def build_server(
+    reactor: Any, requests: list[CallerRequest], *, idle_timeout_s: float = 60.0
+) -> CallerServer:
     return CallerServer(
         reactor=reactor,
-        limits=ServerLimits(),
+        limits=ServerLimits(idle_timeout_s=idle_timeout_s),
         on_request=requests.append,
         on_refused=lambda code: RequestId("r"),
     )
 
 
 # Guards against a busy process that closes connections on which a request has arrived unread.
-def test_a_request_that_has_arrived_unread_keeps_its_connection_open() -> None:
+@pytest.mark.parametrize("times_out", [False, True])
+def test_a_request_that_has_arrived_unread_keeps_its_connection_open(times_out: bool) -> None:
     with running_reactor() as reactor:
         requests: list[CallerRequest] = []
-        server = build_server(reactor, requests)
+        server = build_server(reactor, requests, idle_timeout_s=0.2)
         port: Any = server.listen("127.0.0.1", 0)
         address = port.getHost()
         with socket.create_connection((address.host, address.port)) as caller:
             run_until(reactor, lambda: bool(server.channels))
             caller.sendall(REQUEST % 1)
-            server.close_idle()
+            if times_out:
+                time.sleep(0.3)  # the process is busy
+            else:
+                server.close_idle()
             run_until(reactor, lambda: bool(requests) or not server.channels)
             assert len(requests) == 1
         port.stopListening()
