Quarantine a known part longer for each crash under it, also for simultaneous ones

Callers saw a prompt part that had crashed five upstreams within 0.2 s reach upstreams again 60 s later.

Cause: the length of a quarantine counted only crashes of which each request was sent after the previous loss, like the decision whether a part is known at all. Five crashes under requests that were under way together gave the shortest quarantine. Besides, at most eight losses are kept and the oldest one was dropped, so that many crashes at one moment displaced the two in sequence through which the part was known.

Change: once a part is known, each distinct crash under it doubles the quarantine. Of too many losses, one is dropped without which as much is certain; the eight that are kept suffice for the longest quarantine.

--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -13,13 +13,14 @@
 
 FIRST_QUARANTINE_S = 60.0
 MAX_QUARANTINE_S = 3_600.0
-"""A quarantine begins with the latest crash. Its duration doubles with each further crash."""
+"""A quarantine begins with the latest crash. Its duration doubles with each further crash under the
+part, also with those at the same moment: each has cost an upstream."""
 
 MIN_COMMON_CRASHES = 2
 """Number of crashes that two parts must have in common for one to account for the other's."""
 
 MAX_CRASHES_PER_PART = 8
-"""Maximum number of crashes kept for one part; the oldest ones are dropped."""
+"""Maximum number of crashes kept for one part, for which it is quarantined longest."""
 
 MAX_PARTS = 2_048
 """Maximum number of suspected parts, of which those with the least evidence are dropped first, and
@@ -61,17 +62,24 @@
     return PartHash(xxhash.xxh64_intdigest(part.encode()))
 
 
-def _count_successive(losses: Iterable[PartLoss]) -> int:
-    """Return how many of some losses came one after the other.
+def _select_successive(losses: Iterable[PartLoss]) -> list[PartLoss]:
+    """Return those of some losses that came one after the other.
 
     A loss counts only if its request was sent after the previous counted one was lost. Upstreams
     that crash together have a common cause, and say no more about a part than one of them.
     """
-    count, lost_s = 0, float("-inf")
+    selected: list[PartLoss] = []
     for loss in sorted(losses, key=lambda loss: loss.lost_s):
-        if loss.sent_s >= lost_s:
-            count, lost_s = count + 1, loss.lost_s
-    return count
+        if not selected or loss.sent_s >= selected[-1].lost_s:
+            selected.append(loss)
+    return selected
+
+
+def _choose_dropped(losses: Collection[PartLoss]) -> PartLoss:
+    """Return the loss to drop from too many: the oldest one without which as much is certain."""
+    by_time = sorted(losses, key=lambda loss: loss.lost_s)
+    successive = _select_successive(losses)
+    return next((loss for loss in by_time[:-1] if loss not in successive), by_time[0])
 
 
 @dataclass(slots=True, kw_only=True)
@@ -89,15 +97,15 @@
         if loss.crash in self.losses:
             return
         self.losses[loss.crash] = loss
-        while len(self.losses) > MAX_CRASHES_PER_PART:
-            del self.losses[min(self.losses, key=lambda crash: self.losses[crash].lost_s)]
-        self.crashes = _count_successive(self.losses.values())
+        if len(self.losses) > MAX_CRASHES_PER_PART:
+            del self.losses[_choose_dropped(self.losses.values()).crash]
+        self.crashes = len(_select_successive(self.losses.values()))
 
     def drop_until(self, answered_s: float) -> bool:
         """Drop the losses up to an answer; return whether there were any."""
         kept = {crash: loss for crash, loss in self.losses.items() if loss.lost_s > answered_s}
         dropped = len(kept) < len(self.losses)
-        self.losses, self.crashes = kept, _count_successive(kept.values())
+        self.losses, self.crashes = kept, len(_select_successive(kept.values()))
         return dropped
 
     def is_quarantined(self, now_s: float) -> bool:
@@ -111,7 +119,8 @@
 
     @property
     def _quarantine_s(self) -> float:
-        doublings = max(self.crashes - CRASHES_TO_QUARANTINE, 0)
+        is_known = self.crashes >= CRASHES_TO_QUARANTINE
+        doublings = len(self.losses) - CRASHES_TO_QUARANTINE if is_known else 0
         duration_s: float = min(FIRST_QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
         return duration_s
 
@@ -123,7 +132,7 @@
         unexplained = [loss for crash, loss in other.losses.items() if crash not in self.losses]
         if len(other.losses) - len(unexplained) < MIN_COMMON_CRASHES:
             return False
-        return _count_successive(unexplained) < CRASHES_TO_QUARANTINE
+        return len(_select_successive(unexplained)) < CRASHES_TO_QUARANTINE
 
 
 class CrashSuspects:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagestage.gateway._suspect_reports import build_suspect_reports, read_suspect_report
 from greengagestage.ids import Crash, PromptPartId
 from greengagestage.routing import CrashSuspects, PartLoss
 
@@ -121,6 +122,29 @@
     assert is_kept_back(suspects, "bad", crashes + after_s) is kept_back
 
 
+# Guards against crashes that requests under way together caused: only the first of them counted,
+# so that a part that had crashed five upstreams came back after a minute.
+@pytest.mark.parametrize(("crashes", "quarantine_s"), [(5, 480.0), (20, 3_600.0)])
+@pytest.mark.parametrize("told", [False, True])
+def test_crashes_at_the_same_moment_prolong_a_quarantine(
+    crashes: int, quarantine_s: float, told: bool
+) -> None:
+    suspects = CrashSuspects()
+    record_losses(suspects, "all bad", [0])
+    for crash in range(1, crashes):
+        loss = build_loss(crash, sent_s=0.01, lost_s=0.1 + crash / 1_000)
+        suspects.record_loss(build_parts("all bad"), loss)
+    if told:
+        (report,) = build_suspect_reports(suspects.list_records(1.0), 1.0)
+        suspects = CrashSuspects()
+        suspects.learn(read_suspect_report(report, 1.0))
+    assert is_kept_back(suspects, "all bad", quarantine_s)
+    assert not is_kept_back(suspects, "all bad", quarantine_s + 0.2)
+    suspects.record_answer(build_parts("all good"), 1.0)
+    assert not is_kept_back(suspects, "all good", 2.0)
+    assert is_kept_back(suspects, "all bad", quarantine_s)
+
+
 def test_what_is_tracked_is_bounded() -> None:
     suspects = CrashSuspects()
     for number in range(3_000):
