--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -99,10 +99,6 @@
         if cleared:
             self._report(cleared)
 
-    def find_crashing_part(self, prompt: Prompt) -> PromptPartId | None:
-        """Return the part for which a prompt must not be sent; None if it may be sent."""
-        return self.suspects.find_crashing_part(_list_parts(prompt), self._reactor.seconds())
-
     def _confirm(self, lost: LostAnswer, parts: list[PromptPartId]) -> None:
         """Record the loss, unless a connection from before it is in use or others ended with it."""
         upstream = lost.upstream
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -37,7 +37,8 @@
         """Return why a request must not be sent to any upstream; None if it may be sent."""
         if self._losses.is_quarantined(fingerprint, now_s):
             return "equal requests crashed upstreams"
-        part = None if prompt is None else self._crash_watch.find_crashing_part(prompt)
+        parts = [] if prompt is None else [each.part for each in prompt.shared_parts]
+        part = self._crash_watch.suspects.find_crashing_part(parts, now_s)
         return None if part is None else f"prompts with the part {part} crashed upstreams"
 
     def record_answer(self, prompt: Prompt | None) -> None:
