Send one trial request at the end of a part's quarantine, from one host

Callers saw prompts with a known deadly part reach upstreams in groups, through several hosts within 0.2 s, whenever its quarantine ended: 60, 120 s after the last crash.

Cause: a quarantine was a moment before which nothing and after which everything was sent. All hosts reckon the same end, and until the first outcome was judged and told each let through whatever callers repeated.

Change: what was quarantined is remembered for eight times its quarantine. In that time one request is sent as a trial: on a host no other one with the part is sent until it is answered or its crash is judged, and the trial itself only if it has provably not run. Hosts take turns of 4 s, counted from the latest crash and drawn by hash, so that no message is needed; a trial begins in the first half of a turn. A trial without outcome expires. Losses of a trial's answer are examined also before its head, so that they prolong the quarantine. The rule is a module of its own, routing/_trials.py; known parts are now kept for 480 s instead of 120 s after two crashes, which test_old_evidence_is_dropped checks with the new times and one longer case.

--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -1,13 +1,19 @@
 """What a host knows about the requests and prompt parts that crash upstreams, and whom it tells."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from typing import Any
 
 from greengagestage.http1 import ConnectionPool
-from greengagestage.ids import Fingerprint
+from greengagestage.ids import Fingerprint, HostId
 from greengagestage.platform import RowClient
-from greengagestage.routing import CrashSuspects, LossRecord, LossTracker, SuspectRecord
+from greengagestage.routing import (
+    CrashSuspects,
+    LossRecord,
+    LossTracker,
+    SuspectRecord,
+    Trials,
+)
 
 from ._crash_table import CrashTable
 from ._crash_watch import CrashWatch
@@ -22,6 +28,7 @@
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
         report_suspects: Tells the other hosts what has changed about suspected parts.
         get_rank: Returns the position of this host among all hosts; 0 is the first.
+        list_hosts: Returns all known hosts; none before the list has been read.
 
     Attributes:
         quarantine: Keeps requests from being sent.
@@ -37,6 +44,8 @@
         report_loss: Callable[[Fingerprint, str], None],
         report_suspects: Callable[[Sequence[SuspectRecord]], None],
         get_rank: Callable[[], int],
+        host: HostId,
+        list_hosts: Callable[[], Collection[HostId]],
     ) -> None:
         self._reactor = reactor
         self._tell_loss = report_loss
@@ -52,7 +61,11 @@
             get_rank=get_rank,
         )
         self.quarantine = Quarantine(
-            losses=self._losses, crash_watch=self._watch, report_loss=self._report_loss
+            losses=self._losses,
+            crash_watch=self._watch,
+            trials=Trials(host),
+            list_hosts=list_hosts,
+            report_loss=self._report_loss,
         )
 
     @property
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -225,7 +225,7 @@
             self._handover.cancel()
             if not self._origin_recorded:
                 self._record_origin(attempt)
-                self._context.quarantine.record_answer(self._job.prompt)
+                self._context.quarantine.record_answer(self._job)
             self._watch_silence(MAX_PAUSE_S)
         elif not self._delivery.is_stream:
             self._silence.restart()
@@ -240,8 +240,7 @@
             if self._replace_error(attempt):
                 return
         if self._delivery.finish():
-            if not self._delivery.is_stream:
-                self._context.quarantine.record_answer(self._job.prompt)
+            self._context.quarantine.record_answer(self._job)
             self._conclude(ResultCode.DELIVERED)
         else:
             self._handle_fault(attempt, AttemptFault.LOST)
@@ -410,8 +409,9 @@
         return placed
 
     def _find_quarantine(self) -> str | None:
-        quarantine = self._context.quarantine
-        return quarantine.find_reason(self._inputs.fingerprint, self._job.prompt, self._now_s)
+        sends = self._limits.unproved_sends
+        find_reason = self._context.quarantine.find_reason
+        return find_reason(self._inputs.fingerprint, self._job, sends, self._now_s)
 
     def _promote_successor(self) -> None:
         """Give up the silent upstream: the successor alone answers from now on."""
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -208,6 +208,8 @@
             report_loss=lambda fingerprint, loss_id: self._peers.report_loss(fingerprint, loss_id),
             report_suspects=lambda records: self._peers.report_suspects(records),
             get_rank=lambda: self._peers.rank,
+            host=self._settings.host,
+            list_hosts=lambda: [] if self._router.hosts is None else self._peers.list_hosts(),
         )
 
     def _build_row_client(self) -> RowClient:
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/_peers.py
@@ -152,6 +152,10 @@
         """Number of known hosts, including this one."""
         return len(self._peers) + 1
 
+    def list_hosts(self) -> list[HostId]:
+        """Return the ids of all known hosts, including this one."""
+        return [self._host, *self._peers]
+
     @property
     def position(self) -> int:
         """Place of this host among the known hosts, in the order of their ids."""
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -1,12 +1,11 @@
 """Keeps requests from being sent that have crashed upstreams, or are like those that did."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from eliot import log_message
 
-from greengagestage.catalog import Prompt
-from greengagestage.ids import Fingerprint
-from greengagestage.routing import LossTracker
+from greengagestage.ids import Fingerprint, HostId
+from greengagestage.routing import Job, LossTracker, TrialRequest, Trials
 
 from ._crash_watch import CrashWatch, LostAnswer
 
@@ -17,6 +16,8 @@
     Args:
         losses: Lost answers by fingerprint, to which those of other hosts are added elsewhere.
         crash_watch: Finds the parts of prompts that crash upstreams.
+        trials: Decides what is sent after a quarantine.
+        list_hosts: Returns all known hosts; none before the list has been read.
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
     """
 
@@ -25,26 +26,39 @@
         *,
         losses: LossTracker,
         crash_watch: CrashWatch,
+        trials: Trials,
+        list_hosts: Callable[[], Collection[HostId]],
         report_loss: Callable[[Fingerprint, str], None],
     ) -> None:
         self._losses = losses
         self._crash_watch = crash_watch
+        self._trials = trials
+        self._list_hosts = list_hosts
         self._report_loss = report_loss
 
     def find_reason(
-        self, fingerprint: Fingerprint, prompt: Prompt | None, now_s: float
+        self, fingerprint: Fingerprint, job: Job, sends: int, now_s: float
     ) -> str | None:
-        """Return why a request must not be sent to any upstream; None if it may be sent."""
+        """Return why a request must not be sent to any upstream; None if it may be sent.
+
+        Args:
+            sends: Number of attempts to send it that have not been proved not to have run.
+        """
         if self._losses.is_quarantined(fingerprint, now_s):
             return "equal requests crashed upstreams"
-        parts = [] if prompt is None else [each.part for each in prompt.shared_parts]
-        part = self._crash_watch.suspects.find_crashing_part(parts, now_s)
-        return None if part is None else f"prompts with the part {part} crashed upstreams"
+        parts = [] if job.prompt is None else [each.part for each in job.prompt.shared_parts]
+        subjects = self._crash_watch.suspects.list_quarantined(parts, now_s)
+        if not subjects:
+            return None
+        request = TrialRequest(attempt_id=job.attempt_id, sends=sends, deadline_s=job.deadline_s)
+        refusing = self._trials.find_refusing(subjects, request, self._list_hosts(), now_s)
+        return None if refusing is None else refusing.reason
 
-    def record_answer(self, prompt: Prompt | None) -> None:
+    def record_answer(self, job: Job) -> None:
         """Record that the answer to a request has produced an event or is complete."""
-        if prompt is not None:
-            self._crash_watch.record_answer(prompt)
+        self._trials.end(job.attempt_id)
+        if job.prompt is not None:
+            self._crash_watch.record_answer(job.prompt)
 
     def record_loss(self, lost: LostAnswer) -> None:
         """Record a lost answer; report it later, unless others were lost with it elsewhere."""
@@ -62,7 +76,9 @@
                 fingerprint=lost.fingerprint,
                 losses=count,
             )
-        if lost.prompt is not None and lost.had_just_begun:
+        if lost.prompt is None:
+            return
+        if lost.had_just_begun or self._trials.has_trial(lost.attempt_id):
             self._crash_watch.examine_loss(lost, lost.prompt)
 
     def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -28,6 +28,7 @@
         tried: The upstreams that were chosen so far, except those that certainly got nothing.
         unreached: The upstreams to which this host could not connect.
         sends: Number of attempts to send the request.
+        unproved_sends: Those of them that have not been proved not to have run.
         possible_runs: Number of attempts that may have run, or may be running, the request.
     """
 
@@ -35,6 +36,7 @@
         self.tried: frozenset[InstanceId] = frozenset()
         self.unreached: frozenset[InstanceId] = frozenset()
         self.sends = 0
+        self.unproved_sends = 0
         self.possible_runs = 0
         self._refused_successors = 0
         self._unforwarded = 0
@@ -56,13 +58,15 @@
     def record_send(self, instance: InstanceId, now_s: float) -> None:
         """Count an attempt to send the request to an upstream, with the retry reserved for it."""
         self.sends += 1
+        self.unproved_sends += 1
         self.tried |= {instance}
         if self._has_reserved_retry:
             self._has_reserved_retry = False
             self._router.retries.record_sent(self._job.service, now_s)
 
     def record_unsent(self, instance: InstanceId, fault: AttemptFault) -> None:
-        """Count an attempt that sent nothing to an upstream, which may get the request later."""
+        """Record what a fault proves; an upstream that got nothing may get the request later."""
+        self.unproved_sends -= fault.proves_not_run
         match fault:
             case AttemptFault.UNREACHABLE:
                 self.tried -= {instance}
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -3,13 +3,7 @@
 The package does no I/O and reads no clock: callers pass in times and observations.
 """
 
-from ._crash_suspects import (
-    CRASHES_TO_QUARANTINE,
-    MAX_QUARANTINE_S,
-    CrashSuspects,
-    PartLoss,
-    SuspectRecord,
-)
+from ._crash_suspects import CRASHES_TO_QUARANTINE, CrashSuspects, PartLoss, SuspectRecord
 from ._demand import Demand
 from ._domain_shares import (
     DomainLoad,
@@ -32,6 +26,7 @@
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
 from ._software_versions import StreamRecord, StreamVersions, VersionRecord
+from ._trials import MAX_QUARANTINE_S, QuarantinedSubject, TrialRequest, Trials
 from ._upstreams import UpstreamState
 
 __all__ = [
@@ -61,6 +56,7 @@
     "PartLoss",
     "Placement",
     "PrefillSamples",
+    "QuarantinedSubject",
     "Refused",
     "RetryBudgets",
     "RetryUsage",
@@ -71,6 +67,8 @@
     "StreamRecord",
     "StreamVersions",
     "SuspectRecord",
+    "TrialRequest",
+    "Trials",
     "UpstreamLoad",
     "UpstreamState",
     "UrgencyTraffic",
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -7,14 +7,14 @@
 
 from greengagestage.ids import Crash, PartHash, PromptPartId
 
+from ._trials import QuarantinedSubject, compute_quarantine_s, compute_retention_s
+
 CRASHES_TO_QUARANTINE = 2
 """Crashes under a part, one after the other and without an answer, for which it is quarantined.
 Upstreams also crash for other causes, so that one crash could be a coincidence."""
 
-FIRST_QUARANTINE_S = 60.0
-MAX_QUARANTINE_S = 3_600.0
-"""A quarantine begins with the latest crash. Its duration doubles with each further crash under the
-part, also with those at the same moment: each has cost an upstream."""
+EVIDENCE_LIFETIME_S = 120.0
+"""Time after its latest crash for which evidence that does not suffice is kept."""
 
 MIN_COMMON_CRASHES = 2
 """Number of crashes that two parts must have in common for one to account for the other's."""
@@ -108,24 +108,27 @@
         self.losses, self.crashes = kept, len(_select_successive(kept.values()))
         return dropped
 
-    def is_quarantined(self, now_s: float) -> bool:
-        if self.crashes < CRASHES_TO_QUARANTINE:
-            return False
-        return self._measure_age_s(now_s) < self._quarantine_s
+    @property
+    def is_known(self) -> bool:
+        """Whether there is enough evidence for a quarantine."""
+        return self.crashes >= CRASHES_TO_QUARANTINE
+
+    @property
+    def quarantine_ends_s(self) -> float:
+        """Time at which the quarantine ends; crashes at the same moment prolong it, too."""
+        return self.lost_s + compute_quarantine_s(len(self.losses) - CRASHES_TO_QUARANTINE)
 
     def is_expired(self, now_s: float) -> bool:
         """Whether the last crash is so long ago that it says nothing about the next one."""
-        return self._measure_age_s(now_s) >= 2 * self._quarantine_s
+        if not self.is_known:
+            return now_s - self.lost_s >= EVIDENCE_LIFETIME_S
+        further_crashes = len(self.losses) - CRASHES_TO_QUARANTINE
+        return now_s - self.lost_s >= compute_retention_s(further_crashes)
 
     @property
-    def _quarantine_s(self) -> float:
-        is_known = self.crashes >= CRASHES_TO_QUARANTINE
-        doublings = len(self.losses) - CRASHES_TO_QUARANTINE if is_known else 0
-        duration_s: float = min(FIRST_QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
-        return duration_s
-
-    def _measure_age_s(self, now_s: float) -> float:
-        return now_s - max(loss.lost_s for loss in self.losses.values())
+    def lost_s(self) -> float:
+        """Time of the latest loss."""
+        return max(loss.lost_s for loss in self.losses.values())
 
     def explains(self, other: "_Suspect") -> bool:
         """Whether the crashes under this part also account for the evidence against another."""
@@ -175,10 +178,10 @@
                 contradicted.append(self._build_record(record.part))
         return contradicted
 
-    def find_crashing_part(
+    def list_quarantined(
         self, parts: Collection[PromptPartId], now_s: float
-    ) -> PromptPartId | None:
-        """Return the part for which a prompt must not be sent; None if it may be sent.
+    ) -> list[QuarantinedSubject]:
+        """Return the parts for which a prompt must not be sent, or only as a trial.
 
         A part is not blamed for crashes that another suspected part accounts for, in prompts
         without that other part. Parts that all prompts of a caller share are lost with each
@@ -188,16 +191,18 @@
             parts: The parts of the prompt that other prompts may share.
         """
         if not self._suspects:
-            return None
+            return []
         hashes = {hash_part(part): part for part in parts}
-        for part, name in hashes.items():
-            suspect = self._suspects.get(part)
-            if suspect is None or not suspect.is_quarantined(now_s):
-                continue
-            others = (other for key, other in self._suspects.items() if key not in hashes)
-            if not any(other.explains(suspect) for other in others):
-                return name
-        return None
+        return [
+            QuarantinedSubject(
+                key=f"part {part}",
+                reason=f"prompts with the part {name} crashed upstreams",
+                crashed_s=self._suspects[part].lost_s,
+                ends_s=self._suspects[part].quarantine_ends_s,
+            )
+            for part, name in hashes.items()
+            if self._is_blamed(part, hashes, now_s)
+        ]
 
     def list_records(self, now_s: float) -> list[SuspectRecord]:
         """Return the records of all suspected parts, those with the most evidence first.
@@ -209,6 +214,14 @@
         parts = sorted(self._suspects, key=lambda part: self._suspects[part].crashes, reverse=True)
         return [self._build_record(part) for part in parts]
 
+    def _is_blamed(self, part: PartHash, parts: Collection[PartHash], now_s: float) -> bool:
+        """Whether a part of a prompt is known to crash upstreams, and no other one explains it."""
+        suspect = self._suspects.get(part)
+        if suspect is None or not suspect.is_known or suspect.is_expired(now_s):
+            return False
+        others = (other for key, other in self._suspects.items() if key not in parts)
+        return not any(other.explains(suspect) for other in others)
+
     def _add_loss(self, part: PartHash, loss: PartLoss) -> bool:
         """Add a loss unless the part was answered since; return whether it was not."""
         if loss.lost_s <= self._answered_s.get(part, float("-inf")):
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -14,7 +14,8 @@
 
 
 def is_kept_back(suspects: CrashSuspects, parts: str, now_s: float = 10.0) -> bool:
-    return suspects.find_crashing_part(build_parts(parts), now_s) is not None
+    quarantined = suspects.list_quarantined(build_parts(parts), now_s)
+    return any(now_s < subject.ends_s for subject in quarantined)
 
 
 def test_a_part_is_quarantined_after_the_second_crash() -> None:
@@ -157,7 +158,7 @@
 
 
 # Guards against hosts that go on telling each other of single crashes for ever.
-@pytest.mark.parametrize(("crashes", "kept_s"), [(1, 120.0), (2, 120.0), (3, 240.0)])
+@pytest.mark.parametrize(("crashes", "kept_s"), [(1, 120.0), (2, 480.0), (3, 960.0), (9, 7_200.0)])
 def test_old_evidence_is_dropped(crashes: int, kept_s: float) -> None:
     suspects = CrashSuspects()
     record_losses(suspects, "part", range(1, crashes + 1))
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from greengagestage.http1 import ClientConnection, Endpoint
+from greengagestage.routing import _trials
 
 from . import host_harness as harness
 from .host_harness import EVENTS, HostFleet, UpstreamStandin, choose_port, running_fleet
@@ -211,3 +212,27 @@
         caller = send(fleet, number, f"aa:600,bad:300,own{number}:40")
     assert count_arrivals(engines) <= MAX_CRASHES
     assert caller.error["code"] == 2012
+
+
+# Guards against all callers at all hosts being let through at the moment a quarantine ends.
+@pytest.mark.parametrize("path", ["/long", "/short"])
+def test_one_trial_reaches_an_upstream_at_the_end_of_a_quarantine(
+    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    for name, value_s in {"FIRST_QUARANTINE_S": 2.0, "TURN_S": 1.0, "TRIAL_START_S": 0.5}.items():
+        monkeypatch.setattr(_trials, name, value_s)
+    engines, parts = add_engines(fleet, 12), "aa:600,bad:300,own:40"
+    peer_port = choose_port()
+    for number in range(3):
+        fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=peer_port)
+        fleet.wait_ready()
+    fleet.run_until(lambda: all(host._peers.active_peers == 2 for host in fleet.processes))
+    while count_arrivals(engines) < 2:
+        send(fleet, count_arrivals(engines), parts, path)
+    before, ends_s = count_arrivals(engines), fleet.reactor.seconds() + 5.0
+    for number in range(1_000):
+        if fleet.reactor.seconds() > ends_s:
+            break
+        for host in (0, 1, 2):
+            fleet.call_at(host, f"{path}/t{number}", attempt=f"t{number}", parts=parts)
+    assert count_arrivals(engines) == before + 1
