--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -7,19 +7,20 @@
 
 from greengagestage.ids import Crash, PartHash, PromptPartId
 
+from ._trials import QuarantinedSubject, compute_quarantine_s, compute_retention_s
+
 CRASHES_TO_QUARANTINE = 2
 """Crashes under a part, one after the other and without an answer, for which it is quarantined.
 Upstreams also crash for other causes, so that one crash could be a coincidence."""
 
-FIRST_QUARANTINE_S = 60.0
-MAX_QUARANTINE_S = 3_600.0
-"""A quarantine begins with the latest crash. Its duration doubles with each further crash."""
+EVIDENCE_LIFETIME_S = 120.0
+"""Time after its latest crash for which evidence that does not suffice is kept."""
 
 MIN_COMMON_CRASHES = 2
 """Number of crashes that two parts must have in common for one to account for the other's."""
 
 MAX_CRASHES_PER_PART = 8
-"""Maximum number of crashes kept for one part; the oldest ones are dropped."""
+"""Maximum number of crashes kept for one part, for which it is quarantined longest."""
 
 MAX_PARTS = 2_048
 """Maximum number of suspected parts, of which those with the least evidence are dropped first, and
@@ -84,17 +85,24 @@
     return PartHash(xxhash.xxh64_intdigest(part.encode()))
 
 
-def _count_successive(losses: Iterable[PartLoss]) -> int:
-    """Return how many of some losses came one after the other.
+def _select_successive(losses: Iterable[PartLoss]) -> list[PartLoss]:
+    """Return those of some losses that came one after the other.
 
     A loss counts only if its request was sent after the previous counted one was lost. Upstreams
     that crash together have a common cause, and say no more about a part than one of them.
     """
-    count, lost_s = 0, float("-inf")
+    selected: list[PartLoss] = []
     for loss in sorted(losses, key=lambda loss: loss.lost_s):
-        if loss.sent_s >= lost_s:
-            count, lost_s = count + 1, loss.lost_s
-    return count
+        if not selected or loss.sent_s >= selected[-1].lost_s:
+            selected.append(loss)
+    return selected
+
+
+def _choose_dropped(losses: Collection[PartLoss]) -> PartLoss:
+    """Return the loss to drop from too many: the oldest one without which as much is certain."""
+    by_time = sorted(losses, key=lambda loss: loss.lost_s)
+    successive = _select_successive(losses)
+    return next((loss for loss in by_time[:-1] if loss not in successive), by_time[0])
 
 
 @dataclass(slots=True, kw_only=True)
@@ -112,56 +120,61 @@
         if loss.crash in self.losses:
             return
         self.losses[loss.crash] = loss
-        while len(self.losses) > MAX_CRASHES_PER_PART:
-            del self.losses[min(self.losses, key=lambda crash: self.losses[crash].lost_s)]
-        self.crashes = _count_successive(self.losses.values())
+        if len(self.losses) > MAX_CRASHES_PER_PART:
+            del self.losses[_choose_dropped(self.losses.values()).crash]
+        self.crashes = len(_select_successive(self.losses.values()))
 
     def drop_until(self, answered_s: float) -> bool:
         """Drop the losses up to an answer; return whether there were any."""
         kept = {crash: loss for crash, loss in self.losses.items() if loss.lost_s > answered_s}
         dropped = len(kept) < len(self.losses)
-        self.losses, self.crashes = kept, _count_successive(kept.values())
+        self.losses, self.crashes = kept, len(_select_successive(kept.values()))
         return dropped
 
-    def is_quarantined(self, now_s: float) -> bool:
-        if self.crashes < CRASHES_TO_QUARANTINE:
-            return False
-        return self._measure_age_s(now_s) < self._quarantine_s
+    @property
+    def is_known(self) -> bool:
+        """Whether there is enough evidence for a quarantine."""
+        return self.crashes >= CRASHES_TO_QUARANTINE
+
+    @property
+    def quarantine_ends_s(self) -> float:
+        """Time at which the quarantine ends; crashes at the same moment prolong it, too."""
+        return self.lost_s + compute_quarantine_s(len(self.losses) - CRASHES_TO_QUARANTINE)
 
     def is_expired(self, now_s: float) -> bool:
         """Whether the last crash is so long ago that it says nothing about the next one."""
-        return self._measure_age_s(now_s) >= 2 * self._quarantine_s
+        if not self.is_known:
+            return now_s - self.lost_s >= EVIDENCE_LIFETIME_S
+        further_crashes = len(self.losses) - CRASHES_TO_QUARANTINE
+        return now_s - self.lost_s >= compute_retention_s(further_crashes)
 
     def describe(self, part: PromptPartId, now_s: float) -> PartEvidence:
         """Return what is held against the part, in a prompt that may be sent."""
-        if self.crashes < CRASHES_TO_QUARANTINE:
+        if not self.is_known:
             reason = "too few crashes"
+        elif now_s < self.quarantine_ends_s:
+            reason = "another part is blamed"
         else:
-            blamed = self.is_quarantined(now_s)
-            reason = "another part is blamed" if blamed else "quarantine is over"
+            reason = "quarantine is over"
         return PartEvidence(
             part=part,
             crashes=len(self.losses),
             counted=self.crashes,
-            age_s=self._measure_age_s(now_s),
+            age_s=now_s - self.lost_s,
             sent_because=reason,
         )
 
     @property
-    def _quarantine_s(self) -> float:
-        doublings = max(self.crashes - CRASHES_TO_QUARANTINE, 0)
-        duration_s: float = min(FIRST_QUARANTINE_S * 2**doublings, MAX_QUARANTINE_S)
-        return duration_s
-
-    def _measure_age_s(self, now_s: float) -> float:
-        return now_s - max(loss.lost_s for loss in self.losses.values())
+    def lost_s(self) -> float:
+        """Time of the latest loss."""
+        return max(loss.lost_s for loss in self.losses.values())
 
     def explains(self, other: "_Suspect") -> bool:
         """Whether the crashes under this part also account for the evidence against another."""
         unexplained = [loss for crash, loss in other.losses.items() if crash not in self.losses]
         if len(other.losses) - len(unexplained) < MIN_COMMON_CRASHES:
             return False
-        return _count_successive(unexplained) < CRASHES_TO_QUARANTINE
+        return len(_select_successive(unexplained)) < CRASHES_TO_QUARANTINE
 
 
 class CrashSuspects:
@@ -204,10 +217,10 @@
                 contradicted.append(self._build_record(record.part))
         return contradicted
 
-    def find_crashing_part(
+    def list_quarantined(
         self, parts: Collection[PromptPartId], now_s: float
-    ) -> PromptPartId | None:
-        """Return the part for which a prompt must not be sent; None if it may be sent.
+    ) -> list[QuarantinedSubject]:
+        """Return the parts for which a prompt must not be sent, or only as a trial.
 
         A part is not blamed for crashes that another suspected part accounts for, in prompts
         without that other part. Parts that all prompts of a caller share are lost with each
@@ -217,16 +230,18 @@
             parts: The parts of the prompt that other prompts may share.
         """
         if not self._suspects:
-            return None
+            return []
         hashes = {hash_part(part): part for part in parts}
-        for part, name in hashes.items():
-            suspect = self._suspects.get(part)
-            if suspect is None or not suspect.is_quarantined(now_s):
-                continue
-            others = (other for key, other in self._suspects.items() if key not in hashes)
-            if not any(other.explains(suspect) for other in others):
-                return name
-        return None
+        return [
+            QuarantinedSubject(
+                key=f"part {part}",
+                reason=f"prompts with the part {name} crashed upstreams",
+                crashed_s=self._suspects[part].lost_s,
+                ends_s=self._suspects[part].quarantine_ends_s,
+            )
+            for part, name in hashes.items()
+            if self._is_blamed(part, hashes, now_s)
+        ]
 
     def list_evidence(self, parts: Iterable[PromptPartId], now_s: float) -> list[PartEvidence]:
         """Return what is held against the parts of a prompt that may be sent."""
@@ -249,6 +264,14 @@
         parts = sorted(self._suspects, key=lambda part: self._suspects[part].crashes, reverse=True)
         return [self._build_record(part) for part in parts]
 
+    def _is_blamed(self, part: PartHash, parts: Collection[PartHash], now_s: float) -> bool:
+        """Whether a part of a prompt is known to crash upstreams, and no other one explains it."""
+        suspect = self._suspects.get(part)
+        if suspect is None or not suspect.is_known or suspect.is_expired(now_s):
+            return False
+        others = (other for key, other in self._suspects.items() if key not in parts)
+        return not any(other.explains(suspect) for other in others)
+
     def _add_loss(self, part: PartHash, loss: PartLoss) -> bool:
         """Add a loss unless the part was answered since; return whether it was not."""
         if loss.lost_s <= self._answered_s.get(part, float("-inf")):
