Use a connection for one upstream only, in place of closing it after a 421

A full upstream may refuse a request before it looks at the upstream that the request names, with 503 and the statement in place of 421. A copy of that refusal at the second send of the request was still taken as its answer.

A connection now remembers which upstream its last request named, and is not taken for a request that names another one: such a connection is closed. Closing after a 421 is not needed any more. Hosts that forward do the same; connections between hosts carry requests for any upstream, and bring no copies: a host drops those of its upstreams.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -189,7 +189,7 @@
             cut_s = self._context.router.links.get_cut_s(upstream.instance)
             idle_limit_s = min(idle_limit_s, self._context.reactor.seconds() - cut_s)
         pool = self._context.pool
-        idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s)
+        idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s, recipient=upstream.instance)
         if idle is not None:
             self._send(idle, pool, endpoint)
         elif via is not None:
@@ -245,10 +245,6 @@
                 self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.REFUSED)
             case ResponseKind.MISDIRECTED:
-                # This request may be sent to the upstream that has answered, which may repeat its
-                # refusal on this connection.
-                if self._connection is not None:
-                    self._connection.retire()
                 self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.MISDIRECTED)
             case ResponseKind.UNPROVEN:
@@ -364,6 +360,7 @@
                 request=request,
                 listener=self,
                 is_answer=lambda head: is_answer_to(attempt_id, head),
+                recipient=None if self._forwarded_by is not None else incarnation[0],
             )
         )
 
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -165,7 +165,8 @@
             self._deadline_timer = self._context.reactor.callLater(limit_s, self.stop)
         endpoint = Endpoint(address=self._upstream.address, port=self._upstream.port)
         pool = self._context.pool
-        idle = pool.take_idle(endpoint, idle_limit_s=MAX_IDLE_S)
+        recipient = self._upstream.instance
+        idle = pool.take_idle(endpoint, idle_limit_s=MAX_IDLE_S, recipient=recipient)
         if idle is not None:
             self._send(idle, endpoint)
             return
@@ -205,13 +206,10 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Begin to pass the answer back, and record what it states for this host, too."""
-        kind = classify_response(head)
-        if kind is ResponseKind.UNPROVEN:
+        if classify_response(head) is ResponseKind.UNPROVEN:
             self._close_upstream()
             self.fail_response(ExchangeFailure.MALFORMED)
             return
-        if kind is ResponseKind.MISDIRECTED and self._connection is not None:
-            self._connection.retire()  # the refusal may be repeated if the request comes again
         now_s = self._context.reactor.seconds()
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
@@ -270,6 +268,7 @@
                 request=self._build_request(),
                 listener=self,
                 is_answer=lambda head: is_answer_to(attempt_id, head),
+                recipient=self._upstream.instance,
             )
         )
 
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -94,11 +94,14 @@
     Attributes:
         is_answer: Returns whether a response belongs to this request. A response left over from
             an earlier request on the connection is read and dropped.
+        recipient: The server that the request names, at an address that others may have used
+            before; None if it names none.
     """
 
     request: OutgoingRequest
     listener: ResponseListener
     is_answer: Callable[[ResponseHead], bool] = lambda head: True
+    recipient: str | None = None
 
 
 class ClientConnection(TwistedProtocol):
@@ -112,6 +115,7 @@
     Attributes:
         opened_s: Monotonic time at which the connection was opened.
         was_aborted: Whether the connection ended otherwise than by a close of either side.
+        recipient: The server that the last request named, if any.
     """
 
     transport: Any
@@ -131,13 +135,13 @@
         self._skipped_responses = 0
         self._codec = _create_codec()
         self._dropping_response = False
-        self._retired = False
         self._closed = False
         self._paused = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since_s = 0.0
         self.opened_s = 0.0
         self.was_aborted = False
+        self.recipient: str | None = None
 
     def connectionMade(self) -> None:
         """Set the socket options and record that the connection is idle from now on."""
@@ -162,6 +166,7 @@
     def send(self, exchange: Exchange) -> None:
         """Send the exchange's request; the connection must be idle."""
         self._exchange = exchange
+        self.recipient = exchange.recipient
         self._exchanges += 1
         self._skipped_responses = 0
         self.transport.write(_encode_request(self._codec, exchange.request))
@@ -173,10 +178,6 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
-    def retire(self) -> None:
-        """Close the connection once the response that has begun is complete."""
-        self._retired = True
-
     def pause(self) -> None:
         """Stop reading until ``resume`` is called."""
         if not self._closed and not self._paused:
@@ -291,7 +292,7 @@
         codec = self._codec
         trailing_data, _ = codec.trailing_data
         done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        if self._closed or self._retired or trailing_data or not done:
+        if self._closed or trailing_data or not done:
             self.close()
             return
         codec.start_next_cycle()
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -98,12 +98,19 @@
         self._aborted_s: dict[Endpoint, float] = {}
         self.opened = 0
 
-    def take_idle(self, endpoint: Endpoint, *, idle_limit_s: float) -> ClientConnection | None:
-        """Return a reusable connection idle for less than the limit, or ``None``; close others."""
+    def take_idle(
+        self, endpoint: Endpoint, *, idle_limit_s: float, recipient: str | None = None
+    ) -> ClientConnection | None:
+        """Return a reusable connection idle for less than the limit, or ``None``; close others.
+
+        A connection that was used for another recipient is closed, too. The same request may have
+        been refused on it, and a refusal that the server repeats would look like the answer.
+        """
         idle = self._idle.get(endpoint, [])
         while idle:
             connection = idle.pop()
-            if connection.reusable and connection.idle_s < idle_limit_s:
+            is_for_others = connection.recipient not in (None, recipient)
+            if connection.reusable and connection.idle_s < idle_limit_s and not is_for_others:
                 return connection
             connection.close()
         return None
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -5,6 +5,8 @@
 from functools import partial
 from typing import Any
 
+import pytest
+
 from greengagestage.http1 import IncomingRequest, Responder
 from greengagestage.ids import InstanceId
 
@@ -21,11 +23,13 @@
 
     Attributes:
         ended: The others, each of which gets the request before the upstream registers itself.
+        status: Status of the refusals; a full upstream may not look at what a request names.
     """
 
     fleet: HostFleet
     upstream: UpstreamStandin
     ended: tuple[str, ...]
+    status: int
     begun: list[bytes] = field(default_factory=list)
     refused: int = 0
     _repeated: dict[Any, bytes] = field(default_factory=dict)
@@ -45,11 +49,12 @@
             harness.delay(0.02, harness.serve)(self.upstream, request, responder)
             return
         self.refused += 1
-        self._repeated[responder] = (
-            b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
-            b"Greengagestage-Attempt-Id: %s\r\n\r\n" % attempt
-        )
-        answer = partial(responder.answer, 421, [(b"Greengagestage-Attempt-Id", attempt)], b"")
+        statement = [] if self.status == 421 else [(b"Greengagestage-Not-Executed", b"1")]
+        headers = [(b"Greengagestage-Attempt-Id", attempt), *statement]
+        lines = b"".join(b"%s: %s\r\n" % header for header in headers)
+        again = b"HTTP/1.1 %d Again\r\nContent-Length: 0\r\n%s\r\n" % (self.status, lines)
+        self._repeated[responder] = again
+        answer = partial(responder.answer, self.status, headers, b"")
         if self.refused < len(self.ended):
             answer()
         else:
@@ -67,10 +72,13 @@
 
 # Guards against a caller that is told that its request was not run, or a second run of it, since
 # the upstream that it went to at last sent an earlier refusal of the same request once more.
-def test_a_repeated_refusal_of_the_same_request_proves_nothing() -> None:
+@pytest.mark.parametrize("status", [421, 503])
+def test_a_repeated_refusal_of_the_same_request_proves_nothing(status: int) -> None:
     with running_fleet() as fleet:
         upstream = fleet.add_upstream("one")
-        restarted = RestartedUpstream(fleet=fleet, upstream=upstream, ended=("two", "three"))
+        restarted = RestartedUpstream(
+            fleet=fleet, upstream=upstream, ended=("two", "three"), status=status
+        )
         fleet.start_host()
         fleet.wait_ready()
         caller = fleet.call("/order/x")
@@ -79,7 +87,8 @@
 
 
 # Guards against the same where other hosts forward the request, over connections of their own.
-def test_a_repeated_refusal_through_another_host_proves_nothing() -> None:
+@pytest.mark.parametrize("status", [421, 503])
+def test_a_repeated_refusal_through_another_host_proves_nothing(status: int) -> None:
     with running_fleet() as fleet:
         host = CutHost(fleet)
         host.lose_links()
@@ -88,7 +97,9 @@
         host.others[1].stop()
         fleet.run_for(1.0)
         upstream = fleet.upstreams["archive-1"]
-        restarted = RestartedUpstream(fleet=fleet, upstream=upstream, ended=("ended",))
+        restarted = RestartedUpstream(
+            fleet=fleet, upstream=upstream, ended=("ended",), status=status
+        )
         fleet.run_for(0.5)
         links = host.process._router.links
         links.record_unreachable(InstanceId("ended"), fleet.reactor.seconds())
