Do not refuse a request as too slow whose rest has arrived unread

What callers saw: 408 and the end of the connection for a request that they had sent whole, after the process had been held up for as long as a time limit of the head or of a pause in the body.

Cause: when the process goes on, its timers run before it reads, so that what had arrived meanwhile did not count.

Change: the limit is looked at again 0.1 s later if bytes wait unread.

Result: both cases of the new test failed on the code before.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -29,6 +29,10 @@
 DELIVERY_CHECK_INTERVAL_S = 0.1
 """Time between two checks whether the last answer has arrived."""
 
+LATE_READING_S = 0.1
+"""Time in which a process that was busy reads what has arrived, before a request is refused as too
+slow."""
+
 MAX_PIPELINED_BYTES = 65_536
 """Limit for buffered bytes of later requests while one is answered; reading pauses above it."""
 
@@ -314,7 +318,11 @@
         self._linger()
 
     def _refuse_too_slow(self) -> None:
-        self._refuse(LimitExceeded.TOO_SLOW)
+        """Refuse the request, unless the process itself is late and has not read what came."""
+        if has_unread_bytes(self.transport):
+            self._set_timer(LATE_READING_S, self._refuse_too_slow)
+        else:
+            self._refuse(LimitExceeded.TOO_SLOW)
 
     def _linger(self) -> None:
         """Close the sending side, and the connection ``LINGER_S`` after the last byte has arrived.
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Slow callers, callers that close halfway and unusual requests, over loopback sockets."""
 
 import socket
+import time
 
 import pytest
 from twisted.internet.error import ConnectionLost
@@ -186,6 +187,27 @@
     assert (b"connection: close" in received.lower()) is stops
 
 
+# Guards against a busy process that takes the callers for slow whose bytes it has not read.
+@pytest.mark.parametrize("read_before", [60, 200])
+def test_a_request_whose_rest_has_arrived_unread_is_not_too_slow(
+    fleet: HostFleet, read_before: int
+) -> None:
+    fleet.add_upstream("one")
+    limits = {"HeaderTimeoutMs": 300, "IdleTimeoutMs": 300}
+    fleet.store.put("op", "config", harness.build_document(Limits=limits))
+    fleet.start_host()
+    fleet.wait_ready()
+    request = harness.build_request("/lookup/x", body=b"x" * 100)
+    assert request.index(b"x" * 100) < 200 < len(request)
+    caller = fleet.connect(request[:read_before])
+    fleet.run_for(0.1)
+    caller.transport.write(request[read_before:])
+    caller.transport.doWrite()
+    time.sleep(0.4)  # the process is busy
+    fleet.run_until(lambda: caller.is_complete)
+    assert caller.status == 200
+
+
 # Guards against many requests on one connection that are answered at once and end it.
 def test_a_long_series_of_requests_is_answered(fleet: HostFleet) -> None:
     fleet.start_host()
