Let the registry prove crashes that happen at the same moment

Two different prompts with one deadly part, sent together, crashed two upstreams at a time, again and again: connections to several upstreams that end within 50 ms look like a failure of links, so that both losses were left out each time.

The host now keeps such losses for 15 s and counts them once the registry no longer lists the incarnation: its process has ended, which no cut link brings about. Upstreams that were leaving, or that still have connections, do not count: entries also expire in an outage of the store. The loss keeps its own time, so that an answer that came meanwhile clears the part, and crashes at the same moment still count once. Until then the part may crash upstreams for the seconds in which the platform misses heartbeats.

--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -1,9 +1,10 @@
 """What a host knows about the requests and prompt parts that crash upstreams, and whom it tells."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from typing import Any
 
+from greengagestage.catalog import RegisteredUpstream
 from greengagestage.http1 import ConnectionPool
 from greengagestage.ids import Fingerprint
 from greengagestage.platform import RowClient
@@ -76,6 +77,10 @@
         """Stop reading and writing the record."""
         self._table.stop()
 
+    def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
+        """Find out from the registry which upstreams have ended."""
+        self._watch.observe_upstreams(upstreams)
+
     def list_losses(self, now_s: float) -> list[LossRecord]:
         """Return what other hosts are told about losses under equal requests."""
         return self._losses.list_records(now_s, most=MAX_RECORDS)
--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -1,16 +1,16 @@
 """Recognizes crashes of upstreams under prompts, and keeps crashing prompts from being sent."""
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import xxhash
 from eliot import log_message
 
-from greengagestage.catalog import Prompt, RegisteredUpstream
+from greengagestage.catalog import Availability, Prompt, RegisteredUpstream
 from greengagestage.http1 import ConnectionPool, Endpoint
-from greengagestage.ids import AttemptId, Crash, Fingerprint, HostId, PromptPartId
+from greengagestage.ids import AttemptId, Crash, Fingerprint, HostId, Incarnation, PromptPartId
 from greengagestage.routing import CrashSuspects, PartLoss, SuspectRecord
 
 CRASH_CONFIRMATION_S = 0.1
@@ -22,6 +22,13 @@
 """Connections to several upstreams that end within this time have a common cause: this host's
 links, or a failure of more than one upstream. A prompt crashes one at a time."""
 
+MAX_PROOF_S = 15.0
+"""Time for which the registry may prove that an upstream has ended. It removes the entry of a
+silent one after three missed heartbeats; a later end is another one."""
+
+MAX_UNPROVEN = 512
+"""Maximum number of losses that await such a proof; the oldest ones are dropped."""
+
 RECENT_S = 1.0
 """Time for which losses are kept to find the retries of a request among them."""
 
@@ -52,7 +59,7 @@
 
     @property
     def left_out_because(self) -> str | None:
-        """Why the loss says nothing about the parts of the prompt; None if it may."""
+        """Why the loss says nothing about the parts of the prompt so far; None if it may."""
         if self.forwarded_by is not None:
             return "forwarded"
         if not self.begun:
@@ -80,13 +87,15 @@
     ) -> None:
         self.suspects = CrashSuspects()
         self._recent_losses: deque[LostAnswer] = deque()
+        self._unproven: deque[LostAnswer] = deque(maxlen=MAX_UNPROVEN)
+        self._leaving: set[Incarnation] = set()
         self._reactor = reactor
         self._pool = pool
         self._report = report
 
-    def examine_loss(self, lost: LostAnswer, prompt: Prompt) -> None:
+    def examine_loss(self, lost: LostAnswer) -> None:
         """Suspect a prompt whose answer had just begun, if its upstream has crashed."""
-        self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost, _list_parts(prompt))
+        self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost)
 
     def call_when_judged(
         self, lost: LostAnswer, *, on_alone: Callable[[], None], on_common: Callable[[], None]
@@ -124,6 +133,32 @@
                 reason=known.sent_because,
             )
 
+    def await_proof(self, lost: LostAnswer) -> None:
+        """Suspect a prompt later if the registry shows that the upstream has ended."""
+        self._unproven.append(lost)
+
+    def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
+        """Judge the losses that await a proof, by the entries of the registry.
+
+        An upstream without an entry has ended, unless it was leaving, or still has connections: an
+        entry can also expire because its upstream does not reach the store.
+        """
+        if self._unproven:
+            listed = {each.incarnation for each in upstreams}
+            endpoints = {_get_endpoint(each) for each in upstreams}
+            awaiting = list(self._unproven)
+            self._unproven.clear()
+            for lost in awaiting:
+                age_s = self._reactor.seconds() - lost.lost_s
+                if lost.upstream.incarnation in listed:
+                    if age_s < MAX_PROOF_S:
+                        self._unproven.append(lost)
+                elif age_s < MAX_PROOF_S and self._has_ended(lost, endpoints):
+                    self._record(lost, by_registry=True)
+        self._leaving = {
+            each.incarnation for each in upstreams if each.availability is Availability.LEAVING
+        }
+
     def record_answer(self, prompt: Prompt) -> None:
         """Record that the answer to a prompt has produced an event or is complete."""
         cleared = self.suspects.record_answer(_list_parts(prompt), self._reactor.seconds())
@@ -134,26 +169,46 @@
         """Return the part for which a prompt must not be sent; None if it may be sent."""
         return self.suspects.find_crashing_part(_list_parts(prompt), self._reactor.seconds())
 
-    def _confirm(self, lost: LostAnswer, parts: list[PromptPartId]) -> None:
+    def _confirm(self, lost: LostAnswer) -> None:
         """Record the loss, unless a connection from before it is in use or others ended with it."""
         upstream = lost.upstream
         survivors = self._pool.count_alive_since_before(_get_endpoint(upstream), lost.lost_s)
         aborted = self._count_aborted(lost)
         crashed = not survivors and aborted <= 1
+        if crashed:
+            self._record(lost, by_registry=False)
+            return
         log_message(
-            message_type="upstream: crashed" if crashed else "upstream: connection lost",
+            message_type="upstream: connection lost",
             upstream=upstream.instance,
             request=lost.attempt_id,
-            parts=parts,
+            parts=_list_loss_parts(lost),
             open_connections=survivors,
             aborted_upstreams=aborted,
         )
-        if not crashed:
-            return
+        if not survivors:
+            self.await_proof(lost)
+
+    def _has_ended(self, lost: LostAnswer, endpoints: Collection[Endpoint]) -> bool:
+        """Whether an upstream without an entry has ended while it was to go on."""
+        endpoint = _get_endpoint(lost.upstream)
+        before_s = lost.lost_s if endpoint in endpoints else self._reactor.seconds()
+        alive = self._pool.count_alive_since_before(endpoint, before_s)
+        return not alive and lost.upstream.incarnation not in self._leaving
+
+    def _record(self, lost: LostAnswer, *, by_registry: bool) -> None:
+        """Count a crash against the parts of a prompt."""
+        parts = _list_loss_parts(lost)
+        log_message(
+            message_type="upstream: crashed",
+            upstream=lost.upstream.instance,
+            request=lost.attempt_id,
+            parts=parts,
+            begun=lost.begun,
+            by_registry=by_registry,
+        )
         loss = PartLoss(
-            crash=_hash_incarnation(upstream),
-            sent_s=lost.sent_s,
-            lost_s=lost.lost_s,
+            crash=_hash_incarnation(lost.upstream), sent_s=lost.sent_s, lost_s=lost.lost_s
         )
         self._report(self.suspects.record_loss(parts, loss))
 
@@ -179,6 +234,10 @@
     return [each.part for each in prompt.shared_parts]
 
 
+def _list_loss_parts(lost: LostAnswer) -> list[PromptPartId]:
+    return [] if lost.prompt is None else _list_parts(lost.prompt)
+
+
 def _get_endpoint(upstream: RegisteredUpstream) -> Endpoint:
     return Endpoint(address=upstream.address, port=upstream.port)
 
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -394,6 +394,7 @@
 
     def _adopt_upstreams(self, records: Iterable[RegisteredUpstream]) -> None:
         records = list(records)
+        self._crashes.observe_upstreams(records)
         kept = {(record.address, record.port) for record in records}
         for state in list(self._router.upstreams.values()):
             address = (state.record.address, state.record.port)
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -78,7 +78,7 @@
             return
         reason = lost.left_out_because
         if reason is None:
-            self._crash_watch.examine_loss(lost, lost.prompt)
+            self._crash_watch.examine_loss(lost)
         else:
             log_message(
                 message_type="upstream: loss left out",
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,18 +1,19 @@
 """What hosts find out about crashing prompt parts beside faults, and keep beyond their own end."""
 
 from collections.abc import Iterator
+from functools import partial
 
 import pytest
 
 from greengagestage.gateway import HostProcess
 from greengagestage.http1 import IncomingRequest, Responder
-from greengagestage.ids import Crash
+from greengagestage.ids import Crash, InstanceId
 from greengagestage.routing import PartLoss
 from standins.row_store import RowStore
 
 from . import host_harness as harness
 from .cut_links import Cut, CutHost
-from .host_harness import HostFleet, choose_port, running_fleet
+from .host_harness import HostFleet, UpstreamStandin, choose_port, running_fleet
 from .suspect_builders import build_parts
 from .test_crashing_parts import MAX_CRASHES, add_engines, count_arrivals, send
 
@@ -169,3 +170,47 @@
         fleet.start_host()
         fleet.wait_ready()
         assert fleet.call("/lookup/x", attempt="a1", deadline_ms=3_000).status == 200
+
+
+def is_unlisted(host: HostProcess, instance: InstanceId) -> bool:
+    return instance not in host._router.upstreams
+
+
+def end_entries(fleet: HostFleet, engines: list[UpstreamStandin]) -> None:
+    """Remove the entries of crashed engines, as the platform does after some heartbeats."""
+    for engine in engines:
+        if not engine.port.connected:
+            fleet.store.remove("servers", engine.name)
+            fleet.run_until(partial(is_unlisted, fleet.processes[0], InstanceId(engine.name)))
+
+
+def send_together(fleet: HostFleet, number: int, count: int) -> list[harness.RawCaller]:
+    """Send different prompts with one part at the same moment, and wait for their ends."""
+    callers = [
+        fleet.connect(
+            harness.build_request(
+                f"/long/{number}-{each}",
+                attempt=f"a{number}-{each}",
+                body=b"%d-%d" % (number, each),
+                parts=f"p{number}-{each}:600,bad:300,own:40",
+            )
+        )
+        for each in range(count)
+    ]
+    fleet.run_until(lambda: all(each.is_complete or each.closed for each in callers))
+    fleet.run_for(0.2)
+    return callers
+
+
+# Guards against crashes at the same moment that pass for a failure of links again and again, while
+# prompts with one part crash an upstream each.
+def test_a_part_that_crashes_upstreams_at_the_same_moment_is_found(fleet: HostFleet) -> None:
+    engines = add_engines(fleet, 20)
+    for engine in engines:  # each of the requests has an engine to itself
+        fleet.store.put("servers", engine.name, engine.build_entry(Slots=1))
+    start_hosts(fleet, 1)
+    for number in range(4):
+        callers = send_together(fleet, number, 2)
+        end_entries(fleet, engines)
+    assert count_arrivals(engines) <= MAX_CRASHES
+    assert [each.error["code"] for each in callers] == [2012, 2012]
