--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+from greengagestage.catalog import RegisteredUpstream
 from greengagestage.http1 import ConnectionPool
 from greengagestage.ids import Fingerprint, HostId
 from greengagestage.platform import RowClient
@@ -89,6 +90,10 @@
         """Stop reading and writing the record."""
         self._table.stop()
 
+    def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
+        """Find out from the registry which upstreams have ended."""
+        self._watch.observe_upstreams(upstreams)
+
     def list_losses(self, now_s: float) -> list[LossRecord]:
         """Return what other hosts are told about losses under equal requests."""
         return self._losses.list_records(now_s, most=MAX_RECORDS)
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -94,8 +94,10 @@
             return
         reason = lost.left_out_because
         if reason is None or self._trials.has_trial(lost.attempt_id):
-            self._crash_watch.examine_loss(lost, lost.prompt)
+            self._crash_watch.examine_loss(lost)
         else:
+            if lost.needs_proof:
+                self._crash_watch.await_proof(lost)
             log_message(
                 message_type="upstream: loss left out",
                 upstream=lost.upstream.instance,
