Keep a host's connections within its descriptors

A host accepted callers until it had no descriptors left, then could not open connections to upstreams either, and ordinary callers got nothing. 300 callers held 466 descriptors of the 240 in the settings; nothing read Limits.MaxFds.

The descriptors are now divided between callers, upstreams and forwarding. A new caller beyond its part takes the place of the connection that has been idle longest, or else of some that have moved least for what they hold; the pool closes its longest idle connection for a new one.

--- a/greengagestage/catalog/_settings.py
+++ b/greengagestage/catalog/_settings.py
@@ -76,6 +76,7 @@
             each other over TCP; the same on all of them.
         store: ``(address, port)`` of the platform's store.
         memory_bytes: The memory of the machine for the process.
+        max_descriptors: How many descriptors the process may open.
         first_start: Whether the whole system starts for the first time, so that no caller has a
             stream that is older than the hosts.
         duties: What the hosts do at the platform API; None if nothing.
@@ -89,6 +90,7 @@
     peer_port: int
     store: tuple[str, int]
     memory_bytes: float = 300 * 1_048_576
+    max_descriptors: int = 4_100
     first_start: bool = False
     bounds: Bounds
     duties: DutySettings | None = None
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -31,6 +31,7 @@
 from greengagestage.routing import Demand, ForwardingHost, Router, UpstreamLoad
 from greengagestage.telemetry import DomainTrafficMetrics, EntryMetrics, LabelledGauge
 
+from ._connection_limits import divide_descriptors
 from ._context import ExchangeContext
 from ._crash_knowledge import CrashKnowledge
 from ._era_table import EraTable
@@ -83,8 +84,13 @@
         )
         self._memory = MemoryAccount(limit_bytes=compute_held_limit(settings.memory_bytes))
         self._memory_watch = MemoryWatch(reactor=reactor, memory=self._memory)
-        self._pool = ConnectionPool(reactor=reactor)
-        self._forwarding_pool = ConnectionPool(reactor=reactor, bind_address=settings.address)
+        self._counts = divide_descriptors(settings.max_descriptors)
+        self._pool = ConnectionPool(reactor=reactor, max_connections=self._counts.callers)
+        self._forwarding_pool = ConnectionPool(
+            reactor=reactor,
+            bind_address=settings.address,
+            max_connections=self._counts.forwarding,
+        )
         self._link_watch = LinkWatch(
             reactor=reactor, router=self._router, pool=self._pool, draw=random.random
         )
@@ -134,6 +140,7 @@
             on_request=self._forwarding.handle,
             on_refused=self._forwarding.explain_limit,
             memory=self._memory,
+            max_connections=self._counts.forwarding,
         )
         self._readiness_server = self._build_readiness_server()
         self._shutdown = Shutdown(
@@ -364,6 +371,7 @@
             on_request=handler.handle,
             on_refused=handler.refuse_unread,
             memory=self._memory,
+            max_connections=self._counts.callers,
         )
 
     def _build_readiness_server(self) -> ServerFactory:
@@ -497,6 +505,7 @@
             "caller_connections": len(self._caller_server.connections),
             "caller_bytes_held": self._memory.held_bytes,
             "callers_closed_for_memory": self._memory_watch.closed,
+            "callers_evicted": self._caller_server.evicted,
             "caller_bytes_discarded": self._caller_server.discarded_bytes,
             "upstreams": len(self._router.upstreams),
             "active_peers": self._peers.active_peers,
--- a/greengagestage/http1/_memory.py
+++ b/greengagestage/http1/_memory.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from heapq import nsmallest
 from typing import Protocol
 
 PROCESS_BYTES = 64 * 1_048_576
@@ -133,6 +134,11 @@
             excess -= holder.held_bytes
         return chosen
 
+    def list_slowest(self, count: int) -> list[MemoryHolder]:
+        """Return some connections whose peer is awaited, in the order of ``choose_excess``."""
+        awaiting = (holder for holder in self._holders if holder.awaits_peer)
+        return nsmallest(count, awaiting, key=self._rank)
+
     def _rank(self, holder: MemoryHolder) -> tuple[float, int]:
         held_bytes = holder.held_bytes
         return self._holders[holder].recent_bytes / max(held_bytes, 1), -held_bytes
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -78,6 +78,8 @@
 
     Args:
         bind_address: Local address of the connections; None to let the system choose.
+        max_connections: How many connections may be open before the one that has been idle longest
+            is closed for another; None for any number.
 
     Attributes:
         opened: Number of attempts to open a connection so far, including those that failed.
@@ -89,6 +91,7 @@
         reactor: Any,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         bind_address: str | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
@@ -97,6 +100,8 @@
         self._open: dict[Endpoint, set[ClientConnection]] = {}
         self._aborted_s: dict[Endpoint, float] = {}
         self._expiry_timer: Any = None
+        self._max_connections = max_connections
+        self._open_count = 0
         self.opened = 0
 
     def take_idle(self, endpoint: Endpoint, *, idle_limit_s: float) -> ClientConnection | None:
@@ -118,9 +123,12 @@
     ) -> None:
         """Open a connection; calls either ``on_open`` or ``on_failed``, once."""
         self.opened += 1
+        if self._max_connections is not None and self._open_count >= self._max_connections:
+            self._close_longest_idle()
 
         def handle_open(connection: ClientConnection) -> None:
             self._open.setdefault(endpoint, set()).add(connection)
+            self._open_count += 1
             on_open(connection)
 
         factory = _ConnectionFactory(
@@ -182,6 +190,11 @@
             self._expiry_timer.cancel()
             self._expiry_timer = None
 
+    def _close_longest_idle(self) -> None:
+        oldest = [connections[0] for connections in self._idle.values() if connections]
+        if oldest:
+            max(oldest, key=lambda connection: connection.idle_s).close()
+
     def _close_expired(self) -> None:
         """Close the idle connections that cannot be reused, and check the others again later."""
         self._expiry_timer = None
@@ -196,6 +209,7 @@
         if connection.was_aborted:
             self._aborted_s[endpoint] = self._reactor.seconds()
         connections = self._open.get(endpoint, set())
+        self._open_count -= connection in connections
         connections.discard(connection)
         if not connections:
             self._open.pop(endpoint, None)
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -27,6 +27,10 @@
 """How long a connection is still read after its last answer has arrived. Closing with unread data
 would reset the connection, and the caller could lose the answer."""
 
+EVICTION_DIVISOR = 64
+"""Part of the allowed connections that is closed at once, so that not each new one costs a
+comparison of all others."""
+
 DELIVERY_CHECK_INTERVAL_S = 0.1
 """Time between two checks whether the last answer has arrived."""
 
@@ -41,8 +45,13 @@
         on_request: Called with each complete request and the connection that takes its response.
         on_refused: Called with the reason for refusing a request; returns the body of the refusal.
         memory: Counts what is held for callers; None to count nothing.
+        max_connections: How many connections may be open; None for any number. Beyond, the one that
+            has been idle longest is closed, or else some whose callers read or send slowest, or
+            else the new one.
 
     Attributes:
+        evicted: Number of connections that were closed for new ones.
+        idle_connections: The connections that wait for a request, longest idle first.
         discarded_bytes: Number of bytes that were received on connections about to be closed.
     """
 
@@ -55,20 +64,38 @@
         on_request: Callable[[IncomingRequest, "CallerConnection"], None],
         on_refused: Callable[[LimitExceeded], bytes],
         memory: MemoryAccount | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self.reactor = reactor
         self.on_request = on_request
         self.on_refused = on_refused
         self.memory = memory or MemoryAccount()
+        self.max_connections = max_connections
+        self.idle_connections: dict[CallerConnection, None] = {}
         self.limits = ConnectionLimits()
         self.closing = False
         self.discarded_bytes = 0
+        self.evicted = 0
         self.connections: set[CallerConnection] = set()
 
     def buildProtocol(self, addr: Any) -> Any:
         """Build the protocol of a new connection."""
         return CallerConnection(factory=self)
 
+    def make_room(self) -> bool:
+        """Close a connection if there are as many as allowed; return whether one more may stay."""
+        if self.max_connections is None or len(self.connections) < self.max_connections:
+            return True
+        for connection in self.idle_connections:
+            if connection.evict():
+                self.evicted += 1
+                return True
+        slowest = self.memory.list_slowest(max(self.max_connections // EVICTION_DIVISOR, 1))
+        for holder in slowest:
+            holder.shed()
+        self.evicted += len(slowest)
+        return bool(slowest)
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for connection in list(self.connections):
@@ -128,7 +155,11 @@
         """Set the socket options and wait for the first request."""
         # A sound caller may read nothing for a while: it is cut off like any other idle one.
         tune_socket(self.transport, unacknowledged_limit_s=self.factory.limits.idle_timeout_s)
+        if not self.factory.make_room():
+            self.shed()
+            return
         self.factory.connections.add(self)
+        self.factory.idle_connections[self] = None
         self.transport.registerProducer(self, True)
         self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
 
@@ -206,6 +237,7 @@
         """Notify the listener that the caller's connection is lost."""
         self._stop_timer()
         self.factory.connections.discard(self)
+        self.factory.idle_connections.pop(self, None)
         self.factory.memory.discard(self)
         self._incoming = None
         self._buffered_answer_bytes = self._answered_body_bytes = 0
@@ -247,6 +279,7 @@
             self._linger()
             return
         self._codec.start_next_cycle()
+        self.factory.idle_connections[self] = None
         self._set_timer(self.factory.limits.idle_timeout_s, self.close_idle)
         if self._backlogged:
             self._pause_reading()
@@ -265,6 +298,19 @@
         self._ignoring_input = True
         self.transport.abortConnection()
 
+    def evict(self) -> bool:
+        """Close the connection unless a request may have arrived; return whether it is closed."""
+        if self._codec.trailing_data[0] or has_unread_bytes(self.transport):
+            return False
+        self.factory.idle_connections.pop(self, None)
+        self._ignoring_input = True
+        if self.unsent_bytes:
+            self.transport.abortConnection()
+        else:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+        return True
+
     def close_idle(self) -> None:
         """Close the connection, on which no request has begun, once its last answer is delivered.
 
@@ -277,6 +323,7 @@
             self._linger()
             return
         self._ignoring_input = True
+        self.factory.idle_connections.pop(self, None)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -300,6 +347,7 @@
 
     def _begin_reading(self, received_s: float) -> None:
         self._incoming = _PartialRequest(received_s=received_s)
+        self.factory.idle_connections.pop(self, None)
         self._set_timer(self.factory.limits.header_timeout_s, self._refuse_too_slow)
 
     def _read_events(self) -> None:
@@ -399,6 +447,7 @@
         What is received meanwhile is discarded.
         """
         self._ignoring_input = True
+        self.factory.idle_connections.pop(self, None)
         self.factory.discarded_bytes += len(self._codec.trailing_data[0])
         self._unpause_reading()
         self.transport.unregisterProducer()
--- a/greengagestage/platform/_host_settings.py
+++ b/greengagestage/platform/_host_settings.py
@@ -40,7 +40,8 @@
         readiness=parser.parse_endpoint("Listen.Ready"),
         peer_port=parser.parse_first_port("InternalPortRange"),
         store=parser.parse_endpoint("Platform.Address"),
-        memory_bytes=parser.parse_positive("Limits.MemoryMb", 300.0) * BYTES_PER_MB,
+        memory_bytes=parser.parse_limit("Limits.MemoryMb", 300.0) * BYTES_PER_MB,
+        max_descriptors=int(parser.parse_limit("Limits.MaxFds", 4_100.0)),
         first_start=parser.parse_flag("FirstStart"),
         bounds=_parse_bounds(parser),
         duties=_parse_duties(parser),
@@ -143,6 +144,11 @@
         self.errors.append(f"{name} must be greater than 0, not {number}")
         return default
 
+    def parse_limit(self, name: str, default: float) -> float:
+        """Parse an optional limit of the machine; without one that is above 0, the default."""
+        number = self.parse_number(name, default)
+        return number if 0 < number < math.inf else default
+
     def parse_price(self, name: str) -> float | None:
         """Parse an optional number that is finite and not negative; None if it is not set."""
         if not self.values.get(name):
