Answer a request sent ahead to an entry process after earlier answers

As at the host: 20 callers with 30 requests sent ahead and answers of 0.9 MB took more than 128 MB, since Twisted's HTTP channel pauses reading when the transport is full, but goes on with the requests that it has read already.

The channel now parses nothing further while its transport waits, and goes on when that has sent its buffer. A connection with such requests is not taken for an idle one.

--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -177,6 +177,20 @@
             self._linger_timer.cancel()
         super().connectionLost(reason)
 
+    def requestDone(self, request: http.Request) -> None:
+        """Begin the next request once what is written has been sent."""
+        if self._waitingForTransport and self.persistent:
+            self.paused = True
+            cast(Any, self._networkProducer).pauseProducing()
+        super().requestDone(request)
+
+    def resumeProducing(self) -> None:
+        """Resume the open request, or if there is none, begin the next one."""
+        super().resumeProducing()
+        if self.paused:
+            self.paused = False
+            self.dataReceived(b"")
+
     @property
     def receiving(self) -> bool:
         """Whether a request has arrived in part."""
@@ -189,8 +203,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is open."""
-        return not self.requests
+        """Whether no request is open, or waits for earlier answers."""
+        return not self.requests and not self.paused
 
     def linger(self, delay_s: float) -> None:
         """Close the connection after a delay, even if the caller is still sending."""
