Soak: links that refuse new connections, crashing parts to the end, late sends at disturbed hosts

The soak's proxies accept connections before they refuse them, so that hosts never took a link for cut and never forwarded. It is drawn after all other faults of a seed, so that these stay as they were. A link from one host alone to an upstream still cannot be cut.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,16 @@
     return kind(pause(command))
 
 
+def add_deadly_option(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the option that replaces what a seed draws about a crashing part."""
+    return click.option(
+        "--deadly",
+        "deadly_share",
+        type=click.FloatRange(0.0, 1.0),
+        help="Share of the prompts with a part that crashes upstreams, to the end of the run.",
+    )(command)
+
+
 @click.group(context_settings={"max_content_width": 100})
 def main() -> None:
     """Run real host processes under randomized faults and check what callers and upstreams see."""
@@ -50,6 +60,7 @@
 @click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
 @click.option("--faults/--calm", default=True, show_default=True, help="Whether to inject faults.")
 @add_fault_options
+@add_deadly_option
 @click.option("--directory", type=click.Path(path_type=Path), help="Directory for the logs.")
 def run(
     seed: int,
@@ -59,6 +70,7 @@
     faults: bool,
     kinds: tuple[str, ...],
     pause_s: float | None,
+    deadly_share: float | None,
     directory: Path | None,
 ) -> None:
     """Run one seed and print its findings."""
@@ -70,6 +82,7 @@
         faults=faults,
         kinds=tuple(Fault(kind) for kind in kinds),
         pause_s=pause_s,
+        deadly_share=deadly_share,
         directory=directory or DIRECTORY / f"seed-{seed}",
     )
     sys.exit(play(options))
@@ -128,6 +141,7 @@
 @click.option("--upstreams", default=8, show_default=True, help="Number of upstreams.")
 @click.option("--seconds", default=30.0, show_default=True, help="Time with faults.")
 @add_fault_options
+@add_deadly_option
 def hunt(
     seeds: str,
     jobs: int,
@@ -136,6 +150,7 @@
     seconds: float,
     kinds: tuple[str, ...],
     pause_s: float | None,
+    deadly_share: float | None,
 ) -> None:
     """Run many seeds and print their findings."""
     first, _, last = seeds.partition("-")
@@ -144,6 +159,8 @@
         options += ["--kind", kind]
     if pause_s is not None:
         options += ["--pause", str(pause_s)]
+    if deadly_share is not None:
+        options += ["--deadly", str(deadly_share)]
     sys.exit(hunt_seeds(range(int(first), int(last or first) + 1), jobs=jobs, options=options))
 
 
--- a/soak/_crash_checks.py
+++ b/soak/_crash_checks.py
@@ -35,6 +35,7 @@
     disturbances: Disturbances
     _crashes_s: dict[CrashCause, list[float]] = field(default_factory=lambda: defaultdict(list))
     _late_arrivals: Counter[CrashCause] = field(default_factory=Counter)
+    _late_s: dict[CrashCause, list[float]] = field(default_factory=lambda: defaultdict(list))
 
     def record_crash(self, cause: CrashCause, now_s: float) -> None:
         """Remember that an upstream has crashed under a request."""
@@ -51,13 +52,32 @@
             return
         known_s = crashes_s[cause.crashes_to_know - 1] + STABILITY_WINDOW_S
         sent_s = arrival.arrived_s
-        if sent_s < known_s or not self.disturbances.is_in_touch(attempt.host, sent_s, sent_s):
+        if sent_s < known_s:
+            return
+        self._late_s[cause].append(sent_s)
+        if not self.disturbances.is_in_touch(attempt.host, sent_s, sent_s):
             return
         self._late_arrivals[cause] += 1
         if self._late_arrivals[cause] > ALLOWED_AFTERWARDS:
             text = f"send {self._late_arrivals[cause]} of a {cause.value} known to crash upstreams"
             self.findings.add_for(Rule.BUDGET, sent_s, attempt, f"{text} ({arrival.upstream})")
 
+    def summarize(self, began_s: float) -> str:
+        """Return what each cause did; disturbed hosts count, too.
+
+        Args:
+            began_s: The beginning of the run, from which times count.
+        """
+        texts = []
+        for cause, crashes_s in self._crashes_s.items():
+            times = " ".join(f"{late_s - began_s:.1f}" for late_s in self._late_s[cause])
+            judged = self._late_arrivals[cause]
+            texts.append(
+                f"{len(crashes_s)} crashes under a {cause.value}, {len(self._late_s[cause])} sends "
+                f"after it was to be known, {judged} of them at hosts in touch ({times or 'none'})"
+            )
+        return "; ".join(texts) or "no crashes under requests"
+
     def check_answer(self, attempt: Attempt) -> None:
         """Check that no sound prompt is refused for a part that crashes upstreams."""
         if attempt.plan.deadly or attempt.plan.crashing or attempt.status not in (502, 503):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -30,6 +30,7 @@
     UPSTREAM_EXPIRY = "entries of upstreams expire in an outage of the store"
     CALLERS_LINK = "link from callers to a host"
     UPSTREAM_LINK = "link to an upstream"
+    UPSTREAM_LINKS = "links to some upstreams refuse"
     STORE_LINK = "link from a host to the store"
     STORE_LINKS = "links from all hosts to the store"
     STORE_FAULT = "store"
@@ -39,7 +40,14 @@
 """Mean times between the beginnings of two faults, of which each run draws one. Faults last up to
 some seconds, so that they overlap."""
 
-KINDS = (3, 6, len(Fault))
+DRAWN = [fault for fault in Fault if fault is not Fault.UPSTREAM_LINKS]
+"""Kinds that a seed draws from first. The other one is drawn afterwards, so that the earlier draws
+of a seed stay as they were."""
+
+SHUT_LINKS_CHANCE = 0.3
+SHUT_LINKS_PAUSE_S = 10.0
+
+KINDS = (3, 6, len(DRAWN))
 """Numbers of kinds of faults, of which each run draws one: many faults at once excuse much."""
 
 
@@ -66,7 +74,8 @@
         kinds: Kinds to draw from, of which one may be listed several times; drawn too if empty.
         mean_pause_s: Mean time between the beginnings of two faults; drawn too if None.
     """
-    kinds = kinds or random.sample(list(Fault), random.choice(KINDS))
+    draws_kinds = not kinds
+    kinds = kinds or random.sample(DRAWN, random.choice(KINDS))
     mean_pause_s = random.choice(MEAN_PAUSES_S) if mean_pause_s is None else mean_pause_s
     schedule = []
     at_s = began_s
@@ -81,4 +90,7 @@
                     seed=random.randrange(2**32),
                 )
             )
+    if draws_kinds and random.random() < SHUT_LINKS_CHANCE:
+        pause_s, only = SHUT_LINKS_PAUSE_S, (Fault.UPSTREAM_LINKS,)
+        schedule += draw_schedule(random, began_s, ended_s, kinds=only, mean_pause_s=pause_s)
     return sorted(schedule, key=lambda item: item.at_s)
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -4,9 +4,11 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.error import CannotListenError
+
 from standins.row_store import StoreFault
 
-from ._disturbances import STORE, Disturbances
+from ._disturbances import STORE, Disturbance, Disturbances
 from ._faults import Fault, ScheduledFault
 from ._fleet import Member, UpstreamFleet
 from ._host_fleet import HostFleet
@@ -15,6 +17,7 @@
 from ._store import StoreControl
 
 RESET_CHANCE = 0.3
+REOPEN_PAUSE_S = 0.1
 
 
 @dataclass(slots=True, kw_only=True)
@@ -87,6 +90,8 @@
                     self.upstreams.crash(member)
             case Fault.UPSTREAM_LINK:
                 self._harm_links(member.upstream.identity.instance, [member.link], random)
+            case Fault.UPSTREAM_LINKS:
+                self._shut_links(random)
             case Fault.UPSTREAM_EXPIRY:
                 duration_s = random.uniform(2.0, 4.0)
                 self._harm_store(StoreFault.DOWN, duration_s)
@@ -116,6 +121,40 @@
 
         self.reactor.callLater(random.uniform(0.3, 4.0), heal)
 
+    def _shut_links(self, random: Random) -> None:
+        """Refuse new connections to some upstreams.
+
+        Hosts take these links for cut, and send by hosts that have open connections.
+        """
+        alive = self.upstreams.list_alive()
+        members = random.sample(alive, max(len(alive) // 2, 1))
+        now_s = self.reactor.seconds()
+        resets = random.random() < RESET_CHANCE
+        harms = [
+            self.disturbances.begin(each.upstream.identity.instance, "shut link", now_s)
+            for each in members
+        ]
+        for member in members:
+            member.link.shut()
+            if resets:
+                member.link.reset()
+
+        def heal() -> None:
+            for member, harm in zip(members, harms, strict=True):
+                self._open_link(member.link, harm)
+
+        self.reactor.callLater(random.uniform(1.0, 6.0), heal)
+
+    def _open_link(self, link: Link, harm: Disturbance) -> None:
+        """Accept connections again; a system may keep the port as long as open ones live on."""
+        try:
+            link.open()
+        except CannotListenError:
+            link.reset()
+            self.reactor.callLater(REOPEN_PAUSE_S, self._open_link, link, harm)
+            return
+        harm.ended_s = self.reactor.seconds()
+
     def _harm_store(self, fault: StoreFault, duration_s: float) -> None:
         harm = self.disturbances.begin(STORE, fault.value, self.reactor.seconds())
         self.store.set_fault(fault)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -161,13 +161,22 @@
     delay_s: float = 0.0
     sides: set[_Side] = field(default_factory=set)
     address: tuple[str, int] = ("", 0)
+    _port: Any = None
 
     def open(self) -> tuple[str, int]:
-        """Listen, and return the address."""
-        port = self.reactor.listenTCP(0, _Acceptor(self), interface=self.interface)
-        self.address = self.interface, int(port.getHost().port)
+        """Listen, at the same address as before if there is one, and return it."""
+        if self._port is None:
+            number = self.address[1]
+            self._port = self.reactor.listenTCP(number, _Acceptor(self), interface=self.interface)
+            self.address = self.interface, int(self._port.getHost().port)
         return self.address
 
+    def shut(self) -> None:
+        """Listen no more, so that new connections are refused; open ones go on."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+
     def seconds(self) -> float:
         """Return the reactor's time."""
         return float(self.reactor.seconds())
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -54,6 +54,8 @@
     Attributes:
         kinds: Kinds of faults; if empty, the seed draws them.
         pause_s: Mean time between the beginnings of two faults; None if the seed draws it.
+        deadly_share: Share of the prompts with a part that crashes upstreams, from the first fault
+            to the end; None if the seed draws it.
     """
 
     seed: int
@@ -64,6 +66,7 @@
     faults: bool = True
     kinds: tuple[Fault, ...] = ()
     pause_s: float | None = None
+    deadly_share: float | None = None
 
 
 class SoakRun:
@@ -115,7 +118,7 @@
             f"{len(attempts)} requests, {in_touch} at hosts in touch ({endings}); "
             f"{early} processes ended by a signal before they listened; "
             f"{0.0 if self._retries is None else self._retries.largest_use:.2f} of the allowed "
-            "repeats used at most"
+            f"repeats used at most; {self._crashes.summarize(self._findings.began_s)}"
         )
 
     async def play(self) -> None:
@@ -263,6 +266,9 @@
 
     def _schedule_deadly_part(self, traffic: TrafficContext) -> None:
         """Let some prompts have a part that crashes upstreams, from some time on in some runs."""
+        if self._options.deadly_share is not None:
+            traffic.deadly_share = self._options.deadly_share
+            return
         random = Random(f"{self._options.seed}/deadly part")
         if random.random() < DEADLY_PART_CHANCE:
             begins_s = random.uniform(0.0, self._options.seconds / 2)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -234,6 +234,21 @@
         assert records.rules == ["BUDGET"] * (number == 3)
 
 
+# Guards against a soak that is silent about sends of a known part at hosts that were disturbed.
+def test_sends_of_a_crashing_part_at_disturbed_hosts_are_counted(records: SoakRecords) -> None:
+    for number in range(5):
+        records.crashes.record_crash(CrashCause.PART, SENT_S - 10.0 + number)
+    plan = build_plan("draft", deadly=True)
+    records.send(plan)
+    attempt = records.ledger.attempts[plan.attempt]
+    records.disturbances.mark(attempt.host, "kill", SENT_S)
+    records.receive(plan, service="engines")
+    assert records.rules == []
+    assert "1 sends after it was to be known, 0 of them at hosts in touch" in (
+        records.crashes.summarize(0.0)
+    )
+
+
 # Guards against a soak that does not notice repeats beyond the retry budget. The builder's slack is
 # two, and the ratio allows one for five requests.
 @pytest.mark.parametrize(("requests", "pause_s", "rules"), [(5, 0.1, 1), (10, 0.1, 0), (5, 4.0, 0)])
