--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -28,7 +28,6 @@
 )
 from greengagestage.routing import (
     CRASHES_TO_QUARANTINE,
-    LOSS_LIFETIME_S,
     LOSSES_TO_QUARANTINE,
     MAX_QUARANTINE_S,
     CrashSuspects,
@@ -265,7 +264,7 @@
             return None
         _check_numbers(row)
         losses = read_loss_report(row.losses, now_s - age_s)
-        fresh = [each for each in losses if now_s - each.last_s <= LOSS_LIFETIME_S]
+        fresh = [each for each in losses if not each.is_expired(now_s)]
         suspects = read_suspect_report(row.suspects, now_s - age_s)
         return KnownCrashes(losses=fresh, suspects=suspects) if fresh or suspects else None
 
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -20,7 +20,7 @@
 from ._jobs import Job, Placement, Refused, StreamOrigin, Waiting
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import UpstreamLoad
-from ._losses import LOSS_LIFETIME_S, LOSSES_TO_QUARANTINE, LossRecord, LossTracker
+from ._losses import LOSSES_TO_QUARANTINE, LossRecord, LossTracker
 from ._overload import UrgencyTraffic
 from ._retries import RetryBudgets, RetryUsage
 from ._route_groups import RouteTraffic
@@ -49,7 +49,6 @@
     "LeavingShare",
     "LinkMonitor",
     "LOSSES_TO_QUARANTINE",
-    "LOSS_LIFETIME_S",
     "LossRecord",
     "LossTracker",
     "MAX_QUARANTINE_S",
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -35,6 +35,10 @@
     losses: frozenset[LossHash]
     last_s: float
 
+    def is_expired(self, now_s: float) -> bool:
+        """Whether the latest loss is so long ago that it says nothing about the next one."""
+        return now_s - self.last_s > LOSS_LIFETIME_S
+
 
 @dataclass(slots=True, kw_only=True)
 class _Losses:
@@ -76,7 +80,7 @@
     def learn(self, records: Iterable[LossRecord], now_s: float) -> None:
         """Add what another host knows, unless it has expired."""
         for record in records:
-            if now_s - record.last_s <= LOSS_LIFETIME_S:
+            if not record.is_expired(now_s):
                 self._update(record.fingerprint, record.losses, record.last_s)
 
     def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
