--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -33,7 +33,6 @@
 )
 from greengagestage.routing import (
     CRASHES_TO_QUARANTINE,
-    LOSS_LIFETIME_S,
     LOSSES_TO_QUARANTINE,
     MAX_QUARANTINE_S,
     CrashSuspects,
@@ -418,7 +417,7 @@
             return IgnoredRow.EXPIRED
         _check_numbers(row)
         losses = read_loss_report(row.losses, now_s - age_s)
-        fresh = [each for each in losses if now_s - each.last_s <= LOSS_LIFETIME_S]
+        fresh = [each for each in losses if not each.is_expired(now_s)]
         suspects = read_suspect_report(row.suspects, now_s - age_s)
         if not fresh and not suspects:
             return IgnoredRow.EXPIRED
