Quarantine equal requests longer with each crash, and end it with one trial

Cause: all losses of a fingerprint were forgotten 60 s after the latest one, however many there were. After that the request was as unknown as at first.

Change: equal requests follow the rule of prompt parts in routing/_trials.py. The quarantine of the third loss lasts 60 s and doubles with each further one, up to an hour; its end admits one trial in the fleet; losses are remembered for eight times as long, in the store too. Nine losses are kept and told instead of three. A complete answer to a trial clears them. FingerprintEntry has a trailing field for the cleared ones, so that no host brings them back; hosts of the last build ignore it and read the longer list of losses as before. Reports are now divided by size. A loss that is already known no longer changes the time of the latest one.

--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -66,6 +66,7 @@
             trials=Trials(host),
             list_hosts=list_hosts,
             report_loss=self._report_loss,
+            report_cleared=self._record_request,
         )
 
     @property
@@ -96,6 +97,10 @@
     def _report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Tell the other hosts of a loss, and those that start later of a quarantine."""
         self._tell_loss(fingerprint, loss_id)
+        self._record_request(fingerprint)
+
+    def _record_request(self, fingerprint: Fingerprint) -> None:
+        """Record a quarantine, or that it has been cleared."""
         record = self._losses.find_quarantined(fingerprint, self._reactor.seconds())
         if record is not None:
             self._table.record_request(record)
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -231,7 +231,7 @@
     entries, suspects = row.losses.entries, row.suspects.suspects
     crashes = [loss for suspect in suspects for loss in suspect.losses]
     hashes = [suspect.part for suspect in suspects] + [loss.crash for loss in crashes]
-    hashes += [loss for entry in entries for loss in entry.losses]
+    hashes += [loss for entry in entries for loss in (*entry.losses, *entry.cleared)]
     ages_ms = [entry.last_ms for entry in entries] + [
         suspect.answered_ms or 0 for suspect in suspects
     ]
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -240,7 +240,7 @@
             if self._replace_error(attempt):
                 return
         if self._delivery.finish():
-            self._context.quarantine.record_answer(self._job)
+            self._context.quarantine.record_complete_answer(self._inputs.fingerprint, self._job)
             self._conclude(ResultCode.DELIVERED)
         else:
             self._handle_fault(attempt, AttemptFault.LOST)
--- a/greengagestage/gateway/_loss_reports.py
+++ b/greengagestage/gateway/_loss_reports.py
@@ -4,7 +4,7 @@
 they tell of suspected prompt parts, so that hosts that start learn what they have missed.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 
 from greengagestage.ids import Fingerprint, LossHash
 from greengagestage.routing import LossRecord
@@ -14,17 +14,23 @@
 MAX_RECORDS = 64
 """Maximum number of fingerprints told at a time, those with the most losses first."""
 
-MAX_ENTRIES_PER_REPORT = 16
-"""Maximum number of fingerprints in one datagram; one takes up to 70 bytes."""
+MAX_REPORT_BYTES = 1_200
+ENTRY_BYTES = 45
+HASH_BYTES = 9
+"""Size of the entries of one datagram, and of one of them: its fingerprint and its hashes."""
 
 
-def build_loss_reports(records: Sequence[LossRecord], now_s: float) -> list[LossesReport]:
+def build_loss_reports(records: Iterable[LossRecord], now_s: float) -> list[LossesReport]:
     """Return reports of the records, each of which fits into a datagram."""
-    entries = [_encode(record, now_s) for record in records]
-    return [
-        LossesReport(entries[first : first + MAX_ENTRIES_PER_REPORT])
-        for first in range(0, len(entries), MAX_ENTRIES_PER_REPORT)
-    ]
+    reports: list[list[FingerprintEntry]] = []
+    size = MAX_REPORT_BYTES
+    for record in records:
+        size += _measure(record)
+        if size > MAX_REPORT_BYTES:
+            reports.append([])
+            size = _measure(record)
+        reports[-1].append(_encode(record, now_s))
+    return [LossesReport(entries) for entries in reports]
 
 
 def read_loss_report(report: LossesReport, now_s: float) -> list[LossRecord]:
@@ -33,13 +39,21 @@
         LossRecord(
             fingerprint=Fingerprint(entry.fingerprint),
             losses=frozenset(LossHash(loss) for loss in entry.losses),
+            cleared=frozenset(LossHash(loss) for loss in entry.cleared),
             last_s=now_s - max(entry.last_ms, 0) / 1_000,
         )
         for entry in report.entries
     ]
 
 
+def _measure(record: LossRecord) -> int:
+    return ENTRY_BYTES + HASH_BYTES * (len(record.losses) + len(record.cleared))
+
+
 def _encode(record: LossRecord, now_s: float) -> FingerprintEntry:
     return FingerprintEntry(
-        record.fingerprint, sorted(record.losses), round((now_s - record.last_s) * 1_000)
+        record.fingerprint,
+        sorted(record.losses),
+        round((now_s - record.last_s) * 1_000),
+        sorted(record.cleared),
     )
--- a/greengagestage/gateway/_peer_messages.py
+++ b/greengagestage/gateway/_peer_messages.py
@@ -210,11 +210,13 @@
     Attributes:
         losses: Hashes of their ids.
         last_ms: Time since the latest loss.
+        cleared: Hashes of the ids of those that an answer to an equal request has cleared since.
     """
 
     fingerprint: str
     losses: list[int]
     last_ms: int
+    cleared: list[int] = []
 
 
 class LossesReport(Struct, frozen=True, array_like=True, tag="losses"):
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -5,7 +5,7 @@
 from eliot import log_message
 
 from greengagestage.ids import Fingerprint, HostId
-from greengagestage.routing import Job, LossTracker, TrialRequest, Trials
+from greengagestage.routing import Job, LossTracker, SubjectKind, TrialRequest, Trials
 
 from ._crash_watch import CrashWatch, LostAnswer
 
@@ -19,6 +19,7 @@
         trials: Decides what is sent after a quarantine.
         list_hosts: Returns all known hosts; none before the list has been read.
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
+        report_cleared: Records that equal requests are no longer quarantined.
     """
 
     def __init__(
@@ -29,12 +30,14 @@
         trials: Trials,
         list_hosts: Callable[[], Collection[HostId]],
         report_loss: Callable[[Fingerprint, str], None],
+        report_cleared: Callable[[Fingerprint], None],
     ) -> None:
         self._losses = losses
         self._crash_watch = crash_watch
         self._trials = trials
         self._list_hosts = list_hosts
         self._report_loss = report_loss
+        self._report_cleared = report_cleared
 
     def find_reason(
         self, fingerprint: Fingerprint, job: Job, sends: int, now_s: float
@@ -44,10 +47,9 @@
         Args:
             sends: Number of attempts to send it that have not been proved not to have run.
         """
-        if self._losses.is_quarantined(fingerprint, now_s):
-            return "equal requests crashed upstreams"
         parts = [] if job.prompt is None else [each.part for each in job.prompt.shared_parts]
-        subjects = self._crash_watch.suspects.list_quarantined(parts, now_s)
+        subjects = self._losses.list_quarantined(fingerprint, now_s)
+        subjects += self._crash_watch.suspects.list_quarantined(parts, now_s)
         if not subjects:
             return None
         request = TrialRequest(attempt_id=job.attempt_id, sends=sends, deadline_s=job.deadline_s)
@@ -55,11 +57,18 @@
         return None if refusing is None else refusing.reason
 
     def record_answer(self, job: Job) -> None:
-        """Record that the answer to a request has produced an event or is complete."""
-        self._trials.end(job.attempt_id)
+        """Record that the answer to a request has produced an event."""
+        self._trials.end(job.attempt_id, SubjectKind.PART)
         if job.prompt is not None:
             self._crash_watch.record_answer(job.prompt)
 
+    def record_complete_answer(self, fingerprint: Fingerprint, job: Job) -> None:
+        """Record that the answer to a request is complete."""
+        self.record_answer(job)
+        if self._trials.end(job.attempt_id, SubjectKind.REQUEST):
+            self._losses.clear(fingerprint)
+            self._report_cleared(fingerprint)
+
     def record_loss(self, lost: LostAnswer) -> None:
         """Record a lost answer; report it later, unless others were lost with it elsewhere."""
         loss_id = f"{lost.attempt_id}.{lost.number}"
@@ -78,7 +87,7 @@
             )
         if lost.prompt is None:
             return
-        if lost.had_just_begun or self._trials.has_trial(lost.attempt_id):
+        if lost.had_just_begun or self._trials.has_trial(lost.attempt_id, SubjectKind.PART):
             self._crash_watch.examine_loss(lost, lost.prompt)
 
     def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -26,7 +26,7 @@
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
 from ._software_versions import StreamRecord, StreamVersions, VersionRecord
-from ._trials import MAX_QUARANTINE_S, QuarantinedSubject, TrialRequest, Trials
+from ._trials import MAX_QUARANTINE_S, QuarantinedSubject, SubjectKind, TrialRequest, Trials
 from ._upstreams import UpstreamState
 
 __all__ = [
@@ -65,6 +65,7 @@
     "StreamOrigin",
     "StreamRecord",
     "StreamVersions",
+    "SubjectKind",
     "SuspectRecord",
     "TrialRequest",
     "Trials",
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -7,7 +7,7 @@
 
 from greengagestage.ids import Crash, PartHash, PromptPartId
 
-from ._trials import QuarantinedSubject, compute_quarantine_s, compute_retention_s
+from ._trials import QuarantinedSubject, SubjectKind, compute_quarantine_s, compute_retention_s
 
 CRASHES_TO_QUARANTINE = 2
 """Crashes under a part, one after the other and without an answer, for which it is quarantined.
@@ -195,6 +195,7 @@
         hashes = {hash_part(part): part for part in parts}
         return [
             QuarantinedSubject(
+                kind=SubjectKind.PART,
                 key=f"part {part}",
                 reason=f"prompts with the part {name} crashed upstreams",
                 crashed_s=self._suspects[part].lost_s,
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -3,7 +3,7 @@
 A loss is an answer whose connection ended before it was complete.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import nlargest
 
@@ -11,33 +11,49 @@
 
 from greengagestage.ids import Fingerprint, LossHash
 
+from ._trials import QuarantinedSubject, SubjectKind, compute_quarantine_s, compute_retention_s
+
 LOSSES_TO_QUARANTINE = 3
 """Losses after which requests with the same fingerprint are no longer sent. Single answers get
 lost without a crash, so two losses could be a coincidence."""
 
+MAX_LOSSES = 9
+"""Maximum number of losses kept for one fingerprint, for which it is quarantined longest; the first
+known ones are dropped."""
+
 LOSS_LIFETIME_S = 60.0
-"""The losses of a fingerprint expire this long after the latest one."""
+"""Losses that do not suffice for a quarantine expire this long after the latest one."""
 
 MAX_FINGERPRINTS = 4_096
 """Maximum number of tracked fingerprints; the one with the oldest latest loss is evicted first."""
 
 
+def _compute_lifetime_s(losses: int) -> float:
+    """Return for how long losses are remembered, from the latest one."""
+    if losses < LOSSES_TO_QUARANTINE:
+        return LOSS_LIFETIME_S
+    return compute_retention_s(losses - LOSSES_TO_QUARANTINE)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LossRecord:
     """What a host knows about the losses of one fingerprint, in a form that hosts exchange.
 
     Attributes:
         losses: Hashes of the ids of the losses.
+        cleared: Hashes of the ids of those that an answer has cleared since.
         last_s: Time of the latest loss.
     """
 
     fingerprint: Fingerprint
     losses: frozenset[LossHash]
+    cleared: frozenset[LossHash] = frozenset()
     last_s: float
 
     def is_expired(self, now_s: float) -> bool:
         """Whether the latest loss is so long ago that it says nothing about the next one."""
-        return now_s - self.last_s > LOSS_LIFETIME_S
+        lifetime_s = _compute_lifetime_s(max(len(self.losses), len(self.cleared)))
+        return now_s - self.last_s > lifetime_s
 
 
 @dataclass(slots=True, kw_only=True)
@@ -45,13 +61,45 @@
     """The distinct losses of one fingerprint and the time of the latest.
 
     Attributes:
+        hashes: The losses, in the order in which they became known.
         unconfirmed: Losses that may yet turn out to have another cause.
+        cleared: Losses that an answer has cleared, and that other hosts may still report.
     """
 
-    hashes: set[LossHash] = field(default_factory=set)
+    hashes: dict[LossHash, None] = field(default_factory=dict)
     unconfirmed: set[LossHash] = field(default_factory=set)
+    cleared: dict[LossHash, None] = field(default_factory=dict)
     last_s: float
 
+    def add(self, losses: Iterable[LossHash], last_s: float) -> None:
+        """Add losses, of which the latest was at a time; known ones change nothing."""
+        self.expire(last_s)
+        added = [loss for loss in losses if loss not in self.hashes and loss not in self.cleared]
+        if added:
+            self.hashes.update(dict.fromkeys(added))
+            self.last_s = max(self.last_s, last_s)
+            _drop_first(self.hashes)
+
+    def clear(self, losses: Iterable[LossHash]) -> None:
+        for loss in losses:
+            self.forget(loss)
+            self.cleared[loss] = None
+        _drop_first(self.cleared)
+
+    def forget(self, loss: LossHash) -> None:
+        self.hashes.pop(loss, None)
+        self.unconfirmed.discard(loss)
+
+    def expire(self, now_s: float) -> bool:
+        """Drop what says nothing about the next loss any more; return whether that is all."""
+        age_s = now_s - self.last_s
+        if age_s > _compute_lifetime_s(len(self.hashes)):
+            self.hashes.clear()
+            self.unconfirmed.clear()
+        if age_s > _compute_lifetime_s(len(self.cleared)):
+            self.cleared.clear()
+        return not self.hashes and not self.cleared
+
 
 class LossTracker:
     """Counts, by request fingerprint, how often an answer was lost on any host."""
@@ -70,7 +118,8 @@
             confirmed: Whether the loss is certain to count. Others are not told to other hosts.
         """
         loss = _hash_loss(loss_id)
-        losses = self._update(fingerprint, {loss}, now_s)
+        losses = self._get_or_add(fingerprint, now_s)
+        losses.add([loss], now_s)
         if confirmed:
             losses.unconfirmed.discard(loss)
         else:
@@ -81,58 +130,87 @@
         """Add what another host knows, unless it has expired."""
         for record in records:
             if not record.is_expired(now_s):
-                self._update(record.fingerprint, record.losses, record.last_s)
+                losses = self._get_or_add(record.fingerprint, record.last_s)
+                losses.clear(record.cleared)
+                losses.add(record.losses, record.last_s)
 
     def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Forget a loss that had another cause than the request."""
         losses = self._losses.get(fingerprint)
         if losses is not None:
-            losses.hashes.discard(_hash_loss(loss_id))
-            losses.unconfirmed.discard(_hash_loss(loss_id))
+            losses.forget(_hash_loss(loss_id))
+
+    def clear(self, fingerprint: Fingerprint) -> None:
+        """Clear the losses so far: an equal request has been answered after the quarantine."""
+        losses = self._losses.get(fingerprint)
+        if losses is not None:
+            losses.clear(list(losses.hashes))
 
-    def is_quarantined(self, fingerprint: Fingerprint, now_s: float) -> bool:
-        """Whether requests with this fingerprint must not be sent."""
+    def list_quarantined(self, fingerprint: Fingerprint, now_s: float) -> list[QuarantinedSubject]:
+        """Return why requests must not be sent, or only as a trial, if there is a reason."""
         losses = self._losses.get(fingerprint)
-        if losses is None or now_s - losses.last_s > LOSS_LIFETIME_S:
-            return False
-        return len(losses.hashes) >= LOSSES_TO_QUARANTINE
+        if losses is None or losses.expire(now_s) or len(losses.hashes) < LOSSES_TO_QUARANTINE:
+            return []
+        quarantine_s = compute_quarantine_s(len(losses.hashes) - LOSSES_TO_QUARANTINE)
+        return [
+            QuarantinedSubject(
+                kind=SubjectKind.REQUEST,
+                key=f"request {fingerprint}",
+                reason="equal requests crashed upstreams",
+                crashed_s=losses.last_s,
+                ends_s=losses.last_s + quarantine_s,
+            )
+        ]
 
     def find_quarantined(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
-        """Return the record of a fingerprint with enough confirmed losses for a quarantine."""
+        """Return the record of a fingerprint that is, or was, quarantined by confirmed losses."""
         record = self._build_record(fingerprint, now_s)
-        return record if record and len(record.losses) >= LOSSES_TO_QUARANTINE else None
+        if record is None or len(record.losses) < LOSSES_TO_QUARANTINE and not record.cleared:
+            return None
+        return record
 
     def list_records(self, now_s: float, *, most: int) -> list[LossRecord]:
-        """Return the records of the fingerprints with the most losses, as far as confirmed."""
-        chosen = nlargest(most, self._losses, key=lambda each: len(self._losses[each].hashes))
+        """Return the records of the fingerprints with the most losses, as far as confirmed.
+
+        Expired losses are dropped.
+        """
+        for fingerprint in [key for key, each in self._losses.items() if each.expire(now_s)]:
+            del self._losses[fingerprint]
+        chosen = nlargest(most, self._losses, key=self._count)
         built = (self._build_record(fingerprint, now_s) for fingerprint in chosen)
         return [record for record in built if record is not None]
 
+    def _count(self, fingerprint: Fingerprint) -> int:
+        losses = self._losses[fingerprint]
+        return len(losses.hashes) + len(losses.cleared)
+
     def _build_record(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
-        """Return the confirmed losses of a fingerprint, as many as a quarantine takes."""
+        """Return the confirmed losses of a fingerprint."""
         losses = self._losses.get(fingerprint)
-        if losses is None or now_s - losses.last_s > LOSS_LIFETIME_S:
+        if losses is None or losses.expire(now_s):
             return None
-        confirmed = sorted(losses.hashes - losses.unconfirmed)[:LOSSES_TO_QUARANTINE]
-        if not confirmed:
+        confirmed = frozenset(losses.hashes.keys() - losses.unconfirmed)
+        if not confirmed and not losses.cleared:
             return None
         return LossRecord(
-            fingerprint=fingerprint, losses=frozenset(confirmed), last_s=losses.last_s
+            fingerprint=fingerprint,
+            losses=confirmed,
+            cleared=frozenset(losses.cleared),
+            last_s=losses.last_s,
         )
 
-    def _update(
-        self, fingerprint: Fingerprint, hashes: Collection[LossHash], last_s: float
-    ) -> _Losses:
-        losses = self._losses.pop(fingerprint, None)
-        if losses is None or last_s - losses.last_s > LOSS_LIFETIME_S:
-            losses = _Losses(last_s=last_s)
-        losses.hashes.update(hashes)
-        losses.last_s = max(losses.last_s, last_s)
+    def _get_or_add(self, fingerprint: Fingerprint, last_s: float) -> _Losses:
+        losses = self._losses.pop(fingerprint, None) or _Losses(last_s=last_s)
         self._losses[fingerprint] = losses
         if len(self._losses) > MAX_FINGERPRINTS:
             del self._losses[next(iter(self._losses))]
         return losses
 
 
+def _drop_first(losses: dict[LossHash, None]) -> None:
+    while len(losses) > MAX_LOSSES:
+        del losses[next(iter(losses))]
+
+
 def _hash_loss(loss_id: str) -> LossHash:
     return LossHash(xxhash.xxh64_intdigest(loss_id.encode()))
--- a/greengagestage/routing/_trials.py
+++ b/greengagestage/routing/_trials.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 import xxhash
 
@@ -47,17 +48,30 @@
     return min(RETENTION_FACTOR * compute_quarantine_s(further_crashes), MAX_RETENTION_S)
 
 
+class SubjectKind(Enum):
+    """What crashes upstreams.
+
+    Attributes:
+        PART: A part of prompts, which the first event of an answer clears.
+        REQUEST: Equal requests, which a complete answer clears: an upstream may crash before that.
+    """
+
+    PART = "part"
+    REQUEST = "request"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuarantinedSubject:
-    """What crashes upstreams: equal requests, or a part of prompts.
+    """Equal requests, or a part of prompts, that crash upstreams.
 
     Attributes:
-        key: Identifies it among others.
+        key: Identifies it among all subjects.
         reason: Why requests with it are not sent, for their refusal.
         crashed_s: Time of the latest crash.
         ends_s: Time from which trials may be sent.
     """
 
+    kind: SubjectKind
     key: str
     reason: str
     crashed_s: float
@@ -80,9 +94,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Trial:
+    kind: SubjectKind
     request: TrialRequest
     expires_s: float
 
+    def is_of(self, attempt_id: AttemptId, kind: SubjectKind) -> bool:
+        return self.request.attempt_id == attempt_id and self.kind is kind
+
 
 class Trials:
     """Decides which requests one host sends as trials."""
@@ -120,20 +138,20 @@
             return latest
         expires_s = max(now_s + TRIAL_LIMIT_S, request.deadline_s)
         for subject in subjects:
-            self._trials.setdefault(subject.key, _Trial(request=request, expires_s=expires_s))
+            trial = _Trial(kind=subject.kind, request=request, expires_s=expires_s)
+            self._trials.setdefault(subject.key, trial)
         return None
 
-    def end(self, attempt_id: AttemptId) -> None:
-        """Record that the answer to a request, which may be a trial, has begun."""
-        self._trials = {
-            key: trial
-            for key, trial in self._trials.items()
-            if trial.request.attempt_id != attempt_id
-        }
-
-    def has_trial(self, attempt_id: AttemptId) -> bool:
-        """Whether a request may have been sent as a trial and has decided nothing yet."""
-        return any(trial.request.attempt_id == attempt_id for trial in self._trials.values())
+    def end(self, attempt_id: AttemptId, kind: SubjectKind) -> bool:
+        """Record that a request is answered; return whether it was the trial of such a subject."""
+        ended = [key for key, trial in self._trials.items() if trial.is_of(attempt_id, kind)]
+        for key in ended:
+            del self._trials[key]
+        return bool(ended)
+
+    def has_trial(self, attempt_id: AttemptId, kind: SubjectKind) -> bool:
+        """Whether a request may have been sent as a trial and is not answered."""
+        return any(trial.is_of(attempt_id, kind) for trial in self._trials.values())
 
     def _has_turn(
         self, subject: QuarantinedSubject, hosts: Collection[HostId], now_s: float
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -214,25 +214,68 @@
     assert caller.error["code"] == 2012
 
 
-# Guards against all callers at all hosts being let through at the moment a quarantine ends.
-@pytest.mark.parametrize("path", ["/long", "/short"])
-def test_one_trial_reaches_an_upstream_at_the_end_of_a_quarantine(
-    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch, path: str
-) -> None:
-    for name, value_s in {"FIRST_QUARANTINE_S": 2.0, "TURN_S": 1.0, "TRIAL_START_S": 0.5}.items():
-        monkeypatch.setattr(_trials, name, value_s)
-    engines, parts = add_engines(fleet, 12), "aa:600,bad:300,own:40"
+def start_three_hosts(fleet: HostFleet) -> None:
+    """Start hosts that know each other, with quarantines and turns of a few seconds."""
     peer_port = choose_port()
     for number in range(3):
         fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=peer_port)
         fleet.wait_ready()
     fleet.run_until(lambda: all(host._peers.active_peers == 2 for host in fleet.processes))
-    while count_arrivals(engines) < 2:
-        send(fleet, count_arrivals(engines), parts, path)
-    before, ends_s = count_arrivals(engines), fleet.reactor.seconds() + 5.0
-    for number in range(1_000):
-        if fleet.reactor.seconds() > ends_s:
-            break
+
+
+def call_until_quarantined(fleet: HostFleet, path: str) -> None:
+    for number in range(6):
+        caller = fleet.call(path, attempt=f"a{number}")
+        if caller.body and caller.error["code"] == 2012:
+            return
+        fleet.run_for(0.2)  # until the losses are judged
+    raise AssertionError("the request is not quarantined")
+
+
+@pytest.fixture
+def short_quarantines(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, value_s in {"FIRST_QUARANTINE_S": 2.0, "TURN_S": 1.0, "TRIAL_START_S": 0.5}.items():
+        monkeypatch.setattr(_trials, name, value_s)
+
+
+# Guards against all callers at all hosts being let through at the moment a quarantine ends.
+@pytest.mark.usefixtures("short_quarantines")
+@pytest.mark.parametrize("path", ["/long/x", "/short/x", "/lookup/x"])
+def test_one_trial_reaches_an_upstream_at_the_end_of_a_quarantine(
+    fleet: HostFleet, path: str
+) -> None:
+    engines = add_engines(fleet, 12, part="aa")
+    plain = [fleet.add_upstream(f"s{number}", behavior=harness.reset) for number in range(9)]
+    start_three_hosts(fleet)
+
+    def count() -> int:
+        return sum(len(upstream.requests) for upstream in (*engines, *plain))
+
+    call_until_quarantined(fleet, path)
+    before, ends_s = count(), fleet.reactor.seconds() + 5.0
+    while fleet.reactor.seconds() < ends_s:
         for host in (0, 1, 2):
-            fleet.call_at(host, f"{path}/t{number}", attempt=f"t{number}", parts=parts)
-    assert count_arrivals(engines) == before + 1
+            fleet.call_at(host, path, attempt=f"t{fleet.reactor.seconds()}")
+    assert count() == before + 1
+
+
+# Guards against requests that stay quarantined on other hosts, or after a restart, although one of
+# them was answered.
+@pytest.mark.usefixtures("short_quarantines")
+def test_an_answered_trial_frees_equal_requests_on_all_hosts(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"s{number}", behavior=harness.reset) for number in range(9)]
+    start_three_hosts(fleet)
+    call_until_quarantined(fleet, "/lookup/x")
+    for upstream in upstreams:
+        upstream.behavior = harness.serve
+    answered: set[int] = set()
+    ends_s = fleet.reactor.seconds() + 12.0
+    while len(answered) < 3 and fleet.reactor.seconds() < ends_s:
+        answered |= {host for host in (0, 1, 2) if fleet.call_at(host, "/lookup/x").status == 200}
+    assert answered == {0, 1, 2}
+    fleet.run_for(1.0)  # until the row is written
+    for host in fleet.processes:
+        host._peers.stop()
+    fleet.start_host("host-4")
+    fleet.wait_ready()
+    assert fleet.call("/lookup/x").status == 200
--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -1,16 +1,15 @@
-"""Tests of the parts of the router: retry budget, quarantine, health, peer loads."""
+"""Tests of the parts of the router: retry budget, health, peer loads."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagestage.catalog import Availability, Bounds
-from greengagestage.ids import Fingerprint, InstanceId
+from greengagestage.ids import InstanceId
 from greengagestage.results import ResultCode
 from greengagestage.routing import (
     AttemptEnd,
     Demand,
     Health,
-    LossTracker,
     Placement,
     Refused,
     UpstreamLoad,
@@ -29,44 +28,6 @@
 )
 
 
-def test_requests_are_quarantined_at_the_third_lost_upstream() -> None:
-    tracker, bad = LossTracker(), Fingerprint("f")
-    for number in range(3):
-        assert not tracker.is_quarantined(bad, 0.0)
-        tracker.record_loss(bad, f"loss-{number}", 0.0)
-    assert tracker.is_quarantined(bad, 0.0)
-    assert not tracker.is_quarantined(Fingerprint("other"), 0.0)
-
-
-def test_a_loss_reported_more_than_once_counts_once() -> None:
-    tracker, bad = LossTracker(), Fingerprint("f")
-    for _ in range(5):
-        tracker.record_loss(bad, "loss-1", 0.0)
-    assert not tracker.is_quarantined(bad, 0.0)
-
-
-# Guards against hosts that keep a quarantine alive by telling each other of it, and against
-# spreading a loss that turns out to have another cause.
-def test_hosts_exchange_confirmed_losses_with_their_age() -> None:
-    first, second, bad = LossTracker(), LossTracker(), Fingerprint("f")
-    for number in range(3):
-        first.record_loss(bad, f"loss-{number}", 0.0)
-    first.record_loss(Fingerprint("g"), "loss-9", 0.0, confirmed=False)
-    for now_s in (10.0, 50.0):
-        second.learn(first.list_records(now_s, most=9), now_s)
-        first.learn(second.list_records(now_s, most=9), now_s)
-    assert second.is_quarantined(bad, 59.0)
-    assert not second.is_quarantined(bad, 61.0)
-    assert [record.fingerprint for record in second.list_records(50.0, most=9)] == [bad]
-
-
-def test_losses_expire() -> None:
-    tracker, bad = LossTracker(), Fingerprint("f")
-    for number in range(3):
-        tracker.record_loss(bad, f"loss-{number}", 0.0)
-    assert not tracker.is_quarantined(bad, 61.0)
-
-
 def test_exclusion_needs_two_losses_or_one_failed_connection() -> None:
     health = Health()
     health.record_lost_answer(0.0)
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -7,7 +7,14 @@
 import pytest
 
 from greengagestage.ids import AttemptId, Crash, HostId
-from greengagestage.routing import CrashSuspects, PartLoss, QuarantinedSubject, TrialRequest, Trials
+from greengagestage.routing import (
+    CrashSuspects,
+    PartLoss,
+    QuarantinedSubject,
+    SubjectKind,
+    TrialRequest,
+    Trials,
+)
 
 from .suspect_builders import build_parts, record_losses
 
@@ -21,7 +28,9 @@
 
 
 def build_subject(key: str = "part 1", *, crashed_s: float = 0.0) -> QuarantinedSubject:
-    return QuarantinedSubject(key=key, reason=key, crashed_s=crashed_s, ends_s=crashed_s + 60.0)
+    return QuarantinedSubject(
+        kind=SubjectKind.PART, key=key, reason=key, crashed_s=crashed_s, ends_s=crashed_s + 60.0
+    )
 
 
 def may_send(trials: Trials, request: TrialRequest, now_s: float, **fields: float) -> bool:
@@ -82,7 +91,7 @@
             if self.is_deadly and "bad" in parts:
                 records = self.suspects[host].record_loss(parts, loss)
             else:
-                self.trials[host].end(request.attempt_id)
+                self.trials[host].end(request.attempt_id, SubjectKind.PART)
                 records = self.suspects[host].record_answer(parts, ended_s)
             self._schedule(ended_s + JUDGED_AFTER_S + TOLD_AFTER_S, lambda: self._tell(records))
 
