Revert "Count crashes before the head of an answer once the registry shows them"

The end of a process does not prove that it ended under the request; only a head shows that it lived when it had it.

--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -57,14 +57,6 @@
     begun: bool
     had_event: bool
 
-    @property
-    def needs_proof(self) -> bool:
-        """Whether only the registry can show that the loss is that of a crash.
-
-        The connections look the same where a link is cut and requests wait for their answers.
-        """
-        return self.forwarded_by is None and not self.begun and not self.had_event
-
     @property
     def left_out_because(self) -> str | None:
         """Why the loss says nothing about the parts of the prompt so far; None if it may."""
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -80,8 +80,6 @@
         if reason is None:
             self._crash_watch.examine_loss(lost)
         else:
-            if lost.needs_proof:
-                self._crash_watch.await_proof(lost)
             log_message(
                 message_type="upstream: loss left out",
                 upstream=lost.upstream.instance,
