--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -105,8 +105,6 @@
         if reason is None or self._trials.has_trial(lost.attempt_id, SubjectKind.PART):
             self._crash_watch.examine_loss(lost)
         else:
-            if lost.needs_proof:
-                self._crash_watch.await_proof(lost)
             log_message(
                 message_type="upstream: loss left out",
                 upstream=lost.upstream.instance,
