Count a crash by the registry only at an upstream that has not answered since

An upstream whose links were reset may live on and end seconds later for another cause: its losses were then taken for crashes. They are now dropped once it answers this host.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -274,6 +274,8 @@
                 self._fail(AttemptFault.MALFORMED)
                 self._close()
             case ResponseKind.SUCCESS | ResponseKind.FAILURE:
+                if self._forwarded_by is None:
+                    self._context.quarantine.record_head(upstream)
                 if head.status < 300 and self.plan.job.prompt is not None:
                     self._context.metrics.forecast_errors.observe(
                         self.plan.job.route.name,
--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -137,6 +137,12 @@
         """Suspect a prompt later if the registry shows that the upstream has ended."""
         self._unproven.append(lost)
 
+    def record_head(self, upstream: RegisteredUpstream) -> None:
+        """Record that an upstream answers, so that it has not ended with an earlier loss."""
+        if any(each.upstream.incarnation == upstream.incarnation for each in self._unproven):
+            kept = [e for e in self._unproven if e.upstream.incarnation != upstream.incarnation]
+            self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
+
     def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
         """Judge the losses that await a proof, by the entries of the registry.
 
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -218,11 +218,14 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Begin to pass the answer back, and record what it states for this host, too."""
-        if classify_response(head) is ResponseKind.UNPROVEN:
+        kind = classify_response(head)
+        if kind is ResponseKind.UNPROVEN:
             self._close_upstream()
             self.fail_response(ExchangeFailure.MALFORMED)
             return
         now_s = self._context.reactor.seconds()
+        if kind in (ResponseKind.SUCCESS, ResponseKind.FAILURE):
+            self._context.quarantine.record_head(self._upstream)
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
         self._begun, self._framed = True, head.framed
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -4,7 +4,7 @@
 
 from eliot import log_message
 
-from greengagestage.catalog import Prompt
+from greengagestage.catalog import Prompt, RegisteredUpstream
 from greengagestage.ids import AttemptId, Fingerprint
 from greengagestage.routing import LossTracker
 
@@ -40,6 +40,10 @@
         part = None if prompt is None else self._crash_watch.find_crashing_part(prompt)
         return None if part is None else f"prompts with the part {part} crashed upstreams"
 
+    def record_head(self, upstream: RegisteredUpstream) -> None:
+        """Record that an upstream answers a request of this host."""
+        self._crash_watch.record_head(upstream)
+
     def record_answer(self, prompt: Prompt | None) -> None:
         """Record that the answer to a request has produced an event or is complete."""
         if prompt is not None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,7 @@
     CONFIGURATION = "configuration"
     HOST_STOP = "host stop"
     HOST_KILL = "host kill"
+    HOST_KILLS = "kill of all hosts"
     HOST_FREEZE = "host freeze"
     HOST_RELOAD = "host reload"
     SETTINGS_CHANGE = "settings change"
@@ -40,12 +41,13 @@
 """Mean times between the beginnings of two faults, of which each run draws one. Faults last up to
 some seconds, so that they overlap."""
 
-DRAWN = [fault for fault in Fault if fault is not Fault.UPSTREAM_LINKS]
-"""Kinds that a seed draws from first. The other one is drawn afterwards, so that the earlier draws
-of a seed stay as they were."""
+ADDED = (Fault.UPSTREAM_LINKS, Fault.HOST_KILLS)
+DRAWN = [fault for fault in Fault if fault not in ADDED]
+"""Kinds that a seed draws from first. The added ones are drawn afterwards, so that the earlier
+draws of a seed stay as they were."""
 
-SHUT_LINKS_CHANCE = 0.3
-SHUT_LINKS_PAUSE_S = 10.0
+ADDED_CHANCE = 0.3
+ADDED_PAUSE_S = 10.0
 
 KINDS = (3, 6, len(DRAWN))
 """Numbers of kinds of faults, of which each run draws one: many faults at once excuse much."""
@@ -90,7 +92,6 @@
                     seed=random.randrange(2**32),
                 )
             )
-    if draws_kinds and random.random() < SHUT_LINKS_CHANCE:
-        pause_s, only = SHUT_LINKS_PAUSE_S, (Fault.UPSTREAM_LINKS,)
-        schedule += draw_schedule(random, began_s, ended_s, kinds=only, mean_pause_s=pause_s)
+    if draws_kinds and random.random() < ADDED_CHANCE:
+        schedule += draw_schedule(random, began_s, ended_s, kinds=ADDED, mean_pause_s=ADDED_PAUSE_S)
     return sorted(schedule, key=lambda item: item.at_s)
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -47,6 +47,9 @@
                 self.hosts.stop_host(host)
             case Fault.HOST_KILL:
                 self.hosts.kill_host(host)
+            case Fault.HOST_KILLS:
+                for each in self.hosts.hosts:
+                    self.hosts.kill_host(each)
             case Fault.HOST_FREEZE:
                 self.hosts.suspend_host(host, random.choice((0.1, 0.5, 1.5, 4.0)))
             case Fault.HOST_RELOAD:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,8 +5,9 @@
 
 import pytest
 
+from greengagestage.catalog import Availability
 from greengagestage.gateway import HostProcess
-from greengagestage.http1 import IncomingRequest, Responder
+from greengagestage.http1 import Endpoint, IncomingRequest, Responder
 from greengagestage.ids import Crash, InstanceId
 from greengagestage.routing import PartLoss
 from standins.row_store import RowStore
@@ -25,8 +26,9 @@
 
 
 # Guards against crashes that count for nothing because another host has forwarded the requests.
+@pytest.mark.parametrize("path", ["/long", "/short"])
 @pytest.mark.parametrize("cut", [Cut.RESET, Cut.SURVIVING])
-def test_crashes_under_forwarded_requests_count(fleet: HostFleet, cut: Cut) -> None:
+def test_crashes_under_forwarded_requests_count(fleet: HostFleet, cut: Cut, path: str) -> None:
     host = CutHost(fleet)
     engines = add_engines(fleet, 9)
     fleet.run_until(lambda: len(host.process._router.upstreams) == 15)
@@ -34,7 +36,7 @@
     host.set_behavior(harness.crash_on_part("bad"))
     engines += [fleet.upstreams[f"engine-{number}"] for number in (1, 2, 3)]
     for number in range(8):
-        caller = send(fleet, number, f"aa:600,bad:300,own{number}:40")
+        caller = send(fleet, number, f"aa:600,bad:300,own{number}:40", path)
     assert host.forwarded
     assert count_arrivals(engines) <= MAX_CRASHES
     assert (caller.status, caller.error["code"]) == (503, 2012)
@@ -184,7 +186,9 @@
             fleet.run_until(partial(is_unlisted, fleet.processes[0], InstanceId(engine.name)))
 
 
-def send_together(fleet: HostFleet, number: int, count: int) -> list[harness.RawCaller]:
+def send_together(
+    fleet: HostFleet, number: int, count: int, part: str = "bad"
+) -> list[harness.RawCaller]:
     """Send different prompts with one part at the same moment, and wait for their ends."""
     callers = [
         fleet.connect(
@@ -192,7 +196,7 @@
                 f"/long/{number}-{each}",
                 attempt=f"a{number}-{each}",
                 body=b"%d-%d" % (number, each),
-                parts=f"p{number}-{each}:600,bad:300,own:40",
+                parts=f"p{number}-{each}:600,{part}:300,own:40",
             )
         )
         for each in range(count)
@@ -214,3 +218,51 @@
         end_entries(fleet, engines)
     assert count_arrivals(engines) <= MAX_CRASHES
     assert [each.error["code"] for each in callers] == [2012, 2012]
+
+
+def break_off(upstream: UpstreamStandin, request: IncomingRequest, responder: Responder) -> None:
+    """Begin an answer and lose its connection, as a link that is reset does."""
+    responder.begin(200, harness.build_identity_headers(request))
+    upstream.reactor.callLater(0.02, responder.abort)
+
+
+# Guards against sound parts that are blamed because entries end for another cause, some time after
+# links to several upstreams were reset.
+@pytest.mark.parametrize("proof", ["answers", "is connected", "leaves"])
+def test_upstreams_that_do_not_end_with_a_loss_do_not_count_as_crashed(
+    fleet: HostFleet, proof: str
+) -> None:
+    engines = add_engines(fleet, 2)
+    for engine in engines:
+        fleet.store.put("servers", engine.name, engine.build_entry(Slots=1))
+        engine.behavior = break_off
+    start_hosts(fleet, 1)
+    host = fleet.processes[0]
+    send_together(fleet, 0, 2)
+    assert all(engine.requests for engine in engines)
+    for engine in engines:
+        engine.behavior = harness.serve
+        record = host._router.upstreams[InstanceId(engine.name)].record
+        if proof == "is connected":
+            host._pool.open(
+                Endpoint(address=record.address, port=record.port),
+                on_open=lambda connection: None,
+                on_failed=lambda: None,
+            )
+        elif proof == "leaves":
+            entry = engine.build_entry(Slots=1, State="draining", Sequence=2)
+            fleet.store.put("servers", engine.name, entry)
+            fleet.run_until(partial(is_leaving, host, record.instance))
+    if proof == "answers":
+        send_together(fleet, 1, 2, part="other")
+        for engine in engines:
+            engine.port.factory.close_idle()
+    fleet.run_for(0.1)
+    for engine in engines:
+        fleet.store.remove("servers", engine.name)
+        fleet.run_until(partial(is_unlisted, host, InstanceId(engine.name)))
+    assert not host._crashes.suspects.list_records(fleet.reactor.seconds())
+
+
+def is_leaving(host: HostProcess, instance: InstanceId) -> bool:
+    return host._router.upstreams[instance].record.availability is Availability.LEAVING
