--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -4,7 +4,7 @@
 
 from eliot import log_message
 
-from greengagestage.catalog import Prompt
+from greengagestage.catalog import Prompt, RegisteredUpstream
 from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.routing import Job, LossTracker, SubjectKind, TrialRequest, Trials
 
@@ -57,6 +57,10 @@
         refusing = self._trials.find_refusing(subjects, request, self._list_hosts(), now_s)
         return None if refusing is None else refusing.reason
 
+    def record_head(self, upstream: RegisteredUpstream) -> None:
+        """Record that an upstream answers a request of this host."""
+        self._crash_watch.record_head(upstream)
+
     def record_answer(self, job: Job) -> None:
         """Record that the answer to a request has produced an event."""
         self._trials.end(job.attempt_id, SubjectKind.PART)
