Send no trial that has waited for a slot past its turn

Callers of a crashing part could crash several upstreams at the end of a quarantine, once each for several hosts: a request was taken for the trial in its host's turn, and then waited for a slot as long as its deadline allowed. Meanwhile other hosts had their turns, and their trials waited, too. All were sent when slots became free.

The turn is now looked at whenever the request is about to be sent. One that has waited too long is refused and no longer keeps others back on its host.

An assertion of test_a_trial_is_sent_again_only_if_it_has_not_run allowed the fault: a trial could be sent in the second half of a turn, or any later one. It now asks for the opposite there, and for the sending again within the turn.

--- a/greengagestage/routing/_trials.py
+++ b/greengagestage/routing/_trials.py
@@ -100,7 +100,8 @@
     ) -> QuarantinedSubject | None:
         """Return the subject for which a request must not be sent; None if it may be sent.
 
-        A request that may be sent is the trial of all its subjects.
+        A request that may be sent is the trial of all its subjects. One that waits for a slot asks
+        again, and is sent only in a turn of this host.
 
         Args:
             subjects: What the request has in common with those that crashed upstreams.
@@ -116,7 +117,9 @@
                 return subject
         # Parts that crash upstreams together have the same turns.
         latest = max(subjects, key=lambda subject: subject.crashed_s)
-        if latest.key not in self._trials and not self._has_turn(latest, hosts, now_s):
+        if not self._has_turn(latest, hosts, now_s):
+            # A trial that has waited for a slot past its turn, so that others may have begun.
+            self._withdraw(request)
             return latest
         expires_s = max(now_s + TRIAL_LIMIT_S, request.deadline_s)
         for subject in subjects:
@@ -135,6 +138,12 @@
         """Whether a request may have been sent as a trial and has decided nothing yet."""
         return any(trial.request.attempt_id == attempt_id for trial in self._trials.values())
 
+    def _withdraw(self, request: TrialRequest) -> None:
+        """Forget a trial that has provably not run and is not sent any more."""
+        self._trials = {
+            key: trial for key, trial in self._trials.items() if trial.request != request
+        }
+
     def _has_turn(
         self, subject: QuarantinedSubject, hosts: Collection[HostId], now_s: float
     ) -> bool:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -135,10 +135,12 @@
     trials, request = Trials(ONE_HOST[0]), build_request("a")
     assert not may_send(trials, request, 59.9)
     assert may_send(trials, request, 60.0)
-    assert may_send(trials, request, 63.0)
+    assert may_send(trials, request, 61.9)
     assert not may_send(trials, build_request("a", sends=1), 60.1)
     assert not may_send(trials, build_request("b"), 60.1)
     assert may_send(trials, build_request("b"), 60.1, crashed_s=-400.0, key="part 2")
+    assert not may_send(trials, request, 63.0)
+    assert may_send(trials, build_request("c"), 64.0)
 
 
 # Guards against a trial that is never sent, or that shows nothing, keeping all others back.
@@ -154,3 +156,22 @@
 def test_a_host_that_does_not_know_the_others_sends_no_trial() -> None:
     trials = Trials(ONE_HOST[0])
     assert trials.find_refusing([build_subject()], build_request("a"), [], 60.0) is not None
+
+
+# Guards against trials of several hosts that wait past their turns and then are sent together.
+def test_a_trial_that_has_waited_beyond_its_turn_is_not_sent() -> None:
+    names = [HostId(f"h{number}") for number in range(8)]
+    trials = {name: Trials(name) for name in names}
+    waiting = []
+    for step in range(80):
+        for name in names:
+            request = build_request(f"{name} {step}", deadline_s=200.0)
+            if not trials[name].find_refusing([build_subject()], request, names, 60.0 + step / 2):
+                waiting.append((name, request))
+    sent = [
+        name
+        for name, request in waiting
+        if not trials[name].find_refusing([build_subject()], request, names, 100.0)
+    ]
+    assert len(waiting) > 1
+    assert len(sent) <= 1
