Do not take the end of a forwarding host for the crash of an upstream

A quarantine could become twice as long although no upstream had crashed: if a trial was forwarded and the connection to the forwarding host ended, the host that had sent it looked for its own connections to the upstream. It has none while its link is cut, so that the loss counted as a crash.

The loss of a forwarded trial now awaits the proof by the registry. The forwarding host, which sees the upstream's connections, judges it as before.

test_the_end_of_a_forwarding_host_is_no_crash[h1-True-2] failed before, with a third crash.

--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -93,10 +93,11 @@
         if lost.prompt is None:
             return
         reason = lost.left_out_because
-        if reason is None or self._trials.has_trial(lost.attempt_id):
+        is_trial = self._trials.has_trial(lost.attempt_id)
+        if reason is None or (is_trial and lost.forwarded_by is None):
             self._crash_watch.examine_loss(lost)
         else:
-            if lost.needs_proof:
+            if is_trial or lost.needs_proof:
                 self._crash_watch.await_proof(lost)
             log_message(
                 message_type="upstream: loss left out",
