--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -106,9 +106,12 @@
         if lost.prompt is None:
             return
         reason = lost.left_out_because
-        if reason is None or self._trials.has_trial(lost.attempt_id, SubjectKind.PART):
+        is_trial = self._trials.has_trial(lost.attempt_id, SubjectKind.PART)
+        if reason is None or (is_trial and lost.forwarded_by is None):
             self._crash_watch.examine_loss(lost)
         else:
+            if is_trial:
+                self._crash_watch.await_proof(lost)
             log_message(
                 message_type="upstream: loss left out",
                 upstream=lost.upstream.instance,
