Buffer short answers also while memory is scarce

With 800 streams read slowly, an answer of 20 bytes was passed on without its length, in one of the runs of test_streams_read_slowly: while memory is scarce each plain answer was passed on from its first byte. A short one gains nothing from that, since it would wait in the transport's buffer, and loses its length and the chance of a retry.

Plain answers of up to 64 KiB are now buffered in any case.

--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/_delivery.py
@@ -12,6 +12,9 @@
 """Plain answers up to this size are buffered until complete, so that an interrupted request can be
 retried, while memory is not scarce."""
 
+MIN_PASSED_ON_BYTES = 65_536
+"""Smaller ones are buffered in any case: passed on, they would wait in the transport's buffer."""
+
 
 class Delivery:
     """Relays a stream event by event, and a plain answer once it is complete.
@@ -97,7 +100,8 @@
         self._buffer.append(data)
         self._buffered_bytes += len(data)
         has_room = self.begun or self._responder.hold(self._buffered_bytes)
-        if self.head is not None and not (has_room and self._buffered_bytes <= MAX_BUFFERED_BYTES):
+        limit_bytes = MAX_BUFFERED_BYTES if has_room else MIN_PASSED_ON_BYTES
+        if self._buffered_bytes > limit_bytes and self.head is not None:
             self._send_head(self.head)
         if self.begun:
             self._flush()
