Bound what an entry process holds for slow callers

greengage-entry buffered answers of plain services whole for callers that read slowly or not at all, and held the bodies that callers send slowly; nothing bounded their sum. 160 callers with answers of 1 MB, or 40 with bodies of 4 MB, took more than 128 MB.

The watch that closes them moves to http1, which both processes use.

--- a/greengagestage/commands/_entry_settings.py
+++ b/greengagestage/commands/_entry_settings.py
@@ -63,6 +63,12 @@
         parse_size,
         "4096",
     ),
+    _setting(
+        "memory_mb",
+        "Memory of the machine for this process, MiB; limits what is held for slow callers.",
+        parse_size,
+        "1024",
+    ),
     _setting("body_limit_bytes", "Maximum size of a request body, bytes.", parse_size, "4194304"),
     _setting(
         "service_buffer_bytes",
@@ -180,6 +186,7 @@
         second_fleet_key=values["second_fleet_key"],
         seed=values["seed"],
         workspace_labels=values["workspace_labels"],
+        memory_mb=values["memory_mb"],
         server=ServerLimits(
             connections=values["caller_connections"],
             body_bytes=values["body_limit_bytes"],
--- a/greengagestage/entry/_deliveries.py
+++ b/greengagestage/entry/_deliveries.py
@@ -23,6 +23,10 @@
 from ._settings import DeliveryLimits
 from ._stored import AnswerBuffer
 
+MIN_STREAMED_BYTES = 65_536
+"""Smaller answers are buffered also while memory is scarce: sent on, they would wait in the
+transport's buffer."""
+
 _NO_BODY_STATUSES = (204, 304)
 _UNFORWARDED_HEADERS = frozenset(
     {b"x-request-id", b"x-attempt-id", b"x-not-started", b"x-leaving", b"connection", b"keep-alive"}
@@ -112,8 +116,12 @@
     """Delivers a plain service's answer.
 
     Small answers are buffered until they are complete, so that a failed one can be retried or
-    refused with an HTTP status. A larger one is streamed; if it fails, the caller's connection
-    is reset.
+    refused with an HTTP status. A larger one is streamed; if it fails, the caller's connection is
+    reset.
+
+    Args:
+        may_stream_early: Whether small answers are streamed, too, while memory is scarce: those
+            that are not stored.
     """
 
     def __init__(
@@ -122,10 +130,12 @@
         caller: CallerRequest,
         headers: HeaderList,
         buffer_bytes: int,
+        may_stream_early: bool,
     ) -> None:
         self._caller = caller
         self._headers = headers
         self._buffer_bytes = buffer_bytes
+        self._may_stream_early = may_stream_early
         self._head: ResponseHead | None = None
         self._body = bytearray()
         self._streaming = False
@@ -146,6 +156,7 @@
         """Start the answer of a new attempt and discard the body buffered so far."""
         self._head = head
         self._body.clear()
+        self._caller.hold(0)
 
     def add(self, data: bytes) -> None:
         """Buffer a piece of the body, or send it if the answer is streamed."""
@@ -153,7 +164,10 @@
             self._caller.send(data)
             return
         self._body += data
-        if len(self._body) > self._buffer_bytes:
+        has_room = self._caller.hold(len(self._body)) or not self._may_stream_early
+        limit_bytes = math.inf if has_room else MIN_STREAMED_BYTES
+        if len(self._body) > min(limit_bytes, self._buffer_bytes):
+            self._caller.hold(0)
             self._streaming = True
             self._caller.begin_stream(self._status, self._build_headers())
             self._caller.send(bytes(self._body))
@@ -220,6 +234,7 @@
                 buffer_bytes=(
                     limits.service_buffer_bytes if idempotent else limits.kept_answer_bytes
                 ),
+                may_stream_early=idempotent,
             )
         case CompletionTarget(endpoint=endpoint, body=body):
             answer_buffer = (
--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -11,12 +11,20 @@
 from twisted.python.failure import Failure
 from twisted.web import http
 
-from greengagestage.http1 import ObservedConnection, has_unread_bytes
+from greengagestage.http1 import (
+    MemoryAccount,
+    ObservedConnection,
+    count_unsent_bytes,
+    has_unread_bytes,
+)
 from greengagestage.ids import RequestId
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
 from greengagestage.results import ResultCode
 
 _LENGTH_HEADERS = (b"Content-Length", b"Transfer-Encoding")
+MEMORY_RETRY_AFTER_S = 0.1
+"""``Retry-After`` while the process holds too much; the slowest callers are closed by then."""
+
 LINGER_S = 1.0
 """How long the rest of an oversize body is read and discarded before the connection is closed.
 
@@ -36,7 +44,11 @@
 class CallerRequest(ObservedConnection, http.Request):
     """One request of a caller and its answer."""
 
-    _too_large = False
+    _refused = False
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._received = BytesIO()
 
     @property
     def limits(self) -> ServerLimits:
@@ -51,19 +63,22 @@
         """Refuse a body whose declared length is too large; buffer others in memory."""
         self._received = self.content = BytesIO()
         if length is not None and length > self.limits.body_bytes:
-            self._refuse_body()
+            self._refuse_body(Refusal(code=ResultCode.BODY_TOO_LARGE))
 
     def handleContentChunk(self, data: bytes) -> None:
-        """Buffer a piece of the body; refuse the request once the size limit is exceeded."""
-        if self._too_large:
+        """Buffer a piece of the body; refuse the request if there is no room for it."""
+        if self._refused:
             return
         self._received.write(data)
+        cast(CallerChannel, self.channel).record(len(data))
         if self._received.tell() > self.limits.body_bytes:
-            self._refuse_body()
+            self._refuse_body(Refusal(code=ResultCode.BODY_TOO_LARGE))
+        elif self.channel.factory.memory.is_full:
+            self.refuse_for_memory()
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Pass the complete request to the server's ``on_request``."""
-        if self._too_large:
+        if self._refused:
             self.channel.loseConnection()
             return
         self.method, self.uri, self.clientproto = command, path, version
@@ -75,6 +90,23 @@
         super().connectionLost(reason)
         self.notify_disconnected()
 
+    @property
+    def body_bytes(self) -> int:
+        """Number of bytes of the body that are buffered."""
+        return self._received.tell()
+
+    def hold(self, count: int) -> bool:
+        """Count the bytes of the answer that are buffered until it is complete.
+
+        Returns whether there is room for them.
+        """
+        channel = cast("CallerChannel | None", self.channel)
+        return channel is not None and channel.hold(count)
+
+    def refuse_for_memory(self) -> None:
+        """Refuse a request that is being received, since the process holds too much."""
+        self._refuse_body(Refusal(code=ResultCode.MEMORY_FULL, retry_after_s=MEMORY_RETRY_AFTER_S))
+
     def read_body(self) -> bytes:
         """Return the complete body."""
         return self._received.getvalue()
@@ -140,18 +172,21 @@
             headers = [*headers, ("Retry-After", refusal.retry_after_header)]
         self.answer(refusal.http_status, ERROR_CONTENT_TYPE, encode_refusal(refusal), headers)
 
-    def _refuse_body(self) -> None:
+    def _refuse_body(self, refusal: Refusal) -> None:
         """Answer before the body has ended, and discard the rest of it for ``LINGER_S``."""
-        self._too_large = True
+        self._refused = True
+        self._received = self.content = BytesIO()
         self.clientproto = b"HTTP/1.1"
         self.requestHeaders.removeHeader(b"Expect")
-        body = encode_refusal(Refusal(code=ResultCode.BODY_TOO_LARGE))
-        self.setResponseCode(413)
+        body = encode_refusal(refusal)
+        self.setResponseCode(refusal.http_status)
+        if refusal.retry_after_header is not None:
+            self.responseHeaders.setRawHeaders("Retry-After", [refusal.retry_after_header])
         for name, value in (
             ("Content-Type", ERROR_CONTENT_TYPE),
             ("Content-Length", str(len(body))),
             ("Connection", "close"),
-            ("X-Request-Id", self.channel.factory.on_refused(ResultCode.BODY_TOO_LARGE)),
+            ("X-Request-Id", self.channel.factory.on_refused(refusal.code)),
         ):
             self.responseHeaders.setRawHeaders(name, [value])
         self.write(body)
@@ -165,6 +200,12 @@
     factory: "CallerServer"
     _linger_timer: DelayedCall | None = None
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._received_bytes = 0
+        self._written_bytes = 0
+        self._buffered_answer_bytes = 0
+
     def connectionMade(self) -> None:
         """Register the connection with the server."""
         super().connectionMade()
@@ -173,12 +214,32 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Unregister the connection."""
         self.factory.discard_channel(self)
+        self.factory.memory.discard(self)
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
         super().connectionLost(reason)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Parse received bytes; what follows an open request is buffered."""
+        self._received_bytes += len(data)
+        super().dataReceived(data)
+
+    def write(self, data: bytes) -> None:
+        """Write a part of an answer."""
+        self._written_bytes += len(data)
+        self.record(len(data))
+        super().write(data)
+
+    def writeSequence(self, iovec: list[bytes]) -> None:
+        """Write several parts of an answer."""
+        count = sum(map(len, iovec))
+        self._written_bytes += count
+        self.record(count)
+        super().writeSequence(iovec)
+
     def requestDone(self, request: http.Request) -> None:
         """Begin the next request once what is written has been sent."""
+        self.hold(0)
         if self._waitingForTransport and self.persistent:
             self.paused = True
             cast(Any, self._networkProducer).pauseProducing()
@@ -191,6 +252,41 @@
             self.paused = False
             self.dataReceived(b"")
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that the process holds for the caller."""
+        bodies: int = sum(request.body_bytes for request in self.requests)
+        sent_ahead = len(self._buffer) + sum(map(len, self._dataBuffer))
+        unsent: int = count_unsent_bytes(self.transport)
+        return bodies + sent_ahead + self._buffered_answer_bytes + unsent
+
+    @property
+    def awaits_peer(self) -> bool:
+        """Whether the caller has not sent its request, or not taken what is written."""
+        return self.receiving or count_unsent_bytes(self.transport) > 0
+
+    @property
+    def moved_bytes(self) -> int:
+        """Number of bytes that the caller has sent, or taken into the kernel's send queue."""
+        return self._received_bytes + self._written_bytes - count_unsent_bytes(self.transport)
+
+    def record(self, count: int) -> None:
+        """Record bytes that the process holds for the caller from now on."""
+        self.factory.memory.record(self, count)
+
+    def hold(self, count: int) -> bool:
+        """Count the bytes of the answer that are buffered; return whether there is room."""
+        self.record(count - self._buffered_answer_bytes)
+        self._buffered_answer_bytes = count
+        return not self.factory.memory.is_scarce
+
+    def shed(self) -> None:
+        """Refuse a request that is being received, else abort the connection."""
+        if self.receiving and not self.requests[-1].startedWriting:
+            self.requests[-1].refuse_for_memory()
+        else:
+            cast(Any, self.transport).abortConnection()
+
     @property
     def receiving(self) -> bool:
         """Whether a request has arrived in part."""
@@ -240,6 +336,7 @@
 
     Attributes:
         on_refused: Records a refusal of an incomplete or malformed request; returns its id.
+        memory: Counts what is held for callers; by default nothing is counted.
         closing: Whether to close each connection after its current answer.
         channels: The open connections.
     """
@@ -254,9 +351,11 @@
         limits: ServerLimits,
         on_request: Callable[[CallerRequest], None],
         on_refused: Callable[[ResultCode], RequestId],
+        memory: MemoryAccount | None = None,
     ) -> None:
         super().__init__(timeout=limits.idle_timeout_s, reactor=reactor)
         self.limits = limits
+        self.memory = memory or MemoryAccount()
         self.on_request = on_request
         self.on_refused = on_refused
         self.closing = False
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 from twisted.internet.defer import Deferred
 
+from greengagestage.http1 import MemoryAccount, MemoryWatch, compute_held_limit
 from greengagestage.ids import WorkspaceId
 from greengagestage.policy import Policy
 from greengagestage.telemetry import EntryMetrics
@@ -23,6 +24,8 @@
 from ._shutdown import Shutdown
 from ._site import RequestHandler
 
+BYTES_PER_MB = 1_048_576
+
 
 class EntryProcess:
     """Builds all parts of an entry process, from the HTTP listener to the upstream pool.
@@ -51,6 +54,10 @@
             agent_silence_s=lambda: self._link.silence_s,
             agent_grace_s=settings.lifecycle.agent_grace_s,
         )
+        self._memory = MemoryAccount(
+            limit_bytes=compute_held_limit(settings.memory_mb * BYTES_PER_MB)
+        )
+        self._memory_watch = MemoryWatch(reactor=reactor, memory=self._memory)
         self._pool = ConnectionPool(reactor=reactor, limits=settings.pool)
         self._metrics = EntryMetrics(
             workspace_labels=settings.workspace_labels, read_gauges=self._read_gauges
@@ -88,12 +95,14 @@
             readiness=self.readiness,
             metrics=self._metrics,
             request_ids=RequestIds(host=self._settings.host),
+            memory=self._memory,
         )
         return CallerServer(
             reactor=self._reactor,
             limits=self._settings.server,
             on_request=handler.handle,
             on_refused=handler.record_refusal,
+            memory=self._memory,
         )
 
     def _build_shutdown(self) -> Shutdown:
@@ -129,6 +138,7 @@
         host, _, port = self._settings.listen.rpartition(":")
         self._listener = self._server.listen(host.strip("[]"), int(port))
         self._pool.start()
+        self._memory_watch.start()
         self._claims.start()
         self._link.start()
         self.control.start()
@@ -147,6 +157,7 @@
         self.control.stop()
         self.shell.stop()
         self._pool.stop()
+        self._memory_watch.stop()
         self._claims.stop()
         self._link.stop()
 
@@ -154,6 +165,8 @@
         return {
             "open_requests": len(self.shell.requests),
             "caller_connections": len(self._server.channels),
+            "caller_bytes_held": self._memory.held_bytes,
+            "callers_closed_for_memory": self._memory_watch.closed,
             "agent_silence_seconds": self._link.silence_s,
             "ready": float(self.readiness.get_unready_reason() is None),
         }
--- a/greengagestage/entry/_settings.py
+++ b/greengagestage/entry/_settings.py
@@ -58,7 +58,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntrySettings:
-    """All settings of an entry process, fixed at its start."""
+    """All settings of an entry process, fixed at its start.
+
+    Attributes:
+        memory_mb: The memory of the machine for the process, MiB.
+    """
 
     host: HostId
     failure_domain: FailureDomain
@@ -69,6 +73,7 @@
     second_fleet_key: str | None = None
     seed: int = 0
     workspace_labels: int = 50
+    memory_mb: int = 1_024
     server: ServerLimits = field(default_factory=ServerLimits)
     pool: PoolLimits = field(default_factory=PoolLimits)
     delivery: DeliveryLimits = field(default_factory=DeliveryLimits)
--- a/greengagestage/entry/_site.py
+++ b/greengagestage/entry/_site.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 from returns.result import Failure, Result, Success
 
+from greengagestage.http1 import MemoryAccount
 from greengagestage.ids import ClassName, RequestId
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
@@ -15,7 +16,7 @@
 from ._calls import Call
 from ._completions import JSON, HeaderList
 from ._directory import Directory
-from ._http import CallerRequest
+from ._http import MEMORY_RETRY_AFTER_S, CallerRequest
 from ._intake import (
     SERVICES_PREFIX,
     AuthenticatedCaller,
@@ -46,12 +47,14 @@
         readiness: Readiness,
         metrics: EntryMetrics,
         request_ids: RequestIds,
+        memory: MemoryAccount,
     ) -> None:
         self._reactor = reactor
         self._shell = shell
         self._readiness = readiness
         self._metrics = metrics
         self._request_ids = request_ids
+        self._memory = memory
 
     def handle(self, http: CallerRequest) -> None:
         """Handle a request whose body has arrived completely."""
@@ -119,6 +122,8 @@
                 self._refuse(http, request_id, refusal)
 
     def _read_call(self, http: CallerRequest, request_id: RequestId) -> Result[Call, Refusal]:
+        if self._memory.is_full:
+            return Failure(Refusal(code=ResultCode.MEMORY_FULL, retry_after_s=MEMORY_RETRY_AFTER_S))
         directory = self._readiness.directory
         match self._authenticate(http, directory):
             case Success(caller):
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -16,6 +16,7 @@
     ConnectionPool,
     Endpoint,
     MemoryAccount,
+    MemoryWatch,
     ServerFactory,
     compute_held_limit,
 )
@@ -38,7 +39,6 @@
 from ._forwarding import ForwardingHandler
 from ._host_list import HostList, HostRow
 from ._link_watch import LinkWatch
-from ._memory_watch import MemoryWatch
 from ._peers import PeerCallbacks, PeerLink
 from ._readiness import ReadinessHandler
 from ._registry_watch import RegistryWatch
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -15,10 +15,11 @@
     ResponseListener,
 )
 from ._memory import MemoryAccount, compute_held_limit
+from ._memory_watch import MemoryWatch
 from ._pool import ConnectionPool, Endpoint
 from ._requests import IncomingRequest, LimitExceeded, Responder
 from ._server import CallerConnection, ServerFactory
-from ._sockets import has_unread_bytes
+from ._sockets import count_unsent_bytes, has_unread_bytes
 from ._types import HeaderList
 
 __all__ = [
@@ -35,11 +36,13 @@
     "MAX_RESPONSE_HEAD_BYTES",
     "ObservedConnection",
     "MemoryAccount",
+    "MemoryWatch",
     "OutgoingRequest",
     "Responder",
     "ResponseHead",
     "ResponseListener",
     "ServerFactory",
     "compute_held_limit",
+    "count_unsent_bytes",
     "has_unread_bytes",
 ]
--- a/greengagestage/gateway/_memory_watch.py
+++ b/greengagestage/http1/_memory_watch.py
@@ -1,12 +1,11 @@
-"""Closes callers' connections while the host holds more for them than it may."""
+"""Closes callers' connections while the process holds more for them than it may."""
 
 from typing import Any
 
 from eliot import log_message
+from twisted.internet.task import LoopingCall
 
-from greengagestage.http1 import MemoryAccount
-
-from ._loops import RepeatingTask
+from ._memory import MemoryAccount
 
 CHECK_INTERVAL_S = 0.1
 """Time between two checks. Requests that arrive in between are refused while too much is held."""
@@ -21,18 +20,20 @@
 
     def __init__(self, *, reactor: Any, memory: MemoryAccount) -> None:
         self._memory = memory
-        self._task = RepeatingTask(reactor=reactor, name="memory", step=self._check)
+        self._checks = LoopingCall(self._check)
+        self._checks.clock = reactor
         self.closed = 0
 
     def start(self) -> None:
         """Begin to check."""
-        self._task.start(CHECK_INTERVAL_S)
+        self._checks.start(CHECK_INTERVAL_S, now=False)
 
     def stop(self) -> None:
         """Check no more."""
-        self._task.stop()
+        if self._checks.running:
+            self._checks.stop()
 
-    def _check(self) -> float:
+    def _check(self) -> None:
         chosen = self._memory.choose_excess()
         if chosen:
             self.closed += len(chosen)
@@ -43,4 +44,3 @@
             )
         for holder in chosen:
             holder.shed()
-        return CHECK_INTERVAL_S
