--- a/tests/test_trial_losses.py
+++ b/tests/test_trial_losses.py
@@ -36,6 +36,7 @@
         trials=Trials(HOST),
         list_hosts=lambda: [HOST],
         report_loss=lambda fingerprint, loss_id: None,
+        report_cleared=lambda fingerprint: None,
     )
     parts = [each.part for each in job.prompt.shared_parts]
     for number in range(2):
