--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -69,6 +69,9 @@
 REQUEST_TOLERANCE_S = 1.0
 """Difference up to which two times of one loss, reckoned from two ages, count as the same."""
 
+MIN_CHECK_PAUSE_S = 1.0
+"""Time between two such checks while more and more is found out."""
+
 MAX_AGE_S = 2 * MAX_QUARANTINE_S
 """Age from which a row is removed; what it says has expired by then."""
 
@@ -123,6 +126,7 @@
         self._is_read = False
         self._started_s = 0.0
         self._is_checked = True
+        self._next_check_s = 0.0
         self._pending: dict[str, CrashRecord] = {}
         self._recorded: dict[str, CrashRecord] = {}
         self._recorded_era: int | None = None
@@ -170,6 +174,7 @@
             read = yield self._rows.read(CRASH_TABLE)
             if not isinstance(read, RowsRead):
                 return add_jitter(RETRY_S, self._random)
+            self._next_check_s = self._reactor.seconds() + MIN_CHECK_PAUSE_S
             old = self._learn(read)
             missing = self._find_missing()
             removed = [each for each in old if each.key not in missing][:MAX_ROWS_PER_WRITE]
@@ -215,6 +220,8 @@
             self._is_checked = False
 
     def _needs_check(self) -> bool:
+        if self._reactor.seconds() < self._next_check_s:
+            return False
         return not self._is_checked or (not self._pending and bool(self._find_missing()))
 
     def _list_known(self) -> dict[str, CrashRecord]:
