Do not prolong a quarantine of equal requests for losses at the same moment

Callers would have seen a sound request that many of them repeat refused for up to an hour after one upstream, which lived on, had reset connections with several equal requests under way: since the quarantine grows with each further loss, each of those counted. Before that it was refused for a minute.

Change: once requests are quarantined, a loss counts only a second or more after the latest one. Hosts tell of losses 0.1 s later, so that those of several hosts at one moment fall into this time too, and of two hosts' quarantines the one with more losses counts instead of their sum.

--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -24,6 +24,11 @@
 LOSS_LIFETIME_S = 60.0
 """Losses that do not suffice for a quarantine expire this long after the latest one."""
 
+FURTHER_LOSS_S = 1.0
+"""Once requests are quarantined, a loss counts only if it is later than the latest one by this
+time. Equal requests that were under way together are lost together, also where the upstream has
+not crashed, and each host tells of its losses 0.1 s later."""
+
 MAX_FINGERPRINTS = 4_096
 """Maximum number of tracked fingerprints; the one with the oldest latest loss is evicted first."""
 
@@ -75,11 +80,28 @@
         """Add losses, of which the latest was at a time; known ones change nothing."""
         self.expire(last_s)
         added = [loss for loss in losses if loss not in self.hashes and loss not in self.cleared]
-        if added:
+        if added and (not self.is_quarantined or last_s >= self.last_s + FURTHER_LOSS_S):
             self.hashes.update(dict.fromkeys(added))
             self.last_s = max(self.last_s, last_s)
             _drop_first(self.hashes)
 
+    def merge(self, record: LossRecord) -> None:
+        """Add what another host knows. Of two quarantines, the one with more losses counts."""
+        self.clear(record.cleared)
+        losses = [loss for loss in record.losses if loss not in self.cleared]
+        if not self.is_quarantined or len(losses) < LOSSES_TO_QUARANTINE:
+            self.add(losses, record.last_s)
+            return
+        if len(losses) > len(self.hashes):
+            self.hashes = dict.fromkeys(losses)
+        if record.last_s >= self.last_s + FURTHER_LOSS_S:
+            self.last_s = record.last_s
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether there are enough losses for a quarantine, which may have ended."""
+        return len(self.hashes) >= LOSSES_TO_QUARANTINE
+
     def clear(self, losses: Iterable[LossHash]) -> None:
         for loss in losses:
             self.forget(loss)
@@ -122,7 +144,7 @@
         losses.add([loss], now_s)
         if confirmed:
             losses.unconfirmed.discard(loss)
-        else:
+        elif loss in losses.hashes:
             losses.unconfirmed.add(loss)
         return len(losses.hashes)
 
@@ -131,8 +153,7 @@
         for record in records:
             if not record.is_expired(now_s):
                 losses = self._get_or_add(record.fingerprint, record.last_s)
-                losses.clear(record.cleared)
-                losses.add(record.losses, record.last_s)
+                losses.merge(record)
 
     def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Forget a loss that had another cause than the request."""
@@ -149,7 +170,7 @@
     def list_quarantined(self, fingerprint: Fingerprint, now_s: float) -> list[QuarantinedSubject]:
         """Return why requests must not be sent, or only as a trial, if there is a reason."""
         losses = self._losses.get(fingerprint)
-        if losses is None or losses.expire(now_s) or len(losses.hashes) < LOSSES_TO_QUARANTINE:
+        if losses is None or losses.expire(now_s) or not losses.is_quarantined:
             return []
         quarantine_s = compute_quarantine_s(len(losses.hashes) - LOSSES_TO_QUARANTINE)
         return [
