Do not cut an answer that its caller reads for a new connection

At the limit of a host's connections, a new one took the place of the one that had been idle longest, also if its caller still read the last answer: that was cut short although other connections were idle. A connection counts as idle from the end of its answer on, which is when the host has written it.

Such a connection is now passed over.

test_an_idle_connection_without_unsent_bytes_is_closed_for_a_new_one failed before: the connection with unsent bytes was aborted.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -304,16 +304,16 @@
         self.transport.abortConnection()
 
     def evict(self) -> bool:
-        """Close the connection unless a request may have arrived; return whether it is closed."""
-        if self._codec.trailing_data[0] or has_unread_bytes(self.transport):
+        """Close the connection; return whether it is closed.
+
+        It is not if a request may have arrived, or if the caller still reads an answer.
+        """
+        if self._codec.trailing_data[0] or has_unread_bytes(self.transport) or self.unsent_bytes:
             return False
         self.factory.idle_connections.pop(self, None)
         self._ignoring_input = True
-        if self.unsent_bytes:
-            self.transport.abortConnection()
-        else:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
         return True
 
     def close_idle(self) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -229,6 +229,20 @@
     assert not server.transport.aborted
 
 
+# Guards against cutting an answer that its caller still reads for a new connection, while another
+# connection is idle.
+def test_an_idle_connection_without_unsent_bytes_is_closed_for_a_new_one() -> None:
+    server = ServerHarness()
+    server.factory.max_connections = 2
+    idle, new = (server.factory.buildProtocol(None) for _ in range(2))
+    server.transport.dataBuffer = b"x" * 100
+    idle.makeConnection(Transport())
+    new.makeConnection(Transport())
+    assert not server.transport.aborted
+    assert idle.transport.closed
+    assert not new.transport.aborted
+
+
 # Guards against a connection that is kept for ever for a caller that reads nothing.
 def test_a_caller_that_reads_nothing_is_disconnected_after_the_idle_timeout() -> None:
     server = ServerHarness(header_timeout_s=3.0, idle_timeout_s=5.0)
