Count what callers have moved since the last check when one is closed for another

Where no connection is idle at the limit of a host's connections, some that have moved the least are closed. What they had moved since the last check, up to 0.1 s before, did not count, so that a caller that had just begun to send a long body was refused before one that sent nothing.

test_callers_that_have_moved_bytes_since_the_last_check_are_not_the_slowest failed before.

--- a/greengagestage/http1/_memory.py
+++ b/greengagestage/http1/_memory.py
@@ -140,8 +140,9 @@
         return nsmallest(count, awaiting, key=self._rank)
 
     def _rank(self, holder: MemoryHolder) -> tuple[float, int]:
-        held_bytes = holder.held_bytes
-        return self._holders[holder].recent_bytes / max(held_bytes, 1), -held_bytes
+        held_bytes, progress = holder.held_bytes, self._holders[holder]
+        recent_bytes = progress.recent_bytes + holder.moved_bytes - progress.moved_bytes
+        return recent_bytes / max(held_bytes, 1), -held_bytes
 
     def _exceeds(self, mark_bytes: float) -> bool:
         if self.held_bytes <= mark_bytes:
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -68,3 +68,13 @@
     hold(account, 10**12)
     assert not account.is_scarce
     assert account.held_bytes == 0
+
+
+# Guards against refusing a caller that has sent much since the last check before one that sends
+# nothing.
+def test_callers_that_have_moved_bytes_since_the_last_check_are_not_the_slowest() -> None:
+    account = MemoryAccount(limit_bytes=LIMIT)
+    stalled, sending = hold(account, 100), hold(account, 400)
+    account.choose_excess()
+    sending.moved_bytes += 400
+    assert account.list_slowest(1) == [stalled]
