Tests: a sound row about crashes is read, not only not unreadable

The assertion would have passed for a sound row that is ignored as expired or of another era; before the reasons were told apart, it did not.

--- a/tests/test_boundary_decoders.py
+++ b/tests/test_boundary_decoders.py
@@ -13,7 +13,7 @@
 import greengagestage
 from greengagestage.decoding import decode_json
 from greengagestage.duties._lease import decode_lease
-from greengagestage.gateway._crash_table import IgnoredRow
+from greengagestage.gateway._crash_table import IgnoredRow, KnownCrashes
 from greengagestage.gateway._crash_table import decode_row as decode_crashes
 from greengagestage.gateway._era_table import decode_known_ms
 from greengagestage.gateway._host_list import HostRow
@@ -131,7 +131,8 @@
     suspects = b'"suspects": ["suspects", [[1, null, [[%d, %d, 5]]]]]' % (crash, age)
     row = b'{"era": null, "written_ms": 0, %s, %s}' % (losses, suspects)
     known = decode_crashes(row, RowsRead(revision=1), 0.0)
-    assert (known is IgnoredRow.UNREADABLE) is ((loss, crash, age) != (1, 1, 5))
+    is_sound = (loss, crash, age) == (1, 1, 5)
+    assert isinstance(known, KnownCrashes) if is_sound else known is IgnoredRow.UNREADABLE
 
 
 # Guards against odd datagrams of peers, cut or changed in one place.
