Let later reports correct the time of a crash

Hosts may have chosen different turns for trials, and different ends of a quarantine, for as long as it lasted: reports carry ages, and a host that was busy or stopped when the first one came took the crash for later than it was. The same report comes again each half second, but a known crash was left as it was. Rows of another era, which a host takes as just written, differ likewise.

An earlier copy of the same loss, by the time from its send to its end, now takes the place of the later one. Another loss in the same crash does not.

test_a_host_that_was_told_late_of_a_crash_corrects_its_time failed before, by the four seconds that the host was late.

--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -22,6 +22,9 @@
 MAX_CRASHES_PER_PART = 8
 """Maximum number of crashes kept for one part, for which it is quarantined longest."""
 
+TIME_TOLERANCE_S = 0.1
+"""Difference up to which times that hosts reckon from ages count as the same."""
+
 MAX_PARTS = 2_048
 """Maximum number of suspected parts, of which those with the least evidence are dropped first, and
 of answered ones, of which the oldest are."""
@@ -42,6 +45,15 @@
     sent_s: float
     lost_s: float
 
+    def corrects(self, known: "PartLoss") -> bool:
+        """Whether this is the same loss, of which a report was read late before.
+
+        Reports carry ages, so that the times of one that was read late are too late.
+        """
+        difference_s = known.lost_s - self.lost_s
+        is_same = abs(known.sent_s - self.sent_s - difference_s) < TIME_TOLERANCE_S
+        return is_same and difference_s > TIME_TOLERANCE_S
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SuspectRecord:
@@ -117,7 +129,8 @@
     crashes: int = 0
 
     def add(self, loss: PartLoss) -> None:
-        if loss.crash in self.losses:
+        known = self.losses.get(loss.crash)
+        if known is not None and not loss.corrects(known):
             return
         self.losses[loss.crash] = loss
         if len(self.losses) > MAX_CRASHES_PER_PART:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -213,3 +213,19 @@
         else:
             loss = PartLoss(crash=Crash(number), sent_s=number - 0.5, lost_s=float(number))
             suspects.record_loss(build_parts(parts), loss)
+
+
+# Guards against hosts whose turns differ for as long as a quarantine lasts, since one of them was
+# busy or had stopped for a while when it was told of a crash.
+def test_a_host_that_was_told_late_of_a_crash_corrects_its_time() -> None:
+    first, late = CrashSuspects(), CrashSuspects()
+    record_losses(first, "bad", [1, 2])
+    for told_s, read_s in ((3.0, 7.0), (8.0, 8.0)):
+        (report,) = build_suspect_reports(first.list_records(told_s), told_s)
+        late.learn(read_suspect_report(report, read_s))
+    times = [
+        subject.crashed_s
+        for suspects in (first, late)
+        for subject in suspects.list_quarantined(build_parts("bad"), 10.0)
+    ]
+    assert times[1] == pytest.approx(times[0], abs=0.01)
