Tell other hosts of all suspected parts, not always of the same ones

A host that missed the report of a change may never have heard of it: each round told at most 120 losses, of the parts with the most evidence, which were the same in each round.

A round now begins with a random record if not all of them fit.

test_all_parts_are_told_again_however_many_there_are failed before: 15 of 31 parts were told in 100 rounds.

--- a/greengagestage/gateway/_suspect_reports.py
+++ b/greengagestage/gateway/_suspect_reports.py
@@ -20,7 +20,7 @@
 """Mean number of hosts that reply if all hosts know what another one lacks."""
 
 MAX_GOSSIP_LOSSES = 120
-"""Maximum number of losses told in one round, of the parts with the most evidence."""
+"""Maximum number of losses told in one round."""
 
 MAX_LOSSES_PER_REPORT = 24
 """Maximum number of entries in one datagram; one with a loss takes up to 40 bytes."""
@@ -44,8 +44,12 @@
     def plan_reports(
         self, records: Iterable[SuspectRecord], peers: Sequence[HostId], now_s: float
     ) -> list[tuple[HostId, SuspectsReport]]:
-        """Return the reports of one round; the records with the most evidence come first."""
+        """Return the reports of one round, which begins with a random record if not all fit."""
         self._next_round_s = now_s + GOSSIP_INTERVAL_S * (0.5 + self._draw())
+        records = list(records)
+        if sum(map(_measure, records)) > MAX_GOSSIP_LOSSES:
+            first = int(self._draw() * len(records))
+            records = records[first:] + records[:first]
         reports = _build_limited_reports(records, now_s)
         if not reports:
             return []
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -1,13 +1,18 @@
 """Tests of the search for prompt parts that crash upstreams, without network or clock."""
 
 from itertools import permutations
+from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagestage.gateway._suspect_reports import build_suspect_reports, read_suspect_report
-from greengagestage.ids import Crash, PromptPartId
+from greengagestage.gateway._suspect_reports import (
+    SuspectGossip,
+    build_suspect_reports,
+    read_suspect_report,
+)
+from greengagestage.ids import Crash, HostId, PromptPartId
 from greengagestage.routing import CrashSuspects, PartLoss
 
 from .suspect_builders import build_loss, build_parts, record_losses
@@ -229,3 +234,16 @@
         for subject in suspects.list_quarantined(build_parts("bad"), 10.0)
     ]
     assert times[1] == pytest.approx(times[0], abs=0.01)
+
+
+# Guards against evidence that is never told again, since older parts with more of it fill a round.
+def test_all_parts_are_told_again_however_many_there_are() -> None:
+    suspects, told = CrashSuspects(), CrashSuspects()
+    for number in range(30):
+        record_losses(suspects, f"old{number}", range(8 * number, 8 * number + 8))
+    record_losses(suspects, "new", [240, 241])
+    gossip = SuspectGossip(draw=Random(1).random)
+    for _ in range(100):
+        for _, report in gossip.plan_reports(suspects.list_records(242.0), [HostId("h1")], 242.0):
+            told.learn(read_suspect_report(report, 242.0))
+    assert len(told.list_records(242.0)) == 31
