--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -21,8 +21,9 @@
 OTHER_HOST_RETRY_AFTER_S = 0.1
 """``Retry-After`` of a refusal where another host can probably serve the request at once."""
 
-RECORD_POLL_S = 0.01
-"""Pause until a request is placed again that waits for the record of crashes."""
+RECORD_POLL_S = 0.05
+"""Pause until a request is placed again that waits for the record of crashes. Shorter ones keep a
+host busy, whose callers may all wait, and delay the record."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -2,9 +2,8 @@
 
 Hosts tell each other what they know. The record is for those that start when no other host is left
 that knows. The host that finds something out writes it at once, and adds it to what others have
-written. The first of all hosts then looks
-whether it is there, since the other one may have ended or may not have reached the store, and
-removes what has expired.
+written. The first of all hosts then looks whether it is there, since the other one may have ended
+or may not have reached the store, and removes what has expired.
 """
 
 from collections import Counter
