Limit each read and each transport's buffer to 16 KiB

Cause: Twisted reads up to 64 KiB of a connection at a time, and lets a producer go on until 64 KiB are unsent. A trace of the account shows 8 MB held at one check, 37 MB at the next, 0.2 s later, when the 800 connections to upstreams had each been read once in between: no check can come before the memory has been taken. The account itself was right.

All connections of a host, and callers' connections of an entry process, now read 16 KiB at a time and pause the upstream once 16 KiB are unsent.

--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -16,6 +16,7 @@
     ObservedConnection,
     count_unsent_bytes,
     has_unread_bytes,
+    limit_buffers,
 )
 from greengagestage.ids import RequestId
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
@@ -209,6 +210,7 @@
     def connectionMade(self) -> None:
         """Register the connection with the server."""
         super().connectionMade()
+        limit_buffers(self.transport)
         self.factory.add_channel(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -19,7 +19,7 @@
 from ._pool import ConnectionPool, Endpoint
 from ._requests import IncomingRequest, LimitExceeded, Responder
 from ._server import CallerConnection, ServerFactory
-from ._sockets import count_unsent_bytes, has_unread_bytes
+from ._sockets import count_unsent_bytes, has_unread_bytes, limit_buffers
 from ._types import HeaderList
 
 __all__ = [
@@ -45,4 +45,5 @@
     "compute_held_limit",
     "count_unsent_bytes",
     "has_unread_bytes",
+    "limit_buffers",
 ]
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -12,17 +12,27 @@
 operators after which they count a host as reachable again, so that connections broken in the
 meantime are closed by then."""
 
+BUFFER_BYTES = 16_384
+"""Bytes of one read, and of what is written and unsent above which a producer is paused. Hundreds
+of connections can add both before a process that runs short of memory closes one of them."""
+
 
 def tune_socket(transport: Any, *, unacknowledged_limit_s: float = UNACKNOWLEDGED_LIMIT_S) -> None:
-    """Disable Nagle's algorithm and limit the time that sent bytes may stay unacknowledged.
+    """Disable Nagle's algorithm; limit buffers and the time that bytes may stay unacknowledged.
 
     The limit also ends a connection whose peer is alive but reads nothing, and would decide when
     keep-alive probes give up. These are not enabled.
     """
     transport.setTcpNoDelay(True)
+    limit_buffers(transport)
     limit_unacknowledged(transport, unacknowledged_limit_s)
 
 
+def limit_buffers(transport: Any) -> None:
+    """Limit a read, and what may be unsent while a producer goes on, to ``BUFFER_BYTES``."""
+    transport.bufferSize = BUFFER_BYTES
+
+
 def limit_unacknowledged(transport: Any, limit_s: float | None = UNACKNOWLEDGED_LIMIT_S) -> None:
     """Limit the time that sent bytes may stay unacknowledged; None leaves it to the system."""
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
