Start no stall timer for a caller whose request has ended

The entry process finishes a request, which cancels this timer, and then writes the last bytes of the answer. If they fill the transport's buffer, the caller's pause started the timer anew, and nothing cancelled it any more: 30 s later the process logged a stall of a caller that had its answer, raised AttributeError, and told the policy that the caller had left.

A host's exchange has no such timer, and its attempts forget their connection before the last bytes are written.

--- a/greengagestage/entry/_active.py
+++ b/greengagestage/entry/_active.py
@@ -156,8 +156,11 @@
 
         The caller is disconnected if it does not catch up in time. The attempt of a
         non-idempotent request is not paused, because its answer is stored in any case. The
-        dispatcher pauses every attempt that it starts while the caller is stalled.
+        dispatcher pauses every attempt that it starts while the caller is stalled. Once the request
+        has ended, only its last bytes are written: nothing is left to pause.
         """
+        if self.code is not None:
+            return
         if self._stall_timer is None:
             self._stall_timer = self._reactor.callLater(
                 self._stall_limit_s, self._disconnect_caller
--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -19,6 +19,7 @@
 from .scripted_upstreams import (
     CLOSE,
     HEAD,
+    LAST_CHUNK,
     TEXT,
     answer_then,
     answer_whole,
@@ -30,6 +31,13 @@
 
 LARGE_CHUNK = chunked(event({"id": "a", "choices": [{"text": "x" * 60_000, "token_ids": [1]}]}))
 
+LARGE_END = chunked(
+    event(
+        {"id": "a", "choices": [{"text": "x" * 60_000, "token_ids": [1], "finish_reason": "stop"}]}
+    )
+    + b"data: [DONE]\n\n"
+)
+
 
 class DisconnectCase(EntryCase):
     @inlineCallbacks
@@ -113,6 +121,18 @@
         yield wait_until(lambda: caller.is_complete)
         assert caller.body.endswith(b"data: [DONE]\n\n")
 
+    # Guards against a stall timer that outlives the answer whose last part filled the buffer.
+    @inlineCallbacks
+    def test_a_long_last_part_does_not_count_as_a_stall_later(self):
+        engine = self.start_upstream(answer_then(2))
+        self.configure(engine)
+        caller = yield self.send(build_request(build_body()))
+        (active,) = yield self.find_active()
+        yield wait_until(lambda: len(caller.events) == 2)
+        engine.requests[0].send(LARGE_END, LAST_CHUNK)
+        yield wait_until(lambda: caller.is_complete)
+        assert not active.is_stalled
+
     @inlineCallbacks
     def find_active(self):
         yield wait_until(lambda: self.process.shell.requests)
