Count completions that an entry process collects or stores

A completion that is not streamed is collected up to 16 MiB before the caller gets its first byte, one that has to be stored up to 2 MiB. The account of held bytes did not know of either, so that an entry process could take more and more long answers. They are counted now as buffered answers of plain services are; once the limit is reached, new requests are refused with 2019.

test_a_collected_answer_is_counted_while_it_grows failed before.

--- a/greengagestage/entry/_deliveries.py
+++ b/greengagestage/entry/_deliveries.py
@@ -1,7 +1,7 @@
 """Delivery of upstream answers to callers; an incomplete answer never looks complete."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from greengagestage.claims import StoredAnswer
 from greengagestage.refusals import Refusal
@@ -35,7 +35,13 @@
 
 
 class CompletionDelivery:
-    """Delivers a completion; its end is held back until the answer is known to be complete."""
+    """Delivers a completion; its end is held back until the answer is known to be complete.
+
+    Args:
+        answer_buffer: Keeps the answer for the store, if it has to be stored.
+        limit_bytes: Size up to which an answer may grow, without end for one that is streamed.
+        hold: Counts the bytes that are kept until the answer is complete; None if none are.
+    """
 
     def __init__(
         self,
@@ -43,8 +49,10 @@
         writer: CompletionWriter,
         answer_buffer: AnswerBuffer | None,
         limit_bytes: float = math.inf,
+        hold: Callable[[int], object] | None = None,
     ) -> None:
         self._progress = CompletionProgress()
+        self._hold = hold
         self._writer = writer
         self._answer_buffer = answer_buffer
         self._size = 0
@@ -105,6 +113,8 @@
             self._size += len(payload)
             if self._answer_buffer is not None:
                 self._answer_buffer.add(encode_event(payload))
+        if self._hold is not None:
+            self._hold(self._size)
         return merged
 
 
@@ -241,10 +251,14 @@
                 None if idempotent else AnswerBuffer(limit_bytes=limits.kept_answer_bytes)
             )
             if body.stream:
-                streamed = StreamedWriter(caller=caller, headers=headers)
-                return CompletionDelivery(writer=streamed, answer_buffer=answer_buffer)
+                return CompletionDelivery(
+                    writer=StreamedWriter(caller=caller, headers=headers),
+                    answer_buffer=answer_buffer,
+                    hold=None if answer_buffer is None else caller.hold,
+                )
             return CompletionDelivery(
                 writer=CollectedWriter(caller=caller, headers=headers, endpoint=endpoint),
                 answer_buffer=answer_buffer,
                 limit_bytes=limits.collected_answer_bytes,
+                hold=caller.hold,
             )
--- a/tests/test_entry_delivery.py
+++ b/tests/test_entry_delivery.py
@@ -11,13 +11,18 @@
     wait_until,
 )
 from .scripted_upstreams import (
+    HEAD,
+    LAST_CHUNK,
     TEXT,
     answer_then,
     answer_whole,
     chunked,
+    event,
     stream_events,
 )
 
+LARGE_CHUNK = chunked(event({"id": "a", "choices": [{"text": "x" * 60_000, "token_ids": [1]}]}))
+
 
 class DeliveryCase(EntryCase):
     @inlineCallbacks
@@ -44,3 +49,19 @@
         assert caller.status == 200
         assert caller.json["choices"] == [{"index": 0, "text": TEXT, "finish_reason": "stop"}]
         assert caller.json["usage"]["completion_tokens"] == 7
+
+    # Guards against answers that are kept until they are complete without being counted.
+    @inlineCallbacks
+    def test_a_collected_answer_is_counted_while_it_grows(self):
+        engine = self.start_upstream(lambda r: r.send(HEAD, *[LARGE_CHUNK] * 20))
+        self.configure(engine)
+        caller = yield self.send(build_request(build_body(stream=False)))
+        yield wait_until(lambda: self.held_bytes > 20 * 60_000)
+        request = engine.requests[0]
+        request.send(*map(chunked, stream_events(request)[-2:]), LAST_CHUNK)
+        yield wait_until(lambda: caller.is_complete)
+        yield wait_until(lambda: self.held_bytes == 0)
+
+    @property
+    def held_bytes(self):
+        return sum(channel.held_bytes for channel in self.process._server.channels)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -123,6 +123,21 @@
     entry.check_serves()
 
 
+def test_entry_with_streams_read_slowly(entry: EntryPlay) -> None:
+    path = "/services/bookings/stream/1500000"
+    entry.join(800, build_entry_request(method="GET", path=path))
+    entry.play(20)
+    entry.check_within_memory()
+    entry.check_serves()
+
+
+def test_a_planned_stop_of_an_entry_beside_slow_readers(entry: EntryPlay) -> None:
+    entry.join(40, *ask_entry(900_000))
+    entry.join(40, *ask_entry(60_000, 20))
+    entry.play(4)
+    assert entry.stop_process() == 0
+
+
 def test_entry_with_long_bodies_sent_slowly(entry: EntryPlay) -> None:
     request = build_entry_request(b"x" * 4_000_000, path="/services/bookings/plain/20")
     entry.join(40, request[:-1])
