Hold signals while a program starts, and ignore them once its reactor has stopped

A SIGTERM during the start ended each program with -15, and SIGHUP ended greengage-entry and greengage-agent at any time.

Cause: Python gives each signal that has a handler of its own the default action back while the interpreter ends, and before the handlers are set the default action holds as well.

handle_signals is now the one place for all three programs. Signals are blocked from the first line of a program until its handlers are set, so that the kernel keeps them: a reload between the read of the settings and the handler isn't lost, and a stop is carried out. After the reactor has stopped, also if a program could not listen, the signals are set to SIG_IGN, which the interpreter's end leaves alone. Reloads that arrive together read the settings once: a series of them no longer makes a stopping host read the file for each. Programs that reload nothing ignore SIGHUP; `make serve` and `make run` stop at SIGHUP, since a closed terminal would leave their processes behind otherwise.

The commands' bodies are now in _entry_command and _agent_command, as _host_command was, since their imports take most of the start. bench/entry.py and tests/test_entry_command.py import from there.

Still open, as before: a signal within some 0.03 s of a start, before the interpreter runs our code.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -9,9 +9,9 @@
 
 import click
 
+from greengagestage.commands._entry_command import run
 from greengagestage.commands._entry_settings import ENTRY_SETTINGS, build_entry_settings
 from greengagestage.commands._setting_types import add_setting_options
-from greengagestage.commands.entry import run
 from greengagestage.entry import RoutingPolicy
 
 from ._baselines import Balancing, BaselinePolicy
--- a/greengagestage/commands/_host_command.py
+++ b/greengagestage/commands/_host_command.py
@@ -1,6 +1,5 @@
 """The command ``greengage-host``: its options, settings check and run."""
 
-import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -17,8 +16,9 @@
 from greengagestage.telemetry import BoundedOutput, start_stdout_logging
 
 from ._exits import EXIT_INVALID_SETTINGS, EXIT_LISTEN_FAILED
-from ._reactor import stop_on_signals, use_monotonic_time
+from ._reactor import use_monotonic_time
 from ._setting_types import SettingsError
+from ._signals import handle_signals
 
 
 @click.command(context_settings={"max_content_width": 100})
@@ -68,15 +68,12 @@
         current=settings,
         on_change=process.adopt_settings,
     )
-    stop_on_signals(reactor, process.stop)
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(watch.check))
-    # A reload that was asked for since the settings were read has been ignored.
-    watch.check()
-    try:
-        process.start()
-    except CannotListenError as error:
-        click.echo(f"greengage-host: {error}", err=True)
-        return EXIT_LISTEN_FAILED
-    watch.start()
-    reactor.run(installSignalHandlers=False)
+    with handle_signals(reactor, stop=process.stop, reload=watch.check):
+        try:
+            process.start()
+        except CannotListenError as error:
+            click.echo(f"greengage-host: {error}", err=True)
+            return EXIT_LISTEN_FAILED
+        watch.start()
+        reactor.run(installSignalHandlers=False)
     return 0
--- a/greengagestage/commands/host.py
+++ b/greengagestage/commands/host.py
@@ -1,17 +1,11 @@
 """``greengage-host``: serves callers on a host of the operators' platform, without an agent."""
 
-import signal
+from ._held_signals import hold_signals
 
 
 def main() -> None:
-    """Run the command.
-
-    The operators may ask for a reload while the host is still starting. Until it can handle
-    SIGHUP, it ignores the signal, whose default action would end the process.
-    """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
-    # Importing the command takes most of the start.
+    """Run the command."""
+    hold_signals()
     from ._host_command import main as run_command
 
     run_command()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -40,7 +40,7 @@
 @click.option("--rate", default=1.0, show_default=True, help="Factor on the request rate.")
 def run(seed: int, duration_s: float, rate: float) -> None:
     """Start the fleet, send a mixed load, print the results and stop the fleet."""
-    signal.signal(signal.SIGTERM, _interrupt)
+    _interrupt_on_signals()
     with tempfile.TemporaryDirectory(prefix="greengage-") as directory:
         fleet = Fleet(shape=build_cooperative_shape(), directory=Path(directory))
         with fleet:
@@ -67,7 +67,7 @@
 )
 def serve(directory: Path) -> None:
     """Start the fleet, write fleet.json and run until interrupted."""
-    signal.signal(signal.SIGTERM, _interrupt)
+    _interrupt_on_signals()
     description = directory / FLEET_FILE
     try:
         with Fleet(shape=build_cooperative_shape(), directory=directory) as fleet:
@@ -83,6 +83,12 @@
         description.unlink(missing_ok=True)
 
 
+def _interrupt_on_signals() -> None:
+    """Stop the fleet also when the terminal closes: its processes ignore SIGHUP."""
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, _interrupt)
+
+
 def _interrupt(_number: int, _frame: object) -> None:
     raise KeyboardInterrupt
 
--- a/tests/test_entry_command.py
+++ b/tests/test_entry_command.py
@@ -7,9 +7,9 @@
 import pytest
 from click.testing import CliRunner
 
+from greengagestage.commands._entry_command import main
 from greengagestage.commands._entry_settings import ENTRY_SETTINGS, build_entry_settings
 from greengagestage.commands._setting_types import SettingsError
-from greengagestage.commands.entry import main
 
 from .reactors import choose_address
 
