Refuse CONNECT at once at hosts

A host sent a CONNECT to an upstream like any other request. After its 2xx answer h11 takes what follows for a tunnel and gives no body, so that the caller got a 502 or 504, at its deadline if the upstream kept the connection open; the request had used an upstream and counted as lost there.

Nothing of a tunnel can be passed on, so a host answers 405 with code 1011 before anything else is looked at. The operators' protocol lists no 405 among the statuses after which nobody retries, and promises nothing by it, which fits: it has not run, and it fails again.

Entry processes refused it already; their list of bad requests now proves it, also for the target form host:port (404 there).

Evidence: two new cases of test_requests_that_the_configuration_does_not_allow_are_refused failed before (502 with 3001, and 400 with 1006 for the target form host:port), and pass now.

--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -79,7 +79,10 @@
         self._random = random
 
     def handle(self, request: IncomingRequest, responder: Responder) -> None:
-        """Handle a complete request."""
+        """Handle a complete request. A tunnel is refused: nothing of it could reach an upstream."""
+        if request.method == b"CONNECT":
+            self._refuse(request, None, responder, Refusal(code=ResultCode.METHOD_NOT_ALLOWED))
+            return
         match parse_caller_headers(request.target, request.headers):
             case Success(metadata):
                 self._admit(request, metadata, responder)
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -142,6 +142,7 @@
 
 _REFUSAL_STATUSES = {
     ResultCode.UNKNOWN_PATH: 404,
+    ResultCode.METHOD_NOT_ALLOWED: 405,
     ResultCode.MISSING_CREDENTIALS: 401,
     ResultCode.UNKNOWN_CREDENTIALS: 401,
     ResultCode.BAD_HEADER: 400,
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -137,6 +137,12 @@
         build_request(build_body(), path="/v1/models"),
         ResultCode.METHOD_NOT_ALLOWED,
     ),
+    # Guards against a tunnel that is answered at its deadline only.
+    "tunnel to a service": (
+        build_request(method="CONNECT", path="/services/bookings/x"),
+        ResultCode.METHOD_NOT_ALLOWED,
+    ),
+    "tunnel": (build_request(method="CONNECT", path="h:443"), ResultCode.UNKNOWN_PATH),
     "trace of a service": (
         build_request(method="TRACE", path="/services/bookings/x"),
         ResultCode.METHOD_NOT_ALLOWED,
--- a/tests/test_host_requests.py
+++ b/tests/test_host_requests.py
@@ -71,6 +71,9 @@
         ("/order/x", {"key": None}, 401, 1014),
         ("/order/x", {"key": "other"}, 401, 1015),
         ("/order/x", {"attempt": ""}, 400, 1006),
+        # Guards against a tunnel that is answered at its deadline only.
+        ("/open/x", {"method": "CONNECT"}, 405, 1011),
+        ("shop.example:443", {"method": "CONNECT"}, 405, 1011),
     ],
 )
 def test_requests_that_the_configuration_does_not_allow_are_refused(
