Say why a caller that closes its sending side counts as gone, and prove it for entry processes

A full close and a half-close send the same FIN and differ at a write only, so they cannot be told apart without either running work for callers that left or sending interim answers that callers need not expect.

--- a/tests/test_entry_callers.py
+++ b/tests/test_entry_callers.py
@@ -46,6 +46,17 @@
             yield wait_until(lambda request=request: request.closed)
             assert self.process.shell.is_idle
 
+    # Guards against work that goes on for callers that have closed their connection: until a write
+    # fails, the process learns only that they send nothing more.
+    @inlineCallbacks
+    def test_a_caller_that_closes_its_sending_side_counts_as_gone(self):
+        engine = self.start_upstream(answer_then(2))
+        self.configure(engine)
+        caller = yield self.send(build_request(build_body()))
+        yield wait_until(lambda: engine.requests)
+        caller.transport.loseWriteConnection()
+        yield wait_until(lambda: engine.cancelled and self.process.shell.is_idle)
+
     @inlineCallbacks
     def test_a_disconnect_removes_a_queued_request(self):
         engine = self.start_upstream(answer_then(2))
