Let hosts try suspected links by themselves, the more rarely the more hosts do it sooner

Once all hosts suspected their links to the same upstreams, for example while some upstreams accepted no connections for a second, these got no work any more, although they were sound again: a suspected link was tried only after another host had forwarded a request to its upstream, and no host could. As long as other upstreams of the service served, no request was sent directly either.

Each host now also tries its suspected links by itself. All hosts rank themselves for each upstream by a hash, without a message, and the host at rank r tries every r + 1 s on average. The attempts of a fleet of N hosts are a harmonic sum, about ln N a second and upstream. A try that a forwarded answer brings forward replaces the planned one, so that a rank far behind delays nothing; a link that is back meanwhile is not tried.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -357,7 +357,7 @@
 
     def _fail_unreachable(self) -> None:
         self._fail(AttemptFault.UNREACHABLE)
-        self._context.link_watch.log_unreachable(self.plan.placement.upstream)
+        self._context.link_watch.handle_unreachable(self.plan.placement.upstream)
 
     def _handle_open(self, connection: ClientConnection, endpoint: Endpoint) -> None:
         self._context.link_watch.record_opened(self.plan.placement.upstream)
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -295,7 +295,7 @@
         if self._ended:
             return
         self._end(AttemptEnd.UNREACHABLE)
-        self._context.link_watch.log_unreachable(self._upstream)
+        self._context.link_watch.handle_unreachable(self._upstream)
         links = self._context.router.links
         cut = links.is_cut(self._upstream.instance)
         answer_fault(self._responder, ForwardFault.NO_LINK if cut else ForwardFault.UNREACHABLE)
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -92,7 +92,11 @@
             max_connections=self._counts.forwarding,
         )
         self._link_watch = LinkWatch(
-            reactor=reactor, router=self._router, pool=self._pool, draw=random.random
+            reactor=reactor,
+            host=settings.host,
+            router=self._router,
+            pool=self._pool,
+            draw=random.random,
         )
         self._era = StoreEra()
         self._rows = self._build_row_client()
--- a/greengagestage/routing/_links.py
+++ b/greengagestage/routing/_links.py
@@ -8,6 +8,8 @@
 
 from greengagestage.ids import HostId, InstanceId, ServiceName
 
+from ._link_probes import rank_host
+
 MIN_UNREACHABLE = 2
 """Number of upstreams without a connection from which this host's own links are suspected. A single
 one has probably ended, and the others do its work."""
@@ -37,6 +39,10 @@
 """Number of such hosts from which no others are asked. The work of a host without links is spread
 over them."""
 
+PROBE_INTERVAL_S = 1.0
+"""Mean time between attempts to connect to a suspected upstream, of the host that tries it first.
+"""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardingHost:
@@ -144,6 +150,18 @@
         """Whether the last attempt to connect to an upstream failed; False if none was made."""
         return instance in self._failed_s
 
+    def list_suspected(self) -> list[InstanceId]:
+        """Return the upstreams with cut links to which the last attempt to connect failed."""
+        return sorted(instance for instance in self._failed_s if self.is_cut(instance))
+
+    def compute_probe_interval_s(self, instance: InstanceId, host: HostId) -> float:
+        """Return the mean time between this host's attempts to connect to a suspected upstream.
+
+        It grows with the host's rank, so that the attempts of a fleet grow with the logarithm of
+        its size only.
+        """
+        return PROBE_INTERVAL_S * (1 + rank_host(host, self._hosts, instance))
+
     def can_forward(self, instance: InstanceId, now_s: float) -> bool:
         """Whether a request can be sent to an upstream through another host."""
         if now_s < self._down_until_s.get(instance, 0.0):
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -1,6 +1,6 @@
 """A host's links to upstreams, which a test cuts while the host itself stays reachable."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from enum import Enum
 from typing import Any
 
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 from zope.interface import directlyProvides, providedBy
 
-from .host_harness import HostFleet, choose_port
+from .host_harness import HostFleet, build_request, choose_port, delay, serve
 
 
 class Cut(Enum):
@@ -127,3 +127,55 @@
         """Return how often upstreams have received a request."""
         upstreams = self.fleet.upstreams.values()
         return sum(each.attempt_ids.count(attempt.encode()) for each in upstreams)
+
+
+class SuspectingHosts:
+    """Three hosts whose links to some of the upstreams of a service are cut at once."""
+
+    def __init__(self, fleet: HostFleet, *, suspected: Collection[str]) -> None:
+        self.fleet = fleet
+        self.suspected = [fleet.add_upstream(name) for name in suspected]
+        # Slower than upstreams are taken to be, so that hosts prefer the suspected ones.
+        fleet.add_upstream("sound", behavior=delay(0.4, serve))
+        port = choose_port()
+        self.links = [CuttableReactor(fleet.reactor) for _ in range(3)]
+        self.hosts = [
+            fleet.start_host(
+                f"host-{number}", address=f"127.0.0.{number}", peer_port=port, reactor=links
+            )
+            for number, links in enumerate(self.links, 2)
+        ]
+        fleet.wait_ready()
+        fleet.run_until(lambda: all(each._peers.known_hosts == 3 for each in self.hosts))
+        self._calls = 0
+
+    def suspect(self) -> None:
+        """Cut the links, and call until each host suspects them."""
+        for links in self.links:
+            links.cut(Cut.RESET, [each.port.getHost().port for each in self.suspected])
+        self._call_until(lambda: all(self._suspects(host) for host in self.hosts), 10.0)
+        assert all(self._suspects(host) for host in self.hosts)
+        for upstream in self.suspected:
+            upstream.requests.clear()
+
+    def heal(self) -> None:
+        """Let all connections through again."""
+        for links in self.links:
+            links.heal()
+
+    def call_until_served(self, limit_s: float) -> int:
+        """Call all hosts; return how many of the suspected upstreams get a request in time."""
+        self._call_until(lambda: all(each.requests for each in self.suspected), limit_s)
+        return sum(bool(each.requests) for each in self.suspected)
+
+    def _suspects(self, host: Any) -> bool:
+        return all(host._router.links.is_cut(each.name) for each in self.suspected)
+
+    def _call_until(self, condition: Callable[[], bool], limit_s: float) -> None:
+        end_s = self.fleet.reactor.seconds() + limit_s
+        while not condition() and self.fleet.reactor.seconds() < end_s:
+            for number in range(len(self.hosts)):
+                self._calls += 1
+                request = build_request("/lookup/x", attempt=f"call-{self._calls}")
+                self.fleet.connect(request, self.fleet._host_settings[number].callers)
+            self.fleet.run_for(0.03)
--- a/tests/test_cut_links.py
+++ b/tests/test_cut_links.py
@@ -3,7 +3,7 @@
 import pytest
 
 from . import host_harness as harness
-from .cut_links import Cut, CutHost
+from .cut_links import Cut, CutHost, SuspectingHosts
 from .host_harness import EVENTS, running_fleet
 
 CALLS = 12
@@ -61,3 +61,14 @@
     suspects = host.process._crashes.suspects
     assert not suspects.list_records(host.fleet.reactor.seconds())
     assert host.fleet.call("/long/x", attempt="sound").status == 200
+
+
+# Guards against sound upstreams that get no work any more because all hosts suspected their links
+# at once, so that no host could forward a request, and none tried its own link.
+def test_upstreams_that_all_hosts_suspected_at_once_get_work_again() -> None:
+    with running_fleet() as fleet:
+        hosts = SuspectingHosts(fleet, suspected=("archive-1", "archive-2"))
+        hosts.suspect()
+        assert hosts.call_until_served(1.0) == 0
+        hosts.heal()
+        assert hosts.call_until_served(6.0) == 2
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,8 +1,20 @@
 """Decisions about cut links, without network."""
 
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock
+
+from greengagestage.gateway._link_watch import LinkWatch
+from greengagestage.http1 import Endpoint
 from greengagestage.ids import HostId, InstanceId, ServiceName
 from greengagestage.routing import ForwardingHost, LinkMonitor
 
+from .catalog_builders import build_upstream
+
 ENGINES = [InstanceId(f"engine-{number}") for number in range(5)]
 ARCHIVES = [InstanceId(f"archive-{number}") for number in range(3)]
 HOSTS = [HostId(f"host-{number}") for number in range(6)]
@@ -123,3 +135,70 @@
         monitor.record_unreachable(instance, 1.0)
     monitor.update_upstreams(dict.fromkeys(ENGINES[1:], ServiceName("engines")))
     assert list_cut(monitor) == set()
+
+
+class ProbingFleet:
+    """Hosts that all suspect their links to the same upstreams, before a pool without sockets.
+
+    Attributes:
+        attempts: Times of all attempts to connect to the first upstream.
+    """
+
+    def __init__(self, size: int) -> None:
+        self.clock = Clock()
+        self.upstreams = [build_upstream(number) for number in range(3)]
+        self.attempts: list[float] = []
+        self.reachable = False
+        hosts = [HostId(f"host-{number}") for number in range(size)]
+        draw = Random(1).random
+        self.monitors = []
+        for host in hosts:
+            monitor = LinkMonitor(draw=draw)
+            states = {each.instance: SimpleNamespace(record=each) for each in self.upstreams}
+            monitor.update_upstreams({each.instance: each.service for each in self.upstreams})
+            monitor.update_hosts(
+                ForwardingHost(host=other, address="", port=0) for other in hosts if other != host
+            )
+            router: Any = SimpleNamespace(links=monitor, upstreams=states)
+            pool: Any = self
+            watch = LinkWatch(reactor=self.clock, host=host, router=router, pool=pool, draw=draw)
+            for upstream in self.upstreams[:2]:
+                monitor.record_unreachable(upstream.instance, 0.0)
+                watch.handle_unreachable(upstream)
+            self.monitors.append(monitor)
+
+    def open(
+        self, endpoint: Endpoint, *, on_open: Callable[[Any], None], on_failed: Callable[[], None]
+    ) -> None:
+        if endpoint.port == self.upstreams[0].port:
+            self.attempts.append(self.clock.seconds())
+        if self.reachable:
+            on_open(None)
+        else:
+            on_failed()
+
+    def put_idle(self, endpoint: Endpoint, connection: Any) -> None:
+        pass
+
+    def run(self, seconds: float) -> None:
+        self.clock.pump([0.05] * round(seconds / 0.05))
+
+    def count_restored(self) -> int:
+        return sum(not each.is_cut(self.upstreams[0].instance) for each in self.monitors)
+
+
+# Guards against sound upstreams that are tried by no host once all suspect their links, and against
+# an upstream that each host of a large fleet tries every second.
+@pytest.mark.parametrize(("size", "max_per_s"), [(1, 1.5), (8, 4.0), (371, 8.0)])
+def test_links_that_all_hosts_suspect_are_tried_at_a_bounded_rate(
+    size: int, max_per_s: float
+) -> None:
+    fleet = ProbingFleet(size)
+    fleet.run(60.0)
+    assert len(fleet.attempts) <= 60.0 * max_per_s
+    assert len([each for each in fleet.attempts if each < 1.6]) >= 1
+    fleet.reachable = True
+    fleet.run(1.6)
+    assert fleet.count_restored() >= 1
+    fleet.run(1.5 * size)
+    assert fleet.count_restored() == size
