--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -1,7 +1,6 @@
 """One attempt: sends a request to an upstream and classifies the response."""
 
 from dataclasses import dataclass
-from enum import Enum
 from typing import Any, Protocol
 
 from greengagestage.http1 import (
@@ -17,6 +16,7 @@
 from greengagestage.platform import ResponseKind, classify_response, is_answer_to
 from greengagestage.routing import AttemptEnd, ForwardingHost, Job, Placement
 
+from ._attempt_faults import END_BY_FAULT, AttemptFault
 from ._context import ExchangeContext
 from ._crash_watch import LostAnswer
 from ._forwarding_protocol import ForwardFault, address_request, read_fault, restore_head
@@ -35,63 +35,6 @@
 to close."""
 
 
-class AttemptFault(Enum):
-    """Why an attempt yielded no complete answer.
-
-    Only the first five prove that the request did not run.
-
-    Attributes:
-        UNREACHABLE: No connection could be opened.
-        UNFORWARDED: The host that was to forward the request did not send it.
-        WITHDRAWN: The upstream stopped accepting requests before this one was sent.
-        REFUSED: The upstream stated that it did not run the request.
-        MISDIRECTED: The request reached another instance than the one it names.
-        LOST: The connection ended before the answer was complete.
-        MALFORMED: The response is malformed, or does not prove which upstream made it.
-        FAILED: The upstream answered with a server error.
-        SILENT: The upstream did not send its answer, or the next event of a stream, in time, and
-            another one has taken over.
-    """
-
-    UNREACHABLE = "unreachable"
-    UNFORWARDED = "unforwarded"
-    WITHDRAWN = "withdrawn"
-    REFUSED = "refused"
-    MISDIRECTED = "elsewhere"
-    LOST = "lost"
-    MALFORMED = "malformed"
-    FAILED = "failed"
-    SILENT = "silent"
-
-    @property
-    def proves_not_run(self) -> bool:
-        """Whether the fault proves that the upstream did not run the request."""
-        return self.proves_not_sent or self in (AttemptFault.REFUSED, AttemptFault.MISDIRECTED)
-
-    @property
-    def proves_not_sent(self) -> bool:
-        """Whether the fault proves that nothing was sent to the upstream."""
-        return self in (
-            AttemptFault.UNREACHABLE,
-            AttemptFault.UNFORWARDED,
-            AttemptFault.WITHDRAWN,
-        )
-
-
-# A refusal is taken to mean that the upstream is at capacity, whatever its reason was.
-_END_BY_FAULT = {
-    AttemptFault.UNREACHABLE: AttemptEnd.UNREACHABLE,
-    AttemptFault.UNFORWARDED: AttemptEnd.CANCELLED,
-    AttemptFault.WITHDRAWN: AttemptEnd.CANCELLED,
-    AttemptFault.REFUSED: AttemptEnd.FULL,
-    AttemptFault.MISDIRECTED: AttemptEnd.MISDIRECTED,
-    AttemptFault.LOST: AttemptEnd.LOST,
-    AttemptFault.MALFORMED: AttemptEnd.FAILED,
-    AttemptFault.FAILED: AttemptEnd.FAILED,
-    AttemptFault.SILENT: AttemptEnd.LOST,
-}
-
-
 class AttemptListener(Protocol):
     """Supplies the request of an attempt and receives its events until it ends or fails."""
 
@@ -417,7 +360,7 @@
             self._closing_timer.cancel()
 
     def _fail(self, fault: AttemptFault) -> None:
-        self._settle(_END_BY_FAULT[fault])
+        self._settle(END_BY_FAULT[fault])
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_failed(self, fault)
--- a/greengagestage/gateway/_exchange_log.py
+++ b/greengagestage/gateway/_exchange_log.py
@@ -7,7 +7,8 @@
 from greengagestage.results import ResultCode
 from greengagestage.routing import Job, Placement, Waiting
 
-from ._attempt import Attempt, AttemptFault
+from ._attempt import Attempt
+from ._attempt_faults import AttemptFault
 from ._delivery import Delivery
 
 
--- a/greengagestage/gateway/_refusal_answers.py
+++ b/greengagestage/gateway/_refusal_answers.py
@@ -5,7 +5,7 @@
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
 from greengagestage.results import ResultCode
 
-from ._attempt import AttemptFault
+from ._attempt_faults import AttemptFault
 
 REFUSED_RETRY_AFTER_S = 0.3
 """``Retry-After`` once upstreams have refused a request for lack of capacity."""
--- a/greengagestage/gateway/_send_limits.py
+++ b/greengagestage/gateway/_send_limits.py
@@ -3,7 +3,7 @@
 from greengagestage.ids import InstanceId
 from greengagestage.routing import Job, Router
 
-from ._attempt import AttemptFault
+from ._attempt_faults import AttemptFault
 
 MAX_SENDS = 4
 """Maximum number of attempts to send one request, including those that provably did not run it.
