Decide in one place which of two runs the caller gets, and cancel the other

Cause: a successor is asked while the first upstream is silent. If the first went on and its plain answer exceeded the buffer's limit (1 MiB, 64 KiB while memory is scarce), its bytes went to the caller, but the successor was cancelled for events of streams only: `Delivery.feed` said nothing about plain answers. The successor's head then took over, and `discard_undelivered` could only drop what had not been sent. The decision was spread over `feed`, the head's handler and the handover.

Now `Winner` (`_winner.py`, no I/O) holds the runs that are under way and decides between them; `feed` says whether bytes have gone to the caller, for streams and plain answers alike, and the run that they come from is chosen at once, which cancels the other. It takes the place of `Handover`.

--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/_delivery.py
@@ -94,7 +94,7 @@
         return self._relay is not None and self._relay.has_oversized_event(data)
 
     def feed(self, data: bytes) -> bool:
-        """Process a part of the body; return whether events were relayed."""
+        """Process a part of the body; return whether some of it has gone to the caller."""
         if self._relay is not None:
             return self._relay_events(self._relay, data)
         self._buffer.append(data)
@@ -105,7 +105,7 @@
             self._send_head(self.head)
         if self.begun:
             self._flush()
-        return False
+        return self.begun
 
     def finish(self) -> bool:
         """Complete the answer; return False if it is certainly incomplete.
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -17,10 +17,10 @@
 from ._context import ExchangeContext
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
-from ._handover import Handover
 from ._refusal_answers import answer_refusal, choose_fault_refusal
 from ._send_limits import SendLimits
 from ._silence import MAX_PAUSE_S, SilenceWatch, compute_answer_limit
+from ._winner import Winner
 
 DEADLINE_SLACK_S = 0.05
 """Time after the deadline in which an upstream's own answer is still awaited: links add a few
@@ -55,10 +55,8 @@
 class RequestExchange:
     """Handles one caller's request until its final answer; listens to its caller and its attempts.
 
-    Each attempt is at most one ``http1.Exchange`` on a connection to an upstream. A silent upstream
-    may be sound and go on at any time. Its attempt is therefore kept until a second one, the
-    successor, is being answered by another upstream, and the successor is dropped if the first
-    upstream goes on before that.
+    Each attempt is at most one ``http1.Exchange`` on a connection to an upstream. ``Winner``
+    decides between two that are under way.
     """
 
     def __init__(
@@ -69,8 +67,7 @@
         self._job = inputs.job
         self._route = inputs.job.route
         self._responder = responder
-        self._attempt: Attempt | None = None
-        self._handover = Handover()
+        self._winner = Winner[Attempt]()
         self._paused = False
         self._limits = SendLimits(job=inputs.job, router=context.router)
         self._last_fault: AttemptFault | None = None
@@ -117,8 +114,7 @@
 
     def stop(self) -> None:
         """Give the final answer now, since the host is about to stop."""
-        if self._attempt is not None:
-            self._attempt.cancel()
+        self._cancel_attempts()
         may_have_run = self._limits.may_have_run
         code = ResultCode.HOST_STOPPED_RUNNING if may_have_run else ResultCode.STOPPING
         self._refuse(Refusal(code=code, retry_after_s=None if may_have_run else 0.0))
@@ -133,12 +129,11 @@
         """
         if self._done:
             return
-        if self._attempt is not None:
-            if self._route.kind is RouteKind.NON_IDEMPOTENT:
-                remaining_s = self._job.deadline_s - self._now_s
-                self._attempt.detach(limit_s=remaining_s + DEADLINE_SLACK_S)
-            else:
-                self._attempt.cancel()
+        if self._route.kind is RouteKind.NON_IDEMPOTENT:
+            remaining_s = self._job.deadline_s - self._now_s
+            for attempt in self._winner.take_all():
+                attempt.detach(limit_s=remaining_s + DEADLINE_SLACK_S)
+        self._cancel_attempts()
         may_have_run = self._limits.may_have_run
         self._conclude(ResultCode.CALLER_LEFT_RUNNING if may_have_run else ResultCode.CALLER_LEFT)
 
@@ -146,15 +141,15 @@
         """Stop reading from the upstream, since the caller reads too slowly."""
         self._paused = True
         self._silence.pause()
-        if self._attempt is not None:
-            self._attempt.pause()
+        if self._winner.current is not None:
+            self._winner.current.pause()
 
     def resume(self) -> None:
         """Read from the upstream again, since the caller has caught up."""
         self._paused = False
         self._silence.resume()
-        if self._attempt is not None:
-            self._attempt.resume()
+        if self._winner.current is not None:
+            self._winner.current.resume()
 
     # Attempt events.
 
@@ -188,52 +183,38 @@
         )
 
     def attempt_head_received(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Start relaying a stream or buffering a plain answer.
-
-        If two attempts are under way, the one that answers first without an error is kept.
-        """
+        """Start relaying a stream or buffering a plain answer, if it is the one to take."""
         streams = self._route.kind is RouteKind.STREAM and 200 <= head.status < 300
         continues = streams or not self._delivery.is_stream
-        failed = head.status >= 500 or not continues
-        if attempt is self._handover.successor:
-            if failed:
-                attempt.cancel(AttemptEnd.FAILED)
-                self._drop_failed_successor(attempt, AttemptFault.FAILED)
-                return
-            self._promote_successor()
-        elif self._handover.successor is not None:
-            if failed:
-                attempt.cancel(AttemptEnd.FAILED)
-                self._handle_fault(attempt, AttemptFault.FAILED)
-                return
-            self._handover.cancel()
-        if not continues:
+        fault = self._winner.judge_head(failed=head.status >= 500, continues=continues)
+        if fault is not None:
             attempt.cancel(AttemptEnd.FAILED)
-            self._handle_fault(attempt, AttemptFault.MALFORMED)
-        elif streams:
+            self.attempt_failed(attempt, fault)
+            return
+        self._choose(attempt)
+        if streams:
             self._delivery.begin_stream(head)
             self._watch_answer(attempt)
         else:
             self._delivery.begin_plain(head)
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
-        """Relay complete events, or buffer a part of a plain answer."""
+        """Relay complete events, or buffer a part of a plain answer or pass it on."""
         if self._delivery.has_oversized_event(data):
             attempt.cancel(AttemptEnd.FAILED)
-            self._handle_fault(attempt, AttemptFault.MALFORMED)
-        elif self._delivery.feed(data):
-            self._handover.cancel()
-            if not self._origin_recorded:
-                self._record_origin(attempt)
-                self._context.quarantine.record_answer(self._job)
-            self._watch_silence(MAX_PAUSE_S)
-        elif not self._delivery.is_stream:
+            self.attempt_failed(attempt, AttemptFault.MALFORMED)
+            return
+        if self._delivery.feed(data):
+            self._choose(attempt)
+            if self._delivery.is_stream:
+                self._handle_events(attempt)
+        if not self._delivery.is_stream:
             self._silence.restart()
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Deliver a complete answer, or retry if the upstream answered with a server error."""
-        self._attempt = None
         self._silence.stop()
+        self._winner.drop(attempt)
         head = self._delivery.head
         if head is not None and head.status >= 500:
             attempt.settle_early(AttemptEnd.FAILED)
@@ -247,7 +228,7 @@
 
     def attempt_failed(self, attempt: Attempt, fault: AttemptFault) -> None:
         """Retry if that is safe, else refuse the request."""
-        if attempt is self._handover.successor:
+        if attempt is self._winner.successor:
             self._drop_failed_successor(attempt, fault)
         else:
             self._handle_fault(attempt, fault)
@@ -283,9 +264,10 @@
         self._placement_timer = self._context.reactor.callLater(waiting.delay_s, self._send_next)
 
     def _send_to(self, placement: Placement) -> None:
-        self._attempt = self._create_attempt(placement)
-        self._watch_answer(self._attempt)
-        self._attempt.start()
+        attempt = self._create_attempt(placement)
+        self._winner.begin(attempt)
+        self._watch_answer(attempt)
+        attempt.start()
 
     def _create_attempt(self, placement: Placement) -> Attempt:
         self._limits.record_send(placement.upstream.instance, self._now_s)
@@ -301,10 +283,10 @@
 
     def _handle_fault(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._silence.stop()
-        self._attempt = None
         self._record_fault(attempt, fault)
-        if self._handover.successor is not None:
-            self._promote_successor()
+        successor = self._winner.drop(attempt)
+        if successor is not None:
+            self._take_over(successor)
         elif self._try_acquire_resend(fault):
             self._delivery.discard_undelivered()
             self._send_next()
@@ -341,8 +323,7 @@
 
     def _handle_deadline(self) -> None:
         """Give the final answer at the deadline."""
-        if self._attempt is not None:
-            self._attempt.cancel()
+        self._cancel_attempts()
         may_have_run = self._limits.may_have_run
         code = ResultCode.DEADLINE_PASSED_RUNNING if may_have_run else ResultCode.DEADLINE_PASSED
         self._refuse(Refusal(code=code))
@@ -356,6 +337,12 @@
         if self._limits.has_runs_left:
             self._silence.start(limit_s)
 
+    def _handle_events(self, attempt: Attempt) -> None:
+        if not self._origin_recorded:
+            self._record_origin(attempt)
+            self._context.quarantine.record_answer(self._job)
+        self._watch_silence(MAX_PAUSE_S)
+
     def _record_origin(self, attempt: Attempt) -> None:
         """Let only upstreams of the version that began the stream continue it, on any host."""
         self._origin_recorded = True
@@ -368,21 +355,21 @@
 
     def _handle_silence(self) -> None:
         """Send the request to another upstream too, if that one may run it."""
-        if self._attempt is None or self._handover.successor is not None:
-            return
-        if not self._delivery.can_restart or not self._limits.may_have_successor(self._now_s):
+        may_join = self._winner.may_join(can_restart=self._delivery.can_restart)
+        if not may_join or not self._limits.may_have_successor(self._now_s):
             return
         placement = self._place_elsewhere()
         if placement is None:
             self._silence.start(SUCCESSOR_RETRY_S)
         else:
-            self._handover.begin(self._create_attempt(placement))
+            successor = self._create_attempt(placement)
+            self._winner.join(successor)
+            successor.start()
 
     def _replace_error(self, attempt: Attempt) -> bool:
         """Ask another upstream in place of one that answered with an error, if there is one."""
-        if self._handover.successor is not None:
-            self._record_fault(attempt, AttemptFault.FAILED)
-            self._promote_successor()
+        if self._winner.current is not None:
+            self._handle_fault(attempt, AttemptFault.FAILED)
             return True
         if self._delivery.begun or not self._limits.may_run_again(self._now_s):
             return False
@@ -414,23 +401,27 @@
         find_reason = self._context.quarantine.find_reason
         return find_reason(self._inputs.fingerprint, self._job, sends, self._now_s)
 
-    def _promote_successor(self) -> None:
-        """Give up the silent upstream: the successor alone answers from now on."""
-        attempt, self._attempt = self._attempt, self._handover.take()
+    def _choose(self, attempt: Attempt) -> None:
+        """Let this attempt alone answer from now on."""
+        was_successor = attempt is self._winner.successor
+        loser = self._winner.choose(attempt)
+        if loser is not None and was_successor:
+            self._record_fault(loser, AttemptFault.SILENT)
+            loser.cancel(AttemptEnd.LOST)
+            self._take_over(attempt)
+        elif loser is not None:
+            loser.cancel()
+
+    def _take_over(self, successor: Attempt) -> None:
+        """Await the successor's answer in place of the one received so far."""
         self._silence.stop()
-        if attempt is not None:
-            self._record_fault(attempt, AttemptFault.SILENT)
-            attempt.cancel(AttemptEnd.LOST)
         self._delivery.discard_undelivered()
-        successor = self._attempt
-        if successor is None:
-            return
         self._watch_answer(successor)
         if self._paused:
             successor.pause()
 
     def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
-        self._handover.take()
+        self._winner.drop(attempt)
         self._record_fault(attempt, fault)
         if fault.proves_not_run and fault is not AttemptFault.UNFORWARDED:
             self._limits.record_refused_successor()
@@ -448,10 +439,10 @@
         self._conclude(refusal.code, refusal)
 
     def _conclude(self, code: ResultCode, refusal: Refusal | None = None) -> None:
-        self._done, self._attempt = True, None
+        self._done = True
         self._limits.release_retry()
         self._silence.close()
-        self._handover.cancel()
+        self._cancel_attempts()
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
                 timer.cancel()
@@ -469,6 +460,10 @@
         )
         self._log.log_end(outcome, self._delivery)
 
+    def _cancel_attempts(self) -> None:
+        for attempt in self._winner.take_all():
+            attempt.cancel()
+
     def _record_loss(self, attempt: Attempt) -> None:
         had_event = self._delivery.first_event_s is not None
         self._context.quarantine.record_loss(attempt.describe_loss(had_event=had_event))
--- /dev/null
+++ b/tests/exchange_world.py
@@ -0,0 +1,306 @@
+"""One request exchange between a fake caller and fake upstreams, on a simulated clock.
+
+The exchange, its attempts and the delivery are the real ones. Each connection that they open
+becomes a ``Run``, whose answer differs from that of any other run, except the events of a resumable
+stream.
+"""
+
+from enum import Enum
+from random import Random
+from typing import Any, cast
+from unittest.mock import MagicMock
+
+from twisted.internet.task import Clock
+
+from greengagestage.catalog import Route, RouteKind
+from greengagestage.gateway._context import ExchangeContext
+from greengagestage.gateway._exchange import ExchangeInputs, RequestExchange
+from greengagestage.gateway._forwarding_protocol import (
+    ForwardFault,
+    build_fault_headers,
+    build_forwarded_headers,
+)
+from greengagestage.http1 import (
+    Exchange,
+    ExchangeFailure,
+    HeaderList,
+    IncomingRequest,
+    ResponseHead,
+)
+from greengagestage.ids import AttemptId, Fingerprint, HostId
+from greengagestage.results import ResultCode
+from greengagestage.routing import ForwardingHost, Job, Placement, Refused
+from greengagestage.telemetry import EntryMetrics
+
+from .catalog_builders import LONG, LOOKUP, ORDER, SHORT, build_job, build_route, build_upstream
+
+EVENTS = 12
+MIB = 1_048_576
+
+_BYTES = Random(71).randbytes(8 * MIB)
+_METRICS = EntryMetrics(workspace_labels=1)
+
+
+class Answer(Enum):
+    """What the upstreams answer to the requests of a route."""
+
+    PLAIN = "a plain answer"
+    ORDER = "a plain answer that is made once"
+    RESUMABLE = "a stream with ids"
+    WITHOUT_IDS = "a stream without ids"
+    ONCE = "a stream that is not resumable"
+
+
+ROUTES = {
+    Answer.PLAIN: build_route(
+        name=LOOKUP.name,
+        kind=RouteKind.IDEMPOTENT,
+        timeout_s=3.0,
+        max_attempts=3,
+        resumable=False,
+        carries_prompt=False,
+    ),
+    Answer.ORDER: ORDER,
+    Answer.RESUMABLE: SHORT,
+    Answer.WITHOUT_IDS: SHORT,
+    Answer.ONCE: LONG,
+}
+
+
+class Run:
+    """A fake connection to an upstream, which answers one request when it is told to.
+
+    Attributes:
+        exchange: The request that awaits the end of its answer; None before and after that.
+        is_paused: Nothing more is read from the upstream.
+        refused: The answer was a refusal, whose rest may still be read.
+        body: What the upstream can send as its answer.
+        sent: How many bytes of that it has sent.
+        is_whole: The upstream has ended its answer.
+        after: The event of a resumable stream after which the answer begins.
+    """
+
+    def __init__(self, number: int, answer: Answer, *, forwarded: bool) -> None:
+        self.number = number
+        self.answer = answer
+        self.forwarded = forwarded
+        self.exchange: Exchange | None = None
+        self.head: ResponseHead | None = None
+        self.is_paused = False
+        self.refused = False
+        self.sent = 0
+        self.is_whole = False
+        self.after = 0
+
+    def __len__(self) -> int:
+        return len(self.body)
+
+    @property
+    def body(self) -> bytes:
+        if self.is_plain:
+            return _BYTES[self.number * 1_009 :]
+        resumable = self.answer is Answer.RESUMABLE
+        lines = [
+            b"id: %d\ndata: token\n\n" % number if resumable else b"data: run %d\n\n" % self.number
+            for number in range(1, EVENTS + 1)
+        ]
+        return b"".join(lines[self.after :])
+
+    @property
+    def is_plain(self) -> bool:
+        failed = self.head is not None and self.head.status != 200
+        return failed or self.answer in (Answer.PLAIN, Answer.ORDER)
+
+    # What the attempt calls.
+
+    def send(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        headers = {name.lower(): value for name, value in exchange.request.headers}
+        self.after = int(headers.get(b"last-event-id", 0))
+
+    def close(self) -> None:
+        self.exchange = None
+
+    def pause(self) -> None:
+        self.is_paused = True
+
+    def resume(self) -> None:
+        self.is_paused = False
+
+    # What the upstream does.
+
+    def begin(self, status: int, headers: HeaderList, *, framed: bool) -> None:
+        head = ResponseHead(status=status, headers=headers, framed=framed)
+        if self.forwarded:
+            passed = build_forwarded_headers(head, headers)
+            lowered = [(name.lower(), value) for name, value in passed]
+            head = ResponseHead(status=status, headers=lowered)
+        self.head = head
+        if self.exchange is not None:
+            self.exchange.listener.receive_head(head)
+
+    def state_fault(self, fault: ForwardFault) -> None:
+        headers = [(name.lower(), value) for name, value in build_fault_headers(fault)]
+        self.refused = True
+        if self.exchange is not None:
+            self.exchange.listener.receive_head(ResponseHead(status=502, headers=headers))
+        self.end()
+
+    def send_part(self, count: int) -> None:
+        data = self.body[self.sent : self.sent + count]
+        self.sent += len(data)
+        if data and self.exchange is not None:
+            self.exchange.listener.receive_body(data)
+
+    def end(self) -> None:
+        self.is_whole = True
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.listener.end_response()
+
+    def fail(self, failure: ExchangeFailure) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.listener.fail_response(failure)
+
+
+class FakePool:
+    """Opens a connection at once, later or not at all, as the world decides."""
+
+    def __init__(self, world: "World", *, forwards: bool) -> None:
+        self._world = world
+        self._forwards = forwards
+
+    def take_idle(self, endpoint: Any, **fields: Any) -> Run | None:
+        return self._world.add_run(forwarded=self._forwards) if self._world.keeps_idle else None
+
+    def put_idle(self, endpoint: Any, connection: Run) -> None:
+        connection.close()
+
+    def open(self, endpoint: Any, *, on_open: Any, on_failed: Any) -> None:
+        run = self._world.add_run(forwarded=self._forwards)
+        self._world.opening.append((lambda: on_open(run), on_failed))
+
+
+class FakeCaller:
+    """Records what the caller got.
+
+    Attributes:
+        refusal: The answer is the host's own.
+    """
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self.listener: Any = None
+        self.status: int | None = None
+        self.headers: HeaderList = []
+        self.parts: list[bytes] = []
+        self.is_complete = False
+        self.is_aborted = False
+        self.is_scarce = False
+        self.refusal = False
+
+    @property
+    def has_final_answer(self) -> bool:
+        return self.is_complete or self.is_aborted
+
+    def hold(self, count: int) -> bool:
+        return not self.is_scarce
+
+    def begin(self, status: int, headers: HeaderList) -> None:
+        assert self.status is None, "two heads"
+        self.status, self.headers = status, headers
+        self._world.passed_on = True
+
+    def write(self, data: bytes) -> None:
+        assert self.status is not None and not self.has_final_answer, "bytes outside of an answer"
+        self.parts.append(data)
+        self._world.passed_on = True
+
+    def finish(self) -> None:
+        assert not self.has_final_answer, "two ends"
+        self.is_complete, self.listener = True, None
+
+    def abort(self) -> None:
+        self.is_aborted, self.listener = True, None
+
+    def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+        self.refusal = not any(name == b"run" for name, _ in headers)
+        self.begin(status, headers)
+        self.write(body)
+        self.finish()
+
+
+class World:
+    """An exchange with everything around it.
+
+    Attributes:
+        runs: The connections that were opened for the exchange.
+        opening: Connections that are being opened: what to call then, and if it fails.
+        keeps_idle: There is an idle connection for each send.
+        forwards: Further sends go by way of another host.
+        places: There is another upstream for a further send.
+        passed_on: Bytes went to the caller in this step.
+        left: The caller has left.
+    """
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.clock = Clock()
+        self.runs: list[Run] = []
+        self.opening: list[tuple[Any, Any]] = []
+        self.keeps_idle = True
+        self.forwards = False
+        self.places = True
+        self.passed_on = False
+        self.left = False
+        self.caller = FakeCaller(self)
+        route: Route = ROUTES[answer]
+        job = build_job(1, route=route, deadline_s=min(route.timeout_s, 6.0))
+        router = MagicMock()
+        router.measure_pause_s.return_value = 0.0
+        router.links.get_cut_s.return_value = 0.0
+        router.place.side_effect = self._place
+        quarantine = MagicMock()
+        quarantine.find_reason.return_value = None
+        context = ExchangeContext(
+            reactor=self.clock,
+            router=router,
+            pool=cast(Any, FakePool(self, forwards=False)),
+            forwarding_pool=cast(Any, FakePool(self, forwards=True)),
+            link_watch=MagicMock(),
+            quarantine=quarantine,
+            notices=MagicMock(),
+            metrics=_METRICS,
+            confirm_versions=MagicMock(),
+        )
+        inputs = ExchangeInputs(
+            request=IncomingRequest(
+                method=b"GET", target=b"/", headers=[], body=b"", received_s=0.0
+            ),
+            job=job,
+            workspace=None,
+            stream=AttemptId("r-1"),
+            fingerprint=Fingerprint("f"),
+            version=1,
+            version_age_s=None,
+        )
+        self.exchange = RequestExchange(context=context, inputs=inputs, responder=self.caller)
+
+    def add_run(self, *, forwarded: bool) -> Run:
+        run = Run(len(self.runs) + 1, self.answer, forwarded=forwarded)
+        self.runs.append(run)
+        return run
+
+    def build_headers(self, run: Run, *, proven: bool = True) -> HeaderList:
+        identity = [(b"greengagestage-attempt-id", b"r-1"), (b"run", b"%d" % run.number)]
+        return [*identity, (b"greengagestage-server-signature", b"s")] if proven else identity
+
+    def _place(self, job: Job, now_s: float, tried: Any, unreached: Any) -> Placement | Refused:
+        if not self.places:
+            return Refused(code=ResultCode.NO_UPSTREAM, retry_after_s=0.1, reason="none")
+        via = ForwardingHost(host=HostId("other"), address="127.0.0.1", port=1)
+        upstream = build_upstream(len(self.runs) + 1)
+        return Placement(
+            upstream=upstream, reason="", expected_s=0.05, via=via if self.forwards else None
+        )
