Judge lost answers under equal requests as those under prompt parts

Cause: each lost answer counted against its fingerprint, unless answers were lost at several upstreams at once; nobody asked whether the upstream had crashed.

Now a loss counts once its upstream has crashed, by the rule for parts: other connections from before that live on show that it has not. A request that was lost on a connection that had been idle, before a byte of an answer, may have crashed the upstream at once, or may have come to a connection that was dropped before. These two differ in what a new connection finds, so one is opened: if that fails, the loss counts and is told as before; if not, it counts only if the registry shows the end of that incarnation within 15 s, which covers upstreams that are back at once. Until the judgement, 0.1 s after the loss, it counts on its own host as before, so that a request that is repeated at once reaches no more upstreams. Losses on new connections, also before the head, and those of forwarded requests count as before.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -162,6 +162,7 @@
         self._body_bytes = 0
         self._counted_in_router = True
         self._forwarded_by: HostId | None = None
+        self._was_idle = False
 
     @property
     def silent_s(self) -> float | None:
@@ -200,6 +201,7 @@
             forwarded_by=self._forwarded_by,
             begun=self.answer_begun,
             had_event=had_event,
+            was_idle=self._was_idle,
         )
 
     def start(self) -> None:
@@ -214,6 +216,7 @@
         pool = self._context.pool
         idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s, recipient=upstream.instance)
         if idle is not None:
+            self._was_idle = True
             self._send(idle, pool, endpoint)
         elif via is not None:
             self._start_forwarding(via)
--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -3,13 +3,14 @@
 from collections import deque
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import xxhash
 from eliot import log_message
 
 from greengagestage.catalog import Availability, Prompt, RegisteredUpstream
-from greengagestage.http1 import ConnectionPool, Endpoint
+from greengagestage.http1 import ClientConnection, ConnectionPool, Endpoint
 from greengagestage.ids import AttemptId, Crash, Fingerprint, HostId, Incarnation, PromptPartId
 from greengagestage.routing import CrashSuspects, PartLoss, SuspectRecord
 
@@ -44,6 +45,7 @@
         forwarded_by: The host that forwarded the request; None if it was sent directly.
         begun: Whether the head of the answer had arrived.
         had_event: Whether an event of the answer had arrived, from this upstream or another.
+        was_idle: Whether the request was sent on a connection that had been idle.
     """
 
     attempt_id: AttemptId
@@ -56,6 +58,12 @@
     forwarded_by: HostId | None
     begun: bool
     had_event: bool
+    was_idle: bool = False
+
+    @property
+    def may_have_been_dropped(self) -> bool:
+        """Whether the upstream may have dropped the connection before the request came."""
+        return self.was_idle and not self.begun
 
     @property
     def left_out_because(self) -> str | None:
@@ -71,6 +79,18 @@
         return self.sent_s >= other.lost_s or other.sent_s >= self.lost_s
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Unproven:
+    """A lost answer that counts if the registry shows that its upstream has ended.
+
+    Attributes:
+        on_ended: Called if it does.
+    """
+
+    lost: LostAnswer
+    on_ended: Callable[[], None]
+
+
 class CrashWatch:
     """Records which prompts were lost in crashes and which were answered.
 
@@ -87,7 +107,7 @@
     ) -> None:
         self.suspects = CrashSuspects()
         self._recent_losses: deque[LostAnswer] = deque()
-        self._unproven: deque[LostAnswer] = deque(maxlen=MAX_UNPROVEN)
+        self._unproven: deque[_Unproven] = deque(maxlen=MAX_UNPROVEN)
         self._leaving: set[Incarnation] = set()
         self._reactor = reactor
         self._pool = pool
@@ -98,20 +118,20 @@
         self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost)
 
     def call_when_judged(
-        self, lost: LostAnswer, *, on_alone: Callable[[], None], on_common: Callable[[], None]
+        self,
+        lost: LostAnswer,
+        *,
+        on_crashed: Callable[[], None],
+        on_other: Callable[[str], None],
     ) -> None:
-        """Call one of two functions once it shows whether an answer was lost alone.
+        """Call one of two functions once it shows whether a lost answer's upstream has crashed.
 
         Args:
-            on_alone: Called if only connections to the answer's upstream ended at that time.
-            on_common: Called if those to others ended with them.
+            on_crashed: Called if it has; also later, if only the registry shows it.
+            on_other: Called if the answer was probably lost for another cause, with that cause.
         """
-
-        def judge() -> None:
-            (on_alone if self._count_aborted(lost) <= 1 else on_common)()
-
         self.remember(lost)
-        self._reactor.callLater(CRASH_CONFIRMATION_S, judge)
+        self._reactor.callLater(CRASH_CONFIRMATION_S, self._judge, lost, on_crashed, on_other)
 
     def remember(self, lost: LostAnswer) -> None:
         """Keep a loss for a while, so that the retries of its request can be found."""
@@ -135,12 +155,13 @@
 
     def await_proof(self, lost: LostAnswer) -> None:
         """Suspect a prompt later if the registry shows that the upstream has ended."""
-        self._unproven.append(lost)
+        self._await_end(lost, partial(self._record, lost, by_registry=True))
 
     def record_head(self, upstream: RegisteredUpstream) -> None:
         """Record that an upstream answers, so that it has not ended with an earlier loss."""
-        if any(each.upstream.incarnation == upstream.incarnation for each in self._unproven):
-            kept = [e for e in self._unproven if e.upstream.incarnation != upstream.incarnation]
+        ended = upstream.incarnation
+        if any(each.lost.upstream.incarnation == ended for each in self._unproven):
+            kept = [each for each in self._unproven if each.lost.upstream.incarnation != ended]
             self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
 
     def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
@@ -154,13 +175,14 @@
             endpoints = {_get_endpoint(each) for each in upstreams}
             awaiting = list(self._unproven)
             self._unproven.clear()
-            for lost in awaiting:
+            for unproven in awaiting:
+                lost = unproven.lost
                 age_s = self._reactor.seconds() - lost.lost_s
                 if lost.upstream.incarnation in listed:
                     if age_s < MAX_PROOF_S:
-                        self._unproven.append(lost)
+                        self._unproven.append(unproven)
                 elif age_s < MAX_PROOF_S and self._has_ended(lost, endpoints):
-                    self._record(lost, by_registry=True)
+                    unproven.on_ended()
         self._leaving = {
             each.incarnation for each in upstreams if each.availability is Availability.LEAVING
         }
@@ -171,10 +193,48 @@
         if cleared:
             self._report(cleared)
 
+    def _judge(
+        self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
+    ) -> None:
+        """Judge a loss under equal requests by the connections of this host."""
+        if self._count_aborted(lost) > 1:
+            on_other("common cause")
+        elif lost.forwarded_by is not None:
+            on_crashed()  # this host has no connections that would show that the upstream lives on
+        elif self._count_survivors(lost):
+            on_other("other connections live on")
+        elif lost.may_have_been_dropped:
+            self._try_to_connect(lost, on_crashed, on_other)
+        else:
+            on_crashed()
+
+    def _try_to_connect(
+        self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
+    ) -> None:
+        """Find out whether an upstream has crashed or has dropped an idle connection.
+
+        One that is back at once accepts connections, too. The registry shows that it is another.
+        """
+        endpoint = _get_endpoint(lost.upstream)
+
+        def handle_open(connection: ClientConnection) -> None:
+            self._pool.put_idle(endpoint, connection)
+            on_other("an idle connection was dropped")
+            self._await_end(lost, on_crashed)
+
+        self._pool.open(endpoint, on_open=handle_open, on_failed=on_crashed)
+
+    def _await_end(self, lost: LostAnswer, on_ended: Callable[[], None]) -> None:
+        self._unproven.append(_Unproven(lost=lost, on_ended=on_ended))
+
+    def _count_survivors(self, lost: LostAnswer) -> int:
+        """Return how many connections to the upstream from before a loss live on."""
+        return self._pool.count_alive_since_before(_get_endpoint(lost.upstream), lost.lost_s)
+
     def _confirm(self, lost: LostAnswer) -> None:
         """Record the loss, unless a connection from before it is in use or others ended with it."""
         upstream = lost.upstream
-        survivors = self._pool.count_alive_since_before(_get_endpoint(upstream), lost.lost_s)
+        survivors = self._count_survivors(lost)
         aborted = self._count_aborted(lost)
         crashed = not survivors and aborted <= 1
         if crashed:
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -75,13 +75,13 @@
             self._report_cleared(fingerprint)
 
     def record_loss(self, lost: LostAnswer) -> None:
-        """Record a lost answer; report it later, unless others were lost with it elsewhere."""
+        """Record a lost answer; report it, or forget it, once it shows whether it was a crash."""
         loss_id = f"{lost.attempt_id}.{lost.number}"
         count = self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s, confirmed=False)
         self._crash_watch.call_when_judged(
             lost,
-            on_alone=lambda: self._confirm_loss(lost, loss_id),
-            on_common=lambda: self._forget_loss(lost, loss_id),
+            on_crashed=lambda: self._confirm_loss(lost, loss_id),
+            on_other=lambda cause: self._forget_loss(lost, loss_id, cause),
         )
         if count > 1:
             log_message(
@@ -148,7 +148,7 @@
         self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
         self._report_loss(lost.fingerprint, loss_id)
 
-    def _forget_loss(self, lost: LostAnswer, loss_id: str) -> None:
+    def _forget_loss(self, lost: LostAnswer, loss_id: str, cause: str) -> None:
         self._losses.forget_loss(lost.fingerprint, loss_id)
         log_message(
             message_type="request: loss left out",
@@ -156,5 +156,5 @@
             send=lost.number,
             upstream=lost.upstream.instance,
             fingerprint=lost.fingerprint,
-            reason="common cause",
+            reason=cause,
         )
--- /dev/null
+++ b/tests/test_loss_evidence.py
@@ -0,0 +1,153 @@
+"""What counts as a crash under equal requests, and what takes it back."""
+
+from collections.abc import Iterator
+from functools import partial
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock
+
+from greengagestage.gateway._crash_watch import CrashWatch, LostAnswer
+from greengagestage.gateway._quarantine import Quarantine
+from greengagestage.http1 import Endpoint, IncomingRequest, Responder
+from greengagestage.ids import AttemptId, Fingerprint, HostId
+from greengagestage.routing import LossTracker, Trials
+
+from . import host_harness as harness
+from .catalog_builders import build_job, build_upstream
+from .host_harness import HostFleet, UpstreamStandin, running_fleet
+
+
+@pytest.fixture
+def fleet() -> Iterator[HostFleet]:
+    with running_fleet() as running:
+        yield running
+
+
+HOST = HostId("h1")
+
+
+class JudgedLosses:
+    """A quarantine whose host's connections and registry a test sets.
+
+    Attributes:
+        told: The losses that other hosts are told of.
+    """
+
+    def __init__(self, *, survivors: int = 0, opens: bool = True) -> None:
+        self.clock = Clock()
+        self.told: list[str] = []
+        open_ = self._open_connection if opens else self._fail_to_open
+        pool = SimpleNamespace(
+            count_alive_since_before=lambda endpoint, time_s: survivors,
+            list_aborted=lambda began_s, ended_s: set(),
+            open=open_,
+            put_idle=lambda endpoint, connection: None,
+        )
+        self.watch = CrashWatch(reactor=self.clock, pool=pool, report=lambda records: None)
+        self.quarantine = Quarantine(
+            losses=LossTracker(),
+            crash_watch=self.watch,
+            trials=Trials(HOST),
+            list_hosts=lambda: [HOST],
+            report_loss=lambda fingerprint, loss_id: self.told.append(loss_id),
+            report_cleared=lambda fingerprint: None,
+        )
+
+    def _open_connection(self, endpoint: Endpoint, *, on_open: Any, on_failed: Any) -> None:
+        on_open(None)
+
+    def _fail_to_open(self, endpoint: Endpoint, *, on_open: Any, on_failed: Any) -> None:
+        on_failed()
+
+    def lose(self, number: int, **fields: Any) -> None:
+        """Lose the answer to one of some equal requests, each at an upstream of its own."""
+        now_s = self.clock.seconds()
+        lost = LostAnswer(
+            attempt_id=AttemptId(f"a{number}"),
+            number=1,
+            fingerprint=Fingerprint("f"),
+            prompt=None,
+            upstream=build_upstream(number),
+            sent_s=now_s,
+            lost_s=now_s,
+            begun=False,
+            had_event=False,
+            **{"forwarded_by": None, "was_idle": False, **fields},
+        )
+        self.quarantine.record_loss(lost)
+
+    @property
+    def is_quarantined(self) -> bool:
+        job = build_job(1)
+        reason = self.quarantine.find_reason(Fingerprint("f"), job, 0, self.clock.seconds())
+        return reason is not None
+
+
+# Guards against sound requests that are refused because upstreams have dropped idle connections,
+# and against requests that pass for these while they crash upstreams at once.
+@pytest.mark.parametrize(
+    ("survivors", "opens", "fields", "is_crash"),
+    [
+        (0, True, {"was_idle": True}, False),
+        (1, False, {"was_idle": True}, False),
+        (0, False, {"was_idle": True}, True),
+        (1, True, {}, False),
+        (0, True, {}, True),
+        (1, True, {"forwarded_by": HOST, "was_idle": True}, True),
+    ],
+)
+def test_a_loss_counts_if_its_upstream_has_crashed(
+    survivors: int, opens: bool, fields: dict[str, Any], is_crash: bool
+) -> None:
+    judged = JudgedLosses(survivors=survivors, opens=opens)
+    for number in range(3):
+        judged.lose(number, **fields)
+    assert judged.is_quarantined  # no further send until it is known
+    judged.clock.advance(0.2)
+    assert judged.is_quarantined is is_crash
+    assert len(judged.told) == (3 if is_crash else 0)
+
+
+# Guards against crashes of upstreams that come back at once, so that a connection can be opened.
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_the_registry_shows_that_an_idle_connection_ended_with_its_upstream(
+    is_listed: bool,
+) -> None:
+    judged = JudgedLosses()
+    for number in range(3):
+        judged.lose(number, was_idle=True)
+    judged.clock.advance(4.0)
+    assert not judged.is_quarantined
+    judged.watch.observe_upstreams([build_upstream(each) for each in range(3 if is_listed else 0)])
+    assert judged.is_quarantined is not is_listed
+
+
+def crash(upstream: UpstreamStandin, request: IncomingRequest, responder: Responder) -> None:
+    upstream.crash()
+
+
+def order(fleet: HostFleet, number: int) -> harness.RawCaller:
+    """Send a request that is not sent again by the host, and wait until its end is judged."""
+    caller = fleet.call("/order/x", attempt=f"a{number}", body=b"same")
+    fleet.run_for(0.2)
+    return caller
+
+
+# Guards against requests that crash upstreams on connections that had been idle.
+@pytest.mark.parametrize("path", ["/order/x", "/lookup/x"])
+def test_crashes_on_idle_connections_count(fleet: HostFleet, path: str) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=crash) for number in range(9)]
+    pool = fleet.start_host()._pool
+    fleet.wait_ready()
+    for upstream in upstreams:
+        address = upstream.port.getHost()
+        endpoint = Endpoint(address=address.host, port=address.port)
+        pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+    fleet.run_for(0.2)
+    for number in range(6):
+        caller = fleet.call(path, attempt=f"a{number}", body=b"same")
+        fleet.run_for(0.2)
+    assert caller.error["code"] == 2012
+    assert sum(len(upstream.requests) for upstream in upstreams) == 3
