Let each complete answer clear the losses of equal requests before it

Callers saw: equal requests are refused although one of them has just been answered: losses were counted over a minute, whatever succeeded in between, and only the answer to a trial cleared them.

Cause: record_complete_answer looked at trials alone.

Now a complete answer clears the losses that were known when its request was sent, as an answer does for parts, and awaits no proof of them any more. A request that crashes each upstream is never answered, so that its bound stays. Losses keep their times for that; the time of a loss that another host has told is that of the latest one there, so that nothing is cleared too early. Hosts tell cleared losses in the field that they tell already; the store's row is written where three losses or more are known or cleared, as before the first of these there is no row.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -204,6 +204,12 @@
             was_idle=self._was_idle,
         )
 
+    def record_complete_answer(self) -> None:
+        """Record that this attempt has brought the rest of the answer, so that it is complete."""
+        if self.sent_s is not None:
+            plan = self.plan
+            self._context.quarantine.record_complete_answer(plan.fingerprint, plan.job, self.sent_s)
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one to the upstream or a forwarding host."""
         upstream, via = self.plan.placement.upstream, self.plan.placement.via
--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -157,6 +157,16 @@
         """Suspect a prompt later if the registry shows that the upstream has ended."""
         self._await_end(lost, partial(self._record, lost, by_registry=True))
 
+    def forget_unproven(self, fingerprint: Fingerprint, sent_s: float) -> None:
+        """Await no proof of losses after which an equal request was sent and answered."""
+
+        def is_contradicted(lost: LostAnswer) -> bool:
+            return lost.fingerprint == fingerprint and lost.lost_s <= sent_s
+
+        if any(is_contradicted(each.lost) for each in self._unproven):
+            kept = [each for each in self._unproven if not is_contradicted(each.lost)]
+            self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
+
     def record_head(self, upstream: RegisteredUpstream) -> None:
         """Record that an upstream answers, so that it has not ended with an earlier loss."""
         ended = upstream.incarnation
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -239,7 +239,7 @@
             if self._replace_error(attempt):
                 return
         if self._delivery.finish():
-            self._context.quarantine.record_complete_answer(self._inputs.fingerprint, self._job)
+            attempt.record_complete_answer()
             self._conclude(ResultCode.DELIVERED)
         else:
             self._handle_fault(attempt, AttemptFault.LOST)
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -20,7 +20,7 @@
         trials: Decides what is sent after a quarantine.
         list_hosts: Returns all known hosts; none before the list has been read.
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
-        report_cleared: Records that equal requests are no longer quarantined.
+        report_cleared: Records that losses of equal requests have been cleared.
     """
 
     def __init__(
@@ -67,11 +67,15 @@
         if job.prompt is not None:
             self._crash_watch.record_answer(job.prompt)
 
-    def record_complete_answer(self, fingerprint: Fingerprint, job: Job) -> None:
-        """Record that the answer to a request is complete."""
+    def record_complete_answer(self, fingerprint: Fingerprint, job: Job, sent_s: float) -> None:
+        """Record that the answer to a request is complete, which was sent at a time.
+
+        The upstreams that were lost under equal requests before had another fault.
+        """
         self.record_answer(job)
-        if self._trials.end(job.attempt_id, SubjectKind.REQUEST):
-            self._losses.clear(fingerprint)
+        self._trials.end(job.attempt_id, SubjectKind.REQUEST)
+        self._crash_watch.forget_unproven(fingerprint, sent_s)
+        if self._losses.clear(fingerprint, sent_s):
             self._report_cleared(fingerprint)
 
     def record_loss(self, lost: LostAnswer) -> None:
@@ -145,8 +149,9 @@
             self._crash_watch.log_evidence(prompt, request, send, now_s)
 
     def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
-        self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
-        self._report_loss(lost.fingerprint, loss_id)
+        if not self._losses.is_cleared(lost.fingerprint, loss_id):
+            self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
+            self._report_loss(lost.fingerprint, loss_id)
 
     def _forget_loss(self, lost: LostAnswer, loss_id: str, cause: str) -> None:
         self._losses.forget_loss(lost.fingerprint, loss_id)
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -3,9 +3,11 @@
 A loss is an answer whose connection ended before it was complete.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from heapq import nlargest
+from typing import Any
 
 import xxhash
 
@@ -66,12 +68,14 @@
     """The distinct losses of one fingerprint and the time of the latest.
 
     Attributes:
-        hashes: The losses, in the order in which they became known.
+        hashes: The losses with their times, in the order in which they became known. The time of
+            one that another host has told is not exact, but never too early.
         unconfirmed: Losses that may yet turn out to have another cause.
         cleared: Losses that an answer has cleared, and that other hosts may still report.
+        last_s: Time of the latest loss, also if it has been cleared.
     """
 
-    hashes: dict[LossHash, None] = field(default_factory=dict)
+    hashes: dict[LossHash, float] = field(default_factory=dict)
     unconfirmed: set[LossHash] = field(default_factory=set)
     cleared: dict[LossHash, None] = field(default_factory=dict)
     last_s: float
@@ -81,7 +85,7 @@
         self.expire(last_s)
         added = [loss for loss in losses if loss not in self.hashes and loss not in self.cleared]
         if added and (not self.is_quarantined or last_s >= self.last_s + FURTHER_LOSS_S):
-            self.hashes.update(dict.fromkeys(added))
+            self.hashes.update(dict.fromkeys(added, last_s))
             self.last_s = max(self.last_s, last_s)
             _drop_first(self.hashes)
 
@@ -93,7 +97,8 @@
             self.add(losses, record.last_s)
             return
         if len(losses) > len(self.hashes):
-            self.hashes = dict.fromkeys(losses)
+            last_s = max(self.last_s, record.last_s)
+            self.hashes = {loss: self.hashes.get(loss, last_s) for loss in losses}
         if record.last_s >= self.last_s + FURTHER_LOSS_S:
             self.last_s = record.last_s
 
@@ -111,6 +116,8 @@
     def forget(self, loss: LossHash) -> None:
         self.hashes.pop(loss, None)
         self.unconfirmed.discard(loss)
+        if self.hashes:
+            self.last_s = max(self.hashes.values())
 
     def expire(self, now_s: float) -> bool:
         """Drop what says nothing about the next loss any more; return whether that is all."""
@@ -161,11 +168,22 @@
         if losses is not None:
             losses.forget(_hash_loss(loss_id))
 
-    def clear(self, fingerprint: Fingerprint) -> None:
-        """Clear the losses so far: an equal request has been answered after the quarantine."""
+    def is_cleared(self, fingerprint: Fingerprint, loss_id: str) -> bool:
+        """Whether an equal request has been answered that was sent after a loss."""
         losses = self._losses.get(fingerprint)
-        if losses is not None:
-            losses.clear(list(losses.hashes))
+        return losses is not None and _hash_loss(loss_id) in losses.cleared
+
+    def clear(self, fingerprint: Fingerprint, sent_s: float = math.inf) -> bool:
+        """Clear the losses before an equal request was sent, which has been answered completely.
+
+        Returns whether there were any.
+        """
+        losses = self._losses.get(fingerprint)
+        if losses is None:
+            return False
+        before = [loss for loss, lost_s in losses.hashes.items() if lost_s <= sent_s]
+        losses.clear(before)
+        return bool(before)
 
     def list_quarantined(self, fingerprint: Fingerprint, now_s: float) -> list[QuarantinedSubject]:
         """Return why requests must not be sent, or only as a trial, if there is a reason."""
@@ -191,7 +209,7 @@
     def find_quarantined(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
         """Return the record of a fingerprint that is, or was, quarantined by confirmed losses."""
         record = self._build_record(fingerprint, now_s)
-        if record is None or len(record.losses) < LOSSES_TO_QUARANTINE and not record.cleared:
+        if record is None or len(record.losses | record.cleared) < LOSSES_TO_QUARANTINE:
             return None
         return record
 
@@ -233,7 +251,7 @@
         return losses
 
 
-def _drop_first(losses: dict[LossHash, None]) -> None:
+def _drop_first(losses: dict[LossHash, Any]) -> None:
     while len(losses) > MAX_LOSSES:
         del losses[next(iter(losses))]
 
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -151,3 +151,21 @@
         fleet.run_for(0.2)
     assert caller.error["code"] == 2012
     assert sum(len(upstream.requests) for upstream in upstreams) == 3
+
+
+# Guards against losses that go on counting although equal requests have been answered since.
+def test_an_answer_to_an_equal_request_clears_the_losses_before_it(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(9)]
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(2):
+        order(fleet, number)
+    for upstream in upstreams:
+        upstream.behavior = harness.serve
+    assert order(fleet, 2).status == 200
+    for upstream in upstreams:
+        upstream.port.factory.close_idle()
+        upstream.behavior = harness.reset
+    fleet.run_for(0.1)
+    assert [order(fleet, number).status for number in (3, 4)] == [502, 502]
+    assert order(fleet, 5).status == 502
