Take a loss back if the same incarnation of its upstream answers later

Callers saw: requests whose connections were reset three times, without other connections that would have shown that the upstreams live on, were refused for a minute and then until a trial was answered, although the same upstreams went on answering other requests.

Cause: a loss that counted stayed, whatever came to light about its upstream.

An upstream that has crashed comes back as another incarnation, so that no crash is taken back.

tests/test_loss_evidence.py::test_a_loss_is_taken_back_once_its_upstream_answers: failed before (503 after each of the three upstreams had answered other requests), passes now.

--- a/greengagestage/gateway/_crash_watch.py
+++ b/greengagestage/gateway/_crash_watch.py
@@ -91,6 +91,18 @@
     on_ended: Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Counted:
+    """A lost answer that counts, unless its upstream answers later.
+
+    Attributes:
+        on_alive: Called if it does.
+    """
+
+    lost: LostAnswer
+    on_alive: Callable[[], None]
+
+
 class CrashWatch:
     """Records which prompts were lost in crashes and which were answered.
 
@@ -108,6 +120,7 @@
         self.suspects = CrashSuspects()
         self._recent_losses: deque[LostAnswer] = deque()
         self._unproven: deque[_Unproven] = deque(maxlen=MAX_UNPROVEN)
+        self._counted: dict[Incarnation, list[_Counted]] = {}
         self._leaving: set[Incarnation] = set()
         self._reactor = reactor
         self._pool = pool
@@ -128,7 +141,8 @@
 
         Args:
             on_crashed: Called if it has; also later, if only the registry shows it.
-            on_other: Called if the answer was probably lost for another cause, with that cause.
+            on_other: Called if the answer was probably lost for another cause, with that cause;
+                also after ``on_crashed``, if the upstream answers on a connection of this host.
         """
         self.remember(lost)
         self._reactor.callLater(CRASH_CONFIRMATION_S, self._judge, lost, on_crashed, on_other)
@@ -169,10 +183,12 @@
 
     def record_head(self, upstream: RegisteredUpstream) -> None:
         """Record that an upstream answers, so that it has not ended with an earlier loss."""
-        ended = upstream.incarnation
-        if any(each.lost.upstream.incarnation == ended for each in self._unproven):
-            kept = [each for each in self._unproven if each.lost.upstream.incarnation != ended]
+        alive = upstream.incarnation
+        if any(each.lost.upstream.incarnation == alive for each in self._unproven):
+            kept = [each for each in self._unproven if each.lost.upstream.incarnation != alive]
             self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
+        for counted in self._counted.pop(alive, ()):
+            counted.on_alive()
 
     def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
         """Judge the losses that await a proof, by the entries of the registry.
@@ -180,6 +196,10 @@
         An upstream without an entry has ended, unless it was leaving, or still has connections: an
         entry can also expire because its upstream does not reach the store.
         """
+        oldest_s = self._reactor.seconds() - MAX_PROOF_S
+        for incarnation, counted in list(self._counted.items()):
+            if counted[-1].lost.lost_s < oldest_s:
+                del self._counted[incarnation]
         if self._unproven:
             listed = {each.incarnation for each in upstreams}
             endpoints = {_get_endpoint(each) for each in upstreams}
@@ -211,12 +231,14 @@
             on_other("common cause")
         elif lost.forwarded_by is not None:
             on_crashed()  # this host has no connections that would show that the upstream lives on
+            self._await_life(lost, on_other)
         elif self._count_survivors(lost):
             on_other("other connections live on")
         elif lost.may_have_been_dropped:
             self._try_to_connect(lost, on_crashed, on_other)
         else:
             on_crashed()
+            self._await_life(lost, on_other)
 
     def _try_to_connect(
         self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
@@ -234,6 +256,12 @@
 
         self._pool.open(endpoint, on_open=handle_open, on_failed=on_crashed)
 
+    def _await_life(self, lost: LostAnswer, on_other: Callable[[str], None]) -> None:
+        """Take a loss back if its upstream answers within the time in which the registry tells."""
+        on_alive = partial(on_other, "the upstream answers")
+        counted = self._counted.setdefault(lost.upstream.incarnation, [])
+        counted.append(_Counted(lost=lost, on_alive=on_alive))
+
     def _await_end(self, lost: LostAnswer, on_ended: Callable[[], None]) -> None:
         self._unproven.append(_Unproven(lost=lost, on_ended=on_ended))
 
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -154,7 +154,8 @@
             self._report_loss(lost.fingerprint, loss_id)
 
     def _forget_loss(self, lost: LostAnswer, loss_id: str, cause: str) -> None:
-        self._losses.forget_loss(lost.fingerprint, loss_id)
+        if self._losses.forget_loss(lost.fingerprint, loss_id):
+            self._report_cleared(lost.fingerprint)
         log_message(
             message_type="request: loss left out",
             request=lost.attempt_id,
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -162,11 +162,20 @@
                 losses = self._get_or_add(record.fingerprint, record.last_s)
                 losses.merge(record)
 
-    def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
-        """Forget a loss that had another cause than the request."""
-        losses = self._losses.get(fingerprint)
-        if losses is not None:
-            losses.forget(_hash_loss(loss_id))
+    def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> bool:
+        """Forget a loss that had another cause than the request.
+
+        Returns whether it had been confirmed; other hosts are then told that it is cleared.
+        """
+        losses, loss = self._losses.get(fingerprint), _hash_loss(loss_id)
+        if losses is None or loss not in losses.hashes:
+            return False
+        is_confirmed = loss not in losses.unconfirmed
+        if is_confirmed:
+            losses.clear([loss])
+        else:
+            losses.forget(loss)
+        return is_confirmed
 
     def is_cleared(self, fingerprint: Fingerprint, loss_id: str) -> bool:
         """Whether an equal request has been answered that was sent after a loss."""
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -169,3 +169,18 @@
     fleet.run_for(0.1)
     assert [order(fleet, number).status for number in (3, 4)] == [502, 502]
     assert order(fleet, 5).status == 502
+
+
+# Guards against connections that are reset while their upstreams live on: other requests show it.
+def test_a_loss_is_taken_back_once_its_upstream_answers(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(3)]
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(3):
+        order(fleet, number)
+    assert order(fleet, 3).error["code"] == 2012
+    for upstream in upstreams:
+        upstream.behavior = harness.serve
+    for number in range(6):
+        assert fleet.call(f"/lookup/{number}", attempt=f"b{number}").status == 200
+    assert order(fleet, 4).status == 200
