--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -105,6 +105,7 @@
         self._body_bytes = 0
         self._counted_in_router = True
         self._forwarded_by: HostId | None = None
+        self._was_idle = False
 
     @property
     def silent_s(self) -> float | None:
@@ -143,8 +144,15 @@
             forwarded_by=self._forwarded_by,
             begun=self.answer_begun,
             had_event=had_event,
+            was_idle=self._was_idle,
         )
 
+    def record_complete_answer(self) -> None:
+        """Record that this attempt has brought the rest of the answer, so that it is complete."""
+        if self.sent_s is not None:
+            plan = self.plan
+            self._context.quarantine.record_complete_answer(plan.fingerprint, plan.job, self.sent_s)
+
     def start(self) -> None:
         """Send on an idle connection, or open a new one to the upstream or a forwarding host."""
         upstream, via = self.plan.placement.upstream, self.plan.placement.via
@@ -157,6 +165,7 @@
         pool = self._context.pool
         idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s, recipient=upstream.instance)
         if idle is not None:
+            self._was_idle = True
             self._send(idle, pool, endpoint)
         elif via is not None:
             self._start_forwarding(via)
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -20,7 +20,7 @@
         trials: Decides what is sent after a quarantine.
         list_hosts: Returns all known hosts; none before the list has been read.
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
-        report_cleared: Records that equal requests are no longer quarantined.
+        report_cleared: Records that losses of equal requests have been cleared.
     """
 
     def __init__(
@@ -67,21 +67,25 @@
         if job.prompt is not None:
             self._crash_watch.record_answer(job.prompt)
 
-    def record_complete_answer(self, fingerprint: Fingerprint, job: Job) -> None:
-        """Record that the answer to a request is complete."""
+    def record_complete_answer(self, fingerprint: Fingerprint, job: Job, sent_s: float) -> None:
+        """Record that the answer to a request is complete, which was sent at a time.
+
+        The upstreams that were lost under equal requests before had another fault.
+        """
         self.record_answer(job)
-        if self._trials.end(job.attempt_id, SubjectKind.REQUEST):
-            self._losses.clear(fingerprint)
+        self._trials.end(job.attempt_id, SubjectKind.REQUEST)
+        self._crash_watch.forget_unproven(fingerprint, sent_s)
+        if self._losses.clear(fingerprint, sent_s):
             self._report_cleared(fingerprint)
 
     def record_loss(self, lost: LostAnswer) -> None:
-        """Record a lost answer; report it later, unless others were lost with it elsewhere."""
+        """Record a lost answer; report it, or forget it, once it shows whether it was a crash."""
         loss_id = f"{lost.attempt_id}.{lost.number}"
         count = self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s, confirmed=False)
         self._crash_watch.call_when_judged(
             lost,
-            on_alone=lambda: self._confirm_loss(lost, loss_id),
-            on_common=lambda: self._forget_loss(lost, loss_id),
+            on_crashed=lambda: self._confirm_loss(lost, loss_id),
+            on_other=lambda cause: self._forget_loss(lost, loss_id, cause),
         )
         if count > 1:
             log_message(
@@ -145,16 +149,18 @@
             self._crash_watch.log_evidence(prompt, request, send, now_s)
 
     def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
-        self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
-        self._report_loss(lost.fingerprint, loss_id)
+        if not self._losses.is_cleared(lost.fingerprint, loss_id):
+            self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
+            self._report_loss(lost.fingerprint, loss_id)
 
-    def _forget_loss(self, lost: LostAnswer, loss_id: str) -> None:
-        self._losses.forget_loss(lost.fingerprint, loss_id)
+    def _forget_loss(self, lost: LostAnswer, loss_id: str, cause: str) -> None:
+        if self._losses.forget_loss(lost.fingerprint, loss_id):
+            self._report_cleared(lost.fingerprint)
         log_message(
             message_type="request: loss left out",
             request=lost.attempt_id,
             send=lost.number,
             upstream=lost.upstream.instance,
             fingerprint=lost.fingerprint,
-            reason="common cause",
+            reason=cause,
         )
