Send several requests in one write in the soak, and check the time that upstreams are given

What was missing: the soak's pipelining callers sent pairs, the second request in a write of its own, and the deadline that reaches an upstream was compared with the caller's whole deadline only.

Now two to four requests go in one write, half of the series with a stream first where one is drawn. At the end of a run each arrival is checked: given no more than 0.5 s less than the caller and the route have left, counted from the sending (LOST), and no more than 0.5 s more than is left from the time at which the proxy had passed the request to the host (BUDGET), unless the host or the upstream's link was disturbed in between; the measured lateness of the soak's process is allowed for.

The unit test holds both sides of both bounds; there was no such check before.

--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -1,6 +1,7 @@
 """A caller's connection: sends one request at a time and records the answer."""
 
 import math
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -24,7 +25,7 @@
 class CallerConnection(Protocol):
     """A connection to a host that is kept open for many requests.
 
-    At most one request is open, and one more may be sent behind it.
+    At most one request is open, and more may be sent behind it.
 
     Args:
         on_stray: Called with bytes that arrive while no request is open, or are no HTTP answer.
@@ -49,7 +50,7 @@
         self._done: Deferred[None] | None = None
         self._timers: list[Any] = []
         self._pending_events = b""
-        self._following: tuple[Attempt, Deferred[None]] | None = None
+        self._following: deque[tuple[Attempt, Deferred[None]]] = deque()
         self.usable = True
 
     def connectionMade(self) -> None:
@@ -73,15 +74,29 @@
 
     def send_following(self, attempt: Attempt) -> "Deferred[None]":
         """Send a request before the answer to the open one, which has been sent whole."""
-        self._write_last(attempt, _encode_request(h11.Connection(h11.CLIENT), attempt.plan))
-        self._following = attempt, Deferred()
-        return self._following[1]
+        return self.send_series([attempt])[0]
+
+    def send_series(self, attempts: list[Attempt]) -> "list[Deferred[None]]":
+        """Send requests in one write, behind the open one if there is one."""
+        data = b""
+        for attempt in attempts:
+            attempt.is_behind = self._attempt is not None or bool(self._following)
+            data += _encode_request(h11.Connection(h11.CLIENT), attempt.plan)
+            attempt.last_offset = self._sent_bytes + len(data)
+            self._following.append((attempt, Deferred()))
+        series = list(self._following)[-len(attempts) :]
+        self._write(data)
+        for attempt in attempts:
+            attempt.last_byte_s = self._clock.seconds()
+        if self._attempt is None:
+            self._begin_following()
+        return [done for _, done in series]
 
     def _begin_following(self) -> None:
         """Await the answer to the request that was sent behind the answered one."""
-        if self._following is None:
+        if not self._following:
             return
-        (self._attempt, self._done), self._following = self._following, None
+        self._attempt, self._done = self._following.popleft()
         self._pending_events = b""
         _encode_request(self._codec, self._attempt.plan)
         self._start_timers(self._attempt)
@@ -189,8 +204,8 @@
         self._end(Ending.COMPLETE)
         if self.usable:
             self._begin_following()
-        elif self._following is not None:
-            crossed = attempt.head_s <= self._following[0].last_byte_s + LOSS_SLACK_S
+        elif self._following:
+            crossed = attempt.head_s <= self._following[0][0].last_byte_s + LOSS_SLACK_S
             self._end_following(Ending.BEHIND if crossed else Ending.BROKEN, was_reset=False)
 
     def _abandon(self, ending: Ending) -> None:
@@ -199,13 +214,12 @@
         self.close()
 
     def _end_following(self, ending: Ending, *, was_reset: bool) -> None:
-        """End the request that was sent behind another one, and that gets no answer."""
-        if self._following is None:
-            return
-        (attempt, done), self._following = self._following, None
-        self._close_attempt(attempt, ending)
-        attempt.was_reset = was_reset
-        done.callback(None)
+        """End the requests that were sent behind another one, and that get no answer."""
+        following, self._following = self._following, deque()
+        for attempt, done in following:
+            self._close_attempt(attempt, ending)
+            attempt.was_reset = was_reset
+            done.callback(None)
 
     def _end(self, ending: Ending) -> None:
         attempt, self._attempt = self._attempt, None
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -85,6 +85,7 @@
             answer of an upstream; 0 without either.
         head_s: When the head of the answer arrived.
         was_reset: Whether the connection was reset before the answer was complete.
+        is_behind: Whether it was sent before the answer to an earlier one on its connection.
         last_offset: Offset of the end of the request in all that was sent on its connection.
         passed_s: When the proxy had passed the whole request on to its host, whose side of the
             connection was still open; infinite if it had not, None if that is not known.
@@ -103,6 +104,7 @@
     begun_s: float = 0.0
     head_s: float = math.inf
     was_reset: bool = False
+    is_behind: bool = False
     last_offset: int = 0
     passed_s: float | None = None
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -17,6 +17,7 @@
 from ._arrival_checks import ArrivalChecks
 from ._bounds import RECOVERY_S
 from ._crash_checks import CrashChecks
+from ._deadline_checks import DeadlineChecks
 from ._dialing import dial
 from ._disturbances import Disturbances
 from ._duty_checks import DutyChecks
@@ -94,6 +95,7 @@
         )
         self._lag = Lag()
         self._answers: AnswerChecks | None = None
+        self._deadlines: DeadlineChecks | None = None
         self._retries: RetryChecks | None = None
         self._store_process: subprocess.Popen[bytes] | None = None
         self._upstreams: UpstreamFleet | None = None
@@ -115,11 +117,12 @@
         judged = JudgedShare()
         judged.count(self._disturbances, self._ledger)
         losses = "none" if self._answers is None else self._answers.loss_excuses.summarize()
+        deadlines = "none" if self._deadlines is None else self._deadlines.summarize()
         endings = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
         early = self._hosts.early_ends
         return (
             f"{len(attempts)} requests ({endings}); {judged.summarize()}; "
-            f"losses excused: {losses}; "
+            f"losses excused: {losses}; {deadlines}; "
             f"{early} processes ended by a signal before they listened; "
             f"{0.0 if self._retries is None else self._retries.largest_use:.2f} of the allowed "
             f"repeats used at most; {self._crashes.summarize(self._findings.began_s)}"
@@ -145,6 +148,7 @@
         operator = Operator(
             reactor=self._reactor, store=store, random=Random(f"{options.seed}/operator")
         )
+        deadlines = self._deadlines = self._build_deadline_checks(operator)
         retries = self._retries = self._build_retry_checks(operator)
         arrivals = self._build_arrival_checks(operator, notices, retries)
         upstreams = self._start_upstreams(store, arrivals)
@@ -167,6 +171,7 @@
         await DeferredList(self._callers)
         answers.finish(self._reactor.seconds())
         retries.finish(self._reactor.seconds())
+        deadlines.finish()
         self._duties.finish(calm=not options.faults)
 
     def close(self) -> None:
@@ -190,6 +195,15 @@
             get_slack=lambda: self._hosts.largest_slack,
         )
 
+    def _build_deadline_checks(self, operator: Operator) -> DeadlineChecks:
+        return DeadlineChecks(
+            ledger=self._ledger,
+            findings=self._findings,
+            operator=operator,
+            disturbances=self._disturbances,
+            lag=self._lag,
+        )
+
     def _build_arrival_checks(
         self, operator: Operator, notices: NoticeChecks, retries: RetryChecks
     ) -> ArrivalChecks:
--- a/soak/_special_callers.py
+++ b/soak/_special_callers.py
@@ -5,22 +5,31 @@
 
 from twisted.internet.error import ConnectError
 
+from ._caller import CallerConnection
 from ._hosts import Host
 from ._ledger import Attempt, Ending, RequestPlan
 from ._traffic import Caller, sleep
 
+SERIES_SHARE = 0.4
+MAX_SERIES = 4
+STREAM_FIRST_SHARE = 0.5
+
 CRASHING_BODY = json.dumps({"work": "crash", "events": 0, "pace_ms": 20, "style": "crash"}).encode()
 
 
 @dataclass(slots=True, kw_only=True)
 class PipeliningCaller(Caller):
-    """Sends pairs of requests, the second one before the answer to the first has arrived."""
+    """Sends requests before the answers to earlier ones: in pairs, or several in one write."""
 
     async def run(self) -> None:
-        """Send pairs until the traffic stops."""
+        """Send pairs and series until the traffic stops."""
         while not self.context.stopped:
             await sleep(self.context.reactor, self.random.uniform(0.1, 0.6))
-            await self._send_pair(self._choose_host(None), self._draw_whole(), self._draw_whole())
+            host = self._choose_host(None)
+            if self.hazard_random.random() < SERIES_SHARE:
+                await self._send_series(host)
+            else:
+                await self._send_pair(host, self._draw_whole(), self._draw_whole())
         for connection in self._connections.values():
             connection.close()
 
@@ -28,14 +37,45 @@
         """Draw a request that is sent at once and awaited until its answer."""
         return replace(self._draw_plan(), pause_s=0.0, leaves_after_s=None)
 
-    async def _send_pair(self, host: Host, first: RequestPlan, second: RequestPlan) -> None:
-        seconds = self.context.reactor.seconds
+    def _draw_series(self) -> list[RequestPlan]:
+        """Draw requests for one write, the first a stream at times."""
+        plans = [self._draw_whole() for _ in range(self.hazard_random.randint(2, MAX_SERIES))]
+        if self.hazard_random.random() < STREAM_FIRST_SHARE:
+            streams = (plan for plan in plans if plan.events)
+            first = next(streams, plans[0])
+            plans = [first, *(plan for plan in plans if plan is not first)]
+        return plans
+
+    async def _send_series(self, host: Host) -> None:
+        """Send a series behind a first request, or all at once."""
+        connection = await self._get_connection(host)
+        if connection is None:
+            return
+        attempts = [
+            Attempt(plan=plan, host=host.name, sent_s=self.context.reactor.seconds())
+            for plan in self._draw_series()
+        ]
+        for attempt in attempts:
+            self.context.ledger.add(attempt)
+        for answer in connection.send_series(attempts):
+            await answer
+        for attempt in attempts:
+            self.context.on_end(attempt)
+
+    async def _get_connection(self, host: Host) -> CallerConnection | None:
         connection = self._connections.get(host.name)
         if connection is None or not connection.usable:
             try:
                 connection = await self._connect(host)
             except ConnectError:
-                return
+                return None
+        return connection
+
+    async def _send_pair(self, host: Host, first: RequestPlan, second: RequestPlan) -> None:
+        seconds = self.context.reactor.seconds
+        connection = await self._get_connection(host)
+        if connection is None:
+            return
         leading = Attempt(plan=first, host=host.name, sent_s=seconds())
         self.context.ledger.add(leading)
         answers = [connection.send(leading)]
--- a/tests/soak_builders.py
+++ b/tests/soak_builders.py
@@ -6,6 +6,7 @@
 from soak._answer_checks import AnswerChecks
 from soak._arrival_checks import ArrivalChecks
 from soak._crash_checks import CrashChecks
+from soak._deadline_checks import DeadlineChecks
 from soak._disturbances import Disturbances
 from soak._findings import Findings
 from soak._lag import Lag
@@ -72,6 +73,13 @@
             disturbances=self.disturbances,
             get_slack=lambda: 2.0,
         )
+        self.deadlines = DeadlineChecks(
+            ledger=self.ledger,
+            findings=self.findings,
+            operator=self.operator,
+            disturbances=self.disturbances,
+            lag=self.lag,
+        )
         self.arrivals = ArrivalChecks(**shared, retries=self.retries)  # type: ignore[arg-type]
         self.answers = AnswerChecks(
             **shared,  # type: ignore[arg-type]
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -331,6 +331,34 @@
     assert records.rules == ["BUDGET"] * rules
 
 
+# Guards against a soak that does not notice that a request is taken for older, or newer, than it
+# is.
+# It has reached its host after 0.3 s and its upstream after 2 s, with 6 s from the beginning on.
+@pytest.mark.parametrize(
+    ("deadline_ms", "harmed", "rules"),
+    [
+        (300, False, ["LOST"]),
+        (300, True, ["LOST"]),
+        (3_600, False, []),
+        (4_700, False, []),
+        (4_900, False, ["BUDGET"]),
+        (4_900, True, []),
+    ],
+)
+def test_another_time_than_is_left_is_reported(
+    records: SoakRecords, deadline_ms: int, harmed: bool, rules: list[str]
+) -> None:
+    plan = build_plan("lookup")
+    attempt = records.send(plan, is_behind=True)
+    records.receive(plan, at_s=SENT_S + 2.0, headers=((DEADLINE, b"%d" % deadline_ms),))
+    attempt.passed_s = SENT_S + 0.3
+    if harmed:
+        records.disturbances.mark("i-1", "cut_requests link", SENT_S + 1.0)
+    records.deadlines.finish()
+    assert records.rules == rules
+    assert records.deadlines.checked_behind == 1
+
+
 # Guards against blaming a host for a request that its process has not read, when it ended.
 @pytest.mark.parametrize(
     ("logged", "was_reset", "after_s"),
