Excuse ended connections only around their end in the soak, and judge cuts beside no planned work

A link that was reset, or that refused new connections, excused each request of its host for the three seconds after it, though a later connection has nothing to do with it. It now counts from LossSlackMs before the request on, as the end of a process does.

New cases of both changes in test_soak_checks.py; the case without an arrival failed before.

--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -222,7 +222,7 @@
             return "crossed the close"
         if own_failure or taken_s <= LOSS_SLACK_S:
             return "cut at once, not passed on"
-        return None if self._list_planned(attempt) else "not passed on, beside no planned work"
+        return None
 
     def _get_timeout_s(self, attempt: Attempt) -> float:
         versions = self._operator.list_in_force(0.0, attempt.ended_s)
--- a/soak/_excuses.py
+++ b/soak/_excuses.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from ._bounds import LOSS_SLACK_S, STABILITY_WINDOW_S
 from ._disturbances import Disturbance, Disturbances
@@ -11,8 +12,8 @@
 CALM_S = 1.0
 """A request is sent in a calm part of a run if nothing was disturbed for this long."""
 
-OF_ONE_PROCESS = ("kill", "start")
-"""Faults that a later process of the host knows nothing of."""
+PASSING = ("kill", "start", "reset link", "refusing link")
+"""Faults that touch connections only while they last, and no later process or connection."""
 
 SPARING_REQUESTS = ("delayed link", "refusing link", "shut link")
 """Faults of links that break off nothing which has passed."""
@@ -67,17 +68,15 @@
 ) -> Excuse | None:
     """Return why no answer to a request is owed, if anything has touched it.
 
-    A fault of its host counts from the stability window before the request on, the end and the
-    start of a process only during the request. One of an upstream counts while it has the request,
-    or while the request may be on its way to it.
+    A fault of its host counts from the stability window before the request on, one that only ends
+    connections from shortly before it on, when the end may be on its way. One of an upstream counts
+    while it has the request, or while the request may be on its way to it.
     """
     host, sent_s, ended_s = attempt.host, attempt.sent_s, attempt.ended_s
     fault = (
         disturbances.find_start(host, sent_s, ended_s)
-        or disturbances.find_fault(host, sent_s, ended_s)
-        or disturbances.find_fault(
-            host, sent_s - STABILITY_WINDOW_S, ended_s, besides=OF_ONE_PROCESS
-        )
+        or disturbances.find_fault(host, sent_s - LOSS_SLACK_S, ended_s)
+        or disturbances.find_fault(host, sent_s - STABILITY_WINDOW_S, ended_s, besides=PASSING)
     )
     if fault is not None:
         return _build_excuse(f"host: {fault.kind}", attempt.host, fault)
@@ -157,5 +156,20 @@
         ]
 
 
+def write_excuses(
+    directory: Path, disturbances: Disturbances, ledger: Ledger, origin_s: float
+) -> None:
+    """Write the excused requests and all disturbances, with times since the origin."""
+    judged = JudgedShare()
+    judged.count(disturbances, ledger)
+    lines = judged.describe_excused(origin_s)
+    (directory / "excused.txt").write_text("".join(f"{line}\n" for line in lines))
+    lines = [
+        f"{item.began_s - origin_s:.3f} to {item.ended_s - origin_s:.3f} {target}: {item.kind}"
+        for target, item in disturbances.list_all()
+    ]
+    (directory / "disturbances.txt").write_text("".join(f"{line}\n" for line in lines))
+
+
 def _list_counts(counts: Counter[str]) -> str:
     return ", ".join(f"{reason} {count}" for reason, count in counts.most_common()) or "none"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -21,7 +21,7 @@
 from ._dialing import dial
 from ._disturbances import Disturbances
 from ._duty_checks import DutyChecks
-from ._excuses import JudgedShare
+from ._excuses import JudgedShare, write_excuses
 from ._faults import Fault, draw_schedule
 from ._findings import Findings, Rule
 from ._fleet import VERSIONS, Member, UpstreamFleet
@@ -130,15 +130,8 @@
 
     def write_excuses(self) -> None:
         """Write each excused request with its reason, and all disturbances, beside the logs."""
-        judged, began_s = JudgedShare(), self._findings.began_s
-        judged.count(self._disturbances, self._ledger)
-        lines = judged.describe_excused(began_s)
-        (self._options.directory / "excused.txt").write_text("".join(f"{x}\n" for x in lines))
-        lines = [
-            f"{item.began_s - began_s:.3f} to {item.ended_s - began_s:.3f} {target}: {item.kind}"
-            for target, item in self._disturbances.list_all()
-        ]
-        (self._options.directory / "disturbances.txt").write_text("".join(f"{x}\n" for x in lines))
+        directory, began_s = self._options.directory, self._findings.began_s
+        write_excuses(directory, self._disturbances, self._ledger, began_s)
 
     async def play(self) -> None:
         """Run from the first start to the measured recovery."""
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -109,10 +109,14 @@
     assert records.rules == ["ORDER"]
 
 
-def test_a_cut_request_is_lost_if_nothing_was_disturbed(records: SoakRecords) -> None:
+@pytest.mark.parametrize("arrived", [True, False])
+def test_a_cut_request_is_lost_if_nothing_was_disturbed(
+    records: SoakRecords, arrived: bool
+) -> None:
     plan = build_plan()
     attempt = records.send(plan)
-    records.receive(plan)
+    if arrived:
+        records.receive(plan)
     records.end(attempt, Ending.BROKEN)
     assert records.rules == ["LOST"]
 
@@ -126,7 +130,9 @@
         ("host-1", "freeze", -0.1 - STABILITY_WINDOW_S, ["LOST"]),
         ("host-1", "freeze", 1.1, ["LOST"]),
         ("host-1", "kill", 0.5, []),
-        ("host-1", "kill", -0.1, ["LOST"]),
+        ("host-1", "kill", -0.3, ["LOST"]),
+        ("host-1", "reset link", -0.1, []),
+        ("host-1", "reset link", -0.3, ["LOST"]),
         ("host-2", "freeze", 0.0, ["LOST"]),
         ("i-1", "reset", 0.5, []),
         ("i-1", "reset", 0.001, []),
