Let the soak's upstreams name the request in a refusal, and repeat refusals

What was missing: the soak's 421 had no id, which proves nothing to a host, and no refusal came twice, so that the soak could not see that the refusal of one send is taken for the answer to another one (docs/incidents/crashing-parts-come-back.md, REFUSED).

Now a 421 bears the id and Greengagestage-Not-Executed, as PROTOCOL.md says, and the kind "upstreams repeat refusals" lets all upstreams, also new incarnations, keep a copy of each 421 and 503 for 2 to 8 s of refusals and send it ahead of the next answer on its connection. It excuses nothing.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -27,6 +27,7 @@
     UPSTREAM_FULL = "upstream refuses"
     UPSTREAM_DRAIN = "upstream drains"
     UPSTREAM_UNLIST = "upstream is removed"
+    UPSTREAM_REPEAT = "upstreams repeat refusals"
     UPSTREAM_CRASH = "upstream crash"
     UPSTREAM_EXPIRY = "entries of upstreams expire in an outage of the store"
     CALLERS_LINK = "link from callers to a host"
@@ -41,10 +42,10 @@
 """Mean times between the beginnings of two faults, of which each run draws one. Faults last up to
 some seconds, so that they overlap."""
 
-ADDED = (Fault.UPSTREAM_LINKS, Fault.HOST_KILLS)
-DRAWN = [fault for fault in Fault if fault not in ADDED]
-"""Kinds that a seed draws from first. The added ones are drawn afterwards, so that the earlier
-draws of a seed stay as they were."""
+ADDED = ((Fault.UPSTREAM_LINKS, Fault.HOST_KILLS), (Fault.UPSTREAM_REPEAT,))
+DRAWN = [fault for fault in Fault if not any(fault in kinds for kinds in ADDED)]
+"""Kinds that a seed draws from first. The added ones are drawn afterwards, group by group, so that
+the earlier draws of a seed stay as they were."""
 
 ADDED_CHANCE = 0.3
 ADDED_PAUSE_S = 10.0
@@ -92,6 +93,9 @@
                     seed=random.randrange(2**32),
                 )
             )
-    if draws_kinds and random.random() < ADDED_CHANCE:
-        schedule += draw_schedule(random, began_s, ended_s, kinds=ADDED, mean_pause_s=ADDED_PAUSE_S)
+    for added in ADDED if draws_kinds else ():
+        if random.random() < ADDED_CHANCE:
+            schedule += draw_schedule(
+                random, began_s, ended_s, kinds=added, mean_pause_s=ADDED_PAUSE_S
+            )
     return sorted(schedule, key=lambda item: item.at_s)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -36,7 +36,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamFleet:
-    """All upstreams, by instance id; those that have ended stay listed for the checks."""
+    """All upstreams, by instance id; those that have ended stay listed for the checks.
+
+    Attributes:
+        repeats_until_s: Refusals are sent once more until then, also by new incarnations.
+        repeated_refusals: Refusals that were sent once more.
+    """
 
     reactor: Any
     address: str
@@ -46,6 +51,8 @@
     disturbances: Disturbances
     crash_checks: CrashChecks
     members: dict[str, Member] = field(default_factory=dict)
+    repeats_until_s: float = 0.0
+    repeated_refusals: int = 0
     _number: int = 0
     _closed: bool = False
 
@@ -65,6 +72,8 @@
             observer=self.observer,
             listening_port=port,
         )
+        upstream.repeats_refusals = lambda: self.reactor.seconds() < self.repeats_until_s
+        upstream.on_repeat = self._count_repeat
         target = upstream.open(self.address)
         upstream.listening_port = target[1]
         if link is None:
@@ -76,6 +85,9 @@
         self._beat(member)
         return member
 
+    def _count_repeat(self) -> None:
+        self.repeated_refusals += 1
+
     def list_ready(self, service: str | None = None) -> list[Member]:
         """Return the upstreams that are listed as ready."""
         return [
--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -93,6 +93,8 @@
                     self.upstreams.crash(member)
             case Fault.UPSTREAM_LINK:
                 self._harm_links(member.upstream.identity.instance, [member.link], random)
+            case Fault.UPSTREAM_REPEAT:
+                self.upstreams.repeats_until_s = now_s + random.uniform(2.0, 8.0)
             case Fault.UPSTREAM_LINKS:
                 self._shut_links(random)
             case Fault.UPSTREAM_EXPIRY:
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -6,8 +6,9 @@
 from enum import Enum
 from functools import partial
 from typing import Any
+from weakref import WeakKeyDictionary
 
-from greengagestage.http1 import IncomingRequest, LimitExceeded, Responder, ServerFactory
+from greengagestage.http1 import IncomingRequest, LimitExceeded, ServerFactory
 
 from ._crash_checks import DEADLY_PART, CrashCause
 from ._ledger import Arrival
@@ -233,21 +234,27 @@
         silent_until_s: Answers and events are held back until then.
         refuses_until_s: Requests are refused as if it were full until then.
         names_pause: Whether these refusals say for how long.
+        repeats_refusals: Returns whether a refusal is sent once more where its connection's next
+            answer is expected.
         limit_per_s: The rate of requests that its answers name, if any.
+        on_repeat: Called when a refusal has been sent once more.
         on_crash: Ends this upstream as a crash does; called for requests that cause one.
     """
 
     identity: UpstreamIdentity
     reactor: Any
     observer: UpstreamObserver
+    on_repeat: Callable[[], None] = lambda: None
     on_crash: Callable[[CrashCause], None] = lambda cause: None
     listening_port: int = 0
     silent_until_s: float = 0.0
     refuses_until_s: float = 0.0
     names_pause: bool = False
     leaving: bool = False
+    repeats_refusals: Callable[[], bool] = lambda: False
     limit_per_s: float | None = None
     work: set[_Work] = field(default_factory=set)
+    _copies: "WeakKeyDictionary[Any, bytes]" = field(default_factory=WeakKeyDictionary)
     _factory: Any = None
     _port: Any = None
     _runs: int = 0
@@ -300,7 +307,7 @@
 
         self.reactor.callLater(delay_s, call_or_wait)
 
-    def handle(self, request: IncomingRequest, responder: Responder) -> None:
+    def handle(self, request: IncomingRequest, responder: Any) -> None:
         """Refuse a request, or begin to work on it."""
         identity = self.identity
         arrival = Arrival(
@@ -311,21 +318,24 @@
             version=identity.version,
             arrived_s=self.reactor.seconds(),
         )
+        copy = self._copies.pop(responder.transport, None)
+        if copy is not None:
+            responder.transport.write(copy)
+            self.on_repeat()
         expected = request.get(b"greengagestage-expect-instance")
         if expected is not None and expected != identity.instance.encode():
-            responder.answer(421, [], b"")
+            self._refuse(responder, arrival, 421, [], b"")
             return
         self.observer.record_arrival(arrival)
         full = len(self.work) >= SLOTS + QUEUE
         if full or self.reactor.seconds() < self.refuses_until_s:
             arrival.status = 503
-            echo = (b"Greengagestage-Attempt-Id", arrival.attempt.encode())
-            headers = [echo, (b"Greengagestage-Not-Executed", b"1"), *self._build_limit_header()]
+            headers = self._build_limit_header()
             if not full and self.names_pause:
                 pause_s = self.refuses_until_s - self.reactor.seconds()
                 headers.append((b"Retry-After", f"{pause_s:.2f}".encode()))
                 self.observer.record_pause(arrival, pause_s)
-            responder.answer(503, headers, b"full")
+            self._refuse(responder, arrival, 503, headers, b"full")
             return
         self._runs += 1
         arrival.ran = True
@@ -333,6 +343,30 @@
         self.observer.record_run(arrival)
         _Work(self, arrival, responder).start()
 
+    def _refuse(
+        self,
+        responder: Any,
+        arrival: Arrival,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Refuse a request by its id, and keep a copy for the connection's next answer at times."""
+        headers = [
+            (b"Greengagestage-Attempt-Id", arrival.attempt.encode()),
+            (b"Greengagestage-Not-Executed", b"1"),
+            *headers,
+        ]
+        responder.answer(status, headers, body)
+        if self.repeats_refusals():
+            lines = [*headers, (b"Content-Length", b"%d" % len(body))]
+            head = b"".join(b"%s: %s\r\n" % line for line in lines)
+            self._copies[responder.transport] = b"HTTP/1.1 %d Refused\r\n%s\r\n%s" % (
+                status,
+                head,
+                body,
+            )
+
     def build_headers(self, arrival: Arrival) -> list[tuple[bytes, bytes]]:
         """Return the headers of an answer to a request that ran."""
         headers = [
