Suspect no part for a forwarded stream that has been taken up again

Callers saw: parts of sound prompts count as having crashed an upstream, where a host without links takes up a stream through another host and the next upstream is lost before its first event.

Cause: the host that forwards judges the loss, and took the stream for one that had brought no event: the events had come in an earlier send. The request says so with Last-Event-Id.

tests/test_crash_evidence.py::test_a_resumed_stream_that_is_forwarded_suspects_no_part: failed before (the forwarding host suspects a part), passes now. tests/test_forwarding.py passes.

--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/_forwarding.py
@@ -153,12 +153,13 @@
         self._sent_s = 0.0
         self._begun = False
         self._framed = True
-        self._had_event = False
         self._last_bytes = b""
         self._ended = False
         parsed = parse_caller_headers(request.target, request.headers)
         metadata = parsed.value_or(None)
         self.attempt_id = AttemptId("") if metadata is None else metadata.attempt_id
+        # A stream that is taken up again has brought events, perhaps through other hosts.
+        self._had_event = metadata is not None and metadata.last_event_id is not None
         self._timeout_s = None if metadata is None else metadata.timeout_s
         self._prompt: Prompt | None = None
         if metadata is not None and states_prompt(request.headers):
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -266,3 +266,25 @@
 
 def is_leaving(host: HostProcess, instance: InstanceId) -> bool:
     return host._router.upstreams[instance].record.availability is Availability.LEAVING
+
+
+def crash_on_resume(
+    upstream: UpstreamStandin, request: IncomingRequest, responder: Responder
+) -> None:
+    """Break a stream off after two events, and crash under the request that takes it up again."""
+    is_resumed = request.get(b"last-event-id") is not None
+    (harness.crash if is_resumed else harness.abort_mid_stream)(upstream, request, responder)
+
+
+# Guards against parts that are blamed although a prompt with them has just brought events: the host
+# that forwards the rest of a stream does not see these.
+def test_a_resumed_stream_that_is_forwarded_suspects_no_part(fleet: HostFleet) -> None:
+    host = CutHost(fleet)
+    host.lose_links()
+    host.set_behavior(crash_on_resume)
+    fleet.call("/short/x", attempt="a1", parts="aa:600,bad:300,own:40")
+    fleet.run_for(0.3)
+    assert host.forwarded
+    assert not any(
+        other._crashes.suspects.list_records(fleet.reactor.seconds()) for other in host.others
+    )
