Record crashes from the first one on, so that they count beyond the end of all hosts

Cause: `_is_known` kept single crashes, and one or two losses, out of the store.

What is not enough for a quarantine is now in one row, `evidence`, that all hosts share and that holds all parts of a lost prompt together, so that none of them is blamed alone. An answer that clears a part is written to it once, and kept for as long as a single crash counts. Before a write, a host reads what others have written in the last second, and leaves out what they have recorded; writes that fail are repeated at growing pauses. Expired records are ignored by a host that starts, also those of parts, and the first host removes a row whose records have all expired. The loss records' cleared hashes count as recorded only if a row names them.

Decoding moves into `_crash_rows.py`, the comparison of the record with what a host knows into `_recorded_crashes.py`; `_crash_table.py` keeps the calls.

tests/test_crashing_parts.py, test_the_record_keeps_the_crashes_that_different_hosts_have_seen: it needs two hosts with separate knowledge. Now the second one would read the first one's crashes before its own write and refuse the fourth request, so that its record is held back until it has seen its own. All that is asserted stays. The table of decoders in tests/test_boundary_decoders.py names the module that decodes now.

--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/_crash_knowledge.py
@@ -70,7 +70,7 @@
             trials=Trials(host),
             list_hosts=list_hosts,
             report_loss=self._report_loss,
-            report_cleared=self._record_request,
+            report_cleared=self._table.record_request,
         )
 
     @property
@@ -108,15 +108,9 @@
         self._losses.learn(records, self._reactor.seconds())
 
     def _report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
-        """Tell the other hosts of a loss, and those that start later of a quarantine."""
+        """Tell the other hosts of a loss, and those that start later."""
         self._tell_loss(fingerprint, loss_id)
-        self._record_request(fingerprint)
-
-    def _record_request(self, fingerprint: Fingerprint) -> None:
-        """Record a quarantine, or that it has been cleared."""
-        record = self._losses.find_quarantined(fingerprint, self._reactor.seconds())
-        if record is not None:
-            self._table.record_request(record)
+        self._table.record_request(fingerprint)
 
     def _report_suspects(self, records: Sequence[SuspectRecord]) -> None:
         """Tell the other hosts of suspected parts, and those that start later of crashes."""
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/_crash_table.py
@@ -7,18 +7,14 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from enum import Enum
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 from typing import Any
 
-import msgspec
 from eliot import log_message
-from msgspec import Struct
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
-from greengagestage.decoding import Integer, convert_json
+from greengagestage.ids import Fingerprint
 from greengagestage.platform import (
     CALL_TIMEOUT_S,
     RowClient,
@@ -30,33 +26,34 @@
     Transaction,
     build_put,
 )
-from greengagestage.routing import (
-    CRASHES_TO_QUARANTINE,
-    LOSSES_TO_QUARANTINE,
-    MAX_QUARANTINE_S,
-    CrashSuspects,
-    LossRecord,
-    LossTracker,
-    SuspectRecord,
+from greengagestage.routing import CrashSuspects, LossTracker, SuspectRecord
+
+from ._crash_rows import (
+    CRASH_TABLE,
+    CrashRecord,
+    IgnoredRow,
+    build_key,
+    build_request_key,
+    decode_row,
+    encode_row,
 )
-
 from ._crash_watch import CRASH_CONFIRMATION_S
 from ._loops import RepeatingTask, add_jitter
-from ._loss_reports import MAX_RECORDS, build_loss_reports, read_loss_report
-from ._peer_messages import LossesReport, SuspectsReport
+from ._recorded_crashes import RecordedCrashes, has_own_row
 from ._store_clock import read_boot_time_s
-from ._suspect_reports import build_suspect_reports, read_suspect_report
-
-CRASH_TABLE = "greengagestage-crashes"
 
 MAX_ROWS_PER_WRITE = 50
-"""Half of the rows that a transaction may name: each is expected and written. A row takes some
-hundred bytes."""
+"""Half of the rows that a transaction may name: each is expected and written. Most rows take some
+hundred bytes, and the shared one up to 32 KB."""
 
 WRITE_PAUSE_S = CRASH_CONFIRMATION_S
 """Pause between two writes of one host, so that many crashes at once do not crowd the store. What
 is found out in between is lost with the host."""
 
+EVIDENCE_PAUSE_S = 0.1
+"""Pause, with a jitter of 50%, before a write of what does not suffice for a quarantine. Meanwhile
+the other hosts tell of the same crash, and of answers that clear parts."""
+
 RETRY_S = 0.3
 """Pause after a failed call, with a jitter of 50%."""
 
@@ -64,38 +61,19 @@
 """Time after the start of a host for which it sends nothing while it has not read the record: one
 read may be repeated that is not answered. The store usually answers with the configuration."""
 
+LONGEST_RETRY_S = 2.4
+"""Longest pause between writes that fail one after the other, with the same jitter."""
+
+MAX_VIEW_AGE_S = 1.0
+"""Age from which what this host has seen of the record is read again before a write: another host
+has often recorded the same crash."""
+
 CHECK_PAUSE_S = 5.0
 """Time between two checks whether something that this host knows may be missing."""
 
-REQUEST_TOLERANCE_S = 1.0
-"""Difference up to which two times of one loss, reckoned from two ages, count as the same."""
-
 MIN_CHECK_PAUSE_S = 1.0
 """Time between two such checks while more and more is found out."""
 
-MAX_AGE_S = 2 * MAX_QUARANTINE_S
-"""Age from which a row is removed; what it says has expired by then."""
-
-
-CrashRecord = LossRecord | SuspectRecord
-"""What is known about one request, or one prompt part."""
-
-
-class CrashRow(Struct, frozen=True, kw_only=True):
-    """What is known about one request, or one prompt part; ages count from ``written_ms``.
-
-    Attributes:
-        era: The store's era in which the row was written. The clocks of different eras cannot be
-            compared: in another one, the row counts as just written for a host that starts, and
-            for nothing later, since the other hosts have written again what they know.
-        written_ms: Time of the write on the store's clock.
-    """
-
-    era: Integer | None
-    written_ms: Integer
-    losses: LossesReport = LossesReport([])
-    suspects: SuspectsReport = SuspectsReport([])
-
 
 class CrashTable:
     """Reads the record at the start of a host, and adds what is missing.
@@ -123,6 +101,7 @@
         self._random = random
         self._losses = losses
         self._suspects = suspects
+        self._recorded = RecordedCrashes(losses=losses, suspects=suspects)
         self._get_era = get_era
         self._get_rank = get_rank
         self._task = RepeatingTask(reactor=reactor, name="crashes", step=self._step)
@@ -130,11 +109,12 @@
         self._started_s = 0.0
         self._is_checked = True
         self._next_check_s = 0.0
-        self._pending: dict[str, CrashRecord] = {}
-        self._recorded: dict[str, CrashRecord] = {}
+        self._pending: set[str] = set()
+        self._has_written = False
         self._recorded_era: int | None = None
         self._revisions: dict[str, int] = {}
-        self._has_conflict = False
+        self._viewed_s = float("-inf")
+        self._failures = 0
 
     def start(self) -> None:
         """Read the record."""
@@ -151,21 +131,25 @@
         wait_s = self._reactor.seconds() - self._started_s
         return not self._is_read and wait_s < MAX_READ_WAIT_S
 
-    def record_request(self, record: LossRecord) -> None:
-        """Record a request that is quarantined because of a loss at this host."""
-        self._pending[_build_key(record)] = record
-        self._task.run_within(0.0)
+    def record_request(self, fingerprint: Fingerprint) -> None:
+        """Record a request of which this host has lost the answer, or has cleared the losses."""
+        now_s = self._reactor.seconds()
+        is_urgent = self._losses.find_quarantined(fingerprint, now_s) is not None
+        self._record([build_request_key(fingerprint)], is_urgent=is_urgent)
 
     def record_parts(self, records: Sequence[SuspectRecord]) -> None:
-        """Record the parts of a prompt under which an upstream of this host has crashed again.
+        """Record the parts of a prompt under which an upstream of this host has crashed.
 
         An answer to a prompt with a part is recorded, too, if the part is in the record.
         """
-        for record in records:
-            key = _build_key(record)
-            if _is_known(record) or key in self._recorded:
-                self._pending[key] = record
-                self._task.run_within(0.0)
+        recorded = self._recorded
+        changed = [each for each in records if each.losses or recorded.is_recorded(each)]
+        if changed:
+            self._record(map(build_key, changed), is_urgent=any(map(has_own_row, changed)))
+
+    def _record(self, subjects: Iterable[str], *, is_urgent: bool) -> None:
+        self._pending.update(subjects)
+        self._task.run_within(0.0 if is_urgent else add_jitter(EVIDENCE_PAUSE_S, self._random))
 
     @inlineCallbacks
     def _step(self) -> Any:
@@ -186,20 +170,33 @@
             self._next_check_s = self._reactor.seconds() + MIN_CHECK_PAUSE_S
             old = self._learn(read)
             missing = self._find_missing()
-            removed = [each for each in old if each.key not in missing][:MAX_ROWS_PER_WRITE]
+            written = set(missing.values())
+            removed = [each for each in old if each.key not in written][:MAX_ROWS_PER_WRITE]
             yield self._remove(removed)
             self._is_checked = len(removed) < MAX_ROWS_PER_WRITE
-            self._pending = {**missing, **self._pending}
+            self._pending |= missing.keys()
+        if self._has_written:
+            self._has_written = False
+            self._pending |= self._recorded.find_cleared()
+        self._pending &= self._find_missing().keys()
         if not self._pending:
             return CHECK_PAUSE_S
-        if self._has_conflict:
+        if self._reactor.seconds() - self._viewed_s >= MAX_VIEW_AGE_S:
             read = yield self._rows.read(CRASH_TABLE)
             if not isinstance(read, RowsRead):
-                return add_jitter(RETRY_S, self._random)
-            self._has_conflict = False
+                return self._record_failure()
             self._learn(read)
         is_written = yield self._write()
-        return WRITE_PAUSE_S if is_written else add_jitter(RETRY_S, self._random)
+        if not is_written:
+            return self._record_failure()
+        self._failures = 0
+        return WRITE_PAUSE_S
+
+    def _record_failure(self) -> float:
+        """Count a call that has failed; return the pause before the next one."""
+        pause_s = min(RETRY_S * 2.0 ** min(self._failures, 10), LONGEST_RETRY_S)
+        self._failures += 1
+        return add_jitter(pause_s, self._random)
 
     @inlineCallbacks
     def _write(self) -> Any:
@@ -208,28 +205,32 @@
         if clock is None or clock.era != self._get_era():
             yield self._rows.read(CRASH_TABLE)  # ages need the clock of the current era
             clock = self._rows.clock
-        batch = dict(list(self._pending.items())[:MAX_ROWS_PER_WRITE])
-        known = self._list_known()
-        current = {key: known.get(key, record) for key, record in batch.items()}
-        puts = [build_put(CRASH_TABLE, key, self._encode(each)) for key, each in current.items()]
+        rows = self._recorded.build_rows(self._reactor.seconds())
+        missing = self._recorded.find_missing(rows)
+        written = {key for subject, key in missing.items() if subject in self._pending}
+        if not written:
+            return True
+        keys = [key for key in rows if key in written]
+        batch = {key: rows[key] for key in keys[:MAX_ROWS_PER_WRITE]}
+        puts = [build_put(CRASH_TABLE, key, self._encode(row)) for key, row in batch.items()]
         expected = [
             RowExpectation(table=CRASH_TABLE, key=key, revision=self._revisions.get(key, 0))
-            for key in current
+            for key in batch
         ]
         outcome = yield self._rows.transact(Transaction(expected=expected, puts=puts))
-        self._has_conflict = isinstance(outcome, RowConflict)
+        if isinstance(outcome, RowConflict):
+            self._viewed_s = float("-inf")
         is_written = isinstance(outcome, RowsRead) and (clock is None or outcome.era == clock.era)
         log_message(
             message_type="crashes: written" if is_written else "crashes: not written",
             keys=list(batch),
-            waiting=len(self._pending) - len(batch),
+            waiting=len(keys) - len(batch),
         )
         if is_written:
-            self._recorded.update(current)
-            self._revisions.update(dict.fromkeys(current, outcome.revision))
-            for key, record in batch.items():
-                if self._pending.get(key) is record:
-                    del self._pending[key]
+            self._has_written = True
+            self._viewed_s = self._reactor.seconds()
+            self._recorded.update(batch)
+            self._revisions.update(dict.fromkeys(batch, outcome.revision))
         return is_written
 
     def _forget_older_era(self) -> None:
@@ -237,42 +238,22 @@
         era = self._get_era()
         if era != self._recorded_era:
             self._recorded_era = era
-            self._recorded.clear()
+            self._recorded.replace({})
             self._revisions.clear()
+            self._viewed_s = float("-inf")
             self._is_checked = False
 
     def _needs_check(self) -> bool:
-        if self._reactor.seconds() < self._next_check_s:
+        now_s = self._reactor.seconds()
+        if now_s < self._next_check_s:
             return False
-        return not self._is_checked or (not self._pending and bool(self._find_missing()))
+        if not self._is_checked or self._recorded.has_expired_row(now_s):
+            return True
+        return not self._pending and bool(self._find_missing())
 
-    def _list_known(self) -> dict[str, CrashRecord]:
-        """Return what this host knows and should be recorded."""
-        now_s = self._reactor.seconds()
-        requests = self._losses.list_records(now_s, most=MAX_RECORDS)
-        records: list[CrashRecord] = [*requests, *self._suspects.list_records(now_s)]
-        known = {_build_key(each): each for each in records if _is_known(each)}
-        return {**self._list_cleared(), **known}
-
-    def _list_cleared(self) -> dict[str, CrashRecord]:
-        """Return the recorded parts to which answers have come since."""
-        cleared: dict[str, CrashRecord] = {}
-        for key, recorded in self._recorded.items():
-            if isinstance(recorded, SuspectRecord) and recorded.losses:
-                record = self._suspects.get_record(recorded.part)
-                if not _is_covered(record, recorded):
-                    cleared[key] = record
-        return cleared
-
-    def _find_missing(self) -> dict[str, CrashRecord]:
-        """Return what this host knows and has neither written nor read in the store."""
-        known = self._list_known()
-        self._recorded = {key: each for key, each in self._recorded.items() if key in known}
-        return {
-            key: each
-            for key, each in known.items()
-            if not _is_covered(each, self._recorded.get(key))
-        }
+    def _find_missing(self) -> dict[str, str]:
+        """Return what this host knows and the record lacks, each with its row."""
+        return self._recorded.find_missing(self._recorded.build_rows(self._reactor.seconds()))
 
     def _learn(self, read: RowsRead, *, any_era: bool = False) -> list[StoredRow]:
         """Add what the rows say; return those that say nothing any more.
@@ -280,9 +261,10 @@
         Args:
             any_era: Whether rows of another era count as just written. They are returned, too.
         """
-        now_s = self._reactor.seconds()
+        now_s = self._viewed_s = self._reactor.seconds()
         old: list[StoredRow] = []
         reasons: Counter[str] = Counter()
+        rows: dict[str, Sequence[CrashRecord]] = {}
         self._revisions = {stored.key: stored.revision for stored in read.rows}
         for stored in read.rows:
             known = decode_row(stored.value, read, now_s, any_era=any_era)
@@ -291,14 +273,14 @@
                 reasons[known.value] += 1
                 continue
             if known.is_current:
-                records: list[CrashRecord] = [*known.losses, *known.suspects]
-                self._recorded.update({_build_key(each): each for each in records})
+                rows[stored.key] = [*known.losses, *known.suspects]
             else:
                 old.append(stored)
                 reasons["other era, taken as just written"] += 1
                 self._is_checked = False
             self._losses.learn(known.losses, now_s)
             self._suspects.learn(known.suspects)
+        self._recorded.replace(rows)
         log_message(
             message_type="crashes: read",
             rows=len(read.rows),
@@ -322,111 +304,8 @@
             )
         )
 
-    def _encode(self, record: CrashRecord) -> bytes:
-        now_s, clock = self._reactor.seconds(), self._rows.clock
+    def _encode(self, records: Sequence[CrashRecord]) -> bytes:
+        clock = self._rows.clock
         store_s = 0.0 if clock is None else clock.store_s + read_boot_time_s() - clock.received_s
-        row = CrashRow(era=None if clock is None else clock.era, written_ms=round(store_s * 1_000))
-        match record:
-            case LossRecord():
-                (losses,) = build_loss_reports([record], now_s)
-                row = msgspec.structs.replace(row, losses=losses)
-            case SuspectRecord():
-                (suspects,) = build_suspect_reports([record], now_s)
-                row = msgspec.structs.replace(row, suspects=suspects)
-        return msgspec.json.encode(row)
-
-
-def _is_known(record: CrashRecord) -> bool:
-    """Whether a request or a part may be quarantined. Fewer crashes are mostly a coincidence."""
-    match record:
-        case LossRecord(losses=losses):
-            return len(losses) >= LOSSES_TO_QUARANTINE
-        case SuspectRecord(losses=crashes):
-            return len(crashes) >= CRASHES_TO_QUARANTINE
-
-
-def _is_covered(record: CrashRecord, recorded: CrashRecord | None) -> bool:
-    """Whether the record in the store says all that is known about a request or a part."""
-    match record, recorded:
-        case LossRecord(), LossRecord():
-            is_as_late = recorded.last_s >= record.last_s - REQUEST_TOLERANCE_S
-            return is_as_late and recorded.losses >= record.losses
-        case SuspectRecord(), SuspectRecord():
-            answered_s = float("-inf") if record.answered_s is None else record.answered_s
-            is_blamed = any(loss.lost_s <= answered_s for loss in recorded.losses)
-            return not is_blamed and record.crashes <= recorded.crashes
-    return False
-
-
-def _build_key(record: CrashRecord) -> str:
-    match record:
-        case LossRecord(fingerprint=fingerprint):
-            return f"request-{fingerprint}"
-        case SuspectRecord(part=part):
-            return f"part-{part}"
-
-
-def _check_numbers(row: CrashRow) -> None:
-    """Raise ``ValueError`` for numbers that could not be told to other hosts."""
-    entries, suspects = row.losses.entries, row.suspects.suspects
-    crashes = [loss for suspect in suspects for loss in suspect.losses]
-    hashes = [suspect.part for suspect in suspects] + [loss.crash for loss in crashes]
-    hashes += [loss for entry in entries for loss in (*entry.losses, *entry.cleared)]
-    ages_ms = [entry.last_ms for entry in entries] + [
-        suspect.answered_ms or 0 for suspect in suspects
-    ]
-    ages_ms += [age_ms for loss in crashes for age_ms in (loss.sent_ms, loss.lost_ms)]
-    if any(not 0 <= each < 2**64 for each in hashes):
-        raise ValueError("a hash does not have 64 bits")
-    if any(abs(each) > MAX_AGE_S * 1_000 for each in ages_ms):
-        raise ValueError("an age is out of range")
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class KnownCrashes:
-    """What a row says, with times of this host's clock.
-
-    Attributes:
-        is_current: Whether the row is of the store's current era.
-    """
-
-    is_current: bool
-    losses: list[LossRecord]
-    suspects: list[SuspectRecord]
-
-
-class IgnoredRow(Enum):
-    """Why a row is ignored."""
-
-    UNREADABLE = "unreadable"
-    OTHER_ERA = "other era"
-    EXPIRED = "expired"
-
-
-def decode_row(
-    value: bytes, read: RowsRead, now_s: float, *, any_era: bool = False
-) -> KnownCrashes | IgnoredRow:
-    """Return what a row says, or why it is ignored.
-
-    Args:
-        read: The read that has brought the row.
-        now_s: This host's monotonic time.
-        any_era: Whether a row of another era counts as just written.
-    """
-
-    def convert(row: CrashRow) -> KnownCrashes | IgnoredRow:
-        is_current = row.era == read.era
-        if not is_current and not any_era:
-            return IgnoredRow.OTHER_ERA
-        age_s = max((read.store_clock_ms - row.written_ms) / 1_000, 0.0) if is_current else 0.0
-        if age_s > MAX_AGE_S:
-            return IgnoredRow.EXPIRED
-        _check_numbers(row)
-        losses = read_loss_report(row.losses, now_s - age_s)
-        fresh = [each for each in losses if not each.is_expired(now_s)]
-        suspects = read_suspect_report(row.suspects, now_s - age_s)
-        if not fresh and not suspects:
-            return IgnoredRow.EXPIRED
-        return KnownCrashes(is_current=is_current, losses=fresh, suspects=suspects)
-
-    return convert_json(value, CrashRow, convert).value_or(IgnoredRow.UNREADABLE)
+        era = None if clock is None else clock.era
+        return encode_row(records, era=era, store_s=store_s, now_s=self._reactor.seconds())
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -3,7 +3,13 @@
 The package does no I/O and reads no clock: callers pass in times and observations.
 """
 
-from ._crash_suspects import CRASHES_TO_QUARANTINE, CrashSuspects, PartLoss, SuspectRecord
+from ._crash_suspects import (
+    CRASHES_TO_QUARANTINE,
+    EVIDENCE_LIFETIME_S,
+    CrashSuspects,
+    PartLoss,
+    SuspectRecord,
+)
 from ._demand import Demand
 from ._domain_shares import (
     DomainLoad,
@@ -32,6 +38,7 @@
 __all__ = [
     "AttemptEnd",
     "CRASHES_TO_QUARANTINE",
+    "EVIDENCE_LIFETIME_S",
     "CrashSuspects",
     "Crossing",
     "Demand",
--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -7,7 +7,13 @@
 
 from greengagestage.ids import Crash, PartHash, PromptPartId
 
-from ._trials import QuarantinedSubject, SubjectKind, compute_quarantine_s, compute_retention_s
+from ._trials import (
+    MAX_RETENTION_S,
+    QuarantinedSubject,
+    SubjectKind,
+    compute_quarantine_s,
+    compute_retention_s,
+)
 
 CRASHES_TO_QUARANTINE = 2
 """Crashes under a part, one after the other and without an answer, for which it is quarantined.
@@ -73,6 +79,15 @@
         """The crashes under the part."""
         return frozenset(loss.crash for loss in self.losses)
 
+    def is_expired(self, now_s: float) -> bool:
+        """Whether the record says nothing about the next crash or the next report any more."""
+        if not self.losses:
+            return self.answered_s is None or now_s - self.answered_s >= MAX_RETENTION_S
+        suspect = _Suspect()
+        for loss in self.losses:
+            suspect.add(loss)
+        return suspect.is_expired(now_s)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PartEvidence:
--- a/tests/test_boundary_decoders.py
+++ b/tests/test_boundary_decoders.py
@@ -13,8 +13,8 @@
 import greengagestage
 from greengagestage.decoding import decode_json
 from greengagestage.duties._lease import decode_lease
-from greengagestage.gateway._crash_table import IgnoredRow, KnownCrashes
-from greengagestage.gateway._crash_table import decode_row as decode_crashes
+from greengagestage.gateway._crash_rows import IgnoredRow, KnownCrashes
+from greengagestage.gateway._crash_rows import decode_row as decode_crashes
 from greengagestage.gateway._era_table import decode_known_ms
 from greengagestage.gateway._host_list import HostRow
 from greengagestage.gateway._peer_messages import (
@@ -52,7 +52,7 @@
 DECODERS: dict[str, Callable[[bytes], object]] = {
     "duties/_lease.py": decode_lease,
     "duties/_lease_keeper.py": lambda data: decode_json(data, dict[str, int]),
-    "gateway/_crash_table.py": lambda data: decode_crashes(data, RowsRead(revision=1), 0.0),
+    "gateway/_crash_rows.py": lambda data: decode_crashes(data, RowsRead(revision=1), 0.0),
     "gateway/_era_table.py": lambda data: decode_known_ms(data, era=1),
     "gateway/_host_list.py": lambda data: decode_json(data, HostRow),
     "gateway/_peer_messages.py": decode_message,
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -182,12 +182,14 @@
         fleet.run_for(0.2)
         return caller
 
+    apart[1]._crashes._table.stop()  # so that it does not read what the other one writes
     for number in range(2):
         send_at(0, f"a{number}", f"aa:600,bad:300,a{number}:40")
     send_at(1, "b0", "aa:600,bad:300,b0:40")
     send_at(1, "sound", "aa:600,cc:300,sound:40")
     send_at(1, "b1", "aa:600,bad:300,b1:40")
     assert count_arrivals(engines) == 4
+    apart[1]._crashes._table.start()
     fleet.run_for(1.5)  # until both have written
     for host in apart:
         host._peers.stop()
