Pause a further send, too, while its caller reads nothing

A request was sent again while its caller took nothing: the first attempt had been paused and was lost, and the next one was read at full speed, since a pause was only remembered by the exchange and an attempt without a connection ignored it. Its answer was held in the process until the deadline.

An attempt remembers the pause until it has a connection, and each attempt that becomes the awaited one is paused with its caller.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -100,6 +100,7 @@
         self._context = context
         self._listener: AttemptListener | None = listener
         self._connection: ClientConnection | None = None
+        self._paused = False
         self._closing_timer: Any = None
         self._drained_bytes = 0
         self._body_bytes = 0
@@ -190,12 +191,14 @@
         self._close_after(limit_s)
 
     def pause(self) -> None:
-        """Stop reading the response."""
+        """Stop reading the response, also if the request is sent later."""
+        self._paused = True
         if self._connection is not None:
             self._connection.pause()
 
     def resume(self) -> None:
         """Continue reading the response."""
+        self._paused = False
         if self._connection is not None:
             self._connection.resume()
 
@@ -343,6 +346,8 @@
                 recipient=None if self._forwarded_by is not None else incarnation[0],
             )
         )
+        if self._paused:
+            connection.pause()
 
     def _record_data(self) -> None:
         now_s = self._context.reactor.seconds()
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -332,6 +332,8 @@
 
     def _watch_answer(self, attempt: Attempt) -> None:
         self._watch_silence(compute_answer_limit(self._job, attempt.plan.placement))
+        if self._paused:
+            attempt.pause()
 
     def _watch_silence(self, limit_s: float) -> None:
         if self._limits.has_runs_left:
@@ -417,8 +419,6 @@
         self._silence.stop()
         self._delivery.discard_undelivered()
         self._watch_answer(successor)
-        if self._paused:
-            successor.pause()
 
     def _drop_failed_successor(self, attempt: Attempt, fault: AttemptFault) -> None:
         self._winner.drop(attempt)
