Withdraw a trial that ends without having run

Callers saw: after a quarantine, equal requests, or prompts with one part, are refused by a host for up to a minute, because a first one was refused by all upstreams, or found none, or its caller left before it was sent.

Cause: such a request was chosen as the trial, and only an answer, its turn's end while it waited, or TRIAL_LIMIT_S ended that.

Now the end of an exchange whose sends have all provably not run withdraws its trial. One whose send has not been proved keeps others back, as before.

tests/test_crashing_parts.py::test_another_trial_may_follow_one_that_was_refused_by_all_upstreams: failed before (503 for as long as the test lasts), passes now.

--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/_attempt.py
@@ -183,14 +183,14 @@
         """The host that forwards the request; None if it is sent directly."""
         return self._forwarded_by
 
-    def describe_loss(self, *, had_event: bool) -> LostAnswer:
-        """Return the loss of this attempt's answer, which has just ended.
+    def record_loss(self, *, had_event: bool) -> None:
+        """Record that this attempt's answer has just been lost.
 
         Args:
             had_event: Whether the caller's request had brought an event.
         """
         now_s = self._context.reactor.seconds()
-        return LostAnswer(
+        lost = LostAnswer(
             attempt_id=self.plan.attempt_id,
             number=self.plan.number,
             fingerprint=self.plan.fingerprint,
@@ -203,6 +203,7 @@
             had_event=had_event,
             was_idle=self._was_idle,
         )
+        self._context.quarantine.record_loss(lost)
 
     def record_complete_answer(self) -> None:
         """Record that this attempt has brought the rest of the answer, so that it is complete."""
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/_exchange.py
@@ -316,7 +316,7 @@
             self._limits.possible_runs -= 1
         self._limits.record_unsent(attempt.plan.placement.upstream.instance, fault)
         if fault is AttemptFault.LOST:
-            self._record_loss(attempt)
+            attempt.record_loss(had_event=self._delivery.first_event_s is not None)
         self._log.log_attempt_fault(attempt, fault, self._delivery)
 
     def _try_acquire_resend(self, fault: AttemptFault) -> bool:
@@ -449,6 +449,8 @@
     def _conclude(self, code: ResultCode, refusal: Refusal | None = None) -> None:
         self._done, self._attempt = True, None
         self._limits.release_retry()
+        if not self._limits.unproved_sends:
+            self._context.quarantine.withdraw_trial(self._job)
         self._silence.close()
         self._handover.cancel()
         for timer in (self._deadline_timer, self._placement_timer):
@@ -467,7 +469,3 @@
             detail=None if refusal is None else refusal.detail,
         )
         self._log.log_end(outcome, self._delivery)
-
-    def _record_loss(self, attempt: Attempt) -> None:
-        had_event = self._delivery.first_event_s is not None
-        self._context.quarantine.record_loss(attempt.describe_loss(had_event=had_event))
--- a/greengagestage/gateway/_quarantine.py
+++ b/greengagestage/gateway/_quarantine.py
@@ -57,6 +57,12 @@
         refusing = self._trials.find_refusing(subjects, request, self._list_hosts(), now_s)
         return None if refusing is None else refusing.reason
 
+    def withdraw_trial(self, job: Job) -> None:
+        """Record that a request, which may have been chosen as a trial, has provably not run."""
+        self._trials.withdraw(
+            TrialRequest(attempt_id=job.attempt_id, sends=0, deadline_s=job.deadline_s)
+        )
+
     def record_head(self, upstream: RegisteredUpstream) -> None:
         """Record that an upstream answers a request of this host."""
         self._crash_watch.record_head(upstream)
--- a/greengagestage/routing/_trials.py
+++ b/greengagestage/routing/_trials.py
@@ -137,7 +137,7 @@
         latest = max(subjects, key=lambda subject: subject.crashed_s)
         if not self._has_turn(latest, hosts, now_s):
             # A trial that has waited for a slot past its turn, so that others may have begun.
-            self._withdraw(request)
+            self.withdraw(request)
             return latest
         expires_s = max(now_s + TRIAL_LIMIT_S, request.deadline_s)
         for subject in subjects:
@@ -156,11 +156,12 @@
         """Whether a request may have been sent as a trial and is not answered."""
         return any(trial.is_of(attempt_id, kind) for trial in self._trials.values())
 
-    def _withdraw(self, request: TrialRequest) -> None:
+    def withdraw(self, request: TrialRequest) -> None:
         """Forget a trial that has provably not run and is not sent any more."""
-        self._trials = {
-            key: trial for key, trial in self._trials.items() if trial.request != request
-        }
+        if self._trials:
+            self._trials = {
+                key: trial for key, trial in self._trials.items() if trial.request != request
+            }
 
     def _has_turn(
         self, subject: QuarantinedSubject, hosts: Collection[HostId], now_s: float
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -307,3 +307,27 @@
     fleet.start_host("host-4")
     fleet.wait_ready()
     assert fleet.call("/lookup/x").status == 200
+
+
+# Guards against a trial that no upstream has run keeping equal requests back for a minute.
+@pytest.mark.usefixtures("short_quarantines")
+def test_another_trial_may_follow_one_that_was_refused_by_all_upstreams(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"s{number}", behavior=harness.reset) for number in range(9)]
+    fleet.start_host()
+    fleet.wait_ready()
+    call_until_quarantined(fleet, "/lookup/x")
+    for upstream in upstreams:
+        upstream.requests.clear()
+        upstream.behavior = harness.refuse
+    ends_s = fleet.reactor.seconds() + 8.0
+    while not any(upstream.requests for upstream in upstreams):
+        assert fleet.reactor.seconds() < ends_s
+        caller = fleet.call("/lookup/x", attempt=f"t{fleet.reactor.seconds()}")
+        fleet.run_for(0.05)
+    assert caller.status == 503
+    for upstream in upstreams:
+        upstream.behavior = harness.serve
+    while fleet.reactor.seconds() < ends_s and caller.status != 200:
+        caller = fleet.call("/lookup/x", attempt=f"t{fleet.reactor.seconds()}")
+        fleet.run_for(0.05)
+    assert caller.status == 200
