Fill the row of single crashes also where one moment has more of them than it holds

The row takes the parts of whole moments, the latest first. Where the latest moment alone had more than 240 parts, it took none, and the row held nothing of older crashes either: all of them were forgotten with the end of all hosts. Now the first moment is cut to what fits.

tests/test_crash_record.py, test_the_row_is_filled_from_crashes_at_one_moment: 0 of 240 parts before, 240 after. The test of many crashes also asks now what a later host knows; it passed before, too, since its hosts' times differ.

--- a/greengagestage/gateway/_recorded_crashes.py
+++ b/greengagestage/gateway/_recorded_crashes.py
@@ -173,7 +173,7 @@
                 parts.append(record)
     count = 0
     for _, group in groupby(sorted(parts, key=_get_latest_s, reverse=True), key=_get_latest_s):
-        crash = list(group)
+        crash = list(group)[:MAX_EVIDENCE_PARTS]
         count += len(crash)
         if count > MAX_EVIDENCE_PARTS:
             break
--- a/tests/test_crash_record.py
+++ b/tests/test_crash_record.py
@@ -5,15 +5,16 @@
 import pytest
 
 from greengagestage.gateway import HostProcess
+from greengagestage.gateway._recorded_crashes import RecordedCrashes
 from greengagestage.http1 import IncomingRequest, Responder
 from greengagestage.ids import Crash
-from greengagestage.routing import PartLoss
+from greengagestage.routing import CrashSuspects, LossTracker, PartLoss
 from standins.row_store import RowStore
 
 from . import host_harness as harness
 from .host_harness import EVENTS, HostFleet, running_fleet
-from .suspect_builders import build_parts
-from .test_crash_evidence import end_hosts, record_crash, start_hosts
+from .suspect_builders import build_parts, record_losses
+from .test_crash_evidence import count_known, end_hosts, record_crash, start_hosts
 from .test_crashing_parts import add_engines, count_arrivals, send
 
 TABLE = "greengagestage-crashes"
@@ -115,3 +116,15 @@
     assert len(fleet.store.list_keys(TABLE)) == 1
     assert 0 < len(writes) <= 12
     assert max(map(len, writes)) < 40_000
+    end_hosts(fleet)
+    assert 200 < count_known(fleet) <= 240
+
+
+# Guards against a record of nothing where one moment has more crashes than the row can hold.
+def test_the_row_is_filled_from_crashes_at_one_moment() -> None:
+    suspects = CrashSuspects()
+    for crash in range(300):
+        record_losses(suspects, f"a{crash} b{crash}", [crash], lost_s=1.0)
+    recorded = RecordedCrashes(losses=LossTracker(), suspects=suspects)
+    (row,) = recorded.build_rows(now_s=2.0).values()
+    assert len(row) == 240
