List each excused loss of a soak run with its reason, and print the summary in lines

The summary counted excused losses by reason, but no file named them: excused.txt lists the requests that a disturbance touched, so that a reader could not check "crossed the close", "deadline" or "own failure, no upstream at work". losses.txt now names each one with its time; the host's log has the rest under its id. test_soak_checks.py checks the line.

--- a/soak/_excuses.py
+++ b/soak/_excuses.py
@@ -42,26 +42,35 @@
 
 @dataclass(slots=True, kw_only=True)
 class LossExcuses:
-    """Counts the losses that are excused, by reason, with the longest time that each took."""
+    """Lists the losses that are excused, with their reasons."""
 
-    counts: Counter[str] = field(default_factory=Counter)
-    _longest_s: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    listed: list[tuple[Attempt, str]] = field(default_factory=list)
 
     def add(self, reason: str, attempt: Attempt) -> None:
         """Count a loss."""
-        self.counts[reason] += 1
-        self._longest_s[reason] = max(
-            self._longest_s[reason], attempt.ended_s - min(attempt.last_byte_s, attempt.ended_s)
-        )
+        self.listed.append((attempt, reason))
 
     def summarize(self) -> str:
         """Return the counts, each with the longest time from a last byte to the loss."""
+        counts = Counter(reason for _, reason in self.listed)
+        longest_s: dict[str, float] = defaultdict(float)
+        for attempt, reason in self.listed:
+            taken_s = max(attempt.ended_s - attempt.last_byte_s, 0.0)
+            longest_s[reason] = max(longest_s[reason], taken_s)
         texts = [
-            f"{reason} {count} (up to {self._longest_s[reason]:.2f} s)"
-            for reason, count in self.counts.most_common()
+            f"{reason} {count} (up to {longest_s[reason]:.2f} s)"
+            for reason, count in counts.most_common()
         ]
         return ", ".join(texts) or "none"
 
+    def describe(self, origin_s: float) -> list[str]:
+        """Return a line for each loss, with its time since the origin."""
+        return [
+            f"{attempt.plan.attempt} at {attempt.host}, {attempt.ended_s - origin_s:.3f}, "
+            f"{attempt.ending.value} {attempt.status or ''}: {reason}"
+            for attempt, reason in self.listed
+        ]
+
 
 def find_excuse(
     disturbances: Disturbances, attempt: Attempt, arrivals: Iterable[Arrival]
@@ -157,13 +166,19 @@
 
 
 def write_excuses(
-    directory: Path, disturbances: Disturbances, ledger: Ledger, origin_s: float
+    directory: Path,
+    disturbances: Disturbances,
+    ledger: Ledger,
+    losses: LossExcuses,
+    origin_s: float,
 ) -> None:
-    """Write the excused requests and all disturbances, with times since the origin."""
+    """Write the excused requests and losses and all disturbances, timed since the origin."""
     judged = JudgedShare()
     judged.count(disturbances, ledger)
     lines = judged.describe_excused(origin_s)
     (directory / "excused.txt").write_text("".join(f"{line}\n" for line in lines))
+    lines = losses.describe(origin_s)
+    (directory / "losses.txt").write_text("".join(f"{line}\n" for line in lines))
     lines = [
         f"{item.began_s - origin_s:.3f} to {item.ended_s - origin_s:.3f} {target}: {item.kind}"
         for target, item in disturbances.list_all()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -21,7 +21,7 @@
 from ._dialing import dial
 from ._disturbances import Disturbances
 from ._duty_checks import DutyChecks
-from ._excuses import JudgedShare, write_excuses
+from ._excuses import JudgedShare, LossExcuses, write_excuses
 from ._faults import Fault, draw_schedule
 from ._findings import Findings, Rule
 from ._fleet import VERSIONS, Member, UpstreamFleet
@@ -121,8 +121,8 @@
         endings = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()))
         early = self._hosts.early_ends
         return (
-            f"{len(attempts)} requests ({endings}); {judged.summarize()}; "
-            f"losses excused: {losses}; {deadlines}; "
+            f"{len(attempts)} requests ({endings});\n{judged.summarize()};\n"
+            f"losses excused: {losses};\n{deadlines}; "
             f"{0 if self._upstreams is None else self._upstreams.repeated_refusals} refusals "
             "sent once more; "
             f"{early} processes ended by a signal before they listened; "
@@ -133,7 +133,8 @@
     def write_excuses(self) -> None:
         """Write each excused request with its reason, and all disturbances, beside the logs."""
         directory, began_s = self._options.directory, self._findings.began_s
-        write_excuses(directory, self._disturbances, self._ledger, began_s)
+        losses = LossExcuses() if self._answers is None else self._answers.loss_excuses
+        write_excuses(directory, self._disturbances, self._ledger, losses, began_s)
 
     async def play(self) -> None:
         """Run from the first start to the measured recovery."""
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -187,7 +187,9 @@
         "0 of 1 judged (0.00), 0 of 1 in calm parts; excused: host: freeze 1; "
         "sent at hosts in touch: 0, others: host: freeze 1"
     )
-    assert records.answers.loss_excuses.summarize() == "host: freeze 1 (up to 1.00 s)"
+    losses = records.answers.loss_excuses
+    assert losses.summarize() == "host: freeze 1 (up to 1.00 s)"
+    assert losses.describe(SENT_S - 10.0) == ["a1 at host-1, 11.000, broken : host: freeze"]
 
 
 def test_a_stop_does_not_excuse_a_cut_request_within_the_grace_period(records: SoakRecords) -> None:
@@ -381,7 +383,7 @@
     records.answers.finish(SENT_S + 10.0)
     excused = not logged and was_reset and after_s < 1.0
     assert records.rules == ["LOST"] * (not excused)
-    assert records.answers.loss_excuses.counts.total() == excused
+    assert len(records.answers.loss_excuses.listed) == excused
 
 
 # Guards against blaming a host for a request that was still on its way when the host closed, and
