Give the gateway rooms: exchange, forwarding, crashes, watches and peers

No change of behaviour. gateway/ was 49 modules in a row, with no rule on which of them may import which.

The modules were moved by a script, as they are; imports between rooms go through their public modules. The test that lists the decoders looks into the rooms, too.

--- a/greengagestage/gateway/__init__.py
+++ b/greengagestage/gateway/__init__.py
@@ -2,8 +2,7 @@
 
 from ._host import HostProcess
 from ._relay import EventRelay
-from ._settings_watch import SettingsWatch
-from ._store_clock import StoreClock
+from .watches import SettingsWatch, StoreClock
 
 __all__ = [
     "EventRelay",
--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -14,9 +14,8 @@
 from greengagestage.routing import Job, Placement, Refused, Router, Waiting
 from greengagestage.telemetry import EntryMetrics
 
-from ._link_watch import LinkWatch
-from ._quarantine import Quarantine
-from ._upstream_notices import UpstreamNotices
+from .crashes import Quarantine
+from .watches import LinkWatch, UpstreamNotices
 
 OTHER_HOST_RETRY_AFTER_S = 0.1
 """``Retry-After`` of a refusal where another host can probably serve the request at once."""
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -34,22 +34,25 @@
 
 from ._connection_limits import divide_descriptors
 from ._context import ExchangeContext
-from ._crash_knowledge import CrashKnowledge
-from ._era_table import EraTable
-from ._forwarding import ForwardingHandler
-from ._host_list import HostList, HostRow
-from ._link_watch import LinkWatch
-from ._peers import PeerCallbacks, PeerLink
 from ._readiness import ReadinessHandler
-from ._registry_watch import RegistryWatch
 from ._retry_gauges import build_retry_gauges
-from ._route_watch import RouteWatch
 from ._shutdown import Shutdown
 from ._site import CallerRequestHandler, ConfigurationView
-from ._store_clock import read_boot_time_s
-from ._store_era import StoreEra
-from ._upstream_notices import UpstreamNotices
-from ._version_table import VersionTable
+from .crashes import CrashKnowledge
+from .forwarding import ForwardingHandler
+from .peers import PeerCallbacks, PeerLink
+from .watches import (
+    EraTable,
+    HostList,
+    HostRow,
+    LinkWatch,
+    RegistryWatch,
+    RouteWatch,
+    StoreEra,
+    UpstreamNotices,
+    VersionTable,
+    read_boot_time_s,
+)
 
 MAX_WORKSPACE_LABELS = 50
 """Workspaces with their own metric label; the others share one."""
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -18,10 +18,8 @@
 from greengagestage.routing import Job, StreamOrigin
 
 from ._context import OTHER_HOST_RETRY_AFTER_S, ExchangeContext
-from ._exchange import ExchangeInputs, RequestExchange
 from ._loops import add_jitter
-from ._refusal_answers import answer_refusal
-from ._stream_origins import OriginSearch
+from .exchange import ExchangeInputs, OriginSearch, RequestExchange, answer_refusal
 
 DEFAULT_TIME_LEFT_S = 1.0
 """Time left that is assumed for ``Retry-After`` if the caller sent no deadline."""
--- a/greengagestage/gateway/_crash_knowledge.py
+++ b/greengagestage/gateway/crashes/_crash_knowledge.py
@@ -16,9 +16,9 @@
     Trials,
 )
 
+from ..peers import MAX_RECORDS
 from ._crash_table import CrashTable
 from ._crash_watch import CrashWatch
-from ._loss_reports import MAX_RECORDS
 from ._quarantine import Quarantine
 
 
--- a/greengagestage/gateway/_crash_rows.py
+++ b/greengagestage/gateway/crashes/_crash_rows.py
@@ -17,9 +17,14 @@
 from greengagestage.platform import RowsRead
 from greengagestage.routing import MAX_QUARANTINE_S, LossRecord, SuspectRecord
 
-from ._loss_reports import build_loss_reports, read_loss_report
-from ._peer_messages import LossesReport, SuspectsReport
-from ._suspect_reports import build_suspect_reports, read_suspect_report
+from ..peers import (
+    LossesReport,
+    SuspectsReport,
+    build_loss_reports,
+    build_suspect_reports,
+    read_loss_report,
+    read_suspect_report,
+)
 
 CRASH_TABLE = "greengagestage-crashes"
 
--- a/greengagestage/gateway/_crash_table.py
+++ b/greengagestage/gateway/crashes/_crash_table.py
@@ -28,6 +28,8 @@
 )
 from greengagestage.routing import CrashSuspects, LossTracker, SuspectRecord
 
+from .._loops import RepeatingTask, add_jitter
+from ..watches import read_boot_time_s
 from ._crash_rows import (
     CRASH_TABLE,
     CrashRecord,
@@ -38,9 +40,7 @@
     encode_row,
 )
 from ._crash_watch import CRASH_CONFIRMATION_S
-from ._loops import RepeatingTask, add_jitter
 from ._recorded_crashes import RecordedCrashes, has_own_row
-from ._store_clock import read_boot_time_s
 
 MAX_ROWS_PER_WRITE = 50
 """Half of the rows that a transaction may name: each is expected and written. Most rows take some
--- a/greengagestage/gateway/_recorded_crashes.py
+++ b/greengagestage/gateway/crashes/_recorded_crashes.py
@@ -13,8 +13,8 @@
     SuspectRecord,
 )
 
+from ..peers import MAX_RECORDS
 from ._crash_rows import EVIDENCE_KEY, CrashRecord, build_key
-from ._loss_reports import MAX_RECORDS
 
 REQUEST_TOLERANCE_S = 1.0
 """Difference up to which two times of one loss, reckoned from two ages, count as the same."""
--- a/greengagestage/gateway/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -16,10 +16,10 @@
 from greengagestage.platform import ResponseKind, classify_response, is_answer_to
 from greengagestage.routing import AttemptEnd, ForwardingHost, Job, Placement
 
+from .._context import ExchangeContext
+from ..crashes import LostAnswer
+from ..forwarding import ForwardFault, address_request, read_fault, restore_head
 from ._attempt_faults import END_BY_FAULT, AttemptFault
-from ._context import ExchangeContext
-from ._crash_watch import LostAnswer
-from ._forwarding_protocol import ForwardFault, address_request, read_fault, restore_head
 
 MAX_IDLE_NON_RETRYABLE_S = 1.5
 """A request that is not retryable only uses a connection idle for less than this: on a connection
--- a/greengagestage/gateway/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -6,7 +6,7 @@
 from greengagestage.platform import build_caller_headers
 from greengagestage.telemetry import RequestTimer, Timing
 
-from ._relay import EventRelay
+from .._relay import EventRelay
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Plain answers up to this size are buffered until complete, so that an interrupted request can be
--- a/greengagestage/gateway/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -12,9 +12,9 @@
 from greengagestage.routing import AttemptEnd, Job, Placement, Refused, StreamOrigin, Waiting
 from greengagestage.telemetry import Timing
 
+from .._context import ExchangeContext
 from ._attempt import Attempt, AttemptPlan
 from ._attempt_faults import AttemptFault
-from ._context import ExchangeContext
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
 from ._refusal_answers import answer_refusal, choose_fault_refusal
--- a/greengagestage/gateway/_stream_origins.py
+++ b/greengagestage/gateway/exchange/_stream_origins.py
@@ -11,7 +11,7 @@
 from greengagestage.routing import StreamOrigin
 from greengagestage.telemetry import log_unexpected_failure
 
-from ._context import ExchangeContext
+from .._context import ExchangeContext
 
 
 class OriginSearch:
--- a/greengagestage/gateway/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -30,8 +30,9 @@
 )
 from greengagestage.routing import AttemptEnd
 
-from ._context import ExchangeContext
-from ._crash_watch import LostAnswer
+from .._context import ExchangeContext
+from .._relay import has_event_end
+from ..crashes import LostAnswer
 from ._forwarding_protocol import (
     FAULT_STATUS,
     ForwardFault,
@@ -39,7 +40,6 @@
     build_forwarded_headers,
     take_address,
 )
-from ._relay import has_event_end
 
 MAX_FORWARDED_REQUESTS = 256
 """Open requests of other hosts beyond which no more are taken. Each holds two connections."""
--- a/greengagestage/gateway/_peers.py
+++ b/greengagestage/gateway/peers/_peers.py
@@ -11,8 +11,8 @@
 from greengagestage.ids import FailureDomain, Fingerprint, HostId, Incarnation, InstanceId
 from greengagestage.routing import LossRecord, StreamRecord, SuspectRecord
 
+from .._loops import RepeatingTask
 from ._load_exchange import LoadExchange
-from ._loops import RepeatingTask
 from ._loss_reports import build_loss_reports, read_loss_report
 from ._peer_messages import (
     PROTOCOL_VERSION,
--- a/greengagestage/gateway/_era_table.py
+++ b/greengagestage/gateway/watches/_era_table.py
@@ -23,7 +23,7 @@
     build_put,
 )
 
-from ._loops import RepeatingTask, add_jitter
+from .._loops import RepeatingTask, add_jitter
 from ._store_clock import read_boot_time_s
 from ._store_era import StoreEra
 
--- a/greengagestage/gateway/_host_list.py
+++ b/greengagestage/gateway/watches/_host_list.py
@@ -23,7 +23,7 @@
     build_put,
 )
 
-from ._loops import RepeatingTask, add_jitter
+from .._loops import RepeatingTask, add_jitter
 from ._store_era import StoreEra
 
 REFRESH_INTERVAL_S = 25.0
--- a/greengagestage/gateway/_registry_reports.py
+++ b/greengagestage/gateway/watches/_registry_reports.py
@@ -8,7 +8,7 @@
 from greengagestage.catalog import RegisteredUpstream
 from greengagestage.ids import InstanceId
 
-from ._peer_messages import RegistryReport
+from ..peers import RegistryReport
 
 ENTRIES_PER_REPORT = 4
 MAX_REPORTED_ENTRIES = 24
--- a/greengagestage/gateway/_registry_watch.py
+++ b/greengagestage/gateway/watches/_registry_watch.py
@@ -14,9 +14,9 @@
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import REGISTRY_TABLE, RowClient, RowsRead, StoredRow, decode_upstream
 
+from .._loops import RepeatingTask, add_jitter
+from ..peers import RegistryReport
 from ._confirmations import Confirmations
-from ._loops import RepeatingTask, add_jitter
-from ._peer_messages import RegistryReport
 from ._registry_reports import build_registry_reports, hash_registry
 from ._store_clock import read_boot_time_s
 from ._store_era import StoreEra
--- a/greengagestage/gateway/_route_watch.py
+++ b/greengagestage/gateway/watches/_route_watch.py
@@ -23,8 +23,8 @@
     decode_route_table,
 )
 
-from ._loops import RepeatingTask, add_jitter
-from ._peer_messages import ConfigurationReport
+from .._loops import RepeatingTask, add_jitter
+from ..peers import ConfigurationReport
 from ._store_clock import StoreClock, read_boot_time_s
 from ._store_era import StoreEra
 from ._store_retries import StoreRetries
--- a/greengagestage/gateway/_settings_watch.py
+++ b/greengagestage/gateway/watches/_settings_watch.py
@@ -8,7 +8,7 @@
 
 from greengagestage.catalog import HostSettings
 
-from ._loops import RepeatingTask
+from .._loops import RepeatingTask
 
 CHECK_INTERVAL_S = 5.0
 """Time between two reads of the file: it is small, and bounds change rarely."""
--- a/greengagestage/gateway/_store_retries.py
+++ b/greengagestage/gateway/watches/_store_retries.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ._loops import add_jitter
+from .._loops import add_jitter
 
 PROBING_HOSTS = 2
 """Hosts that keep probing at the shortest pause, the first by rank. Their reports tell the other
--- a/greengagestage/gateway/_version_rows.py
+++ b/greengagestage/gateway/watches/_version_rows.py
@@ -15,7 +15,7 @@
 from greengagestage.platform import ClockReading
 from greengagestage.routing import VersionRecord
 
-from ._peer_messages import MAX_DATAGRAM_BYTES, VersionsReport, VersionTimes
+from ..peers import MAX_DATAGRAM_BYTES, VersionsReport, VersionTimes
 
 MS_PER_S = 1_000.0
 
--- a/greengagestage/gateway/_version_table.py
+++ b/greengagestage/gateway/watches/_version_table.py
@@ -28,9 +28,9 @@
 )
 from greengagestage.routing import StreamVersions, VersionRecord
 
+from .._loops import RepeatingTask, add_jitter
+from ..peers import VersionsReport
 from ._confirmations import Confirmations
-from ._loops import RepeatingTask, add_jitter
-from ._peer_messages import VersionsReport
 from ._store_clock import read_boot_time_s
 from ._store_era import StoreEra
 from ._version_rows import build_report, decode_row, encode_row, read_report
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -14,8 +14,8 @@
 
 from greengagestage.catalog import Route, RouteKind
 from greengagestage.gateway._context import ExchangeContext
-from greengagestage.gateway._exchange import ExchangeInputs, RequestExchange
-from greengagestage.gateway._forwarding_protocol import (
+from greengagestage.gateway.exchange._exchange import ExchangeInputs, RequestExchange
+from greengagestage.gateway.forwarding._forwarding_protocol import (
     ForwardFault,
     build_fault_headers,
     build_forwarded_headers,
--- a/tests/handover_exploration.py
+++ b/tests/handover_exploration.py
@@ -13,7 +13,7 @@
 
 import click
 
-from greengagestage.gateway._forwarding_protocol import ForwardFault
+from greengagestage.gateway.forwarding._forwarding_protocol import ForwardFault
 from greengagestage.http1 import ExchangeFailure
 
 from .exchange_world import Answer, Run, World
--- a/tests/record_messages.py
+++ b/tests/record_messages.py
@@ -11,8 +11,7 @@
 import msgspec
 
 from greengagestage.catalog import Availability, RegisteredUpstream
-from greengagestage.gateway._host_list import HostRow
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._peer_messages import (
     ConfigurationReport,
     DemandEntry,
     DomainReport,
@@ -38,8 +37,9 @@
     Work,
     encode_message,
 )
-from greengagestage.gateway._registry_reports import hash_registry
-from greengagestage.gateway._work_codec import _hash_instance
+from greengagestage.gateway.peers._work_codec import _hash_instance
+from greengagestage.gateway.watches._host_list import HostRow
+from greengagestage.gateway.watches._registry_reports import hash_registry
 from greengagestage.ids import (
     AttemptId,
     FailureDomain,
--- a/tests/store_timeline.py
+++ b/tests/store_timeline.py
@@ -16,11 +16,11 @@
 from twisted.internet.task import Clock
 
 from greengagestage.catalog import RegisteredUpstream
-from greengagestage.gateway import _registry_watch, _version_table
-from greengagestage.gateway._registry_watch import RegistryWatch
-from greengagestage.gateway._store_era import StoreEra
-from greengagestage.gateway._stream_origins import OriginSearch
-from greengagestage.gateway._version_table import VersionTable
+from greengagestage.gateway.exchange._stream_origins import OriginSearch
+from greengagestage.gateway.watches import _registry_watch, _version_table
+from greengagestage.gateway.watches._registry_watch import RegistryWatch
+from greengagestage.gateway.watches._store_era import StoreEra
+from greengagestage.gateway.watches._version_table import VersionTable
 from greengagestage.ids import AttemptId, SoftwareVersion
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import ClockReading, Transaction
--- a/tests/test_boundary_decoders.py
+++ b/tests/test_boundary_decoders.py
@@ -13,19 +13,19 @@
 import greengagestage
 from greengagestage.decoding import decode_json
 from greengagestage.duties._lease import decode_lease
-from greengagestage.gateway._crash_rows import IgnoredRow, KnownCrashes
-from greengagestage.gateway._crash_rows import decode_row as decode_crashes
-from greengagestage.gateway._era_table import decode_known_ms
-from greengagestage.gateway._host_list import HostRow
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.crashes._crash_rows import IgnoredRow, KnownCrashes
+from greengagestage.gateway.crashes._crash_rows import decode_row as decode_crashes
+from greengagestage.gateway.peers._peer_messages import (
     PROTOCOL_VERSION,
     PeerMessage,
     Sender,
     decode_message,
     encode_message,
 )
-from greengagestage.gateway._registry_reports import build_registry_reports
-from greengagestage.gateway._version_rows import decode_row
+from greengagestage.gateway.watches._era_table import decode_known_ms
+from greengagestage.gateway.watches._host_list import HostRow
+from greengagestage.gateway.watches._registry_reports import build_registry_reports
+from greengagestage.gateway.watches._version_rows import decode_row
 from greengagestage.ids import HostId
 from greengagestage.platform import (
     RowsRead,
@@ -52,11 +52,13 @@
 DECODERS: dict[str, Callable[[bytes], object]] = {
     "duties/_lease.py": decode_lease,
     "duties/_lease_keeper.py": lambda data: decode_json(data, dict[str, int]),
-    "gateway/_crash_rows.py": lambda data: decode_crashes(data, RowsRead(revision=1), 0.0),
-    "gateway/_era_table.py": lambda data: decode_known_ms(data, era=1),
-    "gateway/_host_list.py": lambda data: decode_json(data, HostRow),
-    "gateway/_peer_messages.py": decode_message,
-    "gateway/_version_rows.py": lambda data: decode_row(data, era=1, now_s=0.0, store_s=0.0),
+    "gateway/crashes/_crash_rows.py": lambda data: decode_crashes(data, RowsRead(revision=1), 0.0),
+    "gateway/watches/_era_table.py": lambda data: decode_known_ms(data, era=1),
+    "gateway/watches/_host_list.py": lambda data: decode_json(data, HostRow),
+    "gateway/peers/_peer_messages.py": decode_message,
+    "gateway/watches/_version_rows.py": lambda data: decode_row(
+        data, era=1, now_s=0.0, store_s=0.0
+    ),
     "platform/_document_checks.py": lambda data: check_document(data, None),
     "platform/_registry_codec.py": lambda data: decode_upstream("i-1", data),
     "platform/_route_codec.py": decode_route_table,
@@ -85,9 +87,9 @@
     package = Path(greengagestage.__file__).parent
     pattern = re.compile(r"(json|msgpack)\.(decode|Decoder)\(|\b(decode|convert)_json\(")
     return {
-        f"{each}/{path.name}"
+        path.relative_to(package).as_posix()
         for each in ("duties", "gateway", "platform")
-        for path in (package / each).glob("*.py")
+        for path in (package / each).rglob("*.py")
         if pattern.search(path.read_text())
     }
 
--- a/tests/test_crash_record.py
+++ b/tests/test_crash_record.py
@@ -5,7 +5,7 @@
 import pytest
 
 from greengagestage.gateway import HostProcess
-from greengagestage.gateway._recorded_crashes import RecordedCrashes
+from greengagestage.gateway.crashes._recorded_crashes import RecordedCrashes
 from greengagestage.http1 import IncomingRequest, Responder
 from greengagestage.ids import Crash
 from greengagestage.routing import CrashSuspects, LossTracker, PartLoss
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagestage.gateway._suspect_reports import (
+from greengagestage.gateway.peers._suspect_reports import (
     SuspectGossip,
     build_suspect_reports,
     read_suspect_report,
--- a/tests/test_ended_requests.py
+++ b/tests/test_ended_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from greengagestage.gateway._exchange import RequestExchange
+from greengagestage.gateway.exchange._exchange import RequestExchange
 
 from .host_harness import running_fleet
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from greengagestage.gateway import _forwarding
-from greengagestage.gateway._forwarding_protocol import ForwardFault, take_address
+from greengagestage.gateway.forwarding import _forwarding
+from greengagestage.gateway.forwarding._forwarding_protocol import ForwardFault, take_address
 from greengagestage.ids import InstanceId
 
 from . import host_harness as harness
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -12,7 +12,7 @@
 
 from greengagestage.catalog import Bounds, HostSettings
 from greengagestage.gateway import EventRelay, SettingsWatch, StoreClock
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._peer_messages import (
     PROTOCOL_VERSION,
     ConfigurationReport,
     DemandEntry,
@@ -32,8 +32,8 @@
     decode_message,
     encode_message,
 )
-from greengagestage.gateway._peers import PeerCallbacks, PeerLink
-from greengagestage.gateway._suspect_reports import build_suspect_reports, read_suspect_report
+from greengagestage.gateway.peers._peers import PeerCallbacks, PeerLink
+from greengagestage.gateway.peers._suspect_reports import build_suspect_reports, read_suspect_report
 from greengagestage.ids import FailureDomain, Fingerprint, HostId, InstanceId, ServiceName
 from greengagestage.routing import CrashSuspects, Demand, SuspectRecord, UpstreamLoad
 from greengagestage.telemetry import BoundedOutput
--- a/tests/test_host_watches.py
+++ b/tests/test_host_watches.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import Clock
 
 from greengagestage.catalog import Availability, RegisteredUpstream
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
     ConfigurationReport,
@@ -18,10 +18,10 @@
     decode_message,
     encode_message,
 )
-from greengagestage.gateway._registry_reports import build_registry_reports
-from greengagestage.gateway._registry_watch import RegistryWatch
-from greengagestage.gateway._route_watch import RETRY_S
-from greengagestage.gateway._store_era import StoreEra
+from greengagestage.gateway.watches._registry_reports import build_registry_reports
+from greengagestage.gateway.watches._registry_watch import RegistryWatch
+from greengagestage.gateway.watches._route_watch import RETRY_S
+from greengagestage.gateway.watches._store_era import StoreEra
 from greengagestage.ids import FailureDomain, HostId, InstanceId, ServiceName
 from standins.row_store import StoreFault
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from greengagestage.gateway._link_watch import LinkWatch
+from greengagestage.gateway.watches._link_watch import LinkWatch
 from greengagestage.http1 import Endpoint
 from greengagestage.ids import HostId, InstanceId, ServiceName
 from greengagestage.routing import ForwardingHost, LinkMonitor
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -8,12 +8,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengagestage.gateway._load_exchange import (
+from greengagestage.gateway.peers._load_exchange import (
     MAX_HUB_DATAGRAMS_PER_S,
     REPORT_LIFETIME_S,
     LoadExchange,
 )
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
     DemandEntry,
@@ -26,8 +26,8 @@
     Work,
     encode_message,
 )
-from greengagestage.gateway._report_parts import split_reports
-from greengagestage.gateway._work_sums import (
+from greengagestage.gateway.peers._report_parts import split_reports
+from greengagestage.gateway.peers._work_sums import (
     MAX_LOADS,
     add_work,
     subtract_work,
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -8,8 +8,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from greengagestage.gateway._crash_watch import CrashWatch, LostAnswer
-from greengagestage.gateway._quarantine import Quarantine
+from greengagestage.gateway.crashes._crash_watch import CrashWatch, LostAnswer
+from greengagestage.gateway.crashes._quarantine import Quarantine
 from greengagestage.http1 import Endpoint, IncomingRequest, Responder
 from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.routing import LossTracker, Trials
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from greengagestage.gateway._loss_reports import build_loss_reports, read_loss_report
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._loss_reports import build_loss_reports, read_loss_report
+from greengagestage.gateway.peers._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
     PeerMessage,
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -6,9 +6,8 @@
 import pytest
 
 from greengagestage.duties import DutyReport, UsageReceipt, UsageReport
-from greengagestage.gateway import _peer_messages as messages
-from greengagestage.gateway._host_list import HostRow
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers import _peer_messages as messages
+from greengagestage.gateway.peers._peer_messages import (
     PROTOCOL_VERSION,
     LoadEntry,
     LoadsReport,
@@ -20,7 +19,8 @@
     decode_message,
     encode_message,
 )
-from greengagestage.gateway._version_rows import decode_row
+from greengagestage.gateway.watches._host_list import HostRow
+from greengagestage.gateway.watches._version_rows import decode_row
 from greengagestage.ids import HostId, ServiceName, SoftwareVersion, WorkspaceId
 
 from . import wire_9ca6c34
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from greengagestage.gateway._work_codec import build_work, read_work
-from greengagestage.gateway._work_sums import add_work
+from greengagestage.gateway.peers._work_codec import build_work, read_work
+from greengagestage.gateway.peers._work_sums import add_work
 from greengagestage.ids import AttemptId
 from greengagestage.routing import (
     AttemptEnd,
--- a/tests/test_registry_sharing.py
+++ b/tests/test_registry_sharing.py
@@ -8,9 +8,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from greengagestage.gateway._peer_messages import RegistryReport
-from greengagestage.gateway._registry_watch import READ_INTERVAL_S, RegistryWatch
-from greengagestage.gateway._store_era import StoreEra
+from greengagestage.gateway.peers._peer_messages import RegistryReport
+from greengagestage.gateway.watches._registry_watch import READ_INTERVAL_S, RegistryWatch
+from greengagestage.gateway.watches._store_era import StoreEra
 from greengagestage.platform import RowsRead, StoredRow
 
 READ_TIME_S = 0.03
--- a/tests/test_report_parts.py
+++ b/tests/test_report_parts.py
@@ -1,6 +1,6 @@
 """Tests of reports that are sent in parts."""
 
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._peer_messages import (
     DemandEntry,
     LoadEntry,
     LoadReport,
@@ -9,7 +9,7 @@
     Sender,
     Work,
 )
-from greengagestage.gateway._report_parts import ReportAssembler, split_reports
+from greengagestage.gateway.peers._report_parts import ReportAssembler, split_reports
 from greengagestage.ids import FailureDomain, HostId, ServiceName
 
 HOST = HostId("h1")
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -5,8 +5,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from greengagestage.gateway import _exchange
-from greengagestage.gateway._silence import SilenceWatch
+from greengagestage.gateway.exchange import _exchange
+from greengagestage.gateway.exchange._silence import SilenceWatch
 from greengagestage.http1 import IncomingRequest, Responder
 
 from . import host_harness as harness
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from greengagestage.gateway._load_exchange import LoadExchange
-from greengagestage.gateway._peer_messages import (
+from greengagestage.gateway.peers._load_exchange import LoadExchange
+from greengagestage.gateway.peers._peer_messages import (
     MAX_DATAGRAM_BYTES,
     PROTOCOL_VERSION,
     PeerMessage,
@@ -12,7 +12,7 @@
     Work,
     encode_message,
 )
-from greengagestage.gateway._stream_relay import StreamRelay
+from greengagestage.gateway.peers._stream_relay import StreamRelay
 from greengagestage.ids import AttemptId, FailureDomain, HostId, SoftwareVersion
 from greengagestage.routing import StreamOrigin, StreamRecord, StreamVersions, VersionRecord
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -9,11 +9,11 @@
 
 from greengagestage.catalog import Availability, Bounds, HostSettings, RouteTable
 from greengagestage.gateway import HostProcess, _host
-from greengagestage.gateway._host_list import HostList
-from greengagestage.gateway._peer_messages import ConfigurationReport, RegistryReport
-from greengagestage.gateway._registry_watch import RegistryWatch
-from greengagestage.gateway._route_watch import RouteWatch
-from greengagestage.gateway._store_era import StoreEra
+from greengagestage.gateway.peers._peer_messages import ConfigurationReport, RegistryReport
+from greengagestage.gateway.watches._host_list import HostList
+from greengagestage.gateway.watches._registry_watch import RegistryWatch
+from greengagestage.gateway.watches._route_watch import RouteWatch
+from greengagestage.gateway.watches._store_era import StoreEra
 from greengagestage.http1 import Endpoint, IncomingRequest, Responder
 from greengagestage.ids import FailureDomain, HostId
 from greengagestage.outcomes import Unavailable, Unknown
--- a/tests/test_store_era_machine.py
+++ b/tests/test_store_era_machine.py
@@ -6,10 +6,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from greengagestage.gateway import _route_watch
-from greengagestage.gateway._peer_messages import ConfigurationReport
-from greengagestage.gateway._route_watch import RouteWatch
-from greengagestage.gateway._store_era import StoreEra
+from greengagestage.gateway.peers._peer_messages import ConfigurationReport
+from greengagestage.gateway.watches import _route_watch
+from greengagestage.gateway.watches._route_watch import RouteWatch
+from greengagestage.gateway.watches._store_era import StoreEra
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform._rows import ReadOutcome, _interpret_read
 from greengagestage.platform._store_calls import StoreAnswer
--- a/tests/test_store_retries.py
+++ b/tests/test_store_retries.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from random import Random
 
-from greengagestage.gateway._store_retries import (
+from greengagestage.gateway.watches._store_retries import (
     LONGEST_CONFIRMED_S,
     LONGEST_UNCONFIRMED_S,
     PROBING_HOSTS,
--- a/tests/test_version_table.py
+++ b/tests/test_version_table.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from greengagestage.gateway._version_rows import decode_row, encode_row
+from greengagestage.gateway.watches._version_rows import decode_row, encode_row
 from greengagestage.ids import SoftwareVersion
 from greengagestage.routing import VersionRecord
 
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -8,10 +8,10 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
-from greengagestage.gateway._peer_messages import MAX_DATAGRAM_BYTES, VersionsReport
-from greengagestage.gateway._store_clock import read_boot_time_s
-from greengagestage.gateway._store_era import StoreEra
-from greengagestage.gateway._version_table import VersionTable
+from greengagestage.gateway.peers._peer_messages import MAX_DATAGRAM_BYTES, VersionsReport
+from greengagestage.gateway.watches._store_clock import read_boot_time_s
+from greengagestage.gateway.watches._store_era import StoreEra
+from greengagestage.gateway.watches._version_table import VersionTable
 from greengagestage.ids import AttemptId, SoftwareVersion
 from greengagestage.outcomes import Unavailable
 from greengagestage.platform import ClockReading, RowConflict, RowsRead, Transaction
