Take a loss back only for an upstream's own answer to a later request

A head counts if it names its request, and contradicts the losses before that was sent; those that await a proof by the registry likewise.

The new cases of tests/test_loss_evidence.py failed before and pass now.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -181,14 +181,27 @@
             kept = [each for each in self._unproven if not is_contradicted(each.lost)]
             self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
 
-    def record_head(self, upstream: RegisteredUpstream) -> None:
-        """Record that an upstream answers, so that it has not ended with an earlier loss."""
+    def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
+        """Record that an upstream answers, so that it has not ended with an earlier loss.
+
+        A head can be read after its upstream has crashed: only the losses before its request was
+        sent are contradicted.
+        """
         alive = upstream.incarnation
-        if any(each.lost.upstream.incarnation == alive for each in self._unproven):
-            kept = [each for each in self._unproven if each.lost.upstream.incarnation != alive]
+
+        def is_contradicted(lost: LostAnswer) -> bool:
+            return lost.upstream.incarnation == alive and lost.lost_s <= sent_s
+
+        if any(is_contradicted(each.lost) for each in self._unproven):
+            kept = [each for each in self._unproven if not is_contradicted(each.lost)]
             self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
-        for counted in self._counted.pop(alive, ()):
-            counted.on_alive()
+        counted = self._counted.pop(alive, [])
+        later = [each for each in counted if not is_contradicted(each.lost)]
+        if later:
+            self._counted[alive] = later
+        for each in counted:
+            if is_contradicted(each.lost):
+                each.on_alive()
 
     def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
         """Judge the losses that await a proof, by the entries of the registry.
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -63,9 +63,9 @@
             TrialRequest(attempt_id=job.attempt_id, sends=0, deadline_s=job.deadline_s)
         )
 
-    def record_head(self, upstream: RegisteredUpstream) -> None:
-        """Record that an upstream answers a request of this host."""
-        self._crash_watch.record_head(upstream)
+    def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
+        """Record that an upstream itself answers a request that this host sent at a time."""
+        self._crash_watch.record_head(upstream, sent_s)
 
     def record_answer(self, job: Job) -> None:
         """Record that the answer to a request has produced an event."""
--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -13,7 +13,12 @@
     ResponseHead,
 )
 from greengagestage.ids import AttemptId, Fingerprint, HostId
-from greengagestage.platform import ResponseKind, classify_response, is_answer_to
+from greengagestage.platform import (
+    ResponseKind,
+    classify_response,
+    is_answer_to,
+    names_request,
+)
 from greengagestage.routing import AttemptEnd, ForwardingHost, Job, Placement
 
 from .._context import ExchangeContext
@@ -230,8 +235,8 @@
                 self._fail(AttemptFault.MALFORMED)
                 self._close()
             case ResponseKind.SUCCESS | ResponseKind.FAILURE:
-                if self._forwarded_by is None:
-                    self._context.quarantine.record_head(upstream)
+                if self._forwarded_by is None and names_request(head):
+                    self._context.quarantine.record_head(upstream, sent_s)
                 if head.status < 300 and self.plan.job.prompt is not None:
                     self._context.metrics.forecast_errors.observe(
                         self.plan.job.route.name,
--- a/greengagestage/gateway/forwarding/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -24,6 +24,7 @@
     build_caller_headers,
     classify_response,
     is_answer_to,
+    names_request,
     parse_caller_headers,
     replace_time_left,
     states_prompt,
@@ -226,8 +227,8 @@
             self.fail_response(ExchangeFailure.MALFORMED)
             return
         now_s = self._context.reactor.seconds()
-        if kind in (ResponseKind.SUCCESS, ResponseKind.FAILURE):
-            self._context.quarantine.record_head(self._upstream)
+        if kind in (ResponseKind.SUCCESS, ResponseKind.FAILURE) and names_request(head):
+            self._context.quarantine.record_head(self._upstream, self._sent_s)
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
         self._begun, self._framed = True, head.framed
--- a/greengagestage/platform/_answers.py
+++ b/greengagestage/platform/_answers.py
@@ -54,6 +54,11 @@
     return answered_id is None or answered_id == attempt_id.encode()
 
 
+def names_request(head: ResponseHead) -> bool:
+    """Whether a response names its request, so that it is the upstream's own."""
+    return head.get(ATTEMPT_ID) is not None
+
+
 def classify_response(head: ResponseHead) -> ResponseKind:
     """Return what a response states about the execution of its request.
 
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -171,6 +171,38 @@
     assert order(fleet, 5).status == 502
 
 
+# Guards against answers that pass for an upstream's sign of life: those of another server at its
+# address, and those to requests that were sent before it crashed.
+@pytest.mark.parametrize(("since_loss_s", "is_crash"), [(-0.1, True), (0.1, False)])
+def test_only_an_answer_to_a_later_request_takes_a_loss_back(
+    since_loss_s: float, is_crash: bool
+) -> None:
+    judged = JudgedLosses()
+    for number in range(3):
+        judged.lose(number)
+    judged.clock.advance(0.2)
+    for number in range(3):
+        judged.quarantine.record_head(build_upstream(number), since_loss_s)
+    assert judged.is_quarantined is is_crash
+
+
+def test_a_failure_that_names_no_request_takes_no_loss_back(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(3)]
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(3):
+        order(fleet, number)
+    for upstream in upstreams:
+        upstream.behavior = fail_anonymously
+    for number in range(6):
+        fleet.call(f"/lookup/{number}", attempt=f"b{number}")
+    assert order(fleet, 4).error["code"] == 2012
+
+
+def fail_anonymously(upstream: Any, request: IncomingRequest, responder: Responder) -> None:
+    responder.answer(502, [], b"")
+
+
 # Guards against connections that are reset while their upstreams live on: other requests show it.
 def test_a_loss_is_taken_back_once_its_upstream_answers(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(3)]
