Take no connection that is not read for a sign of its upstream's life

Crashes went unnoticed beside streams whose callers read slowly: a paused connection is not read, so that its end is not noticed, and it counted as one that lives on. Losses under equal requests ask for survivors since, those under prompt parts always did.

A busy connection counts while it is read. test_connections_that_are_not_read_show_no_sign_of_life failed before and passes now.

--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -153,6 +153,11 @@
         self.opened_s = self._idle_since_s = self._seconds()
         tune_socket(self.transport)
 
+    @property
+    def paused(self) -> bool:
+        """Whether nothing is read, so that not even the connection's end is noticed."""
+        return self._paused
+
     @property
     def busy(self) -> bool:
         """Whether an exchange is in progress."""
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -168,10 +168,15 @@
     def count_alive_since_before(self, endpoint: Endpoint, time_s: float) -> int:
         """Return how many connections to a server were opened before a time and are in use.
 
-        Idle ones count while they are reusable: a connection can go silent without a reset.
+        Idle ones count while they are reusable: a connection can go silent without a reset. One
+        that is not read does not count: its end would not be noticed.
         """
+
+        def is_alive(connection: ClientConnection) -> bool:
+            return connection.reusable or (connection.busy and not connection.paused)
+
         return sum(
-            connection.opened_s < time_s and (connection.busy or connection.reusable)
+            connection.opened_s < time_s and is_alive(connection)
             for connection in self._open.get(endpoint, ())
         )
 
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -10,7 +10,7 @@
 
 from greengagestage.gateway.crashes._crash_watch import CrashWatch, LostAnswer
 from greengagestage.gateway.crashes._quarantine import Quarantine
-from greengagestage.http1 import Endpoint, IncomingRequest, Responder
+from greengagestage.http1 import Endpoint, Exchange, IncomingRequest, OutgoingRequest, Responder
 from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.routing import LossTracker, Trials
 
@@ -171,6 +171,24 @@
     assert order(fleet, 5).status == 502
 
 
+# Guards against crashes that go unnoticed beside streams that a slow caller keeps from being read.
+def test_connections_that_are_not_read_show_no_sign_of_life(fleet: HostFleet) -> None:
+    pool = fleet.start_host()._pool
+    upstream = fleet.add_upstream("u1")
+    fleet.wait_ready()
+    address = upstream.port.getHost()
+    endpoint = Endpoint(address=address.host, port=address.port)
+    opened: list[Any] = []
+    pool.open(endpoint, on_open=opened.append, on_failed=lambda: None)
+    fleet.run_until(lambda: bool(opened))
+    request = OutgoingRequest(method=b"GET", target=b"/", headers=[(b"Host", b"h")])
+    opened[0].send(Exchange(request=request, listener=SimpleNamespace()))
+    now_s = fleet.reactor.seconds()
+    assert pool.count_alive_since_before(endpoint, now_s) == 1
+    opened[0].pause()
+    assert pool.count_alive_since_before(endpoint, now_s) == 0
+
+
 # Guards against answers that pass for an upstream's sign of life: those of another server at its
 # address, and those to requests that were sent before it crashed.
 @pytest.mark.parametrize(("since_loss_s", "is_crash"), [(-0.1, True), (0.1, False)])
