Take a loss on an idle connection back, too, once its upstream answers

Sound requests stayed refused where the idle connections of an upstream were reset and the one that was to tell whether it lives could not be opened, as behind a cut link: such a loss counted for good, although the same incarnation answered afterwards. All other losses that count are taken back then.

test_a_loss_on_an_idle_connection_is_taken_back_once_its_upstream_answers failed before.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -267,7 +267,11 @@
             on_other("an idle connection was dropped")
             self._await_end(lost, on_crashed)
 
-        self._pool.open(endpoint, on_open=handle_open, on_failed=on_crashed)
+        def handle_failure() -> None:
+            on_crashed()
+            self._await_life(lost, on_other)
+
+        self._pool.open(endpoint, on_open=handle_open, on_failed=handle_failure)
 
     def _await_life(self, lost: LostAnswer, on_other: Callable[[str], None]) -> None:
         """Take a loss back if its upstream answers within the time in which the registry tells."""
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -171,6 +171,18 @@
     assert order(fleet, 5).status == 502
 
 
+# Guards against requests that stay refused because a link was cut while the upstream was tried.
+def test_a_loss_on_an_idle_connection_is_taken_back_once_its_upstream_answers() -> None:
+    judged = JudgedLosses(opens=False)
+    for number in range(3):
+        judged.lose(number, was_idle=True)
+    judged.clock.advance(0.2)
+    assert judged.is_quarantined
+    for number in range(3):
+        judged.quarantine.record_head(build_upstream(number), judged.clock.seconds())
+    assert not judged.is_quarantined
+
+
 # Guards against crashes that go unnoticed beside streams that a slow caller keeps from being read.
 def test_connections_that_are_not_read_show_no_sign_of_life(fleet: HostFleet) -> None:
     pool = fleet.start_host()._pool
