Send equal requests on new connections while a lost one may have crashed its upstream

While a loss of an equal request awaits that proof, further ones open connections of their own, on which a loss counts at once.

Several hosts can still have one such loss each.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -171,6 +171,10 @@
         """Suspect a prompt later if the registry shows that the upstream has ended."""
         self._await_end(lost, partial(self._record, lost, by_registry=True))
 
+    def awaits_proof(self, fingerprint: Fingerprint) -> bool:
+        """Whether the registry may yet show that equal requests have crashed upstreams."""
+        return any(each.lost.fingerprint == fingerprint for each in self._unproven)
+
     def forget_unproven(self, fingerprint: Fingerprint, sent_s: float) -> None:
         """Await no proof of losses after which an equal request was sent and answered."""
 
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -63,6 +63,10 @@
             TrialRequest(attempt_id=job.attempt_id, sends=0, deadline_s=job.deadline_s)
         )
 
+    def awaits_proof(self, fingerprint: Fingerprint) -> bool:
+        """Whether equal requests have been lost that may have crashed their upstreams."""
+        return self._crash_watch.awaits_proof(fingerprint)
+
     def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
         """Record that an upstream itself answers a request that this host sent at a time."""
         self._crash_watch.record_head(upstream, sent_s)
--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -169,6 +169,8 @@
             # A connection that has brought data since the link was cut lives on.
             cut_s = self._context.router.links.get_cut_s(upstream.instance)
             idle_limit_s = min(idle_limit_s, self._context.reactor.seconds() - cut_s)
+        if self._context.quarantine.awaits_proof(self.plan.fingerprint):
+            idle_limit_s = 0.0  # the loss of a new connection needs no proof
         pool = self._context.pool
         idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s, recipient=upstream.instance)
         if idle is not None:
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -263,6 +263,7 @@
         router.place.side_effect = self._place
         quarantine = MagicMock()
         quarantine.find_reason.return_value = None
+        quarantine.awaits_proof.return_value = False
         context = ExchangeContext(
             reactor=self.clock,
             router=router,
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -153,6 +153,28 @@
     assert sum(len(upstream.requests) for upstream in upstreams) == 3
 
 
+# Guards against requests that crash one upstream after the other on kept connections, while these
+# are back at once.
+def test_crashes_of_upstreams_that_are_back_at_once_count(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=break_off) for number in range(9)]
+    pool = fleet.start_host()._pool
+    fleet.wait_ready()
+    for number in range(8):
+        for upstream in upstreams:
+            address = upstream.port.getHost()
+            endpoint = Endpoint(address=address.host, port=address.port)
+            pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+        fleet.run_for(0.1)
+        order(fleet, number)
+    assert sum(len(upstream.requests) for upstream in upstreams) <= 4
+
+
+def break_off(upstream: Any, request: IncomingRequest, responder: Responder) -> None:
+    """End all connections, and go on as the upstream's next process at once."""
+    for connection in list(upstream.port.factory.connections):
+        connection.transport.abortConnection()
+
+
 # Guards against losses that go on counting although equal requests have been answered since.
 def test_an_answer_to_an_equal_request_clears_the_losses_before_it(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(9)]
