--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -171,6 +171,10 @@
         """Suspect a prompt later if the registry shows that the upstream has ended."""
         self._await_end(lost, partial(self._record, lost, by_registry=True))
 
+    def awaits_proof(self, fingerprint: Fingerprint) -> bool:
+        """Whether the registry may yet show that equal requests have crashed upstreams."""
+        return any(each.lost.fingerprint == fingerprint for each in self._unproven)
+
     def forget_unproven(self, fingerprint: Fingerprint, sent_s: float) -> None:
         """Await no proof of losses after which an equal request was sent and answered."""
 
@@ -181,14 +185,27 @@
             kept = [each for each in self._unproven if not is_contradicted(each.lost)]
             self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
 
-    def record_head(self, upstream: RegisteredUpstream) -> None:
-        """Record that an upstream answers, so that it has not ended with an earlier loss."""
+    def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
+        """Record that an upstream answers, so that it has not ended with an earlier loss.
+
+        A head can be read after its upstream has crashed: only the losses before its request was
+        sent are contradicted.
+        """
         alive = upstream.incarnation
-        if any(each.lost.upstream.incarnation == alive for each in self._unproven):
-            kept = [each for each in self._unproven if each.lost.upstream.incarnation != alive]
+
+        def is_contradicted(lost: LostAnswer) -> bool:
+            return lost.upstream.incarnation == alive and lost.lost_s <= sent_s
+
+        if any(is_contradicted(each.lost) for each in self._unproven):
+            kept = [each for each in self._unproven if not is_contradicted(each.lost)]
             self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
-        for counted in self._counted.pop(alive, ()):
-            counted.on_alive()
+        counted = self._counted.pop(alive, [])
+        later = [each for each in counted if not is_contradicted(each.lost)]
+        if later:
+            self._counted[alive] = later
+        for each in counted:
+            if is_contradicted(each.lost):
+                each.on_alive()
 
     def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
         """Judge the losses that await a proof, by the entries of the registry.
@@ -254,7 +271,11 @@
             on_other("an idle connection was dropped")
             self._await_end(lost, on_crashed)
 
-        self._pool.open(endpoint, on_open=handle_open, on_failed=on_crashed)
+        def handle_failure() -> None:
+            on_crashed()
+            self._await_life(lost, on_other)
+
+        self._pool.open(endpoint, on_open=handle_open, on_failed=handle_failure)
 
     def _await_life(self, lost: LostAnswer, on_other: Callable[[str], None]) -> None:
         """Take a loss back if its upstream answers within the time in which the registry tells."""
--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -13,7 +13,12 @@
     ResponseHead,
 )
 from greengagestage.ids import AttemptId, Fingerprint, HostId
-from greengagestage.platform import ResponseKind, classify_response, is_answer_to
+from greengagestage.platform import (
+    ResponseKind,
+    classify_response,
+    is_answer_to,
+    names_request,
+)
 from greengagestage.routing import AttemptEnd, ForwardingHost, Job, Placement
 
 from .._context import ExchangeContext
@@ -164,6 +169,8 @@
             # A connection that has brought data since the link was cut lives on.
             cut_s = self._context.router.links.get_cut_s(upstream.instance)
             idle_limit_s = min(idle_limit_s, self._context.reactor.seconds() - cut_s)
+        if self._context.quarantine.awaits_proof(self.plan.fingerprint):
+            idle_limit_s = 0.0  # the loss of a new connection needs no proof
         pool = self._context.pool
         idle = pool.take_idle(endpoint, idle_limit_s=idle_limit_s, recipient=upstream.instance)
         if idle is not None:
@@ -230,8 +237,8 @@
                 self._fail(AttemptFault.MALFORMED)
                 self._close()
             case ResponseKind.SUCCESS | ResponseKind.FAILURE:
-                if self._forwarded_by is None:
-                    self._context.quarantine.record_head(upstream)
+                if self._forwarded_by is None and names_request(head):
+                    self._context.quarantine.record_head(upstream, sent_s)
                 if head.status < 300 and self.plan.job.prompt is not None:
                     self._context.metrics.forecast_errors.observe(
                         self.plan.job.route.name,
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -10,7 +10,7 @@
 
 from greengagestage.gateway.crashes._crash_watch import CrashWatch, LostAnswer
 from greengagestage.gateway.crashes._quarantine import Quarantine
-from greengagestage.http1 import Endpoint, IncomingRequest, Responder
+from greengagestage.http1 import Endpoint, Exchange, IncomingRequest, OutgoingRequest, Responder
 from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.routing import LossTracker, Trials
 
@@ -153,6 +153,28 @@
     assert sum(len(upstream.requests) for upstream in upstreams) == 3
 
 
+# Guards against requests that crash one upstream after the other on kept connections, while these
+# are back at once.
+def test_crashes_of_upstreams_that_are_back_at_once_count(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=break_off) for number in range(9)]
+    pool = fleet.start_host()._pool
+    fleet.wait_ready()
+    for number in range(8):
+        for upstream in upstreams:
+            address = upstream.port.getHost()
+            endpoint = Endpoint(address=address.host, port=address.port)
+            pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+        fleet.run_for(0.1)
+        order(fleet, number)
+    assert sum(len(upstream.requests) for upstream in upstreams) <= 4
+
+
+def break_off(upstream: Any, request: IncomingRequest, responder: Responder) -> None:
+    """End all connections, and go on as the upstream's next process at once."""
+    for connection in list(upstream.port.factory.connections):
+        connection.transport.abortConnection()
+
+
 # Guards against losses that go on counting although equal requests have been answered since.
 def test_an_answer_to_an_equal_request_clears_the_losses_before_it(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(9)]
@@ -171,6 +193,68 @@
     assert order(fleet, 5).status == 502
 
 
+# Guards against requests that stay refused because a link was cut while the upstream was tried.
+def test_a_loss_on_an_idle_connection_is_taken_back_once_its_upstream_answers() -> None:
+    judged = JudgedLosses(opens=False)
+    for number in range(3):
+        judged.lose(number, was_idle=True)
+    judged.clock.advance(0.2)
+    assert judged.is_quarantined
+    for number in range(3):
+        judged.quarantine.record_head(build_upstream(number), judged.clock.seconds())
+    assert not judged.is_quarantined
+
+
+# Guards against crashes that go unnoticed beside streams that a slow caller keeps from being read.
+def test_connections_that_are_not_read_show_no_sign_of_life(fleet: HostFleet) -> None:
+    pool = fleet.start_host()._pool
+    upstream = fleet.add_upstream("u1")
+    fleet.wait_ready()
+    address = upstream.port.getHost()
+    endpoint = Endpoint(address=address.host, port=address.port)
+    opened: list[Any] = []
+    pool.open(endpoint, on_open=opened.append, on_failed=lambda: None)
+    fleet.run_until(lambda: bool(opened))
+    request = OutgoingRequest(method=b"GET", target=b"/", headers=[(b"Host", b"h")])
+    opened[0].send(Exchange(request=request, listener=SimpleNamespace()))
+    now_s = fleet.reactor.seconds()
+    assert pool.count_alive_since_before(endpoint, now_s) == 1
+    opened[0].pause()
+    assert pool.count_alive_since_before(endpoint, now_s) == 0
+
+
+# Guards against answers that pass for an upstream's sign of life: those of another server at its
+# address, and those to requests that were sent before it crashed.
+@pytest.mark.parametrize(("since_loss_s", "is_crash"), [(-0.1, True), (0.1, False)])
+def test_only_an_answer_to_a_later_request_takes_a_loss_back(
+    since_loss_s: float, is_crash: bool
+) -> None:
+    judged = JudgedLosses()
+    for number in range(3):
+        judged.lose(number)
+    judged.clock.advance(0.2)
+    for number in range(3):
+        judged.quarantine.record_head(build_upstream(number), since_loss_s)
+    assert judged.is_quarantined is is_crash
+
+
+def test_a_failure_that_names_no_request_takes_no_loss_back(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(3)]
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(3):
+        order(fleet, number)
+    for upstream in upstreams:
+        upstream.behavior = fail_anonymously
+    for number in range(6):
+        fleet.call(f"/lookup/{number}", attempt=f"b{number}")
+    assert order(fleet, 4).error["code"] == 2012
+
+
+def fail_anonymously(upstream: Any, request: IncomingRequest, responder: Responder) -> None:
+    responder.answer(502, [], b"")
+
+
 # Guards against connections that are reset while their upstreams live on: other requests show it.
 def test_a_loss_is_taken_back_once_its_upstream_answers(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(3)]
