Count the lost answers of orders whose callers have left

A detached attempt records its own loss, unless it had been refused before. test_crashes_under_orders_whose_callers_have_left_count failed before (8 of 8) and passes now (3).

--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -112,6 +112,7 @@
         self._counted_in_router = True
         self._forwarded_by: HostId | None = None
         self._was_idle = False
+        self._detached = False
 
     @property
     def silent_s(self) -> float | None:
@@ -194,7 +195,7 @@
 
     def detach(self, limit_s: float) -> None:
         """Let the upstream finish within a time limit; the listener gets no further events."""
-        self._listener = None
+        self._listener, self._detached = None, True
         self.resume()
         self._close_after(limit_s)
 
@@ -272,6 +273,8 @@
         """Settle the attempt after an incomplete or malformed response."""
         self._forget_connection()
         malformed = failure is ExchangeFailure.MALFORMED
+        if self._detached and not malformed:
+            self.record_loss(had_event=False)
         self._fail(AttemptFault.MALFORMED if malformed else AttemptFault.LOST)
 
     def settle_early(self, end: AttemptEnd) -> None:
@@ -383,6 +386,7 @@
 
     def _fail(self, fault: AttemptFault) -> None:
         self._settle(END_BY_FAULT[fault])
+        self._detached = False
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_failed(self, fault)
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -16,7 +16,7 @@
 
 from . import host_harness as harness
 from .catalog_builders import build_job, build_upstream
-from .host_harness import HostFleet, UpstreamStandin, running_fleet
+from .host_harness import HostFleet, UpstreamStandin, build_request, running_fleet
 
 
 @pytest.fixture
@@ -175,6 +175,21 @@
         connection.transport.abortConnection()
 
 
+# Guards against orders that crash one upstream after the other once their callers have left.
+def test_crashes_under_orders_whose_callers_have_left_count(fleet: HostFleet) -> None:
+    behavior = harness.delay(0.2, crash)
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=behavior) for number in range(9)]
+    fleet.start_host()
+    fleet.wait_ready()
+    for number in range(8):
+        request = build_request("/order/x", attempt=f"a{number}", body=b"same")
+        caller = fleet.connect(request)
+        fleet.run_for(0.1)
+        caller.transport.abortConnection()
+        fleet.run_for(0.4)
+    assert sum(len(upstream.requests) for upstream in upstreams) == 3
+
+
 # Guards against losses that go on counting although equal requests have been answered since.
 def test_an_answer_to_an_equal_request_clears_the_losses_before_it(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(9)]
