--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -175,6 +175,26 @@
         connection.transport.abortConnection()
 
 
+# Guards against losing the evidence of several hosts as a common cause, since the idle connections
+# of each end with what another one's request has crashed. Losses are told within 0.15 s.
+def test_crashes_through_several_hosts_with_idle_connections_count(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=crash) for number in range(24)]
+    port = harness.choose_port()
+    for number in range(3):
+        host = fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=port)
+        fleet.wait_ready()
+        for upstream in upstreams:
+            address = upstream.port.getHost()
+            endpoint = Endpoint(address=address.host, port=address.port)
+            put_idle = partial(host._pool.put_idle, endpoint)
+            host._pool.open(endpoint, on_open=put_idle, on_failed=lambda: None)
+    fleet.run_for(1.0)
+    for number in range(18):
+        fleet.call_at(number % 3, "/order/x", attempt=f"a{number}", body=b"same")
+        fleet.run_for(0.03)
+    assert sum(len(upstream.requests) for upstream in upstreams) <= 6
+
+
 # Guards against orders that crash one upstream after the other once their callers have left.
 def test_crashes_under_orders_whose_callers_have_left_count(fleet: HostFleet) -> None:
     behavior = harness.delay(0.2, crash)
