--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,6 +48,31 @@
     )(command)
 
 
+def add_equal_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options about callers that send the same crashing request."""
+    callers = click.option(
+        "--equal-callers",
+        type=click.IntRange(min=0),
+        help="Number of callers that send the same request, which crashes upstreams.",
+    )
+    pause = click.option(
+        "--equal-pause",
+        "equal_pause_s",
+        type=click.FloatRange(min=0.0, min_open=True),
+        help="Mean time between two of its tries by one caller, in seconds.",
+    )
+    return callers(pause(command))
+
+
+def add_product_option(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the option that lets hosts run the code of another landing."""
+    return click.option(
+        "--product",
+        type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
+        help="Checkout whose code the hosts run, in place of this one.",
+    )(command)
+
+
 @click.group(context_settings={"max_content_width": 100})
 def main() -> None:
     """Run real host processes under randomized faults and check what callers and upstreams see."""
@@ -61,6 +86,8 @@
 @click.option("--faults/--calm", default=True, show_default=True, help="Whether to inject faults.")
 @add_fault_options
 @add_deadly_option
+@add_equal_options
+@add_product_option
 @click.option("--directory", type=click.Path(path_type=Path), help="Directory for the logs.")
 def run(
     seed: int,
@@ -71,6 +98,9 @@
     kinds: tuple[str, ...],
     pause_s: float | None,
     deadly_share: float | None,
+    equal_callers: int | None,
+    equal_pause_s: float | None,
+    product: Path | None,
     directory: Path | None,
 ) -> None:
     """Run one seed and print its findings."""
@@ -83,6 +113,9 @@
         kinds=tuple(Fault(kind) for kind in kinds),
         pause_s=pause_s,
         deadly_share=deadly_share,
+        equal_callers=equal_callers,
+        equal_pause_s=equal_pause_s,
+        product=product,
         directory=directory or DIRECTORY / f"seed-{seed}",
     )
     sys.exit(play(options))
--- a/soak/_host_fleet.py
+++ b/soak/_host_fleet.py
@@ -49,11 +49,13 @@
     Attributes:
         early_ends: Processes that a signal ended before they listened.
         largest_slack: The largest slack of the retry budget that the settings of a host have named.
+        product: Checkout whose code the hosts run; None for the one that the soak runs from.
     """
 
     reactor: Any
     disturbances: Disturbances
     findings: Findings
+    product: Path | None = None
     hosts: list[Host] = field(default_factory=list)
     _interruptions: dict[str, list[Disturbance]] = field(default_factory=lambda: defaultdict(list))
     _starts: dict[str, Disturbance] = field(default_factory=dict)
@@ -75,6 +77,7 @@
             domain="ab"[number % 2],
             directory=directory,
             duties=duties,
+            product=self.product,
             callers_link=callers_link,
             store_link=store_link,
             callers=callers_link.open(),
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -43,6 +43,7 @@
 
     Attributes:
         duties: Lines of the settings about duties.
+        product: Checkout whose code the processes run; None for the one that the soak runs from.
         stopping_s: Time of the SIGTERM that the running process received, if any.
         killed: Whether the soak has killed the running process.
     """
@@ -56,6 +57,7 @@
     callers: tuple[str, int]
     store: tuple[str, int]
     duties: str = ""
+    product: Path | None = None
     slack: int = DEFAULT_SLACK
     stopping_s: float | None = None
     killed: bool = False
@@ -120,7 +122,7 @@
         """Start the process, whose output is appended to a log file."""
         self.write_settings()
         self.stopping_s, self.killed, self.suspended = None, False, False
-        environment = {**os.environ, "GREENGAGESTAGE_CONFIG": str(self.settings_path)}
+        environment = {**os.environ, "GREENGAGESTAGE_CONFIG": str(self.settings_path.resolve())}
         with self.log_path.open("ab") as log:
             self._log_begin = log.tell()
             self.process = subprocess.Popen(
@@ -129,6 +131,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
+                cwd=self.product,  # imports look there first
                 start_new_session=True,
             )
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -59,6 +59,10 @@
         pause_s: Mean time between the beginnings of two faults; None if the seed draws it.
         deadly_share: Share of the prompts with a part that crashes upstreams, from the first fault
             to the end; None if the seed draws it.
+        equal_callers: Number of callers that send the same request, which crashes upstreams; None
+            if the seed draws whether one does.
+        equal_pause_s: Mean time between two of its tries by one of them; None for the usual one.
+        product: Checkout whose code the hosts run, to compare landings; None for this one.
     """
 
     seed: int
@@ -70,6 +74,9 @@
     kinds: tuple[Fault, ...] = ()
     pause_s: float | None = None
     deadly_share: float | None = None
+    equal_callers: int | None = None
+    equal_pause_s: float | None = None
+    product: Path | None = None
 
 
 class SoakRun:
@@ -83,7 +90,10 @@
         self._ledger = Ledger()
         self._findings = Findings(began_s=self._reactor.seconds(), disturbances=self._disturbances)
         self._hosts = HostFleet(
-            reactor=self._reactor, disturbances=self._disturbances, findings=self._findings
+            reactor=self._reactor,
+            disturbances=self._disturbances,
+            findings=self._findings,
+            product=options.product,
         )
         self._crashes = CrashChecks(findings=self._findings, disturbances=self._disturbances)
         self._limits = LimitChecks(findings=self._findings, disturbances=self._disturbances)
@@ -358,20 +368,26 @@
         )
         hosts = len(self._hosts.hosts)
         kinds = [Caller] * (CALLERS_PER_HOST * hosts) + [PipeliningCaller] * hosts
-        crashes = Random(f"{self._options.seed}/crashing request").random()
-        if self._options.faults and crashes < CRASHING_REQUEST_CHANCE:
-            kinds.append(CrashingCaller)
+        kinds += [CrashingCaller] * self._count_crashing_callers()
         for number, kind in enumerate(kinds):
             caller = kind(
                 context=context,
                 random=Random(f"{self._options.seed}/caller/{number}"),
                 hazard_random=Random(f"{self._options.seed}/hazards/{number}"),
             )
+            if isinstance(caller, CrashingCaller) and self._options.equal_pause_s is not None:
+                caller.mean_pause_s = self._options.equal_pause_s
             running: Deferred[None] = Deferred.fromCoroutine(caller.run())
             running.addErrback(lambda failure: self._fail(failure))
             self._callers.append(running)
         return context
 
+    def _count_crashing_callers(self) -> int:
+        if self._options.equal_callers is not None:
+            return self._options.equal_callers
+        drawn = Random(f"{self._options.seed}/crashing request").random()
+        return int(self._options.faults and drawn < CRASHING_REQUEST_CHANCE)
+
     def _fail(self, failure: Any) -> None:
         failure.printTraceback()
         self._findings.add(Rule.OWN_END, self._reactor.seconds(), "soak", str(failure.value))
--- a/soak/_special_callers.py
+++ b/soak/_special_callers.py
@@ -15,6 +15,8 @@
 STREAM_FIRST_SHARE = 0.5
 
 CRASHING_BODY = json.dumps({"work": "crash", "events": 0, "pace_ms": 20, "style": "crash"}).encode()
+CRASHING_TARGET = "/open/crash"
+"""Hosts take requests for equal by key, target and body; this one needs no key."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -94,7 +96,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class CrashingCaller(Caller):
-    """Sends the same request, which crashes each upstream that runs it, again and again."""
+    """Sends a request, which crashes each upstream that runs it, again and again.
+
+    Attributes:
+        mean_pause_s: Mean time between two tries.
+    """
+
+    mean_pause_s: float = 0.65
 
     async def run(self) -> None:
         """Send the request until the traffic stops."""
@@ -102,12 +110,14 @@
         while drawn.route != "open":
             drawn = self._draw_plan()
         while not self.context.stopped:
-            await sleep(self.context.reactor, self.random.uniform(0.3, 1.0))
+            pause_s = self.mean_pause_s * self.random.uniform(0.5, 1.5)
+            await sleep(self.context.reactor, pause_s)
             identifier = self._draw_id()
             headers = [(name, value) for name, value in drawn.headers if value != drawn.attempt]
             plan = replace(
                 drawn,
                 attempt=identifier,
+                target=CRASHING_TARGET,
                 body=CRASHING_BODY,
                 headers=(("Greengagestage-Attempt-Id", identifier), *headers),
                 pause_s=0.0,
