--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -519,6 +519,8 @@
             "callers_closed_for_memory": self._memory_watch.closed,
             "callers_evicted": self._caller_server.evicted,
             "caller_bytes_discarded": self._caller_server.discarded_bytes,
+            "caller_reads_late": self._caller_server.late_reads,
+            "caller_longest_unread_seconds": self._caller_server.longest_unread_s,
             "upstreams": len(self._router.upstreams),
             "active_peers": self._peers.active_peers,
             "store_calls": self._rows.calls,
--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -348,7 +348,16 @@
         aborted = self._pool.list_aborted(
             lost.lost_s - SIMULTANEOUS_S, lost.lost_s + SIMULTANEOUS_S
         )
-        return len(aborted - (retried - {endpoint}))
+        unexplained = aborted - (retried - {endpoint})
+        if len(aborted) > 1:
+            log_message(
+                message_type="upstream: ended with others",
+                upstream=lost.upstream.instance,
+                request=lost.attempt_id,
+                ended=len(aborted),
+                unexplained=sorted(f"{each.address}:{each.port}" for each in unexplained),
+            )
+        return len(unexplained)
 
 
 def _list_parts(prompt: Prompt) -> list[PromptPartId]:
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -19,6 +19,7 @@
     count_undelivered_bytes,
     count_unsent_bytes,
     has_unread_bytes,
+    measure_unread_s,
     tune_socket,
 )
 from ._types import HeaderList
@@ -57,6 +58,8 @@
         evicted: Number of connections that were closed for new ones.
         idle_connections: The connections that wait for a request, longest idle first.
         discarded_bytes: Number of bytes that were received on connections about to be closed.
+        late_reads: Number of reads of bytes that had waited since the process was held up.
+        longest_unread_s: The longest time for which such bytes have waited.
     """
 
     noisy = False
@@ -80,6 +83,8 @@
         self.closing = False
         self.discarded_bytes = 0
         self.evicted = 0
+        self.late_reads = 0
+        self.longest_unread_s = 0.0
         self.connections: set[CallerConnection] = set()
 
     def buildProtocol(self, addr: Any) -> Any:
@@ -106,6 +111,11 @@
             if connection.idle:
                 connection.close_idle()
 
+    def record_late_read(self, unread_s: float) -> None:
+        """Count a read of bytes that had waited for some time."""
+        self.late_reads += 1
+        self.longest_unread_s = max(self.longest_unread_s, unread_s)
+
     def count_unread(self) -> int:
         """Return the number of connections on which bytes wait that may be a request."""
         return sum(connection.has_unread_bytes for connection in self.connections)
@@ -216,6 +226,9 @@
             self.factory.discarded_bytes += len(data)
             return
         now_s = self.factory.reactor.seconds()
+        unread_s = measure_unread_s(self.transport)
+        if unread_s:
+            self.factory.record_late_read(unread_s)
         self._arrivals.add(len(data), now_s, unparsed=len(self._codec.trailing_data[0]))
         if self._incoming is None and not self._answering:
             self._begin_reading(now_s)
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -12,6 +12,14 @@
 operators after which they count a host as reachable again, so that connections broken in the
 meantime are closed by then."""
 
+MIN_UNREAD_S = 0.05
+"""Shorter times between the arrival of bytes and their reading do not count: a process that is not
+held up reads within milliseconds, and the system's clock for them is coarse."""
+
+_TCP_INFO_BEGIN = struct.Struct("=52xI")
+"""The beginning of the system's ``tcp_info``, up to ``tcpi_last_data_recv``: the milliseconds since
+the last bytes have arrived."""
+
 BUFFER_BYTES = 16_384
 """Bytes of one read, and of what is written and unsent above which a producer is paused. Hundreds
 of connections can add both before a process that runs short of memory closes one of them."""
@@ -69,6 +77,26 @@
         return False
 
 
+def measure_unread_s(transport: Any) -> float:
+    """Return for how long the bytes that have just been read had waited for the process.
+
+    The system tells it for the last bytes that have arrived, in steps of some milliseconds. Times
+    below ``MIN_UNREAD_S`` are 0, as are all where the system does not tell them.
+    """
+    option = getattr(socket, "TCP_INFO", None)
+    if option is None or not transport.connected:
+        return 0.0
+    try:
+        answer = transport.getHandle().getsockopt(socket.IPPROTO_TCP, option, _TCP_INFO_BEGIN.size)
+    except OSError:
+        return 0.0
+    if len(answer) < _TCP_INFO_BEGIN.size:
+        return 0.0
+    unread_ms: int = _TCP_INFO_BEGIN.unpack(answer)[0]
+    unread_s = unread_ms / 1_000
+    return unread_s if unread_s >= MIN_UNREAD_S else 0.0
+
+
 def _count_unacknowledged(handle: socket.socket) -> int:
     """Return the number of bytes in the kernel's send queue; 0 where it cannot be read."""
     size = struct.Struct("i")
