--- a/greengagestage/gateway/forwarding/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -110,6 +110,7 @@
         ForwardedRequest(
             context=self._context,
             request=outgoing,
+            received_s=request.received_s,
             upstream=state.record,
             connection=connection,
             open_requests=self.open_requests,
@@ -139,6 +140,7 @@
         *,
         context: ExchangeContext,
         request: OutgoingRequest,
+        received_s: float,
         upstream: RegisteredUpstream,
         connection: CallerConnection,
         open_requests: set["ForwardedRequest"],
@@ -150,7 +152,7 @@
         self._open_requests = open_requests
         self._connection: ClientConnection | None = None
         self._deadline_timer: Any = None
-        self._received_s = context.reactor.seconds()
+        self._received_s = received_s
         self._sent_s = 0.0
         self._begun = False
         self._framed = True
@@ -175,8 +177,9 @@
         self._open_requests.add(self)
         self._context.open_exchanges.add(self)
         self._responder.listener = self
-        if self._timeout_s is not None:
-            limit_s = self._timeout_s + DEADLINE_SLACK_S
+        time_left_s = self._measure_time_left()
+        if time_left_s is not None:
+            limit_s = max(time_left_s + DEADLINE_SLACK_S, 0.0)
             self._deadline_timer = self._context.reactor.callLater(limit_s, self.stop)
         endpoint = Endpoint(address=self._upstream.address, port=self._upstream.port)
         pool = self._context.pool
--- a/greengagestage/http1/_requests.py
+++ b/greengagestage/http1/_requests.py
@@ -33,7 +33,7 @@
     """A complete request. Header names are in lower case.
 
     Attributes:
-        received_s: Monotonic time of its first byte.
+        received_s: Monotonic time at which its first byte arrived, also if it was read later.
     """
 
     method: bytes
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -225,13 +225,10 @@
         if self._ignoring_input:
             self.factory.discarded_bytes += len(data)
             return
-        now_s = self.factory.reactor.seconds()
-        unread_s = measure_unread_s(self.transport)
-        if unread_s:
-            self.factory.record_late_read(unread_s)
-        self._arrivals.add(len(data), now_s, unparsed=len(self._codec.trailing_data[0]))
+        arrived_s = self._measure_arrival_s()
+        self._arrivals.add(len(data), arrived_s, unparsed=len(self._codec.trailing_data[0]))
         if self._incoming is None and not self._answering:
-            self._begin_reading(now_s)
+            self._begin_reading(arrived_s)
         self._codec.receive_data(data)
         if self._answering:
             self.factory.memory.record(self, len(data))
@@ -362,6 +359,14 @@
             self._begin_reading(self._arrivals.find_arrival(buffered))
             self._read_events()
 
+    def _measure_arrival_s(self) -> float:
+        """Return when the bytes that have just been read arrived."""
+        now_s: float = self.factory.reactor.seconds()
+        unread_s = measure_unread_s(self.transport)
+        if unread_s:
+            self.factory.record_late_read(unread_s)
+        return now_s - unread_s
+
     def _begin_reading(self, received_s: float) -> None:
         self._incoming = _PartialRequest(received_s=received_s)
         self.factory.idle_connections.pop(self, None)
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -16,9 +16,9 @@
 """Shorter times between the arrival of bytes and their reading do not count: a process that is not
 held up reads within milliseconds, and the system's clock for them is coarse."""
 
-_TCP_INFO_BEGIN = struct.Struct("=52xI")
-"""The beginning of the system's ``tcp_info``, up to ``tcpi_last_data_recv``: the milliseconds since
-the last bytes have arrived."""
+_TCP_INFO_BEGIN = struct.Struct("=52xI72xQ")
+"""The beginning of Linux's ``tcp_info``, with two of its fields: ``tcpi_last_data_recv``, the
+milliseconds since the last bytes have arrived, and ``tcpi_bytes_received``, the number of all."""
 
 BUFFER_BYTES = 16_384
 """Bytes of one read, and of what is written and unsent above which a producer is paused. Hundreds
@@ -92,9 +92,9 @@
         return 0.0
     if len(answer) < _TCP_INFO_BEGIN.size:
         return 0.0
-    unread_ms: int = _TCP_INFO_BEGIN.unpack(answer)[0]
-    unread_s = unread_ms / 1_000
-    return unread_s if unread_s >= MIN_UNREAD_S else 0.0
+    unread_ms, received_bytes = _TCP_INFO_BEGIN.unpack(answer)
+    unread_s: float = unread_ms / 1_000
+    return unread_s if received_bytes and unread_s >= MIN_UNREAD_S else 0.0
 
 
 def _count_unacknowledged(handle: socket.socket) -> int:
--- a/soak/_deadline_checks.py
+++ b/soak/_deadline_checks.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from ._disturbances import Disturbances
+from ._disturbances import FREEZE, Disturbances
 from ._findings import Findings, Rule
 from ._lag import Lag
 from ._ledger import Arrival, Attempt, Ledger
@@ -60,8 +60,12 @@
         return min((spec.timeout_s for spec in specs if spec is not None), default=math.inf)
 
     def _was_held_up(self, attempt: Attempt, arrival: Arrival) -> bool:
-        """Whether a host or a link may have held the request back since the host had it."""
-        return any(
-            self.disturbances.find_fault(target, attempt.sent_s, arrival.arrived_s) is not None
-            for target in (attempt.host, arrival.upstream)
+        """Whether a host or a link may have held the request back since the host had it.
+
+        A host that was frozen is to take that time off, once it runs again.
+        """
+        sent_s, arrived_s, find = attempt.sent_s, arrival.arrived_s, self.disturbances.find_fault
+        return (
+            find(attempt.host, sent_s, arrived_s, besides=(FREEZE,)) is not None
+            or find(arrival.upstream, sent_s, arrived_s) is not None
         )
--- a/soak/_disturbances.py
+++ b/soak/_disturbances.py
@@ -8,6 +8,8 @@
 from ._bounds import STABILITY_WINDOW_S
 
 STORE = "store"
+FREEZE = "freeze"
+"""Kind of the faults of a host that does not run for a while."""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/soak/_host_fleet.py
+++ b/soak/_host_fleet.py
@@ -11,7 +11,7 @@
 
 from ._bounds import GRACE_S
 from ._dialing import dial
-from ._disturbances import Disturbance, Disturbances
+from ._disturbances import FREEZE, Disturbance, Disturbances
 from ._findings import Findings, Rule
 from ._hosts import CALLERS_PORT, DEFAULT_SLACK, Host
 from ._proxy import Link
@@ -116,7 +116,7 @@
         if not host.running or host.suspended or host.stopping_s is not None:
             return
         host.suspended = True
-        freeze = self.disturbances.begin(host.name, "freeze", self.reactor.seconds())
+        freeze = self.disturbances.begin(host.name, FREEZE, self.reactor.seconds())
         host.send_signal(signal.SIGSTOP)
         process = host.process
 
