--- a/greengagestage/gateway/crashes/_crash_knowledge.py
+++ b/greengagestage/gateway/crashes/_crash_knowledge.py
@@ -12,6 +12,7 @@
     CrashSuspects,
     LossRecord,
     LossTracker,
+    ObservedLoss,
     SuspectRecord,
     Trials,
 )
@@ -27,6 +28,7 @@
 
     Args:
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
+        notify_loss: Tells the other hosts of a lost answer, before it is judged.
         report_suspects: Tells the other hosts what has changed about suspected parts.
         get_era: Returns the newest known era of the store.
         get_rank: Returns the position of this host among all hosts; 0 is the first.
@@ -44,6 +46,7 @@
         rows: RowClient,
         random: Random,
         report_loss: Callable[[Fingerprint, str], None],
+        notify_loss: Callable[[ObservedLoss], None],
         report_suspects: Callable[[Sequence[SuspectRecord]], None],
         get_era: Callable[[], int | None],
         get_rank: Callable[[], int],
@@ -54,7 +57,9 @@
         self._tell_loss = report_loss
         self._tell_suspects = report_suspects
         self._losses = LossTracker()
-        self._watch = CrashWatch(reactor=reactor, pool=pool, report=self._report_suspects)
+        self._watch = CrashWatch(
+            reactor=reactor, pool=pool, report=self._report_suspects, notify=notify_loss
+        )
         self._table = CrashTable(
             reactor=reactor,
             rows=rows,
@@ -103,6 +108,11 @@
         """Add a loss at another host."""
         self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
 
+    def learn_notices(self, losses: Iterable[ObservedLoss]) -> None:
+        """Take into account what other hosts have just lost, when losses here are judged."""
+        for loss in losses:
+            self._watch.remember(loss)
+
     def learn_losses(self, records: Iterable[LossRecord]) -> None:
         """Add what another host knows about losses."""
         self._losses.learn(records, self._reactor.seconds())
--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -12,7 +12,13 @@
 from greengagestage.catalog import Availability, Prompt, RegisteredUpstream
 from greengagestage.http1 import ClientConnection, ConnectionPool, Endpoint
 from greengagestage.ids import AttemptId, Crash, Fingerprint, HostId, Incarnation, PromptPartId
-from greengagestage.routing import CrashSuspects, PartLoss, SuspectRecord
+from greengagestage.routing import (
+    CrashSuspects,
+    ObservedLoss,
+    PartLoss,
+    RecentLosses,
+    SuspectRecord,
+)
 
 CRASH_CONFIRMATION_S = 0.1
 """Time after a lost answer at which the other connections to its upstream are looked at. A crash
@@ -30,9 +36,6 @@
 MAX_UNPROVEN = 512
 """Maximum number of losses that await such a proof; the oldest ones are dropped."""
 
-RECENT_S = 1.0
-"""Time for which losses are kept to find the retries of a request among them."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LostAnswer:
@@ -74,9 +77,15 @@
             return "no head"
         return "events" if self.had_event else None
 
-    def is_in_sequence_with(self, other: "LostAnswer") -> bool:
-        """Whether one of two requests was sent after the answer to the other one was lost."""
-        return self.sent_s >= other.lost_s or other.sent_s >= self.lost_s
+    def observe(self) -> ObservedLoss:
+        """Return what other hosts are told of the loss."""
+        return ObservedLoss(
+            fingerprint=self.fingerprint,
+            address=self.upstream.address,
+            port=self.upstream.port,
+            sent_s=self.sent_s,
+            lost_s=self.lost_s,
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -108,6 +117,7 @@
 
     Args:
         report: Tells the other hosts of changed records.
+        notify: Tells the other hosts of a lost answer, before it is judged.
     """
 
     def __init__(
@@ -116,15 +126,17 @@
         reactor: Any,
         pool: ConnectionPool,
         report: Callable[[Sequence[SuspectRecord]], None],
+        notify: Callable[[ObservedLoss], None] = lambda loss: None,
     ) -> None:
         self.suspects = CrashSuspects()
-        self._recent_losses: deque[LostAnswer] = deque()
+        self._recent_losses = RecentLosses()
         self._unproven: deque[_Unproven] = deque(maxlen=MAX_UNPROVEN)
         self._counted: dict[Incarnation, list[_Counted]] = {}
         self._leaving: set[Incarnation] = set()
         self._reactor = reactor
         self._pool = pool
         self._report = report
+        self._notify = notify
 
     def examine_loss(self, lost: LostAnswer) -> None:
         """Suspect a prompt whose answer had just begun, if its upstream has crashed."""
@@ -144,14 +156,14 @@
             on_other: Called if the answer was probably lost for another cause, with that cause;
                 also after ``on_crashed``, if the upstream answers on a connection of this host.
         """
-        self.remember(lost)
+        observed = lost.observe()
+        self.remember(observed)
+        self._notify(observed)
         self._reactor.callLater(CRASH_CONFIRMATION_S, self._judge, lost, on_crashed, on_other)
 
-    def remember(self, lost: LostAnswer) -> None:
-        """Keep a loss for a while, so that the retries of its request can be found."""
-        self._recent_losses.append(lost)
-        while self._recent_losses[0].lost_s < lost.lost_s - RECENT_S:
-            self._recent_losses.popleft()
+    def remember(self, loss: ObservedLoss) -> None:
+        """Keep a loss of any host for a while, so that the retries of its request can be found."""
+        self._recent_losses.add(loss)
 
     def log_evidence(self, prompt: Prompt, request: AttemptId, send: int, now_s: float) -> None:
         """Log what is held against the parts of a prompt that is sent all the same."""
@@ -336,15 +348,11 @@
     def _count_aborted(self, lost: LostAnswer) -> int:
         """Return to how many upstreams connections ended at the time of a loss.
 
-        Others at which an equal request was lost before or after do not count. A request that
-        crashes upstreams is sent again at once, so that its losses are milliseconds apart.
+        Others at which an equal request was lost before or after, through any host, do not count.
         """
         endpoint = _get_endpoint(lost.upstream)
-        retried = {
-            _get_endpoint(other.upstream)
-            for other in self._recent_losses
-            if other.fingerprint == lost.fingerprint and other.is_in_sequence_with(lost)
-        }
+        explained = self._recent_losses.list_explained(lost.observe())
+        retried = {Endpoint(address=address, port=port) for address, port in explained}
         aborted = self._pool.list_aborted(
             lost.lost_s - SIMULTANEOUS_S, lost.lost_s + SIMULTANEOUS_S
         )
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -112,7 +112,7 @@
         Only the connections of this host show a crash. The other host counts the loss against
         equal requests.
         """
-        self._crash_watch.remember(lost)
+        self._crash_watch.remember(lost.observe())
         self._examine(lost)
 
     def _examine(self, lost: LostAnswer) -> None:
--- a/greengagestage/gateway/peers/_peer_messages.py
+++ b/greengagestage/gateway/peers/_peer_messages.py
@@ -225,6 +225,28 @@
     entries: list[FingerprintEntry]
 
 
+class NoticedLoss(Struct, frozen=True, array_like=True):
+    """An answer that was lost, of which it is not known yet whether a crash is the cause.
+
+    Attributes:
+        address: Address of the upstream, and ``port`` its port.
+        sent_ms: Time since the request was sent.
+        lost_ms: Time since the answer was lost.
+    """
+
+    fingerprint: str
+    address: str
+    port: int
+    sent_ms: int
+    lost_ms: int
+
+
+class NoticesReport(Struct, frozen=True, array_like=True, tag="notices"):
+    """Reports answers that the sender has just lost; hosts of earlier builds ignore it."""
+
+    losses: list[NoticedLoss]
+
+
 class LossEntry(Struct, frozen=True, array_like=True):
     """The loss of an answer to a prompt in a crash of its upstream.
 
@@ -395,6 +417,7 @@
     | LoadsReport
     | LossReport
     | LossesReport
+    | NoticesReport
     | SuspectsReport
     | LimitReport
     | RejectionReport
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -28,6 +28,7 @@
 from ._loads import UpstreamLoad
 from ._losses import LOSSES_TO_QUARANTINE, LossRecord, LossTracker
 from ._overload import UrgencyTraffic
+from ._recent_losses import ObservedLoss, RecentLosses
 from ._retries import RetryBudgets, RetryUsage
 from ._route_groups import RouteTraffic
 from ._router import AttemptEnd, Router
@@ -64,6 +65,8 @@
     "PrefillSamples",
     "QuarantinedSubject",
     "Refused",
+    "ObservedLoss",
+    "RecentLosses",
     "RetryBudgets",
     "RetryUsage",
     "RouteShares",
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -12,7 +12,7 @@
 from greengagestage.gateway.crashes._quarantine import Quarantine
 from greengagestage.http1 import Endpoint, Exchange, IncomingRequest, OutgoingRequest, Responder
 from greengagestage.ids import AttemptId, Fingerprint, HostId
-from greengagestage.routing import LossTracker, Trials
+from greengagestage.routing import LossTracker, ObservedLoss, Trials
 
 from . import host_harness as harness
 from .catalog_builders import build_job, build_upstream
@@ -33,15 +33,17 @@
 
     Attributes:
         told: The losses that other hosts are told of.
+        aborted: The upstreams whose connections end at the time of a loss.
     """
 
     def __init__(self, *, survivors: int = 0, opens: bool = True) -> None:
         self.clock = Clock()
         self.told: list[str] = []
+        self.aborted: set[Endpoint] = set()
         open_ = self._open_connection if opens else self._fail_to_open
         pool = SimpleNamespace(
             count_alive_since_before=lambda endpoint, time_s: survivors,
-            list_aborted=lambda began_s, ended_s: set(),
+            list_aborted=lambda began_s, ended_s: self.aborted,
             open=open_,
             put_idle=lambda endpoint, connection: None,
         )
@@ -110,6 +112,33 @@
     assert len(judged.told) == (3 if is_crash else 0)
 
 
+# Guards against a failure of links that passes for crashes under equal requests, since several
+# hosts lose them together, and against the opposite: only requests that were sent one after the
+# other explain the ends of connections to several upstreams.
+@pytest.mark.parametrize(("sent_after_s", "is_crash"), [(0.01, True), (-0.01, False)])
+def test_losses_of_other_hosts_explain_the_ends_of_connections_in_sequence(
+    sent_after_s: float, is_crash: bool
+) -> None:
+    elsewhere = Endpoint(address="10.0.0.9", port=80)
+    judged = JudgedLosses()
+    for number in range(3):
+        upstream = build_upstream(number)
+        judged.aborted = {elsewhere, Endpoint(address=upstream.address, port=upstream.port)}
+        judged.lose(number)
+        now_s = judged.clock.seconds()
+        other = ObservedLoss(
+            fingerprint=Fingerprint("f"),
+            address=elsewhere.address,
+            port=elsewhere.port,
+            sent_s=now_s + sent_after_s,
+            lost_s=now_s + 0.03,
+        )
+        judged.watch.remember(other)
+        judged.clock.advance(1.2)
+    assert judged.is_quarantined is is_crash
+    assert len(judged.told) == (3 if is_crash else 0)
+
+
 # Guards against crashes of upstreams that come back at once, so that a connection can be opened.
 @pytest.mark.parametrize("is_listed", [False, True])
 def test_the_registry_shows_that_an_idle_connection_ended_with_its_upstream(
