--- a/greengagestage/gateway/crashes/_crash_knowledge.py
+++ b/greengagestage/gateway/crashes/_crash_knowledge.py
@@ -28,7 +28,7 @@
 
     Args:
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
-        notify_loss: Tells the other hosts of a lost answer, before it is judged.
+        report_early_loss: Tells the other hosts of a lost answer, before it is judged.
         report_suspects: Tells the other hosts what has changed about suspected parts.
         get_era: Returns the newest known era of the store.
         get_rank: Returns the position of this host among all hosts; 0 is the first.
@@ -46,7 +46,7 @@
         rows: RowClient,
         random: Random,
         report_loss: Callable[[Fingerprint, str], None],
-        notify_loss: Callable[[ObservedLoss], None],
+        report_early_loss: Callable[[ObservedLoss], None],
         report_suspects: Callable[[Sequence[SuspectRecord]], None],
         get_era: Callable[[], int | None],
         get_rank: Callable[[], int],
@@ -58,7 +58,7 @@
         self._tell_suspects = report_suspects
         self._losses = LossTracker()
         self._watch = CrashWatch(
-            reactor=reactor, pool=pool, report=self._report_suspects, notify=notify_loss
+            reactor=reactor, pool=pool, report=self._report_suspects, notify=report_early_loss
         )
         self._table = CrashTable(
             reactor=reactor,
@@ -108,7 +108,7 @@
         """Add a loss at another host."""
         self._losses.record_loss(fingerprint, loss_id, self._reactor.seconds())
 
-    def learn_notices(self, losses: Iterable[ObservedLoss]) -> None:
+    def learn_early_losses(self, losses: Iterable[ObservedLoss]) -> None:
         """Take into account what other hosts have just lost, when losses here are judged."""
         for loss in losses:
             self._watch.remember(loss)
--- a/greengagestage/gateway/peers/_peer_messages.py
+++ b/greengagestage/gateway/peers/_peer_messages.py
@@ -225,7 +225,7 @@
     entries: list[FingerprintEntry]
 
 
-class NoticedLoss(Struct, frozen=True, array_like=True):
+class EarlyLoss(Struct, frozen=True, array_like=True):
     """An answer that was lost, of which it is not known yet whether a crash is the cause.
 
     Attributes:
@@ -241,10 +241,10 @@
     lost_ms: int
 
 
-class NoticesReport(Struct, frozen=True, array_like=True, tag="notices"):
+class EarlyLossesReport(Struct, frozen=True, array_like=True, tag="early-losses"):
     """Reports answers that the sender has just lost; hosts of earlier builds ignore it."""
 
-    losses: list[NoticedLoss]
+    losses: list[EarlyLoss]
 
 
 class LossEntry(Struct, frozen=True, array_like=True):
@@ -417,7 +417,7 @@
     | LoadsReport
     | LossReport
     | LossesReport
-    | NoticesReport
+    | EarlyLossesReport
     | SuspectsReport
     | LimitReport
     | RejectionReport
--- a/greengagestage/gateway/peers/_peers.py
+++ b/greengagestage/gateway/peers/_peers.py
@@ -12,19 +12,19 @@
 from greengagestage.routing import LossRecord, ObservedLoss, StreamRecord, SuspectRecord
 
 from .._loops import RepeatingTask
+from ._early_losses import EarlyLossReporter, read_early_losses
 from ._load_exchange import LoadExchange
-from ._loss_notices import LossNotices, read_notices
 from ._loss_reports import build_loss_reports, read_loss_report
 from ._peer_messages import (
     PROTOCOL_VERSION,
     ConfigurationReport,
     DomainReport,
+    EarlyLossesReport,
     LimitReport,
     LoadReport,
     LoadsReport,
     LossesReport,
     LossReport,
-    NoticesReport,
     PeerBody,
     PeerMessage,
     RegistryReport,
@@ -71,7 +71,7 @@
         list_losses: Returns the losses under equal requests, those with the most first, at a time
             in seconds.
         on_losses: Handles what another host knows about such losses.
-        on_notices: Handles answers that another host has just lost, before they are judged.
+        on_early_losses: Handles answers that another host has just lost, before they are judged.
         list_suspects: Returns the prompt parts that are suspected of crashing upstreams, those with
             the most evidence first, at a time in seconds.
         on_suspects: Handles what another host knows about such parts; returns what contradicts it.
@@ -107,7 +107,7 @@
     on_streams: Callable[[Sequence[StreamRecord]], None]
     on_versions: Callable[[VersionsReport], None]
     on_peers: Callable[[Mapping[HostId, str]], None]
-    on_notices: Callable[[Iterable[ObservedLoss]], None] = lambda losses: None
+    on_early_losses: Callable[[Iterable[ObservedLoss]], None] = lambda losses: None
     on_duty: Callable[[HostId, int, DutyBody], None] = lambda host, started_ms, body: None
 
 
@@ -136,7 +136,7 @@
         self._load_exchange = LoadExchange(host=host, domain=domain)
         self._stream_relay = StreamRelay(exchange=self._load_exchange)
         self._suspect_gossip = SuspectGossip(draw=draw)
-        self._loss_notices = LossNotices(reactor=reactor, send=self._send_notices)
+        self._early_losses = EarlyLossReporter(reactor=reactor, send=self._send_early_losses)
         self._logged_hub = host
         self._routed_work: Work | None = None
         self._routed_upstreams: list[InstanceId] = []
@@ -200,9 +200,9 @@
         for _ in range(SENDS_PER_REPORT):
             self._broadcast(LossReport(fingerprint, loss_id))
 
-    def notify_loss(self, loss: ObservedLoss) -> None:
+    def report_early_loss(self, loss: ObservedLoss) -> None:
         """Tell all peers of a lost answer, before it is judged what it was lost to."""
-        self._loss_notices.add(loss)
+        self._early_losses.add(loss)
 
     def report_suspects(self, records: Sequence[SuspectRecord]) -> None:
         """Tell all peers what has changed about suspected parts of prompts."""
@@ -263,8 +263,8 @@
                 self._callbacks.on_loss(fingerprint, loss_id)
             case LossesReport() as losses:
                 self._callbacks.on_losses(read_loss_report(losses, self._reactor.seconds()))
-            case NoticesReport() as notices:
-                self._callbacks.on_notices(read_notices(notices, self._reactor.seconds()))
+            case EarlyLossesReport() as early:
+                self._callbacks.on_early_losses(read_early_losses(early, self._reactor.seconds()))
             case SuspectsReport() as suspects:
                 self._learn_suspects(suspects)
             case LimitReport(instance=instance, started_ms=started_ms, per_s=per_s):
@@ -354,7 +354,7 @@
         for report in self._suspect_gossip.plan_reply(records, len(self._peers), now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
 
-    def _send_notices(self, report: NoticesReport) -> None:
+    def _send_early_losses(self, report: EarlyLossesReport) -> None:
         for _ in range(SENDS_PER_REPORT):
             self._broadcast(report)
 
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -9,10 +9,10 @@
 from greengagestage.gateway.peers import _peer_messages as messages
 from greengagestage.gateway.peers._peer_messages import (
     PROTOCOL_VERSION,
+    EarlyLoss,
+    EarlyLossesReport,
     LoadEntry,
     LoadsReport,
-    NoticedLoss,
-    NoticesReport,
     PeerBody,
     PeerMessage,
     Sender,
@@ -35,7 +35,7 @@
     "loads": LoadsReport(41, [LoadEntry(7, 120, 1, 2, 30, 90, 0, 11)]),
     "duty": DutyReport("usage_reporting", HostId("front-1"), 7, 3, 1, HostId("front-2"), 70, 69),
     "usage": UsageReport(71, {WorkspaceId("ws-1"): 412}, True, 0, 1),
-    "notices": NoticesReport([NoticedLoss("f" * 32, "10.0.0.1", 80, 40, 3)]),
+    "early-losses": EarlyLossesReport([EarlyLoss("f" * 32, "10.0.0.1", 80, 40, 3)]),
     "usage-receipt": UsageReceipt(71),
     "versions": VersionsReport(
         ServiceName("engines"), 9, 12.5, -17_000, [VersionTimes(SoftwareVersion("v1"), None)], 4
