--- a/greengagestage/routing/_crash_suspects.py
+++ b/greengagestage/routing/_crash_suspects.py
@@ -1,7 +1,7 @@
 """Prompt parts that are suspected of crashing each upstream that begins to answer them."""
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -56,9 +56,16 @@
 
         Reports carry ages, so that the times of one that was read late are too late.
         """
-        difference_s = known.lost_s - self.lost_s
-        is_same = abs(known.sent_s - self.sent_s - difference_s) < TIME_TOLERANCE_S
-        return is_same and difference_s > TIME_TOLERANCE_S
+        return self.is_same_as(known) and known.lost_s - self.lost_s > TIME_TOLERANCE_S
+
+    def is_same_as(self, other: "PartLoss") -> bool:
+        """Whether two losses in one crash are of the same request, by how long it had been sent."""
+        difference_s = other.lost_s - self.lost_s
+        return abs(other.sent_s - self.sent_s - difference_s) < TIME_TOLERANCE_S
+
+    def shift(self, delay_s: float) -> "PartLoss":
+        """Return the loss with times that are earlier by the delay of its report."""
+        return replace(self, sent_s=self.sent_s - delay_s, lost_s=self.lost_s - delay_s)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -152,6 +159,21 @@
             del self.losses[_choose_dropped(self.losses.values()).crash]
         self.crashes = len(_select_successive(self.losses.values()))
 
+    def align(self, losses: Collection[PartLoss]) -> list[PartLoss]:
+        """Return the losses of a report with the times that fit to those which are known.
+
+        Within a report, the times are exact to each other. Reports are read with different delays,
+        so that a request may seem to have been sent before the loss that it followed.
+        """
+        pairs = ((loss, self.losses.get(loss.crash)) for loss in losses)
+        delays_s = [
+            loss.lost_s - known.lost_s
+            for loss, known in pairs
+            if known is not None and loss.is_same_as(known) and not loss.corrects(known)
+        ]
+        delay_s = max(delays_s, default=0.0)
+        return [loss if loss.crash in self.losses else loss.shift(delay_s) for loss in losses]
+
     def drop_until(self, answered_s: float) -> bool:
         """Drop the losses up to an answer; return whether there were any."""
         kept = {crash: loss for crash, loss in self.losses.items() if loss.lost_s > answered_s}
@@ -240,7 +262,8 @@
         for record in records:
             if record.answered_s is not None:
                 self._add_answer(record.part, record.answered_s)
-            added = [self._add_loss(record.part, loss) for loss in record.losses]
+            suspect = self._suspects.get(record.part, _Suspect())
+            added = [self._add_loss(record.part, loss) for loss in suspect.align(record.losses)]
             if not all(added):
                 contradicted.append(self._build_record(record.part))
         return contradicted
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -236,6 +236,23 @@
     assert times[1] == pytest.approx(times[0], abs=0.01)
 
 
+# Guards against hosts that send on what crashes upstreams, since they read the reports of two
+# crashes with different delays and lose their order, and against blame for crashes together.
+@pytest.mark.parametrize("delays_s", [(0.09, 0.0), (0.0, 0.09)])
+@pytest.mark.parametrize(("sent_s", "is_in_sequence"), [(1.001, True), (0.95, False)])
+def test_crashes_that_are_told_with_different_delays_keep_their_order(
+    delays_s: tuple[float, float], sent_s: float, is_in_sequence: bool
+) -> None:
+    first, told = CrashSuspects(), CrashSuspects()
+    second = build_loss(2, sent_s=sent_s, lost_s=1.03)
+    for loss, delay_s in zip((build_loss(1, lost_s=1.0), second), delays_s, strict=True):
+        first.record_loss(build_parts("bad"), loss)
+        told_s = loss.lost_s + 0.1
+        (report,) = build_suspect_reports(first.list_records(told_s), told_s)
+        told.learn(read_suspect_report(report, told_s + delay_s))
+    assert is_kept_back(told, "bad") is is_in_sequence
+
+
 # Guards against evidence that is never told again, since older parts with more of it fill a round.
 def test_all_parts_are_told_again_however_many_there_are() -> None:
     suspects, told = CrashSuspects(), CrashSuspects()
