--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -350,20 +350,18 @@
 
         Others at which an equal request was lost before or after, through any host, do not count.
         """
-        endpoint = _get_endpoint(lost.upstream)
-        explained = self._recent_losses.list_explained(lost.observe())
-        retried = {Endpoint(address=address, port=port) for address, port in explained}
         aborted = self._pool.list_aborted(
             lost.lost_s - SIMULTANEOUS_S, lost.lost_s + SIMULTANEOUS_S
         )
-        unexplained = aborted - (retried - {endpoint})
-        if len(aborted) > 1:
+        ended_s = {(each.address, each.port): time_s for each, time_s in aborted.items()}
+        unexplained = self._recent_losses.list_unexplained(lost.observe(), ended_s)
+        if len(ended_s) > 1:
             log_message(
                 message_type="upstream: ended with others",
                 upstream=lost.upstream.instance,
                 request=lost.attempt_id,
-                ended=len(aborted),
-                unexplained=sorted(f"{each.address}:{each.port}" for each in unexplained),
+                ended=len(ended_s),
+                unexplained=[f"{address}:{port}" for address, port in unexplained],
             )
         return len(unexplained)
 
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -180,10 +180,10 @@
             for connection in self._open.get(endpoint, ())
         )
 
-    def list_aborted(self, began_s: float, ended_s: float) -> set[Endpoint]:
-        """Return the servers to which connections were last aborted within a span of time."""
+    def list_aborted(self, began_s: float, ended_s: float) -> dict[Endpoint, float]:
+        """Return the servers to which connections were last aborted in a span of time, and when."""
         return {
-            endpoint
+            endpoint: aborted_s
             for endpoint, aborted_s in self._aborted_s.items()
             if began_s <= aborted_s <= ended_s
         }
--- a/greengagestage/routing/_recent_losses.py
+++ b/greengagestage/routing/_recent_losses.py
@@ -1,20 +1,24 @@
 """The answers that all hosts have lost lately, to tell crashes from failures of a host's links.
 
-The ends of connections to several upstreams at the same time have a common cause, unless equal
-requests explain them: a request that crashes upstreams is sent again at once, by its caller through
+Connections to several upstreams that end at the same time have a common cause, unless equal
+requests explain it: a request that crashes upstreams is sent again at once, by its caller through
 any host, so that the crashes under it are milliseconds apart.
 """
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
+from itertools import islice
 
 from greengagestage.ids import Fingerprint
 
 RECENT_S = 1.0
-"""Time for which losses are kept."""
+"""Time for which losses are kept: ten times that after which a loss is judged."""
 
-MAX_RECENT = 2_048
-"""Maximum number of losses that are kept; the first known ones are dropped."""
+MAX_EQUAL = 64
+MAX_FINGERPRINTS = 2_048
+"""Maximum numbers of losses kept under equal requests, of which a quarantine takes three, and of
+fingerprints. The first known ones are dropped: where so many are lost, links have failed."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,27 +38,58 @@
     sent_s: float
     lost_s: float
 
-    def is_in_sequence_with(self, other: "ObservedLoss") -> bool:
-        """Whether one of two requests was sent after the answer to the other one was lost."""
-        return self.sent_s >= other.lost_s or other.sent_s >= self.lost_s
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """Address and port of the upstream."""
+        return self.address, self.port
+
+    @property
+    def duration_s(self) -> float:
+        """Time from the send to the loss, which the delay of a message does not change."""
+        return self.lost_s - self.sent_s
 
 
 class RecentLosses:
     """The losses of the last second, on this host and on others."""
 
     def __init__(self) -> None:
-        self._losses: deque[ObservedLoss] = deque(maxlen=MAX_RECENT)
+        self._losses: dict[Fingerprint, deque[ObservedLoss]] = {}
 
     def add(self, loss: ObservedLoss) -> None:
         """Keep a loss for a while."""
-        self._losses.append(loss)
-        while self._losses[0].lost_s < loss.lost_s - RECENT_S:
-            self._losses.popleft()
-
-    def list_explained(self, loss: ObservedLoss) -> set[tuple[str, int]]:
-        """Return the addresses and ports at which equal requests were lost before or after one."""
-        return {
-            (other.address, other.port)
-            for other in self._losses
-            if other.fingerprint == loss.fingerprint and other.is_in_sequence_with(loss)
+        equal = self._losses.pop(loss.fingerprint, None) or deque(maxlen=MAX_EQUAL)
+        equal.append(loss)
+        self._losses[loss.fingerprint] = equal
+        oldest_s = loss.lost_s - RECENT_S
+        while equal[0].lost_s < oldest_s:
+            equal.popleft()
+        for fingerprint, losses in list(islice(self._losses.items(), 2)):
+            if losses[-1].lost_s < oldest_s or len(self._losses) > MAX_FINGERPRINTS:
+                del self._losses[fingerprint]
+
+    def list_unexplained(
+        self, loss: ObservedLoss, ended_s: Mapping[tuple[str, int], float]
+    ) -> list[tuple[str, int]]:
+        """Return the upstreams whose connections equal requests do not explain.
+
+        An equal request explains them if it was lost there, and one of the two was sent after the
+        answer to the other one was lost. Requests under way together are lost to a common cause.
+
+        Args:
+            loss: A loss of this host.
+            ended_s: When this host's connections to upstreams ended, by address and port. The loss
+                of another host's request at one of them was at that time, too.
+        """
+        equal = self._losses.get(loss.fingerprint, ())
+        explained = {
+            other.endpoint
+            for other in equal
+            if other.endpoint in ended_s
+            and _are_successive(loss, ended_s[other.endpoint], other.duration_s)
         }
+        return [each for each in ended_s if each == loss.endpoint or each not in explained]
+
+
+def _are_successive(loss: ObservedLoss, lost_s: float, duration_s: float) -> bool:
+    """Whether one of two requests was sent after the answer to the other one was lost."""
+    return loss.sent_s >= lost_s or lost_s - duration_s >= loss.lost_s
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -210,6 +210,11 @@
     port: Any = None
 
     def handle(self, request: IncomingRequest, responder: Responder) -> None:
+        # The port of an upstream that has ended may be another test's by now.
+        expected = request.get(b"greengagestage-expect-instance")
+        if expected is not None and expected.decode() != self.name:
+            responder.answer(421, [(b"Greengagestage-Not-Executed", b"1")], b"")
+            return
         self.requests.append(request)
         responder.listener = self
         self.behavior(self, request, responder)
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -33,13 +33,13 @@
 
     Attributes:
         told: The losses that other hosts are told of.
-        aborted: The upstreams whose connections end at the time of a loss.
+        aborted: When the connections to upstreams ended.
     """
 
     def __init__(self, *, survivors: int = 0, opens: bool = True) -> None:
         self.clock = Clock()
         self.told: list[str] = []
-        self.aborted: set[Endpoint] = set()
+        self.aborted: dict[Endpoint, float] = {}
         open_ = self._open_connection if opens else self._fail_to_open
         pool = SimpleNamespace(
             count_alive_since_before=lambda endpoint, time_s: survivors,
@@ -115,23 +115,28 @@
 # Guards against a failure of links that passes for crashes under equal requests, since several
 # hosts lose them together, and against the opposite: only requests that were sent one after the
 # other explain the ends of connections to several upstreams.
-@pytest.mark.parametrize(("sent_after_s", "is_crash"), [(0.01, True), (-0.01, False)])
+# Other hosts' losses are heard of late, at which their times must not be taken to be later.
+@pytest.mark.parametrize(
+    ("sent_after_s", "lost_after_s", "is_crash"),
+    [(0.01, 0.03, True), (-0.01, 0.03, False), (-0.04, -0.02, True)],
+)
+@pytest.mark.parametrize("delay_s", [0.0, 0.08])
 def test_losses_of_other_hosts_explain_the_ends_of_connections_in_sequence(
-    sent_after_s: float, is_crash: bool
+    sent_after_s: float, lost_after_s: float, delay_s: float, is_crash: bool
 ) -> None:
     elsewhere = Endpoint(address="10.0.0.9", port=80)
     judged = JudgedLosses()
     for number in range(3):
-        upstream = build_upstream(number)
-        judged.aborted = {elsewhere, Endpoint(address=upstream.address, port=upstream.port)}
+        upstream, now_s = build_upstream(number), judged.clock.seconds()
+        own = Endpoint(address=upstream.address, port=upstream.port)
+        judged.aborted = {own: now_s, elsewhere: now_s + lost_after_s}
         judged.lose(number)
-        now_s = judged.clock.seconds()
         other = ObservedLoss(
             fingerprint=Fingerprint("f"),
             address=elsewhere.address,
             port=elsewhere.port,
-            sent_s=now_s + sent_after_s,
-            lost_s=now_s + 0.03,
+            sent_s=now_s + sent_after_s + delay_s,
+            lost_s=now_s + lost_after_s + delay_s,
         )
         judged.watch.remember(other)
         judged.clock.advance(1.2)
--- a/tests/test_trial_losses.py
+++ b/tests/test_trial_losses.py
@@ -27,7 +27,7 @@
     clock, job, upstream = Clock(), build_job(1, route=LONG), build_upstream(1)
     connections = SimpleNamespace(
         count_alive_since_before=lambda endpoint, time_s: 0,
-        list_aborted=lambda began_s, ended_s: set(),
+        list_aborted=lambda began_s, ended_s: {},
     )
     watch = CrashWatch(reactor=clock, pool=connections, report=lambda records: None)
     quarantine = Quarantine(
