--- a/greengagestage/gateway/peers/_early_losses.py
+++ b/greengagestage/gateway/peers/_early_losses.py
@@ -1,6 +1,7 @@
 """Reports between hosts of answers that have just been lost, before it is judged whether upstreams
 have crashed."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -13,9 +14,14 @@
 """Time for which losses are collected. Hosts judge a loss after 0.1 s, by those of 0.05 s before
 and after it."""
 
-MAX_EARLY_LOSSES = 18
-"""Maximum number of losses that are reported at a time, in one datagram with 60 bytes for each.
-More of them at once have a common cause."""
+MAX_REPORT_BYTES = 1_200
+ENTRY_BYTES = 24
+"""Size of the entries of one datagram, and of one of them without its texts. Only one is sent at a
+time: losses that do not fit have a common cause."""
+
+MAX_REPORTS = 10
+"""Maximum number of reports in a second, each of which goes to all hosts. A quarantine takes three
+losses; a host whose callers lose more has other trouble."""
 
 
 class EarlyLossReporter:
@@ -29,17 +35,28 @@
         self._reactor = reactor
         self._send = send
         self._losses: list[ObservedLoss] = []
+        self._bytes = 0
+        self._reported_s: deque[float] = deque(maxlen=MAX_REPORTS)
 
     def add(self, loss: ObservedLoss) -> None:
-        """Report a loss soon, unless too many others are to be reported."""
+        """Report a loss soon, unless too many others are, or have been, reported."""
+        size = _measure(loss)
+        if self._bytes + size > MAX_REPORT_BYTES or self._has_reported_enough():
+            return
         if not self._losses:
             self._reactor.callLater(COLLECTION_S, self._report)
-        if len(self._losses) < MAX_EARLY_LOSSES:
-            self._losses.append(loss)
+        self._losses.append(loss)
+        self._bytes += size
+
+    def _has_reported_enough(self) -> bool:
+        reported_s = self._reported_s
+        oldest_s = self._reactor.seconds() - 1.0
+        return len(reported_s) == MAX_REPORTS and reported_s[0] > oldest_s
 
     def _report(self) -> None:
-        losses, self._losses = self._losses, []
+        losses, self._losses, self._bytes = self._losses, [], 0
         now_s = self._reactor.seconds()
+        self._reported_s.append(now_s)
         self._send(EarlyLossesReport([_encode(loss, now_s) for loss in losses]))
 
 
@@ -55,6 +72,10 @@
         )
 
 
+def _measure(loss: ObservedLoss) -> int:
+    return ENTRY_BYTES + len(loss.fingerprint.encode()) + len(loss.address.encode())
+
+
 def _encode(loss: ObservedLoss, now_s: float) -> EarlyLoss:
     return EarlyLoss(
         loss.fingerprint,
--- a/greengagestage/gateway/peers/_peers.py
+++ b/greengagestage/gateway/peers/_peers.py
@@ -136,7 +136,7 @@
         self._load_exchange = LoadExchange(host=host, domain=domain)
         self._stream_relay = StreamRelay(exchange=self._load_exchange)
         self._suspect_gossip = SuspectGossip(draw=draw)
-        self._early_losses = EarlyLossReporter(reactor=reactor, send=self._send_early_losses)
+        self._early_losses = EarlyLossReporter(reactor=reactor, send=self._broadcast)
         self._logged_hub = host
         self._routed_work: Work | None = None
         self._routed_upstreams: list[InstanceId] = []
@@ -354,10 +354,6 @@
         for report in self._suspect_gossip.plan_reply(records, len(self._peers), now_s):
             self._send(host, PeerMessage(self._take_next_sender(), report))
 
-    def _send_early_losses(self, report: EarlyLossesReport) -> None:
-        for _ in range(SENDS_PER_REPORT):
-            self._broadcast(report)
-
     def _update_router(self) -> None:
         """Pass the work of all other hosts to this host's router."""
         work = self._load_exchange.sum_peer_work(self._reactor.seconds())
--- a/tests/test_report_parts.py
+++ b/tests/test_report_parts.py
@@ -1,6 +1,14 @@
 """Tests of reports that are sent in parts."""
 
+from twisted.internet.task import Clock
+
+from greengagestage.gateway.peers._early_losses import (
+    COLLECTION_S,
+    MAX_REPORTS,
+    EarlyLossReporter,
+)
 from greengagestage.gateway.peers._peer_messages import (
+    MAX_DATAGRAM_BYTES,
     DemandEntry,
     LoadEntry,
     LoadReport,
@@ -8,9 +16,11 @@
     PeerMessage,
     Sender,
     Work,
+    encode_message,
 )
 from greengagestage.gateway.peers._report_parts import ReportAssembler, split_reports
-from greengagestage.ids import FailureDomain, HostId, ServiceName
+from greengagestage.ids import FailureDomain, Fingerprint, HostId, ServiceName
+from greengagestage.routing import ObservedLoss
 
 HOST = HostId("h1")
 WORK = Work(
@@ -57,3 +67,26 @@
     (complete,) = receive(assembler, [second[2]])
     assert complete.sender.sequence == 20
     assert complete.body == LoadReport(FailureDomain("a"), WORK)
+
+
+# Guards against reports of losses that are dropped as too large, and against thousands of them from
+# each host while links fail.
+def test_reports_of_early_losses_fit_into_a_datagram_and_are_few() -> None:
+    clock, sizes = Clock(), []
+    sender = Sender(3, HostId("h" * 60), 2**40, 2**32)
+    reporter = EarlyLossReporter(
+        reactor=clock,
+        send=lambda body: sizes.append(len(encode_message(PeerMessage(sender, body)))),
+    )
+    for number in range(2_000):
+        loss = ObservedLoss(
+            fingerprint=Fingerprint("f" * 32),
+            address="fe80:" * 8,
+            port=65_535 - number,
+            sent_s=clock.seconds() - 1_000.0,
+            lost_s=clock.seconds(),
+        )
+        reporter.add(loss)
+        clock.advance(COLLECTION_S / 20)
+    assert max(sizes) <= MAX_DATAGRAM_BYTES
+    assert len(sizes) <= MAX_REPORTS
