--- a/greengagestage/gateway/crashes/_crash_knowledge.py
+++ b/greengagestage/gateway/crashes/_crash_knowledge.py
@@ -58,7 +58,7 @@
         self._tell_suspects = report_suspects
         self._losses = LossTracker()
         self._watch = CrashWatch(
-            reactor=reactor, pool=pool, report=self._report_suspects, notify=report_early_loss
+            reactor=reactor, pool=pool, report=self._report_suspects, report_early=report_early_loss
         )
         self._table = CrashTable(
             reactor=reactor,
--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -117,7 +117,7 @@
 
     Args:
         report: Tells the other hosts of changed records.
-        notify: Tells the other hosts of a lost answer, before it is judged.
+        report_early: Tells the other hosts of a lost answer, before it is judged.
     """
 
     def __init__(
@@ -126,7 +126,7 @@
         reactor: Any,
         pool: ConnectionPool,
         report: Callable[[Sequence[SuspectRecord]], None],
-        notify: Callable[[ObservedLoss], None] = lambda loss: None,
+        report_early: Callable[[ObservedLoss], None] = lambda loss: None,
     ) -> None:
         self.suspects = CrashSuspects()
         self._recent_losses = RecentLosses()
@@ -136,11 +136,11 @@
         self._reactor = reactor
         self._pool = pool
         self._report = report
-        self._notify = notify
+        self._report_early = report_early
 
     def examine_loss(self, lost: LostAnswer) -> None:
         """Suspect a prompt whose answer had just begun, if its upstream has crashed."""
-        self._reactor.callLater(CRASH_CONFIRMATION_S, self._confirm, lost)
+        self._call_later(self._confirm, lost)
 
     def call_when_judged(
         self,
@@ -158,8 +158,8 @@
         """
         observed = lost.observe()
         self.remember(observed)
-        self._notify(observed)
-        self._reactor.callLater(CRASH_CONFIRMATION_S, self._judge, lost, on_crashed, on_other)
+        self._report_early(observed)
+        self._call_later(self._judge, lost, on_crashed, on_other)
 
     def remember(self, loss: ObservedLoss) -> None:
         """Keep a loss of any host for a while, so that the retries of its request can be found."""
@@ -252,6 +252,15 @@
         if cleared:
             self._report(cleared)
 
+    def _call_later(self, judge: Callable[..., None], *arguments: Any) -> None:
+        """Judge a loss once it shows which connections have ended with it.
+
+        Timers run before sockets are read, so that a process which was held up would take ends that
+        have arrived for connections that live on.
+        """
+        call_later = self._reactor.callLater
+        call_later(CRASH_CONFIRMATION_S, call_later, 0.0, judge, *arguments)
+
     def _judge(
         self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
     ) -> None:
--- a/greengagestage/gateway/peers/_early_losses.py
+++ b/greengagestage/gateway/peers/_early_losses.py
@@ -12,7 +12,7 @@
 
 COLLECTION_S = 0.01
 """Time for which losses are collected. Hosts judge a loss after 0.1 s, by those of 0.05 s before
-and after it."""
+and after it, which leaves 0.04 s for the way of a report."""
 
 MAX_REPORT_BYTES = 1_200
 ENTRY_BYTES = 24
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -32,17 +32,19 @@
     """A quarantine whose host's connections and registry a test sets.
 
     Attributes:
+        survivors: Number of connections to the lost upstream that seem to live on.
         told: The losses that other hosts are told of.
         aborted: When the connections to upstreams ended.
     """
 
     def __init__(self, *, survivors: int = 0, opens: bool = True) -> None:
         self.clock = Clock()
+        self.survivors = survivors
         self.told: list[str] = []
         self.aborted: dict[Endpoint, float] = {}
         open_ = self._open_connection if opens else self._fail_to_open
         pool = SimpleNamespace(
-            count_alive_since_before=lambda endpoint, time_s: survivors,
+            count_alive_since_before=lambda endpoint, time_s: self.survivors,
             list_aborted=lambda began_s, ended_s: self.aborted,
             open=open_,
             put_idle=lambda endpoint, connection: None,
@@ -112,6 +114,17 @@
     assert len(judged.told) == (3 if is_crash else 0)
 
 
+# Guards against crashes that go unnoticed at a host which was held up: it judges by connections
+# whose ends have arrived, but are not read yet.
+def test_a_loss_is_judged_after_the_ends_of_connections_have_been_read() -> None:
+    judged = JudgedLosses(survivors=1)
+    for number in range(3):
+        judged.lose(number)
+    judged.clock.callLater(0.1, setattr, judged, "survivors", 0)  # read after the timers have run
+    judged.clock.advance(0.2)
+    assert judged.is_quarantined
+
+
 # Guards against a failure of links that passes for crashes under equal requests, since several
 # hosts lose them together, and against the opposite: only requests that were sent one after the
 # other explain the ends of connections to several upstreams.
