--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -196,6 +196,7 @@
     """A stand-in upstream with a replaceable behavior.
 
     Attributes:
+        former_names: Upstreams that had its address before, whose requests its behavior handles.
         hanging: Responders of requests that were left unanswered.
         disconnects: Number of connections that the host closed before the answer.
     """
@@ -204,6 +205,7 @@
     service: str
     reactor: Any
     behavior: Behavior = serve
+    former_names: tuple[str, ...] = ()
     requests: list[IncomingRequest] = field(default_factory=list)
     hanging: list[Responder] = field(default_factory=list)
     disconnects: int = 0
@@ -212,7 +214,7 @@
     def handle(self, request: IncomingRequest, responder: Responder) -> None:
         # The port of an upstream that has ended may be another test's by now.
         expected = request.get(b"greengagestage-expect-instance")
-        if expected is not None and expected.decode() != self.name:
+        if expected is not None and expected.decode() not in (self.name, *self.former_names):
             responder.answer(421, [(b"Greengagestage-Not-Executed", b"1")], b"")
             return
         self.requests.append(request)
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -36,6 +36,7 @@
 
     def __post_init__(self) -> None:
         self.upstream.behavior = self.handle
+        self.upstream.former_names = self.ended
         for ended in self.ended:
             self.fleet.store.put("servers", ended, self.upstream.build_entry())
         self.fleet.store.remove("servers", self.upstream.name)
