--- a/tests/reactors.py
+++ b/tests/reactors.py
@@ -5,7 +5,6 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from itertools import islice
 from random import SystemRandom
 from typing import Any
 
@@ -19,29 +18,46 @@
 NON_EPHEMERAL_PORTS = range(20_000, 32_000)
 """Ports outside the range from which operating systems assign free ports to sockets."""
 
-MAX_REMEMBERED_PORTS = 400
-"""Number of ports that are not chosen again: more than a test chooses before it listens."""
+KINDS = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+
+MAX_RESERVATIONS = 100
+"""Number of ports reserved by a process: more than a test chooses before it listens."""
 
 _random = SystemRandom()
-_chosen_ports: deque[int] = deque(maxlen=MAX_REMEMBERED_PORTS)
+_reservations: deque[socket.socket] = deque()
 
 
 def choose_address() -> str:
     """Return a loopback address whose port is free for both TCP and UDP.
 
     The port lies outside the ephemeral range, so that the system does not assign it to another
-    socket before the test listens on it.
+    socket before the test listens on it, and no other process of the tests chooses it meanwhile.
     """
-    remembered = min(MAX_REMEMBERED_PORTS, len(NON_EPHEMERAL_PORTS) // 2)
     while True:
         port = _random.choice(NON_EPHEMERAL_PORTS)
-        if port in islice(reversed(_chosen_ports), remembered):
-            continue
-        if is_free(port, socket.SOCK_STREAM) and is_free(port, socket.SOCK_DGRAM):
-            _chosen_ports.append(port)
+        # Reserved first: a probe, too, keeps others from listening on the port.
+        if reserve_port(port) and all(is_free(port, kind) for kind in KINDS):
             return f"127.0.0.1:{port}"
 
 
+def reserve_port(port: int) -> bool:
+    """Reserve a port among all test processes of this machine; return whether none had done so.
+
+    The name of an abstract socket is unique, and does not occupy the port itself. The oldest
+    reservation ends where a process has more than ``MAX_RESERVATIONS``.
+    """
+    reservation = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    try:
+        reservation.bind(f"\0greengagestage-tests-port-{port}")
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    if len(_reservations) > MAX_RESERVATIONS:
+        _reservations.popleft().close()
+    return True
+
+
 def is_free(port: int, kind: socket.SocketKind) -> bool:
     """Whether no socket uses a port, at whatever address: fleets listen on several of them."""
     with socket.socket(type=kind) as probe:
--- a/tests/test_reactors.py
+++ b/tests/test_reactors.py
@@ -1,11 +1,32 @@
 """Tests of the choice of ports for tests."""
 
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
+from . import reactors
 from .reactors import choose_address, is_free
 
+CHOOSE_AND_WAIT = """
+import sys
+from tests.reactors import choose_address
+print(choose_address(), flush=True)
+sys.stdin.read()
+"""
+
+
+class Draws:
+    """Draws the given ports in order."""
+
+    def __init__(self, *ports: int) -> None:
+        self._ports = iter(ports)
+
+    def choice(self, _: range) -> int:
+        return next(self._ports)
+
 
 # Guards against a port that another test's host uses at another loopback address.
 @pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
@@ -20,3 +41,20 @@
             used.listen()
         assert not is_free(port, kind)
     assert is_free(port, kind)
+
+
+# Guards against a port that a test of another process has chosen and does not listen on yet.
+@pytest.mark.process
+def test_a_port_that_another_process_has_chosen_is_not_chosen(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    command = [sys.executable, "-c", CHOOSE_AND_WAIT]
+    directory = Path(__file__).parents[1]
+    with subprocess.Popen(
+        command, cwd=directory, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    ) as other:
+        assert other.stdout is not None
+        taken = int(other.stdout.readline().rpartition(":")[2])
+        monkeypatch.setattr(reactors, "_random", Draws(taken, *reactors.NON_EPHEMERAL_PORTS))
+        assert choose_address() != f"127.0.0.1:{taken}"
+        other.communicate("")
