--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -169,7 +169,6 @@
             self._peers,
             self._memory_watch,
         )
-        self._ports: list[Any] = []
 
     def start(self) -> None:
         """Open the listeners and start watching the store.
@@ -178,13 +177,14 @@
             twisted.internet.error.CannotListenError: A listener could not be bound to its address.
         """
         settings = self._settings
-        self._listen(settings.callers, self._caller_server)
-        self._listen(settings.readiness, self._readiness_server)
-        self._listen((settings.address, settings.peer_port), self._forwarding_server)
-        self._ports.append(
-            self._reactor.listenUDP(
-                settings.peer_port, self._peers, interface=settings.address, maxPacketSize=2_048
-            )
+        for server, (address, port) in (
+            (self._caller_server, settings.callers),
+            (self._readiness_server, settings.readiness),
+            (self._forwarding_server, (settings.address, settings.peer_port)),
+        ):
+            server.listen(address, port, backlog=LISTEN_BACKLOG)
+        self._reactor.listenUDP(
+            settings.peer_port, self._peers, interface=settings.address, maxPacketSize=2_048
         )
         for task in self._tasks:
             task.start()
@@ -216,12 +216,11 @@
         self._pool.close()
         self._forwarding_pool.close()
         self._rows.close()
-        log_message(message_type="host: stopped")
-
-    def _listen(self, address: tuple[str, int], factory: ServerFactory) -> None:
-        host, port = address
-        self._ports.append(
-            self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+        log_message(
+            message_type="host: stopped",
+            connections=len(self._caller_server.connections),
+            unread_requests=self._caller_server.count_unread(),
+            unaccepted_connections=self._caller_server.count_unaccepted(),
         )
 
     def _build_crash_knowledge(self, random: Random) -> CrashKnowledge:
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -16,6 +16,7 @@
 from ._pipelining import ByteArrivals
 from ._requests import IncomingRequest, LimitExceeded
 from ._sockets import (
+    count_unaccepted,
     count_undelivered_bytes,
     count_unsent_bytes,
     has_unread_bytes,
@@ -86,6 +87,15 @@
         self.late_reads = 0
         self.longest_unread_s = 0.0
         self.connections: set[CallerConnection] = set()
+        self._listener: Any = None
+
+    def listen(self, host: str, port: int, *, backlog: int) -> None:
+        """Accept connections at an address.
+
+        Raises:
+            twisted.internet.error.CannotListenError: The address is in use or not this machine's.
+        """
+        self._listener = self.reactor.listenTCP(port, self, backlog=backlog, interface=host)
 
     def buildProtocol(self, addr: Any) -> Any:
         """Build the protocol of a new connection."""
@@ -120,6 +130,10 @@
         """Return the number of connections on which bytes wait that may be a request."""
         return sum(connection.has_unread_bytes for connection in self.connections)
 
+    def count_unaccepted(self) -> int:
+        """Return the number of opened connections that wait to be accepted."""
+        return 0 if self._listener is None else count_unaccepted(self._listener)
+
     def count_sending(self) -> int:
         """Return the number of connections with written bytes that the process still holds."""
         return sum(connection.unsent_bytes > 0 for connection in self.connections)
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -20,6 +20,10 @@
 """The beginning of Linux's ``tcp_info``, with two of its fields: ``tcpi_last_data_recv``, the
 milliseconds since the last bytes have arrived, and ``tcpi_bytes_received``, the number of all."""
 
+_LISTEN_INFO_BEGIN = struct.Struct("=24xI")
+"""The beginning of ``tcp_info`` with ``tcpi_unacked``, for a listening socket the number of
+connections in its queue."""
+
 BUFFER_BYTES = 16_384
 """Bytes of one read, and of what is written and unsent above which a producer is paused. Hundreds
 of connections can add both before a process that runs short of memory closes one of them."""
@@ -83,20 +87,32 @@
     The system tells it for the last bytes that have arrived, in steps of some milliseconds. Times
     below ``MIN_UNREAD_S`` are 0, as are all where the system does not tell them.
     """
-    option = getattr(socket, "TCP_INFO", None)
-    if option is None or not transport.connected:
+    info = _read_tcp_info(transport.getHandle(), _TCP_INFO_BEGIN) if transport.connected else None
+    if info is None:
         return 0.0
-    try:
-        answer = transport.getHandle().getsockopt(socket.IPPROTO_TCP, option, _TCP_INFO_BEGIN.size)
-    except OSError:
-        return 0.0
-    if len(answer) < _TCP_INFO_BEGIN.size:
-        return 0.0
-    unread_ms, received_bytes = _TCP_INFO_BEGIN.unpack(answer)
+    unread_ms, received_bytes = info
     unread_s: float = unread_ms / 1_000
     return unread_s if received_bytes and unread_s >= MIN_UNREAD_S else 0.0
 
 
+def count_unaccepted(listener: Any) -> int:
+    """Return the number of connections in the queue of a listening socket; 0 if it is not known."""
+    info = _read_tcp_info(listener.socket, _LISTEN_INFO_BEGIN) if listener.connected else None
+    return 0 if info is None else int(info[0])
+
+
+def _read_tcp_info(handle: socket.socket, layout: struct.Struct) -> tuple[Any, ...] | None:
+    """Return fields of the system's ``tcp_info``; None where it does not tell them."""
+    option = getattr(socket, "TCP_INFO", None)
+    if option is None:
+        return None
+    try:
+        answer = handle.getsockopt(socket.IPPROTO_TCP, option, layout.size)
+    except OSError:
+        return None
+    return layout.unpack(answer) if len(answer) == layout.size else None
+
+
 def _count_unacknowledged(handle: socket.socket) -> int:
     """Return the number of bytes in the kernel's send queue; 0 where it cannot be read."""
     size = struct.Struct("i")
