--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -23,6 +23,9 @@
 """Open requests are awaited until this long before the end of the grace period, when the process
 would be killed."""
 
+END_MARGIN_S = 0.2
+"""The last answers are sent until this long before the end of the grace period."""
+
 
 class Stoppable(Protocol):
     """A request that is still open."""
@@ -40,7 +43,9 @@
 
     It reports itself as not ready, still serves requests until the load balancer has removed it,
     then refuses new ones and waits for the open ones. Requests that are still open shortly before
-    the end of the grace period are interrupted; callers whose answer has not begun are told so.
+    the end of the grace period are interrupted; callers whose answer has not begun are told so. At
+    the end it accepts no more connections, closes those without a request and answers what has
+    arrived on the others.
     """
 
     def __init__(
@@ -87,12 +92,11 @@
         self._check_open_requests()
 
     def _check_open_requests(self) -> None:
+        """Take the last requests once none is open, or when the grace period is nearly over."""
         open_requests = len(self._open_exchanges)
         unsent_answers = sum(server.count_sending() for server in self._servers)
         unread = sum(server.count_unread() for server in self._servers)
-        elapsed_s = self._reactor.seconds() - self._began_s
-        is_busy = open_requests or unsent_answers or unread
-        if is_busy and elapsed_s < self.grace_s - GRACE_MARGIN_S:
+        if (open_requests or unsent_answers or unread) and self._has_time(GRACE_MARGIN_S):
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_open_requests)
             return
         if open_requests or unsent_answers:
@@ -103,10 +107,24 @@
             )
             for exchange in list(self._open_exchanges):
                 self._stop_exchange(exchange)
-            self._reactor.callLater(CHECK_INTERVAL_S, self._end)
-            return
-        # The process ends before it can read anything more: what it reads, it also answers.
-        self._end()
+        for server in self._servers:
+            server.stop_accepting()
+        self._check_last_requests()
+
+    def _check_last_requests(self) -> None:
+        """End once everything that has arrived is answered; connections without a request end."""
+        for server in self._servers:
+            server.close_idle()
+        is_busy = any(server.count_sending() or server.count_unread() for server in self._servers)
+        if is_busy and self._has_time(END_MARGIN_S):
+            self._reactor.callLater(CHECK_INTERVAL_S, self._check_last_requests)
+        else:
+            self._end()
+
+    def _has_time(self, margin_s: float) -> bool:
+        """Whether the grace period lasts for longer than a margin."""
+        elapsed_s = self._reactor.seconds() - self._began_s
+        return bool(elapsed_s < self.grace_s - margin_s)
 
     def _end(self) -> None:
         if self._done is not None and not self._done.called:
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -19,8 +19,10 @@
     count_unaccepted,
     count_undelivered_bytes,
     count_unsent_bytes,
+    end_sending,
     has_unread_bytes,
     measure_unread_s,
+    stop_accepting,
     tune_socket,
 )
 from ._types import HeaderList
@@ -115,6 +117,11 @@
         self.evicted += len(slowest)
         return bool(slowest)
 
+    def stop_accepting(self) -> None:
+        """Accept the connections that callers have opened, then no more."""
+        if self._listener is not None:
+            stop_accepting(self._listener)
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for connection in list(self.connections):
@@ -334,10 +341,7 @@
         """
         if self._codec.trailing_data[0] or has_unread_bytes(self.transport) or self.unsent_bytes:
             return False
-        self.factory.idle_connections.pop(self, None)
-        self._ignoring_input = True
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self._close()
         return True
 
     def close_idle(self) -> None:
@@ -351,9 +355,14 @@
         if count_undelivered_bytes(self.transport):
             self._linger()
             return
+        self._close()
+
+    def _close(self) -> None:
+        """Close the connection, whose answers have all been sent."""
         self._ignoring_input = True
         self.factory.idle_connections.pop(self, None)
         self.transport.unregisterProducer()
+        end_sending(self.transport)
         self.transport.loseConnection()
 
     def _pause_reading(self) -> None:
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -4,8 +4,12 @@
 import socket
 import struct
 import termios
+from contextlib import suppress
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
 UNACKNOWLEDGED_LIMIT_S = 2.5
 """A connection to a server whose sent bytes stay unacknowledged for this long is closed; otherwise
 a broken network path goes unnoticed. The limit is shorter than three seconds, the bound set by the
@@ -81,6 +85,32 @@
         return False
 
 
+def end_sending(transport: Any) -> None:
+    """Tell the peer at once that nothing more is sent.
+
+    Twisted closes a connection when it next looks at its sockets. On a busy machine that can be a
+    while later, in which the peer would go on sending.
+    """
+    if transport.connected:
+        with suppress(OSError):
+            transport.getHandle().shutdown(socket.SHUT_WR)
+
+
+def stop_accepting(listener: Any) -> None:
+    """Accept the connections that wait in the queue of a listening socket, then close it at once.
+
+    The system resets the connections that are in the queue when the socket is closed.
+    """
+    if not listener.connected:
+        return
+    accepted = None
+    while listener.sessionno != accepted:
+        accepted = listener.sessionno
+        listener.doRead()
+    listener.stopReading()
+    listener.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+
+
 def measure_unread_s(transport: Any) -> float:
     """Return for how long the bytes that have just been read had waited for the process.
 
