--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -44,8 +44,8 @@
     It reports itself as not ready, still serves requests until the load balancer has removed it,
     then refuses new ones and waits for the open ones. Requests that are still open shortly before
     the end of the grace period are interrupted; callers whose answer has not begun are told so. At
-    the end it accepts no more connections, closes those without a request and answers what has
-    arrived on the others.
+    the end, when none is open, it accepts no more connections, closes those without a request and
+    answers what has arrived on the others.
     """
 
     def __init__(
@@ -64,6 +64,7 @@
         self._open_exchanges = open_exchanges
         self._done: Deferred[None] | None = None
         self._began_s = 0.0
+        self._interrupted = False
 
     @property
     def begun(self) -> bool:
@@ -93,20 +94,9 @@
 
     def _check_open_requests(self) -> None:
         """Take the last requests once none is open, or when the grace period is nearly over."""
-        open_requests = len(self._open_exchanges)
-        unsent_answers = sum(server.count_sending() for server in self._servers)
-        unread = sum(server.count_unread() for server in self._servers)
-        if (open_requests or unsent_answers or unread) and self._has_time(GRACE_MARGIN_S):
+        if self._open_exchanges and self._has_time(GRACE_MARGIN_S):
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_open_requests)
             return
-        if open_requests or unsent_answers:
-            log_message(
-                message_type="host: grace is over",
-                open_requests=open_requests,
-                unsent_answers=unsent_answers,
-            )
-            for exchange in list(self._open_exchanges):
-                self._stop_exchange(exchange)
         for server in self._servers:
             server.stop_accepting()
         self._check_last_requests()
@@ -115,12 +105,29 @@
         """End once everything that has arrived is answered; connections without a request end."""
         for server in self._servers:
             server.close_idle()
-        is_busy = any(server.count_sending() or server.count_unread() for server in self._servers)
-        if is_busy and self._has_time(END_MARGIN_S):
+        open_requests = len(self._open_exchanges)
+        unsent_answers = sum(server.count_sending() for server in self._servers)
+        unread = sum(server.count_unread() for server in self._servers)
+        if not self._has_time(GRACE_MARGIN_S):
+            self._interrupt(open_requests, unsent_answers)
+        if (open_requests or unsent_answers or unread) and self._has_time(END_MARGIN_S):
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_last_requests)
         else:
             self._end()
 
+    def _interrupt(self, open_requests: int, unsent_answers: int) -> None:
+        """Give the requests that are still open their final answers, the first time."""
+        if self._interrupted or not (open_requests or unsent_answers):
+            return
+        self._interrupted = True
+        log_message(
+            message_type="host: grace is over",
+            open_requests=open_requests,
+            unsent_answers=unsent_answers,
+        )
+        for exchange in list(self._open_exchanges):
+            self._stop_exchange(exchange)
+
     def _has_time(self, margin_s: float) -> bool:
         """Whether the grace period lasts for longer than a margin."""
         elapsed_s = self._reactor.seconds() - self._began_s
--- a/tests/test_end_of_stop.py
+++ b/tests/test_end_of_stop.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+from contextlib import ExitStack
 
 import pytest
 
@@ -67,3 +68,21 @@
         fleet.run_until(lambda: bool(stopped_s))
         caller.setblocking(False)
         assert caller.recv(4_096) == b""
+
+
+# Guards against a stop that lasts for the whole grace period since there is always a new request.
+def test_a_host_that_callers_go_on_asking_ends_when_no_request_is_open(fleet: HostFleet) -> None:
+    began_s = fleet.reactor.seconds()
+    stopped_s = begin_stop(fleet)
+    with ExitStack() as callers:
+
+        def ask_again() -> bool:
+            try:
+                caller = callers.enter_context(connect(fleet))
+                caller.sendall(harness.build_request("/nowhere/x"))
+            except ConnectionError:
+                pass
+            return bool(stopped_s)
+
+        fleet.run_until(ask_again)
+    assert stopped_s[0] - began_s < LOAD_BALANCER_DELAY_S + 1.0
