--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -15,8 +15,10 @@
     MemoryAccount,
     ObservedConnection,
     count_unsent_bytes,
+    end_sending,
     has_unread_bytes,
     limit_buffers,
+    stop_accepting,
 )
 from greengagestage.ids import RequestId
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
@@ -391,6 +393,11 @@
         if self._listener is not None and self._listener.connected:
             self._listener.startReading()
 
+    def stop_accepting(self) -> None:
+        """Accept the connections that callers have opened, then no more."""
+        if self._listener is not None:
+            stop_accepting(self._listener)
+
     @property
     def receiving(self) -> bool:
         """Whether any request has arrived in part."""
@@ -400,6 +407,7 @@
         """Close the connections that have no open request and no bytes that are not read yet."""
         for channel in list(self.channels):
             if channel.idle and not has_unread_bytes(channel.transport):
+                end_sending(channel.transport)
                 channel.loseConnection()
 
     def log(self, request: http.Request) -> None:
--- a/greengagestage/entry/_process.py
+++ b/greengagestage/entry/_process.py
@@ -147,7 +147,7 @@
     def stop(self) -> Deferred[None]:
         """Stop gracefully; the result fires when all work is finished."""
         if self._stopped is None:
-            self._stopped = self._shutdown.begin(self._listener).addCallback(self._close)
+            self._stopped = self._shutdown.begin().addCallback(self._close)
         return self._stopped
 
     def _receive(self, message: AgentMessage) -> None:
--- a/greengagestage/entry/_shutdown.py
+++ b/greengagestage/entry/_shutdown.py
@@ -56,18 +56,18 @@
         self._idle_since_s: float | None = None
         self._done: Deferred[None] = Deferred()
 
-    def begin(self, listener: Any) -> Deferred[None]:
+    def begin(self) -> Deferred[None]:
         """Start the stop; the result fires when it is finished. Later calls have no effect."""
         if not self._readiness.stopping:
             log_message(message_type="entry: stop begins")
             self._readiness.stopping = True
             self._server.closing = True
-            self._reactor.callLater(self._times.drain_notice_s, self._close, listener)
+            self._reactor.callLater(self._times.drain_notice_s, self._close)
         return self._done
 
-    def _close(self, listener: Any) -> None:
+    def _close(self) -> None:
         log_message(message_type="entry: listener closed", open_requests=len(self._shell.requests))
-        listener.stopListening()
+        self._server.stop_accepting()
         self._closed_at_s = self._reactor.seconds()
         self._check.start(CHECK_INTERVAL_S)
 
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -19,7 +19,13 @@
 from ._pool import ConnectionPool, Endpoint
 from ._requests import IncomingRequest, LimitExceeded, Responder
 from ._server import CallerConnection, ServerFactory
-from ._sockets import count_unsent_bytes, has_unread_bytes, limit_buffers
+from ._sockets import (
+    count_unsent_bytes,
+    end_sending,
+    has_unread_bytes,
+    limit_buffers,
+    stop_accepting,
+)
 from ._types import HeaderList
 
 __all__ = [
@@ -44,6 +50,8 @@
     "ServerFactory",
     "compute_held_limit",
     "count_unsent_bytes",
+    "end_sending",
     "has_unread_bytes",
     "limit_buffers",
+    "stop_accepting",
 ]
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -86,12 +86,12 @@
 
 
 def end_sending(transport: Any) -> None:
-    """Tell the peer at once that nothing more is sent.
+    """Tell the peer at once that nothing more is sent, unless written bytes are still unsent.
 
     Twisted closes a connection when it next looks at its sockets. On a busy machine that can be a
     while later, in which the peer would go on sending.
     """
-    if transport.connected:
+    if transport.connected and not count_unsent_bytes(transport):
         with suppress(OSError):
             transport.getHandle().shutdown(socket.SHUT_WR)
 
--- a/tests/test_entry_control.py
+++ b/tests/test_entry_control.py
@@ -1,5 +1,8 @@
 """Messages to and from the agent, and the graceful stop."""
 
+import socket
+import time
+
 import msgspec
 from twisted.internet.defer import inlineCallbacks
 from twisted.trial.unittest import TestCase
@@ -139,6 +142,19 @@
         assert reported == [*names, active.request_id]
 
 
+class BusyStopCase(EntryCase):
+    # Guards against a busy process that closes its listener over requests that wait in its queue.
+    @inlineCallbacks
+    def test_a_request_that_waits_to_be_accepted_is_answered(self):
+        stopped = self.process.stop()
+        with socket.create_connection(("127.0.0.1", self.process.port)) as caller:
+            caller.sendall(build_request(build_body()))
+            time.sleep(2 * self.times.drain_notice_s)
+            yield stopped
+            caller.setblocking(False)
+            assert caller.recv(4_096).startswith(b"HTTP/1.1 503 ")
+
+
 class StopCase(EntryCase):
     times = LifecycleTimes(drain_notice_s=2.0)
 
