--- a/soak/_retry_checks.py
+++ b/soak/_retry_checks.py
@@ -40,6 +40,11 @@
     _late_repeats: int = 0
     _long_deadlines: int = 0
 
+    @property
+    def repeats(self) -> int:
+        """Number of arrivals beyond the first of each request."""
+        return sum(map(len, self._repeats_s.values()))
+
     def check_arrival(self, attempt: Attempt, arrival: Arrival) -> None:
         """Check an arrival that the ledger has already recorded."""
         earlier = self.ledger.arrivals[arrival.attempt][:-1]
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -136,8 +136,9 @@
             f"{0 if self._upstreams is None else self._upstreams.repeated_refusals} refusals "
             "sent once more; "
             f"{early} processes ended by a signal before they listened; "
+            f"{0 if self._retries is None else self._retries.repeats} repeats, "
             f"{0.0 if self._retries is None else self._retries.largest_use:.2f} of the allowed "
-            f"repeats used at most; {self._crashes.summarize(self._findings.began_s)}"
+            f"used at most; {self._crashes.summarize(self._findings.began_s)}"
         )
 
     def write_excuses(self) -> None:
