--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -216,6 +216,8 @@
             return None
         # A request that crosses the close does not count. In this process, which plays the callers,
         # the links and the upstreams, it may be on its way for longer than ``LOSS_SLACK_S``.
+        if attempt.passed_s == math.inf and attempt.host_closed and self._was_to_stop(attempt):
+            return "its stopping host had closed before"
         taken_s = attempt.ended_s - attempt.last_byte_s
         lag_s = self._lag.find_sum_s(attempt.last_byte_s, attempt.ended_s)
         if attempt.passed_s == math.inf and taken_s <= LOSS_SLACK_S + lag_s:
@@ -237,12 +239,15 @@
         late_s = stop.began_s + GRACE_S * (1 - LATE_SHARE_OF_GRACE)
         return any((arrival.finished_s or attempt.ended_s) >= late_s for arrival in arrivals)
 
+    def _was_to_stop(self, attempt: Attempt) -> bool:
+        """Whether the request was cut while its host was to stop."""
+        began_s, ended_s = attempt.sent_s - GRACE_S - 1.0, attempt.ended_s
+        stop = self._disturbances.find_stop(attempt.host, began_s, ended_s)
+        return stop is not None and ended_s <= stop.began_s + GRACE_S + 1.0
+
     def _list_planned(self, attempt: Attempt) -> list[str]:
         began_s, ended_s, host = attempt.sent_s, attempt.ended_s, attempt.host
-        causes = []
-        stop = self._disturbances.find_stop(host, began_s - GRACE_S - 1.0, ended_s)
-        if stop is not None and ended_s <= stop.began_s + GRACE_S + 1.0:
-            causes.append("stop")
+        causes = ["stop"] if self._was_to_stop(attempt) else []
         if self._disturbances.find_reload(host, began_s - CONFIGURATION_APPLY_S, ended_s):
             causes.append("reload")
         if self._operator.find_change(began_s - CONFIGURATION_APPLY_S - 1.0, ended_s):
--- a/soak/_caller.py
+++ b/soak/_caller.py
@@ -14,6 +14,7 @@
 from ._bounds import LOSS_SLACK_S
 from ._ledger import Attempt, Ending, RequestPlan, StreamEvent
 from ._operator import HOST_NAME
+from ._proxy import Passage
 
 SIGNATURE = "greengagestage-server-signature"
 """Header of all answers of upstreams, and of no answer of a host itself."""
@@ -29,7 +30,7 @@
 
     Args:
         on_stray: Called with bytes that arrive while no request is open, or are no HTTP answer.
-        find_passed_s: Returns when the bytes from a local port had been passed on to the host.
+        find_passage: Returns what was passed on to the host of the bytes from a local port.
     """
 
     transport: Any
@@ -38,11 +39,11 @@
         self,
         clock: Any,
         on_stray: Callable[[Attempt | None, bytes], None],
-        find_passed_s: Callable[[int, int], float],
+        find_passage: Callable[[int], Passage],
     ) -> None:
         self._clock = clock
         self._on_stray = on_stray
-        self._find_passed_s = find_passed_s
+        self._find_passage = find_passage
         self._port = 0
         self._sent_bytes = 0
         self._codec = h11.Connection(h11.CLIENT)
@@ -128,10 +129,10 @@
     def _close_attempt(self, attempt: Attempt, ending: Ending) -> None:
         """Record the end of a request, and when the host can have read it."""
         attempt.ending, attempt.ended_s = ending, self._clock.seconds()
+        passage = self._find_passage(self._port)
         is_sent = attempt.last_offset > 0
-        attempt.passed_s = (
-            self._find_passed_s(self._port, attempt.last_offset) if is_sent else math.inf
-        )
+        attempt.passed_s = passage.find_passed_s(attempt.last_offset) if is_sent else math.inf
+        attempt.host_closed = passage.closed
 
     def dataReceived(self, data: bytes) -> None:
         if self._attempt is None:
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -89,6 +89,7 @@
         last_offset: Offset of the end of the request in all that was sent on its connection.
         passed_s: When the proxy had passed the whole request on to its host, whose side of the
             connection was still open; infinite if it had not, None if that is not known.
+        host_closed: Whether the proxy knew by the end that the host had closed its side.
     """
 
     plan: RequestPlan
@@ -107,6 +108,7 @@
     is_behind: bool = False
     last_offset: int = 0
     passed_s: float | None = None
+    host_closed: bool = False
 
     @property
     def closes(self) -> bool:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -46,9 +46,11 @@
 
     Attributes:
         ends: Offsets of the ends of what was passed on at once, and the times.
+        closed: Whether the target is known to have closed its side, or to have refused it.
     """
 
     ends: list[tuple[int, float]] = field(default_factory=list)
+    closed: bool = False
 
     def find_passed_s(self, offset: int) -> float:
         """Return when the bytes up to an offset had been passed on; infinite if they were not."""
@@ -90,7 +92,7 @@
 
     def readConnectionLost(self) -> None:
         """Close the peer's sending side."""
-        self._read_closed = True
+        self._read_closed = self.passage.closed = True
         self._pass_on(_Close.HALF)
         self._close_if_done()
 
@@ -99,7 +101,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Close the peer in the same way."""
-        self._open = False
+        self._open, self.passage.closed = False, True
         self.link.sides.discard(self)
         clean = isinstance(reason.value, ConnectionDone)
         self._pass_on(_Close.FULL if clean else _Close.RESET)
@@ -166,6 +168,7 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Reset the accepted connection: the target is gone."""
+        self._side.passage.closed = True
         if self._side.peer is not None:
             self._side.peer.reset()
 
@@ -212,10 +215,9 @@
         """Return the reactor's time."""
         return float(self.reactor.seconds())
 
-    def find_passed_s(self, port: int, offset: int) -> float:
-        """Return when the bytes from a caller's port had been passed on; see ``Passage``."""
-        passage = self.passages.get(port)
-        return math.inf if passage is None else passage.find_passed_s(offset)
+    def find_passage(self, port: int) -> Passage:
+        """Return what was passed on of the connection from a caller's port."""
+        return self.passages.get(port, Passage())
 
     def holds(self, *, requests: bool) -> bool:
         """Return whether a direction is held back."""
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -134,7 +134,7 @@
         connection: CallerConnection = await dial(
             context.reactor,
             lambda: CallerConnection(
-                context.reactor, context.on_stray, host.callers_link.find_passed_s
+                context.reactor, context.on_stray, host.callers_link.find_passage
             ),
             host.callers,
         )
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -389,23 +389,32 @@
 # Guards against blaming a host for a request that was still on its way when the host closed, and
 # against overlooking one that had reached the host or an upstream.
 @pytest.mark.parametrize(
-    ("passed_s", "arrived", "lag_s", "rules"),
+    ("passed_s", "arrived", "lag_s", "closed", "stops", "rules"),
     [
-        (math.inf, False, 0.9, []),
-        (math.inf, False, 0.7, ["LOST"]),
-        (math.inf, True, 0.9, ["LOST"]),
-        (SENT_S + 0.1, False, 0.9, ["LOST"]),
-        (None, False, 0.9, ["LOST"]),
+        (math.inf, False, 0.9, False, True, []),
+        (math.inf, False, 0.7, False, True, ["LOST"]),
+        (math.inf, False, 0.0, True, True, []),
+        (math.inf, False, 0.7, True, False, ["LOST"]),
+        (math.inf, True, 0.9, True, True, ["LOST"]),
+        (SENT_S + 0.1, False, 0.9, True, True, ["LOST"]),
+        (None, False, 0.9, True, True, ["LOST"]),
     ],
 )
 def test_a_cut_counts_unless_the_host_had_closed_just_before_the_request_came(
-    records: SoakRecords, passed_s: float | None, arrived: bool, lag_s: float, rules: list[str]
+    records: SoakRecords,
+    passed_s: float | None,
+    arrived: bool,
+    lag_s: float,
+    closed: bool,
+    stops: bool,
+    rules: list[str],
 ) -> None:
     """The cut comes after 1 s, of which the slack and the soak's own lateness take some."""
-    records.disturbances.begin_stop("host-1", SENT_S - 1.0)
+    if stops:
+        records.disturbances.begin_stop("host-1", SENT_S - 1.0)
     records.lag.spans_s.append((SENT_S, SENT_S + lag_s))
     attempt = records.send(build_plan("open"))
-    attempt.passed_s = passed_s
+    attempt.passed_s, attempt.host_closed = passed_s, closed
     if arrived:
         records.receive(attempt.plan)
     records.end(attempt, Ending.BROKEN)
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -17,16 +17,19 @@
         with closing(socket.create_connection(link.open())) as caller:
             port = caller.getsockname()[1]
             caller.sendall(b"first")
-            run_until(reactor, lambda: link.find_passed_s(port, 5) < math.inf)
+            run_until(reactor, lambda: link.find_passage(port).find_passed_s(5) < math.inf)
+            passage = link.find_passage(port)
             target = listener.accept()[0]
             assert target.recv(64) == b"first"
-            assert link.find_passed_s(port, 5) <= link.seconds()
-            assert link.find_passed_s(port, 6) == math.inf
+            assert passage.find_passed_s(5) <= link.seconds()
+            assert passage.find_passed_s(6) == math.inf
             link.set_fault(LinkFault.CUT_REQUESTS)
             caller.sendall(b"later")
             run_until(reactor, lambda: any(side._queue for side in link.sides))
             target.shutdown(socket.SHUT_WR)
+            assert not passage.closed
             link.set_fault(LinkFault.NONE)
             assert target.recv(64) == b"later"
-            assert link.find_passed_s(port, 10) == math.inf
+            assert passage.find_passed_s(10) == math.inf
+            run_until(reactor, lambda: passage.closed)
             target.close()
