--- a/soak/_run.py
+++ b/soak/_run.py
@@ -33,7 +33,7 @@
 from ._notice_checks import NoticeChecks
 from ._operator import Operator
 from ._retry_checks import RetryChecks
-from ._special_callers import CrashingCaller, PipeliningCaller
+from ._special_callers import ConnectingCaller, CrashingCaller, PipeliningCaller
 from ._store import StoreControl
 from ._traffic import Caller, TrafficContext, sleep
 
@@ -48,6 +48,7 @@
 LIMITS_CHANCE = 0.5
 CRASHING_REQUEST_CHANCE = 0.5
 CALLERS_PER_HOST = 6
+CONNECTING_CALLERS_PER_HOST = 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -370,6 +371,7 @@
         hosts = len(self._hosts.hosts)
         kinds = [Caller] * (CALLERS_PER_HOST * hosts) + [PipeliningCaller] * hosts
         kinds += [CrashingCaller] * self._count_crashing_callers()
+        kinds += [ConnectingCaller] * (CONNECTING_CALLERS_PER_HOST * hosts)
         for number, kind in enumerate(kinds):
             caller = kind(
                 context=context,
--- a/soak/_special_callers.py
+++ b/soak/_special_callers.py
@@ -94,6 +94,24 @@
             self.context.on_end(attempt)
 
 
+@dataclass(slots=True, kw_only=True)
+class ConnectingCaller(Caller):
+    """Opens a connection for each request, to hosts that stop, as behind a late load balancer."""
+
+    async def run(self) -> None:
+        """Send a request to one stopping host after the other until the traffic stops."""
+        while not self.context.stopped:
+            await sleep(self.context.reactor, self.random.uniform(0.01, 0.05))
+            stopping = [each for each in self.context.hosts if each.stopping_s and each.running]
+            if not stopping:
+                continue
+            plan = replace(self._draw_plan(), pause_s=0.0, leaves_after_s=None)
+            attempt = await self._try(self.random.choice(stopping), plan, new=True)
+            self.context.on_end(attempt)
+        for connection in self._connections.values():
+            connection.close()
+
+
 @dataclass(slots=True, kw_only=True)
 class CrashingCaller(Caller):
     """Sends a request, which crashes each upstream that runs it, again and again.
