--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -64,6 +64,7 @@
         self._open_exchanges = open_exchanges
         self._done: Deferred[None] | None = None
         self._began_s = 0.0
+        self._ends_s = 0.0
         self._interrupted = False
 
     @property
@@ -99,6 +100,7 @@
             return
         for server in self._servers:
             server.stop_accepting()
+        self._allow_sending()
         self._check_last_requests()
 
     def _check_last_requests(self) -> None:
@@ -110,7 +112,8 @@
         unread = sum(server.count_unread() for server in self._servers)
         if not self._has_time(GRACE_MARGIN_S):
             self._interrupt(open_requests, unsent_answers)
-        if (open_requests or unsent_answers or unread) and self._has_time(END_MARGIN_S):
+        is_busy = open_requests or unsent_answers or unread
+        if is_busy and self._reactor.seconds() < self._ends_s:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check_last_requests)
         else:
             self._end()
@@ -127,6 +130,13 @@
         )
         for exchange in list(self._open_exchanges):
             self._stop_exchange(exchange)
+        self._allow_sending()
+
+    def _allow_sending(self) -> None:
+        """Set the end so that answers can still be sent, also where the grace period is over."""
+        now_s = self._reactor.seconds()
+        planned_s = self._began_s + self.grace_s - END_MARGIN_S
+        self._ends_s = max(planned_s, now_s + CHECK_INTERVAL_S)
 
     def _has_time(self, margin_s: float) -> bool:
         """Whether the grace period lasts for longer than a margin."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -52,12 +52,14 @@
     eliot.remove_destination(logged.append)
 
 
-def build_shutdown(clock: Clock, open_requests: set[Any], *connections: Any) -> Shutdown:
+def build_shutdown(
+    clock: Clock, open_requests: set[Any], *connections: Any, grace_s: float = GRACE_S
+) -> Shutdown:
     server = ServerFactory(reactor=clock, on_request=lambda *_: None, on_refused=lambda limit: b"")
     server.connections.update(connections)
     return Shutdown(
         reactor=clock,
-        grace_s=GRACE_S,
+        grace_s=grace_s,
         servers=(server,),
         configuration=ConfigurationView(read_age_s=lambda: 0.0, key_revocation_s=None),
         open_exchanges=open_requests,
@@ -96,3 +98,24 @@
         clock.advance(0.01)
     assert unsent == [0]
     assert clock.seconds() < GRACE_S
+
+
+# Guards against a late process, or a short grace period, that ends with answers it has not sent.
+@pytest.mark.parametrize("grace_s", [2.5, 2.7, 2.9, 5.0])
+def test_the_last_answers_are_sent_also_after_the_end_of_the_grace_period(grace_s: float) -> None:
+    clock, connection, open_requests = Clock(), Connection(), set()
+    request = OpenRequest("a1", open_requests, None)
+    stop = request.stop
+
+    def answer() -> None:
+        stop()
+        connection.read()
+        clock.callLater(0.03, connection.send)
+
+    request.stop = answer
+    unsent: list[int] = []
+    done = build_shutdown(clock, open_requests, connection, grace_s=grace_s).begin()
+    done.addCallback(lambda _: unsent.append(connection.unsent_bytes))
+    while not unsent:
+        clock.advance(0.01)
+    assert request.stopped and unsent == [0]
