--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -12,7 +12,12 @@
 from twisted.python.failure import Failure
 
 from ._body_sender import PIECE_BYTES, BodySender
-from ._sockets import count_undelivered_bytes, limit_unacknowledged, tune_socket
+from ._sockets import (
+    count_undelivered_bytes,
+    limit_unacknowledged,
+    send_at_once,
+    tune_socket,
+)
 from ._types import HeaderList
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
@@ -191,10 +196,12 @@
         body = exchange.request.body
         if len(body) <= PIECE_BYTES:
             self.transport.write(head + body)
-            return
-        self.transport.write(head)
-        self._body_sender = BodySender(self.transport, body)
-        self._body_sender.start()
+        else:
+            self.transport.write(head)
+            self._body_sender = BodySender(self.transport, body)
+            self._body_sender.start()
+        # The request says how much time is left, of which a process that is held up uses more.
+        send_at_once(self.transport)
 
     def close(self) -> None:
         """Abort the connection; the listener of an open exchange is not called again."""
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -85,6 +85,15 @@
         return False
 
 
+def send_at_once(transport: Any) -> None:
+    """Pass written bytes to the system, which Twisted does when it next looks at its sockets.
+
+    A lost connection is noticed then, as ever.
+    """
+    if transport.connected:
+        transport.doWrite()
+
+
 def end_sending(transport: Any) -> None:
     """Tell the peer at once that nothing more is sent, unless written bytes are still unsent.
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -40,6 +40,9 @@
     def getHandle(self):  # noqa: N802
         return UNCONNECTED
 
+    def doWrite(self) -> None:  # noqa: N802
+        pass
+
     def loseConnection(self) -> None:  # noqa: N802
         super().loseConnection()
         self.closed = True
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -7,7 +7,7 @@
 import pytest
 
 from greengagestage.gateway.forwarding import address_request
-from greengagestage.http1 import OutgoingRequest
+from greengagestage.http1 import ClientConnection, Exchange, OutgoingRequest
 from greengagestage.ids import InstanceId
 
 from . import host_harness as harness
@@ -54,6 +54,33 @@
     assert given_ms[0] <= DEADLINE_MS - STALL_S * 1_000 + MARGIN_MS
 
 
+# Guards against a process that is held up between the turn in which it gives a request its time and
+# the one in which the bytes leave: the time meanwhile was given to the upstream once more.
+def test_a_request_leaves_the_process_in_the_turn_in_which_it_is_given_its_time(
+    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent: list[Exchange] = []
+    send = ClientConnection.send
+
+    def record(connection: ClientConnection, exchange: Exchange) -> None:
+        send(connection, exchange)
+        sent.append(exchange)
+
+    monkeypatch.setattr(ClientConnection, "send", record)
+    upstream = fleet.add_upstream("u1")
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address, port = listener.getsockname()
+        entry = upstream.build_entry(Address=f"{address}:{port}")
+        fleet.store.put("servers", "u1", entry)
+        fleet.start_host()
+        fleet.wait_ready()
+        fleet.connect(build_request("/lookup/x", attempt="a1"))
+        fleet.run_until(lambda: any(each.recipient is not None for each in sent))
+        with listener.accept()[0] as connection:
+            connection.setblocking(False)
+            assert b"a1" in connection.recv(4_096)
+
+
 # Guards against a request that is given less time than its caller has left, for a stall of the host
 # or a pause of its connection that has ended before it came.
 def test_time_before_a_request_came_does_not_count(fleet: HostFleet) -> None:
