--- a/tests/faulty_fleet.py
+++ b/tests/faulty_fleet.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.error import ConnectionRefusedError
+
 from greengagestage.http1 import IncomingRequest, Responder
 
 from . import host_harness as harness
@@ -201,8 +203,12 @@
         for number in range(requests):
             attempts = [f"{number}.{each}" for each in range(self._random.choice((1, 1, 1, 2)))]
             data = b"".join(map(self._build_request, attempts))
-            endpoint = self._random.choice(self._hosts)._settings.callers
-            caller = self._fleet.connect(data, endpoint)
+            host = self._random.choice(self._hosts)
+            try:
+                caller = self._fleet.connect(data, host._settings.callers)
+            except ConnectionRefusedError:
+                assert host._shutdown.begun
+                continue
             callers.append((attempts, caller))
             self._fleet.run_for(self._random.uniform(0.0, 0.01))
             if self._random.random() < 0.1:
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -327,8 +327,11 @@
         address, port = endpoint or self._host_settings[-1].callers
         connecting = ClientCreator(self.reactor, RawCaller).connectTCP(address, port)
         connected: list[RawCaller] = []
-        connecting.addCallback(connected.append)
-        self.run_until(lambda: bool(connected))
+        refused: list[Any] = []
+        connecting.addCallbacks(connected.append, refused.append)
+        self.run_until(lambda: bool(connected or refused))
+        if refused:
+            refused[0].raiseException()
         connected[0].transport.write(data)
         return connected[0]
 
