--- a/greengagestage/entry/_http.py
+++ b/greengagestage/entry/_http.py
@@ -14,11 +14,11 @@
 from greengagestage.http1 import (
     MemoryAccount,
     ObservedConnection,
+    close_listener,
     count_unsent_bytes,
     end_sending,
     has_unread_bytes,
     limit_buffers,
-    stop_accepting,
 )
 from greengagestage.ids import RequestId
 from greengagestage.refusals import ERROR_CONTENT_TYPE, Refusal, encode_refusal
@@ -396,7 +396,7 @@
     def stop_accepting(self) -> None:
         """Accept the connections that callers have opened, then no more."""
         if self._listener is not None:
-            stop_accepting(self._listener)
+            close_listener(self._listener)
 
     @property
     def receiving(self) -> bool:
--- a/greengagestage/gateway/_shutdown.py
+++ b/greengagestage/gateway/_shutdown.py
@@ -24,7 +24,8 @@
 would be killed."""
 
 END_MARGIN_S = 0.2
-"""The last answers are sent until this long before the end of the grace period."""
+"""The answers to interrupted requests, and to those that arrived last, are sent until this long
+before the end of the grace period. They take ``CHECK_INTERVAL_S`` at least, however short it is."""
 
 
 class Stoppable(Protocol):
@@ -100,7 +101,7 @@
             return
         for server in self._servers:
             server.stop_accepting()
-        self._allow_sending()
+        self._postpone_end()
         self._check_last_requests()
 
     def _check_last_requests(self) -> None:
@@ -119,7 +120,7 @@
             self._end()
 
     def _interrupt(self, open_requests: int, unsent_answers: int) -> None:
-        """Give the requests that are still open their final answers, the first time."""
+        """Give the requests that are still open their final answers, once."""
         if self._interrupted or not (open_requests or unsent_answers):
             return
         self._interrupted = True
@@ -130,10 +131,10 @@
         )
         for exchange in list(self._open_exchanges):
             self._stop_exchange(exchange)
-        self._allow_sending()
+        self._postpone_end()
 
-    def _allow_sending(self) -> None:
-        """Set the end so that answers can still be sent, also where the grace period is over."""
+    def _postpone_end(self) -> None:
+        """Set the end to when the grace period allows, but leave time for what is still unsent."""
         now_s = self._reactor.seconds()
         planned_s = self._began_s + self.grace_s - END_MARGIN_S
         self._ends_s = max(planned_s, now_s + CHECK_INTERVAL_S)
--- a/greengagestage/http1/__init__.py
+++ b/greengagestage/http1/__init__.py
@@ -14,6 +14,7 @@
     ResponseHead,
     ResponseListener,
 )
+from ._listeners import close_listener
 from ._memory import MemoryAccount, compute_held_limit
 from ._memory_watch import MemoryWatch
 from ._pool import ConnectionPool, Endpoint
@@ -24,7 +25,6 @@
     end_sending,
     has_unread_bytes,
     limit_buffers,
-    stop_accepting,
 )
 from ._types import HeaderList
 
@@ -48,10 +48,10 @@
     "ResponseHead",
     "ResponseListener",
     "ServerFactory",
+    "close_listener",
     "compute_held_limit",
     "count_unsent_bytes",
     "end_sending",
     "has_unread_bytes",
     "limit_buffers",
-    "stop_accepting",
 ]
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -12,17 +12,16 @@
 from greengagestage.catalog import ConnectionLimits
 
 from ._callers import ObservedConnection
+from ._listeners import close_listener, count_unaccepted
 from ._memory import MemoryAccount
 from ._pipelining import ByteArrivals
 from ._requests import IncomingRequest, LimitExceeded
 from ._sockets import (
-    count_unaccepted,
     count_undelivered_bytes,
     count_unsent_bytes,
     end_sending,
     has_unread_bytes,
     measure_unread_s,
-    stop_accepting,
     tune_socket,
 )
 from ._types import HeaderList
@@ -120,7 +119,7 @@
     def stop_accepting(self) -> None:
         """Accept the connections that callers have opened, then no more."""
         if self._listener is not None:
-            stop_accepting(self._listener)
+            close_listener(self._listener)
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
--- a/greengagestage/http1/_sockets.py
+++ b/greengagestage/http1/_sockets.py
@@ -7,9 +7,6 @@
 from contextlib import suppress
 from typing import Any
 
-from twisted.internet.error import ConnectionDone
-from twisted.python.failure import Failure
-
 UNACKNOWLEDGED_LIMIT_S = 2.5
 """A connection to a server whose sent bytes stay unacknowledged for this long is closed; otherwise
 a broken network path goes unnoticed. The limit is shorter than three seconds, the bound set by the
@@ -24,10 +21,6 @@
 """The beginning of Linux's ``tcp_info``, with two of its fields: ``tcpi_last_data_recv``, the
 milliseconds since the last bytes have arrived, and ``tcpi_bytes_received``, the number of all."""
 
-_LISTEN_INFO_BEGIN = struct.Struct("=24xI")
-"""The beginning of ``tcp_info`` with ``tcpi_unacked``, for a listening socket the number of
-connections in its queue."""
-
 BUFFER_BYTES = 16_384
 """Bytes of one read, and of what is written and unsent above which a producer is paused. Hundreds
 of connections can add both before a process that runs short of memory closes one of them."""
@@ -86,9 +79,9 @@
 
 
 def send_at_once(transport: Any) -> None:
-    """Pass written bytes to the system, which Twisted does when it next looks at its sockets.
+    """Pass written bytes to the system now; Twisted does so when it next looks at its sockets.
 
-    A lost connection is noticed then, as ever.
+    It meets an error of the connection then, so that none is handled here.
     """
     if transport.connected:
         transport.doWrite()
@@ -105,28 +98,13 @@
             transport.getHandle().shutdown(socket.SHUT_WR)
 
 
-def stop_accepting(listener: Any) -> None:
-    """Accept the connections that wait in the queue of a listening socket, then close it at once.
-
-    The system resets the connections that are in the queue when the socket is closed.
-    """
-    if not listener.connected:
-        return
-    accepted = None
-    while listener.sessionno != accepted:
-        accepted = listener.sessionno
-        listener.doRead()
-    listener.stopReading()
-    listener.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
-
-
 def measure_unread_s(transport: Any) -> float:
     """Return for how long the bytes that have just been read had waited for the process.
 
     The system tells it for the last bytes that have arrived, in steps of some milliseconds. Times
     below ``MIN_UNREAD_S`` are 0, as are all where the system does not tell them.
     """
-    info = _read_tcp_info(transport.getHandle(), _TCP_INFO_BEGIN) if transport.connected else None
+    info = read_tcp_info(transport.getHandle(), _TCP_INFO_BEGIN) if transport.connected else None
     if info is None:
         return 0.0
     unread_ms, received_bytes = info
@@ -134,13 +112,7 @@
     return unread_s if received_bytes and unread_s >= MIN_UNREAD_S else 0.0
 
 
-def count_unaccepted(listener: Any) -> int:
-    """Return the number of connections in the queue of a listening socket; 0 if it is not known."""
-    info = _read_tcp_info(listener.socket, _LISTEN_INFO_BEGIN) if listener.connected else None
-    return 0 if info is None else int(info[0])
-
-
-def _read_tcp_info(handle: socket.socket, layout: struct.Struct) -> tuple[Any, ...] | None:
+def read_tcp_info(handle: socket.socket, layout: struct.Struct) -> tuple[Any, ...] | None:
     """Return fields of the system's ``tcp_info``; None where it does not tell them."""
     option = getattr(socket, "TCP_INFO", None)
     if option is None:
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -55,6 +55,9 @@
     build_route("open", "idempotent", "archive", Public=True),
 ]
 
+SLOW_ROUTE = build_route("slow", "idempotent", "archive", TimeoutMs=20_000)
+"""A route whose requests may last longer than a host takes to stop, and keep it from ending."""
+
 
 def build_document(version: int = 1, **changes: Any) -> bytes:
     engine = {"Slots": 8, "KvCapacityTokens": 100_000, "Stride": 1}
