--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -76,6 +76,7 @@
         self.passage = Passage()
         self._queue: deque[tuple[float, bytes | _Close]] = deque()
         self._open = False
+        self._resets = False
         self._read_closed = False
         self._write_closed = False
 
@@ -101,7 +102,9 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Close the peer in the same way."""
-        self._open, self.passage.closed = False, True
+        self._open = False
+        if isinstance(reason.value, ConnectionLost) and not self._resets:
+            self.passage.closed = True
         self.link.sides.discard(self)
         clean = isinstance(reason.value, ConnectionDone)
         self._pass_on(_Close.FULL if clean else _Close.RESET)
@@ -123,6 +126,7 @@
     def reset(self) -> None:
         """Reset the connection."""
         if self._open:
+            self._resets = True
             self.transport.abortConnection()
 
     def _send(self, item: bytes | _Close) -> None:
@@ -168,7 +172,7 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Reset the accepted connection: the target is gone."""
-        self._side.passage.closed = True
+        self._side.passage.closed = isinstance(reason.value, ConnectionRefusedError)
         if self._side.peer is not None:
             self._side.peer.reset()
 
