--- /dev/null
+++ b/review/stand3/clients.py
@@ -0,0 +1,67 @@
+"""Clients of the platform: one request at a time on a connection."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+
+from .http import read_body, read_head
+
+_numbers = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """What a client has seen; the status is 0 if the connection ended without an answer."""
+
+    attempt: str
+    status: int
+    signature: str = ""
+    body: bytes = b""
+
+
+@dataclass(slots=True, kw_only=True)
+class Client:
+    """A client with an API key and perhaps an open connection to a host."""
+
+    host: tuple[str, int]
+    key: str
+    deadline_ms: int = 1_500
+    _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = field(default=None)
+
+    async def send(self, method: str, path: str, body: bytes = b"") -> Answer:
+        """Send a request with an id of its own, and wait for its answer."""
+        attempt = f"{next(_numbers):016x}"
+        try:
+            if self._streams is None:
+                self._streams = await asyncio.open_connection(*self.host)
+            reader, writer = self._streams
+            head = (
+                f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
+                f"Greengagestage-Attempt-Id: {attempt}\r\n"
+                f"Greengagestage-Deadline-Ms: {self.deadline_ms}\r\n"
+                f"Authorization: Bearer {self.key}\r\nContent-Length: {len(body)}\r\n\r\n"
+            )
+            writer.write(head.encode() + body)
+            await writer.drain()
+            limit_s = self.deadline_ms / 1e3
+            answer = await asyncio.wait_for(read_head(reader), limit_s)
+            if answer is None:
+                raise ConnectionError
+            answer.body = await asyncio.wait_for(read_body(reader, answer), limit_s)
+        except (OSError, asyncio.IncompleteReadError):
+            self.close()
+            return Answer(attempt=attempt, status=0)
+        if answer.headers.get("connection", "").lower() == "close":
+            self.close()
+        return Answer(
+            attempt=attempt,
+            status=int(answer.first[1]),
+            signature=answer.headers.get("greengagestage-server-signature", ""),
+            body=answer.body,
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
