--- a/review/stand3/servers.py
+++ b/review/stand3/servers.py
@@ -6,6 +6,7 @@
 import struct
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from .http import Message, encode, read_body, read_head
@@ -36,7 +37,9 @@
     """A plain server: one request at a time on a connection, with a limited number of slots.
 
     Attributes:
-        crashes_under: Whether a request crashes the server once it begins to run.
+        crashes_under: Whether a request crashes the server after it has begun to run.
+        crash_s: Time from the beginning of such a run to the crash. The server does not drop a
+            request whose connection closes.
         keeps_id: Whether it starts again under the id that it had; its entry then tells its start.
         runs: All requests that have reached any server, in the order of arrival.
     """
@@ -50,6 +53,7 @@
     crashes_under: Callable[[Message], bool] = lambda request: False
     on_crash: Callable[["Server"], None] = lambda server: None
     work_s: float = 0.02
+    crash_s: float = 0.02
     back_after_s: float = 2.5
     keeps_id: bool = False
     slots: int = 6
@@ -154,8 +158,9 @@
         run.began = True
         self._running += 1
         try:
-            await asyncio.sleep(self.work_s)
-            if self.crashes_under(request):
+            crashes = self.crashes_under(request)
+            await asyncio.sleep(self.crash_s if crashes else self.work_s)
+            if crashes:
                 self.crash()
                 raise ConnectionAbortedError
         finally:
@@ -168,5 +173,6 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     handle = writer.get_extra_info("socket")
-    handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with suppress(OSError):  # the other side has closed it
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
