--- a/review/stand3/clients.py
+++ b/review/stand3/clients.py
@@ -26,35 +26,45 @@
     host: tuple[str, int]
     key: str
     deadline_ms: int = 1_500
+    _attempt: str = ""
     _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = field(default=None)
 
     async def send(self, method: str, path: str, body: bytes = b"") -> Answer:
         """Send a request with an id of its own, and wait for its answer."""
-        attempt = f"{next(_numbers):016x}"
         try:
-            if self._streams is None:
-                self._streams = await asyncio.open_connection(*self.host)
-            reader, writer = self._streams
-            head = (
-                f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
-                f"Greengagestage-Attempt-Id: {attempt}\r\n"
-                f"Greengagestage-Deadline-Ms: {self.deadline_ms}\r\n"
-                f"Authorization: Bearer {self.key}\r\nContent-Length: {len(body)}\r\n\r\n"
-            )
-            writer.write(head.encode() + body)
-            await writer.drain()
-            limit_s = self.deadline_ms / 1e3
-            answer = await asyncio.wait_for(read_head(reader), limit_s)
-            if answer is None:
-                raise ConnectionError
-            answer.body = await asyncio.wait_for(read_body(reader, answer), limit_s)
+            await self.begin(method, path, body)
+            return await self.receive()
         except (OSError, asyncio.IncompleteReadError):
             self.close()
-            return Answer(attempt=attempt, status=0)
+            return Answer(attempt=self._attempt, status=0)
+
+    async def begin(self, method: str, path: str, body: bytes = b"") -> None:
+        """Send a request with an id of its own."""
+        self._attempt = f"{next(_numbers):016x}"
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(*self.host)
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
+            f"Greengagestage-Attempt-Id: {self._attempt}\r\n"
+            f"Greengagestage-Deadline-Ms: {self.deadline_ms}\r\n"
+            f"Authorization: Bearer {self.key}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self._streams[1].write(head.encode() + body)
+        await self._streams[1].drain()
+
+    async def receive(self) -> Answer:
+        """Wait for the answer to the request that was sent."""
+        if self._streams is None:
+            raise ConnectionError("not connected")
+        reader, limit_s = self._streams[0], self.deadline_ms / 1e3
+        answer = await asyncio.wait_for(read_head(reader), limit_s)
+        if answer is None:
+            raise ConnectionError("closed without an answer")
+        answer.body = await asyncio.wait_for(read_body(reader, answer), limit_s)
         if answer.headers.get("connection", "").lower() == "close":
             self.close()
         return Answer(
-            attempt=attempt,
+            attempt=self._attempt,
             status=int(answer.first[1]),
             signature=answer.headers.get("greengagestage-server-signature", ""),
             body=answer.body,
--- a/review/stand3/servers.py
+++ b/review/stand3/servers.py
@@ -132,7 +132,10 @@
         try:
             while (head := await read_head(reader)) is not None:
                 head.body = await read_body(reader, head)
-                writer.write(await self._answer(head))
+                answer = await self._answer(head, reader)
+                if answer is None:
+                    return
+                writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -140,7 +143,8 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, request: Message) -> bytes:
+    async def _answer(self, request: Message, reader: asyncio.StreamReader) -> bytes | None:
+        """Run a request; None if its connection closes meanwhile, so that it is dropped."""
         attempt = request.headers.get("greengagestage-attempt-id", "")
         run = Run(
             at_s=time.monotonic(),
@@ -159,8 +163,10 @@
         self._running += 1
         try:
             crashes = self.crashes_under(request)
-            await asyncio.sleep(self.crash_s if crashes else self.work_s)
+            if not crashes and not await self._work(request, reader):
+                return None
             if crashes:
+                await asyncio.sleep(self.crash_s)
                 self.crash()
                 raise ConnectionAbortedError
         finally:
@@ -169,6 +175,15 @@
         body = json.dumps({"served": attempt}).encode()
         return encode(200, {**named, **signature}, body)
 
+    async def _work(self, request: Message, reader: asyncio.StreamReader) -> bool:
+        """Work on a request; return whether its connection was open all the while."""
+        ends_s = time.monotonic() + self.work_s
+        while (left_s := ends_s - time.monotonic()) > 0:
+            if reader.at_eof():
+                return False
+            await asyncio.sleep(min(left_s, 0.02))
+        return True
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
