--- a/review/11/run.py
+++ b/review/11/run.py
@@ -8,7 +8,6 @@
 import os
 import random
 import sys
-import tempfile
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -16,9 +15,10 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
+from stand3.case import main, note, note_requests  # noqa: E402
 from stand3.clients import Client  # noqa: E402
 from stand3.hosts import Host, build_settings, wait_ready  # noqa: E402
-from stand3.platform import Cloud, Store, serve_platform  # noqa: E402
+from stand3.platform import Store, serve_store  # noqa: E402
 from stand3.servers import Run, Server  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -70,14 +70,6 @@
     "Tenants": [{"Name": "t", "ApiKeys": ["k"], "Priority": 1}],
 }
 
-record: list[str] = []
-began_s = time.monotonic()
-
-
-def note(text: str) -> None:
-    """Add a line to the record."""
-    record.append(f"{time.monotonic() - began_s:7.3f} {text}")
-
 
 def read_memory_mb(pid: int) -> float:
     """Return the anonymous memory of a process; what it maps of files does not count."""
@@ -185,7 +177,7 @@
 async def run(directory: Path) -> int:
     """Start everything, run the case, and end everything."""
     store, runs = Store(), list[Run]()
-    store_port, _ = await serve_platform(f"{NETWORK}.250", store, Cloud())
+    store_port = await serve_store(f"{NETWORK}.250", store)
     await store.put("op", "config", CONFIGURATION)
     servers = [
         Server(
@@ -216,25 +208,15 @@
         )
         hosts.append(Host(name=f"front-{number}", directory=directory, settings=settings))
     try:
-        return await play(hosts, servers, runs)
+        status = await play(hosts, servers, runs)
     finally:
         for host in hosts:
             host.kill()
         for server in servers:
             server.close()
-
-
-def main() -> int:
-    """Run the case and write the record.
-
-    The loop is left as it is: its open tasks end with the process.
-    """
-    with tempfile.TemporaryDirectory() as directory:
-        status = asyncio.new_event_loop().run_until_complete(run(Path(directory)))
-    path = Path(os.environ.get("RECORD", HERE / "record.txt"))
-    path.write_text("\n".join(record) + f"\nexit {status}\n")
+    note_requests(runs)
     return status
 
 
 if __name__ == "__main__":
-    os._exit(main())
+    main(run, HERE)
--- a/review/stand3/clients.py
+++ b/review/stand3/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from dataclasses import dataclass, field
 
 from .http import read_body, read_head
@@ -9,6 +10,22 @@
 _numbers = itertools.count(1)
 
 
+@dataclass(slots=True, kw_only=True)
+class Sent:
+    """A request of a client, and how it ended; the end is empty while it waits."""
+
+    at_s: float
+    attempt: str
+    request: str
+    host: str
+    end_s: float = 0.0
+    end: str = ""
+
+
+trace: list[Sent] = []
+"""All requests of all clients."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
     """What a client has seen; the status is 0 if the connection ended without an answer."""
@@ -27,6 +44,7 @@
     key: str
     deadline_ms: int = 1_500
     _attempt: str = ""
+    _sent: Sent | None = None
     _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = field(default=None)
 
     async def send(self, method: str, path: str, body: bytes = b"") -> Answer:
@@ -35,12 +53,20 @@
             await self.begin(method, path, body)
             return await self.receive()
         except (OSError, asyncio.IncompleteReadError):
+            self._end("closed without an answer")
             self.close()
             return Answer(attempt=self._attempt, status=0)
 
     async def begin(self, method: str, path: str, body: bytes = b"") -> None:
         """Send a request with an id of its own."""
         self._attempt = f"{next(_numbers):016x}"
+        self._sent = Sent(
+            at_s=time.monotonic(),
+            attempt=self._attempt,
+            request=f"{method} {path}",
+            host=self.host[0],
+        )
+        trace.append(self._sent)
         if self._streams is None:
             self._streams = await asyncio.open_connection(*self.host)
         head = (
@@ -61,6 +87,7 @@
         if answer is None:
             raise ConnectionError("closed without an answer")
         answer.body = await asyncio.wait_for(read_body(reader, answer), limit_s)
+        self._end(f"answered {answer.first[1]}")
         if answer.headers.get("connection", "").lower() == "close":
             self.close()
         return Answer(
@@ -70,8 +97,13 @@
             body=answer.body,
         )
 
+    def _end(self, text: str) -> None:
+        if self._sent is not None and not self._sent.end:
+            self._sent.end_s, self._sent.end = time.monotonic(), text
+
     def close(self) -> None:
         """Close the connection."""
+        self._end("left")
         if self._streams is not None:
             self._streams[1].close()
             self._streams = None
--- a/review/stand3/platform.py
+++ b/review/stand3/platform.py
@@ -1,4 +1,4 @@
-"""The platform's store and its API for singleton duties, as the operators' pages describe them."""
+"""The platform's store, as the operators' pages describe it."""
 
 import asyncio
 import base64
@@ -53,13 +53,6 @@
         live = [row for (name, _), row in self.rows.items() if name == table]
         return sorted((row for row in live if not row.get("Tombstone")), key=lambda r: r["Key"])
 
-    def read_value(self, table: str, key: str) -> Any:
-        """Return the JSON value of a row; None without one."""
-        row = self.rows.get((table, key))
-        if row is None or row.get("Tombstone"):
-            return None
-        return json.loads(base64.b64decode(row["Value"]))
-
     def _write(self, table: str, key: str, value: str) -> None:
         self.rows[table, key] = {
             "Table": table,
@@ -132,62 +125,7 @@
         return reply
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DutyCall:
-    """A call for a duty as it has reached the platform."""
-
-    at_s: float
-    subject: str
-    holder: str
-    token: int
-    status: int
-    body: dict[str, Any]
-
-
-@dataclass(slots=True, kw_only=True)
-class Cloud:
-    """The platform's API, which checks fences.
-
-    Attributes:
-        stock: Servers that can be had at the moment, by zone.
-    """
-
-    calls: list[DutyCall] = field(default_factory=list)
-    stock: dict[str, int] = field(default_factory=dict)
-    _newest: dict[str, int] = field(default_factory=dict)
-
-    async def handle(self, call: Message) -> bytes | None:
-        """Answer one call."""
-        await asyncio.sleep(0.004)
-        body = json.loads(call.body)
-        path = call.first[1]
-        is_usage = path == "/usage"
-        subject = "usage" if is_usage else f"scaling {body['Service']} {body['Zone']}"
-        token = int(call.headers["greengagestage-fencing-token"])
-        status = 200
-        if token < self._newest.get(subject, 0):
-            status = 409
-        else:
-            self._newest[subject] = token
-            if not is_usage and body["DesiredCount"] > self.stock.get(body["Zone"], 0):
-                status = 409
-        self.calls.append(
-            DutyCall(
-                at_s=time.monotonic(),
-                subject=subject,
-                holder=call.headers["greengagestage-duty-holder"],
-                token=token,
-                status=status,
-                body=body,
-            )
-        )
-        return encode(status, JSON, b"{}")
-
-
-async def serve_platform(address: str, store: Store, cloud: Cloud) -> tuple[int, int]:
-    """Serve both on free ports; return the ports."""
-    ports = []
-    for handle in (store.handle, cloud.handle):
-        server = await serve(address, 0, handle)
-        ports.append(server.sockets[0].getsockname()[1])
-    return ports[0], ports[1]
+async def serve_store(address: str, store: Store) -> int:
+    """Serve the store on a free port; return the port."""
+    server = await serve(address, 0, store.handle)
+    return int(server.sockets[0].getsockname()[1])
