Review: case 15, a failing server's 500 acquits a crashing request

Cause: attempt_ended takes any complete answer, also a 500, as proof that equal requests do no harm, and clears their losses on all hosts.

--- a/review/stand3/servers.py
+++ b/review/stand3/servers.py
@@ -38,6 +38,7 @@
 
     Attributes:
         crashes_under: Whether a request crashes the server after it has begun to run.
+        fails: Whether the server answers a request with an error of its own, in place of the work.
         crash_s: Time from the beginning of such a run to the crash. The server does not drop a
             request whose connection closes.
         keeps_id: Whether it starts again under the id that it had; its entry then tells its start.
@@ -52,6 +53,7 @@
     port: int
     runs: list[Run]
     crashes_under: Callable[[Message], bool] = lambda request: False
+    fails: Callable[[Message], bool] = lambda request: False
     on_crash: Callable[["Server"], None] = lambda server: None
     work_s: float = 0.02
     measure_work_s: Callable[[Message], float] | None = None
@@ -164,7 +166,8 @@
         run.began = True
         self._running += 1
         try:
-            crashes = self.crashes_under(request)
+            fails = self.fails(request)
+            crashes = not fails and self.crashes_under(request)
             if not crashes and not await self._work(request, reader):
                 return None
             if crashes:
@@ -174,8 +177,8 @@
         finally:
             self._running -= 1
         signature = {"Greengagestage-Server-Signature": f"{self.instance}.{attempt}"}
-        body = json.dumps({"served": attempt}).encode()
-        return encode(200, {**named, **signature}, body)
+        body = json.dumps({"served": attempt, "failed": fails}).encode()
+        return encode(500 if fails else 200, {**named, **signature}, body)
 
     async def _work(self, request: Message, reader: asyncio.StreamReader) -> bool:
         """Work on a request; return whether its connection was open all the while."""
