--- a/review/15/run.py
+++ b/review/15/run.py
@@ -27,6 +27,8 @@
 STABILITY_S = 3.0
 MAX_LATER = 3
 FAILING_SHARE = 0.45
+DRAWN_SHARE = 0.5
+"""Drawn are more, of which the share above is taken at most."""
 FAILING_S = 4.0
 PERIOD_S = 7.0
 PERIODS = 12
@@ -77,22 +79,26 @@
 
     Attributes:
         until_s: When they fail none any more.
-        asked: Number of requests that were decided on while they failed some, and ``failed`` how
-            many of them were failed.
+        shares: For each time in which they fail some, how many requests were decided on and failed.
     """
 
     def __init__(self) -> None:
         self.until_s = 0.0
-        self.asked = self.failed = 0
+        self.shares: list[list[int]] = []
+
+    def begin(self) -> None:
+        """Fail some requests from now on, for a while."""
+        self.until_s = time.monotonic() + FAILING_S
+        self.shares.append([0, 0])
 
     def fails(self, request: Message) -> bool:
-        """Whether a request is failed: drawn for each one, but never more than the share so far."""
+        """Whether a request is failed: drawn for each one, up to the share so far."""
         if time.monotonic() >= self.until_s:
             return False
-        self.asked += 1
-        is_allowed = self.failed < FAILING_SHARE * self.asked
-        fails = is_allowed and random.random() < FAILING_SHARE
-        self.failed += fails
+        share = self.shares[-1]
+        share[0] += 1
+        fails = share[1] + 1 <= FAILING_SHARE * share[0] and random.random() < DRAWN_SHARE
+        share[1] += fails
         return fails
 
 
@@ -165,7 +171,7 @@
     for period in range(PERIODS):
         began, pair = time.monotonic(), period // PERIODS_PER_PAIR
         if ERRORS:
-            times.until_s = began + FAILING_S
+            times.begin()
             note(f"servers fail some requests for {FAILING_S} s")
         first = asyncio.create_task(send_again(f"/orders/crashing-{pair}-a", period))
         await asyncio.sleep(OFFSET_S)
@@ -174,7 +180,8 @@
         await asyncio.sleep(max(began + PERIOD_S - time.monotonic(), 0.0))
     for task in others:
         task.cancel()
-    note(f"servers failed {times.failed} of {times.asked} requests in the times in which they did")
+    for asked, failed in times.shares:
+        note(f"servers failed {failed} of {asked} requests, {failed / max(asked, 1):.3f}")
     return judge(runs, crashes, answers)
 
 
