Log where streams end and where further upstreams continue them

The lines at the end of a request and of a failed attempt now say whether the answer had a length or chunks, the id of its last event, and for each further upstream after which event it was to go on and with which one it did. Without these, an end that was taken from the connection, one inside an event, and a run that began elsewhere look alike.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -15,6 +15,8 @@
 
     Attributes:
         last_event_id: Id of the last complete event that carried one.
+        continuations: For each further upstream, the id after which it was to go on and the id of
+            the first event that it sent.
         events: Number of complete events that carried an id.
         can_resume: Whether another upstream can continue after what was relayed: nothing, or an
             event with an id as the last one.
@@ -22,10 +24,16 @@
 
     def __init__(self) -> None:
         self.last_event_id: bytes | None = None
+        self.continuations: list[tuple[bytes, bytes]] = []
+        self._resumed_after: bytes | None = None
         self.events = 0
         self.can_resume = True
         self._partial = b""
 
+    def begin_run(self) -> None:
+        """Prepare for the events of the first upstream, or of the next one."""
+        self._resumed_after = self.last_event_id
+
     @property
     def has_partial(self) -> bool:
         """Whether an event was received in part."""
@@ -59,6 +67,9 @@
         for line in complete_events.splitlines():
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip()
+                if self._resumed_after is not None:
+                    self.continuations.append((self._resumed_after, self.last_event_id))
+                    self._resumed_after = None
                 self.events += 1
                 has_id = True
             elif line.startswith(b"data"):
--- a/greengagestage/gateway/exchange/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -69,6 +69,11 @@
         """Id of the last relayed event, from which a stream can be resumed."""
         return None if self._relay is None else self._relay.last_event_id
 
+    @property
+    def continuations(self) -> list[tuple[bytes, bytes]]:
+        """Where further upstreams were to continue a stream, and the events with which they did."""
+        return [] if self._relay is None else self._relay.continuations
+
     @property
     def can_restart(self) -> bool:
         """Whether another upstream's answer can supply the missing part."""
@@ -87,6 +92,7 @@
         self._has_events = False
         if self._relay is None:
             self._relay = EventRelay()
+        self._relay.begin_run()
         self._send_head(head)
 
     def has_oversized_event(self, data: bytes) -> bool:
--- a/greengagestage/gateway/exchange/_exchange_log.py
+++ b/greengagestage/gateway/exchange/_exchange_log.py
@@ -1,6 +1,7 @@
 """Log messages about the exchange of one request."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from eliot import log_message
 
@@ -89,7 +90,7 @@
             via=attempt.forwarded_by,
             sent=attempt.sent_s is not None,
             send=attempt.plan.number,
-            events=delivery.events,
+            **_describe_stream(delivery),
             begun=delivery.begun,
             silent_ms=_to_ms(attempt.silent_s),
             parts=None if prompt is None else [each.part for each in prompt.shared_parts],
@@ -108,7 +109,7 @@
             status=None if delivery.head is None else delivery.head.status,
             begun=delivery.begun,
             sends=outcome.sends,
-            events=delivery.events,
+            **_describe_stream(delivery),
             waited=outcome.waited,
             first_event_ms=_to_ms(delivery.first_event_s),
             longest_gap_ms=_to_ms(delivery.longest_gap_s),
@@ -118,6 +119,19 @@
         )
 
 
+def _describe_stream(delivery: Delivery) -> dict[str, Any]:
+    head, last_event_id = delivery.head, delivery.last_event_id
+    return {
+        "framed": None if head is None else head.framed,
+        "events": delivery.events,
+        "last_event": None if last_event_id is None else last_event_id.decode("latin-1"),
+        "continued": [
+            f"{after.decode('latin-1')}: {first.decode('latin-1')}"
+            for after, first in delivery.continuations
+        ],
+    }
+
+
 def _to_ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1_000, 1)
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -63,6 +63,16 @@
     assert passed == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 
 
+# Guards against logs that cannot show whether a further upstream went on where it was asked to.
+def test_it_is_known_with_which_event_a_further_upstream_goes_on() -> None:
+    relay = EventRelay()
+    for data in (EVENTS[:40], EVENTS[:15], EVENTS[30:45]):
+        relay.begin_run()
+        relay.feed(data)
+        relay.drop_partial()
+    assert relay.continuations == [(b"2", b"1"), (b"1", b"3")]
+
+
 # Guards against a stream that is resumed before its last event, which is then repeated.
 @pytest.mark.parametrize(
     ("data", "can_resume"),
