Deliver an answer without framing only once its upstream is known to live on

Cause: the kernel closes the connections of a process that exits in the same way as the process closes one after a whole answer, and the host took the end of the connection for the end of the answer. A host that forwarded such an answer put it into chunks, so that nothing was left to tell the two apart. The loss was also counted as a complete answer, which cleared losses of equal requests.

A lost stream is resumed where that is allowed and broken off where it is not. The host that has the connection judges, also for others. Only the end waits, no event does.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -14,6 +14,7 @@
 from greengagestage.routing import Job, Placement, Refused, Router, Waiting
 from greengagestage.telemetry import EntryMetrics
 
+from ._answer_ends import AnswerEnds
 from .crashes import Quarantine
 from .watches import LinkWatch, UpstreamNotices
 
@@ -31,6 +32,7 @@
 
     Attributes:
         forwarding_pool: Connections to other hosts, which forward requests to upstreams.
+        answer_ends: Judges answers that end with their connections.
         link_watch: Follows the links to the upstreams.
         quarantine: Keeps requests from being sent that crash upstreams.
         notices: Records what upstreams state about further requests.
@@ -48,6 +50,7 @@
     router: Router
     pool: ConnectionPool
     forwarding_pool: ConnectionPool
+    answer_ends: AnswerEnds
     link_watch: LinkWatch
     quarantine: Quarantine
     notices: UpstreamNotices
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -32,6 +32,7 @@
 from greengagestage.routing import Demand, ForwardingHost, Router, UpstreamLoad
 from greengagestage.telemetry import DomainTrafficMetrics, EntryMetrics, LabelledGauge
 
+from ._answer_ends import AnswerEnds
 from ._connection_limits import divide_descriptors
 from ._context import ExchangeContext
 from ._readiness import ReadinessHandler
@@ -359,6 +360,7 @@
             router=self._router,
             pool=self._pool,
             forwarding_pool=self._forwarding_pool,
+            answer_ends=AnswerEnds(reactor=self._reactor, pool=self._pool),
             link_watch=self._link_watch,
             quarantine=self._crashes.quarantine,
             notices=UpstreamNotices(
--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -58,8 +58,8 @@
     def attempt_ended(self, attempt: "Attempt") -> None:
         """Handle the end of an answer.
 
-        An answer with framing is complete. One without framing ends with the connection and may be
-        incomplete.
+        An answer with framing is complete, and so is one without it whose upstream lives on. An
+        upstream may have broken off a stream all the same.
         """
 
     def attempt_failed(self, attempt: "Attempt", fault: AttemptFault) -> None:
@@ -110,6 +110,7 @@
         self._drained_bytes = 0
         self._body_bytes = 0
         self._counted_in_router = True
+        self._framed = True
         self._forwarded_by: HostId | None = None
         self._was_idle = False
         self._detached = False
@@ -213,6 +214,7 @@
 
     def receive_head(self, head: ResponseHead) -> None:
         """Classify the response as an answer, a refusal, or neither."""
+        self._framed = head.framed
         if self._forwarded_by is not None:
             fault = read_fault(head)
             if fault is not None:
@@ -264,10 +266,16 @@
     def end_response(self) -> None:
         """Settle the attempt after the end of an answer; its connection may now serve another."""
         self._forget_connection()
-        listener, self._listener = self._listener, None
-        if listener is not None:
-            listener.attempt_ended(self)
-        self._settle(AttemptEnd.ANSWERED)
+        is_awaited = self._listener is not None or self._detached
+        if self._framed or not is_awaited:
+            self._complete()
+            return
+        self._context.answer_ends.call_when_judged(
+            self.plan.attempt_id,
+            self.plan.placement.upstream,
+            on_complete=self._complete,
+            on_lost=lambda: self.fail_response(ExchangeFailure.LOST),
+        )
 
     def fail_response(self, failure: ExchangeFailure) -> None:
         """Settle the attempt after an incomplete or malformed response."""
@@ -284,6 +292,12 @@
         """
         self._settle(end)
 
+    def _complete(self) -> None:
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.attempt_ended(self)
+        self._settle(AttemptEnd.ANSWERED)
+
     def _start_forwarding(self, via: ForwardingHost) -> None:
         self._forwarded_by = via.host
         pool = self._context.forwarding_pool
--- a/greengagestage/gateway/forwarding/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -246,16 +246,23 @@
         self._responder.write(data)
 
     def end_response(self) -> None:
-        """Complete the answer; one without framing may have been broken off."""
+        """Complete the answer; one without framing once its upstream is known to live on."""
         self._connection = None
-        if not self._framed and not self._had_event:
-            self._record_loss()
-        self._responder.finish()
-        self._end(AttemptEnd.CANCELLED)
+        if self._framed:
+            self._complete()
+        else:
+            self._context.answer_ends.call_when_judged(
+                self.attempt_id,
+                self._upstream,
+                on_complete=self._complete,
+                on_lost=lambda: self.fail_response(ExchangeFailure.LOST),
+            )
 
     def fail_response(self, failure: ExchangeFailure) -> None:
         """Break the answer off, or state the fault if none has begun."""
         self._connection = None
+        if self._ended:
+            return
         log_message(
             message_type="forwarding: answer lost",
             request=self.attempt_id,
@@ -275,6 +282,14 @@
             )
         self._end(AttemptEnd.LOST)
 
+    def _complete(self) -> None:
+        if self._ended:
+            return
+        if not self._framed and not self._had_event:
+            self._record_loss()
+        self._responder.finish()
+        self._end(AttemptEnd.CANCELLED)
+
     def _record_loss(self) -> None:
         """Let this host judge whether the upstream has crashed: the other one cannot see it."""
         self._context.quarantine.record_forwarded_loss(
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -269,6 +269,7 @@
             router=router,
             pool=cast(Any, FakePool(self, forwards=False)),
             forwarding_pool=cast(Any, FakePool(self, forwards=True)),
+            answer_ends=MagicMock(),
             link_watch=MagicMock(),
             quarantine=quarantine,
             notices=MagicMock(),
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.protocol import ClientCreator
@@ -194,6 +194,24 @@
     upstream.reactor.callLater(0.05, responder.abort)
 
 
+def answer_without_framing(*parts: bytes, exits: bool = False) -> Behavior:
+    """Return a behavior that sends parts of an answer, which ends with its connection.
+
+    Args:
+        exits: The upstream closes the connection since its process ends.
+    """
+
+    def behave(upstream: "UpstreamStandin", request: IncomingRequest, responder: Responder) -> None:
+        headers = build_identity_headers(request)
+        head = b"".join(b"%s: %s\r\n" % header for header in headers)
+        transport = cast(Any, responder).transport
+        transport.unregisterProducer()
+        transport.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + b"".join(parts))
+        upstream.reactor.callLater(0.05, upstream.exit if exits else transport.loseConnection)
+
+    return behave
+
+
 @dataclass(kw_only=True)
 class UpstreamStandin:
     """A stand-in upstream with a replaceable behavior.
@@ -233,6 +251,13 @@
         for connection in list(self.port.factory.connections):
             connection.transport.abortConnection()
 
+    def exit(self) -> None:
+        """Close all connections in order and stop listening, as the kernel does for a process."""
+        self.port.stopListening()
+        for connection in list(self.port.factory.connections):
+            connection.transport.unregisterProducer()
+            connection.transport.loseConnection()
+
     def pause(self) -> None:
         pass
 
--- /dev/null
+++ b/tests/test_answer_ends.py
@@ -0,0 +1,91 @@
+"""Tests of answers without framing, which end with their connections."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from . import host_harness as harness
+from .cut_links import Cut, CutHost, CuttableReactor
+from .host_harness import EVENTS, HostFleet, running_fleet
+from .raw_caller import RawCaller
+
+EXITS_IN_STREAM = harness.answer_without_framing(*EVENTS[:2], exits=True)
+EXITS_IN_ANSWER = harness.answer_without_framing(b"answer", exits=True)
+
+
+@pytest.fixture
+def fleet() -> Iterator[HostFleet]:
+    with running_fleet() as running:
+        yield running
+
+
+def ask_while_upstreams_exit(fleet: HostFleet, path: str) -> RawCaller:
+    """Ask for a stream whose upstream exits in its middle; all others are sound."""
+    for upstream in fleet.upstreams.values():
+        upstream.behavior = EXITS_IN_STREAM
+    caller = fleet.connect(harness.build_request(path, attempt="cut", deadline_ms=8_000))
+    fleet.run_until(lambda: EVENTS[1] in caller.data)
+    for upstream in fleet.upstreams.values():
+        upstream.behavior = harness.serve
+    fleet.run_until(lambda: caller.closed or caller.is_complete)
+    return caller
+
+
+# Guards against the part of a stream that an ended upstream had sent looking complete, also where a
+# forwarding host has put it into chunks.
+@pytest.mark.parametrize("forwarded", [False, True])
+def test_a_stream_of_an_upstream_that_exits_is_resumed_or_broken_off(
+    fleet: HostFleet, forwarded: bool
+) -> None:
+    host = CutHost(fleet)
+    if forwarded:
+        host.lose_links()
+    resumed = ask_while_upstreams_exit(fleet, "/short/x")
+    assert (resumed.is_complete, resumed.body) == (True, b"".join(EVENTS))
+    broken_off = ask_while_upstreams_exit(fleet, "/long/x")
+    assert not broken_off.is_complete
+    assert broken_off.data.count(b"data: token") == 2
+
+
+# Guards against the part of a plain answer that an ended upstream had sent looking complete.
+@pytest.mark.parametrize(("path", "status"), [("/lookup/x", 200), ("/order/x", 502)])
+def test_a_plain_answer_of_an_upstream_that_exits_is_not_delivered(
+    fleet: HostFleet, path: str, status: int
+) -> None:
+    fleet.add_upstream("one", behavior=EXITS_IN_ANSWER)
+    other = fleet.add_upstream("two")
+    fleet.store.put("servers", "two", other.build_entry(Zone="b"))  # the farther one
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.call(path)
+    assert caller.status == status
+    assert caller.body != b"answer"
+    assert len(other.requests) == (status == 200)
+
+
+# Guards against sound answers that are taken for broken ones: only the process's end is one.
+@pytest.mark.parametrize("path", ["/short/x", "/long/x"])
+def test_a_stream_of_an_upstream_that_lives_on_is_complete(fleet: HostFleet, path: str) -> None:
+    whole = harness.answer_without_framing(*EVENTS)
+    sound = fleet.add_upstream("one", service="engines", behavior=whole)
+    fleet.start_host()
+    fleet.wait_ready()
+    callers = [fleet.call(path, attempt=f"a{number}") for number in range(3)]
+    assert [(each.is_complete, each.body) for each in callers] == [(True, b"".join(EVENTS))] * 3
+    assert len(sound.requests) == 3
+
+
+# Guards against a sound answer that is lost because its upstream takes no further connections.
+def test_an_open_connection_shows_that_an_upstream_without_room_lives_on(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one", service="engines", behavior=harness.hang)
+    links = CuttableReactor(fleet.reactor)
+    fleet.start_host(reactor=links)
+    fleet.wait_ready()
+    fleet.connect(harness.build_request("/long/x", attempt="open", deadline_ms=8_000))
+    fleet.run_until(lambda: bool(upstream.hanging))
+    upstream.behavior = harness.answer_without_framing(*EVENTS)
+    caller = fleet.connect(harness.build_request("/long/x", attempt="whole", body=b"other"))
+    fleet.run_until(lambda: len(upstream.requests) == 2)
+    links.cut(Cut.SURVIVING, [upstream.port.getHost().port])
+    fleet.run_until(lambda: caller.closed or caller.is_complete)
+    assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS))
