Treat a stream whose chunks end inside an event as broken off

Cause: a stream without framing was asked for a whole last event, one with chunks or a length was not: its framing was taken for the end of the stream. The framing only says that the upstream has stopped; the event says whether the stream has. Both kinds are asked for it now, so that the stream goes on elsewhere or is broken off. An answer on such a route that is no event stream has no events to be inside of, and is passed on as before.

--- a/greengagestage/gateway/exchange/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -116,13 +116,13 @@
     def finish(self) -> bool:
         """Complete the answer; return False if it is certainly incomplete.
 
-        That is a response without a head, or a stream without framing that ends within an event or
-        has none. Other answers without framing are taken to be complete.
+        That is a response without a head, or a stream that was broken off. Other answers are taken
+        to be complete.
         """
         if self.head is None:
             return False
         if self._relay is not None:
-            if not self.head.framed and (self._relay.has_partial or not self._has_events):
+            if self._is_broken_off(self._relay, self.head):
                 return False
             self._write(self._relay.finish())
             self._responder.finish()
@@ -143,6 +143,13 @@
         if self._relay is not None:
             self._relay.drop_partial()
 
+    def _is_broken_off(self, relay: EventRelay, head: ResponseHead) -> bool:
+        """Whether a stream ends inside an event, or without framing before its first one."""
+        if not head.framed:
+            return relay.has_partial or not self._has_events
+        is_stream = self.first_event_s is not None or _states_events(head)
+        return relay.has_partial and is_stream
+
     def _send_head(self, head: ResponseHead) -> None:
         if not self.begun:
             self.begun = True
@@ -182,3 +189,8 @@
     def _write(self, data: bytes) -> None:
         if data:
             self._responder.write(data)
+
+
+def _states_events(head: ResponseHead) -> bool:
+    content_type = head.get(b"content-type") or b""
+    return content_type.lower().startswith(b"text/event-stream")
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,14 +1,17 @@
-"""Tests of answers without framing, which end with their connections."""
+"""Tests of what the end of a connection, or of an answer's framing, proves about the answer."""
 
 from collections.abc import Iterator
 
 import pytest
 
+from greengagestage.http1 import IncomingRequest, Responder
+
 from . import host_harness as harness
 from .cut_links import Cut, CutHost, CuttableReactor
 from .host_harness import EVENTS, HostFleet, running_fleet
 from .raw_caller import RawCaller
 
+EVENT_STREAM = (b"Content-Type", b"text/event-stream")
 EXITS_IN_STREAM = harness.answer_without_framing(*EVENTS[:2], exits=True)
 EXITS_IN_ANSWER = harness.answer_without_framing(b"answer", exits=True)
 
@@ -19,10 +22,10 @@
         yield running
 
 
-def ask_while_upstreams_exit(fleet: HostFleet, path: str) -> RawCaller:
-    """Ask for a stream whose upstream exits in its middle; all others are sound."""
+def ask_while_upstreams_fail(fleet: HostFleet, path: str, behavior: harness.Behavior) -> RawCaller:
+    """Ask for a stream that its upstream ends after two events; all others are sound."""
     for upstream in fleet.upstreams.values():
-        upstream.behavior = EXITS_IN_STREAM
+        upstream.behavior = behavior
     caller = fleet.connect(harness.build_request(path, attempt="cut", deadline_ms=8_000))
     fleet.run_until(lambda: EVENTS[1] in caller.data)
     for upstream in fleet.upstreams.values():
@@ -40,9 +43,9 @@
     host = CutHost(fleet)
     if forwarded:
         host.lose_links()
-    resumed = ask_while_upstreams_exit(fleet, "/short/x")
+    resumed = ask_while_upstreams_fail(fleet, "/short/x", EXITS_IN_STREAM)
     assert (resumed.is_complete, resumed.body) == (True, b"".join(EVENTS))
-    broken_off = ask_while_upstreams_exit(fleet, "/long/x")
+    broken_off = ask_while_upstreams_fail(fleet, "/long/x", EXITS_IN_STREAM)
     assert not broken_off.is_complete
     assert broken_off.data.count(b"data: token") == 2
 
@@ -89,3 +92,41 @@
     links.cut(Cut.SURVIVING, [upstream.port.getHost().port])
     fleet.run_until(lambda: caller.closed or caller.is_complete)
     assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS))
+
+
+def end_inside_event(
+    upstream: harness.UpstreamStandin, request: IncomingRequest, responder: Responder
+) -> None:
+    """Send two events and a part of the third, and end the chunks as after a whole answer."""
+    responder.begin(200, [*harness.build_identity_headers(request), EVENT_STREAM])
+    responder.write(EVENTS[0] + EVENTS[1] + EVENTS[2][:7])
+    upstream.reactor.callLater(0.05, responder.finish)
+
+
+# Guards against a half event, and a stream that looks complete, where the upstream's chunks end
+# inside an event.
+@pytest.mark.parametrize("forwarded", [False, True])
+def test_a_stream_whose_chunks_end_inside_an_event_is_resumed_or_broken_off(
+    fleet: HostFleet, forwarded: bool
+) -> None:
+    host = CutHost(fleet)
+    if forwarded:
+        host.lose_links()
+    resumed = ask_while_upstreams_fail(fleet, "/short/x", end_inside_event)
+    assert (resumed.is_complete, resumed.body) == (True, b"".join(EVENTS))
+    broken_off = ask_while_upstreams_fail(fleet, "/long/x", end_inside_event)
+    assert not broken_off.is_complete
+    assert broken_off.data.endswith(EVENTS[1] + b"\r\n")
+
+
+# Guards against an answer on a route for streams that is none, and is taken for a broken one.
+def test_an_answer_that_is_no_stream_is_passed_on_as_it_is(fleet: HostFleet) -> None:
+    def answer_plainly(upstream, request, responder) -> None:
+        headers = harness.build_identity_headers(request)
+        responder.answer(200, [*headers, (b"Content-Type", b"application/json")], b"{}")
+
+    fleet.add_upstream("one", service="engines", behavior=answer_plainly)
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.call("/short/x")
+    assert (caller.status, caller.is_complete, caller.body) == (200, True, b"{}")
