Count a broken stream as lost for its upstream

An upstream that broke streams off inside an event, and closed as after a whole answer, counted as one that answers: it kept its standing, and the short times of its broken streams went into the forecast of stream times. Cause: the attempt was settled as answered after its listener had found the answer incomplete. The listener's report of the loss now settles it.

Evidence: the new test failed before (ANSWERED in place of LOST). Found while looking for where else the end of an answer is taken for its completion.

--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -135,11 +135,12 @@
         return self._forwarded_by
 
     def record_loss(self, *, had_event: bool) -> None:
-        """Record that this attempt's answer has just been lost.
+        """Record that this attempt's answer has just been lost, or is found to be broken off.
 
         Args:
             had_event: Whether the caller's request had brought an event.
         """
+        self._settle(AttemptEnd.LOST)
         now_s = self._context.reactor.seconds()
         lost = LostAnswer(
             attempt_id=self.plan.attempt_id,
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -5,9 +5,11 @@
 import pytest
 
 from greengagestage.http1 import IncomingRequest, Responder
+from greengagestage.routing import AttemptEnd
 
 from . import host_harness as harness
 from .cut_links import Cut, CutHost, CuttableReactor
+from .exchange_world import Answer, World
 from .host_harness import EVENTS, HostFleet, running_fleet
 from .raw_caller import RawCaller
 
@@ -130,3 +132,18 @@
     fleet.wait_ready()
     caller = fleet.call("/short/x")
     assert (caller.status, caller.is_complete, caller.body) == (200, True, b"{}")
+
+
+# Guards against an upstream that breaks its streams off counting as one that answers, which keeps
+# it in use and its streams' short durations in the forecasts.
+def test_a_broken_stream_counts_as_lost_for_its_upstream() -> None:
+    world = World(Answer.RESUMABLE)
+    world.exchange.start()
+    run = world.runs[0]
+    run.begin(
+        200, [*world.build_headers(run), (b"content-type", b"text/event-stream")], framed=True
+    )
+    run.send_part(7)
+    run.end()
+    record_end = world.exchange._context.router.record_end
+    assert [call.args[2] for call in record_end.call_args_list] == [AttemptEnd.LOST]
