Tests: let stand-ins of the fleet listen on ports that nobody else is given

A test that stops an upstream and goes on to use its address could meet a listener of another test process: the upstream's port was an ephemeral one. The stand-ins now listen on ports as hosts do: outside the ephemeral range, and reserved among the test processes. What the tests ask is unchanged.

--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -391,7 +391,9 @@
         factory = ServerFactory(
             reactor=self.reactor, on_request=site.handle, on_refused=site.explain_limit
         )
-        port = self.reactor.listenTCP(0, factory, interface="127.0.0.1")
+        # Nobody else gets this port if the test stops listening on it.
+        address, number = _choose_endpoint()
+        port = self.reactor.listenTCP(number, factory, interface=address)
         self._ports.append(port)
         return port
 
