--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -1,15 +1,15 @@
 """The exchange of one caller's request: places, sends and if safe retries it, answers it once."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
-from greengagestage.catalog import RouteKind, Workspace
-from greengagestage.http1 import IncomingRequest, OutgoingRequest, Responder, ResponseHead
-from greengagestage.ids import AttemptId, ClassName, Fingerprint, WorkspaceId
+from greengagestage.catalog import RouteKind
+from greengagestage.http1 import OutgoingRequest, Responder, ResponseHead
+from greengagestage.ids import AttemptId, ClassName, WorkspaceId
 from greengagestage.platform import UpstreamRequestMetadata, build_upstream_headers
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
-from greengagestage.routing import AttemptEnd, Job, Placement, Refused, StreamOrigin, Waiting
+from greengagestage.routing import AttemptEnd, Placement, Refused, StreamOrigin, Waiting
 from greengagestage.telemetry import Timing
 
 from .._context import ExchangeContext
@@ -17,6 +17,7 @@
 from ._attempt_faults import AttemptFault
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
+from ._inputs import ExchangeInputs
 from ._refusal_answers import answer_refusal, choose_fault_refusal
 from ._send_limits import SendLimits
 from ._silence import MAX_PAUSE_S, SilenceWatch, compute_answer_limit
@@ -30,28 +31,6 @@
 """Time until another successor is sought for a silent upstream if none could be found or kept."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ExchangeInputs:
-    """A request with what admission determined about it.
-
-    Attributes:
-        workspace: The workspace that owns the caller's key; None on routes without keys.
-        stream: The caller's attempt that brought the first event of the stream: this one, unless it
-            takes up an earlier one.
-        fingerprint: Hash that is equal for equal requests of one caller.
-        version: Version of the configuration that admitted the request.
-        version_age_s: Time since that version was known to be the newest.
-    """
-
-    request: IncomingRequest
-    job: Job
-    workspace: Workspace | None
-    stream: AttemptId
-    fingerprint: Fingerprint
-    version: int
-    version_age_s: float | None
-
-
 class RequestExchange:
     """Handles one caller's request until its final answer; listens to its caller and its attempts.
 
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -14,7 +14,7 @@
 
 from greengagestage.catalog import Route, RouteKind
 from greengagestage.gateway._context import ExchangeContext
-from greengagestage.gateway.exchange._exchange import ExchangeInputs, RequestExchange
+from greengagestage.gateway.exchange import ExchangeInputs, RequestExchange
 from greengagestage.gateway.forwarding._forwarding_protocol import (
     ForwardFault,
     build_fault_headers,
