Take a stream whose ids do not increase for a broken answer

Nothing compared the first event of a further run with the one after which it was asked to go on. Ids that went back inside one run were passed on, too, and the stream then went on after the wrong event.

The relay now compares the id of each event with that of the one before, over all runs: decimal numbers increase, other ids differ. Bytes that show otherwise are not relayed; the answer is malformed, as one with an event without end is, so that another upstream goes on where that is allowed and the answer is broken off where it is not. The logs name the defect.

One test changes: the one on continuations fed a run that begins too early and expected that it is relayed. It now expects the same record of where runs went on, and that this run is not relayed.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -13,10 +13,14 @@
     Only complete events are relayed. The partial last event of an interrupted upstream is dropped,
     and the next upstream sends that event again.
 
+    The ids of a stream increase, over all the upstreams that send it. An upstream whose event has
+    an id that is not after the one before has not gone on with the stream.
+
     Attributes:
         last_event_id: Id of the last complete event that carried one.
         continuations: For each further upstream, the id after which it was to go on and the id of
             the first event that it sent.
+        defect: Why nothing that the current upstream sends is relayed any more; None if it is.
         events: Number of complete events that carried an id.
         can_resume: Whether another upstream can continue after what was relayed: nothing, or an
             event with an id as the last one.
@@ -26,6 +30,7 @@
         self.last_event_id: bytes | None = None
         self.continuations: list[tuple[bytes, bytes]] = []
         self._resumed_after: bytes | None = None
+        self.defect: str | None = None
         self.events = 0
         self.can_resume = True
         self._partial = b""
@@ -39,19 +44,22 @@
         """Whether an event was received in part."""
         return bool(self._partial)
 
-    def has_oversized_event(self, data: bytes) -> bool:
-        """Whether the partial event would be too large with further bytes that do not end it."""
-        if len(self._partial) + len(data) <= MAX_EVENT_BYTES:
-            return False
-        return not has_event_end(self._partial[-3:] + data)
-
     def feed(self, data: bytes) -> bytes:
-        """Process received bytes and return the complete events to relay."""
+        """Process received bytes and return the complete events to relay.
+
+        Nothing is relayed of bytes that show a defect, or that follow them.
+        """
+        if self.defect is None and self._is_oversized(data):
+            self.defect = f"an event of more than {MAX_EVENT_BYTES} bytes"
+        if self.defect is not None:
+            return b""
         data = self._partial + data
         end = max(_find_last_event_end(data, separator) for separator in _SEPARATORS)
-        complete_events, self._partial = data[:end], data[end:]
-        self._record_event_ids(complete_events)
-        return complete_events
+        self._record_events(data[:end])
+        if self.defect is not None:
+            return b""
+        self._partial = data[end:]
+        return data[:end]
 
     def finish(self) -> bytes:
         """Return the remaining bytes after the upstream has ended its answer properly."""
@@ -61,23 +69,56 @@
     def drop_partial(self) -> None:
         """Discard a partial event after the upstream was interrupted."""
         self._partial = b""
+        self.defect = None
+
+    def _is_oversized(self, data: bytes) -> bool:
+        """Whether the partial event would be too large with further bytes that do not end it."""
+        if len(self._partial) + len(data) <= MAX_EVENT_BYTES:
+            return False
+        return not has_event_end(self._partial[-3:] + data)
 
-    def _record_event_ids(self, complete_events: bytes) -> None:
-        has_id = has_data = False
+    def _record_events(self, complete_events: bytes) -> None:
+        """Record what complete events are, unless one of them shows a defect."""
+        last_event_id, can_resume, events = self.last_event_id, self.can_resume, self.events
+        event_id: bytes | None = None
+        has_data = False
         for line in complete_events.splitlines():
             if line.startswith(b"id:"):
-                self.last_event_id = line[3:].strip()
-                if self._resumed_after is not None:
-                    self.continuations.append((self._resumed_after, self.last_event_id))
-                    self._resumed_after = None
-                self.events += 1
-                has_id = True
+                event_id = line[3:].strip()
             elif line.startswith(b"data"):
                 has_data = True
             elif not line:
-                if has_id or has_data:
-                    self.can_resume = has_id
-                has_id = has_data = False
+                if event_id is not None:
+                    self._note_continuation(event_id)
+                    if last_event_id is not None and not is_after(event_id, last_event_id):
+                        self.defect = f"event {event_id!r} after event {last_event_id!r}"
+                        return
+                    last_event_id, can_resume = event_id, True
+                    events += 1
+                elif has_data:
+                    can_resume = False
+                event_id, has_data = None, False
+        self.last_event_id, self.can_resume, self.events = last_event_id, can_resume, events
+
+    def _note_continuation(self, event_id: bytes) -> None:
+        if self._resumed_after is not None:
+            self.continuations.append((self._resumed_after, event_id))
+            self._resumed_after = None
+
+
+def is_after(event_id: bytes, earlier: bytes) -> bool:
+    """Return whether an event can follow an earlier one of the same stream, by their ids.
+
+    Decimal numbers of any length are compared. Other ids have no order: any other one can follow.
+    """
+    if event_id.isdigit() and earlier.isdigit():
+        return _to_sort_key(event_id) > _to_sort_key(earlier)
+    return event_id != earlier
+
+
+def _to_sort_key(number: bytes) -> tuple[int, bytes]:
+    digits = number.lstrip(b"0")
+    return len(digits), digits
 
 
 def has_event_end(data: bytes) -> bool:
--- a/greengagestage/gateway/exchange/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -74,6 +74,11 @@
         """Where further upstreams were to continue a stream, and the events with which they did."""
         return [] if self._relay is None else self._relay.continuations
 
+    @property
+    def defect(self) -> str | None:
+        """Why a stream cannot be relayed as its upstream sends it; None if it can."""
+        return None if self._relay is None else self._relay.defect
+
     @property
     def can_restart(self) -> bool:
         """Whether another upstream's answer can supply the missing part."""
@@ -95,10 +100,6 @@
         self._relay.begin_run()
         self._send_head(head)
 
-    def has_oversized_event(self, data: bytes) -> bool:
-        """Whether the next bytes of a stream make its unfinished event larger than allowed."""
-        return self._relay is not None and self._relay.has_oversized_event(data)
-
     def feed(self, data: bytes) -> bool:
         """Process a part of the body; return whether some of it has gone to the caller."""
         if self._relay is not None:
--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -179,11 +179,12 @@
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Relay complete events, or buffer a part of a plain answer or pass it on."""
-        if self._delivery.has_oversized_event(data):
+        is_passed_on = self._delivery.feed(data)
+        if self._delivery.defect is not None:
             attempt.cancel(AttemptEnd.FAILED)
             self.attempt_failed(attempt, AttemptFault.MALFORMED)
             return
-        if self._delivery.feed(data):
+        if is_passed_on:
             self._choose(attempt)
             if self._delivery.is_stream:
                 self._handle_events(attempt)
--- a/greengagestage/gateway/exchange/_exchange_log.py
+++ b/greengagestage/gateway/exchange/_exchange_log.py
@@ -129,6 +129,7 @@
             f"{after.decode('latin-1')}: {first.decode('latin-1')}"
             for after, first in delivery.continuations
         ],
+        "defect": delivery.defect,
     }
 
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -63,14 +63,42 @@
     assert passed == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 
 
-# Guards against logs that cannot show whether a further upstream went on where it was asked to.
-def test_it_is_known_with_which_event_a_further_upstream_goes_on() -> None:
-    relay = EventRelay()
+# Guards against events that come twice, and logs that cannot show whether a further upstream went
+# on where it was asked to.
+def test_only_a_further_upstream_that_goes_on_is_relayed() -> None:
+    relay, passed, defects = EventRelay(), b"", []
     for data in (EVENTS[:40], EVENTS[:15], EVENTS[30:45]):
         relay.begin_run()
-        relay.feed(data)
+        passed += relay.feed(data)
+        defects.append(relay.defect)
         relay.drop_partial()
-    assert relay.continuations == [(b"2", b"1"), (b"1", b"3")]
+    assert relay.continuations == [(b"2", b"1"), (b"2", b"3")]
+    assert (passed, relay.last_event_id, relay.events) == (EVENTS[:45], b"3", 3)
+    assert defects == [None, "event b'1' after event b'2'", None]
+
+
+# Guards against sound streams that are taken for broken ones because of the form of their ids.
+@pytest.mark.parametrize(
+    ("earlier", "event_id", "follows"),
+    [
+        (b"9", b"10", True),
+        (b"10", b"9", False),
+        (b"7", b"7", False),
+        (b"007", b"7", False),
+        (b"3", b"9" * 5_000, True),
+        (b"9" * 5_000, b"3", False),
+        (b"b-2", b"a-1", True),
+        (b"b-2", b"b-2", False),
+        (b"10", b"a", True),
+    ],
+)
+def test_decimal_ids_of_a_stream_increase(earlier: bytes, event_id: bytes, follows: bool) -> None:
+    relay = EventRelay()
+    relay.feed(b"id: " + earlier + b"\ndata: x\n\n")
+    relay.begin_run()
+    event = b"id: " + event_id + b"\ndata: x\n\n"
+    assert relay.feed(event) == (event if follows else b"")
+    assert relay.last_event_id == (event_id if follows else earlier)
 
 
 # Guards against a stream that is resumed before its last event, which is then repeated.
