Compare the first event of a stream with the one after which its caller takes it up

The id was passed on to the upstream, and the relay did not know it.

Admission now hands the id to the exchange on resumable routes, and the relay begins with it. Where the stream breaks off before an event with an id, the next upstream is asked for the same event as before. The log's `continued` shows the caller's continuation, too.

Evidence: of the two new cases that take a stream up, the one whose first upstream begins too early failed without the change (event 2 again) and passes; the one that breaks off after one event passed before, since the second upstream is compared already. A stream that is not resumable is passed on as before, with and without the change.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -16,8 +16,11 @@
     The ids of a stream increase, over all the upstreams that send it. An upstream whose event has
     an id that is not after the one before has not gone on with the stream.
 
+    Args:
+        last_event_id: Id of the last event that the caller already has; None if it has none.
+
     Attributes:
-        last_event_id: Id of the last complete event that carried one.
+        last_event_id: Id of the last complete event that carried one, or that the caller had.
         continuations: For each further upstream, the id after which it was to go on and the id of
             the first event that it sent.
         defect: Why nothing that the current upstream sends is relayed any more; None if it is.
@@ -26,8 +29,8 @@
             event with an id as the last one.
     """
 
-    def __init__(self) -> None:
-        self.last_event_id: bytes | None = None
+    def __init__(self, *, last_event_id: bytes | None = None) -> None:
+        self.last_event_id = last_event_id
         self.continuations: list[tuple[bytes, bytes]] = []
         self._resumed_after: bytes | None = None
         self.defect: str | None = None
--- a/greengagestage/gateway/_site.py
+++ b/greengagestage/gateway/_site.py
@@ -147,6 +147,7 @@
             job=job,
             workspace=workspace,
             stream=stream,
+            last_event_id=metadata.last_event_id if route.resumable else None,
             fingerprint=_compute_fingerprint(request, metadata),
             version=table.version,
             version_age_s=self._configuration.read_age_s(),
--- a/greengagestage/gateway/exchange/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -22,6 +22,7 @@
     Args:
         on_begun: Called once when the request is known to have begun to run: with the first event
             of a stream, or with the head of another response.
+        last_event_id: The last event that the caller already has of a stream that it takes up.
 
     Attributes:
         begun: Part of the answer was sent, so that it can only be completed or aborted.
@@ -38,6 +39,7 @@
         timer: RequestTimer,
         arrived_s: float,
         on_begun: Callable[[], None] = lambda: None,
+        last_event_id: bytes | None = None,
     ) -> None:
         self.begun = False
         self.head: ResponseHead | None = None
@@ -48,6 +50,7 @@
         self._timer = timer
         self._arrived_s = arrived_s
         self._on_begun: Callable[[], None] | None = on_begun
+        self._taken_up_after = last_event_id
         self._last_event_s = 0.0
         self._relay: EventRelay | None = None
         self._has_events = False
@@ -66,7 +69,7 @@
 
     @property
     def last_event_id(self) -> bytes | None:
-        """Id of the last relayed event, from which a stream can be resumed."""
+        """Id of the caller's last event, from which a stream can be resumed."""
         return None if self._relay is None else self._relay.last_event_id
 
     @property
@@ -96,7 +99,7 @@
         self.head = head
         self._has_events = False
         if self._relay is None:
-            self._relay = EventRelay()
+            self._relay = EventRelay(last_event_id=self._taken_up_after)
         self._relay.begin_run()
         self._send_head(head)
 
--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -66,6 +66,7 @@
             seconds=context.reactor.seconds,
             timer=self._request_timer,
             arrived_s=inputs.job.arrived_s,
+            last_event_id=inputs.last_event_id,
             on_begun=context.build_run_counter(inputs.job, inputs.workspace),
         )
         self._log = ExchangeLog(
--- a/greengagestage/gateway/exchange/_inputs.py
+++ b/greengagestage/gateway/exchange/_inputs.py
@@ -16,6 +16,7 @@
         workspace: The workspace that owns the caller's key; None on routes without keys.
         stream: The caller's attempt that brought the first event of the stream: this one, unless it
             takes up an earlier one.
+        last_event_id: The last event that the caller has of a resumable stream that it takes up.
         fingerprint: Hash that is equal for equal requests of one caller.
         version: Version of the configuration that admitted the request.
         version_age_s: Time since that version was known to be the newest.
@@ -25,6 +26,7 @@
     job: Job
     workspace: Workspace | None
     stream: AttemptId
+    last_event_id: bytes | None
     fingerprint: Fingerprint
     version: int
     version_age_s: float | None
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -283,6 +283,7 @@
             job=job,
             workspace=None,
             stream=AttemptId("r-1"),
+            last_event_id=None,
             fingerprint=Fingerprint("f"),
             version=1,
             version_age_s=None,
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -33,6 +33,18 @@
     return behave
 
 
+def break_off_after(*parts: bytes) -> harness.Behavior:
+    """Return a behavior that begins a stream of its own and resets the connection."""
+
+    def behave(upstream: UpstreamStandin, request: IncomingRequest, responder: Responder) -> None:
+        responder.begin(200, harness.build_identity_headers(request))
+        for part in parts:
+            responder.write(part)
+        upstream.reactor.callLater(0.05, responder.abort)
+
+    return behave
+
+
 def start_fleet(fleet: HostFleet, *behaviors: harness.Behavior, forwarded: bool = False) -> None:
     """Start a host whose upstreams handle the first requests by one behavior after another."""
     rest = iter(behaviors)
@@ -94,3 +106,22 @@
     fleet.run_until(lambda: caller.closed or caller.is_complete)
     assert caller.is_complete is is_whole
     assert [caller.data.count(event) for event in EVENTS] == [1, 1, *[int(is_whole)] * 3]
+
+
+# Guards against events that a caller already has when it takes a stream up, also from an upstream
+# that goes on inside that answer.
+@pytest.mark.parametrize("first", [send_parts(*EVENTS[1:]), break_off_after(EVENTS[2])])
+def test_a_caller_that_takes_up_a_stream_gets_no_event_again(
+    fleet: HostFleet, first: harness.Behavior
+) -> None:
+    start_fleet(fleet, harness.serve, first, send_parts(*EVENTS[1:]))
+    fleet.call("/short/x", attempt="begun")
+    caller = fleet.call("/short/x", headers=("Last-Event-Id: 2", "Resumes: begun"))
+    assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS[2:]))
+
+
+# Guards against sound streams that are taken for broken ones: only a resumable one can be taken up.
+def test_a_caller_takes_up_no_stream_where_none_is_resumable(fleet: HostFleet) -> None:
+    start_fleet(fleet, send_parts(*EVENTS))
+    caller = fleet.call("/long/x", headers=("Last-Event-Id: 2",))
+    assert (caller.is_complete, caller.body) == (True, WHOLE)
