Resume no stream after an event whose id no header can carry

After one with a control character in its id, the request to the next upstream could not be written: an exception passed through the connection that had just opened, and the request hung until that connection ended.

Such an event now counts as one without an id: it is passed on, and the stream cannot be resumed after it, nor is a successor asked for beside a silent upstream.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -1,7 +1,11 @@
 """Relay of a server-sent event stream, in complete events only."""
 
+import re
+
 _SEPARATORS = (b"\n\n", b"\r\n\r\n")
 
+_SENDABLE_ID = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]+")
+"""Ids that ``Last-Event-Id`` can carry. No upstream can go on after an event with another one."""
 
 MAX_EVENT_BYTES = 262_144
 """Larger events are taken for bytes without end. An event holds a few tokens."""
@@ -87,7 +91,8 @@
         has_data = False
         for line in complete_events.splitlines():
             if line.startswith(b"id:"):
-                event_id = line[3:].strip()
+                found = _SENDABLE_ID.fullmatch(line[3:].strip())
+                event_id = None if found is None else found[0]
             elif line.startswith(b"data"):
                 has_data = True
             elif not line:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -113,6 +113,9 @@
         (b"id: 1\ndata: x\n\ndata: y\n\nid: 2\ndata: z\n\n", True),
         (b"id: 1\ndata: x\n\n: keep-alive\n\n", True),
         (b"id: 1\ndata: x\n\ndata: y", True),
+        (b"id: 1\ndata: x\n\nid:\ndata: y\n\n", False),
+        (b"id: 1\ndata: x\n\nid: a\0b\ndata: y\n\n", False),
+        (b"id: 1\ndata: x\n\nid: a b\xe9\ndata: y\n\n", True),
     ],
 )
 def test_a_stream_is_resumed_only_after_an_event_with_an_id(data: bytes, can_resume: bool) -> None:
