Relay events at their ends for all line ends of the format

Events whose lines end in CR, or whose empty line ends otherwise than the line before, were held back until the stream ended or an event ended in LF LF or CRLF CRLF. They came late, and could not be resumed. Since a stream with chunks that ends inside an event is taken for broken off, a sound one with such a last event would have been broken off, too.

The relay now knows each empty line of the format, as the entry's parser does.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -2,7 +2,8 @@
 
 import re
 
-_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+_SEPARATORS = (b"\n\n", b"\n\r\n", b"\r\r")
+"""Ends of events: a line, which may end in LF, CRLF or CR, and an empty line."""
 
 _SENDABLE_ID = re.compile(rb"[^\x00-\x08\x0a-\x1f\x7f]+")
 """Ids that ``Last-Event-Id`` can carry. No upstream can go on after an event with another one."""
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -101,6 +101,33 @@
     assert relay.last_event_id == (event_id if follows else earlier)
 
 
+# Guards against sound events that are held back, and then taken for a part of one at the end of the
+# stream, because of how their lines end.
+@pytest.mark.parametrize(
+    ("line_end", "blank"),
+    [(b"\n", b"\n"), (b"\r\n", b"\r\n"), (b"\r", b"\r"), (b"\n", b"\r\n"), (b"\r\n", b"\n")],
+)
+def test_events_are_relayed_at_their_ends_for_any_line_ends(line_end: bytes, blank: bytes) -> None:
+    version = b"greengagestage-weight-versions: 8" + line_end
+    bodies = [version * (number == 2) + b"id: %d" % number for number in range(1, 4)]
+    events = [body + line_end + b"data: x" + line_end + blank for body in bodies]
+    stream = b"".join(events)
+    slow, passed = EventRelay(), b""
+    for cut in range(len(stream) + 1):
+        relay = EventRelay()
+        first = relay.feed(stream[:cut])
+        assert first == b"".join(events[: _count_whole(events, cut)])
+        assert first + relay.feed(stream[cut:]) == stream
+        assert (relay.last_event_id, relay.events, relay.has_partial) == (b"3", 3, False)
+        passed += slow.feed(stream[cut : cut + 1])
+        assert passed == b"".join(events[: _count_whole(events, cut + 1)])
+
+
+def _count_whole(events: list[bytes], size: int) -> int:
+    ends = [len(b"".join(events[: number + 1])) for number in range(len(events))]
+    return sum(end <= size for end in ends)
+
+
 # Guards against a stream that is resumed before its last event, which is then repeated.
 @pytest.mark.parametrize(
     ("data", "can_resume"),
