Take no comment or empty line after the last event for a part of one

A sound stream with chunks was broken off, and a sound one without framing was lost, if a comment or another empty line followed its last event: any byte after it counted as the begin of an event. Seen by reading; no upstream of ours sends such bytes.

The test takes the place of the one with the first of these cases, and asks for the same and for whether an event was received in part.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -49,8 +49,9 @@
 
     @property
     def has_partial(self) -> bool:
-        """Whether an event was received in part."""
-        return bool(self._partial)
+        """Whether an event was received in part; empty lines and comments belong to none."""
+        lines = self._partial.splitlines()
+        return any(line and not line.startswith(b":") for line in lines)
 
     def feed(self, data: bytes) -> bytes:
         """Process received bytes and return the complete events to relay.
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -151,10 +151,18 @@
     assert relay.can_resume is can_resume
 
 
-def test_bytes_after_the_last_event_are_relayed_at_the_end() -> None:
+# Guards against sound streams that are taken for broken off because of a comment or an empty line
+# after the last event.
+@pytest.mark.parametrize(
+    ("rest", "is_partial"),
+    [(b": bye", False), (b"\n", False), (b"\r\n: bye\n", False), (b"d", True), (b": a\nid", True)],
+)
+def test_bytes_after_the_last_event_are_relayed_at_the_end(rest: bytes, is_partial: bool) -> None:
     relay = EventRelay()
-    assert relay.feed(b"id: 1\n\n: bye") == b"id: 1\n\n"
-    assert relay.finish() == b": bye"
+    assert relay.feed(b"id: 1\n\n") == b"id: 1\n\n"
+    assert relay.feed(rest) == b""
+    assert relay.has_partial is is_partial
+    assert relay.finish() == rest
 
 
 @given(
