Free the bodies of ended sends without the garbage collector

Cause: an attempt, its connection and the closures that the pool had been given to report the open connection referred to each other, and the connection kept the sender with the whole body after it had been closed. Only a collection of the oldest generation freed them, which seldom runs; the account did not count them.

Whoever ends a send now drops its part at once: a connection that is closed or lost its exchange and the rest of the body, an attempt its connection however it ends, a connection that is open the call that reports it, and the factory, which lives as long as Twisted's connection, both of its calls. The cycle of Twisted's connector and transport ends with the connection, so that unsent pieces go as well.

--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -191,8 +191,7 @@
         """Close the connection, which cancels the run; the listener gets no further events."""
         self._listener = None
         self._settle(end)
-        if self._connection is not None:
-            self._connection.close()
+        self._close()
 
     def detach(self, limit_s: float) -> None:
         """Let the upstream finish within a time limit; the listener gets no further events."""
@@ -395,8 +394,9 @@
     def _forget_connection(self) -> None:
         """Leave the connection to others, since the response has ended."""
         self._connection = None
-        if self._closing_timer is not None and self._closing_timer.active():
-            self._closing_timer.cancel()
+        timer, self._closing_timer = self._closing_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
 
     def _fail(self, fault: AttemptFault) -> None:
         self._settle(END_BY_FAULT[fault])
--- a/greengagestage/http1/_body_sender.py
+++ b/greengagestage/http1/_body_sender.py
@@ -7,17 +7,19 @@
 
 
 class BodySender:
-    """A pull producer that writes the next piece whenever the last one has been sent."""
+    """A pull producer that writes the next piece whenever the last one has been sent.
+
+    It drops the body once all of it has been written.
+
+    Attributes:
+        done: The whole body has been written.
+    """
 
     def __init__(self, transport: Any, body: bytes) -> None:
         self._transport = transport
         self._body = body
         self._position = 0
-
-    @property
-    def done(self) -> bool:
-        """Whether the whole body has been written."""
-        return self._position >= len(self._body)
+        self.done = False
 
     def start(self) -> None:
         """Write the first piece; the transport asks for the others."""
@@ -26,10 +28,18 @@
     def resumeProducing(self) -> None:
         """Write the next piece; called by the transport when its buffer is empty."""
         piece = self._body[self._position : self._position + PIECE_BYTES]
+        if not piece:
+            return
         self._position += len(piece)
         self._transport.write(piece)
-        if self.done:
+        if self._position == len(self._body):
+            self.done = True
+            self.release()
             self._transport.unregisterProducer()
 
+    def release(self) -> None:
+        """Drop the body; no further piece is written."""
+        self._body = b""
+
     def stopProducing(self) -> None:
         """Do nothing: the connection is lost, which its protocol handles."""
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -206,6 +206,7 @@
     def close(self) -> None:
         """Abort the connection; the listener of an open exchange is not called again."""
         self._exchange = None
+        self._release_body()
         self._closed = True
         if self.transport is not None:
             self.transport.abortConnection()
@@ -232,6 +233,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the open exchange; it can only be complete if the server closed cleanly."""
+        self._release_body()
         clean = isinstance(reason.value, ConnectionDone)
         self.was_aborted = not clean and not self._closed
         if self._exchange is not None and clean:
@@ -327,8 +329,8 @@
         codec = self._codec
         trailing_data, _ = codec.trailing_data
         done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        sender, self._body_sender = self._body_sender, None
-        is_sent = sender is None or sender.done
+        is_sent = self._body_sender is None or self._body_sender.done
+        self._release_body()
         if self._closed or trailing_data or not done or not is_sent:
             self.close()
             return
@@ -337,6 +339,12 @@
         self._idle_since_s = self._seconds()
         self._on_idle(self)
 
+    def _release_body(self) -> None:
+        """Drop what is left of the body; the transport refers to the sender a little longer."""
+        sender, self._body_sender = self._body_sender, None
+        if sender is not None:
+            sender.release()
+
     def _update_idle_limit(self, head: ResponseHead) -> None:
         announced_s = _read_keep_alive(head.get(b"keep-alive"))
         self._idle_limit_s = (
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -43,21 +44,39 @@
 
 
 class _ConnectionFactory(ClientFactory):
+    """Opens one connection.
+
+    The transport refers to its factory for as long as it lives, and the callbacks to a request:
+    they are forgotten once the connection is open or has failed.
+    """
+
     noisy = False
 
     def __init__(
         self, create: Callable[[], ClientConnection], on_failed: Callable[[], None]
     ) -> None:
-        self._create_connection = create
-        self._on_failed = on_failed
+        self._create_connection: Callable[[], ClientConnection] | None = create
+        self._on_failed: Callable[[], None] | None = on_failed
 
-    def buildProtocol(self, addr: IPv4Address) -> ClientConnection:  # type: ignore[override]
-        """Build the protocol of a new connection."""
-        return self._create_connection()
+    def buildProtocol(self, addr: IPv4Address) -> ClientConnection | None:  # type: ignore[override]
+        """Build the protocol of the new connection."""
+        create = self._create_connection
+        self._forget()
+        return None if create is None else create()
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         """Report that the connection could not be opened."""
-        self._on_failed()
+        on_failed = self._on_failed
+        self._forget()
+        if on_failed is not None:
+            on_failed()
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Break the cycle of Twisted's connector and transport, with the transport's buffers."""
+        connector.transport = None
+
+    def _forget(self) -> None:
+        self._create_connection = self._on_failed = None
 
 
 class _PooledConnection(ClientConnection):
@@ -65,12 +84,14 @@
 
     def __init__(self, *, on_open: Callable[[ClientConnection], None], **arguments: Any) -> None:
         super().__init__(**arguments)
-        self._on_open = on_open
+        self._on_open: Callable[[ClientConnection], None] | None = on_open
 
     def connectionMade(self) -> None:
         """Set the socket options and report the open connection."""
         super().connectionMade()
-        self._on_open(self)
+        on_open, self._on_open = self._on_open, None
+        if on_open is not None:
+            on_open(self)
 
 
 class ConnectionPool:
@@ -132,25 +153,17 @@
         self.opened += 1
         if self._max_connections is not None and self._open_count >= self._max_connections:
             self._close_longest_idle()
-
-        def handle_open(connection: ClientConnection) -> None:
-            self._open.setdefault(endpoint, set()).add(connection)
-            self._open_count += 1
-            on_open(connection)
-
-        factory = _ConnectionFactory(
-            lambda: _PooledConnection(
-                seconds=self._reactor.seconds,
-                on_open=handle_open,
-                on_idle=lambda connection: self.put_idle(endpoint, connection),
-                on_closed=lambda connection: self._discard(endpoint, connection),
-            ),
-            on_failed,
+        create = partial(
+            _PooledConnection,
+            seconds=self._reactor.seconds,
+            on_open=partial(self._handle_open, endpoint, on_open),
+            on_idle=partial(self.put_idle, endpoint),
+            on_closed=partial(self._discard, endpoint),
         )
         self._reactor.connectTCP(
             endpoint.address,
             endpoint.port,
-            factory,
+            _ConnectionFactory(create, on_failed),
             timeout=self._connect_timeout_s,
             bindAddress=self._bind_address,
         )
@@ -202,6 +215,16 @@
             self._expiry_timer.cancel()
             self._expiry_timer = None
 
+    def _handle_open(
+        self,
+        endpoint: Endpoint,
+        on_open: Callable[[ClientConnection], None],
+        connection: ClientConnection,
+    ) -> None:
+        self._open.setdefault(endpoint, set()).add(connection)
+        self._open_count += 1
+        on_open(connection)
+
     def _close_longest_idle(self) -> None:
         oldest = [connections[0] for connections in self._idle.values() if connections]
         if oldest:
