Drop a caller's request with its final answer or its caller

A request that ended at its deadline, or whose successor had won, kept its body until the collector of the oldest generation ran. Cause: an exchange referred to its timers, and a timer that has fired refers to what it called; a search for the origin of a stream kept the request of a caller that had left until the store had answered.

RequestSource holds the request, builds what is sent to upstreams from it, and drops it when the exchange concludes. The exchange forgets its timers then, so that it is freed itself, with what it has buffered of an answer; the search forgets whom to call.

--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -6,7 +6,6 @@
 from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import IncomingRequest, OutgoingRequest, Responder, ResponseHead
 from greengagestage.ids import AttemptId, ClassName, Fingerprint, WorkspaceId
-from greengagestage.platform import UpstreamRequestMetadata, build_upstream_headers
 from greengagestage.refusals import Refusal
 from greengagestage.results import ResultCode
 from greengagestage.routing import AttemptEnd, Job, Placement, Refused, StreamOrigin, Waiting
@@ -18,6 +17,7 @@
 from ._delivery import Delivery
 from ._exchange_log import ExchangeLog, ExchangeOutcome
 from ._refusal_answers import answer_refusal, choose_fault_refusal
+from ._request_source import RequestSource
 from ._send_limits import SendLimits
 from ._silence import MAX_PAUSE_S, SilenceWatch, compute_answer_limit
 from ._winner import Winner
@@ -63,8 +63,12 @@
         self, *, context: ExchangeContext, inputs: ExchangeInputs, responder: Responder
     ) -> None:
         self._context = context
-        self._inputs = inputs
+        self._fingerprint = inputs.fingerprint
+        self._stream = inputs.stream
         self._job = inputs.job
+        self._source = RequestSource(
+            request=inputs.request, job=inputs.job, workspace=inputs.workspace
+        )
         self._route = inputs.job.route
         self._responder = responder
         self._winner = Winner[Attempt]()
@@ -159,28 +163,18 @@
         A returned request is counted as one that may have run. For the first attempt, the time
         since the request's arrival is recorded in the metrics.
         """
-        remaining_s = self._job.deadline_s - self._now_s
-        if self._done or remaining_s <= 0:
+        time_left_s = self._job.deadline_s - self._now_s
+        last_event_id = self._delivery.last_event_id
+        request = self._source.build(
+            attempt.plan, time_left_s=time_left_s, last_event_id=last_event_id
+        )
+        if request is None:
             return None
         if attempt.plan.number == 1:
             waited_s = self._now_s - self._job.arrived_s
             self._request_timer.observe(Timing.QUEUE_WAIT, waited_s)
         self._limits.possible_runs += 1
-        workspace = self._inputs.workspace
-        metadata = UpstreamRequestMetadata(
-            instance=attempt.plan.placement.upstream.instance,
-            time_left_s=remaining_s,
-            workspace=None if workspace is None else workspace.name,
-            urgency=None if self._job.prompt is None else self._job.urgency,
-            last_event_id=self._delivery.last_event_id,
-        )
-        request = self._inputs.request
-        return OutgoingRequest(
-            method=request.method,
-            target=request.target,
-            headers=build_upstream_headers(request.headers, metadata),
-            body=request.body,
-        )
+        return request
 
     def attempt_head_received(self, attempt: Attempt, head: ResponseHead) -> None:
         """Start relaying a stream or buffering a plain answer, if it is the one to take."""
@@ -274,7 +268,7 @@
         self._log.log_sent(placement, self._limits.sends)
         plan = AttemptPlan(
             job=self._job,
-            fingerprint=self._inputs.fingerprint,
+            fingerprint=self._fingerprint,
             number=self._limits.sends,
             placement=placement,
             non_retryable=not self._route.is_retryable,
@@ -353,7 +347,7 @@
         self._job = replace(self._job, began_at=began_at)
         if self._route.resumable:
             origins = self._context.router.stream_versions.origins
-            origins.record_local(self._inputs.stream, began_at, self._now_s)
+            origins.record_local(self._stream, began_at, self._now_s)
 
     def _handle_silence(self) -> None:
         """Send the request to another upstream too, if that one may run it."""
@@ -401,7 +395,7 @@
     def _find_quarantine(self) -> str | None:
         sends = self._limits.unproved_sends
         find_reason = self._context.quarantine.find_reason
-        return find_reason(self._inputs.fingerprint, self._job, sends, self._now_s)
+        return find_reason(self._fingerprint, self._job, sends, self._now_s)
 
     def _choose(self, attempt: Attempt) -> None:
         """Let this attempt alone answer from now on."""
@@ -440,6 +434,7 @@
 
     def _conclude(self, code: ResultCode, refusal: Refusal | None = None) -> None:
         self._done = True
+        self._source.release()
         self._limits.release_retry()
         if not self._limits.unproved_sends:
             self._context.quarantine.withdraw_trial(self._job)
@@ -448,6 +443,7 @@
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
                 timer.cancel()
+        self._deadline_timer = self._placement_timer = None  # one that has fired refers to this
         self._context.open_exchanges.discard(self)
         elapsed_s = self._now_s - self._job.arrived_s
         self._request_timer.observe(Timing.ANSWER, elapsed_s)
--- a/greengagestage/gateway/exchange/_stream_origins.py
+++ b/greengagestage/gateway/exchange/_stream_origins.py
@@ -44,8 +44,8 @@
         self._stream = stream
         self._service = service
         self._responder = responder
-        self._on_found = on_found
-        self._ended = False
+        # None once the search has ended; it refers to the request.
+        self._on_found: Callable[[StreamOrigin | None], None] | None = on_found
 
     @property
     def attempt_id(self) -> AttemptId:
@@ -70,7 +70,7 @@
 
     def handle_disconnect(self) -> None:
         """Forget the caller."""
-        self._ended = True
+        self._on_found = None
         self._context.open_exchanges.discard(self)
 
     def pause(self) -> None:
@@ -80,7 +80,7 @@
         """Do nothing: nothing is sent to the caller yet."""
 
     def _handle_confirmation(self, is_confirmed: bool) -> None:
-        if not self._ended:
+        if self._on_found is not None:
             self._end(self._find(is_confirmed=is_confirmed), is_confirmed=is_confirmed)
 
     def _find(self, *, is_confirmed: bool) -> StreamOrigin | None:
@@ -92,9 +92,9 @@
         )
 
     def _end(self, origin: StreamOrigin | None, *, is_confirmed: bool) -> None:
-        if self._ended:
+        on_found, self._on_found = self._on_found, None
+        if on_found is None:
             return
-        self._ended = True
         self._responder.listener = None
         self._context.open_exchanges.discard(self)
         log_message(
@@ -106,4 +106,4 @@
             software=None if origin is None else origin.software_version,
             registry_confirmed=is_confirmed,
         )
-        self._on_found(origin)
+        on_found(origin)
--- a/tests/live_bodies.py
+++ b/tests/live_bodies.py
@@ -3,26 +3,34 @@
 import gc
 from collections.abc import Iterator
 from contextlib import contextmanager
+from itertools import count
 
-BODY_BYTES = 4_000_003
-"""Size of the bodies to find: no other bytes of a test have it, and no socket's buffers hold it."""
+MIN_BODY_BYTES = 4_000_003
+"""More than the buffers of sockets hold."""
 
-BODY = b"x" * BODY_BYTES
-"""The callers' copy, which does not count."""
+_sizes = count(MIN_BODY_BYTES)
 
 
-def count_live_bodies() -> int:
-    """Return how many copies of the body the objects of the process refer to.
+class TrackedBody:
+    """A body whose copies can be found by their size, which no other bytes of the process have.
 
-    The pieces in which a body is read or sent are not copies.
+    Attributes:
+        data: The caller's bytes, which are no copy.
     """
-    bodies = {
-        id(referent)
-        for owner in gc.get_objects()
-        for referent in gc.get_referents(owner)
-        if type(referent) is bytes and len(referent) == BODY_BYTES
-    }
-    return len(bodies - {id(BODY)})
+
+    def __init__(self) -> None:
+        self.data = b"x" * next(_sizes)
+
+    def count_copies(self) -> int:
+        """Return to how many copies any objects refer; the pieces read and sent are none."""
+        size = len(self.data)
+        copies = {
+            id(referent)
+            for owner in gc.get_objects()
+            for referent in gc.get_referents(owner)
+            if type(referent) is bytes and len(referent) == size
+        }
+        return len(copies - {id(self.data)})
 
 
 def count_live(*kinds: type) -> int:
--- a/tests/test_body_ownership.py
+++ b/tests/test_body_ownership.py
@@ -2,8 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from greengagestage.gateway.exchange import RequestExchange
 from greengagestage.gateway.exchange._attempt import Attempt
@@ -25,9 +27,12 @@
     running_fleet,
     serve,
 )
-from .live_bodies import BODY, count_live, count_live_bodies, without_collector
+from .live_bodies import TrackedBody, count_live, without_collector
 from .raw_caller import RawCaller
 
+OWNERS = (RequestExchange, Attempt, ForwardedRequest)
+"""Parts of a host that stand for one request, with what is buffered of its answer."""
+
 SETTLE_S = 0.1
 """Time in which connections that have been closed or aborted end."""
 
@@ -48,11 +53,14 @@
     """Uploads through a host, to upstreams that keep no body.
 
     Attributes:
+        body: The body of all uploads.
         arrived: How often upstreams have got each request, by its attempt id.
     """
 
     def __init__(self, fleet: HostFleet, *behaviors: Behavior, service: str = "archive") -> None:
         self.fleet = fleet
+        self.body = TrackedBody()
+        self._others = count_live(*OWNERS)  # of failed tests
         self.arrived: Counter[bytes] = Counter()
         for number, behavior in enumerate(behaviors):
             fleet.add_upstream(
@@ -71,9 +79,9 @@
 
         return behave
 
-    def upload(self, path: str, *, attempt: str = "up", deadline_ms: int = 5_000) -> RawCaller:
-        request = build_request(path, attempt=attempt, body=BODY, deadline_ms=deadline_ms)
-        return self.fleet.connect(request)
+    def upload(self, path: str, *, deadline_ms: int = 5_000, **fields: Any) -> RawCaller:
+        fields = {"attempt": "up", "deadline_ms": deadline_ms, **fields}
+        return self.fleet.connect(build_request(path, body=self.body.data, **fields))
 
     def upload_until_arrived(self, path: str, *, deadline_ms: int = 5_000) -> RawCaller:
         caller = self.upload(path, deadline_ms=deadline_ms)
@@ -84,10 +92,9 @@
         caller.transport.abortConnection()
         self.fleet.run_for(SETTLE_S)
 
-
-def check_nothing_is_left() -> None:
-    assert count_live_bodies() == 0
-    assert count_live(RequestExchange, Attempt, ForwardedRequest) == 0
+    def check_all_freed(self) -> None:
+        assert self.body.count_copies() == 0
+        assert count_live(*OWNERS) == self._others
 
 
 # Each of these guards against bodies that stay in reference cycles when their requests have ended,
@@ -100,10 +107,10 @@
     fleet.start_host()
     fleet.wait_ready()
     uploads.leave(uploads.upload_until_arrived(path))
-    check_nothing_is_left()
+    uploads.check_all_freed()
 
 
-@pytest.mark.parametrize("behavior", [reset, refuse, fail, serve])
+@pytest.mark.parametrize("behavior", [hang, begin, reset, refuse, fail, serve])
 def test_a_request_gets_its_last_answer(fleet: HostFleet, behavior: Behavior) -> None:
     uploads = Uploads(fleet, behavior, behavior)
     fleet.start_host()
@@ -111,7 +118,18 @@
     caller = uploads.upload_until_arrived("/lookup/x", deadline_ms=600)
     fleet.run_until(lambda: caller.is_complete or caller.closed)
     fleet.run_for(SETTLE_S)
-    check_nothing_is_left()
+    uploads.check_all_freed()
+
+
+def test_a_successor_wins(fleet: HostFleet) -> None:
+    uploads = Uploads(fleet, hang)
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = uploads.upload_until_arrived("/lookup/x")
+    Uploads(fleet, serve, service="archive")
+    fleet.run_until(lambda: caller.is_complete)
+    fleet.run_for(SETTLE_S)
+    uploads.check_all_freed()
 
 
 def test_a_caller_leaves_while_the_connection_is_opened(fleet: HostFleet) -> None:
@@ -124,7 +142,26 @@
     caller = uploads.upload("/lookup/x")
     fleet.run_until(lambda: port in links.attempts)
     uploads.leave(caller)
-    assert count_live_bodies() == 0
+    assert uploads.body.count_copies() == 0
+
+
+def test_a_caller_leaves_while_the_origin_of_its_stream_is_sought(
+    fleet: HostFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    uploads = Uploads(fleet, serve, service="engines")
+    process = fleet.start_host()
+    fleet.wait_ready()
+    reads: list[Deferred[bool]] = []
+
+    def confirm() -> Deferred[bool]:
+        reads.append(Deferred())
+        return reads[-1]
+
+    monkeypatch.setattr(process._registry, "confirm", confirm)
+    caller = uploads.upload("/short/x", headers=("Last-Event-ID: 2",))
+    fleet.run_until(lambda: bool(reads))
+    uploads.leave(caller)
+    assert uploads.body.count_copies() == 0
 
 
 def test_the_caller_of_a_forwarded_request_leaves(fleet: HostFleet) -> None:
@@ -133,4 +170,4 @@
     uploads = Uploads(fleet)
     host.set_behavior(uploads.record(hang))
     uploads.leave(uploads.upload_until_arrived("/lookup/x"))
-    assert count_live_bodies() == 0
+    assert uploads.body.count_copies() == 0
