Drop a body once all of it has been written to its upstream

Cause: the connection keeps the exchange to read the answer, and the exchange the request; a host that forwards a request kept a second reference until the answer had ended.

A connection now leaves a body of more than a piece to its sender, which drops it with the last piece. What is kept of the request is what the parser needs to tell the answer's framing: method, target and headers. A forwarding host gives the request away with the send.

--- a/greengagestage/gateway/forwarding/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -146,7 +146,7 @@
         open_requests: set["ForwardedRequest"],
     ) -> None:
         self._context = context
-        self._request = request
+        self._request: OutgoingRequest | None = request  # None once it has been sent
         self._upstream = upstream
         self._responder = connection
         self._open_requests = open_requests
@@ -321,19 +321,19 @@
         answer_fault(self._responder, ForwardFault.NO_LINK if cut else ForwardFault.UNREACHABLE)
 
     def _send(self, connection: ClientConnection, endpoint: Endpoint) -> None:
-        fault = self._find_obstacle()
-        if self._ended or fault is not None:
+        fault, request = self._find_obstacle(), self._request
+        if self._ended or fault is not None or request is None:
             self._context.pool.put_idle(endpoint, connection)
             if fault is not None and not self._ended:
                 answer_fault(self._responder, fault)
                 self._end(AttemptEnd.CANCELLED)
             return
-        self._connection = connection
+        self._connection, self._request = connection, None
         self._sent_s = self._context.reactor.seconds()
         attempt_id = self.attempt_id
         connection.send(
             Exchange(
-                request=self._build_request(),
+                request=self._update_time_left(request),
                 listener=self,
                 is_answer=lambda head: is_answer_to(attempt_id, head),
                 recipient=self._upstream.instance,
@@ -354,12 +354,11 @@
         elapsed_s: float = self._context.reactor.seconds() - self._received_s
         return self._timeout_s - elapsed_s
 
-    def _build_request(self) -> OutgoingRequest:
+    def _update_time_left(self, request: OutgoingRequest) -> OutgoingRequest:
         time_left_s = self._measure_time_left()
         if time_left_s is None:
-            return self._request
-        headers = replace_time_left(self._request.headers, time_left_s)
-        return replace(self._request, headers=headers)
+            return request
+        return replace(request, headers=replace_time_left(request.headers, time_left_s))
 
     def _close_upstream(self) -> None:
         connection, self._connection = self._connection, None
@@ -368,10 +367,12 @@
 
     def _end(self, end: AttemptEnd) -> None:
         self._ended = True
+        self._request = None
         self._open_requests.discard(self)
         self._context.open_exchanges.discard(self)
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
+        self._deadline_timer = None  # one that has fired refers to this
         now_s = self._context.reactor.seconds()
         self._context.router.record_end(self.attempt_id, self._upstream.instance, end, now_s)
 
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -1,7 +1,7 @@
 """The client side of a connection: one exchange at a time, reported to its listener."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any, Protocol
 
@@ -197,6 +197,8 @@
         if len(body) <= PIECE_BYTES:
             self.transport.write(head + body)
         else:
+            # The sender alone holds the body, which is dropped with the last piece.
+            self._exchange = replace(exchange, request=replace(exchange.request, body=b""))
             self.transport.write(head)
             self._body_sender = BodySender(self.transport, body)
             self._body_sender.start()
--- a/tests/test_body_ownership.py
+++ b/tests/test_body_ownership.py
@@ -171,3 +171,24 @@
     host.set_behavior(uploads.record(hang))
     uploads.leave(uploads.upload_until_arrived("/lookup/x"))
     assert uploads.body.count_copies() == 0
+
+
+# Each of these guards against bodies that are kept after all of them has been sent, by requests
+# that go on without their callers (review/12).
+def test_a_caller_leaves_a_request_that_must_run_once(fleet: HostFleet) -> None:
+    uploads = Uploads(fleet, hang)
+    fleet.start_host()
+    fleet.wait_ready()
+    uploads.leave(uploads.upload_until_arrived("/order/x"))
+    assert uploads.body.count_copies() == 0
+    assert fleet.upstreams["archive-0"].disconnects == 0
+
+
+def test_a_caller_leaves_a_forwarded_request_that_must_run_once(fleet: HostFleet) -> None:
+    host = CutHost(fleet)
+    host.lose_links()
+    uploads = Uploads(fleet)
+    host.set_behavior(uploads.record(hang))
+    uploads.leave(uploads.upload_until_arrived("/order/x"))
+    assert uploads.body.count_copies() == 0
+    assert not any(upstream.disconnects for upstream in fleet.upstreams.values())
