Count a request's body until nothing holds it, also without its caller

Cause: such a request goes on after its caller has left, but the body was counted with the caller's connection, which the account forgot when it was lost. The host went on to take uploads above its limit.

A body now has a claim in the account, which everything that holds the body holds as well: the request as it was read, each request built from it, and the sender. The account refers to claims weakly, so that it follows the bytes; no path has to return them. While the connection is open the body still counts with it, because closing it releases both. A forwarding host counts in the same way.

--- a/greengagestage/gateway/exchange/_request_source.py
+++ b/greengagestage/gateway/exchange/_request_source.py
@@ -44,6 +44,7 @@
             target=request.target,
             headers=build_upstream_headers(request.headers, metadata),
             body=request.body,
+            body_claim=request.body_claim,
         )
 
     def release(self) -> None:
--- a/greengagestage/gateway/forwarding/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -105,7 +105,11 @@
             return
         self.forwarded += 1
         outgoing = OutgoingRequest(
-            method=request.method, target=request.target, headers=headers, body=request.body
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            body_claim=request.body_claim,
         )
         ForwardedRequest(
             context=self._context,
--- a/greengagestage/http1/_body_sender.py
+++ b/greengagestage/http1/_body_sender.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from ._body_claim import BodyClaim
+
 PIECE_BYTES = 65_536
 """Size of a piece, as much as a transport's buffer takes before it asks for a pause."""
 
@@ -15,9 +17,10 @@
         done: The whole body has been written.
     """
 
-    def __init__(self, transport: Any, body: bytes) -> None:
+    def __init__(self, transport: Any, body: bytes, claim: BodyClaim | None = None) -> None:
         self._transport = transport
         self._body = body
+        self._claim = claim
         self._position = 0
         self.done = False
 
@@ -39,7 +42,7 @@
 
     def release(self) -> None:
         """Drop the body; no further piece is written."""
-        self._body = b""
+        self._body, self._claim = b"", None
 
     def stopProducing(self) -> None:
         """Do nothing: the connection is lost, which its protocol handles."""
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -1,7 +1,7 @@
 """The client side of a connection: one exchange at a time, reported to its listener."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any, Protocol
 
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from ._body_claim import BodyClaim
 from ._body_sender import PIECE_BYTES, BodySender
 from ._sockets import (
     count_undelivered_bytes,
@@ -45,12 +46,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OutgoingRequest:
-    """A request with its complete body; framing headers are added when it is sent."""
+    """A request with its complete body; framing headers are added when it is sent.
+
+    Attributes:
+        body_claim: The claim of the incoming request whose body is sent on.
+    """
 
     method: bytes
     target: bytes
     headers: HeaderList
     body: bytes = b""
+    body_claim: BodyClaim | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -192,15 +198,16 @@
         if self._answered_early:
             self._answered_early = False
             limit_unacknowledged(self.transport)
-        head = _encode_request(self._codec, exchange.request)
-        body = exchange.request.body
+        request = exchange.request
+        head, body = _encode_request(self._codec, request), request.body
         if len(body) <= PIECE_BYTES:
             self.transport.write(head + body)
         else:
             # The sender alone holds the body, which is dropped with the last piece.
-            self._exchange = replace(exchange, request=replace(exchange.request, body=b""))
+            sent = replace(request, body=b"", body_claim=None)
+            self._exchange = replace(exchange, request=sent)
             self.transport.write(head)
-            self._body_sender = BodySender(self.transport, body)
+            self._body_sender = BodySender(self.transport, body, request.body_claim)
             self._body_sender.start()
         # The request says how much time is left, of which a process that is held up uses more.
         send_at_once(self.transport)
--- a/greengagestage/http1/_memory.py
+++ b/greengagestage/http1/_memory.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from heapq import nsmallest
 from typing import Protocol
+from weakref import WeakSet
+
+from ._body_claim import BodyClaim
 
 PROCESS_BYTES = 64 * 1_048_576
 """What a process needs without any request: the interpreter, the code and its tables."""
@@ -61,6 +64,9 @@
 class MemoryAccount:
     """Adds up what is held by connection and decides what to do without.
 
+    A body that outlives its caller's connection, or its answer, is counted by itself. None can be
+    closed for it.
+
     Bytes are recorded when they are added. How many have left since is only measured for a
     decision, and only at the connections that hold some.
 
@@ -74,6 +80,7 @@
     def __init__(self, *, limit_bytes: float = math.inf) -> None:
         self._limit_bytes = limit_bytes
         self._holders: dict[MemoryHolder, _Progress] = {}
+        self._left_bodies: WeakSet[BodyClaim] = WeakSet()
         self._recorded_bytes = 0
         self.held_bytes = 0
 
@@ -100,13 +107,18 @@
         """Forget a connection that has ended."""
         self._holders.pop(holder, None)
 
+    def keep(self, claim: BodyClaim) -> None:
+        """Go on to count a body, which its connection holds no more, until it is dropped."""
+        if not math.isinf(self._limit_bytes):
+            self._left_bodies.add(claim)
+
     def measure(self) -> None:
         """Count again what is held, and forget the connections that hold nothing."""
         sizes = {holder: holder.held_bytes for holder in self._holders}
         self._holders = {
             holder: progress for holder, progress in self._holders.items() if sizes[holder] > 0
         }
-        self.held_bytes = sum(sizes.values())
+        self.held_bytes = sum(sizes.values()) + sum(claim.size for claim in self._left_bodies)
         self._recorded_bytes = 0
 
     def choose_excess(self) -> list[MemoryHolder]:
--- a/greengagestage/http1/_requests.py
+++ b/greengagestage/http1/_requests.py
@@ -1,9 +1,10 @@
 """Requests as a server reads them, and the interface through which they are answered."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
+from ._body_claim import BodyClaim
 from ._callers import CallerListener
 from ._types import HeaderList
 
@@ -34,6 +35,7 @@
 
     Attributes:
         received_s: Monotonic time at which its first byte arrived, also if it was read later.
+        body_claim: To be held by whatever holds the body; None if that is not counted.
     """
 
     method: bytes
@@ -41,6 +43,7 @@
     headers: HeaderList
     body: bytes
     received_s: float
+    body_claim: BodyClaim | None = field(default=None, compare=False, repr=False)
 
     def get_all(self, name: bytes) -> list[bytes]:
         """Return all values of a header."""
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import ref
 
 import h11
 from twisted.internet.protocol import Factory, connectionDone
@@ -11,6 +12,7 @@
 
 from greengagestage.catalog import ConnectionLimits
 
+from ._body_claim import BodyClaim
 from ._callers import ObservedConnection
 from ._listeners import close_listener, count_unaccepted
 from ._memory import MemoryAccount
@@ -182,7 +184,8 @@
         self._received_bytes = 0
         self._written_bytes = 0
         self._buffered_answer_bytes = 0
-        self._answered_body_bytes = 0
+        # Whatever answers the request holds its body, and may drop it before the answer ends.
+        self._answered_body: ref[BodyClaim] | None = None
         self._timer: Any = None
 
     def connectionMade(self) -> None:
@@ -219,7 +222,8 @@
         """Number of bytes that the process holds for the caller."""
         being_read = 0 if self._incoming is None else self._incoming.size
         sent_ahead = len(self._codec.trailing_data[0])
-        answered = self._answered_body_bytes + self._buffered_answer_bytes
+        body = None if self._answered_body is None else self._answered_body()
+        answered = (0 if body is None else body.size) + self._buffered_answer_bytes
         return being_read + sent_ahead + answered + self.unsent_bytes
 
     @property
@@ -275,7 +279,8 @@
         self.factory.idle_connections.pop(self, None)
         self.factory.memory.discard(self)
         self._incoming = None
-        self._buffered_answer_bytes = self._answered_body_bytes = 0
+        self._buffered_answer_bytes = 0
+        self._leave_body()
         self.notify_disconnected()
 
     def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
@@ -307,7 +312,7 @@
         """Complete the response, and read the next request unless too little has been sent."""
         self.listener = None
         self.hold(0)
-        self._answered_body_bytes = 0
+        self._leave_body()
         self._send(h11.EndOfMessage())
         self._answering = False
         if self._codec.our_state is not h11.DONE or self._codec.their_state is not h11.DONE:
@@ -453,7 +458,8 @@
             return
         self._incoming = None
         self._answering = True
-        self._answered_body_bytes = incoming.size
+        claim = BodyClaim(incoming.size) if incoming.size else None
+        self._answered_body = None if claim is None else ref(claim)
         self._answers_head = head.method == b"HEAD"
         self._stop_timer()
         request = IncomingRequest(
@@ -462,9 +468,17 @@
             headers=list(head.headers),
             body=b"".join(incoming.parts),
             received_s=incoming.received_s,
+            body_claim=claim,
         )
         self.factory.on_request(request, self)
 
+    def _leave_body(self) -> None:
+        """Leave the body of the answered request to whatever still holds it."""
+        body = None if self._answered_body is None else self._answered_body()
+        self._answered_body = None
+        if body is not None:
+            self.factory.memory.keep(body)
+
     def _refuse(self, reason: LimitExceeded) -> None:
         """Send a refusal for a request that cannot be read, then close the connection."""
         if self._ignoring_input:
--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -321,6 +321,7 @@
         reactor: Any = None,
         first_start: bool = False,
         duties: DutySettings | None = None,
+        memory_bytes: float = 300 * 1_048_576,
         **bounds: Any,
     ) -> HostProcess:
         store = self.store_port.getHost()
@@ -335,6 +336,7 @@
             first_start=first_start,
             bounds=Bounds(**{"key_revocation_s": 5.0, **bounds}),
             duties=duties,
+            memory_bytes=memory_bytes,
         )
         process = HostProcess(reactor=reactor or self.reactor, settings=settings)
         process.start()
