--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -1,7 +1,7 @@
 """The client side of a connection: one exchange at a time, reported to its listener."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any, Protocol
 
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from ._body_claim import BodyClaim
 from ._body_sender import PIECE_BYTES, BodySender
 from ._sockets import (
     count_undelivered_bytes,
@@ -45,12 +46,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OutgoingRequest:
-    """A request with its complete body; framing headers are added when it is sent."""
+    """A request with its complete body; framing headers are added when it is sent.
+
+    Attributes:
+        body_claim: The claim of the incoming request whose body is sent on.
+    """
 
     method: bytes
     target: bytes
     headers: HeaderList
     body: bytes = b""
+    body_claim: BodyClaim | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -192,13 +198,16 @@
         if self._answered_early:
             self._answered_early = False
             limit_unacknowledged(self.transport)
-        head = _encode_request(self._codec, exchange.request)
-        body = exchange.request.body
+        request = exchange.request
+        head, body = _encode_request(self._codec, request), request.body
         if len(body) <= PIECE_BYTES:
             self.transport.write(head + body)
         else:
+            # The sender alone holds the body, which is dropped with the last piece.
+            sent = replace(request, body=b"", body_claim=None)
+            self._exchange = replace(exchange, request=sent)
             self.transport.write(head)
-            self._body_sender = BodySender(self.transport, body)
+            self._body_sender = BodySender(self.transport, body, request.body_claim)
             self._body_sender.start()
         # The request says how much time is left, of which a process that is held up uses more.
         send_at_once(self.transport)
@@ -206,6 +215,7 @@
     def close(self) -> None:
         """Abort the connection; the listener of an open exchange is not called again."""
         self._exchange = None
+        self._release_body()
         self._closed = True
         if self.transport is not None:
             self.transport.abortConnection()
@@ -232,6 +242,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the open exchange; it can only be complete if the server closed cleanly."""
+        self._release_body()
         clean = isinstance(reason.value, ConnectionDone)
         self.was_aborted = not clean and not self._closed
         if self._exchange is not None and clean:
@@ -327,8 +338,8 @@
         codec = self._codec
         trailing_data, _ = codec.trailing_data
         done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
-        sender, self._body_sender = self._body_sender, None
-        is_sent = sender is None or sender.done
+        is_sent = self._body_sender is None or self._body_sender.done
+        self._release_body()
         if self._closed or trailing_data or not done or not is_sent:
             self.close()
             return
@@ -337,6 +348,12 @@
         self._idle_since_s = self._seconds()
         self._on_idle(self)
 
+    def _release_body(self) -> None:
+        """Drop what is left of the body; the transport refers to the sender a little longer."""
+        sender, self._body_sender = self._body_sender, None
+        if sender is not None:
+            sender.release()
+
     def _update_idle_limit(self, head: ResponseHead) -> None:
         announced_s = _read_keep_alive(head.get(b"keep-alive"))
         self._idle_limit_s = (
