Soak: events whose ids are more than one apart

A host that infers anything from the distance of two ids would have passed.

In three of ten streams the request now lists ids that are 1, 2, 7 or 100 apart, drawn from a source of its own. Upstreams send exactly these and go on after `Last-Event-Id`; the check compares what callers receive with the same list. It is as strict as before for streams that count by one, whose cases stay.

Evidence: the cases with such ids of tests/test_soak_checks.py fail without the change, and the first three, with ids that count by one, give the same findings as before.

--- a/soak/_answer_checks.py
+++ b/soak/_answer_checks.py
@@ -122,13 +122,15 @@
     def _check_events(self, attempt: Attempt) -> None:
         plan = attempt.plan
         numbers = [event.number for event in attempt.events]
-        if numbers != list(range(plan.last_event + 1, plan.last_event + 1 + len(numbers))):
+        following = [number for number in plan.event_ids if number > plan.last_event]
+        if numbers != following[: len(numbers)]:
             self._add(Rule.ORDER, attempt, f"events {numbers} after {plan.last_event}")
         if any(event.work != plan.work for event in attempt.events):
             self._add(Rule.MIXED, attempt, "events of another stream")
         last = numbers[-1] if numbers else plan.last_event
-        if attempt.served and last != plan.events:
-            self._add(Rule.ORDER, attempt, f"complete after event {last} of {plan.events}")
+        if attempt.served and last != plan.event_ids[-1]:
+            text = f"complete after event {last} of {plan.event_ids[-1]}"
+            self._add(Rule.ORDER, attempt, text)
         versions = list(dict.fromkeys(event.version for event in attempt.events))
         if plan.version is not None and plan.version not in versions[:1]:
             versions = [plan.version, *versions]
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -40,6 +41,7 @@
     Attributes:
         work: Id of the work, the same in all attempts of one caller.
         events: Number of events of a stream; 0 for a plain answer.
+        ids: Ids of the events, if they are more than one apart.
         resumes: Id of the attempt that brought the stream's first event.
         version: Software version of the stream's first event.
         pause_s: Pause in the middle of sending the body.
@@ -60,6 +62,7 @@
     headers: tuple[tuple[str, str], ...]
     events: int
     deadline_s: float
+    ids: tuple[int, ...] = ()
     last_event: int = 0
     resumes: str | None = None
     version: str | None = None
@@ -70,6 +73,11 @@
     unframed: bool = False
     crashing: bool = False
 
+    @property
+    def event_ids(self) -> Sequence[int]:
+        """The ids of the events in the order in which upstreams send them."""
+        return self.ids or range(1, self.events + 1)
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -377,6 +377,7 @@
                 context=context,
                 random=Random(f"{self._options.seed}/caller/{number}"),
                 hazard_random=Random(f"{self._options.seed}/hazards/{number}"),
+                ids_random=Random(f"{self._options.seed}/ids/{number}"),
             )
             if isinstance(caller, CrashingCaller) and self._options.equal_pause_s is not None:
                 caller.mean_pause_s = self._options.equal_pause_s
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from itertools import accumulate
 from random import Random
 from typing import Any
 
@@ -22,6 +23,9 @@
 FINAL = (400, 401, 404, 413, 431)
 UNFRAMED_SHARE = 0.1
 ENDLESS_SHARE = 0.01
+SPACED_SHARE = 0.3
+GAPS = (1, 2, 7, 100)
+"""Differences between the ids of a stream's events."""
 
 
 def sleep(reactor: Any, delay_s: float) -> "Deferred[None]":
@@ -57,11 +61,13 @@
     Attributes:
         hazard_random: Draws crashing prompts, streams without a length and endless answers. Its own
             source leaves the other draws of a seed as they were.
+        ids_random: Draws ids of events, from a source of its own, too.
     """
 
     context: TrafficContext
     random: Random
     hazard_random: Random
+    ids_random: Random
     _connections: dict[str, CallerConnection] = field(default_factory=dict)
 
     async def run(self) -> None:
@@ -106,7 +112,7 @@
             progress["last_event"] = attempt.events[-1].number
             progress["resumes"] = plan.resumes or plan.attempt
             progress["version"] = plan.version or attempt.events[0].version
-            if attempt.events[-1].number >= plan.events:
+            if attempt.events[-1].number >= plan.event_ids[-1]:
                 return None
         identifier = self._draw_id()
         following = replace(
@@ -178,6 +184,9 @@
             body["unframed"] = True
         if not events and hazards.random() < ENDLESS_SHARE:
             body["style"] = hazards.choice(ENDLESS_STYLES).value
+        ids = self._draw_ids(events)
+        if ids:
+            body["ids"] = ids
         body["padding"] = "x" * random.choice((0, 10, 4_000))
         plan = RequestPlan(
             attempt=identifier,
@@ -191,6 +200,7 @@
             workspace=self._find_workspace(key),
             headers=(),
             events=events,
+            ids=ids,
             deadline_s=random.choice((4.0, 6.0, 8.0)),
             chunked=random.random() < 0.2,
             pause_s=random.choice((0.01, 0.1, 0.5)) if random.random() < 0.1 else 0.0,
@@ -200,6 +210,12 @@
         )
         return replace(plan, headers=_build_headers(plan))
 
+    def _draw_ids(self, events: int) -> tuple[int, ...]:
+        """Draw the ids of a stream's events if they are to be more than one apart."""
+        if not events or self.ids_random.random() >= SPACED_SHARE:
+            return ()
+        return tuple(accumulate(self.ids_random.choices(GAPS, k=events)))
+
     def _list_extra_routes(self) -> list[str]:
         """Return all routes that were ever added, also those that were removed."""
         return sorted(
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -1,6 +1,7 @@
 """Stand-in upstreams: engines that stream events and plain services, with faults on demand."""
 
 import json
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -86,9 +87,11 @@
         body = json.loads(arrival.request.body or b"{}")
         self._work = body.get("work", "")
         self._events = int(body.get("events", 0))
+        ids = body.get("ids") or range(1, self._events + 1)
+        self._last_event = int(arrival.request.get(b"last-event-id") or b"0")
+        self._ids = deque(number for number in ids if number > self._last_event)
         self._pace_s = body.get("pace_ms", 20) / 1e3
         self._style = AnswerStyle(body.get("style", "framed"))
-        self._next = int(arrival.request.get(b"last-event-id") or b"0") + 1
         parts = (arrival.request.get(b"greengagestage-prompt-prefix") or b"").decode("latin-1")
         self._deadly = f"{DEADLY_PART}:" in parts
         self._unframed = bool(body.get("unframed"))
@@ -121,7 +124,7 @@
             self._arrival.broke_off = True
             in_stream = bool(self._events and self._arrival.status)
             if in_stream:
-                self._write(b"id: %d\nda" % self._next)
+                self._write(b"id: %d\nda" % (self._ids[0] if self._ids else self._last_event + 1))
             if in_stream and self._unframed:
                 self._responder.transport.unregisterProducer()
                 self._responder.transport.loseConnection()
@@ -194,7 +197,7 @@
     def _send_event(self) -> None:
         if not self._open:
             return
-        if self._next > self._events:
+        if not self._ids:
             if self._unframed:
                 self._responder.transport.unregisterProducer()
                 self._responder.transport.loseConnection()
@@ -202,9 +205,9 @@
                 self._responder.finish()
             self._finish()
             return
-        text = f"id: {self._next}\ndata: {self._work}/{self._next}/{self._arrival.version}\n\n"
-        self._write(text.encode())
-        self._next += 1
+        self._last_event = self._ids.popleft()
+        data = f"{self._work}/{self._last_event}/{self._arrival.version}"
+        self._write(f"id: {self._last_event}\ndata: {data}\n\n".encode())
         self._upstream.call_awake(self._pace_s, self._send_event)
 
     def _write(self, data: bytes) -> None:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -84,21 +84,44 @@
     assert records.rules == ["UNASKED"]
 
 
-@pytest.mark.parametrize("numbers", [(1, 3), (1, 1, 2), (2, 3)])
+# Guards against a soak that takes events for missing whose ids are more than one apart, or that
+# does not miss events between them.
+@pytest.mark.parametrize(
+    ("ids", "numbers", "rules"),
+    [
+        ((), (1, 3), ["ORDER"]),
+        ((), (1, 1, 2), ["ORDER"]),
+        ((), (2, 3), ["ORDER"]),
+        ((2, 3, 9), (2, 3), []),
+        ((2, 3, 9), (2, 9), ["ORDER"]),
+        ((2, 3, 9), (2, 2, 3), ["ORDER"]),
+        ((2, 3, 9), (3, 2), ["ORDER"]),
+        ((2, 3, 9), (2, 3, 4), ["ORDER"]),
+        ((2, 3, 9), (2, 3, 9, 10), ["ORDER"]),
+    ],
+)
 def test_missing_and_repeated_events_are_reported(
-    records: SoakRecords, numbers: tuple[int, ...]
+    records: SoakRecords, ids: tuple[int, ...], numbers: tuple[int, ...], rules: list[str]
 ) -> None:
-    attempt = records.send(build_plan("talk", events=5), events=build_events(*numbers))
+    plan = build_plan("talk", events=len(ids) or 5, ids=ids)
+    attempt = records.send(plan, events=build_events(*numbers))
     records.end(attempt, Ending.LEFT)
-    assert records.rules == ["ORDER"]
+    assert records.rules == rules
 
 
-def test_a_stream_that_ends_as_complete_too_early_is_reported(records: SoakRecords) -> None:
-    plan = build_plan("talk", events=5)
-    attempt = records.send(plan, events=build_events(1, 2))
+@pytest.mark.parametrize(
+    ("ids", "numbers", "rules"),
+    [((), (1, 2), ["ORDER"]), ((2, 3, 9), (2, 3), ["ORDER"]), ((2, 3, 9), (2, 3, 9), [])],
+)
+def test_a_stream_that_ends_as_complete_too_early_is_reported(
+    records: SoakRecords, ids: tuple[int, ...], numbers: tuple[int, ...], rules: list[str]
+) -> None:
+    plan = build_plan("talk", events=len(ids) or 5, ids=ids)
+    attempt = records.send(plan, events=build_events(*numbers))
     arrival = records.receive(plan, service="engines")
+    arrival.broke_off = True
     records.answer(attempt, 200, b"", arrival.signature)
-    assert records.rules == ["ORDER"]
+    assert records.rules == rules
 
 
 def test_the_third_stream_with_two_software_versions_is_reported(records: SoakRecords) -> None:
