Soak: processes that end in order, and last chunks inside an event

Its upstreams reset their connections when they ended, broke off inside an event always, and never sent the last chunk there. Its links went on to accept connections for a process that had ended.

In half of the ends, the process now closes its listener, then its connections in order; streams stop between two events or inside one, and some plain answers without length inside their body. The link refuses connections until the successor runs, also while a fault of the link ends. In half of the cases, a stream with chunks that is broken off inside an event ends with its last chunk. The checks are unchanged: an arrival knows that it broke off, as before.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -14,6 +14,7 @@
 
 MISSED_HEARTBEATS = 3
 VERSIONS = ("v1.1", "v1.2")
+IN_ORDER_SHARE = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -71,6 +72,7 @@
             reactor=self.reactor,
             observer=self.observer,
             listening_port=port,
+            random=Random(instance),
         )
         upstream.repeats_refusals = lambda: self.reactor.seconds() < self.repeats_until_s
         upstream.on_repeat = self._count_repeat
@@ -79,6 +81,9 @@
         if link is None:
             link = Link(reactor=self.reactor, interface=self.address, target=target)
             link.open()
+        elif link.ended:
+            link.ended = False
+            link.open()
         member = Member(upstream=upstream, link=link, born_ms=round(self.reactor.seconds() * 1e3))
         upstream.on_crash = lambda cause: self._crash_under_request(member, cause)
         self.members[instance] = member
@@ -123,8 +128,7 @@
         """End an upstream at once; its entry expires after some missed heartbeats."""
         instance = member.upstream.identity.instance
         self.disturbances.begin(instance, "crash", self.reactor.seconds())
-        member.alive = False
-        member.upstream.close()
+        self._end_process(member)
         self.reactor.callLater(MISSED_HEARTBEATS * HEARTBEAT_S, self._remove_entry, member)
         self._schedule_replacement(member)
 
@@ -167,11 +171,19 @@
             return
         instance = member.upstream.identity.instance
         self.disturbances.begin(instance, "end", self.reactor.seconds())
-        member.alive = False
-        member.upstream.close()
+        self._end_process(member)
         self._remove_entry(member)
         self._schedule_replacement(member)
 
+    def _end_process(self, member: Member) -> None:
+        """End an upstream's process by resets, or in order, with its listener closed first."""
+        member.alive = False
+        in_order = member.upstream.random.random() < IN_ORDER_SHARE
+        if in_order:
+            member.link.ended = True
+            member.link.shut()
+        member.upstream.close(in_order=in_order)
+
     def _schedule_replacement(self, member: Member) -> None:
         """Start another incarnation later, at times of another version or another service."""
         identity = member.upstream.identity
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -189,7 +189,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class Link:
-    """A listening port whose connections lead to a target through the proxy."""
+    """A listening port whose connections lead to a target through the proxy.
+
+    Attributes:
+        ended: Whether the target has ended and refuses connections, so that the link stays shut.
+    """
 
     reactor: Any
     interface: str
@@ -199,11 +203,12 @@
     sides: set[_Side] = field(default_factory=set)
     passages: dict[int, Passage] = field(default_factory=dict)
     address: tuple[str, int] = ("", 0)
+    ended: bool = False
     _port: Any = None
 
     def open(self) -> tuple[str, int]:
         """Listen, at the same address as before if there is one, and return it."""
-        if self._port is None:
+        if self._port is None and not self.ended:
             number = self.address[1]
             self._port = self.reactor.listenTCP(number, _Acceptor(self), interface=self.interface)
             self.address = self.interface, int(self._port.getHost().port)
--- a/soak/_upstream.py
+++ b/soak/_upstream.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
+from random import Random
 from typing import Any
 from weakref import WeakKeyDictionary
 
@@ -14,10 +15,13 @@
 from ._crash_checks import DEADLY_PART, CrashCause
 from ._ledger import Arrival
 
+CLOSE = b"Connection: close\r\n\r\n"
 SLOTS = 8
 QUEUE = 2
 CRASH_DELAY_S = 0.05
 NOISE_PAUSE_S = 0.005
+INSIDE_SHARE = 0.5
+FINISHED_SHARE = 0.5
 REPEAT_DELAY_S = 0.003
 """Shorter than any answer takes, so that a repeated answer comes where the next one is expected."""
 
@@ -118,19 +122,43 @@
     def abort(self) -> None:
         """Break off in the middle of an event.
 
-        A stream without framing then ends like a complete one, but for the event.
+        A stream without framing then ends like a complete one, but for the event, and so does one
+        with framing at times.
         """
-        if self._open:
-            self._arrival.broke_off = True
-            in_stream = bool(self._events and self._arrival.status)
-            if in_stream:
-                self._write(b"id: %d\nda" % (self._ids[0] if self._ids else self._last_event + 1))
-            if in_stream and self._unframed:
-                self._responder.transport.unregisterProducer()
-                self._responder.transport.loseConnection()
-            else:
-                self._responder.abort()
-            self._finish()
+        if not self._open:
+            return
+        self._arrival.broke_off = True
+        in_stream = bool(self._events and self._arrival.status)
+        if in_stream:
+            self._write_part()
+        if in_stream and self._unframed:
+            close_in_order(self._responder.transport)
+        elif in_stream and self._upstream.random.random() < FINISHED_SHARE:
+            self._responder.finish()
+        else:
+            self._responder.abort()
+        self._finish()
+
+    def stop(self) -> None:
+        """Stop as its process ends: between two events, inside one, or inside a plain answer.
+
+        The plain answer has no framing.
+        """
+        self._arrival.broke_off = True
+        has_begun = bool(self._arrival.status)
+        is_inside = self._upstream.random.random() < INSIDE_SHARE
+        if is_inside and self._events and has_begun:
+            self._write_part()
+        elif is_inside and not (self._events or has_begun or self._style is AnswerStyle.CRASH):
+            self._responder.transport.write(self._begin_plain() + CLOSE + self._arrival.body[:9])
+        self._finish()
+
+    def _begin_plain(self) -> bytes:
+        """Produce a plain answer, and return its head without framing and the empty line."""
+        arrival = self._arrival
+        arrival.status = 200
+        arrival.body = f"{self._work} by {arrival.signature}".encode()
+        return build_head(self._upstream.build_headers(arrival))
 
     def _answer(self) -> None:
         if not self._open:
@@ -139,20 +167,17 @@
         if self._style is AnswerStyle.CRASH:
             self._upstream.on_crash(CrashCause.REQUEST)
             return
+        head = self._begin_plain()
         arrival.status = 500 if self._style is AnswerStyle.FAILED else 200
-        arrival.body = f"{self._work} by {arrival.signature}".encode()
         arrival.broke_off = self._style in BROKEN_STYLES
-        headers = self._upstream.build_headers(arrival)
-        head = b"".join(b"%s: %s\r\n" % header for header in headers)
-        head = b"HTTP/1.1 200 OK\r\n" + head
         length = b"Content-Length: %d\r\n" % len(arrival.body)
         transport = self._responder.transport
         match self._style:
             case AnswerStyle.UNFRAMED:
-                transport.write(head + b"Connection: close\r\n\r\n" + arrival.body)
+                transport.write(head + CLOSE + arrival.body)
                 transport.loseConnection()
             case AnswerStyle.CUT:
-                transport.write(head + b"Connection: close\r\n\r\n" + arrival.body[:9])
+                transport.write(head + CLOSE + arrival.body[:9])
                 self._upstream.reactor.callLater(0.01, transport.abortConnection)
             case AnswerStyle.SHORT:
                 transport.write(head + length + b"\r\n" + arrival.body[:9])
@@ -171,6 +196,7 @@
             case AnswerStyle.NOISE:
                 transport.write(b"\x00\x01 no answer\r\n\r\n")
             case _:
+                headers = self._upstream.build_headers(arrival)
                 self._responder.answer(arrival.status, headers, arrival.body)
         if self._style is AnswerStyle.REPEATED:
             again = head + length + b"\r\n" + arrival.body
@@ -184,8 +210,7 @@
         headers = self._upstream.build_headers(self._arrival)
         headers.append((b"Content-Type", b"text/event-stream"))
         if self._unframed:
-            head = b"".join(b"%s: %s\r\n" % header for header in headers)
-            self._write(b"HTTP/1.1 200 OK\r\n" + head + b"Connection: close\r\n\r\n")
+            self._write(build_head(headers) + CLOSE)
         else:
             self._responder.begin(200, headers)
         if self._deadly:
@@ -199,8 +224,7 @@
             return
         if not self._ids:
             if self._unframed:
-                self._responder.transport.unregisterProducer()
-                self._responder.transport.loseConnection()
+                close_in_order(self._responder.transport)
             else:
                 self._responder.finish()
             self._finish()
@@ -210,6 +234,10 @@
         self._write(f"id: {self._last_event}\ndata: {data}\n\n".encode())
         self._upstream.call_awake(self._pace_s, self._send_event)
 
+    def _write_part(self) -> None:
+        """Send a part of the next event."""
+        self._write(b"id: %d\nda" % (self._ids[0] if self._ids else self._last_event + 1))
+
     def _write(self, data: bytes) -> None:
         if self._unframed:
             self._responder.transport.write(data)
@@ -242,6 +270,8 @@
         limit_per_s: The rate of requests that its answers name, if any.
         on_repeat: Called when a refusal has been sent once more.
         on_crash: Ends this upstream as a crash does; called for requests that cause one.
+        random: Draws how answers are broken off. Its own source leaves the other draws of a seed
+            as they were.
     """
 
     identity: UpstreamIdentity
@@ -249,6 +279,7 @@
     observer: UpstreamObserver
     on_repeat: Callable[[], None] = lambda: None
     on_crash: Callable[[CrashCause], None] = lambda cause: None
+    random: Random = field(default_factory=lambda: Random(1))
     listening_port: int = 0
     silent_until_s: float = 0.0
     refuses_until_s: float = 0.0
@@ -270,12 +301,23 @@
         self._port = self.reactor.listenTCP(self.listening_port, self._factory, interface=address)
         return address, int(self._port.getHost().port)
 
-    def close(self) -> None:
-        """Stop listening and abort all connections, as a process that ends."""
+    def close(self, *, in_order: bool = False) -> None:
+        """Stop listening and end all connections, as a process that ends.
+
+        Args:
+            in_order: The connections are closed, as the kernel does it where nothing is unread, in
+                place of reset.
+        """
         if self._port is not None:
             self._port.stopListening()
             self._port = None
-        self.reset()
+        if not in_order:
+            self.reset()
+            return
+        for work in list(self.work):
+            work.stop()
+        for connection in list(self._factory.connections):
+            close_in_order(connection.transport)
 
     def reset(self) -> None:
         """Abort all connections."""
@@ -388,3 +430,14 @@
 
     def _explain(self, limit: LimitExceeded) -> bytes:
         return limit.name.encode()
+
+
+def build_head(headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the head of a success without the line that ends it."""
+    return b"HTTP/1.1 200 OK\r\n" + b"".join(b"%s: %s\r\n" % header for header in headers)
+
+
+def close_in_order(transport: Any) -> None:
+    """Close a connection after what was written; the transport may have a paused producer."""
+    transport.unregisterProducer()
+    transport.loseConnection()
