Ask an upstream for a new connection before others count as its life

Cause: 0.05 s after the end of an answer, another connection that was still open proved that the upstream lived on. Connections of a process that exits end one after another, 0.1 s apart in the play below; one whose last segment is lost ends 0.2 s late, and one that has much to send later still.

A new connection is now opened first. It is refused as soon as the process no longer listens. Only then do the others count, and only if one is still open 0.3 s later: an upstream without room for another connection lives on, too.

--- a/greengagestage/gateway/_answer_ends.py
+++ b/greengagestage/gateway/_answer_ends.py
@@ -10,7 +10,11 @@
 from greengagestage.ids import AttemptId
 
 SETTLE_S = 0.05
-"""Time after the end of one connection in which the others of a process that exits end, too."""
+"""Time after the end of one connection in which a process that exits stops listening, too."""
+
+SURVIVAL_S = 0.3
+"""Time in which the other connections of an upstream end that accepts none any more, if its process
+exits. One that closes them itself takes a while, and a lost segment is sent again after 0.2 s."""
 
 
 class AnswerEnds:
@@ -18,7 +22,7 @@
 
     The kernel closes the connections of a process that exits in the same way as the process closes
     one after a whole answer. An answer without framing is complete only if its upstream lives on:
-    another connection to it does, or it accepts a new one.
+    it accepts a new connection, or where it has no room for one, another connection stays open.
 
     Args:
         pool: Connections to upstreams.
@@ -57,19 +61,27 @@
 
         def handle_open(connection: ClientConnection) -> None:
             self._pool.put_idle(endpoint, connection)
-            report(complete=True, connections=0)
+            report(complete=True, connections=1)
+
+        def count_others() -> int:
+            return self._pool.count_alive_since_before(endpoint, ended_s)
+
+        def judge_by_others() -> None:
+            alive = count_others()
+            report(complete=alive > 0, connections=alive)
 
-        def judge() -> None:
-            alive = self._pool.count_alive_since_before(endpoint, ended_s)
-            if alive:
-                report(complete=True, connections=alive)
+        def handle_failure() -> None:
+            if count_others():
+                self._call_later(SURVIVAL_S, judge_by_others)
             else:
-                self._pool.open(
-                    endpoint,
-                    on_open=handle_open,
-                    on_failed=lambda: report(complete=False, connections=0),
-                )
+                report(complete=False, connections=0)
+
+        def connect() -> None:
+            self._pool.open(endpoint, on_open=handle_open, on_failed=handle_failure)
+
+        self._call_later(SETTLE_S, connect)
 
+    def _call_later(self, delay_s: float, judge: Callable[[], None]) -> None:
         # Timers run before sockets are read: a process that was held up has yet to read the ends
         # that have arrived in the meantime.
-        self._reactor.callLater(SETTLE_S, self._reactor.callLater, 0.0, judge)
+        self._reactor.callLater(delay_s, self._reactor.callLater, 0.0, judge)
