Take no life of another upstream at the same address for a proof

Cause: a new connection, or one opened in the meantime, showed that some process lives at the address, which need not be the one that answered.

They prove nothing once the registry lists another upstream at the address in place of this one. A living upstream shares its address with none, so that no sound answer is lost by this.

Not mended: the end is read when both entries are listed (the one that has exited, for three heartbeats), or before the new one is.

--- a/greengagestage/gateway/_answer_ends.py
+++ b/greengagestage/gateway/_answer_ends.py
@@ -1,6 +1,6 @@
 """Proof that an answer which ended with its connection is complete."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from eliot import log_message
@@ -26,11 +26,19 @@
 
     Args:
         pool: Connections to upstreams.
+        list_upstreams: Returns the upstreams in the registry.
     """
 
-    def __init__(self, *, reactor: Any, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        pool: ConnectionPool,
+        list_upstreams: Callable[[], Iterable[RegisteredUpstream]],
+    ) -> None:
         self._reactor = reactor
         self._pool = pool
+        self._list_upstreams = list_upstreams
 
     def call_when_judged(
         self,
@@ -49,7 +57,8 @@
         endpoint = Endpoint(address=upstream.address, port=upstream.port)
         ended_s = self._reactor.seconds()
 
-        def report(*, complete: bool, connections: int) -> None:
+        def report(connections: int) -> None:
+            complete = connections > 0 and not self._is_replaced(upstream)
             log_message(
                 message_type="upstream: answer ended with its connection",
                 request=attempt_id,
@@ -61,26 +70,29 @@
 
         def handle_open(connection: ClientConnection) -> None:
             self._pool.put_idle(endpoint, connection)
-            report(complete=True, connections=1)
+            report(connections=1)
 
         def count_others() -> int:
             return self._pool.count_alive_since_before(endpoint, ended_s)
 
-        def judge_by_others() -> None:
-            alive = count_others()
-            report(complete=alive > 0, connections=alive)
-
         def handle_failure() -> None:
             if count_others():
-                self._call_later(SURVIVAL_S, judge_by_others)
+                self._call_later(SURVIVAL_S, lambda: report(connections=count_others()))
             else:
-                report(complete=False, connections=0)
+                report(connections=0)
 
         def connect() -> None:
             self._pool.open(endpoint, on_open=handle_open, on_failed=handle_failure)
 
         self._call_later(SETTLE_S, connect)
 
+    def _is_replaced(self, upstream: RegisteredUpstream) -> bool:
+        """Whether another upstream has the address: an end can be read seconds late."""
+        listed = list(self._list_upstreams())
+        endpoint = (upstream.address, upstream.port)
+        at_endpoint = any((each.address, each.port) == endpoint for each in listed)
+        return at_endpoint and all(each.incarnation != upstream.incarnation for each in listed)
+
     def _call_later(self, delay_s: float, judge: Callable[[], None]) -> None:
         # Timers run before sockets are read: a process that was held up has yet to read the ends
         # that have arrived in the meantime.
--- a/greengagestage/gateway/_host.py
+++ b/greengagestage/gateway/_host.py
@@ -360,7 +360,11 @@
             router=self._router,
             pool=self._pool,
             forwarding_pool=self._forwarding_pool,
-            answer_ends=AnswerEnds(reactor=self._reactor, pool=self._pool),
+            answer_ends=AnswerEnds(
+                reactor=self._reactor,
+                pool=self._pool,
+                list_upstreams=lambda: (each.record for each in self._router.upstreams.values()),
+            ),
             link_watch=self._link_watch,
             quarantine=self._crashes.quarantine,
             notices=UpstreamNotices(
--- a/tests/test_answer_end_proofs.py
+++ b/tests/test_answer_end_proofs.py
@@ -9,7 +9,7 @@
 
 from . import host_harness as harness
 from .cut_links import CuttableReactor
-from .host_harness import EVENTS, HostFleet, running_fleet
+from .host_harness import EVENTS, HostFleet, UpstreamStandin, running_fleet
 from .raw_caller import RawCaller
 
 EXITS_IN_STREAM = harness.answer_without_framing(*EVENTS[:2], exits=True)
@@ -56,3 +56,30 @@
     fleet.reactor.callLater(0.3, held.transport.startReading)
     await_end(fleet, caller)
     assert not caller.is_complete
+
+
+def replace_upstream(fleet: HostFleet, upstream: UpstreamStandin, port: int, name: str) -> None:
+    """Start an upstream at the address of one that has exited."""
+    other = UpstreamStandin(name=name, service=upstream.service, reactor=fleet.reactor)
+    other.port = fleet.reactor.listenTCP(port, upstream.port.factory, interface="127.0.0.1")
+    upstream.port.factory.on_request = other.handle
+    fleet.store.remove("servers", upstream.name)
+    fleet.store.put("servers", name, other.build_entry(born=2_000))
+
+
+# Guards against a broken stream that looks complete since its end is read late, when another
+# upstream has the address: its caller reads slowly, or the host was held up.
+def test_an_upstream_that_has_the_address_later_proves_nothing(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one", service="engines", behavior=EXITS_IN_STREAM)
+    process, _ = start_host(fleet)
+    port = upstream.port.getHost().port
+    caller = ask(fleet)
+    fleet.run_until(lambda: EVENTS[0] in caller.data)
+    (exchange,) = process._context.open_exchanges
+    exchange.pause()
+    fleet.run_for(0.1)
+    replace_upstream(fleet, upstream, port, "two")
+    fleet.run_until(lambda: "two" in process._router.upstreams)
+    exchange.resume()
+    await_end(fleet, caller)
+    assert not caller.is_complete
