Take an empty line or a comment after the last event for no part of one

Callers lost whole streams that end with bytes which belong to no event, such as an empty line or a comment, where these come in a read of their own: they were broken off, or asked for once more. Cause: since a stream with framing has to end with a whole event, and any byte after the last one counted as the begin of another.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -36,8 +36,8 @@
 
     @property
     def has_partial(self) -> bool:
-        """Whether an event was received in part."""
-        return bool(self._partial)
+        """Whether an event was received in part; comments and empty lines belong to none."""
+        return any(line and not line.startswith(b":") for line in self._partial.splitlines())
 
     def has_oversized_event(self, data: bytes) -> bool:
         """Whether the partial event would be too large with further bytes that do not end it."""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -147,3 +147,21 @@
     run.end()
     record_end = world.exchange._context.router.record_end
     assert [call.args[2] for call in record_end.call_args_list] == [AttemptEnd.LOST]
+
+
+# Guards against a whole stream that is taken for a broken one since bytes that belong to no event
+# follow its last one.
+@pytest.mark.parametrize("rest", [b"\n", b"\r\n", b": end\n"])
+def test_a_stream_may_end_with_an_empty_line_or_a_comment(fleet: HostFleet, rest: bytes) -> None:
+    def answer(
+        upstream: harness.UpstreamStandin, request: IncomingRequest, responder: Responder
+    ) -> None:
+        responder.begin(200, [*harness.build_identity_headers(request), EVENT_STREAM])
+        responder.write(b"".join(EVENTS))
+        upstream.reactor.callLater(0.05, lambda: (responder.write(rest), responder.finish()))
+
+    fleet.add_upstream("one", service="engines", behavior=answer)
+    fleet.start_host()
+    fleet.wait_ready()
+    caller = fleet.call("/long/x")
+    assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS) + rest)
