Test that the planned exit of an upstream is no crash, which is known red

Callers get 503 (QUARANTINED) for requests equal to three others whose streams the exit of a draining upstream has cut. The evidence by the registry leaves upstreams out that were leaving (docs/design/crashes.md), the evidence by connections (CrashWatch._judge, _confirm) does not, and several losses at one upstream count each.

--- a/tests/test_answer_end_proofs.py
+++ b/tests/test_answer_end_proofs.py
@@ -6,6 +6,8 @@
 import pytest
 
 from greengagestage.gateway import HostProcess
+from greengagestage.http1 import IncomingRequest, Responder
+from greengagestage.ids import InstanceId
 
 from . import host_harness as harness
 from .cut_links import CuttableReactor
@@ -21,6 +23,13 @@
         yield running
 
 
+def send_first_event(
+    upstream: UpstreamStandin, request: IncomingRequest, responder: Responder
+) -> None:
+    responder.begin(200, harness.build_identity_headers(request))
+    responder.write(EVENTS[0])
+
+
 def start_host(fleet: HostFleet) -> tuple[HostProcess, CuttableReactor]:
     links = CuttableReactor(fleet.reactor)
     process = fleet.start_host(reactor=links)
@@ -83,3 +92,21 @@
     exchange.resume()
     await_end(fleet, caller)
     assert not caller.is_complete
+
+
+# Guards against equal requests that are refused as crashing ones after the planned exit of the
+# upstream that was answering them.
+def test_the_planned_exit_of_an_upstream_is_no_crash(fleet: HostFleet) -> None:
+    upstream = fleet.add_upstream("one", service="engines", behavior=send_first_event)
+    process, _ = start_host(fleet)
+    callers = [ask(fleet, attempt=f"cut-{number}") for number in range(3)]
+    fleet.run_until(lambda: all(EVENTS[0] in each.data for each in callers))
+    fleet.add_upstream("two", service="engines")
+    fleet.store.put("servers", "one", upstream.build_entry(State="draining"))
+    fleet.run_until(lambda: "two" in process._router.upstreams)
+    fleet.run_until(lambda: process._router.upstreams[InstanceId("one")].is_leaving)
+    upstream.exit()
+    for caller in callers:
+        await_end(fleet, caller)
+    fleet.run_for(0.7)
+    assert fleet.call("/long/x", attempt="later").status == 200
