--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -81,6 +81,7 @@
         is_whole: The upstream has ended its answer after all of it.
         port: Where its upstream process listens.
         events: The ids of the events of a resumable stream that the upstream can send.
+        sequel: The event without an id that follows the one after which it is asked to go on.
         skipped: Those that it leaves out, since it begins later than it was asked to.
     """
 
@@ -99,6 +100,7 @@
         self.sent = 0
         self.is_whole = False
         self.events: tuple[int, ...] = ()
+        self.sequel = b""
         self.skipped: tuple[int, ...] = ()
 
     def __len__(self) -> int:
@@ -109,7 +111,8 @@
         if self.is_plain:
             return _BYTES[self.number * 1_009 :]
         if self.answer is Answer.RESUMABLE:
-            return b"".join(map(build_event, self.events))
+            events = (build_event(each) + build_sequel(each) for each in self.events)
+            return self.sequel + b"".join(events)
         return b"data: run %d\n\n" % self.number * len(IDS)
 
     @property
@@ -134,6 +137,7 @@
             self.events = (*[each for each in self.world.ids if each <= after][begins_at:], *rest)
         else:
             self.skipped, self.events = tuple(rest[:begins_at]), tuple(rest[begins_at:])
+            self.sequel = build_sequel(after) if after in self.world.ids else b""
         if repeats and len(self.events) > repeats:
             self.events = (*self.events[:repeats], *self.events[repeats - 1 :])
 
@@ -208,6 +212,11 @@
     return b"id: %d\ndata: token\n\n" % event_id
 
 
+def build_sequel(event_id: int) -> bytes:
+    """Return the event without an id that follows some events of a resumable stream."""
+    return b"data: no id\n\n" if event_id % 5 == 0 else b""
+
+
 class FakePool:
     """Opens a connection at once, later or not at all, as the world decides."""
 
--- a/tests/handover_exploration.py
+++ b/tests/handover_exploration.py
@@ -19,7 +19,7 @@
 from greengagestage.gateway.forwarding._forwarding_protocol import ForwardFault
 from greengagestage.http1 import ExchangeFailure
 
-from .exchange_world import IDS, Answer, Run, World, build_event
+from .exchange_world import IDS, Answer, Run, World, build_event, build_sequel
 
 PAUSES_S = (0.02, 0.12, 0.3, 0.6, 1.5)
 """Around the shortest silence limit, the pause until another successor is sought, and the longest
@@ -177,14 +177,20 @@
     skipped = {number for run in world.runs for number in run.skipped}
     position, missing = 0, False
     for number in world.ids:
-        event = build_event(number)
-        if number <= (world.last_event_id or 0):
-            continue
-        if got.startswith(event, position):
+        event, sequel = build_event(number), build_sequel(number)
+        if number > (world.last_event_id or 0):
+            if not got.startswith(event, position):
+                if number in skipped:
+                    continue
+                missing = True
+                break
             position += len(event)
-        elif number not in skipped:
+        elif number != world.last_event_id:
+            continue
+        if not got.startswith(sequel, position):
             missing = True
             break
+        position += len(sequel)
     if position < len(got):
         return f"the caller got {got!r}"
     if world.caller.is_complete and missing:
