--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -342,7 +342,7 @@
             router=router,
             pool=pool,
             forwarding_pool=cast(Any, FakePool(self, forwards=True)),
-            answer_ends=AnswerEnds(reactor=self.clock, pool=pool),
+            answer_ends=AnswerEnds(reactor=self.clock, pool=pool, list_upstreams=list),
             link_watch=MagicMock(),
             quarantine=quarantine,
             notices=MagicMock(),
