Count crashes under equal requests side by side once the registry shows them

Cause: connections to several upstreams that end within 50 ms have a common cause, and the losses under them were forgotten for good. Equal requests explained the ends only if one was sent after the other was lost, which requests side by side never are.

Change: such a loss awaits the registry's proof that its upstream's incarnation has ended, as losses under prompt parts do. Links that fail together end no incarnation, so that sound requests on them count for nothing. Upstreams of a failure domain can end together under sound requests: if equal requests were lost at all the upstreams that have ended, each loss counts; else one of them, the one at the first address, which all hosts choose alike. What awaits a proof is kept by upstream and by fingerprint, and losses under parts apart from those under equal requests, since more of the latter wait now and would push out the former.

The check that was missing, equal requests side by side through several hosts, is in the tests.

In tests/test_loss_evidence.py three loops that open idle connections became one function, without a change to what the tests check.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -1,7 +1,6 @@
 """Recognizes crashes of upstreams under prompts, and keeps crashing prompts from being sent."""
 
-from collections import deque
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -20,6 +19,8 @@
     SuspectRecord,
 )
 
+from ._awaited_ends import AwaitedEnd, AwaitedEnds
+
 CRASH_CONFIRMATION_S = 0.1
 """Time after a lost answer at which the other connections to its upstream are looked at. A crash
 ends all of them within a few milliseconds."""
@@ -34,7 +35,8 @@
 silent one after three missed heartbeats; a later end is another one."""
 
 MAX_UNPROVEN = 512
-"""Maximum number of losses that await such a proof; the oldest ones are dropped."""
+"""Maximum numbers of losses under prompt parts, and of those under equal requests, that await such
+a proof. Failing links lose many at a time, for either."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,18 +90,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Unproven:
-    """A lost answer that counts if the registry shows that its upstream has ended.
-
-    Attributes:
-        on_ended: Called if it does.
-    """
-
-    lost: LostAnswer
-    on_ended: Callable[[], None]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Counted:
     """A lost answer that counts, unless its upstream answers later.
@@ -130,7 +120,8 @@
     ) -> None:
         self.suspects = CrashSuspects()
         self._recent_losses = RecentLosses()
-        self._unproven: deque[_Unproven] = deque(maxlen=MAX_UNPROVEN)
+        self._unproven_parts = AwaitedEnds(most=MAX_UNPROVEN)
+        self._unproven = AwaitedEnds(most=MAX_UNPROVEN)
         self._counted: dict[Incarnation, list[_Counted]] = {}
         self._leaving: set[Incarnation] = set()
         self._reactor = reactor
@@ -181,21 +172,17 @@
 
     def await_proof(self, lost: LostAnswer) -> None:
         """Suspect a prompt later if the registry shows that the upstream has ended."""
-        self._await_end(lost, partial(self._record, lost, by_registry=True))
+        record = partial(self._record, lost, by_registry=True)
+        self._unproven_parts.add(_build_awaited_end(lost, record))
 
     def awaits_proof(self, fingerprint: Fingerprint) -> bool:
         """Whether the registry may yet show that equal requests have crashed upstreams."""
-        return any(each.lost.fingerprint == fingerprint for each in self._unproven)
+        return self._unproven.has_equal(fingerprint)
 
     def forget_unproven(self, fingerprint: Fingerprint, sent_s: float) -> None:
         """Await no proof of losses after which an equal request was sent and answered."""
-
-        def is_contradicted(lost: LostAnswer) -> bool:
-            return lost.fingerprint == fingerprint and lost.lost_s <= sent_s
-
-        if any(is_contradicted(each.lost) for each in self._unproven):
-            kept = [each for each in self._unproven if not is_contradicted(each.lost)]
-            self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
+        self._unproven.forget_answered(fingerprint, sent_s)
+        self._unproven_parts.forget_answered(fingerprint, sent_s)
 
     def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
         """Record that an upstream answers, so that it has not ended with an earlier loss.
@@ -204,19 +191,14 @@
         sent are contradicted.
         """
         alive = upstream.incarnation
-
-        def is_contradicted(lost: LostAnswer) -> bool:
-            return lost.upstream.incarnation == alive and lost.lost_s <= sent_s
-
-        if any(is_contradicted(each.lost) for each in self._unproven):
-            kept = [each for each in self._unproven if not is_contradicted(each.lost)]
-            self._unproven = deque(kept, maxlen=MAX_UNPROVEN)
+        self._unproven.forget_alive(alive, sent_s)
+        self._unproven_parts.forget_alive(alive, sent_s)
         counted = self._counted.pop(alive, [])
-        later = [each for each in counted if not is_contradicted(each.lost)]
+        later = [each for each in counted if each.lost.lost_s > sent_s]
         if later:
             self._counted[alive] = later
         for each in counted:
-            if is_contradicted(each.lost):
+            if each.lost.lost_s <= sent_s:
                 each.on_alive()
 
     def observe_upstreams(self, upstreams: Collection[RegisteredUpstream]) -> None:
@@ -229,23 +211,28 @@
         for incarnation, counted in list(self._counted.items()):
             if counted[-1].lost.lost_s < oldest_s:
                 del self._counted[incarnation]
-        if self._unproven:
-            listed = {each.incarnation for each in upstreams}
-            endpoints = {_get_endpoint(each) for each in upstreams}
-            awaiting = list(self._unproven)
-            self._unproven.clear()
-            for unproven in awaiting:
-                lost = unproven.lost
-                age_s = self._reactor.seconds() - lost.lost_s
-                if lost.upstream.incarnation in listed:
-                    if age_s < MAX_PROOF_S:
-                        self._unproven.append(unproven)
-                elif age_s < MAX_PROOF_S and self._has_ended(lost, endpoints):
-                    unproven.on_ended()
+        for awaited in (self._unproven_parts, self._unproven):
+            self._judge_ends(awaited, upstreams, oldest_s)
         self._leaving = {
             each.incarnation for each in upstreams if each.availability is Availability.LEAVING
         }
 
+    def _judge_ends(
+        self, awaited: AwaitedEnds, upstreams: Collection[RegisteredUpstream], oldest_s: float
+    ) -> None:
+        incarnations = awaited.list_incarnations()
+        if not incarnations:
+            return
+        listed = {each.incarnation for each in upstreams}
+        endpoints = {_get_endpoint(each) for each in upstreams}
+        for incarnation in incarnations:
+            if incarnation in listed:
+                awaited.forget_alive(incarnation, oldest_s)
+                continue
+            for end in awaited.take(incarnation):
+                if end.lost_s > oldest_s and self._has_ended(end, endpoints):
+                    end.on_ended()
+
     def record_answer(self, prompt: Prompt) -> None:
         """Record that the answer to a prompt has produced an event or is complete."""
         cleared = self.suspects.record_answer(_list_parts(prompt), self._reactor.seconds())
@@ -265,8 +252,14 @@
         self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
     ) -> None:
         """Judge a loss under equal requests by the connections of this host."""
-        if self._count_aborted(lost) > 1:
+        ended_s = self._list_ended(lost)
+        if len(self._list_unexplained(lost, ended_s)) > 1:
             on_other("common cause")
+            observed = lost.observe()
+            if not self._count_survivors(lost) and self._recent_losses.stands_for(
+                observed, ended_s
+            ):
+                self._await_end(lost, on_crashed, on_other)
         elif lost.forwarded_by is not None:
             on_crashed()  # this host has no connections that would show that the upstream lives on
             self._await_life(lost, on_other)
@@ -290,7 +283,7 @@
         def handle_open(connection: ClientConnection) -> None:
             self._pool.put_idle(endpoint, connection)
             on_other("an idle connection was dropped")
-            self._await_end(lost, on_crashed)
+            self._await_end(lost, on_crashed, on_other)
 
         def handle_failure() -> None:
             on_crashed()
@@ -304,8 +297,16 @@
         counted = self._counted.setdefault(lost.upstream.incarnation, [])
         counted.append(_Counted(lost=lost, on_alive=on_alive))
 
-    def _await_end(self, lost: LostAnswer, on_ended: Callable[[], None]) -> None:
-        self._unproven.append(_Unproven(lost=lost, on_ended=on_ended))
+    def _await_end(
+        self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
+    ) -> None:
+        """Count a loss under equal requests once the registry shows that its upstream has ended."""
+
+        def handle_end() -> None:
+            on_crashed()
+            self._await_life(lost, on_other)
+
+        self._unproven.add(_build_awaited_end(lost, handle_end))
 
     def _count_survivors(self, lost: LostAnswer) -> int:
         """Return how many connections to the upstream from before a loss live on."""
@@ -315,7 +316,7 @@
         """Record the loss, unless a connection from before it is in use or others ended with it."""
         upstream = lost.upstream
         survivors = self._count_survivors(lost)
-        aborted = self._count_aborted(lost)
+        aborted = len(self._list_unexplained(lost, self._list_ended(lost)))
         crashed = not survivors and aborted <= 1
         if crashed:
             self._record(lost, by_registry=False)
@@ -331,12 +332,12 @@
         if not survivors:
             self.await_proof(lost)
 
-    def _has_ended(self, lost: LostAnswer, endpoints: Collection[Endpoint]) -> bool:
+    def _has_ended(self, end: AwaitedEnd, endpoints: Collection[Endpoint]) -> bool:
         """Whether an upstream without an entry has ended while it was to go on."""
-        endpoint = _get_endpoint(lost.upstream)
-        before_s = lost.lost_s if endpoint in endpoints else self._reactor.seconds()
+        endpoint = _get_endpoint(end.upstream)
+        before_s = end.lost_s if endpoint in endpoints else self._reactor.seconds()
         alive = self._pool.count_alive_since_before(endpoint, before_s)
-        return not alive and lost.upstream.incarnation not in self._leaving
+        return not alive and end.upstream.incarnation not in self._leaving
 
     def _record(self, lost: LostAnswer, *, by_registry: bool) -> None:
         """Count a crash against the parts of a prompt."""
@@ -354,15 +355,20 @@
         )
         self._report(self.suspects.record_loss(parts, loss))
 
-    def _count_aborted(self, lost: LostAnswer) -> int:
-        """Return to how many upstreams connections ended at the time of a loss.
-
-        Others at which an equal request was lost before or after, through any host, do not count.
-        """
+    def _list_ended(self, lost: LostAnswer) -> dict[tuple[str, int], float]:
+        """Return when connections to upstreams ended at the time of a loss."""
         aborted = self._pool.list_aborted(
             lost.lost_s - SIMULTANEOUS_S, lost.lost_s + SIMULTANEOUS_S
         )
-        ended_s = {(each.address, each.port): time_s for each, time_s in aborted.items()}
+        return {(each.address, each.port): time_s for each, time_s in aborted.items()}
+
+    def _list_unexplained(
+        self, lost: LostAnswer, ended_s: Mapping[tuple[str, int], float]
+    ) -> list[tuple[str, int]]:
+        """Return the upstreams to which connections ended at the time of a loss.
+
+        Others at which an equal request was lost before or after, through any host, do not count.
+        """
         unexplained = self._recent_losses.list_unexplained(lost.observe(), ended_s)
         if len(ended_s) > 1:
             log_message(
@@ -372,7 +378,16 @@
                 ended=len(ended_s),
                 unexplained=[f"{address}:{port}" for address, port in unexplained],
             )
-        return len(unexplained)
+        return unexplained
+
+
+def _build_awaited_end(lost: LostAnswer, on_ended: Callable[[], None]) -> AwaitedEnd:
+    return AwaitedEnd(
+        upstream=lost.upstream,
+        fingerprint=lost.fingerprint,
+        lost_s=lost.lost_s,
+        on_ended=on_ended,
+    )
 
 
 def _list_parts(prompt: Prompt) -> list[PromptPartId]:
--- a/greengagestage/routing/_recent_losses.py
+++ b/greengagestage/routing/_recent_losses.py
@@ -89,6 +89,26 @@
         }
         return [each for each in ended_s if each == loss.endpoint or each not in explained]
 
+    def stands_for(self, loss: ObservedLoss, ended_s: Mapping[tuple[str, int], float]) -> bool:
+        """Whether a loss beside others says something about its request if its upstream has ended.
+
+        It does if equal requests were lost at all the upstreams: another cause would have had to
+        choose just these. Where others ended as well, equal requests say no more than one of them,
+        the first one at the first of the upstreams, on which all hosts agree.
+
+        Args:
+            loss: A loss of this host.
+            ended_s: As for ``list_unexplained``.
+        """
+        equal = [
+            other
+            for other in self._losses.get(loss.fingerprint, ())
+            if other.endpoint in ended_s or other == loss
+        ]
+        if {other.endpoint for other in equal} >= set(ended_s):
+            return True
+        return min(equal, key=lambda other: other.endpoint, default=loss) == loss
+
 
 def _are_successive(loss: ObservedLoss, lost_s: float, duration_s: float) -> bool:
     """Whether one of two requests was sent after the answer to the other one was lost."""
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -1,6 +1,6 @@
 """What counts as a crash under equal requests, and what takes it back."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from functools import partial
 from types import SimpleNamespace
 from typing import Any
@@ -74,11 +74,10 @@
             fingerprint=Fingerprint("f"),
             prompt=None,
             upstream=build_upstream(number),
-            sent_s=now_s,
             lost_s=now_s,
             begun=False,
             had_event=False,
-            **{"forwarded_by": None, "was_idle": False, **fields},
+            **{"sent_s": now_s, "forwarded_by": None, "was_idle": False, **fields},
         )
         self.quarantine.record_loss(lost)
 
@@ -157,6 +156,33 @@
     assert len(judged.told) == (3 if is_crash else 0)
 
 
+# Guards against equal requests that crash upstreams side by side, whose losses are left out as a
+# common cause each time, and against the opposite: links that fail together end no upstream, and
+# upstreams that fail together with others say no more than one of them.
+@pytest.mark.parametrize(
+    ("ends_others", "is_listed", "crashes"),
+    [(False, False, 3), (False, True, 0), (True, False, 1), (True, True, 0)],
+)
+def test_the_registry_shows_whether_upstreams_crashed_under_requests_side_by_side(
+    ends_others: bool, is_listed: bool, crashes: int
+) -> None:
+    judged = JudgedLosses()
+    judged.clock.advance(1.0)
+    upstreams = [build_upstream(number) for number in range(4)]
+    judged.aborted = {
+        Endpoint(address=each.address, port=each.port): 1.0
+        for each in upstreams[: 4 if ends_others else 3]
+    }
+    for number in range(3):
+        judged.lose(number, sent_s=0.98)
+    judged.clock.advance(0.2)
+    assert judged.told == []
+    judged.clock.advance(4.0)
+    judged.watch.observe_upstreams(upstreams if is_listed else [])
+    assert len(judged.told) == crashes
+    assert judged.is_quarantined is (crashes == 3)
+
+
 # Guards against crashes of upstreams that come back at once, so that a connection can be opened.
 @pytest.mark.parametrize("is_listed", [False, True])
 def test_the_registry_shows_that_an_idle_connection_ended_with_its_upstream(
@@ -175,6 +201,23 @@
     upstream.crash()
 
 
+def keep_idle(pool: Any, upstreams: Iterable[UpstreamStandin]) -> None:
+    """Let a host have an idle connection to each of some upstreams."""
+    for upstream in upstreams:
+        address = upstream.port.getHost()
+        endpoint = Endpoint(address=address.host, port=address.port)
+        pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+
+
+def call_at_once(fleet: HostFleet, requests: Iterable[bytes]) -> None:
+    """Send requests to one host each, and wait for the ends of all."""
+    callers = [
+        fleet.connect(request, fleet._host_settings[number].callers)
+        for number, request in enumerate(requests)
+    ]
+    fleet.run_until(lambda: all(each.is_complete or each.closed for each in callers))
+
+
 def order(fleet: HostFleet, number: int) -> harness.RawCaller:
     """Send a request that is not sent again by the host, and wait until its end is judged."""
     caller = fleet.call("/order/x", attempt=f"a{number}", body=b"same")
@@ -188,10 +231,7 @@
     upstreams = [fleet.add_upstream(f"u{number}", behavior=crash) for number in range(9)]
     pool = fleet.start_host()._pool
     fleet.wait_ready()
-    for upstream in upstreams:
-        address = upstream.port.getHost()
-        endpoint = Endpoint(address=address.host, port=address.port)
-        pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+    keep_idle(pool, upstreams)
     fleet.run_for(0.2)
     for number in range(6):
         caller = fleet.call(path, attempt=f"a{number}", body=b"same")
@@ -207,10 +247,7 @@
     pool = fleet.start_host()._pool
     fleet.wait_ready()
     for number in range(8):
-        for upstream in upstreams:
-            address = upstream.port.getHost()
-            endpoint = Endpoint(address=address.host, port=address.port)
-            pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+        keep_idle(pool, upstreams)
         fleet.run_for(0.1)
         order(fleet, number)
     assert sum(len(upstream.requests) for upstream in upstreams) <= 4
@@ -230,11 +267,7 @@
     for number in range(3):
         host = fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=port)
         fleet.wait_ready()
-        for upstream in upstreams:
-            address = upstream.port.getHost()
-            endpoint = Endpoint(address=address.host, port=address.port)
-            put_idle = partial(host._pool.put_idle, endpoint)
-            host._pool.open(endpoint, on_open=put_idle, on_failed=lambda: None)
+        keep_idle(host._pool, upstreams)
     fleet.run_for(1.0)
     for number in range(18):
         fleet.call_at(number % 3, "/order/x", attempt=f"a{number}", body=b"same")
@@ -242,6 +275,28 @@
     assert sum(len(upstream.requests) for upstream in upstreams) <= 6
 
 
+# Guards against a request that several callers send again at the same time, each through another
+# host, and that goes on to crash upstreams side by side.
+def test_crashes_side_by_side_through_several_hosts_count(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=crash) for number in range(12)]
+    port = harness.choose_port()
+    for number in range(3):
+        host = fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=port)
+        fleet.wait_ready()
+        keep_idle(host._pool, upstreams)
+    fleet.run_for(1.0)
+    for tick in range(3):
+        call_at_once(
+            fleet,
+            [build_request("/order/x", attempt=f"a{tick}{at}", body=b"same") for at in range(3)],
+        )
+        for upstream in upstreams:
+            if upstream.requests:
+                fleet.store.remove("servers", upstream.name)
+        fleet.run_for(2.5)
+    assert sum(len(upstream.requests) for upstream in upstreams) <= 6
+
+
 # Guards against orders that crash one upstream after the other once their callers have left.
 def test_crashes_under_orders_whose_callers_have_left_count(fleet: HostFleet) -> None:
     behavior = harness.delay(0.2, crash)
