Count crashes under runs whose connections this host has closed

Cause: the end of a send was only seen on its own connection. A cancelled attempt has none any more.

Change: the connection is closed at once as before. The host remembers the run until its deadline, 1 to 10 s, in which an upstream may go on with it. If other connections to that upstream end in this time, by a reset or under another request, it is judged as the loss of a kept connection: no other connection may live on, nor other upstreams have ended with it, and a new connection must fail, else only the registry can show the end of the incarnation. The registry also shows it where the host sees no connection end. An answer of the upstream to a request sent after that time shows that it has not crashed under the run; a complete answer to an equal request shows that it is sound. So that sound requests whose callers often leave are not refused for the crash of an upstream under another request, all equal runs left at one incarnation are one loss, through all hosts: its id names the incarnation. The same holds for runs that are closed at the deadline, as another upstream took over, or after a malformed answer. Losses that try to connect to the same upstream share one connection. LostAnswer has a module of its own.

Changes to tests: LostAnswer is imported from the package; keep_idle skips upstreams that no longer listen, to which no connection could be opened.

--- a/greengagestage/gateway/crashes/__init__.py
+++ b/greengagestage/gateway/crashes/__init__.py
@@ -1,7 +1,7 @@
 """What this host and others know of requests that crash upstreams."""
 
 from ._crash_knowledge import CrashKnowledge
-from ._crash_watch import LostAnswer
+from ._lost_answer import LostAnswer
 from ._quarantine import Quarantine
 
 __all__ = [
--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -1,7 +1,7 @@
 """Recognizes crashes of upstreams under prompts, and keeps crashing prompts from being sent."""
 
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
 
@@ -10,7 +10,7 @@
 
 from greengagestage.catalog import Availability, Prompt, RegisteredUpstream
 from greengagestage.http1 import ClientConnection, ConnectionPool, Endpoint
-from greengagestage.ids import AttemptId, Crash, Fingerprint, HostId, Incarnation, PromptPartId
+from greengagestage.ids import AttemptId, Crash, Fingerprint, Incarnation, PromptPartId
 from greengagestage.routing import (
     CrashSuspects,
     ObservedLoss,
@@ -20,6 +20,7 @@
 )
 
 from ._awaited_ends import AwaitedEnd, AwaitedEnds
+from ._lost_answer import LostAnswer
 
 CRASH_CONFIRMATION_S = 0.1
 """Time after a lost answer at which the other connections to its upstream are looked at. A crash
@@ -38,56 +39,8 @@
 """Maximum numbers of losses under prompt parts, and of those under equal requests, that await such
 a proof. Failing links lose many at a time, for either."""
 
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LostAnswer:
-    """An answer whose connection ended before it was complete.
-
-    Attributes:
-        number: Number of the attempt; all attempts share the request's id.
-        sent_s: Time at which the request was sent.
-        lost_s: Time at which the answer was lost.
-        forwarded_by: The host that forwarded the request; None if it was sent directly.
-        begun: Whether the head of the answer had arrived.
-        had_event: Whether an event of the answer had arrived, from this upstream or another.
-        was_idle: Whether the request was sent on a connection that had been idle.
-    """
-
-    attempt_id: AttemptId
-    number: int
-    fingerprint: Fingerprint
-    prompt: Prompt | None
-    upstream: RegisteredUpstream
-    sent_s: float
-    lost_s: float
-    forwarded_by: HostId | None
-    begun: bool
-    had_event: bool
-    was_idle: bool = False
-
-    @property
-    def may_have_been_dropped(self) -> bool:
-        """Whether the upstream may have dropped the connection before the request came."""
-        return self.was_idle and not self.begun
-
-    @property
-    def left_out_because(self) -> str | None:
-        """Why the loss says nothing about the parts of the prompt so far; None if it may."""
-        if self.forwarded_by is not None:
-            return "forwarded"
-        if not self.begun:
-            return "no head"
-        return "events" if self.had_event else None
-
-    def observe(self) -> ObservedLoss:
-        """Return what other hosts are told of the loss."""
-        return ObservedLoss(
-            fingerprint=self.fingerprint,
-            address=self.upstream.address,
-            port=self.upstream.port,
-            sent_s=self.sent_s,
-            lost_s=self.lost_s,
-        )
+MAX_LEFT = 2_048
+"""Maximum number of runs whose connections were closed and which may go on."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,6 +55,14 @@
     on_alive: Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Tried:
+    """What is called once a new connection to an upstream is open, or could not be opened."""
+
+    on_open: Callable[[], None]
+    on_failed: Callable[[], None]
+
+
 class CrashWatch:
     """Records which prompts were lost in crashes and which were answered.
 
@@ -122,12 +83,15 @@
         self._recent_losses = RecentLosses()
         self._unproven_parts = AwaitedEnds(most=MAX_UNPROVEN)
         self._unproven = AwaitedEnds(most=MAX_UNPROVEN)
+        self._left = AwaitedEnds(most=MAX_LEFT)
+        self._connecting: dict[Endpoint, list[_Tried]] = {}
         self._counted: dict[Incarnation, list[_Counted]] = {}
         self._leaving: set[Incarnation] = set()
         self._reactor = reactor
         self._pool = pool
         self._report = report
         self._report_early = report_early
+        pool.on_aborted = self._handle_connection_lost
 
     def examine_loss(self, lost: LostAnswer) -> None:
         """Suspect a prompt whose answer had just begun, if its upstream has crashed."""
@@ -147,11 +111,43 @@
             on_other: Called if the answer was probably lost for another cause, with that cause;
                 also after ``on_crashed``, if the upstream answers on a connection of this host.
         """
+        if lost.forwarded_by is None:
+            self._handle_connection_lost(_get_endpoint(lost.upstream))
         observed = lost.observe()
         self.remember(observed)
         self._report_early(observed)
         self._call_later(self._judge, lost, on_crashed, on_other)
 
+    def watch_left(
+        self,
+        lost: LostAnswer,
+        until_s: float,
+        *,
+        on_crashed: Callable[[], None],
+        on_other: Callable[[str], None],
+    ) -> None:
+        """Watch a run whose connection this host has just closed, and which may go on.
+
+        If connections to its upstream end by then, that is judged as for a lost answer.
+
+        Args:
+            until_s: Time by which the run has ended.
+            on_crashed: Called if the upstream has crashed; also if only the registry shows it.
+            on_other: As for ``call_when_judged``.
+        """
+
+        def judge(lost_s: float) -> None:
+            ended = replace(lost, lost_s=lost_s)
+            self.call_when_judged(ended, on_crashed=on_crashed, on_other=on_other)
+
+        end = AwaitedEnd(
+            lost=lost,
+            until_s=until_s,
+            on_ended=partial(self._count, lost, on_crashed, on_other),
+            on_connection_lost=judge if lost.forwarded_by is None else None,
+        )
+        self._left.add(end)
+
     def remember(self, loss: ObservedLoss) -> None:
         """Keep a loss of any host for a while, so that the retries of its request can be found."""
         self._recent_losses.add(loss)
@@ -181,8 +177,8 @@
 
     def forget_unproven(self, fingerprint: Fingerprint, sent_s: float) -> None:
         """Await no proof of losses after which an equal request was sent and answered."""
-        self._unproven.forget_answered(fingerprint, sent_s)
-        self._unproven_parts.forget_answered(fingerprint, sent_s)
+        for awaited in (self._unproven_parts, self._unproven, self._left):
+            awaited.forget_answered(fingerprint, sent_s)
 
     def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
         """Record that an upstream answers, so that it has not ended with an earlier loss.
@@ -191,8 +187,8 @@
         sent are contradicted.
         """
         alive = upstream.incarnation
-        self._unproven.forget_alive(alive, sent_s)
-        self._unproven_parts.forget_alive(alive, sent_s)
+        for awaited in (self._unproven_parts, self._unproven, self._left):
+            awaited.forget_alive(alive, sent_s)
         counted = self._counted.pop(alive, [])
         later = [each for each in counted if each.lost.lost_s > sent_s]
         if later:
@@ -211,7 +207,7 @@
         for incarnation, counted in list(self._counted.items()):
             if counted[-1].lost.lost_s < oldest_s:
                 del self._counted[incarnation]
-        for awaited in (self._unproven_parts, self._unproven):
+        for awaited in (self._unproven_parts, self._unproven, self._left):
             self._judge_ends(awaited, upstreams, oldest_s)
         self._leaving = {
             each.incarnation for each in upstreams if each.availability is Availability.LEAVING
@@ -230,9 +226,14 @@
                 awaited.forget_alive(incarnation, oldest_s)
                 continue
             for end in awaited.take(incarnation):
-                if end.lost_s > oldest_s and self._has_ended(end, endpoints):
+                if end.until_s > oldest_s and self._has_ended(end.lost, endpoints):
                     end.on_ended()
 
+    def _handle_connection_lost(self, endpoint: Endpoint) -> None:
+        """Judge the runs that may have gone on at an upstream whose connections end."""
+        now_s = self._reactor.seconds()
+        self._left.handle_connection_lost(endpoint.address, endpoint.port, now_s)
+
     def record_answer(self, prompt: Prompt) -> None:
         """Record that the answer to a prompt has produced an event or is complete."""
         cleared = self.suspects.record_answer(_list_parts(prompt), self._reactor.seconds())
@@ -261,15 +262,14 @@
             ):
                 self._await_end(lost, on_crashed, on_other)
         elif lost.forwarded_by is not None:
-            on_crashed()  # this host has no connections that would show that the upstream lives on
-            self._await_life(lost, on_other)
+            # This host has no connections that would show that the upstream lives on.
+            self._count(lost, on_crashed, on_other)
         elif self._count_survivors(lost):
             on_other("other connections live on")
         elif lost.may_have_been_dropped:
             self._try_to_connect(lost, on_crashed, on_other)
         else:
-            on_crashed()
-            self._await_life(lost, on_other)
+            self._count(lost, on_crashed, on_other)
 
     def _try_to_connect(
         self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
@@ -280,17 +280,34 @@
         """
         endpoint = _get_endpoint(lost.upstream)
 
-        def handle_open(connection: ClientConnection) -> None:
-            self._pool.put_idle(endpoint, connection)
+        def handle_life() -> None:
             on_other("an idle connection was dropped")
             self._await_end(lost, on_crashed, on_other)
 
+        on_failed = partial(self._count, lost, on_crashed, on_other)
+        waiting = self._connecting.setdefault(endpoint, [])
+        waiting.append(_Tried(on_open=handle_life, on_failed=on_failed))
+        if len(waiting) > 1:
+            return
+
+        def handle_open(connection: ClientConnection) -> None:
+            self._pool.put_idle(endpoint, connection)
+            for each in self._connecting.pop(endpoint):
+                each.on_open()
+
         def handle_failure() -> None:
-            on_crashed()
-            self._await_life(lost, on_other)
+            for each in self._connecting.pop(endpoint):
+                each.on_failed()
 
         self._pool.open(endpoint, on_open=handle_open, on_failed=handle_failure)
 
+    def _count(
+        self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
+    ) -> None:
+        """Count a loss, unless its upstream answers later."""
+        on_crashed()
+        self._await_life(lost, on_other)
+
     def _await_life(self, lost: LostAnswer, on_other: Callable[[str], None]) -> None:
         """Take a loss back if its upstream answers within the time in which the registry tells."""
         on_alive = partial(on_other, "the upstream answers")
@@ -301,12 +318,9 @@
         self, lost: LostAnswer, on_crashed: Callable[[], None], on_other: Callable[[str], None]
     ) -> None:
         """Count a loss under equal requests once the registry shows that its upstream has ended."""
-
-        def handle_end() -> None:
-            on_crashed()
-            self._await_life(lost, on_other)
-
-        self._unproven.add(_build_awaited_end(lost, handle_end))
+        self._unproven.add(
+            _build_awaited_end(lost, partial(self._count, lost, on_crashed, on_other))
+        )
 
     def _count_survivors(self, lost: LostAnswer) -> int:
         """Return how many connections to the upstream from before a loss live on."""
@@ -332,12 +346,12 @@
         if not survivors:
             self.await_proof(lost)
 
-    def _has_ended(self, end: AwaitedEnd, endpoints: Collection[Endpoint]) -> bool:
+    def _has_ended(self, lost: LostAnswer, endpoints: Collection[Endpoint]) -> bool:
         """Whether an upstream without an entry has ended while it was to go on."""
-        endpoint = _get_endpoint(end.upstream)
-        before_s = end.lost_s if endpoint in endpoints else self._reactor.seconds()
+        endpoint = _get_endpoint(lost.upstream)
+        before_s = lost.lost_s if endpoint in endpoints else self._reactor.seconds()
         alive = self._pool.count_alive_since_before(endpoint, before_s)
-        return not alive and end.upstream.incarnation not in self._leaving
+        return not alive and lost.upstream.incarnation not in self._leaving
 
     def _record(self, lost: LostAnswer, *, by_registry: bool) -> None:
         """Count a crash against the parts of a prompt."""
@@ -382,12 +396,7 @@
 
 
 def _build_awaited_end(lost: LostAnswer, on_ended: Callable[[], None]) -> AwaitedEnd:
-    return AwaitedEnd(
-        upstream=lost.upstream,
-        fingerprint=lost.fingerprint,
-        lost_s=lost.lost_s,
-        on_ended=on_ended,
-    )
+    return AwaitedEnd(lost=lost, until_s=lost.lost_s, on_ended=on_ended)
 
 
 def _list_parts(prompt: Prompt) -> list[PromptPartId]:
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -8,7 +8,8 @@
 from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.routing import Job, LossTracker, SubjectKind, TrialRequest, Trials
 
-from ._crash_watch import CrashWatch, LostAnswer
+from ._crash_watch import CrashWatch
+from ._lost_answer import LostAnswer
 
 
 class Quarantine:
@@ -90,12 +91,13 @@
 
     def record_loss(self, lost: LostAnswer) -> None:
         """Record a lost answer; report it, or forget it, once it shows whether it was a crash."""
-        loss_id = f"{lost.attempt_id}.{lost.number}"
-        count = self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s, confirmed=False)
+        count = self._losses.record_loss(
+            lost.fingerprint, lost.loss_id, lost.lost_s, confirmed=False
+        )
         self._crash_watch.call_when_judged(
             lost,
-            on_crashed=lambda: self._confirm_loss(lost, loss_id),
-            on_other=lambda cause: self._forget_loss(lost, loss_id, cause),
+            on_crashed=lambda: self._confirm_loss(lost),
+            on_other=lambda cause: self._forget_loss(lost, cause),
         )
         if count > 1:
             log_message(
@@ -106,6 +108,26 @@
             )
         self._examine(lost)
 
+    def record_left_run(self, lost: LostAnswer, until_s: float) -> None:
+        """Record that this host has closed the connection of a request before its answer was whole.
+
+        Args:
+            lost: The run, as if it had been lost now.
+            until_s: Time until which the upstream may go on with it, and crash.
+        """
+        counted: list[LostAnswer] = []
+
+        def count() -> None:
+            counted.append(lost)
+            self._confirm_loss(lost)
+
+        def leave_out(cause: str) -> None:
+            # Until then, it counts only if another host has found it to be a crash.
+            if counted:
+                self._forget_loss(lost, cause)
+
+        self._crash_watch.watch_left(lost, until_s, on_crashed=count, on_other=leave_out)
+
     def record_forwarded_loss(self, lost: LostAnswer) -> None:
         """Record an answer that was lost while this host passed it to another one.
 
@@ -158,13 +180,13 @@
         if prompt is not None:
             self._crash_watch.log_evidence(prompt, request, send, now_s)
 
-    def _confirm_loss(self, lost: LostAnswer, loss_id: str) -> None:
-        if not self._losses.is_cleared(lost.fingerprint, loss_id):
-            self._losses.record_loss(lost.fingerprint, loss_id, lost.lost_s)
-            self._report_loss(lost.fingerprint, loss_id)
+    def _confirm_loss(self, lost: LostAnswer) -> None:
+        if not self._losses.is_cleared(lost.fingerprint, lost.loss_id):
+            self._losses.record_loss(lost.fingerprint, lost.loss_id, lost.lost_s)
+            self._report_loss(lost.fingerprint, lost.loss_id)
 
-    def _forget_loss(self, lost: LostAnswer, loss_id: str, cause: str) -> None:
-        if self._losses.forget_loss(lost.fingerprint, loss_id):
+    def _forget_loss(self, lost: LostAnswer, cause: str) -> None:
+        if self._losses.forget_loss(lost.fingerprint, lost.loss_id):
             self._report_cleared(lost.fingerprint)
         log_message(
             message_type="request: loss left out",
--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -1,6 +1,6 @@
 """One attempt: sends a request to an upstream and classifies the response."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from greengagestage.http1 import (
@@ -35,6 +35,11 @@
 """Limits on the rest of a refusal, which is read so that its connection can be used again. An
 upstream in trouble may send bytes without end."""
 
+MIN_LEFT_RUN_S = 1.0
+MAX_LEFT_RUN_S = 10.0
+"""Limits on the time for which an upstream may go on with a run whose connection was closed. Most
+drop it, and others end it at its deadline."""
+
 MAX_IDLE_S = 30.0
 """Idle limit for other requests, which may use any connection that its upstream has not announced
 to close."""
@@ -140,21 +145,7 @@
         Args:
             had_event: Whether the caller's request had brought an event.
         """
-        now_s = self._context.reactor.seconds()
-        lost = LostAnswer(
-            attempt_id=self.plan.attempt_id,
-            number=self.plan.number,
-            fingerprint=self.plan.fingerprint,
-            prompt=self.plan.job.prompt,
-            upstream=self.plan.placement.upstream,
-            sent_s=now_s if self.sent_s is None else self.sent_s,
-            lost_s=now_s,
-            forwarded_by=self._forwarded_by,
-            begun=self.answer_begun,
-            had_event=had_event,
-            was_idle=self._was_idle,
-        )
-        self._context.quarantine.record_loss(lost)
+        self._context.quarantine.record_loss(self._build_lost(had_event=had_event))
 
     def record_complete_answer(self) -> None:
         """Record that this attempt has brought the rest of the answer, so that it is complete."""
@@ -193,6 +184,7 @@
         self._settle(end)
         if self._connection is not None:
             self._connection.close()
+            self._watch_left_run()
 
     def detach(self, limit_s: float) -> None:
         """Let the upstream finish within a time limit; the listener gets no further events."""
@@ -391,6 +383,32 @@
         self._settle(AttemptEnd.CANCELLED)
         if connection is not None:
             connection.close()
+            if self._detached:
+                self._watch_left_run()
+
+    def _watch_left_run(self) -> None:
+        """Let a crash count against the request that comes while the upstream may still run it."""
+        now_s = self._context.reactor.seconds()
+        until_s = max(self.plan.job.deadline_s, now_s + MIN_LEFT_RUN_S)
+        lost = replace(self._build_lost(had_event=False), was_left=True)
+        self._context.quarantine.record_left_run(lost, min(until_s, now_s + MAX_LEFT_RUN_S))
+
+    def _build_lost(self, *, had_event: bool) -> LostAnswer:
+        """Return this attempt as one whose answer has just been lost."""
+        now_s = self._context.reactor.seconds()
+        return LostAnswer(
+            attempt_id=self.plan.attempt_id,
+            number=self.plan.number,
+            fingerprint=self.plan.fingerprint,
+            prompt=self.plan.job.prompt,
+            upstream=self.plan.placement.upstream,
+            sent_s=now_s if self.sent_s is None else self.sent_s,
+            lost_s=now_s,
+            forwarded_by=self._forwarded_by,
+            begun=self.answer_begun,
+            had_event=had_event,
+            was_idle=self._was_idle,
+        )
 
     def _forget_connection(self) -> None:
         """Leave the connection to others, since the response has ended."""
@@ -401,6 +419,8 @@
     def _fail(self, fault: AttemptFault) -> None:
         self._settle(END_BY_FAULT[fault])
         self._detached = False
+        if fault is AttemptFault.MALFORMED:
+            self._watch_left_run()
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_failed(self, fault)
--- a/greengagestage/http1/_pool.py
+++ b/greengagestage/http1/_pool.py
@@ -83,6 +83,7 @@
 
     Attributes:
         opened: Number of attempts to open a connection so far, including those that failed.
+        on_aborted: Called when a server has aborted a connection.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         self._max_connections = max_connections
         self._open_count = 0
         self.opened = 0
+        self.on_aborted: Callable[[Endpoint], None] = lambda endpoint: None
 
     def take_idle(
         self, endpoint: Endpoint, *, idle_limit_s: float, recipient: str | None = None
@@ -228,3 +230,5 @@
         idle = self._idle.get(endpoint)
         if idle is not None and connection in idle:
             idle.remove(connection)
+        if connection.was_aborted:
+            self.on_aborted(endpoint)
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -8,7 +8,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from greengagestage.gateway.crashes._crash_watch import CrashWatch, LostAnswer
+from greengagestage.gateway.crashes import LostAnswer
+from greengagestage.gateway.crashes._crash_watch import CrashWatch
 from greengagestage.gateway.crashes._quarantine import Quarantine
 from greengagestage.http1 import Endpoint, Exchange, IncomingRequest, OutgoingRequest, Responder
 from greengagestage.ids import AttemptId, Fingerprint, HostId
@@ -67,8 +68,16 @@
 
     def lose(self, number: int, **fields: Any) -> None:
         """Lose the answer to one of some equal requests, each at an upstream of its own."""
+        self.quarantine.record_loss(self._build_lost(number, **fields))
+
+    def leave(self, number: int) -> None:
+        """Close the connection of one of some equal requests, which may run for a second more."""
+        lost = self._build_lost(number, was_left=True)
+        self.quarantine.record_left_run(lost, self.clock.seconds() + 1.0)
+
+    def _build_lost(self, number: int, **fields: Any) -> LostAnswer:
         now_s = self.clock.seconds()
-        lost = LostAnswer(
+        return LostAnswer(
             attempt_id=AttemptId(f"a{number}"),
             number=1,
             fingerprint=Fingerprint("f"),
@@ -79,7 +88,6 @@
             had_event=False,
             **{"sent_s": now_s, "forwarded_by": None, "was_idle": False, **fields},
         )
-        self.quarantine.record_loss(lost)
 
     @property
     def is_quarantined(self) -> bool:
@@ -202,8 +210,8 @@
 
 
 def keep_idle(pool: Any, upstreams: Iterable[UpstreamStandin]) -> None:
-    """Let a host have an idle connection to each of some upstreams."""
-    for upstream in upstreams:
+    """Let a host have an idle connection to each of some upstreams that has not crashed."""
+    for upstream in [each for each in upstreams if each.port.connected]:
         address = upstream.port.getHost()
         endpoint = Endpoint(address=address.host, port=address.port)
         pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
@@ -312,6 +320,74 @@
     assert sum(len(upstream.requests) for upstream in upstreams) == 3
 
 
+# Guards against a crowd of connections to an upstream that many callers had left, and against many
+# losses of one crash.
+def test_runs_that_were_left_at_one_upstream_try_one_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    judged, failing = JudgedLosses(), list[Any]()
+
+    def open_later(endpoint: Endpoint, *, on_open: Any, on_failed: Any) -> None:
+        failing.append(on_failed)
+
+    monkeypatch.setattr(judged.watch._pool, "open", open_later)
+    for _ in range(20):
+        judged.leave(1)
+    upstream = build_upstream(1)
+    judged.watch._pool.on_aborted(Endpoint(address=upstream.address, port=upstream.port))
+    judged.clock.advance(0.2)
+    assert len(failing) == 1
+    failing[0]()
+    assert set(judged.told) == {"left i-1 1000"}
+    assert not judged.is_quarantined
+
+
+def crash_later(upstream: UpstreamStandin, request: IncomingRequest, responder: Responder) -> None:
+    """Go on with the run although its connection is closed, and crash."""
+    upstream.reactor.callLater(0.1, upstream.crash)
+
+
+def break_off_later(
+    upstream: UpstreamStandin, request: IncomingRequest, responder: Responder
+) -> None:
+    upstream.reactor.callLater(0.1, break_off, upstream, request, responder)
+
+
+# Guards against requests that crash one upstream after the other, each once its caller has left and
+# its connection is closed, and against refusing those under which upstreams only reset idle
+# connections, or go on.
+@pytest.mark.parametrize(
+    ("behavior", "has_idle", "is_crash"),
+    [
+        (crash_later, True, True),
+        (crash_later, False, True),
+        (break_off_later, True, False),
+        (harness.hang, True, False),
+    ],
+)
+def test_crashes_under_requests_whose_callers_have_left_count(
+    fleet: HostFleet, behavior: harness.Behavior, has_idle: bool, is_crash: bool
+) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=behavior) for number in range(9)]
+    pool = fleet.start_host()._pool
+    fleet.wait_ready()
+    for number in range(6):
+        keep_idle(pool, 2 * upstreams if has_idle else [])  # the request takes one
+        fleet.run_for(0.1)
+        caller = fleet.connect(build_request("/lookup/x", attempt=f"a{number}"))
+        fleet.run_for(0.05)
+        caller.transport.abortConnection()
+        fleet.run_for(0.04)
+        reached = [upstream for upstream in upstreams if upstream.requests]
+        assert sum(each.disconnects for each in reached) >= sum(len(e.requests) for e in reached)
+        fleet.run_for(0.4)
+        if is_crash and not has_idle:
+            for upstream in reached:
+                fleet.store.remove("servers", upstream.name)
+            fleet.run_for(1.0)
+    assert sum(len(upstream.requests) for upstream in upstreams) == (3 if is_crash else 6)
+
+
 # Guards against losses that go on counting although equal requests have been answered since.
 def test_an_answer_to_an_equal_request_clears_the_losses_before_it(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(9)]
--- a/tests/test_trial_losses.py
+++ b/tests/test_trial_losses.py
@@ -5,7 +5,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from greengagestage.gateway.crashes._crash_watch import CrashWatch, LostAnswer
+from greengagestage.gateway.crashes import LostAnswer
+from greengagestage.gateway.crashes._crash_watch import CrashWatch
 from greengagestage.gateway.crashes._quarantine import Quarantine
 from greengagestage.ids import Crash, Fingerprint, HostId
 from greengagestage.routing import LossTracker, PartLoss, Trials
