Tell by exact times which of a host's own losses came one after the other

Cause: a loss that is sent again at once explains the end of the other upstream's connections if the second send was after the first loss. The time of the send was reckoned from the end of the connection, which the pool notes before the exchange notes the loss, so that it came out too early by the time between the two. Where the request is sent again on an idle connection, in the same turn of the loop, a fraction of a millisecond suffices, and the first crash was left out as a common cause.

Change: the losses that this host has seen itself are compared by their own times. Only those of other hosts, whose messages were on their way for a time that is not known, are reckoned by the ends of this host's connections.

Evidence: test_a_request_that_is_sent_again_at_once_explains_both_losses failed before with 3 ms between the two.

--- a/greengagestage/gateway/crashes/_lost_answer.py
+++ b/greengagestage/gateway/crashes/_lost_answer.py
@@ -59,11 +59,12 @@
         return "events" if self.had_event else None
 
     def observe(self) -> ObservedLoss:
-        """Return what other hosts are told of the loss."""
+        """Return the loss as this host has seen it, of which others are told."""
         return ObservedLoss(
             fingerprint=self.fingerprint,
             address=self.upstream.address,
             port=self.upstream.port,
             sent_s=self.sent_s,
             lost_s=self.lost_s,
+            seen_here=True,
         )
--- a/greengagestage/routing/_recent_losses.py
+++ b/greengagestage/routing/_recent_losses.py
@@ -30,6 +30,7 @@
         sent_s: Time at which the request was sent.
         lost_s: Time at which the answer was lost. Both are times of this host's clock; those of a
             loss at another host are too late by the time for which its message was on its way.
+        seen_here: Whether this host has seen the loss, so that its times are exact.
     """
 
     fingerprint: Fingerprint
@@ -37,6 +38,7 @@
     port: int
     sent_s: float
     lost_s: float
+    seen_here: bool = False
 
     @property
     def endpoint(self) -> tuple[str, int]:
@@ -84,8 +86,7 @@
         explained = {
             other.endpoint
             for other in equal
-            if other.endpoint in ended_s
-            and _are_successive(loss, ended_s[other.endpoint], other.duration_s)
+            if other.endpoint in ended_s and _are_successive(loss, other, ended_s[other.endpoint])
         }
         return [each for each in ended_s if each == loss.endpoint or each not in explained]
 
@@ -110,6 +111,13 @@
         return min(equal, key=lambda other: other.endpoint, default=loss) == loss
 
 
-def _are_successive(loss: ObservedLoss, lost_s: float, duration_s: float) -> bool:
-    """Whether one of two requests was sent after the answer to the other one was lost."""
-    return loss.sent_s >= lost_s or lost_s - duration_s >= loss.lost_s
+def _are_successive(loss: ObservedLoss, other: ObservedLoss, ended_s: float) -> bool:
+    """Whether one of two requests was sent after the answer to the other one was lost.
+
+    Args:
+        ended_s: When this host's connections to the upstream of the other request ended.
+    """
+    sent_s, lost_s = other.sent_s, other.lost_s
+    if not other.seen_here:
+        sent_s, lost_s = ended_s - other.duration_s, ended_s
+    return loss.sent_s >= lost_s or sent_s >= loss.lost_s
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -164,6 +164,23 @@
     assert len(judged.told) == (3 if is_crash else 0)
 
 
+# Guards against a crash that is left out as a common cause as its request is sent again at once:
+# the end of a connection is noticed some time before the loss of the answer is.
+def test_a_request_that_is_sent_again_at_once_explains_both_losses() -> None:
+    judged = JudgedLosses()
+    judged.clock.advance(1.0)
+    first, second = build_upstream(0), build_upstream(1)
+    judged.aborted = {
+        Endpoint(address=first.address, port=first.port): 0.999,
+        Endpoint(address=second.address, port=second.port): 1.002,
+    }
+    judged.lose(0, sent_s=0.98)
+    judged.clock.advance(0.005)
+    judged.lose(1, sent_s=1.0)
+    judged.clock.advance(0.2)
+    assert judged.told == ["a0.1", "a1.1"]
+
+
 # Guards against equal requests that crash upstreams side by side, whose losses are left out as a
 # common cause each time, and against the opposite: links that fail together end no upstream, and
 # upstreams that fail together with others say no more than one of them.
