--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -1,6 +1,6 @@
 """What counts as a crash under equal requests, and what takes it back."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from functools import partial
 from types import SimpleNamespace
 from typing import Any
@@ -8,7 +8,8 @@
 import pytest
 from twisted.internet.task import Clock
 
-from greengagestage.gateway.crashes._crash_watch import CrashWatch, LostAnswer
+from greengagestage.gateway.crashes import LostAnswer
+from greengagestage.gateway.crashes._crash_watch import CrashWatch
 from greengagestage.gateway.crashes._quarantine import Quarantine
 from greengagestage.http1 import Endpoint, Exchange, IncomingRequest, OutgoingRequest, Responder
 from greengagestage.ids import AttemptId, Fingerprint, HostId
@@ -67,20 +68,26 @@
 
     def lose(self, number: int, **fields: Any) -> None:
         """Lose the answer to one of some equal requests, each at an upstream of its own."""
+        self.quarantine.record_loss(self._build_lost(number, **fields))
+
+    def leave(self, number: int) -> None:
+        """Close the connection of one of some equal requests, which may run for a second more."""
+        lost = self._build_lost(number, was_left=True)
+        self.quarantine.record_left_run(lost, self.clock.seconds() + 1.0)
+
+    def _build_lost(self, number: int, **fields: Any) -> LostAnswer:
         now_s = self.clock.seconds()
-        lost = LostAnswer(
+        return LostAnswer(
             attempt_id=AttemptId(f"a{number}"),
             number=1,
             fingerprint=Fingerprint("f"),
             prompt=None,
             upstream=build_upstream(number),
-            sent_s=now_s,
             lost_s=now_s,
             begun=False,
             had_event=False,
-            **{"forwarded_by": None, "was_idle": False, **fields},
+            **{"sent_s": now_s, "forwarded_by": None, "was_idle": False, **fields},
         )
-        self.quarantine.record_loss(lost)
 
     @property
     def is_quarantined(self) -> bool:
@@ -157,6 +164,50 @@
     assert len(judged.told) == (3 if is_crash else 0)
 
 
+# Guards against a crash that is left out as a common cause as its request is sent again at once:
+# the end of a connection is noticed some time before the loss of the answer is.
+def test_a_request_that_is_sent_again_at_once_explains_both_losses() -> None:
+    judged = JudgedLosses()
+    judged.clock.advance(1.0)
+    first, second = build_upstream(0), build_upstream(1)
+    judged.aborted = {
+        Endpoint(address=first.address, port=first.port): 0.999,
+        Endpoint(address=second.address, port=second.port): 1.002,
+    }
+    judged.lose(0, sent_s=0.98)
+    judged.clock.advance(0.005)
+    judged.lose(1, sent_s=1.0)
+    judged.clock.advance(0.2)
+    assert judged.told == ["a0.1", "a1.1"]
+
+
+# Guards against equal requests that crash upstreams side by side, whose losses are left out as a
+# common cause each time, and against the opposite: links that fail together end no upstream, and
+# upstreams that fail together with others say no more than one of them.
+@pytest.mark.parametrize(
+    ("ends_others", "is_listed", "crashes"),
+    [(False, False, 3), (False, True, 0), (True, False, 1), (True, True, 0)],
+)
+def test_the_registry_shows_whether_upstreams_crashed_under_requests_side_by_side(
+    ends_others: bool, is_listed: bool, crashes: int
+) -> None:
+    judged = JudgedLosses()
+    judged.clock.advance(1.0)
+    upstreams = [build_upstream(number) for number in range(4)]
+    judged.aborted = {
+        Endpoint(address=each.address, port=each.port): 1.0
+        for each in upstreams[: 4 if ends_others else 3]
+    }
+    for number in range(3):
+        judged.lose(number, sent_s=0.98)
+    judged.clock.advance(0.2)
+    assert judged.told == []
+    judged.clock.advance(4.0)
+    judged.watch.observe_upstreams(upstreams if is_listed else [])
+    assert len(judged.told) == crashes
+    assert judged.is_quarantined is (crashes == 3)
+
+
 # Guards against crashes of upstreams that come back at once, so that a connection can be opened.
 @pytest.mark.parametrize("is_listed", [False, True])
 def test_the_registry_shows_that_an_idle_connection_ended_with_its_upstream(
@@ -175,6 +226,23 @@
     upstream.crash()
 
 
+def keep_idle(pool: Any, upstreams: Iterable[UpstreamStandin]) -> None:
+    """Let a host have an idle connection to each of some upstreams that has not crashed."""
+    for upstream in [each for each in upstreams if each.port.connected]:
+        address = upstream.port.getHost()
+        endpoint = Endpoint(address=address.host, port=address.port)
+        pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+
+
+def call_at_once(fleet: HostFleet, requests: Iterable[bytes]) -> None:
+    """Send requests to one host each, and wait for the ends of all."""
+    callers = [
+        fleet.connect(request, fleet._host_settings[number].callers)
+        for number, request in enumerate(requests)
+    ]
+    fleet.run_until(lambda: all(each.is_complete or each.closed for each in callers))
+
+
 def order(fleet: HostFleet, number: int) -> harness.RawCaller:
     """Send a request that is not sent again by the host, and wait until its end is judged."""
     caller = fleet.call("/order/x", attempt=f"a{number}", body=b"same")
@@ -188,10 +256,7 @@
     upstreams = [fleet.add_upstream(f"u{number}", behavior=crash) for number in range(9)]
     pool = fleet.start_host()._pool
     fleet.wait_ready()
-    for upstream in upstreams:
-        address = upstream.port.getHost()
-        endpoint = Endpoint(address=address.host, port=address.port)
-        pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+    keep_idle(pool, upstreams)
     fleet.run_for(0.2)
     for number in range(6):
         caller = fleet.call(path, attempt=f"a{number}", body=b"same")
@@ -207,10 +272,7 @@
     pool = fleet.start_host()._pool
     fleet.wait_ready()
     for number in range(8):
-        for upstream in upstreams:
-            address = upstream.port.getHost()
-            endpoint = Endpoint(address=address.host, port=address.port)
-            pool.open(endpoint, on_open=partial(pool.put_idle, endpoint), on_failed=lambda: None)
+        keep_idle(pool, upstreams)
         fleet.run_for(0.1)
         order(fleet, number)
     assert sum(len(upstream.requests) for upstream in upstreams) <= 4
@@ -230,11 +292,7 @@
     for number in range(3):
         host = fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=port)
         fleet.wait_ready()
-        for upstream in upstreams:
-            address = upstream.port.getHost()
-            endpoint = Endpoint(address=address.host, port=address.port)
-            put_idle = partial(host._pool.put_idle, endpoint)
-            host._pool.open(endpoint, on_open=put_idle, on_failed=lambda: None)
+        keep_idle(host._pool, upstreams)
     fleet.run_for(1.0)
     for number in range(18):
         fleet.call_at(number % 3, "/order/x", attempt=f"a{number}", body=b"same")
@@ -242,6 +300,28 @@
     assert sum(len(upstream.requests) for upstream in upstreams) <= 6
 
 
+# Guards against a request that several callers send again at the same time, each through another
+# host, and that goes on to crash upstreams side by side.
+def test_crashes_side_by_side_through_several_hosts_count(fleet: HostFleet) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=crash) for number in range(12)]
+    port = harness.choose_port()
+    for number in range(3):
+        host = fleet.start_host(f"host-{number}", address=f"127.0.0.{number + 1}", peer_port=port)
+        fleet.wait_ready()
+        keep_idle(host._pool, upstreams)
+    fleet.run_for(1.0)
+    for tick in range(3):
+        call_at_once(
+            fleet,
+            [build_request("/order/x", attempt=f"a{tick}{at}", body=b"same") for at in range(3)],
+        )
+        for upstream in upstreams:
+            if upstream.requests:
+                fleet.store.remove("servers", upstream.name)
+        fleet.run_for(2.5)
+    assert sum(len(upstream.requests) for upstream in upstreams) <= 6
+
+
 # Guards against orders that crash one upstream after the other once their callers have left.
 def test_crashes_under_orders_whose_callers_have_left_count(fleet: HostFleet) -> None:
     behavior = harness.delay(0.2, crash)
@@ -257,6 +337,74 @@
     assert sum(len(upstream.requests) for upstream in upstreams) == 3
 
 
+# Guards against a crowd of connections to an upstream that many callers had left, and against many
+# losses of one crash.
+def test_runs_that_were_left_at_one_upstream_try_one_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    judged, failing = JudgedLosses(), list[Any]()
+
+    def open_later(endpoint: Endpoint, *, on_open: Any, on_failed: Any) -> None:
+        failing.append(on_failed)
+
+    monkeypatch.setattr(judged.watch._pool, "open", open_later)
+    for _ in range(20):
+        judged.leave(1)
+    upstream = build_upstream(1)
+    judged.watch._pool.on_aborted(Endpoint(address=upstream.address, port=upstream.port))
+    judged.clock.advance(0.2)
+    assert len(failing) == 1
+    failing[0]()
+    assert set(judged.told) == {"left i-1 1000"}
+    assert not judged.is_quarantined
+
+
+def crash_later(upstream: UpstreamStandin, request: IncomingRequest, responder: Responder) -> None:
+    """Go on with the run although its connection is closed, and crash."""
+    upstream.reactor.callLater(0.1, upstream.crash)
+
+
+def break_off_later(
+    upstream: UpstreamStandin, request: IncomingRequest, responder: Responder
+) -> None:
+    upstream.reactor.callLater(0.1, break_off, upstream, request, responder)
+
+
+# Guards against requests that crash one upstream after the other, each once its caller has left and
+# its connection is closed, and against refusing those under which upstreams only reset idle
+# connections, or go on.
+@pytest.mark.parametrize(
+    ("behavior", "has_idle", "is_crash"),
+    [
+        (crash_later, True, True),
+        (crash_later, False, True),
+        (break_off_later, True, False),
+        (harness.hang, True, False),
+    ],
+)
+def test_crashes_under_requests_whose_callers_have_left_count(
+    fleet: HostFleet, behavior: harness.Behavior, has_idle: bool, is_crash: bool
+) -> None:
+    upstreams = [fleet.add_upstream(f"u{number}", behavior=behavior) for number in range(9)]
+    pool = fleet.start_host()._pool
+    fleet.wait_ready()
+    for number in range(6):
+        keep_idle(pool, 2 * upstreams if has_idle else [])  # the request takes one
+        fleet.run_for(0.1)
+        caller = fleet.connect(build_request("/lookup/x", attempt=f"a{number}"))
+        fleet.run_for(0.05)
+        caller.transport.abortConnection()
+        fleet.run_for(0.04)
+        reached = [upstream for upstream in upstreams if upstream.requests]
+        assert sum(each.disconnects for each in reached) >= sum(len(e.requests) for e in reached)
+        fleet.run_for(0.4)
+        if is_crash and not has_idle:
+            for upstream in reached:
+                fleet.store.remove("servers", upstream.name)
+            fleet.run_for(1.0)
+    assert sum(len(upstream.requests) for upstream in upstreams) == (3 if is_crash else 6)
+
+
 # Guards against losses that go on counting although equal requests have been answered since.
 def test_an_answer_to_an_equal_request_clears_the_losses_before_it(fleet: HostFleet) -> None:
     upstreams = [fleet.add_upstream(f"u{number}", behavior=harness.reset) for number in range(9)]
