Count no planned exit of an upstream as a crash

Callers got 503 (QUARANTINED) for requests equal to three others whose streams the exit of a draining upstream had cut: each loss counted as a crash under an equal request. Cause: the evidence by the registry leaves out upstreams that were leaving, the evidence by connections did not.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -86,7 +86,7 @@
         self._left = AwaitedEnds(most=MAX_LEFT)
         self._connecting: dict[Endpoint, list[_Tried]] = {}
         self._counted: dict[Incarnation, list[_Counted]] = {}
-        self._leaving: set[Incarnation] = set()
+        self._leaving: dict[Incarnation, float] = {}  # when the registry last showed it
         self._reactor = reactor
         self._pool = pool
         self._report = report
@@ -209,9 +209,16 @@
                 del self._counted[incarnation]
         for awaited in (self._unproven_parts, self._unproven, self._left):
             self._judge_ends(awaited, upstreams, oldest_s)
-        self._leaving = {
-            each.incarnation for each in upstreams if each.availability is Availability.LEAVING
-        }
+        self._note_leaving(upstreams, oldest_s)
+
+    def _note_leaving(self, upstreams: Collection[RegisteredUpstream], oldest_s: float) -> None:
+        """Remember the upstreams that leave, also for a while after their entries are gone."""
+        kept = {each: shown_s for each, shown_s in self._leaving.items() if shown_s >= oldest_s}
+        for upstream in upstreams:
+            kept.pop(upstream.incarnation, None)
+            if upstream.availability is Availability.LEAVING:
+                kept[upstream.incarnation] = self._reactor.seconds()
+        self._leaving = kept
 
     def _judge_ends(
         self, awaited: AwaitedEnds, upstreams: Collection[RegisteredUpstream], oldest_s: float
@@ -254,7 +261,9 @@
     ) -> None:
         """Judge a loss under equal requests by the connections of this host."""
         ended_s = self._list_ended(lost)
-        if len(self._list_unexplained(lost, ended_s)) > 1:
+        if lost.upstream.incarnation in self._leaving:
+            on_other("the upstream was leaving")
+        elif len(self._list_unexplained(lost, ended_s)) > 1:
             on_other("common cause")
             observed = lost.observe()
             if not self._count_survivors(lost) and self._recent_losses.stands_for(
@@ -331,8 +340,8 @@
         upstream = lost.upstream
         survivors = self._count_survivors(lost)
         aborted = len(self._list_unexplained(lost, self._list_ended(lost)))
-        crashed = not survivors and aborted <= 1
-        if crashed:
+        was_leaving = upstream.incarnation in self._leaving
+        if not survivors and aborted <= 1 and not was_leaving:
             self._record(lost, by_registry=False)
             return
         log_message(
@@ -342,6 +351,7 @@
             parts=_list_loss_parts(lost),
             open_connections=survivors,
             aborted_upstreams=aborted,
+            was_leaving=was_leaving,
         )
         if not survivors:
             self.await_proof(lost)
