Send no successor while the end of an answer is judged

An idempotent request could run twice, and its ready answer come late or not at all, where its answer without framing was judged for longer than the limit on an upstream's silence: a connection that is not accepted takes 0.4 s. Cause: the watch of the silence went on although the upstream owed nothing more.

--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -60,6 +60,9 @@
     def attempt_body_received(self, attempt: "Attempt", data: bytes) -> None:
         """Handle a part of the answer's body."""
 
+    def attempt_ending(self, attempt: "Attempt") -> None:
+        """Handle an end without framing, until it is known whether the answer is complete."""
+
     def attempt_ended(self, attempt: "Attempt") -> None:
         """Handle the end of an answer.
 
@@ -264,6 +267,8 @@
         if self._framed or not is_awaited:
             self._complete()
             return
+        if self._listener is not None:
+            self._listener.attempt_ending(self)
         self._context.answer_ends.call_when_judged(
             self.plan.attempt_id,
             self.plan.placement.upstream,
--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -186,6 +186,10 @@
         if not self._delivery.is_stream:
             self._silence.restart()
 
+    def attempt_ending(self, attempt: Attempt) -> None:
+        """Stop counting the upstream's silence."""
+        self._silence.stop()
+
     def attempt_ended(self, attempt: Attempt) -> None:
         """Deliver a complete answer, or retry if the upstream answered with a server error."""
         self._silence.stop()
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -165,3 +165,21 @@
     fleet.wait_ready()
     caller = fleet.call("/long/x")
     assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS) + rest)
+
+
+# Guards against a second run of a request whose whole answer is being judged, since the upstream
+# that has sent it is silent from then on.
+def test_no_successor_is_sent_while_the_end_of_an_answer_is_judged() -> None:
+    world = World(Answer.PLAIN)
+    world.exchange.start()
+    run = world.runs[0]
+    run.begin(200, world.build_headers(run), framed=False)
+    run.send_part(1_000)
+    run.end()
+    for _ in range(40):
+        world.clock.advance(0.01)
+    assert len(world.opening) == 1
+    (probe, on_open, _), *_ = world.opening
+    assert world.runs == [run, probe]
+    on_open()
+    assert world.caller.is_complete
