Draw the id by which a host tells its own lease of a duty

Cause: the id of a holder's process was its start in Unix milliseconds, by which a lease's row is taken for one's own. Rows name the holder, but a host's former process has the same name.

Change: the id is a random UUID, as for the leases of orders and claims.

Evidence: test_hosts_that_start_in_the_same_millisecond_leave_each_other_a_lease failed before: both hosts hold the lease within 5 s.

--- a/greengagestage/duties/_service.py
+++ b/greengagestage/duties/_service.py
@@ -1,5 +1,6 @@
 """The duties of a host: their leases, and the parts that perform them."""
 
+import uuid
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -60,12 +61,14 @@
     ) -> None:
         self._reactor = reactor
         self._clocks = clocks
+        # Other hosts may start in the same millisecond.
+        instance = uuid.uuid4().hex
         self._leases = {
             duty: DutyLease(
                 duty=duty,
                 host=settings.host,
                 address=settings.address,
-                instance=str(started_ms),
+                instance=instance,
                 duration_s=duties.lease_s,
                 thaw_slack_s=duties.thaw_slack_s,
                 now_s=clocks.read_boot_s(),
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -3,12 +3,14 @@
 import time
 from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
 
+import pytest
 from twisted.internet.defer import Deferred
 
 from greengagestage.catalog import Duty, DutySettings
 from greengagestage.duties._usage_counts import REPORT_INTERVAL_S
-from greengagestage.gateway import HostProcess
+from greengagestage.gateway import HostProcess, _host
 from standins.platform_api import ApiFault, PlatformApi
 
 from .host_harness import HostFleet, choose_port, running_fleet
@@ -228,3 +230,24 @@
         last = get_window() - 1
         duties.wait_reported(last)
         duties.check(first, last)
+
+
+# Guards against hosts that take a lease from each other in turn, since each takes the other's for
+# its own.
+def test_hosts_that_start_in_the_same_millisecond_leave_each_other_a_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_ns = time.time_ns()
+    monkeypatch.setattr(_host, "time", SimpleNamespace(time_ns=lambda: started_ns))
+    with running_fleet() as fleet:
+        duties = DutyFleet(fleet)
+        for number in (1, 2):
+            duties._peer_port = choose_port()  # they do not hear each other
+            duties.start(number)
+        fleet.wait_ready()
+        fleet.run_until(lambda: bool(duties.list_holders()))
+        holders = duties.list_holders()
+        assert len(holders) == 1
+        for _ in range(50):
+            fleet.run_for(0.1)
+            assert duties.list_holders() == holders
