Test harness: hold the ports of closed upstreams

Change: add_closed_upstream binds the port for the length of the test without listening. Connections are refused as before, and no other process can bind it (both tried: ECONNREFUSED, EADDRINUSE also with SO_REUSEADDR).

--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -1,11 +1,14 @@
 """Test harness that runs hosts, a store, upstreams and callers in one reactor on loopback."""
 
 import json
+import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import Any, cast
 
+from twisted.internet.address import IPv4Address
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.protocol import ClientCreator
 
@@ -295,6 +298,7 @@
         self.processes: list[HostProcess] = []
         self._host_settings: list[HostSettings] = []
         self._ports: list[Any] = []
+        self._held: list[socket.socket] = []
         self.store_port = self._listen(self.store)
         self.store.put("op", "config", build_document())
         # As in a system that has run for a while.
@@ -311,6 +315,21 @@
         self.store.put("servers", name, upstream.build_entry())
         return upstream
 
+    def add_closed_upstream(self, name: str, *, service: str = "archive") -> None:
+        """Add an upstream that takes no connections; no other process can listen at its port."""
+        held = socket.socket()
+        held.bind(("127.0.0.1", 0))
+        self._held.append(held)
+        upstream = UpstreamStandin(name=name, service=service, reactor=self.reactor)
+        upstream.port = SimpleNamespace(getHost=lambda: IPv4Address("TCP", *held.getsockname()))
+        self.upstreams[name] = upstream
+        self.store.put("servers", name, upstream.build_entry())
+
+    def release_ports(self) -> None:
+        """Let other processes have the ports of closed upstreams."""
+        for held in self._held:
+            held.close()
+
     def start_host(
         self,
         name: str = "host-1",
@@ -436,4 +455,8 @@
 def running_fleet() -> Iterator[HostFleet]:
     """Yield a fleet with a store, and without hosts or upstreams."""
     with running_reactor() as reactor:
-        yield HostFleet(reactor)
+        fleet = HostFleet(reactor)
+        try:
+            yield fleet
+        finally:
+            fleet.release_ports()
--- a/tests/test_host_requests.py
+++ b/tests/test_host_requests.py
@@ -118,7 +118,7 @@
 def test_only_sends_after_an_arrival_at_an_upstream_need_the_retry_budget(fleet, behavior) -> None:
     """Without any budget, a request passes closed ports and arrives at one upstream only."""
     for name in ("closed", "closed-2"):
-        fleet.add_upstream(name).port.stopListening()
+        fleet.add_closed_upstream(name)
     for name in ("open", "open-2"):
         fleet.add_upstream(name, behavior=behavior)
     fleet.start_host(retry_ratio=0.0, retry_slack=0.0)
