Let only a complete success acquit requests that crash upstreams

Cause: any complete answer that goes to the caller was taken as proof that equal requests, and the parts of their prompt, do no harm. An upstream fails requests that it has not begun.

Change: only a complete success clears losses, on any path: also the one of an order whose caller has left, whose answer cleared nothing before.

A sound request that is only ever answered with errors stays refused for as long as three losses say. An error that a server can only give after its work cannot be told from one that it gives before.

--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -116,6 +116,7 @@
         self._body_bytes = 0
         self._counted_in_router = True
         self._framed = True
+        self._succeeds = False
         self._forwarded_by: HostId | None = None
         self._was_idle = False
         self._detached = False
@@ -148,8 +149,12 @@
         self._context.quarantine.record_loss(self._build_lost(had_event=had_event))
 
     def record_complete_answer(self) -> None:
-        """Record that this attempt has brought the rest of the answer, so that it is complete."""
-        if self.sent_s is not None:
+        """Record that this attempt has brought the rest of the answer, so that it is complete.
+
+        Only a success shows that the request ran to its end: an upstream can fail one that it has
+        not begun.
+        """
+        if self.sent_s is not None and self._succeeds:
             plan = self.plan
             self._context.quarantine.record_complete_answer(plan.fingerprint, plan.job, self.sent_s)
 
@@ -221,7 +226,9 @@
         sent_s = now_s if self.sent_s is None else self.sent_s
         upstream = self.plan.placement.upstream
         self._context.notices.record(upstream, head, sent_s=sent_s, now_s=now_s)
-        match classify_response(head):
+        kind = classify_response(head)
+        self._succeeds = kind is ResponseKind.SUCCESS
+        match kind:
             case ResponseKind.NOT_RUN:
                 self._close_after(MAX_DRAIN_S)
                 self._fail(AttemptFault.REFUSED)
@@ -288,6 +295,8 @@
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.attempt_ended(self)
+        elif self._detached:
+            self.record_complete_answer()
         self._settle(AttemptEnd.ANSWERED)
 
     def _start_forwarding(self, via: ForwardingHost) -> None:
