--- a/tests/test_body_ownership.py
+++ b/tests/test_body_ownership.py
@@ -192,10 +192,15 @@
     uploads: Uploads, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     uploads.start(serve)
-    read: Deferred[bool] = Deferred()
-    monkeypatch.setattr(uploads.processes[0]._registry, "confirm", lambda: read)
+    reads: list[Deferred[bool]] = []
+
+    def read() -> Deferred[bool]:
+        reads.append(Deferred())
+        return reads[-1]
+
+    monkeypatch.setattr(uploads.processes[0]._registry, "confirm", read)
     caller = uploads.upload("/short/x", headers=("Last-Event-ID: 2",))
-    uploads.fleet.run_until(lambda: bool(read.callbacks))
+    uploads.fleet.run_until(lambda: bool(reads))
     uploads.leave(caller)
     assert uploads.body.count_copies() == 0
 
