Soak: a link that is shut and reset is recorded as reset, too

Hosts were blamed (LOST) for answers on connections that the soak itself had reset.

The reset is now recorded with its time, as a reset by a fault of one link is. The excuses are as strict as before: "shut link" still excuses nothing, a reset only what the upstream had at that moment.

--- a/soak/_injection.py
+++ b/soak/_injection.py
@@ -109,9 +109,7 @@
         """Reset the connections of links, or harm them for some time."""
         now_s = self.reactor.seconds()
         if random.random() < RESET_CHANCE:
-            self.disturbances.mark(target, "reset link", now_s)
-            for link in links:
-                link.reset()
+            self._reset(target, links)
             return
         fault = random.choice([each for each in LinkFault if each is not LinkFault.NONE])
         harm = self.disturbances.begin(target, f"{fault.value} link", now_s)
@@ -126,6 +124,11 @@
 
         self.reactor.callLater(random.uniform(0.3, 4.0), heal)
 
+    def _reset(self, target: str, links: list[Link]) -> None:
+        self.disturbances.mark(target, "reset link", self.reactor.seconds())
+        for link in links:
+            link.reset()
+
     def _shut_links(self, random: Random) -> None:
         """Refuse new connections to some upstreams.
 
@@ -142,7 +145,7 @@
         for member in members:
             member.link.shut()
             if resets:
-                member.link.reset()
+                self._reset(member.upstream.identity.instance, [member.link])
 
         def heal() -> None:
             for member, harm in zip(members, harms, strict=True):
