Watch a run that was left on after another connection to its upstream has ended

Cause: the run whose connection this host had closed was judged at the first end of another connection to the upstream, and forgotten if that upstream lived on then. A crash some tenths of a second later was not seen, unless the registry showed it. Found by reading the change that began to watch such runs.

Change: after any judgement that is not a crash, the run is watched on for the rest of its time.

Evidence: test_a_run_that_was_left_is_watched_on_after_another_connection_has_ended failed before.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -138,7 +138,12 @@
 
         def judge(lost_s: float) -> None:
             ended = replace(lost, lost_s=lost_s)
-            self.call_when_judged(ended, on_crashed=on_crashed, on_other=on_other)
+            self.call_when_judged(ended, on_crashed=on_crashed, on_other=watch_on)
+
+        def watch_on(cause: str) -> None:
+            on_other(cause)
+            if self._reactor.seconds() <= until_s:
+                self._left.add(end)
 
         end = AwaitedEnd(
             lost=lost,
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -359,6 +359,21 @@
     assert not judged.is_quarantined
 
 
+# Guards against a crash that is not seen since a connection to its upstream had ended just before.
+def test_a_run_that_was_left_is_watched_on_after_another_connection_has_ended() -> None:
+    judged = JudgedLosses(survivors=1, opens=False)
+    judged.leave(1)
+    upstream = build_upstream(1)
+    endpoint = Endpoint(address=upstream.address, port=upstream.port)
+    judged.watch._pool.on_aborted(endpoint)
+    judged.clock.advance(0.2)
+    assert judged.told == []
+    judged.survivors = 0
+    judged.watch._pool.on_aborted(endpoint)
+    judged.clock.advance(0.2)
+    assert judged.told == ["left i-1 1000"]
+
+
 def crash_later(upstream: UpstreamStandin, request: IncomingRequest, responder: Responder) -> None:
     """Go on with the run although its connection is closed, and crash."""
     upstream.reactor.callLater(0.1, upstream.crash)
