Let nothing be left of a stream that goes on without framing

A caller who had all events got a broken answer: its upstream had exited right after the last one, the stream was asked for after it elsewhere, and the next upstream, which had nothing left to send, closed the connection in order. Cause: an answer without framing and without an event counted as broken off, whether the stream begins with it or goes on. With chunks it was complete before.

Evidence: the new test failed before.

--- a/greengagestage/gateway/exchange/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -148,9 +148,13 @@
             self._relay.drop_partial()
 
     def _is_broken_off(self, relay: EventRelay, head: ResponseHead) -> bool:
-        """Whether a stream ends inside an event, or without framing before its first one."""
+        """Whether a stream ends inside an event, or without framing before its first one.
+
+        Of a stream that goes on after an event, nothing may be left.
+        """
         if not head.framed:
-            return relay.has_partial or not self._has_events
+            is_empty = not self._has_events and relay.last_event_id is None
+            return relay.has_partial or is_empty
         is_stream = self.first_event_s is not None or _states_events(head)
         return relay.has_partial and is_stream
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -183,3 +183,21 @@
     assert world.runs == [run, probe]
     on_open()
     assert world.caller.is_complete
+
+
+# Guards against a whole stream that is broken off since the upstream exited right after it, and the
+# next one, which has nothing left to send, ends its answer with the connection.
+def test_nothing_may_be_left_of_a_resumed_stream(fleet: HostFleet) -> None:
+    for name in ("one", "two"):
+        fleet.add_upstream(name, service="engines")
+    fleet.start_host()
+    fleet.wait_ready()
+    exits = harness.answer_without_framing(*EVENTS, exits=True)
+    for upstream in fleet.upstreams.values():
+        upstream.behavior = exits
+    caller = fleet.connect(harness.build_request("/short/x", deadline_ms=8_000))
+    fleet.run_until(lambda: EVENTS[-1] in caller.data)
+    for upstream in fleet.upstreams.values():
+        upstream.behavior = harness.answer_without_framing()
+    fleet.run_until(lambda: caller.closed or caller.is_complete)
+    assert (caller.is_complete, caller.body) == (True, b"".join(EVENTS))
