Count the headers of a request that has many of them

Cause: only bodies are counted, as a head has 16 KiB at most; but each header costs objects, and 3,900 empty ones take 390 KB, counted as 3 bytes, for as long as the request waits for its answer.

A head with more than 32 headers now counts for what it takes, from its arrival until nothing refers to the request, and is refused with 503 where memory is full.

Evidence: both new tests failed before and pass.

--- a/greengagestage/http1/_body_claim.py
+++ b/greengagestage/http1/_body_claim.py
@@ -1,14 +1,14 @@
-"""What stands for a request body in the account of held bytes."""
+"""What stands for a request in the account of held bytes."""
 
 
 class BodyClaim:
-    """A request body's claim on memory, which holds for as long as anything refers to it.
+    """A request's claim on memory, which holds for as long as anything refers to it.
 
     Whatever holds the bytes of a body holds its claim as well, so that the account, which refers to
     it only weakly, counts the body until the last holder has dropped both.
 
     Attributes:
-        size: Number of bytes of the body.
+        size: Number of bytes of the body, and of the headers if they are many.
     """
 
     __slots__ = ("__weakref__", "size")
--- a/greengagestage/http1/_client.py
+++ b/greengagestage/http1/_client.py
@@ -203,8 +203,10 @@
         if len(body) <= PIECE_BYTES:
             self.transport.write(head + body)
         else:
-            # The sender alone holds the body, which is dropped with the last piece.
-            sent = replace(request, body=b"", body_claim=None)
+            # The sender alone holds the body, which is dropped with the last piece. The parser of
+            # the response needs none of the headers.
+            kept = [(name, value) for name, value in request.headers if name.lower() == b"host"]
+            sent = replace(request, headers=kept, body=b"", body_claim=None)
             self._exchange = replace(exchange, request=sent)
             self.transport.write(head)
             self._body_sender = BodySender(self.transport, body, request.body_claim)
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -44,6 +44,12 @@
 """Time in which a process that was busy reads what has arrived, before a request is refused as too
 slow."""
 
+HEADER_BYTES = 256
+"""Memory that a header takes beside its bytes, in the request and in the one that is sent on."""
+
+MAX_UNCOUNTED_HEADERS = 32
+"""Heads with more headers count for what they take. Others take less than a read."""
+
 MAX_PIPELINED_BYTES = 65_536
 """Limit for buffered bytes of later requests while one is answered; reading pauses above it."""
 
@@ -154,8 +160,14 @@
 
     received_s: float
     head: h11.Request | None = None
+    head_bytes: int = 0
     body: PieceBuffer = field(default_factory=PieceBuffer)
 
+    @property
+    def size(self) -> int:
+        """Number of bytes for which the request counts."""
+        return self.head_bytes + self.body.size
+
 
 class CallerConnection(ObservedConnection, TwistedProtocol):
     """A caller's connection, which is also the responder for its current request.
@@ -220,7 +232,7 @@
     @property
     def held_bytes(self) -> int:
         """Number of bytes that the process holds for the caller."""
-        being_read = 0 if self._incoming is None else self._incoming.body.size
+        being_read = 0 if self._incoming is None else self._incoming.size
         sent_ahead = len(self._codec.trailing_data[0])
         body = None if self._answered_body is None else self._answered_body()
         answered = (0 if body is None else body.size) + self._buffered_answer_bytes
@@ -434,6 +446,9 @@
             self._refuse(LimitExceeded.MALFORMED)
             return False
         incoming.head = head
+        incoming.head_bytes = _measure_head(head)
+        if incoming.head_bytes and not self._hold_incoming(incoming.head_bytes):
+            return False
         self._set_timer(self.factory.limits.idle_timeout_s, self._refuse_too_slow)
         if self._codec.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -444,11 +459,17 @@
             self._refuse(LimitExceeded.BODY_TOO_LARGE)
             return False
         incoming.body.append(data)
-        self.factory.memory.record(self, len(data))
+        if not self._hold_incoming(len(data)):
+            return False
+        self._set_timer(self.factory.limits.idle_timeout_s, self._refuse_too_slow)
+        return True
+
+    def _hold_incoming(self, count: int) -> bool:
+        """Count bytes of the request that is being read; refuse it if there is no room."""
+        self.factory.memory.record(self, count)
         if self.factory.memory.is_full:
             self._refuse(LimitExceeded.MEMORY_FULL)
             return False
-        self._set_timer(self.factory.limits.idle_timeout_s, self._refuse_too_slow)
         return True
 
     def _handle_end(self, incoming: _PartialRequest) -> None:
@@ -457,8 +478,7 @@
             return
         self._incoming = None
         self._answering = True
-        size = incoming.body.size
-        claim = BodyClaim(size) if size else None
+        claim = BodyClaim(incoming.size) if incoming.size else None
         self._answered_body = None if claim is None else ref(claim)
         self._answers_head = head.method == b"HEAD"
         self._stop_timer()
@@ -568,6 +588,14 @@
         self._timer = None
 
 
+def _measure_head(head: h11.Request) -> int:
+    """Return the memory that the headers of a request take; 0 if it is little."""
+    headers = list(head.headers)
+    if len(headers) <= MAX_UNCOUNTED_HEADERS:
+        return 0
+    return sum(HEADER_BYTES + len(name) + len(value) for name, value in headers)
+
+
 def _is_ambiguous(head: h11.Request) -> bool:
     """Whether two parsers could disagree about the end of the body or the host."""
     names = [name for name, _ in head.headers]
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -17,6 +17,7 @@
     ClientConnection,
     Exchange,
     ExchangeFailure,
+    MemoryAccount,
     OutgoingRequest,
     ServerFactory,
 )
@@ -58,13 +59,14 @@
 class ServerHarness:
     """A server connection that records its requests."""
 
-    def __init__(self, **limits: float) -> None:
+    def __init__(self, *, memory: MemoryAccount | None = None, **limits: float) -> None:
         self.clock = Clock()
         self.requests = []
         self.factory = ServerFactory(
             reactor=self.clock,
             on_request=lambda request, responder: self.requests.append((request, responder)),
             on_refused=lambda limit: limit.name.encode(),
+            memory=memory,
         )
         self.factory.limits = ConnectionLimits(**limits)
         self.connection = self.factory.buildProtocol(None)
@@ -197,6 +199,30 @@
     assert set(request.body) == {ord("x")}
 
 
+# Guards against a host that is ended for its memory, since heads with thousands of headers count
+# for nothing.
+@pytest.mark.parametrize("header", [b"a:\r\n", b"name: value\r\n"])
+def test_a_head_with_many_headers_counts_for_the_memory_that_it_takes(header: bytes) -> None:
+    server = ServerHarness()
+    data = HEAD + header * (15_000 // len(header)) + b"\r\n"
+    tracemalloc.start()
+    try:
+        server.receive(data)
+        taken_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    ((request, _),) = server.requests
+    assert server.connection.held_bytes > taken_bytes
+    assert request.body_claim.size == server.connection.held_bytes
+
+
+def test_a_head_with_many_headers_is_refused_where_memory_is_full() -> None:
+    server = ServerHarness(memory=MemoryAccount(limit_bytes=100_000))
+    answer = server.receive(HEAD + b"a:\r\n" * 1_000 + b"\r\n")
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert not server.requests
+
+
 @given(st.binary(max_size=300))
 def test_arbitrary_bytes_raise_no_exception(data: bytes) -> None:
     ServerHarness().receive(data)
