Count an event of a stream that has not ended

Upstreams decide about its size, but with some hundred streams it is more than the account leaves for copies.

From 4 KiB on it counts for the caller's connection, as a plain answer that is buffered does.

Evidence: the new test failed before and passes.

--- a/greengagestage/gateway/_relay.py
+++ b/greengagestage/gateway/_relay.py
@@ -53,6 +53,11 @@
         lines = self._partial.splitlines()
         return any(line and not line.startswith(b":") for line in lines)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes that are kept until their event ends."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Process received bytes and return the complete events to relay.
 
--- a/greengagestage/gateway/exchange/_delivery.py
+++ b/greengagestage/gateway/exchange/_delivery.py
@@ -15,6 +15,9 @@
 MIN_PASSED_ON_BYTES = 65_536
 """Smaller ones are buffered in any case: passed on, they would wait in the transport's buffer."""
 
+UNCOUNTED_EVENT_BYTES = 4_096
+"""Events received in part that are shorter are not counted: they end with one of the next reads."""
+
 
 class Delivery:
     """Relays a stream event by event, and a plain answer once it is complete.
@@ -55,6 +58,7 @@
         self._relay: EventRelay | None = None
         self._has_events = False
         self._buffer = PieceBuffer()
+        self._held_bytes = 0
 
     @property
     def is_stream(self) -> bool:
@@ -140,6 +144,7 @@
         """Discard what was received and not yet sent to the caller."""
         self.head = None
         self._buffer.clear()
+        self._held_bytes = 0
         self._responder.hold(0)
         if self._relay is not None:
             self._relay.drop_partial()
@@ -162,12 +167,20 @@
 
     def _relay_events(self, relay: EventRelay, data: bytes) -> bool:
         events = relay.feed(data)
+        self._hold_partial(relay)
         self._write(events)
         if events:
             self._has_events = True
             self._observe_event()
         return bool(events)
 
+    def _hold_partial(self, relay: EventRelay) -> None:
+        """Count an event that is received in part, unless it is as short as most."""
+        held_bytes = relay.partial_bytes if relay.partial_bytes > UNCOUNTED_EVENT_BYTES else 0
+        if held_bytes != self._held_bytes:
+            self._held_bytes = held_bytes
+            self._responder.hold(held_bytes)
+
     def _observe_event(self) -> None:
         now_s = self._seconds()
         if self.first_event_s is None:
--- a/tests/test_body_ownership.py
+++ b/tests/test_body_ownership.py
@@ -233,6 +233,24 @@
     assert uploads.measure_held() < len(uploads.body.data)
 
 
+# Guards against a host that takes more requests while upstreams send long events to its callers.
+def test_an_event_that_has_not_ended_is_counted_until_it_is_dropped(uploads: Uploads) -> None:
+    event_bytes = 200_000
+
+    def begin_event(
+        upstream: UpstreamStandin, request: IncomingRequest, responder: Responder
+    ) -> None:
+        begin(upstream, request, responder)
+        responder.write(b"data: ".ljust(event_bytes, b"x"))
+
+    uploads.start(begin_event)
+    caller = uploads.upload_until_arrived("/short/x")
+    counted_bytes = event_bytes + len(uploads.body.data)
+    uploads.fleet.run_until(lambda: uploads.measure_held() >= counted_bytes)
+    uploads.leave(caller)
+    assert uploads.measure_held() == 0
+
+
 # Guards against bodies that no account counts, in whatever order requests end (review/11, 12).
 @pytest.mark.parametrize("seed", range(4))
 def test_all_bodies_are_counted_while_they_are_alive(fleet: HostFleet, seed: int) -> None:
