Remember losses of equal requests until one is answered, and record trials before they are sent

Cause: what hosts know of losses had ends in time. One or two were forgotten a minute after the latest, so that visits 61 s apart were never counted; three for eight times the quarantine; and trials went on for as long as something was remembered. Their number was limited by the turns of hosts only, which do not bind hosts that are apart or vanish.

Losses now stay until an equal request is answered. Space is limited instead of time: a host keeps 4,096 fingerprints, the store 512 rows and a row of 240 further requests, those with the most losses first. After a quarantine all hosts together send two trials. A trial is written into the store as a loss before it is sent, by a write that only one host can make, and taken back if it has provably not run. Hosts tell each other of what has changed lately, and read the record again each minute for the rest. Turns remain for parts of prompts.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -70,11 +70,14 @@
         Late in a shutdown, a job is not sent for the first time, nor again if it may run only
         once: it would be cut off with an unknown result, while another host can serve it. A job
         that has been sent may be retried. Right after the start, a job waits until this host knows
-        what has crashed upstreams.
+        what has crashed upstreams, and a trial until it is recorded.
         """
         if self.awaits_crashes():
             reason = "the record of crashes has not been read yet"
             return Waiting(delay_s=RECORD_POLL_S, reason=reason)
+        if self.quarantine.awaits_trial(job.attempt_id):
+            reason = "the store has not recorded this trial yet"
+            return Waiting(delay_s=RECORD_POLL_S, reason=reason)
         is_first = not tried and not unreached
         may_repeat = job.route.kind is not RouteKind.NON_IDEMPOTENT
         if job.began_at is None and (is_first or not may_repeat) and not self.takes_requests():
--- a/greengagestage/gateway/crashes/_crash_knowledge.py
+++ b/greengagestage/gateway/crashes/_crash_knowledge.py
@@ -4,9 +4,11 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.defer import inlineCallbacks
+
 from greengagestage.catalog import RegisteredUpstream
 from greengagestage.http1 import ConnectionPool
-from greengagestage.ids import Fingerprint, HostId
+from greengagestage.ids import AttemptId, Fingerprint, HostId
 from greengagestage.platform import RowClient
 from greengagestage.routing import (
     CrashSuspects,
@@ -15,6 +17,7 @@
     ObservedLoss,
     SuspectRecord,
     Trials,
+    build_trial_id,
 )
 
 from ..peers import MAX_RECORDS
@@ -73,6 +76,7 @@
             losses=self._losses,
             crash_watch=self._watch,
             trials=Trials(host),
+            claim_trial=self._claim_trial,
             list_hosts=list_hosts,
             report_loss=self._report_loss,
             report_cleared=self._table.record_request,
@@ -102,7 +106,7 @@
 
     def list_losses(self, now_s: float) -> list[LossRecord]:
         """Return what other hosts are told about losses under equal requests."""
-        return self._losses.list_records(now_s, most=MAX_RECORDS)
+        return self._losses.list_news(now_s, most=MAX_RECORDS)
 
     def learn_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Add a loss at another host."""
@@ -117,6 +121,14 @@
         """Add what another host knows about losses."""
         self._losses.learn(records, self._reactor.seconds())
 
+    @inlineCallbacks
+    def _claim_trial(self, fingerprint: Fingerprint, attempt_id: AttemptId) -> Any:
+        """Record a trial and tell the other hosts of it; return whether it may be sent."""
+        is_recorded = yield self._table.record_trial(fingerprint, attempt_id)
+        if is_recorded:
+            self._tell_loss(fingerprint, build_trial_id(attempt_id))
+        return is_recorded
+
     def _report_loss(self, fingerprint: Fingerprint, loss_id: str) -> None:
         """Tell the other hosts of a loss, and those that start later."""
         self._tell_loss(fingerprint, loss_id)
--- a/greengagestage/gateway/crashes/_crash_rows.py
+++ b/greengagestage/gateway/crashes/_crash_rows.py
@@ -15,7 +15,7 @@
 from greengagestage.decoding import Integer, convert_json
 from greengagestage.ids import Fingerprint
 from greengagestage.platform import RowsRead
-from greengagestage.routing import MAX_QUARANTINE_S, LossRecord, SuspectRecord
+from greengagestage.routing import LossRecord, SuspectRecord
 
 from ..peers import (
     LossesReport,
@@ -31,8 +31,8 @@
 EVIDENCE_KEY = "evidence"
 """Key of the row for what does not suffice for a quarantine."""
 
-MAX_AGE_S = 2 * MAX_QUARANTINE_S
-"""Age from which a row is removed; what it says has expired by then."""
+MAX_AGE_S = 10 * 365 * 86_400.0
+"""Largest age of what a row says. Losses of equal requests do not expire."""
 
 CrashRecord = LossRecord | SuspectRecord
 """What is known about one request, or one prompt part."""
@@ -132,8 +132,6 @@
         if not is_current and not any_era:
             return IgnoredRow.OTHER_ERA
         age_s = max((read.store_clock_ms - row.written_ms) / 1_000, 0.0) if is_current else 0.0
-        if age_s > MAX_AGE_S:
-            return IgnoredRow.EXPIRED
         _check_numbers(row)
         losses = read_loss_report(row.losses, now_s - age_s)
         suspects = read_suspect_report(row.suspects, now_s - age_s)
@@ -151,7 +149,7 @@
     entries, suspects = row.losses.entries, row.suspects.suspects
     crashes = [loss for suspect in suspects for loss in suspect.losses]
     hashes = [suspect.part for suspect in suspects] + [loss.crash for loss in crashes]
-    hashes += [loss for entry in entries for loss in (*entry.losses, *entry.cleared)]
+    hashes += [loss for entry in entries for loss in (*entry.losses, *entry.cleared, *entry.trials)]
     ages_ms = [entry.last_ms for entry in entries] + [
         suspect.answered_ms or 0 for suspect in suspects
     ]
--- a/greengagestage/gateway/crashes/_crash_table.py
+++ b/greengagestage/gateway/crashes/_crash_table.py
@@ -14,7 +14,7 @@
 from eliot import log_message
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
-from greengagestage.ids import Fingerprint
+from greengagestage.ids import AttemptId, Fingerprint
 from greengagestage.platform import (
     CALL_TIMEOUT_S,
     RowClient,
@@ -68,6 +68,10 @@
 """Age from which what this host has seen of the record is read again before a write: another host
 has often recorded the same crash."""
 
+MAX_VIEW_PAUSE_S = 60.0
+"""Time after which the record is read again. Hosts tell each other of changes for a while only, so
+that one that could not be told learns the rest from it."""
+
 CHECK_PAUSE_S = 5.0
 """Time between two checks whether something that this host knows may be missing."""
 
@@ -135,7 +139,47 @@
         """Record a request of which this host has lost the answer, or has cleared the losses."""
         now_s = self._reactor.seconds()
         is_urgent = self._losses.find_quarantined(fingerprint, now_s) is not None
-        self._record([build_request_key(fingerprint)], is_urgent=is_urgent)
+        if is_urgent or self._losses.count_losses(fingerprint) is not None:
+            self._record([build_request_key(fingerprint)], is_urgent=is_urgent)
+
+    @inlineCallbacks
+    def record_trial(self, fingerprint: Fingerprint, attempt_id: AttemptId) -> Any:
+        """Record that a request is about to be sent as a trial; return whether it may be.
+
+        It may not if another host has been first, or if it is not certain that the store has it.
+        """
+        read = yield self._rows.read(CRASH_TABLE)
+        clock = self._rows.clock
+        if not isinstance(read, RowsRead) or clock is None or clock.era != self._get_era():
+            return False
+        self._learn(read)
+        now_s = self._reactor.seconds()
+        record = self._losses.build_trial_record(fingerprint, attempt_id, now_s)
+        if record is None:
+            return False
+        key = build_request_key(fingerprint)
+        expected = RowExpectation(table=CRASH_TABLE, key=key, revision=self._revisions.get(key, 0))
+        put = build_put(CRASH_TABLE, key, self._encode([record]))
+        outcome = yield self._rows.transact(Transaction(expected=[expected], puts=[put]))
+        is_recorded = isinstance(outcome, RowsRead) and outcome.era == clock.era
+        log_message(
+            message_type=(
+                "request: trial recorded" if is_recorded else "request: trial not recorded"
+            ),
+            request=attempt_id,
+            fingerprint=fingerprint,
+        )
+        if isinstance(outcome, RowConflict):
+            return False
+        self._losses.begin_trial(fingerprint, attempt_id, now_s)
+        if is_recorded:
+            self._recorded.update({key: [record]})
+            self._revisions[key] = outcome.revision
+        else:
+            # The store may have the trial all the same.
+            self._losses.withdraw_trial(fingerprint, attempt_id)
+            self.record_request(fingerprint)
+        return is_recorded
 
     def record_parts(self, records: Sequence[SuspectRecord]) -> None:
         """Record the parts of a prompt under which an upstream of this host has crashed.
@@ -171,6 +215,8 @@
             old = self._learn(read)
             missing = self._find_missing()
             written = set(missing.values())
+            excess = self._recorded.list_excess()
+            old += [each for each in read.rows if each.key in excess]
             removed = [each for each in old if each.key not in written][:MAX_ROWS_PER_WRITE]
             yield self._remove(removed)
             self._is_checked = len(removed) < MAX_ROWS_PER_WRITE
@@ -180,6 +226,10 @@
             self._pending |= self._recorded.find_cleared()
         self._pending &= self._find_missing().keys()
         if not self._pending:
+            if self._reactor.seconds() - self._viewed_s >= MAX_VIEW_PAUSE_S:
+                read = yield self._rows.read(CRASH_TABLE)
+                if isinstance(read, RowsRead):
+                    self._learn(read)
             return CHECK_PAUSE_S
         if self._reactor.seconds() - self._viewed_s >= MAX_VIEW_AGE_S:
             read = yield self._rows.read(CRASH_TABLE)
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection
 
 from eliot import log_message
+from twisted.internet.defer import Deferred
 
 from greengagestage.catalog import Prompt, RegisteredUpstream
 from greengagestage.ids import AttemptId, Fingerprint, HostId
@@ -10,6 +11,7 @@
 
 from ._crash_watch import CrashWatch
 from ._lost_answer import LostAnswer
+from ._request_trials import RequestTrials
 
 
 class Quarantine:
@@ -18,7 +20,9 @@
     Args:
         losses: Lost answers by fingerprint, to which those of other hosts are added elsewhere.
         crash_watch: Finds the parts of prompts that crash upstreams.
-        trials: Decides what is sent after a quarantine.
+        trials: Decides what is sent after a quarantine of parts of prompts.
+        claim_trial: Records a trial of equal requests in the store; the result is whether it may be
+            sent.
         list_hosts: Returns all known hosts; none before the list has been read.
         report_loss: Tells the other hosts of a lost answer; takes the fingerprint and an id.
         report_cleared: Records that losses of equal requests have been cleared.
@@ -30,6 +34,7 @@
         losses: LossTracker,
         crash_watch: CrashWatch,
         trials: Trials,
+        claim_trial: Callable[[Fingerprint, AttemptId], Deferred[bool]],
         list_hosts: Callable[[], Collection[HostId]],
         report_loss: Callable[[Fingerprint, str], None],
         report_cleared: Callable[[Fingerprint], None],
@@ -37,6 +42,9 @@
         self._losses = losses
         self._crash_watch = crash_watch
         self._trials = trials
+        self._request_trials = RequestTrials(
+            losses=losses, claim=claim_trial, report_withdrawn=report_cleared
+        )
         self._list_hosts = list_hosts
         self._report_loss = report_loss
         self._report_cleared = report_cleared
@@ -50,19 +58,25 @@
             sends: Number of attempts to send it that have not been proved not to have run.
         """
         parts = [] if job.prompt is None else [each.part for each in job.prompt.shared_parts]
-        subjects = self._losses.list_quarantined(fingerprint, now_s)
-        subjects += self._crash_watch.suspects.list_quarantined(parts, now_s)
-        if not subjects:
-            return None
+        suspected = self._crash_watch.suspects.list_quarantined(parts, now_s)
         request = TrialRequest(attempt_id=job.attempt_id, sends=sends, deadline_s=job.deadline_s)
-        refusing = self._trials.find_refusing(subjects, request, self._list_hosts(), now_s)
-        return None if refusing is None else refusing.reason
-
-    def withdraw_trial(self, job: Job) -> None:
+        refusing = self._trials.find_refusing(suspected, request, self._list_hosts(), now_s)
+        if refusing is not None:
+            return refusing.reason
+        for subject in self._losses.list_quarantined(fingerprint, now_s):
+            if not self._request_trials.may_send(fingerprint, subject, request, now_s):
+                return subject.reason
+        return None
+
+    def awaits_trial(self, attempt_id: AttemptId) -> bool:
+        """Whether a request must not be sent before it is recorded in the store as a trial."""
+        return self._request_trials.is_awaited(attempt_id)
+
+    def withdraw_trial(self, fingerprint: Fingerprint, job: Job) -> None:
         """Record that a request, which may have been chosen as a trial, has provably not run."""
-        self._trials.withdraw(
-            TrialRequest(attempt_id=job.attempt_id, sends=0, deadline_s=job.deadline_s)
-        )
+        request = TrialRequest(attempt_id=job.attempt_id, sends=0, deadline_s=job.deadline_s)
+        self._trials.withdraw(request)
+        self._request_trials.withdraw(fingerprint, request)
 
     def awaits_proof(self, fingerprint: Fingerprint) -> bool:
         """Whether equal requests have been lost that may have crashed their upstreams."""
@@ -84,13 +98,18 @@
         The upstreams that were lost under equal requests before had another fault.
         """
         self.record_answer(job)
-        self._trials.end(job.attempt_id, SubjectKind.REQUEST)
         self._crash_watch.forget_unproven(fingerprint, sent_s)
         if self._losses.clear(fingerprint, sent_s):
             self._report_cleared(fingerprint)
 
     def record_loss(self, lost: LostAnswer) -> None:
-        """Record a lost answer; report it, or forget it, once it shows whether it was a crash."""
+        """Record a lost answer; report it, or forget it, once it shows whether it was a crash.
+
+        A trial counts as lost already, from before it was sent.
+        """
+        if self._losses.is_trial(lost.fingerprint, lost.attempt_id):
+            self._examine(lost)
+            return
         count = self._losses.record_loss(
             lost.fingerprint, lost.loss_id, lost.lost_s, confirmed=False
         )
@@ -115,6 +134,8 @@
             lost: The run, as if it had been lost now.
             until_s: Time until which the upstream may go on with it, and crash.
         """
+        if self._losses.is_trial(lost.fingerprint, lost.attempt_id):
+            return
         counted: list[LostAnswer] = []
 
         def count() -> None:
--- a/greengagestage/gateway/crashes/_recorded_crashes.py
+++ b/greengagestage/gateway/crashes/_recorded_crashes.py
@@ -13,7 +13,6 @@
     SuspectRecord,
 )
 
-from ..peers import MAX_RECORDS
 from ._crash_rows import EVIDENCE_KEY, CrashRecord, build_key
 
 REQUEST_TOLERANCE_S = 1.0
@@ -23,6 +22,14 @@
 """Maximum number of parts in the row of what does not suffice for a quarantine, those of the latest
 crashes first. An entry takes some 70 bytes."""
 
+MAX_REQUESTS = 512
+"""Maximum number of quarantined requests in the record, those with the most losses first. Each has
+a row."""
+
+MAX_EVIDENCE_REQUESTS = 240
+"""Maximum number of requests in the row of what does not suffice for a quarantine, with the same
+preference. An entry takes some 90 bytes."""
+
 CrashRows = Mapping[str, Sequence[CrashRecord]]
 """Contents of rows by their keys."""
 
@@ -56,7 +63,7 @@
 
     def build_rows(self, now_s: float) -> dict[str, Sequence[CrashRecord]]:
         """Return the rows that this host would write, the shared one first."""
-        requests = self._losses.list_records(now_s, most=MAX_RECORDS)
+        requests = self._losses.list_records(now_s, most=MAX_REQUESTS)
         records: list[CrashRecord] = [*requests, *self._suspects.list_records(now_s)]
         rows: dict[str, Sequence[CrashRecord]] = {
             build_key(each): [each] for each in records if has_own_row(each)
@@ -89,6 +96,17 @@
         """Whether a row says nothing any more."""
         return any(all(each.is_expired(now_s) for each in row) for row in self._rows.values())
 
+    def list_excess(self) -> set[str]:
+        """Return the rows of requests beyond ``MAX_REQUESTS``, those with the fewest losses."""
+        requests = {
+            key: record
+            for key, row in self._rows.items()
+            for record in row
+            if isinstance(record, LossRecord) and has_own_row(record)
+        }
+        ranked = sorted(requests, key=lambda key: requests[key].weight, reverse=True)
+        return set(ranked[MAX_REQUESTS:])
+
     def find_cleared(self) -> set[str]:
         """Return the recorded parts to which answers have come since."""
         return {build_key(record) for _, record in self._list_cleared()}
@@ -127,12 +145,15 @@
 def _is_covered(record: CrashRecord, recorded: CrashRecord | None) -> bool:
     """Whether the record in the store says all that is known about a request or a part."""
     match record, recorded:
-        case LossRecord(losses=losses), _ if not losses and not has_own_row(record):
-            return True  # nothing was quarantined: what the record says expires in a minute
+        case LossRecord(losses=losses), LossRecord() if not losses and not has_own_row(record):
+            return not record.cleared & recorded.losses
+        case LossRecord(losses=losses), None if not losses and not has_own_row(record):
+            return True
         case LossRecord(), LossRecord():
             is_as_late = recorded.last_s >= record.last_s - REQUEST_TOLERANCE_S
             is_cleared = record.cleared <= recorded.cleared
-            return is_as_late and is_cleared and record.losses <= recorded.losses
+            has_trials = record.trials <= recorded.trials
+            return is_as_late and is_cleared and has_trials and record.losses <= recorded.losses
         case SuspectRecord(), SuspectRecord():
             answered_s = float("-inf") if record.answered_s is None else record.answered_s
             is_blamed = any(loss.lost_s <= answered_s for loss in recorded.losses)
@@ -149,6 +170,7 @@
                 fingerprint=known.fingerprint,
                 losses=(known.losses | other.losses) - cleared,
                 cleared=cleared,
+                trials=(known.trials | other.trials) - cleared,
                 last_s=max(known.last_s, other.last_s),
             )
         case SuspectRecord(), SuspectRecord():
@@ -164,15 +186,17 @@
 
 
 def _select_latest(records: Iterable[CrashRecord]) -> list[CrashRecord]:
-    """Return all requests, and the parts of the latest crashes; those of one prompt go together."""
-    selected: list[CrashRecord] = []
+    """Return requests, and the parts of the latest crashes; those of one prompt go together."""
+    requests: list[LossRecord] = []
     parts: list[SuspectRecord] = []
     for record in records:
         match record:
             case LossRecord():
-                selected.append(record)
+                requests.append(record)
             case SuspectRecord():
                 parts.append(record)
+    requests.sort(key=lambda record: record.weight, reverse=True)
+    selected: list[CrashRecord] = [*requests[:MAX_EVIDENCE_REQUESTS]]
     count = 0
     for _, group in groupby(sorted(parts, key=_get_latest_s, reverse=True), key=_get_latest_s):
         crash = list(group)[:MAX_EVIDENCE_PARTS]
--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -422,7 +422,7 @@
         self._source.release()
         self._limits.release_retry()
         if not self._limits.unproved_sends:
-            self._context.quarantine.withdraw_trial(self._job)
+            self._context.quarantine.withdraw_trial(self._fingerprint, self._job)
         self._silence.close()
         self._cancel_attempts()
         for timer in (self._deadline_timer, self._placement_timer):
--- a/greengagestage/gateway/peers/_loss_reports.py
+++ b/greengagestage/gateway/peers/_loss_reports.py
@@ -1,7 +1,8 @@
 """Reports between hosts of answers that were lost under equal requests.
 
-A single loss is told to all hosts at once. Besides, hosts tell others all that they know whenever
-they tell of suspected prompt parts, so that hosts that start learn what they have missed.
+A single loss is told to all hosts at once. Besides, hosts tell others what has changed lately
+whenever they tell of suspected prompt parts, so that hosts learn what they have missed. What is
+older is in the store.
 """
 
 from collections.abc import Iterable
@@ -40,6 +41,7 @@
             fingerprint=Fingerprint(entry.fingerprint),
             losses=frozenset(LossHash(loss) for loss in entry.losses),
             cleared=frozenset(LossHash(loss) for loss in entry.cleared),
+            trials=frozenset(LossHash(loss) for loss in entry.trials if loss in entry.losses),
             last_s=now_s - max(entry.last_ms, 0) / 1_000,
         )
         for entry in report.entries
@@ -47,7 +49,8 @@
 
 
 def _measure(record: LossRecord) -> int:
-    return ENTRY_BYTES + HASH_BYTES * (len(record.losses) + len(record.cleared))
+    hashes = len(record.losses) + len(record.cleared) + len(record.trials)
+    return ENTRY_BYTES + HASH_BYTES * hashes
 
 
 def _encode(record: LossRecord, now_s: float) -> FingerprintEntry:
@@ -56,4 +59,5 @@
         sorted(record.losses),
         round((now_s - record.last_s) * 1_000),
         sorted(record.cleared),
+        sorted(record.trials),
     )
--- a/greengagestage/gateway/peers/_peer_messages.py
+++ b/greengagestage/gateway/peers/_peer_messages.py
@@ -211,12 +211,14 @@
         losses: Hashes of their ids.
         last_ms: Time since the latest loss.
         cleared: Hashes of the ids of those that an answer to an equal request has cleared since.
+        trials: Those of the losses that are trials.
     """
 
     fingerprint: str
     losses: list[int]
     last_ms: int
     cleared: list[int] = []
+    trials: list[int] = []
 
 
 class LossesReport(Struct, frozen=True, array_like=True, tag="losses"):
--- a/greengagestage/routing/__init__.py
+++ b/greengagestage/routing/__init__.py
@@ -26,7 +26,7 @@
 from ._jobs import Job, Placement, Refused, StreamOrigin, Waiting
 from ._links import ForwardingHost, LinkMonitor
 from ._loads import UpstreamLoad
-from ._losses import LOSSES_TO_QUARANTINE, LossRecord, LossTracker
+from ._losses import LOSSES_TO_QUARANTINE, LossRecord, LossTracker, build_trial_id
 from ._overload import UrgencyTraffic
 from ._recent_losses import ObservedLoss, RecentLosses
 from ._retries import RetryBudgets, RetryUsage
@@ -84,6 +84,7 @@
     "UrgencyTraffic",
     "VersionRecord",
     "Waiting",
+    "build_trial_id",
     "fit_speed",
     "choose_domain",
 ]
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -1,17 +1,18 @@
 """Quarantine of requests that repeatedly crash the upstreams that run them.
 
-A loss is an answer whose connection ended before it was complete.
+A loss is an answer whose connection ended before it was complete. Losses are kept until an equal
+request is answered, however long that takes: a request that crashes upstreams may come again at any
+time. A trial counts as a loss from before it is sent, so that no host has to outlive it.
 """
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import nlargest
-from typing import Any
 
 import xxhash
 
-from greengagestage.ids import Fingerprint, LossHash
+from greengagestage.ids import AttemptId, Fingerprint, LossHash
 
 from ._trials import QuarantinedSubject, SubjectKind, compute_quarantine_s, compute_retention_s
 
@@ -23,8 +24,13 @@
 """Maximum number of losses kept for one fingerprint, for which it is quarantined longest; the first
 known ones are dropped."""
 
-LOSS_LIFETIME_S = 60.0
-"""Losses that do not suffice for a quarantine expire this long after the latest one."""
+MAX_TRIALS = 2
+"""Number of requests with one fingerprint that all hosts together send after a quarantine. If none
+of them is answered, no other one is sent."""
+
+NEWS_LIFETIME_S = 60.0
+"""Time for which hosts tell each other what has changed about losses that do not suffice for a
+quarantine, and for which they remember that such losses were cleared."""
 
 FURTHER_LOSS_S = 1.0
 """Once requests are quarantined, a loss counts only if it is later than the latest one by this
@@ -32,13 +38,14 @@
 not crashed, and each host tells of its losses 0.1 s later."""
 
 MAX_FINGERPRINTS = 4_096
-"""Maximum number of tracked fingerprints; the one with the oldest latest loss is evicted first."""
+"""Maximum number of tracked fingerprints; of those with the fewest losses, the one with the oldest
+latest loss is evicted first."""
 
 
-def _compute_lifetime_s(losses: int) -> float:
-    """Return for how long losses are remembered, from the latest one."""
+def _compute_news_lifetime_s(losses: int) -> float:
+    """Return for how long a change of losses is news, by their number."""
     if losses < LOSSES_TO_QUARANTINE:
-        return LOSS_LIFETIME_S
+        return NEWS_LIFETIME_S
     return compute_retention_s(losses - LOSSES_TO_QUARANTINE)
 
 
@@ -49,18 +56,26 @@
     Attributes:
         losses: Hashes of the ids of the losses.
         cleared: Hashes of the ids of those that an answer has cleared since.
-        last_s: Time of the latest loss.
+        trials: Those of the losses that are trials.
+        last_s: Time of the latest loss; without any, that of the answer.
     """
 
     fingerprint: Fingerprint
     losses: frozenset[LossHash]
     cleared: frozenset[LossHash] = frozenset()
+    trials: frozenset[LossHash] = frozenset()
     last_s: float
 
     def is_expired(self, now_s: float) -> bool:
-        """Whether the latest loss is so long ago that it says nothing about the next one."""
-        lifetime_s = _compute_lifetime_s(max(len(self.losses), len(self.cleared)))
-        return now_s - self.last_s > lifetime_s
+        """Whether all losses were cleared so long ago that no host brings them back."""
+        if self.losses:
+            return False
+        return now_s - self.last_s > _compute_news_lifetime_s(len(self.cleared))
+
+    @property
+    def weight(self) -> tuple[int, float]:
+        """Orders records by their evidence: the number of losses, and the time of the latest."""
+        return len(self.losses), self.last_s
 
 
 @dataclass(slots=True, kw_only=True)
@@ -72,22 +87,33 @@
             one that another host has told is not exact, but never too early.
         unconfirmed: Losses that may yet turn out to have another cause.
         cleared: Losses that an answer has cleared, and that other hosts may still report.
-        last_s: Time of the latest loss, also if it has been cleared.
+        trials: The losses that are trials, which may all be on other hosts.
+        last_s: Time of the latest loss, or of the answer that has cleared all.
+        changed_s: Time at which this host has last learned something.
     """
 
     hashes: dict[LossHash, float] = field(default_factory=dict)
     unconfirmed: set[LossHash] = field(default_factory=set)
     cleared: dict[LossHash, None] = field(default_factory=dict)
+    trials: set[LossHash] = field(default_factory=set)
     last_s: float
+    changed_s: float
 
     def add(self, losses: Iterable[LossHash], last_s: float) -> None:
         """Add losses, of which the latest was at a time; known ones change nothing."""
-        self.expire(last_s)
         added = [loss for loss in losses if loss not in self.hashes and loss not in self.cleared]
         if added and (not self.is_quarantined or last_s >= self.last_s + FURTHER_LOSS_S):
             self.hashes.update(dict.fromkeys(added, last_s))
             self.last_s = max(self.last_s, last_s)
-            _drop_first(self.hashes)
+            self._drop_excess()
+
+    def add_trials(self, trials: Iterable[LossHash], last_s: float) -> None:
+        """Add trials, of which the latest was at a time."""
+        added = [trial for trial in trials if trial not in self.cleared]
+        self.trials.update(added)
+        for trial in added:
+            self.hashes.setdefault(trial, last_s)
+        self._drop_excess()
 
     def merge(self, record: LossRecord) -> None:
         """Add what another host knows. Of two quarantines, the one with more losses counts."""
@@ -95,11 +121,11 @@
         losses = [loss for loss in record.losses if loss not in self.cleared]
         if not self.is_quarantined or len(losses) < LOSSES_TO_QUARANTINE:
             self.add(losses, record.last_s)
-            return
-        if len(losses) > len(self.hashes):
+        elif len(losses) > len(self.hashes):
             last_s = max(self.last_s, record.last_s)
             self.hashes = {loss: self.hashes.get(loss, last_s) for loss in losses}
-        if record.last_s >= self.last_s + FURTHER_LOSS_S:
+        self.add_trials((*record.trials, *self.trials), record.last_s)
+        if len(losses) >= LOSSES_TO_QUARANTINE and record.last_s >= self.last_s + FURTHER_LOSS_S:
             self.last_s = record.last_s
 
     @property
@@ -107,28 +133,41 @@
         """Whether there are enough losses for a quarantine, which may have ended."""
         return len(self.hashes) >= LOSSES_TO_QUARANTINE
 
+    @property
+    def has_trials_left(self) -> bool:
+        """Whether another request may be sent once the quarantine has ended."""
+        return len(self.trials) < MAX_TRIALS
+
+    def is_news(self, now_s: float) -> bool:
+        """Whether other hosts may not know yet what this one has learned last."""
+        losses = max(len(self.hashes), len(self.cleared))
+        return now_s - self.changed_s <= _compute_news_lifetime_s(losses)
+
     def clear(self, losses: Iterable[LossHash]) -> None:
         for loss in losses:
             self.forget(loss)
             self.cleared[loss] = None
-        _drop_first(self.cleared)
+        while len(self.cleared) > MAX_LOSSES:
+            del self.cleared[next(iter(self.cleared))]
 
     def forget(self, loss: LossHash) -> None:
         self.hashes.pop(loss, None)
         self.unconfirmed.discard(loss)
+        self.trials.discard(loss)
         if self.hashes:
             self.last_s = max(self.hashes.values())
 
     def expire(self, now_s: float) -> bool:
-        """Drop what says nothing about the next loss any more; return whether that is all."""
-        age_s = now_s - self.last_s
-        if age_s > _compute_lifetime_s(len(self.hashes)):
-            self.hashes.clear()
-            self.unconfirmed.clear()
-        if age_s > _compute_lifetime_s(len(self.cleared)):
+        """Drop what was cleared and is news no more; return whether nothing is left."""
+        if self.cleared and not self.is_news(now_s):
             self.cleared.clear()
         return not self.hashes and not self.cleared
 
+    def _drop_excess(self) -> None:
+        """Drop the losses that became known first, but no trial."""
+        while len(self.hashes) > MAX_LOSSES:
+            del self.hashes[next(loss for loss in self.hashes if loss not in self.trials)]
+
 
 class LossTracker:
     """Counts, by request fingerprint, how often an answer was lost on any host."""
@@ -148,6 +187,7 @@
         """
         loss = _hash_loss(loss_id)
         losses = self._get_or_add(fingerprint, now_s)
+        losses.changed_s = max(losses.changed_s, now_s)
         losses.add([loss], now_s)
         if confirmed:
             losses.unconfirmed.discard(loss)
@@ -158,9 +198,13 @@
     def learn(self, records: Iterable[LossRecord], now_s: float) -> None:
         """Add what another host knows, unless it has expired."""
         for record in records:
-            if not record.is_expired(now_s):
-                losses = self._get_or_add(record.fingerprint, record.last_s)
-                losses.merge(record)
+            if record.is_expired(now_s):
+                continue
+            losses = self._get_or_add(record.fingerprint, record.last_s)
+            known = self._build_record(record.fingerprint)
+            losses.merge(record)
+            if self._build_record(record.fingerprint) != known:
+                losses.changed_s = max(losses.changed_s, now_s)
 
     def forget_loss(self, fingerprint: Fingerprint, loss_id: str) -> bool:
         """Forget a loss that had another cause than the request.
@@ -192,6 +236,10 @@
             return False
         before = [loss for loss, lost_s in losses.hashes.items() if lost_s <= sent_s]
         losses.clear(before)
+        if before and math.isfinite(sent_s):
+            losses.changed_s = max(losses.changed_s, sent_s)
+            if not losses.hashes:
+                losses.last_s = max(losses.last_s, sent_s)
         return bool(before)
 
     def list_quarantined(self, fingerprint: Fingerprint, now_s: float) -> list[QuarantinedSubject]:
@@ -199,17 +247,50 @@
         losses = self._losses.get(fingerprint)
         if losses is None or losses.expire(now_s) or not losses.is_quarantined:
             return []
-        quarantine_s = compute_quarantine_s(len(losses.hashes) - LOSSES_TO_QUARANTINE)
+        ends_s = math.inf
+        if losses.has_trials_left:
+            further_losses = len(losses.hashes) - LOSSES_TO_QUARANTINE
+            ends_s = losses.last_s + compute_quarantine_s(further_losses)
         return [
             QuarantinedSubject(
                 kind=SubjectKind.REQUEST,
                 key=f"request {fingerprint}",
                 reason="equal requests crashed upstreams",
                 crashed_s=losses.last_s,
-                ends_s=losses.last_s + quarantine_s,
+                ends_s=ends_s,
             )
         ]
 
+    def build_trial_record(
+        self, fingerprint: Fingerprint, attempt_id: AttemptId, now_s: float
+    ) -> LossRecord | None:
+        """Return the record of a fingerprint with one more trial; None if none may be sent now."""
+        subjects = self.list_quarantined(fingerprint, now_s)
+        record = self.find_quarantined(fingerprint, now_s)
+        if record is None or not subjects or now_s < subjects[0].ends_s:
+            return None
+        trial = {_hash_loss(build_trial_id(attempt_id))}
+        return replace(
+            record, losses=record.losses | trial, trials=record.trials | trial, last_s=now_s
+        )
+
+    def begin_trial(self, fingerprint: Fingerprint, attempt_id: AttemptId, now_s: float) -> None:
+        """Record that a request is about to be sent as a trial."""
+        losses = self._get_or_add(fingerprint, now_s)
+        losses.add_trials([_hash_loss(build_trial_id(attempt_id))], now_s)
+        losses.last_s = losses.changed_s = max(losses.last_s, now_s)
+
+    def withdraw_trial(self, fingerprint: Fingerprint, attempt_id: AttemptId) -> None:
+        """Record that a trial has provably not run."""
+        losses = self._losses.get(fingerprint)
+        if losses is not None:
+            losses.clear([_hash_loss(build_trial_id(attempt_id))])
+
+    def is_trial(self, fingerprint: Fingerprint, attempt_id: AttemptId) -> bool:
+        """Whether a request is, or was, a trial that has not been answered."""
+        losses = self._losses.get(fingerprint)
+        return losses is not None and _hash_loss(build_trial_id(attempt_id)) in losses.trials
+
     def count_losses(self, fingerprint: Fingerprint) -> tuple[int, float] | None:
         """Return the number of losses that are kept and the time of the latest; None if none."""
         losses = self._losses.get(fingerprint)
@@ -217,7 +298,10 @@
 
     def find_quarantined(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
         """Return the record of a fingerprint that is, or was, quarantined by confirmed losses."""
-        record = self._build_record(fingerprint, now_s)
+        losses = self._losses.get(fingerprint)
+        if losses is None or losses.expire(now_s):
+            return None
+        record = self._build_record(fingerprint)
         if record is None or len(record.losses | record.cleared) < LOSSES_TO_QUARANTINE:
             return None
         return record
@@ -225,22 +309,29 @@
     def list_records(self, now_s: float, *, most: int) -> list[LossRecord]:
         """Return the records of the fingerprints with the most losses, as far as confirmed.
 
-        Expired losses are dropped.
+        What has expired is dropped.
         """
         for fingerprint in [key for key, each in self._losses.items() if each.expire(now_s)]:
             del self._losses[fingerprint]
-        chosen = nlargest(most, self._losses, key=self._count)
-        built = (self._build_record(fingerprint, now_s) for fingerprint in chosen)
-        return [record for record in built if record is not None]
+        return self._build_records(nlargest(most, self._losses, key=self._weigh))
 
-    def _count(self, fingerprint: Fingerprint) -> int:
+    def list_news(self, now_s: float, *, most: int) -> list[LossRecord]:
+        """Return the records of ``list_records`` that other hosts may not know yet."""
+        fresh = [key for key, each in self._losses.items() if each.is_news(now_s)]
+        return self._build_records(nlargest(most, fresh, key=self._weigh))
+
+    def _weigh(self, fingerprint: Fingerprint) -> tuple[int, float]:
         losses = self._losses[fingerprint]
-        return len(losses.hashes) + len(losses.cleared)
+        return len(losses.hashes), losses.last_s
+
+    def _build_records(self, fingerprints: Iterable[Fingerprint]) -> list[LossRecord]:
+        built = map(self._build_record, fingerprints)
+        return [record for record in built if record is not None]
 
-    def _build_record(self, fingerprint: Fingerprint, now_s: float) -> LossRecord | None:
+    def _build_record(self, fingerprint: Fingerprint) -> LossRecord | None:
         """Return the confirmed losses of a fingerprint."""
         losses = self._losses.get(fingerprint)
-        if losses is None or losses.expire(now_s):
+        if losses is None:
             return None
         confirmed = frozenset(losses.hashes.keys() - losses.unconfirmed)
         if not confirmed and not losses.cleared:
@@ -249,20 +340,23 @@
             fingerprint=fingerprint,
             losses=confirmed,
             cleared=frozenset(losses.cleared),
+            trials=frozenset(losses.trials),
             last_s=losses.last_s,
         )
 
     def _get_or_add(self, fingerprint: Fingerprint, last_s: float) -> _Losses:
-        losses = self._losses.pop(fingerprint, None) or _Losses(last_s=last_s)
-        self._losses[fingerprint] = losses
-        if len(self._losses) > MAX_FINGERPRINTS:
-            del self._losses[next(iter(self._losses))]
+        losses = self._losses.get(fingerprint)
+        if losses is None:
+            if len(self._losses) >= MAX_FINGERPRINTS:
+                del self._losses[min(self._losses, key=self._weigh)]
+            losses = _Losses(last_s=last_s, changed_s=last_s)
+            self._losses[fingerprint] = losses
         return losses
 
 
-def _drop_first(losses: dict[LossHash, Any]) -> None:
-    while len(losses) > MAX_LOSSES:
-        del losses[next(iter(losses))]
+def build_trial_id(attempt_id: AttemptId) -> str:
+    """Return the id of a trial among the losses of equal requests."""
+    return f"trial {attempt_id}"
 
 
 def _hash_loss(loss_id: str) -> LossHash:
--- a/greengagestage/routing/_trials.py
+++ b/greengagestage/routing/_trials.py
@@ -1,11 +1,14 @@
 """How long what crashes upstreams is kept from them, and which request may try it afterwards.
 
-The same rule holds for equal requests and for parts of prompts. A quarantine begins with the latest
-crash; its duration doubles with each crash beyond those that it takes. What was quarantined is
-remembered for a multiple of that time, in which the hosts send one request with it at a time, as a
-trial: its answer clears the subject, and its crash begins the next quarantine. A host knows of no
-trial at another one until its outcome is told. They take turns instead, in an order that they all
-compute from the time of the latest crash, each long enough for a crash to be judged and told.
+A quarantine begins with the latest crash; its duration doubles with each crash beyond those that it
+takes. Then the hosts send one request at a time, as a trial: its answer clears the subject, and its
+crash begins the next quarantine.
+
+Parts of prompts that were quarantined are remembered for a multiple of that time. A host knows of
+no trial at another one until its outcome is told. They take turns instead, in an order that they
+all compute from the time of the latest crash, each long enough for a crash to be judged and told.
+Equal requests are remembered until one is answered, and each of their trials is recorded before it
+is sent.
 """
 
 from collections.abc import Collection, Iterable
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
 from greengagestage.gateway.crashes import LostAnswer
@@ -55,6 +56,7 @@
             losses=LossTracker(),
             crash_watch=self.watch,
             trials=Trials(HOST),
+            claim_trial=lambda fingerprint, attempt_id: succeed(True),
             list_hosts=lambda: [HOST],
             report_loss=lambda fingerprint, loss_id: self.told.append(loss_id),
             report_cleared=lambda fingerprint: None,
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -14,6 +14,7 @@
 )
 from greengagestage.ids import Fingerprint, HostId
 from greengagestage.routing import LossTracker
+from greengagestage.routing._losses import MAX_FINGERPRINTS
 
 
 def record_losses(tracker: LossTracker, fingerprint: Fingerprint, losses: int) -> None:
@@ -63,16 +64,39 @@
     assert [record.fingerprint for record in second.list_records(50.0, most=9)] == [bad]
 
 
-@pytest.mark.parametrize(("losses", "kept_s"), [(2, 60.0), (3, 480.0), (12, 7_200.0)])
-def test_losses_expire(losses: int, kept_s: float) -> None:
+# Guards against a caller that comes again slowly and crashes upstreams without limit (review/9).
+@pytest.mark.parametrize("losses", [1, 2, 3, 12])
+def test_only_an_answer_ends_the_memory_of_losses(losses: int) -> None:
+    tracker, bad, later_s = LossTracker(), Fingerprint("f"), 30 * 86_400.0
+    record_losses(tracker, bad, losses)
+    (record,) = tracker.list_records(later_s, most=9)
+    assert len(record.losses) == min(losses, 9)
+    tracker.clear(bad, later_s)
+    assert [record.losses for record in tracker.list_records(later_s + 1.0, most=9)] == [set()]
+    assert not tracker.list_records(later_s + 7_201.0, most=9)
+
+
+# Guards against hosts that tell each other for ever what all of them know.
+@pytest.mark.parametrize(("losses", "told_s"), [(2, 60.0), (3, 480.0), (12, 7_200.0)])
+def test_losses_are_told_for_a_while(losses: int, told_s: float) -> None:
     tracker, bad = LossTracker(), Fingerprint("f")
     record_losses(tracker, bad, losses)
-    assert tracker.list_records(kept_s - 1.0, most=9)
-    assert not tracker.list_quarantined(bad, kept_s + 1.0)
-    assert not tracker.list_records(kept_s + 1.0, most=9)
-    for number in range(2):
-        tracker.record_loss(bad, f"later-{number}", kept_s + 1.0)
-        assert not tracker.list_quarantined(bad, kept_s + 1.0)
+    assert tracker.list_news(told_s - 1.0, most=9)
+    assert not tracker.list_news(told_s + 1.0, most=9)
+    tracker.record_loss(bad, "later", told_s + 1.0)
+    assert tracker.list_news(told_s + 2.0, most=9)
+
+
+# Guards against requests that are lost once, as in the crash of an upstream, displacing one that
+# has crashed several.
+def test_the_requests_with_the_fewest_losses_are_forgotten_first() -> None:
+    tracker, bad = LossTracker(), Fingerprint("f")
+    record_losses(tracker, bad, 2)
+    for number in range(MAX_FINGERPRINTS + 10):
+        tracker.record_loss(Fingerprint(f"other-{number}"), "lost once", 10.0 + number)
+    assert len(tracker.list_records(9_000.0, most=9_000)) == MAX_FINGERPRINTS
+    tracker.record_loss(bad, "later", 9_000.0)
+    assert is_quarantined(tracker, bad, 9_000.0)
 
 
 # Guards against a request that has crashed many upstreams being sent again after a minute.
--- a/tests/test_trial_losses.py
+++ b/tests/test_trial_losses.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
+from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
 from greengagestage.gateway.crashes import LostAnswer
@@ -35,6 +36,7 @@
         losses=LossTracker(),
         crash_watch=watch,
         trials=Trials(HOST),
+        claim_trial=lambda fingerprint, attempt_id: succeed(True),
         list_hosts=lambda: [HOST],
         report_loss=lambda fingerprint, loss_id: None,
         report_cleared=lambda fingerprint: None,
