Wait until losses of equal requests at several upstreams are judged

Cause: a loss is judged 0.1 s after it, and counts at other hosts only then, while each host sends an idempotent request twice and the caller goes on to the next host within milliseconds. Hosts tell each other of losses before they are judged, but used that only to explain losses of their own.

Where equal requests have been lost at two upstreams or more within 0.2 s, through any hosts, a further one now waits until these losses are judged. A request whose first send is lost is sent again at once as before.

--- a/greengagestage/gateway/_context.py
+++ b/greengagestage/gateway/_context.py
@@ -9,7 +9,7 @@
 
 from greengagestage.catalog import RouteKind, Workspace
 from greengagestage.http1 import ConnectionPool, MemoryAccount
-from greengagestage.ids import ClassName, InstanceId, ServiceName, WorkspaceId
+from greengagestage.ids import ClassName, Fingerprint, InstanceId, ServiceName, WorkspaceId
 from greengagestage.results import ResultCode
 from greengagestage.routing import Job, Placement, Refused, Router, Waiting
 from greengagestage.telemetry import EntryMetrics
@@ -63,21 +63,26 @@
     open_exchanges: set[Any] = field(default_factory=set)
 
     def place(
-        self, job: Job, tried: frozenset[InstanceId], unreached: frozenset[InstanceId]
+        self,
+        job: Job,
+        fingerprint: Fingerprint,
+        tried: frozenset[InstanceId],
+        unreached: frozenset[InstanceId],
     ) -> Placement | Refused | Waiting:
         """Choose an upstream for a job; see ``Router.place``.
 
         Late in a shutdown, a job is not sent for the first time, nor again if it may run only
         once: it would be cut off with an unknown result, while another host can serve it. A job
         that has been sent may be retried. Right after the start, a job waits until this host knows
-        what has crashed upstreams, and a trial until it is recorded.
+        what has crashed upstreams, and later for what ``Quarantine.find_wait_reason`` says.
         """
         if self.awaits_crashes():
             reason = "the record of crashes has not been read yet"
             return Waiting(delay_s=RECORD_POLL_S, reason=reason)
-        if self.quarantine.awaits_trial(job.attempt_id):
-            reason = "the store has not recorded this trial yet"
-            return Waiting(delay_s=RECORD_POLL_S, reason=reason)
+        now_s = self.reactor.seconds()
+        wait_reason = self.quarantine.find_wait_reason(fingerprint, job.attempt_id, now_s)
+        if wait_reason is not None:
+            return Waiting(delay_s=RECORD_POLL_S, reason=wait_reason)
         is_first = not tried and not unreached
         may_repeat = job.route.kind is not RouteKind.NON_IDEMPOTENT
         if job.began_at is None and (is_first or not may_repeat) and not self.takes_requests():
--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -180,6 +180,10 @@
         """Whether the registry may yet show that equal requests have crashed upstreams."""
         return self._unproven.has_equal(fingerprint)
 
+    def lost_several(self, fingerprint: Fingerprint, now_s: float) -> bool:
+        """Whether equal requests have just been lost at several upstreams, through any hosts."""
+        return self._recent_losses.lost_several(fingerprint, now_s)
+
     def forget_unproven(self, fingerprint: Fingerprint, sent_s: float) -> None:
         """Await no proof of losses after which an equal request was sent and answered."""
         for awaited in (self._unproven_parts, self._unproven, self._left):
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -68,9 +68,15 @@
                 return subject.reason
         return None
 
-    def awaits_trial(self, attempt_id: AttemptId) -> bool:
-        """Whether a request must not be sent before it is recorded in the store as a trial."""
-        return self._request_trials.is_awaited(attempt_id)
+    def find_wait_reason(
+        self, fingerprint: Fingerprint, attempt_id: AttemptId, now_s: float
+    ) -> str | None:
+        """Return why a request must not be sent yet; None if it may be sent now."""
+        if self._request_trials.is_awaited(attempt_id):
+            return "the store has not recorded this trial yet"
+        if self._crash_watch.lost_several(fingerprint, now_s):
+            return "losses of equal requests are being judged"
+        return None
 
     def withdraw_trial(self, fingerprint: Fingerprint, job: Job) -> None:
         """Record that a request, which may have been chosen as a trial, has provably not run."""
--- a/greengagestage/gateway/exchange/_exchange.py
+++ b/greengagestage/gateway/exchange/_exchange.py
@@ -234,7 +234,8 @@
                 self._schedule_placement(placed)
 
     def _place(self) -> Placement | Refused | Waiting:
-        return self._context.place(self._job, self._limits.tried, self._limits.unreached)
+        limits = self._limits
+        return self._context.place(self._job, self._fingerprint, limits.tried, limits.unreached)
 
     def _schedule_placement(self, waiting: Waiting) -> None:
         if not self._waited:
@@ -378,9 +379,8 @@
         return placed
 
     def _find_quarantine(self) -> str | None:
-        sends = self._limits.unproved_sends
-        find_reason = self._context.quarantine.find_reason
-        return find_reason(self._fingerprint, self._job, sends, self._now_s)
+        quarantine, sends = self._context.quarantine, self._limits.unproved_sends
+        return quarantine.find_reason(self._fingerprint, self._job, sends, self._now_s)
 
     def _choose(self, attempt: Attempt) -> None:
         """Let this attempt alone answer from now on."""
--- a/greengagestage/routing/_recent_losses.py
+++ b/greengagestage/routing/_recent_losses.py
@@ -15,6 +15,9 @@
 RECENT_S = 1.0
 """Time for which losses are kept: ten times that after which a loss is judged."""
 
+JUDGING_S = 0.2
+"""Time after which all hosts know whether a loss counts: it is judged after 0.1 s, then told."""
+
 MAX_EQUAL = 64
 MAX_FINGERPRINTS = 2_048
 """Maximum numbers of losses kept under equal requests, of which a quarantine takes three, and of
@@ -69,6 +72,12 @@
             if losses[-1].lost_s < oldest_s or len(self._losses) > MAX_FINGERPRINTS:
                 del self._losses[fingerprint]
 
+    def lost_several(self, fingerprint: Fingerprint, now_s: float) -> bool:
+        """Whether equal requests were lost at several upstreams, and hosts still judge that."""
+        judged_s = now_s - JUDGING_S
+        equal = self._losses.get(fingerprint, ())
+        return len({loss.endpoint for loss in equal if loss.lost_s > judged_s}) > 1
+
     def list_unexplained(
         self, loss: ObservedLoss, ended_s: Mapping[tuple[str, int], float]
     ) -> list[tuple[str, int]]:
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -158,7 +158,8 @@
             now_s = self.clock.seconds()
             if host.quarantine.find_reason(DEADLY, job, unproved, now_s) is not None:
                 return False
-            if not host.crashes.is_awaited and not host.quarantine.awaits_trial(job.attempt_id):
+            wait_reason = host.quarantine.find_wait_reason(DEADLY, job.attempt_id, now_s)
+            if wait_reason is None and not host.crashes.is_awaited:
                 return True
             self._step(0.05)
         return False
--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -335,6 +335,7 @@
         router.place.side_effect = self._place
         quarantine = MagicMock()
         quarantine.find_reason.return_value = None
+        quarantine.find_wait_reason.return_value = None
         quarantine.awaits_proof.return_value = False
         pool = cast(Any, FakePool(self, forwards=False))
         context = ExchangeContext(
--- a/tests/test_loss_memory.py
+++ b/tests/test_loss_memory.py
@@ -92,6 +92,18 @@
     assert len(world.late_sends_s) <= MAX_LATE_SENDS
 
 
+# Guards against a caller who repeats at once, through one host after the other, before they know of
+# each other's losses: sound requests are lost with each upstream (review/9).
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_a_request_that_is_repeated_at_once_crashes_few_upstreams(
+    monkeypatch: pytest.MonkeyPatch, attempts: int
+) -> None:
+    world = CrashWorld(monkeypatch, hosts=4)
+    for number in range(8):
+        world.call(number % 4, sends=attempts)
+    assert len(world.crashed_s) == 3
+
+
 # Guards against hosts that each send trials of their own, as they know nothing of each other's.
 def test_hosts_that_do_not_reach_each_other_share_the_trials(
     monkeypatch: pytest.MonkeyPatch,
