Parse a read of many small chunks in several turns

Cause: a read of 16 KiB holds 2,300 chunks, some 10 us each for the parser, and each connection parsed all of its read before the next one was served.

A connection now parses 256 events at a time, and the rest after the others have been served. Meanwhile it reads nothing.

Evidence: test_a_read_of_many_chunks_is_parsed_in_several_turns failed before and passes.

--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -50,6 +50,9 @@
 MAX_UNCOUNTED_HEADERS = 32
 """Heads with more headers count for what they take. Others take less than a read."""
 
+MAX_EVENTS_AT_ONCE = 256
+"""Parser events after which other connections are served. A read can hold thousands of chunks."""
+
 MAX_PIPELINED_BYTES = 65_536
 """Limit for buffered bytes of later requests while one is answered; reading pauses above it."""
 
@@ -199,6 +202,7 @@
         # Whatever answers the request holds its body, and may drop it before the answer ends.
         self._answered_body: ref[BodyClaim] | None = None
         self._timer: Any = None
+        self._parsing_timer: Any = None
 
     def connectionMade(self) -> None:
         """Set the socket options and wait for the first request."""
@@ -287,6 +291,9 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Notify the listener that the caller's connection is lost."""
         self._stop_timer()
+        if self._parsing_timer is not None:
+            self._parsing_timer.cancel()
+            self._parsing_timer = None
         self.factory.connections.discard(self)
         self.factory.idle_connections.pop(self, None)
         self.factory.memory.discard(self)
@@ -417,14 +424,28 @@
             return  # called by the answer to a request that the loop below has just read
         self._reading = True
         try:
-            while self._read_event(self._codec.next_event()):
-                pass
+            for _ in range(MAX_EVENTS_AT_ONCE):
+                if not self._read_event(self._codec.next_event()):
+                    return
+            self._postpone_parsing()
         except h11.RemoteProtocolError as error:
             too_large = error.error_status_hint == LimitExceeded.HEAD_TOO_LARGE.value
             self._refuse(LimitExceeded.HEAD_TOO_LARGE if too_large else LimitExceeded.MALFORMED)
         finally:
             self._reading = False
 
+    def _postpone_parsing(self) -> None:
+        """Parse the rest of what has been read after other connections have been served."""
+        self._pause_reading()
+        if self._parsing_timer is None:
+            self._parsing_timer = self.factory.reactor.callLater(0.0, self._continue_parsing)
+
+    def _continue_parsing(self) -> None:
+        self._parsing_timer = None
+        if self._incoming is not None:
+            self._unpause_reading()
+            self._read_events()
+
     def _read_event(self, event: Any) -> bool:
         """Handle one parser event; return whether more may follow."""
         incoming = self._incoming
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -190,6 +190,8 @@
     try:
         while server.connection.held_bytes < 200_000:
             server.receive(chunk * chunks_of_a_read)
+            while server.transport.producerState == "paused":
+                server.clock.advance(0.0)
         taken_bytes, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
@@ -199,6 +201,34 @@
     assert set(request.body) == {ord("x")}
 
 
+# Guards against callers whose bodies in small chunks hold up all other requests of a host.
+def test_a_read_of_many_chunks_is_parsed_in_several_turns() -> None:
+    server = ServerHarness()
+    server.receive(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 1_000)
+    assert server.connection._incoming.body.size < 300
+    assert server.transport.producerState == "paused"
+    server.clock.advance(0.0)
+    assert server.connection._incoming.body.size == 1_000
+    assert server.transport.producerState == "producing"
+    server.receive(b"0\r\n\r\n")
+    ((request, _),) = server.requests
+    assert request.body == b"x" * 1_000
+
+
+@pytest.mark.parametrize("ends", ["the caller leaves", "the body is refused"])
+def test_nothing_more_is_parsed_once_a_request_has_ended(ends: str) -> None:
+    server = ServerHarness(body_bytes=10_000.0)
+    server.receive(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 1_000)
+    if ends == "the caller leaves":
+        server.connection.connectionLost(Failure(ConnectionLost()))
+    else:
+        server.connection.shed()
+        assert server.transport.value().startswith(b"HTTP/1.1 503 ")
+        assert server.transport.producerState == "producing"
+    server.clock.advance(0.0)
+    assert not server.requests
+
+
 # Guards against a host that is ended for its memory, since heads with thousands of headers count
 # for nothing.
 @pytest.mark.parametrize("header", [b"a:\r\n", b"name: value\r\n"])
