Report the second loss of equal requests to all hosts at once

Cause: hosts collect early losses for 10 ms before they report them, and the caller reached the third host 13 ms after the first.

The second loss of equal requests within this time is reported at once, with what is collected; at most every 0.1 s, so that failing links cause no more reports than before in a second.

Evidence: the new test failed before and passes.

--- a/greengagestage/gateway/peers/_early_losses.py
+++ b/greengagestage/gateway/peers/_early_losses.py
@@ -14,6 +14,9 @@
 """Time for which losses are collected. Hosts judge a loss after 0.1 s, by those of 0.05 s before
 and after it, which leaves 0.04 s for the way of a report."""
 
+HURRY_PAUSE_S = 0.1
+"""Pause after a report that was sent at once, since equal requests had been lost twice."""
+
 MAX_REPORT_BYTES = 1_200
 ENTRY_BYTES = 24
 """Size of the entries of one datagram, and of one of them without its texts. Only one is sent at a
@@ -37,16 +40,28 @@
         self._losses: list[ObservedLoss] = []
         self._bytes = 0
         self._reported_s: deque[float] = deque(maxlen=MAX_REPORTS)
+        self._hurried_s = float("-inf")
+        self._timer: Any = None
 
     def add(self, loss: ObservedLoss) -> None:
-        """Report a loss soon, unless too many others are, or have been, reported."""
+        """Report a loss soon, unless too many others are, or have been, reported.
+
+        The second of two equal requests is reported at once: its caller may be about to send it
+        through another host.
+        """
         size = _measure(loss)
         if self._bytes + size > MAX_REPORT_BYTES or self._has_reported_enough():
             return
-        if not self._losses:
-            self._reactor.callLater(COLLECTION_S, self._report)
+        is_repeated = any(other.fingerprint == loss.fingerprint for other in self._losses)
         self._losses.append(loss)
         self._bytes += size
+        now_s = self._reactor.seconds()
+        if is_repeated and now_s - self._hurried_s >= HURRY_PAUSE_S:
+            self._hurried_s = now_s
+            self._timer.cancel()
+            self._report()
+        elif self._timer is None:
+            self._timer = self._reactor.callLater(COLLECTION_S, self._report)
 
     def _has_reported_enough(self) -> bool:
         reported_s = self._reported_s
@@ -55,6 +70,7 @@
 
     def _report(self) -> None:
         losses, self._losses, self._bytes = self._losses, [], 0
+        self._timer = None
         now_s = self._reactor.seconds()
         self._reported_s.append(now_s)
         self._send(EarlyLossesReport([_encode(loss, now_s) for loss in losses]))
--- a/tests/test_report_parts.py
+++ b/tests/test_report_parts.py
@@ -90,3 +90,23 @@
         clock.advance(COLLECTION_S / 20)
     assert max(sizes) <= MAX_DATAGRAM_BYTES
     assert len(sizes) <= MAX_REPORTS
+
+
+# Guards against a caller who repeats a crashing request through the next host before it hears
+# of two crashes (review/9).
+def test_the_second_loss_of_equal_requests_is_reported_at_once() -> None:
+    clock, reports = Clock(), []
+    reporter = EarlyLossReporter(reactor=clock, send=reports.append)
+    for number, fingerprint in enumerate("abaaa"):
+        reporter.add(
+            ObservedLoss(
+                fingerprint=Fingerprint(fingerprint),
+                address="10.0.0.1",
+                port=8_000 + number,
+                sent_s=clock.seconds(),
+                lost_s=clock.seconds(),
+            )
+        )
+    ((_, _, _),) = [report.losses for report in reports]
+    clock.advance(COLLECTION_S)
+    assert [len(report.losses) for report in reports] == [3, 2]
