Split the claim of a trial, and bound what an odd report says of trials

No change for reports of this build: how a claim begins and when it keeps others back are functions of their own, and both writes of the record share one. A report that names more trials than losses are kept raised an exception; the new test failed before.

--- a/greengagestage/gateway/crashes/_crash_table.py
+++ b/greengagestage/gateway/crashes/_crash_table.py
@@ -40,7 +40,7 @@
     encode_row,
 )
 from ._crash_watch import CRASH_CONFIRMATION_S
-from ._recorded_crashes import RecordedCrashes, has_own_row
+from ._recorded_crashes import CrashRows, RecordedCrashes, has_own_row
 
 MAX_ROWS_PER_WRITE = 50
 """Half of the rows that a transaction may name: each is expected and written. Most rows take some
@@ -158,9 +158,7 @@
         if record is None:
             return False
         key = build_request_key(fingerprint)
-        expected = RowExpectation(table=CRASH_TABLE, key=key, revision=self._revisions.get(key, 0))
-        put = build_put(CRASH_TABLE, key, self._encode([record]))
-        outcome = yield self._rows.transact(Transaction(expected=[expected], puts=[put]))
+        outcome = yield self._replace({key: [record]})
         is_recorded = isinstance(outcome, RowsRead) and outcome.era == clock.era
         log_message(
             message_type=(
@@ -262,12 +260,7 @@
             return True
         keys = [key for key in rows if key in written]
         batch = {key: rows[key] for key in keys[:MAX_ROWS_PER_WRITE]}
-        puts = [build_put(CRASH_TABLE, key, self._encode(row)) for key, row in batch.items()]
-        expected = [
-            RowExpectation(table=CRASH_TABLE, key=key, revision=self._revisions.get(key, 0))
-            for key in batch
-        ]
-        outcome = yield self._rows.transact(Transaction(expected=expected, puts=puts))
+        outcome = yield self._replace(batch)
         if isinstance(outcome, RowConflict):
             self._viewed_s = float("-inf")
         is_written = isinstance(outcome, RowsRead) and (clock is None or outcome.era == clock.era)
@@ -283,6 +276,15 @@
             self._revisions.update(dict.fromkeys(batch, outcome.revision))
         return is_written
 
+    def _replace(self, rows: CrashRows) -> Deferred[Any]:
+        """Write rows, unless one of them has been written since this host has read it."""
+        puts = [build_put(CRASH_TABLE, key, self._encode(row)) for key, row in rows.items()]
+        expected = [
+            RowExpectation(table=CRASH_TABLE, key=key, revision=self._revisions.get(key, 0))
+            for key in rows
+        ]
+        return self._rows.transact(Transaction(expected=expected, puts=puts))
+
     def _forget_older_era(self) -> None:
         """Take nothing for recorded after the store has come back from an older copy."""
         era = self._get_era()
--- a/greengagestage/gateway/crashes/_request_trials.py
+++ b/greengagestage/gateway/crashes/_request_trials.py
@@ -38,6 +38,16 @@
         """Whether the request may be sent, or may be soon."""
         return self.state is not _ClaimState.REFUSED and not self.is_withdrawn
 
+    def keeps_others_back(self, now_s: float) -> bool:
+        """Whether no other claim may begin; one that is granted is known as a loss."""
+        match self.state:
+            case _ClaimState.PENDING:
+                return True
+            case _ClaimState.REFUSED:
+                return now_s < self.ended_s
+            case _ClaimState.GRANTED:
+                return False
+
 
 class RequestTrials:
     """Decides which of equal requests this host sends as a trial.
@@ -78,25 +88,9 @@
         known = self._claims.get(fingerprint)
         if known is not None and known.request == request:
             return known.is_open
-        is_pending = known is not None and known.state is _ClaimState.PENDING
-        is_refused = known is not None and known.state is _ClaimState.REFUSED
-        if now_s < subject.ends_s or is_pending:
-            return False
-        if is_refused and known is not None and now_s < known.ended_s:
+        if now_s < subject.ends_s or (known is not None and known.keeps_others_back(now_s)):
             return False
-        self._forget_ended(now_s)
-        claim = _Claim(request=request, ended_s=max(now_s, request.deadline_s) + RETRY_S)
-        self._claims[fingerprint] = claim
-
-        def settle(is_granted: bool) -> None:
-            claim.state = _ClaimState.GRANTED if is_granted else _ClaimState.REFUSED
-            if not is_granted:
-                claim.ended_s = now_s + RETRY_S
-            elif claim.is_withdrawn:
-                self._take_back(fingerprint, request)
-
-        self._claim(fingerprint, request.attempt_id).addCallback(settle)
-        return claim.is_open
+        return self._begin_claim(fingerprint, request, now_s).is_open
 
     def is_awaited(self, attempt_id: AttemptId) -> bool:
         """Whether a request is a trial that the store has not recorded yet."""
@@ -114,6 +108,21 @@
         if claim.state is _ClaimState.GRANTED:
             self._take_back(fingerprint, request)
 
+    def _begin_claim(self, fingerprint: Fingerprint, request: TrialRequest, now_s: float) -> _Claim:
+        self._forget_ended(now_s)
+        claim = _Claim(request=request, ended_s=max(now_s, request.deadline_s))
+        self._claims[fingerprint] = claim
+
+        def settle(is_granted: bool) -> None:
+            claim.state = _ClaimState.GRANTED if is_granted else _ClaimState.REFUSED
+            if not is_granted:
+                claim.ended_s = now_s + RETRY_S
+            elif claim.is_withdrawn:
+                self._take_back(fingerprint, request)
+
+        self._claim(fingerprint, request.attempt_id).addCallback(settle)
+        return claim
+
     def _take_back(self, fingerprint: Fingerprint, request: TrialRequest) -> None:
         del self._claims[fingerprint]
         self._losses.withdraw_trial(fingerprint, request.attempt_id)
--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -611,10 +611,9 @@
 
 def _measure_head(head: h11.Request) -> int:
     """Return the memory that the headers of a request take; 0 if it is little."""
-    headers = list(head.headers)
-    if len(headers) <= MAX_UNCOUNTED_HEADERS:
+    if len(head.headers) <= MAX_UNCOUNTED_HEADERS:
         return 0
-    return sum(HEADER_BYTES + len(name) + len(value) for name, value in headers)
+    return sum(HEADER_BYTES + len(name) + len(value) for name, value in head.headers)
 
 
 def _is_ambiguous(head: h11.Request) -> bool:
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -164,9 +164,11 @@
         return not self.hashes and not self.cleared
 
     def _drop_excess(self) -> None:
-        """Drop the losses that became known first, but no trial."""
+        """Drop the losses that became known first, and trials last."""
         while len(self.hashes) > MAX_LOSSES:
-            del self.hashes[next(loss for loss in self.hashes if loss not in self.trials)]
+            dropped = min(self.hashes, key=self.trials.__contains__)
+            del self.hashes[dropped]
+            self.trials.discard(dropped)
 
 
 class LossTracker:
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -12,8 +12,8 @@
     Sender,
     encode_message,
 )
-from greengagestage.ids import Fingerprint, HostId
-from greengagestage.routing import LossTracker
+from greengagestage.ids import Fingerprint, HostId, LossHash
+from greengagestage.routing import LossRecord, LossTracker
 from greengagestage.routing._losses import MAX_FINGERPRINTS
 
 
@@ -154,3 +154,15 @@
     assert sum(len(report.entries) for report in reports) == 64
     for report in reports:
         assert len(encode_message(PeerMessage(sender, report))) <= MAX_DATAGRAM_BYTES
+
+
+# Guards against odd reports of other hosts, which name more trials than any host sends.
+def test_a_record_of_many_trials_is_kept_within_the_limit() -> None:
+    tracker, bad = LossTracker(), Fingerprint("f")
+    trials = frozenset(LossHash(number) for number in range(20))
+    for last_s in (0.0, 5.0):
+        record = LossRecord(fingerprint=bad, losses=trials, trials=trials, last_s=last_s)
+        tracker.learn([record], last_s)
+    (kept,) = tracker.list_records(6.0, most=9)
+    assert len(kept.losses) == 9
+    assert kept.trials <= kept.losses
