Refuse a trial whose record has failed with an unexpected exception

A claim that ended in an exception would have stayed pending: its request would have waited for its whole time, and equal ones been refused for ever. Found by reading. Tests of the claims of one host, without a store; the case with the exception failed before.

--- a/greengagestage/gateway/crashes/_request_trials.py
+++ b/greengagestage/gateway/crashes/_request_trials.py
@@ -5,9 +5,11 @@
 from enum import Enum
 
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from greengagestage.ids import AttemptId, Fingerprint
 from greengagestage.routing import LossTracker, QuarantinedSubject, TrialRequest
+from greengagestage.telemetry import log_unexpected_failure
 
 RETRY_S = 1.0
 """Time after which a host asks the store again for a trial that it could not record."""
@@ -120,7 +122,7 @@
             elif claim.is_withdrawn:
                 self._take_back(fingerprint, request)
 
-        self._claim(fingerprint, request.attempt_id).addCallback(settle)
+        self._claim(fingerprint, request.attempt_id).addErrback(_refuse).addCallback(settle)
         return claim
 
     def _take_back(self, fingerprint: Fingerprint, request: TrialRequest) -> None:
@@ -134,3 +136,9 @@
             for fingerprint, claim in self._claims.items()
             if claim.state is _ClaimState.PENDING or now_s < claim.ended_s
         }
+
+
+def _refuse(failure: Failure) -> bool:
+    """Refuse a trial that could not be recorded because of an unexpected exception."""
+    log_unexpected_failure("request: trial not recorded", failure)
+    return False
