Let no answer on an older connection contradict a crash that awaits the registry

Another connection seemed to live on, so that the loss awaited the registry, and then the answer forgot it. An upstream of several processes may do the same.

A loss under equal requests that awaits the registry is now contradicted only by an answer on a connection that was opened after it. Where the registry shows the upstream no more while connections to it live on, the loss goes on to wait for their end, within the time in which it may be proved. Losses that have counted, parts of prompts, and runs that were left are judged as before.

Evidence: the new test failed before and passes.

--- a/greengagestage/gateway/crashes/_crash_watch.py
+++ b/greengagestage/gateway/crashes/_crash_watch.py
@@ -189,15 +189,23 @@
         for awaited in (self._unproven_parts, self._unproven, self._left):
             awaited.forget_answered(fingerprint, sent_s)
 
-    def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
+    def record_head(
+        self, upstream: RegisteredUpstream, sent_s: float, *, opened_s: float | None = None
+    ) -> None:
         """Record that an upstream answers, so that it has not ended with an earlier loss.
 
         A head can be read after its upstream has crashed: only the losses before its request was
-        sent are contradicted.
+        sent are contradicted. A loss under equal requests that awaits the registry is contradicted
+        only on a connection that was opened later: what is left of a crashed upstream may go on
+        with others for a while.
+
+        Args:
+            opened_s: When the connection was opened; None if that was after the losses.
         """
         alive = upstream.incarnation
-        for awaited in (self._unproven_parts, self._unproven, self._left):
+        for awaited in (self._unproven_parts, self._left):
             awaited.forget_alive(alive, sent_s)
+        self._unproven.forget_alive(alive, sent_s if opened_s is None else opened_s)
         counted = self._counted.pop(alive, [])
         later = [each for each in counted if each.lost.lost_s > sent_s]
         if later:
@@ -242,8 +250,12 @@
                 awaited.forget_alive(incarnation, oldest_s)
                 continue
             for end in awaited.take(incarnation):
-                if end.until_s > oldest_s and self._has_ended(end.lost, endpoints):
+                if end.until_s <= oldest_s:
+                    continue
+                if self._has_ended(end.lost, endpoints):
                     end.on_ended()
+                elif awaited is self._unproven and incarnation not in self._leaving:
+                    awaited.add(end)  # until its last connections have ended, too
 
     def _handle_connection_lost(self, endpoint: Endpoint) -> None:
         """Judge the runs that may have gone on at an upstream whose connections end."""
--- a/greengagestage/gateway/crashes/_quarantine.py
+++ b/greengagestage/gateway/crashes/_quarantine.py
@@ -88,9 +88,15 @@
         """Whether equal requests have been lost that may have crashed their upstreams."""
         return self._crash_watch.awaits_proof(fingerprint)
 
-    def record_head(self, upstream: RegisteredUpstream, sent_s: float) -> None:
-        """Record that an upstream itself answers a request that this host sent at a time."""
-        self._crash_watch.record_head(upstream, sent_s)
+    def record_head(
+        self, upstream: RegisteredUpstream, sent_s: float, *, opened_s: float | None = None
+    ) -> None:
+        """Record that an upstream itself answers a request that this host sent at a time.
+
+        Args:
+            opened_s: As for ``CrashWatch.record_head``.
+        """
+        self._crash_watch.record_head(upstream, sent_s, opened_s=opened_s)
 
     def record_answer(self, job: Job) -> None:
         """Record that the answer to a request has produced an event."""
--- a/greengagestage/gateway/exchange/_attempt.py
+++ b/greengagestage/gateway/exchange/_attempt.py
@@ -245,7 +245,8 @@
                 self._close()
             case ResponseKind.SUCCESS | ResponseKind.FAILURE:
                 if self._forwarded_by is None and names_request(head):
-                    self._context.quarantine.record_head(upstream, sent_s)
+                    opened_s = None if self._connection is None else self._connection.opened_s
+                    self._context.quarantine.record_head(upstream, sent_s, opened_s=opened_s)
                 if head.status < 300 and self.plan.job.prompt is not None:
                     self._context.metrics.forecast_errors.observe(
                         self.plan.job.route.name,
--- a/greengagestage/gateway/forwarding/_forwarding.py
+++ b/greengagestage/gateway/forwarding/_forwarding.py
@@ -235,7 +235,9 @@
             return
         now_s = self._context.reactor.seconds()
         if kind in (ResponseKind.SUCCESS, ResponseKind.FAILURE) and names_request(head):
-            self._context.quarantine.record_head(self._upstream, self._sent_s)
+            opened_s = None if self._connection is None else self._connection.opened_s
+            quarantine = self._context.quarantine
+            quarantine.record_head(self._upstream, self._sent_s, opened_s=opened_s)
         self._context.notices.record(self._upstream, head, sent_s=self._sent_s, now_s=now_s)
         self._context.router.record_data(self.attempt_id, self._upstream.instance, now_s)
         self._begun, self._framed = True, head.framed
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -205,6 +205,26 @@
     assert judged.is_quarantined is not (is_listed or answers_later)
 
 
+# Guards against a crash that is taken back, since a connection that its upstream accepted last is
+# still served for a while (review/15).
+def test_an_answer_on_an_older_connection_does_not_contradict_a_crash() -> None:
+    judged = JudgedLosses(survivors=1)
+    upstreams = [build_upstream(number) for number in range(3)]
+    opened_s = judged.clock.seconds()
+    judged.clock.advance(1.0)
+    for number in range(3):
+        judged.lose(number)
+    judged.clock.advance(1.0)
+    for upstream in upstreams:
+        judged.watch.record_head(upstream, judged.clock.seconds(), opened_s=opened_s)
+    judged.clock.advance(3.0)
+    judged.watch.observe_upstreams([])
+    assert not judged.is_quarantined
+    judged.survivors = 0
+    judged.watch.observe_upstreams([])
+    assert judged.is_quarantined
+
+
 # Guards against equal requests that crash upstreams side by side, whose losses are left out as a
 # common cause each time, and against the opposite: links that fail together end no upstream, and
 # upstreams that fail together with others say no more than one of them.
