--- a/tests/exchange_world.py
+++ b/tests/exchange_world.py
@@ -80,6 +80,7 @@
         sent: How many bytes of that it has sent.
         is_whole: The upstream has ended its answer after all of it.
         port: Where its upstream process listens.
+        opened_s: When the connection was opened.
         events: The ids of the events of a resumable stream that the upstream can send.
         sequel: The event without an id that follows the one after which it is asked to go on.
         skipped: Those that it leaves out, since it begins later than it was asked to.
@@ -92,6 +93,7 @@
         self.answer = answer
         self.forwarded = forwarded
         self.port = port
+        self.opened_s = world.clock.seconds()
         self.world = world
         self.exchange: Exchange | None = None
         self.head: ResponseHead | None = None
