--- a/greengagestage/http1/_server.py
+++ b/greengagestage/http1/_server.py
@@ -48,7 +48,7 @@
 """Memory that a header takes beside its bytes, in the request and in the one that is sent on."""
 
 MAX_UNCOUNTED_HEADERS = 32
-"""Heads with more headers count for what they take. Others take less than a read."""
+"""Heads with more headers count for what they take. Others take little beside their 16 KiB."""
 
 MAX_EVENTS_AT_ONCE = 256
 """Parser events after which other connections are served. A read can hold thousands of chunks."""
--- a/greengagestage/routing/_losses.py
+++ b/greengagestage/routing/_losses.py
@@ -26,7 +26,8 @@
 
 MAX_TRIALS = 2
 """Number of requests with one fingerprint that all hosts together send after a quarantine. If none
-of them is answered, no other one is sent."""
+of them is answered, no other one is sent. Another host may send one more before it hears of the
+last crash: three sends are the most that upstreams are to bear."""
 
 NEWS_LIFETIME_S = 60.0
 """Time for which hosts tell each other what has changed about losses that do not suffice for a
--- a/greengagestage/routing/_recent_losses.py
+++ b/greengagestage/routing/_recent_losses.py
@@ -16,7 +16,7 @@
 """Time for which losses are kept: ten times that after which a loss is judged."""
 
 JUDGING_S = 0.2
-"""Time after which all hosts know whether a loss counts: it is judged after 0.1 s, then told."""
+"""Time after which hosts usually know whether a loss counts: judged after 0.1 s, then told."""
 
 MAX_EQUAL = 64
 MAX_FINGERPRINTS = 2_048
